--- /dev/null
+++ b/cmd/hive/main.go
@@ -0,0 +1,88 @@
+// Command hive is the one program of rowanshunt; its first word is the role of
+// the node (design 1.1).
+package main
+
+import (
+	"fmt"
+	"os"
+
+	"github.com/alecthomas/kingpin/v2"
+
+	"rowanshunt/internal/colony"
+	"rowanshunt/internal/foundation"
+	"rowanshunt/internal/skep"
+	"rowanshunt/internal/wax"
+)
+
+// version is the version of the program; builds may set it.
+var version = "0.1.0-dev"
+
+func main() { os.Exit(run(os.Args[1:])) }
+
+func run(args []string) int {
+	app := kingpin.New("hive", "A serving tier with a batch interface. Each process is a node in one role.")
+	app.Version(version)
+	app.HelpFlag.Short('h')
+	app.Terminate(nil)
+	file := app.Flag("file", "Options file (TOML). Without it, $"+skep.EnvFile+", then "+skep.DefaultFile+".").String()
+	level := app.Flag("log-level", "Lowest level logged.").Default("info").Enum("debug", "info", "warn", "error")
+	forager := app.Command("forager", "Run a node that serves clients, workers and operators.")
+	comb := app.Command("comb", "Run a node that keeps lots on its disk.")
+	check := app.Command("check", "Check an options file, and a blueprint if one is named, without starting anything.")
+	checkRole := check.Flag("role", "Check the options for this role.").Enum("forager", "comb")
+	checkDoc := check.Flag("blueprint", "A blueprint (JSON) to check.").String()
+	noOptions := check.Flag("no-options", "Check the blueprint only.").Bool()
+	quit := -1
+	app.UsageWriter(os.Stdout)
+	app.Terminate(func(code int) {
+		if quit < 0 {
+			quit = code
+		}
+	})
+	cmd, err := app.Parse(args)
+	if quit >= 0 {
+		return quit
+	}
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "hive:", err, "(try hive --help)")
+		return 2
+	}
+	switch cmd {
+	case forager.FullCommand():
+		err = colony.Run(skep.Path(*file), "forager", *level)
+	case comb.FullCommand():
+		err = colony.Run(skep.Path(*file), "comb", *level)
+	case check.FullCommand():
+		err = checkFiles(skep.Path(*file), *checkRole, *checkDoc, *noOptions)
+	}
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "hive:", err)
+		return 1
+	}
+	return 0
+}
+
+func checkFiles(path, role, doc string, noOptions bool) error {
+	var l wax.Ledger
+	if !noOptions {
+		opts, err := skep.Load(path)
+		l.Add(err)
+		if err == nil {
+			if role != "" {
+				l.Add(opts.CheckRole(role))
+			}
+			fmt.Printf("options ok: node=%s az=%s\n", opts.Node, opts.Az)
+		}
+	}
+	if doc != "" {
+		raw, err := os.ReadFile(doc)
+		if err != nil {
+			l.Add(wax.New(wax.Invalid, doc, err.Error(), "name a readable file"))
+		} else if b, err := foundation.Parse(raw); err != nil {
+			l.Add(err)
+		} else {
+			fmt.Printf("blueprint ok: ver=%d routes=%d svcs=%d\n", b.Ver, len(b.Bindings), len(b.Services))
+		}
+	}
+	return l.Err()
+}
--- /dev/null
+++ b/internal/brood/api.go
@@ -0,0 +1,249 @@
+package brood
+
+import (
+	"context"
+	"encoding/base64"
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/go-faster/jx"
+	"github.com/julienschmidt/httprouter"
+
+	"rowanshunt/internal/foundation"
+	"rowanshunt/internal/wax"
+)
+
+// MaxItems is how many items a lot may hold.
+const MaxItems = 200
+
+// API is the lots' side of a node that serves clients.
+type API struct {
+	Client    *Client
+	Blueprint func() *foundation.Blueprint
+	WallUs    func() int64
+	Decline   func(w http.ResponseWriter, status int, afterMs int64, why string)
+	Log       *wax.Log
+	// Serving counts the calls under way.
+	Serving func(int64)
+}
+
+type lotDoc struct {
+	Reqs []struct {
+		ID   string            `json:"id"`
+		Path string            `json:"path"`
+		Hdrs map[string]string `json:"hdrs"`
+		Body string            `json:"body"`
+		Toks *int64            `json:"toks"`
+	} `json:"reqs"`
+}
+
+// ParseLot reads and checks the body of a lot.
+func ParseLot(raw []byte, wallUs int64) ([]Prompt, error) {
+	var doc lotDoc
+	if err := json.Unmarshal(raw, &doc); err != nil {
+		return nil, wax.New(wax.Invalid, "lot", err.Error(), "send one JSON object with reqs")
+	}
+	if len(doc.Reqs) == 0 {
+		return nil, wax.New(wax.Invalid, "reqs", "is missing or empty", "hand in at least one item")
+	}
+	if len(doc.Reqs) > MaxItems {
+		return nil, wax.New(wax.Invalid, "reqs", "holds more than 200 items", "hand in several lots")
+	}
+	var l wax.Ledger
+	seen := map[string]bool{}
+	out := make([]Prompt, 0, len(doc.Reqs))
+	for i, q := range doc.Reqs {
+		at := "reqs." + strconv.Itoa(i)
+		if q.ID == "" || len(q.ID) > 256 {
+			l.Addf(at+".id", "is missing or too long", "name each item")
+		}
+		if seen[q.ID] {
+			l.Addf(at+".id", "is there twice", "name each item once")
+		}
+		seen[q.ID] = true
+		if len(q.Path) == 0 || q.Path[0] != '/' {
+			l.Addf(at+".path", "is no path", "begin it with a slash")
+		}
+		if q.Toks == nil || *q.Toks < 0 {
+			l.Addf(at+".toks", "is missing or negative", "give the tokens of the prompt and the most out, summed")
+		}
+		body, err := base64.StdEncoding.DecodeString(q.Body)
+		if err != nil {
+			l.Addf(at+".body", "is no base64", "encode the body")
+		}
+		p := Prompt{ID: q.ID, Path: q.Path, Body: body, ScheduledUs: wallUs, NextUs: wallUs, CreatedUs: wallUs}
+		if q.Toks != nil {
+			p.Toks = *q.Toks
+		}
+		for k, v := range q.Hdrs {
+			if !headOK(k) || !valueOK(v) {
+				l.Addf(at+".hdrs", "holds a head that cannot be sent", "leave it out")
+			}
+			p.Hdrs = append(p.Hdrs, k, v)
+		}
+		out = append(out, p)
+	}
+	return out, l.Err()
+}
+
+func headOK(k string) bool {
+	if k == "" {
+		return false
+	}
+	for _, c := range k {
+		if c <= ' ' || c >= 0x7f || c == ':' {
+			return false
+		}
+	}
+	return true
+}
+
+func valueOK(v string) bool {
+	for i := 0; i < len(v); i++ {
+		if v[i] < ' ' && v[i] != '\t' || v[i] == 0x7f {
+			return false
+		}
+	}
+	return true
+}
+
+// Hand takes a lot in.
+func (a *API) Hand(w http.ResponseWriter, r *http.Request, binding *foundation.Binding, id string, maxBytes int64, leftMs int64) {
+	a.Serving(1)
+	defer a.Serving(-1)
+	if r.ContentLength > maxBytes {
+		http.Error(w, "the lot is too large", http.StatusRequestEntityTooLarge)
+		return
+	}
+	raw, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBytes))
+	if err != nil {
+		var over *http.MaxBytesError
+		if errors.As(err, &over) {
+			http.Error(w, "the lot is too large", http.StatusRequestEntityTooLarge)
+			return
+		}
+		http.Error(w, "the lot cannot be read", http.StatusBadRequest)
+		return
+	}
+	wallUs := a.WallUs()
+	prompts, err := ParseLot(raw, wallUs)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	raw = nil
+	lot := &Lot{ID: id, Host: foundation.HostKey(r.Host), Path: r.URL.Path, Binding: binding.Name, SentUs: wallUs, DueMs: binding.DueMs,
+		RetainMs: int64(binding.RetainS * 1000), Tries: binding.Tries, Prompts: prompts}
+	if lot.RetainMs <= 0 {
+		lot.RetainMs = max(10*binding.DueMs, 60_000)
+	}
+	ctx, cancel := context.WithTimeout(r.Context(), time.Duration(min(leftMs, 2500))*time.Millisecond)
+	defer cancel()
+	shardN := ShardOf(r.Host)
+	err = a.Client.Call(ctx, shardN, "brood.hand", &handCall{Shard: shardN, Lot: lot, Backlog: binding.Backlog}, nil, 900*time.Millisecond)
+	switch {
+	case err == nil:
+		w.WriteHeader(http.StatusAccepted)
+	case wax.Is(err, wax.Conflict):
+		a.Decline(w, http.StatusTooManyRequests, 1000, err.Error())
+	case wax.Is(err, wax.Declined) || wax.Is(err, wax.Unreached):
+		a.Decline(w, http.StatusServiceUnavailable, 300, err.Error())
+	case wax.Is(err, wax.Invalid):
+		http.Error(w, err.Error(), http.StatusBadRequest)
+	default:
+		http.Error(w, err.Error(), http.StatusGatewayTimeout)
+	}
+}
+
+// Read lists results.
+func (a *API) Read(w http.ResponseWriter, r *http.Request, ps httprouter.Params) {
+	a.Serving(1)
+	defer a.Serving(-1)
+	startAt := int64(0)
+	if s := r.URL.Query().Get("start_at"); s != "" {
+		n, err := strconv.ParseInt(s, 10, 64)
+		if err != nil || n < 0 {
+			http.Error(w, "start_at is no position", http.StatusBadRequest)
+			return
+		}
+		startAt = n
+	}
+	waitMs, _ := strconv.ParseInt(r.Header.Get("X-Rowanshunt-Wait-Ms"), 10, 64)
+	waitMs = min(max(waitMs, 0), 10_000)
+	ctx, cancel := context.WithTimeout(r.Context(), time.Duration(waitMs+1200)*time.Millisecond)
+	defer cancel()
+	shardN := ShardOf(r.Host)
+	out := &readAnswer{}
+	err := a.Client.Call(ctx, shardN, "brood.read", &readCall{Shard: shardN, Lot: ps.ByName("id"), StartAt: startAt, WaitUs: waitMs * 1000, MaxBytes: 1 << 20}, out, time.Duration(waitMs+700)*time.Millisecond)
+	if a.failed(w, err) {
+		return
+	}
+	var e jx.Encoder
+	e.Obj(func(e *jx.Encoder) {
+		e.Field("sum", func(e *jx.Encoder) { e.Int64(out.Sum) })
+		e.Field("cont", func(e *jx.Encoder) { e.Int64(out.Cont) })
+		e.Field("out", func(e *jx.Encoder) {
+			e.Arr(func(e *jx.Encoder) {
+				for i := range out.Out {
+					e.Obj(func(e *jx.Encoder) {
+						e.Field("id", func(e *jx.Encoder) { e.Str(out.Out[i].ID) })
+						e.Field("phase", func(e *jx.Encoder) { e.Str(out.Out[i].Phase) })
+						e.Field("msg", func(e *jx.Encoder) { e.ByteStr(out.Out[i].Msg) })
+					})
+				}
+			})
+		})
+	})
+	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set("Content-Length", strconv.Itoa(len(e.Bytes())))
+	_, _ = w.Write(e.Bytes())
+}
+
+// failed answers for a call to an owner that did not succeed: 404 only where
+// the owner is sure.
+func (a *API) failed(w http.ResponseWriter, err error) bool {
+	switch {
+	case err == nil:
+		return false
+	case wax.Is(err, wax.Unknown):
+		http.Error(w, err.Error(), http.StatusNotFound)
+	default:
+		a.Decline(w, http.StatusServiceUnavailable, 200, err.Error())
+	}
+	return true
+}
+
+// Body gives the body of an item that is not listed yet.
+func (a *API) Body(w http.ResponseWriter, r *http.Request, ps httprouter.Params) {
+	a.Serving(1)
+	defer a.Serving(-1)
+	ctx, cancel := context.WithTimeout(r.Context(), 1500*time.Millisecond)
+	defer cancel()
+	shardN := ShardOf(r.Host)
+	out := &bodyAnswer{}
+	err := a.Client.Call(ctx, shardN, "brood.body", &bodyCall{Shard: shardN, Lot: ps.ByName("id"), Item: r.URL.Query().Get("id")}, out, 700*time.Millisecond)
+	if a.failed(w, err) {
+		return
+	}
+	w.Header().Set("Content-Type", "application/octet-stream")
+	w.Header().Set("Content-Length", strconv.Itoa(len(out.Body)))
+	_, _ = w.Write(out.Body)
+}
+
+// End ends a lot.
+func (a *API) End(w http.ResponseWriter, r *http.Request, ps httprouter.Params) {
+	a.Serving(1)
+	defer a.Serving(-1)
+	ctx, cancel := context.WithTimeout(r.Context(), 1500*time.Millisecond)
+	defer cancel()
+	shardN := ShardOf(r.Host)
+	err := a.Client.Call(ctx, shardN, "brood.end", &endCall{Shard: shardN, Lot: ps.ByName("id")}, nil, 700*time.Millisecond)
+	if a.failed(w, err) {
+		return
+	}
+	w.WriteHeader(http.StatusOK)
+}
--- /dev/null
+++ b/internal/brood/brood.go
@@ -0,0 +1,575 @@
+package brood
+
+import (
+	"context"
+	"hash/fnv"
+	"slices"
+	"sort"
+	"strconv"
+	"time"
+
+	"rowanshunt/internal/cell"
+	"rowanshunt/internal/foundation"
+	"rowanshunt/internal/nest"
+	"rowanshunt/internal/pollen"
+	"rowanshunt/internal/swarm"
+	"rowanshunt/internal/waggle"
+	"rowanshunt/internal/wax"
+)
+
+// Options of the queue; the source's figures are in docs/paper.md, these are
+// our own defaults.
+type Options struct {
+	CacheSize int   // prompts in the send cache
+	BatchSize int   // prompts a dispatcher gets at a time
+	PollUs    int64 // between two polls
+	AckWaitUs int64 // the first wait for an ack
+	PurgeUs   int64 // age at which closed lots are dropped
+}
+
+// Defaults of the options.
+func Defaults() Options {
+	return Options{CacheSize: 2000, BatchSize: 10, PollUs: 100_000, AckWaitUs: 6_000_000, PurgeUs: 180_000_000}
+}
+
+// Config is what a brood is made of.
+type Config struct {
+	Floor     *waggle.Floor
+	Desk      *pollen.Desk
+	Mesh      pollen.Mesh
+	Swarm     *swarm.Swarm
+	Log       *wax.Log
+	Self      swarm.Partner
+	Seat      string
+	Dir       string
+	DiskBytes int64
+	State     func() *nest.State // newest committed
+	Change    func(context.Context, nest.Change) (*nest.State, error)
+	Blueprint func() *foundation.Blueprint
+	Fatal     func(error)
+	Options   Options
+	Spared    int
+	WallUs    func() int64
+}
+
+// Brood is a store's part of the queue. It owns its shards; all runs on the
+// floor.
+type Brood struct {
+	cfg          Config
+	ctx          context.Context
+	shards       [Shards]*shard
+	cell         *cell.Cell
+	longBytes    int64
+	minLongBytes int64
+	startUs      int64
+	life         string
+	rosterVer    uint64
+	rosterUs     int64
+	cache        []cached
+	takers       []*taker
+	readers      []*reader
+	rostering    bool
+	stableUs     int64
+	lastNames    string
+}
+
+type cached struct {
+	s    *shard
+	lot  string
+	item int
+}
+
+// Open reads the store's disk and joins the queue.
+func Open(ctx context.Context, cfg Config) (*Brood, error) {
+	b := &Brood{cfg: cfg, ctx: ctx, startUs: waggle.NowUs(), life: strconv.FormatInt(cfg.Self.LifeUs, 10)}
+	b.minLongBytes = max(cfg.DiskBytes/4, 16<<20)
+	b.longBytes = b.minLongBytes
+	if err := b.openReplica(cfg.Dir); err != nil {
+		return nil, err
+	}
+	d := cfg.Desk
+	pollen.On(d, "brood.claim", b.onClaim)
+	pollen.On(d, "brood.fetch", b.onFetch)
+	pollen.On(d, "brood.write", b.onWrite)
+	pollen.On(d, "brood.hand", b.onHand)
+	pollen.On(d, "brood.read", b.onRead)
+	pollen.On(d, "brood.body", b.onBody)
+	pollen.On(d, "brood.end", b.onEnd)
+	pollen.On(d, "brood.take", b.onTake)
+	pollen.On(d, "brood.give", b.onGive)
+	pollen.On(d, "brood.ack", b.onAck)
+	pollen.On(d, "brood.owned", b.onOwned)
+	cfg.Floor.Every(tickUs, b.tick)
+	cfg.Floor.Every(cfg.Options.PollUs, b.poll)
+	return b, nil
+}
+
+// ShardOf cuts lots by the host they are handed in under.
+func ShardOf(host string) int {
+	h := fnv.New32a()
+	_, _ = h.Write([]byte(foundation.HostKey(host)))
+	return int(h.Sum32() % Shards)
+}
+
+func (b *Brood) tick() {
+	if st := b.cfg.State(); st != nil && st.Stores.Ver != b.rosterVer {
+		b.rosterVer, b.rosterUs = st.Stores.Ver, waggle.NowUs()
+	}
+	b.claimTick()
+	b.rosterTick()
+	b.expireWaiting()
+}
+
+// own gives the shard if this node may serve it.
+func (b *Brood) own(shardN int) (*shard, error) {
+	if shardN < 0 || shardN >= Shards {
+		return nil, wax.New(wax.Invalid, "shard", "is out of bounds", "run the same version on all nodes")
+	}
+	s := b.shards[shardN]
+	if s.owner == nil {
+		node, _ := ownerName(s.promised.By)
+		if node == b.cfg.Self.Name {
+			node = ""
+		}
+		return nil, wax.New(wax.NotOwner, node, "this store does not own the shard", "ask the owner")
+	}
+	if !s.owner.ready {
+		return nil, wax.New(wax.Declined, "shard", "is being taken over", "ask again")
+	}
+	return s, nil
+}
+
+type handCall struct {
+	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by the library
+	Shard    int
+	Lot      *Lot
+	Backlog  int64
+}
+
+// onHand accepts a lot: on disk at a majority before the answer (design 8.4).
+func (b *Brood) onHand(ctx context.Context, in *handCall) (*pollen.Nothing, error) {
+	return answered(ctx, b.cfg.Floor, func(reply func(*pollen.Nothing, error)) {
+		s, err := b.own(in.Shard)
+		if err != nil {
+			reply(nil, err)
+			return
+		}
+		if in.Lot == nil || in.Lot.ID == "" || len(in.Lot.Prompts) == 0 {
+			reply(nil, wax.New(wax.Invalid, "lot", "is empty", "hand in at least one item"))
+			return
+		}
+		if s.lots[in.Lot.ID] != nil {
+			b.issue(s, op{Kind: opNone}, func(err error) { reply(&pollen.Nothing{}, err) })
+			return
+		}
+		l := in.Lot
+		l.index()
+		if in.Backlog > 0 {
+			var openToks int64
+			for _, other := range s.lots {
+				if other.Binding == l.Binding {
+					openToks += other.openToks()
+				}
+			}
+			if openToks+l.openToks() > in.Backlog {
+				reply(nil, wax.New(wax.Conflict, "backlog", "the lot does not fit", "hand it in again when items are done"))
+				return
+			}
+		}
+		l.List, l.Ended = nil, false
+		whole := *l
+		b.issue(s, op{Kind: opPut, Lot: l.ID, Rev: 1, Whole: &whole}, func(err error) {
+			if err == nil {
+				if got := s.lots[l.ID]; got != nil {
+					got.taken = true
+				}
+				b.poll()
+			}
+			reply(&pollen.Nothing{}, err)
+		})
+		got := s.lots[l.ID]
+		got.live = &live{at: make([]promptState, len(got.Prompts))}
+	})
+}
+
+type readCall struct {
+	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by the library
+	Shard    int
+	Lot      string
+	StartAt  int64
+	WaitUs   int64
+	MaxBytes int64
+}
+
+// ReadResult is one listed item as readers see it.
+type ReadResult struct {
+	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by the library
+	ID       string
+	Phase    string
+	Msg      []byte
+}
+
+type readAnswer struct {
+	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by the library
+	Sum      int64
+	Cont     int64
+	Out      []ReadResult
+}
+
+type reader struct {
+	s       *shard
+	in      *readCall
+	untilUs int64
+	reply   func(*readAnswer, error)
+}
+
+// onRead lists results from a position on; nothing is told that a majority
+// does not hold, and the fence is confirmed after the call came in.
+func (b *Brood) onRead(ctx context.Context, in *readCall) (*readAnswer, error) {
+	return answered(ctx, b.cfg.Floor, func(reply func(*readAnswer, error)) {
+		s, err := b.own(in.Shard)
+		if err != nil {
+			reply(nil, err)
+			return
+		}
+		l := s.lots[in.Lot]
+		if l != nil && l.taken && in.StartAt >= int64(l.seenLen) && in.WaitUs > 0 && !(l.closed() && l.seenLen == len(l.List)) {
+			b.readers = append(b.readers, &reader{s: s, in: in, untilUs: waggle.NowUs() + in.WaitUs, reply: reply})
+			return
+		}
+		b.confirmRead(s, in, reply)
+	})
+}
+
+func (b *Brood) confirmRead(s *shard, in *readCall, reply func(*readAnswer, error)) {
+	if s.owner == nil {
+		reply(nil, wax.New(wax.Unsure, "shard", "changed hands meanwhile", "ask again"))
+		return
+	}
+	b.issue(s, op{Kind: opNone}, func(err error) {
+		if err != nil {
+			reply(nil, err)
+			return
+		}
+		l := s.lots[in.Lot]
+		if l == nil || !l.taken {
+			reply(nil, wax.New(wax.Unknown, in.Lot, "no such lot", "check the id"))
+			return
+		}
+		reply(l.read(in.StartAt, in.MaxBytes), nil)
+	})
+}
+
+func (l *Lot) read(startAt, maxBytes int64) *readAnswer {
+	out := &readAnswer{Sum: int64(len(l.Prompts)), Cont: startAt}
+	var bytes int64
+	for at := startAt; at < int64(l.seenLen); at++ {
+		r := &l.List[at]
+		cost := int64(len(r.Msg))*11/10 + 128
+		if len(out.Out) > 0 && bytes+cost > maxBytes {
+			break
+		}
+		bytes += cost
+		out.Out = append(out.Out, ReadResult{ID: l.Prompts[r.Item].ID, Phase: r.Phase, Msg: r.Msg})
+		out.Cont = at + 1
+	}
+	return out
+}
+
+// wakeReaders answers readers whose lot has something new, or whose time is up.
+func (b *Brood) wakeReaders(nowUs int64) {
+	keep := b.readers[:0]
+	var due []*reader
+	for _, r := range b.readers {
+		l := r.s.lots[r.in.Lot]
+		if nowUs >= r.untilUs || r.s.owner == nil || l == nil || r.in.StartAt < int64(l.seenLen) || l.endSeen {
+			due = append(due, r)
+		} else {
+			keep = append(keep, r)
+		}
+	}
+	clear(b.readers[len(keep):])
+	b.readers = keep
+	for _, r := range due {
+		b.confirmRead(r.s, r.in, r.reply)
+	}
+}
+
+type bodyCall struct {
+	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by the library
+	Shard    int
+	Lot      string
+	Item     string
+}
+
+type bodyAnswer struct {
+	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by the library
+	Body     []byte
+}
+
+func (b *Brood) onBody(ctx context.Context, in *bodyCall) (*bodyAnswer, error) {
+	return answered(ctx, b.cfg.Floor, func(reply func(*bodyAnswer, error)) {
+		s, err := b.own(in.Shard)
+		if err != nil {
+			reply(nil, err)
+			return
+		}
+		b.issue(s, op{Kind: opNone}, func(err error) {
+			l := s.lots[in.Lot]
+			at := -1
+			if l != nil {
+				at = l.find(in.Item)
+			}
+			switch {
+			case err != nil:
+				reply(nil, err)
+			case l == nil || !l.taken || at < 0 || l.Ended || l.listed[at]:
+				reply(nil, wax.New(wax.Unknown, in.Item, "no such item, or it is listed", "read the lot"))
+			default:
+				reply(&bodyAnswer{Body: l.Prompts[at].Body}, nil)
+			}
+		})
+	})
+}
+
+type endCall struct {
+	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by the library
+	Shard    int
+	Lot      string
+}
+
+// onEnd ends a lot for its client; dispatchers that have items of it are told
+// to stop.
+func (b *Brood) onEnd(ctx context.Context, in *endCall) (*pollen.Nothing, error) {
+	return answered(ctx, b.cfg.Floor, func(reply func(*pollen.Nothing, error)) {
+		s, err := b.own(in.Shard)
+		if err != nil {
+			reply(nil, err)
+			return
+		}
+		l := s.lots[in.Lot]
+		if l == nil || l.Ended {
+			b.issue(s, op{Kind: opNone}, func(err error) {
+				if err == nil && l == nil {
+					err = wax.New(wax.Unknown, in.Lot, "no such lot", "check the id")
+				}
+				reply(&pollen.Nothing{}, err)
+			})
+			return
+		}
+		b.stopHolders(l)
+		b.issue(s, op{Kind: opEnd, Lot: l.ID, Rev: l.Rev + 1}, func(err error) {
+			if err == nil {
+				if got := s.lots[in.Lot]; got != nil {
+					got.endSeen = true
+				}
+				b.wakeReaders(waggle.NowUs())
+			}
+			reply(&pollen.Nothing{}, err)
+		})
+	})
+}
+
+// StopCall tells a dispatcher to stop what it runs of a lot.
+type StopCall struct {
+	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by the library
+	Lot      string
+}
+
+func (b *Brood) stopHolders(l *Lot) {
+	if l.live == nil {
+		return
+	}
+	told := map[string]bool{}
+	for i := range l.live.at {
+		if h := l.live.at[i].holder; h != "" && !l.listed[i] && !told[h] {
+			told[h] = true
+			if p := b.cfg.Swarm.Look().Get(h); p != nil {
+				go func() {
+					ctx, cancel := context.WithTimeout(b.ctx, time.Second)
+					defer cancel()
+					_ = b.cfg.Mesh.Call(ctx, p.Addr, "nurse.stop", &StopCall{Lot: l.ID}, nil)
+				}()
+			}
+		}
+	}
+}
+
+// rosterTick brings this store into the roster, and, at the first living seat,
+// settles changes, empties what retires and drops what is long gone
+// (design 8.6).
+func (b *Brood) rosterTick() {
+	st := b.cfg.State()
+	if st == nil || b.rostering {
+		return
+	}
+	v := b.cfg.Swarm.Look()
+	nowUs := waggle.NowUs()
+	names := ""
+	for _, n := range v.Names(func(s *swarm.Sighting) bool { return s.Alive && s.Role == b.cfg.Self.Role }) {
+		names += n + " "
+	}
+	if names != b.lastNames {
+		b.lastNames, b.stableUs = names, nowUs
+	}
+	upUs := nowUs - b.startUs
+	self := nest.Seat{ID: b.cfg.Seat, Name: b.cfg.Self.Name, Addr: b.cfg.Self.Addr}
+	switch {
+	case len(st.Stores.Cur) == 0:
+		if nowUs-b.stableUs > 1_200_000 && upUs > 1_500_000 {
+			b.changeRoster("stores_founded", func(now *nest.State) (*nest.State, error) {
+				if len(now.Stores.Cur) > 0 {
+					return nil, nil
+				}
+				var first []nest.Seat
+				for _, p := range v.All {
+					if p.Alive && p.Role == b.cfg.Self.Role && p.Disk != "" {
+						first = append(first, nest.Seat{ID: p.Seat(), Name: p.Name, Addr: p.Addr})
+					}
+				}
+				sort.Slice(first, func(i, j int) bool { return first[i].ID < first[j].ID })
+				now.Stores = nest.Roster{Ver: now.Stores.Ver + 1, Cur: first}
+				return now, nil
+			})
+		}
+	case !st.Stores.Has(self.ID):
+		if !st.Stores.Joint() && !retiring(st, self.ID) && upUs > 800_000 {
+			b.changeRoster("store_joining", func(now *nest.State) (*nest.State, error) {
+				if now.Stores.Joint() || now.Stores.Has(self.ID) || retiring(now, self.ID) {
+					return nil, nil
+				}
+				next := nest.NextSeats(&now.Stores, self, b.cfg.Swarm.Look(), upUs)
+				if next == nil {
+					return nil, nil
+				}
+				now.Stores = now.Stores.Begin(next)
+				return now, nil
+			})
+		}
+	case firstLiving(st, v) == self.ID:
+		if st.Stores.Joint() {
+			b.settleRoster(st)
+			return
+		}
+		if next := b.without(st, v, upUs); next != nil {
+			b.changeRoster("store_leaving", func(now *nest.State) (*nest.State, error) {
+				if now.Stores.Ver != st.Stores.Ver || now.Stores.Joint() {
+					return nil, nil
+				}
+				now.Stores = now.Stores.Begin(next)
+				return now, nil
+			})
+		}
+	}
+}
+
+func firstLiving(st *nest.State, v *swarm.View) string {
+	for _, s := range st.Stores.Cur {
+		if p := v.Get(s.Name); p != nil && p.Alive && p.Seat() == s.ID {
+			return s.ID
+		}
+	}
+	return ""
+}
+
+// without is the next roster where a seat is to leave, nil if none is.
+func (b *Brood) without(st *nest.State, v *swarm.View, upUs int64) []nest.Seat {
+	if len(st.Stores.Cur) <= 2*b.cfg.Spared+1 {
+		return nil
+	}
+	for _, s := range st.Stores.Cur {
+		if retiring(st, s.ID) || nest.Gone(s, v, 6_000_000, upUs) {
+			return slices.DeleteFunc(slices.Clone(st.Stores.Cur), func(t nest.Seat) bool { return t.ID == s.ID })
+		}
+	}
+	return nil
+}
+
+func (b *Brood) changeRoster(event string, change nest.Change) {
+	b.rostering = true
+	go func() {
+		ctx, cancel := context.WithTimeout(b.ctx, 3*time.Second)
+		defer cancel()
+		st, err := b.cfg.Change(ctx, change)
+		if err != nil {
+			b.cfg.Log.Debug(event+"_waits", "err", err)
+		} else {
+			b.cfg.Log.Info(event, "roster", st.Stores.Ver, "seats", len(st.Stores.Cur), "joint", st.Stores.Joint())
+		}
+		_ = b.cfg.Floor.Do(b.ctx, func() { b.rostering = false })
+	}()
+}
+
+type ownedCall struct {
+	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by the library
+	Roster   uint64
+}
+
+type ownedAnswer struct {
+	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by the library
+	Shards   []int
+}
+
+// onOwned lists the shards that this store owns under a roster and whose
+// copies are at all living seats of its current set.
+func (b *Brood) onOwned(ctx context.Context, in *ownedCall) (*ownedAnswer, error) {
+	return waggle.Ask(ctx, b.cfg.Floor, func() *ownedAnswer {
+		out := &ownedAnswer{}
+		v := b.cfg.Swarm.Look()
+		for _, s := range b.shards {
+			if s.owner == nil || !s.owner.ready || s.owner.roster.Ver != in.Roster {
+				continue
+			}
+			all := true
+			for _, f := range s.owner.feeds {
+				if s.owner.roster.Has(f.seat.ID) && v.Alive(f.seat.Name) && (f.cold || !f.synced) {
+					all = false
+				}
+			}
+			if all {
+				out.Shards = append(out.Shards, s.n)
+			}
+		}
+		return out
+	})
+}
+
+// settleRoster ends a change once every shard is owned under it.
+func (b *Brood) settleRoster(st *nest.State) {
+	b.rostering = true
+	go func() {
+		ctx, cancel := context.WithTimeout(b.ctx, 3*time.Second)
+		defer cancel()
+		defer func() { _ = b.cfg.Floor.Do(b.ctx, func() { b.rostering = false }) }()
+		owned := map[int]bool{}
+		for _, seat := range st.Stores.Cur {
+			callCtx, cancelCall := context.WithTimeout(ctx, 400*time.Millisecond)
+			out := &ownedAnswer{}
+			var err error
+			if seat.ID == b.cfg.Seat {
+				out, err = b.onOwned(callCtx, &ownedCall{Roster: st.Stores.Ver})
+			} else {
+				err = b.cfg.Mesh.Call(callCtx, b.addrOf(seat), "brood.owned", &ownedCall{Roster: st.Stores.Ver}, out)
+			}
+			cancelCall()
+			if err == nil {
+				for _, n := range out.Shards {
+					owned[n] = true
+				}
+			}
+		}
+		if len(owned) < Shards {
+			return
+		}
+		_, err := b.cfg.Change(ctx, func(now *nest.State) (*nest.State, error) {
+			if now.Stores.Ver != st.Stores.Ver || !now.Stores.Joint() {
+				return nil, nil
+			}
+			now.Stores = now.Stores.Settle()
+			return now, nil
+		})
+		if err == nil {
+			b.cfg.Log.Info("stores_settled", "roster", st.Stores.Ver+1, "seats", len(st.Stores.Cur))
+		}
+	}()
+}
--- /dev/null
+++ b/internal/brood/client.go
@@ -0,0 +1,132 @@
+package brood
+
+import (
+	"context"
+	"strconv"
+	"sync"
+	"time"
+
+	"rowanshunt/internal/nest"
+	"rowanshunt/internal/pollen"
+	"rowanshunt/internal/swarm"
+	"rowanshunt/internal/tending"
+	"rowanshunt/internal/wax"
+)
+
+// Client finds the owners of shards for the nodes that serve clients.
+type Client struct {
+	mesh  pollen.Mesh
+	swarm *swarm.Swarm
+	state func() *nest.State
+	mu    sync.Mutex
+	hints [Shards]string
+}
+
+// NewClient makes a client.
+func NewClient(mesh pollen.Mesh, sw *swarm.Swarm, state func() *nest.State) *Client {
+	return &Client{mesh: mesh, swarm: sw, state: state}
+}
+
+// Stores lists the living stores of the roster.
+func (c *Client) Stores() []swarm.Sighting {
+	st := c.state()
+	if st == nil {
+		return nil
+	}
+	v := c.swarm.Look()
+	var out []swarm.Sighting
+	for _, seat := range st.Stores.All() {
+		if p := v.Get(seat.Name); p != nil && p.Alive && p.Seat() == seat.ID {
+			out = append(out, *p)
+		}
+	}
+	return out
+}
+
+func (c *Client) candidate(shardN, attempt int) (name, addr string) {
+	stores := c.Stores()
+	if len(stores) == 0 {
+		return "", ""
+	}
+	var names []string
+	byName := map[string]string{}
+	for _, s := range stores {
+		names = append(names, s.Name)
+		byName[s.Name] = s.Addr
+	}
+	c.mu.Lock()
+	hint := c.hints[shardN]
+	c.mu.Unlock()
+	if a, ok := byName[hint]; ok && attempt%3 != 2 {
+		return hint, a
+	}
+	rank := tending.Rank("shard/"+strconv.Itoa(shardN), names)
+	name = rank[attempt%len(rank)]
+	return name, byName[name]
+}
+
+func (c *Client) hint(shardN int, name string) {
+	c.mu.Lock()
+	c.hints[shardN] = name
+	c.mu.Unlock()
+}
+
+// Call asks the owner of a shard, looking for it until ctx ends. All calls to
+// owners may be repeated. Unsure: some attempt may have been carried out.
+func (c *Client) Call(ctx context.Context, shardN int, kind string, in, out any, each time.Duration) error {
+	unsure := false
+	for attempt := 0; ; attempt++ {
+		if ctx.Err() != nil {
+			if unsure {
+				return wax.New(wax.Unsure, "shard", "no clear answer in time", "ask again")
+			}
+			return wax.New(wax.Declined, "shard", "its owner was not found in time", "ask again")
+		}
+		name, addr := c.candidate(shardN, attempt)
+		if name == "" {
+			pause(ctx, 100*time.Millisecond)
+			continue
+		}
+		callCtx, cancel := context.WithTimeout(ctx, each)
+		err := c.mesh.Call(callCtx, addr, kind, in, out)
+		cancel()
+		if err == nil {
+			c.hint(shardN, name)
+			return nil
+		}
+		switch wax.KindOf(err) {
+		case wax.NotOwner:
+			c.hint(shardN, fieldOf(err))
+		case wax.Unreached:
+			c.hint(shardN, "")
+		case wax.Declined:
+		case wax.Unsure, wax.Internal:
+			unsure = true
+			c.hint(shardN, "")
+		case wax.Conflict:
+			if unsure {
+				return wax.New(wax.Unsure, "shard", "an earlier attempt may have been carried out", "ask again")
+			}
+			return err
+		default:
+			return err
+		}
+		pause(ctx, 30*time.Millisecond)
+	}
+}
+
+func fieldOf(err error) string {
+	if f, ok := err.(*wax.Fault); ok {
+		return f.Field
+	}
+	return ""
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/internal/brood/lot.go
@@ -0,0 +1,253 @@
+// Package brood keeps the lots on the stores: queue shards with a fenced owner
+// each, durable prompts, positions and quota (design 8). The field's standard
+// terms: brood = replicated durable queue; lot = batch; prompt = message;
+// holding = queue; stamp = term; feed = replication stream.
+package brood
+
+import (
+	"rowanshunt/internal/nest"
+)
+
+// Stamp orders the owners of a shard: a newer roster first, then the count.
+type Stamp struct {
+	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by the library
+	Roster   uint64
+	N        uint64
+	By       string // node and life of the owner
+}
+
+// Less orders stamps.
+func (a Stamp) Less(b Stamp) bool {
+	if a.Roster != b.Roster {
+		return a.Roster < b.Roster
+	}
+	return nest.Ballot{N: a.N, By: a.By}.Less(nest.Ballot{N: b.N, By: b.By})
+}
+
+// Prompt is the durable record of one item (design 8.4). All times are whole
+// microseconds of the time of day.
+type Prompt struct {
+	_msgpack    struct{} `msgpack:",as_array"` //nolint:unused // read by the library
+	ID          string
+	Path        string
+	Hdrs        []string // name, value, name, value
+	Body        []byte
+	Toks        int64
+	ScheduledUs int64
+	NextUs      int64
+	Epoch       int64
+	CreatedUs   int64
+}
+
+// Phases of a result, as readers see them.
+const (
+	PhaseDone   = "done"
+	PhaseGaveUp = "gave_up"
+)
+
+// Result is one listed item: its place in the list is its position for good.
+type Result struct {
+	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by the library
+	Item     int
+	Phase    string
+	Msg      []byte
+	AckedUs  int64
+}
+
+// Lot is the aggregate: what its owner accepted, in which order its items were
+// listed, and whether its client ended it. Rev counts its changes under Stamp.
+type Lot struct {
+	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by the library
+	ID       string
+	Host     string
+	Path     string
+	Binding  string
+	SentUs   int64
+	DueMs    int64
+	RetainMs int64
+	Tries    int64
+	Prompts  []Prompt
+	List     []Result
+	Ended    bool
+	Stamp    Stamp
+	Rev      uint64
+
+	listed  []bool // by prompt
+	src     copyOf // what it was when this node took it over
+	live    *live  // the owner's own, nil elsewhere
+	seenLen int    // entries of List that a majority holds
+	taken   bool   // a majority holds the lot
+	endSeen bool   // a majority holds its end
+}
+
+// live is what only the owner knows of a lot's prompts; a new owner starts
+// anew from the durable records.
+type live struct {
+	at []promptState
+}
+
+type promptState struct {
+	nextUs  int64 // steady clock; when it is due again
+	epoch   int64
+	holder  string // the dispatcher that has it
+	sentUs  int64
+	fails   int64
+	cached  bool
+	waiting bool // its result is on the way to a majority
+}
+
+func (l *Lot) index() {
+	l.listed = make([]bool, len(l.Prompts))
+	for _, r := range l.List {
+		if r.Item >= 0 && r.Item < len(l.listed) {
+			l.listed[r.Item] = true
+		}
+	}
+}
+
+// openToks are the tokens that count against the quota.
+func (l *Lot) openToks() int64 {
+	if l.Ended {
+		return 0
+	}
+	var n int64
+	for i := range l.Prompts {
+		if !l.listed[i] {
+			n += l.Prompts[i].Toks
+		}
+	}
+	return n
+}
+
+func (l *Lot) find(item string) int {
+	for i := range l.Prompts {
+		if l.Prompts[i].ID == item {
+			return i
+		}
+	}
+	return -1
+}
+
+// closed tells whether nothing more will be listed.
+func (l *Lot) closed() bool { return l.Ended || len(l.List) == len(l.Prompts) }
+
+// opKind is what an op does to a lot.
+type opKind uint8
+
+const (
+	opPut    opKind = iota + 1 // the whole lot
+	opAppend                   // results at the end of the list
+	opEnd                      // the client ended it
+	opStamp                    // the copy at Src is this owner's now
+	opDrop                     // purged
+	opNone                     // nothing: a confirmation
+)
+
+// op is one change of a lot, as it goes to the replicas and to disk.
+type op struct {
+	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by the library
+	Kind     opKind
+	Lot      string
+	Stamp    Stamp
+	Rev      uint64 // after the op
+	Src      Stamp
+	Whole    *Lot
+	Results  []Result
+}
+
+// cost is about what the op takes in memory and on the wire.
+func (o *op) cost() int {
+	n := 64
+	for i := range o.Results {
+		n += len(o.Results[i].Msg) + 32
+	}
+	if o.Whole != nil {
+		n += o.Whole.cost()
+	}
+	return n
+}
+
+func (l *Lot) cost() int {
+	n := 256
+	for i := range l.Prompts {
+		n += len(l.Prompts[i].Body) + len(l.Prompts[i].Path) + 200
+		for _, h := range l.Prompts[i].Hdrs {
+			n += len(h)
+		}
+	}
+	for i := range l.List {
+		n += len(l.List[i].Msg) + 32
+	}
+	return n
+}
+
+// apply changes a shard's lots by an op, false if the copy here does not fit
+// it and the whole lot is needed. It is the one rule for memory, replicas and
+// the reading of the file (design 8.3).
+func apply(lots map[string]*Lot, o *op) bool {
+	l := lots[o.Lot]
+	switch o.Kind {
+	case opNone:
+		return true
+	case opPut:
+		if o.Whole == nil {
+			return false
+		}
+		if l != nil && !l.before(o.Stamp, o.Rev) {
+			return true
+		}
+		w := *o.Whole
+		w.Stamp, w.Rev = o.Stamp, o.Rev
+		w.index()
+		if l != nil {
+			w.seenLen, w.taken, w.endSeen, w.live = min(l.seenLen, len(w.List)), l.taken, l.endSeen, l.live
+		}
+		lots[o.Lot] = &w
+		return true
+	case opDrop:
+		if l != nil && !o.Stamp.Less(l.Stamp) {
+			delete(lots, o.Lot)
+		}
+		return true
+	}
+	if l == nil {
+		return false
+	}
+	if o.Kind == opStamp {
+		if l.Stamp == o.Stamp && l.Rev >= o.Rev {
+			return true
+		}
+		if l.Stamp != o.Src || l.Rev != o.Rev {
+			return false
+		}
+		l.Stamp = o.Stamp
+		return true
+	}
+	if l.Stamp != o.Stamp {
+		return false
+	}
+	if l.Rev >= o.Rev {
+		return true
+	}
+	if l.Rev+1 != o.Rev {
+		return false
+	}
+	l.Rev = o.Rev
+	switch o.Kind {
+	case opAppend:
+		for _, r := range o.Results {
+			if r.Item >= 0 && r.Item < len(l.listed) && !l.listed[r.Item] {
+				l.listed[r.Item] = true
+				l.List = append(l.List, r)
+			}
+		}
+	case opEnd:
+		l.Ended = true
+	}
+	return true
+}
+
+// before tells whether the copy is older than one at (stamp, rev).
+func (l *Lot) before(stamp Stamp, rev uint64) bool {
+	return l.Stamp.Less(stamp) || l.Stamp == stamp && l.Rev < rev
+}
--- /dev/null
+++ b/internal/brood/owner.go
@@ -0,0 +1,595 @@
+package brood
+
+import (
+	"context"
+	"sort"
+	"strconv"
+	"sync"
+	"time"
+
+	"rowanshunt/internal/nest"
+	"rowanshunt/internal/swarm"
+	"rowanshunt/internal/tending"
+	"rowanshunt/internal/waggle"
+	"rowanshunt/internal/wax"
+)
+
+// Times of ownership (design 8.2).
+const (
+	tickUs       = 100_000
+	claimPauseUs = 250_000
+	claimAfterUs = 900_000 // a node that starts listens first
+	claimTimeout = 600 * time.Millisecond
+	writeTimeout = 1500 * time.Millisecond
+	mendPauseUs  = 200_000
+	maxBatch     = 1 << 20
+	maxFeedBytes = 24 << 20
+)
+
+// owner is what the node that owns a shard keeps of it.
+type owner struct {
+	stamp   Stamp
+	roster  nest.Roster
+	seq     uint64 // of the last op
+	waits   []wait
+	feeds   map[string]*feed
+	ready   bool // a majority holds all that the claim found
+	readyUs int64
+
+	diskIssued, diskDone uint64 // own disk: last op written, last op safe
+}
+
+type wait struct {
+	seq  uint64
+	then func(error)
+}
+
+// feed brings one replica what the owner did, in order.
+type feed struct {
+	seat   nest.Seat
+	acked  uint64
+	cold   bool // must be compared and mended before ops fit
+	busy   bool
+	queue  []op
+	lastQ  uint64 // seq of the last op queued
+	bytes  int
+	tryUs  int64
+	synced bool
+}
+
+// claimTick looks which shards this node should own (design 8.2): the one that
+// holds the highest promise keeps a shard while it lives; else it falls to the
+// first of the rank.
+func (b *Brood) claimTick() {
+	st := b.cfg.State()
+	if st == nil || !st.Stores.Has(b.cfg.Seat) {
+		for _, s := range b.shards {
+			if s.owner != nil && st != nil && st.Stores.Ver > s.owner.roster.Ver {
+				b.depose(s, "no longer in the roster")
+			}
+		}
+		return
+	}
+	nowUs := waggle.NowUs()
+	if nowUs-b.startUs < claimAfterUs {
+		return
+	}
+	v := b.cfg.Swarm.Look()
+	var names []string
+	for _, seat := range st.Stores.Cur {
+		if p := v.Get(seat.Name); p != nil && p.Alive && p.Seat() == seat.ID && !p.Leaving && !retiring(st, seat.ID) {
+			names = append(names, seat.Name)
+		}
+	}
+	for _, s := range b.shards {
+		if s.owner != nil && fenceOf(&s.owner.roster) == fenceOf(&st.Stores) {
+			if s.owner.roster.Ver < st.Stores.Ver {
+				b.settled(s, st.Stores)
+			}
+			if s.owner != nil {
+				b.feedTick(s, nowUs)
+			}
+			continue
+		}
+		if s.claiming || nowUs-s.tryUs < claimPauseUs {
+			continue
+		}
+		if b.shouldOwn(s, st, v, names) {
+			s.tryUs = nowUs
+			b.claim(s, st)
+		}
+	}
+}
+
+// fenceOf is the roster number that stamps carry. A change and its settling
+// share one: the settled set's majorities meet those of the change, so owners
+// need no new claim when a change settles (design 8.6).
+func fenceOf(r *nest.Roster) uint64 {
+	if r.Joint() {
+		return r.Ver
+	}
+	return r.Ver - 1
+}
+
+// settled drops the seats that a change has let go.
+func (b *Brood) settled(s *shard, r nest.Roster) {
+	o := s.owner
+	o.roster = r
+	for id := range o.feeds {
+		if !r.Has(id) {
+			delete(o.feeds, id)
+		}
+	}
+	b.advance(s, o)
+}
+
+func retiring(st *nest.State, id string) bool {
+	for _, r := range st.Retiring {
+		if r == id {
+			return true
+		}
+	}
+	return false
+}
+
+func (b *Brood) shouldOwn(s *shard, st *nest.State, v *swarm.View, names []string) bool {
+	node, life := ownerName(s.promised.By)
+	holder := tending.Holder("shard/"+strconv.Itoa(s.n), names)
+	if node == b.cfg.Self.Name && life == b.life && !b.cfg.Self.Leaving && !retiring(st, b.cfg.Seat) {
+		return true
+	}
+	if node != "" && node != b.cfg.Self.Name {
+		p := v.Get(node)
+		alive := p != nil && p.Alive && strconv.FormatInt(p.LifeUs, 10) == life && !p.Leaving
+		stays := false
+		for _, n := range names {
+			stays = stays || n == node
+		}
+		if alive && stays {
+			// It lives and knows, or will learn, the roster: leave it to it
+			// for a while.
+			if s.promised.Roster == fenceOf(&st.Stores) {
+				return false
+			}
+			if waggle.NowUs()-b.rosterUs < claimAfterUs {
+				return false
+			}
+		}
+	}
+	return holder == b.cfg.Self.Name
+}
+
+// claim takes a shard over: a promise from a majority, the best copy of every
+// lot, and those copies brought to a majority before anything is served.
+func (b *Brood) claim(s *shard, st *nest.State) {
+	s.claiming = true
+	if s.owner != nil {
+		b.depose(s, "new roster")
+	}
+	s.seenMax = max(s.seenMax, s.promised.N) + 1
+	stamp := Stamp{Roster: fenceOf(&st.Stores), N: s.seenMax, By: b.cfg.Self.Name + "/" + b.life}
+	roster := st.Stores
+	go func() {
+		ctx, cancel := context.WithTimeout(b.ctx, 3*time.Second)
+		defer cancel()
+		err := b.runClaim(ctx, s, stamp, roster)
+		_ = b.cfg.Floor.Do(b.ctx, func() {
+			s.claiming = false
+			if err != nil {
+				b.cfg.Log.Debug("shard_claim_failed", "shard", s.n, "err", err)
+			}
+		})
+	}()
+}
+
+func (b *Brood) runClaim(ctx context.Context, s *shard, stamp Stamp, roster nest.Roster) error {
+	seats := roster.All()
+	type reply struct {
+		seat nest.Seat
+		out  *claimAnswer
+		err  error
+	}
+	replies := make(chan reply, len(seats))
+	for _, seat := range seats {
+		go func() {
+			callCtx, cancel := context.WithTimeout(b.ctx, claimTimeout)
+			defer cancel()
+			out := &claimAnswer{}
+			call := &claimCall{Seat: seat.ID, Shard: s.n, Stamp: stamp}
+			var err error
+			if seat.ID == b.cfg.Seat {
+				out, err = b.onClaim(callCtx, call)
+			} else {
+				err = b.cfg.Mesh.Call(callCtx, b.addrOf(seat), "brood.claim", call, out)
+			}
+			replies <- reply{seat, out, err}
+		}()
+	}
+	agreed := map[string]bool{}
+	best := map[string]copyOf{}
+	holders := map[string]nest.Seat{}
+	var higher *Stamp
+	for range seats {
+		r := <-replies
+		if r.err != nil {
+			continue
+		}
+		if !r.out.OK {
+			if higher == nil || higher.Less(r.out.Promised) {
+				p := r.out.Promised
+				higher = &p
+			}
+			continue
+		}
+		agreed[r.seat.ID] = true
+		for _, c := range r.out.Copies {
+			old, have := best[c.Lot]
+			if !have || old.Stamp.Less(c.Stamp) || old.Stamp == c.Stamp && old.Rev < c.Rev {
+				best[c.Lot], holders[c.Lot] = c, r.seat
+			} else if old.Stamp == c.Stamp && old.Rev == c.Rev && r.seat.ID == b.cfg.Seat {
+				holders[c.Lot] = r.seat
+			}
+		}
+		if agreed[b.cfg.Seat] && roster.Quorum(agreed) {
+			break
+		}
+	}
+	if higher != nil {
+		_ = b.cfg.Floor.Do(ctx, func() {
+			s.seenMax = max(s.seenMax, higher.N)
+			if s.promised.Less(*higher) {
+				// Remembered so that its holder is left alone; the promise
+				// itself is not ours to make.
+				s.tryUs = waggle.NowUs() + claimPauseUs
+			}
+		})
+	}
+	if !agreed[b.cfg.Seat] || !roster.Quorum(agreed) {
+		return wax.New(wax.Declined, "shard", "no majority promised", "look which stores run")
+	}
+	fetched := map[string]*Lot{}
+	var mu sync.Mutex
+	var wg sync.WaitGroup
+	room := make(chan struct{}, 8)
+	failed := error(nil)
+	for id, c := range best {
+		if holders[id].ID == b.cfg.Seat {
+			continue
+		}
+		wg.Go(func() {
+			room <- struct{}{}
+			defer func() { <-room }()
+			l := &Lot{}
+			err := b.cfg.Mesh.Call(ctx, b.addrOf(holders[id]), "brood.fetch", &fetchCall{Seat: holders[id].ID, Shard: s.n, Lot: id}, l)
+			mu.Lock()
+			defer mu.Unlock()
+			if err == nil && (l.Stamp != c.Stamp || l.Rev != c.Rev) {
+				err = wax.New(wax.Stale, id, "the copy changed meanwhile", "claim again")
+			}
+			if err != nil {
+				failed = err
+				return
+			}
+			fetched[id] = l
+		})
+	}
+	wg.Wait()
+	if failed != nil {
+		return failed
+	}
+	_, err := waggle.Ask(ctx, b.cfg.Floor, func() bool {
+		if s.promised != stamp {
+			return false
+		}
+		b.install(s, stamp, roster, fetched)
+		return true
+	})
+	return err
+}
+
+// install makes this node the owner of what the claim found.
+func (b *Brood) install(s *shard, stamp Stamp, roster nest.Roster, fetched map[string]*Lot) {
+	o := &owner{stamp: stamp, roster: roster, feeds: map[string]*feed{}}
+	rec := &record{Shard: s.n}
+	for id, l := range fetched {
+		src := copyOf{Lot: id, Stamp: l.Stamp, Rev: l.Rev}
+		whole := *l
+		put := op{Kind: opPut, Lot: id, Stamp: stamp, Rev: l.Rev, Whole: &whole}
+		apply(s.lots, &put)
+		s.lots[id].src = src
+		rec.Ops = append(rec.Ops, put)
+	}
+	for id, l := range s.lots {
+		if fetched[id] == nil {
+			l.src = copyOf{Lot: id, Stamp: l.Stamp, Rev: l.Rev}
+			st := op{Kind: opStamp, Lot: id, Stamp: stamp, Rev: l.Rev, Src: l.Stamp}
+			apply(s.lots, &st)
+			rec.Ops = append(rec.Ops, st)
+		}
+		l = s.lots[id]
+		l.taken, l.endSeen, l.seenLen = false, false, 0
+		l.live = &live{at: make([]promptState, len(l.Prompts))}
+	}
+	o.seq = 1
+	s.owner = o
+	for _, seat := range roster.All() {
+		if seat.ID != b.cfg.Seat {
+			o.feeds[seat.ID] = &feed{seat: seat, cold: true}
+		}
+	}
+	o.waits = append(o.waits, wait{1, func(err error) {
+		if err != nil {
+			return
+		}
+		o.ready, o.readyUs = true, waggle.NowUs()
+		for _, l := range s.lots {
+			l.taken, l.endSeen, l.seenLen = true, l.Ended, len(l.List)
+		}
+		b.cfg.Log.Info("shard_owned", "shard", s.n, "stamp", stamp.N, "roster", stamp.Roster, "lots", len(s.lots))
+		b.poll()
+	}})
+	o.diskIssued = 1
+	b.toDisk(s, o, rec, 1)
+	for _, f := range o.feeds {
+		b.mend(s, f)
+	}
+}
+
+// toDisk writes the owner's own copy.
+func (b *Brood) toDisk(s *shard, o *owner, rec *record, seq uint64) {
+	done := func() {
+		o.diskDone = max(o.diskDone, seq)
+		b.advance(s, o)
+	}
+	if len(rec.Ops) == 0 {
+		done()
+		return
+	}
+	b.persist(rec, func() { _ = b.cfg.Floor.Do(b.ctx, done) })
+}
+
+// issue does an op: here at once, at the replicas in order; then is called
+// once a majority has it on disk, or with Unsure if the shard is lost before.
+func (b *Brood) issue(s *shard, p op, then func(error)) {
+	o := s.owner
+	o.seq++
+	seq := o.seq
+	p.Stamp = o.stamp
+	o.waits = append(o.waits, wait{seq, then})
+	if p.Kind != opNone {
+		apply(s.lots, &p)
+		o.diskIssued = seq
+		b.toDisk(s, o, &record{Shard: s.n, Ops: []op{p}}, seq)
+	}
+	cost := p.cost()
+	for _, f := range o.feeds {
+		if f.cold {
+			continue
+		}
+		if f.bytes+cost > maxFeedBytes {
+			f.cold, f.queue, f.bytes = true, nil, 0
+			continue
+		}
+		f.queue = append(f.queue, p)
+		f.lastQ = seq
+		f.bytes += cost
+		b.pump(s, f)
+	}
+	b.advance(s, o)
+}
+
+func (o *owner) selfAcked() uint64 {
+	if o.diskDone == o.diskIssued {
+		return o.seq
+	}
+	return o.diskDone
+}
+
+// advance calls back for all ops that a majority has.
+func (b *Brood) advance(s *shard, o *owner) {
+	for s.owner == o && len(o.waits) > 0 {
+		w := o.waits[0]
+		agreed := map[string]bool{}
+		if o.selfAcked() >= w.seq {
+			agreed[b.cfg.Seat] = true
+		}
+		for id, f := range o.feeds {
+			if f.acked >= w.seq {
+				agreed[id] = true
+			}
+		}
+		if !o.roster.Quorum(agreed) {
+			return
+		}
+		o.waits = o.waits[1:]
+		w.then(nil)
+	}
+}
+
+// depose gives a shard up; whoever waits is told that it may or may not stand.
+func (b *Brood) depose(s *shard, why string) {
+	o := s.owner
+	s.owner = nil
+	b.cfg.Log.Info("shard_left", "shard", s.n, "why", why)
+	for _, l := range s.lots {
+		l.live = nil
+	}
+	fault := wax.New(wax.Unsure, "shard", "changed hands meanwhile", "ask again")
+	for _, w := range o.waits {
+		w.then(fault)
+	}
+	b.flushTakers()
+}
+
+// pump sends a replica what waits for it, one batch at a time.
+func (b *Brood) pump(s *shard, f *feed) {
+	o := s.owner
+	if f.busy || f.cold || len(f.queue) == 0 {
+		return
+	}
+	n, bytes := 0, 0
+	for n < len(f.queue) && (n == 0 || bytes < maxBatch) {
+		bytes += f.queue[n].cost()
+		n++
+	}
+	batch := f.queue[:n:n]
+	f.queue = f.queue[n:]
+	f.bytes -= bytes
+	upTo := f.lastQ - uint64(len(f.queue))
+	f.busy = true
+	call := &writeCall{Seat: f.seat.ID, Shard: s.n, Stamp: o.stamp, Ops: batch}
+	go func() {
+		ctx, cancel := context.WithTimeout(b.ctx, writeTimeout)
+		defer cancel()
+		out := &writeAnswer{}
+		err := b.cfg.Mesh.Call(ctx, b.addrOf(f.seat), "brood.write", call, out)
+		_ = b.cfg.Floor.Do(b.ctx, func() {
+			f.busy = false
+			if s.owner != o {
+				return
+			}
+			switch {
+			case err == nil && out.OK:
+				f.acked = max(f.acked, upTo)
+				b.advance(s, o)
+				if s.owner == o {
+					b.pump(s, f)
+				}
+			case err == nil && o.stamp.Less(out.Promised):
+				s.seenMax = max(s.seenMax, out.Promised.N)
+				b.depose(s, "a replica promised "+out.Promised.By)
+			default:
+				f.cold, f.queue, f.bytes, f.synced = true, nil, 0, false
+				f.tryUs = waggle.NowUs()
+			}
+		})
+	}()
+}
+
+// feedTick mends cold feeds.
+func (b *Brood) feedTick(s *shard, nowUs int64) {
+	for _, f := range s.owner.feeds {
+		if f.cold && !f.busy && nowUs-f.tryUs > mendPauseUs {
+			f.tryUs = nowUs
+			b.mend(s, f)
+		}
+	}
+}
+
+// mend compares a replica's copies with the owner's and sends what differs;
+// later ops wait behind it (design 8.5).
+func (b *Brood) mend(s *shard, f *feed) {
+	o := s.owner
+	f.busy = true
+	go func() {
+		ctx, cancel := context.WithTimeout(b.ctx, 10*time.Second)
+		defer cancel()
+		callCtx, cancelCall := context.WithTimeout(ctx, claimTimeout)
+		out := &claimAnswer{}
+		err := b.cfg.Mesh.Call(callCtx, b.addrOf(f.seat), "brood.claim", &claimCall{Seat: f.seat.ID, Shard: s.n, Stamp: o.stamp}, out)
+		cancelCall()
+		if err != nil || !out.OK {
+			_ = b.cfg.Floor.Do(b.ctx, func() {
+				f.busy = false
+				if s.owner == o && err == nil && o.stamp.Less(out.Promised) {
+					s.seenMax = max(s.seenMax, out.Promised.N)
+					b.depose(s, "a replica promised "+out.Promised.By)
+				}
+			})
+			return
+		}
+		var batches [][]op
+		var upTo uint64
+		ok, err := waggle.Ask(ctx, b.cfg.Floor, func() bool {
+			if s.owner != o {
+				return false
+			}
+			batches, upTo = differences(s, o.stamp, out.Copies), o.seq
+			f.cold, f.queue, f.bytes, f.lastQ = false, nil, 0, o.seq
+			return true
+		})
+		if err != nil || !ok {
+			_ = b.cfg.Floor.Do(b.ctx, func() { f.busy = false })
+			return
+		}
+		for _, batch := range batches {
+			writeCtx, cancelWrite := context.WithTimeout(ctx, 2*writeTimeout)
+			res := &writeAnswer{}
+			err = b.cfg.Mesh.Call(writeCtx, b.addrOf(f.seat), "brood.write", &writeCall{Seat: f.seat.ID, Shard: s.n, Stamp: o.stamp, Ops: batch}, res)
+			cancelWrite()
+			if err == nil && !res.OK {
+				err = wax.New(wax.Stale, "replica", "changed while it was mended", "")
+			}
+			if err != nil {
+				break
+			}
+		}
+		_ = b.cfg.Floor.Do(b.ctx, func() {
+			f.busy = false
+			if s.owner != o {
+				return
+			}
+			if err != nil {
+				f.cold, f.queue, f.bytes = true, nil, 0
+				f.tryUs = waggle.NowUs()
+				return
+			}
+			f.acked, f.synced = max(f.acked, upTo), true
+			b.advance(s, o)
+			if s.owner == o {
+				b.pump(s, f)
+			}
+		})
+	}()
+}
+
+// differences lists what a replica lacks, in batches.
+func differences(s *shard, stamp Stamp, copies []copyOf) [][]op {
+	there := map[string]copyOf{}
+	for _, c := range copies {
+		there[c.Lot] = c
+	}
+	var out [][]op
+	var batch []op
+	bytes := 0
+	add := func(p op) {
+		batch = append(batch, p)
+		bytes += p.cost()
+		if bytes > maxBatch {
+			out, batch, bytes = append(out, batch), nil, 0
+		}
+	}
+	ids := make([]string, 0, len(s.lots))
+	for id := range s.lots {
+		ids = append(ids, id)
+	}
+	sort.Strings(ids)
+	for _, id := range ids {
+		l := s.lots[id]
+		c, have := there[id]
+		switch {
+		case have && c.Stamp == l.Stamp && c.Rev == l.Rev:
+		case have && c.Stamp == l.src.Stamp && c.Rev == l.src.Rev && l.Rev == l.src.Rev:
+			add(op{Kind: opStamp, Lot: id, Stamp: stamp, Rev: l.Rev, Src: c.Stamp})
+		default:
+			whole := *l
+			add(op{Kind: opPut, Lot: id, Stamp: stamp, Rev: l.Rev, Whole: &whole})
+		}
+	}
+	for id := range there {
+		if s.lots[id] == nil {
+			add(op{Kind: opDrop, Lot: id, Stamp: stamp})
+		}
+	}
+	if len(batch) > 0 {
+		out = append(out, batch)
+	}
+	return out
+}
+
+func (b *Brood) addrOf(seat nest.Seat) string {
+	if p := b.cfg.Swarm.Look().Get(seat.Name); p != nil {
+		return p.Addr
+	}
+	return seat.Addr
+}
--- /dev/null
+++ b/internal/brood/replica.go
@@ -0,0 +1,319 @@
+package brood
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/hex"
+	"os"
+	"path/filepath"
+	"strings"
+
+	"github.com/go-faster/errors"
+	"github.com/vmihailenco/msgpack/v5"
+
+	"rowanshunt/internal/cell"
+	"rowanshunt/internal/waggle"
+	"rowanshunt/internal/wax"
+)
+
+// Shards is how many queue shards there are; a host's lots are all in one, so
+// that the quota of its bindings is the shard owner's to keep (design 8.1).
+const Shards = 8
+
+// record is what a store writes to disk.
+type record struct {
+	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by the library
+	Shard    int
+	Promise  *Stamp
+	Ops      []op
+}
+
+// shard is one shard's copy here, and the owner's part if this node has it.
+type shard struct {
+	n        int
+	promised Stamp
+	lots     map[string]*Lot
+	owner    *owner
+	claiming bool
+	tryUs    int64
+	seenMax  uint64
+}
+
+// OpenIncarnation reads the name of this disk, made anew on an empty one.
+func OpenIncarnation(dir string) (id string, fresh bool, err error) {
+	path := filepath.Join(dir, "incarnation")
+	raw, err := os.ReadFile(path)
+	if err == nil && len(raw) == 32 {
+		return string(raw), false, nil
+	}
+	if err := os.MkdirAll(dir, 0o755); err != nil {
+		return "", false, errors.Wrap(err, "make folder")
+	}
+	var b [16]byte
+	if _, err := rand.Read(b[:]); err != nil {
+		return "", false, err
+	}
+	id = hex.EncodeToString(b[:])
+	f, err := os.OpenFile(path, os.O_CREATE|os.O_TRUNC|os.O_WRONLY, 0o644)
+	if err != nil {
+		return "", false, errors.Wrap(err, "incarnation")
+	}
+	_, err = f.WriteString(id)
+	if err == nil {
+		err = f.Sync()
+	}
+	if e := f.Close(); err == nil {
+		err = e
+	}
+	return id, true, err
+}
+
+// openReplica reads all shards from disk.
+func (b *Brood) openReplica(dir string) error {
+	for n := range b.shards {
+		b.shards[n] = &shard{n: n, lots: map[string]*Lot{}}
+	}
+	c, damage, err := cell.Open(dir, "brood.cell", func(raw []byte) error {
+		var r record
+		if err := msgpack.Unmarshal(raw, &r); err != nil {
+			return err
+		}
+		if r.Shard < 0 || r.Shard >= Shards {
+			return wax.New(wax.Damaged, "shard", "is out of bounds", "")
+		}
+		s := b.shards[r.Shard]
+		if r.Promise != nil && s.promised.Less(*r.Promise) {
+			s.promised = *r.Promise
+		}
+		for i := range r.Ops {
+			apply(s.lots, &r.Ops[i])
+			if s.promised.Less(r.Ops[i].Stamp) {
+				s.promised = r.Ops[i].Stamp
+			}
+		}
+		return nil
+	})
+	if err != nil {
+		return err
+	}
+	if damage != nil {
+		b.cfg.Log.Warn("cell_tail_cut", "cell", "brood", "at", damage.AtByte, "bytes", damage.CutBytes, "why", damage.Why)
+	}
+	b.cell = c
+	return nil
+}
+
+// persist writes a record and then answers on the floor; without a disk to
+// write to the node ends, for it may not answer.
+func (b *Brood) persist(r *record, then func()) {
+	raw, err := msgpack.Marshal(r)
+	if err != nil {
+		b.cfg.Fatal(err)
+		return
+	}
+	b.cell.Append(func(err error) {
+		if err != nil {
+			b.cfg.Fatal(err)
+			return
+		}
+		then()
+	}, raw)
+	if size := b.cell.SizeBytes(); size > b.longBytes {
+		b.rewrite()
+	}
+}
+
+// rewrite makes the file anew out of what the shards hold (design 10.3).
+func (b *Brood) rewrite() {
+	var recs [][]byte
+	var total int64
+	for _, s := range b.shards {
+		p := s.promised
+		recs = appendRecord(recs, &record{Shard: s.n, Promise: &p})
+		for _, l := range s.lots {
+			recs = appendRecord(recs, &record{Shard: s.n, Ops: []op{{Kind: opPut, Lot: l.ID, Stamp: l.Stamp, Rev: l.Rev, Whole: l}}})
+		}
+	}
+	for _, r := range recs {
+		total += int64(len(r))
+	}
+	b.longBytes = max(b.minLongBytes, 2*total)
+	b.cell.Rewrite(func(err error) {
+		if err != nil {
+			b.cfg.Fatal(err)
+		}
+	}, recs...)
+	b.cfg.Log.Info("cell_rewritten", "cell", "brood", "bytes", total)
+}
+
+func appendRecord(recs [][]byte, r *record) [][]byte {
+	raw, err := msgpack.Marshal(r)
+	if err != nil {
+		return recs
+	}
+	return append(recs, raw)
+}
+
+type claimCall struct {
+	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by the library
+	Seat     string
+	Shard    int
+	Stamp    Stamp
+	Look     bool // do not promise anew: tell what is there for this owner
+}
+
+type copyOf struct {
+	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by the library
+	Lot      string
+	Stamp    Stamp
+	Rev      uint64
+}
+
+type claimAnswer struct {
+	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by the library
+	OK       bool
+	Promised Stamp
+	Copies   []copyOf
+}
+
+type fetchCall struct {
+	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by the library
+	Seat     string
+	Shard    int
+	Lot      string
+}
+
+type writeCall struct {
+	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by the library
+	Seat     string
+	Shard    int
+	Stamp    Stamp
+	Ops      []op
+}
+
+type writeAnswer struct {
+	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by the library
+	OK       bool
+	Promised Stamp
+	Misfit   bool // a copy here does not fit: compare and mend
+}
+
+func (b *Brood) mine(seat string, shardN int) (*shard, error) {
+	if seat != b.cfg.Seat {
+		return nil, wax.New(wax.Unknown, "seat", "this node holds another seat", "read the roster again")
+	}
+	if shardN < 0 || shardN >= Shards {
+		return nil, wax.New(wax.Invalid, "shard", "is out of bounds", "run the same version on all nodes")
+	}
+	return b.shards[shardN], nil
+}
+
+// answered waits for an answer that the floor gives later.
+func answered[T any](ctx context.Context, f *waggle.Floor, run func(reply func(*T, error))) (*T, error) {
+	type both struct {
+		out *T
+		err error
+	}
+	got := make(chan both, 1)
+	if err := f.Do(ctx, func() { run(func(out *T, err error) { got <- both{out, err} }) }); err != nil {
+		return nil, err
+	}
+	select {
+	case v := <-got:
+		return v.out, v.err
+	case <-ctx.Done():
+		return nil, wax.New(wax.Unsure, "", "no answer in time", "try again")
+	}
+}
+
+// onClaim promises a shard to a new owner and tells what copies are here.
+func (b *Brood) onClaim(ctx context.Context, in *claimCall) (*claimAnswer, error) {
+	return answered(ctx, b.cfg.Floor, func(reply func(*claimAnswer, error)) {
+		s, err := b.mine(in.Seat, in.Shard)
+		if err != nil {
+			reply(nil, err)
+			return
+		}
+		if in.Stamp.Less(s.promised) || in.Look && in.Stamp != s.promised {
+			reply(&claimAnswer{Promised: s.promised}, nil)
+			return
+		}
+		out := &claimAnswer{OK: true, Promised: in.Stamp}
+		for _, l := range s.lots {
+			out.Copies = append(out.Copies, copyOf{Lot: l.ID, Stamp: l.Stamp, Rev: l.Rev})
+		}
+		if s.promised == in.Stamp {
+			reply(out, nil)
+			return
+		}
+		b.promise(s, in.Stamp)
+		b.persist(&record{Shard: s.n, Promise: &in.Stamp}, func() { reply(out, nil) })
+	})
+}
+
+// promise raises the fence; an owner here under a lower one is out.
+func (b *Brood) promise(s *shard, st Stamp) {
+	s.promised = st
+	s.seenMax = max(s.seenMax, st.N)
+	if s.owner != nil && s.owner.stamp != st {
+		b.depose(s, "fenced by "+st.By)
+	}
+}
+
+func (b *Brood) onFetch(ctx context.Context, in *fetchCall) (*Lot, error) {
+	return answered(ctx, b.cfg.Floor, func(reply func(*Lot, error)) {
+		s, err := b.mine(in.Seat, in.Shard)
+		if err != nil {
+			reply(nil, err)
+			return
+		}
+		l := s.lots[in.Lot]
+		if l == nil {
+			reply(nil, wax.New(wax.Unknown, in.Lot, "no copy here", "ask another replica"))
+			return
+		}
+		c := *l
+		reply(&c, nil)
+	})
+}
+
+// onWrite takes an owner's ops, on disk before the answer.
+func (b *Brood) onWrite(ctx context.Context, in *writeCall) (*writeAnswer, error) {
+	return answered(ctx, b.cfg.Floor, func(reply func(*writeAnswer, error)) {
+		s, err := b.mine(in.Seat, in.Shard)
+		if err != nil {
+			reply(nil, err)
+			return
+		}
+		if in.Stamp.Less(s.promised) {
+			reply(&writeAnswer{Promised: s.promised}, nil)
+			return
+		}
+		rec := &record{Shard: s.n}
+		if s.promised.Less(in.Stamp) {
+			b.promise(s, in.Stamp)
+			rec.Promise = &in.Stamp
+		}
+		out := &writeAnswer{OK: true, Promised: in.Stamp}
+		for i := range in.Ops {
+			if !apply(s.lots, &in.Ops[i]) {
+				out.OK, out.Misfit = false, true
+				break
+			}
+			if in.Ops[i].Kind != opNone {
+				rec.Ops = append(rec.Ops, in.Ops[i])
+			}
+		}
+		if len(rec.Ops) == 0 && rec.Promise == nil {
+			reply(out, nil)
+			return
+		}
+		b.persist(rec, func() { reply(out, nil) })
+	})
+}
+
+// ownerName is the node part of a stamp's By.
+func ownerName(by string) (node, life string) {
+	node, life, _ = strings.Cut(by, "/")
+	return node, life
+}
--- /dev/null
+++ b/internal/flora/flora.go
@@ -0,0 +1,456 @@
+package flora
+
+import (
+	"context"
+	"sort"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"rowanshunt/internal/pollen"
+	"rowanshunt/internal/swarm"
+	"rowanshunt/internal/tending"
+	"rowanshunt/internal/waggle"
+	"rowanshunt/internal/wax"
+)
+
+// Times of the news path (design 5.2, 5.3).
+const (
+	renewUs      = 500_000
+	subscribedUs = 2_500_000
+	buryUs       = 60_000_000
+	maxWorkers   = 20_000
+)
+
+// Config is what a flora is made of.
+type Config struct {
+	Floor    *waggle.Floor
+	Desk     *pollen.Desk
+	Mesh     pollen.Mesh
+	Swarm    *swarm.Swarm
+	Log      *wax.Log
+	Self     swarm.Partner
+	HbUs     int64
+	Services func() []string // of the blueprint in force
+	// Pressures gives what this node heard of workers' pressure; Hear takes
+	// what others heard.
+	Pressures func() []Pressure
+	Hear      func([]Pressure)
+}
+
+type entry struct {
+	Worker
+	seenUs int64 // steady clock at its last beat
+	buried int64
+}
+
+// Flora owns the node's table of workers. All but Look runs on the floor.
+type Flora struct {
+	cfg     Config
+	ctx     context.Context
+	workers map[string]*entry
+	subs    map[string]*subscriber
+	dir     atomic.Pointer[Directory]
+	syncUs  int64 // when a home last answered
+	synced  atomic.Bool
+	startUs int64
+	sig     uint64
+	OnDir   func(*Directory)
+}
+
+type subscriber struct {
+	addr    string
+	untilUs int64
+}
+
+type newsCall struct {
+	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by the library
+	Home     bool     // pass it on to the zone's subscribers
+	Workers  []Worker
+}
+
+type subCall struct {
+	_msgpack  struct{} `msgpack:",as_array"` //nolint:unused // read by the library
+	From      string
+	Addr      string
+	Svcs      []string
+	Digests   []uint64
+	Pressures []Pressure
+}
+
+type age struct {
+	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by the library
+	ID       string
+	AgeUs    int64
+}
+
+type subAnswer struct {
+	_msgpack  struct{} `msgpack:",as_array"` //nolint:unused // read by the library
+	Workers   []Worker // of the services whose digest differs
+	Ages      []age    // of the others
+	Pressures []Pressure
+}
+
+// New joins the news path.
+func New(ctx context.Context, cfg Config) *Flora {
+	f := &Flora{cfg: cfg, ctx: ctx, workers: map[string]*entry{}, subs: map[string]*subscriber{}, startUs: waggle.NowUs()}
+	f.dir.Store(&Directory{BySvc: map[string][]*Worker{}, ByID: map[string]*Worker{}})
+	pollen.On(cfg.Desk, "flora.news", f.onNews)
+	pollen.On(cfg.Desk, "flora.sub", f.onSub)
+	cfg.Floor.Every(renewUs, f.renew)
+	cfg.Floor.Every(100_000, f.publish)
+	return f
+}
+
+// Look gives the newest directory; any goroutine may call it.
+func (f *Flora) Look() *Directory { return f.dir.Load() }
+
+// Synced tells whether a home has answered this life of the node.
+func (f *Flora) Synced() bool { return f.synced.Load() }
+
+// TenureUs is how long a silent worker keeps its place.
+func (f *Flora) TenureUs() int64 { return 3*f.cfg.HbUs + 700_000 }
+
+// take merges one worker, true if that is news (design 5.1): gone is for good,
+// else the higher seq wins.
+func (f *Flora) take(w Worker, nowUs int64) bool {
+	e := f.workers[w.ID]
+	seenUs := nowUs - w.AgeUs
+	if e == nil {
+		if len(f.workers) >= maxWorkers {
+			return false
+		}
+		e = &entry{Worker: w, seenUs: seenUs}
+		f.workers[w.ID] = e
+		if w.Gone {
+			e.buried = nowUs
+		}
+		f.cfg.Log.Debug("worker_found", "worker", w.ID, "svc", w.Svc, "addr", w.Addr, "phase", w.Phase)
+		return true
+	}
+	e.seenUs = max(e.seenUs, seenUs)
+	if e.Gone {
+		return false
+	}
+	if w.Gone {
+		e.Gone, e.buried = true, nowUs
+		return true
+	}
+	if w.Seq <= e.Seq {
+		return false
+	}
+	before := e.state()
+	e.Worker = w
+	return e.state() != before
+}
+
+// homes lists the home node of a service in each zone.
+func (f *Flora) homes(svc string, v *swarm.View) map[string]string {
+	byAz := map[string][]string{}
+	for i := range v.All {
+		if p := &v.All[i]; p.Alive && p.Role == f.cfg.Self.Role && !p.Leaving {
+			byAz[p.Az] = append(byAz[p.Az], p.Name)
+		}
+	}
+	out := map[string]string{}
+	for az, names := range byAz {
+		out[az] = tending.Holder("home/"+svc, names)
+	}
+	return out
+}
+
+// Beat takes a worker's own word and answers where it may beat next. A change
+// is at every forager in reach before this returns (design 5.2).
+func (f *Flora) Beat(ctx context.Context, w Worker) (home string, err error) {
+	type plan struct {
+		news  bool
+		w     Worker
+		homes map[string]string
+	}
+	p, err := waggle.Ask(ctx, f.cfg.Floor, func() plan {
+		old := f.workers[w.ID]
+		if w.Gone && old != nil {
+			w.Svc, w.Addr, w.Az = old.Svc, old.Addr, old.Az
+		}
+		news := f.take(w, waggle.NowUs())
+		if news {
+			f.publish()
+		}
+		return plan{news: news, w: w, homes: f.homes(w.Svc, f.cfg.Swarm.Look())}
+	})
+	if err != nil {
+		return "", err
+	}
+	if p.news {
+		f.cfg.Log.Info("worker_news", "worker", w.ID, "svc", p.w.Svc, "phase", p.w.Phase, "gone", p.w.Gone)
+	}
+	if v := f.cfg.Swarm.Look().Get(p.homes[p.w.Az]); v != nil {
+		home = v.Ctl
+	}
+	if p.news {
+		f.spread(ctx, p.w, p.homes)
+		return home, nil
+	}
+	for _, name := range p.homes {
+		if name != f.cfg.Self.Name {
+			go f.send(name, false, p.w)
+		}
+	}
+	return home, nil
+}
+
+func (f *Flora) send(name string, home bool, w Worker) error {
+	p := f.cfg.Swarm.Look().Get(name)
+	if p == nil {
+		return wax.New(wax.Unreached, name, "is not in sight", "")
+	}
+	ctx, cancel := context.WithTimeout(f.ctx, 700*time.Millisecond)
+	defer cancel()
+	return f.cfg.Mesh.Call(ctx, p.Addr, "flora.news", &newsCall{Home: home, Workers: []Worker{w}}, nil)
+}
+
+// spread brings news to the home of every zone, which passes it on; where a
+// home does not answer, to the zone's foragers themselves.
+func (f *Flora) spread(ctx context.Context, w Worker, homes map[string]string) {
+	var wg sync.WaitGroup
+	for az, name := range homes {
+		wg.Go(func() {
+			if name == f.cfg.Self.Name {
+				f.toSubscribers(w)
+				return
+			}
+			if f.send(name, true, w) == nil {
+				return
+			}
+			v := f.cfg.Swarm.Look()
+			var direct sync.WaitGroup
+			for _, n := range v.Names(func(s *swarm.Sighting) bool {
+				return s.Az == az && s.Role == f.cfg.Self.Role && s.Alive && s.Name != f.cfg.Self.Name && s.Name != name
+			}) {
+				direct.Go(func() { _ = f.send(n, false, w) })
+			}
+			direct.Wait()
+		})
+	}
+	done := make(chan struct{})
+	go func() { wg.Wait(); close(done) }()
+	timer := time.NewTimer(750 * time.Millisecond)
+	defer timer.Stop()
+	select {
+	case <-done:
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
+func (f *Flora) toSubscribers(w Worker) {
+	addrs, err := waggle.Ask(f.ctx, f.cfg.Floor, func() []string {
+		var out []string
+		for _, s := range f.subs {
+			out = append(out, s.addr)
+		}
+		return out
+	})
+	if err != nil {
+		return
+	}
+	var wg sync.WaitGroup
+	for _, a := range addrs {
+		wg.Go(func() {
+			ctx, cancel := context.WithTimeout(f.ctx, 600*time.Millisecond)
+			defer cancel()
+			_ = f.cfg.Mesh.Call(ctx, a, "flora.news", &newsCall{Workers: []Worker{w}}, nil)
+		})
+	}
+	wg.Wait()
+}
+
+func (f *Flora) onNews(ctx context.Context, in *newsCall) (*pollen.Nothing, error) {
+	_, err := waggle.Ask(ctx, f.cfg.Floor, func() bool {
+		nowUs := waggle.NowUs()
+		news := false
+		for _, w := range in.Workers {
+			news = f.take(w, nowUs) || news
+		}
+		if news {
+			f.publish()
+		}
+		return news
+	})
+	if err == nil && in.Home {
+		for _, w := range in.Workers {
+			f.toSubscribers(w)
+		}
+	}
+	return &pollen.Nothing{}, err
+}
+
+func (f *Flora) digest(svc string) uint64 {
+	var sum uint64
+	for _, e := range f.workers {
+		if e.Svc == svc {
+			sum += e.state() // order does not matter
+		}
+	}
+	return sum
+}
+
+func (f *Flora) onSub(ctx context.Context, in *subCall) (*subAnswer, error) {
+	if len(in.Svcs) != len(in.Digests) || len(in.Svcs) > 4096 {
+		return nil, wax.New(wax.Invalid, "svcs", "and digests do not match", "run the same version on all nodes")
+	}
+	if f.cfg.Hear != nil {
+		f.cfg.Hear(in.Pressures)
+	}
+	return waggle.Ask(ctx, f.cfg.Floor, func() *subAnswer {
+		nowUs := waggle.NowUs()
+		f.subs[in.From] = &subscriber{addr: in.Addr, untilUs: nowUs + subscribedUs}
+		out := &subAnswer{}
+		if f.cfg.Pressures != nil {
+			out.Pressures = f.cfg.Pressures()
+		}
+		for i, svc := range in.Svcs {
+			same := f.digest(svc) == in.Digests[i]
+			for _, e := range f.workers {
+				if e.Svc != svc {
+					continue
+				}
+				ageUs := nowUs - e.seenUs
+				if same {
+					if !e.Gone {
+						out.Ages = append(out.Ages, age{ID: e.ID, AgeUs: ageUs})
+					}
+					continue
+				}
+				w := e.Worker
+				w.AgeUs = ageUs
+				out.Workers = append(out.Workers, w)
+			}
+		}
+		return out
+	})
+}
+
+// renew subscribes at the zone's homes; a home itself asks the home of the
+// next zone, so that zones cannot drift apart.
+func (f *Flora) renew() {
+	nowUs := waggle.NowUs()
+	for name, s := range f.subs {
+		if nowUs > s.untilUs {
+			delete(f.subs, name)
+		}
+	}
+	v := f.cfg.Swarm.Look()
+	bySource := map[string][]string{}
+	for _, svc := range f.cfg.Services() {
+		homes := f.homes(svc, v)
+		source := homes[f.cfg.Self.Az]
+		if source == f.cfg.Self.Name || source == "" {
+			source = next(homes, f.cfg.Self.Az)
+		}
+		if source == "" || source == f.cfg.Self.Name {
+			// Alone: what comes in here is all there is.
+			f.syncUs = nowUs
+			if nowUs-f.startUs > 1_500_000 {
+				f.synced.Store(true)
+			}
+			continue
+		}
+		bySource[source] = append(bySource[source], svc)
+	}
+	for source, svcs := range bySource {
+		p := v.Get(source)
+		call := &subCall{From: f.cfg.Self.Name, Addr: f.cfg.Self.Addr, Svcs: svcs}
+		for _, s := range svcs {
+			call.Digests = append(call.Digests, f.digest(s))
+		}
+		if f.cfg.Pressures != nil {
+			call.Pressures = f.cfg.Pressures()
+		}
+		go func() {
+			ctx, cancel := context.WithTimeout(f.ctx, 450*time.Millisecond)
+			defer cancel()
+			out := &subAnswer{}
+			if err := f.cfg.Mesh.Call(ctx, p.Addr, "flora.sub", call, out); err != nil {
+				return
+			}
+			if f.cfg.Hear != nil {
+				f.cfg.Hear(out.Pressures)
+			}
+			_ = f.cfg.Floor.Do(ctx, func() { f.refresh(out) })
+		}()
+	}
+}
+
+// next is the home of the zone after az, in the zones' order.
+func next(homes map[string]string, az string) string {
+	var azs []string
+	for a := range homes {
+		if a != az {
+			azs = append(azs, a)
+		}
+	}
+	if len(azs) == 0 {
+		return ""
+	}
+	sort.Strings(azs)
+	at := sort.SearchStrings(azs, az)
+	return homes[azs[at%len(azs)]]
+}
+
+func (f *Flora) refresh(out *subAnswer) {
+	nowUs := waggle.NowUs()
+	f.syncUs = nowUs
+	f.synced.Store(true)
+	for _, a := range out.Ages {
+		if e := f.workers[a.ID]; e != nil {
+			e.seenUs = max(e.seenUs, nowUs-a.AgeUs)
+		}
+	}
+	news := false
+	for _, w := range out.Workers {
+		news = f.take(w, nowUs) || news
+	}
+	if news {
+		f.publish()
+	}
+}
+
+// publish renews the directory if it changed. A silent worker's tenure ends
+// only while news comes in: a node that is cut off keeps what it had.
+func (f *Flora) publish() {
+	nowUs := waggle.NowUs()
+	var sum uint64
+	for id, e := range f.workers {
+		if e.Gone && nowUs-e.buried > buryUs || nowUs-e.seenUs > 5*buryUs {
+			delete(f.workers, id)
+			continue
+		}
+		if f.usable(e) {
+			sum += e.state() | 1
+		}
+	}
+	if sum == f.sig {
+		return
+	}
+	f.sig = sum
+	d := &Directory{BySvc: map[string][]*Worker{}, ByID: map[string]*Worker{}}
+	for _, e := range f.workers {
+		if f.usable(e) {
+			w := e.Worker
+			d.BySvc[w.Svc] = append(d.BySvc[w.Svc], &w)
+			d.ByID[w.ID] = &w
+		}
+	}
+	for _, ws := range d.BySvc {
+		sort.Slice(ws, func(i, j int) bool { return ws[i].ID < ws[j].ID })
+	}
+	f.dir.Store(d)
+	if f.OnDir != nil {
+		f.OnDir(d)
+	}
+}
+
+func (f *Flora) usable(e *entry) bool {
+	return e.Up() && f.syncUs-e.seenUs < f.TenureUs()
+}
--- /dev/null
+++ b/internal/flora/worker.go
@@ -0,0 +1,103 @@
+// Package flora is the directory of workers: beats, tenures, drain, and the
+// news path from each service's home node in a zone to the zone's foragers
+// (design 5). The field's standard terms: flora = service registry; worker =
+// backend, endpoint; tenure = lease; home = owner of a registry partition;
+// pressure = load.
+package flora
+
+import (
+	"encoding/json"
+	"hash/fnv"
+
+	"rowanshunt/internal/wax"
+)
+
+// Model is a model a worker serves, with the version of its weights.
+type Model struct {
+	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by the library
+	Name     string   `json:"name"`
+	Ver      int64    `json:"ver"`
+}
+
+// Worker is one life of a worker, as it tells of itself.
+type Worker struct {
+	_msgpack   struct{} `msgpack:",as_array"` //nolint:unused // read by the library
+	ID         string   `json:"-"`
+	Svc        string   `json:"svc"`
+	Addr       string   `json:"addr"`
+	Az         string   `json:"az"`
+	Ver        string   `json:"ver"`
+	Slots      int64    `json:"slots"`
+	Phase      string   `json:"phase"`
+	WarmLeftMs int64    `json:"warm_left_ms"`
+	Stage      string   `json:"stage"`
+	Models     []Model  `json:"models"`
+	Seq        uint64   `json:"seq"`
+	Gone       bool     `json:"-"`
+	AgeUs      int64    `json:"-"` // since its last beat, when this was sent
+}
+
+// Up tells whether requests may be sent to it.
+func (w *Worker) Up() bool { return !w.Gone && w.Phase == "up" }
+
+// ParseBeat reads the body of a worker's beat.
+func ParseBeat(id string, body []byte) (*Worker, error) {
+	w := &Worker{}
+	if err := json.Unmarshal(body, w); err != nil {
+		return nil, wax.New(wax.Invalid, "beat", err.Error(), "send the JSON object of the protocol page")
+	}
+	w.ID = id
+	var l wax.Ledger
+	if id == "" || len(id) > 256 {
+		l.Addf("id", "is missing or too long", "put it into the path")
+	}
+	if w.Svc == "" {
+		l.Addf("svc", "is missing", "name the service")
+	}
+	if w.Addr == "" {
+		l.Addf("addr", "is missing", "give the address requests go to")
+	}
+	if w.Phase != "up" && w.Phase != "draining" {
+		l.Addf("phase", "is neither up nor draining", "send one of them")
+	}
+	if w.Slots < 0 || len(w.Models) > 64 {
+		l.Addf("slots", "or models out of bounds", "send what the worker has")
+	}
+	return w, l.Err()
+}
+
+// state is what news is about: all but the beat number and the age.
+func (w *Worker) state() uint64 {
+	h := fnv.New64a()
+	for _, s := range []string{w.ID, w.Svc, w.Addr, w.Az, w.Ver, w.Phase, w.Stage} {
+		_, _ = h.Write([]byte(s))
+		_, _ = h.Write([]byte{0})
+	}
+	var b [1]byte
+	if w.Gone {
+		b[0] = 1
+	}
+	_, _ = h.Write(b[:])
+	for _, m := range w.Models {
+		_, _ = h.Write([]byte(m.Name))
+		_, _ = h.Write([]byte{byte(m.Ver), byte(m.Ver >> 8), byte(m.Ver >> 16)})
+	}
+	return h.Sum64()
+}
+
+// Pressure is how full a worker said it was.
+type Pressure struct {
+	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by the library
+	ID       string
+	Running  int64
+	Waiting  int64
+	Slots    int64
+	AgeUs    int64
+}
+
+// Directory is what traffic sees: the workers that may be sent to, by service.
+// It is never changed.
+type Directory struct {
+	BySvc map[string][]*Worker
+	ByID  map[string]*Worker
+}
--- /dev/null
+++ b/internal/forage/circuit.go
@@ -0,0 +1,195 @@
+package forage
+
+import (
+	"bufio"
+	"context"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"golang.org/x/sys/unix"
+
+	"rowanshunt/internal/flora"
+	"rowanshunt/internal/pollen"
+	"rowanshunt/internal/waggle"
+	"rowanshunt/internal/wax"
+)
+
+// Times of circuits (design 6.4).
+const (
+	dialTimeout = 350 * time.Millisecond
+	idleUs      = int64(20_000_000)
+)
+
+// Circuit is one connection to one life of a worker; it carries one request at
+// a time.
+type Circuit struct {
+	conn    net.Conn
+	br      *bufio.Reader
+	bw      *bufio.Writer
+	worker  string
+	reused  bool
+	untilUs int64
+}
+
+// intact looks whether the other end closed, or sent bytes nobody asked for.
+func (c *Circuit) intact() bool {
+	if c.br.Buffered() > 0 {
+		return false
+	}
+	return intactTCP(c.conn)
+}
+
+func intactTCP(conn net.Conn) bool {
+	tc, ok := conn.(*net.TCPConn)
+	if !ok {
+		return true
+	}
+	raw, err := tc.SyscallConn()
+	if err != nil {
+		return false
+	}
+	quiet := false
+	var b [1]byte
+	err = raw.Read(func(fd uintptr) bool {
+		n, _, e := unix.Recvfrom(int(fd), b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+		quiet = n <= 0 && (e == unix.EAGAIN || e == unix.EWOULDBLOCK)
+		return true
+	})
+	return err == nil && quiet
+}
+
+type pool struct {
+	idle []*Circuit
+	open int
+}
+
+// Circuits owns this node's circuits to workers.
+type Circuits struct {
+	mu     sync.Mutex
+	pools  map[string]*pool
+	dialer *net.Dialer
+	dialed int64
+}
+
+// NewCircuits makes an empty set.
+func NewCircuits() *Circuits {
+	return &Circuits{pools: map[string]*pool{}, dialer: pollen.Dialer(dialTimeout)}
+}
+
+// Get gives a circuit to the worker, an idle one if there is one. Its faults
+// promise that nothing was sent.
+func (cs *Circuits) Get(ctx context.Context, w *flora.Worker, maxOpen int) (*Circuit, error) {
+	nowUs := waggle.NowUs()
+	for {
+		cs.mu.Lock()
+		p := cs.pools[w.ID]
+		if p == nil {
+			p = &pool{}
+			cs.pools[w.ID] = p
+		}
+		var c *Circuit
+		if n := len(p.idle); n > 0 {
+			c = p.idle[n-1]
+			p.idle = p.idle[:n-1]
+		} else if p.open >= maxOpen {
+			cs.mu.Unlock()
+			return nil, wax.New(wax.Conflict, w.ID, "this node's share of circuits is in use", "try another worker")
+		} else {
+			p.open++
+			cs.dialed++
+		}
+		cs.mu.Unlock()
+		if c == nil {
+			break
+		}
+		if c.untilUs > nowUs && c.intact() {
+			c.reused = true
+			return c, nil
+		}
+		cs.Drop(c)
+	}
+	conn, err := cs.dialer.DialContext(ctx, "tcp", w.Addr)
+	if err != nil {
+		cs.mu.Lock()
+		cs.pools[w.ID].open--
+		cs.mu.Unlock()
+		return nil, wax.New(wax.Unreached, w.ID, err.Error(), "look whether the worker runs")
+	}
+	return &Circuit{conn: conn, br: bufio.NewReaderSize(conn, 2<<10), bw: bufio.NewWriterSize(conn, 2<<10), worker: w.ID, untilUs: nowUs + idleUs}, nil
+}
+
+// Put gives a circuit back after a whole answer.
+func (cs *Circuits) Put(c *Circuit, resp *http.Response) {
+	keepUs := idleUs
+	if s, ok := keepAliveS(resp.Header.Get("Keep-Alive")); ok {
+		keepUs = s*1_000_000*7/10 - 100_000
+	}
+	if resp.Close || keepUs <= 0 || c.br.Buffered() > 0 {
+		cs.Drop(c)
+		return
+	}
+	_ = c.conn.SetDeadline(time.Time{})
+	c.untilUs = waggle.NowUs() + keepUs
+	cs.mu.Lock()
+	p := cs.pools[c.worker]
+	if p != nil {
+		p.idle = append(p.idle, c)
+	}
+	cs.mu.Unlock()
+	if p == nil {
+		_ = c.conn.Close()
+	}
+}
+
+func keepAliveS(head string) (int64, bool) {
+	for _, part := range strings.Split(head, ",") {
+		part = strings.TrimSpace(part)
+		if v, ok := strings.CutPrefix(part, "timeout="); ok {
+			part = v
+		}
+		if n, err := strconv.ParseInt(part, 10, 32); err == nil && n >= 0 {
+			return n, true
+		}
+	}
+	return 0, false
+}
+
+// Drop closes a circuit.
+func (cs *Circuits) Drop(c *Circuit) {
+	_ = c.conn.Close()
+	cs.mu.Lock()
+	if p := cs.pools[c.worker]; p != nil {
+		p.open--
+	}
+	cs.mu.Unlock()
+}
+
+// Sweep closes idle circuits that are past their time or whose worker is gone.
+func (cs *Circuits) Sweep(d *flora.Directory) {
+	nowUs := waggle.NowUs()
+	var old []*Circuit
+	cs.mu.Lock()
+	for id, p := range cs.pools {
+		keep := p.idle[:0]
+		for _, c := range p.idle {
+			if c.untilUs <= nowUs || d.ByID[id] == nil {
+				old = append(old, c)
+				p.open--
+			} else {
+				keep = append(keep, c)
+			}
+		}
+		p.idle = keep
+		if p.open <= 0 && d.ByID[id] == nil {
+			delete(cs.pools, id)
+		}
+	}
+	cs.mu.Unlock()
+	for _, c := range old {
+		_ = c.conn.Close()
+	}
+}
--- /dev/null
+++ b/internal/forage/item.go
@@ -0,0 +1,96 @@
+package forage
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net/http"
+	"strconv"
+	"sync"
+
+	"rowanshunt/internal/flora"
+	"rowanshunt/internal/wax"
+)
+
+func newEventReaders() *sync.Pool {
+	return &sync.Pool{New: func() any { return &eventReader{br: bufio.NewReaderSize(nil, 2<<10)} }}
+}
+
+// Text is what was collected of an item so far.
+type Text struct {
+	Msg    []byte
+	LastID int64
+	Any    bool
+}
+
+// Outcome of a run of an item at one worker.
+type Outcome int
+
+// The outcomes.
+const (
+	Whole   Outcome = iota // the text is complete
+	Never                  // 422: it can never be done
+	Failed                 // 500: a failed attempt
+	Broken                 // broke off; may go on elsewhere
+	NotSent                // no worker saw it, or it was turned away
+)
+
+// RunItem sends an item to a worker and adds the events to text; it goes on
+// behind the last event that text holds (design 9.3).
+func (s *Sender) RunItem(ctx context.Context, w *flora.Worker, p *Parcel, text *Text) (Outcome, error) {
+	if text.Any {
+		p.Header.Set(HeadLastID, strconv.FormatInt(text.LastID, 10))
+	} else {
+		p.Header.Del(HeadLastID)
+	}
+	a, err := s.Send(ctx, w, p, true)
+	if err != nil {
+		if wax.Is(err, wax.Unsure) {
+			return Broken, err
+		}
+		return NotSent, err
+	}
+	defer a.End(false)
+	switch code := a.Resp.StatusCode; {
+	case code == http.StatusUnprocessableEntity:
+		_, err := io.Copy(io.Discard, io.LimitReader(a.Resp.Body, 64<<10))
+		a.End(err == nil)
+		return Never, nil
+	case code == http.StatusInternalServerError:
+		_, err := io.Copy(io.Discard, io.LimitReader(a.Resp.Body, 64<<10))
+		a.End(err == nil)
+		return Failed, nil
+	case code != http.StatusOK:
+		return Broken, wax.New(wax.Unsure, w.ID, "answers "+strconv.Itoa(code), "")
+	}
+	if a.Resp.Header.Get(HeadSeal) == "" || a.Resp.ContentLength < 0 && !chunked(a.Resp) {
+		return Broken, wax.New(wax.Unsure, w.ID, "the stream has no seal or no end", "")
+	}
+	er := eventReaders.Get().(*eventReader)
+	defer eventReaders.Put(er)
+	er.br.Reset(a.Resp.Body)
+	for {
+		var ev Event
+		ev, er.buf, err = ReadEvent(er.br, er.buf)
+		if err == io.EOF {
+			a.End(true)
+			return Whole, nil
+		}
+		if err != nil {
+			s.broke(ctx, a, w)
+			return Broken, wax.New(wax.Unsure, w.ID, "the stream broke off: "+err.Error(), "")
+		}
+		a.Moved()
+		if !ev.HasID {
+			return Broken, wax.New(wax.Unsure, w.ID, "an event has no id", "")
+		}
+		if text.Any && ev.ID != text.LastID+1 {
+			return Broken, wax.New(wax.Unsure, w.ID, "an event is missing or doubled", "")
+		}
+		if text.Any {
+			text.Msg = append(text.Msg, '\n')
+		}
+		text.Msg = append(text.Msg, ev.Data()...)
+		text.LastID, text.Any = ev.ID, true
+	}
+}
--- /dev/null
+++ b/internal/forage/sender.go
@@ -0,0 +1,271 @@
+package forage
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"net/url"
+	"strconv"
+	"strings"
+	"time"
+
+	"rowanshunt/internal/flora"
+	"rowanshunt/internal/foundation"
+	"rowanshunt/internal/scout"
+	"rowanshunt/internal/waggle"
+	"rowanshunt/internal/wax"
+)
+
+// Heads of the protocol.
+const (
+	HeadID       = "X-Rowanshunt-Request-Id"
+	HeadTimeLeft = "X-Rowanshunt-Time-Left-Ms"
+	HeadWant     = "X-Rowanshunt-Want-Worker"
+	HeadWantVer  = "X-Rowanshunt-Want-Version"
+	HeadNotRun   = "X-Rowanshunt-Not-Run"
+	HeadSeal     = "X-Rowanshunt-Seal"
+	HeadLoad     = "X-Rowanshunt-Worker-Load"
+	HeadPrefix   = "X-Rowanshunt-Prompt-Prefix"
+	HeadTokens   = "X-Rowanshunt-Tokens"
+	HeadVersions = "X-Rowanshunt-Weight-Versions"
+	HeadLastID   = "Last-Event-Id"
+)
+
+// Parcel is a request on its way to workers.
+type Parcel struct {
+	Method string
+	Target string // raw, as the client wrote it
+	Host   string
+	Header http.Header
+	Body   []byte
+	ID     string
+	LeftMs func() int64 // what the client will still wait
+	Until  time.Time    // when it is given up
+	// Fence is asked right before the bytes go out; false: do not send.
+	Fence func() bool
+}
+
+// Sender sends parcels to workers and reads the heads of their answers.
+type Sender struct {
+	Dir       func() *flora.Directory
+	Scout     *scout.Scout
+	Circuits  *Circuits
+	Blueprint func() *foundation.Blueprint
+	Ways      *Slab[Way]
+}
+
+// Way is the record of a request at a worker.
+type Way struct {
+	ctx        context.Context
+	circuit    *Circuit
+	worker     string
+	startUs    int64
+	movedUs    int64 // when the worker was last heard
+	repeatable bool
+	cut        bool
+}
+
+// silentUs is how long a suspected worker may be silent on a repeatable
+// request before another one is tried (design 6.5).
+const silentUs = 500_000
+
+// Walk looks over all requests at workers: what its client gave up is cut, and
+// so is a repeatable one that hangs at a worker nobody reaches.
+func (s *Sender) Walk() {
+	nowUs := waggle.NowUs()
+	s.Ways.Each(func(w *Way) {
+		if w.cut {
+			return
+		}
+		if w.ctx.Err() != nil || w.repeatable && nowUs-w.movedUs > silentUs && s.Scout.Suspect(w.worker) {
+			w.cut = true
+			_ = w.circuit.conn.SetDeadline(time.Unix(1, 0))
+		}
+	})
+}
+
+// Answer is a worker's answer whose head was read.
+type Answer struct {
+	Resp *http.Response
+	s    *Sender
+	c    *Circuit
+	way  *Way
+	slot int
+	over bool
+}
+
+// Moved notes that the worker was heard.
+func (a *Answer) Moved() { a.way.movedUs = waggle.NowUs() }
+
+// End gives the circuit back if the answer was read whole, else closes it.
+func (a *Answer) End(whole bool) {
+	if a.over {
+		return
+	}
+	a.over = true
+	a.s.Ways.Drop(a.slot)
+	if whole && !a.way.cut {
+		a.s.Circuits.Put(a.c, a.Resp)
+	} else {
+		a.s.Circuits.Drop(a.c)
+	}
+}
+
+// maxOpen is this node's share of the circuits a worker takes (design 6.4).
+func (s *Sender) maxOpen(svc string) int {
+	b := s.Blueprint()
+	if b == nil || b.Services[svc] == nil || b.Services[svc].MaxConn <= 0 {
+		return 64
+	}
+	return max(int(b.Services[svc].MaxConn*9/10/s.Scout.Foragers()), 1)
+}
+
+// Send sends the parcel to the worker and reads the head of its answer.
+// Faults: Unreached and Conflict, nothing was sent; Declined, the worker says
+// that it did not run it; Unsure, it may have run.
+func (s *Sender) Send(ctx context.Context, w *flora.Worker, p *Parcel, repeatable bool) (*Answer, error) {
+	c, err := s.Circuits.Get(ctx, w, s.maxOpen(w.Svc))
+	if err != nil {
+		if wax.Is(err, wax.Unreached) && ctx.Err() == nil {
+			s.Scout.Failed(w.ID, true)
+		}
+		return nil, err
+	}
+	way := &Way{ctx: ctx, circuit: c, worker: w.ID, startUs: waggle.NowUs(), movedUs: waggle.NowUs(), repeatable: repeatable}
+	slot, ok := s.Ways.Put(way)
+	if !ok {
+		s.Circuits.Drop(c)
+		return nil, wax.New(wax.Conflict, "slab", "too many requests are under way", "try again later")
+	}
+	a := &Answer{s: s, c: c, way: way, slot: slot}
+	// The fence at the write: a worker that left in the meantime, or a claim
+	// on the parcel that ended, stops it here (design 6.3).
+	if s.Dir().ByID[w.ID] == nil || p.Fence != nil && !p.Fence() {
+		a.Resp = &http.Response{Header: http.Header{}}
+		a.End(true)
+		return nil, wax.New(wax.Conflict, w.ID, "left before the request was sent", "try another worker")
+	}
+	req := p.request(w)
+	_ = c.conn.SetDeadline(p.Until)
+	err = req.Write(c.bw)
+	if err == nil {
+		err = c.bw.Flush()
+	}
+	if err != nil {
+		a.End(false)
+		s.broke(ctx, a, w)
+		return nil, wax.New(wax.Unsure, w.ID, "broke off while it was sent: "+err.Error(), "")
+	}
+	for surplus := 0; ; {
+		resp, err := http.ReadResponse(c.br, req)
+		if err != nil {
+			a.End(false)
+			s.broke(ctx, a, w)
+			return nil, wax.New(wax.Unsure, w.ID, "no answer: "+err.Error(), "")
+		}
+		if resp.StatusCode < 200 {
+			continue
+		}
+		if id := resp.Header.Get(HeadID); id != p.ID {
+			// A late surplus answer stands in the place of ours (design 6.4).
+			surplus++
+			if _, err := io.Copy(io.Discard, io.LimitReader(resp.Body, 1<<20)); err != nil || surplus > 2 || resp.Close {
+				a.End(false)
+				return nil, wax.New(wax.Unsure, w.ID, "answers to other requests", "")
+			}
+			continue
+		}
+		a.Resp = resp
+		break
+	}
+	a.Moved()
+	s.heard(w.ID, a.Resp.Header)
+	if a.Resp.Header.Get(HeadNotRun) != "" || a.Resp.StatusCode == http.StatusMisdirectedRequest {
+		_, err := io.Copy(io.Discard, io.LimitReader(a.Resp.Body, 64<<10))
+		status := a.Resp.StatusCode
+		a.End(err == nil)
+		if status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests {
+			s.Scout.Full(w.ID)
+		} else if status == http.StatusMisdirectedRequest {
+			s.Scout.Failed(w.ID, true)
+		}
+		return nil, wax.New(wax.Declined, strconv.Itoa(status), "the worker did not run it", "")
+	}
+	return a, nil
+}
+
+func (s *Sender) broke(ctx context.Context, a *Answer, w *flora.Worker) {
+	if ctx.Err() == nil {
+		s.Scout.Failed(w.ID, a.way.cut)
+	}
+}
+
+func (s *Sender) heard(worker string, h http.Header) {
+	parts := strings.Split(h.Get(HeadLoad), ",")
+	if len(parts) != 3 {
+		return
+	}
+	var n [3]int64
+	for i, p := range parts {
+		v, err := strconv.ParseInt(strings.TrimSpace(p), 10, 64)
+		if err != nil {
+			return
+		}
+		n[i] = v
+	}
+	s.Scout.Heard(worker, n[0], n[1], n[2])
+}
+
+// request makes the request as the worker is to see it. The target goes out
+// as it came in.
+func (p *Parcel) request(w *flora.Worker) *http.Request {
+	h := p.Header.Clone()
+	if h == nil {
+		h = http.Header{}
+	}
+	h.Set(HeadID, p.ID)
+	h.Set(HeadWant, w.ID)
+	if p.LeftMs != nil {
+		h.Set(HeadTimeLeft, strconv.FormatInt(max(p.LeftMs(), 1), 10))
+	}
+	if _, ok := h["User-Agent"]; !ok {
+		h["User-Agent"] = []string{""} // none of our own
+	}
+	u := &url.URL{Opaque: p.Target}
+	if strings.HasPrefix(p.Target, "//") {
+		if v, err := url.ParseRequestURI(p.Target); err == nil {
+			u = v
+		}
+	}
+	req := &http.Request{Method: p.Method, URL: u, Host: p.Host, Header: h, Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1}
+	if len(p.Body) > 0 {
+		req.Body = io.NopCloser(newBody(p.Body))
+		req.ContentLength = int64(len(p.Body))
+	} else if p.Method == http.MethodPost || p.Method == http.MethodPut || p.Method == http.MethodPatch {
+		req.Body = http.NoBody
+	}
+	return req
+}
+
+type bodyReader struct {
+	b  []byte
+	at int
+}
+
+func newBody(b []byte) *bodyReader { return &bodyReader{b: b} }
+
+func (r *bodyReader) Read(p []byte) (int, error) {
+	if r.at >= len(r.b) {
+		return 0, io.EOF
+	}
+	n := copy(p, r.b[r.at:])
+	r.at += n
+	return n, nil
+}
+
+// WriteTo spares a copy on the way to the circuit.
+func (r *bodyReader) WriteTo(w io.Writer) (int64, error) {
+	n, err := w.Write(r.b[r.at:])
+	r.at += n
+	return int64(n), err
+}
--- /dev/null
+++ b/internal/forage/slab.go
@@ -0,0 +1,67 @@
+// Package forage is a request's way through a node: its record in the slab,
+// its tries at workers, streams and their resumption. No other package sends
+// to workers (design 6). The field's standard terms: forage = request
+// forwarding; circuit = connection; parcel = request; decline = refuse.
+package forage
+
+import "sync"
+
+// Slab keeps the records of what is under way in places that are used again,
+// so that a walk over them needs no other book-keeping (design 6.2).
+type Slab[T any] struct {
+	mu    sync.Mutex
+	slots []*T
+	free  []int
+	count int
+	bound int
+}
+
+// NewSlab makes a slab for at most bound records.
+func NewSlab[T any](bound int) *Slab[T] { return &Slab[T]{bound: bound} }
+
+// Put places a record, false if the slab is full.
+func (s *Slab[T]) Put(v *T) (slot int, ok bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.count >= s.bound {
+		return 0, false
+	}
+	s.count++
+	if n := len(s.free); n > 0 {
+		slot = s.free[n-1]
+		s.free = s.free[:n-1]
+		s.slots[slot] = v
+		return slot, true
+	}
+	s.slots = append(s.slots, v)
+	return len(s.slots) - 1, true
+}
+
+// Drop empties a place.
+func (s *Slab[T]) Drop(slot int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if slot < len(s.slots) && s.slots[slot] != nil {
+		s.slots[slot] = nil
+		s.free = append(s.free, slot)
+		s.count--
+	}
+}
+
+// Len counts the records.
+func (s *Slab[T]) Len() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.count
+}
+
+// Each walks over the records; fn must not call the slab.
+func (s *Slab[T]) Each(fn func(*T)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, v := range s.slots {
+		if v != nil {
+			fn(v)
+		}
+	}
+}
--- /dev/null
+++ b/internal/guard/control.go
@@ -0,0 +1,238 @@
+package guard
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/julienschmidt/httprouter"
+
+	"rowanshunt/internal/flora"
+	"rowanshunt/internal/foundation"
+	"rowanshunt/internal/nest"
+	"rowanshunt/internal/wax"
+)
+
+// Reply is what a command answers.
+type Reply struct {
+	Status int
+	Body   []byte // JSON
+}
+
+// Command is one call of a worker or an operator, decoded; it is run apart
+// from its decoding (design 11.4).
+type Command interface {
+	Run(ctx context.Context, c *Control) (Reply, error)
+}
+
+// Control serves workers and operators.
+type Control struct {
+	Nest   *nest.Nest
+	Flora  *flora.Flora
+	Log    *wax.Log
+	Spared int
+}
+
+// BeatCommand is a worker's beat.
+type BeatCommand struct{ Worker flora.Worker }
+
+// Run takes the beat and names the home for the next ones.
+func (b *BeatCommand) Run(ctx context.Context, c *Control) (Reply, error) {
+	home, err := c.Flora.Beat(ctx, b.Worker)
+	if err != nil {
+		return Reply{}, err
+	}
+	if home == "" || b.Worker.Gone {
+		return Reply{Status: 200, Body: []byte("{}")}, nil
+	}
+	body, err := json.Marshal(map[string]string{"beat_url": "http://" + home + "/-/workers/" + b.Worker.ID})
+	return Reply{Status: 200, Body: body}, err
+}
+
+// PutCommand is an operator's new blueprint.
+type PutCommand struct {
+	Doc    []byte
+	Ver    int64
+	Expect int64
+}
+
+// Run commits the blueprint.
+func (p *PutCommand) Run(ctx context.Context, c *Control) (Reply, error) {
+	s, err := c.Nest.Put(ctx, p.Doc, p.Ver, p.Expect)
+	if err != nil {
+		return Reply{}, err
+	}
+	c.Log.Info("blueprint_taken", "ver", s.Ver, "rev", s.Rev)
+	return Reply{Status: 200, Body: []byte("{}")}, nil
+}
+
+// GetCommand reads the newest blueprint.
+type GetCommand struct{}
+
+// Run reads the register at a majority.
+func (GetCommand) Run(ctx context.Context, c *Control) (Reply, error) {
+	s, err := c.Nest.Read(ctx)
+	if err != nil {
+		return Reply{}, err
+	}
+	if s.Ver == 0 {
+		return Reply{}, wax.New(wax.Unknown, "blueprint", "none was put yet", "put one")
+	}
+	return Reply{Status: 200, Body: s.Doc}, nil
+}
+
+// RetireCommand asks for a store to be emptied.
+type RetireCommand struct{ Node string }
+
+// Run marks the store in the register.
+func (r *RetireCommand) Run(ctx context.Context, c *Control) (Reply, error) {
+	if err := c.Nest.Retire(ctx, r.Node); err != nil {
+		return Reply{}, err
+	}
+	c.Log.Info("retire_taken", "node", r.Node)
+	return Reply{Status: 200, Body: []byte("{}")}, nil
+}
+
+// RetiredCommand asks how far that is.
+type RetiredCommand struct{ Node string }
+
+// Run reads the register.
+func (r *RetiredCommand) Run(ctx context.Context, c *Control) (Reply, error) {
+	done, err := c.Nest.Retired(ctx, r.Node)
+	if err != nil {
+		return Reply{}, err
+	}
+	if done {
+		return Reply{Status: 200, Body: []byte(`{"phase":"done"}`)}, nil
+	}
+	return Reply{Status: 200, Body: []byte(`{"phase":"serving"}`)}, nil
+}
+
+// statusOf is the status a fault is answered with. A call that may have been
+// carried out is no promise, so it is 502; one that was not gets 503.
+func statusOf(err error) int {
+	switch wax.KindOf(err) {
+	case wax.Invalid:
+		return http.StatusBadRequest
+	case wax.Unknown:
+		return http.StatusNotFound
+	case wax.Stale:
+		return http.StatusPreconditionFailed
+	case wax.Conflict:
+		return http.StatusConflict
+	case wax.TooLarge:
+		return http.StatusRequestEntityTooLarge
+	case wax.Declined, wax.Unreached:
+		return http.StatusServiceUnavailable
+	}
+	return http.StatusBadGateway
+}
+
+// maxBeat bounds a worker's beat.
+const maxBeat = 64 << 10
+
+// Handler decodes calls into commands and runs them.
+func (c *Control) Handler() http.Handler {
+	rt := httprouter.New()
+	rt.RedirectTrailingSlash = false
+	rt.RedirectFixedPath = false
+	rt.HandleMethodNotAllowed = true
+	on := func(method, path string, limit time.Duration, decode func(r *http.Request, ps httprouter.Params) (Command, error)) {
+		rt.Handle(method, path, func(w http.ResponseWriter, r *http.Request, ps httprouter.Params) {
+			cmd, err := decode(r, ps)
+			var out Reply
+			if err == nil {
+				ctx, cancel := context.WithTimeout(r.Context(), limit)
+				out, err = cmd.Run(ctx, c)
+				cancel()
+			}
+			c.answer(w, r, out, err)
+		})
+	}
+	on(http.MethodPut, "/-/workers/:id", 900*time.Millisecond, decodeBeat)
+	on(http.MethodDelete, "/-/workers/:id", 900*time.Millisecond, func(_ *http.Request, ps httprouter.Params) (Command, error) {
+		return &BeatCommand{Worker: flora.Worker{ID: ps.ByName("id"), Gone: true}}, nil
+	})
+	on(http.MethodPut, "/-/config", 3*time.Second, decodePut)
+	on(http.MethodGet, "/-/config", 2*time.Second, func(*http.Request, httprouter.Params) (Command, error) { return GetCommand{}, nil })
+	on(http.MethodPost, "/-/retire/:node", 3*time.Second, decodeRetire)
+	on(http.MethodGet, "/-/retire/:node", 2*time.Second, func(_ *http.Request, ps httprouter.Params) (Command, error) {
+		return &RetiredCommand{Node: ps.ByName("node")}, nil
+	})
+	return rt
+}
+
+func (c *Control) answer(w http.ResponseWriter, r *http.Request, out Reply, err error) {
+	if err != nil {
+		out.Status = statusOf(err)
+		out.Body, _ = json.Marshal(map[string]string{"err": err.Error()})
+		c.Log.Info("control_declined", "method", r.Method, "path", r.URL.Path, "status", out.Status, "err", err)
+		if out.Status == http.StatusServiceUnavailable {
+			w.Header().Set("Retry-After", "0.3")
+		}
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set("Content-Length", strconv.Itoa(len(out.Body)))
+	w.WriteHeader(out.Status)
+	_, _ = w.Write(out.Body)
+}
+
+func readAll(r *http.Request, maxBytes int64) ([]byte, error) {
+	raw, err := io.ReadAll(http.MaxBytesReader(nil, r.Body, maxBytes))
+	var over *http.MaxBytesError
+	if errors.As(err, &over) {
+		return nil, wax.New(wax.TooLarge, "body", "is over "+strconv.FormatInt(maxBytes, 10)+" bytes", "send less")
+	}
+	if err != nil {
+		return nil, wax.New(wax.Invalid, "body", "cannot be read: "+err.Error(), "send it whole")
+	}
+	return raw, nil
+}
+
+func decodeBeat(r *http.Request, ps httprouter.Params) (Command, error) {
+	raw, err := readAll(r, maxBeat)
+	if err != nil {
+		return nil, err
+	}
+	w, err := flora.ParseBeat(ps.ByName("id"), raw)
+	if err != nil {
+		return nil, err
+	}
+	return &BeatCommand{Worker: *w}, nil
+}
+
+func decodePut(r *http.Request, _ httprouter.Params) (Command, error) {
+	raw, err := readAll(r, foundation.MaxBytes)
+	if err != nil {
+		return nil, err
+	}
+	b, err := foundation.Parse(raw)
+	if err != nil {
+		return nil, err
+	}
+	expect, err := strconv.ParseInt(r.Header.Get("If-Match"), 10, 64)
+	if err != nil || expect < 0 {
+		return nil, wax.New(wax.Invalid, "If-Match", "holds no version", "give the version it builds on, 0 for the first")
+	}
+	return &PutCommand{Doc: raw, Ver: b.Ver, Expect: expect}, nil
+}
+
+func decodeRetire(r *http.Request, ps httprouter.Params) (Command, error) {
+	raw, err := readAll(r, maxBeat)
+	if err != nil {
+		return nil, err
+	}
+	var doc struct {
+		OverS float64 `json:"over_s"`
+	}
+	if len(raw) > 0 {
+		if err := json.Unmarshal(raw, &doc); err != nil || doc.OverS < 0 {
+			return nil, wax.New(wax.Invalid, "over_s", "cannot be read", "send a JSON object with over_s in seconds")
+		}
+	}
+	return &RetireCommand{Node: ps.ByName("node")}, nil
+}
--- /dev/null
+++ b/internal/guard/guard.go
@@ -0,0 +1,214 @@
+// Package guard is the entrance: listeners, limits, readiness, drain and
+// admission (design 11). The field's standard terms: guard = ingress; decline
+// = load shedding.
+package guard
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/julienschmidt/httprouter"
+
+	"rowanshunt/internal/brood"
+	"rowanshunt/internal/forage"
+	"rowanshunt/internal/foundation"
+	"rowanshunt/internal/wax"
+)
+
+// Limits follow from what the machine gives (design 11.2).
+type Limits struct {
+	MaxConns  int
+	HdrBytes  int
+	HdrMs     int64
+	IdleMs    int64
+	BodyBytes int64
+}
+
+// Guard is one node's entrance.
+type Guard struct {
+	Forage    *forage.Forage
+	Lots      *brood.API
+	Blueprint func() *foundation.Blueprint
+	Log       *wax.Log
+	Limits    Limits
+	Ready     func() bool
+	Draining  atomic.Bool
+}
+
+// Middleware wraps a handler; they are closures, applied from the inside out.
+type Middleware func(http.Handler) http.Handler
+
+// Chain applies middlewares, the first outermost.
+func Chain(h http.Handler, ms ...Middleware) http.Handler {
+	for i := len(ms) - 1; i >= 0; i-- {
+		h = ms[i](h)
+	}
+	return h
+}
+
+// lastCircuit tells clients of a node that leaves not to come back on the same
+// connection.
+func (g *Guard) lastCircuit() Middleware {
+	return func(next http.Handler) http.Handler {
+		return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			if g.Draining.Load() {
+				w.Header().Set("Connection", "close")
+			}
+			next.ServeHTTP(w, r)
+		})
+	}
+}
+
+// noPanic turns a panic other than a wanted abort into a closed connection and
+// one log line.
+func (g *Guard) noPanic() Middleware {
+	return func(next http.Handler) http.Handler {
+		return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			defer func() {
+				if p := recover(); p != nil {
+					if p != http.ErrAbortHandler {
+						g.Log.Warn("request_panicked", "panic", p)
+					}
+					panic(http.ErrAbortHandler)
+				}
+			}()
+			next.ServeHTTP(w, r)
+		})
+	}
+}
+
+// Clients is the handler of the clients' address. Only the lots' own calls are
+// routed by httprouter; all other paths go by the blueprint, as they came.
+func (g *Guard) Clients() http.Handler {
+	rt := httprouter.New()
+	rt.RedirectTrailingSlash = false
+	rt.RedirectFixedPath = false
+	rt.HandleMethodNotAllowed = true
+	rt.GET("/-/lots/:id", g.Lots.Read)
+	rt.DELETE("/-/lots/:id", g.Lots.End)
+	rt.GET("/-/items/:id", g.Lots.Body)
+	rt.NotFound = http.HandlerFunc(g.request)
+	return Chain(rt, g.lastCircuit(), g.noPanic())
+}
+
+// request tells lots from other requests.
+func (g *Guard) request(w http.ResponseWriter, r *http.Request) {
+	b := g.Blueprint()
+	if b != nil {
+		if binding := b.Find(r.Host, r.RequestURI); binding != nil && binding.Type == foundation.Bulk {
+			g.hand(w, r, b, binding)
+			return
+		}
+	}
+	g.Forage.ServeHTTP(w, r)
+}
+
+func (g *Guard) hand(w http.ResponseWriter, r *http.Request, b *foundation.Blueprint, binding *foundation.Binding) {
+	if r.Method != http.MethodPost {
+		w.Header().Set("Allow", http.MethodPost)
+		http.Error(w, "lots are handed in by POST", http.StatusMethodNotAllowed)
+		return
+	}
+	id := r.Header.Get(forage.HeadID)
+	if id == "" || len(id) > 256 {
+		http.Error(w, forage.HeadID+" is missing", http.StatusBadRequest)
+		return
+	}
+	leftMs := int64(2500)
+	if s := r.Header.Get(forage.HeadTimeLeft); s != "" {
+		n, err := strconv.ParseInt(s, 10, 64)
+		if err != nil || n < 0 {
+			http.Error(w, forage.HeadTimeLeft+" is no number of milliseconds", http.StatusBadRequest)
+			return
+		}
+		leftMs = n
+	}
+	g.Lots.Hand(w, r, binding, id, b.Caps.PayloadBytes, leftMs)
+}
+
+// Readyz answers the platform.
+func (g *Guard) Readyz() http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path != "/-/readyz" {
+			http.NotFound(w, r)
+			return
+		}
+		if g.Draining.Load() || !g.Ready() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		w.WriteHeader(http.StatusOK)
+	})
+}
+
+// Server is one listener with its HTTP server.
+type Server struct {
+	HTTP *http.Server
+	ln   net.Listener
+}
+
+// Open listens and makes a server with the guard's limits.
+func Open(addr string, h http.Handler, l Limits) (*Server, error) {
+	ln, err := net.Listen("tcp", addr)
+	if err != nil {
+		return nil, errors.Wrap(err, "listen")
+	}
+	s := &Server{ln: &bounded{Listener: ln, max: int64(max(l.MaxConns, 16))}}
+	s.HTTP = &http.Server{
+		Handler:           h,
+		ReadHeaderTimeout: time.Duration(l.HdrMs) * time.Millisecond,
+		IdleTimeout:       time.Duration(l.IdleMs) * time.Millisecond,
+		MaxHeaderBytes:    l.HdrBytes,
+	}
+	return s, nil
+}
+
+// Run serves until the server is shut down.
+func (s *Server) Run() error {
+	if err := s.HTTP.Serve(s.ln); err != nil && !errors.Is(err, http.ErrServerClosed) {
+		return err
+	}
+	return nil
+}
+
+// Shut stops taking connections and waits for those at work until ctx ends.
+func (s *Server) Shut(ctx context.Context) { _ = s.HTTP.Shutdown(ctx) }
+
+// bounded closes connections over the bound before anything is read of them,
+// so that their clients may safely go elsewhere.
+type bounded struct {
+	net.Listener
+	max  int64
+	open atomic.Int64
+}
+
+func (b *bounded) Accept() (net.Conn, error) {
+	for {
+		c, err := b.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		if b.open.Add(1) <= b.max {
+			return &boundedConn{Conn: c, b: b}, nil
+		}
+		b.open.Add(-1)
+		_ = c.Close()
+	}
+}
+
+type boundedConn struct {
+	net.Conn
+	b    *bounded
+	once sync.Once
+}
+
+func (c *boundedConn) Close() error {
+	c.once.Do(func() { c.b.open.Add(-1) })
+	return c.Conn.Close()
+}
--- /dev/null
+++ b/internal/nest/nest.go
@@ -0,0 +1,474 @@
+package nest
+
+import (
+	"bytes"
+	"context"
+	"slices"
+	"sort"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/vmihailenco/msgpack/v5"
+
+	"rowanshunt/internal/pollen"
+	"rowanshunt/internal/swarm"
+	"rowanshunt/internal/waggle"
+	"rowanshunt/internal/wax"
+)
+
+// Times of the roster's upkeep (design 4.4).
+const (
+	tickUs        = 250_000
+	stableUs      = 900_000
+	foundAfterUs  = 1_500_000
+	goneForJoinUs = 700_000
+	goneForDropUs = 6_000_000
+	neverSeenUs   = 3_000_000
+	maxSeats      = 7
+)
+
+// Config is what a nest is made of.
+type Config struct {
+	Floor    *waggle.Floor
+	Desk     *pollen.Desk
+	Mesh     pollen.Mesh
+	Swarm    *swarm.Swarm
+	Log      *wax.Log
+	Self     swarm.Partner
+	DiskDir  string // "" for nodes without a vote
+	Seeds    []string
+	Boot     bool
+	Spared   int // machines that may be lost at once
+	OnState  func(*State)
+	Proposer string
+}
+
+// Nest is one node's part in the register: its seat if it has a disk, its
+// proposer, and the newest committed state it knows.
+type Nest struct {
+	cfg      Config
+	ctx      context.Context
+	seat     *Acceptor
+	founding *Acceptor
+	proposer *Proposer
+
+	mu        sync.Mutex
+	known     *State
+	committed bool
+
+	startUs  int64
+	stableAt int64
+	lastSet  string
+	busy     bool
+	pulling  map[string]bool
+}
+
+// New opens the node's seat and joins the register.
+func New(ctx context.Context, cfg Config) (*Nest, error) {
+	n := &Nest{cfg: cfg, ctx: ctx, startUs: waggle.NowUs(), pulling: map[string]bool{}}
+	if cfg.DiskDir != "" {
+		seat, err := OpenAcceptor(cfg.Self.Seat(), cfg.DiskDir, cfg.Log)
+		if err != nil {
+			return nil, err
+		}
+		n.seat = seat
+		// What the seat accepted may not be committed, but its roster is the
+		// right one to ask (design 4.4).
+		n.known = seat.State()
+	}
+	n.proposer = NewProposer(cfg.Proposer, cfg.Mesh, n.addrOf, n.Known, n.Learn)
+	if cfg.Boot && n.known == nil && slices.Contains(cfg.Seeds, cfg.Self.Addr) {
+		n.founding = NewFoundingAcceptor("founding@" + cfg.Self.Addr)
+	}
+	n.serve()
+	cfg.Floor.Every(tickUs, n.tick)
+	return n, nil
+}
+
+func noSeat() error {
+	return wax.New(wax.Unknown, "seat", "this node has no such seat", "read the roster again")
+}
+
+func (n *Nest) serve() {
+	d := n.cfg.Desk
+	pollen.On(d, "nest.prepare", func(ctx context.Context, in *prepareCall) (*prepareAnswer, error) {
+		if n.seat == nil {
+			return nil, noSeat()
+		}
+		return n.seat.Prepare(ctx, in)
+	})
+	pollen.On(d, "nest.accept", func(ctx context.Context, in *acceptCall) (*acceptAnswer, error) {
+		if n.seat == nil {
+			return nil, noSeat()
+		}
+		return n.seat.Accept(ctx, in)
+	})
+	pollen.On(d, "nest.found.prepare", func(ctx context.Context, in *prepareCall) (*prepareAnswer, error) {
+		if n.founding == nil {
+			return nil, noSeat()
+		}
+		return n.founding.Prepare(ctx, in)
+	})
+	pollen.On(d, "nest.found.accept", func(ctx context.Context, in *acceptCall) (*acceptAnswer, error) {
+		if n.founding == nil {
+			return nil, noSeat()
+		}
+		return n.founding.Accept(ctx, in)
+	})
+	pollen.On(d, "nest.learn", func(_ context.Context, in *State) (*pollen.Nothing, error) {
+		n.Learn(in)
+		return &pollen.Nothing{}, nil
+	})
+	pollen.On(d, "nest.get", func(_ context.Context, _ *pollen.Nothing) (*State, error) {
+		s, ok := n.Known()
+		if s == nil || !ok {
+			return nil, wax.New(wax.Unknown, "register", "no committed state known here", "ask another node")
+		}
+		return s, nil
+	})
+}
+
+func (n *Nest) addrOf(s Seat) string {
+	if p := n.cfg.Swarm.Look().Get(s.Name); p != nil {
+		return p.Addr
+	}
+	return s.Addr
+}
+
+// Known is the newest state this node knows and whether it was committed.
+func (n *Nest) Known() (*State, bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.known, n.committed
+}
+
+// Committed is the newest committed state known here, nil if none.
+func (n *Nest) Committed() *State {
+	if s, ok := n.Known(); ok {
+		return s
+	}
+	return nil
+}
+
+// Learn takes a committed state; older ones are left aside, so a node never
+// goes back (design 4.2).
+func (n *Nest) Learn(s *State) {
+	n.mu.Lock()
+	if s == nil || n.committed && s.Rev <= n.known.Rev {
+		n.mu.Unlock()
+		return
+	}
+	n.known, n.committed = s, true
+	n.mu.Unlock()
+	_ = n.cfg.Floor.Do(n.ctx, func() {
+		n.cfg.Swarm.Tell(func(p *swarm.Partner) { p.Rev = max(p.Rev, s.Rev) })
+		if n.cfg.OnState != nil {
+			if now := n.Committed(); now != nil {
+				n.cfg.OnState(now)
+			}
+		}
+	})
+}
+
+// Read is a linearizable read of the register.
+func (n *Nest) Read(ctx context.Context) (*State, error) { return n.proposer.Read(ctx) }
+
+// Change commits a change and sends the news out.
+func (n *Nest) Change(ctx context.Context, change Change) (*State, error) {
+	before := n.Committed()
+	s, err := n.proposer.Change(ctx, change)
+	if s != nil && (before == nil || s.Rev > before.Rev) {
+		n.spread(s)
+	}
+	return s, err
+}
+
+// spread pushes a committed state to every partner in sight; shuffles bring it
+// to the rest.
+func (n *Nest) spread(s *State) {
+	for _, p := range n.cfg.Swarm.Look().All {
+		if p.Name == n.cfg.Self.Name || !p.Alive || p.Rev >= s.Rev {
+			continue
+		}
+		go func() {
+			ctx, cancel := context.WithTimeout(n.ctx, time.Second)
+			defer cancel()
+			_ = n.cfg.Mesh.Call(ctx, p.Addr, "nest.learn", s, nil)
+		}()
+	}
+}
+
+// Hear is told of a partner that knows more; the state is pulled from it.
+func (n *Nest) Hear(p swarm.Partner) {
+	if n.pulling[p.Name] {
+		return
+	}
+	n.pulling[p.Name] = true
+	go func() {
+		ctx, cancel := context.WithTimeout(n.ctx, time.Second)
+		defer cancel()
+		s := &State{}
+		if err := n.cfg.Mesh.Call(ctx, p.Addr, "nest.get", &pollen.Nothing{}, s); err == nil {
+			n.Learn(s)
+		}
+		_ = n.cfg.Floor.Do(n.ctx, func() { delete(n.pulling, p.Name) })
+	}()
+}
+
+// Once runs fn beside the floor, at most one at a time.
+func (n *Nest) once(fn func(ctx context.Context)) {
+	if n.busy {
+		return
+	}
+	n.busy = true
+	go func() {
+		ctx, cancel := context.WithTimeout(n.ctx, 4*time.Second)
+		fn(ctx)
+		cancel()
+		_ = n.cfg.Floor.Do(n.ctx, func() { n.busy = false })
+	}()
+}
+
+func (n *Nest) tick() {
+	v := n.cfg.Swarm.Look()
+	nowUs := waggle.NowUs()
+	set := strings.Join(v.Names(func(s *swarm.Sighting) bool { return s.Alive && s.Disk != "" }), " ")
+	if set != n.lastSet {
+		n.lastSet, n.stableAt = set, nowUs
+	}
+	stable := nowUs-n.stableAt > stableUs && nowUs-n.startUs > foundAfterUs
+	known, committed := n.Known()
+	switch {
+	case known == nil:
+		if n.cfg.Boot && n.seat != nil && stable {
+			n.once(n.found)
+		}
+	case n.seat != nil && !known.Core.Has(n.seat.ID()):
+		if nowUs-n.startUs > stableUs {
+			n.once(n.join)
+		}
+	case n.seat != nil && committed && n.firstAlive(known.Core.Cur, v) == n.cfg.Self.Name:
+		if known.Core.Joint() && nowUs-n.stableAt > stableUs || n.outworn(known.Core.Cur, v) != "" {
+			n.once(n.tidy)
+		}
+	}
+}
+
+func (n *Nest) firstAlive(seats []Seat, v *swarm.View) string {
+	for _, s := range seats {
+		if v.Alive(s.Name) {
+			return s.Name
+		}
+	}
+	return ""
+}
+
+// found settles the first roster in the founding register of the seeds
+// (design 4.3).
+func (n *Nest) found(ctx context.Context) {
+	var first []Seat
+	for _, p := range n.cfg.Swarm.Look().All {
+		if p.Alive && p.Boot && p.Disk != "" && p.Role == n.cfg.Self.Role {
+			first = append(first, Seat{ID: p.Seat(), Name: p.Name, Addr: p.Addr})
+		}
+	}
+	sort.Slice(first, func(i, j int) bool { return first[i].ID < first[j].ID })
+	if len(first) > maxSeats {
+		first = first[:maxSeats]
+	}
+	doc, err := msgpack.Marshal(&State{Rev: 1, Core: Roster{Ver: 1, Cur: first}})
+	if err != nil {
+		return
+	}
+	var seeds []Seat
+	for _, a := range n.cfg.Seeds {
+		seeds = append(seeds, Seat{ID: "founding@" + a, Addr: a})
+	}
+	empty := &State{Core: Roster{Cur: seeds}}
+	p := NewProposer(n.cfg.Proposer, n.cfg.Mesh, func(s Seat) string { return s.Addr }, func() (*State, bool) { return empty, true }, func(*State) {})
+	p.kinds = [2]string{"nest.found.prepare", "nest.found.accept"}
+	chosen, err := p.Change(ctx, func(now *State) (*State, error) {
+		if len(now.Doc) > 0 {
+			return nil, nil
+		}
+		now.Doc = doc
+		return now, nil
+	})
+	if err != nil {
+		n.cfg.Log.Warn("founding_unsettled", "err", err)
+		return
+	}
+	s := &State{}
+	if err := msgpack.Unmarshal(chosen.Doc, s); err != nil {
+		n.cfg.Log.Warn("founding_unreadable", "err", err)
+		return
+	}
+	n.cfg.Log.Info("founded", "seats", len(s.Core.Cur))
+	n.Learn(s)
+	n.spread(s)
+}
+
+// NextSeats is the roster that takes self in: in the place of an earlier
+// incarnation of its disk, of a member that is gone, or beside the others.
+func NextSeats(r *Roster, self Seat, v *swarm.View, upUs int64) []Seat {
+	next := slices.Clone(r.Cur)
+	for i, s := range next {
+		if s.Name == self.Name {
+			next[i] = self
+			return next
+		}
+	}
+	for i, s := range next {
+		if Gone(s, v, goneForJoinUs, upUs) {
+			next[i] = self
+			return next
+		}
+	}
+	if len(next) < maxSeats {
+		return append(next, self)
+	}
+	return nil
+}
+
+// Gone tells whether the seat's holder has been silent for so long, or now has
+// another disk.
+func Gone(s Seat, v *swarm.View, forUs, upUs int64) bool {
+	p := v.Get(s.Name)
+	if p == nil {
+		return upUs > neverSeenUs+forUs
+	}
+	if p.Alive {
+		return p.Seat() != s.ID
+	}
+	return waggle.NowUs()-p.SinceUs > forUs
+}
+
+// join brings this node's seat into the roster.
+func (n *Nest) join(ctx context.Context) {
+	self := Seat{ID: n.seat.ID(), Name: n.cfg.Self.Name, Addr: n.cfg.Self.Addr}
+	for ctx.Err() == nil {
+		s, err := n.Change(ctx, func(now *State) (*State, error) {
+			if now.Core.Joint() {
+				now.Core = now.Core.Settle()
+				return now, nil
+			}
+			if now.Core.Has(self.ID) {
+				return nil, nil
+			}
+			next := NextSeats(&now.Core, self, n.cfg.Swarm.Look(), waggle.NowUs()-n.startUs)
+			if next == nil {
+				return nil, wax.New(wax.Declined, "core", "is full", "nothing to do")
+			}
+			now.Core = now.Core.Begin(next)
+			return now, nil
+		})
+		if err != nil {
+			n.cfg.Log.Debug("core_join_waits", "err", err)
+			return
+		}
+		if s.Core.Has(self.ID) && !s.Core.Joint() {
+			n.cfg.Log.Info("core_joined", "seat", self.ID, "roster", s.Core.Ver, "seats", len(s.Core.Cur))
+			return
+		}
+	}
+}
+
+// outworn is a member long gone that the roster can do without.
+func (n *Nest) outworn(seats []Seat, v *swarm.View) string {
+	if len(seats) <= 2*n.cfg.Spared+1 {
+		return ""
+	}
+	for _, s := range seats {
+		if Gone(s, v, goneForDropUs, waggle.NowUs()-n.startUs) {
+			return s.ID
+		}
+	}
+	return ""
+}
+
+// tidy settles a change that its driver left, and drops members long gone.
+func (n *Nest) tidy(ctx context.Context) {
+	_, err := n.Change(ctx, func(now *State) (*State, error) {
+		if now.Core.Joint() {
+			now.Core = now.Core.Settle()
+			return now, nil
+		}
+		if id := n.outworn(now.Core.Cur, n.cfg.Swarm.Look()); id != "" {
+			now.Core = now.Core.Begin(slices.DeleteFunc(slices.Clone(now.Core.Cur), func(s Seat) bool { return s.ID == id }))
+			return now, nil
+		}
+		return nil, nil
+	})
+	if err != nil {
+		n.cfg.Log.Debug("core_tidy_waits", "err", err)
+	}
+}
+
+// Put takes an operator's document on top of the version it expects. The doc
+// must have been checked; check refuses it where it does not fit the current
+// version.
+func (n *Nest) Put(ctx context.Context, doc []byte, ver, expect int64) (*State, error) {
+	return n.Change(ctx, func(now *State) (*State, error) {
+		if now.Ver == ver && bytes.Equal(now.Doc, doc) {
+			return nil, nil // the very same one, sent again
+		}
+		if now.Ver != expect {
+			return nil, wax.New(wax.Stale, "If-Match", "another version is in place", "read the configuration and build on its version")
+		}
+		if ver <= now.Ver {
+			return nil, wax.New(wax.Invalid, "ver", "is not above the current one", "raise it")
+		}
+		now.Ver, now.Doc = ver, doc
+		return now, nil
+	})
+}
+
+// Retire marks a store to be emptied.
+func (n *Nest) Retire(ctx context.Context, name string) error {
+	_, err := n.Change(ctx, func(now *State) (*State, error) {
+		at := slices.IndexFunc(now.Stores.All(), func(s Seat) bool { return s.Name == name })
+		retired := slices.ContainsFunc(now.Retiring, func(id string) bool { return strings.HasPrefix(id, name+"#") })
+		if at < 0 {
+			if retired {
+				return nil, nil
+			}
+			return nil, wax.New(wax.Unknown, name, "is no store of this system", "name a store's node")
+		}
+		id := now.Stores.All()[at].ID
+		if slices.Contains(now.Retiring, id) {
+			return nil, nil
+		}
+		left := 0
+		for _, s := range now.Stores.Cur {
+			if s.ID != id && !slices.Contains(now.Retiring, s.ID) {
+				left++
+			}
+		}
+		if left < 2*n.cfg.Spared+1 {
+			return nil, wax.New(wax.Conflict, name, "too few stores would be left", "add a store first")
+		}
+		now.Retiring = append(slices.Clone(now.Retiring), id)
+		return now, nil
+	})
+	return err
+}
+
+// Retired tells whether nothing is left on that store that others lack.
+func (n *Nest) Retired(ctx context.Context, name string) (done bool, err error) {
+	s, err := n.Read(ctx)
+	if err != nil {
+		return false, err
+	}
+	for _, seat := range s.Stores.All() {
+		if seat.Name == name {
+			return false, nil
+		}
+	}
+	for _, id := range s.Retiring {
+		if strings.HasPrefix(id, name+"#") {
+			return true, nil
+		}
+	}
+	return false, wax.New(wax.Unknown, name, "is no store of this system", "name a store's node")
+}
--- /dev/null
+++ b/internal/nest/state.go
@@ -0,0 +1,93 @@
+// Package nest is the blueprint register: a compare-and-set register that any
+// node changes in two rounds at a majority of the disk-holding edges; no log,
+// no leader (design 4). The field's standard terms: nest = CASPaxos register;
+// seat = acceptor identity; roster = acceptor configuration; joint = joint
+// consensus; ballot = proposal number.
+package nest
+
+import "slices"
+
+// Ballot orders proposals; By is unique to one life of one node.
+type Ballot struct {
+	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by the library
+	N        uint64
+	By       string
+}
+
+// Less orders ballots.
+func (a Ballot) Less(b Ballot) bool { return a.N < b.N || a.N == b.N && a.By < b.By }
+
+// Seat is one member: a name together with the incarnation of its disk.
+type Seat struct {
+	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by the library
+	ID       string
+	Name     string
+	Addr     string
+}
+
+// Roster is a set of seats that is changed one seat at a time. While Prev is
+// not empty a change is under way and both sets must agree (design 4.4).
+type Roster struct {
+	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by the library
+	Ver      uint64
+	Cur      []Seat
+	Prev     []Seat
+}
+
+// Joint tells whether a change is under way.
+func (r *Roster) Joint() bool { return len(r.Prev) > 0 }
+
+// Has tells whether the seat is in the current set.
+func (r *Roster) Has(id string) bool {
+	return slices.ContainsFunc(r.Cur, func(s Seat) bool { return s.ID == id })
+}
+
+// All lists the seats of both sets once.
+func (r *Roster) All() []Seat {
+	out := slices.Clone(r.Cur)
+	for _, s := range r.Prev {
+		if !r.Has(s.ID) {
+			out = append(out, s)
+		}
+	}
+	return out
+}
+
+// Quorum tells whether those that agreed are a majority of each set.
+func (r *Roster) Quorum(agreed map[string]bool) bool {
+	return majority(r.Cur, agreed) && (len(r.Prev) == 0 || majority(r.Prev, agreed))
+}
+
+func majority(seats []Seat, agreed map[string]bool) bool {
+	n := 0
+	for _, s := range seats {
+		if agreed[s.ID] {
+			n++
+		}
+	}
+	return 2*n > len(seats)
+}
+
+// Begin starts a change to next.
+func (r *Roster) Begin(next []Seat) Roster {
+	return Roster{Ver: r.Ver + 1, Cur: next, Prev: r.Cur}
+}
+
+// Settle ends a change.
+func (r *Roster) Settle() Roster { return Roster{Ver: r.Ver + 1, Cur: r.Cur} }
+
+// State is the whole value of the register.
+type State struct {
+	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by the library
+	Rev      uint64   // grows by one with each change
+	Ver      int64    // version of the blueprint, 0 before the first
+	Doc      []byte   // the blueprint as the operator sent it
+	Core     Roster   // who votes on this register
+	Stores   Roster   // who keeps the lots
+	Retiring []string // store seats to be emptied
+}
+
+func (s *State) clone() *State {
+	c := *s
+	return &c
+}
--- /dev/null
+++ b/internal/nurse/nurse.go
@@ -0,0 +1,355 @@
+// Package nurse is the dispatcher: it takes prompts from the shards' owners,
+// runs them in the room that live work leaves, goes on with Last-Event-Id
+// after a break, and acks once the result is durable (design 9). The field's
+// standard terms: nurse = dispatcher, consumer; leave = lease on the right to
+// send.
+package nurse
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"time"
+
+	"rowanshunt/internal/brood"
+	"rowanshunt/internal/flora"
+	"rowanshunt/internal/forage"
+	"rowanshunt/internal/foundation"
+	"rowanshunt/internal/pollen"
+	"rowanshunt/internal/scout"
+	"rowanshunt/internal/waggle"
+	"rowanshunt/internal/wax"
+)
+
+// Times of the dispatcher (design 9.2).
+const (
+	leaveUs   = 2_200_000 // how long a confirmed take lets items be sent
+	takeUs    = 900_000   // how long a take may be held
+	placeUs   = 400_000   // how long an item may look for its first worker
+	maxBreaks = 8
+)
+
+// Nurse runs items on one node.
+type Nurse struct {
+	Mesh      pollen.Mesh
+	Client    *brood.Client
+	Sender    *forage.Sender
+	Blueprint func() *foundation.Blueprint
+	Log       *wax.Log
+	Name      string
+	MaxHeld   int
+
+	mu      sync.Mutex
+	held    map[brood.Held]*inHand
+	leave   [brood.Shards]int64 // until when items of a shard may be sent
+	stores  map[string]bool
+	closing bool
+	ctx     context.Context
+	all     sync.WaitGroup
+}
+
+type inHand struct {
+	given  brood.Given
+	cancel context.CancelFunc
+	placed bool // a worker was found for it
+}
+
+// Start joins the node's desk.
+func (n *Nurse) Start(ctx context.Context, desk *pollen.Desk) {
+	n.ctx = ctx
+	n.held = map[brood.Held]*inHand{}
+	n.stores = map[string]bool{}
+	pollen.On(desk, "nurse.stop", func(_ context.Context, in *brood.StopCall) (*pollen.Nothing, error) {
+		n.stopLot(in.Lot)
+		return &pollen.Nothing{}, nil
+	})
+}
+
+func (n *Nurse) stopLot(lot string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for k, h := range n.held {
+		if k.Lot == lot {
+			h.cancel()
+		}
+	}
+}
+
+// Tick starts a taker for every store in sight; to be run every 300 ms.
+func (n *Nurse) Tick() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.closing {
+		return
+	}
+	for _, s := range n.Client.Stores() {
+		if !n.stores[s.Name] {
+			n.stores[s.Name] = true
+			go n.takeFrom(s.Name)
+		}
+	}
+}
+
+// Close stops taking and waits for what is in hand until ctx ends; the rest is
+// given back.
+func (n *Nurse) Close(ctx context.Context) {
+	n.mu.Lock()
+	n.closing = true
+	n.mu.Unlock()
+	done := make(chan struct{})
+	go func() { n.all.Wait(); close(done) }()
+	select {
+	case <-done:
+		return
+	case <-ctx.Done():
+	}
+	n.mu.Lock()
+	for _, h := range n.held {
+		h.cancel()
+	}
+	n.mu.Unlock()
+}
+
+// room is how many more items this node could run now.
+func (n *Nurse) room() int {
+	bp := n.Blueprint()
+	if bp == nil {
+		return 0
+	}
+	dir := n.Sender.Dir()
+	svcs := map[string]bool{}
+	for _, b := range bp.Bindings {
+		if b.Type == foundation.Bulk {
+			for _, s := range b.Split {
+				if s.Wt > 0 {
+					svcs[s.Svc] = true
+				}
+			}
+		}
+	}
+	room := 0
+	for svc := range svcs {
+		room += n.Sender.Scout.ItemRoom(dir, svc)
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	unplaced := 0
+	for _, h := range n.held {
+		if !h.placed {
+			unplaced++
+		}
+	}
+	return min(room-unplaced, n.MaxHeld-len(n.held))
+}
+
+func (n *Nurse) takeFrom(store string) {
+	defer func() {
+		n.mu.Lock()
+		delete(n.stores, store)
+		n.mu.Unlock()
+	}()
+	for n.ctx.Err() == nil {
+		addr := ""
+		for _, s := range n.Client.Stores() {
+			if s.Name == store {
+				addr = s.Addr
+			}
+		}
+		n.mu.Lock()
+		closing := n.closing && len(n.held) == 0
+		n.mu.Unlock()
+		if addr == "" || closing {
+			return
+		}
+		if !n.takeOnce(addr) {
+			time.Sleep(time.Duration(100+rand.IntN(100)) * time.Millisecond)
+		}
+	}
+}
+
+func (n *Nurse) takeOnce(addr string) bool {
+	room := n.room()
+	n.mu.Lock()
+	if n.closing {
+		room = 0
+	}
+	held := make([]brood.Held, 0, len(n.held))
+	for k := range n.held {
+		held = append(held, k)
+	}
+	n.mu.Unlock()
+	if room < 0 {
+		room = 0
+	}
+	startUs := waggle.NowUs()
+	ctx, cancel := context.WithTimeout(n.ctx, (takeUs+600_000)*time.Microsecond)
+	defer cancel()
+	out := &brood.TakeAnswer{}
+	call := &brood.TakeCall{From: n.Name, Room: room, Held: held, WaitUs: takeUs}
+	if len(held) > 0 {
+		call.WaitUs = takeUs / 2
+	}
+	if err := n.Mesh.Call(ctx, addr, "brood.take", call, out); err != nil {
+		return false
+	}
+	n.mu.Lock()
+	for _, s := range out.Shards {
+		if s >= 0 && s < brood.Shards {
+			n.leave[s] = max(n.leave[s], startUs+leaveUs)
+		}
+	}
+	for _, k := range out.Stop {
+		if h := n.held[k]; h != nil {
+			h.cancel()
+		}
+	}
+	for _, g := range out.Given {
+		k := brood.Held{Shard: g.Shard, Lot: g.Lot, Item: g.Item}
+		if n.held[k] != nil || g.Shard < 0 || g.Shard >= brood.Shards {
+			continue
+		}
+		itemCtx, cancelItem := context.WithCancel(n.ctx)
+		n.held[k] = &inHand{given: g, cancel: cancelItem}
+		n.all.Add(1)
+		go n.run(itemCtx, k, g, startUs)
+	}
+	n.mu.Unlock()
+	return room > 0
+}
+
+func (n *Nurse) mayStart(k brood.Held) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.held[k] != nil && waggle.NowUs() < n.leave[k.Shard]
+}
+
+// run brings one item to its end here.
+func (n *Nurse) run(ctx context.Context, k brood.Held, g brood.Given, takenUs int64) {
+	defer n.all.Done()
+	defer func() {
+		n.mu.Lock()
+		if h := n.held[k]; h != nil {
+			h.cancel()
+			delete(n.held, k)
+		}
+		n.mu.Unlock()
+	}()
+	endUs := takenUs + g.EndUs
+	text := &forage.Text{}
+	phase, failed, gaveBack := n.tryWorkers(ctx, k, &g, endUs, text)
+	if ctx.Err() != nil && phase == "" {
+		// Stopped, or the node leaves: the owner may give it to another.
+		gaveBack, failed = true, false
+	}
+	if phase == "" {
+		if gaveBack || failed {
+			callCtx, cancel := context.WithTimeout(n.ctx, 1500*time.Millisecond)
+			defer cancel()
+			_ = n.Client.Call(callCtx, g.Shard, "brood.give", &brood.GiveCall{Shard: g.Shard, Lot: g.Lot, Item: g.Item, Epoch: g.Epoch, Failed: failed, AfterUs: 150_000}, nil, 700*time.Millisecond)
+		}
+		return
+	}
+	// The result stays in hand until it is durable, whoever owns the shard.
+	for until := endUs + 5_000_000; n.ctx.Err() == nil && waggle.NowUs() < until; {
+		callCtx, cancel := context.WithTimeout(n.ctx, 5*time.Second)
+		err := n.Client.Call(callCtx, g.Shard, "brood.ack", &brood.AckCall{Shard: g.Shard, Lot: g.Lot, Item: g.Item, Phase: phase, Msg: text.Msg}, nil, 1500*time.Millisecond)
+		cancel()
+		if err == nil || wax.Is(err, wax.Unknown) || wax.Is(err, wax.Invalid) {
+			return
+		}
+	}
+}
+
+func (n *Nurse) tryWorkers(ctx context.Context, k brood.Held, g *brood.Given, endUs int64, text *forage.Text) (phase string, failed, gaveBack bool) {
+	var exclude []string
+	breaks := 0
+	startUs := waggle.NowUs()
+	header := http.Header{}
+	for i := 0; i+1 < len(g.Prompt.Hdrs); i += 2 {
+		header.Set(g.Prompt.Hdrs[i], g.Prompt.Hdrs[i+1])
+	}
+	parts := scout.ParseParts(header.Get(forage.HeadPrefix))
+	for ctx.Err() == nil && waggle.NowUs() < endUs {
+		bp := n.Blueprint()
+		var b *foundation.Binding
+		if bp != nil {
+			b = bp.Find(g.Host, g.Prompt.Path)
+		}
+		if b == nil {
+			return "", false, true
+		}
+		dir := n.Sender.Dir()
+		w := n.Sender.Scout.Pick(dir, &scout.Need{Svc: b.Pick(rand.Uint64()), Parts: parts, Exclude: exclude, Item: true})
+		if w == nil {
+			exclude = nil
+			if !text.Any && waggle.NowUs()-startUs > placeUs {
+				return "", false, true
+			}
+			sleep(ctx, 60*time.Millisecond)
+			continue
+		}
+		n.placed(k)
+		outcome := n.runAt(ctx, k, g, w, bp, header, endUs, text)
+		switch outcome {
+		case forage.Whole:
+			return brood.PhaseDone, false, false
+		case forage.Never:
+			text.Msg = nil
+			return brood.PhaseGaveUp, false, false
+		case forage.Failed:
+			return "", true, false
+		case forage.Broken:
+			breaks++
+			if breaks >= maxBreaks {
+				return "", false, true
+			}
+			sleep(ctx, 20*time.Millisecond)
+		case forage.NotSent:
+			if !n.mayStart(k) {
+				if !text.Any {
+					return "", false, true
+				}
+				sleep(ctx, 100*time.Millisecond) // a take renews the leave
+			} else {
+				sleep(ctx, 15*time.Millisecond)
+			}
+		}
+		exclude = append(exclude, w.ID)
+	}
+	return "", false, true
+}
+
+func (n *Nurse) runAt(ctx context.Context, k brood.Held, g *brood.Given, w *flora.Worker, bp *foundation.Blueprint, header http.Header, endUs int64, text *forage.Text) forage.Outcome {
+	defer n.Sender.Scout.Done(w.ID, true)
+	leftMs := func() int64 { return (endUs - waggle.NowUs()) / 1000 }
+	p := &forage.Parcel{Method: http.MethodPost, Target: g.Prompt.Path, Host: g.Host, Header: header.Clone(), Body: g.Prompt.Body, ID: g.Prompt.ID,
+		LeftMs: leftMs, Until: time.Now().Add(time.Duration(leftMs()) * time.Millisecond),
+		Fence: func() bool {
+			// The route may have moved since the worker was picked.
+			now := n.Blueprint()
+			return n.mayStart(k) && (now == bp || now.Find(g.Host, g.Prompt.Path) != nil && now.Find(g.Host, g.Prompt.Path).Takes(w.Svc))
+		}}
+	outcome, err := n.Sender.RunItem(ctx, w, p, text)
+	if err != nil {
+		n.Log.Debug("item_try_ended", "lot", g.Lot, "item", g.Prompt.ID, "worker", w.ID, "err", err)
+	}
+	return outcome
+}
+
+func (n *Nurse) placed(k brood.Held) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if h := n.held[k]; h != nil {
+		h.placed = true
+	}
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/internal/pollen/desk.go
@@ -0,0 +1,72 @@
+// Package pollen is the partner protocol: calls between the system's own
+// nodes, msgpack in frames with a bounded length (design 2). The field's
+// standard terms: desk = service registry; partner = peer; circuit =
+// connection; call = RPC.
+package pollen
+
+import (
+	"context"
+	"sync"
+
+	"github.com/vmihailenco/msgpack/v5"
+
+	"rowanshunt/internal/wax"
+)
+
+// Mesh carries calls to partners. Tests put a simulated network in its place.
+type Mesh interface {
+	// Call sends in to the partner at addr and decodes its answer into out
+	// (nil: not wanted). An Unreached fault promises that the partner never
+	// got the call; an Unsure one promises nothing.
+	Call(ctx context.Context, addr, kind string, in, out any) error
+}
+
+// Handler answers one kind of call. body is only valid until it returns.
+type Handler func(ctx context.Context, body []byte) (any, error)
+
+// Desk holds the handlers of a node.
+type Desk struct {
+	mu    sync.RWMutex
+	kinds map[string]Handler
+}
+
+// NewDesk makes an empty desk.
+func NewDesk() *Desk { return &Desk{kinds: map[string]Handler{}} }
+
+// On answers calls of a kind with fn.
+func On[In, Out any](d *Desk, kind string, fn func(ctx context.Context, in *In) (*Out, error)) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.kinds[kind] = func(ctx context.Context, body []byte) (any, error) {
+		in := new(In)
+		if err := msgpack.Unmarshal(body, in); err != nil {
+			return nil, wax.New(wax.Invalid, kind, "cannot be read: "+err.Error(), "run the same version on all nodes")
+		}
+		out, err := fn(ctx, in)
+		if err != nil {
+			return nil, err
+		}
+		return out, nil
+	}
+}
+
+// Serve runs the handler of a kind and packs its answer. A panic in a handler
+// becomes a fault.
+func (d *Desk) Serve(ctx context.Context, kind string, body []byte) (answer []byte, err error) {
+	d.mu.RLock()
+	h := d.kinds[kind]
+	d.mu.RUnlock()
+	if h == nil {
+		return nil, wax.New(wax.Declined, kind, "no such kind of call here", "run the same version on all nodes")
+	}
+	out, err := h(ctx, body)
+	if err != nil {
+		return nil, err
+	}
+	return msgpack.Marshal(out)
+}
+
+// Nothing is the answer of calls that only confirm.
+type Nothing struct {
+	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by the library
+}
--- /dev/null
+++ b/internal/pollen/tcp.go
@@ -0,0 +1,346 @@
+package pollen
+
+import (
+	"bufio"
+	"context"
+	"net"
+	"runtime/debug"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/vmihailenco/msgpack/v5"
+	"golang.org/x/sys/unix"
+
+	"rowanshunt/internal/wax"
+)
+
+// userTimeoutMs is how long sent bytes may stay unacknowledged on any circuit.
+const userTimeoutMs = 1500
+
+// Dialer makes circuits whose silent other end is noticed (design 2.4).
+func Dialer(timeout time.Duration) *net.Dialer {
+	return &net.Dialer{
+		Timeout:   timeout,
+		KeepAlive: -1,
+		Control: func(_, _ string, c syscall.RawConn) error {
+			var err error
+			if e := c.Control(func(fd uintptr) {
+				err = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, userTimeoutMs)
+			}); e != nil {
+				return e
+			}
+			return err
+		},
+	}
+}
+
+// TCP is the mesh over real sockets.
+type TCP struct {
+	mu       sync.Mutex
+	circuits map[string]*circuit
+	dialer   *net.Dialer
+}
+
+// NewTCP makes a mesh without circuits.
+func NewTCP() *TCP {
+	return &TCP{circuits: map[string]*circuit{}, dialer: Dialer(400 * time.Millisecond)}
+}
+
+type circuit struct {
+	ready chan struct{}
+	err   error
+	conn  net.Conn
+
+	wmu sync.Mutex
+	w   *bufio.Writer
+
+	mu      sync.Mutex
+	nextID  uint64
+	waiting map[uint64]chan frame
+	broken  error
+	usedAt  atomic.Int64
+}
+
+// Call implements Mesh.
+func (t *TCP) Call(ctx context.Context, addr, kind string, in, out any) error {
+	body, err := msgpack.Marshal(in)
+	if err != nil {
+		return wax.New(wax.Internal, kind, err.Error(), "report this")
+	}
+	c, err := t.circuit(ctx, addr)
+	if err != nil {
+		return wax.New(wax.Unreached, addr, err.Error(), "look whether that node runs")
+	}
+	answer, err := c.call(ctx, kind, body)
+	if err != nil {
+		if c.dead() {
+			t.drop(addr, c)
+		}
+		return err
+	}
+	if answer.kind == frameFault {
+		var w faultWire
+		if err := msgpack.Unmarshal(answer.body, &w); err != nil {
+			return wax.New(wax.Unsure, kind, "the fault cannot be read", "run the same version on all nodes")
+		}
+		return wax.New(w.Kind, w.Field, w.What, w.Remedy)
+	}
+	if out == nil {
+		return nil
+	}
+	if err := msgpack.Unmarshal(answer.body, out); err != nil {
+		return wax.New(wax.Unsure, kind, "the answer cannot be read: "+err.Error(), "run the same version on all nodes")
+	}
+	return nil
+}
+
+type faultWire struct {
+	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by the library
+	Kind     wax.Kind
+	Field    string
+	What     string
+	Remedy   string
+}
+
+func (t *TCP) circuit(ctx context.Context, addr string) (*circuit, error) {
+	t.mu.Lock()
+	c := t.circuits[addr]
+	if c == nil {
+		c = &circuit{ready: make(chan struct{}), waiting: map[uint64]chan frame{}}
+		t.circuits[addr] = c
+		go func() {
+			conn, err := t.dialer.Dial("tcp", addr)
+			if err != nil {
+				c.err = err
+				t.drop(addr, c)
+			} else {
+				c.conn, c.w = conn, bufio.NewWriterSize(conn, 4<<10)
+				go c.read()
+			}
+			close(c.ready)
+		}()
+	}
+	t.mu.Unlock()
+	select {
+	case <-c.ready:
+		return c, c.err
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
+
+func (t *TCP) drop(addr string, c *circuit) {
+	t.mu.Lock()
+	if t.circuits[addr] == c {
+		delete(t.circuits, addr)
+	}
+	t.mu.Unlock()
+}
+
+// Close ends all circuits.
+func (t *TCP) Close() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for a, c := range t.circuits {
+		select {
+		case <-c.ready:
+			if c.conn != nil {
+				_ = c.conn.Close()
+			}
+		default:
+		}
+		delete(t.circuits, a)
+	}
+}
+
+func (c *circuit) dead() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.broken != nil
+}
+
+func (c *circuit) fail(err error) {
+	c.mu.Lock()
+	if c.broken == nil {
+		c.broken = err
+	}
+	waiting := c.waiting
+	c.waiting = map[uint64]chan frame{}
+	c.mu.Unlock()
+	_ = c.conn.Close()
+	for _, ch := range waiting {
+		close(ch)
+	}
+}
+
+func (c *circuit) read() {
+	r := bufio.NewReaderSize(c.conn, 4<<10)
+	for {
+		f, err := readFrame(r)
+		if err != nil {
+			c.fail(err)
+			return
+		}
+		c.mu.Lock()
+		ch := c.waiting[f.id]
+		delete(c.waiting, f.id)
+		c.mu.Unlock()
+		if ch != nil {
+			ch <- f
+		}
+	}
+}
+
+func (c *circuit) call(ctx context.Context, kind string, body []byte) (frame, error) {
+	ch := make(chan frame, 1)
+	c.mu.Lock()
+	if c.broken != nil {
+		c.mu.Unlock()
+		return frame{}, wax.New(wax.Unreached, kind, "the circuit is broken", "try again")
+	}
+	c.nextID++
+	id := c.nextID
+	c.waiting[id] = ch
+	c.mu.Unlock()
+
+	c.wmu.Lock()
+	_ = c.conn.SetWriteDeadline(time.Now().Add(userTimeoutMs * time.Millisecond))
+	err := writeFrame(c.w, frame{kind: frameCall, id: id, name: kind, body: body})
+	if err == nil {
+		err = c.w.Flush()
+	}
+	c.wmu.Unlock()
+	if err != nil {
+		c.fail(err)
+		return frame{}, wax.New(wax.Unsure, kind, err.Error(), "try again")
+	}
+	select {
+	case f, ok := <-ch:
+		if !ok {
+			return frame{}, wax.New(wax.Unsure, kind, "the circuit broke before the answer", "try again")
+		}
+		return f, nil
+	case <-ctx.Done():
+		c.mu.Lock()
+		delete(c.waiting, id)
+		c.mu.Unlock()
+		return frame{}, wax.New(wax.Unsure, kind, "no answer in time", "try again")
+	}
+}
+
+// Listener serves partners.
+type Listener struct {
+	ln   net.Listener
+	desk *Desk
+	log  *wax.Log
+	mu   sync.Mutex
+	open map[net.Conn]struct{}
+}
+
+// maxCallsOpen bounds the calls that one partner may have under way.
+const maxCallsOpen = 512
+
+// Listen opens the partner port.
+func Listen(addr string, desk *Desk, log *wax.Log) (*Listener, error) {
+	ln, err := net.Listen("tcp", addr)
+	if err != nil {
+		return nil, errors.Wrap(err, "partner port")
+	}
+	return &Listener{ln: ln, desk: desk, log: log, open: map[net.Conn]struct{}{}}, nil
+}
+
+// Addr is the bound address.
+func (l *Listener) Addr() string { return l.ln.Addr().String() }
+
+// Run accepts partners until ctx ends.
+func (l *Listener) Run(ctx context.Context) {
+	stop := context.AfterFunc(ctx, func() {
+		_ = l.ln.Close()
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		for c := range l.open {
+			_ = c.Close()
+		}
+	})
+	defer stop()
+	for {
+		conn, err := l.ln.Accept()
+		if err != nil {
+			if ctx.Err() != nil {
+				return
+			}
+			l.log.Warn("partner_accept_failed", "err", err)
+			time.Sleep(20 * time.Millisecond)
+			continue
+		}
+		l.mu.Lock()
+		l.open[conn] = struct{}{}
+		l.mu.Unlock()
+		go l.serve(ctx, conn)
+	}
+}
+
+func (l *Listener) serve(ctx context.Context, conn net.Conn) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer func() {
+		cancel()
+		_ = conn.Close()
+		l.mu.Lock()
+		delete(l.open, conn)
+		l.mu.Unlock()
+	}()
+	r := bufio.NewReaderSize(conn, 4<<10)
+	w := bufio.NewWriterSize(conn, 4<<10)
+	var wmu sync.Mutex
+	room := make(chan struct{}, maxCallsOpen)
+	for {
+		f, err := readFrame(r)
+		if err != nil {
+			if wax.KindOf(err) == wax.Invalid {
+				l.log.Warn("partner_frame_declined", "from", conn.RemoteAddr(), "err", err)
+			}
+			return
+		}
+		if f.kind != frameCall {
+			return
+		}
+		room <- struct{}{}
+		go func() {
+			defer func() { <-room }()
+			answer := frame{kind: frameAnswer, id: f.id}
+			body, err := l.run(ctx, f)
+			if err != nil {
+				answer.kind = frameFault
+				body, _ = msgpack.Marshal(wireOf(err))
+			}
+			answer.body = body
+			wmu.Lock()
+			defer wmu.Unlock()
+			_ = conn.SetWriteDeadline(time.Now().Add(2 * userTimeoutMs * time.Millisecond))
+			if writeFrame(w, answer) != nil || w.Flush() != nil {
+				_ = conn.Close()
+			}
+		}()
+	}
+}
+
+func (l *Listener) run(ctx context.Context, f frame) (body []byte, err error) {
+	defer func() {
+		if p := recover(); p != nil {
+			l.log.Warn("partner_call_panicked", "kind", f.name, "panic", p, "stack", string(debug.Stack()))
+			err = wax.New(wax.Unsure, f.name, "the handler failed", "report this")
+		}
+	}()
+	return l.desk.Serve(ctx, f.name, f.body)
+}
+
+func wireOf(err error) faultWire {
+	var f *wax.Fault
+	if errors.As(err, &f) {
+		return faultWire{Kind: f.Kind, Field: f.Field, What: f.What, Remedy: f.Remedy}
+	}
+	return faultWire{Kind: wax.Unsure, What: err.Error()}
+}
--- /dev/null
+++ b/internal/scout/scout.go
@@ -0,0 +1,432 @@
+// Package scout picks the worker for a request: by pressure, zone and the
+// prompt parts it is likely to keep (design 7). The field's standard terms:
+// scout = load balancer; pressure = load; affinity = cache-aware routing.
+// Requests call it from their own goroutines, so its one table is guarded by a
+// short critical section in place of a command queue (design 1.5).
+package scout
+
+import (
+	"math/rand/v2"
+	"strconv"
+	"strings"
+	"sync"
+
+	"rowanshunt/internal/flora"
+	"rowanshunt/internal/tending"
+	"rowanshunt/internal/waggle"
+)
+
+// Figures of the choice (design 7.2); all are the project's own.
+const (
+	readToksPerMs  = 100.0     // assumed speed of reading prompts
+	keptUs         = 8_000_000 // how long a part sent is thought kept
+	ejectUs        = int64(1_000_000)
+	maxEjectUs     = int64(4_000_000)
+	freshUs        = 1_500_000
+	itemFill       = 0.75 // of a worker's slots that items may fill
+	maxKept        = 8192
+	farZoneMs      = 0.6
+	fullMs         = 40.0
+	bigSharedToks  = 2000
+	suspectAfterUs = 3_000_000
+)
+
+// Part is one part of a prompt.
+type Part struct {
+	ID   string
+	Toks int64
+}
+
+// ParseParts reads X-Rowanshunt-Prompt-Prefix; what cannot be read is left out.
+func ParseParts(head string) []Part {
+	if head == "" {
+		return nil
+	}
+	var out []Part
+	for _, s := range strings.Split(head, ",") {
+		id, toks, ok := strings.Cut(strings.TrimSpace(s), ":")
+		if !ok || id == "" || len(out) >= 64 {
+			continue
+		}
+		n, err := strconv.ParseInt(toks, 10, 64)
+		if err != nil || n < 0 || n > 1<<32 {
+			continue
+		}
+		out = append(out, Part{ID: id, Toks: n})
+	}
+	return out
+}
+
+// Need is what a request asks of a worker.
+type Need struct {
+	Svc     string
+	Parts   []Part
+	Exclude []string // workers already tried
+	Item    bool     // of a lot: only into the room live work leaves
+	Version int64    // weights it must have, 0 for any
+}
+
+type state struct {
+	slots     int64
+	running   int64
+	waiting   int64
+	heardUs   int64
+	since     int64 // own sends less own ends since then
+	inflight  int64
+	items     int64
+	reading   int64 // prompt tokens sent whose first event is not here yet
+	ejectedUs int64 // until then
+	fails     int64
+	failUs    int64
+	noRoomUs  int64 // told it was full, until then
+}
+
+// Scout owns what this node knows of each worker's pressure.
+type Scout struct {
+	mu      sync.Mutex
+	az      string
+	workers map[string]*state
+	kept    map[keptKey]int64
+	// Foragers is how many nodes send to the workers.
+	foragers int64
+}
+
+type keptKey struct{ part, worker string }
+
+// New makes a scout for a node in zone az.
+func New(az string) *Scout {
+	return &Scout{az: az, workers: map[string]*state{}, kept: map[keptKey]int64{}, foragers: 1}
+}
+
+// SetForagers tells how many nodes share the workers.
+func (s *Scout) SetForagers(n int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.foragers = int64(max(n, 1))
+}
+
+// Foragers is how many nodes share the workers.
+func (s *Scout) Foragers() int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.foragers
+}
+
+// Keep forgets workers that are no longer in the directory.
+func (s *Scout) Keep(d *flora.Directory) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for id, w := range s.workers {
+		if d.ByID[id] == nil && w.inflight == 0 {
+			delete(s.workers, id)
+		}
+	}
+}
+
+func (s *Scout) of(w *flora.Worker) *state {
+	st := s.workers[w.ID]
+	if st == nil {
+		st = &state{slots: max(w.Slots, 1)}
+		s.workers[w.ID] = st
+	}
+	return st
+}
+
+func (st *state) est(nowUs int64) float64 {
+	if nowUs-st.heardUs > freshUs {
+		return float64(st.inflight)
+	}
+	return max(float64(st.running+st.waiting+st.since), float64(st.inflight))
+}
+
+// Pick chooses a worker and counts the request there; nil if none will do.
+// Done must be called for each worker picked.
+func (s *Scout) Pick(d *flora.Directory, n *Need) *flora.Worker {
+	ws := d.BySvc[n.Svc]
+	if len(ws) == 0 {
+		return nil
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	nowUs := waggle.NowUs()
+	var sharedToks int64
+	key := ""
+	if len(n.Parts) > 1 {
+		for _, p := range n.Parts[:len(n.Parts)-1] {
+			sharedToks += p.Toks
+		}
+		key = n.Parts[0].ID
+		if sharedToks >= bigSharedToks {
+			key = n.Parts[len(n.Parts)-2].ID
+		}
+	}
+	first, second := "", ""
+	if key != "" {
+		var w1, w2 uint64
+		for _, w := range ws {
+			switch x := tending.Weight(key, w.ID); {
+			case first == "" || x > w1:
+				first, w1, second, w2 = w.ID, x, first, w1
+			case second == "" || x > w2:
+				second, w2 = w.ID, x
+			}
+		}
+	}
+	var best *flora.Worker
+	var bestCost float64
+	for pass := 0; pass < 2 && best == nil; pass++ {
+		for _, w := range ws {
+			if contains(n.Exclude, w.ID) {
+				continue
+			}
+			if n.Version > 0 && !hasVersion(w, n.Version) {
+				continue
+			}
+			st := s.of(w)
+			if nowUs < st.ejectedUs && pass == 0 {
+				continue
+			}
+			if n.Item && (nowUs < st.ejectedUs || nowUs < st.noRoomUs || !s.itemRoom(st, nowUs)) {
+				continue
+			}
+			c := s.cost(w, st, n, nowUs, sharedToks, first, second)
+			if best == nil || c < bestCost {
+				best, bestCost = w, c
+			}
+		}
+	}
+	if best == nil {
+		return nil
+	}
+	st := s.of(best)
+	st.inflight++
+	st.since++
+	if n.Item {
+		st.items++
+	}
+	for _, p := range n.Parts {
+		if p.Toks >= 32 {
+			s.remember(keptKey{p.ID, best.ID}, nowUs)
+		}
+	}
+	return best
+}
+
+func (s *Scout) remember(k keptKey, nowUs int64) {
+	if len(s.kept) >= maxKept {
+		for old, at := range s.kept {
+			if nowUs-at > keptUs || len(s.kept) >= maxKept {
+				delete(s.kept, old)
+			}
+			if len(s.kept) < maxKept*3/4 {
+				break
+			}
+		}
+	}
+	s.kept[k] = nowUs
+}
+
+func (s *Scout) itemRoom(st *state, nowUs int64) bool {
+	room := float64(st.slots) * itemFill
+	if st.est(nowUs)+1 > room {
+		return false
+	}
+	if nowUs-st.heardUs < freshUs && st.waiting > 0 {
+		return false
+	}
+	share := int64(room)/s.foragers + 1
+	return st.items < share
+}
+
+func (s *Scout) cost(w *flora.Worker, st *state, n *Need, nowUs, sharedToks int64, first, second string) float64 {
+	est, slots := st.est(nowUs), float64(st.slots)
+	c := 4*est/slots + rand.Float64()*0.3
+	if est >= slots {
+		c += fullMs * (est - slots + 1) / slots * 4
+	}
+	if nowUs-st.heardUs < freshUs {
+		c += fullMs * float64(st.waiting) / slots
+	}
+	if nowUs < st.noRoomUs {
+		c += fullMs
+	}
+	if w.Az != s.az {
+		c += farZoneMs
+	}
+	if w.WarmLeftMs > 0 {
+		c += 5
+	}
+	c += float64(st.reading) / readToksPerMs
+	if sharedToks > 0 {
+		miss := 0.0
+		if w.ID != first {
+			for _, p := range n.Parts[:len(n.Parts)-1] {
+				if at, ok := s.kept[keptKey{p.ID, w.ID}]; !ok || nowUs-at > keptUs {
+					miss += float64(p.Toks)
+				}
+			}
+			if w.ID == second {
+				miss /= 2
+			}
+		}
+		c += miss / readToksPerMs
+	}
+	return c
+}
+
+func contains(list []string, s string) bool {
+	for _, x := range list {
+		if x == s {
+			return true
+		}
+	}
+	return false
+}
+
+func hasVersion(w *flora.Worker, ver int64) bool {
+	for _, m := range w.Models {
+		if m.Ver == ver {
+			return true
+		}
+	}
+	return len(w.Models) == 0
+}
+
+// Reading tells that the worker has tokens of a prompt to read (or, negative,
+// that it has read them).
+func (s *Scout) Reading(id string, toks int64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if st := s.workers[id]; st != nil {
+		st.reading = max(st.reading+toks, 0)
+	}
+}
+
+// Done ends what Pick counted.
+func (s *Scout) Done(id string, item bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if st := s.workers[id]; st != nil {
+		st.inflight--
+		st.since--
+		if item {
+			st.items--
+		}
+	}
+}
+
+// Heard takes the pressure that a worker's answer told.
+func (s *Scout) Heard(id string, running, waiting, slots int64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if st := s.workers[id]; st != nil {
+		st.running, st.waiting, st.heardUs, st.since = running, waiting, waggle.NowUs(), 0
+		if slots > 0 {
+			st.slots = slots
+		}
+		st.fails = 0
+		st.ejectedUs = 0
+	}
+}
+
+// Pressures lists what was heard lately, for partners.
+func (s *Scout) Pressures() []flora.Pressure {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	nowUs := waggle.NowUs()
+	var out []flora.Pressure
+	for id, st := range s.workers {
+		if ageUs := nowUs - st.heardUs; st.heardUs > 0 && ageUs < freshUs && len(out) < 256 {
+			out = append(out, flora.Pressure{ID: id, Running: st.running, Waiting: st.waiting, Slots: st.slots, AgeUs: ageUs})
+		}
+	}
+	return out
+}
+
+// Hear takes what partners heard, where it is newer.
+func (s *Scout) Hear(ps []flora.Pressure) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	nowUs := waggle.NowUs()
+	for _, p := range ps {
+		st := s.workers[p.ID]
+		if st == nil || nowUs-p.AgeUs <= st.heardUs+50_000 {
+			continue
+		}
+		st.running, st.waiting, st.heardUs, st.since = p.Running, p.Waiting, nowUs-p.AgeUs, 0
+		if p.Slots > 0 {
+			st.slots = p.Slots
+		}
+	}
+}
+
+// Full tells that the worker turned a request away for want of room.
+func (s *Scout) Full(id string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if st := s.workers[id]; st != nil {
+		st.noRoomUs = waggle.NowUs() + 150_000
+	}
+}
+
+// Failed tells that the worker could not be reached or broke off: it is left
+// out for a growing time.
+func (s *Scout) Failed(id string, unreachable bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	st := s.workers[id]
+	if st == nil {
+		return
+	}
+	nowUs := waggle.NowUs()
+	st.fails++
+	st.failUs = nowUs
+	if unreachable || st.fails >= 3 {
+		st.ejectedUs = nowUs + min(ejectUs<<min(st.fails-1, 3), maxEjectUs)
+	}
+}
+
+// Suspect tells whether the worker could lately not be reached.
+func (s *Scout) Suspect(id string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	st := s.workers[id]
+	return st != nil && st.fails > 0 && waggle.NowUs()-st.failUs < suspectAfterUs
+}
+
+// Fullness is the least share of slots taken at any worker of the service, -1
+// without workers.
+func (s *Scout) Fullness(d *flora.Directory, svc string) float64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	nowUs := waggle.NowUs()
+	least := -1.0
+	for _, w := range d.BySvc[svc] {
+		st := s.of(w)
+		if nowUs < st.ejectedUs {
+			continue
+		}
+		if f := st.est(nowUs) / float64(st.slots); least < 0 || f < least {
+			least = f
+		}
+	}
+	return least
+}
+
+// ItemRoom is how many more items this node may send to a service's workers.
+func (s *Scout) ItemRoom(d *flora.Directory, svc string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	nowUs := waggle.NowUs()
+	room := 0
+	for _, w := range d.BySvc[svc] {
+		st := s.of(w)
+		if nowUs < st.ejectedUs || nowUs < st.noRoomUs || !s.itemRoom(st, nowUs) {
+			continue
+		}
+		free := float64(st.slots)*itemFill - st.est(nowUs)
+		share := int64(float64(st.slots)*itemFill)/s.foragers + 1 - st.items
+		room += int(min(int64(free), share))
+	}
+	return room
+}
--- /dev/null
+++ b/internal/waggle/floor.go
@@ -0,0 +1,97 @@
+// Package waggle is the dance floor on which the commands of one owner are
+// run one after the other (design 1.5). The field's standard terms: floor =
+// event loop, actor; command = message.
+package waggle
+
+import (
+	"context"
+	"time"
+
+	"rowanshunt/internal/wax"
+)
+
+// NowUs is the steady clock in whole microseconds since the process began.
+func NowUs() int64 { return time.Since(began).Microseconds() }
+
+var began = time.Now()
+
+// Floor owns a table: only functions run on the floor touch what it owns.
+type Floor struct {
+	commands chan func()
+	beats    []beat
+}
+
+type beat struct {
+	everyUs, nextUs int64
+	fn              func()
+}
+
+// NewFloor makes a floor that holds at most depth waiting commands.
+func NewFloor(depth int) *Floor { return &Floor{commands: make(chan func(), depth)} }
+
+// Every asks for fn to be run each periodUs. To be called before Run.
+func (f *Floor) Every(periodUs int64, fn func()) {
+	f.beats = append(f.beats, beat{everyUs: periodUs, fn: fn})
+}
+
+// Try hands a command over, false if the holding is full.
+func (f *Floor) Try(fn func()) bool {
+	select {
+	case f.commands <- fn:
+		return true
+	default:
+		return false
+	}
+}
+
+// Do hands a command over, waiting for room until ctx ends.
+func (f *Floor) Do(ctx context.Context, fn func()) error {
+	select {
+	case f.commands <- fn:
+		return nil
+	case <-ctx.Done():
+		return wax.New(wax.Declined, "", "the command holding is full or closed", "try again later")
+	}
+}
+
+// Ask runs fn on the floor and hands back what it returns.
+func Ask[T any](ctx context.Context, f *Floor, fn func() T) (T, error) {
+	got := make(chan T, 1)
+	var zero T
+	if err := f.Do(ctx, func() { got <- fn() }); err != nil {
+		return zero, err
+	}
+	select {
+	case v := <-got:
+		return v, nil
+	case <-ctx.Done():
+		return zero, wax.New(wax.Unsure, "", "no answer from the owner in time", "try again")
+	}
+}
+
+// Run works through commands and beats until ctx ends. It is the one select
+// loop of all owners.
+func (f *Floor) Run(ctx context.Context) {
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case fn := <-f.commands:
+			fn()
+		case <-timer.C:
+			nowUs := NowUs()
+			nextUs := nowUs + 1_000_000
+			for i := range f.beats {
+				b := &f.beats[i]
+				if nowUs >= b.nextUs {
+					b.fn()
+					b.nextUs = nowUs + b.everyUs
+				}
+				nextUs = min(nextUs, b.nextUs)
+			}
+			timer.Reset(time.Duration(max(nextUs-NowUs(), 1000)) * time.Microsecond)
+		}
+	}
+}
--- /dev/null
+++ b/internal/wax/fault.go
@@ -0,0 +1,100 @@
+// Package wax holds the typed faults that every other package answers with
+// and the log lines they end in (design 1.3). The field's standard terms:
+// fault = error, remedy = suggested fix.
+package wax
+
+import (
+	"fmt"
+
+	"github.com/go-faster/errors"
+)
+
+// Kind tells callers what a fault means for what was asked.
+type Kind uint8
+
+// The kinds of faults. They travel between partners as numbers, so the order
+// is part of the partner protocol (design 2.3).
+const (
+	Internal  Kind = iota // nothing better is known
+	Invalid               // the input breaks a rule of its format
+	Unknown               // the thing asked for does not exist
+	Stale                 // the caller's version or fence is out of date
+	Declined              // not done and never will be by this call
+	Unsure                // may or may not have been done
+	TooLarge              // over a stated bound
+	Unreached             // the partner never got the call
+	Damaged               // stored bytes do not check
+	NotOwner              // another node does this; Field may name it
+	Conflict              // clashes with something under way
+)
+
+var kindNames = [...]string{"internal", "invalid", "unknown", "stale", "declined", "unsure", "too_large", "unreached", "damaged", "not_owner", "conflict"}
+
+// String names the kind as logs show it.
+func (k Kind) String() string {
+	if int(k) < len(kindNames) {
+		return kindNames[k]
+	}
+	return fmt.Sprintf("kind_%d", uint8(k))
+}
+
+// Fault is an error that says what is wrong, where, and what to do about it.
+type Fault struct {
+	Kind   Kind
+	Field  string
+	What   string
+	Remedy string
+}
+
+// Error gives the whole of the fault in one line.
+func (f *Fault) Error() string {
+	s := f.Kind.String() + ": " + f.What
+	if f.Field != "" {
+		s = f.Kind.String() + ": " + f.Field + ": " + f.What
+	}
+	if f.Remedy != "" {
+		s += " (remedy: " + f.Remedy + ")"
+	}
+	return s
+}
+
+// New makes a fault.
+func New(kind Kind, field, what, remedy string) *Fault {
+	return &Fault{Kind: kind, Field: field, What: what, Remedy: remedy}
+}
+
+// KindOf finds the kind of the first fault in err's chain, Internal if none.
+func KindOf(err error) Kind {
+	var f *Fault
+	if errors.As(err, &f) {
+		return f.Kind
+	}
+	return Internal
+}
+
+// Is tells whether err holds a fault of that kind.
+func Is(err error, kind Kind) bool { return err != nil && KindOf(err) == kind }
+
+// Ledger collects the faults of one step, to be looked at once (design 1.3).
+type Ledger struct{ faults []error }
+
+// Add keeps err if there is one.
+func (l *Ledger) Add(err error) {
+	if err != nil {
+		l.faults = append(l.faults, err)
+	}
+}
+
+// Addf keeps an invalid-field fault.
+func (l *Ledger) Addf(field, what, remedy string) { l.Add(New(Invalid, field, what, remedy)) }
+
+// Err joins what was collected, nil if nothing was.
+func (l *Ledger) Err() error {
+	switch len(l.faults) {
+	case 0:
+		return nil
+	case 1:
+		return l.faults[0]
+	}
+	return errors.Join(l.faults...)
+}
