--- a/internal/brood/brood.go
+++ b/internal/brood/brood.go
@@ -87,6 +87,7 @@
 	if err := b.openReplica(cfg.Dir); err != nil {
 		return nil, err
 	}
+	context.AfterFunc(ctx, b.cell.Close)
 	d := cfg.Desk
 	pollen.On(d, "brood.claim", b.onClaim)
 	pollen.On(d, "brood.fetch", b.onFetch)
--- /dev/null
+++ b/internal/colony/colony_test.go
@@ -0,0 +1,521 @@
+package colony
+
+import (
+	"bytes"
+	"context"
+	"encoding/base64"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"rowanshunt/internal/meadow"
+	"rowanshunt/internal/skep"
+	"rowanshunt/internal/wax"
+)
+
+// hive is a whole system in a meadow: the in-memory test of design 12.2.
+type hive struct {
+	t        *testing.T
+	m        *meadow.Meadow
+	seed     uint64
+	dir      string
+	nodes    map[string]*member
+	order    []string
+	workers  map[string]*meadow.Worker
+	beatOn   map[string]map[string]any
+	stopBeat func()
+	seq      int
+}
+
+type member struct {
+	opts   *skep.Options
+	role   string
+	ctx    context.Context
+	cancel func()
+	f      *Forager
+	c      *Comb
+}
+
+var zones = []string{"ash", "birch", "cedar"}
+
+func newHive(t *testing.T, seed uint64, edges, stores int) *hive {
+	t.Helper()
+	h := &hive{t: t, m: meadow.New(seed), seed: seed, dir: t.TempDir(), nodes: map[string]*member{}, workers: map[string]*meadow.Worker{}, beatOn: map[string]map[string]any{}}
+	t.Cleanup(func() {
+		if t.Failed() {
+			t.Logf("seed %d", seed)
+		}
+	})
+	for i := range edges {
+		h.add(fmt.Sprintf("edge-%d", i), "forager", i, i < 3, true)
+	}
+	for i := range stores {
+		h.add(fmt.Sprintf("store-%d", i), "comb", i, true, true)
+	}
+	return h
+}
+
+func (h *hive) add(name, role string, i int, disk, boot bool) *member {
+	net := 1
+	if role == "comb" {
+		net = 2
+	}
+	ip := fmt.Sprintf("10.%d.0.%d", net, i+1)
+	o := &skep.Options{Node: name, IPAddr: ip, Az: zones[i%len(zones)], PortRange: []int{7000, 7010}, Bootstrap: boot, HbMs: 1200,
+		Seeds: []string{"10.1.0.1:8000", "10.1.0.2:8000", "10.1.0.3:8000"}, Caps: skep.Caps{RAMMb: 256, NoFile: 4096, CPUFrac: 1, DiskMb: 64}, Ft: skep.Ft{Nodes: 1}}
+	o.Bounds.GraceS = 8
+	if role == "forager" {
+		o.Serves = []string{"edge", "ctl"}
+		o.Listen = skep.Listen{HTTP: ip + ":8001", Readyz: ip + ":8002", Ctl: ip + ":8000"}
+	}
+	if disk {
+		o.DataDir = filepath.Join(h.dir, name)
+	}
+	m := &member{opts: o, role: role}
+	h.nodes[name] = m
+	h.order = append(h.order, name)
+	return m
+}
+
+func wall() int64 { return time.Now().UnixMicro() }
+
+func (h *hive) start(name string) {
+	m := h.nodes[name]
+	m.ctx, m.cancel = context.WithCancel(context.Background())
+	env := Env{Mesh: h.m.MeshOf(m.opts.PartnerAddr()), Dial: h.m.DialFrom(m.opts.PartnerAddr()), WallUs: wall, Log: testLog(h.t, name)}
+	var err error
+	if m.role == "forager" {
+		m.f, err = NewForager(m.ctx, env, m.opts)
+		if err == nil {
+			m.f.Start(m.ctx)
+			h.m.Place(m.ctx, m.opts.PartnerAddr(), m.f.Desk)
+		}
+	} else {
+		m.c, err = NewComb(m.ctx, env, m.opts)
+		if err == nil {
+			m.c.Start(m.ctx)
+			h.m.Place(m.ctx, m.opts.PartnerAddr(), m.c.Desk)
+		}
+	}
+	if err != nil {
+		h.t.Fatalf("start %s: %v", name, err)
+	}
+	m.opts.Bootstrap = false // later starts are not the first
+}
+
+func (h *hive) startAll() {
+	for _, n := range h.order {
+		h.start(n)
+	}
+}
+
+func (h *hive) kill(name string) { h.nodes[name].cancel() }
+
+func (h *hive) wipe(name string) {
+	m := h.nodes[name]
+	m.opts.DataDir = filepath.Join(h.dir, fmt.Sprintf("%s-%d", name, h.m.Luck(1<<30)))
+}
+
+// end stops everything, so that the bubble can be left.
+func (h *hive) end() {
+	if h.stopBeat != nil {
+		h.stopBeat()
+	}
+	for _, w := range h.workers {
+		w.Close()
+	}
+	for _, m := range h.nodes {
+		if m.cancel != nil {
+			m.cancel()
+		}
+		if m.f != nil {
+			m.f.Forage.Sender.Circuits.CloseAll()
+		}
+	}
+	time.Sleep(20 * time.Second) // fake: calls under way run out
+	synctest.Wait()
+}
+
+// edge is a living forager.
+func (h *hive) edge() *Forager {
+	for _, n := range h.order {
+		if m := h.nodes[n]; m.role == "forager" && m.f != nil && m.ctx.Err() == nil {
+			return m.f
+		}
+	}
+	h.t.Fatal("no edge is up")
+	return nil
+}
+
+func (h *hive) control(f *Forager, method, path string, body any, heads ...string) *httptest.ResponseRecorder {
+	raw, ok := body.([]byte)
+	if !ok && body != nil {
+		raw, _ = json.Marshal(body)
+	}
+	r := httptest.NewRequest(method, path, bytes.NewReader(raw))
+	for i := 0; i+1 < len(heads); i += 2 {
+		r.Header.Set(heads[i], heads[i+1])
+	}
+	w := httptest.NewRecorder()
+	f.Control.Handler().ServeHTTP(w, r)
+	return w
+}
+
+func (h *hive) client(f *Forager, method, target string, body []byte, heads ...string) *httptest.ResponseRecorder {
+	r := httptest.NewRequest(method, "http://shop.example"+target, bytes.NewReader(body))
+	r.RequestURI = target
+	for i := 0; i+1 < len(heads); i += 2 {
+		r.Header.Set(heads[i], heads[i+1])
+	}
+	w := httptest.NewRecorder()
+	w.Code = 0 // an answer that never came is not a 200
+	func() {
+		defer func() {
+			if p := recover(); p != nil && p != http.ErrAbortHandler {
+				panic(p)
+			} else if p != nil {
+				w.Code = -1 // closed without an answer, or amid one
+			}
+		}()
+		f.Guard.Clients().ServeHTTP(w, r)
+	}()
+	return w
+}
+
+func blueprint(ver int) map[string]any {
+	return map[string]any{"ver": ver,
+		"routes": []map[string]any{
+			{"name": "chat", "host": "shop.example", "pfx": "/chat/", "type": "stream", "limit_ms": 5000, "goal_ms": 200, "svc": "llm", "tries": 3, "pin": true, "resume": true},
+			{"name": "draft", "host": "shop.example", "pfx": "/draft/", "type": "stream", "limit_ms": 5000, "goal_ms": 200, "svc": "llm", "tries": 1, "pin": true, "resume": false},
+			{"name": "lots", "host": "shop.example", "pfx": "/lots/", "type": "bulk", "limit_ms": 8000, "goal_ms": 500, "due_ms": 8000, "retain_s": 40, "backlog": 5000, "svc": "llm", "tries": 3},
+			{"name": "till", "host": "shop.example", "pfx": "/till/", "type": "safe", "limit_ms": 1000, "goal_ms": 100, "svc": "app", "tries": 2},
+			{"name": "pay", "host": "shop.example", "pfx": "/pay/", "type": "unsafe", "limit_ms": 1000, "goal_ms": 100, "svc": "app", "tries": 2},
+		},
+		"svcs": []map[string]any{{"name": "llm", "hc": "/healthz", "maxconn": 64}, {"name": "app", "hc": "/healthz", "maxconn": 64}},
+		"caps": map[string]any{"hdr_bytes": 16384, "payload_bytes": 1 << 20, "hdr_ms": 3000, "idle_ms": 15000}}
+}
+
+func (h *hive) put(ver, expect int) *httptest.ResponseRecorder {
+	return h.control(h.edge(), "PUT", "/-/config", blueprint(ver), "If-Match", fmt.Sprint(expect))
+}
+
+// until waits, in fake time, for something to come about.
+func (h *hive) until(what string, limit time.Duration, ok func() bool) {
+	h.t.Helper()
+	for end := time.Now().Add(limit); !ok(); time.Sleep(50 * time.Millisecond) {
+		if time.Now().After(end) {
+			h.t.Fatalf("not within %v: %s", limit, what)
+		}
+	}
+}
+
+func (h *hive) putOK(ver, expect int) {
+	h.t.Helper()
+	h.until(fmt.Sprintf("blueprint %d taken", ver), 10*time.Second, func() bool { return h.put(ver, expect).Code == 200 })
+}
+
+func (h *hive) worker(id, svc, az string) *meadow.Worker {
+	addr := "10.9.0." + id + ":80"
+	w := meadow.NewWorker(h.m, id, addr)
+	h.workers[id] = w
+	h.beatOn[id] = map[string]any{"svc": svc, "addr": addr, "az": az, "ver": "v1", "slots": w.Slots, "phase": "up"}
+	return w
+}
+
+// beats keeps all workers beating, each at changing nodes.
+func (h *hive) beats() {
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	h.stopBeat = func() { cancel(); <-done }
+	go func() {
+		defer close(done)
+		for ctx.Err() == nil {
+			h.beatAll()
+			t := time.NewTimer(1200 * time.Millisecond)
+			select {
+			case <-t.C:
+			case <-ctx.Done():
+				t.Stop()
+			}
+		}
+	}()
+}
+
+func (h *hive) beatAll() {
+	h.seq++
+	for id, b := range h.beatOn {
+		body := map[string]any{"seq": h.seq}
+		for k, v := range b {
+			body[k] = v
+		}
+		h.control(h.edge(), "PUT", "/-/workers/"+id, body)
+	}
+}
+
+// serving brings a hive up to the point where all edges are ready.
+func (h *hive) serving() {
+	h.t.Helper()
+	h.startAll()
+	h.worker("21", "llm", "ash")
+	h.worker("22", "llm", "birch")
+	h.worker("23", "app", "cedar")
+	h.until("founded", 8*time.Second, func() bool { return h.edge().Nest.Committed() != nil })
+	h.putOK(1, 0)
+	h.beats()
+	h.until("all edges ready and know the workers", 8*time.Second, func() bool {
+		for _, m := range h.nodes {
+			if m.f != nil && m.ctx.Err() == nil && (!m.f.Guard.Ready() || len(m.f.Flora.Look().ByID) < 3) {
+				return false
+			}
+		}
+		return true
+	})
+	h.until("the stores are a roster and every shard has an owner", 8*time.Second, func() bool {
+		return h.handIn("warm-up", 1, 1).Code == 202
+	})
+}
+
+func lotBody(id string, items, toks int) []byte {
+	var reqs []map[string]any
+	for i := range items {
+		reqs = append(reqs, map[string]any{"id": itemID(id, i), "path": fmt.Sprintf("/lots/%s/%d", id, i), "hdrs": map[string]string{"X-Rowanshunt-Tokens": "10,10"},
+			"body": base64.StdEncoding.EncodeToString([]byte(id)), "toks": toks})
+	}
+	raw, _ := json.Marshal(map[string]any{"reqs": reqs})
+	return raw
+}
+
+func itemID(lot string, i int) string { return fmt.Sprintf("%s-%d", lot, i) }
+
+func (h *hive) handIn(id string, items, toks int) *httptest.ResponseRecorder {
+	return h.client(h.edge(), "POST", "/lots/"+id, lotBody(id, items, toks), "X-Rowanshunt-Request-Id", id)
+}
+
+type lotRead struct {
+	Sum  int `json:"sum"`
+	Cont int `json:"cont"`
+	Out  []struct {
+		ID    string `json:"id"`
+		Phase string `json:"phase"`
+		Msg   string `json:"msg"`
+	} `json:"out"`
+}
+
+func (h *hive) read(f *Forager, id string, at int) (lotRead, int) {
+	w := h.client(f, "GET", fmt.Sprintf("/-/lots/%s?start_at=%d", id, at), nil)
+	var out lotRead
+	if w.Code == 200 {
+		if err := json.Unmarshal(w.Body.Bytes(), &out); err != nil {
+			h.t.Fatalf("read: %v", err)
+		}
+	}
+	return out, w.Code
+}
+
+// complete waits for all of a lot and checks positions, texts and that every
+// item is there once.
+func (h *hive) complete(id string, items int, limit time.Duration) lotRead {
+	h.t.Helper()
+	var out lotRead
+	h.until("lot "+id+" complete", limit, func() bool {
+		got, code := h.read(h.edge(), id, 0)
+		if code == 404 {
+			h.t.Fatalf("lot %s was accepted and is not found", id)
+		}
+		out = got
+		return code == 200 && got.Cont == items
+	})
+	seen := map[string]bool{}
+	for _, r := range out.Out {
+		if seen[r.ID] {
+			h.t.Errorf("item %s is listed twice", r.ID)
+		}
+		seen[r.ID] = true
+		if r.Phase == "done" && r.Msg != wholeText(r.ID, 5) {
+			h.t.Errorf("item %s has text %q", r.ID, r.Msg)
+		}
+	}
+	if len(seen) != items || out.Sum != items {
+		h.t.Errorf("lot %s lists %d of %d items, sum %d", id, len(seen), items, out.Sum)
+	}
+	return out
+}
+
+func wholeText(id string, n int) string {
+	var parts []string
+	for i := 1; i <= n; i++ {
+		parts = append(parts, meadow.EventData(id, i))
+	}
+	return strings.Join(parts, "\n")
+}
+
+func TestWholePath(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newHive(t, 1, 4, 3)
+		defer h.end()
+		h.serving()
+		for name, m := range h.nodes {
+			if m.f == nil {
+				continue
+			}
+			w := h.client(m.f, "POST", "/till/x%2Fy?q=1", []byte("book"), "X-Rowanshunt-Request-Id", "t-"+name, "X-Rowanshunt-Time-Left-Ms", "900")
+			if w.Code != 200 || w.Body.String() != "POST /till/x%2Fy?q=1 book" || w.Header().Get("X-Rowanshunt-Seal") != "seal.t-"+name {
+				t.Errorf("%s: till: %d %q %v", name, w.Code, w.Body, w.Header())
+			}
+			w = h.client(m.f, "POST", "/chat/1", []byte("hi"), "X-Rowanshunt-Request-Id", "c-"+name, "X-Rowanshunt-Tokens", "5,5")
+			if w.Code != 200 || !strings.Contains(w.Body.String(), "id: 5\n") {
+				t.Errorf("%s: chat: %d %q", name, w.Code, w.Body)
+			}
+			if w := h.client(m.f, "GET", "/none/", nil, "X-Rowanshunt-Request-Id", "n"); w.Code != 404 {
+				t.Errorf("%s: no route: %d", name, w.Code)
+			}
+			if w := h.client(m.f, "GET", "/till/", nil); w.Code != 400 {
+				t.Errorf("%s: no id: %d", name, w.Code)
+			}
+		}
+		if w := h.handIn("l1", 20, 10); w.Code != 202 {
+			t.Fatalf("lot: %d %s", w.Code, w.Body)
+		}
+		if w := h.handIn("l1", 20, 10); w.Code != 202 {
+			t.Errorf("the same lot again: %d", w.Code)
+		}
+		first := h.complete("l1", 20, 10*time.Second)
+		again, _ := h.read(h.edge(), "l1", 7)
+		if len(again.Out) != 13 || again.Out[0].ID != first.Out[7].ID {
+			t.Errorf("positions changed: %v", again)
+		}
+		if w := h.handIn("l2", 2, 3000); w.Code != 429 || w.Header().Get("Retry-After") == "" {
+			t.Errorf("over the backlog: %d", w.Code)
+		}
+		if _, code := h.read(h.edge(), "nothing", 0); code != 404 {
+			t.Errorf("unknown lot: %d", code)
+		}
+	})
+}
+
+// A stream that breaks off goes on at another worker within the same answer;
+// one that may not be resumed is broken off towards the client.
+func TestStreamsAfterABreak(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newHive(t, 2, 3, 3)
+		defer h.end()
+		h.serving()
+		for _, w := range h.workers {
+			w.Break(2, 1)
+		}
+		w := h.client(h.edge(), "POST", "/chat/1", []byte("hi"), "X-Rowanshunt-Request-Id", "c1", "X-Rowanshunt-Tokens", "5,5")
+		want := ""
+		for i := 1; i <= 5; i++ {
+			want += fmt.Sprintf("id: %d\ndata: %s\n\n", i, meadow.EventData("c1", i))
+		}
+		if w.Code != 200 || w.Body.String() != want {
+			t.Errorf("resumed stream: %d %q", w.Code, w.Body)
+		}
+		for _, w := range h.workers {
+			w.Break(2, 1)
+		}
+		w = h.client(h.edge(), "POST", "/draft/1", []byte("hi"), "X-Rowanshunt-Request-Id", "d1", "X-Rowanshunt-Tokens", "5,5")
+		ran := h.workers["21"].Ran("d1") + h.workers["22"].Ran("d1")
+		if w.Code != -1 || ran != 1 {
+			t.Errorf("a stream without resume: %d, ran %d times", w.Code, ran)
+		}
+	})
+}
+
+// What is not repeatable runs at most once, and a promise is only given for
+// what has not run.
+func TestUnsafeRunsAtMostOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newHive(t, 3, 3, 3)
+		defer h.end()
+		h.serving()
+		app := h.workers["23"]
+		app.Break(0, 1)
+		w := h.client(h.edge(), "POST", "/pay/1", []byte("x"), "X-Rowanshunt-Request-Id", "p1")
+		if w.Code != 502 || app.Ran("p1") != 1 {
+			t.Errorf("broken off: %d, ran %d", w.Code, app.Ran("p1"))
+		}
+		app.SetFull(true)
+		w = h.client(h.edge(), "POST", "/pay/2", []byte("x"), "X-Rowanshunt-Request-Id", "p2")
+		if w.Code != 503 || w.Header().Get("Retry-After") == "" || app.Ran("p2") != 0 {
+			t.Errorf("full: %d, ran %d", w.Code, app.Ran("p2"))
+		}
+		app.SetFull(false)
+		app.Break(0, 1)
+		w = h.client(h.edge(), "POST", "/till/3", []byte("x"), "X-Rowanshunt-Request-Id", "s3")
+		if w.Code == 503 && app.Ran("s3") > 0 {
+			t.Errorf("a promise for what has run: %d", w.Code)
+		}
+	})
+}
+
+// An acknowledged draining or gone is obeyed by every node.
+func TestDrainedWorkerGetsNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newHive(t, 4, 6, 3)
+		defer h.end()
+		h.serving()
+		h.stopBeat()
+		h.stopBeat = nil
+		body := map[string]any{"seq": 1000}
+		for k, v := range h.beatOn["21"] {
+			body[k] = v
+		}
+		body["phase"] = "draining"
+		if w := h.control(h.edge(), "PUT", "/-/workers/21", body); w.Code != 200 {
+			t.Fatalf("draining: %d", w.Code)
+		}
+		// A late beat of before does not bring it back.
+		body["phase"], body["seq"] = "up", 3
+		h.control(h.nodes["edge-2"].f, "PUT", "/-/workers/21", body)
+		if w := h.control(h.edge(), "DELETE", "/-/workers/22", nil); w.Code != 200 {
+			t.Fatalf("gone: %d", w.Code)
+		}
+		for name, m := range h.nodes {
+			if m.f == nil {
+				continue
+			}
+			if d := m.f.Flora.Look(); d.ByID["21"] != nil || d.ByID["22"] != nil {
+				t.Errorf("%s still sends to a worker that left", name)
+			}
+		}
+	})
+}
+
+// A crashed worker's tenure ends.
+func TestSilentWorkerLosesItsTenure(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newHive(t, 5, 3, 3)
+		defer h.end()
+		h.serving()
+		h.stopBeat()
+		delete(h.beatOn, "21")
+		h.beats()
+		h.until("the silent worker is out everywhere", 8*time.Second, func() bool {
+			for _, m := range h.nodes {
+				if m.f != nil && m.f.Flora.Look().ByID["21"] != nil {
+					return false
+				}
+			}
+			return true
+		})
+		if h.edge().Flora.Look().ByID["22"] == nil {
+			t.Error("a beating worker lost its place")
+		}
+	})
+}
+
+// testLog writes nodes' logs where HIVE_TEST_LOG is set.
+func testLog(t *testing.T, name string) *wax.Log {
+	if os.Getenv("HIVE_TEST_LOG") == "" {
+		return wax.Quiet()
+	}
+	return wax.NewLog(t.Output(), "debug", "node", name)
+}
--- /dev/null
+++ b/internal/colony/run.go
@@ -0,0 +1,166 @@
+package colony
+
+import (
+	"context"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"strings"
+	"syscall"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/sourcegraph/conc"
+
+	"rowanshunt/internal/forage"
+	"rowanshunt/internal/guard"
+	"rowanshunt/internal/pollen"
+	"rowanshunt/internal/skep"
+	"rowanshunt/internal/wax"
+)
+
+func wallUs() int64 { return time.Now().UnixMicro() }
+
+// Run starts a node of a role on real sockets and serves until it is told to
+// stop.
+func Run(path, role, logLevel string) error {
+	opts, err := skep.Load(path)
+	if err != nil {
+		return err
+	}
+	if err := opts.CheckRole(role); err != nil {
+		return err
+	}
+	// Memory is kept small: the heap is collected early and the limit of the
+	// machine is never reached by garbage (design 11.2).
+	debug.SetGCPercent(60)
+	debug.SetMemoryLimit(opts.Caps.RAMMb << 20 * 6 / 10)
+	term := make(chan os.Signal, 2)
+	signal.Notify(term, syscall.SIGTERM, syscall.SIGINT)
+	hup := make(chan os.Signal, 1)
+	signal.Notify(hup, syscall.SIGHUP)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	env := Env{Mesh: pollen.NewTCP(), Dial: forage.DialTCP(), WallUs: wallUs, Log: wax.NewLog(os.Stderr, logLevel, "node", opts.Node)}
+	if role == "comb" {
+		return runComb(ctx, cancel, env, opts, path, term, hup)
+	}
+	return runForager(ctx, cancel, env, opts, path, term, hup)
+}
+
+// listen opens the partner port; calls wait for the floor to run.
+func (n *Node) listen(ctx context.Context) error {
+	ln, err := pollen.Listen(n.self.Addr, n.Desk, n.env.Log)
+	if err != nil {
+		return err
+	}
+	n.wg.Go(func() { ln.Run(ctx) })
+	return nil
+}
+
+func runComb(ctx context.Context, cancel func(), env Env, opts *skep.Options, path string, term, hup <-chan os.Signal) error {
+	c, err := NewComb(ctx, env, opts)
+	if err != nil {
+		return err
+	}
+	if err := c.listen(ctx); err != nil {
+		return err
+	}
+	c.Start(ctx)
+	c.wg.Go(func() { c.watchOptions(ctx, path, hup) })
+	defer c.wg.Wait()
+	defer cancel()
+	select {
+	case <-term:
+		// The others take over at once; what was acknowledged is on disk.
+		c.leave(ctx)
+		sleep(ctx, settleLeave)
+		return nil
+	case err := <-c.fatal:
+		return errors.Wrap(err, "disk")
+	}
+}
+
+func runForager(ctx context.Context, cancel func(), env Env, opts *skep.Options, path string, term, hup <-chan os.Signal) error {
+	f, err := NewForager(ctx, env, opts)
+	if err != nil {
+		return err
+	}
+	if err := f.listen(ctx); err != nil {
+		return err
+	}
+	var faults wax.Ledger
+	var servers []*guard.Server
+	for _, o := range []guard.Opening{
+		{Addr: opts.Listen.HTTP, Handler: f.Guard.Clients(), Limits: f.Guard.Limits},
+		{Addr: opts.Listen.Readyz, Handler: f.Guard.Readyz(), Limits: f.Guard.Limits.Small()},
+		{Addr: opts.Listen.Ctl, Handler: f.Control.Handler(), Limits: f.Guard.Limits.Small()},
+	} {
+		s, err := guard.Open(o)
+		faults.Add(err)
+		servers = append(servers, s)
+	}
+	if err := faults.Err(); err != nil {
+		return err
+	}
+	f.Start(ctx)
+	for _, s := range servers {
+		f.wg.Go(func() {
+			if err := s.Run(); err != nil {
+				f.fatal <- err
+			}
+		})
+	}
+	f.wg.Go(func() { f.watchOptions(ctx, path, hup) })
+	select {
+	case <-term:
+		f.Drain(ctx, func(ctx context.Context) {
+			var wg conc.WaitGroup
+			for _, s := range servers {
+				wg.Go(func() { s.Shut(ctx) })
+			}
+			wg.Wait()
+		})
+		cancel()
+		return nil
+	case err := <-f.fatal:
+		return err
+	}
+}
+
+// watchOptions reads the options again on SIGHUP or when the file changes
+// unsignalled; options that do not check leave those in force.
+func (n *Node) watchOptions(ctx context.Context, path string, hup <-chan os.Signal) {
+	last := changed(path)
+	tick := time.NewTicker(3 * time.Second)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-hup:
+		case <-tick.C:
+			if now := changed(path); now == last || now == "" {
+				continue
+			}
+		}
+		last = changed(path)
+		n.Reload(ctx, path)
+	}
+}
+
+// Reload takes new options if they check.
+func (n *Node) Reload(ctx context.Context, path string) {
+	opts, err := skep.Load(path)
+	if err == nil {
+		err = opts.CheckRole(n.role)
+	}
+	if err != nil {
+		n.env.Log.Warn("options_declined", "err", err)
+		return
+	}
+	n.opts.Store(opts)
+	seeds := opts.SeedAddrs()
+	_ = n.Floor.Do(ctx, func() { n.Swarm.SetSeeds(seeds) })
+	n.env.Log.Info("options_taken", "seeds", strings.Join(opts.Seeds, " "))
+}
--- a/internal/forage/circuit.go
+++ b/internal/forage/circuit.go
@@ -69,15 +69,24 @@
 
 // Circuits owns this node's circuits to workers.
 type Circuits struct {
-	mu     sync.Mutex
-	pools  map[string]*pool
-	dialer *net.Dialer
-	dialed int64
+	mu    sync.Mutex
+	pools map[string]*pool
+	dial  Dial
+}
+
+// Dial opens a connection to a worker; tests put a simulated network in its
+// place.
+type Dial func(ctx context.Context, addr string) (net.Conn, error)
+
+// DialTCP dials real sockets.
+func DialTCP() Dial {
+	d := pollen.Dialer(dialTimeout)
+	return func(ctx context.Context, addr string) (net.Conn, error) { return d.DialContext(ctx, "tcp", addr) }
 }
 
 // NewCircuits makes an empty set.
-func NewCircuits() *Circuits {
-	return &Circuits{pools: map[string]*pool{}, dialer: pollen.Dialer(dialTimeout)}
+func NewCircuits(dial Dial) *Circuits {
+	return &Circuits{pools: map[string]*pool{}, dial: dial}
 }
 
 // Get gives a circuit to the worker, an idle one if there is one. Its faults
@@ -100,7 +109,6 @@
 			return nil, wax.New(wax.Conflict, w.ID, "this node's share of circuits is in use", "try another worker")
 		} else {
 			p.open++
-			cs.dialed++
 		}
 		cs.mu.Unlock()
 		if c == nil {
@@ -112,7 +120,7 @@
 		}
 		cs.Drop(c)
 	}
-	conn, err := cs.dialer.DialContext(ctx, "tcp", w.Addr)
+	conn, err := cs.dial(ctx, w.Addr)
 	if err != nil {
 		cs.mu.Lock()
 		cs.pools[w.ID].open--
@@ -193,3 +201,16 @@
 		_ = c.conn.Close()
 	}
 }
+
+// CloseAll closes every idle circuit.
+func (cs *Circuits) CloseAll() {
+	cs.mu.Lock()
+	defer cs.mu.Unlock()
+	for _, p := range cs.pools {
+		for _, c := range p.idle {
+			_ = c.conn.Close()
+		}
+		p.open -= len(p.idle)
+		p.idle = nil
+	}
+}
--- a/internal/guard/guard.go
+++ b/internal/guard/guard.go
@@ -18,6 +18,7 @@
 	"rowanshunt/internal/brood"
 	"rowanshunt/internal/forage"
 	"rowanshunt/internal/foundation"
+	"rowanshunt/internal/skep"
 	"rowanshunt/internal/wax"
 )
 
@@ -30,6 +31,17 @@
 	BodyBytes int64
 }
 
+// LimitsOf takes the limits from the options.
+func LimitsOf(o *skep.Options) Limits {
+	return Limits{MaxConns: int(o.Caps.NoFile / 2), HdrBytes: 64 << 10, HdrMs: 5000, IdleMs: 60_000, BodyBytes: o.Caps.RAMMb << 20 / 6}
+}
+
+// Small are the limits of listeners with few callers.
+func (l Limits) Small() Limits {
+	l.MaxConns /= 4
+	return l
+}
+
 // Guard is one node's entrance.
 type Guard struct {
 	Forage    *forage.Forage
@@ -153,15 +165,23 @@
 	ln   net.Listener
 }
 
-// Open listens and makes a server with the guard's limits.
-func Open(addr string, h http.Handler, l Limits) (*Server, error) {
-	ln, err := net.Listen("tcp", addr)
+// Opening is a listener to open.
+type Opening struct {
+	Addr    string
+	Handler http.Handler
+	Limits  Limits
+}
+
+// Open listens and makes a server with the opening's limits.
+func Open(o Opening) (*Server, error) {
+	l := o.Limits
+	ln, err := net.Listen("tcp", o.Addr)
 	if err != nil {
 		return nil, errors.Wrap(err, "listen")
 	}
 	s := &Server{ln: &bounded{Listener: ln, max: int64(max(l.MaxConns, 16))}}
 	s.HTTP = &http.Server{
-		Handler:           h,
+		Handler:           o.Handler,
 		ReadHeaderTimeout: time.Duration(l.HdrMs) * time.Millisecond,
 		IdleTimeout:       time.Duration(l.IdleMs) * time.Millisecond,
 		MaxHeaderBytes:    l.HdrBytes,
--- /dev/null
+++ b/internal/meadow/meadow.go
@@ -0,0 +1,240 @@
+// Package meadow is the simulated network that tests put nodes into: partner
+// calls and byte circuits with delay, loss, doubling and cuts, all drawn from
+// one seed (design 12.2). It runs inside a synctest bubble, so that waiting
+// takes no time. The field's standard terms: meadow = network simulator.
+package meadow
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/vmihailenco/msgpack/v5"
+
+	"rowanshunt/internal/pollen"
+	"rowanshunt/internal/wax"
+)
+
+// Meadow is one network.
+type Meadow struct {
+	mu        sync.Mutex
+	rng       *rand.Rand
+	desks     map[string]*site
+	listeners map[string]*Listener
+	cuts      map[[2]string]bool
+	// DelayUs bounds the delay of one way; Lose and Double are shares of
+	// partner calls.
+	DelayUs int64
+	Lose    float64
+	Double  float64
+}
+
+type site struct {
+	desk *pollen.Desk
+	ctx  context.Context
+}
+
+// New makes a network whose luck follows from the seed.
+func New(seed uint64) *Meadow {
+	return &Meadow{rng: rand.New(rand.NewPCG(seed, 7)), desks: map[string]*site{}, listeners: map[string]*Listener{}, cuts: map[[2]string]bool{}, DelayUs: 1000}
+}
+
+// Place puts a node's desk at an address until ctx ends.
+func (m *Meadow) Place(ctx context.Context, addr string, desk *pollen.Desk) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.desks[addr] = &site{desk: desk, ctx: ctx}
+}
+
+// Cut stops all traffic from one address to another.
+func (m *Meadow) Cut(from, to string, cut bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.cuts[[2]string{from, to}] = cut
+}
+
+// CutOff cuts an address from all others given, both ways.
+func (m *Meadow) CutOff(addr string, others []string, cut bool) {
+	for _, o := range others {
+		if o != addr {
+			m.Cut(addr, o, cut)
+			m.Cut(o, addr, cut)
+		}
+	}
+}
+
+// Luck draws a number below n.
+func (m *Meadow) Luck(n int) int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.rng.IntN(n)
+}
+
+type trip struct {
+	site   *site
+	delay  time.Duration
+	lost   bool
+	double bool
+}
+
+func (m *Meadow) travel(from, to string) trip {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	t := trip{site: m.desks[to], delay: time.Duration(100+m.rng.Int64N(max(m.DelayUs, 1))) * time.Microsecond}
+	t.lost = m.cuts[[2]string{from, to}] || m.rng.Float64() < m.Lose
+	t.double = m.rng.Float64() < m.Double
+	return t
+}
+
+// MeshOf is the mesh as the node at an address sees it.
+func (m *Meadow) MeshOf(addr string) pollen.Mesh { return &mesh{m: m, from: addr} }
+
+type mesh struct {
+	m    *Meadow
+	from string
+}
+
+func wait(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// Call implements pollen.Mesh.
+func (h *mesh) Call(ctx context.Context, addr, kind string, in, out any) error {
+	body, err := msgpack.Marshal(in)
+	if err != nil {
+		return wax.New(wax.Internal, kind, err.Error(), "report this")
+	}
+	there := h.m.travel(h.from, addr)
+	if there.lost {
+		<-ctx.Done()
+		return wax.New(wax.Unsure, kind, "no answer in time", "try again")
+	}
+	if !wait(ctx, there.delay) {
+		return wax.New(wax.Unsure, kind, "no answer in time", "try again")
+	}
+	if there.site == nil || there.site.ctx.Err() != nil {
+		return wax.New(wax.Unreached, addr, "nobody listens", "look whether that node runs")
+	}
+	type answer struct {
+		body []byte
+		err  error
+	}
+	got := make(chan answer, 2)
+	serve := func() {
+		b, err := there.site.desk.Serve(there.site.ctx, kind, body)
+		got <- answer{b, err}
+	}
+	go serve()
+	if there.double {
+		go serve()
+	}
+	var a answer
+	select {
+	case a = <-got:
+	case <-ctx.Done():
+		return wax.New(wax.Unsure, kind, "no answer in time", "try again")
+	}
+	back := h.m.travel(addr, h.from)
+	if back.lost || there.site.ctx.Err() != nil {
+		<-ctx.Done()
+		return wax.New(wax.Unsure, kind, "no answer in time", "try again")
+	}
+	if !wait(ctx, back.delay) {
+		return wax.New(wax.Unsure, kind, "no answer in time", "try again")
+	}
+	if a.err != nil {
+		if f, ok := a.err.(*wax.Fault); ok {
+			return wax.New(f.Kind, f.Field, f.What, f.Remedy)
+		}
+		return wax.New(wax.Unsure, kind, a.err.Error(), "try again")
+	}
+	if out == nil {
+		return nil
+	}
+	return msgpack.Unmarshal(a.body, out)
+}
+
+// Listener takes the circuits dialled to an address.
+type Listener struct {
+	m      *Meadow
+	addr   string
+	queue  chan net.Conn
+	closed chan struct{}
+	once   sync.Once
+}
+
+// Listen opens an address for circuits.
+func (m *Meadow) Listen(addr string) *Listener {
+	l := &Listener{m: m, addr: addr, queue: make(chan net.Conn, 256), closed: make(chan struct{})}
+	m.mu.Lock()
+	m.listeners[addr] = l
+	m.mu.Unlock()
+	return l
+}
+
+// Accept implements net.Listener.
+func (l *Listener) Accept() (net.Conn, error) {
+	select {
+	case c := <-l.queue:
+		return c, nil
+	case <-l.closed:
+		return nil, net.ErrClosed
+	}
+}
+
+// Close implements net.Listener.
+func (l *Listener) Close() error {
+	l.once.Do(func() {
+		close(l.closed)
+		l.m.mu.Lock()
+		if l.m.listeners[l.addr] == l {
+			delete(l.m.listeners, l.addr)
+		}
+		l.m.mu.Unlock()
+	})
+	return nil
+}
+
+type addrName string
+
+func (a addrName) Network() string { return "meadow" }
+func (a addrName) String() string  { return string(a) }
+
+// Addr implements net.Listener.
+func (l *Listener) Addr() net.Addr { return addrName(l.addr) }
+
+// DialFrom dials circuits as the node at an address.
+func (m *Meadow) DialFrom(from string) func(context.Context, string) (net.Conn, error) {
+	return func(ctx context.Context, addr string) (net.Conn, error) {
+		m.mu.Lock()
+		l := m.listeners[addr]
+		cut := m.cuts[[2]string{from, addr}]
+		m.mu.Unlock()
+		if cut {
+			wait(ctx, 350*time.Millisecond)
+			return nil, &net.OpError{Op: "dial", Net: "meadow", Err: syscall.ETIMEDOUT}
+		}
+		if l == nil {
+			return nil, &net.OpError{Op: "dial", Net: "meadow", Err: syscall.ECONNREFUSED}
+		}
+		near, far := net.Pipe()
+		select {
+		case l.queue <- far:
+			return near, nil
+		case <-l.closed:
+		case <-ctx.Done():
+		}
+		_ = near.Close()
+		return nil, &net.OpError{Op: "dial", Net: "meadow", Err: syscall.ECONNREFUSED}
+	}
+}
--- /dev/null
+++ b/internal/meadow/worker.go
@@ -0,0 +1,142 @@
+package meadow
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+)
+
+// Worker is a stand-in for a worker, by the protocol page: it answers plain
+// requests whole and prompts as a stream of events.
+type Worker struct {
+	ID     string
+	Slots  int
+	Events int           // of a stream
+	Gap    time.Duration // between events
+
+	mu      sync.Mutex
+	server  *http.Server
+	running int
+	// Runs counts how often each request id ran here, from its first event.
+	Runs map[string]int
+	// BreakAfter cuts the next streams off behind that many events, so often.
+	BreakAfter, Breaks int
+	// FailItems answers 500, NeverItems 422, to the ids named.
+	FailItems, NeverItems map[string]bool
+	full                  bool
+}
+
+// NewWorker starts a stand-in at an address of the meadow.
+func NewWorker(m *Meadow, id, addr string) *Worker {
+	w := &Worker{ID: id, Slots: 8, Events: 5, Gap: 5 * time.Millisecond, Runs: map[string]int{}, FailItems: map[string]bool{}, NeverItems: map[string]bool{}}
+	w.server = &http.Server{Handler: w}
+	l := m.Listen(addr)
+	go func() { _ = w.server.Serve(l) }()
+	return w
+}
+
+// Close crashes the worker.
+func (w *Worker) Close() { _ = w.server.Close() }
+
+// SetFull makes it turn requests away.
+func (w *Worker) SetFull(full bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.full = full
+}
+
+// Break makes the next streams break off.
+func (w *Worker) Break(after, times int) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.BreakAfter, w.Breaks = after, times
+}
+
+// Ran tells how often a request ran here.
+func (w *Worker) Ran(id string) int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.Runs[id]
+}
+
+// EventData is the data of event n of a request, the same at every worker.
+func EventData(id string, n int) string { return fmt.Sprintf("%s part %d", id, n) }
+
+// ServeHTTP implements http.Handler.
+func (w *Worker) ServeHTTP(rw http.ResponseWriter, r *http.Request) {
+	id := r.Header.Get("X-Rowanshunt-Request-Id")
+	body, _ := io.ReadAll(r.Body)
+	h := rw.Header()
+	h.Set("X-Rowanshunt-Request-Id", id)
+	w.mu.Lock()
+	h.Set("X-Rowanshunt-Worker-Load", fmt.Sprintf("%d,0,%d", w.running, w.Slots))
+	switch {
+	case r.Header.Get("X-Rowanshunt-Want-Worker") != w.ID:
+		w.mu.Unlock()
+		h.Set("X-Rowanshunt-Worker", w.ID)
+		rw.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	case w.full || w.running >= w.Slots:
+		w.mu.Unlock()
+		h.Set("X-Rowanshunt-Not-Run", "1")
+		rw.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	w.Runs[id]++
+	w.running++
+	fail, never := w.FailItems[id], w.NeverItems[id]
+	breakAfter := -1
+	if w.Breaks > 0 {
+		w.Breaks--
+		breakAfter = w.BreakAfter
+	}
+	w.mu.Unlock()
+	defer func() {
+		w.mu.Lock()
+		w.running--
+		w.mu.Unlock()
+	}()
+	switch {
+	case fail:
+		rw.WriteHeader(http.StatusInternalServerError)
+		return
+	case never:
+		rw.WriteHeader(http.StatusUnprocessableEntity)
+		return
+	}
+	h.Set("X-Rowanshunt-Seal", "seal."+id)
+	if r.Header.Get("X-Rowanshunt-Tokens") == "" {
+		if breakAfter >= 0 {
+			panic(http.ErrAbortHandler)
+		}
+		_, _ = fmt.Fprintf(rw, "%s %s %s", r.Method, r.RequestURI, body)
+		return
+	}
+	h.Set("Content-Type", "text/event-stream")
+	first := 1
+	if n, err := strconv.Atoi(r.Header.Get("Last-Event-Id")); err == nil {
+		first = n + 1
+	}
+	rc := http.NewResponseController(rw)
+	for n := first; n <= w.Events; n++ {
+		if breakAfter >= 0 && n > breakAfter {
+			panic(http.ErrAbortHandler)
+		}
+		t := time.NewTimer(w.Gap)
+		select {
+		case <-t.C:
+		case <-r.Context().Done():
+			t.Stop()
+			return
+		}
+		if _, err := fmt.Fprintf(rw, "id: %d\ndata: %s\n\n", n, EventData(id, n)); err != nil {
+			return
+		}
+		if rc.Flush() != nil {
+			return
+		}
+	}
+}
--- a/internal/nest/acceptor.go
+++ b/internal/nest/acceptor.go
@@ -97,6 +97,13 @@
 	return len(s.Doc)
 }
 
+// Close ends the seat's writing.
+func (a *Acceptor) Close() {
+	if k, ok := a.disk.(*cellKeeper); ok {
+		k.c.Close()
+	}
+}
+
 // ID is the seat's identity.
 func (a *Acceptor) ID() string { return a.id }
 
--- a/internal/nest/nest.go
+++ b/internal/nest/nest.go
@@ -73,6 +73,7 @@
 			return nil, err
 		}
 		n.seat = seat
+		context.AfterFunc(ctx, seat.Close)
 		// What the seat accepted may not be committed, but its roster is the
 		// right one to ask (design 4.4).
 		n.known = seat.State()
--- a/internal/waggle/floor.go
+++ b/internal/waggle/floor.go
@@ -10,8 +10,11 @@
 	"rowanshunt/internal/wax"
 )
 
-// NowUs is the steady clock in whole microseconds since the process began.
-func NowUs() int64 { return time.Since(began).Microseconds() }
+// NowUs is the steady clock in whole microseconds. It starts far from 0, so
+// that a time of 0 is long ago.
+func NowUs() int64 { return time.Since(began).Microseconds() + clockStartUs }
+
+const clockStartUs = int64(1) << 50
 
 var began = time.Now()
 
