--- a/internal/brood/brood.go
+++ b/internal/brood/brood.go
@@ -574,3 +574,14 @@
 		}
 	}()
 }
+
+// Owns tells whether this store serves the lots of a host now.
+func (b *Brood) Owns(host string) bool {
+	ctx, cancel := context.WithTimeout(b.ctx, time.Second)
+	defer cancel()
+	owns, err := waggle.Ask(ctx, b.cfg.Floor, func() bool {
+		o := b.shards[ShardOf(host)].owner
+		return o != nil && o.ready
+	})
+	return err == nil && owns
+}
--- a/internal/brood/owner.go
+++ b/internal/brood/owner.go
@@ -22,6 +22,7 @@
 	claimTimeout = 600 * time.Millisecond
 	writeTimeout = 1500 * time.Millisecond
 	mendPauseUs  = 200_000
+	stuckUs      = 1_500_000
 	maxBatch     = 1 << 20
 	maxFeedBytes = 24 << 20
 )
@@ -40,8 +41,9 @@
 }
 
 type wait struct {
-	seq  uint64
-	then func(error)
+	seq     uint64
+	sinceUs int64
+	then    func(error)
 }
 
 // feed brings one replica what the owner did, in order.
@@ -77,10 +79,16 @@
 	v := b.cfg.Swarm.Look()
 	var names []string
 	for _, seat := range st.Stores.Cur {
-		if p := v.Get(seat.Name); p != nil && p.Alive && p.Seat() == seat.ID && !p.Leaving && !retiring(st, seat.ID) {
+		if p := v.Get(seat.Name); p != nil && v.Met(seat.Name) && p.Seat() == seat.ID && !p.Leaving && !retiring(st, seat.ID) {
 			names = append(names, seat.Name)
 		}
 	}
+	reach := map[string]bool{}
+	for _, seat := range st.Stores.All() {
+		if p := v.Get(seat.Name); p != nil && v.Met(seat.Name) && p.Seat() == seat.ID {
+			reach[seat.ID] = true
+		}
+	}
 	for _, s := range b.shards {
 		if s.owner != nil && fenceOf(&s.owner.roster) == fenceOf(&st.Stores) {
 			if s.owner.roster.Ver < st.Stores.Ver {
@@ -89,12 +97,17 @@
 			if s.owner != nil {
 				b.feedTick(s, nowUs)
 			}
+			if o := s.owner; o != nil && len(o.waits) > 0 && nowUs-o.waits[0].sinceUs > stuckUs && !st.Stores.Quorum(reach) {
+				b.depose(s, "no majority answers")
+			}
 			continue
 		}
 		if s.claiming || nowUs-s.tryUs < claimPauseUs {
 			continue
 		}
-		if b.shouldOwn(s, st, v, names) {
+		// Without a majority in reach a claim would only raise the fence against
+		// the owner that the others have.
+		if st.Stores.Quorum(reach) && b.shouldOwn(s, st, v, names) {
 			s.tryUs = nowUs
 			b.claim(s, st)
 		}
@@ -140,7 +153,7 @@
 	}
 	if node != "" && node != b.cfg.Self.Name {
 		p := v.Get(node)
-		alive := p != nil && p.Alive && strconv.FormatInt(p.LifeUs, 10) == life && !p.Leaving
+		alive := p != nil && v.Met(node) && strconv.FormatInt(p.LifeUs, 10) == life && !p.Leaving
 		stays := false
 		for _, n := range names {
 			stays = stays || n == node
@@ -317,7 +330,7 @@
 			o.feeds[seat.ID] = &feed{seat: seat, cold: true}
 		}
 	}
-	o.waits = append(o.waits, wait{1, func(err error) {
+	o.waits = append(o.waits, wait{1, waggle.NowUs(), func(err error) {
 		if err != nil {
 			return
 		}
@@ -355,7 +368,7 @@
 	o.seq++
 	seq := o.seq
 	p.Stamp = o.stamp
-	o.waits = append(o.waits, wait{seq, then})
+	o.waits = append(o.waits, wait{seq, waggle.NowUs(), then})
 	if p.Kind != opNone {
 		apply(s.lots, &p)
 		o.diskIssued = seq
--- a/internal/colony/colony.go
+++ b/internal/colony/colony.go
@@ -98,6 +98,9 @@
 // Start runs the floor, once all that lives on it is there.
 func (n *Node) Start(ctx context.Context) { n.wg.Go(func() { n.Floor.Run(ctx) }) }
 
+// Seat is this node's name together with its disk.
+func (n *Node) Seat() string { return n.self.Seat() }
+
 // Blueprint is the blueprint in force here, nil before the first.
 func (n *Node) Blueprint() *foundation.Blueprint { return n.blueprint.Load() }
 
--- /dev/null
+++ b/internal/colony/faults_test.go
@@ -0,0 +1,427 @@
+package colony
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"rowanshunt/internal/nest"
+)
+
+// The faults that the deployments list, caused in the meadow; after each, what
+// was acknowledged is there and nothing is there twice (design 12.3).
+
+func (h *hive) addrs(role string) []string {
+	var out []string
+	for _, m := range h.nodes {
+		if role == "" || m.role == role {
+			out = append(out, m.opts.PartnerAddr())
+		}
+	}
+	return out
+}
+
+// ownerOf is the store that owns the shard of the tests' host.
+func (h *hive) ownerOf() string {
+	h.t.Helper()
+	for name, m := range h.nodes {
+		if m.c != nil && m.ctx.Err() == nil && m.c.Brood.Owns("shop.example") {
+			return name
+		}
+	}
+	h.t.Fatal("no store owns the shard")
+	return ""
+}
+
+// inStep tells whether a roster is settled and each seat is held by a machine
+// that runs with that very disk.
+func (h *hive) inStep(r *nest.Roster, seats int) bool {
+	if r.Joint() || len(r.Cur) != seats {
+		return false
+	}
+	for _, s := range r.Cur {
+		m := h.nodes[s.Name]
+		if m == nil || m.ctx.Err() != nil || m.node().Seat() != s.ID {
+			return false
+		}
+	}
+	return true
+}
+
+func (m *member) node() *Node {
+	if m.f != nil {
+		return m.f.Node
+	}
+	return m.c.Node
+}
+
+func TestStoreFaults(t *testing.T) {
+	for _, tc := range []struct {
+		name  string
+		cause func(h *hive, owner string)
+		after func(h *hive, owner string)
+	}{
+		{"the owner is killed and comes back", func(h *hive, o string) { h.kill(o) }, func(h *hive, o string) { h.start(o) }},
+		{"the owner loses its disk", func(h *hive, o string) { h.kill(o); h.wipe(o) }, func(h *hive, o string) { h.start(o) }},
+		{"the owner is cut off", func(h *hive, o string) {
+			h.m.CutOff(h.nodes[o].opts.PartnerAddr(), h.addrs("comb"), true)
+		}, func(h *hive, o string) { h.m.CutOff(h.nodes[o].opts.PartnerAddr(), h.addrs(""), false) }},
+		{"the owner is cut off from all", func(h *hive, o string) {
+			h.m.CutOff(h.nodes[o].opts.PartnerAddr(), h.addrs(""), true)
+		}, func(h *hive, o string) { h.m.CutOff(h.nodes[o].opts.PartnerAddr(), h.addrs(""), false) }},
+		{"the owner is gone and an empty store comes", func(h *hive, o string) { h.kill(o) }, func(h *hive, _ string) {
+			h.add("store-9", "comb", 9, true, false)
+			h.start("store-9")
+		}},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			for seed := uint64(1); seed <= 4; seed++ {
+				synctest.Test(t, func(t *testing.T) {
+					h := newHive(t, seed, 3, 3)
+					defer h.end()
+					h.m.Lose, h.m.Double = 0.01, 0.02
+					h.serving()
+					if w := h.handIn("a", 30, 10); w.Code != 202 {
+						t.Fatalf("lot a: %d %s", w.Code, w.Body)
+					}
+					time.Sleep(time.Duration(h.m.Luck(150)) * time.Millisecond)
+					var before lotRead
+					h.until("a read before the fault", 4*time.Second, func() bool {
+						got, code := h.read(h.edge(), "a", 0)
+						before = got
+						return code == 200
+					})
+					owner := h.ownerOf()
+					tc.cause(h, owner)
+					h.until("a lot is taken after the fault", 6*time.Second, func() bool { return h.handIn("b", 10, 10).Code == 202 })
+					tc.after(h, owner)
+					now := h.complete("a", 30, 20*time.Second)
+					for i, r := range before.Out {
+						if now.Out[i] != r {
+							t.Errorf("position %d changed from %v to %v", i, r, now.Out[i])
+						}
+					}
+					h.complete("b", 10, 20*time.Second)
+					h.until("the stores are settled", 12*time.Second, func() bool {
+						s := h.edge().Nest.Committed()
+						return h.inStep(&s.Stores, 3)
+					})
+					// One more loss is borne, with its disk.
+					next := h.ownerOf()
+					h.kill(next)
+					h.until("a lot is taken after one more loss", 6*time.Second, func() bool { return h.handIn("c", 5, 10).Code == 202 })
+					if got := h.complete("a", 30, 10*time.Second); got.Out[29] != now.Out[29] {
+						t.Errorf("the last position changed")
+					}
+					h.complete("c", 5, 10*time.Second)
+				})
+			}
+		})
+	}
+}
+
+// A store added, then one retired: `done` only when the others have it all,
+// and losing any other one right after loses nothing.
+func TestRetire(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newHive(t, 11, 3, 3)
+		defer h.end()
+		h.serving()
+		if w := h.control(h.edge(), "POST", "/-/retire/nobody", map[string]any{"over_s": 5}); w.Code != 404 {
+			t.Errorf("unknown store: %d", w.Code)
+		}
+		if w := h.control(h.edge(), "POST", "/-/retire/store-0", map[string]any{"over_s": 5}); w.Code != 409 {
+			t.Errorf("too few left: %d %s", w.Code, w.Body)
+		}
+		if w := h.handIn("a", 20, 10); w.Code != 202 {
+			t.Fatalf("lot: %d", w.Code)
+		}
+		h.add("store-3", "comb", 3, true, false)
+		h.start("store-3")
+		h.until("four stores", 10*time.Second, func() bool {
+			s := h.edge().Nest.Committed()
+			return !s.Stores.Joint() && len(s.Stores.Cur) == 4
+		})
+		gone := h.ownerOf()
+		if w := h.control(h.edge(), "POST", "/-/retire/"+gone, map[string]any{"over_s": 5}); w.Code != 200 {
+			t.Fatalf("retire: %d %s", w.Code, w.Body)
+		}
+		h.until("done", 10*time.Second, func() bool {
+			w := h.control(h.edge(), "GET", "/-/retire/"+gone, nil)
+			return w.Code == 200 && w.Body.String() == `{"phase":"done"}`
+		})
+		h.kill(gone)
+		next := h.ownerOf()
+		h.kill(next)
+		h.wipe(next)
+		h.complete("a", 20, 20*time.Second)
+	})
+}
+
+// The quota holds across all nodes and a change of owner.
+func TestQuota(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newHive(t, 12, 3, 3)
+		defer h.end()
+		h.serving()
+		h.complete("warm-up", 1, 5*time.Second)
+		for _, w := range h.workers {
+			w.SetFull(true) // nothing gets done
+		}
+		taken := 0
+		for i := range 8 {
+			if i == 4 {
+				h.kill(h.ownerOf())
+				time.Sleep(3 * time.Second)
+			}
+			f := h.nodes[fmt.Sprintf("edge-%d", i%3)].f
+			id := fmt.Sprintf("q%d", i)
+			h.until("a clear answer", 8*time.Second, func() bool {
+				w := h.client(f, "POST", "/lots/"+id, lotBody(id, 10, 100), "X-Rowanshunt-Request-Id", id)
+				if w.Code == 202 {
+					taken++
+				}
+				return w.Code == 202 || w.Code == 429
+			})
+		}
+		if taken != 5 {
+			t.Errorf("%d lots of 1000 tokens were taken into a backlog of 5000", taken)
+		}
+	})
+}
+
+// An ended lot stays quiet, at any owner; what is listed stays.
+func TestEndedLot(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newHive(t, 13, 3, 3)
+		defer h.end()
+		h.serving()
+		for _, w := range h.workers {
+			w.Gap = 50 * time.Millisecond
+		}
+		if w := h.handIn("e", 40, 10); w.Code != 202 {
+			t.Fatalf("lot: %d", w.Code)
+		}
+		time.Sleep(400 * time.Millisecond)
+		for range 2 {
+			if w := h.client(h.edge(), "DELETE", "/-/lots/e", nil); w.Code != 200 {
+				t.Fatalf("end: %d", w.Code)
+			}
+		}
+		listed, _ := h.read(h.edge(), "e", 0)
+		time.Sleep(3 * time.Second)
+		ran := func() (n int) {
+			for i := range 40 {
+				n += h.workers["21"].Ran(itemID("e", i)) + h.workers["22"].Ran(itemID("e", i))
+			}
+			return n
+		}
+		quiet := ran()
+		h.kill(h.ownerOf())
+		time.Sleep(10 * time.Second)
+		if ran() != quiet {
+			t.Errorf("items of an ended lot ran later: %d, then %d", quiet, ran())
+		}
+		again, code := h.read(h.edge(), "e", 0)
+		if code != 200 || len(again.Out) < len(listed.Out) {
+			t.Errorf("what was listed is gone: %d, %d of %d", code, len(again.Out), len(listed.Out))
+		}
+		if w := h.client(h.edge(), "GET", "/-/items/e?id="+itemID("e", 39), nil); w.Code != 404 {
+			t.Errorf("the body of an item of an ended lot: %d", w.Code)
+		}
+	})
+}
+
+// 422 gives up at once, 500 after the route's tries, a break goes on behind
+// the last event.
+func TestItemsThatFail(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newHive(t, 14, 3, 3)
+		defer h.end()
+		h.serving()
+		for _, w := range h.workers {
+			w.NeverItems[itemID("f", 0)] = true
+			w.FailItems[itemID("f", 1)] = true
+			w.Break(3, 2)
+		}
+		if w := h.handIn("f", 6, 10); w.Code != 202 {
+			t.Fatalf("lot: %d", w.Code)
+		}
+		body := h.client(h.edge(), "GET", "/-/items/f?id="+itemID("f", 5), nil)
+		if body.Code != 200 || body.Body.String() != "f" {
+			t.Errorf("body of an open item: %d %q", body.Code, body.Body)
+		}
+		phases := map[string]string{}
+		for _, r := range h.complete("f", 6, 30*time.Second).Out {
+			phases[r.ID] = r.Phase
+		}
+		for i := range 6 {
+			want := "done"
+			if i < 2 {
+				want = "gave_up"
+			}
+			if phases[itemID("f", i)] != want {
+				t.Errorf("item %d: %s, want %s", i, phases[itemID("f", i)], want)
+			}
+		}
+		if n := h.workers["21"].Ran(itemID("f", 1)) + h.workers["22"].Ran(itemID("f", 1)); n != 3 {
+			t.Errorf("an item that fails was tried %d times, the route says 3", n)
+		}
+	})
+}
+
+// From all machines off, in any order of restart, what was acknowledged comes
+// back.
+func TestAllOff(t *testing.T) {
+	for seed := uint64(1); seed <= 4; seed++ {
+		synctest.Test(t, func(t *testing.T) {
+			h := newHive(t, seed, 5, 3)
+			defer h.end()
+			h.serving()
+			h.putOK(4, 1)
+			if w := h.handIn("a", 20, 10); w.Code != 202 {
+				t.Fatalf("lot: %d", w.Code)
+			}
+			h.stopBeat()
+			h.stopBeat = nil
+			for _, n := range h.order {
+				h.kill(n)
+			}
+			time.Sleep(time.Second)
+			for len(h.order) > 0 {
+				// a random order, with pauses
+				i := h.m.Luck(len(h.order))
+				h.start(h.order[i])
+				h.order = append(h.order[:i], h.order[i+1:]...)
+				time.Sleep(time.Duration(h.m.Luck(300)) * time.Millisecond)
+			}
+			for n := range h.nodes {
+				h.order = append(h.order, n)
+			}
+			h.beats()
+			h.until("every edge is ready with the newest blueprint", 10*time.Second, func() bool {
+				for _, m := range h.nodes {
+					if m.f != nil && (!m.f.Guard.Ready() || m.f.Blueprint().Ver != 4) {
+						return false
+					}
+				}
+				return true
+			})
+			h.complete("a", 20, 15*time.Second)
+		})
+	}
+}
+
+// Core faults around blueprints: the newest acknowledged one is always read
+// back, and at most one change on a version is acknowledged.
+func TestCoreFaults(t *testing.T) {
+	for _, tc := range []struct {
+		name  string
+		cause func(h *hive)
+		after func(h *hive)
+	}{
+		{"a core machine is killed", func(h *hive) { h.kill("edge-1") }, func(h *hive) { h.start("edge-1") }},
+		{"a core machine loses its disk", func(h *hive) { h.kill("edge-1"); h.wipe("edge-1") }, func(h *hive) { h.start("edge-1") }},
+		{"a core machine is cut off", func(h *hive) { h.m.CutOff("10.1.0.2:7000", h.addrs(""), true) }, func(h *hive) { h.m.CutOff("10.1.0.2:7000", h.addrs(""), false) }},
+		{"a core machine is cut one way", func(h *hive) {
+			for _, a := range h.addrs("") {
+				h.m.Cut("10.1.0.2:7000", a, true)
+			}
+		}, func(h *hive) { h.m.CutOff("10.1.0.2:7000", h.addrs(""), false) }},
+		{"a core machine is replaced by an empty one", func(h *hive) { h.kill("edge-1") }, func(h *hive) {
+			h.add("edge-9", "forager", 9, true, false)
+			h.start("edge-9")
+		}},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			for seed := uint64(1); seed <= 3; seed++ {
+				synctest.Test(t, func(t *testing.T) {
+					h := newHive(t, seed, 4, 3)
+					defer h.end()
+					h.serving()
+					h.putOK(5, 1)
+					tc.cause(h)
+					h.putOK(9, 5)
+					// Two operators on the same version, at different nodes.
+					codes := make(chan int, 2)
+					for i, n := range []string{"edge-0", "edge-2"} {
+						go func() {
+							codes <- h.control(h.nodes[n].f, "PUT", "/-/config", blueprint(12+i), "If-Match", "9").Code
+						}()
+					}
+					a, b := <-codes, <-codes
+					if a == 200 && b == 200 {
+						t.Errorf("two changes on one version were both acknowledged")
+					}
+					tc.after(h)
+					h.until("three seats, settled", 15*time.Second, func() bool {
+						return h.inStep(&h.edge().Nest.Committed().Core, 3)
+					})
+					ver := h.edge().Nest.Committed().Ver
+					// Back in step, the next disk may be lost.
+					h.kill("edge-2")
+					h.wipe("edge-2")
+					w := h.control(h.nodes["edge-3"].f, "GET", "/-/config", nil)
+					h.until("the newest is read back", 6*time.Second, func() bool {
+						w = h.control(h.nodes["edge-3"].f, "GET", "/-/config", nil)
+						return w.Code == 200
+					})
+					if want := fmt.Sprintf(`"ver":%d`, ver); !strings.Contains(w.Body.String(), want) {
+						t.Errorf("read back %.80s, want %s", w.Body, want)
+					}
+				})
+			}
+		})
+	}
+}
+
+// What an operator may get wrong has its stated answer and is never in force.
+func TestBlueprintAnswers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newHive(t, 15, 3, 3)
+		defer h.end()
+		h.serving()
+		bad := func(change func(map[string]any)) map[string]any {
+			b := blueprint(7)
+			change(b)
+			return b
+		}
+		route := func(b map[string]any, i int) map[string]any { return b["routes"].([]map[string]any)[i] }
+		for _, tc := range []struct {
+			name   string
+			doc    any
+			expect string
+			want   int
+		}{
+			{"the very same again", blueprint(1), "0", 200},
+			{"cut short", []byte(`{"ver":7,"routes":[`), "1", 400},
+			{"something behind it", []byte(`{"ver":7} x`), "1", 400},
+			{"unknown service", bad(func(b map[string]any) { route(b, 0)["svc"] = "none" }), "1", 400},
+			{"same place", bad(func(b map[string]any) { route(b, 0)["pfx"] = "/till/" }), "1", 400},
+			{"no weight", bad(func(b map[string]any) {
+				delete(route(b, 0), "svc")
+				route(b, 0)["split"] = []map[string]any{{"svc": "llm", "wt": 0}}
+			}), "1", 400},
+			{"no timeout", bad(func(b map[string]any) { route(b, 0)["limit_ms"] = 0 }), "1", 400},
+			{"old version", bad(func(b map[string]any) { b["ver"] = 1; route(b, 0)["limit_ms"] = 7 }), "1", 400},
+			{"no If-Match", blueprint(7), "", 400},
+			{"stale If-Match", blueprint(7), "3", 412},
+			{"too large", make([]byte, 5<<20), "1", 413},
+			{"right", blueprint(7), "1", 200},
+			{"sent again after it was taken", blueprint(7), "1", 200},
+			{"another one on the old version", blueprint(8), "1", 412},
+		} {
+			w := h.control(h.edge(), "PUT", "/-/config", tc.doc, "If-Match", tc.expect)
+			if w.Code != tc.want {
+				t.Errorf("%s: %d %s, want %d", tc.name, w.Code, w.Body, tc.want)
+			}
+		}
+		for _, m := range h.nodes {
+			if m.f != nil {
+				h.until("version 7 is in force", 2*time.Second, func() bool { return m.f.Blueprint().Ver == 7 })
+			}
+		}
+	})
+}
--- a/internal/foundation/blueprint.go
+++ b/internal/foundation/blueprint.go
@@ -120,13 +120,14 @@
 	b := &Blueprint{Services: map[string]*Service{}, Caps: Caps{HdrBytes: 16 << 10, PayloadBytes: 4 << 20, HdrMs: 3000, IdleMs: 15000}}
 	d := jx.DecodeBytes(raw)
 	var l wax.Ledger
-	sawVer := false
+	sawVer, sawRoutes, sawSvcs := false, false, false
 	err := d.Obj(func(d *jx.Decoder, key string) error {
 		switch key {
 		case "ver":
 			sawVer = true
 			return readInt(d, &b.Ver)
 		case "routes":
+			sawRoutes = true
 			return d.Arr(func(d *jx.Decoder) error {
 				if len(b.Bindings) >= maxBindings {
 					return wax.New(wax.TooLarge, "routes", "are too many", "send fewer")
@@ -136,6 +137,7 @@
 				return err
 			})
 		case "svcs":
+			sawSvcs = true
 			return d.Arr(func(d *jx.Decoder) error {
 				s, err := readService(d)
 				if err != nil {
@@ -169,8 +171,8 @@
 		}
 		return d.Skip()
 	})
-	if err == nil && d.Next() != jx.Invalid {
-		err = wax.New(wax.Invalid, "", "something follows the document", "send one JSON object")
+	if err == nil && !jx.Valid(raw) {
+		err = wax.New(wax.Invalid, "", "something follows the object", "send one JSON object")
 	}
 	if err != nil {
 		return nil, wax.New(wax.Invalid, "blueprint", "cannot be read whole: "+err.Error(), "send one JSON object with ver, routes, svcs and caps")
@@ -178,6 +180,9 @@
 	if !sawVer || b.Ver <= 0 {
 		l.Addf("ver", "is missing or not above 0", "count versions from 1")
 	}
+	if !sawRoutes || !sawSvcs {
+		l.Addf("routes", "or svcs is missing", "send the whole configuration, with empty lists if need be")
+	}
 	b.check(&l)
 	if err := l.Err(); err != nil {
 		return nil, err
--- a/internal/swarm/swarm.go
+++ b/internal/swarm/swarm.go
@@ -54,6 +54,7 @@
 	Partner
 	Alive   bool
 	SeenUs  int64 // when it last moved, steady clock of this node
+	MetUs   int64 // when it last answered this node itself
 	SinceUs int64 // when Alive last changed
 }
 
@@ -73,6 +74,13 @@
 	return nil
 }
 
+// Met tells whether the partner lives and answered this node itself lately:
+// others may still hear of one that is cut off from here.
+func (v *View) Met(name string) bool {
+	s := v.Get(name)
+	return s != nil && s.Alive && (name == v.Self.Name || waggle.NowUs()-s.MetUs < aliveUs)
+}
+
 // Names lists those that keep holds.
 func (v *View) Names(keep func(*Sighting) bool) []string {
 	var out []string
@@ -245,7 +253,12 @@
 			defer cancel()
 			var back shuffle
 			if err := s.mesh.Call(ctx, addr, "swarm.shuffle", msg, &back); err == nil {
-				_ = s.floor.Do(ctx, func() { s.merge(&back) })
+				_ = s.floor.Do(ctx, func() {
+					s.merge(&back)
+					if t := s.table[back.From.Name]; t != nil {
+						t.MetUs = waggle.NowUs()
+					}
+				})
 			}
 		}()
 	}
