--- /dev/null
+++ b/internal/brood/lot_test.go
@@ -0,0 +1,112 @@
+package brood
+
+import (
+	"math/rand/v2"
+	"strings"
+	"testing"
+
+	"rowanshunt/internal/wax"
+)
+
+func TestParseLot(t *testing.T) {
+	item := `{"id":"a","path":"/x/1","hdrs":{"K":"v"},"body":"aGk=","toks":10}`
+	ps, err := ParseLot([]byte(`{"reqs":[`+item+`]}`), 5)
+	if err != nil || len(ps) != 1 || string(ps[0].Body) != "hi" || ps[0].Toks != 10 || ps[0].CreatedUs != 5 || len(ps[0].Hdrs) != 2 {
+		t.Fatalf("%+v %v", ps, err)
+	}
+	var many []string
+	for range MaxItems + 1 {
+		many = append(many, item)
+	}
+	for _, tc := range []struct{ name, doc, field string }{
+		{"no json", `{`, "lot"},
+		{"empty", `{"reqs":[]}`, "reqs"},
+		{"over 200", `{"reqs":[` + strings.Join(many, ",") + `]}`, "reqs"},
+		{"the same id twice", `{"reqs":[` + item + "," + item + `]}`, "reqs.1.id"},
+		{"no id", strings.Replace(`{"reqs":[`+item+`]}`, `"a"`, `""`, 1), "reqs.0.id"},
+		{"bad base64", strings.Replace(`{"reqs":[`+item+`]}`, `aGk=`, `a?`, 1), "reqs.0.body"},
+		{"no tokens", strings.Replace(`{"reqs":[`+item+`]}`, `,"toks":10`, ``, 1), "reqs.0.toks"},
+		{"negative tokens", strings.Replace(`{"reqs":[`+item+`]}`, `:10`, `:-1`, 1), "reqs.0.toks"},
+		{"a word for tokens", strings.Replace(`{"reqs":[`+item+`]}`, `:10`, `:"x"`, 1), "lot"},
+		{"no path", strings.Replace(`{"reqs":[`+item+`]}`, `/x/1`, `x`, 1), "reqs.0.path"},
+		{"a head that would smuggle", strings.Replace(`{"reqs":[`+item+`]}`, `"v"`, `"v\r\nX: y"`, 1), "reqs.0.hdrs"},
+	} {
+		if _, err := ParseLot([]byte(tc.doc), 5); !wax.Is(err, wax.Invalid) || !strings.Contains(err.Error(), tc.field) {
+			t.Errorf("%s: %v", tc.name, err)
+		}
+	}
+}
+
+// A replica that got an owner's ops in any order, twice or not at all either
+// holds a copy the owner had, or says that it does not fit (design 8.3).
+func TestApplyAgainstAModel(t *testing.T) {
+	for seed := range uint64(200) {
+		rng := rand.New(rand.NewPCG(seed, 3))
+		owner, replica := map[string]*Lot{}, map[string]*Lot{}
+		had := map[uint64]int{} // by rev: how many were listed
+		var ops []op
+		stamp := Stamp{N: 1, By: "a"}
+		lot := &Lot{ID: "l", Prompts: make([]Prompt, 8)}
+		lot.index()
+		do := func(o op) {
+			o.Stamp = stamp
+			if !apply(owner, &o) {
+				t.Fatalf("seed %d: the owner's own op does not fit", seed)
+			}
+			had[owner["l"].Rev] = len(owner["l"].List)
+			ops = append(ops, o)
+		}
+		whole := *lot
+		do(op{Kind: opPut, Lot: "l", Rev: 1, Whole: &whole})
+		for i := range 8 {
+			do(op{Kind: opAppend, Lot: "l", Rev: owner["l"].Rev + 1, Results: []Result{{Item: i, Phase: PhaseDone}}})
+		}
+		for range 30 {
+			o := ops[rng.IntN(len(ops))]
+			before := uint64(0)
+			if l := replica["l"]; l != nil {
+				before = l.Rev
+			}
+			fits := apply(replica, &o)
+			l := replica["l"]
+			if l == nil {
+				if fits {
+					t.Fatalf("seed %d: an op on a lot that is not there was said to fit", seed)
+				}
+				continue
+			}
+			if l.Rev < before || len(l.List) != had[l.Rev] {
+				t.Fatalf("seed %d: rev %d lists %d, the owner had %d", seed, l.Rev, len(l.List), had[l.Rev])
+			}
+			for at, r := range l.List {
+				if r.Item != owner["l"].List[at].Item {
+					t.Fatalf("seed %d: position %d differs", seed, at)
+				}
+			}
+		}
+	}
+}
+
+// An owner's stamp fences the one before it.
+func TestStampOrder(t *testing.T) {
+	in := []Stamp{{}, {N: 1, By: "a"}, {N: 1, By: "b"}, {N: 2, By: "a"}, {Roster: 2, N: 1, By: "a"}}
+	for i := range in {
+		for j := range in {
+			if in[i].Less(in[j]) != (i < j) {
+				t.Errorf("%v < %v is %v", in[i], in[j], in[i].Less(in[j]))
+			}
+		}
+	}
+	lots := map[string]*Lot{}
+	put := func(s Stamp, rev uint64, ended bool) {
+		apply(lots, &op{Kind: opPut, Lot: "l", Stamp: s, Rev: rev, Whole: &Lot{ID: "l", Ended: ended}})
+	}
+	put(Stamp{N: 2, By: "b"}, 3, true)
+	put(Stamp{N: 1, By: "z"}, 9, false) // a late owner
+	if l := lots["l"]; !l.Ended || l.Rev != 3 {
+		t.Errorf("a late owner's copy replaced a newer one: %+v", l)
+	}
+	if apply(lots, &op{Kind: opAppend, Lot: "l", Stamp: Stamp{N: 1, By: "z"}, Rev: 4}) {
+		t.Error("a late owner's op was taken")
+	}
+}
--- a/internal/foundation/blueprint.go
+++ b/internal/foundation/blueprint.go
@@ -209,7 +209,7 @@
 		if !strings.HasPrefix(r.Pfx, "/") || !strings.HasSuffix(r.Pfx, "/") {
 			l.Addf(at+".pfx", strconv.Quote(r.Pfx)+" does not begin and end with a slash", "write it as /name/")
 		}
-		if r.LimitMs <= 0 && r.Type != Bulk || r.LimitMs < 0 {
+		if r.LimitMs <= 0 {
 			l.Addf(at+".limit_ms", "is not above 0", "give the time a request may be held")
 		}
 		if len(r.Split) == 0 {
--- /dev/null
+++ b/internal/skep/options_test.go
@@ -0,0 +1,79 @@
+package skep
+
+import (
+	"strings"
+	"testing"
+)
+
+const good = `
+node = "edge-1"
+role = "x"
+serves = ["edge","ctl"]
+ipaddr = "10.1.0.35"
+az = "north"
+port_range = [7660,7675]
+seeds = ["10.1.0.35:8146","10.2.0.28:8146"]
+bootstrap = true
+datadir = "/data/x"
+something_later = { a = 1 }
+[listen]
+http = "10.1.0.35:8144"
+readyz = "10.1.0.35:8140"
+ctl = "10.1.0.35:8146"
+[caps]
+ram_mb = 284
+nofile = 4100
+[ft]
+nodes = 1
+[bounds]
+sync_s = 5.1
+grace_s = 8
+`
+
+func TestParse(t *testing.T) {
+	o, err := Parse([]byte(good))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if o.PartnerAddr() != "10.1.0.35:7660" || len(o.SeedAddrs()) != 2 || o.SeedAddrs()[1] != "10.2.0.28:7660" {
+		t.Errorf("addresses: %s %v", o.PartnerAddr(), o.SeedAddrs())
+	}
+	if !o.Has("ctl") || o.Has("store") || o.GraceUs() != 8_000_000 || o.Bounds.DrainMs != 2000 || o.HbMs != 1200 {
+		t.Errorf("read wrong: %+v", o)
+	}
+	if o.CheckRole("forager") != nil || o.CheckRole("comb") != nil {
+		t.Error("a good file was declined")
+	}
+}
+
+// Each fault names its field and a remedy (design 1.2).
+func TestFaultsNameTheField(t *testing.T) {
+	for _, tc := range []struct{ old, new, field string }{
+		{`node = "edge-1"`, ``, "node"},
+		{`ipaddr = "10.1.0.35"`, `ipaddr = "edge-1"`, "ipaddr"},
+		{`[7660,7675]`, `[7675,7660]`, "port_range"},
+		{`[7660,7675]`, `[7660]`, "port_range"},
+		{`seeds = ["10.1.0.35:8146","10.2.0.28:8146"]`, `seeds = []`, "seeds"},
+		{`"10.2.0.28:8146"`, `"10.2.0.28"`, "seeds"},
+		{`az = "north"`, ``, "az"},
+		{`http = "10.1.0.35:8144"`, `http = "nowhere"`, "listen.http"},
+		{`ram_mb = 284`, `ram_mb = -1`, "caps"},
+		{`nodes = 1`, `nodes = -1`, "ft.nodes"},
+		{`bootstrap = true`, `bootstrap = "maybe"`, "options"},
+	} {
+		_, err := Parse([]byte(strings.Replace(good, tc.old, tc.new, 1)))
+		if err == nil || !strings.Contains(err.Error(), tc.field) || !strings.Contains(err.Error(), "remedy") {
+			t.Errorf("%s: %v", tc.field, err)
+		}
+	}
+	o, err := Parse([]byte(strings.Replace(strings.Replace(good, `ctl = "10.1.0.35:8146"`, "", 1), `datadir = "/data/x"`, "", 1)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := o.CheckRole("forager"); err == nil || !strings.Contains(err.Error(), "listen.ctl") {
+		t.Errorf("a forager without ctl: %v", err)
+	}
+	if err := o.CheckRole("comb"); err == nil || !strings.Contains(err.Error(), "datadir") {
+		t.Errorf("a comb without disk: %v", err)
+	}
+}
