Stores notice a lost owner by their own calls and claim sooner

Cause: a killed store's shard stood still 1.3-1.5 s (gossip's age limit, then 0.9 s of listening after a start). Now a store counts as met only if it answered itself in the last 0.8 s, a declined port at once as gone, and a starter that met all seats claims at once.

--- a/internal/brood/dispatch.go
+++ b/internal/brood/dispatch.go
@@ -63,7 +63,7 @@
 const (
 	maxDoublings = 5
 	lostHoldUs   = 1_500_000
-	listenUs     = 1_200_000
+	listenUs     = 700_000
 )
 
 // poll moves due prompts into the send cache, the lots due first first, and
--- a/internal/brood/owner.go
+++ b/internal/brood/owner.go
@@ -73,9 +73,6 @@
 		return
 	}
 	nowUs := waggle.NowUs()
-	if nowUs-b.startUs < claimAfterUs {
-		return
-	}
 	v := b.cfg.Swarm.Look()
 	var names []string
 	for _, seat := range st.Stores.Cur {
@@ -89,6 +86,10 @@
 			reach[seat.ID] = true
 		}
 	}
+	// A node that starts listens first, unless all seats have answered it.
+	if nowUs-b.startUs < claimAfterUs && len(reach) < len(st.Stores.All()) {
+		return
+	}
 	for _, s := range b.shards {
 		if s.owner != nil && fenceOf(&s.owner.roster) == fenceOf(&st.Stores) {
 			if s.owner.roster.Ver < st.Stores.Ver {
--- a/internal/swarm/swarm.go
+++ b/internal/swarm/swarm.go
@@ -46,6 +46,7 @@
 	maxShuffle = 48
 	shuffleUs  = 200_000
 	aliveUs    = 1_300_000
+	metUs      = 800_000
 	forgetUs   = 60_000_000
 )
 
@@ -78,7 +79,7 @@
 // others may still hear of one that is cut off from here.
 func (v *View) Met(name string) bool {
 	s := v.Get(name)
-	return s != nil && s.Alive && (name == v.Self.Name || waggle.NowUs()-s.MetUs < aliveUs)
+	return s != nil && s.Alive && (name == v.Self.Name || waggle.NowUs()-s.MetUs < metUs)
 }
 
 // Names lists those that keep holds.
@@ -252,18 +253,31 @@
 			ctx, cancel := context.WithTimeout(s.ctx, 600*time.Millisecond)
 			defer cancel()
 			var back shuffle
-			if err := s.mesh.Call(ctx, addr, "swarm.shuffle", msg, &back); err == nil {
-				_ = s.floor.Do(ctx, func() {
-					s.merge(&back)
-					if t := s.table[back.From.Name]; t != nil {
-						t.MetUs = waggle.NowUs()
-					}
-				})
-			}
+			err := s.mesh.Call(ctx, addr, "swarm.shuffle", msg, &back)
+			_ = s.floor.Do(s.ctx, func() { s.called(addr, &back, err) })
 		}()
 	}
 }
 
+// called notes how a shuffle with a partner went. A port that declines at once
+// has no process behind it.
+func (s *Swarm) called(addr string, back *shuffle, err error) {
+	if err == nil {
+		s.merge(back)
+		if t := s.table[back.From.Name]; t != nil {
+			t.MetUs = waggle.NowUs()
+		}
+		return
+	}
+	if wax.Is(err, wax.Unreached) {
+		for _, t := range s.table {
+			if t.Addr == addr {
+				t.MetUs = 0
+			}
+		}
+	}
+}
+
 func (s *Swarm) publish() {
 	nowUs := waggle.NowUs()
 	v := &View{Self: s.self, All: make([]Sighting, 0, len(s.table)+1)}
