Trial: items may fill 0.88 of a worker's slots (before 0.75)

Cause looked at: with cache>0 the dispatchers held 230 items where 324 slots were allowed. On 24-slot workers live requests (rx-read) came late in the burst. A share of the slots is the wrong measure; next: leave room by the size of the worker.

--- a/internal/scout/scout.go
+++ b/internal/scout/scout.go
@@ -23,7 +23,7 @@
 	ejectUs        = int64(1_000_000)
 	maxEjectUs     = int64(4_000_000)
 	freshUs        = 1_500_000
-	itemFill       = 0.75 // of a worker's slots that items may fill
+	itemFill       = 0.88 // of a worker's slots that items may fill
 	maxKept        = 8192
 	farZoneMs      = 0.6
 	fullMs         = 40.0
