Room left to live work by the root of a worker's slots; a diary of workers for restarts

Cause of the second: after all machines restart the nodes are up in 0.1 s but know no worker for up to 1.2 s (their next beat).

--- a/internal/colony/colony.go
+++ b/internal/colony/colony.go
@@ -43,6 +43,8 @@
 	role  string
 	self  swarm.Partner
 	fresh bool
+	// diskDir is the folder of a forager that votes on the register.
+	diskDir string
 
 	Floor *waggle.Floor
 	Desk  *pollen.Desk
@@ -62,7 +64,6 @@
 	n := &Node{env: env, role: role, fatal: make(chan error, 4), Floor: waggle.NewFloor(4096), Desk: pollen.NewDesk()}
 	n.opts.Store(opts)
 	n.self = swarm.Partner{Name: opts.Node, Addr: opts.PartnerAddr(), Ctl: opts.Listen.Ctl, Az: opts.Az, Role: role, LifeUs: env.WallUs()}
-	diskDir := ""
 	if opts.DataDir != "" && (role == "comb" || opts.Has("ctl")) {
 		id, fresh, err := brood.OpenIncarnation(opts.DataDir)
 		if err != nil {
@@ -70,7 +71,7 @@
 		}
 		n.self.Disk, n.fresh = id, fresh
 		if role == "forager" {
-			diskDir = opts.DataDir
+			n.diskDir = opts.DataDir
 		}
 	}
 	n.self.Boot = opts.Bootstrap && (n.self.Disk == "" || n.fresh)
@@ -85,7 +86,7 @@
 	n.Swarm = swarm.New(ctx, n.Floor, n.Desk, env.Mesh, env.Log, n.self, seeds, near)
 	var err error
 	n.Nest, err = nest.New(ctx, nest.Config{Floor: n.Floor, Desk: n.Desk, Mesh: env.Mesh, Swarm: n.Swarm, Log: env.Log, Self: n.self,
-		DiskDir: diskDir, Seeds: seeds, Boot: n.self.Boot, Spared: opts.Ft.Nodes, OnState: n.onState,
+		DiskDir: n.diskDir, Seeds: seeds, Boot: n.self.Boot, Spared: opts.Ft.Nodes, OnState: n.onState,
 		Proposer: n.self.Name + "/" + strconv.FormatInt(n.self.LifeUs, 10)})
 	if err != nil {
 		return nil, err
@@ -181,8 +182,11 @@
 		return nil, err
 	}
 	f := &Forager{Node: n, Scout: scout.New(opts.Az)}
-	f.Flora = flora.New(ctx, flora.Config{Floor: n.Floor, Desk: n.Desk, Mesh: env.Mesh, Swarm: n.Swarm, Log: env.Log, Self: n.self,
-		HbUs: opts.HbMs * 1000, Services: n.services, Pressures: f.Scout.Pressures, Hear: f.Scout.Hear})
+	f.Flora, err = flora.New(ctx, flora.Config{Floor: n.Floor, Desk: n.Desk, Mesh: env.Mesh, Swarm: n.Swarm, Log: env.Log, Self: n.self,
+		HbUs: opts.HbMs * 1000, Services: n.services, Pressures: f.Scout.Pressures, Hear: f.Scout.Hear, Dir: n.diskDir, WallUs: env.WallUs})
+	if err != nil {
+		return nil, err
+	}
 	sender := &forage.Sender{Dir: f.Flora.Look, Scout: f.Scout, Circuits: forage.NewCircuits(env.Dial), Blueprint: n.blueprint.Load,
 		Ways: forage.NewSlab[forage.Way](int(opts.Caps.NoFile / 3))}
 	limits := guard.LimitsOf(opts)
--- /dev/null
+++ b/internal/flora/diary.go
@@ -0,0 +1,84 @@
+package flora
+
+import (
+	"github.com/vmihailenco/msgpack/v5"
+
+	"rowanshunt/internal/cell"
+	"rowanshunt/internal/wax"
+)
+
+// The diary lets a node that starts again use the workers it knew before, for
+// as long as it is not yet in touch: each must beat anew or be told of by a
+// partner, or it is dropped (design 5.5). Nothing depends on it being whole.
+const (
+	diaryUs   = 1_000_000
+	oldUs     = 2_400_000
+	tooOldUs  = 10_000_000
+	longBytes = 256 << 10
+)
+
+type diary struct {
+	cell   *cell.Cell
+	wallUs func() int64
+	busy   chan struct{}
+	log    *wax.Log
+}
+
+type page struct {
+	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by the library
+	AtUs     int64    // time of day
+	Workers  []Worker
+}
+
+func openDiary(dir string, wallUs func() int64, log *wax.Log) (*diary, []Worker, error) {
+	var last page
+	c, damage, err := cell.Open(dir, "flora.cell", func(raw []byte) error {
+		var p page
+		if err := msgpack.Unmarshal(raw, &p); err != nil {
+			return err
+		}
+		last = p
+		return nil
+	})
+	if err != nil {
+		return nil, nil, err
+	}
+	if damage != nil {
+		log.Warn("cell_tail_cut", "cell", "flora", "at", damage.AtByte, "bytes", damage.CutBytes, "why", damage.Why)
+	}
+	d := &diary{cell: c, wallUs: wallUs, busy: make(chan struct{}, 1), log: log}
+	agoUs := wallUs() - last.AtUs
+	if agoUs < 0 || agoUs > tooOldUs {
+		return d, nil, nil
+	}
+	for i := range last.Workers {
+		last.Workers[i].Old = true
+		last.Workers[i].AgeUs = 0
+	}
+	return d, last.Workers, nil
+}
+
+// write adds a page unless the one before is still on its way.
+func (d *diary) write(ws []Worker) {
+	select {
+	case d.busy <- struct{}{}:
+	default:
+		return
+	}
+	raw, err := msgpack.Marshal(&page{AtUs: d.wallUs(), Workers: ws})
+	if err != nil {
+		<-d.busy
+		return
+	}
+	then := func(err error) {
+		<-d.busy
+		if err != nil {
+			d.log.Warn("diary_not_written", "err", err)
+		}
+	}
+	if d.cell.SizeBytes() > longBytes {
+		d.cell.Rewrite(then, raw)
+	} else {
+		d.cell.Append(then, raw)
+	}
+}
--- a/internal/flora/flora.go
+++ b/internal/flora/flora.go
@@ -17,6 +17,7 @@
 // Times of the news path (design 5.2, 5.3).
 const (
 	renewUs      = 500_000
+	soonUs       = 100_000
 	subscribedUs = 2_500_000
 	buryUs       = 60_000_000
 	maxWorkers   = 20_000
@@ -36,6 +37,8 @@
 	// what others heard.
 	Pressures func() []Pressure
 	Hear      func([]Pressure)
+	Dir       string // folder for what outlives a restart, "" without a disk
+	WallUs    func() int64
 }
 
 type entry struct {
@@ -56,6 +59,20 @@
 	startUs int64
 	sig     uint64
 	OnDir   func(*Directory)
+	diary   *diary
+
+	renewedUs int64
+}
+
+// nextRenew tells whether a renewal is due; a node that has no answer yet asks
+// more often.
+func nextRenew(lastUs *int64) bool {
+	nowUs := waggle.NowUs()
+	if nowUs-*lastUs < renewUs {
+		return false
+	}
+	*lastUs = nowUs
+	return true
 }
 
 type subscriber struct {
@@ -92,14 +109,44 @@
 }
 
 // New joins the news path.
-func New(ctx context.Context, cfg Config) *Flora {
+func New(ctx context.Context, cfg Config) (*Flora, error) {
 	f := &Flora{cfg: cfg, ctx: ctx, workers: map[string]*entry{}, subs: map[string]*subscriber{}, startUs: waggle.NowUs()}
 	f.dir.Store(&Directory{BySvc: map[string][]*Worker{}, ByID: map[string]*Worker{}})
+	if cfg.Dir != "" {
+		d, old, err := openDiary(cfg.Dir, cfg.WallUs, cfg.Log)
+		if err != nil {
+			return nil, err
+		}
+		f.diary = d
+		context.AfterFunc(ctx, d.cell.Close)
+		for _, w := range old {
+			f.take(w, f.startUs)
+		}
+		cfg.Floor.Every(diaryUs, f.note)
+	}
 	pollen.On(cfg.Desk, "flora.news", f.onNews)
 	pollen.On(cfg.Desk, "flora.sub", f.onSub)
-	cfg.Floor.Every(renewUs, f.renew)
+	cfg.Floor.Every(soonUs, func() {
+		if !f.synced.Load() || nextRenew(&f.renewedUs) {
+			f.renew()
+		}
+	})
 	cfg.Floor.Every(100_000, f.publish)
-	return f
+	return f, nil
+}
+
+// note writes the workers of the directory down.
+func (f *Flora) note() {
+	nowUs := waggle.NowUs()
+	var ws []Worker
+	for _, e := range f.workers {
+		if !e.Old && f.usable(e) {
+			w := e.Worker
+			w.AgeUs = nowUs - e.seenUs
+			ws = append(ws, w)
+		}
+	}
+	f.diary.write(ws)
 }
 
 // Look gives the newest directory; any goroutine may call it.
@@ -116,6 +163,9 @@
 func (f *Flora) take(w Worker, nowUs int64) bool {
 	e := f.workers[w.ID]
 	seenUs := nowUs - w.AgeUs
+	if w.Old && (e != nil || nowUs-f.startUs > oldUs) {
+		return false
+	}
 	if e == nil {
 		if len(f.workers) >= maxWorkers {
 			return false
@@ -136,7 +186,7 @@
 		e.Gone, e.buried = true, nowUs
 		return true
 	}
-	if w.Seq <= e.Seq {
+	if w.Seq < e.Seq || w.Seq == e.Seq && !e.Old {
 		return false
 	}
 	before := e.state()
@@ -317,7 +367,7 @@
 				}
 				ageUs := nowUs - e.seenUs
 				if same {
-					if !e.Gone {
+					if !e.Gone && !e.Old {
 						out.Ages = append(out.Ages, age{ID: e.ID, AgeUs: ageUs})
 					}
 					continue
@@ -404,6 +454,7 @@
 	f.synced.Store(true)
 	for _, a := range out.Ages {
 		if e := f.workers[a.ID]; e != nil {
+			e.Old = false // its home heard it beat
 			e.seenUs = max(e.seenUs, nowUs-a.AgeUs)
 		}
 	}
@@ -422,6 +473,10 @@
 	nowUs := waggle.NowUs()
 	var sum uint64
 	for id, e := range f.workers {
+		if e.Old && nowUs-f.startUs > oldUs {
+			delete(f.workers, id) // nothing was heard of it since the restart
+			continue
+		}
 		if e.Gone && nowUs-e.buried > buryUs || nowUs-e.seenUs > 5*buryUs {
 			delete(f.workers, id)
 			continue
@@ -434,6 +489,9 @@
 		return
 	}
 	f.sig = sum
+	if f.diary != nil {
+		f.note()
+	}
 	d := &Directory{BySvc: map[string][]*Worker{}, ByID: map[string]*Worker{}}
 	for _, e := range f.workers {
 		if f.usable(e) {
--- /dev/null
+++ b/internal/flora/flora_test.go
@@ -0,0 +1,131 @@
+package flora
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"rowanshunt/internal/meadow"
+	"rowanshunt/internal/pollen"
+	"rowanshunt/internal/swarm"
+	"rowanshunt/internal/waggle"
+	"rowanshunt/internal/wax"
+)
+
+// alone makes a flora on a node that knows no other.
+func alone(t *testing.T, ctx context.Context, dir string) (*Flora, *waggle.Floor) {
+	t.Helper()
+	m := meadow.New(1)
+	floor, desk := waggle.NewFloor(64), pollen.NewDesk()
+	self := swarm.Partner{Name: "n", Addr: "10.0.0.1:1", Az: "z", Role: "forager", LifeUs: time.Now().UnixMicro()}
+	sw := swarm.New(ctx, floor, desk, m.MeshOf(self.Addr), wax.Quiet(), self, nil, nil)
+	f, err := New(ctx, Config{Floor: floor, Desk: desk, Mesh: m.MeshOf(self.Addr), Swarm: sw, Log: wax.Quiet(), Self: self, HbUs: 1_200_000,
+		Services: func() []string { return []string{"s"} }, Dir: dir, WallUs: func() int64 { return time.Now().UnixMicro() }})
+	if err != nil {
+		t.Fatal(err)
+	}
+	go floor.Run(ctx)
+	return f, floor
+}
+
+func beat(t *testing.T, f *Flora, w Worker) {
+	t.Helper()
+	w.ID, w.Svc, w.Addr = "w", "s", "10.9.0.1:80"
+	if _, err := f.Beat(context.Background(), w); err != nil {
+		t.Fatal(err)
+	}
+}
+
+func (f *Flora) has(id string) bool { return f.Look().ByID[id] != nil }
+
+// The order of beats is their seq; gone is for good (design 5.1).
+func TestSeqOrder(t *testing.T) {
+	type step struct {
+		w    Worker
+		want bool
+	}
+	up := func(seq uint64) Worker { return Worker{Phase: "up", Seq: seq} }
+	down := func(seq uint64) Worker { return Worker{Phase: "draining", Seq: seq} }
+	for name, steps := range map[string][]step{
+		"draining holds against a late beat": {{up(1), true}, {down(3), false}, {up(2), false}},
+		"a newer beat wins":                  {{up(1), true}, {down(2), false}, {up(3), true}},
+		"gone is for good":                   {{up(1), true}, {Worker{Gone: true}, false}, {up(9), false}},
+		"gone before it was known":           {{Worker{Gone: true}, false}, {up(1), false}},
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			ctx, cancel := context.WithCancel(context.Background())
+			f, _ := alone(t, ctx, "")
+			for i, s := range steps {
+				beat(t, f, s.w)
+				if f.has("w") != s.want {
+					t.Errorf("%s: after step %d the worker is listed: %v", name, i, !s.want)
+				}
+			}
+			cancel()
+			time.Sleep(time.Second)
+		})
+	}
+}
+
+// A restart keeps the workers it knew for a moment, unless they are heard anew.
+func TestDiary(t *testing.T) {
+	for _, heard := range []bool{false, true} {
+		synctest.Test(t, func(t *testing.T) {
+			dir := t.TempDir()
+			ctx, cancel := context.WithCancel(context.Background())
+			f, _ := alone(t, ctx, dir)
+			beat(t, f, Worker{Phase: "up", Seq: 5})
+			time.Sleep(3 * time.Second)
+			cancel()
+			time.Sleep(time.Second)
+			ctx, cancel = context.WithCancel(context.Background())
+			f, _ = alone(t, ctx, dir)
+			time.Sleep(200 * time.Millisecond)
+			if !f.has("w") {
+				t.Error("the worker known before is not used after a restart")
+			}
+			if heard {
+				beat(t, f, Worker{Phase: "up", Seq: 6})
+			}
+			time.Sleep(3 * time.Second)
+			if f.has("w") != heard {
+				t.Errorf("after the grace: listed %v, heard %v", f.has("w"), heard)
+			}
+			cancel()
+			time.Sleep(time.Second)
+		})
+	}
+	synctest.Test(t, func(t *testing.T) {
+		dir := t.TempDir()
+		ctx, cancel := context.WithCancel(context.Background())
+		f, _ := alone(t, ctx, dir)
+		beat(t, f, Worker{Phase: "up", Seq: 5})
+		beat(t, f, Worker{Phase: "draining", Seq: 6})
+		time.Sleep(20 * time.Millisecond)
+		cancel()
+		time.Sleep(time.Second)
+		ctx, cancel = context.WithCancel(context.Background())
+		f, _ = alone(t, ctx, dir)
+		time.Sleep(200 * time.Millisecond)
+		if f.has("w") {
+			t.Error("a worker that was draining came back by a restart")
+		}
+		cancel()
+		time.Sleep(time.Second)
+	})
+}
+
+func TestParseBeat(t *testing.T) {
+	good := `{"svc":"s","addr":"10.0.0.1:80","az":"z","ver":"v1","slots":24,"phase":"up","warm_left_ms":0,"models":[{"name":"m","ver":1,"loras":[]}],"seq":4,"more":1}`
+	w, err := ParseBeat("i-1", []byte(good))
+	if err != nil || w.ID != "i-1" || w.Seq != 4 || w.Models[0].Ver != 1 || !w.Up() {
+		t.Errorf("%+v %v", w, err)
+	}
+	for name, doc := range map[string]string{"no json": "{", "no svc": `{"addr":"a:1","phase":"up"}`, "no addr": `{"svc":"s","phase":"up"}`,
+		"another phase": `{"svc":"s","addr":"a:1","phase":"x"}`, "negative slots": `{"svc":"s","addr":"a:1","phase":"up","slots":-1}`} {
+		if _, err := ParseBeat("i-1", []byte(doc)); !wax.Is(err, wax.Invalid) {
+			t.Errorf("%s: %v", name, err)
+		}
+	}
+}
--- a/internal/flora/worker.go
+++ b/internal/flora/worker.go
@@ -35,6 +35,7 @@
 	Seq        uint64   `json:"seq"`
 	Gone       bool     `json:"-"`
 	AgeUs      int64    `json:"-"` // since its last beat, when this was sent
+	Old        bool     `json:"-"` // known from before a restart only (design 5.5)
 }
 
 // Up tells whether requests may be sent to it.
--- a/internal/scout/scout.go
+++ b/internal/scout/scout.go
@@ -6,6 +6,7 @@
 package scout
 
 import (
+	"math"
 	"math/rand/v2"
 	"strconv"
 	"strings"
@@ -23,7 +24,7 @@
 	ejectUs        = int64(1_000_000)
 	maxEjectUs     = int64(4_000_000)
 	freshUs        = 1_500_000
-	itemFill       = 0.88 // of a worker's slots that items may fill
+	itemSpare      = 1.2 // times the root of a worker's slots is left to live work
 	maxKept        = 8192
 	farZoneMs      = 0.6
 	fullMs         = 40.0
@@ -226,8 +227,15 @@
 	s.kept[k] = nowUs
 }
 
+// itemSlots is how far items may fill a worker: live requests come by chance,
+// so the room they need beside their mean grows with the root of its size.
+func (st *state) itemSlots() float64 {
+	slots := float64(st.slots)
+	return max(slots-itemSpare*math.Sqrt(slots), slots/2)
+}
+
 func (s *Scout) itemRoom(st *state, nowUs int64) bool {
-	room := float64(st.slots) * itemFill
+	room := st.itemSlots()
 	if st.est(nowUs)+1 > room {
 		return false
 	}
@@ -424,8 +432,8 @@
 		if nowUs < st.ejectedUs || nowUs < st.noRoomUs || !s.itemRoom(st, nowUs) {
 			continue
 		}
-		free := float64(st.slots)*itemFill - st.est(nowUs)
-		share := int64(float64(st.slots)*itemFill)/s.foragers + 1 - st.items
+		free := st.itemSlots() - st.est(nowUs)
+		share := int64(st.itemSlots())/s.foragers + 1 - st.items
 		room += int(min(int64(free), share))
 	}
 	return room
