A lot that does not fit is told when it may, at the pace of late

Cause: a fixed Retry-After of 1 s let every lot declined once be late by its 202. Also: where no worker of a service is known yet, come back after one beat.

--- a/internal/brood/api.go
+++ b/internal/brood/api.go
@@ -144,12 +144,16 @@
 	ctx, cancel := context.WithTimeout(r.Context(), time.Duration(min(leftMs, 2500))*time.Millisecond)
 	defer cancel()
 	shardN := ShardOf(r.Host)
-	err = a.Client.Call(ctx, shardN, "brood.hand", &handCall{Shard: shardN, Lot: lot, Backlog: binding.Backlog}, nil, 900*time.Millisecond)
+	out := &handAnswer{}
+	unsure, err := a.Client.CallOnce(ctx, shardN, "brood.hand", &handCall{Shard: shardN, Lot: lot, Backlog: binding.Backlog}, out, 900*time.Millisecond)
 	switch {
-	case err == nil:
+	case err == nil && out.Taken:
 		w.WriteHeader(http.StatusAccepted)
-	case wax.Is(err, wax.Conflict):
-		a.Decline(w, http.StatusTooManyRequests, 1000, err.Error())
+	case err == nil && unsure:
+		// An earlier attempt may have left a copy somewhere: no promise.
+		http.Error(w, "the lot does not fit, and an earlier attempt got no answer", http.StatusGatewayTimeout)
+	case err == nil:
+		a.Decline(w, http.StatusTooManyRequests, out.AfterMs, "the lot does not fit into the backlog")
 	case wax.Is(err, wax.Declined) || wax.Is(err, wax.Unreached):
 		a.Decline(w, http.StatusServiceUnavailable, 300, err.Error())
 	case wax.Is(err, wax.Invalid):
--- a/internal/brood/brood.go
+++ b/internal/brood/brood.go
@@ -147,9 +147,16 @@
 	Backlog  int64
 }
 
+// handAnswer tells whether a lot was taken; if not, when it may fit.
+type handAnswer struct {
+	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by the library
+	Taken    bool
+	AfterMs  int64
+}
+
 // onHand accepts a lot: on disk at a majority before the answer (design 8.4).
-func (b *Brood) onHand(ctx context.Context, in *handCall) (*pollen.Nothing, error) {
-	return answered(ctx, b.cfg.Floor, func(reply func(*pollen.Nothing, error)) {
+func (b *Brood) onHand(ctx context.Context, in *handCall) (*handAnswer, error) {
+	return answered(ctx, b.cfg.Floor, func(reply func(*handAnswer, error)) {
 		s, err := b.own(in.Shard)
 		if err != nil {
 			reply(nil, err)
@@ -160,7 +167,7 @@
 			return
 		}
 		if s.lots[in.Lot.ID] != nil {
-			b.issue(s, op{Kind: opNone}, func(err error) { reply(&pollen.Nothing{}, err) })
+			b.issue(s, op{Kind: opNone}, func(err error) { reply(&handAnswer{Taken: true}, err) })
 			return
 		}
 		l := in.Lot
@@ -172,8 +179,8 @@
 					openToks += other.openToks()
 				}
 			}
-			if openToks+l.openToks() > in.Backlog {
-				reply(nil, wax.New(wax.Conflict, "backlog", "the lot does not fit", "hand it in again when items are done"))
+			if over := openToks + l.openToks() - in.Backlog; over > 0 {
+				reply(&handAnswer{AfterMs: s.owner.pace.afterMs(over, waggle.NowUs())}, nil)
 				return
 			}
 		}
@@ -186,7 +193,7 @@
 				}
 				b.poll()
 			}
-			reply(&pollen.Nothing{}, err)
+			reply(&handAnswer{Taken: true}, err)
 		})
 		got := s.lots[l.ID]
 		got.live = &live{at: make([]promptState, len(got.Prompts))}
--- a/internal/brood/client.go
+++ b/internal/brood/client.go
@@ -74,13 +74,19 @@
 // Call asks the owner of a shard, looking for it until ctx ends. All calls to
 // owners may be repeated. Unsure: some attempt may have been carried out.
 func (c *Client) Call(ctx context.Context, shardN int, kind string, in, out any, each time.Duration) error {
-	unsure := false
+	_, err := c.CallOnce(ctx, shardN, kind, in, out, each)
+	return err
+}
+
+// CallOnce is Call that also tells, beside a clear answer, whether an earlier
+// attempt got none.
+func (c *Client) CallOnce(ctx context.Context, shardN int, kind string, in, out any, each time.Duration) (unsure bool, err error) {
 	for attempt := 0; ; attempt++ {
 		if ctx.Err() != nil {
 			if unsure {
-				return wax.New(wax.Unsure, "shard", "no clear answer in time", "ask again")
+				return true, wax.New(wax.Unsure, "shard", "no clear answer in time", "ask again")
 			}
-			return wax.New(wax.Declined, "shard", "its owner was not found in time", "ask again")
+			return false, wax.New(wax.Declined, "shard", "its owner was not found in time", "ask again")
 		}
 		name, addr := c.candidate(shardN, attempt)
 		if name == "" {
@@ -92,7 +98,7 @@
 		cancel()
 		if err == nil {
 			c.hint(shardN, name)
-			return nil
+			return unsure, nil
 		}
 		switch wax.KindOf(err) {
 		case wax.NotOwner:
@@ -103,13 +109,8 @@
 		case wax.Unsure, wax.Internal:
 			unsure = true
 			c.hint(shardN, "")
-		case wax.Conflict:
-			if unsure {
-				return wax.New(wax.Unsure, "shard", "an earlier attempt may have been carried out", "ask again")
-			}
-			return err
 		default:
-			return err
+			return unsure, err
 		}
 		pause(ctx, 30*time.Millisecond)
 	}
--- a/internal/brood/dispatch.go
+++ b/internal/brood/dispatch.go
@@ -406,6 +406,7 @@
 func (b *Brood) list(s *shard, l *Lot, r Result, then func(error)) {
 	r.AckedUs = b.cfg.WallUs()
 	id, at := l.ID, len(l.List)+1
+	s.owner.pace.done(l.Prompts[r.Item].Toks, waggle.NowUs())
 	b.issue(s, op{Kind: opAppend, Lot: id, Rev: l.Rev + 1, Results: []Result{r}}, func(err error) {
 		if err == nil {
 			if got := s.lots[id]; got != nil {
--- a/internal/brood/owner.go
+++ b/internal/brood/owner.go
@@ -36,6 +36,7 @@
 	feeds   map[string]*feed
 	ready   bool // a majority holds all that the claim found
 	readyUs int64
+	pace    pace
 
 	diskIssued, diskDone uint64 // own disk: last op written, last op safe
 }
--- a/internal/colony/colony.go
+++ b/internal/colony/colony.go
@@ -190,7 +190,7 @@
 	sender := &forage.Sender{Dir: f.Flora.Look, Scout: f.Scout, Circuits: forage.NewCircuits(env.Dial), Blueprint: n.blueprint.Load,
 		Ways: forage.NewSlab[forage.Way](int(opts.Caps.NoFile / 3))}
 	limits := guard.LimitsOf(opts)
-	f.Forage = &forage.Forage{Sender: sender, Blueprint: n.blueprint.Load, Log: env.Log, BodyBytes: limits.BodyBytes}
+	f.Forage = &forage.Forage{Sender: sender, Blueprint: n.blueprint.Load, Log: env.Log, BodyBytes: limits.BodyBytes, HbMs: opts.HbMs}
 	client := brood.NewClient(env.Mesh, n.Swarm, n.Nest.Committed)
 	lots := &brood.API{Client: client, Blueprint: n.blueprint.Load, WallUs: env.WallUs, Decline: forage.Decline, Log: env.Log,
 		Serving: func(d int64) { f.Forage.Underway.Add(d) }}
--- a/internal/forage/forage.go
+++ b/internal/forage/forage.go
@@ -39,6 +39,7 @@
 	Log       *wax.Log
 	// BodyBytes bounds what the bodies under way hold together.
 	BodyBytes int64
+	HbMs      int64 // how often workers beat
 	held      atomic.Int64
 	Underway  atomic.Int64
 }
@@ -194,7 +195,7 @@
 			worker = j.f.Sender.Scout.Pick(dir, &j.need)
 		}
 		if worker == nil {
-			j.giveUp(mayHaveRun, false, 400)
+			j.giveUp(mayHaveRun, false, j.noWorkerMs(dir))
 			return
 		}
 		ran, finished, err := j.try(ctx, worker)
@@ -220,6 +221,15 @@
 	}
 }
 
+// noWorkerMs is when to come back if no worker can be picked: where none is
+// known at all, once each had time to beat.
+func (j *job) noWorkerMs(dir *flora.Directory) int64 {
+	if len(dir.BySvc[j.need.Svc]) == 0 && j.f.HbMs > 0 {
+		return j.f.HbMs
+	}
+	return 400
+}
+
 // giveUp answers at once: a promise where nothing has run, else none.
 func (j *job) giveUp(mayHaveRun, late bool, afterMs int64) {
 	if j.begun {
