--- a/cmd/hive/main.go
+++ b/cmd/hive/main.go
@@ -32,6 +32,7 @@
 	checkRole := check.Flag("role", "Check the options for this role.").Enum("forager", "comb")
 	checkDoc := check.Flag("blueprint", "A blueprint (JSON) to check.").String()
 	noOptions := check.Flag("no-options", "Check the blueprint only.").Bool()
+	upgrade := newUpgradeCommand(app)
 	quit := -1
 	app.UsageWriter(os.Stdout)
 	app.Terminate(func(code int) {
@@ -54,6 +55,8 @@
 		err = colony.Run(skep.Path(*file), "comb", *level)
 	case check.FullCommand():
 		err = checkFiles(skep.Path(*file), *checkRole, *checkDoc, *noOptions)
+	default:
+		err = upgrade.run(upgrade.acts[cmd])
 	}
 	if err != nil {
 		fmt.Fprintln(os.Stderr, "hive:", err)
--- a/internal/colony/colony.go
+++ b/internal/colony/colony.go
@@ -18,6 +18,7 @@
 	"rowanshunt/internal/forage"
 	"rowanshunt/internal/foundation"
 	"rowanshunt/internal/guard"
+	"rowanshunt/internal/moult"
 	"rowanshunt/internal/nest"
 	"rowanshunt/internal/nurse"
 	"rowanshunt/internal/pollen"
@@ -53,6 +54,7 @@
 
 	blueprint atomic.Pointer[foundation.Blueprint]
 	applied   int64
+	applyMore func(*nest.State) // what a role applies beside the blueprint
 	caughtUp  atomic.Bool
 	fatal     chan error
 	wg        conc.WaitGroup
@@ -108,6 +110,9 @@
 // onState applies a committed state; it runs on the floor, in order, and never
 // goes back (design 4.2).
 func (n *Node) onState(s *nest.State) {
+	if n.applyMore != nil {
+		n.applyMore(s)
+	}
 	if s.Ver <= n.applied {
 		return
 	}
@@ -173,6 +178,7 @@
 	Nurse   *nurse.Nurse
 	Guard   *guard.Guard
 	Control *guard.Control
+	Moult   *moult.Moult
 }
 
 // NewForager makes a node of the role forager.
@@ -198,7 +204,14 @@
 	f.Nurse.Start(ctx, n.Desk)
 	f.Guard = &guard.Guard{Forage: f.Forage, Lots: lots, Blueprint: n.blueprint.Load, Log: env.Log, Limits: limits,
 		Ready: func() bool { return n.caughtUp.Load() && n.blueprint.Load() != nil && f.Flora.Synced() }}
-	f.Control = &guard.Control{Nest: n.Nest, Flora: f.Flora, Log: env.Log, Spared: opts.Ft.Nodes}
+	f.Moult = moult.New(ctx, moult.Config{Floor: n.Floor, Desk: n.Desk, Mesh: env.Mesh, Swarm: n.Swarm, Log: env.Log, Self: n.self,
+		State: n.Nest.Committed, Change: n.Nest.Change, Known: f.Flora.Known, Scout: f.Scout, WallUs: env.WallUs,
+		HasService: func(svc string) bool {
+			b := n.blueprint.Load()
+			return b != nil && b.Services[svc] != nil
+		}})
+	n.applyMore = func(s *nest.State) { moult.Apply(s, f.Scout) }
+	f.Control = &guard.Control{Nest: n.Nest, Flora: f.Flora, Moult: f.Moult, Log: env.Log, Spared: opts.Ft.Nodes}
 	n.Floor.Every(300_000, f.upkeep)
 	return f, nil
 }
--- a/internal/colony/colony_test.go
+++ b/internal/colony/colony_test.go
@@ -11,6 +11,7 @@
 	"os"
 	"path/filepath"
 	"strings"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -30,6 +31,7 @@
 	order    []string
 	workers  map[string]*meadow.Worker
 	beatOn   map[string]map[string]any
+	beatMu   sync.Mutex
 	stopBeat func()
 	seq      int
 }
@@ -249,12 +251,18 @@
 }
 
 func (h *hive) beatAll() {
+	h.beatMu.Lock()
 	h.seq++
+	bodies := map[string]map[string]any{}
 	for id, b := range h.beatOn {
 		body := map[string]any{"seq": h.seq}
 		for k, v := range b {
 			body[k] = v
 		}
+		bodies[id] = body
+	}
+	h.beatMu.Unlock()
+	for id, body := range bodies {
 		h.control(h.edge(), "PUT", "/-/workers/"+id, body)
 	}
 }
--- /dev/null
+++ b/internal/colony/moult_test.go
@@ -0,0 +1,421 @@
+package colony
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"rowanshunt/internal/meadow"
+	"rowanshunt/internal/moult"
+)
+
+// upgradeHive is a system with twelve workers at version 1 and an operator's
+// platform that replaces what an upgrade says may be replaced.
+type upgradeHive struct {
+	*hive
+	next    int
+	mu      sync.Mutex
+	backVer int // the version replacements come back at, 0: they do not
+	stop    chan struct{}
+	done    sync.WaitGroup
+}
+
+func newUpgradeHive(t *testing.T, seed uint64) *upgradeHive {
+	u := &upgradeHive{hive: newHive(t, seed, 4, 3), backVer: 2, stop: make(chan struct{}), next: 50}
+	u.startAll()
+	for i := range 12 {
+		u.versioned(fmt.Sprint(30+i), 1, fmt.Sprintf("10.9.1.%d:80", i))
+	}
+	u.worker("23", "app", "cedar")
+	u.until("founded", 8*time.Second, func() bool { return u.edge().Nest.Committed() != nil })
+	u.putOK(1, 0)
+	u.beats()
+	u.until("ready", 8*time.Second, func() bool {
+		for _, m := range u.nodes {
+			if m.f != nil && (!m.f.Guard.Ready() || len(m.f.Flora.Look().ByID) < 13) {
+				return false
+			}
+		}
+		return true
+	})
+	u.until("a shard owner", 8*time.Second, func() bool { return u.handIn("warm-up", 1, 1).Code == 202 })
+	u.done.Add(1)
+	go u.platform()
+	return u
+}
+
+func (u *upgradeHive) versioned(id string, ver int, addr string) {
+	w := meadow.NewWorker(u.m, id, addr)
+	w.Ver = ver
+	u.beatMu.Lock()
+	defer u.beatMu.Unlock()
+	u.workers[id] = w
+	u.beatOn[id] = map[string]any{"svc": "llm", "addr": addr, "az": zones[len(id)%3], "ver": "v1", "slots": w.Slots, "phase": "up",
+		"models": []map[string]any{{"name": "m", "ver": ver}}}
+}
+
+// platform is whoever runs the workers: it watches the status and replaces.
+func (u *upgradeHive) platform() {
+	defer u.done.Done()
+	tick := time.NewTicker(300 * time.Millisecond)
+	defer tick.Stop()
+	for {
+		select {
+		case <-u.stop:
+			return
+		case <-tick.C:
+		}
+		st, code := u.status()
+		u.mu.Lock()
+		ver := u.backVer
+		u.mu.Unlock()
+		if code != 200 || ver == 0 {
+			continue
+		}
+		for _, o := range st.Out {
+			if !o.Idle || o.Gone {
+				continue
+			}
+			if n := u.workers[o.ID].Running(); n > 0 {
+				u.t.Errorf("worker %s is said to be replaceable and runs %d", o.ID, n)
+			}
+			u.beatMu.Lock()
+			delete(u.beatOn, o.ID)
+			u.beatMu.Unlock()
+			u.control(u.edge(), "DELETE", "/-/workers/"+o.ID, nil)
+			u.workers[o.ID].Close()
+			u.next++
+			u.versioned(fmt.Sprint(u.next), ver, fmt.Sprintf("10.9.2.%d:80", u.next))
+			u.beatAll()
+		}
+	}
+}
+
+func (u *upgradeHive) setBack(ver int) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.backVer = ver
+}
+
+func (u *upgradeHive) leave() {
+	close(u.stop)
+	u.done.Wait()
+	u.end()
+}
+
+func (u *upgradeHive) status() (moult.Upgrade, int) {
+	var st moult.Upgrade
+	w := u.control(u.edge(), "GET", "/-/upgrades/llm", nil)
+	_ = json.Unmarshal(w.Body.Bytes(), &st)
+	return st, w.Code
+}
+
+func (u *upgradeHive) begin(rules map[string]any) int {
+	all := map[string]any{"max_share": 0.2, "warm_ms": 500, "wave_ms": 20000, "spread_ms": 15000, "max_late": 0.9}
+	for k, v := range rules {
+		all[k] = v
+	}
+	return u.control(u.edge(), "POST", "/-/upgrades/llm/start", map[string]any{"to": 2, "rules": all}).Code
+}
+
+func (u *upgradeHive) untilPhase(p moult.Phase, limit time.Duration) moult.Upgrade {
+	u.t.Helper()
+	var st moult.Upgrade
+	u.until("phase "+string(p), limit, func() bool {
+		now, code := u.status()
+		st = now
+		return code == 200 && now.Phase == p
+	})
+	return st
+}
+
+// load asks for streams of several groups all the time, and returns what was
+// measured: how long each took, and how many failed.
+func (u *upgradeHive) load(groups int, stop <-chan struct{}) (*[]time.Duration, *atomic.Int64, func()) {
+	var mu sync.Mutex
+	var times []time.Duration
+	var failed atomic.Int64
+	var wg sync.WaitGroup
+	for g := range groups {
+		wg.Go(func() {
+			for n := 0; ; n++ {
+				select {
+				case <-stop:
+					return
+				default:
+				}
+				id := fmt.Sprintf("g%d-%d", g, n)
+				began := time.Now()
+				w := u.client(u.edgeAt(n), "POST", "/chat/x", []byte("hi"), "X-Rowanshunt-Request-Id", id, "X-Rowanshunt-Tokens", "9,9",
+					"X-Rowanshunt-Prompt-Prefix", fmt.Sprintf("abc%d:3000,own%d:20", g, n))
+				if w.Code != 200 || !oneVersion(w.Body.String(), id) {
+					failed.Add(1)
+					u.t.Logf("%s: %d %q", id, w.Code, w.Body)
+				} else {
+					mu.Lock()
+					times = append(times, time.Since(began))
+					mu.Unlock()
+				}
+				time.Sleep(time.Duration(10+u.m.Luck(20)) * time.Millisecond)
+			}
+		})
+	}
+	return &times, &failed, wg.Wait
+}
+
+func (h *hive) edgeAt(n int) *Forager {
+	for i := range 4 {
+		if m := h.nodes[fmt.Sprintf("edge-%d", (n+i)%4)]; m.f != nil && m.ctx.Err() == nil {
+			return m.f
+		}
+	}
+	return h.edge()
+}
+
+// oneVersion tells whether a stream is whole and of one weight version.
+func oneVersion(body, id string) bool {
+	for ver := 1; ver <= 2; ver++ {
+		want := ""
+		for i := 1; i <= 5; i++ {
+			want += fmt.Sprintf("id: %d\ndata: %s\n\n", i, meadow.VersionedData(id, i, ver))
+		}
+		if body == want {
+			return true
+		}
+	}
+	return false
+}
+
+func worst(times []time.Duration) time.Duration {
+	s := slices.Clone(times)
+	slices.Sort(s)
+	return s[len(s)*99/100]
+}
+
+// An upgrade amid load and lots: no request fails, none is much slower than
+// without one, every item is listed once and each text is of one version
+// (design 13.1; figures simulated, in docs/upgrades.md).
+func TestUpgradeUnderLoad(t *testing.T) {
+	measure := func(upgrade bool) (p99 time.Duration, n int) {
+		synctest.Test(t, func(t *testing.T) {
+			u := newUpgradeHive(t, 31)
+			defer u.leave()
+			stop := make(chan struct{})
+			times, failed, wait := u.load(8, stop)
+			time.Sleep(2 * time.Second)
+			if upgrade {
+				if code := u.begin(nil); code != 200 {
+					t.Fatalf("start: %d", code)
+				}
+			}
+			for i := range 4 {
+				id := fmt.Sprintf("mid%d", i)
+				u.until("a lot midway is taken", 5*time.Second, func() bool { return u.handIn(id, 20, 10).Code == 202 })
+				time.Sleep(2 * time.Second)
+			}
+			if upgrade {
+				st := u.untilPhase(moult.Done, 60*time.Second)
+				if st.Wave < 6 {
+					t.Errorf("done after %d waves of at most 2 of 12", st.Wave)
+				}
+				for id, b := range u.beatOn {
+					if b["svc"] == "llm" && u.workers[id].Ver != 2 {
+						t.Errorf("worker %s is still at version %d", id, u.workers[id].Ver)
+					}
+				}
+			}
+			close(stop)
+			wait()
+			for i := range 4 {
+				u.completeVersioned(fmt.Sprintf("mid%d", i), 20)
+			}
+			if failed.Load() > 0 {
+				t.Errorf("%d requests failed", failed.Load())
+			}
+			p99, n = worst(*times), len(*times)
+		})
+		return p99, n
+	}
+	without, n0 := measure(false)
+	with, n1 := measure(true)
+	t.Logf("p99 of a stream (simulated): %v without an upgrade (%d streams), %v with one (%d)", without, n0, with, n1)
+	if with > without*3/2+10*time.Millisecond {
+		t.Errorf("p99 grew from %v to %v", without, with)
+	}
+}
+
+func (u *upgradeHive) completeVersioned(id string, items int) {
+	u.t.Helper()
+	var out lotRead
+	u.until("lot "+id+" complete", 40*time.Second, func() bool {
+		got, code := u.read(u.edge(), id, 0)
+		out = got
+		return code == 200 && got.Cont == items
+	})
+	seen := map[string]bool{}
+	for _, r := range out.Out {
+		ok := false
+		for ver := 1; ver <= 2; ver++ {
+			var parts []string
+			for i := 1; i <= 5; i++ {
+				parts = append(parts, meadow.VersionedData(r.ID, i, ver))
+			}
+			ok = ok || r.Msg == strings.Join(parts, "\n")
+		}
+		if seen[r.ID] || r.Phase != "done" || !ok {
+			u.t.Errorf("item %s: again %v, %s, %q", r.ID, seen[r.ID], r.Phase, r.Msg)
+		}
+		seen[r.ID] = true
+	}
+}
+
+// The driver is lost in each step, or cut off; another goes on from there, and
+// the old one changes nothing.
+func TestUpgradeDriverLost(t *testing.T) {
+	for _, how := range []string{"killed", "cut off"} {
+		for at := range int64(4) {
+			synctest.Test(t, func(t *testing.T) {
+				u := newUpgradeHive(t, 40+uint64(at))
+				defer u.leave()
+				if code := u.begin(nil); code != 200 {
+					t.Fatalf("start: %d", code)
+				}
+				var st moult.Upgrade
+				u.until("the wave under way", 30*time.Second, func() bool {
+					st, _ = u.status()
+					return st.Wave >= at && st.Driver != ""
+				})
+				name, _, _ := strings.Cut(st.Driver, "/")
+				// The core keeps its majority, as only one is lost.
+				if how == "killed" {
+					u.kill(name)
+				} else {
+					u.m.CutOff(u.nodes[name].opts.PartnerAddr(), u.addrs(""), true)
+				}
+				other := func() *Forager {
+					for _, n := range u.order {
+						if m := u.nodes[n]; m.f != nil && n != name && m.ctx.Err() == nil {
+							return m.f
+						}
+					}
+					return nil
+				}
+				u.until("done under another driver", 60*time.Second, func() bool {
+					var now moult.Upgrade
+					w := u.control(other(), "GET", "/-/upgrades/llm", nil)
+					_ = json.Unmarshal(w.Body.Bytes(), &now)
+					return w.Code == 200 && now.Phase == moult.Done && (now.Term > st.Term || how == "cut off" && now.Term >= st.Term)
+				})
+			})
+		}
+	}
+}
+
+func TestUpgradePausesAndGoesBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		u := newUpgradeHive(t, 50)
+		defer u.leave()
+		u.setBack(0) // nobody replaces
+		if code := u.begin(map[string]any{"wave_ms": 5000}); code != 200 {
+			t.Fatalf("start: %d", code)
+		}
+		if st := u.untilPhase(moult.Paused, 20*time.Second); !strings.Contains(st.Why, "not back") || st.Remedy == "" {
+			t.Errorf("paused: %q %q", st.Why, st.Remedy)
+		}
+		// They come back at the old version: paused again.
+		u.setBack(1)
+		u.until("replaced", 5*time.Second, func() bool {
+			st, _ := u.status()
+			return len(st.Out) > 0 && st.Out[0].Gone
+		})
+		if w := u.control(u.edge(), "POST", "/-/upgrades/llm/resume", nil); w.Code != 200 {
+			t.Fatalf("resume: %d", w.Code)
+		}
+		u.untilPhase(moult.Paused, 20*time.Second)
+		// Undone: back in use, all at version 1.
+		if w := u.control(u.edge(), "POST", "/-/upgrades/llm/undo", nil); w.Code != 200 {
+			t.Fatalf("undo: %d %s", w.Code, w.Body)
+		}
+		u.untilPhase(moult.Undone, 20*time.Second)
+	})
+	// Undone midway: those that moved go back in waves.
+	synctest.Test(t, func(t *testing.T) {
+		u := newUpgradeHive(t, 51)
+		defer u.leave()
+		u.begin(nil)
+		u.until("some moved", 30*time.Second, func() bool { st, _ := u.status(); return st.Wave >= 3 })
+		u.setBack(1)
+		if w := u.control(u.edge(), "POST", "/-/upgrades/llm/undo", nil); w.Code != 200 {
+			t.Fatalf("undo: %d", w.Code)
+		}
+		u.untilPhase(moult.Undone, 60*time.Second)
+		for id, b := range u.beatOn {
+			if b["svc"] == "llm" && u.workers[id].Ver != 1 {
+				t.Errorf("worker %s is at version %d after an undo", id, u.workers[id].Ver)
+			}
+		}
+	})
+}
+
+// A group with one replica is spread before its worker goes.
+func TestUpgradeSpreadsGroups(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		u := newUpgradeHive(t, 60)
+		defer u.leave()
+		stop := make(chan struct{})
+		_, failed, wait := u.load(1, stop)
+		time.Sleep(3 * time.Second)
+		if code := u.begin(map[string]any{"min_replicas": 2}); code != 200 {
+			t.Fatalf("start: %d", code)
+		}
+		u.untilPhase(moult.Done, 90*time.Second)
+		close(stop)
+		wait()
+		if failed.Load() > 0 {
+			t.Errorf("%d requests failed", failed.Load())
+		}
+	})
+}
+
+func TestUpgradeDeclined(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		u := newUpgradeHive(t, 70)
+		defer u.leave()
+		u.setBack(0)
+		start := func(svc string, to int, rules map[string]any) int {
+			return u.control(u.edge(), "POST", "/-/upgrades/"+svc+"/start", map[string]any{"to": to, "rules": rules}).Code
+		}
+		for _, tc := range []struct {
+			name  string
+			got   func() int
+			wants int
+		}{
+			{"unknown service", func() int { return start("none", 2, nil) }, http.StatusNotFound},
+			{"version 0", func() int { return start("llm", 0, nil) }, http.StatusBadRequest},
+			{"the version they have", func() int { return start("llm", 1, nil) }, http.StatusConflict},
+			{"a minimum that cannot be met", func() int { return start("llm", 2, map[string]any{"min_replicas": 12}) }, http.StatusConflict},
+			{"a bad share", func() int { return start("llm", 2, map[string]any{"max_share": 2}) }, http.StatusBadRequest},
+			{"no JSON", func() int {
+				return u.control(u.edge(), "POST", "/-/upgrades/llm/start", []byte("{")).Code
+			}, http.StatusBadRequest},
+			{"status of none", func() int { return u.control(u.edge(), "GET", "/-/upgrades/llm", nil).Code }, http.StatusNotFound},
+			{"pause of none", func() int { return u.control(u.edge(), "POST", "/-/upgrades/llm/pause", nil).Code }, http.StatusNotFound},
+			{"a good one", func() int { return start("llm", 2, nil) }, http.StatusOK},
+			{"a second one", func() int { return start("llm", 3, nil) }, http.StatusConflict},
+			{"an unknown act", func() int { return u.control(u.edge(), "POST", "/-/upgrades/llm/sing", nil).Code }, http.StatusNotFound},
+			{"undo", func() int { return u.control(u.edge(), "POST", "/-/upgrades/llm/undo", nil).Code }, http.StatusOK},
+			{"undo again", func() int { return u.control(u.edge(), "POST", "/-/upgrades/llm/undo", nil).Code }, http.StatusConflict},
+		} {
+			if got := tc.got(); got != tc.wants {
+				t.Errorf("%s: %d, want %d", tc.name, got, tc.wants)
+			}
+		}
+	})
+}
--- a/internal/flora/flora.go
+++ b/internal/flora/flora.go
@@ -152,6 +152,25 @@
 // Look gives the newest directory; any goroutine may call it.
 func (f *Flora) Look() *Directory { return f.dir.Load() }
 
+// Known lists all registered workers, in use or not; it asks the floor.
+func (f *Flora) Known() []Worker {
+	ctx, cancel := context.WithTimeout(f.ctx, time.Second)
+	defer cancel()
+	out, err := waggle.Ask(ctx, f.cfg.Floor, func() []Worker {
+		var ws []Worker
+		for _, e := range f.workers {
+			if !e.Gone && f.syncUs-e.seenUs < f.TenureUs() {
+				ws = append(ws, e.Worker)
+			}
+		}
+		return ws
+	})
+	if err != nil {
+		return nil
+	}
+	return out
+}
+
 // Synced tells whether a home has answered this life of the node.
 func (f *Flora) Synced() bool { return f.synced.Load() }
 
--- a/internal/forage/event.go
+++ b/internal/forage/event.go
@@ -4,7 +4,9 @@
 	"bufio"
 	"bytes"
 	"io"
+	"net/http"
 	"strconv"
+	"strings"
 
 	"rowanshunt/internal/wax"
 )
@@ -60,6 +62,33 @@
 	return ev, buf, nil
 }
 
+// Version is the version of the weights, where the event says that it changed.
+func (e *Event) Version() (int64, bool) {
+	line, _, _ := bytes.Cut(e.Raw, []byte("\n"))
+	v, ok := bytes.CutPrefix(line, []byte(versionLine))
+	if !ok {
+		return 0, false
+	}
+	return lastNumber(string(v))
+}
+
+const versionLine = "x-rowanshunt-weight-versions:"
+
+// headVersion is the version of the weights that an answer's head tells.
+func headVersion(resp *http.Response) (int64, bool) {
+	return lastNumber(resp.Header.Get(HeadVersions))
+}
+
+// lastNumber reads the last of numbers between commas or spaces.
+func lastNumber(s string) (int64, bool) {
+	s = strings.TrimSpace(s)
+	if i := strings.LastIndexAny(s, ", :="); i >= 0 {
+		s = s[i+1:]
+	}
+	n, err := strconv.ParseInt(s, 10, 64)
+	return n, err == nil
+}
+
 // endsLine tells whether line, the last of buf, stands on its own (a line that
 // overflowed the reader comes in pieces).
 func endsLine(buf, line []byte) bool {
--- a/internal/forage/forage.go
+++ b/internal/forage/forage.go
@@ -15,6 +15,7 @@
 	"rowanshunt/internal/flora"
 	"rowanshunt/internal/foundation"
 	"rowanshunt/internal/scout"
+	"rowanshunt/internal/waggle"
 	"rowanshunt/internal/wax"
 )
 
@@ -57,6 +58,10 @@
 	begun   bool // the client has the head of an answer
 	lastID  int64
 	hasLast bool
+	startUs int64
+	firstUs int64 // when the first event, or the answer, was there
+	failed  bool
+	version int64 // of the weights that the stream began with, 0 if not told
 }
 
 // Decline answers that the request has not run and never will, and when to
@@ -107,7 +112,8 @@
 	}
 	f.held.Add(int64(len(body)))
 	defer f.held.Add(-int64(len(body)))
-	j := &job{f: f, w: w, r: r, b: binding}
+	j := &job{f: f, w: w, r: r, b: binding, startUs: waggle.NowUs()}
+	defer j.fare()
 	j.parcel = &Parcel{Method: r.Method, Target: r.RequestURI, Host: r.Host, Header: passOn(r.Header), Body: body, ID: id,
 		LeftMs: func() int64 { return time.Until(until).Milliseconds() }, Until: until}
 	j.need = scout.Need{Svc: binding.Pick(rand.Uint64()), Parts: scout.ParseParts(r.Header.Get(HeadPrefix))}
@@ -188,6 +194,9 @@
 			j.giveUp(mayHaveRun, false, 250)
 			return
 		}
+		if j.begun && j.version > 0 {
+			j.need.Version = j.version
+		}
 		dir := j.f.Sender.Dir()
 		worker := j.f.Sender.Scout.Pick(dir, &j.need)
 		if worker == nil && len(j.need.Exclude) > 0 && j.b.Repeatable() {
@@ -230,8 +239,22 @@
 	return 400
 }
 
+// fare notes how the request fared, for upgrades to judge by.
+func (j *job) fare() {
+	late := j.firstUs == 0 || j.b.GoalMs > 0 && j.firstUs-j.startUs > j.b.GoalMs*1000
+	j.f.Sender.Scout.Fare(j.need.Svc, late, j.failed || j.firstUs == 0)
+}
+
+// moved notes that something of the answer is there.
+func (j *job) moved() {
+	if j.firstUs == 0 {
+		j.firstUs = waggle.NowUs()
+	}
+}
+
 // giveUp answers at once: a promise where nothing has run, else none.
 func (j *job) giveUp(mayHaveRun, late bool, afterMs int64) {
+	j.failed = true
 	if j.begun {
 		panic(http.ErrAbortHandler)
 	}
@@ -253,6 +276,10 @@
 	if j.hasLast {
 		j.parcel.Header.Set(HeadLastID, strconv.FormatInt(j.lastID, 10))
 	}
+	if j.begun && j.version > 0 {
+		// One stream never joins pieces of two weight versions (design 13.5).
+		j.parcel.Header.Set(HeadWantVer, strconv.FormatInt(j.version, 10))
+	}
 	s.Scout.Reading(worker.ID, j.readTok)
 	reading := true
 	read := func() {
@@ -299,6 +326,8 @@
 		return j.rest(a)
 	}
 	a.End(true)
+	j.moved()
+	j.failed = resp.StatusCode >= 500
 	j.head(resp)
 	if resp.ContentLength < 0 {
 		j.w.Header().Set("Content-Length", strconv.Itoa(len(body)))
@@ -316,6 +345,7 @@
 
 func (j *job) rest(a *Answer) (ran, finished bool, err error) {
 	j.begun = true
+	j.moved()
 	if _, err := io.Copy(j.w, a.Resp.Body); err != nil {
 		panic(http.ErrAbortHandler)
 	}
@@ -369,9 +399,13 @@
 		}
 		read()
 		a.Moved()
+		j.moved()
 		if !j.begun {
 			j.begin(resp)
 		}
+		if v, ok := ev.Version(); ok {
+			j.version = v
+		}
 		if _, err := j.w.Write(ev.Raw); err != nil {
 			panic(http.ErrAbortHandler)
 		}
@@ -389,6 +423,9 @@
 	j.w.Header().Del("Content-Length") // a resumed answer may differ in length
 	j.w.WriteHeader(resp.StatusCode)
 	j.begun = true
+	if v, ok := headVersion(resp); ok {
+		j.version = v
+	}
 }
 
 type eventReader struct {
--- a/internal/forage/item.go
+++ b/internal/forage/item.go
@@ -21,8 +21,13 @@
 	Msg    []byte
 	LastID int64
 	Any    bool
+	// Version is that of the weights the text is from, 0 if not told.
+	Version int64
 }
 
+// Restart drops what was collected: no worker has the version any more.
+func (t *Text) Restart() { *t = Text{} }
+
 // Outcome of a run of an item at one worker.
 type Outcome int
 
@@ -40,6 +45,9 @@
 func (s *Sender) RunItem(ctx context.Context, w *flora.Worker, p *Parcel, text *Text) (Outcome, error) {
 	if text.Any {
 		p.Header.Set(HeadLastID, strconv.FormatInt(text.LastID, 10))
+		if text.Version > 0 {
+			p.Header.Set(HeadWantVer, strconv.FormatInt(text.Version, 10))
+		}
 	} else {
 		p.Header.Del(HeadLastID)
 	}
@@ -66,6 +74,13 @@
 	if a.Resp.Header.Get(HeadSeal) == "" || a.Resp.ContentLength < 0 && !chunked(a.Resp) {
 		return Broken, wax.New(wax.Unsure, w.ID, "the stream has no seal or no end", "")
 	}
+	version, told := headVersion(a.Resp)
+	if told && text.Any && text.Version > 0 && version != text.Version {
+		return Broken, wax.New(wax.Unsure, w.ID, "goes on with other weights", "")
+	}
+	if told {
+		text.Version = version
+	}
 	er := eventReaders.Get().(*eventReader)
 	defer eventReaders.Put(er)
 	er.br.Reset(a.Resp.Body)
@@ -91,6 +106,9 @@
 			text.Msg = append(text.Msg, '\n')
 		}
 		text.Msg = append(text.Msg, ev.Data()...)
+		if v, ok := ev.Version(); ok {
+			text.Version = v
+		}
 		text.LastID, text.Any = ev.ID, true
 	}
 }
--- a/internal/forage/sender.go
+++ b/internal/forage/sender.go
@@ -7,6 +7,7 @@
 	"net/url"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"rowanshunt/internal/flora"
@@ -59,10 +60,9 @@
 	ctx        context.Context
 	circuit    *Circuit
 	worker     string
-	startUs    int64
-	movedUs    int64 // when the worker was last heard
+	movedUs    atomic.Int64 // when the worker was last heard
 	repeatable bool
-	cut        bool
+	cut        atomic.Bool
 }
 
 // silentUs is how long a suspected worker may be silent on a repeatable
@@ -74,11 +74,11 @@
 func (s *Sender) Walk() {
 	nowUs := waggle.NowUs()
 	s.Ways.Each(func(w *Way) {
-		if w.cut {
+		if w.cut.Load() {
 			return
 		}
-		if w.ctx.Err() != nil || w.repeatable && nowUs-w.movedUs > silentUs && s.Scout.Suspect(w.worker) {
-			w.cut = true
+		if w.ctx.Err() != nil || w.repeatable && nowUs-w.movedUs.Load() > silentUs && s.Scout.Suspect(w.worker) {
+			w.cut.Store(true)
 			_ = w.circuit.conn.SetDeadline(time.Unix(1, 0))
 		}
 	})
@@ -95,7 +95,7 @@
 }
 
 // Moved notes that the worker was heard.
-func (a *Answer) Moved() { a.way.movedUs = waggle.NowUs() }
+func (a *Answer) Moved() { a.way.movedUs.Store(waggle.NowUs()) }
 
 // End gives the circuit back if the answer was read whole, else closes it.
 func (a *Answer) End(whole bool) {
@@ -104,7 +104,7 @@
 	}
 	a.over = true
 	a.s.Ways.Drop(a.slot)
-	if whole && !a.way.cut {
+	if whole && !a.way.cut.Load() {
 		a.s.Circuits.Put(a.c, a.Resp)
 	} else {
 		a.s.Circuits.Drop(a.c)
@@ -131,7 +131,8 @@
 		}
 		return nil, err
 	}
-	way := &Way{ctx: ctx, circuit: c, worker: w.ID, startUs: waggle.NowUs(), movedUs: waggle.NowUs(), repeatable: repeatable}
+	way := &Way{ctx: ctx, circuit: c, worker: w.ID, repeatable: repeatable}
+	way.movedUs.Store(waggle.NowUs())
 	slot, ok := s.Ways.Put(way)
 	if !ok {
 		s.Circuits.Drop(c)
@@ -196,7 +197,7 @@
 
 func (s *Sender) broke(ctx context.Context, a *Answer, w *flora.Worker) {
 	if ctx.Err() == nil {
-		s.Scout.Failed(w.ID, a.way.cut)
+		s.Scout.Failed(w.ID, a.way.cut.Load())
 	}
 }
 
--- a/internal/guard/control.go
+++ b/internal/guard/control.go
@@ -13,6 +13,7 @@
 
 	"rowanshunt/internal/flora"
 	"rowanshunt/internal/foundation"
+	"rowanshunt/internal/moult"
 	"rowanshunt/internal/nest"
 	"rowanshunt/internal/wax"
 )
@@ -33,6 +34,7 @@
 type Control struct {
 	Nest   *nest.Nest
 	Flora  *flora.Flora
+	Moult  *moult.Moult
 	Log    *wax.Log
 	Spared int
 }
@@ -159,6 +161,10 @@
 	})
 	on(http.MethodPut, "/-/config", 3*time.Second, decodePut)
 	on(http.MethodGet, "/-/config", 2*time.Second, func(*http.Request, httprouter.Params) (Command, error) { return GetCommand{}, nil })
+	on(http.MethodPost, "/-/upgrades/:svc/:act", 3*time.Second, decodeUpgrade)
+	on(http.MethodGet, "/-/upgrades/:svc", 2*time.Second, func(_ *http.Request, ps httprouter.Params) (Command, error) {
+		return &UpgradeCommand{Svc: ps.ByName("svc"), Act: "status"}, nil
+	})
 	on(http.MethodPost, "/-/retire/:node", 3*time.Second, decodeRetire)
 	on(http.MethodGet, "/-/retire/:node", 2*time.Second, func(_ *http.Request, ps httprouter.Params) (Command, error) {
 		return &RetiredCommand{Node: ps.ByName("node")}, nil
--- /dev/null
+++ b/internal/guard/upgrade.go
@@ -0,0 +1,71 @@
+package guard
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+
+	"github.com/julienschmidt/httprouter"
+
+	"rowanshunt/internal/moult"
+	"rowanshunt/internal/wax"
+)
+
+// UpgradeCommand is an operator's call about a model upgrade (design 13.4).
+type UpgradeCommand struct {
+	Svc   string
+	Act   string // start, status, pause, resume, undo
+	To    int64
+	Rules moult.Rules
+}
+
+// Run carries the call out and answers the upgrade as it stands.
+func (u *UpgradeCommand) Run(ctx context.Context, c *Control) (Reply, error) {
+	var now *moult.Upgrade
+	var err error
+	switch u.Act {
+	case "start":
+		now, err = c.Moult.Start(ctx, u.Svc, u.To, u.Rules)
+	case "status":
+		now, err = c.Moult.Status(u.Svc)
+	case "pause":
+		now, err = c.Moult.Pause(ctx, u.Svc)
+	case "resume":
+		now, err = c.Moult.Resume(ctx, u.Svc)
+	case "undo":
+		now, err = c.Moult.Undo(ctx, u.Svc)
+	default:
+		err = wax.New(wax.Unknown, u.Act, "is nothing an upgrade can do", "use start, pause, resume or undo")
+	}
+	if err != nil {
+		return Reply{}, err
+	}
+	body, err := json.Marshal(now)
+	if err != nil {
+		return Reply{}, err
+	}
+	if u.Act != "status" {
+		c.Log.Info("upgrade_told", "service", u.Svc, "act", u.Act, "phase", now.Phase)
+	}
+	return Reply{Status: http.StatusOK, Body: body}, nil
+}
+
+func decodeUpgrade(r *http.Request, ps httprouter.Params) (Command, error) {
+	u := &UpgradeCommand{Svc: ps.ByName("svc"), Act: ps.ByName("act"), Rules: moult.DefaultRules()}
+	raw, err := readAll(r, maxBeat)
+	if err != nil {
+		return nil, err
+	}
+	if u.Act != "start" {
+		return u, nil
+	}
+	doc := struct {
+		To    int64        `json:"to"`
+		Rules *moult.Rules `json:"rules"`
+	}{Rules: &u.Rules}
+	if err := json.Unmarshal(raw, &doc); err != nil {
+		return nil, wax.New(wax.Invalid, "upgrade", err.Error(), "send a JSON object with to and rules")
+	}
+	u.To = doc.To
+	return u, nil
+}
--- a/internal/meadow/worker.go
+++ b/internal/meadow/worker.go
@@ -16,6 +16,7 @@
 	Slots  int
 	Events int           // of a stream
 	Gap    time.Duration // between events
+	Ver    int           // of its weights, 0: not told
 
 	mu      sync.Mutex
 	server  *http.Server
@@ -65,6 +66,16 @@
 // EventData is the data of event n of a request, the same at every worker.
 func EventData(id string, n int) string { return fmt.Sprintf("%s part %d", id, n) }
 
+// VersionedData is the data of event n at weights of a version.
+func VersionedData(id string, n, ver int) string { return fmt.Sprintf("%s v%d", EventData(id, n), ver) }
+
+// Running tells how much runs there now.
+func (w *Worker) Running() int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.running
+}
+
 // ServeHTTP implements http.Handler.
 func (w *Worker) ServeHTTP(rw http.ResponseWriter, r *http.Request) {
 	id := r.Header.Get("X-Rowanshunt-Request-Id")
@@ -79,6 +90,10 @@
 		h.Set("X-Rowanshunt-Worker", w.ID)
 		rw.WriteHeader(http.StatusMisdirectedRequest)
 		return
+	case w.Ver > 0 && r.Header.Get("X-Rowanshunt-Want-Version") != "" && r.Header.Get("X-Rowanshunt-Want-Version") != strconv.Itoa(w.Ver):
+		w.mu.Unlock()
+		rw.WriteHeader(http.StatusMisdirectedRequest)
+		return
 	case w.full || w.running >= w.Slots:
 		w.mu.Unlock()
 		h.Set("X-Rowanshunt-Not-Run", "1")
@@ -108,6 +123,9 @@
 		return
 	}
 	h.Set("X-Rowanshunt-Seal", "seal."+id)
+	if w.Ver > 0 {
+		h.Set("X-Rowanshunt-Weight-Versions", strconv.Itoa(w.Ver))
+	}
 	if r.Header.Get("X-Rowanshunt-Tokens") == "" {
 		if breakAfter >= 0 {
 			panic(http.ErrAbortHandler)
@@ -132,7 +150,11 @@
 			t.Stop()
 			return
 		}
-		if _, err := fmt.Fprintf(rw, "id: %d\ndata: %s\n\n", n, EventData(id, n)); err != nil {
+		data := EventData(id, n)
+		if w.Ver > 0 {
+			data = VersionedData(id, n, w.Ver)
+		}
+		if _, err := fmt.Fprintf(rw, "id: %d\ndata: %s\n\n", n, data); err != nil {
 			return
 		}
 		if rc.Flush() != nil {
--- /dev/null
+++ b/internal/moult/driver.go
@@ -0,0 +1,370 @@
+package moult
+
+import (
+	"context"
+	"sort"
+	"strconv"
+	"sync"
+	"time"
+
+	"rowanshunt/internal/flora"
+	"rowanshunt/internal/nest"
+	"rowanshunt/internal/pollen"
+	"rowanshunt/internal/scout"
+	"rowanshunt/internal/swarm"
+	"rowanshunt/internal/tending"
+	"rowanshunt/internal/waggle"
+	"rowanshunt/internal/wax"
+)
+
+// Times of the driver (design 13.3).
+const (
+	stepUs      = 500_000
+	askTimeout  = 400 * time.Millisecond
+	stepTimeout = 3 * time.Second
+)
+
+// Config is what a driver is made of.
+type Config struct {
+	Floor  *waggle.Floor
+	Desk   *pollen.Desk
+	Mesh   pollen.Mesh
+	Swarm  *swarm.Swarm
+	Log    *wax.Log
+	Self   swarm.Partner
+	State  func() *nest.State
+	Change func(context.Context, nest.Change) (*nest.State, error)
+	Known  func() []flora.Worker // all registered workers, in use or not
+	Scout  *scout.Scout
+	WallUs func() int64
+	// Services is the blueprint's, nil before the first.
+	HasService func(string) bool
+}
+
+// Moult is one node's part in upgrades: it applies them to its own picks, tells
+// drivers what it sees, and drives those that fall to it.
+type Moult struct {
+	cfg  Config
+	ctx  context.Context
+	busy bool
+}
+
+// New joins the upgrades.
+func New(ctx context.Context, cfg Config) *Moult {
+	m := &Moult{cfg: cfg, ctx: ctx}
+	pollen.On(cfg.Desk, "moult.tell", func(_ context.Context, in *tellCall) (*tellAnswer, error) { return m.tell(in.Svc), nil })
+	cfg.Floor.Every(stepUs, m.tick)
+	return m
+}
+
+type tellCall struct {
+	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by the library
+	Svc      string
+}
+
+type tellAnswer struct {
+	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by the library
+	Groups   []Group
+	Vitals   Vitals
+	Busy     []string // workers that something of this node runs at
+}
+
+func (m *Moult) tell(svc string) *tellAnswer {
+	out := &tellAnswer{Busy: m.cfg.Scout.Busy()}
+	a, l, f := m.cfg.Scout.Fared(svc)
+	out.Vitals = Vitals{Answers: a, Late: l, Failed: f}
+	for _, g := range m.cfg.Scout.Groups(svc) {
+		out.Groups = append(out.Groups, Group{ID: g.ID, Lately: g.Lately, Holders: g.Holders})
+	}
+	return out
+}
+
+// Apply takes the upgrades of a committed state to this node's picks: workers
+// out of use get nothing new, groups are spread, returned workers are warmed.
+func Apply(s *nest.State, sc *scout.Scout) {
+	out := map[string]bool{}
+	spread := map[string]int{}
+	warm := map[string]scout.Warming{}
+	for _, u := range All(s) {
+		for _, o := range u.Out {
+			out[o.ID] = true
+		}
+		if u.Open() {
+			warm[u.Svc] = scout.Warming{Ver: u.To, OverUs: u.Rules.WarmMs * 1000}
+			if u.Spread > 1 {
+				spread[u.Svc] = int(u.Spread)
+			}
+		}
+	}
+	sc.SetMoult(out, spread, warm)
+}
+
+// tick drives each open upgrade whose key falls to this node.
+func (m *Moult) tick() {
+	s := m.cfg.State()
+	if m.busy || s == nil || len(s.Extra) == 0 {
+		return
+	}
+	v := m.cfg.Swarm.Look()
+	live := v.Names(func(p *swarm.Sighting) bool { return p.Alive && p.Role == m.cfg.Self.Role && !p.Leaving })
+	for _, u := range All(s) {
+		if !u.Open() || tending.Holder(keyPrefix+u.Svc, live) != m.cfg.Self.Name {
+			continue
+		}
+		m.busy = true
+		go func() {
+			ctx, cancel := context.WithTimeout(m.ctx, stepTimeout)
+			err := m.drive(ctx, u.Svc)
+			cancel()
+			if err != nil {
+				m.cfg.Log.Debug("upgrade_step_waits", "service", u.Svc, "err", err)
+			}
+			_ = m.cfg.Floor.Do(m.ctx, func() { m.busy = false })
+		}()
+		return
+	}
+}
+
+func (m *Moult) me() string { return m.cfg.Self.Name + "/" + strconv.FormatInt(m.cfg.Self.LifeUs, 10) }
+
+// drive takes the driver's place if need be and does one step. Both go through
+// the register under the term: a driver that froze or was cut off finds a
+// higher term there and changes nothing.
+func (m *Moult) drive(ctx context.Context, svc string) error {
+	u := Load(m.cfg.State(), svc)
+	if !u.Open() {
+		return nil
+	}
+	if u.Driver != m.me() {
+		from := u.Term
+		s, err := m.cfg.Change(ctx, func(now *nest.State) (*nest.State, error) {
+			u := Load(now, svc)
+			if !u.Open() || u.Term != from {
+				return nil, wax.New(wax.Stale, svc, "another node drives", "nothing to do")
+			}
+			u.Term, u.Driver = u.Term+1, m.me()
+			return now, u.store(now)
+		})
+		if err != nil {
+			return err
+		}
+		u = Load(s, svc)
+		m.cfg.Log.Info("upgrade_driven", "service", svc, "term", u.Term, "wave", u.Wave)
+	}
+	term := u.Term
+	seen, groups, vitals, err := m.look(ctx, u)
+	if err != nil {
+		return err
+	}
+	trial := *u
+	trial.Out = append([]Out(nil), u.Out...)
+	if !trial.Step(seen, groups, vitals, m.cfg.WallUs()) {
+		return nil
+	}
+	s, err := m.cfg.Change(ctx, func(now *nest.State) (*nest.State, error) {
+		u := Load(now, svc)
+		if u == nil || u.Term != term || u.Driver != m.me() {
+			return nil, wax.New(wax.Stale, svc, "another node drives", "nothing to do")
+		}
+		if !u.Step(seen, groups, vitals, m.cfg.WallUs()) {
+			return nil, nil
+		}
+		return now, u.store(now)
+	})
+	if err != nil {
+		return err
+	}
+	if now := Load(s, svc); now != nil && (now.Phase != u.Phase || now.Wave != u.Wave) {
+		m.cfg.Log.Info("upgrade_moved", "service", svc, "phase", now.Phase, "wave", now.Wave, "out", len(now.Out), "why", now.Why, "remedy", now.Remedy)
+	}
+	return nil
+}
+
+// look asks every forager in sight; more than half must answer, or nothing is
+// decided.
+func (m *Moult) look(ctx context.Context, u *Upgrade) ([]Seen, []Group, Vitals, error) {
+	v := m.cfg.Swarm.Look()
+	var mu sync.Mutex
+	var wg sync.WaitGroup
+	busy := map[string]bool{}
+	byGroup := map[string]*Group{}
+	var vitals Vitals
+	asked, told := 0, 0
+	for i := range v.All {
+		p := &v.All[i]
+		if !p.Alive || p.Role != m.cfg.Self.Role {
+			continue
+		}
+		asked++
+		wg.Go(func() {
+			out := &tellAnswer{}
+			if p.Name == m.cfg.Self.Name {
+				out = m.tell(u.Svc)
+			} else {
+				callCtx, cancel := context.WithTimeout(ctx, askTimeout)
+				defer cancel()
+				if m.cfg.Mesh.Call(callCtx, p.Addr, "moult.tell", &tellCall{Svc: u.Svc}, out) != nil {
+					return
+				}
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			told++
+			for _, id := range out.Busy {
+				busy[id] = true
+			}
+			vitals.Answers += out.Vitals.Answers
+			vitals.Late += out.Vitals.Late
+			vitals.Failed += out.Vitals.Failed
+			for _, g := range out.Groups {
+				all := byGroup[g.ID]
+				if all == nil {
+					all = &Group{ID: g.ID}
+					byGroup[g.ID] = all
+				}
+				all.Lately += g.Lately
+				all.Holders = append(all.Holders, g.Holders...)
+			}
+		})
+	}
+	wg.Wait()
+	if 2*told <= asked {
+		return nil, nil, Vitals{}, wax.New(wax.Unsure, u.Svc, "too few foragers answer", "nothing is changed until they do")
+	}
+	var seen []Seen
+	for _, w := range m.cfg.Known() {
+		if w.Svc != u.Svc || w.Gone {
+			continue
+		}
+		// A forager that did not answer may have something running.
+		seen = append(seen, Seen{ID: w.ID, Addr: w.Addr, Ver: version(&w), Up: w.Phase == "up", Busy: busy[w.ID] || told < asked})
+	}
+	sort.Slice(seen, func(i, j int) bool { return seen[i].ID < seen[j].ID })
+	groups := make([]Group, 0, len(byGroup))
+	for _, g := range byGroup {
+		groups = append(groups, *g)
+	}
+	sort.Slice(groups, func(i, j int) bool { return groups[i].ID < groups[j].ID })
+	return seen, groups, vitals, nil
+}
+
+// version is the highest version of the weights that a worker has.
+func version(w *flora.Worker) int64 {
+	var ver int64
+	for _, m := range w.Models {
+		ver = max(ver, m.Ver)
+	}
+	return ver
+}
+
+// Start begins an upgrade.
+func (m *Moult) Start(ctx context.Context, svc string, to int64, rules Rules) (*Upgrade, error) {
+	if !m.cfg.HasService(svc) {
+		return nil, wax.New(wax.Unknown, svc, "is no service of the blueprint", "name a service under svcs")
+	}
+	counts := map[int64]int64{}
+	var total int64
+	for _, w := range m.cfg.Known() {
+		if w.Svc == svc && w.Up() {
+			counts[version(&w)]++
+			total++
+		}
+	}
+	var from, most int64
+	for ver, n := range counts {
+		if n > most || n == most && ver < from {
+			from, most = ver, n
+		}
+	}
+	switch {
+	case to <= 0:
+		return nil, wax.New(wax.Invalid, "to", "is no version", "give the number of the weights' version, above 0")
+	case total == 0:
+		return nil, wax.New(wax.Conflict, svc, "no worker of it is up", "start its workers first")
+	case counts[to] == total:
+		return nil, wax.New(wax.Conflict, "to", "all workers are at that version", "nothing to do")
+	}
+	if err := rules.Check(total); err != nil {
+		return nil, err
+	}
+	return m.change(ctx, svc, func(old *Upgrade) (*Upgrade, error) {
+		if old.Open() {
+			return nil, wax.New(wax.Conflict, svc, "an upgrade of it is under way", "wait for it, or undo it")
+		}
+		u := &Upgrade{Svc: svc, From: from, To: to, Rules: rules, Phase: Running, Total: total}
+		if old != nil {
+			u.Term = old.Term
+		}
+		return u, nil
+	})
+}
+
+// change runs a change of one upgrade in the register.
+func (m *Moult) change(ctx context.Context, svc string, fn func(*Upgrade) (*Upgrade, error)) (*Upgrade, error) {
+	s, err := m.cfg.Change(ctx, func(now *nest.State) (*nest.State, error) {
+		u, err := fn(Load(now, svc))
+		if err != nil || u == nil {
+			return nil, err
+		}
+		return now, u.store(now)
+	})
+	if err != nil {
+		return nil, err
+	}
+	return Load(s, svc), nil
+}
+
+func unknown(svc string) error {
+	return wax.New(wax.Unknown, svc, "has no upgrade", "start one")
+}
+
+// Pause stops an upgrade where it is.
+func (m *Moult) Pause(ctx context.Context, svc string) (*Upgrade, error) {
+	return m.change(ctx, svc, func(u *Upgrade) (*Upgrade, error) {
+		if !u.Open() {
+			return nil, unknown(svc)
+		}
+		u.pause("paused by the operator", "resume when ready")
+		return u, nil
+	})
+}
+
+// Resume lets a paused upgrade go on, its times anew.
+func (m *Moult) Resume(ctx context.Context, svc string) (*Upgrade, error) {
+	return m.change(ctx, svc, func(u *Upgrade) (*Upgrade, error) {
+		if !u.Open() {
+			return nil, unknown(svc)
+		}
+		u.Phase, u.Why, u.Remedy = Running, "", ""
+		u.WaveUs, u.SpreadUs = m.cfg.WallUs(), 0
+		return u, nil
+	})
+}
+
+// Undo turns an upgrade round: the workers at the target version go back in
+// waves, under the same rules.
+func (m *Moult) Undo(ctx context.Context, svc string) (*Upgrade, error) {
+	return m.change(ctx, svc, func(u *Upgrade) (*Upgrade, error) {
+		if u == nil || u.Phase == Undone {
+			return nil, unknown(svc)
+		}
+		if u.Undoing && u.Open() {
+			return nil, wax.New(wax.Conflict, svc, "is being undone already", "wait for it")
+		}
+		u.From, u.To = u.To, u.From
+		u.Undoing, u.Phase, u.Why, u.Remedy = true, Running, "", ""
+		// Workers out that are still there come back into use as they are:
+		// they never left the version that is wanted again.
+		u.Out, u.WarmUs, u.SpreadUs = nil, 0, 0
+		return u, nil
+	})
+}
+
+// Status is an upgrade as it stands.
+func (m *Moult) Status(svc string) (*Upgrade, error) {
+	u := Load(m.cfg.State(), svc)
+	if u == nil {
+		return nil, unknown(svc)
+	}
+	return u, nil
+}
--- a/internal/nest/state.go
+++ b/internal/nest/state.go
@@ -78,13 +78,14 @@
 
 // State is the whole value of the register.
 type State struct {
-	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by the library
-	Rev      uint64   // grows by one with each change
-	Ver      int64    // version of the blueprint, 0 before the first
-	Doc      []byte   // the blueprint as the operator sent it
-	Core     Roster   // who votes on this register
-	Stores   Roster   // who keeps the lots
-	Retiring []string // store seats to be emptied
+	_msgpack struct{}          `msgpack:",as_array"` //nolint:unused // read by the library
+	Rev      uint64            // grows by one with each change
+	Ver      int64             // version of the blueprint, 0 before the first
+	Doc      []byte            // the blueprint as the operator sent it
+	Core     Roster            // who votes on this register
+	Stores   Roster            // who keeps the lots
+	Retiring []string          // store seats to be emptied
+	Extra    map[string][]byte // state of other aggregates, by key, e.g. upgrades
 }
 
 func (s *State) clone() *State {
--- a/internal/nurse/nurse.go
+++ b/internal/nurse/nurse.go
@@ -280,9 +280,15 @@
 			return "", false, true
 		}
 		dir := n.Sender.Dir()
-		w := n.Sender.Scout.Pick(dir, &scout.Need{Svc: b.Pick(rand.Uint64()), Parts: parts, Exclude: exclude, Item: true})
+		w := n.Sender.Scout.Pick(dir, &scout.Need{Svc: b.Pick(rand.Uint64()), Parts: parts, Exclude: exclude, Item: true, Version: text.Version})
 		if w == nil {
 			exclude = nil
+			if text.Any && text.Version > 0 && !n.Sender.Scout.HasVersion(dir, b, text.Version) {
+				// No worker has the weights it began with: from the start,
+				// for a text is of one version (design 13.5).
+				text.Restart()
+				continue
+			}
 			if !text.Any && waggle.NowUs()-startUs > placeUs {
 				return "", false, true
 			}
--- /dev/null
+++ b/internal/scout/moult.go
@@ -0,0 +1,216 @@
+package scout
+
+import (
+	"sort"
+
+	"rowanshunt/internal/flora"
+	"rowanshunt/internal/foundation"
+	"rowanshunt/internal/tending"
+	"rowanshunt/internal/waggle"
+)
+
+// What upgrades ask of the choice, and what they are told of it (design 13).
+
+// moulting is what the upgrades under way ask.
+type moulting struct {
+	out    map[string]bool    // workers out of use
+	spread map[string]int     // by service: homes of each shared part
+	warm   map[string]Warming // by service
+}
+
+// Warming lets workers at a version in gently.
+type Warming struct {
+	Ver    int64
+	OverUs int64
+}
+
+// SetMoult takes what the upgrades under way ask.
+func (s *Scout) SetMoult(out map[string]bool, spread map[string]int, warm map[string]Warming) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.moult = moulting{out: out, spread: spread, warm: warm}
+}
+
+// homes are the first n of the rendezvous rank of a shared part.
+func (s *Scout) homes(key string, ws []*flora.Worker, n int) []string {
+	var ids []string
+	for _, w := range ws {
+		if !s.moult.out[w.ID] {
+			ids = append(ids, w.ID)
+		}
+	}
+	ids = tending.Rank(key, ids)
+	return ids[:min(n, len(ids))]
+}
+
+// warming tells whether a worker that came back has all it may have for now:
+// its room grows with the time since it was first seen.
+func (s *Scout) warming(w *flora.Worker, st *state, nowUs int64) bool {
+	warm, ok := s.moult.warm[w.Svc]
+	if !ok || warm.OverUs <= 0 || !hasVersion(w, warm.Ver) || nowUs-st.firstUs >= warm.OverUs {
+		return false
+	}
+	room := 1 + int64(float64(st.slots)*float64(nowUs-st.firstUs)/float64(warm.OverUs))/s.foragers
+	return st.inflight >= room
+}
+
+// Times of what is remembered of groups and answers.
+const (
+	bucketUs  = int64(5_000_000)
+	maxGroups = 4096
+)
+
+type groupKey struct{ svc, id string }
+
+// group counts in two buckets of time, the one that runs and the one before.
+type group struct {
+	sinceUs     int64
+	now, before int64
+	holders     map[string]int64 // worker, and when it last answered
+}
+
+// GroupSeen is what this node saw of a group lately.
+type GroupSeen struct {
+	ID      string
+	Lately  int64
+	Holders []string
+}
+
+func (s *Scout) noteGroup(svc, id, worker string, nowUs int64) {
+	k := groupKey{svc, id}
+	g := s.groups[k]
+	if g == nil {
+		if len(s.groups) >= maxGroups {
+			for old, g := range s.groups {
+				if nowUs-g.sinceUs > 2*bucketUs {
+					delete(s.groups, old)
+				}
+			}
+			if len(s.groups) >= maxGroups {
+				return
+			}
+		}
+		g = &group{sinceUs: nowUs, holders: map[string]int64{}}
+		s.groups[k] = g
+	}
+	g.turn(nowUs)
+	g.now++
+	g.holders[worker] = nowUs
+}
+
+func (g *group) turn(nowUs int64) {
+	switch ageUs := nowUs - g.sinceUs; {
+	case ageUs >= 2*bucketUs:
+		g.before, g.now, g.sinceUs = 0, 0, nowUs
+	case ageUs >= bucketUs:
+		g.before, g.now, g.sinceUs = g.now, 0, g.sinceUs+bucketUs
+	}
+	for w, at := range g.holders {
+		if nowUs-at > 2*bucketUs {
+			delete(g.holders, w)
+		}
+	}
+}
+
+// Groups lists the groups of a service with requests lately.
+func (s *Scout) Groups(svc string) []GroupSeen {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	nowUs := waggle.NowUs()
+	var out []GroupSeen
+	for k, g := range s.groups {
+		if k.svc != svc {
+			continue
+		}
+		g.turn(nowUs)
+		if g.now+g.before == 0 {
+			delete(s.groups, k)
+			continue
+		}
+		seen := GroupSeen{ID: k.id, Lately: g.now + g.before}
+		for w := range g.holders {
+			seen.Holders = append(seen.Holders, w)
+		}
+		sort.Strings(seen.Holders)
+		out = append(out, seen)
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].ID < out[j].ID })
+	return out
+}
+
+// Busy lists the workers that something of this node runs at.
+func (s *Scout) Busy() []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var out []string
+	for id, st := range s.workers {
+		if st.inflight > 0 {
+			out = append(out, id)
+		}
+	}
+	sort.Strings(out)
+	return out
+}
+
+// fare counts a service's answers in two buckets of time.
+type fare struct {
+	sinceUs                      int64
+	answers, late, failed        int64
+	beforeAns, beforeL, beforeFd int64
+}
+
+func (f *fare) turn(nowUs int64) {
+	switch ageUs := nowUs - f.sinceUs; {
+	case ageUs >= 2*bucketUs:
+		*f = fare{sinceUs: nowUs}
+	case ageUs >= bucketUs:
+		*f = fare{sinceUs: f.sinceUs + bucketUs, beforeAns: f.answers, beforeL: f.late, beforeFd: f.failed}
+	}
+}
+
+// Fare notes how an answer of a service fared.
+func (s *Scout) Fare(svc string, late, failed bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	nowUs := waggle.NowUs()
+	f := s.fared[svc]
+	if f == nil {
+		f = &fare{sinceUs: nowUs}
+		s.fared[svc] = f
+	}
+	f.turn(nowUs)
+	f.answers++
+	if late {
+		f.late++
+	}
+	if failed {
+		f.failed++
+	}
+}
+
+// Fared tells how a service's answers fared lately.
+func (s *Scout) Fared(svc string) (answers, late, failed int64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	f := s.fared[svc]
+	if f == nil {
+		return 0, 0, 0
+	}
+	f.turn(waggle.NowUs())
+	return f.answers + f.beforeAns, f.late + f.beforeL, f.failed + f.beforeFd
+}
+
+// HasVersion tells whether any worker in use, of the services a binding sends
+// to, has weights of that version.
+func (s *Scout) HasVersion(d *flora.Directory, b *foundation.Binding, ver int64) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, share := range b.Split {
+		for _, w := range d.BySvc[share.Svc] {
+			if !s.moult.out[w.ID] && hasVersion(w, ver) {
+				return true
+			}
+		}
+	}
+	return false
+}
--- a/internal/scout/scout.go
+++ b/internal/scout/scout.go
@@ -80,6 +80,7 @@
 	fails     int64
 	failUs    int64
 	noRoomUs  int64 // told it was full, until then
+	firstUs   int64 // when this node first picked among it
 }
 
 // Scout owns what this node knows of each worker's pressure.
@@ -88,15 +89,18 @@
 	az      string
 	workers map[string]*state
 	kept    map[keptKey]int64
-	// Foragers is how many nodes send to the workers.
+	// foragers is how many nodes send to the workers.
 	foragers int64
+	moult    moulting
+	groups   map[groupKey]*group
+	fared    map[string]*fare
 }
 
 type keptKey struct{ part, worker string }
 
 // New makes a scout for a node in zone az.
 func New(az string) *Scout {
-	return &Scout{az: az, workers: map[string]*state{}, kept: map[keptKey]int64{}, foragers: 1}
+	return &Scout{az: az, workers: map[string]*state{}, kept: map[keptKey]int64{}, foragers: 1, groups: map[groupKey]*group{}, fared: map[string]*fare{}}
 }
 
 // SetForagers tells how many nodes share the workers.
@@ -127,7 +131,7 @@
 func (s *Scout) of(w *flora.Worker) *state {
 	st := s.workers[w.ID]
 	if st == nil {
-		st = &state{slots: max(w.Slots, 1)}
+		st = &state{slots: max(w.Slots, 1), firstUs: waggle.NowUs()}
 		s.workers[w.ID] = st
 	}
 	return st
@@ -162,9 +166,13 @@
 		}
 	}
 	first, second := "", ""
+	var homes []string // while an upgrade spreads groups: as many as it asks
 	if key != "" {
 		var w1, w2 uint64
 		for _, w := range ws {
+			if s.moult.out[w.ID] {
+				continue
+			}
 			switch x := tending.Weight(key, w.ID); {
 			case first == "" || x > w1:
 				first, w1, second, w2 = w.ID, x, first, w1
@@ -172,12 +180,15 @@
 				second, w2 = w.ID, x
 			}
 		}
+		if n := s.moult.spread[n.Svc]; n > 1 {
+			homes = s.homes(key, ws, n)
+		}
 	}
 	var best *flora.Worker
 	var bestCost float64
 	for pass := 0; pass < 2 && best == nil; pass++ {
 		for _, w := range ws {
-			if contains(n.Exclude, w.ID) {
+			if contains(n.Exclude, w.ID) || s.moult.out[w.ID] {
 				continue
 			}
 			if n.Version > 0 && !hasVersion(w, n.Version) {
@@ -190,7 +201,10 @@
 			if n.Item && (nowUs < st.ejectedUs || nowUs < st.noRoomUs || !s.itemRoom(st, nowUs)) {
 				continue
 			}
-			c := s.cost(w, st, n, nowUs, sharedToks, first, second)
+			if s.warming(w, st, nowUs) && !(pass == 1) {
+				continue
+			}
+			c := s.cost(w, st, n, nowUs, sharedToks, first, second, homes)
 			if best == nil || c < bestCost {
 				best, bestCost = w, c
 			}
@@ -205,6 +219,9 @@
 	if n.Item {
 		st.items++
 	}
+	if len(n.Parts) > 0 {
+		s.noteGroup(n.Svc, n.Parts[0].ID, best.ID, nowUs)
+	}
 	for _, p := range n.Parts {
 		if p.Toks >= 32 {
 			s.remember(keptKey{p.ID, best.ID}, nowUs)
@@ -246,7 +263,7 @@
 	return st.items < share
 }
 
-func (s *Scout) cost(w *flora.Worker, st *state, n *Need, nowUs, sharedToks int64, first, second string) float64 {
+func (s *Scout) cost(w *flora.Worker, st *state, n *Need, nowUs, sharedToks int64, first, second string, homes []string) float64 {
 	est, slots := st.est(nowUs), float64(st.slots)
 	c := 4*est/slots + rand.Float64()*0.3
 	if est >= slots {
@@ -267,7 +284,7 @@
 	c += float64(st.reading) / readToksPerMs
 	if sharedToks > 0 {
 		miss := 0.0
-		if w.ID != first {
+		if w.ID != first && !contains(homes, w.ID) {
 			for _, p := range n.Parts[:len(n.Parts)-1] {
 				if at, ok := s.kept[keptKey{p.ID, w.ID}]; !ok || nowUs-at > keptUs {
 					miss += float64(p.Toks)
@@ -429,7 +446,7 @@
 	room := 0
 	for _, w := range d.BySvc[svc] {
 		st := s.of(w)
-		if nowUs < st.ejectedUs || nowUs < st.noRoomUs || !s.itemRoom(st, nowUs) {
+		if s.moult.out[w.ID] || nowUs < st.ejectedUs || nowUs < st.noRoomUs || !s.itemRoom(st, nowUs) {
 			continue
 		}
 		free := st.itemSlots() - st.est(nowUs)
