--- /dev/null
+++ b/cmd/hive/main_test.go
@@ -0,0 +1,52 @@
+package main
+
+import (
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"strings"
+	"testing"
+
+	"github.com/rogpeppe/go-internal/testscript"
+)
+
+func TestMain(m *testing.M) {
+	testscript.Main(m, map[string]func(){"hive": func() { os.Exit(run(os.Args[1:])) }})
+}
+
+// The command line as a user types it.
+func TestScripts(t *testing.T) {
+	testscript.Run(t, testscript.Params{
+		Dir: "testdata/script",
+		Setup: func(env *testscript.Env) error {
+			srv := httptest.NewServer(standIn())
+			env.Defer(srv.Close)
+			env.Setenv("NODE", strings.TrimPrefix(srv.URL, "http://"))
+			return nil
+		},
+	})
+}
+
+// standIn is a node's upgrade interface, for the client's side of it.
+func standIn() http.Handler {
+	const now = `{"service":"llm","from":1,"to":2,"phase":"%s","wave":3,"driver":"edge-1/5","out":[{"id":"w1","addr":"10.9.0.1:80","idle":true},{"id":"w2","addr":"10.9.0.2:80","gone":true},{"id":"w3","addr":"10.9.0.3:80"}],"why":"%s","remedy":"%s"}`
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /-/upgrades/llm/start", func(w http.ResponseWriter, r *http.Request) {
+		raw := make([]byte, r.ContentLength)
+		_, _ = r.Body.Read(raw)
+		if !strings.Contains(string(raw), `"to":2`) || !strings.Contains(string(raw), `"min_replicas":3`) || !strings.Contains(string(raw), `"wave_ms":60000`) {
+			http.Error(w, string(raw), http.StatusBadRequest)
+			return
+		}
+		fmt.Fprintf(w, now, "running", "", "")
+	})
+	mux.HandleFunc("GET /-/upgrades/llm", func(w http.ResponseWriter, _ *http.Request) {
+		fmt.Fprintf(w, now, "paused", "wave 3 is not back", "replace the workers")
+	})
+	mux.HandleFunc("/", func(w http.ResponseWriter, _ *http.Request) {
+		w.WriteHeader(http.StatusNotFound)
+		fmt.Fprint(w, `{"err":"unknown: other: is no service of the blueprint (remedy: name a service under svcs)"}`)
+	})
+	return mux
+}
--- /dev/null
+++ b/internal/nest/register_test.go
@@ -0,0 +1,346 @@
+package nest
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"path/filepath"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"rowanshunt/internal/meadow"
+	"rowanshunt/internal/pollen"
+	"rowanshunt/internal/wax"
+)
+
+// site is one node of the register's test: a seat that can be killed, frozen
+// or wiped, and a proposer.
+type site struct {
+	t      *testing.T
+	m      *meadow.Meadow
+	addr   string
+	dir    string
+	life   int
+	seat   *Acceptor
+	cancel func()
+	p      *Proposer
+
+	mu        sync.Mutex
+	known     *State
+	committed bool
+}
+
+func (s *site) Known() (*State, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.known, s.committed
+}
+
+func (s *site) learn(n *State) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.known == nil || !s.committed || n.Rev > s.known.Rev {
+		s.known, s.committed = n, true
+	}
+}
+
+func (s *site) start(first *State) {
+	s.life++
+	id := "seat@" + s.dir
+	a, err := OpenAcceptor(id, s.dir, wax.Quiet())
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	s.seat = a
+	ctx, cancel := context.WithCancel(context.Background())
+	desk := pollen.NewDesk()
+	pollen.On(desk, "nest.prepare", a.Prepare)
+	pollen.On(desk, "nest.accept", a.Accept)
+	s.m.Place(ctx, s.addr, desk)
+	s.cancel = func() { cancel(); a.Close() }
+	s.mu.Lock()
+	s.known, s.committed = a.State(), false
+	if s.known == nil {
+		s.known, s.committed = first, true
+	}
+	s.mu.Unlock()
+	s.p = NewProposer(fmt.Sprintf("%s/%d", s.addr, s.life), s.m.MeshOf(s.addr), func(t Seat) string { return t.Addr }, s.Known, s.learn)
+}
+
+// event is what an operator saw: an acknowledged version and the one it was
+// put on, or a version read.
+type event struct {
+	from, to int64
+	began    time.Time
+	ended    time.Time
+	read     bool
+}
+
+// Random histories against a small model of the register (design 4.2): at most
+// one acknowledged change on each version, each on the one before it, and a
+// read or change that begins after an acknowledgement sees it.
+func TestRandomHistories(t *testing.T) {
+	for seed := uint64(1); seed <= 25; seed++ {
+		synctest.Test(t, func(t *testing.T) { history(t, seed) })
+	}
+}
+
+func history(t *testing.T, seed uint64) {
+	defer func() {
+		if t.Failed() {
+			t.Logf("seed %d", seed)
+		}
+	}()
+	rng := rand.New(rand.NewPCG(seed, 1))
+	m := meadow.New(seed)
+	m.DelayUs, m.Lose, m.Double = 4000, 0.03, 0.05
+	root := t.TempDir()
+	var sites []*site
+	first := &State{Rev: 1, Core: Roster{Ver: 1}}
+	for i := range 3 {
+		s := &site{t: t, m: m, addr: fmt.Sprintf("n%d", i), dir: filepath.Join(root, fmt.Sprint("d", i))}
+		sites = append(sites, s)
+		first.Core.Cur = append(first.Core.Cur, Seat{ID: "seat@" + s.dir, Name: s.addr, Addr: s.addr})
+	}
+	for _, s := range sites {
+		s.start(first)
+	}
+	var mu sync.Mutex
+	var seen []event
+	stop := make(chan struct{})
+	var wg sync.WaitGroup
+	for op := range 3 {
+		luck := rand.New(rand.NewPCG(seed, uint64(op)+10))
+		wg.Go(func() {
+			var at int64
+			for n := int64(1); ; n++ {
+				select {
+				case <-stop:
+					return
+				default:
+				}
+				s := sites[luck.IntN(3)]
+				// Shuffles bring committed states round.
+				if known, committed := sites[luck.IntN(3)].Known(); committed {
+					s.learn(known)
+				}
+				mu.Lock()
+				p := s.p
+				mu.Unlock()
+				ctx, cancel := context.WithTimeout(context.Background(), 800*time.Millisecond)
+				e := event{began: time.Now(), read: luck.IntN(3) == 0}
+				if e.read {
+					st, err := p.Read(ctx)
+					if err == nil {
+						e.to, e.ended, at = st.Ver, time.Now(), st.Ver
+						mu.Lock()
+						seen = append(seen, e)
+						mu.Unlock()
+					}
+				} else {
+					ver, expect := at+1+int64(luck.IntN(3)), at
+					doc := []byte(fmt.Sprint(op, "-", n))
+					st, err := p.Change(ctx, func(now *State) (*State, error) {
+						if now.Ver != expect {
+							return nil, wax.New(wax.Stale, "If-Match", "another version", "")
+						}
+						now.Ver, now.Doc = ver, doc
+						return now, nil
+					})
+					if err == nil {
+						e.from, e.to, e.ended, at = expect, ver, time.Now(), ver
+						mu.Lock()
+						seen = append(seen, e)
+						mu.Unlock()
+					} else if st != nil {
+						at = st.Ver
+					}
+				}
+				cancel()
+				time.Sleep(time.Duration(luck.IntN(60)) * time.Millisecond)
+			}
+		})
+	}
+	// Faults, one machine at a time: killed, cut off, or wiped and taken in
+	// anew as another seat.
+	for range 8 {
+		time.Sleep(time.Duration(200+rng.IntN(400)) * time.Millisecond)
+		i := rng.IntN(3)
+		s := sites[i]
+		switch rng.IntN(3) {
+		case 0:
+			s.cancel()
+			time.Sleep(time.Duration(rng.IntN(500)) * time.Millisecond)
+			mu.Lock()
+			s.start(first)
+			mu.Unlock()
+		case 1:
+			m.CutOff(s.addr, []string{"n0", "n1", "n2"}, true)
+			time.Sleep(time.Duration(rng.IntN(800)) * time.Millisecond)
+			m.CutOff(s.addr, []string{"n0", "n1", "n2"}, false)
+		case 2:
+			s.cancel()
+			old := "seat@" + s.dir
+			s.dir = filepath.Join(root, fmt.Sprint("w", i, "-", rng.IntN(1<<30)))
+			known := first
+			for _, other := range sites {
+				if st, committed := other.Known(); committed && other != s && st.Rev > known.Rev {
+					known = st
+				}
+			}
+			mu.Lock()
+			s.start(known)
+			mu.Unlock()
+			join(t, s, old)
+		}
+	}
+	time.Sleep(time.Second)
+	close(stop)
+	wg.Wait()
+	for _, s := range sites {
+		s.cancel()
+	}
+	check(t, seen)
+	time.Sleep(5 * time.Second)
+}
+
+// join brings a wiped machine's new seat in, as nest does.
+func join(t *testing.T, s *site, old string) {
+	self := Seat{ID: s.seat.ID(), Name: s.addr, Addr: s.addr}
+	for end := time.Now().Add(20 * time.Second); ; {
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		st, err := s.p.Change(ctx, func(now *State) (*State, error) {
+			if now.Core.Joint() {
+				now.Core = now.Core.Settle()
+				return now, nil
+			}
+			if now.Core.Has(self.ID) {
+				return nil, nil
+			}
+			next := slices.Clone(now.Core.Cur)
+			for i := range next {
+				if next[i].ID == old {
+					next[i] = self
+				}
+			}
+			now.Core = now.Core.Begin(next)
+			return now, nil
+		})
+		cancel()
+		if err == nil && st.Core.Has(self.ID) && !st.Core.Joint() {
+			return
+		}
+		if time.Now().After(end) {
+			t.Errorf("a wiped machine did not get in: %v", err)
+			return
+		}
+	}
+}
+
+func check(t *testing.T, seen []event) {
+	t.Helper()
+	on := map[int64]int64{}
+	for _, e := range seen {
+		if e.read {
+			continue
+		}
+		if other, twice := on[e.from]; twice && other != e.to {
+			t.Errorf("two changes on version %d were acknowledged: %d and %d", e.from, other, e.to)
+		}
+		on[e.from] = e.to
+	}
+	acks := 0
+	for _, a := range seen {
+		if !a.read {
+			acks++
+		}
+		for _, b := range seen {
+			if b.began.After(a.ended) && (b.to < a.to || !b.read && b.from < a.to) {
+				t.Errorf("version %d was seen by %v, yet what began at %v saw %d on %d", a.to, a.ended, b.began, b.to, b.from)
+			}
+		}
+	}
+	if acks < 5 {
+		t.Errorf("only %d changes were acknowledged: the test tests nothing", acks)
+	}
+}
+
+// A promise outlives a restart; an accepted state too.
+func TestAcceptorOnDisk(t *testing.T) {
+	dir := t.TempDir()
+	open := func() *Acceptor {
+		a, err := OpenAcceptor("s", dir, wax.Quiet())
+		if err != nil {
+			t.Fatal(err)
+		}
+		return a
+	}
+	ctx := context.Background()
+	a := open()
+	low, mid, high := Ballot{N: 1, By: "a"}, Ballot{N: 2, By: "a"}, Ballot{N: 3, By: "a"}
+	if _, err := a.Accept(ctx, &acceptCall{Seat: "s", Ballot: low, State: &State{Rev: 1, Ver: 7, Doc: []byte("x")}}); err != nil {
+		t.Fatal(err)
+	}
+	if out, _ := a.Prepare(ctx, &prepareCall{Seat: "s", Ballot: high}); !out.OK || out.State.Ver != 7 {
+		t.Errorf("prepare: %+v", out)
+	}
+	a.Close()
+	a = open()
+	defer a.Close()
+	if out, _ := a.Accept(ctx, &acceptCall{Seat: "s", Ballot: mid, State: &State{Rev: 2}}); out.OK || out.Promised != high {
+		t.Errorf("a promise was broken after a restart: %+v", out)
+	}
+	if out, _ := a.Prepare(ctx, &prepareCall{Seat: "s", Ballot: mid, Peek: true}); out.State == nil || out.State.Ver != 7 || string(out.State.Doc) != "x" {
+		t.Errorf("what was accepted is gone: %+v", out)
+	}
+	if _, err := a.Prepare(ctx, &prepareCall{Seat: "another", Ballot: high}); !wax.Is(err, wax.Unknown) {
+		t.Errorf("another's seat: %v", err)
+	}
+	if _, err := a.Accept(ctx, &acceptCall{Seat: "s", Ballot: high}); !wax.Is(err, wax.Invalid) {
+		t.Errorf("no state: %v", err)
+	}
+}
+
+// Majorities of a roster, settled and joint (design 4.4).
+func TestQuorum(t *testing.T) {
+	seats := func(ids ...string) (out []Seat) {
+		for _, id := range ids {
+			out = append(out, Seat{ID: id})
+		}
+		return out
+	}
+	r := Roster{Ver: 1, Cur: seats("a", "b", "c")}
+	j := r.Begin(seats("a", "b", "d"))
+	four := Roster{Cur: seats("a", "b", "c", "d")}
+	for _, tc := range []struct {
+		name string
+		r    Roster
+		who  []string
+		want bool
+	}{
+		{"two of three", r, []string{"a", "c"}, true},
+		{"one of three", r, []string{"a"}, false},
+		{"two of four", four, []string{"a", "b"}, false},
+		{"three of four", four, []string{"a", "b", "d"}, true},
+		{"joint, both sets", j, []string{"a", "b"}, true},
+		{"joint, the new one only", j, []string{"a", "d"}, false},
+		{"joint, each by another", j, []string{"a", "c", "d"}, true},
+		{"settled", j.Settle(), []string{"a", "d"}, true},
+		{"strangers", r, []string{"x", "y", "z"}, false},
+		{"nobody to ask", Roster{}, nil, false},
+	} {
+		who := map[string]bool{}
+		for _, id := range tc.who {
+			who[id] = true
+		}
+		if got := tc.r.Quorum(who); got != tc.want {
+			t.Errorf("%s: %v", tc.name, got)
+		}
+	}
+	if j.Ver != 2 || j.Settle().Ver != 3 || len(j.All()) != 4 {
+		t.Errorf("roster change: %+v", j)
+	}
+}
--- /dev/null
+++ b/internal/scout/scout_test.go
@@ -0,0 +1,167 @@
+package scout
+
+import (
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"rowanshunt/internal/flora"
+)
+
+func directory(n int, slots int64) *flora.Directory {
+	d := &flora.Directory{BySvc: map[string][]*flora.Worker{}, ByID: map[string]*flora.Worker{}}
+	for i := range n {
+		w := &flora.Worker{ID: fmt.Sprintf("w%d", i), Svc: "s", Az: "a", Slots: slots, Phase: "up"}
+		d.BySvc["s"] = append(d.BySvc["s"], w)
+		d.ByID[w.ID] = w
+	}
+	return d
+}
+
+func TestParseParts(t *testing.T) {
+	for head, want := range map[string]int{"": 0, "5c1e07a2:800,91bd3f06:410, e4402b7d:250": 3, "a:1,b,c:x,:5,d:-1": 1} {
+		if got := ParseParts(head); len(got) != want {
+			t.Errorf("%q: %v", head, got)
+		}
+	}
+}
+
+// Requests that share a long opening go to one worker, from every node alike;
+// others are spread (design 7.2).
+func TestAffinity(t *testing.T) {
+	d := directory(8, 48)
+	a, b := New("a"), New("a")
+	for g := range 20 {
+		need := &Need{Svc: "s", Parts: []Part{{ID: fmt.Sprint("g", g), Toks: 13000}, {ID: "own", Toks: 100}}}
+		first := a.Pick(d, need).ID
+		if again, other := a.Pick(d, need).ID, b.Pick(d, need).ID; again != first || other != first {
+			t.Errorf("group %d went to %s, %s and, from another node, %s", g, first, again, other)
+		}
+	}
+	c, seen := New("a"), map[string]int{}
+	for range 80 {
+		seen[c.Pick(d, &Need{Svc: "s"}).ID]++
+	}
+	for id, n := range seen {
+		if n < 5 || n > 15 {
+			t.Errorf("%d of 80 plain requests went to %s", n, id)
+		}
+	}
+}
+
+// The room for items, and what makes a worker unfit.
+func TestItemsAndEjection(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d, s := directory(2, 16), New("a")
+		if got := s.ItemRoom(d, "s"); got <= 0 || got >= 32 {
+			t.Errorf("room for %d items at 32 slots", got)
+		}
+		n := 0
+		for s.Pick(d, &Need{Svc: "s", Item: true}) != nil {
+			n++
+		}
+		if n == 0 || n >= 32 || s.ItemRoom(d, "s") != 0 {
+			t.Errorf("%d items were placed at 32 slots", n)
+		}
+		if s.Pick(d, &Need{Svc: "s"}) == nil {
+			t.Error("no room is left to live work")
+		}
+		s.Failed("w0", true)
+		if w := s.Pick(d, &Need{Svc: "s"}); w == nil || w.ID != "w1" || !s.Suspect("w0") {
+			t.Errorf("a worker nobody reaches was picked: %v", w)
+		}
+		if w := s.Pick(d, &Need{Svc: "s", Exclude: []string{"w1"}}); w == nil || w.ID != "w0" {
+			t.Error("the last worker there is was not tried")
+		}
+		time.Sleep(5 * time.Second)
+		if s.Suspect("w0") {
+			t.Error("suspected for good")
+		}
+		if s.Pick(d, &Need{Svc: "none"}) != nil || s.Pick(d, &Need{Svc: "s", Exclude: []string{"w0", "w1"}}) != nil {
+			t.Error("picked what is not there")
+		}
+	})
+}
+
+// What an upgrade asks (design 13.2): workers out get nothing, groups get
+// homes, returned workers are let in gently.
+func TestMoult(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d, s := directory(6, 48), New("a")
+		need := &Need{Svc: "s", Parts: []Part{{ID: "g", Toks: 13000}, {ID: "own", Toks: 100}}}
+		home := s.Pick(d, need).ID
+		s.SetMoult(map[string]bool{home: true}, nil, nil)
+		for range 20 {
+			if s.Pick(d, need).ID == home {
+				t.Fatal("a worker out of use was picked")
+			}
+		}
+		s = New("a")
+		s.SetMoult(nil, map[string]int{"s": 3}, nil)
+		seen := map[string]bool{}
+		for range 60 {
+			seen[s.Pick(d, need).ID] = true
+		}
+		if len(seen) != 3 {
+			t.Errorf("a group to be spread over 3 has %d homes", len(seen))
+		}
+		groups := s.Groups("s")
+		if len(groups) != 1 || groups[0].Lately != 60 || len(groups[0].Holders) != 3 {
+			t.Errorf("groups: %+v", groups)
+		}
+		time.Sleep(11 * time.Second)
+		if got := s.Groups("s"); len(got) != 0 {
+			t.Errorf("a group that sleeps is still listed: %+v", got)
+		}
+		s = New("a")
+		for _, w := range d.BySvc["s"] {
+			w.Models = []flora.Model{{Name: "m", Ver: 1}}
+		}
+		d.BySvc["s"][0].Models = []flora.Model{{Name: "m", Ver: 2}}
+		s.SetMoult(nil, nil, map[string]Warming{"s": {Ver: 2, OverUs: 10_000_000}})
+		count := func() (n int) {
+			for range 60 {
+				if s.Pick(d, &Need{Svc: "s"}).ID == "w0" {
+					n++
+				}
+			}
+			return n
+		}
+		if n := count(); n > 2 {
+			t.Errorf("a worker just back got %d of 60 requests", n)
+		}
+		time.Sleep(11 * time.Second)
+		if n := count(); n < 5 {
+			t.Errorf("a warm worker got %d of 60 requests", n)
+		}
+	})
+}
+
+// What partners heard is taken where it is newer; own sends count on.
+func TestPressure(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d, s := directory(2, 10), New("a")
+		s.Pick(d, &Need{Svc: "s"})
+		s.Pick(d, &Need{Svc: "s"})
+		s.Heard("w0", 9, 5, 10)
+		s.Heard("w1", 0, 0, 10)
+		for range 4 {
+			if w := s.Pick(d, &Need{Svc: "s"}); w.ID != "w1" {
+				t.Errorf("picked the full one")
+			}
+		}
+		time.Sleep(time.Second)
+		s.Hear([]flora.Pressure{{ID: "w1", Running: 10, Waiting: 30, Slots: 10}, {ID: "w0", Slots: 10, AgeUs: 100}})
+		if w := s.Pick(d, &Need{Svc: "s"}); w.ID != "w0" {
+			t.Error("what a partner heard was not taken")
+		}
+		s.Hear([]flora.Pressure{{ID: "w0", Running: 10, Waiting: 30, Slots: 10, AgeUs: 900_000}})
+		if w := s.Pick(d, &Need{Svc: "s"}); w.ID != "w0" {
+			t.Error("older news replaced newer")
+		}
+		if ps := s.Pressures(); len(ps) != 2 {
+			t.Errorf("told partners of %d workers", len(ps))
+		}
+	})
+}
--- a/internal/swarm/swarm.go
+++ b/internal/swarm/swarm.go
@@ -211,7 +211,7 @@
 			oldest = t
 		}
 	}
-	if oldest == nil || oldest.Alive {
+	if oldest == nil || waggle.NowUs()-oldest.SeenUs < aliveUs {
 		return false
 	}
 	delete(s.table, oldest.Name)
--- /dev/null
+++ b/internal/swarm/swarm_test.go
@@ -0,0 +1,122 @@
+package swarm
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"rowanshunt/internal/meadow"
+	"rowanshunt/internal/pollen"
+	"rowanshunt/internal/waggle"
+	"rowanshunt/internal/wax"
+)
+
+type bee struct {
+	s      *Swarm
+	addr   string
+	cancel func()
+}
+
+func hatch(m *meadow.Meadow, i int, seeds []string) *bee {
+	ctx, cancel := context.WithCancel(context.Background())
+	b := &bee{addr: fmt.Sprintf("10.0.0.%d:1", i), cancel: cancel}
+	floor, desk := waggle.NewFloor(256), pollen.NewDesk()
+	b.s = New(ctx, floor, desk, m.MeshOf(b.addr), wax.Quiet(), Partner{Name: fmt.Sprint("n", i), Addr: b.addr, Role: "forager", LifeUs: time.Now().UnixMicro()}, seeds, nil)
+	m.Place(ctx, b.addr, desk)
+	go floor.Run(ctx)
+	return b
+}
+
+func alive(b *bee) int { return len(b.s.Look().Names(func(s *Sighting) bool { return s.Alive })) }
+
+// All find all from one seed, a silent one is noticed, one that starts again
+// is the same partner in a new life, and parts meet again (design 3).
+func TestSwarm(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m := meadow.New(5)
+		m.Lose = 0.05
+		const n = 20
+		seeds := []string{"10.0.0.0:1"}
+		var bees []*bee
+		var addrs []string
+		for i := range n {
+			bees = append(bees, hatch(m, i, seeds))
+			addrs = append(addrs, bees[i].addr)
+		}
+		defer func() {
+			for _, b := range bees {
+				b.cancel()
+			}
+			time.Sleep(5 * time.Second)
+		}()
+		time.Sleep(4 * time.Second)
+		for i, b := range bees {
+			if alive(b) != n {
+				t.Errorf("n%d sees %d of %d", i, alive(b), n)
+			}
+		}
+		bees[7].cancel()
+		time.Sleep(4 * time.Second)
+		for i, b := range bees {
+			if i != 7 && b.s.Look().Alive("n7") {
+				t.Errorf("n%d thinks that n7 lives", i)
+			}
+		}
+		bees[7] = hatch(m, 7, seeds)
+		time.Sleep(3 * time.Second)
+		for i, b := range bees {
+			if !b.s.Look().Alive("n7") {
+				t.Errorf("n%d does not see n7 again", i)
+			}
+		}
+		for _, b := range bees[:10] {
+			m.CutOff(b.addr, addrs[10:], true)
+		}
+		time.Sleep(5 * time.Second)
+		if got := alive(bees[0]); got != 10 {
+			t.Errorf("amid a cut n0 sees %d of its 10", got)
+		}
+		for _, b := range bees[:10] {
+			m.CutOff(b.addr, addrs[10:], false)
+		}
+		time.Sleep(10 * time.Second)
+		for i, b := range bees {
+			if alive(b) != n {
+				t.Errorf("after the cut n%d sees %d of %d", i, alive(b), n)
+			}
+		}
+	})
+}
+
+// What a partner must not be able to do to the table.
+func TestViewBounds(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := hatch(meadow.New(1), 1, nil)
+		defer func() { b.cancel(); time.Sleep(2 * time.Second) }()
+		_, err := waggle.Ask(context.Background(), b.s.floor, func() bool {
+			for i := range 3 * maxView {
+				b.s.take(Partner{Name: fmt.Sprint("p", i), Addr: "10.0.1.1:1", Beat: 1, LifeUs: 1})
+			}
+			b.s.take(Partner{Name: "n1", Addr: "10.9.9.9:1", LifeUs: 1 << 60})
+			b.s.take(Partner{Name: "", Addr: "x"})
+			b.s.take(Partner{Name: "p0", Addr: "10.9.9.9:1", Beat: 0, LifeUs: 1})
+			return true
+		})
+		if err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(300 * time.Millisecond)
+		v := b.s.Look()
+		if len(v.All) > maxView+1 {
+			t.Errorf("the view holds %d", len(v.All))
+		}
+		if v.Get("n1").Addr != b.addr {
+			t.Error("another took this node's own name")
+		}
+		if p := v.Get("p0"); p != nil && p.Addr != "10.0.1.1:1" {
+			t.Error("an older word replaced a newer")
+		}
+	})
+}
--- /dev/null
+++ b/internal/waggle/floor_test.go
@@ -0,0 +1,65 @@
+package waggle
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"rowanshunt/internal/wax"
+)
+
+// Commands run one after the other and in order; beats keep their period.
+func TestFloor(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(context.Background())
+		f := NewFloor(8)
+		beats, order, inside := 0, []int{}, 0
+		f.Every(100_000, func() { beats++ })
+		go f.Run(ctx)
+		for i := range 5 {
+			if err := f.Do(ctx, func() {
+				inside++
+				if inside != 1 {
+					t.Error("two commands at once")
+				}
+				order = append(order, i)
+				inside--
+			}); err != nil {
+				t.Fatal(err)
+			}
+		}
+		got, err := Ask(ctx, f, func() int { return len(order) })
+		if err != nil || got != 5 || order[0] != 0 || order[4] != 4 {
+			t.Errorf("asked %d %v, order %v", got, err, order)
+		}
+		time.Sleep(time.Second + 50*time.Millisecond)
+		synctest.Wait()
+		if n, _ := Ask(ctx, f, func() int { return beats }); n < 10 || n > 12 {
+			t.Errorf("%d beats of 100 ms in a second", n)
+		}
+		cancel()
+		synctest.Wait()
+	})
+}
+
+// A full holding declines; an answer that does not come is unsure.
+func TestFloorBounds(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := NewFloor(2)
+		if !f.Try(func() {}) || !f.Try(func() {}) || f.Try(func() {}) {
+			t.Error("the holding's bound does not hold")
+		}
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		defer cancel()
+		if err := f.Do(ctx, func() {}); !wax.Is(err, wax.Declined) {
+			t.Errorf("a full holding: %v", err)
+		}
+		g := NewFloor(2)
+		ctx2, cancel2 := context.WithTimeout(context.Background(), time.Second)
+		defer cancel2()
+		if _, err := Ask(ctx2, g, func() int { return 1 }); !wax.Is(err, wax.Unsure) {
+			t.Errorf("no answer: %v", err)
+		}
+	})
+}
