--- a/internal/brood/brood.go
+++ b/internal/brood/brood.go
@@ -441,7 +441,7 @@
 			})
 		}
 	case !st.Stores.Has(self.ID):
-		if !st.Stores.Joint() && !retiring(st, self.ID) && upUs > 800_000 {
+		if !st.Stores.Joint() && !retiring(st, self.ID) && upUs > 400_000 && nest.NextSeats(&st.Stores, self, v, upUs) != nil {
 			b.changeRoster("store_joining", func(now *nest.State) (*nest.State, error) {
 				if now.Stores.Joint() || now.Stores.Has(self.ID) || retiring(now, self.ID) {
 					return nil, nil
--- a/internal/colony/colony.go
+++ b/internal/colony/colony.go
@@ -78,12 +78,13 @@
 	}
 	n.self.Boot = opts.Bootstrap && (n.self.Disk == "" || n.fresh)
 	seeds := opts.SeedAddrs()
-	near := func(*swarm.View) []string { return nil }
-	if role == "comb" {
-		// Stores listen to each other closely: a shard waits for its owner.
-		near = func(v *swarm.View) []string {
-			return v.Names(func(s *swarm.Sighting) bool { return s.Role == "comb" })
+	// Nodes that hold seats listen closely to those of their kind: a shard
+	// waits for its owner, a newcomer must know whom it replaces.
+	near := func(v *swarm.View) []string {
+		if v.Self.Disk == "" {
+			return nil
 		}
+		return v.Names(func(s *swarm.Sighting) bool { return s.Role == role && s.Disk != "" })
 	}
 	n.Swarm = swarm.New(ctx, n.Floor, n.Desk, env.Mesh, env.Log, n.self, seeds, near)
 	var err error
--- a/internal/colony/faults_test.go
+++ b/internal/colony/faults_test.go
@@ -122,6 +122,33 @@
 	}
 }
 
+// A newcomer that finds a member dead takes its place at once: a roster with
+// the dead one beside it would bear one loss less (incident inc-2884).
+func TestNewcomerTakesTheDeadOnesPlace(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newHive(t, 16, 4, 3)
+		defer h.end()
+		h.serving()
+		most := 0
+		watch := func() bool {
+			s := h.edge().Nest.Committed()
+			most = max(most, len(s.Stores.Cur), len(s.Core.Cur))
+			return h.inStep(&s.Stores, 3) && h.inStep(&s.Core, 3)
+		}
+		h.kill("store-1")
+		h.kill("edge-1")
+		time.Sleep(300 * time.Millisecond) // the others still tell of them
+		h.add("store-9", "comb", 9, true, false)
+		h.add("edge-9", "forager", 9, true, false)
+		h.start("store-9")
+		h.start("edge-9")
+		h.until("both are in", 5*time.Second, watch)
+		if most != 3 {
+			t.Errorf("a roster grew to %d seats", most)
+		}
+	})
+}
+
 // A store added, then one retired: `done` only when the others have it all,
 // and losing any other one right after loses nothing.
 func TestRetire(t *testing.T) {
--- a/internal/nest/nest.go
+++ b/internal/nest/nest.go
@@ -22,7 +22,8 @@
 	tickUs        = 250_000
 	stableUs      = 900_000
 	foundAfterUs  = 1_500_000
-	goneForJoinUs = 700_000
+	judgeUs       = 1_300_000
+	joinAfterUs   = 400_000
 	goneForDropUs = 6_000_000
 	neverSeenUs   = 3_000_000
 	maxSeats      = 7
@@ -246,7 +247,7 @@
 			n.once(n.found)
 		}
 	case n.seat != nil && !known.Core.Has(n.seat.ID()):
-		if nowUs-n.startUs > stableUs {
+		if nowUs-n.startUs > joinAfterUs {
 			n.once(n.join)
 		}
 	case n.seat != nil && committed && n.firstAlive(known.Core.Cur, v) == n.cfg.Self.Name:
@@ -311,7 +312,8 @@
 }
 
 // NextSeats is the roster that takes self in: in the place of an earlier
-// incarnation of its disk, of a member that is gone, or beside the others.
+// incarnation of its disk, of a member that does not answer it, or beside the
+// others; nil while it is too early to tell, or if there is no room.
 func NextSeats(r *Roster, self Seat, v *swarm.View, upUs int64) []Seat {
 	next := slices.Clone(r.Cur)
 	for i, s := range next {
@@ -321,10 +323,15 @@
 		}
 	}
 	for i, s := range next {
-		if Gone(s, v, goneForJoinUs, upUs) {
-			next[i] = self
-			return next
+		if p := v.Get(s.Name); p != nil && v.Met(s.Name) && p.Seat() == s.ID {
+			continue
+		}
+		// What others tell of a member that died just now is old news.
+		if upUs < judgeUs {
+			return nil
 		}
+		next[i] = self
+		return next
 	}
 	if len(next) < maxSeats {
 		return append(next, self)
@@ -359,7 +366,7 @@
 			}
 			next := NextSeats(&now.Core, self, n.cfg.Swarm.Look(), waggle.NowUs()-n.startUs)
 			if next == nil {
-				return nil, wax.New(wax.Declined, "core", "is full", "nothing to do")
+				return nil, wax.New(wax.Declined, "core", "is full, or it is too early to tell who is there", "nothing to do")
 			}
 			now.Core = now.Core.Begin(next)
 			return now, nil
