--- a/internal/brood/brood.go
+++ b/internal/brood/brood.go
@@ -592,3 +592,34 @@
 	})
 	return err == nil && owns
 }
+
+// Copy is what this store has of a lot.
+type Copy struct {
+	Stamp  Stamp
+	Rev    uint64
+	Items  int
+	Listed int
+	Ended  bool
+	Owner  bool // this store serves it now
+	Synced int  // replicas that have all of it, at the owner
+}
+
+// Trace tells what this store has of a lot, nil if nothing.
+func (b *Brood) Trace(ctx context.Context, host, lot string) (*Copy, error) {
+	return waggle.Ask(ctx, b.cfg.Floor, func() *Copy {
+		s := b.shards[ShardOf(host)]
+		l := s.lots[lot]
+		if l == nil {
+			return nil
+		}
+		c := &Copy{Stamp: l.Stamp, Rev: l.Rev, Items: len(l.Prompts), Listed: len(l.List), Ended: l.Ended, Owner: s.owner != nil && s.owner.ready}
+		if c.Owner {
+			for _, f := range s.owner.feeds {
+				if f.acked == s.owner.seq {
+					c.Synced++
+				}
+			}
+		}
+		return c
+	})
+}
--- a/internal/colony/colony.go
+++ b/internal/colony/colony.go
@@ -25,6 +25,7 @@
 	"rowanshunt/internal/scout"
 	"rowanshunt/internal/skep"
 	"rowanshunt/internal/swarm"
+	"rowanshunt/internal/trail"
 	"rowanshunt/internal/waggle"
 	"rowanshunt/internal/wax"
 )
@@ -51,9 +52,11 @@
 	Desk  *pollen.Desk
 	Swarm *swarm.Swarm
 	Nest  *nest.Nest
+	Trail *trail.Trail
 
 	blueprint atomic.Pointer[foundation.Blueprint]
 	applied   int64
+	appliedUs atomic.Int64      // time of day
 	applyMore func(*nest.State) // what a role applies beside the blueprint
 	caughtUp  atomic.Bool
 	fatal     chan error
@@ -95,6 +98,8 @@
 		return nil, err
 	}
 	n.Swarm.OnRev = n.Nest.Hear
+	n.Trail = trail.New(n.Desk, env.Mesh, n.Swarm, n.self)
+	n.Trail.On(trail.Blueprint, n.tellBlueprint)
 	env.Log.Info("started", "role", role, "partner", n.self.Addr, "disk", n.self.Disk, "boot", n.self.Boot)
 	return n, nil
 }
@@ -123,6 +128,7 @@
 		return
 	}
 	n.applied = s.Ver
+	n.appliedUs.Store(n.env.WallUs())
 	n.blueprint.Store(b)
 	n.env.Log.Info("blueprint_applied", "ver", s.Ver, "rev", s.Rev, "bindings", len(b.Bindings))
 }
@@ -167,7 +173,9 @@
 	if err != nil {
 		return nil, err
 	}
-	return &Comb{Node: n, Brood: b}, nil
+	c := &Comb{Node: n, Brood: b}
+	n.Trail.On(trail.Lot, c.tellLot)
+	return c, nil
 }
 
 // Forager is a node that serves clients, workers and operators.
@@ -212,7 +220,10 @@
 			return b != nil && b.Services[svc] != nil
 		}})
 	n.applyMore = func(s *nest.State) { moult.Apply(s, f.Scout) }
-	f.Control = &guard.Control{Nest: n.Nest, Flora: f.Flora, Moult: f.Moult, Log: env.Log, Spared: opts.Ft.Nodes}
+	f.Control = &guard.Control{Nest: n.Nest, Flora: f.Flora, Moult: f.Moult, Trail: n.Trail, Log: env.Log, Spared: opts.Ft.Nodes, WallUs: env.WallUs}
+	n.Trail.On(trail.Blueprint, f.tellAcked)
+	n.Trail.On(trail.Worker, f.tellWorker)
+	n.Trail.On(trail.Lot, f.tellInHand)
 	n.Floor.Every(300_000, f.upkeep)
 	return f, nil
 }
--- a/internal/colony/faults_test.go
+++ b/internal/colony/faults_test.go
@@ -1,6 +1,7 @@
 package colony
 
 import (
+	"encoding/json"
 	"fmt"
 	"strings"
 	"testing"
@@ -8,6 +9,7 @@
 	"time"
 
 	"rowanshunt/internal/nest"
+	"rowanshunt/internal/trail"
 )
 
 // The faults that the deployments list, caused in the meadow; after each, what
@@ -452,3 +454,60 @@
 		}
 	})
 }
+
+// A change is followed through all nodes; a silent node and one that lacks it
+// are named (design 14).
+func TestTrail(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newHive(t, 17, 4, 3)
+		defer h.end()
+		h.serving()
+		if w := h.handIn("a", 5, 10); w.Code != 202 {
+			t.Fatalf("lot: %d", w.Code)
+		}
+		h.complete("a", 5, 10*time.Second)
+		time.Sleep(time.Second)
+		follow := func(path string) (trail.Report, int) {
+			w := h.control(h.edge(), "GET", "/-/trail/"+path, nil)
+			var r trail.Report
+			_ = json.Unmarshal(w.Body.Bytes(), &r)
+			return r, w.Code
+		}
+		hops := func(r trail.Report) string {
+			n := map[string]int{}
+			for _, w := range r.Words {
+				for _, f := range w.Facts {
+					n[f.Hop]++
+				}
+			}
+			return fmt.Sprint(n)
+		}
+		for path, want := range map[string]string{
+			"blueprint/1":             "map[acknowledged:1 committed:7 held:3 in_force:7]",
+			"worker/21":               "map[home:3 worker:4]",
+			"lot/a?host=shop.example": "map[copy:3 owner:1]",
+		} {
+			r, code := follow(path)
+			if code != 200 || !r.Complete || hops(r) != want {
+				t.Errorf("%s: %d, complete %v, %s, missing %v", path, code, r.Complete, hops(r), r.Missing)
+			}
+		}
+		if r, _ := follow("blueprint/2"); r.Complete || len(r.Missing) < 7 {
+			t.Errorf("a version nobody has: %+v", r)
+		}
+		if r, _ := follow("lot/none?host=shop.example"); r.Complete || len(r.Missing) != 3 {
+			t.Errorf("a lot nobody has: %+v", r)
+		}
+		if r, _ := follow("worker/nobody"); r.Complete || len(r.Missing) != 4 {
+			t.Errorf("a worker nobody knows: %+v", r)
+		}
+		if _, code := follow("song/1"); code != 400 {
+			t.Errorf("a kind that cannot be followed: %d", code)
+		}
+		h.kill("store-1")
+		r, _ := follow("lot/a?host=shop.example")
+		if r.Complete || !strings.Contains(strings.Join(r.Missing, ";"), "store-1: silent") {
+			t.Errorf("a silent store: %+v", r.Missing)
+		}
+	})
+}
--- a/internal/flora/flora.go
+++ b/internal/flora/flora.go
@@ -531,3 +531,26 @@
 func (f *Flora) usable(e *entry) bool {
 	return e.Up() && f.syncUs-e.seenUs < f.TenureUs()
 }
+
+// Trace tells what this node knows of a worker, nil if nothing, and whether it
+// is in the directory.
+func (f *Flora) Trace(ctx context.Context, id string) (w *Worker, inUse bool) {
+	got, err := waggle.Ask(ctx, f.cfg.Floor, func() *Worker {
+		e := f.workers[id]
+		if e == nil {
+			return nil
+		}
+		c := e.Worker
+		c.AgeUs = waggle.NowUs() - e.seenUs
+		return &c
+	})
+	if err != nil {
+		return nil, false
+	}
+	return got, f.Look().ByID[id] != nil
+}
+
+// HomeOf names the home of a service in this node's zone.
+func (f *Flora) HomeOf(svc string) string {
+	return f.homes(svc, f.cfg.Swarm.Look())[f.cfg.Self.Az]
+}
--- a/internal/guard/control.go
+++ b/internal/guard/control.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"sync"
 	"time"
 
 	"github.com/julienschmidt/httprouter"
@@ -15,6 +16,7 @@
 	"rowanshunt/internal/foundation"
 	"rowanshunt/internal/moult"
 	"rowanshunt/internal/nest"
+	"rowanshunt/internal/trail"
 	"rowanshunt/internal/wax"
 )
 
@@ -35,8 +37,53 @@
 	Nest   *nest.Nest
 	Flora  *flora.Flora
 	Moult  *moult.Moult
+	Trail  *trail.Trail
 	Log    *wax.Log
 	Spared int
+	WallUs func() int64
+
+	mu    sync.Mutex
+	acked []acked
+}
+
+// acked is a blueprint that this node acknowledged, for tracers.
+type acked struct{ ver, atUs int64 }
+
+const maxAcked = 32
+
+// note keeps the last acknowledgements.
+func (c *Control) note(ver int64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if len(c.acked) >= maxAcked {
+		c.acked = c.acked[1:]
+	}
+	c.acked = append(c.acked, acked{ver, c.WallUs()})
+}
+
+// Acked tells when this node acknowledged a version, 0 if it did not.
+func (c *Control) Acked(ver int64) int64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, a := range c.acked {
+		if a.ver == ver {
+			return a.atUs
+		}
+	}
+	return 0
+}
+
+// TrailCommand follows a change through all nodes.
+type TrailCommand struct{ Ask trail.Ask }
+
+// Run asks all nodes.
+func (t *TrailCommand) Run(ctx context.Context, c *Control) (Reply, error) {
+	r, err := c.Trail.Follow(ctx, &t.Ask)
+	if err != nil {
+		return Reply{}, err
+	}
+	body, err := json.Marshal(r)
+	return Reply{Status: 200, Body: body}, err
 }
 
 // BeatCommand is a worker's beat.
@@ -68,6 +115,7 @@
 	if err != nil {
 		return Reply{}, err
 	}
+	c.note(p.Ver)
 	c.Log.Info("blueprint_taken", "ver", s.Ver, "rev", s.Rev)
 	return Reply{Status: 200, Body: []byte("{}")}, nil
 }
@@ -165,6 +213,9 @@
 	on(http.MethodGet, "/-/upgrades/:svc", 2*time.Second, func(_ *http.Request, ps httprouter.Params) (Command, error) {
 		return &UpgradeCommand{Svc: ps.ByName("svc"), Act: "status"}, nil
 	})
+	on(http.MethodGet, "/-/trail/:kind/:id", 3*time.Second, func(r *http.Request, ps httprouter.Params) (Command, error) {
+		return &TrailCommand{Ask: trail.Ask{Kind: ps.ByName("kind"), ID: ps.ByName("id"), Host: r.URL.Query().Get("host")}}, nil
+	})
 	on(http.MethodPost, "/-/retire/:node", 3*time.Second, decodeRetire)
 	on(http.MethodGet, "/-/retire/:node", 2*time.Second, func(_ *http.Request, ps httprouter.Params) (Command, error) {
 		return &RetiredCommand{Node: ps.ByName("node")}, nil
--- a/internal/nest/nest.go
+++ b/internal/nest/nest.go
@@ -480,3 +480,17 @@
 	}
 	return false, wax.New(wax.Unknown, name, "is no store of this system", "name a store's node")
 }
+
+// Held tells what this node's seat accepted: its version, and whether there is
+// a seat that votes.
+func (n *Nest) Held() (ver int64, votes bool) {
+	if n.seat == nil {
+		return 0, false
+	}
+	known, _ := n.Known()
+	votes = known != nil && known.Core.Has(n.seat.ID())
+	if s := n.seat.State(); s != nil {
+		ver = s.Ver
+	}
+	return ver, votes
+}
--- a/internal/nurse/nurse.go
+++ b/internal/nurse/nurse.go
@@ -359,3 +359,16 @@
 	case <-ctx.Done():
 	}
 }
+
+// InHand counts the items of a lot that this node has in hand.
+func (n *Nurse) InHand(lot string) int {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	count := 0
+	for k := range n.held {
+		if k.Lot == lot {
+			count++
+		}
+	}
+	return count
+}
