--- a/internal/meadow/worker.go
+++ b/internal/meadow/worker.go
@@ -30,9 +30,14 @@
 	full                  bool
 }
 
+// NewStandIn makes a stand-in that is not yet served anywhere.
+func NewStandIn(id string) *Worker {
+	return &Worker{ID: id, Slots: 8, Events: 5, Gap: 5 * time.Millisecond, Runs: map[string]int{}, FailItems: map[string]bool{}, NeverItems: map[string]bool{}}
+}
+
 // NewWorker starts a stand-in at an address of the meadow.
 func NewWorker(m *Meadow, id, addr string) *Worker {
-	w := &Worker{ID: id, Slots: 8, Events: 5, Gap: 5 * time.Millisecond, Runs: map[string]int{}, FailItems: map[string]bool{}, NeverItems: map[string]bool{}}
+	w := NewStandIn(id)
 	w.server = &http.Server{Handler: w}
 	l := m.Listen(addr)
 	go func() { _ = w.server.Serve(l) }()
