--- /dev/null
+++ b/internal/buzz/buzz.go
@@ -0,0 +1,135 @@
+// Package buzz emits CloudEvents for changes, where an option names a sink
+// (design 15). A slow or dead sink delays nothing: events wait in a bounded
+// holding and are dropped when it is full. The field's standard terms: buzz =
+// event emitter; holding = queue.
+package buzz
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"net/http"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"github.com/cloudevents/sdk-go/v2/event"
+
+	"rowanshunt/internal/wax"
+)
+
+// The types of events.
+const (
+	BlueprintTaken = "rowanshunt.blueprint.taken"
+	WorkerChanged  = "rowanshunt.worker.changed"
+	UpgradeChanged = "rowanshunt.upgrade.changed"
+)
+
+const (
+	maxHeld     = 256
+	postTimeout = 2 * time.Second
+	maxPause    = 10 * time.Second
+	// ContentType is that of an event in structured mode.
+	ContentType = "application/cloudevents+json"
+)
+
+// Buzz emits a node's events. A nil Buzz emits nothing.
+type Buzz struct {
+	sink    string
+	source  string
+	log     *wax.Log
+	client  *http.Client
+	holding chan event.Event
+	seq     atomic.Int64
+	dropped atomic.Int64
+	life    int64
+}
+
+// New makes an emitter, nil without a sink.
+func New(sink, node string, lifeUs int64, log *wax.Log, transport http.RoundTripper) *Buzz {
+	if sink == "" {
+		return nil
+	}
+	return &Buzz{sink: sink, source: "/rowanshunt/nodes/" + node, log: log, life: lifeUs,
+		client: &http.Client{Timeout: postTimeout, Transport: transport}, holding: make(chan event.Event, maxHeld)}
+}
+
+// Emit hands an event over and returns at once.
+func (b *Buzz) Emit(kind, subject string, data map[string]any) {
+	if b == nil {
+		return
+	}
+	e := event.New()
+	e.SetID(strconv.FormatInt(b.life, 36) + "-" + strconv.FormatInt(b.seq.Add(1), 10))
+	e.SetSource(b.source)
+	e.SetType(kind)
+	e.SetSubject(subject)
+	e.SetTime(time.Now())
+	if err := e.SetData("application/json", data); err != nil {
+		b.dropped.Add(1)
+		return
+	}
+	select {
+	case b.holding <- e:
+	default:
+		b.dropped.Add(1)
+	}
+}
+
+// Dropped counts the events that the sink did not get.
+func (b *Buzz) Dropped() int64 { return b.dropped.Load() }
+
+// Run posts events until ctx ends.
+func (b *Buzz) Run(ctx context.Context) {
+	pause := time.Duration(0)
+	for {
+		var e event.Event
+		select {
+		case <-ctx.Done():
+			return
+		case e = <-b.holding:
+		}
+		err := b.post(ctx, &e)
+		switch {
+		case err == nil:
+			if pause > 0 {
+				b.log.Info("events_sink_back", "dropped", b.dropped.Load())
+			}
+			pause = 0
+			continue
+		case pause == 0:
+			b.log.Warn("events_sink_fails", "sink", b.sink, "err", err, "remedy", "bring the sink back; events are dropped meanwhile")
+			pause = 100 * time.Millisecond
+		default:
+			pause = min(2*pause, maxPause)
+		}
+		b.dropped.Add(1)
+		t := time.NewTimer(pause)
+		select {
+		case <-t.C:
+		case <-ctx.Done():
+		}
+		t.Stop()
+	}
+}
+
+func (b *Buzz) post(ctx context.Context, e *event.Event) error {
+	raw, err := e.MarshalJSON()
+	if err != nil {
+		return err
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, b.sink, bytes.NewReader(raw))
+	if err != nil {
+		return err
+	}
+	req.Header.Set("Content-Type", ContentType)
+	resp, err := b.client.Do(req)
+	if err != nil {
+		return err
+	}
+	_ = resp.Body.Close()
+	if resp.StatusCode >= 300 {
+		return fmt.Errorf("the sink answers %d", resp.StatusCode)
+	}
+	return nil
+}
--- a/internal/colony/colony.go
+++ b/internal/colony/colony.go
@@ -14,6 +14,7 @@
 	"github.com/sourcegraph/conc"
 
 	"rowanshunt/internal/brood"
+	"rowanshunt/internal/buzz"
 	"rowanshunt/internal/flora"
 	"rowanshunt/internal/forage"
 	"rowanshunt/internal/foundation"
@@ -188,6 +189,7 @@
 	Guard   *guard.Guard
 	Control *guard.Control
 	Moult   *moult.Moult
+	Buzz    *buzz.Buzz
 }
 
 // NewForager makes a node of the role forager.
@@ -196,9 +198,12 @@
 	if err != nil {
 		return nil, err
 	}
-	f := &Forager{Node: n, Scout: scout.New(opts.Az)}
+	f := &Forager{Node: n, Scout: scout.New(opts.Az), Buzz: buzz.New(opts.Sink, opts.Node, n.self.LifeUs, env.Log, nil)}
 	f.Flora, err = flora.New(ctx, flora.Config{Floor: n.Floor, Desk: n.Desk, Mesh: env.Mesh, Swarm: n.Swarm, Log: env.Log, Self: n.self,
-		HbUs: opts.HbMs * 1000, Services: n.services, Pressures: f.Scout.Pressures, Hear: f.Scout.Hear, Dir: n.diskDir, WallUs: env.WallUs})
+		HbUs: opts.HbMs * 1000, Services: n.services, Pressures: f.Scout.Pressures, Hear: f.Scout.Hear, Dir: n.diskDir, WallUs: env.WallUs,
+		OnNews: func(w flora.Worker) {
+			f.Buzz.Emit(buzz.WorkerChanged, w.ID, map[string]any{"svc": w.Svc, "addr": w.Addr, "phase": w.Phase, "gone": w.Gone})
+		}})
 	if err != nil {
 		return nil, err
 	}
@@ -218,9 +223,12 @@
 		HasService: func(svc string) bool {
 			b := n.blueprint.Load()
 			return b != nil && b.Services[svc] != nil
+		},
+		OnMove: func(u *moult.Upgrade) {
+			f.Buzz.Emit(buzz.UpgradeChanged, u.Svc, map[string]any{"act": "moved", "phase": u.Phase, "wave": u.Wave, "why": u.Why})
 		}})
 	n.applyMore = func(s *nest.State) { moult.Apply(s, f.Scout) }
-	f.Control = &guard.Control{Nest: n.Nest, Flora: f.Flora, Moult: f.Moult, Trail: n.Trail, Log: env.Log, Spared: opts.Ft.Nodes, WallUs: env.WallUs}
+	f.Control = &guard.Control{Nest: n.Nest, Flora: f.Flora, Moult: f.Moult, Trail: n.Trail, Log: env.Log, Spared: opts.Ft.Nodes, Buzz: f.Buzz, WallUs: env.WallUs}
 	n.Trail.On(trail.Blueprint, f.tellAcked)
 	n.Trail.On(trail.Worker, f.tellWorker)
 	n.Trail.On(trail.Lot, f.tellInHand)
@@ -232,6 +240,9 @@
 func (f *Forager) Start(ctx context.Context) {
 	f.Node.Start(ctx)
 	f.wg.Go(func() { f.catchUp(ctx) })
+	if f.Buzz != nil {
+		f.wg.Go(func() { f.Buzz.Run(ctx) })
+	}
 	f.wg.Go(func() {
 		sweep := time.NewTicker(forage.SweepUs * time.Microsecond)
 		defer sweep.Stop()
--- a/internal/flora/flora.go
+++ b/internal/flora/flora.go
@@ -37,6 +37,7 @@
 	// what others heard.
 	Pressures func() []Pressure
 	Hear      func([]Pressure)
+	OnNews    func(Worker)
 	Dir       string // folder for what outlives a restart, "" without a disk
 	WallUs    func() int64
 }
@@ -251,6 +252,9 @@
 		return "", err
 	}
 	if p.news {
+		if f.cfg.OnNews != nil {
+			f.cfg.OnNews(p.w)
+		}
 		f.cfg.Log.Info("worker_news", "worker", w.ID, "svc", p.w.Svc, "phase", p.w.Phase, "gone", p.w.Gone)
 	}
 	if v := f.cfg.Swarm.Look().Get(p.homes[p.w.Az]); v != nil {
--- a/internal/guard/control.go
+++ b/internal/guard/control.go
@@ -12,6 +12,7 @@
 
 	"github.com/julienschmidt/httprouter"
 
+	"rowanshunt/internal/buzz"
 	"rowanshunt/internal/flora"
 	"rowanshunt/internal/foundation"
 	"rowanshunt/internal/moult"
@@ -40,6 +41,7 @@
 	Trail  *trail.Trail
 	Log    *wax.Log
 	Spared int
+	Buzz   *buzz.Buzz
 	WallUs func() int64
 
 	mu    sync.Mutex
@@ -116,6 +118,7 @@
 		return Reply{}, err
 	}
 	c.note(p.Ver)
+	c.Buzz.Emit(buzz.BlueprintTaken, strconv.FormatInt(p.Ver, 10), map[string]any{"ver": p.Ver, "on": p.Expect})
 	c.Log.Info("blueprint_taken", "ver", s.Ver, "rev", s.Rev)
 	return Reply{Status: 200, Body: []byte("{}")}, nil
 }
--- a/internal/guard/upgrade.go
+++ b/internal/guard/upgrade.go
@@ -7,6 +7,7 @@
 
 	"github.com/julienschmidt/httprouter"
 
+	"rowanshunt/internal/buzz"
 	"rowanshunt/internal/moult"
 	"rowanshunt/internal/wax"
 )
@@ -45,6 +46,7 @@
 		return Reply{}, err
 	}
 	if u.Act != "status" {
+		c.Buzz.Emit(buzz.UpgradeChanged, u.Svc, map[string]any{"act": u.Act, "phase": now.Phase, "to": now.To})
 		c.Log.Info("upgrade_told", "service", u.Svc, "act", u.Act, "phase", now.Phase)
 	}
 	return Reply{Status: http.StatusOK, Body: body}, nil
--- a/internal/moult/driver.go
+++ b/internal/moult/driver.go
@@ -39,6 +39,7 @@
 	WallUs func() int64
 	// Services is the blueprint's, nil before the first.
 	HasService func(string) bool
+	OnMove     func(*Upgrade)
 }
 
 // Moult is one node's part in upgrades: it applies them to its own picks, tells
@@ -175,6 +176,9 @@
 		return err
 	}
 	if now := Load(s, svc); now != nil && (now.Phase != u.Phase || now.Wave != u.Wave) {
+		if m.cfg.OnMove != nil {
+			m.cfg.OnMove(now)
+		}
 		m.cfg.Log.Info("upgrade_moved", "service", svc, "phase", now.Phase, "wave", now.Wave, "out", len(now.Out), "why", now.Why, "remedy", now.Remedy)
 	}
 	return nil
--- a/internal/skep/options.go
+++ b/internal/skep/options.go
@@ -37,6 +37,7 @@
 	DataDir   string            `toml:"datadir"`
 	HbMs      int64             `toml:"hb_ms"`
 	Azs       map[string]string `toml:"azs"`
+	Sink      string            `toml:"events_sink"`
 	Listen    Listen            `toml:"listen"`
 	Caps      Caps              `toml:"caps"`
 	Ft        Ft                `toml:"ft"`
@@ -167,6 +168,9 @@
 			l.Addf(field, strconv.Quote(addr)+" is no host:port", "give it as host:port")
 		}
 	}
+	if o.Sink != "" && !strings.HasPrefix(o.Sink, "http://") && !strings.HasPrefix(o.Sink, "https://") {
+		l.Addf("events_sink", strconv.Quote(o.Sink)+" is no http address", "give a URL, or leave it out")
+	}
 	if o.Caps.CPUFrac < 0 || o.Caps.RAMMb < 0 || o.Caps.NoFile < 0 || o.Caps.DiskMb < 0 {
 		l.Addf("caps", "holds a negative number", "give what the machine has")
 	}
--- a/internal/skep/options_test.go
+++ b/internal/skep/options_test.go
@@ -59,6 +59,7 @@
 		{`http = "10.1.0.35:8144"`, `http = "nowhere"`, "listen.http"},
 		{`ram_mb = 284`, `ram_mb = -1`, "caps"},
 		{`nodes = 1`, `nodes = -1`, "ft.nodes"},
+		{`az = "north"`, "az = \"north\"\nevents_sink = \"somewhere\"", "events_sink"},
 		{`bootstrap = true`, `bootstrap = "maybe"`, "options"},
 	} {
 		_, err := Parse([]byte(strings.Replace(good, tc.old, tc.new, 1)))
