--- a/internal/brood/lot.go
+++ b/internal/brood/lot.go
@@ -5,6 +5,8 @@
 package brood
 
 import (
+	"slices"
+
 	"rowanshunt/internal/nest"
 )
 
@@ -196,7 +198,7 @@
 		if l != nil && !l.before(o.Stamp, o.Rev) {
 			return true
 		}
-		w := *o.Whole
+		w := *o.Whole.share()
 		w.Stamp, w.Rev = o.Stamp, o.Rev
 		w.index()
 		if l != nil {
@@ -239,14 +241,31 @@
 			if r.Item >= 0 && r.Item < len(l.listed) && !l.listed[r.Item] {
 				l.listed[r.Item] = true
 				l.List = append(l.List, r)
+				l.shed(r.Item)
 			}
 		}
 	case opEnd:
 		l.Ended = true
+		for i := range l.Prompts {
+			l.shed(i)
+		}
 	}
 	return true
 }
 
+// share is a copy that may be read elsewhere while the lot changes.
+func (l *Lot) share() *Lot {
+	c := *l
+	c.Prompts, c.List = slices.Clone(l.Prompts), slices.Clip(l.List)
+	return &c
+}
+
+// shed lets go of what only an open item needs: its body and heads are neither
+// sent nor asked for again (design 8.10).
+func (l *Lot) shed(item int) {
+	l.Prompts[item].Body, l.Prompts[item].Hdrs, l.Prompts[item].Path = nil, nil, ""
+}
+
 // before tells whether the copy is older than one at (stamp, rev).
 func (l *Lot) before(stamp Stamp, rev uint64) bool {
 	return l.Stamp.Less(stamp) || l.Stamp == stamp && l.Rev < rev
--- a/internal/brood/owner.go
+++ b/internal/brood/owner.go
@@ -587,8 +587,7 @@
 		case have && c.Stamp == l.src.Stamp && c.Rev == l.src.Rev && l.Rev == l.src.Rev:
 			add(op{Kind: opStamp, Lot: id, Stamp: stamp, Rev: l.Rev, Src: c.Stamp})
 		default:
-			whole := *l
-			add(op{Kind: opPut, Lot: id, Stamp: stamp, Rev: l.Rev, Whole: &whole})
+			add(op{Kind: opPut, Lot: id, Stamp: stamp, Rev: l.Rev, Whole: l.share()})
 		}
 	}
 	for id := range there {
--- a/internal/brood/replica.go
+++ b/internal/brood/replica.go
@@ -272,8 +272,7 @@
 			reply(nil, wax.New(wax.Unknown, in.Lot, "no copy here", "ask another replica"))
 			return
 		}
-		c := *l
-		reply(&c, nil)
+		reply(l.share(), nil)
 	})
 }
 
--- a/internal/colony/faults_test.go
+++ b/internal/colony/faults_test.go
@@ -282,6 +282,9 @@
 		if body.Code != 200 || body.Body.String() != "f" {
 			t.Errorf("body of an open item: %d %q", body.Code, body.Body)
 		}
+		h.until("a listed item's body is no longer given", 10*time.Second, func() bool {
+			return h.client(h.edge(), "GET", "/-/items/f?id="+itemID("f", 5), nil).Code == 404
+		})
 		phases := map[string]string{}
 		for _, r := range h.complete("f", 6, 30*time.Second).Out {
 			phases[r.ID] = r.Phase
--- a/internal/colony/run.go
+++ b/internal/colony/run.go
@@ -33,7 +33,10 @@
 	}
 	// Memory is kept small: the heap is collected early and the limit of the
 	// machine is never reached by garbage (design 11.2).
-	debug.SetGCPercent(60)
+	debug.SetGCPercent(50)
+	if role == "comb" {
+		debug.SetGCPercent(20) // what it holds is large and lives long
+	}
 	debug.SetMemoryLimit(opts.Caps.RAMMb << 20 * 6 / 10)
 	term := make(chan os.Signal, 2)
 	signal.Notify(term, syscall.SIGTERM, syscall.SIGINT)
