--- a/internal/flora/flora.go
+++ b/internal/flora/flora.go
@@ -18,6 +18,7 @@
 const (
 	renewUs      = 500_000
 	soonUs       = 100_000
+	earlyUs      = 1_000_000
 	subscribedUs = 2_500_000
 	buryUs       = 60_000_000
 	maxWorkers   = 20_000
@@ -63,6 +64,7 @@
 	diary   *diary
 
 	renewedUs int64
+	asks      int
 }
 
 // nextRenew tells whether a renewal is due; a node that has no answer yet asks
@@ -128,7 +130,8 @@
 	pollen.On(cfg.Desk, "flora.news", f.onNews)
 	pollen.On(cfg.Desk, "flora.sub", f.onSub)
 	cfg.Floor.Every(soonUs, func() {
-		if !f.synced.Load() || nextRenew(&f.renewedUs) {
+		early := waggle.NowUs()-f.startUs < earlyUs
+		if early || !f.synced.Load() || nextRenew(&f.renewedUs) {
 			f.renew()
 		}
 	})
@@ -431,6 +434,17 @@
 		}
 		bySource[source] = append(bySource[source], svc)
 	}
+	if nowUs-f.startUs < oldUs && f.cfg.Dir == "" {
+		// Those with a disk may have a diary: one of them is asked too while
+		// this node knows little (design 5.5).
+		disks := v.Names(func(s *swarm.Sighting) bool {
+			return s.Alive && s.Disk != "" && s.Role == f.cfg.Self.Role && bySource[s.Name] == nil
+		})
+		if len(disks) > 0 {
+			bySource[disks[f.asks%len(disks)]] = f.cfg.Services()
+			f.asks++
+		}
+	}
 	for source, svcs := range bySource {
 		p := v.Get(source)
 		call := &subCall{From: f.cfg.Self.Name, Addr: f.cfg.Self.Addr, Svcs: svcs}
