--- a/internal/colony/run.go
+++ b/internal/colony/run.go
@@ -95,7 +95,7 @@
 	var faults wax.Ledger
 	var servers []*guard.Server
 	for _, o := range []guard.Opening{
-		{Addr: opts.Listen.HTTP, Handler: f.Guard.Clients(), Limits: f.Guard.Limits},
+		{Addr: opts.Listen.HTTP, Handler: f.Guard.Clients(), Limits: f.Guard.Limits, Waits: f.Guard.Waits},
 		{Addr: opts.Listen.Readyz, Handler: f.Guard.Readyz(), Limits: f.Guard.Limits.Small()},
 		{Addr: opts.Listen.Ctl, Handler: f.Control.Handler(), Limits: f.Guard.Limits.Small()},
 	} {
--- a/internal/guard/guard.go
+++ b/internal/guard/guard.go
@@ -95,6 +95,51 @@
 	}
 }
 
+// capped applies the operator's caps on heads, and tells clients how long a
+// connection may be idle.
+func (g *Guard) capped() Middleware {
+	return func(next http.Handler) http.Handler {
+		return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			if b := g.Blueprint(); b != nil {
+				if headBytes(r) > b.Caps.HdrBytes {
+					w.Header().Set("Connection", "close")
+					http.Error(w, "the head is too large", http.StatusRequestHeaderFieldsTooLarge)
+					return
+				}
+				if idleS := b.Caps.IdleMs/1000 - 1; idleS > 0 && !g.Draining.Load() {
+					w.Header().Set("Keep-Alive", "timeout="+strconv.FormatInt(idleS, 10))
+				}
+			}
+			next.ServeHTTP(w, r)
+		})
+	}
+}
+
+// headBytes is about what a request's head takes on the wire.
+func headBytes(r *http.Request) int64 {
+	n := len(r.Method) + len(r.RequestURI) + len(r.Host) + 24
+	for k, vs := range r.Header {
+		for _, v := range vs {
+			n += len(k) + len(v) + 4
+		}
+	}
+	return int64(n)
+}
+
+// Waits gives the times in force for reading a head and staying idle.
+func (g *Guard) Waits() (hdr, idle time.Duration) {
+	hdrMs, idleMs := g.Limits.HdrMs, g.Limits.IdleMs
+	if b := g.Blueprint(); b != nil {
+		if b.Caps.HdrMs > 0 {
+			hdrMs = b.Caps.HdrMs
+		}
+		if b.Caps.IdleMs > 0 {
+			idleMs = b.Caps.IdleMs
+		}
+	}
+	return time.Duration(hdrMs) * time.Millisecond, time.Duration(idleMs) * time.Millisecond
+}
+
 // Clients is the handler of the clients' address. Only the lots' own calls are
 // routed by httprouter; all other paths go by the blueprint, as they came.
 func (g *Guard) Clients() http.Handler {
@@ -106,7 +151,7 @@
 	rt.DELETE("/-/lots/:id", g.Lots.End)
 	rt.GET("/-/items/:id", g.Lots.Body)
 	rt.NotFound = http.HandlerFunc(g.request)
-	return Chain(rt, g.lastCircuit(), g.noPanic())
+	return Chain(rt, g.lastCircuit(), g.noPanic(), g.capped())
 }
 
 // request tells lots from other requests.
@@ -170,23 +215,40 @@
 	Addr    string
 	Handler http.Handler
 	Limits  Limits
+	// Waits, if set, gives the times in force instead of the limits' own.
+	Waits func() (hdr, idle time.Duration)
 }
 
+// Marks stand in the server's options for times that change while it runs: the
+// connection puts those in force in their place (design 11.5).
+const (
+	markIdle = 1 * time.Hour
+	markHdr  = 3 * time.Hour
+	markEdge = 30 * time.Minute
+)
+
 // Open listens and makes a server with the opening's limits.
 func Open(o Opening) (*Server, error) {
-	l := o.Limits
 	ln, err := net.Listen("tcp", o.Addr)
 	if err != nil {
 		return nil, errors.Wrap(err, "listen")
 	}
-	s := &Server{ln: &bounded{Listener: ln, max: int64(max(l.MaxConns, 16))}}
+	return newServer(ln, o), nil
+}
+
+func newServer(ln net.Listener, o Opening) *Server {
+	l := o.Limits
+	s := &Server{ln: &bounded{Listener: ln, max: int64(max(l.MaxConns, 16)), waits: o.Waits}}
 	s.HTTP = &http.Server{
 		Handler:           o.Handler,
 		ReadHeaderTimeout: time.Duration(l.HdrMs) * time.Millisecond,
 		IdleTimeout:       time.Duration(l.IdleMs) * time.Millisecond,
 		MaxHeaderBytes:    l.HdrBytes,
 	}
-	return s, nil
+	if o.Waits != nil {
+		s.HTTP.ReadHeaderTimeout, s.HTTP.IdleTimeout = markHdr, markIdle
+	}
+	return s
 }
 
 // Run serves until the server is shut down.
@@ -204,8 +266,9 @@
 // so that their clients may safely go elsewhere.
 type bounded struct {
 	net.Listener
-	max  int64
-	open atomic.Int64
+	max   int64
+	open  atomic.Int64
+	waits func() (hdr, idle time.Duration)
 }
 
 func (b *bounded) Accept() (net.Conn, error) {
@@ -228,6 +291,21 @@
 	once sync.Once
 }
 
+// SetReadDeadline puts the times in force in the place of the marks.
+func (c *boundedConn) SetReadDeadline(t time.Time) error {
+	if c.b.waits != nil && !t.IsZero() {
+		switch left := time.Until(t); {
+		case left > markHdr-markEdge:
+			hdr, _ := c.b.waits()
+			t = t.Add(hdr - markHdr)
+		case left > markIdle-markEdge:
+			_, idle := c.b.waits()
+			t = t.Add(idle - markIdle)
+		}
+	}
+	return c.Conn.SetReadDeadline(t)
+}
+
 func (c *boundedConn) Close() error {
 	c.once.Do(func() { c.b.open.Add(-1) })
 	return c.Conn.Close()
