--- a/internal/brood/api.go
+++ b/internal/brood/api.go
@@ -246,6 +246,11 @@
 	defer cancel()
 	shardN := ShardOf(r.Host)
 	err := a.Client.Call(ctx, shardN, "brood.end", &endCall{Shard: shardN, Lot: ps.ByName("id")}, nil, 700*time.Millisecond)
+	if wax.Is(err, wax.Unsure) {
+		// It may have been ended: 503 would promise that it was not.
+		http.Error(w, err.Error(), http.StatusGatewayTimeout)
+		return
+	}
 	if a.failed(w, err) {
 		return
 	}
