The diary never skips the newest page; register histories start from what partners know

The register test gave a wiped machine a first roster nobody held any more; it now asks as a node does.

--- a/internal/colony/history_test.go
+++ b/internal/colony/history_test.go
@@ -23,7 +23,7 @@
 type lotSeen struct {
 	items int
 	at    []string // by position
-	ended bool // or may be
+	ended bool     // or may be
 }
 
 func (m *lotModel) accepted(id string, items int) {
--- a/internal/flora/diary.go
+++ b/internal/flora/diary.go
@@ -1,6 +1,8 @@
 package flora
 
 import (
+	"sync"
+
 	"github.com/vmihailenco/msgpack/v5"
 
 	"rowanshunt/internal/cell"
@@ -20,8 +22,11 @@
 type diary struct {
 	cell   *cell.Cell
 	wallUs func() int64
-	busy   chan struct{}
 	log    *wax.Log
+
+	mu   sync.Mutex
+	busy bool
+	next []byte // the newest page that came while one was on its way
 }
 
 type page struct {
@@ -46,7 +51,7 @@
 	if damage != nil {
 		log.Warn("cell_tail_cut", "cell", "flora", "at", damage.AtByte, "bytes", damage.CutBytes, "why", damage.Why)
 	}
-	d := &diary{cell: c, wallUs: wallUs, busy: make(chan struct{}, 1), log: log}
+	d := &diary{cell: c, wallUs: wallUs, log: log}
 	agoUs := wallUs() - last.AtUs
 	if agoUs < 0 || agoUs > tooOldUs {
 		return d, nil, nil
@@ -58,27 +63,42 @@
 	return d, last.Workers, nil
 }
 
-// write adds a page unless the one before is still on its way.
+// write adds a page; while one is on its way only the newest one waits.
 func (d *diary) write(ws []Worker) {
-	select {
-	case d.busy <- struct{}{}:
-	default:
-		return
-	}
 	raw, err := msgpack.Marshal(&page{AtUs: d.wallUs(), Workers: ws})
 	if err != nil {
-		<-d.busy
 		return
 	}
-	then := func(err error) {
-		<-d.busy
-		if err != nil {
-			d.log.Warn("diary_not_written", "err", err)
-		}
+	d.mu.Lock()
+	if d.busy {
+		d.next = raw
+		d.mu.Unlock()
+		return
 	}
+	d.busy = true
+	d.mu.Unlock()
+	d.put(raw) // not under the lock: a closed cell answers at once
+}
+
+func (d *diary) put(raw []byte) {
 	if d.cell.SizeBytes() > longBytes {
-		d.cell.Rewrite(then, raw)
+		d.cell.Rewrite(d.written, raw)
 	} else {
-		d.cell.Append(then, raw)
+		d.cell.Append(d.written, raw)
+	}
+}
+
+func (d *diary) written(err error) {
+	if err != nil {
+		d.log.Warn("diary_not_written", "err", err)
+	}
+	d.mu.Lock()
+	raw := d.next
+	d.next = nil
+	d.busy = raw != nil && err == nil
+	again := d.busy
+	d.mu.Unlock()
+	if again {
+		d.put(raw)
 	}
 }
--- a/internal/nest/register_test.go
+++ b/internal/nest/register_test.go
@@ -47,7 +47,7 @@
 	}
 }
 
-func (s *site) start(first *State) {
+func (s *site) start(first *State, committed bool) {
 	s.life++
 	id := "seat@" + s.dir
 	a, err := OpenAcceptor(id, s.dir, wax.Quiet())
@@ -64,7 +64,7 @@
 	s.mu.Lock()
 	s.known, s.committed = a.State(), false
 	if s.known == nil {
-		s.known, s.committed = first, true
+		s.known, s.committed = first, committed
 	}
 	s.mu.Unlock()
 	s.p = NewProposer(fmt.Sprintf("%s/%d", s.addr, s.life), s.m.MeshOf(s.addr), func(t Seat) string { return t.Addr }, s.Known, s.learn)
@@ -106,7 +106,7 @@
 		first.Core.Cur = append(first.Core.Cur, Seat{ID: "seat@" + s.dir, Name: s.addr, Addr: s.addr})
 	}
 	for _, s := range sites {
-		s.start(first)
+		s.start(first, true)
 	}
 	var mu sync.Mutex
 	var seen []event
@@ -175,7 +175,7 @@
 			s.cancel()
 			time.Sleep(time.Duration(rng.IntN(500)) * time.Millisecond)
 			mu.Lock()
-			s.start(first)
+			s.start(first, false)
 			mu.Unlock()
 		case 1:
 			m.CutOff(s.addr, []string{"n0", "n1", "n2"}, true)
@@ -185,14 +185,15 @@
 			s.cancel()
 			old := "seat@" + s.dir
 			s.dir = filepath.Join(root, fmt.Sprint("w", i, "-", rng.IntN(1<<30)))
+			// What a partner knows shows whom to ask, committed or not.
 			known := first
 			for _, other := range sites {
-				if st, committed := other.Known(); committed && other != s && st.Rev > known.Rev {
+				if st, _ := other.Known(); other != s && (st.Core.Ver > known.Core.Ver || st.Core.Ver == known.Core.Ver && st.Rev > known.Rev) {
 					known = st
 				}
 			}
 			mu.Lock()
-			s.start(known)
+			s.start(known, false)
 			mu.Unlock()
 			join(t, s, old)
 		}
