--- a/internal/brood/api.go
+++ b/internal/brood/api.go
@@ -27,8 +27,6 @@
 	WallUs    func() int64
 	Decline   func(w http.ResponseWriter, status int, afterMs int64, why string)
 	Log       *wax.Log
-	// Serving counts the calls under way.
-	Serving func(int64)
 }
 
 type lotDoc struct {
@@ -113,8 +111,6 @@
 
 // Hand takes a lot in.
 func (a *API) Hand(w http.ResponseWriter, r *http.Request, binding *foundation.Binding, id string, maxBytes int64, leftMs int64) {
-	a.Serving(1)
-	defer a.Serving(-1)
 	if r.ContentLength > maxBytes {
 		http.Error(w, "the lot is too large", http.StatusRequestEntityTooLarge)
 		return
@@ -165,8 +161,6 @@
 
 // Read lists results.
 func (a *API) Read(w http.ResponseWriter, r *http.Request, ps httprouter.Params) {
-	a.Serving(1)
-	defer a.Serving(-1)
 	startAt := int64(0)
 	if s := r.URL.Query().Get("start_at"); s != "" {
 		n, err := strconv.ParseInt(s, 10, 64)
@@ -223,8 +217,6 @@
 
 // Body gives the body of an item that is not listed yet.
 func (a *API) Body(w http.ResponseWriter, r *http.Request, ps httprouter.Params) {
-	a.Serving(1)
-	defer a.Serving(-1)
 	ctx, cancel := context.WithTimeout(r.Context(), 1500*time.Millisecond)
 	defer cancel()
 	shardN := ShardOf(r.Host)
@@ -240,8 +232,6 @@
 
 // End ends a lot.
 func (a *API) End(w http.ResponseWriter, r *http.Request, ps httprouter.Params) {
-	a.Serving(1)
-	defer a.Serving(-1)
 	ctx, cancel := context.WithTimeout(r.Context(), 1500*time.Millisecond)
 	defer cancel()
 	shardN := ShardOf(r.Host)
--- a/internal/brood/brood.go
+++ b/internal/brood/brood.go
@@ -45,7 +45,6 @@
 	DiskBytes int64
 	State     func() *nest.State // newest committed
 	Change    func(context.Context, nest.Change) (*nest.State, error)
-	Blueprint func() *foundation.Blueprint
 	Fatal     func(error)
 	Options   Options
 	Spared    int
--- a/internal/brood/dispatch.go
+++ b/internal/brood/dispatch.go
@@ -94,7 +94,7 @@
 			pastEnd := wallUs-l.SentUs > l.RetainMs*1000
 			for i := range l.Prompts {
 				p := &l.live.at[i]
-				if l.listed[i] || p.waiting {
+				if l.listed[i] {
 					continue
 				}
 				if pastEnd {
@@ -127,7 +127,7 @@
 	}
 	p := &l.live.at[c.item]
 	p.cached = false
-	if l.Ended || l.listed[c.item] || p.waiting {
+	if l.Ended || l.listed[c.item] {
 		return nil, nil
 	}
 	return l, p
@@ -259,7 +259,7 @@
 				continue
 			}
 			for i := range l.live.at {
-				if p := &l.live.at[i]; p.holder != "" && !l.listed[i] && !p.waiting {
+				if p := &l.live.at[i]; p.holder != "" && !l.listed[i] {
 					fn(s, l, i, p)
 				}
 			}
@@ -332,7 +332,7 @@
 			reply(nil, err)
 			return
 		}
-		if l.listed[in.Item] || p.waiting || l.Ended {
+		if l.listed[in.Item] || l.Ended {
 			reply(&pollen.Nothing{}, nil)
 			return
 		}
@@ -378,7 +378,7 @@
 
 func (b *Brood) onAck(ctx context.Context, in *AckCall) (*pollen.Nothing, error) {
 	return answered(ctx, b.cfg.Floor, func(reply func(*pollen.Nothing, error)) {
-		s, l, p, err := b.prompt(in.Shard, in.Lot, in.Item)
+		s, l, _, err := b.prompt(in.Shard, in.Lot, in.Item)
 		if err != nil {
 			reply(nil, err)
 			return
@@ -391,7 +391,7 @@
 			reply(&pollen.Nothing{}, nil)
 			return
 		}
-		if l.listed[in.Item] || p.waiting {
+		if l.listed[in.Item] {
 			// The first stored result stands; a second one is dropped once
 			// the first is safe (design 8.8).
 			b.issue(s, op{Kind: opNone}, func(err error) { reply(&pollen.Nothing{}, err) })
--- a/internal/brood/lot.go
+++ b/internal/brood/lot.go
@@ -89,13 +89,12 @@
 }
 
 type promptState struct {
-	nextUs  int64 // steady clock; when it is due again
-	epoch   int64
-	holder  string // the dispatcher that has it
-	sentUs  int64
-	fails   int64
-	cached  bool
-	waiting bool // its result is on the way to a majority
+	nextUs int64 // steady clock; when it is due again
+	epoch  int64
+	holder string // the dispatcher that has it
+	sentUs int64
+	fails  int64
+	cached bool
 }
 
 func (l *Lot) index() {
--- a/internal/colony/colony.go
+++ b/internal/colony/colony.go
@@ -170,7 +170,7 @@
 	}
 	b, err := brood.Open(ctx, brood.Config{Floor: n.Floor, Desk: n.Desk, Mesh: env.Mesh, Swarm: n.Swarm, Log: env.Log, Self: n.self,
 		Seat: n.self.Seat(), Dir: opts.DataDir, DiskBytes: opts.Caps.DiskMb << 20, State: n.Nest.Committed, Change: n.Nest.Change,
-		Blueprint: n.blueprint.Load, Fatal: func(err error) { n.fatal <- err }, Options: brood.Defaults(), Spared: opts.Ft.Nodes, WallUs: env.WallUs})
+		Fatal: func(err error) { n.fatal <- err }, Options: brood.Defaults(), Spared: opts.Ft.Nodes, WallUs: env.WallUs})
 	if err != nil {
 		return nil, err
 	}
@@ -212,8 +212,7 @@
 	limits := guard.LimitsOf(opts)
 	f.Forage = &forage.Forage{Sender: sender, Blueprint: n.blueprint.Load, Log: env.Log, BodyBytes: limits.BodyBytes, HbMs: opts.HbMs}
 	client := brood.NewClient(env.Mesh, n.Swarm, n.Nest.Committed)
-	lots := &brood.API{Client: client, Blueprint: n.blueprint.Load, WallUs: env.WallUs, Decline: forage.Decline, Log: env.Log,
-		Serving: func(d int64) { f.Forage.Underway.Add(d) }}
+	lots := &brood.API{Client: client, Blueprint: n.blueprint.Load, WallUs: env.WallUs, Decline: forage.Decline, Log: env.Log}
 	f.Nurse = &nurse.Nurse{Mesh: env.Mesh, Client: client, Sender: sender, Blueprint: n.blueprint.Load, Log: env.Log, Name: n.self.Name, MaxHeld: 64}
 	f.Nurse.Start(ctx, n.Desk)
 	f.Guard = &guard.Guard{Forage: f.Forage, Lots: lots, Blueprint: n.blueprint.Load, Log: env.Log, Limits: limits,
--- a/internal/flora/flora.go
+++ b/internal/flora/flora.go
@@ -60,7 +60,6 @@
 	synced  atomic.Bool
 	startUs int64
 	sig     uint64
-	OnDir   func(*Directory)
 	diary   *diary
 
 	renewedUs int64
@@ -541,9 +540,6 @@
 		sort.Slice(ws, func(i, j int) bool { return ws[i].ID < ws[j].ID })
 	}
 	f.dir.Store(d)
-	if f.OnDir != nil {
-		f.OnDir(d)
-	}
 }
 
 func (f *Flora) usable(e *entry) bool {
--- a/internal/forage/forage.go
+++ b/internal/forage/forage.go
@@ -42,7 +42,6 @@
 	BodyBytes int64
 	HbMs      int64 // how often workers beat
 	held      atomic.Int64
-	Underway  atomic.Int64
 }
 
 // job is one client's try on its way.
@@ -73,8 +72,6 @@
 
 // ServeHTTP takes one request from its client to its answer.
 func (f *Forage) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	f.Underway.Add(1)
-	defer f.Underway.Add(-1)
 	b := f.Blueprint()
 	if b == nil {
 		Decline(w, http.StatusServiceUnavailable, 500, "no blueprint yet")
--- a/internal/swarm/swarm.go
+++ b/internal/swarm/swarm.go
@@ -112,8 +112,6 @@
 	table map[string]*Sighting
 	view  atomic.Pointer[View]
 	rng   *rand.Rand
-	// OnView is told of every new view, on the floor.
-	OnView func(*View)
 	// OnRev is told of a partner that knows a newer register revision.
 	OnRev func(p Partner)
 	ctx   context.Context
@@ -300,7 +298,4 @@
 	v.All = append(v.All, Sighting{Partner: s.self, Alive: true, SeenUs: nowUs})
 	sort.Slice(v.All, func(i, j int) bool { return v.All[i].Name < v.All[j].Name })
 	s.view.Store(v)
-	if s.OnView != nil {
-		s.OnView(v)
-	}
 }
