One piece of code for pauses, lives, and command lines; remove state nothing read

Read once more: three copies of a wait that ends with its context (and two in place) are now waggle.Pause; the name/life that ballots, stamps and terms are signed with is Partner.Life; both programs read their command line through skep.ParseLine; the 6 s rule of both rosters is one constant. Fields that nothing read are gone. No behaviour is meant to change; the whole suite passes.

--- a/cmd/beeline/main.go
+++ b/cmd/beeline/main.go
@@ -16,14 +16,14 @@
 
 	"github.com/alecthomas/kingpin/v2"
 
+	"rowanshunt/internal/skep"
 	"rowanshunt/internal/trail"
 )
 
-// The exit codes.
+// The exit codes; 2 is a command line that cannot be read.
 const (
 	exitComplete   = 0
 	exitError      = 1
-	exitUsage      = 2
 	exitIncomplete = 3
 )
 
@@ -31,8 +31,6 @@
 
 func run(args []string) int {
 	app := kingpin.New("beeline", "Follow one change through all nodes: where it is held, where it is in force, what is missing. Exit code 0: everywhere; 3: not yet; 1: no node answered.")
-	app.HelpFlag.Short('h')
-	app.UsageWriter(os.Stdout)
 	nodes := app.Flag("node", "ctl address of a node, host:port; may be given several times, tried in turn.").Required().Strings()
 	asJSON := app.Flag("json", "Print JSON.").Bool()
 	limit := app.Flag("timeout", "How long to wait in all.").Default("5s").Duration()
@@ -43,19 +41,9 @@
 	lt := app.Command(trail.Lot, "Follow a lot.")
 	lot := lt.Arg("id", "Its id.").Required().String()
 	host := lt.Flag("host", "The host it was handed in under.").Required().String()
-	quit := -1
-	app.Terminate(func(code int) {
-		if quit < 0 {
-			quit = code
-		}
-	})
-	cmd, err := app.Parse(args)
-	if quit >= 0 {
-		return quit
-	}
-	if err != nil {
-		fmt.Fprintln(os.Stderr, "beeline:", err, "(try beeline --help)")
-		return exitUsage
+	cmd, code, ended := skep.ParseLine(app, args)
+	if ended {
+		return code
 	}
 	id := map[string]string{trail.Blueprint: fmt.Sprint(*ver), trail.Worker: *worker, trail.Lot: *lot}[cmd]
 	report, err := ask(*nodes, *limit, cmd, id, *host)
--- a/cmd/hive/main.go
+++ b/cmd/hive/main.go
@@ -22,8 +22,6 @@
 func run(args []string) int {
 	app := kingpin.New("hive", "A serving tier with a batch interface. Each process is a node in one role.")
 	app.Version(version)
-	app.HelpFlag.Short('h')
-	app.Terminate(nil)
 	file := app.Flag("file", "Options file (TOML). Without it, $"+skep.EnvFile+", then "+skep.DefaultFile+".").String()
 	level := app.Flag("log-level", "Lowest level logged.").Default("info").Enum("debug", "info", "warn", "error")
 	forager := app.Command("forager", "Run a node that serves clients, workers and operators.")
@@ -33,21 +31,11 @@
 	checkDoc := check.Flag("blueprint", "A blueprint (JSON) to check.").String()
 	noOptions := check.Flag("no-options", "Check the blueprint only.").Bool()
 	upgrade := newUpgradeCommand(app)
-	quit := -1
-	app.UsageWriter(os.Stdout)
-	app.Terminate(func(code int) {
-		if quit < 0 {
-			quit = code
-		}
-	})
-	cmd, err := app.Parse(args)
-	if quit >= 0 {
-		return quit
-	}
-	if err != nil {
-		fmt.Fprintln(os.Stderr, "hive:", err, "(try hive --help)")
-		return 2
+	cmd, code, ended := skep.ParseLine(app, args)
+	if ended {
+		return code
 	}
+	var err error
 	switch cmd {
 	case forager.FullCommand():
 		err = colony.Run(skep.Path(*file), "forager", *level)
--- a/internal/brood/brood.go
+++ b/internal/brood/brood.go
@@ -5,7 +5,6 @@
 	"hash/fnv"
 	"slices"
 	"sort"
-	"strconv"
 	"time"
 
 	"rowanshunt/internal/cell"
@@ -61,7 +60,6 @@
 	longBytes    int64
 	minLongBytes int64
 	startUs      int64
-	life         string
 	rosterVer    uint64
 	rosterUs     int64
 	cache        []cached
@@ -80,7 +78,7 @@
 
 // Open reads the store's disk and joins the queue.
 func Open(ctx context.Context, cfg Config) (*Brood, error) {
-	b := &Brood{cfg: cfg, ctx: ctx, startUs: waggle.NowUs(), life: strconv.FormatInt(cfg.Self.LifeUs, 10)}
+	b := &Brood{cfg: cfg, ctx: ctx, startUs: waggle.NowUs()}
 	b.minLongBytes = max(cfg.DiskBytes/4, 16<<20)
 	b.longBytes = b.minLongBytes
 	if err := b.openReplica(cfg.Dir); err != nil {
@@ -127,7 +125,7 @@
 	}
 	s := b.shards[shardN]
 	if s.owner == nil {
-		node, _ := ownerName(s.promised.By)
+		node := ownerName(s.promised.By)
 		if node == b.cfg.Self.Name {
 			node = ""
 		}
@@ -485,7 +483,7 @@
 		return nil
 	}
 	for _, s := range st.Stores.Cur {
-		if retiring(st, s.ID) || nest.Gone(s, v, 6_000_000, upUs) {
+		if retiring(st, s.ID) || nest.Gone(s, v, nest.GoneForDropUs, upUs) {
 			return slices.DeleteFunc(slices.Clone(st.Stores.Cur), func(t nest.Seat) bool { return t.ID == s.ID })
 		}
 	}
--- a/internal/brood/client.go
+++ b/internal/brood/client.go
@@ -10,6 +10,7 @@
 	"rowanshunt/internal/pollen"
 	"rowanshunt/internal/swarm"
 	"rowanshunt/internal/tending"
+	"rowanshunt/internal/waggle"
 	"rowanshunt/internal/wax"
 )
 
@@ -90,7 +91,7 @@
 		}
 		name, addr := c.candidate(shardN, attempt)
 		if name == "" {
-			pause(ctx, 100*time.Millisecond)
+			waggle.Pause(ctx, 100*time.Millisecond)
 			continue
 		}
 		callCtx, cancel := context.WithTimeout(ctx, each)
@@ -112,7 +113,7 @@
 		default:
 			return unsure, err
 		}
-		pause(ctx, 30*time.Millisecond)
+		waggle.Pause(ctx, 30*time.Millisecond)
 	}
 }
 
@@ -122,12 +123,3 @@
 	}
 	return ""
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
--- a/internal/brood/owner.go
+++ b/internal/brood/owner.go
@@ -148,14 +148,14 @@
 }
 
 func (b *Brood) shouldOwn(s *shard, st *nest.State, v *swarm.View, names []string) bool {
-	node, life := ownerName(s.promised.By)
+	node := ownerName(s.promised.By)
 	holder := tending.Holder("shard/"+strconv.Itoa(s.n), names)
-	if node == b.cfg.Self.Name && life == b.life && !b.cfg.Self.Leaving && !retiring(st, b.cfg.Seat) {
+	if s.promised.By == b.cfg.Self.Life() && !b.cfg.Self.Leaving && !retiring(st, b.cfg.Seat) {
 		return true
 	}
 	if node != "" && node != b.cfg.Self.Name {
 		p := v.Get(node)
-		alive := p != nil && v.Met(node) && strconv.FormatInt(p.LifeUs, 10) == life && !p.Leaving
+		alive := p != nil && v.Met(node) && p.Life() == s.promised.By && !p.Leaving
 		stays := false
 		for _, n := range names {
 			stays = stays || n == node
@@ -182,7 +182,7 @@
 		b.depose(s, "new roster")
 	}
 	s.seenMax = max(s.seenMax, s.promised.N) + 1
-	stamp := Stamp{Roster: fenceOf(&st.Stores), N: s.seenMax, By: b.cfg.Self.Name + "/" + b.life}
+	stamp := Stamp{Roster: fenceOf(&st.Stores), N: s.seenMax, By: b.cfg.Self.Life()}
 	roster := st.Stores
 	go func() {
 		ctx, cancel := context.WithTimeout(b.ctx, 3*time.Second)
--- a/internal/brood/replica.go
+++ b/internal/brood/replica.go
@@ -312,7 +312,7 @@
 }
 
 // ownerName is the node part of a stamp's By.
-func ownerName(by string) (node, life string) {
-	node, life, _ = strings.Cut(by, "/")
-	return node, life
+func ownerName(by string) string {
+	node, _, _ := strings.Cut(by, "/")
+	return node
 }
--- a/internal/buzz/buzz.go
+++ b/internal/buzz/buzz.go
@@ -15,6 +15,7 @@
 
 	"github.com/cloudevents/sdk-go/v2/event"
 
+	"rowanshunt/internal/waggle"
 	"rowanshunt/internal/wax"
 )
 
@@ -104,12 +105,7 @@
 			pause = min(2*pause, maxPause)
 		}
 		b.dropped.Add(1)
-		t := time.NewTimer(pause)
-		select {
-		case <-t.C:
-		case <-ctx.Done():
-		}
-		t.Stop()
+		waggle.Pause(ctx, pause)
 	}
 }
 
--- a/internal/colony/colony.go
+++ b/internal/colony/colony.go
@@ -41,11 +41,10 @@
 
 // Node is one node's parts that every role has.
 type Node struct {
-	opts  atomic.Pointer[skep.Options]
-	env   Env
-	role  string
-	self  swarm.Partner
-	fresh bool
+	opts atomic.Pointer[skep.Options]
+	env  Env
+	role string
+	self swarm.Partner
 	// diskDir is the folder of a forager that votes on the register.
 	diskDir string
 
@@ -70,17 +69,18 @@
 	n := &Node{env: env, role: role, fatal: make(chan error, 4), Floor: waggle.NewFloor(4096), Desk: pollen.NewDesk()}
 	n.opts.Store(opts)
 	n.self = swarm.Partner{Name: opts.Node, Addr: opts.PartnerAddr(), Ctl: opts.Listen.Ctl, Az: opts.Az, Role: role, LifeUs: env.WallUs()}
+	empty := true // nothing on disk, or no disk
 	if opts.DataDir != "" && (role == "comb" || opts.Has("ctl")) {
 		id, fresh, err := brood.OpenIncarnation(opts.DataDir)
 		if err != nil {
 			return nil, err
 		}
-		n.self.Disk, n.fresh = id, fresh
+		n.self.Disk, empty = id, fresh
 		if role == "forager" {
 			n.diskDir = opts.DataDir
 		}
 	}
-	n.self.Boot = opts.Bootstrap && (n.self.Disk == "" || n.fresh)
+	n.self.Boot = opts.Bootstrap && empty
 	seeds := opts.SeedAddrs()
 	// Nodes that hold seats listen closely to those of their kind: a shard
 	// waits for its owner, a newcomer must know whom it replaces.
@@ -94,7 +94,7 @@
 	var err error
 	n.Nest, err = nest.New(ctx, nest.Config{Floor: n.Floor, Desk: n.Desk, Mesh: env.Mesh, Swarm: n.Swarm, Log: env.Log, Self: n.self,
 		DiskDir: n.diskDir, Seeds: seeds, Boot: n.self.Boot, Spared: opts.Ft.Nodes, OnState: n.onState,
-		Proposer: n.self.Name + "/" + strconv.FormatInt(n.self.LifeUs, 10)})
+		Proposer: n.self.Life()})
 	if err != nil {
 		return nil, err
 	}
@@ -152,7 +152,7 @@
 			n.caughtUp.Store(true)
 			return
 		}
-		sleep(ctx, catchUpPause)
+		waggle.Pause(ctx, catchUpPause)
 	}
 }
 
@@ -227,7 +227,7 @@
 			f.Buzz.Emit(buzz.UpgradeChanged, u.Svc, map[string]any{"act": "moved", "phase": u.Phase, "wave": u.Wave, "why": u.Why})
 		}})
 	n.applyMore = func(s *nest.State) { moult.Apply(s, f.Scout) }
-	f.Control = &guard.Control{Nest: n.Nest, Flora: f.Flora, Moult: f.Moult, Trail: n.Trail, Log: env.Log, Spared: opts.Ft.Nodes, Buzz: f.Buzz, WallUs: env.WallUs}
+	f.Control = &guard.Control{Nest: n.Nest, Flora: f.Flora, Moult: f.Moult, Trail: n.Trail, Log: env.Log, Buzz: f.Buzz, WallUs: env.WallUs}
 	n.Trail.On(trail.Blueprint, f.tellAcked)
 	n.Trail.On(trail.Worker, f.tellWorker)
 	n.Trail.On(trail.Lot, f.tellInHand)
@@ -300,22 +300,13 @@
 	defer cancel()
 	var wg conc.WaitGroup
 	wg.Go(func() { f.Nurse.Close(endCtx) })
-	sleep(endCtx, 2500*time.Millisecond)
+	waggle.Pause(endCtx, 2500*time.Millisecond)
 	wg.Go(func() { shut(endCtx) })
 	wg.Wait()
-	sleep(ctx, 150*time.Millisecond) // items given back reach their owners
+	waggle.Pause(ctx, 150*time.Millisecond) // items given back reach their owners
 	f.env.Log.Info("left")
 }
 
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
-
 // changed tells a file's version by its time and size.
 func changed(path string) string {
 	st, err := os.Stat(path)
--- a/internal/colony/run.go
+++ b/internal/colony/run.go
@@ -16,6 +16,7 @@
 	"rowanshunt/internal/guard"
 	"rowanshunt/internal/pollen"
 	"rowanshunt/internal/skep"
+	"rowanshunt/internal/waggle"
 	"rowanshunt/internal/wax"
 )
 
@@ -77,7 +78,7 @@
 	case <-term:
 		// The others take over at once; what was acknowledged is on disk.
 		c.leave(ctx)
-		sleep(ctx, settleLeave)
+		waggle.Pause(ctx, settleLeave)
 		return nil
 	case err := <-c.fatal:
 		return errors.Wrap(err, "disk")
--- a/internal/guard/control.go
+++ b/internal/guard/control.go
@@ -40,7 +40,6 @@
 	Moult  *moult.Moult
 	Trail  *trail.Trail
 	Log    *wax.Log
-	Spared int
 	Buzz   *buzz.Buzz
 	WallUs func() int64
 
--- a/internal/moult/driver.go
+++ b/internal/moult/driver.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"sort"
-	"strconv"
 	"sync"
 	"time"
 
@@ -130,7 +129,7 @@
 	}
 }
 
-func (m *Moult) me() string { return m.cfg.Self.Name + "/" + strconv.FormatInt(m.cfg.Self.LifeUs, 10) }
+func (m *Moult) me() string { return m.cfg.Self.Life() }
 
 // drive takes the driver's place if need be and does one step. Both go through
 // the register under the term: a driver that froze or was cut off finds a
--- a/internal/nest/nest.go
+++ b/internal/nest/nest.go
@@ -19,12 +19,13 @@
 
 // Times of the roster's upkeep (design 4.4).
 const (
-	tickUs        = 250_000
-	stableUs      = 900_000
-	foundAfterUs  = 1_500_000
-	judgeUs       = 1_300_000
-	joinAfterUs   = 400_000
-	goneForDropUs = 6_000_000
+	tickUs       = 250_000
+	stableUs     = 900_000
+	foundAfterUs = 1_500_000
+	judgeUs      = 1_300_000
+	joinAfterUs  = 400_000
+	// GoneForDropUs is how long a member is silent before a roster drops it.
+	GoneForDropUs = 6_000_000
 	neverSeenUs   = 3_000_000
 	maxSeats      = 7
 )
@@ -388,7 +389,7 @@
 		return ""
 	}
 	for _, s := range seats {
-		if Gone(s, v, goneForDropUs, waggle.NowUs()-n.startUs) {
+		if Gone(s, v, GoneForDropUs, waggle.NowUs()-n.startUs) {
 			return s.ID
 		}
 	}
--- a/internal/nest/proposer.go
+++ b/internal/nest/proposer.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"rowanshunt/internal/pollen"
+	"rowanshunt/internal/waggle"
 	"rowanshunt/internal/wax"
 )
 
@@ -128,11 +129,8 @@
 			return nil, wax.New(kind, "register", "no majority in time", "look which core machines run; try again")
 		}
 		if attempt > 0 {
-			pause := time.NewTimer(time.Duration(5+rand.IntN(20*min(attempt, 8))) * time.Millisecond)
-			select {
-			case <-pause.C:
-			case <-ctx.Done():
-				pause.Stop()
+			waggle.Pause(ctx, time.Duration(5+rand.IntN(20*min(attempt, 8)))*time.Millisecond)
+			if ctx.Err() != nil {
 				continue
 			}
 		}
--- a/internal/nurse/nurse.go
+++ b/internal/nurse/nurse.go
@@ -50,7 +50,6 @@
 }
 
 type inHand struct {
-	given  brood.Given
 	cancel context.CancelFunc
 	placed bool // a worker was found for it
 }
@@ -210,7 +209,7 @@
 			continue
 		}
 		itemCtx, cancelItem := context.WithCancel(n.ctx)
-		n.held[k] = &inHand{given: g, cancel: cancelItem}
+		n.held[k] = &inHand{cancel: cancelItem}
 		n.all.Add(1)
 		go n.run(itemCtx, k, g, startUs)
 	}
@@ -292,7 +291,7 @@
 			if !text.Any && waggle.NowUs()-startUs > placeUs {
 				return "", false, true
 			}
-			sleep(ctx, 60*time.Millisecond)
+			waggle.Pause(ctx, 60*time.Millisecond)
 			continue
 		}
 		n.placed(k)
@@ -310,15 +309,15 @@
 			if breaks >= maxBreaks {
 				return "", false, true
 			}
-			sleep(ctx, 20*time.Millisecond)
+			waggle.Pause(ctx, 20*time.Millisecond)
 		case forage.NotSent:
 			if !n.mayStart(k) {
 				if !text.Any {
 					return "", false, true
 				}
-				sleep(ctx, 100*time.Millisecond) // a take renews the leave
+				waggle.Pause(ctx, 100*time.Millisecond) // a take renews the leave
 			} else {
-				sleep(ctx, 15*time.Millisecond)
+				waggle.Pause(ctx, 15*time.Millisecond)
 			}
 		}
 		exclude = append(exclude, w.ID)
@@ -351,15 +350,6 @@
 	}
 }
 
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
-
 // InHand counts the items of a lot that this node has in hand.
 func (n *Nurse) InHand(lot string) int {
 	n.mu.Lock()
--- a/internal/pollen/tcp.go
+++ b/internal/pollen/tcp.go
@@ -6,7 +6,6 @@
 	"net"
 	"runtime/debug"
 	"sync"
-	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -61,7 +60,6 @@
 	nextID  uint64
 	waiting map[uint64]chan frame
 	broken  error
-	usedAt  atomic.Int64
 }
 
 // Call implements Mesh.
--- a/internal/swarm/swarm.go
+++ b/internal/swarm/swarm.go
@@ -8,6 +8,7 @@
 	"context"
 	"math/rand/v2"
 	"sort"
+	"strconv"
 	"sync/atomic"
 	"time"
 
@@ -36,6 +37,10 @@
 // Seat names the partner together with its disk.
 func (p *Partner) Seat() string { return p.Name + "#" + p.Disk }
 
+// Life names the partner together with its life: what ballots, stamps and terms
+// are signed with.
+func (p *Partner) Life() string { return p.Name + "/" + strconv.FormatInt(p.LifeUs, 10) }
+
 func (p *Partner) newer(q *Partner) bool {
 	return p.LifeUs > q.LifeUs || p.LifeUs == q.LifeUs && p.Beat > q.Beat
 }
--- a/internal/waggle/floor.go
+++ b/internal/waggle/floor.go
@@ -18,6 +18,16 @@
 
 var began = time.Now()
 
+// Pause waits for d, or until ctx ends.
+func Pause(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
+
 // Floor owns a table: only functions run on the floor touch what it owns.
 type Floor struct {
 	commands chan func()
