--- a/internal/brood/api.go
+++ b/internal/brood/api.go
@@ -3,20 +3,41 @@
 import (
 	"context"
 	"encoding/base64"
+	"encoding/binary"
 	"encoding/json"
 	"errors"
 	"io"
+	"math/rand/v2"
 	"net/http"
 	"strconv"
 	"time"
 
 	"github.com/go-faster/jx"
 	"github.com/julienschmidt/httprouter"
+	"github.com/zeebo/xxh3"
+	"golang.org/x/sync/semaphore"
 
 	"rowanshunt/internal/foundation"
 	"rowanshunt/internal/wax"
 )
 
+// admitMs is how long a hand-in may wait for permits.
+const admitMs = 150
+
+// digestOf tells lots apart: the hashes of the items' ids, in order.
+func digestOf(prompts []Prompt) [2]uint64 {
+	var h xxh3.Hasher
+	var b [16]byte
+	for i := range prompts {
+		id := xxh3.HashString128(prompts[i].ID)
+		binary.LittleEndian.PutUint64(b[:8], id.Lo)
+		binary.LittleEndian.PutUint64(b[8:], id.Hi)
+		_, _ = h.Write(b[:])
+	}
+	sum := h.Sum128()
+	return [2]uint64{sum.Lo, sum.Hi}
+}
+
 // MaxItems is how many items a lot may hold.
 const MaxItems = 200
 
@@ -26,7 +47,10 @@
 	Blueprint func() *foundation.Blueprint
 	WallUs    func() int64
 	Decline   func(w http.ResponseWriter, status int, afterMs int64, why string)
-	Log       *wax.Log
+	// Admit are the bytes of bodies that may be in hand at a time.
+	Admit      *semaphore.Weighted
+	AdmitBytes int64
+	Log        *wax.Log
 }
 
 type lotDoc struct {
@@ -115,6 +139,23 @@
 		http.Error(w, "the lot is too large", http.StatusRequestEntityTooLarge)
 		return
 	}
+	// Permits come before the body is read: a hand-in that waits holds its
+	// connection only. The wait is short, for nobody's answer is held back.
+	if a.Admit != nil {
+		permits := r.ContentLength
+		if permits < 0 {
+			permits = maxBytes
+		}
+		permits = min(permits, a.AdmitBytes)
+		waitCtx, stopWait := context.WithTimeout(r.Context(), time.Duration(min(admitMs, leftMs/4))*time.Millisecond)
+		err := a.Admit.Acquire(waitCtx, permits)
+		stopWait()
+		if err != nil {
+			a.Decline(w, http.StatusTooManyRequests, 1000, "too many lots are being handed in")
+			return
+		}
+		defer a.Admit.Release(permits)
+	}
 	raw, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBytes))
 	if err != nil {
 		var over *http.MaxBytesError
@@ -131,9 +172,8 @@
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
-	raw = nil
 	lot := &Lot{ID: id, Host: foundation.HostKey(r.Host), Path: r.URL.Path, Binding: binding.Name, SentUs: wallUs, DueMs: binding.DueMs,
-		RetainMs: int64(binding.RetainS * 1000), Tries: binding.Tries, Prompts: prompts}
+		RetainMs: int64(binding.RetainS * 1000), Tries: binding.Tries, Prompts: prompts, Digest: digestOf(prompts)}
 	if lot.RetainMs <= 0 {
 		lot.RetainMs = max(10*binding.DueMs, 60_000)
 	}
@@ -141,13 +181,13 @@
 	defer cancel()
 	shardN := ShardOf(r.Host)
 	out := &handAnswer{}
-	unsure, err := a.Client.CallOnce(ctx, shardN, "brood.hand", &handCall{Shard: shardN, Lot: lot, Backlog: binding.Backlog}, out, 900*time.Millisecond)
+	call := &handCall{Shard: shardN, Lot: lot, Backlog: binding.Backlog, LeftUs: min(leftMs, 2500) * 1000, Req: rand.Uint64()}
+	err = a.Client.Call(ctx, shardN, "brood.hand", call, out, 900*time.Millisecond)
 	switch {
+	case err == nil && out.Other:
+		http.Error(w, "another lot was taken under this id: give each lot its own", http.StatusConflict)
 	case err == nil && out.Taken:
 		w.WriteHeader(http.StatusAccepted)
-	case err == nil && unsure:
-		// An earlier attempt may have left a copy somewhere: no promise.
-		http.Error(w, "the lot does not fit, and an earlier attempt got no answer", http.StatusGatewayTimeout)
 	case err == nil:
 		a.Decline(w, http.StatusTooManyRequests, out.AfterMs, "the lot does not fit into the backlog")
 	case wax.Is(err, wax.Declined) || wax.Is(err, wax.Unreached):
--- a/internal/brood/brood.go
+++ b/internal/brood/brood.go
@@ -5,6 +5,7 @@
 	"hash/fnv"
 	"slices"
 	"sort"
+	"strconv"
 	"time"
 
 	"rowanshunt/internal/cell"
@@ -62,10 +63,13 @@
 	startUs      int64
 	rosterVer    uint64
 	rosterUs     int64
+	setsOf       *[Shards]nest.Roster
+	setsVer      uint64
 	cache        []cached
 	takers       []*taker
 	readers      []*reader
 	rostering    bool
+	rewriting    bool
 	stableUs     int64
 	lastNames    string
 }
@@ -109,11 +113,71 @@
 	return int(h.Sum32() % Shards)
 }
 
+// maxStores bounds the stores' roster.
+const maxStores = 512
+
+// replicasOf is the roster of one shard: 2·ft+1 of the stores bear the loss of
+// ft, however many stores there are (design 8.1).
+func replicasOf(r *nest.Roster, shardN, spared int) nest.Roster {
+	return r.Replicas("replica/"+strconv.Itoa(shardN), 2*spared+1)
+}
+
+// Mates are the stores that share a shard with a seat: the ones it must know
+// closely, however many others there are.
+func Mates(r *nest.Roster, seat string, spared int) map[string]bool {
+	out := map[string]bool{}
+	for n := range Shards {
+		set := replicasOf(r, n, spared)
+		if all := set.All(); slices.ContainsFunc(all, func(s nest.Seat) bool { return s.ID == seat }) {
+			for _, s := range all {
+				out[s.Name] = true
+			}
+		}
+	}
+	return out
+}
+
+// sets gives the shards' rosters under the newest state, worked out once for
+// each roster.
+func (b *Brood) sets(st *nest.State) *[Shards]nest.Roster {
+	if b.setsOf == nil || b.setsVer != st.Stores.Ver {
+		b.setsOf, b.setsVer = &[Shards]nest.Roster{}, st.Stores.Ver
+		for n := range b.setsOf {
+			b.setsOf[n] = replicasOf(&st.Stores, n, b.cfg.Spared)
+		}
+	}
+	return b.setsOf
+}
+
+// shedMoved lets go of the lots of shards that a settled roster keeps
+// elsewhere: a majority of their own replicas has them, and every later claim
+// goes by this roster or one that follows it.
+func (b *Brood) shedMoved(st *nest.State) {
+	if st.Stores.Joint() || len(st.Stores.Cur) == 0 {
+		return
+	}
+	for n, s := range b.shards {
+		if len(s.lots) > 0 && s.owner == nil && !s.claiming && !b.sets(st)[n].Has(b.cfg.Seat) {
+			b.cfg.Log.Info("shard_moved", "shard", n, "lots", len(s.lots), "roster", st.Stores.Ver)
+			// On disk too: an old copy must not come back with a restart.
+			rec := &record{Shard: n}
+			for id := range s.lots {
+				rec.Ops = append(rec.Ops, op{Kind: opDrop, Lot: id, Stamp: s.promised})
+			}
+			s.lots = map[string]*Lot{}
+			b.persist(rec, func() {})
+		}
+	}
+}
+
 func (b *Brood) tick() {
 	if st := b.cfg.State(); st != nil && st.Stores.Ver != b.rosterVer {
 		b.rosterVer, b.rosterUs = st.Stores.Ver, waggle.NowUs()
 	}
 	b.claimTick()
+	if st := b.cfg.State(); st != nil {
+		b.shedMoved(st)
+	}
 	b.rosterTick()
 	b.expireWaiting()
 }
@@ -142,6 +206,11 @@
 	Shard    int
 	Lot      *Lot
 	Backlog  int64
+	// Unsure: an earlier attempt of this hand-in got no clear answer, so a
+	// refusal must be made to stand before it is told.
+	Unsure bool
+	LeftUs int64  // how long its caller will wait
+	Req    uint64 // minted by the node that was called, the same at every attempt
 }
 
 // handAnswer tells whether a lot was taken; if not, when it may fit.
@@ -149,10 +218,13 @@
 	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by the library
 	Taken    bool
 	AfterMs  int64
+	First    int64 // offset of its first prompt; a lot that comes again has the one it had
+	Other    bool  // the id is that of another lot
 }
 
 // onHand accepts a lot: on disk at a majority before the answer (design 8.4).
 func (b *Brood) onHand(ctx context.Context, in *handCall) (*handAnswer, error) {
+	startUs := waggle.NowUs()
 	return answered(ctx, b.cfg.Floor, func(reply func(*handAnswer, error)) {
 		s, err := b.own(in.Shard)
 		if err != nil {
@@ -163,12 +235,31 @@
 			reply(nil, wax.New(wax.Invalid, "lot", "is empty", "hand in at least one item"))
 			return
 		}
-		if s.lots[in.Lot.ID] != nil {
-			b.issue(s, op{Kind: opNone}, func(err error) { reply(&handAnswer{Taken: true}, err) })
+		old := s.lots[in.Lot.ID]
+		if old != nil && !old.refused() {
+			// Decided by the committed rows and what is in flight alone: it
+			// keeps the offset it has (design 8.4).
+			b.issue(s, op{Kind: opNone}, func(err error) {
+				reply(&handAnswer{Taken: true, First: old.First, Other: old.Digest != in.Lot.Digest && old.Digest != [2]uint64{}}, err)
+			})
+			return
+		}
+		if old != nil && slices.Contains(old.Refused, in.Req) {
+			// A late attempt of a hand-in that was told "no".
+			b.issue(s, op{Kind: opNone}, func(err error) { reply(&handAnswer{AfterMs: maxAfterMs}, err) })
+			return
+		}
+		if in.LeftUs > 0 && waggle.NowUs()-startUs > in.LeftUs {
+			reply(nil, wax.New(wax.Declined, "lot", "its caller no longer waits", "hand it in again"))
 			return
 		}
 		l := in.Lot
+		l.Rows, l.Refused = nil, nil
 		l.index()
+		rev := uint64(1)
+		if old != nil {
+			rev = old.Rev + 1
+		}
 		if in.Backlog > 0 {
 			var openToks int64
 			for _, other := range s.lots {
@@ -177,26 +268,50 @@
 				}
 			}
 			if over := openToks + l.openToks() - in.Backlog; over > 0 {
-				reply(&handAnswer{AfterMs: s.owner.pace.afterMs(over, waggle.NowUs())}, nil)
+				b.refuse(s, in, old, &handAnswer{AfterMs: s.owner.pace.afterMs(over, waggle.NowUs())}, reply)
 				return
 			}
 		}
 		l.List, l.Ended = nil, false
+		l.First = s.nextOffset
+		s.nextOffset += int64(len(l.Prompts))
 		whole := *l
-		b.issue(s, op{Kind: opPut, Lot: l.ID, Rev: 1, Whole: &whole}, func(err error) {
+		b.issue(s, op{Kind: opPut, Lot: l.ID, Rev: rev, Whole: &whole}, func(err error) {
 			if err == nil {
 				if got := s.lots[l.ID]; got != nil {
 					got.taken = true
 				}
 				b.poll()
 			}
-			reply(&handAnswer{Taken: true}, err)
+			reply(&handAnswer{Taken: true, First: l.First}, err)
 		})
 		got := s.lots[l.ID]
+		got.taken, got.endSeen, got.seenLen = false, false, 0
 		got.live = &live{at: make([]promptState, len(got.Prompts))}
 	})
 }
 
+// refuse answers a hand-in that does not fit. Where an earlier attempt of it
+// got no answer, some replica may hold a copy that a later owner would find:
+// the refusal is then an op of its own, on disk at a majority before it is
+// told, and outranks that copy for good (design 8.4).
+func (b *Brood) refuse(s *shard, in *handCall, old *Lot, out *handAnswer, reply func(*handAnswer, error)) {
+	if !in.Unsure {
+		reply(out, nil)
+		return
+	}
+	l := &Lot{ID: in.Lot.ID, Host: in.Lot.Host, Binding: in.Lot.Binding, SentUs: in.Lot.SentUs, RetainMs: in.Lot.RetainMs, Ended: true}
+	rev := uint64(1)
+	if old != nil {
+		rev = old.Rev + 1
+		l.Refused = slices.Clone(old.Refused)
+	}
+	l.Refused = append(l.Refused, in.Req)
+	b.issue(s, op{Kind: opPut, Lot: l.ID, Rev: rev, Whole: l}, func(err error) { reply(out, err) })
+}
+
+func (c *handCall) markUnsure() { c.Unsure = true }
+
 type readCall struct {
 	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by the library
 	Shard    int
@@ -251,7 +366,11 @@
 		reply(nil, wax.New(wax.Unsure, "shard", "changed hands meanwhile", "ask again"))
 		return
 	}
-	b.issue(s, op{Kind: opNone}, func(err error) {
+	ageUs := int64(readAgeUs)
+	if l := s.lots[in.Lot]; l == nil || !l.taken {
+		ageUs = 0 // "no such lot" needs more than a late word
+	}
+	b.confirm(s, ageUs, func(err error) {
 		if err != nil {
 			reply(nil, err)
 			return
@@ -355,7 +474,7 @@
 		l := s.lots[in.Lot]
 		if l == nil || l.Ended {
 			b.issue(s, op{Kind: opNone}, func(err error) {
-				if err == nil && l == nil {
+				if err == nil && (l == nil || l.refused()) {
 					err = wax.New(wax.Unknown, in.Lot, "no such lot", "check the id")
 				}
 				reply(&pollen.Nothing{}, err)
@@ -386,8 +505,8 @@
 		return
 	}
 	told := map[string]bool{}
-	for i := range l.live.at {
-		if h := l.live.at[i].holder; h != "" && !l.listed[i] && !told[h] {
+	for i := range l.Rows {
+		if h := l.Rows[i].Holder; l.Rows[i].Lease != 0 && !l.listed[i] && !told[h] {
 			told[h] = true
 			if p := b.cfg.Swarm.Look().Get(h); p != nil {
 				go func() {
@@ -418,7 +537,7 @@
 		b.lastNames, b.stableUs = names, nowUs
 	}
 	upUs := nowUs - b.startUs
-	self := nest.Seat{ID: b.cfg.Seat, Name: b.cfg.Self.Name, Addr: b.cfg.Self.Addr}
+	self := nest.Seat{ID: b.cfg.Seat, Name: b.cfg.Self.Name, Addr: b.cfg.Self.Addr, Az: b.cfg.Self.Az}
 	switch {
 	case len(st.Stores.Cur) == 0:
 		if nowUs-b.stableUs > 1_200_000 && upUs > 1_500_000 {
@@ -429,7 +548,7 @@
 				var first []nest.Seat
 				for _, p := range v.All {
 					if p.Alive && p.Role == b.cfg.Self.Role && p.Disk != "" {
-						first = append(first, nest.Seat{ID: p.Seat(), Name: p.Name, Addr: p.Addr})
+						first = append(first, nest.Seat{ID: p.Seat(), Name: p.Name, Addr: p.Addr, Az: p.Az})
 					}
 				}
 				sort.Slice(first, func(i, j int) bool { return first[i].ID < first[j].ID })
@@ -438,12 +557,12 @@
 			})
 		}
 	case !st.Stores.Has(self.ID):
-		if !st.Stores.Joint() && !retiring(st, self.ID) && upUs > 400_000 && nest.NextSeats(&st.Stores, self, v, upUs) != nil {
+		if !st.Stores.Joint() && !retiring(st, self.ID) && upUs > 400_000 && nest.NextSeats(&st.Stores, self, v, upUs, maxStores) != nil {
 			b.changeRoster("store_joining", func(now *nest.State) (*nest.State, error) {
 				if now.Stores.Joint() || now.Stores.Has(self.ID) || retiring(now, self.ID) {
 					return nil, nil
 				}
-				next := nest.NextSeats(&now.Stores, self, b.cfg.Swarm.Look(), upUs)
+				next := nest.NextSeats(&now.Stores, self, b.cfg.Swarm.Look(), upUs, maxStores)
 				if next == nil {
 					return nil, nil
 				}
@@ -590,6 +709,12 @@
 	return err == nil && owns
 }
 
+// Keeps tells whether this store is to hold copies of a host's lots.
+func (b *Brood) Keeps(st *nest.State, host string) bool {
+	set := replicasOf(&st.Stores, ShardOf(host), b.cfg.Spared)
+	return set.Has(b.cfg.Seat)
+}
+
 // Copy is what this store has of a lot.
 type Copy struct {
 	Stamp  Stamp
--- a/internal/brood/client.go
+++ b/internal/brood/client.go
@@ -16,16 +16,17 @@
 
 // Client finds the owners of shards for the nodes that serve clients.
 type Client struct {
-	mesh  pollen.Mesh
-	swarm *swarm.Swarm
-	state func() *nest.State
-	mu    sync.Mutex
-	hints [Shards]string
+	mesh   pollen.Mesh
+	swarm  *swarm.Swarm
+	state  func() *nest.State
+	spared int
+	mu     sync.Mutex
+	hints  [Shards]string
 }
 
 // NewClient makes a client.
-func NewClient(mesh pollen.Mesh, sw *swarm.Swarm, state func() *nest.State) *Client {
-	return &Client{mesh: mesh, swarm: sw, state: state}
+func NewClient(mesh pollen.Mesh, sw *swarm.Swarm, state func() *nest.State, spared int) *Client {
+	return &Client{mesh: mesh, swarm: sw, state: state, spared: spared}
 }
 
 // Stores lists the living stores of the roster.
@@ -34,9 +35,13 @@
 	if st == nil {
 		return nil
 	}
+	return c.living(&st.Stores)
+}
+
+func (c *Client) living(r *nest.Roster) []swarm.Sighting {
 	v := c.swarm.Look()
 	var out []swarm.Sighting
-	for _, seat := range st.Stores.All() {
+	for _, seat := range r.All() {
 		if p := v.Get(seat.Name); p != nil && p.Alive && p.Seat() == seat.ID {
 			out = append(out, *p)
 		}
@@ -45,7 +50,12 @@
 }
 
 func (c *Client) candidate(shardN, attempt int) (name, addr string) {
-	stores := c.Stores()
+	st := c.state()
+	if st == nil {
+		return "", ""
+	}
+	set := replicasOf(&st.Stores, shardN, c.spared)
+	stores := c.living(&set)
 	if len(stores) == 0 {
 		return "", ""
 	}
@@ -75,19 +85,13 @@
 // Call asks the owner of a shard, looking for it until ctx ends. All calls to
 // owners may be repeated. Unsure: some attempt may have been carried out.
 func (c *Client) Call(ctx context.Context, shardN int, kind string, in, out any, each time.Duration) error {
-	_, err := c.CallOnce(ctx, shardN, kind, in, out, each)
-	return err
-}
-
-// CallOnce is Call that also tells, beside a clear answer, whether an earlier
-// attempt got none.
-func (c *Client) CallOnce(ctx context.Context, shardN int, kind string, in, out any, each time.Duration) (unsure bool, err error) {
+	unsure := false
 	for attempt := 0; ; attempt++ {
 		if ctx.Err() != nil {
 			if unsure {
-				return true, wax.New(wax.Unsure, "shard", "no clear answer in time", "ask again")
+				return wax.New(wax.Unsure, "shard", "no clear answer in time", "ask again")
 			}
-			return false, wax.New(wax.Declined, "shard", "its owner was not found in time", "ask again")
+			return wax.New(wax.Declined, "shard", "its owner was not found in time", "ask again")
 		}
 		name, addr := c.candidate(shardN, attempt)
 		if name == "" {
@@ -99,7 +103,7 @@
 		cancel()
 		if err == nil {
 			c.hint(shardN, name)
-			return unsure, nil
+			return nil
 		}
 		switch wax.KindOf(err) {
 		case wax.NotOwner:
@@ -109,9 +113,12 @@
 		case wax.Declined:
 		case wax.Unsure, wax.Internal:
 			unsure = true
+			if m, ok := in.(interface{ markUnsure() }); ok {
+				m.markUnsure() // the next owner settles what became of it
+			}
 			c.hint(shardN, "")
 		default:
-			return unsure, err
+			return err
 		}
 		waggle.Pause(ctx, 30*time.Millisecond)
 	}
--- a/internal/brood/dispatch.go
+++ b/internal/brood/dispatch.go
@@ -25,6 +25,7 @@
 	EndUs    int64 // how long, from now, it may still be tried
 	DueUs    int64 // how long, from now, until it is due
 	Prompt   Prompt
+	Lease    uint64
 }
 
 // TakeCall asks for prompts on behalf of a dispatcher with room for so many.
@@ -34,14 +35,16 @@
 	Room     int
 	Held     []Held // items it has in hand
 	WaitUs   int64
+	LeftUs   int64 // until the asker itself gives the call up
 }
 
-// Held names an item that a dispatcher has in hand.
+// Held names an item that a dispatcher has in hand, and its lease.
 type Held struct {
 	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by the library
 	Shard    int
 	Lot      string
 	Item     int
+	Lease    uint64
 }
 
 // TakeAnswer holds the prompts given.
@@ -55,7 +58,7 @@
 type taker struct {
 	call    *TakeCall
 	stop    []Held
-	untilUs int64
+	untilUs int64 // claims stop here, a margin before the caller's own time is over
 	reply   func(*TakeAnswer, error)
 }
 
@@ -63,9 +66,14 @@
 const (
 	maxDoublings = 5
 	lostHoldUs   = 1_500_000
-	listenUs     = 700_000
+	claimLeadUs  = 250_000 // the margin before an asker's deadline, at most
 )
 
+// leaseUs is how long a lease runs: twice as long with each time sent.
+func (b *Brood) leaseUs(epoch int64) int64 {
+	return b.cfg.Options.AckWaitUs << min(max(epoch-1, 0), maxDoublings)
+}
+
 // poll moves due prompts into the send cache, the lots due first first, and
 // gives up what is past its time.
 func (b *Brood) poll() {
@@ -79,10 +87,8 @@
 		if s.owner == nil || !s.owner.ready {
 			continue
 		}
-		// A new owner first hears what the dispatchers still have in hand.
-		listening := nowUs-s.owner.readyUs < listenUs
 		for id, l := range s.lots {
-			if !l.taken || l.live == nil {
+			if !l.taken && !l.refused() || l.live == nil {
 				continue
 			}
 			if l.closed() {
@@ -98,10 +104,10 @@
 					continue
 				}
 				if pastEnd {
-					b.list(s, l, Result{Item: i, Phase: PhaseGaveUp}, nil)
+					b.list(s, l, Result{Item: i, Phase: PhaseGaveUp, Why: WhyTime}, nil)
 					continue
 				}
-				if p.cached || p.nextUs > nowUs || listening && l.src.Rev > 0 || l.Prompts[i].ScheduledUs > wallUs {
+				if p.cached || p.nextUs > nowUs || l.Prompts[i].ScheduledUs > wallUs {
 					continue
 				}
 				found = append(found, due{cached{s, id, i}, l.SentUs + l.DueMs*1000})
@@ -136,47 +142,118 @@
 func (b *Brood) serveTakers() {
 	for len(b.takers) > 0 && len(b.cache) > 0 {
 		t := b.takers[0]
-		given := b.fill(t.call)
-		if len(given) == 0 {
+		if waggle.NowUs() >= t.untilUs {
+			return // answered empty by the next tick
+		}
+		if !b.claimTo(t) {
 			return
 		}
-		b.takers = b.takers[1:]
-		b.answerTaker(t, given)
 	}
 }
 
-func (b *Brood) fill(call *TakeCall) []Given {
+// leads tells whether the shard's owner may serve pops: a majority was heard
+// within 400 ms. Else it is asked, and the takers are served when it answers.
+func (b *Brood) leads(s *shard) bool {
+	o := s.owner
+	if waggle.NowUs()-o.quorumUs(b.cfg.Seat) <= leadUs {
+		return true
+	}
+	if !o.confirming {
+		o.confirming = true
+		b.issue(s, op{Kind: opNone}, func(err error) {
+			o.confirming = false
+			if err == nil {
+				b.serveTakers()
+			}
+		})
+	}
+	return false
+}
+
+// claimTo leases cached prompts, the oldest first, to the asker; it is answered
+// once the checkpoint with the leases is on disk at a majority (design 8.7).
+func (b *Brood) claimTo(t *taker) bool {
 	nowUs, wallUs := waggle.NowUs(), b.cfg.WallUs()
 	var out []Given
-	bytes := 0
-	n := 0
-	for n < len(b.cache) && len(out) < min(call.Room, b.cfg.Options.BatchSize) && bytes < maxBatch {
-		c := &b.cache[n]
+	type lotRows struct {
+		s    *shard
+		l    *Lot
+		rows []CursorAt
+	}
+	var changed []*lotRows
+	bytes, n := 0, 0
+	var skipped []cached
+	for n < len(b.cache) && len(out) < min(t.call.Room, b.cfg.Options.BatchSize) && bytes < maxBatch {
+		c := b.cache[n]
 		n++
 		l, p := c.claimable()
 		if l == nil {
 			continue
 		}
-		p.epoch++
-		p.holder, p.sentUs = call.From, nowUs
-		p.nextUs = nowUs + b.cfg.Options.AckWaitUs<<min(p.epoch-1, maxDoublings)
+		if !b.leads(c.s) {
+			p.cached = true
+			skipped = append(skipped, c)
+			continue
+		}
+		var lr *lotRows
+		for _, x := range changed {
+			if x.l == l {
+				lr = x
+			}
+		}
+		if lr == nil {
+			lr = &lotRows{s: c.s, l: l}
+			changed = append(changed, lr)
+		}
+		row := Cursor{Lease: leaseID(c.s.owner.stamp, l.Rev+1), Holder: t.call.From, Epoch: l.Rows[c.item].Epoch + 1, Fails: l.Rows[c.item].Fails}
+		lr.rows = append(lr.rows, CursorAt{Item: c.item, Row: row})
+		p.sentUs, p.nextUs = nowUs, nowUs+b.leaseUs(row.Epoch)
 		bytes += len(l.Prompts[c.item].Body)
-		out = append(out, Given{Shard: c.s.n, Lot: l.ID, Host: l.Host, Item: c.item, Epoch: p.epoch,
+		out = append(out, Given{Shard: c.s.n, Lot: l.ID, Host: l.Host, Item: c.item, Epoch: row.Epoch, Lease: row.Lease,
 			EndUs: l.SentUs + l.RetainMs*1000 - wallUs, DueUs: l.SentUs + l.DueMs*1000 - wallUs, Prompt: l.Prompts[c.item]})
 	}
-	b.cache = b.cache[n:]
+	b.cache = append(skipped, b.cache[n:]...)
 	if len(b.cache) == 0 {
 		b.cache = nil
 	}
-	return out
+	if len(out) == 0 {
+		return false
+	}
+	b.takers = b.takers[1:]
+	left := len(changed)
+	var failed error
+	for _, x := range changed {
+		b.issue(x.s, op{Kind: opCursor, Lot: x.l.ID, Rev: x.l.Rev + 1, Rows: x.rows}, func(err error) {
+			if err != nil {
+				failed = err
+			}
+			if left--; left > 0 {
+				return
+			}
+			if failed != nil {
+				t.reply(nil, failed)
+				return
+			}
+			b.answerTaker(t, out)
+		})
+	}
+	return true
 }
 
+// leaseID names a lease: by the owner's count and the revision that gave it, so
+// that no two answered leases share one.
+func leaseID(st Stamp, rev uint64) uint64 { return st.N<<32 | rev&(1<<32-1) }
+
 // onTake gives prompts, or waits for some. What the caller was sent and does
 // not hold was lost on the way and is due again; what it holds from an earlier
 // owner's hand stays with it.
 func (b *Brood) onTake(ctx context.Context, in *TakeCall) (*TakeAnswer, error) {
 	return answered(ctx, b.cfg.Floor, func(reply func(*TakeAnswer, error)) {
-		t := &taker{call: in, stop: b.reclaim(in.From, in.Held), untilUs: waggle.NowUs() + in.WaitUs, reply: reply}
+		nowUs := waggle.NowUs()
+		t := &taker{call: in, stop: b.reclaim(in.From, in.Held), untilUs: nowUs + in.WaitUs, reply: reply}
+		if in.LeftUs > 0 {
+			t.untilUs = min(t.untilUs, nowUs+in.LeftUs-min(claimLeadUs, in.LeftUs/4))
+		}
 		if in.Room <= 0 || len(t.stop) > 0 {
 			b.answerTaker(t, nil)
 			return
@@ -218,11 +295,14 @@
 		}
 		out.Shards = append(out.Shards, n)
 		left++
-		b.issue(b.shards[n], op{Kind: opNone}, done)
+		b.confirm(b.shards[n], leadUs, done)
 	}
 	done(nil)
 }
 
+// reclaim goes through what the asker holds: a live lease is renewed, another
+// one must stop. What the rows say it holds and it does not name was lost on
+// the way: that lease is over.
 func (b *Brood) reclaim(from string, held []Held) (stop []Held) {
 	nowUs := waggle.NowUs()
 	have := make(map[Held]bool, len(held))
@@ -232,24 +312,27 @@
 		}
 		have[h] = true
 		l := b.shards[h.Shard].lots[h.Lot]
-		if l == nil || l.Ended || h.Item < 0 || h.Item >= len(l.Prompts) || l.listed[h.Item] || l.live == nil {
+		if l == nil || l.live == nil || h.Item < 0 || h.Item >= len(l.Prompts) || l.Ended || l.listed[h.Item] || !l.leased(h.Item, h.Lease, nowUs) {
 			stop = append(stop, h)
 			continue
 		}
-		if p := &l.live.at[h.Item]; p.holder == "" && p.epoch == 0 {
-			p.holder, p.sentUs, p.epoch = from, nowUs, 1
-			p.nextUs = nowUs + b.cfg.Options.AckWaitUs
-		}
+		l.live.at[h.Item].nextUs = nowUs + b.leaseUs(l.Rows[h.Item].Epoch)
 	}
-	b.eachHeld(func(s *shard, l *Lot, i int, p *promptState) {
-		if p.holder == from && nowUs-p.sentUs > lostHoldUs && !have[Held{Shard: s.n, Lot: l.ID, Item: i}] {
-			p.holder, p.nextUs = "", nowUs
+	b.eachHeld(nowUs, func(s *shard, l *Lot, i int, p *promptState) {
+		if l.Rows[i].Holder == from && nowUs-p.sentUs > lostHoldUs && !have[Held{Shard: s.n, Lot: l.ID, Item: i, Lease: l.Rows[i].Lease}] {
+			p.nextUs = nowUs
 		}
 	})
 	return stop
 }
 
-func (b *Brood) eachHeld(fn func(s *shard, l *Lot, i int, p *promptState)) {
+// leased tells whether that lease of an item is live: the same one, not over.
+func (l *Lot) leased(item int, lease uint64, nowUs int64) bool {
+	return lease != 0 && l.Rows[item].Lease == lease && nowUs < l.live.at[item].nextUs
+}
+
+// eachHeld walks over the items with live leases.
+func (b *Brood) eachHeld(nowUs int64, fn func(s *shard, l *Lot, i int, p *promptState)) {
 	for _, s := range b.shards {
 		if s.owner == nil {
 			continue
@@ -259,7 +342,7 @@
 				continue
 			}
 			for i := range l.live.at {
-				if p := &l.live.at[i]; p.holder != "" && !l.listed[i] {
+				if p := &l.live.at[i]; l.Rows[i].Lease != 0 && p.nextUs > nowUs && !l.listed[i] {
 					fn(s, l, i, p)
 				}
 			}
@@ -287,12 +370,12 @@
 	}
 	b.wakeReaders(nowUs)
 	v := b.cfg.Swarm.Look()
-	b.eachHeld(func(_ *shard, _ *Lot, _ int, p *promptState) {
+	b.eachHeld(nowUs, func(_ *shard, l *Lot, i int, p *promptState) {
 		if nowUs-p.sentUs < lostHoldUs {
 			return
 		}
-		if t := v.Get(p.holder); t == nil || !t.Alive && nowUs-t.SinceUs > lostHoldUs {
-			p.holder, p.nextUs = "", nowUs
+		if t := v.Get(l.Rows[i].Holder); t == nil || !t.Alive && nowUs-t.SinceUs > lostHoldUs {
+			p.nextUs = nowUs
 		}
 	})
 }
@@ -314,17 +397,26 @@
 	}
 }
 
-// GiveCall hands a prompt back: unplaced, or after a failed attempt.
+// GiveCall hands a prompt back under its lease: unplaced, or after a failed
+// attempt.
 type GiveCall struct {
 	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by the library
 	Shard    int
 	Lot      string
 	Item     int
-	Epoch    int64
+	Lease    uint64
 	Failed   bool // a worker answered 500
 	AfterUs  int64
 }
 
+// errLease is the answer to who comes under a lease that is over.
+func errLease(lot string) error {
+	return wax.New(wax.Stale, lot, "the lease is not the live one", "drop what was run under it")
+}
+
+// onGive frees a lease; only a failed attempt charges the item's tries. It is
+// answered once the checkpoint with the row is committed, and again the same
+// way if it is resent (design 8.7).
 func (b *Brood) onGive(ctx context.Context, in *GiveCall) (*pollen.Nothing, error) {
 	return answered(ctx, b.cfg.Floor, func(reply func(*pollen.Nothing, error)) {
 		s, l, p, err := b.prompt(in.Shard, in.Lot, in.Item)
@@ -332,27 +424,42 @@
 			reply(nil, err)
 			return
 		}
-		if l.listed[in.Item] || l.Ended {
-			reply(&pollen.Nothing{}, nil)
+		nowUs := waggle.NowUs()
+		row := l.Rows[in.Item]
+		done := func(err error) { reply(&pollen.Nothing{}, err) }
+		switch {
+		case l.Ended, l.listed[in.Item] && l.leaseOf(in.Item) == in.Lease, in.Lease != 0 && row.Freed == in.Lease:
+			b.issue(s, op{Kind: opNone}, done)
+			return
+		case l.listed[in.Item] || !l.leased(in.Item, in.Lease, nowUs):
+			reply(nil, errLease(in.Lot))
 			return
 		}
-		if in.Failed {
-			p.fails++
-			if p.fails >= max(l.Tries, 1) {
-				b.list(s, l, Result{Item: in.Item, Phase: PhaseGaveUp}, func(err error) { reply(&pollen.Nothing{}, err) })
-				return
-			}
+		if in.Failed && row.Fails+1 >= max(l.Tries, 1) {
+			b.list(s, l, Result{Item: in.Item, Phase: PhaseGaveUp, Lease: in.Lease, Why: WhyTries}, done)
+			return
 		}
-		if p.epoch == in.Epoch {
-			p.holder, p.nextUs = "", waggle.NowUs()+max(in.AfterUs, 0)
-			if !in.Failed {
-				p.epoch--
-			}
+		freed := Cursor{Epoch: row.Epoch, Fails: row.Fails, Freed: in.Lease}
+		if in.Failed {
+			freed.Fails++
+		} else {
+			freed.Epoch--
 		}
-		reply(&pollen.Nothing{}, nil)
+		p.nextUs = nowUs + max(in.AfterUs, 0)
+		b.issue(s, op{Kind: opCursor, Lot: l.ID, Rev: l.Rev + 1, Rows: []CursorAt{{Item: in.Item, Row: freed}}}, done)
 	})
 }
 
+// leaseOf is the lease under which an item was listed.
+func (l *Lot) leaseOf(item int) uint64 {
+	for i := range l.List {
+		if l.List[i].Item == item {
+			return l.List[i].Lease
+		}
+	}
+	return 0
+}
+
 func (b *Brood) prompt(shardN int, lot string, item int) (*shard, *Lot, *promptState, error) {
 	s, err := b.own(shardN)
 	if err != nil {
@@ -365,8 +472,8 @@
 	return s, l, &l.live.at[item], nil
 }
 
-// AckCall brings a result. Only once a majority has it on disk is it acked;
-// then the prompt is never sent again.
+// AckCall brings a result under the lease it was run under. Only once a
+// majority has it on disk is it acked; then the prompt is never sent again.
 type AckCall struct {
 	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by the library
 	Shard    int
@@ -374,6 +481,7 @@
 	Item     int
 	Phase    string
 	Msg      []byte
+	Lease    uint64
 }
 
 func (b *Brood) onAck(ctx context.Context, in *AckCall) (*pollen.Nothing, error) {
@@ -387,17 +495,23 @@
 			reply(nil, wax.New(wax.Invalid, "phase", "is neither done nor gave_up", "run the same version on all nodes"))
 			return
 		}
-		if l.Ended {
-			reply(&pollen.Nothing{}, nil)
-			return
-		}
-		if l.listed[in.Item] {
-			// The first stored result stands; a second one is dropped once
-			// the first is safe (design 8.8).
-			b.issue(s, op{Kind: opNone}, func(err error) { reply(&pollen.Nothing{}, err) })
-			return
+		done := func(err error) { reply(&pollen.Nothing{}, err) }
+		switch {
+		case l.Ended:
+			done(nil)
+		case l.listed[in.Item] && l.leaseOf(in.Item) == in.Lease:
+			// Sent again: the first answer, once the first is safe. The lease
+			// stands beside the result, so a new owner knows it too.
+			b.issue(s, op{Kind: opNone}, done)
+		case l.listed[in.Item] || !l.leased(in.Item, in.Lease, waggle.NowUs()):
+			reply(nil, errLease(in.Lot))
+		default:
+			r := Result{Item: in.Item, Phase: in.Phase, Msg: in.Msg, Lease: in.Lease}
+			if in.Phase == PhaseGaveUp {
+				r.Why = WhyNever
+			}
+			b.list(s, l, r, done)
 		}
-		b.list(s, l, Result{Item: in.Item, Phase: in.Phase, Msg: in.Msg}, func(err error) { reply(&pollen.Nothing{}, err) })
 	})
 }
 
--- a/internal/brood/lot.go
+++ b/internal/brood/lot.go
@@ -7,6 +7,8 @@
 import (
 	"slices"
 
+	"github.com/vmihailenco/msgpack/v5"
+
 	"rowanshunt/internal/nest"
 )
 
@@ -54,6 +56,33 @@
 	Phase    string
 	Msg      []byte
 	AckedUs  int64
+	Lease    uint64 // the lease whose ack listed it, so that a resent ack gets the first answer
+	Why      string // of an item given up: what ended it (a dead letter)
+}
+
+// Why an item was given up: the reasons of the dead letters.
+const (
+	WhyNever = "never" // 422
+	WhyTries = "tries" // its attempts are spent
+	WhyTime  = "time"  // retain_s is over
+)
+
+// Cursor is the cursor row of one prompt: who has it under which lease. It is
+// durable before a dispatcher learns of it (design 8.7).
+type Cursor struct {
+	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by the library
+	Lease    uint64   // 0: nobody has it
+	Holder   string
+	Epoch    int64
+	Fails    int64  // answers of 500
+	Freed    uint64 // the lease given back last, so that a resent nack gets the first answer
+}
+
+// CursorAt is a changed cursor row.
+type CursorAt struct {
+	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by the library
+	Item     int
+	Row      Cursor
 }
 
 // Lot is the aggregate: what its owner accepted, in which order its items were
@@ -73,6 +102,13 @@
 	Ended    bool
 	Stamp    Stamp
 	Rev      uint64
+	Rows     []Cursor  // by prompt
+	First    int64     // offset of its first prompt in the shard's log; the run is gapless
+	Digest   [2]uint64 // of its items' ids: tells another lot under the same id
+	// Refused are the hand-ins of this id that were declined for good, although
+	// an attempt of theirs may still be on its way (design 8.4). Such a lot has
+	// no prompts; it is taken if it is handed in anew.
+	Refused []uint64
 
 	listed  []bool // by prompt
 	src     copyOf // what it was when this node took it over
@@ -82,18 +118,15 @@
 	endSeen bool   // a majority holds its end
 }
 
-// live is what only the owner knows of a lot's prompts; a new owner starts
-// anew from the durable records.
+// live is what only the owner knows of a lot's prompts. Times are of its own
+// steady clock: a new owner runs the leases it finds in full again.
 type live struct {
 	at []promptState
 }
 
 type promptState struct {
-	nextUs int64 // steady clock; when it is due again
-	epoch  int64
-	holder string // the dispatcher that has it
+	nextUs int64 // when it is due again; of a leased one, the end of its lease
 	sentUs int64
-	fails  int64
 	cached bool
 }
 
@@ -104,8 +137,16 @@
 			l.listed[r.Item] = true
 		}
 	}
+	if len(l.Rows) != len(l.Prompts) {
+		rows := make([]Cursor, len(l.Prompts))
+		copy(rows, l.Rows)
+		l.Rows = rows
+	}
 }
 
+// refused tells whether this is only the record of hand-ins that were declined.
+func (l *Lot) refused() bool { return len(l.Refused) > 0 }
+
 // openToks are the tokens that count against the quota.
 func (l *Lot) openToks() int64 {
 	if l.Ended {
@@ -142,6 +183,7 @@
 	opStamp                    // the copy at Src is this owner's now
 	opDrop                     // purged
 	opNone                     // nothing: a confirmation
+	opCursor                   // cursor rows changed: a part of a checkpoint
 )
 
 // op is one change of a lot, as it goes to the replicas and to disk.
@@ -154,6 +196,21 @@
 	Src      Stamp
 	Whole    *Lot
 	Results  []Result
+	Rows     []CursorAt
+
+	raw msgpack.RawMessage // as it goes to disk and to replicas, once it was made
+}
+
+// encoded is the op as it goes to disk and to every replica: made once.
+func (o *op) encoded() msgpack.RawMessage {
+	if o.raw == nil {
+		raw, err := msgpack.Marshal(o)
+		if err != nil {
+			panic(err) // plain data: cannot fail
+		}
+		o.raw = raw
+	}
+	return o.raw
 }
 
 // cost is about what the op takes in memory and on the wire.
@@ -162,6 +219,7 @@
 	for i := range o.Results {
 		n += len(o.Results[i].Msg) + 32
 	}
+	n += 48 * len(o.Rows)
 	if o.Whole != nil {
 		n += o.Whole.cost()
 	}
@@ -169,7 +227,7 @@
 }
 
 func (l *Lot) cost() int {
-	n := 256
+	n := 256 + 8*len(l.Refused)
 	for i := range l.Prompts {
 		n += len(l.Prompts[i].Body) + len(l.Prompts[i].Path) + 200
 		for _, h := range l.Prompts[i].Hdrs {
@@ -240,9 +298,16 @@
 			if r.Item >= 0 && r.Item < len(l.listed) && !l.listed[r.Item] {
 				l.listed[r.Item] = true
 				l.List = append(l.List, r)
+				l.Rows[r.Item] = Cursor{}
 				l.shed(r.Item)
 			}
 		}
+	case opCursor:
+		for _, r := range o.Rows {
+			if r.Item >= 0 && r.Item < len(l.Rows) && !l.listed[r.Item] {
+				l.Rows[r.Item] = r.Row
+			}
+		}
 	case opEnd:
 		l.Ended = true
 		for i := range l.Prompts {
@@ -255,7 +320,7 @@
 // share is a copy that may be read elsewhere while the lot changes.
 func (l *Lot) share() *Lot {
 	c := *l
-	c.Prompts, c.List = slices.Clone(l.Prompts), slices.Clip(l.List)
+	c.Prompts, c.List, c.Rows = slices.Clone(l.Prompts), slices.Clip(l.List), slices.Clone(l.Rows)
 	return &c
 }
 
--- a/internal/brood/owner.go
+++ b/internal/brood/owner.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sort"
 	"strconv"
 	"sync"
@@ -22,6 +23,9 @@
 	claimTimeout = 600 * time.Millisecond
 	writeTimeout = 1500 * time.Millisecond
 	mendPauseUs  = 200_000
+	checkpointUs = 5_000
+	leadUs       = 400_000 // how long ago a majority may have been heard for pops to be served
+	readAgeUs    = 250_000 // the same for reads: well below settle_ms
 	stuckUs      = 1_500_000
 	maxBatch     = 1 << 20
 	maxFeedBytes = 24 << 20
@@ -29,16 +33,54 @@
 
 // owner is what the node that owns a shard keeps of it.
 type owner struct {
-	stamp   Stamp
-	roster  nest.Roster
-	seq     uint64 // of the last op
-	waits   []wait
-	feeds   map[string]*feed
-	ready   bool // a majority holds all that the claim found
-	readyUs int64
-	pace    pace
+	stamp  Stamp
+	roster nest.Roster
+	seq    uint64 // of the last op
+	waits  []wait
+	feeds  map[string]*feed
+	ready  bool // a majority holds all that the claim found
+	pace   pace
+	// unsaved are the ops of the checkpoint that is being filled.
+	unsaved    []op
+	saving     bool // a checkpoint is due
+	confirming bool
 
 	diskIssued, diskDone uint64 // own disk: last op written, last op safe
+
+	heardUs map[string]int64 // by seat: start of the newest call it answered under this stamp
+}
+
+// quorumUs is the moment up to which a majority has confirmed this owner: no
+// other can have been let in before it (design 8.8).
+func (o *owner) quorumUs(self string) int64 {
+	nowUs := waggle.NowUs()
+	times := []int64{}
+	for _, t := range o.heardUs {
+		times = append(times, t)
+	}
+	sort.Slice(times, func(i, j int) bool { return times[i] > times[j] })
+	agreed := map[string]bool{self: true}
+	if o.roster.Quorum(agreed) {
+		return nowUs
+	}
+	for _, t := range times {
+		for id, at := range o.heardUs {
+			if at >= t {
+				agreed[id] = true
+			}
+		}
+		if o.roster.Quorum(agreed) {
+			return t
+		}
+	}
+	return 0
+}
+
+func (o *owner) heard(seat string, startUs int64) {
+	if o.heardUs == nil {
+		o.heardUs = map[string]int64{}
+	}
+	o.heardUs[seat] = max(o.heardUs[seat], startUs)
 }
 
 type wait struct {
@@ -75,31 +117,35 @@
 	}
 	nowUs := waggle.NowUs()
 	v := b.cfg.Swarm.Look()
-	var names []string
-	for _, seat := range st.Stores.Cur {
-		if p := v.Get(seat.Name); p != nil && v.Met(seat.Name) && p.Seat() == seat.ID && !p.Leaving && !retiring(st, seat.ID) {
-			names = append(names, seat.Name)
-		}
-	}
-	reach := map[string]bool{}
+	reach, fit := map[string]bool{}, map[string]bool{}
 	for _, seat := range st.Stores.All() {
 		if p := v.Get(seat.Name); p != nil && v.Met(seat.Name) && p.Seat() == seat.ID {
 			reach[seat.ID] = true
+			fit[seat.ID] = !p.Leaving && !retiring(st, seat.ID)
 		}
 	}
-	// A node that starts listens first, unless all seats have answered it.
-	if nowUs-b.startUs < claimAfterUs && len(reach) < len(st.Stores.All()) {
-		return
-	}
-	for _, s := range b.shards {
+	for n, s := range b.shards {
+		set := &b.sets(st)[n]
+		if !set.Has(b.cfg.Seat) {
+			if s.owner != nil && fenceOf(&s.owner.roster) < fenceOf(&st.Stores) {
+				b.depose(s, "its replicas are elsewhere now")
+			}
+			continue
+		}
+		var names []string
+		for _, seat := range set.Cur {
+			if fit[seat.ID] {
+				names = append(names, seat.Name)
+			}
+		}
 		if s.owner != nil && fenceOf(&s.owner.roster) == fenceOf(&st.Stores) {
 			if s.owner.roster.Ver < st.Stores.Ver {
-				b.settled(s, st.Stores)
+				b.settled(s, *set)
 			}
 			if s.owner != nil {
 				b.feedTick(s, nowUs)
 			}
-			if o := s.owner; o != nil && len(o.waits) > 0 && nowUs-o.waits[0].sinceUs > stuckUs && !st.Stores.Quorum(reach) {
+			if o := s.owner; o != nil && len(o.waits) > 0 && nowUs-o.waits[0].sinceUs > stuckUs && !set.Quorum(reach) {
 				b.depose(s, "no majority answers")
 			}
 			continue
@@ -107,9 +153,13 @@
 		if s.claiming || nowUs-s.tryUs < claimPauseUs {
 			continue
 		}
+		// A node that starts listens first, unless all replicas have answered it.
+		if nowUs-b.startUs < claimAfterUs && slices.ContainsFunc(set.All(), func(t nest.Seat) bool { return !reach[t.ID] }) {
+			continue
+		}
 		// Without a majority in reach a claim would only raise the fence against
 		// the owner that the others have.
-		if st.Stores.Quorum(reach) && b.shouldOwn(s, st, v, names) {
+		if set.Quorum(reach) && b.shouldOwn(s, st, v, names) {
 			s.tryUs = nowUs
 			b.claim(s, st)
 		}
@@ -183,7 +233,7 @@
 	}
 	s.seenMax = max(s.seenMax, s.promised.N) + 1
 	stamp := Stamp{Roster: fenceOf(&st.Stores), N: s.seenMax, By: b.cfg.Self.Life()}
-	roster := st.Stores
+	roster := b.sets(st)[s.n]
 	go func() {
 		ctx, cancel := context.WithTimeout(b.ctx, 3*time.Second)
 		defer cancel()
@@ -314,6 +364,7 @@
 		s.lots[id].src = src
 		rec.Ops = append(rec.Ops, put)
 	}
+	nowUs := waggle.NowUs()
 	for id, l := range s.lots {
 		if fetched[id] == nil {
 			l.src = copyOf{Lot: id, Stamp: l.Stamp, Rev: l.Rev}
@@ -324,6 +375,12 @@
 		l = s.lots[id]
 		l.taken, l.endSeen, l.seenLen = false, false, 0
 		l.live = &live{at: make([]promptState, len(l.Prompts))}
+		for i := range l.Rows {
+			if l.Rows[i].Lease != 0 {
+				l.live.at[i] = promptState{nextUs: nowUs + b.leaseUs(l.Rows[i].Epoch), sentUs: nowUs}
+			}
+		}
+		s.nextOffset = max(s.nextOffset, l.First+int64(len(l.Prompts)))
 	}
 	o.seq = 1
 	s.owner = o
@@ -336,9 +393,9 @@
 		if err != nil {
 			return
 		}
-		o.ready, o.readyUs = true, waggle.NowUs()
+		o.ready = true
 		for _, l := range s.lots {
-			l.taken, l.endSeen, l.seenLen = true, l.Ended, len(l.List)
+			l.taken, l.endSeen, l.seenLen = !l.refused(), l.Ended, len(l.List)
 		}
 		b.cfg.Log.Info("shard_owned", "shard", s.n, "stamp", stamp.N, "roster", stamp.Roster, "lots", len(s.lots))
 		b.poll()
@@ -374,7 +431,9 @@
 	if p.Kind != opNone {
 		apply(s.lots, &p)
 		o.diskIssued = seq
-		b.toDisk(s, o, &record{Shard: s.n, Ops: []op{p}}, seq)
+		p.raw = nil
+		_ = p.encoded()
+		o.unsaved = append(o.unsaved, p)
 	}
 	cost := p.cost()
 	for _, f := range o.feeds {
@@ -388,11 +447,52 @@
 		f.queue = append(f.queue, p)
 		f.lastQ = seq
 		f.bytes += cost
+	}
+	if p.Kind != opCursor && p.Kind != opAppend {
+		b.checkpoint(s, o)
+		return
+	}
+	// Pops and acks share a checkpoint: it is filled for a short while, and
+	// longer while the disk is at work (design 8.7).
+	if !o.saving {
+		o.saving = true
+		time.AfterFunc(checkpointUs*time.Microsecond, func() {
+			_ = b.cfg.Floor.Do(b.ctx, func() { b.checkpoint(s, o) })
+		})
+	}
+}
+
+// checkpoint sends what was done since the last one to the disk and to the
+// replicas.
+func (b *Brood) checkpoint(s *shard, o *owner) {
+	o.saving = false
+	if s.owner != o {
+		return
+	}
+	if len(o.unsaved) > 0 {
+		rec := &record{Shard: s.n, Ops: o.unsaved}
+		o.unsaved = nil
+		b.toDisk(s, o, rec, o.diskIssued)
+	}
+	if s.owner != o {
+		return
+	}
+	for _, f := range o.feeds {
 		b.pump(s, f)
 	}
 	b.advance(s, o)
 }
 
+// confirm calls back once a majority is known to have had no other owner at a
+// moment at most ageUs ago.
+func (b *Brood) confirm(s *shard, ageUs int64, then func(error)) {
+	if waggle.NowUs()-s.owner.quorumUs(b.cfg.Seat) <= ageUs {
+		then(nil)
+		return
+	}
+	b.issue(s, op{Kind: opNone}, then)
+}
+
 func (o *owner) selfAcked() uint64 {
 	if o.diskDone == o.diskIssued {
 		return o.seq
@@ -452,7 +552,8 @@
 	f.bytes -= bytes
 	upTo := f.lastQ - uint64(len(f.queue))
 	f.busy = true
-	call := &writeCall{Seat: f.seat.ID, Shard: s.n, Stamp: o.stamp, Ops: batch}
+	call := &writeCall{Seat: f.seat.ID, Shard: s.n, Stamp: o.stamp, Ops: rawOps(batch)}
+	startUs := waggle.NowUs()
 	go func() {
 		ctx, cancel := context.WithTimeout(b.ctx, writeTimeout)
 		defer cancel()
@@ -466,6 +567,7 @@
 			switch {
 			case err == nil && out.OK:
 				f.acked = max(f.acked, upTo)
+				o.heard(f.seat.ID, startUs)
 				b.advance(s, o)
 				if s.owner == o {
 					b.pump(s, f)
@@ -501,6 +603,7 @@
 		defer cancel()
 		callCtx, cancelCall := context.WithTimeout(ctx, claimTimeout)
 		out := &claimAnswer{}
+		startUs := waggle.NowUs()
 		err := b.cfg.Mesh.Call(callCtx, b.addrOf(f.seat), "brood.claim", &claimCall{Seat: f.seat.ID, Shard: s.n, Stamp: o.stamp}, out)
 		cancelCall()
 		if err != nil || !out.OK {
@@ -530,7 +633,7 @@
 		for _, batch := range batches {
 			writeCtx, cancelWrite := context.WithTimeout(ctx, 2*writeTimeout)
 			res := &writeAnswer{}
-			err = b.cfg.Mesh.Call(writeCtx, b.addrOf(f.seat), "brood.write", &writeCall{Seat: f.seat.ID, Shard: s.n, Stamp: o.stamp, Ops: batch}, res)
+			err = b.cfg.Mesh.Call(writeCtx, b.addrOf(f.seat), "brood.write", &writeCall{Seat: f.seat.ID, Shard: s.n, Stamp: o.stamp, Ops: rawOps(batch)}, res)
 			cancelWrite()
 			if err == nil && !res.OK {
 				err = wax.New(wax.Stale, "replica", "changed while it was mended", "")
@@ -550,6 +653,7 @@
 				return
 			}
 			f.acked, f.synced = max(f.acked, upTo), true
+			o.heard(f.seat.ID, startUs)
 			b.advance(s, o)
 			if s.owner == o {
 				b.pump(s, f)
--- a/internal/brood/replica.go
+++ b/internal/brood/replica.go
@@ -28,6 +28,15 @@
 	Ops      []op
 }
 
+// rawRecord is a record whose ops are encoded already; on disk both are the
+// same bytes.
+type rawRecord struct {
+	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by the library
+	Shard    int
+	Promise  *Stamp
+	Ops      []msgpack.RawMessage
+}
+
 // shard is one shard's copy here, and the owner's part if this node has it.
 type shard struct {
 	n        int
@@ -37,6 +46,8 @@
 	claiming bool
 	tryUs    int64
 	seenMax  uint64
+	// nextOffset is where the next lot's run begins in the shard's log.
+	nextOffset int64
 }
 
 // OpenIncarnation reads the name of this disk, made anew on an empty one.
@@ -106,7 +117,11 @@
 // persist writes a record and then answers on the floor; without a disk to
 // write to the node ends, for it may not answer.
 func (b *Brood) persist(r *record, then func()) {
-	raw, err := msgpack.Marshal(r)
+	wire := rawRecord{Shard: r.Shard, Promise: r.Promise}
+	for i := range r.Ops {
+		wire.Ops = append(wire.Ops, r.Ops[i].encoded())
+	}
+	raw, err := msgpack.Marshal(&wire)
 	if err != nil {
 		b.cfg.Fatal(err)
 		return
@@ -118,40 +133,66 @@
 		}
 		then()
 	}, raw)
-	if size := b.cell.SizeBytes(); size > b.longBytes {
+	if size := b.cell.SizeBytes(); size > b.longBytes && !b.rewriting {
 		b.rewrite()
 	}
 }
 
-// rewrite makes the file anew out of what the shards hold (design 10.3).
+// rewrite makes the file anew out of what the shards hold now; the lots are
+// encoded one by one while the floor goes on (design 10.3).
 func (b *Brood) rewrite() {
-	var recs [][]byte
+	type kept struct {
+		shard    int
+		promised Stamp
+		lots     []*Lot
+	}
+	var all []kept
 	var total int64
 	for _, s := range b.shards {
-		p := s.promised
-		recs = appendRecord(recs, &record{Shard: s.n, Promise: &p})
+		k := kept{shard: s.n, promised: s.promised}
 		for _, l := range s.lots {
-			recs = appendRecord(recs, &record{Shard: s.n, Ops: []op{{Kind: opPut, Lot: l.ID, Stamp: l.Stamp, Rev: l.Rev, Whole: l}}})
+			k.lots = append(k.lots, l.share())
+			total += int64(l.cost())
 		}
+		all = append(all, k)
 	}
-	for _, r := range recs {
-		total += int64(len(r))
-	}
-	b.longBytes = max(b.minLongBytes, 2*total)
+	b.rewriting = true
 	b.cell.Rewrite(func(err error) {
 		if err != nil {
 			b.cfg.Fatal(err)
+			return
 		}
-	}, recs...)
+		_ = b.cfg.Floor.Do(b.ctx, func() { b.rewriting, b.longBytes = false, b.nextLong() })
+	}, func(write func([]byte) error) error {
+		for i := range all {
+			if err := writeRecord(write, &record{Shard: all[i].shard, Promise: &all[i].promised}); err != nil {
+				return err
+			}
+			for at, l := range all[i].lots {
+				all[i].lots[at] = nil
+				if err := writeRecord(write, &record{Shard: all[i].shard, Ops: []op{{Kind: opPut, Lot: l.ID, Stamp: l.Stamp, Rev: l.Rev, Whole: l}}}); err != nil {
+					return err
+				}
+			}
+		}
+		return nil
+	})
 	b.cfg.Log.Info("cell_rewritten", "cell", "brood", "bytes", total)
 }
 
-func appendRecord(recs [][]byte, r *record) [][]byte {
+// nextLong is the length at which the file is rewritten next: twice what it
+// holds now, but with room for the old and the new one on the disk.
+func (b *Brood) nextLong() int64 {
+	size := b.cell.SizeBytes()
+	return max(min(2*size, b.cfg.DiskBytes*45/100), size*5/4, b.minLongBytes)
+}
+
+func writeRecord(write func([]byte) error, r *record) error {
 	raw, err := msgpack.Marshal(r)
 	if err != nil {
-		return recs
+		return err
 	}
-	return append(recs, raw)
+	return write(raw)
 }
 
 type claimCall struct {
@@ -188,7 +229,15 @@
 	Seat     string
 	Shard    int
 	Stamp    Stamp
-	Ops      []op
+	Ops      []msgpack.RawMessage // of op: written to disk as they came
+}
+
+func rawOps(ops []op) []msgpack.RawMessage {
+	out := make([]msgpack.RawMessage, len(ops))
+	for i := range ops {
+		out[i] = ops[i].encoded()
+	}
+	return out
 }
 
 type writeAnswer struct {
@@ -294,13 +343,19 @@
 			rec.Promise = &in.Stamp
 		}
 		out := &writeAnswer{OK: true, Promised: in.Stamp}
-		for i := range in.Ops {
-			if !apply(s.lots, &in.Ops[i]) {
+		for _, raw := range in.Ops {
+			o := op{}
+			if err := msgpack.Unmarshal(raw, &o); err != nil {
+				reply(nil, wax.New(wax.Invalid, "ops", err.Error(), "run the same version on all nodes"))
+				return
+			}
+			o.raw = raw
+			if !apply(s.lots, &o) {
 				out.OK, out.Misfit = false, true
 				break
 			}
-			if in.Ops[i].Kind != opNone {
-				rec.Ops = append(rec.Ops, in.Ops[i])
+			if o.Kind != opNone {
+				rec.Ops = append(rec.Ops, op{raw: raw})
 			}
 		}
 		if len(rec.Ops) == 0 && rec.Promise == nil {
--- a/internal/cell/cell.go
+++ b/internal/cell/cell.go
@@ -4,6 +4,7 @@
 package cell
 
 import (
+	"bufio"
 	"encoding/binary"
 	"hash/crc32"
 	"io"
@@ -49,6 +50,7 @@
 type job struct {
 	records [][]byte
 	anew    bool
+	source  func(write func(record []byte) error) error // of a rewrite
 	then    func(error)
 }
 
@@ -140,10 +142,11 @@
 // error that kept them off it. then runs on the cell's goroutine.
 func (c *Cell) Append(then func(error), records ...[]byte) { c.push(job{records: records, then: then}) }
 
-// Rewrite replaces the whole file by these records, which must say all that
-// the earlier appends said.
-func (c *Cell) Rewrite(then func(error), records ...[]byte) {
-	c.push(job{records: records, anew: true, then: then})
+// Rewrite replaces the whole file by the records that source writes, which must
+// say all that the earlier appends said. source runs on the cell's goroutine,
+// record by record, so that a long file is never in memory whole.
+func (c *Cell) Rewrite(then func(error), source func(write func(record []byte) error) error) {
+	c.push(job{anew: true, source: source, then: then})
 }
 
 // Write appends and waits.
@@ -226,12 +229,10 @@
 	var buf []byte
 	for _, j := range batch[first:] {
 		for _, r := range j.records {
-			if len(r) == 0 || len(r) > MaxRecord {
-				return wax.New(wax.TooLarge, c.name, "a record is empty or too long", "bound what is stored")
+			var err error
+			if buf, err = c.framed(buf, r); err != nil {
+				return err
 			}
-			buf = binary.LittleEndian.AppendUint32(buf, uint32(len(r)))
-			buf = binary.LittleEndian.AppendUint32(buf, crc32.Checksum(r, table))
-			buf = append(buf, r...)
 		}
 	}
 	if !batch[first].anew {
@@ -249,7 +250,25 @@
 	if err != nil {
 		return errors.Wrap(err, "open new")
 	}
-	if _, err = f.Write(buf); err == nil {
+	wroteBytes := int64(len(buf))
+	w := bufio.NewWriterSize(f, 64<<10)
+	var one []byte
+	err = batch[first].source(func(r []byte) error {
+		var err error
+		if one, err = c.framed(one[:0], r); err != nil {
+			return err
+		}
+		wroteBytes += int64(len(one))
+		_, err = w.Write(one)
+		return err
+	})
+	if err == nil {
+		_, err = w.Write(buf)
+	}
+	if err == nil {
+		err = w.Flush()
+	}
+	if err == nil {
 		err = f.Sync()
 	}
 	if err == nil {
@@ -264,10 +283,32 @@
 	}
 	_ = c.file.Close()
 	c.file = f
-	c.grow(int64(len(buf)), true)
+	c.grow(wroteBytes, true)
 	return nil
 }
 
+// framed adds a record with its head to buf.
+func (c *Cell) framed(buf, r []byte) ([]byte, error) {
+	if len(r) == 0 || len(r) > MaxRecord {
+		return buf, wax.New(wax.TooLarge, c.name, "a record is empty or too long", "bound what is stored")
+	}
+	buf = binary.LittleEndian.AppendUint32(buf, uint32(len(r)))
+	buf = binary.LittleEndian.AppendUint32(buf, crc32.Checksum(r, table))
+	return append(buf, r...), nil
+}
+
+// Records is a source of records that are there already.
+func Records(records ...[]byte) func(func([]byte) error) error {
+	return func(write func([]byte) error) error {
+		for _, r := range records {
+			if err := write(r); err != nil {
+				return err
+			}
+		}
+		return nil
+	}
+}
+
 func (c *Cell) grow(nBytes int64, anew bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/cell/cell_test.go
+++ b/internal/cell/cell_test.go
@@ -92,7 +92,7 @@
 	c, _, _ := open(t, dir)
 	done := make(chan error, 3)
 	c.Append(func(err error) { done <- err }, []byte("old"))
-	c.Rewrite(func(err error) { done <- err }, []byte("all that was"))
+	c.Rewrite(func(err error) { done <- err }, Records([]byte("all that was")))
 	c.Append(func(err error) { done <- err }, []byte("new"))
 	for range 3 {
 		if err := <-done; err != nil {
--- a/internal/colony/colony.go
+++ b/internal/colony/colony.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/sourcegraph/conc"
+	"golang.org/x/sync/semaphore"
 
 	"rowanshunt/internal/brood"
 	"rowanshunt/internal/buzz"
@@ -37,6 +38,7 @@
 	Dial   forage.Dial
 	WallUs func() int64
 	Log    *wax.Log
+	Tally  *pollen.Tally // nil: partner calls are not counted
 }
 
 // Node is one node's parts that every role has.
@@ -68,7 +70,8 @@
 func New(ctx context.Context, env Env, opts *skep.Options, role string) (*Node, error) {
 	n := &Node{env: env, role: role, fatal: make(chan error, 4), Floor: waggle.NewFloor(4096), Desk: pollen.NewDesk()}
 	n.opts.Store(opts)
-	n.self = swarm.Partner{Name: opts.Node, Addr: opts.PartnerAddr(), Ctl: opts.Listen.Ctl, Az: opts.Az, Role: role, LifeUs: env.WallUs()}
+	n.self = swarm.Partner{Name: opts.Node, Addr: opts.PartnerAddr(), Ctl: opts.Listen.Ctl, Az: opts.Az, Role: role, LifeUs: env.WallUs(),
+		Cap: int64(opts.Caps.CPUFrac * max(opts.Caps.NCPU, 1) * 1000)}
 	empty := true // nothing on disk, or no disk
 	if opts.DataDir != "" && (role == "comb" || opts.Has("ctl")) {
 		id, fresh, err := brood.OpenIncarnation(opts.DataDir)
@@ -84,10 +87,21 @@
 	seeds := opts.SeedAddrs()
 	// Nodes that hold seats listen closely to those of their kind: a shard
 	// waits for its owner, a newcomer must know whom it replaces.
+	var mates map[string]bool
+	matesVer := uint64(0)
 	near := func(v *swarm.View) []string {
 		if v.Self.Disk == "" {
 			return nil
 		}
+		if role == "comb" {
+			// A member listens to those it shares a shard with.
+			if st := n.Nest.Committed(); st != nil && st.Stores.Has(v.Self.Seat()) {
+				if matesVer != st.Stores.Ver {
+					mates, matesVer = brood.Mates(&st.Stores, v.Self.Seat(), opts.Ft.Nodes), st.Stores.Ver
+				}
+				return v.Names(func(s *swarm.Sighting) bool { return mates[s.Name] })
+			}
+		}
 		return v.Names(func(s *swarm.Sighting) bool { return s.Role == role && s.Disk != "" })
 	}
 	n.Swarm = swarm.New(ctx, n.Floor, n.Desk, env.Mesh, env.Log, n.self, seeds, near)
@@ -211,9 +225,11 @@
 		Ways: forage.NewSlab[forage.Way](int(opts.Caps.NoFile / 3))}
 	limits := guard.LimitsOf(opts)
 	f.Forage = &forage.Forage{Sender: sender, Blueprint: n.blueprint.Load, Log: env.Log, BodyBytes: limits.BodyBytes, HbMs: opts.HbMs}
-	client := brood.NewClient(env.Mesh, n.Swarm, n.Nest.Committed)
-	lots := &brood.API{Client: client, Blueprint: n.blueprint.Load, WallUs: env.WallUs, Decline: forage.Decline, Log: env.Log}
-	f.Nurse = &nurse.Nurse{Mesh: env.Mesh, Client: client, Sender: sender, Blueprint: n.blueprint.Load, Log: env.Log, Name: n.self.Name, MaxHeld: 64}
+	client := brood.NewClient(env.Mesh, n.Swarm, n.Nest.Committed, opts.Ft.Nodes)
+	lots := &brood.API{Client: client, Blueprint: n.blueprint.Load, WallUs: env.WallUs, Decline: forage.Decline, Log: env.Log,
+		Admit: semaphore.NewWeighted(limits.BodyBytes), AdmitBytes: limits.BodyBytes}
+	f.Nurse = &nurse.Nurse{Mesh: env.Mesh, Client: client, Sender: sender, Blueprint: n.blueprint.Load, Log: env.Log, Name: n.self.Name, MaxHeld: maxHeld,
+		Dispatches: func() bool { return n.Swarm.Look().IsStrong() }}
 	f.Nurse.Start(ctx, n.Desk)
 	f.Guard = &guard.Guard{Forage: f.Forage, Lots: lots, Blueprint: n.blueprint.Load, Log: env.Log, Limits: limits,
 		Ready: func() bool { return n.caughtUp.Load() && n.blueprint.Load() != nil && f.Flora.Synced() }}
@@ -256,6 +272,9 @@
 	})
 }
 
+// maxHeld bounds the items that one dispatcher has in hand.
+const maxHeld = 160
+
 func (f *Forager) upkeep() {
 	f.Nurse.Tick()
 	foragers := 0
@@ -265,6 +284,7 @@
 		}
 	}
 	f.Scout.SetForagers(foragers)
+	f.Scout.SetDispatchers(len(f.Swarm.Look().Strong(f.role)))
 	f.Scout.Keep(f.Flora.Look())
 }
 
--- a/internal/colony/run.go
+++ b/internal/colony/run.go
@@ -45,7 +45,8 @@
 	signal.Notify(hup, syscall.SIGHUP)
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	env := Env{Mesh: pollen.NewTCP(), Dial: forage.DialTCP(), WallUs: wallUs, Log: wax.NewLog(os.Stderr, logLevel, "node", opts.Node)}
+	tally := pollen.NewTally()
+	env := Env{Mesh: pollen.NewTCP(tally), Tally: tally, Dial: forage.DialTCP(), WallUs: wallUs, Log: wax.NewLog(os.Stderr, logLevel, "node", opts.Node)}
 	if role == "comb" {
 		return runComb(ctx, cancel, env, opts, path, term, hup)
 	}
@@ -54,14 +55,42 @@
 
 // listen opens the partner port; calls wait for the floor to run.
 func (n *Node) listen(ctx context.Context) error {
-	ln, err := pollen.Listen(n.self.Addr, n.Desk, n.env.Log)
+	ln, err := pollen.Listen(n.self.Addr, n.Desk, n.env.Log, n.env.Tally)
 	if err != nil {
 		return err
 	}
 	n.wg.Go(func() { ln.Run(ctx) })
+	if n.env.Tally != nil {
+		n.wg.Go(func() { n.tellTally(ctx) })
+	}
 	return nil
 }
 
+// tallyEvery is how often a node logs what control cost it.
+const tallyEvery = 10 * time.Second
+
+// tellTally logs what this node said to its partners and heard from them, by
+// kind of call, with the processor time and memory it took in all.
+func (n *Node) tellTally(ctx context.Context) {
+	tick := time.NewTicker(tallyEvery)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+		}
+		kinds, total := n.env.Tally.Drain()
+		var use syscall.Rusage
+		cpuMs := int64(-1)
+		if syscall.Getrusage(syscall.RUSAGE_SELF, &use) == nil {
+			cpuMs = (use.Utime.Sec+use.Stime.Sec)*1000 + int64(use.Utime.Usec+use.Stime.Usec)/1000
+		}
+		n.env.Log.Info("partner_calls", "calls", total.Calls, "bytes", total.Bytes, "cpu_ms_since_start", cpuMs,
+			"partners", len(n.Swarm.Look().All), "kinds", kinds)
+	}
+}
+
 func runComb(ctx context.Context, cancel func(), env Env, opts *skep.Options, path string, term, hup <-chan os.Signal) error {
 	c, err := NewComb(ctx, env, opts)
 	if err != nil {
--- a/internal/colony/tell.go
+++ b/internal/colony/tell.go
@@ -71,7 +71,7 @@
 
 func (c *Comb) tellLot(ctx context.Context, a *trail.Ask) []trail.Fact {
 	s := c.Nest.Committed()
-	votes := s != nil && s.Stores.Has(c.self.Seat())
+	votes := s != nil && c.Brood.Keeps(s, a.Host)
 	l, err := c.Brood.Trace(ctx, a.Host, a.ID)
 	switch {
 	case err != nil:
--- a/internal/flora/diary.go
+++ b/internal/flora/diary.go
@@ -82,7 +82,7 @@
 
 func (d *diary) put(raw []byte) {
 	if d.cell.SizeBytes() > longBytes {
-		d.cell.Rewrite(d.written, raw)
+		d.cell.Rewrite(d.written, cell.Records(raw))
 	} else {
 		d.cell.Append(d.written, raw)
 	}
--- a/internal/flora/flora.go
+++ b/internal/flora/flora.go
@@ -216,14 +216,22 @@
 	return e.state() != before
 }
 
-// homes lists the home node of a service in each zone.
+// homes lists the home node of a service in each zone: one of the zone's
+// strong nodes if it has any (design 5.2).
 func (f *Flora) homes(svc string, v *swarm.View) map[string]string {
 	byAz := map[string][]string{}
+	for _, p := range v.Strong(f.cfg.Self.Role) {
+		byAz[p.Az] = append(byAz[p.Az], p.Name)
+	}
+	weakByAz := map[string][]string{}
 	for i := range v.All {
-		if p := &v.All[i]; p.Alive && p.Role == f.cfg.Self.Role && !p.Leaving {
-			byAz[p.Az] = append(byAz[p.Az], p.Name)
+		if p := &v.All[i]; p.Alive && p.Role == f.cfg.Self.Role && !p.Leaving && byAz[p.Az] == nil {
+			weakByAz[p.Az] = append(weakByAz[p.Az], p.Name)
 		}
 	}
+	for az, names := range weakByAz {
+		byAz[az] = names
+	}
 	out := map[string]string{}
 	for az, names := range byAz {
 		out[az] = tending.Holder("home/"+svc, names)
--- a/internal/nest/acceptor.go
+++ b/internal/nest/acceptor.go
@@ -77,7 +77,7 @@
 			return err
 		}
 		got := make(chan error, 1)
-		k.c.Rewrite(func(err error) { got <- err }, rec)
+		k.c.Rewrite(func(err error) { got <- err }, cell.Records(rec))
 		return <-got
 	}
 	if !whole {
--- a/internal/nest/nest.go
+++ b/internal/nest/nest.go
@@ -273,7 +273,7 @@
 	var first []Seat
 	for _, p := range n.cfg.Swarm.Look().All {
 		if p.Alive && p.Boot && p.Disk != "" && p.Role == n.cfg.Self.Role {
-			first = append(first, Seat{ID: p.Seat(), Name: p.Name, Addr: p.Addr})
+			first = append(first, Seat{ID: p.Seat(), Name: p.Name, Addr: p.Addr, Az: p.Az})
 		}
 	}
 	sort.Slice(first, func(i, j int) bool { return first[i].ID < first[j].ID })
@@ -315,7 +315,7 @@
 // NextSeats is the roster that takes self in: in the place of an earlier
 // incarnation of its disk, of a member that does not answer it, or beside the
 // others; nil while it is too early to tell, or if there is no room.
-func NextSeats(r *Roster, self Seat, v *swarm.View, upUs int64) []Seat {
+func NextSeats(r *Roster, self Seat, v *swarm.View, upUs int64, most int) []Seat {
 	next := slices.Clone(r.Cur)
 	for i, s := range next {
 		if s.Name == self.Name {
@@ -334,7 +334,7 @@
 		next[i] = self
 		return next
 	}
-	if len(next) < maxSeats {
+	if len(next) < most {
 		return append(next, self)
 	}
 	return nil
@@ -355,7 +355,7 @@
 
 // join brings this node's seat into the roster.
 func (n *Nest) join(ctx context.Context) {
-	self := Seat{ID: n.seat.ID(), Name: n.cfg.Self.Name, Addr: n.cfg.Self.Addr}
+	self := Seat{ID: n.seat.ID(), Name: n.cfg.Self.Name, Addr: n.cfg.Self.Addr, Az: n.cfg.Self.Az}
 	for ctx.Err() == nil {
 		s, err := n.Change(ctx, func(now *State) (*State, error) {
 			if now.Core.Joint() {
@@ -365,7 +365,7 @@
 			if now.Core.Has(self.ID) {
 				return nil, nil
 			}
-			next := NextSeats(&now.Core, self, n.cfg.Swarm.Look(), waggle.NowUs()-n.startUs)
+			next := NextSeats(&now.Core, self, n.cfg.Swarm.Look(), waggle.NowUs()-n.startUs, maxSeats)
 			if next == nil {
 				return nil, wax.New(wax.Declined, "core", "is full, or it is too early to tell who is there", "nothing to do")
 			}
--- /dev/null
+++ b/internal/nest/replicas.go
@@ -0,0 +1,40 @@
+package nest
+
+import (
+	"sort"
+
+	"rowanshunt/internal/tending"
+)
+
+// Replicas is the roster of one shard: of each set the first want seats of the
+// rendezvous rank, spread over the zones as evenly as they go. It is a pure
+// function of the roster, so all nodes that know the roster agree on it, and a
+// change of the roster is a joint change of each shard's own (design 8.1).
+func (r *Roster) Replicas(key string, want int) Roster {
+	return Roster{Ver: r.Ver, Cur: spread(r.Cur, key, want), Prev: spread(r.Prev, key, want)}
+}
+
+func spread(seats []Seat, key string, want int) []Seat {
+	if len(seats) <= want {
+		return seats
+	}
+	ranked := make([]Seat, len(seats))
+	copy(ranked, seats)
+	sort.Slice(ranked, func(i, j int) bool {
+		wi, wj := tending.Weight(key, ranked[i].Name), tending.Weight(key, ranked[j].Name)
+		return wi > wj || wi == wj && ranked[i].Name < ranked[j].Name
+	})
+	out := make([]Seat, 0, want)
+	taken := make([]bool, len(ranked))
+	perZone := map[string]int{}
+	for round := 1; len(out) < want; round++ {
+		for i, s := range ranked {
+			if !taken[i] && perZone[s.Az] < round && len(out) < want {
+				taken[i] = true
+				perZone[s.Az]++
+				out = append(out, s)
+			}
+		}
+	}
+	return out
+}
--- a/internal/nest/state.go
+++ b/internal/nest/state.go
@@ -23,6 +23,7 @@
 	ID       string
 	Name     string
 	Addr     string
+	Az       string
 }
 
 // Roster is a set of seats that is changed one seat at a time. While Prev is
--- a/internal/nurse/nurse.go
+++ b/internal/nurse/nurse.go
@@ -24,10 +24,12 @@
 
 // Times of the dispatcher (design 9.2).
 const (
-	leaveUs   = 2_200_000 // how long a confirmed take lets items be sent
-	takeUs    = 900_000   // how long a take may be held
-	placeUs   = 400_000   // how long an item may look for its first worker
-	maxBreaks = 8
+	leaveUs    = 1_800_000 // how long a confirmed take lets items be sent
+	takeUs     = 900_000   // how long a take may be held
+	takeOverUs = 600_000   // how much longer its answer is waited for
+	placeUs    = 400_000   // how long an item may look for its first worker
+	settleUs   = 5_000_000 // how long an ack or a nack is sent again
+	maxBreaks  = 8
 )
 
 // Nurse runs items on one node.
@@ -39,9 +41,11 @@
 	Log       *wax.Log
 	Name      string
 	MaxHeld   int
+	// Dispatches tells whether this node takes items now (design 9.1).
+	Dispatches func() bool
 
 	mu      sync.Mutex
-	held    map[brood.Held]*inHand
+	held    map[item]*inHand
 	leave   [brood.Shards]int64 // until when items of a shard may be sent
 	stores  map[string]bool
 	closing bool
@@ -49,7 +53,15 @@
 	all     sync.WaitGroup
 }
 
+// item names what is in hand, whatever its lease.
+type item struct {
+	shard int
+	lot   string
+	item  int
+}
+
 type inHand struct {
+	lease  uint64
 	cancel context.CancelFunc
 	placed bool // a worker was found for it
 }
@@ -57,7 +69,7 @@
 // Start joins the node's desk.
 func (n *Nurse) Start(ctx context.Context, desk *pollen.Desk) {
 	n.ctx = ctx
-	n.held = map[brood.Held]*inHand{}
+	n.held = map[item]*inHand{}
 	n.stores = map[string]bool{}
 	pollen.On(desk, "nurse.stop", func(_ context.Context, in *brood.StopCall) (*pollen.Nothing, error) {
 		n.stopLot(in.Lot)
@@ -69,7 +81,7 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	for k, h := range n.held {
-		if k.Lot == lot {
+		if k.lot == lot {
 			h.cancel()
 		}
 	}
@@ -79,7 +91,7 @@
 func (n *Nurse) Tick() {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	if n.closing {
+	if n.closing || !n.Dispatches() && len(n.held) == 0 {
 		return
 	}
 	for _, s := range n.Client.Stores() {
@@ -156,7 +168,7 @@
 			}
 		}
 		n.mu.Lock()
-		closing := n.closing && len(n.held) == 0
+		closing := (n.closing || !n.Dispatches()) && len(n.held) == 0
 		n.mu.Unlock()
 		if addr == "" || closing {
 			return
@@ -170,22 +182,22 @@
 func (n *Nurse) takeOnce(addr string) bool {
 	room := n.room()
 	n.mu.Lock()
-	if n.closing {
+	if n.closing || !n.Dispatches() {
 		room = 0
 	}
 	held := make([]brood.Held, 0, len(n.held))
-	for k := range n.held {
-		held = append(held, k)
+	for k, h := range n.held {
+		held = append(held, brood.Held{Shard: k.shard, Lot: k.lot, Item: k.item, Lease: h.lease})
 	}
 	n.mu.Unlock()
 	if room < 0 {
 		room = 0
 	}
 	startUs := waggle.NowUs()
-	ctx, cancel := context.WithTimeout(n.ctx, (takeUs+600_000)*time.Microsecond)
+	ctx, cancel := context.WithTimeout(n.ctx, (takeUs+takeOverUs)*time.Microsecond)
 	defer cancel()
 	out := &brood.TakeAnswer{}
-	call := &brood.TakeCall{From: n.Name, Room: room, Held: held, WaitUs: takeUs}
+	call := &brood.TakeCall{From: n.Name, Room: room, Held: held, WaitUs: takeUs, LeftUs: takeUs + takeOverUs}
 	if len(held) > 0 {
 		call.WaitUs = takeUs / 2
 	}
@@ -199,17 +211,21 @@
 		}
 	}
 	for _, k := range out.Stop {
-		if h := n.held[k]; h != nil {
+		if h := n.held[item{k.Shard, k.Lot, k.Item}]; h != nil && h.lease == k.Lease {
 			h.cancel()
 		}
 	}
 	for _, g := range out.Given {
-		k := brood.Held{Shard: g.Shard, Lot: g.Lot, Item: g.Item}
-		if n.held[k] != nil || g.Shard < 0 || g.Shard >= brood.Shards {
+		k := item{g.Shard, g.Lot, g.Item}
+		if g.Shard < 0 || g.Shard >= brood.Shards {
+			continue
+		}
+		if h := n.held[k]; h != nil {
+			h.lease = g.Lease // it runs here already: the run goes on under the new lease
 			continue
 		}
 		itemCtx, cancelItem := context.WithCancel(n.ctx)
-		n.held[k] = &inHand{cancel: cancelItem}
+		n.held[k] = &inHand{lease: g.Lease, cancel: cancelItem}
 		n.all.Add(1)
 		go n.run(itemCtx, k, g, startUs)
 	}
@@ -217,14 +233,14 @@
 	return room > 0
 }
 
-func (n *Nurse) mayStart(k brood.Held) bool {
+func (n *Nurse) mayStart(k item) bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	return n.held[k] != nil && waggle.NowUs() < n.leave[k.Shard]
+	return n.held[k] != nil && waggle.NowUs() < n.leave[k.shard]
 }
 
 // run brings one item to its end here.
-func (n *Nurse) run(ctx context.Context, k brood.Held, g brood.Given, takenUs int64) {
+func (n *Nurse) run(ctx context.Context, k item, g brood.Given, takenUs int64) {
 	defer n.all.Done()
 	defer func() {
 		n.mu.Lock()
@@ -243,24 +259,33 @@
 	}
 	if phase == "" {
 		if gaveBack || failed {
-			callCtx, cancel := context.WithTimeout(n.ctx, 1500*time.Millisecond)
-			defer cancel()
-			_ = n.Client.Call(callCtx, g.Shard, "brood.give", &brood.GiveCall{Shard: g.Shard, Lot: g.Lot, Item: g.Item, Epoch: g.Epoch, Failed: failed, AfterUs: 150_000}, nil, 700*time.Millisecond)
+			n.settle(waggle.NowUs()+settleUs, g.Shard, "brood.give", func() any {
+				return &brood.GiveCall{Shard: g.Shard, Lot: g.Lot, Item: g.Item, Lease: n.leaseOf(k), Failed: failed, AfterUs: 150_000}
+			})
 		}
 		return
 	}
 	// The result stays in hand until it is durable, whoever owns the shard.
-	for until := endUs + 5_000_000; n.ctx.Err() == nil && waggle.NowUs() < until; {
+	n.settle(endUs+settleUs, g.Shard, "brood.ack", func() any {
+		return &brood.AckCall{Shard: g.Shard, Lot: g.Lot, Item: g.Item, Phase: phase, Msg: text.Msg, Lease: n.leaseOf(k)}
+	})
+}
+
+// settle sends an ack or a nack until its outcome is known: sent again under
+// the same lease it gets the first answer, from a new owner too, so no outcome
+// stays unknown (design 9.3).
+func (n *Nurse) settle(untilUs int64, shardN int, kind string, call func() any) {
+	for n.ctx.Err() == nil && waggle.NowUs() < untilUs {
 		callCtx, cancel := context.WithTimeout(n.ctx, 5*time.Second)
-		err := n.Client.Call(callCtx, g.Shard, "brood.ack", &brood.AckCall{Shard: g.Shard, Lot: g.Lot, Item: g.Item, Phase: phase, Msg: text.Msg}, nil, 1500*time.Millisecond)
+		err := n.Client.Call(callCtx, shardN, kind, call(), nil, 1500*time.Millisecond)
 		cancel()
-		if err == nil || wax.Is(err, wax.Unknown) || wax.Is(err, wax.Invalid) {
+		if err == nil || wax.Is(err, wax.Unknown) || wax.Is(err, wax.Invalid) || wax.Is(err, wax.Stale) {
 			return
 		}
 	}
 }
 
-func (n *Nurse) tryWorkers(ctx context.Context, k brood.Held, g *brood.Given, endUs int64, text *forage.Text) (phase string, failed, gaveBack bool) {
+func (n *Nurse) tryWorkers(ctx context.Context, k item, g *brood.Given, endUs int64, text *forage.Text) (phase string, failed, gaveBack bool) {
 	var exclude []string
 	breaks := 0
 	startUs := waggle.NowUs()
@@ -325,7 +350,7 @@
 	return "", false, true
 }
 
-func (n *Nurse) runAt(ctx context.Context, k brood.Held, g *brood.Given, w *flora.Worker, bp *foundation.Blueprint, header http.Header, endUs int64, text *forage.Text) forage.Outcome {
+func (n *Nurse) runAt(ctx context.Context, k item, g *brood.Given, w *flora.Worker, bp *foundation.Blueprint, header http.Header, endUs int64, text *forage.Text) forage.Outcome {
 	defer n.Sender.Scout.Done(w.ID, true)
 	leftMs := func() int64 { return (endUs - waggle.NowUs()) / 1000 }
 	p := &forage.Parcel{Method: http.MethodPost, Target: g.Prompt.Path, Host: g.Host, Header: header.Clone(), Body: g.Prompt.Body, ID: g.Prompt.ID,
@@ -342,7 +367,16 @@
 	return outcome
 }
 
-func (n *Nurse) placed(k brood.Held) {
+func (n *Nurse) leaseOf(k item) uint64 {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if h := n.held[k]; h != nil {
+		return h.lease
+	}
+	return 0
+}
+
+func (n *Nurse) placed(k item) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if h := n.held[k]; h != nil {
@@ -356,7 +390,7 @@
 	defer n.mu.Unlock()
 	count := 0
 	for k := range n.held {
-		if k.Lot == lot {
+		if k.lot == lot {
 			count++
 		}
 	}
--- a/internal/pollen/frame.go
+++ b/internal/pollen/frame.go
@@ -10,7 +10,7 @@
 
 // Version is the version of the partner protocol; frames of another one are
 // not read (design 2.2).
-const Version = 1
+const Version = 2
 
 // MaxFrame bounds one frame.
 const MaxFrame = 24 << 20
--- /dev/null
+++ b/internal/pollen/tally.go
@@ -0,0 +1,90 @@
+package pollen
+
+import (
+	"sort"
+	"strconv"
+	"strings"
+	"sync"
+)
+
+// Tally counts calls and bytes by kind, as this node sent and took them: what
+// control costs a node can be read off its log (docs/operators.md).
+type Tally struct {
+	mu   sync.Mutex
+	seen map[string]*count
+}
+
+type count struct {
+	callsOut, callsIn int64
+	bytesOut, bytesIn int64
+}
+
+// NewTally makes an empty one.
+func NewTally() *Tally { return &Tally{seen: map[string]*count{}} }
+
+func (t *Tally) of(kind string) *count {
+	c := t.seen[kind]
+	if c == nil {
+		c = &count{}
+		t.seen[kind] = c
+	}
+	return c
+}
+
+// asked counts a call to a partner, answered one taken from a partner; a nil
+// tally counts nothing.
+func (t *Tally) asked(kind string, outBytes, inBytes int) {
+	if t == nil {
+		return
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	c := t.of(kind)
+	c.callsOut++
+	c.bytesOut += int64(outBytes)
+	c.bytesIn += int64(inBytes)
+}
+
+func (t *Tally) answered(kind string, inBytes, outBytes int) {
+	if t == nil {
+		return
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	c := t.of(kind)
+	c.callsIn++
+	c.bytesIn += int64(inBytes)
+	c.bytesOut += int64(outBytes)
+}
+
+// Total is a sum over all kinds.
+type Total struct{ Calls, Bytes int64 }
+
+// Drain gives what was counted since the last time, as
+// kind:callsOut/callsIn/bytesOut/bytesIn, most bytes first, and its sums.
+func (t *Tally) Drain() (line string, total Total) {
+	t.mu.Lock()
+	seen := t.seen
+	t.seen = map[string]*count{}
+	t.mu.Unlock()
+	kinds := make([]string, 0, len(seen))
+	for k, c := range seen {
+		kinds = append(kinds, k)
+		total.Calls += c.callsOut + c.callsIn
+		total.Bytes += c.bytesOut + c.bytesIn
+	}
+	sort.Slice(kinds, func(i, j int) bool {
+		a, b := seen[kinds[i]], seen[kinds[j]]
+		if x, y := a.bytesOut+a.bytesIn, b.bytesOut+b.bytesIn; x != y {
+			return x > y
+		}
+		return kinds[i] < kinds[j]
+	})
+	parts := make([]string, len(kinds))
+	for i, k := range kinds {
+		c := seen[k]
+		parts[i] = k + ":" + strconv.FormatInt(c.callsOut, 10) + "/" + strconv.FormatInt(c.callsIn, 10) + "/" +
+			strconv.FormatInt(c.bytesOut, 10) + "/" + strconv.FormatInt(c.bytesIn, 10)
+	}
+	return strings.Join(parts, ","), total
+}
--- a/internal/pollen/tcp.go
+++ b/internal/pollen/tcp.go
@@ -41,11 +41,12 @@
 	mu       sync.Mutex
 	circuits map[string]*circuit
 	dialer   *net.Dialer
+	tally    *Tally
 }
 
 // NewTCP makes a mesh without circuits.
-func NewTCP() *TCP {
-	return &TCP{circuits: map[string]*circuit{}, dialer: Dialer(400 * time.Millisecond)}
+func NewTCP(tally *Tally) *TCP {
+	return &TCP{circuits: map[string]*circuit{}, dialer: Dialer(400 * time.Millisecond), tally: tally}
 }
 
 type circuit struct {
@@ -77,8 +78,10 @@
 		if c.dead() {
 			t.drop(addr, c)
 		}
+		t.tally.asked(kind, len(body), 0)
 		return err
 	}
+	t.tally.asked(kind, len(body), len(answer.body))
 	if answer.kind == frameFault {
 		var w faultWire
 		if err := msgpack.Unmarshal(answer.body, &w); err != nil {
@@ -231,23 +234,24 @@
 
 // Listener serves partners.
 type Listener struct {
-	ln   net.Listener
-	desk *Desk
-	log  *wax.Log
-	mu   sync.Mutex
-	open map[net.Conn]struct{}
+	ln    net.Listener
+	desk  *Desk
+	log   *wax.Log
+	tally *Tally
+	mu    sync.Mutex
+	open  map[net.Conn]struct{}
 }
 
 // maxCallsOpen bounds the calls that one partner may have under way.
 const maxCallsOpen = 512
 
 // Listen opens the partner port.
-func Listen(addr string, desk *Desk, log *wax.Log) (*Listener, error) {
+func Listen(addr string, desk *Desk, log *wax.Log, tally *Tally) (*Listener, error) {
 	ln, err := net.Listen("tcp", addr)
 	if err != nil {
 		return nil, errors.Wrap(err, "partner port")
 	}
-	return &Listener{ln: ln, desk: desk, log: log, open: map[net.Conn]struct{}{}}, nil
+	return &Listener{ln: ln, desk: desk, log: log, tally: tally, open: map[net.Conn]struct{}{}}, nil
 }
 
 // Addr is the bound address.
@@ -315,6 +319,7 @@
 				body, _ = msgpack.Marshal(wireOf(err))
 			}
 			answer.body = body
+			l.tally.answered(f.name, len(f.body), len(body))
 			wmu.Lock()
 			defer wmu.Unlock()
 			_ = conn.SetWriteDeadline(time.Now().Add(2 * userTimeoutMs * time.Millisecond))
--- a/internal/pollen/tcp_test.go
+++ b/internal/pollen/tcp_test.go
@@ -15,7 +15,7 @@
 func listen(t *testing.T) (*Desk, string) {
 	t.Helper()
 	d := NewDesk()
-	l, err := Listen("127.0.0.1:0", d, wax.Quiet())
+	l, err := Listen("127.0.0.1:0", d, wax.Quiet(), nil)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -32,7 +32,7 @@
 		return nil, wax.New(wax.NotOwner, "store-2", "not here", "ask it")
 	})
 	On(d, "panic", func(context.Context, *echo) (*echo, error) { panic("no") })
-	m := NewTCP()
+	m := NewTCP(nil)
 	defer m.Close()
 	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
 	defer cancel()
@@ -63,7 +63,7 @@
 
 // Whether a call may have been carried out must be told right.
 func TestBrokenCircuits(t *testing.T) {
-	m := NewTCP()
+	m := NewTCP(nil)
 	defer m.Close()
 	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
 	defer cancel()
--- a/internal/scout/scout.go
+++ b/internal/scout/scout.go
@@ -8,6 +8,7 @@
 import (
 	"math"
 	"math/rand/v2"
+	"sort"
 	"strconv"
 	"strings"
 	"sync"
@@ -29,6 +30,11 @@
 	fullMs         = 40.0
 	bigSharedToks  = 2000
 	suspectAfterUs = 3_000_000
+	fewForagers    = 16
+	choices        = 4 // workers drawn for a choice where many nodes choose
+	manyWorkers    = 24
+	readerShare    = 0.4 // of many workers: those that read long shared parts
+	readerMs       = 2.0 // what a short request is held to lose at one of them
 )
 
 // Part is one part of a prompt.
@@ -90,16 +96,19 @@
 	kept    map[keptKey]int64
 	// foragers is how many nodes send to the workers.
 	foragers int64
-	moult    Moulting
-	groups   map[groupKey]*group
-	fared    map[string]*fare
+	// dispatchers is how many of them run items.
+	dispatchers int64
+	moult       Moulting
+	groups      map[groupKey]*group
+	readersOf   map[string]*readerSet
+	fared       map[string]*fare
 }
 
 type keptKey struct{ part, worker string }
 
 // New makes a scout for a node in zone az.
 func New(az string) *Scout {
-	return &Scout{az: az, workers: map[string]*state{}, kept: map[keptKey]int64{}, foragers: 1, groups: map[groupKey]*group{}, fared: map[string]*fare{}}
+	return &Scout{az: az, workers: map[string]*state{}, kept: map[keptKey]int64{}, foragers: 1, dispatchers: 1, groups: map[groupKey]*group{}, readersOf: map[string]*readerSet{}, fared: map[string]*fare{}}
 }
 
 // SetForagers tells how many nodes share the workers.
@@ -109,6 +118,13 @@
 	s.foragers = int64(max(n, 1))
 }
 
+// SetDispatchers tells how many nodes share the workers' room for items.
+func (s *Scout) SetDispatchers(n int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.dispatchers = int64(max(n, 1))
+}
+
 // Foragers is how many nodes share the workers.
 func (s *Scout) Foragers() int64 {
 	s.mu.Lock()
@@ -164,12 +180,14 @@
 			key = n.Parts[len(n.Parts)-2].ID
 		}
 	}
+	long := sharedToks >= bigSharedToks
+	readers := s.readers(n.Svc, ws)
 	first, second := "", ""
 	var homes []string // while an upgrade spreads groups: as many as it asks
 	if key != "" {
 		var w1, w2 uint64
 		for _, w := range ws {
-			if s.moult.Out[w.ID] {
+			if s.moult.Out[w.ID] || long && readers != nil && !readers[w.ID] {
 				continue
 			}
 			switch x := s.weight(key, w); {
@@ -185,8 +203,13 @@
 	}
 	var best *flora.Worker
 	var bestCost float64
-	for pass := 0; pass < 2 && best == nil; pass++ {
-		for _, w := range ws {
+	sampled := s.sample(ws, first, second, homes)
+	for pass := 0; pass < 3 && best == nil; pass++ {
+		among := sampled
+		if pass > 0 {
+			among = ws // none of those drawn will do
+		}
+		for _, w := range among {
 			if contains(n.Exclude, w.ID) || s.moult.Out[w.ID] {
 				continue
 			}
@@ -194,7 +217,7 @@
 				continue
 			}
 			st := s.of(w)
-			if nowUs < st.ejectedUs && pass == 0 {
+			if nowUs < st.ejectedUs && pass < 2 {
 				continue
 			}
 			if n.Item && (nowUs < st.ejectedUs || nowUs < st.noRoomUs || !s.itemRoom(st, nowUs)) {
@@ -204,6 +227,9 @@
 				continue
 			}
 			c := s.cost(w, st, n, nowUs, sharedToks, first, second, homes)
+			if !long && readers[w.ID] {
+				c += readerMs
+			}
 			if best == nil || c < bestCost {
 				best, bestCost = w, c
 			}
@@ -229,6 +255,66 @@
 	return best
 }
 
+// readers are the workers of a service that take the prompts with long shared
+// parts. Reading one holds up every other request at its worker for as long as
+// it takes, and no node knows of another's in time; so where a service has many
+// workers, long ones are kept to a share of them, the same at all nodes, and
+// short ones prefer the others (design 7.2). nil: all workers take all.
+func (s *Scout) readers(svc string, ws []*flora.Worker) map[string]bool {
+	if len(ws) < manyWorkers {
+		return nil
+	}
+	if c := s.readersOf[svc]; c != nil && c.first == ws[0] && c.count == len(ws) {
+		return c.ids
+	}
+	type weighed struct {
+		id string
+		w  uint64
+	}
+	all := make([]weighed, len(ws))
+	for i, w := range ws {
+		all[i] = weighed{w.ID, s.weight("reader/"+svc, w)}
+	}
+	sort.Slice(all, func(i, j int) bool { return all[i].w > all[j].w })
+	c := &readerSet{first: ws[0], count: len(ws), ids: map[string]bool{}}
+	for _, x := range all[:int(math.Ceil(readerShare*float64(len(ws))))] {
+		c.ids[x.id] = true
+	}
+	s.readersOf[svc] = c
+	return c.ids
+}
+
+// readerSet is kept for as long as the directory stays the same.
+type readerSet struct {
+	first *flora.Worker
+	count int
+	ids   map[string]bool
+}
+
+// sample draws the workers that a choice looks at. What a node knows of a
+// worker is up to half a second old, and what the other nodes sent meanwhile is
+// not in it: if all of them took the least loaded of all, it would be flooded.
+// With few nodes, a node sees most of it itself and looks at all; with many, at
+// a few drawn by lot and at those that keep the prompt's shared parts
+// (design 7.2).
+func (s *Scout) sample(ws []*flora.Worker, first, second string, homes []string) []*flora.Worker {
+	if s.foragers <= fewForagers || len(ws) <= choices {
+		return ws
+	}
+	out := make([]*flora.Worker, 0, choices+2+len(homes))
+	if first != "" {
+		for _, w := range ws {
+			if w.ID == first || w.ID == second || contains(homes, w.ID) {
+				out = append(out, w)
+			}
+		}
+	}
+	for range choices {
+		out = append(out, ws[rand.IntN(len(ws))])
+	}
+	return out
+}
+
 func (s *Scout) remember(k keptKey, nowUs int64) {
 	if len(s.kept) >= maxKept {
 		for old, at := range s.kept {
@@ -258,7 +344,7 @@
 	if nowUs-st.heardUs < freshUs && st.waiting > 0 {
 		return false
 	}
-	share := int64(room)/s.foragers + 1
+	share := int64(room)/s.dispatchers + 1
 	return st.items < share
 }
 
@@ -449,7 +535,7 @@
 			continue
 		}
 		free := st.itemSlots() - st.est(nowUs)
-		share := int64(st.itemSlots())/s.foragers + 1 - st.items
+		share := int64(st.itemSlots())/s.dispatchers + 1 - st.items
 		room += int(min(int64(free), share))
 	}
 	return room
--- a/internal/swarm/swarm.go
+++ b/internal/swarm/swarm.go
@@ -32,6 +32,7 @@
 	Beat     uint64 // grows as it lives
 	Rev      uint64 // newest register revision it knows
 	Ready    bool
+	Cap      int64 // processor, in thousandths of a core
 }
 
 // Seat names the partner together with its disk.
@@ -48,7 +49,8 @@
 // Bounds of the view (design 3.2).
 const (
 	maxView    = 512
-	maxShuffle = 48
+	maxShuffle = 64
+	maxStale   = 4096
 	shuffleUs  = 200_000
 	aliveUs    = 1_300_000
 	metUs      = 800_000
@@ -62,6 +64,7 @@
 	SeenUs  int64 // when it last moved, steady clock of this node
 	MetUs   int64 // when it last answered this node itself
 	SinceUs int64 // when Alive last changed
+	key     uint64
 }
 
 // View is what a node knows at one moment; it is never changed.
@@ -72,12 +75,49 @@
 
 // Get finds a sighting by name.
 func (v *View) Get(name string) *Sighting {
+	i := sort.Search(len(v.All), func(i int) bool { return v.All[i].Name >= name })
+	if i < len(v.All) && v.All[i].Name == name {
+		return &v.All[i]
+	}
+	return nil
+}
+
+// minStrong is the least number of nodes that duties are left to.
+const minStrong = 4
+
+// Strong lists the living nodes of a role that have at least half of the
+// processor of the largest of them: what grows with the whole system (homes,
+// dispatching) is theirs, so that small machines are left to their own traffic.
+// Where these are few, duties fall to all nodes of the role (design 3.4).
+func (v *View) Strong(role string) []*Sighting {
+	var all []*Sighting
+	most := int64(0)
 	for i := range v.All {
-		if v.All[i].Name == name {
-			return &v.All[i]
+		if s := &v.All[i]; s.Alive && s.Role == role && !s.Leaving {
+			all = append(all, s)
+			most = max(most, s.Cap)
 		}
 	}
-	return nil
+	var strong []*Sighting
+	for _, s := range all {
+		if 2*s.Cap >= most {
+			strong = append(strong, s)
+		}
+	}
+	if len(strong) < minStrong {
+		return all
+	}
+	return strong
+}
+
+// IsStrong tells whether this node is among the strong of its role.
+func (v *View) IsStrong() bool {
+	for _, s := range v.Strong(v.Self.Role) {
+		if s.Name == v.Self.Name {
+			return true
+		}
+	}
+	return false
 }
 
 // Met tells whether the partner lives and answered this node itself lately:
@@ -115,6 +155,8 @@
 
 	self  Partner
 	table map[string]*Sighting
+	byKey map[uint64]string // keys of the table
+	stale map[uint64]bool   // keys that newer words replaced: not asked for again
 	view  atomic.Pointer[View]
 	rng   *rand.Rand
 	// OnRev is told of a partner that knows a newer register revision.
@@ -125,18 +167,25 @@
 type shuffle struct {
 	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by the library
 	From     Partner
-	Some     []Partner
+	Words    []byte    // of some others
+	Want     []uint64  // keys the sender cannot read
+	Full     []Partner // what the other side wanted
+	Ping     bool      // only the answer matters
 }
 
 // New makes the swarm of one node. Everything but Look runs on the floor.
 func New(ctx context.Context, floor *waggle.Floor, desk *pollen.Desk, mesh pollen.Mesh, log *wax.Log, self Partner, seeds []string, close func(*View) []string) *Swarm {
-	s := &Swarm{floor: floor, mesh: mesh, log: log, seeds: seeds, close: close, self: self, table: map[string]*Sighting{}, ctx: ctx,
+	s := &Swarm{floor: floor, mesh: mesh, log: log, seeds: seeds, close: close, self: self, table: map[string]*Sighting{}, byKey: map[uint64]string{}, stale: map[uint64]bool{}, ctx: ctx,
 		rng: rand.New(rand.NewPCG(uint64(self.LifeUs), uint64(len(self.Name)+1)))}
 	s.publish()
 	pollen.On(desk, "swarm.shuffle", func(ctx context.Context, in *shuffle) (*shuffle, error) {
 		return waggle.Ask(ctx, floor, func() *shuffle {
-			s.merge(in)
-			return s.sample()
+			want := s.merge(in)
+			out := &shuffle{From: s.self, Full: s.lookUp(in.Want)}
+			if !in.Ping && len(in.Full) == 0 && len(in.Want) == 0 {
+				out.Words, out.Want = s.sample(), want
+			}
+			return out
 		})
 	})
 	floor.Every(shuffleUs, s.round)
@@ -149,14 +198,14 @@
 // Tell changes what this node says of itself.
 func (s *Swarm) Tell(change func(p *Partner)) {
 	change(&s.self)
+	s.self.Beat++
 	s.publish()
 }
 
 // SetSeeds takes the seeds of new options.
 func (s *Swarm) SetSeeds(seeds []string) { s.seeds = seeds }
 
-func (s *Swarm) sample() *shuffle {
-	out := &shuffle{From: s.self}
+func (s *Swarm) sample() []byte {
 	nowUs := waggle.NowUs()
 	var live []*Sighting
 	for _, t := range s.table {
@@ -165,20 +214,52 @@
 		}
 	}
 	s.rng.Shuffle(len(live), func(i, j int) { live[i], live[j] = live[j], live[i] })
+	var out []word
 	for _, t := range live[:min(len(live), maxShuffle)] {
-		out.Some = append(out.Some, t.Partner)
+		out = append(out, word{t.key, t.Beat, t.Rev})
 	}
-	return out
+	return packWords(out)
 }
 
-func (s *Swarm) merge(in *shuffle) {
-	if len(in.Some) > 4*maxShuffle {
-		in.Some = in.Some[:4*maxShuffle]
+// lookUp gives the partners of these keys, as far as they are known here.
+func (s *Swarm) lookUp(keys []uint64) []Partner {
+	var out []Partner
+	for _, k := range keys[:min(len(keys), maxShuffle)] {
+		if t := s.table[s.byKey[k]]; t != nil {
+			out = append(out, t.Partner)
+		}
 	}
+	return out
+}
+
+// merge takes what a partner told and lists the keys it cannot read.
+func (s *Swarm) merge(in *shuffle) (want []uint64) {
 	s.take(in.From)
-	for _, p := range in.Some {
+	for _, p := range in.Full[:min(len(in.Full), 4*maxShuffle)] {
 		s.take(p)
 	}
+	nowUs, own := waggle.NowUs(), s.self.key()
+	for _, w := range unpackWords(in.Words) {
+		t := s.table[s.byKey[w.key]]
+		switch {
+		case t != nil && w.beat > t.Beat:
+			t.Beat, t.Rev, t.SeenUs = w.beat, max(t.Rev, w.rev), nowUs
+			if s.OnRev != nil && t.Rev > s.self.Rev {
+				s.OnRev(t.Partner)
+			}
+		case t == nil && w.key != own && !s.stale[w.key] && len(want) < maxShuffle:
+			want = append(want, w.key)
+		}
+	}
+	return want
+}
+
+// replaced notes that a key will not be true again.
+func (s *Swarm) replaced(key uint64) {
+	if len(s.stale) >= maxStale {
+		clear(s.stale)
+	}
+	s.stale[key] = true
 }
 
 func (s *Swarm) take(p Partner) {
@@ -192,12 +273,21 @@
 		if len(s.table) >= maxView && !s.evict() {
 			return
 		}
-		t = &Sighting{Partner: p, SinceUs: nowUs}
+		t = &Sighting{Partner: p, SinceUs: nowUs, key: p.key()}
 		s.table[p.Name] = t
+		s.byKey[t.key] = p.Name
 		s.log.Debug("partner_found", "partner", p.Name, "addr", p.Addr)
 	case p.newer(&t.Partner):
 		t.Partner = p
+		if k := p.key(); k != t.key {
+			s.replaced(t.key)
+			delete(s.byKey, t.key)
+			t.key, s.byKey[k] = k, p.Name
+		}
 	default:
+		if k := p.key(); k != t.key && t.newer(&p) {
+			s.replaced(k)
+		}
 		return
 	}
 	t.SeenUs = nowUs
@@ -217,6 +307,7 @@
 	if oldest == nil || waggle.NowUs()-oldest.SeenUs < aliveUs {
 		return false
 	}
+	delete(s.byKey, oldest.key)
 	delete(s.table, oldest.Name)
 	return true
 }
@@ -225,7 +316,7 @@
 	s.self.Beat++
 	s.publish()
 	v := s.Look()
-	targets := map[string]bool{}
+	targets, pings := map[string]bool{}, map[string]bool{}
 	live := v.Names(func(t *Sighting) bool { return t.Alive && t.Name != s.self.Name })
 	if len(live) > 0 {
 		targets[v.Get(live[s.rng.IntN(len(live))]).Addr] = true
@@ -233,7 +324,7 @@
 	if s.close != nil {
 		for _, name := range s.close(v) {
 			if t := v.Get(name); t != nil && name != s.self.Name {
-				targets[t.Addr] = true
+				pings[t.Addr] = true
 			}
 		}
 	}
@@ -247,30 +338,52 @@
 			targets[v.Get(lost[s.rng.IntN(len(lost))]).Addr] = true
 		}
 	}
-	msg := s.sample()
+	msg, ping := &shuffle{From: s.self, Words: s.sample()}, &shuffle{From: s.self, Ping: true}
 	for addr := range targets {
-		if addr == s.self.Addr {
-			continue
-		}
-		go func() {
-			ctx, cancel := context.WithTimeout(s.ctx, 600*time.Millisecond)
-			defer cancel()
-			var back shuffle
-			err := s.mesh.Call(ctx, addr, "swarm.shuffle", msg, &back)
-			_ = s.floor.Do(s.ctx, func() { s.called(addr, &back, err) })
-		}()
+		delete(pings, addr)
+		s.tell(addr, msg)
+	}
+	for addr := range pings {
+		s.tell(addr, ping)
 	}
 }
 
+// tell shuffles with one partner; what one side cannot read of the other's
+// words is handed over in a second call.
+func (s *Swarm) tell(addr string, msg *shuffle) {
+	if addr == s.self.Addr {
+		return
+	}
+	go func() {
+		ctx, cancel := context.WithTimeout(s.ctx, 600*time.Millisecond)
+		defer cancel()
+		var back shuffle
+		err := s.mesh.Call(ctx, addr, "swarm.shuffle", msg, &back)
+		more, askErr := waggle.Ask(s.ctx, s.floor, func() *shuffle {
+			want := s.called(addr, &back, err)
+			if len(want) == 0 && len(back.Want) == 0 {
+				return nil
+			}
+			return &shuffle{From: s.self, Want: want, Full: s.lookUp(back.Want)}
+		})
+		if askErr != nil || more == nil {
+			return
+		}
+		var full shuffle
+		err = s.mesh.Call(ctx, addr, "swarm.shuffle", more, &full)
+		_ = s.floor.Do(s.ctx, func() { s.called(addr, &full, err) })
+	}()
+}
+
 // called notes how a shuffle with a partner went. A port that declines at once
 // has no process behind it.
-func (s *Swarm) called(addr string, back *shuffle, err error) {
+func (s *Swarm) called(addr string, back *shuffle, err error) (want []uint64) {
 	if err == nil {
-		s.merge(back)
+		want = s.merge(back)
 		if t := s.table[back.From.Name]; t != nil {
 			t.MetUs = waggle.NowUs()
 		}
-		return
+		return want
 	}
 	if wax.Is(err, wax.Unreached) {
 		for _, t := range s.table {
@@ -279,6 +392,7 @@
 			}
 		}
 	}
+	return nil
 }
 
 func (s *Swarm) publish() {
@@ -295,6 +409,7 @@
 			}
 		}
 		if nowUs-t.SeenUs > forgetUs {
+			delete(s.byKey, t.key)
 			delete(s.table, name)
 			continue
 		}
