--- a/internal/brood/brood.go
+++ b/internal/brood/brood.go
@@ -647,7 +647,10 @@
 			}
 			all := true
 			for _, f := range s.owner.feeds {
-				if s.owner.roster.Has(f.seat.ID) && v.Alive(f.seat.Name) && (f.cold || !f.synced) {
+				// A machine that came back with another disk is not that seat:
+				// it joins anew once this change is settled.
+				p := v.Get(f.seat.Name)
+				if s.owner.roster.Has(f.seat.ID) && p != nil && p.Alive && p.Seat() == f.seat.ID && (f.cold || !f.synced) {
 					all = false
 				}
 			}
--- a/internal/colony/faults_test.go
+++ b/internal/colony/faults_test.go
@@ -514,3 +514,37 @@
 		}
 	})
 }
+
+// A store that loses its disk while the stores' roster changes, and is back at
+// once, does not hold the change up for ever: it joins anew after it.
+func TestWipedAmidAChange(t *testing.T) {
+	for seed := uint64(1); seed <= 3; seed++ {
+		synctest.Test(t, func(t *testing.T) {
+			h := newHive(t, seed, 3, 4)
+			defer h.end()
+			h.serving()
+			if w := h.handIn("a", 20, 10); w.Code != 202 {
+				t.Fatalf("lot: %d", w.Code)
+			}
+			h.add("store-9", "comb", 9, true, false)
+			h.start("store-9")
+			for end := time.Now().Add(5 * time.Second); !h.edge().Nest.Committed().Stores.Joint(); time.Sleep(time.Millisecond) {
+				if time.Now().After(end) {
+					t.Fatal("no change came about")
+				}
+			}
+			victim := "store-1"
+			if h.ownerOf() == victim {
+				victim = "store-2"
+			}
+			h.kill(victim)
+			h.wipe(victim)
+			h.start(victim)
+			h.until("all five are in, settled", 12*time.Second, func() bool {
+				s := h.edge().Nest.Committed()
+				return h.inStep(&s.Stores, 5)
+			})
+			h.complete("a", 20, 20*time.Second)
+		})
+	}
+}
