--- a/internal/brood/api.go
+++ b/internal/brood/api.go
@@ -220,6 +220,12 @@
 	if a.failed(w, err) {
 		return
 	}
+	for i := range out.Out {
+		r := &out.Out[i]
+		if r.Msg, err = Unpack(r.Enc, r.Msg, r.RawBytes); a.failed(w, err) {
+			return
+		}
+	}
 	var e jx.Encoder
 	e.Obj(func(e *jx.Encoder) {
 		e.Field("sum", func(e *jx.Encoder) { e.Int64(out.Sum) })
--- a/internal/brood/brood.go
+++ b/internal/brood/brood.go
@@ -328,6 +328,8 @@
 	ID       string
 	Phase    string
 	Msg      []byte
+	Enc      uint8
+	RawBytes int
 }
 
 type readAnswer struct {
@@ -390,12 +392,12 @@
 	var bytes int64
 	for at := startAt; at < int64(l.seenLen); at++ {
 		r := &l.List[at]
-		cost := int64(len(r.Msg))*11/10 + 128
+		cost := int64(max(r.RawBytes, len(r.Msg)))*11/10 + 128
 		if len(out.Out) > 0 && bytes+cost > maxBytes {
 			break
 		}
 		bytes += cost
-		out.Out = append(out.Out, ReadResult{ID: l.Prompts[r.Item].ID, Phase: r.Phase, Msg: r.Msg})
+		out.Out = append(out.Out, ReadResult{ID: l.Prompts[r.Item].ID, Phase: r.Phase, Msg: r.Msg, Enc: r.Enc, RawBytes: r.RawBytes})
 		out.Cont = at + 1
 	}
 	return out
--- a/internal/brood/dispatch.go
+++ b/internal/brood/dispatch.go
@@ -480,8 +480,10 @@
 	Lot      string
 	Item     int
 	Phase    string
-	Msg      []byte
+	Msg      []byte // as Pack made it
 	Lease    uint64
+	Enc      uint8
+	RawBytes int
 }
 
 func (b *Brood) onAck(ctx context.Context, in *AckCall) (*pollen.Nothing, error) {
@@ -506,7 +508,7 @@
 		case l.listed[in.Item] || !l.leased(in.Item, in.Lease, waggle.NowUs()):
 			reply(nil, errLease(in.Lot))
 		default:
-			r := Result{Item: in.Item, Phase: in.Phase, Msg: in.Msg, Lease: in.Lease}
+			r := Result{Item: in.Item, Phase: in.Phase, Msg: in.Msg, Lease: in.Lease, Enc: in.Enc, RawBytes: in.RawBytes}
 			if in.Phase == PhaseGaveUp {
 				r.Why = WhyNever
 			}
--- a/internal/brood/lot.go
+++ b/internal/brood/lot.go
@@ -58,6 +58,8 @@
 	AckedUs  int64
 	Lease    uint64 // the lease whose ack listed it, so that a resent ack gets the first answer
 	Why      string // of an item given up: what ended it (a dead letter)
+	Enc      uint8  // how Msg is kept
+	RawBytes int    // how long the text is
 }
 
 // Why an item was given up: the reasons of the dead letters.
--- a/internal/brood/owner.go
+++ b/internal/brood/owner.go
@@ -28,6 +28,8 @@
 	readAgeUs    = 250_000 // the same for reads: well below settle_ms
 	stuckUs      = 1_500_000
 	maxBatch     = 1 << 20
+	mendBatch    = 256 << 10 // small, for pings and ops go over the same link
+	mendTimeout  = 60 * time.Second
 	maxFeedBytes = 24 << 20
 )
 
@@ -605,7 +607,7 @@
 	o := s.owner
 	f.busy = true
 	go func() {
-		ctx, cancel := context.WithTimeout(b.ctx, 10*time.Second)
+		ctx, cancel := context.WithTimeout(b.ctx, mendTimeout)
 		defer cancel()
 		callCtx, cancelCall := context.WithTimeout(ctx, claimTimeout)
 		out := &claimAnswer{}
@@ -636,7 +638,9 @@
 			_ = b.cfg.Floor.Do(b.ctx, func() { f.busy = false })
 			return
 		}
-		for _, batch := range batches {
+		for i, batch := range batches {
+			batches[i] = nil
+			sentUs := waggle.NowUs()
 			writeCtx, cancelWrite := context.WithTimeout(ctx, 2*writeTimeout)
 			res := &writeAnswer{}
 			err = b.cfg.Mesh.Call(writeCtx, b.addrOf(f.seat), "brood.write", &writeCall{Seat: f.seat.ID, Shard: s.n, Stamp: o.stamp, Ops: rawOps(batch)}, res)
@@ -647,6 +651,10 @@
 			if err != nil {
 				break
 			}
+			if i+1 < len(batches) {
+				// Half of the link's time is left to what is in use.
+				waggle.Pause(ctx, time.Duration(waggle.NowUs()-sentUs)*time.Microsecond)
+			}
 		}
 		_ = b.cfg.Floor.Do(b.ctx, func() {
 			f.busy = false
@@ -680,7 +688,7 @@
 	add := func(p op) {
 		batch = append(batch, p)
 		bytes += p.cost()
-		if bytes > maxBatch {
+		if bytes > mendBatch {
 			out, batch, bytes = append(out, batch), nil, 0
 		}
 	}
--- /dev/null
+++ b/internal/brood/pack.go
@@ -0,0 +1,68 @@
+package brood
+
+import (
+	"bytes"
+	"compress/flate"
+	"io"
+	"sync"
+
+	"rowanshunt/internal/wax"
+)
+
+// Texts are packed by the dispatcher that ran the item and unpacked by the node
+// that a reader asked: between the two, on every replica's link, in its memory
+// and on its disk, they are small (design 8.11).
+
+// How a text is kept.
+const (
+	plain  uint8 = iota
+	packed       // DEFLATE, entropy coding alone: texts are short, and it is quick
+)
+
+// leastPack is the length from which packing pays.
+const leastPack = 256
+
+var packers = sync.Pool{New: func() any {
+	w, _ := flate.NewWriter(io.Discard, flate.HuffmanOnly) // a known level: cannot fail
+	return w
+}}
+
+// Pack packs a text if that makes it shorter by a tenth at least.
+func Pack(msg []byte) (enc uint8, out []byte) {
+	if len(msg) < leastPack {
+		return plain, msg
+	}
+	buf := bytes.NewBuffer(make([]byte, 0, len(msg)*3/4))
+	w := packers.Get().(*flate.Writer)
+	defer packers.Put(w)
+	w.Reset(buf)
+	if _, err := w.Write(msg); err != nil {
+		return plain, msg
+	}
+	if err := w.Close(); err != nil || buf.Len() > len(msg)*9/10 {
+		return plain, msg
+	}
+	return packed, buf.Bytes()
+}
+
+// Unpack gives the text back; rawBytes is its length.
+func Unpack(enc uint8, data []byte, rawBytes int) ([]byte, error) {
+	switch enc {
+	case plain:
+		return data, nil
+	case packed:
+		if rawBytes < 0 || rawBytes > 1032*len(data)+1032 { // no more than DEFLATE can make of it
+			return nil, wax.New(wax.Damaged, "text", "has an impossible length", "read it from another node")
+		}
+		out := make([]byte, rawBytes)
+		r := flate.NewReader(bytes.NewReader(data))
+		if _, err := io.ReadFull(r, out); err != nil {
+			return nil, wax.New(wax.Damaged, "text", err.Error(), "read it from another node")
+		}
+		if n, err := r.Read(make([]byte, 1)); n > 0 || err != io.EOF {
+			return nil, wax.New(wax.Damaged, "text", "is longer than was said", "read it from another node")
+		}
+		return out, nil
+	}
+	return nil, wax.New(wax.Damaged, "text", "is packed in a way not known here", "run the same version on all nodes")
+}
--- a/internal/nurse/nurse.go
+++ b/internal/nurse/nurse.go
@@ -266,8 +266,9 @@
 		return
 	}
 	// The result stays in hand until it is durable, whoever owns the shard.
+	enc, msg := brood.Pack(text.Msg)
 	n.settle(endUs+settleUs, g.Shard, "brood.ack", func() any {
-		return &brood.AckCall{Shard: g.Shard, Lot: g.Lot, Item: g.Item, Phase: phase, Msg: text.Msg, Lease: n.leaseOf(k)}
+		return &brood.AckCall{Shard: g.Shard, Lot: g.Lot, Item: g.Item, Phase: phase, Msg: msg, Enc: enc, RawBytes: len(text.Msg), Lease: n.leaseOf(k)}
 	})
 }
 
