--- /dev/null
+++ b/cmd/drone/step.go
@@ -0,0 +1,368 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sort"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"rowanshunt/internal/colony"
+	"rowanshunt/internal/flora"
+	"rowanshunt/internal/forage"
+	"rowanshunt/internal/pollen"
+	"rowanshunt/internal/skep"
+	"rowanshunt/internal/wax"
+)
+
+// step is one size of the system.
+type step struct {
+	Hive                          string
+	Nodes, Workers, Routes, Zones int
+	Settle, Span                  time.Duration
+	Changes                       int
+	dir                           string
+	real                          []*process
+	hollow                        []*colony.Forager
+	running                       context.Context
+	ver                           int
+}
+
+// How many real processes there are: three foragers with a disk, which are the
+// seeds and the core, and three stores.
+const (
+	realForagers = 3
+	realCombs    = 3
+	partnerPort  = 7100
+	ctlPort      = 7101
+	httpPort     = 7102
+	readyPort    = 7103
+	hbMs         = 1200
+)
+
+const header = "nodes workers routes | role: cpu % of a core (least-most), peak MB, KB/s of partner calls, calls/s | changes in force everywhere: ms (least-most)"
+
+// process is a real hive with what its log tells.
+type process struct {
+	name, role, ip string
+	cmd            *exec.Cmd
+	mu             sync.Mutex
+	calls, bytes   int64
+}
+
+// Write takes the process's log and adds up its partner_calls lines.
+func (p *process) Write(b []byte) (int, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, line := range strings.Split(string(b), "\n") {
+		if strings.Contains(line, "event=partner_calls") {
+			p.calls += field(line, "calls")
+			p.bytes += field(line, "bytes")
+		}
+	}
+	return len(b), nil
+}
+
+func field(line, name string) int64 {
+	for _, f := range strings.Fields(line) {
+		if v, ok := strings.CutPrefix(f, name+"="); ok {
+			n, _ := strconv.ParseInt(v, 10, 64)
+			return n
+		}
+	}
+	return 0
+}
+
+// spent is the processor time and peak memory of a process, from /proc.
+func (p *process) spent() (cpuMs, peakKB int64) {
+	dir := filepath.Join("/proc", strconv.Itoa(p.cmd.Process.Pid))
+	if raw, err := os.ReadFile(filepath.Join(dir, "stat")); err == nil {
+		if at := strings.LastIndexByte(string(raw), ')'); at >= 0 {
+			if f := strings.Fields(string(raw)[at+1:]); len(f) > 13 {
+				u, _ := strconv.ParseInt(f[11], 10, 64)
+				s, _ := strconv.ParseInt(f[12], 10, 64)
+				cpuMs = (u + s) * 10
+			}
+		}
+	}
+	if raw, err := os.ReadFile(filepath.Join(dir, "status")); err == nil {
+		for _, line := range strings.Split(string(raw), "\n") {
+			if v, ok := strings.CutPrefix(line, "VmHWM:"); ok {
+				peakKB, _ = strconv.ParseInt(strings.Fields(v)[0], 10, 64)
+			}
+		}
+	}
+	return cpuMs, peakKB
+}
+
+func (s *step) zone(i int) string { return "z" + strconv.Itoa(i%s.Zones) }
+
+// run plays the step and gives its row.
+func (s *step) run(ctx context.Context) (string, error) {
+	ctx, cancel := context.WithTimeout(ctx, 90*time.Second+s.Settle+s.Span)
+	defer cancel()
+	s.running = ctx
+	dir, err := os.MkdirTemp("", "drone")
+	if err != nil {
+		return "", err
+	}
+	s.dir = dir
+	defer func() { _ = os.RemoveAll(dir) }()
+	defer s.stop()
+	for i := range realForagers + realCombs {
+		if err := s.startReal(i); err != nil {
+			return "", err
+		}
+	}
+	if err := s.until("the first blueprint is taken", func() bool { return s.change() == nil }); err != nil {
+		return "", err
+	}
+	for i := range s.Nodes - realForagers {
+		if err := s.startHollow(i); err != nil {
+			return "", err
+		}
+	}
+	var beats sync.WaitGroup
+	beatCtx, stopBeats := context.WithCancel(ctx)
+	defer beats.Wait()
+	defer stopBeats()
+	beats.Go(func() { s.beat(beatCtx) })
+	if err := s.until("all hollow nodes know the blueprint", func() bool { return s.behind() == 0 }); err != nil {
+		return "", err
+	}
+	pause(ctx, s.Settle)
+	return s.measure(ctx)
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
+
+func (s *step) until(what string, ok func() bool) error {
+	for end := time.Now().Add(30 * time.Second); !ok(); pause(s.running, 20*time.Millisecond) {
+		if time.Now().After(end) || s.running.Err() != nil {
+			return errors.New("not within 30 s: " + what)
+		}
+	}
+	return nil
+}
+
+func (s *step) options(name, ip, role string, i int) string {
+	serves, listen, data := `["edge","ctl"]`, fmt.Sprintf("[listen]\nhttp = %q\nreadyz = %q\nctl = %q\n", addr(ip, httpPort), addr(ip, readyPort), addr(ip, ctlPort)), ""
+	if role == "comb" {
+		serves, listen = `["store"]`, "[listen]\n"
+	}
+	if i < realForagers+realCombs {
+		data = filepath.Join(s.dir, name)
+	}
+	var seeds []string
+	for k := range realForagers {
+		seeds = append(seeds, strconv.Quote(addr(realIP(k), ctlPort)))
+	}
+	return fmt.Sprintf("node = %q\nrole = %q\nserves = %s\nipaddr = %q\naz = %q\nregion = \"r\"\nport_range = [%d,%d]\nseeds = [%s]\nbootstrap = true\nquorum = true\ndatadir = %q\nhb_ms = %d\n%s[caps]\ncpu_frac = 1.0\nncpu = 1\nram_mb = 256\nnofile = 8000\nnet_mbps = 1000.0\ndisk_mb = 200\n[ft]\nnodes = 1\n[bounds]\ngrace_s = 8\n",
+		name, role, serves, ip, s.zone(i), partnerPort, partnerPort+10, strings.Join(seeds, ","), data, hbMs, listen)
+}
+
+// parse checks options as the program itself does.
+func parse(text, role string) (*skep.Options, error) {
+	opts, err := skep.Parse([]byte(text))
+	if err != nil {
+		return nil, err
+	}
+	return opts, opts.CheckRole(role)
+}
+
+func addr(ip string, port int) string { return ip + ":" + strconv.Itoa(port) }
+
+func realIP(i int) string { return "127.77.0." + strconv.Itoa(i+1) }
+
+func (s *step) startReal(i int) error {
+	role := "forager"
+	if i >= realForagers {
+		role = "comb"
+	}
+	p := &process{name: "real-" + strconv.Itoa(i), role: role, ip: realIP(i)}
+	path := filepath.Join(s.dir, p.name+".toml")
+	if err := os.WriteFile(path, []byte(s.options(p.name, p.ip, role, i)), 0o644); err != nil {
+		return err
+	}
+	p.cmd = exec.Command(s.Hive, role, "--file", path)
+	p.cmd.Stderr = p
+	if err := p.cmd.Start(); err != nil {
+		return err
+	}
+	s.real = append(s.real, p)
+	return nil
+}
+
+// startHollow starts a forager in this process: all of its control, none of its
+// listeners for clients.
+func (s *step) startHollow(i int) error {
+	ip := fmt.Sprintf("127.78.%d.%d", i/200, i%200+1)
+	opts, err := parse(s.options("hollow-"+strconv.Itoa(i), ip, "forager", i+realForagers+realCombs), "forager")
+	if err != nil {
+		return err
+	}
+	opts.Bootstrap, opts.DataDir = false, ""
+	env := colony.Env{Mesh: pollen.NewTCP(nil), Dial: forage.DialTCP(), WallUs: func() int64 { return time.Now().UnixMicro() }, Log: wax.Quiet()}
+	f, err := colony.NewForager(s.running, env, opts)
+	if err != nil {
+		return err
+	}
+	ln, err := pollen.Listen(opts.PartnerAddr(), f.Desk, env.Log, nil)
+	if err != nil {
+		return err
+	}
+	go ln.Run(s.running)
+	f.Start(s.running)
+	s.hollow = append(s.hollow, f)
+	return nil
+}
+
+func (s *step) stop() {
+	for _, p := range s.real {
+		_ = p.cmd.Process.Kill()
+		_ = p.cmd.Wait()
+	}
+}
+
+// change sends the next version of the blueprint to a core node.
+func (s *step) change() error {
+	doc := map[string]any{"ver": s.ver + 1, "svcs": []any{map[string]any{"name": "llm", "hc": "/healthz", "maxconn": 4000}},
+		"caps": map[string]any{"hdr_bytes": 16384, "payload_bytes": 1 << 20, "hdr_ms": 3000, "idle_ms": 15000}}
+	var routes []any
+	for i := range s.Routes {
+		routes = append(routes, map[string]any{"name": fmt.Sprint("r", i), "host": fmt.Sprintf("t%d.example", i), "pfx": "/a/", "type": "safe",
+			"limit_ms": 1000, "goal_ms": 100, "prio": 0, "svc": "llm", "tries": 2})
+	}
+	doc["routes"] = routes
+	raw, err := json.Marshal(doc)
+	if err != nil {
+		return err
+	}
+	r, err := http.NewRequestWithContext(s.running, http.MethodPut, "http://"+addr(realIP(0), ctlPort)+"/-/config", bytes.NewReader(raw))
+	if err != nil {
+		return err
+	}
+	r.Header.Set("If-Match", strconv.Itoa(s.ver))
+	resp, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return err
+	}
+	_, _ = io.Copy(io.Discard, resp.Body)
+	_ = resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return errors.New(resp.Status)
+	}
+	s.ver++
+	return nil
+}
+
+// behind counts hollow nodes without the newest blueprint.
+func (s *step) behind() int {
+	n := 0
+	for _, f := range s.hollow {
+		if b := f.Blueprint(); b == nil || b.Ver != int64(s.ver) {
+			n++
+		}
+	}
+	return n
+}
+
+// beat lets every hollow worker beat at a node of its zone, each in its turn.
+func (s *step) beat(ctx context.Context) {
+	every := hbMs * time.Millisecond / time.Duration(s.Workers)
+	tick := time.NewTicker(max(every, time.Millisecond))
+	defer tick.Stop()
+	perTick := max(1, int(time.Millisecond/max(every, 1)))
+	seq := uint64(0)
+	for at := 0; ; {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+		}
+		for range perTick {
+			id := at % s.Workers
+			at++
+			seq++
+			w := flora.Worker{ID: fmt.Sprint("w", id), Svc: "llm", Addr: fmt.Sprintf("127.79.%d.%d:80", id/200, id%200+1), Az: s.zone(id), Ver: "1", Slots: 16, Phase: "up", Seq: seq}
+			if len(s.hollow) > 0 {
+				f := s.hollow[rand.IntN(len(s.hollow))]
+				go func() { _, _ = f.Flora.Beat(ctx, w) }()
+			}
+		}
+	}
+}
+
+// measure reads the counters around the span, then times changes.
+func (s *step) measure(ctx context.Context) (string, error) {
+	type reading struct{ cpuMs, calls, bytes int64 }
+	read := func(p *process) reading {
+		cpu, _ := p.spent()
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		return reading{cpu, p.calls, p.bytes}
+	}
+	before := make([]reading, len(s.real))
+	for i, p := range s.real {
+		before[i] = read(p)
+	}
+	began := time.Now()
+	pause(ctx, s.Span)
+	took := time.Since(began).Seconds()
+	cpu, kb, calls, peak := map[string][]float64{}, map[string][]float64{}, map[string][]float64{}, map[string][]float64{}
+	for i, p := range s.real {
+		now := read(p)
+		_, peakKB := p.spent()
+		cpu[p.role] = append(cpu[p.role], float64(now.cpuMs-before[i].cpuMs)/took/10)
+		kb[p.role] = append(kb[p.role], float64(now.bytes-before[i].bytes)/took/1000)
+		calls[p.role] = append(calls[p.role], float64(now.calls-before[i].calls)/took)
+		peak[p.role] = append(peak[p.role], float64(peakKB)/1000)
+	}
+	var times []float64
+	for range s.Changes {
+		at := time.Now()
+		if err := s.until("a change is taken", func() bool { return s.change() == nil }); err != nil {
+			return "", err
+		}
+		if err := s.until("a change is in force", func() bool { return s.behind() == 0 }); err != nil {
+			return "", err
+		}
+		times = append(times, float64(time.Since(at).Milliseconds()))
+	}
+	row := fmt.Sprintf("%d %d %d", s.Nodes, s.Workers, s.Routes)
+	for _, role := range []string{"forager", "comb"} {
+		row += fmt.Sprintf(" | %s: %s, %s MB, %s KB/s, %s calls/s", role, spread(cpu[role]), spread(peak[role]), spread(kb[role]), spread(calls[role]))
+	}
+	return row + fmt.Sprintf(" | changes: %s", spread(times)), nil
+}
+
+// spread is the mean of the values, with the least and the most.
+func spread(v []float64) string {
+	if len(v) == 0 {
+		return "-"
+	}
+	sort.Float64s(v)
+	sum := 0.0
+	for _, x := range v {
+		sum += x
+	}
+	return fmt.Sprintf("%.1f (%.1f-%.1f)", sum/float64(len(v)), v[0], v[len(v)-1])
+}
--- a/internal/flora/flora.go
+++ b/internal/flora/flora.go
@@ -19,6 +19,7 @@
 	renewUs      = 500_000
 	soonUs       = 100_000
 	earlyUs      = 1_000_000
+	forwardUs    = 200_000
 	subscribedUs = 2_500_000
 	buryUs       = 60_000_000
 	maxWorkers   = 20_000
@@ -55,6 +56,7 @@
 	ctx     context.Context
 	workers map[string]*entry
 	subs    map[string]*subscriber
+	pending map[string]bool // workers whose beats the homes have yet to hear of
 	dir     atomic.Pointer[Directory]
 	syncUs  int64 // when a home last answered
 	synced  atomic.Bool
@@ -112,7 +114,7 @@
 
 // New joins the news path.
 func New(ctx context.Context, cfg Config) (*Flora, error) {
-	f := &Flora{cfg: cfg, ctx: ctx, workers: map[string]*entry{}, subs: map[string]*subscriber{}, startUs: waggle.NowUs()}
+	f := &Flora{cfg: cfg, ctx: ctx, workers: map[string]*entry{}, subs: map[string]*subscriber{}, pending: map[string]bool{}, startUs: waggle.NowUs()}
 	f.dir.Store(&Directory{BySvc: map[string][]*Worker{}, ByID: map[string]*Worker{}})
 	if cfg.Dir != "" {
 		d, old, err := openDiary(cfg.Dir, cfg.WallUs, cfg.Log)
@@ -135,6 +137,7 @@
 		}
 	})
 	cfg.Floor.Every(100_000, f.publish)
+	cfg.Floor.Every(forwardUs, f.forward)
 	return f, nil
 }
 
@@ -274,22 +277,50 @@
 		f.spread(ctx, p.w, p.homes)
 		return home, nil
 	}
-	for _, name := range p.homes {
-		if name != f.cfg.Self.Name {
-			go f.send(name, false, p.w)
+	_ = f.cfg.Floor.Do(ctx, func() { f.pending[p.w.ID] = true })
+	return home, nil
+}
+
+// forward brings the beats without news of the last moment to the homes, each
+// in one call: calls follow the homes, not the beats (design 5.2).
+func (f *Flora) forward() {
+	if len(f.pending) == 0 {
+		return
+	}
+	nowUs := waggle.NowUs()
+	v := f.cfg.Swarm.Look()
+	homes := map[string]map[string]string{} // by service
+	byHome := map[string][]Worker{}
+	for id := range f.pending {
+		e := f.workers[id]
+		if e == nil {
+			continue
+		}
+		if homes[e.Svc] == nil {
+			homes[e.Svc] = f.homes(e.Svc, v)
+		}
+		w := e.Worker
+		w.AgeUs = nowUs - e.seenUs
+		for _, name := range homes[e.Svc] {
+			if name != f.cfg.Self.Name {
+				byHome[name] = append(byHome[name], w)
+			}
 		}
 	}
-	return home, nil
+	clear(f.pending)
+	for name, ws := range byHome {
+		go f.send(name, false, ws...)
+	}
 }
 
-func (f *Flora) send(name string, home bool, w Worker) error {
+func (f *Flora) send(name string, home bool, ws ...Worker) error {
 	p := f.cfg.Swarm.Look().Get(name)
 	if p == nil {
 		return wax.New(wax.Unreached, name, "is not in sight", "")
 	}
 	ctx, cancel := context.WithTimeout(f.ctx, 700*time.Millisecond)
 	defer cancel()
-	return f.cfg.Mesh.Call(ctx, p.Addr, "flora.news", &newsCall{Home: home, Workers: []Worker{w}}, nil)
+	return f.cfg.Mesh.Call(ctx, p.Addr, "flora.news", &newsCall{Home: home, Workers: ws}, nil)
 }
 
 // spread brings news to the home of every zone, which passes it on; where a
