A takeover that must fetch many lots goes on where it ended; one new to a shard does not claim it

Now what was fetched counts at the next attempt, an attempt has 5 s, and while a change is joint a store that was in the set before is preferred. TestClaimOfManyLots fails without it.

--- a/internal/brood/owner.go
+++ b/internal/brood/owner.go
@@ -21,6 +21,7 @@
 	claimPauseUs = 250_000
 	claimAfterUs = 900_000 // a node that starts listens first
 	claimTimeout = 600 * time.Millisecond
+	fetchTimeout = 5 * time.Second // of an attempt; the next goes on with what was fetched
 	writeTimeout = 3 * time.Second
 	mendPauseUs  = 200_000
 	checkpointUs = 5_000
@@ -172,6 +173,14 @@
 				names = append(names, seat.Name)
 			}
 		}
+		if set.Joint() {
+			// One that is new to the shard has yet to be brought all its lots.
+			if old := slices.DeleteFunc(slices.Clone(names), func(name string) bool {
+				return !slices.ContainsFunc(set.Prev, func(t nest.Seat) bool { return t.Name == name && set.Has(t.ID) })
+			}); len(old) > 0 {
+				names = old
+			}
+		}
 		if s.owner != nil && fenceOf(&s.owner.roster) == fenceOf(&st.Stores) {
 			if s.owner.roster.Ver < st.Stores.Ver {
 				b.settled(s, *set)
@@ -269,13 +278,13 @@
 	stamp := Stamp{Roster: fenceOf(&st.Stores), N: s.seenMax, By: b.cfg.Self.Life()}
 	roster := b.sets(st)[s.n]
 	go func() {
-		ctx, cancel := context.WithTimeout(b.ctx, 3*time.Second)
+		ctx, cancel := context.WithTimeout(b.ctx, fetchTimeout)
 		defer cancel()
 		err := b.runClaim(ctx, s, stamp, roster)
 		_ = b.cfg.Floor.Do(b.ctx, func() {
 			s.claiming = false
 			if err != nil {
-				b.cfg.Log.Debug("shard_claim_failed", "shard", s.n, "err", err)
+				b.cfg.Log.Info("shard_claim_failed", "shard", s.n, "err", err)
 			}
 		})
 	}()
@@ -346,13 +355,24 @@
 	if !agreed[b.cfg.Seat] || !roster.Quorum(agreed) {
 		return wax.New(wax.Declined, "shard", "no majority promised", "look which stores run")
 	}
+	// What an attempt before this one fetched counts, if it is still the best.
 	fetched := map[string]*Lot{}
+	if _, err := waggle.Ask(ctx, b.cfg.Floor, func() bool {
+		for id, l := range s.fetched {
+			if c, ok := best[id]; ok && l.Stamp == c.Stamp && l.Rev == c.Rev {
+				fetched[id] = l
+			}
+		}
+		return true
+	}); err != nil {
+		return err
+	}
 	var mu sync.Mutex
 	var wg sync.WaitGroup
 	room := make(chan struct{}, 8)
 	failed := error(nil)
 	for id, c := range best {
-		if holders[id].ID == b.cfg.Seat {
+		if holders[id].ID == b.cfg.Seat || fetched[id] != nil {
 			continue
 		}
 		wg.Go(func() {
@@ -374,9 +394,11 @@
 	}
 	wg.Wait()
 	if failed != nil {
+		_ = b.cfg.Floor.Do(b.ctx, func() { s.fetched = fetched })
 		return failed
 	}
 	_, err := waggle.Ask(ctx, b.cfg.Floor, func() bool {
+		s.fetched = nil
 		if s.promised != stamp {
 			return false
 		}
--- a/internal/brood/replica.go
+++ b/internal/brood/replica.go
@@ -46,6 +46,7 @@
 	claiming bool
 	tryUs    int64
 	seenMax  uint64
+	fetched  map[string]*Lot // by a claim that did not come to its end
 	// nextOffset is where the next lot's run begins in the shard's log.
 	nextOffset int64
 }
--- a/internal/colony/faults_test.go
+++ b/internal/colony/faults_test.go
@@ -3,12 +3,16 @@
 import (
 	"encoding/json"
 	"fmt"
+	"slices"
+	"strconv"
 	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"rowanshunt/internal/brood"
 	"rowanshunt/internal/nest"
+	"rowanshunt/internal/tending"
 	"rowanshunt/internal/trail"
 )
 
@@ -548,3 +552,41 @@
 		})
 	}
 }
+
+// A store that must fetch many lots to take a shard over gets there, though no
+// single attempt brings them all: each goes on where the one before it ended.
+func TestClaimOfManyLots(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newHive(t, 21, 3, 3)
+		defer h.end()
+		h.serving()
+		h.idle()
+		names := []string{"store-0", "store-1", "store-2"}
+		owner := h.ownerOf()
+		others := slices.DeleteFunc(names, func(n string) bool { return n == owner })
+		next := tending.Holder("shard/"+strconv.Itoa(brood.ShardOf("shop.example")), others)
+		h.kill(next)
+		time.Sleep(2 * time.Second)
+		const lots = 120
+		for i := range lots {
+			if w := h.handIn(fmt.Sprint("m", i), 1, 1); w.Code != 202 {
+				t.Fatalf("lot %d: %d", i, w.Code)
+			}
+		}
+		h.m.CutOff(h.nodes[next].opts.PartnerAddr(), []string{h.nodes[owner].opts.PartnerAddr()}, true)
+		h.kill(owner)
+		h.start(next)
+		h.m.Lose = 0.04
+		h.until("the shard has an owner again", 60*time.Second, func() bool {
+			return h.nodes[next].c.Brood.Owns("shop.example") || h.handIn("after", 1, 1).Code == 202
+		})
+		h.m.Lose = 0
+		h.resting.Store(false)
+		for _, w := range h.workers {
+			w.SetFull(false)
+		}
+		for i := range lots {
+			h.complete(fmt.Sprint("m", i), 1, 20*time.Second)
+		}
+	})
+}
