A write to a replica is given up after 1.5 s again

With one replica lost and one call lost, 3 s held every op for 3 s: TestStoreFaults failed in 3 of 12 runs.

--- a/internal/brood/owner.go
+++ b/internal/brood/owner.go
@@ -23,7 +23,7 @@
 	claimTimeout = 600 * time.Millisecond
 	oneTimeout   = 1200 * time.Millisecond // of one lot fetched
 	fetchTimeout = 5 * time.Second         // of an attempt; the next goes on with what was fetched
-	writeTimeout = 3 * time.Second
+	writeTimeout = 1500 * time.Millisecond
 	mendPauseUs  = 200_000
 	checkpointUs = 5_000
 	offerUs      = 1_000_000 // how long room is kept for an offered lot
