--- a/internal/brood/lot.go
+++ b/internal/brood/lot.go
@@ -10,6 +10,7 @@
 	"github.com/vmihailenco/msgpack/v5"
 
 	"rowanshunt/internal/nest"
+	"rowanshunt/internal/pollen"
 )
 
 // Stamp orders the owners of a shard: a newer roster first, then the count.
@@ -69,6 +70,11 @@
 	WhyTime  = "time"  // retain_s is over
 )
 
+// DecodeMsgpack reads results of earlier versions too.
+func (r *Result) DecodeMsgpack(d *msgpack.Decoder) error {
+	return pollen.Fields(d, &r.Item, &r.Phase, &r.Msg, &r.AckedUs, &r.Lease, &r.Why, &r.Enc, &r.RawBytes)
+}
+
 // Cursor is the cursor row of one prompt: who has it under which lease. It is
 // durable before a dispatcher learns of it (design 8.7).
 type Cursor struct {
@@ -120,6 +126,12 @@
 	endSeen bool   // a majority holds its end
 }
 
+// DecodeMsgpack reads lots of earlier versions too.
+func (l *Lot) DecodeMsgpack(d *msgpack.Decoder) error {
+	return pollen.Fields(d, &l.ID, &l.Host, &l.Path, &l.Binding, &l.SentUs, &l.DueMs, &l.RetainMs, &l.Tries, &l.Prompts, &l.List, &l.Ended,
+		&l.Stamp, &l.Rev, &l.Rows, &l.First, &l.Digest, &l.Refused)
+}
+
 // live is what only the owner knows of a lot's prompts. Times are of its own
 // steady clock: a new owner runs the leases it finds in full again.
 type live struct {
@@ -207,6 +219,11 @@
 	raw msgpack.RawMessage // as it goes to disk and to replicas, once it was made
 }
 
+// DecodeMsgpack reads ops of earlier versions too.
+func (o *op) DecodeMsgpack(d *msgpack.Decoder) error {
+	return pollen.Fields(d, &o.Kind, &o.Lot, &o.Stamp, &o.Rev, &o.Src, &o.Whole, &o.Results, &o.Rows, &o.From, &o.Listed, &o.Ended)
+}
+
 // encoded is the op as it goes to disk and to every replica: made once.
 func (o *op) encoded() msgpack.RawMessage {
 	if o.raw == nil {
--- a/internal/nest/state.go
+++ b/internal/nest/state.go
@@ -5,7 +5,13 @@
 // consensus; ballot = proposal number.
 package nest
 
-import "slices"
+import (
+	"slices"
+
+	"github.com/vmihailenco/msgpack/v5"
+
+	"rowanshunt/internal/pollen"
+)
 
 // Ballot orders proposals; By is unique to one life of one node.
 type Ballot struct {
@@ -26,6 +32,11 @@
 	Az       string
 }
 
+// DecodeMsgpack reads seats of earlier versions too.
+func (s *Seat) DecodeMsgpack(d *msgpack.Decoder) error {
+	return pollen.Fields(d, &s.ID, &s.Name, &s.Addr, &s.Az)
+}
+
 // Roster is a set of seats that is changed one seat at a time. While Prev is
 // not empty a change is under way and both sets must agree (design 4.4).
 type Roster struct {
--- /dev/null
+++ b/internal/pollen/fields.go
@@ -0,0 +1,25 @@
+package pollen
+
+import "github.com/vmihailenco/msgpack/v5"
+
+// Fields reads a struct that is encoded as an array into its fields, in order.
+// An array that is shorter, as an earlier version wrote it, leaves the rest as
+// they are; what a later one added is skipped. Records on disk are read this way
+// (design 10.1).
+func Fields(d *msgpack.Decoder, fields ...any) error {
+	n, err := d.DecodeArrayLen()
+	if err != nil {
+		return err
+	}
+	for i := range n {
+		if i < len(fields) {
+			err = d.Decode(fields[i])
+		} else {
+			err = d.Skip()
+		}
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
