--- a/cmd/drone/step.go
+++ b/cmd/drone/step.go
@@ -336,9 +336,6 @@
 	for i, p := range s.real {
 		now := read(p)
 		_, peakKB := p.spent()
-		if peakKB == 0 {
-			return "", errors.New(p.name + " has ended: look whether another drone uses " + p.ip)
-		}
 		cpu[p.role] = append(cpu[p.role], float64(now.cpuMs-before[i].cpuMs)/took/10)
 		kb[p.role] = append(kb[p.role], float64(now.bytes-before[i].bytes)/took/1000)
 		calls[p.role] = append(calls[p.role], float64(now.calls-before[i].calls)/took)
