Two tests that failed by luck: what they ask for first is asked as a client would

TestWipedAmidAChange asked for the shard's owner amid the change, when there may be none: it is now asked before. TestStoreFaults demanded 202 at the first call although calls are lost: a 504 promises nothing, so the same lot is sent again, within 6 s; all that is checked after (positions, texts, exactly once, one more loss) is as it was.

--- a/internal/colony/faults_test.go
+++ b/internal/colony/faults_test.go
@@ -89,9 +89,9 @@
 					defer h.end()
 					h.m.Lose, h.m.Double = 0.01, 0.02
 					h.serving()
-					if w := h.handIn("a", 30, 10); w.Code != 202 {
-						t.Fatalf("lot a: %d %s", w.Code, w.Body)
-					}
+					// Calls are lost here: a 504 promises nothing, and the client
+					// sends the same lot again.
+					h.until("lot a is taken", 6*time.Second, func() bool { return h.handIn("a", 30, 10).Code == 202 })
 					time.Sleep(time.Duration(h.m.Luck(150)) * time.Millisecond)
 					var before lotRead
 					h.until("a read before the fault", 4*time.Second, func() bool {
@@ -530,6 +530,7 @@
 			if w := h.handIn("a", 20, 10); w.Code != 202 {
 				t.Fatalf("lot: %d", w.Code)
 			}
+			owner := h.ownerOf() // while the shards are claimed anew there may be none
 			h.add("store-9", "comb", 9, true, false)
 			h.start("store-9")
 			for end := time.Now().Add(5 * time.Second); !h.edge().Nest.Committed().Stores.Joint(); time.Sleep(time.Millisecond) {
@@ -538,7 +539,7 @@
 				}
 			}
 			victim := "store-1"
-			if h.ownerOf() == victim {
+			if owner == victim {
 				victim = "store-2"
 			}
 			h.kill(victim)
