--- a/internal/colony/colony_test.go
+++ b/internal/colony/colony_test.go
@@ -310,6 +310,14 @@
 	return h.client(h.edge(), "POST", "/lots/"+id, lotBody(id, items, toks), "X-Rowanshunt-Request-Id", id)
 }
 
+// mustHandIn ends the test unless the lot is taken.
+func (h *hive) mustHandIn(id string, items, toks int) {
+	h.t.Helper()
+	if w := h.handIn(id, items, toks); w.Code != 202 {
+		h.t.Fatalf("lot %s: %d %s", id, w.Code, w.Body)
+	}
+}
+
 type lotRead struct {
 	Sum  int `json:"sum"`
 	Cont int `json:"cont"`
@@ -392,9 +400,7 @@
 				t.Errorf("%s: no id: %d", name, w.Code)
 			}
 		}
-		if w := h.handIn("l1", 20, 10); w.Code != 202 {
-			t.Fatalf("lot: %d %s", w.Code, w.Body)
-		}
+		h.mustHandIn("l1", 20, 10)
 		if w := h.handIn("l1", 20, 10); w.Code != 202 {
 			t.Errorf("the same lot again: %d", w.Code)
 		}
--- a/internal/colony/faults_test.go
+++ b/internal/colony/faults_test.go
@@ -168,9 +168,7 @@
 		if w := h.control(h.edge(), "POST", "/-/retire/store-0", map[string]any{"over_s": 5}); w.Code != 409 {
 			t.Errorf("too few left: %d %s", w.Code, w.Body)
 		}
-		if w := h.handIn("a", 20, 10); w.Code != 202 {
-			t.Fatalf("lot: %d", w.Code)
-		}
+		h.mustHandIn("a", 20, 10)
 		h.add("store-3", "comb", 3, true, false)
 		h.start("store-3")
 		h.until("four stores", 10*time.Second, func() bool {
@@ -234,9 +232,7 @@
 		for _, w := range h.workers {
 			w.Gap = 50 * time.Millisecond
 		}
-		if w := h.handIn("e", 40, 10); w.Code != 202 {
-			t.Fatalf("lot: %d", w.Code)
-		}
+		h.mustHandIn("e", 40, 10)
 		time.Sleep(400 * time.Millisecond)
 		for range 2 {
 			if w := h.client(h.edge(), "DELETE", "/-/lots/e", nil); w.Code != 200 {
@@ -279,9 +275,7 @@
 			w.FailItems[itemID("f", 1)] = true
 			w.Break(3, 2)
 		}
-		if w := h.handIn("f", 6, 10); w.Code != 202 {
-			t.Fatalf("lot: %d", w.Code)
-		}
+		h.mustHandIn("f", 6, 10)
 		body := h.client(h.edge(), "GET", "/-/items/f?id="+itemID("f", 5), nil)
 		if body.Code != 200 || body.Body.String() != "f" {
 			t.Errorf("body of an open item: %d %q", body.Code, body.Body)
@@ -317,9 +311,7 @@
 			defer h.end()
 			h.serving()
 			h.putOK(4, 1)
-			if w := h.handIn("a", 20, 10); w.Code != 202 {
-				t.Fatalf("lot: %d", w.Code)
-			}
+			h.mustHandIn("a", 20, 10)
 			h.stopBeat()
 			h.stopBeat = nil
 			for _, n := range h.order {
@@ -469,9 +461,7 @@
 		h := newHive(t, 17, 4, 3)
 		defer h.end()
 		h.serving()
-		if w := h.handIn("a", 5, 10); w.Code != 202 {
-			t.Fatalf("lot: %d", w.Code)
-		}
+		h.mustHandIn("a", 5, 10)
 		h.complete("a", 5, 10*time.Second)
 		time.Sleep(time.Second)
 		follow := func(path string) (trail.Report, int) {
@@ -527,9 +517,7 @@
 			h := newHive(t, seed, 3, 4)
 			defer h.end()
 			h.serving()
-			if w := h.handIn("a", 20, 10); w.Code != 202 {
-				t.Fatalf("lot: %d", w.Code)
-			}
+			h.mustHandIn("a", 20, 10)
 			owner := h.ownerOf() // while the shards are claimed anew there may be none
 			h.add("store-9", "comb", 9, true, false)
 			h.start("store-9")
@@ -570,9 +558,7 @@
 		time.Sleep(2 * time.Second)
 		const lots = 120
 		for i := range lots {
-			if w := h.handIn(fmt.Sprint("m", i), 1, 1); w.Code != 202 {
-				t.Fatalf("lot %d: %d", i, w.Code)
-			}
+			h.mustHandIn(fmt.Sprint("m", i), 1, 1)
 		}
 		h.m.CutOff(h.nodes[next].opts.PartnerAddr(), []string{h.nodes[owner].opts.PartnerAddr()}, true)
 		h.kill(owner)
@@ -582,10 +568,7 @@
 			return h.nodes[next].c.Brood.Owns("shop.example") || h.handIn("after", 1, 1).Code == 202
 		})
 		h.m.Lose = 0
-		h.resting.Store(false)
-		for _, w := range h.workers {
-			w.SetFull(false)
-		}
+		h.resume()
 		for i := range lots {
 			h.complete(fmt.Sprint("m", i), 1, 20*time.Second)
 		}
--- a/internal/colony/lease_test.go
+++ b/internal/colony/lease_test.go
@@ -74,6 +74,14 @@
 	time.Sleep(3 * time.Second)
 }
 
+// resume undoes idle.
+func (h *hive) resume() {
+	h.resting.Store(false)
+	for _, w := range h.workers {
+		w.SetFull(false)
+	}
+}
+
 func TestLeases(t *testing.T) {
 	for seed := uint64(1); seed <= 3; seed++ {
 		synctest.Test(t, func(t *testing.T) {
@@ -84,9 +92,7 @@
 			h.m.Double = 0.05
 			h.serving()
 			h.idle()
-			if w := h.handIn("a", 6, 10); w.Code != 202 {
-				t.Fatalf("lot: %d", w.Code)
-			}
+			h.mustHandIn("a", 6, 10)
 			one, two := hand{h, "edge-0"}, hand{h, "edge-1"}
 			var got []brood.Given
 			h.until("six leases", 10*time.Second, func() bool {
@@ -198,9 +204,7 @@
 		defer h.end()
 		h.serving()
 		h.idle()
-		if w := h.handIn("a", 2, 10); w.Code != 202 {
-			t.Fatalf("lot: %d", w.Code)
-		}
+		h.mustHandIn("a", 2, 10)
 		one, two := hand{h, "edge-0"}, hand{h, "edge-1"}
 		var got []brood.Given
 		h.until("two leases", 10*time.Second, func() bool {
@@ -243,9 +247,7 @@
 		h.serving()
 		h.idle()
 		for _, id := range []string{"a", "b", "a", "c"} {
-			if w := h.handIn(id, 4, 10); w.Code != 202 {
-				t.Fatalf("lot %s: %d", id, w.Code)
-			}
+			h.mustHandIn(id, 4, 10)
 		}
 		first := func(id string) int64 {
 			c, err := h.nodes[h.ownerOf()].c.Brood.Trace(context.Background(), "shop.example", id)
@@ -261,9 +263,7 @@
 		h.kill(h.ownerOf())
 		time.Sleep(3 * time.Second)
 		for _, id := range []string{"b", "d"} {
-			if w := h.handIn(id, 4, 10); w.Code != 202 {
-				t.Fatalf("lot %s at the new owner: %d", id, w.Code)
-			}
+			h.mustHandIn(id, 4, 10)
 		}
 		if first("b") != b || first("d") != c+4 {
 			t.Errorf("at the new owner: b at %d, d at %d", first("b"), first("d"))
@@ -286,9 +286,7 @@
 			defer h.end()
 			h.serving()
 			h.idle()
-			if w := h.handIn("full", 10, 250); w.Code != 202 { // of a backlog of 5000
-				t.Fatalf("lot: %d", w.Code)
-			}
+			h.mustHandIn("full", 10, 250) // of a backlog of 5000
 			old := h.ownerOf()
 			h.m.CutOff(h.nodes[old].opts.PartnerAddr(), h.addrs("comb"), true)
 			codes := map[string]int{}
@@ -325,10 +323,7 @@
 					refused++
 				}
 			}
-			h.resting.Store(false)
-			for _, w := range h.workers {
-				w.SetFull(false)
-			}
+			h.resume()
 			h.complete("full", 10, 20*time.Second)
 			// The refused one may be handed in again and is taken.
 			for id, code := range codes {
