A proposer whose roster is out of date finds the newest by what any one seat accepted

A wiped machine's partners all knew rosters whose seats were gone, so no majority of what they knew could answer, though the one living seat had accepted the roster that holds. Ruled out: time (the network is simulated). Now what a single seat accepted is a hint whom to ask.

--- a/internal/nest/proposer.go
+++ b/internal/nest/proposer.go
@@ -143,6 +143,12 @@
 		}
 		ballot, found, ok := p.prepare(ctx, known)
 		if !ok {
+			// The seats it knows may be gone, all but one: what that one has
+			// accepted tells whom to ask now (design 4.4).
+			if found != nil && found.Core.Ver > known.Core.Ver {
+				basis = found
+				attempt = 0
+			}
 			continue
 		}
 		now := known
@@ -176,6 +182,8 @@
 	}
 }
 
+// prepare asks for promises. found is the newest state that those who promised
+// have accepted; without a majority (not ok) it is a hint and no more.
 func (p *Proposer) prepare(ctx context.Context, known *State) (Ballot, *State, bool) {
 	p.highest++
 	ballot := Ballot{N: p.highest, By: p.by}
@@ -195,13 +203,11 @@
 		agreed[a.seat.ID] = true
 		return known.Core.Quorum(agreed)
 	})
-	if !known.Core.Quorum(agreed) {
-		return ballot, nil, false
-	}
-	if top == nil {
-		return ballot, nil, true
+	var found *State
+	if top != nil {
+		found = top.State
 	}
-	return ballot, top.State, true
+	return ballot, found, known.Core.Quorum(agreed)
 }
 
 func (p *Proposer) accept(ctx context.Context, known *State, ballot Ballot, next *State) bool {
--- a/internal/nest/register_test.go
+++ b/internal/nest/register_test.go
@@ -208,6 +208,56 @@
 	time.Sleep(5 * time.Second)
 }
 
+// A proposer that knows only a roster whose seats are gone, all but one, finds
+// the one that holds now by what that seat accepted (design 4.4).
+func TestOutdatedRosterFindsTheNewest(t *testing.T) {
+	for _, tc := range []struct {
+		name  string
+		knows func(first *State, joint Roster) *State
+	}{
+		{"the first roster", func(first *State, _ Roster) *State { return first }},
+		{"a joint one that was settled long ago", func(first *State, joint Roster) *State {
+			return &State{Rev: first.Rev + 1, Core: joint}
+		}},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				m := meadow.New(1)
+				root := t.TempDir()
+				place := func(addr, dir string) *site { return &site{t: t, m: m, addr: addr, dir: filepath.Join(root, dir)} }
+				seat := func(s *site) Seat { return Seat{ID: "seat@" + s.dir, Name: s.addr, Addr: s.addr} }
+				a, b, c := place("n0", "a"), place("n1", "b"), place("n2", "c")
+				first := &State{Rev: 1, Core: Roster{Ver: 1, Cur: []Seat{seat(a), seat(b), seat(c)}}}
+				for _, s := range []*site{a, b, c} {
+					s.start(first, true)
+				}
+				// a and b lose their disks in turn; only the newcomers learn of it.
+				a2, b2 := place("n0", "a2"), place("n1", "b2")
+				joint := first.Core.Begin([]Seat{seat(a2), seat(b), seat(c)})
+				known := first
+				for _, p := range [][2]*site{{a, a2}, {b, b2}} {
+					p[0].cancel()
+					p[1].start(known, false)
+					join(t, p[1], seat(p[0]).ID)
+					known, _ = p[1].Known()
+				}
+				// b2 loses its disk too, and with it the only one who knows more.
+				b2.cancel()
+				b3 := place("n1", "b3")
+				b3.start(tc.knows(first, joint), false)
+				join(t, b3, seat(b2).ID)
+				if now, _ := b3.Known(); !now.Core.Has(seat(a2).ID) || !now.Core.Has(seat(b3).ID) || now.Core.Has(seat(b2).ID) {
+					t.Errorf("roster: %+v", now.Core)
+				}
+				for _, s := range []*site{a2, b3, c} {
+					s.cancel()
+				}
+				time.Sleep(5 * time.Second)
+			})
+		})
+	}
+}
+
 // join brings a wiped machine's new seat in, as nest does.
 func join(t *testing.T, s *site, old string) {
 	self := Seat{ID: s.seat.ID(), Name: s.addr, Addr: s.addr}
