--- a/cmd/hive/main.go
+++ b/cmd/hive/main.go
@@ -31,6 +31,7 @@
 	checkDoc := check.Flag("blueprint", "A blueprint (JSON) to check.").String()
 	noOptions := check.Flag("no-options", "Check the blueprint only.").Bool()
 	upgrade := newUpgradeCommand(app)
+	quota := newQuotaCommand(app)
 	cmd, code, ended := skep.ParseLine(app, args)
 	if ended {
 		return code
@@ -44,7 +45,11 @@
 	case check.FullCommand():
 		err = checkFiles(skep.Path(*file), *checkRole, *checkDoc, *noOptions)
 	default:
-		err = upgrade.run(upgrade.acts[cmd])
+		if act := quota.acts[cmd]; act != nil {
+			err = act()
+		} else {
+			err = upgrade.run(upgrade.acts[cmd])
+		}
 	}
 	if err != nil {
 		fmt.Fprintln(os.Stderr, "hive:", err)
--- a/cmd/hive/main_test.go
+++ b/cmd/hive/main_test.go
@@ -44,6 +44,26 @@
 	mux.HandleFunc("GET /-/upgrades/llm", func(w http.ResponseWriter, _ *http.Request) {
 		fmt.Fprintf(w, now, "paused", "wave 3 is not back", "replace the workers")
 	})
+	mux.HandleFunc("GET /-/quotas", func(w http.ResponseWriter, _ *http.Request) {
+		fmt.Fprint(w, `{"ver":2,"tenants":{"books":{"hosts":["shop.example"]}},"shares":{"llm":{"books":{"weight":2}}}}`)
+	})
+	mux.HandleFunc("PUT /-/quotas", func(w http.ResponseWriter, r *http.Request) {
+		raw := make([]byte, r.ContentLength)
+		_, _ = r.Body.Read(raw)
+		if r.Header.Get("If-Match") != "2" {
+			w.WriteHeader(http.StatusPreconditionFailed)
+			fmt.Fprint(w, `{"err":"stale: If-Match: version 2 is in place (remedy: read the quotas and build on their version)"}`)
+			return
+		}
+		if !strings.Contains(string(raw), `"books":{"kv_percent":60,"slots_percent":50}`) {
+			http.Error(w, string(raw), http.StatusBadRequest)
+			return
+		}
+		fmt.Fprint(w, "{}")
+	})
+	mux.HandleFunc("GET /-/quotas/books", func(w http.ResponseWriter, _ *http.Request) {
+		fmt.Fprint(w, `[{"service":"llm","tenant":"books","slots_percent":50,"kv_percent":60,"cap_percent":80,"live_slots":4,"batch_slots":9,"kv_tokens":1200,"fleet_slots":20,"fleet_kv_tokens":4000,"may_slots":12.5,"may_kv_tokens":2400,"borrowed_slots":3,"waiting":true,"why":"over its guarantee"}]`)
+	})
 	mux.HandleFunc("/", func(w http.ResponseWriter, _ *http.Request) {
 		w.WriteHeader(http.StatusNotFound)
 		fmt.Fprint(w, `{"err":"unknown: other: is no service of the blueprint (remedy: name a service under svcs)"}`)
--- a/cmd/hive/upgrade.go
+++ b/cmd/hive/upgrade.go
@@ -73,13 +73,7 @@
 			continue
 		}
 		if status != http.StatusOK {
-			var doc struct {
-				Err string `json:"err"`
-			}
-			if json.Unmarshal(body, &doc) != nil || doc.Err == "" {
-				doc.Err = strings.TrimSpace(string(body))
-			}
-			return fmt.Errorf("%s", doc.Err)
+			return fmt.Errorf("%s", declined(body))
 		}
 		return u.print(body)
 	}
@@ -99,19 +93,38 @@
 			return 0, nil, err
 		}
 	}
+	return request(u.timeout, node, method, path, body)
+}
+
+// request calls one node's control address.
+func request(timeout time.Duration, node, method, path string, body []byte, heads ...string) (int, []byte, error) {
 	req, err := http.NewRequest(method, "http://"+node+path, bytes.NewReader(body))
 	if err != nil {
 		return 0, nil, err
 	}
-	resp, err := (&http.Client{Timeout: u.timeout}).Do(req)
+	for i := 0; i+1 < len(heads); i += 2 {
+		req.Header.Set(heads[i], heads[i+1])
+	}
+	resp, err := (&http.Client{Timeout: timeout}).Do(req)
 	if err != nil {
 		return 0, nil, err
 	}
 	defer resp.Body.Close()
-	raw, err := io.ReadAll(io.LimitReader(resp.Body, 1<<20))
+	raw, err := io.ReadAll(io.LimitReader(resp.Body, 8<<20))
 	return resp.StatusCode, raw, err
 }
 
+// declined is what a node said was wrong.
+func declined(body []byte) string {
+	var doc struct {
+		Err string `json:"err"`
+	}
+	if json.Unmarshal(body, &doc) != nil || doc.Err == "" {
+		return strings.TrimSpace(string(body))
+	}
+	return doc.Err
+}
+
 func (u *upgradeCommand) print(body []byte) error {
 	if u.asJSON {
 		fmt.Println(string(body))
--- a/internal/brood/dispatch.go
+++ b/internal/brood/dispatch.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sort"
 
 	"rowanshunt/internal/pollen"
@@ -35,7 +36,8 @@
 	Room     int
 	Held     []Held // items it has in hand
 	WaitUs   int64
-	LeftUs   int64 // until the asker itself gives the call up
+	LeftUs   int64    // until the asker itself gives the call up
+	Full     []string // hosts whose items the asker could not run now (design 17.4)
 }
 
 // Held names an item that a dispatcher has in hand, and its lease.
@@ -115,11 +117,31 @@
 		}
 	}
 	sort.SliceStable(found, func(i, j int) bool { return found[i].dueUs < found[j].dueUs })
+	// One host's flood leaves room for the others' items.
+	perHost := map[string]int{}
+	for _, c := range b.cache {
+		if l := c.s.lots[c.lot]; l != nil {
+			perHost[l.Host]++
+		}
+	}
+	hosts := map[string]bool{}
+	for _, d := range found {
+		hosts[d.c.s.lots[d.c.lot].Host] = true
+	}
+	for host := range perHost {
+		hosts[host] = true
+	}
+	most := b.cfg.Options.CacheSize / max(len(hosts), 1)
 	for _, d := range found {
 		if len(b.cache) >= b.cfg.Options.CacheSize {
 			break // the rest waits for a later poll
 		}
-		d.c.s.lots[d.c.lot].live.at[d.c.item].cached = true
+		l := d.c.s.lots[d.c.lot]
+		if perHost[l.Host] >= most {
+			continue
+		}
+		perHost[l.Host]++
+		l.live.at[d.c.item].cached = true
 		b.cache = append(b.cache, d.c)
 	}
 	b.serveTakers()
@@ -140,13 +162,16 @@
 }
 
 func (b *Brood) serveTakers() {
-	for len(b.takers) > 0 && len(b.cache) > 0 {
-		t := b.takers[0]
+	for i := 0; i < len(b.takers) && len(b.cache) > 0; {
+		t := b.takers[i]
 		if waggle.NowUs() >= t.untilUs {
 			return // answered empty by the next tick
 		}
-		if !b.claimTo(t) {
-			return
+		if !b.claimTo(i) {
+			if len(t.call.Full) == 0 {
+				return
+			}
+			i++ // what is there is not for this one: the next may run it
 		}
 	}
 }
@@ -170,9 +195,10 @@
 	return false
 }
 
-// claimTo leases cached prompts, the oldest first, to the asker; it is answered
+// claimTo leases cached prompts, the oldest first, to an asker; it is answered
 // once the checkpoint with the leases is on disk at a majority (design 8.7).
-func (b *Brood) claimTo(t *taker) bool {
+func (b *Brood) claimTo(at int) bool {
+	t := b.takers[at]
 	nowUs, wallUs := waggle.NowUs(), b.cfg.WallUs()
 	var out []Given
 	type lotRows struct {
@@ -190,7 +216,7 @@
 		if l == nil {
 			continue
 		}
-		if !b.leads(c.s) {
+		if !b.leads(c.s) || slices.Contains(t.call.Full, l.Host) {
 			p.cached = true
 			skipped = append(skipped, c)
 			continue
@@ -219,7 +245,7 @@
 	if len(out) == 0 {
 		return false
 	}
-	b.takers = b.takers[1:]
+	b.takers = slices.Delete(b.takers, at, at+1)
 	left := len(changed)
 	var failed error
 	for _, x := range changed {
--- a/internal/colony/colony.go
+++ b/internal/colony/colony.go
@@ -21,6 +21,7 @@
 	"rowanshunt/internal/foundation"
 	"rowanshunt/internal/guard"
 	"rowanshunt/internal/moult"
+	"rowanshunt/internal/nectar"
 	"rowanshunt/internal/nest"
 	"rowanshunt/internal/nurse"
 	"rowanshunt/internal/pollen"
@@ -204,6 +205,8 @@
 	Guard   *guard.Guard
 	Control *guard.Control
 	Moult   *moult.Moult
+	Nectar  *nectar.Nectar
+	Gate    *nectar.Gate
 	Buzz    *buzz.Buzz
 }
 
@@ -225,11 +228,14 @@
 	sender := &forage.Sender{Dir: f.Flora.Look, Scout: f.Scout, Circuits: forage.NewCircuits(env.Dial), Blueprint: n.blueprint.Load,
 		Ways: forage.NewSlab[forage.Way](int(opts.Caps.NoFile / 3))}
 	limits := guard.LimitsOf(opts)
-	f.Forage = &forage.Forage{Sender: sender, Blueprint: n.blueprint.Load, Log: env.Log, BodyBytes: limits.BodyBytes, HbMs: opts.HbMs}
+	f.Gate = &nectar.Gate{Foragers: f.Scout.Foragers, Fleet: f.fleet}
+	f.Nectar = nectar.New(ctx, nectar.Config{Floor: n.Floor, Desk: n.Desk, Mesh: env.Mesh, Swarm: n.Swarm, Log: env.Log, Self: n.self,
+		State: n.Nest.Committed, Change: n.Nest.Change, Gate: f.Gate})
+	f.Forage = &forage.Forage{Sender: sender, Blueprint: n.blueprint.Load, Log: env.Log, BodyBytes: limits.BodyBytes, HbMs: opts.HbMs, Gate: f.Gate}
 	client := brood.NewClient(env.Mesh, n.Swarm, n.Nest.Committed, opts.Ft.Nodes)
 	lots := &brood.API{Client: client, Blueprint: n.blueprint.Load, WallUs: env.WallUs, Decline: forage.Decline, Log: env.Log,
 		Admit: semaphore.NewWeighted(limits.BodyBytes), AdmitBytes: limits.BodyBytes}
-	f.Nurse = &nurse.Nurse{Mesh: env.Mesh, Client: client, Sender: sender, Blueprint: n.blueprint.Load, Log: env.Log, Name: n.self.Name, MaxHeld: maxHeld,
+	f.Nurse = &nurse.Nurse{Mesh: env.Mesh, Client: client, Sender: sender, Blueprint: n.blueprint.Load, Log: env.Log, Name: n.self.Name, MaxHeld: maxHeld, Gate: f.Gate,
 		Dispatches: func() bool { return slices.Contains(n.dispatchers(), n.self.Name) }}
 	f.Nurse.Start(ctx, n.Desk)
 	f.Guard = &guard.Guard{Forage: f.Forage, Lots: lots, Blueprint: n.blueprint.Load, Log: env.Log, Limits: limits,
@@ -243,8 +249,11 @@
 		OnMove: func(u *moult.Upgrade) {
 			f.Buzz.Emit(buzz.UpgradeChanged, u.Svc, map[string]any{"act": "moved", "phase": u.Phase, "wave": u.Wave, "why": u.Why})
 		}})
-	n.applyMore = func(s *nest.State) { moult.Apply(s, f.Scout) }
-	f.Control = &guard.Control{Nest: n.Nest, Flora: f.Flora, Moult: f.Moult, Trail: n.Trail, Log: env.Log, Buzz: f.Buzz, WallUs: env.WallUs}
+	n.applyMore = func(s *nest.State) {
+		moult.Apply(s, f.Scout)
+		f.Nectar.Apply(s)
+	}
+	f.Control = &guard.Control{Nest: n.Nest, Flora: f.Flora, Moult: f.Moult, Nectar: f.Nectar, Trail: n.Trail, Log: env.Log, Buzz: f.Buzz, WallUs: env.WallUs}
 	n.Trail.On(trail.Blueprint, f.tellAcked)
 	n.Trail.On(trail.Worker, f.tellWorker)
 	n.Trail.On(trail.Lot, f.tellInHand)
@@ -309,6 +318,21 @@
 	f.Scout.Keep(f.Flora.Look())
 }
 
+// fleet is what a service's workers have together: slots as they tell them, cache
+// memory as the blueprint does.
+func (f *Forager) fleet(svc string) nectar.Amount {
+	var kvToks int64
+	if b := f.blueprint.Load(); b != nil && b.Services[svc] != nil && b.Services[svc].Engine != nil {
+		kvToks = b.Services[svc].Engine.KvToks
+	}
+	var out nectar.Amount
+	for _, w := range f.Flora.Look().BySvc[svc] {
+		out.Slots += float64(max(w.Slots, 1))
+		out.Kv += float64(kvToks)
+	}
+	return out
+}
+
 // services lists the services of the blueprint in force.
 func (n *Node) services() []string {
 	b := n.blueprint.Load()
--- a/internal/colony/colony_test.go
+++ b/internal/colony/colony_test.go
@@ -35,7 +35,8 @@
 	beatMu   sync.Mutex
 	stopBeat func()
 	seq      int
-	resting  atomic.Bool // the dispatchers take nothing
+	resting  atomic.Bool  // the dispatchers take nothing
+	shunned  atomic.Value // the node that the test's own calls leave out, if any
 }
 
 type member struct {
@@ -152,7 +153,7 @@
 // edge is a living forager.
 func (h *hive) edge() *Forager {
 	for _, n := range h.order {
-		if m := h.nodes[n]; m.role == "forager" && m.f != nil && m.ctx.Err() == nil {
+		if m := h.nodes[n]; m.role == "forager" && m.f != nil && m.ctx.Err() == nil && h.shunned.Load() != n {
 			return m.f
 		}
 	}
--- /dev/null
+++ b/internal/colony/quota_test.go
@@ -0,0 +1,531 @@
+package colony
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"rowanshunt/internal/nectar"
+)
+
+// Fair shares in whole systems (design 17, docs/quotas.md): a neighbour floods,
+// and what the others are guaranteed stays theirs.
+
+// quotaHive has two tenants' hosts at one service of two workers, sixteen slots
+// in all; a run of a stream or an item takes half a second.
+type quotaHive struct {
+	*hive
+	flood   sync.WaitGroup
+	stop    chan struct{}
+	ended   atomic.Int64 // runs of the flood that ended well
+	refused atomic.Int64
+}
+
+const (
+	books   = "shop.example"
+	dealers = "feeds.example"
+)
+
+func newQuotaHive(t *testing.T, seed uint64, edges int) *quotaHive {
+	q := &quotaHive{hive: newHive(t, seed, edges, 3), stop: make(chan struct{})}
+	q.startAll()
+	for id, az := range map[string]string{"21": "ash", "22": "birch"} {
+		q.worker(id, "llm", az).Gap = 100 * time.Millisecond
+	}
+	q.worker("23", "app", "cedar")
+	q.until("founded", 8*time.Second, func() bool { return q.edge().Nest.Committed() != nil })
+	b := blueprint(1)
+	routes := b["routes"].([]map[string]any)
+	for _, r := range slices.Clone(routes) {
+		if r["svc"] == "llm" {
+			twin := map[string]any{}
+			for k, v := range r {
+				twin[k] = v
+			}
+			twin["name"], twin["host"] = fmt.Sprint("feeds-", r["name"]), dealers
+			if twin["type"] == "bulk" {
+				twin["backlog"], twin["retain_s"] = 0, 120
+			}
+			routes = append(routes, twin)
+		}
+	}
+	b["routes"] = routes
+	b["svcs"] = []map[string]any{{"name": "llm", "hc": "/healthz", "maxconn": 64, "engine": map[string]any{"slots": 8, "kv_toks": 1000, "stride": 1}},
+		{"name": "app", "hc": "/healthz", "maxconn": 64}}
+	q.until("blueprint taken", 10*time.Second, func() bool { return q.control(q.edge(), "PUT", "/-/config", b, "If-Match", "0").Code == 200 })
+	q.beats()
+	q.until("ready", 8*time.Second, func() bool {
+		for _, m := range q.nodes {
+			if m.f != nil && (!m.f.Guard.Ready() || len(m.f.Flora.Look().ByID) < 3) {
+				return false
+			}
+		}
+		return true
+	})
+	q.until("a shard owner", 8*time.Second, func() bool { return q.handInAs(books, "warm-up", 1).Code == 202 })
+	q.until("and one for the other host", 8*time.Second, func() bool { return q.handInAs(dealers, "warm-up-2", 1).Code == 202 })
+	return q
+}
+
+func (q *quotaHive) leave() {
+	close(q.stop)
+	q.flood.Wait()
+	q.end()
+}
+
+// edges lists the living foragers.
+func (q *quotaHive) edges() (out []*Forager) {
+	for _, name := range q.order {
+		if m := q.nodes[name]; m.f != nil && m.ctx.Err() == nil {
+			out = append(out, m.f)
+		}
+	}
+	return out
+}
+
+func (q *quotaHive) callAs(f *Forager, host, method, target string, body []byte, heads ...string) *httptest.ResponseRecorder {
+	r := httptest.NewRequest(method, "http://"+host+target, bytes.NewReader(body))
+	r.RequestURI = target
+	for i := 0; i+1 < len(heads); i += 2 {
+		r.Header.Set(heads[i], heads[i+1])
+	}
+	w := httptest.NewRecorder()
+	w.Code = 0
+	func() {
+		defer func() {
+			if p := recover(); p != nil && p != http.ErrAbortHandler {
+				panic(p)
+			} else if p != nil {
+				w.Code = -1
+			}
+		}()
+		f.Guard.Clients().ServeHTTP(w, r)
+	}()
+	return w
+}
+
+func (q *quotaHive) handInAs(host, id string, items int) *httptest.ResponseRecorder {
+	return q.callAs(q.edge(), host, "POST", "/lots/"+id, lotBody(id, items, 20), "X-Rowanshunt-Request-Id", id)
+}
+
+func (q *quotaHive) set(doc string, expect int) *httptest.ResponseRecorder {
+	return q.control(q.edge(), "PUT", "/-/quotas", []byte(doc), "If-Match", fmt.Sprint(expect))
+}
+
+const quotaDoc = `{"ver":%d,"tenants":{"books":{"hosts":["shop.example"]},"dealers":{"hosts":["feeds.example"]}},
+	"shares":{"llm":{"books":{"kv_percent":60,"slots_percent":60},"dealers":{"kv_percent":30,"slots_percent":30}}}}`
+
+func (q *quotaHive) mustSet(ver, expect int) {
+	q.t.Helper()
+	if w := q.set(fmt.Sprintf(quotaDoc, ver), expect); w.Code != 200 {
+		q.t.Fatalf("quotas: %d %s", w.Code, w.Body)
+	}
+	q.until("in force everywhere, with a duty", 6*time.Second, func() bool {
+		for _, f := range q.edges() {
+			if r := f.Gate.Rules(); r == nil || r.Ver != int64(ver) {
+				return false
+			}
+		}
+		rows := q.explain("books")
+		return len(rows) == 1 && rows[0].FleetSlots > 0
+	})
+}
+
+func (q *quotaHive) explain(tenant string) []nectar.Row {
+	w := q.control(q.edge(), "GET", "/-/quotas/"+tenant, nil)
+	var rows []nectar.Row
+	_ = json.Unmarshal(w.Body.Bytes(), &rows)
+	return rows
+}
+
+// floods has so many clients of a host call all the time, through all nodes or
+// the first alone; one that is declined comes back when it is told to.
+func (q *quotaHive) floods(host string, clients, through int) {
+	for c := range clients {
+		q.flood.Go(func() {
+			for n := 0; ; n++ {
+				select {
+				case <-q.stop:
+					return
+				default:
+				}
+				es := q.edges()
+				w := q.callAs(es[c%min(through, len(es))], host, "POST", "/chat/x", []byte("x"), "X-Rowanshunt-Request-Id", fmt.Sprintf("f%d-%d", c, n), "X-Rowanshunt-Tokens", "30,10")
+				if w.Code == 200 {
+					q.ended.Add(1)
+					continue
+				}
+				q.refused.Add(1)
+				time.Sleep(300 * time.Millisecond)
+			}
+		})
+	}
+}
+
+// calls makes a call of books each 100 ms for a while, through changing nodes,
+// and gives the sorted times to an answer; a declined one comes back once.
+func (q *quotaHive) calls(times int, prefix string) (tookMs []int64, failed int) {
+	return q.callsEach(100*time.Millisecond, times, prefix)
+}
+
+func (q *quotaHive) callsEach(every time.Duration, times int, prefix string) (tookMs []int64, failed int) {
+	var mu sync.Mutex
+	var wg sync.WaitGroup
+	for n := range times {
+		wg.Go(func() {
+			es := q.edges()
+			began := time.Now()
+			for try := range 2 {
+				w := q.callAs(es[(n+try)%len(es)], books, "POST", "/chat/till", []byte("x"), "X-Rowanshunt-Request-Id", fmt.Sprintf("%s%d-%d", prefix, n, try), "X-Rowanshunt-Tokens", "30,10")
+				if w.Code == 200 {
+					mu.Lock()
+					tookMs = append(tookMs, time.Since(began).Milliseconds())
+					mu.Unlock()
+					return
+				}
+				time.Sleep(300 * time.Millisecond)
+			}
+			mu.Lock()
+			failed++
+			mu.Unlock()
+		})
+		time.Sleep(every)
+	}
+	wg.Wait()
+	slices.Sort(tookMs)
+	return tookMs, failed
+}
+
+func p99(ms []int64) int64 {
+	if len(ms) == 0 {
+		return -1
+	}
+	return ms[len(ms)*99/100]
+}
+
+// stalled is how much later the 99th percentile may be than on the quiet run.
+const stalled = 2.5
+
+// Without quotas the same flood is felt: what the tests below compare with.
+func TestFloodWithoutQuotas(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		q := newQuotaHive(t, 11, 6)
+		defer q.leave()
+		q.floods(dealers, 40, 6)
+		time.Sleep(3 * time.Second)
+		busy, failed := q.calls(100, "b")
+		t.Logf("p50 %d, p99 %d ms, %d of 100 failed", busy[len(busy)/2], p99(busy), failed)
+		if failed < 10 {
+			t.Errorf("only %d of 100 calls failed: the flood is none", failed)
+		}
+		for _, f := range q.edges() {
+			if f.Gate.Rules() != nil || len(f.Gate.Report("llm")) != 0 {
+				t.Error("something is counted without a document")
+			}
+		}
+	})
+}
+
+// A neighbour's flood of live calls, through one node or all: none of the other's
+// calls fails, and they take at most the stated factor longer than on the quiet
+// run; the room that is idle is the flood's.
+func TestFloodOfCalls(t *testing.T) {
+	for _, through := range []int{1, 6} {
+		synctest.Test(t, func(t *testing.T) {
+			q := newQuotaHive(t, 11, 6)
+			defer q.leave()
+			q.mustSet(1, 0)
+			quiet, failed := q.calls(60, "q")
+			if failed > 0 || len(quiet) != 60 {
+				t.Fatalf("quiet: %d failed", failed)
+			}
+			q.floods(dealers, 40, through)
+			time.Sleep(3 * time.Second)
+			before := q.ended.Load()
+			time.Sleep(5 * time.Second)
+			// Sixteen slots at half a second a run: 160 runs in five seconds.
+			if alone := q.ended.Load() - before; alone < 110 {
+				t.Errorf("through %d: alone, the flood had %d of 160 runs: room lies idle", through, alone)
+			}
+			busy, failed := q.calls(100, "b")
+			if failed > 0 || float64(p99(busy)) > stalled*float64(p99(quiet)) {
+				t.Errorf("through %d: %d of 100 calls failed, the 99th percentile is %d ms, %d on the quiet run", through, failed, p99(busy), p99(quiet))
+			}
+			if mid := busy[len(busy)/2]; mid > quiet[len(quiet)/2]*3/2 {
+				t.Errorf("through %d: the median is %d ms, %d on the quiet run", through, mid, quiet[len(quiet)/2])
+			}
+			if q.refused.Load() == 0 {
+				t.Error("nothing of the flood was declined: the test tests nothing")
+			}
+			t.Logf("through %d: quiet p99 %d ms; flooded p50 %d, p99 %d ms, %d of 100 failed; flood: %d runs, %d declined", through, p99(quiet), busy[len(busy)/2], p99(busy), failed, q.ended.Load(), q.refused.Load())
+		})
+	}
+}
+
+// A neighbour's flood of lots: the other's calls go on, its lot is done by its due
+// time, borrowed runs give way, and every item is listed once and done.
+func TestFloodOfLots(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		q := newQuotaHive(t, 12, 6)
+		defer q.leave()
+		q.mustSet(1, 0)
+		quiet, _ := q.calls(60, "q")
+		for i := range 4 {
+			q.until("a lot of the flood is taken", 5*time.Second, func() bool { return q.handInAs(dealers, fmt.Sprint("flood-", i), 60).Code == 202 })
+		}
+		time.Sleep(2 * time.Second)
+		if rows := q.explain("dealers"); len(rows) != 1 || rows[0].BatchSlots < 5 {
+			t.Errorf("idle room is not lent to batches: %+v", rows)
+		}
+		q.until("the lot is taken", 5*time.Second, func() bool { return q.handInAs(books, "mine", 20).Code == 202 })
+		handed := time.Now()
+		done := make(chan time.Duration, 1)
+		go func() {
+			for {
+				w := q.callAs(q.edge(), books, "GET", "/-/lots/mine?start_at=0", nil)
+				var out lotRead
+				if w.Code == 200 && json.Unmarshal(w.Body.Bytes(), &out) == nil && out.Cont == 20 {
+					done <- time.Since(handed)
+					return
+				}
+				if time.Since(handed) > 60*time.Second {
+					done <- time.Since(handed)
+					return
+				}
+				time.Sleep(200 * time.Millisecond)
+			}
+		}()
+		busy, failed := q.calls(100, "b")
+		if failed > 0 || float64(p99(busy)) > stalled*float64(p99(quiet)) {
+			t.Errorf("%d of 100 calls failed, the 99th percentile is %d ms, %d on the quiet run", failed, p99(busy), p99(quiet))
+		}
+		took := <-done
+		if took > 8*time.Second {
+			t.Errorf("the lot took %v; it was due in 8 s", took)
+		}
+		t.Logf("quiet p99 %d ms, flooded p99 %d ms; the lot took %v", p99(quiet), p99(busy), took)
+		q.complete("mine", 20, 10*time.Second)
+		for i := range 4 {
+			id := fmt.Sprint("flood-", i)
+			var out lotRead
+			q.until(id+" is complete", 90*time.Second, func() bool {
+				w := q.callAs(q.edge(), dealers, "GET", "/-/lots/"+id+"?start_at=0", nil)
+				out = lotRead{}
+				return w.Code == 200 && json.Unmarshal(w.Body.Bytes(), &out) == nil && out.Cont == 60
+			})
+			seen := map[string]bool{}
+			for _, r := range out.Out {
+				if seen[r.ID] || r.Phase != "done" || r.Msg != wholeText(r.ID, 5) {
+					t.Errorf("%s: %s %q, listed before: %v", r.ID, r.Phase, r.Msg, seen[r.ID])
+				}
+				seen[r.ID] = true
+			}
+		}
+	})
+}
+
+// Borrowed runs give way to calls that come within their guarantee, with no try
+// charged, and are listed once all the same.
+func TestBorrowedRunsGiveWay(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		q := newQuotaHive(t, 13, 4)
+		defer q.leave()
+		for _, w := range q.workers {
+			w.Gap = time.Second // an item takes five seconds
+		}
+		q.mustSet(1, 0)
+		if w := q.handInAs(dealers, "long", 40); w.Code != 202 {
+			t.Fatalf("long: %d", w.Code)
+		}
+		q.until("the lot borrows", 10*time.Second, func() bool {
+			rows := q.explain("dealers")
+			return len(rows) == 1 && rows[0].BatchSlots >= 8
+		})
+		q.floods(books, 14, 4)
+		q.until("it gives way", 4*time.Second, func() bool {
+			rows := q.explain("dealers")
+			return len(rows) == 1 && rows[0].BatchSlots <= 7
+		})
+		for _, w := range q.workers {
+			w.Gap = 20 * time.Millisecond
+		}
+		var out lotRead
+		q.until("it is complete", 100*time.Second, func() bool {
+			w := q.callAs(q.edge(), dealers, "GET", "/-/lots/long?start_at=0", nil)
+			out = lotRead{}
+			return w.Code == 200 && json.Unmarshal(w.Body.Bytes(), &out) == nil && out.Cont == 40
+		})
+		again := 0
+		for _, r := range out.Out {
+			if r.Phase != "done" {
+				t.Errorf("%s: %s", r.ID, r.Phase)
+			}
+			if q.workers["21"].Ran(r.ID)+q.workers["22"].Ran(r.ID) > 1 {
+				again++
+			}
+		}
+		if again == 0 {
+			t.Error("no run gave way: the test tests nothing")
+		}
+	})
+}
+
+// The duty's holder is killed, or cut off, under a flood: the other's calls go on,
+// a new holder takes over, and the parts never come to more than the fleet bears.
+func TestDutyIsLost(t *testing.T) {
+	for _, how := range []string{"killed", "cut off", "frozen"} {
+		synctest.Test(t, func(t *testing.T) {
+			q := newQuotaHive(t, 14, 6)
+			defer q.leave()
+			q.mustSet(1, 0)
+			q.floods(dealers, 30, 6)
+			time.Sleep(3 * time.Second)
+			f := q.edges()[0]
+			holder := f.Nectar.HolderOf("llm")
+			m := q.nodes[holder]
+			q.shunned.Store(holder) // workers too call another
+			var others []string
+			for _, o := range q.nodes {
+				others = append(others, o.opts.PartnerAddr())
+			}
+			switch how {
+			case "killed":
+				m.cancel()
+			case "cut off":
+				q.m.CutOff(m.opts.PartnerAddr(), others, true)
+			case "frozen":
+				_ = m.f.Floor.Do(m.ctx, func() { time.Sleep(4 * time.Second) })
+			}
+			// The node itself is out of it; calls go through the others.
+			tookMs, failed := q.callsBut(holder, 80)
+			if failed > 2 {
+				t.Errorf("%s: %d of 80 calls failed, 99th percentile %d ms", how, failed, p99(tookMs))
+			}
+			if now := q.otherThan(holder).Nectar.HolderOf("llm"); now == holder && how != "frozen" {
+				t.Errorf("%s: the duty did not move", how)
+			}
+			if how == "cut off" {
+				q.m.CutOff(m.opts.PartnerAddr(), others, false)
+			}
+			time.Sleep(3 * time.Second)
+			rows := q.otherThan(holder).explained(t, "dealers")
+			if len(rows) != 1 || rows[0].FleetSlots == 0 {
+				t.Errorf("%s: nobody holds the duty: %+v", how, rows)
+			}
+			t.Logf("%s: p99 %d ms, %d of 80 failed", how, p99(tookMs), failed)
+		})
+	}
+}
+
+func (f *Forager) explained(t *testing.T, tenant string) []nectar.Row {
+	rows, err := f.Nectar.Explain(t.Context(), tenant)
+	if err != nil {
+		t.Error(err)
+	}
+	return rows
+}
+
+func (q *quotaHive) otherThan(name string) *Forager {
+	for _, f := range q.edges() {
+		if f.self.Name != name {
+			return f
+		}
+	}
+	q.t.Fatal("no other node")
+	return nil
+}
+
+// callsBut is calls through all nodes but one.
+func (q *quotaHive) callsBut(name string, times int) (tookMs []int64, failed int) {
+	var es []*Forager
+	for _, f := range q.edges() {
+		if f.self.Name != name {
+			es = append(es, f)
+		}
+	}
+	for n := range times {
+		began := time.Now()
+		ok := false
+		for try := 0; try < 2 && !ok; try++ {
+			w := q.callAs(es[(n+try)%len(es)], books, "POST", "/chat/till", []byte("x"), "X-Rowanshunt-Request-Id", fmt.Sprintf("d%d-%d", n, try), "X-Rowanshunt-Tokens", "30,10")
+			if ok = w.Code == 200; !ok {
+				time.Sleep(300 * time.Millisecond)
+			}
+		}
+		if ok {
+			tookMs = append(tookMs, time.Since(began).Milliseconds())
+		} else {
+			failed++
+		}
+	}
+	slices.Sort(tookMs)
+	return tookMs, failed
+}
+
+// A document changes under load, the fleet shrinks, and what is declined changes
+// nothing.
+func TestQuotasChange(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		q := newQuotaHive(t, 15, 4)
+		defer q.leave()
+		if w := q.control(q.edge(), "GET", "/-/quotas", nil); w.Code != 404 {
+			t.Errorf("none are set: %d", w.Code)
+		}
+		if w := q.control(q.edge(), "GET", "/-/quotas/books", nil); w.Code != 404 {
+			t.Errorf("explained without any: %d", w.Code)
+		}
+		q.floods(dealers, 20, 4)
+		q.mustSet(1, 0)
+		for _, tc := range []struct {
+			name, doc    string
+			expect, code int
+		}{
+			{"the same again", fmt.Sprintf(quotaDoc, 1), 0, 200},
+			{"on a version that is not in place", fmt.Sprintf(quotaDoc, 2), 5, 412},
+			{"not above it", fmt.Sprintf(quotaDoc, 1) + " ", 1, 200},
+			{"no JSON", `ver = 1`, 1, 400},
+			{"no such service", `{"ver":2,"tenants":{},"shares":{"nope":{"others":{"weight":1}}}}`, 1, 400},
+			{"no such host", `{"ver":2,"tenants":{"a":{"hosts":["nope"]}},"shares":{}}`, 1, 400},
+		} {
+			if w := q.set(tc.doc, tc.expect); w.Code != tc.code {
+				t.Errorf("%s: %d %s", tc.name, w.Code, w.Body)
+			}
+		}
+		if w := q.control(q.edge(), "PUT", "/-/quotas", []byte(fmt.Sprintf(quotaDoc, 2))); w.Code != 400 {
+			t.Errorf("without If-Match: %d", w.Code)
+		}
+		doc := `{"ver":2,"tenants":{"books":{"hosts":["shop.example"]},"dealers":{"hosts":["feeds.example"]}},
+			"shares":{"llm":{"books":{"weight":1},"dealers":{"weight":1,"cap_percent":50}}}}`
+		if w := q.set(doc, 1); w.Code != 200 {
+			t.Fatalf("the next version: %d %s", w.Code, w.Body)
+		}
+		q.until("the cap holds", 8*time.Second, func() bool {
+			rows := q.explain("dealers")
+			return len(rows) == 1 && rows[0].CapPercent == 50 && rows[0].LiveSlots <= 9 && rows[0].FleetSlots == 16
+		})
+		q.beatMu.Lock()
+		delete(q.beatOn, "22")
+		q.beatMu.Unlock()
+		q.control(q.edge(), "DELETE", "/-/workers/22", nil)
+		q.workers["22"].Close()
+		q.until("the fleet is seen to shrink, and the cap with it", 8*time.Second, func() bool {
+			rows := q.explain("dealers")
+			return len(rows) == 1 && rows[0].FleetSlots == 8 && rows[0].LiveSlots <= 5
+		})
+		// Two calls at a time: within a third of the eight slots that are left.
+		if tookMs, failed := q.callsEach(250*time.Millisecond, 40, "s"); failed > 1 {
+			t.Errorf("%d of 40 calls failed, 99th percentile %d ms", failed, p99(tookMs))
+		}
+		if rows := q.explain("nobody"); len(rows) != 0 {
+			t.Errorf("a tenant that is none: %+v", rows)
+		}
+	})
+}
--- a/internal/forage/forage.go
+++ b/internal/forage/forage.go
@@ -14,6 +14,7 @@
 
 	"rowanshunt/internal/flora"
 	"rowanshunt/internal/foundation"
+	"rowanshunt/internal/nectar"
 	"rowanshunt/internal/scout"
 	"rowanshunt/internal/waggle"
 	"rowanshunt/internal/wax"
@@ -41,7 +42,9 @@
 	// BodyBytes bounds what the bodies under way hold together.
 	BodyBytes int64
 	HbMs      int64 // how often workers beat
-	held      atomic.Int64
+	// Gate keeps calls to their tenants' fair shares (design 17.4).
+	Gate *nectar.Gate
+	held atomic.Int64
 }
 
 // job is one client's try on its way.
@@ -60,6 +63,7 @@
 	startUs int64
 	firstUs int64 // when the first event, or the answer, was there
 	failed  bool
+	waited  bool  // for room that its tenant is guaranteed
 	version int64 // of the weights that the stream began with, 0 if not told
 }
 
@@ -123,9 +127,33 @@
 	if n := len(j.need.Parts); n > 0 {
 		j.readTok = j.need.Parts[n-1].Toks
 	}
+	if f.Gate.Active(j.need.Svc) {
+		ticket, admitted := f.Gate.Admit(j.need.Svc, r.Host, tokens(r.Header.Get(HeadTokens)))
+		if !admitted {
+			j.failed = true
+			Decline(w, http.StatusServiceUnavailable, overShareMs, "over its tenant's share while others need the room")
+			return
+		}
+		defer ticket.Release()
+	}
 	j.run()
 }
 
+// overShareMs is when a call that was over its tenant's share may come again: by
+// then the node has a newer grant (design 17.4).
+const overShareMs = 300
+
+// tokens sums those of the prompt and the most out; what cannot be read is 0.
+func tokens(head string) int64 {
+	var sum int64
+	for _, s := range strings.Split(head, ",") {
+		if n, err := strconv.ParseInt(strings.TrimSpace(s), 10, 64); err == nil && n > 0 && n < 1<<32 {
+			sum += n
+		}
+	}
+	return sum
+}
+
 func (f *Forage) readBody(w http.ResponseWriter, r *http.Request, maxBytes int64) ([]byte, int) {
 	if r.ContentLength == 0 || r.Body == nil || r.Body == http.NoBody {
 		return nil, 0
@@ -188,6 +216,9 @@
 			return
 		}
 		if j.tries >= j.b.Tries {
+			if !mayHaveRun && j.waits(ctx) {
+				continue
+			}
 			j.giveUp(mayHaveRun, false, 250)
 			return
 		}
@@ -201,6 +232,9 @@
 			worker = j.f.Sender.Scout.Pick(dir, &j.need)
 		}
 		if worker == nil {
+			if !mayHaveRun && j.waits(ctx) {
+				continue
+			}
 			j.giveUp(mayHaveRun, false, j.noWorkerMs(dir))
 			return
 		}
@@ -227,6 +261,32 @@
 	}
 }
 
+// Where the tenant of a call is within what it is guaranteed, the room that
+// others borrowed is coming back: the call waits for it, no longer than its goal
+// (design 17.4).
+const (
+	waitStep   = 20 * time.Millisecond
+	maxWaitsUs = 500_000
+)
+
+// waits lets such a call wait a step and begin anew, false if it may not.
+func (j *job) waits(ctx context.Context) bool {
+	goalUs := int64(maxWaitsUs)
+	if j.b.GoalMs > 0 {
+		goalUs = min(j.b.GoalMs*1000, maxWaitsUs)
+	}
+	if waggle.NowUs()-j.startUs >= goalUs || !j.f.Gate.Entitled(j.need.Svc, j.r.Host) {
+		return false
+	}
+	if !j.waited {
+		j.waited = true
+		j.f.Gate.Short(j.need.Svc, j.r.Host)
+	}
+	waggle.Pause(ctx, waitStep)
+	j.tries, j.need.Exclude = 0, nil
+	return true
+}
+
 // noWorkerMs is when to come back if no worker can be picked: where none is
 // known at all, once each had time to beat.
 func (j *job) noWorkerMs(dir *flora.Directory) int64 {
@@ -257,6 +317,7 @@
 	}
 	switch {
 	case !mayHaveRun:
+		j.f.Gate.Short(j.need.Svc, j.r.Host)
 		Decline(j.w, http.StatusServiceUnavailable, max(afterMs, 100), "no worker took it")
 	case late:
 		http.Error(j.w, "no answer in time", http.StatusGatewayTimeout)
--- a/internal/guard/control.go
+++ b/internal/guard/control.go
@@ -16,6 +16,7 @@
 	"rowanshunt/internal/flora"
 	"rowanshunt/internal/foundation"
 	"rowanshunt/internal/moult"
+	"rowanshunt/internal/nectar"
 	"rowanshunt/internal/nest"
 	"rowanshunt/internal/trail"
 	"rowanshunt/internal/wax"
@@ -38,6 +39,7 @@
 	Nest   *nest.Nest
 	Flora  *flora.Flora
 	Moult  *moult.Moult
+	Nectar *nectar.Nectar
 	Trail  *trail.Trail
 	Log    *wax.Log
 	Buzz   *buzz.Buzz
@@ -218,6 +220,11 @@
 	on(http.MethodGet, "/-/trail/:kind/:id", 3*time.Second, func(r *http.Request, ps httprouter.Params) (Command, error) {
 		return &TrailCommand{Ask: trail.Ask{Kind: ps.ByName("kind"), ID: ps.ByName("id"), Host: r.URL.Query().Get("host")}}, nil
 	})
+	on(http.MethodPut, "/-/quotas", 3*time.Second, decodeQuotas)
+	on(http.MethodGet, "/-/quotas", 2*time.Second, func(*http.Request, httprouter.Params) (Command, error) { return QuotasCommand{}, nil })
+	on(http.MethodGet, "/-/quotas/:tenant", 2*time.Second, func(_ *http.Request, ps httprouter.Params) (Command, error) {
+		return &ExplainCommand{Tenant: ps.ByName("tenant")}, nil
+	})
 	on(http.MethodPost, "/-/retire/:node", 3*time.Second, decodeRetire)
 	on(http.MethodGet, "/-/retire/:node", 2*time.Second, func(_ *http.Request, ps httprouter.Params) (Command, error) {
 		return &RetiredCommand{Node: ps.ByName("node")}, nil
--- /dev/null
+++ b/internal/guard/quota.go
@@ -0,0 +1,73 @@
+package guard
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"strconv"
+
+	"github.com/julienschmidt/httprouter"
+
+	"rowanshunt/internal/nectar"
+	"rowanshunt/internal/wax"
+)
+
+// PutQuotasCommand is an operator's new quota document (design 17.1).
+type PutQuotasCommand struct {
+	Doc    *nectar.Doc
+	Expect int64
+}
+
+// Run commits the document.
+func (p *PutQuotasCommand) Run(ctx context.Context, c *Control) (Reply, error) {
+	if err := nectar.Put(ctx, c.Nest.Change, p.Doc, p.Expect); err != nil {
+		return Reply{}, err
+	}
+	c.Log.Info("quotas_taken", "ver", p.Doc.Ver)
+	return Reply{Status: http.StatusOK, Body: []byte("{}")}, nil
+}
+
+// QuotasCommand reads the newest quota document.
+type QuotasCommand struct{}
+
+// Run reads the register at a majority.
+func (QuotasCommand) Run(ctx context.Context, c *Control) (Reply, error) {
+	s, err := c.Nest.Read(ctx)
+	if err != nil {
+		return Reply{}, err
+	}
+	d := nectar.Load(s)
+	if d == nil {
+		return Reply{}, wax.New(wax.Unknown, "quotas", "none are set", "set some with hive quota set")
+	}
+	return Reply{Status: http.StatusOK, Body: d.JSON()}, nil
+}
+
+// ExplainCommand asks how a tenant stands.
+type ExplainCommand struct{ Tenant string }
+
+// Run asks the duties of all services.
+func (e *ExplainCommand) Run(ctx context.Context, c *Control) (Reply, error) {
+	rows, err := c.Nectar.Explain(ctx, e.Tenant)
+	if err != nil {
+		return Reply{}, err
+	}
+	body, err := json.Marshal(rows)
+	return Reply{Status: http.StatusOK, Body: body}, err
+}
+
+func decodeQuotas(r *http.Request, _ httprouter.Params) (Command, error) {
+	raw, err := readAll(r, nectar.MaxBytes)
+	if err != nil {
+		return nil, err
+	}
+	d, err := nectar.ParseJSON(raw)
+	if err != nil {
+		return nil, err
+	}
+	expect, err := strconv.ParseInt(r.Header.Get("If-Match"), 10, 64)
+	if err != nil || expect < 0 {
+		return nil, wax.New(wax.Invalid, "If-Match", "holds no version", "give the version it builds on, 0 for the first")
+	}
+	return &PutQuotasCommand{Doc: d, Expect: expect}, nil
+}
--- a/internal/moult/upgrade.go
+++ b/internal/moult/upgrade.go
@@ -130,12 +130,7 @@
 	if err != nil {
 		return err
 	}
-	extra := make(map[string][]byte, len(s.Extra)+1)
-	for k, v := range s.Extra {
-		extra[k] = v
-	}
-	extra[keyPrefix+u.Svc] = raw
-	s.Extra = extra
+	s.SetExtra(keyPrefix+u.Svc, raw)
 	return nil
 }
 
--- /dev/null
+++ b/internal/nectar/duty.go
@@ -0,0 +1,569 @@
+package nectar
+
+import (
+	"context"
+	"fmt"
+	"sort"
+	"strings"
+	"time"
+
+	"github.com/vmihailenco/msgpack/v5"
+
+	"rowanshunt/internal/nest"
+	"rowanshunt/internal/pollen"
+	"rowanshunt/internal/swarm"
+	"rowanshunt/internal/tending"
+	"rowanshunt/internal/waggle"
+	"rowanshunt/internal/wax"
+)
+
+// Times of the duty (design 17.3).
+const (
+	tickUs     = 50_000
+	reportUs   = 250_000
+	idleUs     = 1_000_000 // between reports of a node with nothing to tell
+	ttlUs      = 2_000_000 // how long a grant holds
+	freshUs    = 1_500_000 // how old a node's report may be
+	computeUs  = 100_000
+	rememberUs = 60_000_000 // how long a silent node's part stays reserved
+	callLimit  = 400 * time.Millisecond
+	// One report in so many milliseconds is what a duty is to bear.
+	reportPaceUs = 1_500
+)
+
+// Figures of the division; our own.
+const (
+	busyShare    = 0.85 // of the fleet in use: others may need the room
+	withinShare  = 0.9  // of a guarantee: below it no bound holds
+	headroom     = 1.25 // what a tenant within its guarantee may grow until the next report
+	evenPart     = 0.5  // of a guarantee, cut evenly; the rest follows the use
+	contendedFor = int64(1_000_000)
+)
+
+const dutyKey = "nectar/duty/"
+
+// office is who holds the duty of a service, in the register.
+type office struct {
+	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by the library
+	Term     uint64
+	By       string // node/life
+}
+
+func officeOf(s *nest.State, svc string) office {
+	var o office
+	if s != nil && s.Extra[dutyKey+svc] != nil {
+		_ = msgpack.Unmarshal(s.Extra[dutyKey+svc], &o)
+	}
+	return o
+}
+
+// Config is what a node's part in quotas is made of.
+type Config struct {
+	Floor  *waggle.Floor
+	Desk   *pollen.Desk
+	Mesh   pollen.Mesh
+	Swarm  *swarm.Swarm
+	Log    *wax.Log
+	Self   swarm.Partner
+	State  func() *nest.State
+	Change func(context.Context, nest.Change) (*nest.State, error)
+	Gate   *Gate
+}
+
+// Nectar is one node's part in quotas: it reports what its gate has, takes the
+// grants, and holds the duty of the services that fall to it. All runs on the
+// floor.
+type Nectar struct {
+	cfg    Config
+	ctx    context.Context
+	tables map[string]*table // services whose duty falls to this node
+	asked  map[string]*asking
+	docRaw string
+}
+
+type asking struct {
+	nextUs int64
+	busy   bool
+}
+
+// New joins the quotas.
+func New(ctx context.Context, cfg Config) *Nectar {
+	n := &Nectar{cfg: cfg, ctx: ctx, tables: map[string]*table{}, asked: map[string]*asking{}}
+	pollen.On(cfg.Desk, "nectar.report", n.onReport)
+	pollen.On(cfg.Desk, "nectar.explain", n.onExplain)
+	cfg.Floor.Every(tickUs, n.tick)
+	return n
+}
+
+// Apply takes a committed state: the document in force, and who holds the duties.
+func (n *Nectar) Apply(s *nest.State) {
+	if raw := string(s.Extra[docKey]); raw != n.docRaw {
+		n.docRaw = raw
+		d := Load(s)
+		if d == nil {
+			n.cfg.Log.Warn("quotas_unreadable")
+			return
+		}
+		n.cfg.Gate.SetRules(d.Ready())
+		n.cfg.Log.Info("quotas_applied", "ver", d.Ver, "tenants", len(d.Tenants), "services", len(d.Shares))
+	}
+	if r := n.cfg.Gate.Rules(); r != nil {
+		for _, svc := range r.Services() {
+			n.cfg.Gate.Fence(svc, officeOf(s, svc).Term)
+		}
+	}
+}
+
+// holder names the node whom a service's duty falls to.
+func (n *Nectar) holder(svc string, v *swarm.View) string {
+	strong := v.Strong(n.cfg.Self.Role)
+	names := make([]string, len(strong))
+	for i, s := range strong {
+		names[i] = s.Name
+	}
+	return tending.Holder(dutyKey+svc, names)
+}
+
+type reportCall struct {
+	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by the library
+	From     string
+	Svc      string
+	Ver      int64 // of the document that its gate goes by
+	Uses     []Use
+}
+
+// tick reports where a report is due. Without a document it does nothing.
+func (n *Nectar) tick() {
+	r := n.cfg.Gate.Rules()
+	if r == nil {
+		return
+	}
+	nowUs := waggle.NowUs()
+	v := n.cfg.Swarm.Look()
+	for _, svc := range r.Services() {
+		holder := n.holder(svc, v)
+		if holder != n.cfg.Self.Name {
+			delete(n.tables, svc)
+		}
+		a := n.asked[svc]
+		if a == nil {
+			a = &asking{}
+			n.asked[svc] = a
+		}
+		p := v.Get(holder)
+		if a.busy || nowUs < a.nextUs || p == nil {
+			continue
+		}
+		uses := n.cfg.Gate.Report(svc)
+		a.busy, a.nextUs = true, nowUs+reportUs
+		call := &reportCall{From: n.cfg.Self.Name, Svc: svc, Ver: r.Ver, Uses: uses}
+		go func() {
+			ctx, cancel := context.WithTimeout(n.ctx, callLimit)
+			defer cancel()
+			out := &Grant{}
+			err := n.cfg.Mesh.Call(ctx, p.Addr, "nectar.report", call, out)
+			_ = n.cfg.Floor.Do(n.ctx, func() {
+				a.busy = false
+				if err != nil {
+					return
+				}
+				n.cfg.Gate.Take(svc, out, nowUs)
+				everyUs := max(out.EveryUs, reportUs)
+				if len(uses) == 0 && !out.Contended {
+					everyUs = max(everyUs, idleUs/2)
+				}
+				a.nextUs = nowUs + everyUs
+			})
+		}()
+	}
+}
+
+// table is the duty of one service.
+type table struct {
+	svc      string
+	term     uint64
+	claiming bool
+	openUs   int64 // earlier grants may hold until then
+	nodes    map[string]*told
+	madeUs   int64
+	busyUs   int64 // contended until then
+	yield    bool
+	limits   map[string][]Limit // by node
+	rows     []Row
+	quorum   bool
+}
+
+type told struct {
+	uses  []Use
+	atUs  int64
+	parts map[string]float64 // as last answered
+}
+
+// Row is how one tenant stands at one service.
+type Row struct {
+	_msgpack     struct{} `msgpack:",as_array"` //nolint:unused // read by the library
+	Svc          string   `json:"service"`
+	Tenant       string   `json:"tenant"`
+	SlotsPercent float64  `json:"slots_percent"`
+	KvPercent    float64  `json:"kv_percent"`
+	CapPercent   float64  `json:"cap_percent,omitempty"`
+	LiveSlots    float64  `json:"live_slots"`
+	BatchSlots   float64  `json:"batch_slots"`
+	Kv           float64  `json:"kv_tokens"`
+	FleetSlots   float64  `json:"fleet_slots"`
+	FleetKv      float64  `json:"fleet_kv_tokens"`
+	MaySlots     float64  `json:"may_slots"`
+	MayKv        float64  `json:"may_kv_tokens"`
+	Borrowed     float64  `json:"borrowed_slots"`
+	Waiting      bool     `json:"waiting"`
+	Why          string   `json:"why"`
+}
+
+func (n *Nectar) onReport(ctx context.Context, in *reportCall) (*Grant, error) {
+	type answer struct {
+		g   *Grant
+		err error
+	}
+	got, err := waggle.Ask(ctx, n.cfg.Floor, func() answer {
+		g, err := n.report(in)
+		return answer{g, err}
+	})
+	if err != nil {
+		return nil, err
+	}
+	return got.g, got.err
+}
+
+func (n *Nectar) report(in *reportCall) (*Grant, error) {
+	r := n.cfg.Gate.Rules()
+	v := n.cfg.Swarm.Look()
+	if holder := n.holder(in.Svc, v); holder != n.cfg.Self.Name {
+		return nil, wax.New(wax.NotOwner, holder, "this node does not hold the duty", "tell its holder")
+	}
+	if r == nil || r.Ver != in.Ver || r.shares[in.Svc] == nil {
+		return nil, wax.New(wax.Stale, "quotas", "another version is in force here", "report again")
+	}
+	t := n.tables[in.Svc]
+	if t == nil {
+		t = &table{svc: in.Svc, nodes: map[string]*told{}}
+		n.tables[in.Svc] = t
+	}
+	nowUs := waggle.NowUs()
+	node := t.nodes[in.From]
+	if node == nil {
+		node = &told{}
+		t.nodes[in.From] = node
+	}
+	node.uses, node.atUs = in.Uses, nowUs
+	// Whoever took the duty after this node did ends it here (design 17.3).
+	if now := officeOf(n.cfg.State(), in.Svc); t.term == 0 || now.Term > t.term || now.Term == t.term && now.By != n.cfg.Self.Life() {
+		n.claim(t)
+		return nil, wax.New(wax.Declined, in.Svc, "the duty changes hands", "live on your part until it has")
+	}
+	if nowUs < t.openUs && !t.heardAll(v, n.cfg.Self.Role, nowUs) {
+		return nil, wax.New(wax.Declined, in.Svc, "grants of before may still hold", "live on your part until they have run out")
+	}
+	if nowUs-t.madeUs > computeUs {
+		t.divide(r, n.cfg.Gate.Fleet(in.Svc), known(v, n.cfg.Self.Role, nowUs), nowUs)
+	}
+	if !t.quorum {
+		return nil, wax.New(wax.Declined, in.Svc, "too few nodes are in touch", "live on your part until more are")
+	}
+	g := &Grant{Term: t.term, TTLUs: ttlUs, EveryUs: max(reportUs, int64(len(t.nodes))*reportPaceUs), Contended: nowUs < t.busyUs, Yield: t.yield, Of: t.limits[in.From]}
+	g.TTLUs = max(g.TTLUs, 3*g.EveryUs)
+	node.parts = map[string]float64{}
+	for _, l := range g.Of {
+		node.parts[l.Name] = l.Part
+	}
+	return g, nil
+}
+
+// heardAll tells whether every living node has reported to this holder: then
+// each gets a new grant in the place of the one it may still have.
+func (t *table) heardAll(v *swarm.View, role string, nowUs int64) bool {
+	for i := range v.All {
+		s := &v.All[i]
+		if s.Role != role || !s.Alive {
+			continue
+		}
+		if node := t.nodes[s.Name]; node == nil || nowUs-node.atUs > freshUs {
+			return false
+		}
+	}
+	return true
+}
+
+// known lists the nodes that admit calls, also those that fell silent lately.
+func known(v *swarm.View, role string, nowUs int64) []string {
+	return v.Names(func(s *swarm.Sighting) bool {
+		return s.Role == role && (s.Alive || nowUs-s.SinceUs < 10_000_000)
+	})
+}
+
+// claim takes the duty of a service under a higher term; grants are given once
+// all of before have run out.
+func (n *Nectar) claim(t *table) {
+	if t.claiming {
+		return
+	}
+	t.claiming = true
+	me := n.cfg.Self.Life()
+	go func() {
+		ctx, cancel := context.WithTimeout(n.ctx, 2*time.Second)
+		defer cancel()
+		var term uint64
+		_, err := n.cfg.Change(ctx, func(now *nest.State) (*nest.State, error) {
+			o := officeOf(now, t.svc)
+			term = o.Term + 1
+			raw, err := msgpack.Marshal(&office{Term: term, By: me})
+			if err != nil {
+				return nil, err
+			}
+			now.SetExtra(dutyKey+t.svc, raw)
+			return now, nil
+		})
+		_ = n.cfg.Floor.Do(n.ctx, func() {
+			t.claiming = false
+			if err != nil {
+				n.cfg.Log.Debug("quota_duty_waits", "service", t.svc, "err", err)
+				return
+			}
+			t.term, t.openUs = term, waggle.NowUs()+ttlUs
+			n.cfg.Log.Info("quota_duty_held", "service", t.svc, "term", term)
+		})
+	}()
+}
+
+// divide works the grants out anew from what the nodes told.
+func (t *table) divide(r *Rules, fleet Amount, all []string, nowUs int64) {
+	t.madeUs = nowUs
+	fresh, names := 0, map[string]bool{}
+	for _, name := range all {
+		names[name] = true
+	}
+	var nodes []string
+	for name, node := range t.nodes {
+		switch {
+		case nowUs-node.atUs <= freshUs:
+			nodes = append(nodes, name)
+			if names[name] {
+				fresh++
+			}
+		case nowUs-node.atUs > rememberUs:
+			delete(t.nodes, name)
+		}
+	}
+	sort.Strings(nodes)
+	t.quorum = 2*fresh > len(all)
+	if !t.quorum {
+		return
+	}
+	type sum struct {
+		live, batch, want Amount
+		short             int64
+		waiting           bool
+		silent            float64 // parts held by nodes that fell silent
+		byNode            []float64
+		useBy             []float64
+	}
+	sums := map[string]*sum{}
+	get := func(name string) *sum {
+		s := sums[name]
+		if s == nil {
+			s = &sum{byNode: make([]float64, len(nodes)), useBy: make([]float64, len(nodes))}
+			sums[name] = s
+		}
+		return s
+	}
+	for name := range r.shares[t.svc] {
+		get(name)
+	}
+	for i, node := range nodes {
+		for _, u := range t.nodes[node].uses {
+			if _, ok := r.shares[t.svc][u.Name]; !ok {
+				continue
+			}
+			s := get(u.Name)
+			s.live, s.batch = s.live.plus(u.Live), s.batch.plus(u.Batch)
+			s.short += u.Short
+			s.waiting = s.waiting || u.Waiting
+			s.useBy[i] = u.Live.Slots + u.Batch.Slots
+			s.byNode[i] = s.useBy[i] + float64(u.Short)
+			if u.Waiting {
+				s.byNode[i] += 2
+			}
+		}
+	}
+	// A node out of touch lives on its part: that is kept for it.
+	share := fleet
+	for name, node := range t.nodes {
+		if nowUs-node.atUs <= freshUs {
+			continue
+		}
+		for tenant, part := range node.parts {
+			if g, ok := r.shares[t.svc][tenant]; ok && names[name] {
+				get(tenant).silent += part
+				share = share.minus(Amount{Slots: fleet.Slots * g.Slots * part, Kv: fleet.Kv * g.Kv * part})
+			}
+		}
+	}
+	share = share.notBelow(Amount{})
+	order := sorted(sums)
+	var inUse Amount
+	short := int64(0)
+	mean := Amount{Slots: 1}
+	for _, name := range order {
+		inUse = inUse.plus(sums[name].live).plus(sums[name].batch)
+		short += sums[name].short
+	}
+	if inUse.Slots > 0 {
+		mean.Kv = inUse.Kv / inUse.Slots
+	}
+	if short > 0 || inUse.Dominant(share) >= busyShare {
+		t.busyUs = nowUs + contendedFor
+	}
+	claims := make([]Claim, len(order))
+	within := make([]bool, len(order))
+	t.yield = false
+	for i, name := range order {
+		s, g := sums[name], r.shares[t.svc][name]
+		use := s.live.plus(s.batch)
+		mine := Amount{Slots: fleet.Slots * max(g.Slots, leastShare), Kv: fleet.Kv * max(g.Kv, leastShare)}
+		within[i] = use.Dominant(mine) < withinShare && (g.Cap == 0 || use.Dominant(fleet) < withinShare*g.Cap)
+		s.want = use.plus(mean.times(float64(s.short)))
+		switch {
+		case s.waiting:
+			s.want = s.want.notBelow(fleet)
+		case within[i]:
+			s.want = s.want.times(headroom).plus(mean)
+		}
+		claims[i] = Claim{Name: name, Want: s.want, Guarantee: g}
+		if within[i] && s.short > 0 {
+			t.yield = true
+		}
+	}
+	if inUse.Dominant(share) >= 1 {
+		t.yield = true // nothing is left for who comes within its guarantee
+	}
+	may := Allocate(share, claims)
+	t.limits = map[string][]Limit{}
+	t.rows = t.rows[:0]
+	contended := nowUs < t.busyUs
+	for i, name := range order {
+		s, g := sums[name], r.shares[t.svc][name]
+		slots := Spread(int64(may[i].Slots), s.byNode)
+		total, used := 0.0, 0.0
+		for k := range nodes {
+			total += s.byNode[k]
+			used += s.useBy[k]
+		}
+		for k, node := range nodes {
+			kv := may[i].Kv / float64(len(nodes))
+			if total > 0 {
+				kv = may[i].Kv * s.byNode[k] / total
+			}
+			part := 1 / float64(len(nodes))
+			if used > 0 {
+				part = evenPart*part + (1-evenPart)*s.useBy[k]/used
+			}
+			t.limits[node] = append(t.limits[node], Limit{Name: name, Free: within[i], Capped: g.Cap > 0, Slots: slots[k], Kv: kv, Part: part * max(1-s.silent, 0)})
+		}
+		use := s.live.plus(s.batch)
+		t.rows = append(t.rows, Row{Svc: t.svc, Tenant: name, SlotsPercent: 100 * g.Slots, KvPercent: 100 * g.Kv, CapPercent: 100 * g.Cap,
+			LiveSlots: s.live.Slots, BatchSlots: s.batch.Slots, Kv: use.Kv, FleetSlots: fleet.Slots, FleetKv: fleet.Kv, MaySlots: may[i].Slots, MayKv: may[i].Kv,
+			Borrowed: max(use.Slots-fleet.Slots*g.Slots, 0), Waiting: s.waiting || s.short > 0, Why: why(within[i], contended, g.Cap > 0 && use.Dominant(fleet) >= withinShare*g.Cap, s.waiting || s.short > 0)})
+	}
+}
+
+// why says in a few words how a tenant stands.
+func why(within, contended, capped, waiting bool) string {
+	switch {
+	case capped:
+		return "at its cap"
+	case within && waiting:
+		return "within its guarantee; borrowed runs of others give way to it"
+	case within:
+		return "within its guarantee: no bound holds"
+	case !contended:
+		return "over its guarantee; nobody else needs the room"
+	case waiting:
+		return "over its guarantee while others need the room: it waits for its fair part"
+	}
+	return "over its guarantee while others need the room: bounded by its fair part"
+}
+
+type explainCall struct {
+	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by the library
+	Svc      string
+	Tenant   string
+}
+
+type explainAnswer struct {
+	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by the library
+	Rows     []Row
+}
+
+func (n *Nectar) onExplain(ctx context.Context, in *explainCall) (*explainAnswer, error) {
+	out, err := waggle.Ask(ctx, n.cfg.Floor, func() *explainAnswer {
+		t := n.tables[in.Svc]
+		if t == nil {
+			return nil
+		}
+		out := &explainAnswer{}
+		for _, row := range t.rows {
+			if row.Tenant == in.Tenant {
+				out.Rows = append(out.Rows, row)
+			}
+		}
+		return out
+	})
+	if err == nil && out == nil {
+		err = wax.New(wax.NotOwner, in.Svc, "this node does not hold the duty", "ask again")
+	}
+	return out, err
+}
+
+// Explain tells how a tenant stands at every service that has shares; any node
+// may be asked.
+func (n *Nectar) Explain(ctx context.Context, tenant string) ([]Row, error) {
+	r := n.cfg.Gate.Rules()
+	if r == nil {
+		return nil, wax.New(wax.Unknown, "quotas", "none are set", "set some with hive quota set")
+	}
+	services := r.Services()
+	known := tenant == Others
+	for _, name := range r.tenantOf {
+		known = known || name == tenant
+	}
+	if !known {
+		return nil, wax.New(wax.Unknown, tenant, "is no tenant", "name one of the document, or "+Others)
+	}
+	v := n.cfg.Swarm.Look()
+	var out []Row
+	var silent []string
+	for _, svc := range services {
+		if _, ok := r.shares[svc][tenant]; !ok {
+			continue // there it is one of the others
+		}
+		p := v.Get(n.holder(svc, v))
+		got := &explainAnswer{}
+		if p == nil || n.cfg.Mesh.Call(ctx, p.Addr, "nectar.explain", &explainCall{Svc: svc, Tenant: tenant}, got) != nil || len(got.Rows) == 0 {
+			silent = append(silent, svc)
+			g := r.Of(svc, tenant)
+			out = append(out, Row{Svc: svc, Tenant: tenant, SlotsPercent: 100 * g.Slots, KvPercent: 100 * g.Kv, CapPercent: 100 * g.Cap,
+				Why: "no node holds the duty now: each node lives on its part of the guarantee"})
+			continue
+		}
+		out = append(out, got.Rows...)
+	}
+	if len(silent) > 0 {
+		n.cfg.Log.Debug("quota_duty_silent", "services", strings.Join(silent, " "))
+	}
+	if len(out) == 0 {
+		return nil, wax.New(wax.Unknown, tenant, fmt.Sprintf("has no share of its own at any of %d services", len(services)), "see "+Others)
+	}
+	return out, nil
+}
+
+// HolderOf names the node whom a service's duty falls to, as this node sees it.
+func (n *Nectar) HolderOf(svc string) string { return n.holder(svc, n.cfg.Swarm.Look()) }
--- a/internal/nest/state.go
+++ b/internal/nest/state.go
@@ -104,3 +104,14 @@
 	c := *s
 	return &c
 }
+
+// SetExtra puts the state of another aggregate into a state that is not shared
+// yet; the map it came with is left as it is.
+func (s *State) SetExtra(key string, raw []byte) {
+	extra := make(map[string][]byte, len(s.Extra)+1)
+	for k, v := range s.Extra {
+		extra[k] = v
+	}
+	extra[key] = raw
+	s.Extra = extra
+}
--- a/internal/nurse/nurse.go
+++ b/internal/nurse/nurse.go
@@ -16,6 +16,7 @@
 	"rowanshunt/internal/flora"
 	"rowanshunt/internal/forage"
 	"rowanshunt/internal/foundation"
+	"rowanshunt/internal/nectar"
 	"rowanshunt/internal/pollen"
 	"rowanshunt/internal/scout"
 	"rowanshunt/internal/waggle"
@@ -43,6 +44,8 @@
 	MaxHeld   int
 	// Dispatches tells whether this node takes items now (design 9.1).
 	Dispatches func() bool
+	// Gate keeps items to their tenants' fair shares (design 17.4).
+	Gate *nectar.Gate
 
 	mu      sync.Mutex
 	held    map[item]*inHand
@@ -154,6 +157,30 @@
 	return min(room-unplaced, n.MaxHeld-len(n.held))
 }
 
+// full lists the hosts whose items would not be admitted now; empty without
+// quotas.
+func (n *Nurse) full() []string {
+	bp := n.Blueprint()
+	if bp == nil || n.Gate.Rules() == nil {
+		return nil
+	}
+	bySvc := map[string][]string{}
+	for _, b := range bp.Bindings {
+		if b.Type == foundation.Bulk {
+			for _, s := range b.Split {
+				if s.Wt > 0 {
+					bySvc[s.Svc] = append(bySvc[s.Svc], b.Host)
+				}
+			}
+		}
+	}
+	var out []string
+	for svc, hosts := range bySvc {
+		out = append(out, n.Gate.Full(svc, hosts)...)
+	}
+	return out
+}
+
 func (n *Nurse) takeFrom(store string) {
 	defer func() {
 		n.mu.Lock()
@@ -197,7 +224,10 @@
 	ctx, cancel := context.WithTimeout(n.ctx, (takeUs+takeOverUs)*time.Microsecond)
 	defer cancel()
 	out := &brood.TakeAnswer{}
-	call := &brood.TakeCall{From: n.Name, Room: room, Held: held, WaitUs: takeUs, LeftUs: takeUs + takeOverUs}
+	call := &brood.TakeCall{From: n.Name, Room: room, Held: held, WaitUs: takeUs, LeftUs: takeUs + takeOverUs, Full: n.full()}
+	if len(call.Full) > 0 {
+		call.WaitUs = takeUs / 4 // what is full now may have room soon
+	}
 	if len(held) > 0 {
 		call.WaitUs = takeUs / 2
 	}
@@ -305,8 +335,14 @@
 			return "", false, true
 		}
 		dir := n.Sender.Dir()
-		w := n.Sender.Scout.Pick(dir, &scout.Need{Svc: b.Pick(rand.Uint64()), Parts: parts, Exclude: exclude, Item: true, Version: text.Version})
+		svc := b.Pick(rand.Uint64())
+		ticket, admitted := n.Gate.AdmitItem(svc, g.Host, g.Prompt.Toks, func() { n.giveWay(k) })
+		if !admitted {
+			return "", false, true
+		}
+		w := n.Sender.Scout.Pick(dir, &scout.Need{Svc: svc, Parts: parts, Exclude: exclude, Item: true, Version: text.Version})
 		if w == nil {
+			ticket.Release()
 			exclude = nil
 			if text.Any && text.Version > 0 && !n.Sender.Scout.HasVersion(dir, b, text.Version) {
 				// No worker has the weights it began with: from the start,
@@ -322,6 +358,7 @@
 		}
 		n.placed(k)
 		outcome := n.runAt(ctx, k, g, w, bp, header, endUs, text)
+		ticket.Release()
 		switch outcome {
 		case forage.Whole:
 			return brood.PhaseDone, false, false
@@ -368,6 +405,18 @@
 	return outcome
 }
 
+// giveWay ends a run whose tenant borrowed the room: the item goes back under its
+// lease and no try is charged (design 17.4).
+func (n *Nurse) giveWay(k item) {
+	go func() {
+		n.mu.Lock()
+		defer n.mu.Unlock()
+		if h := n.held[k]; h != nil {
+			h.cancel()
+		}
+	}()
+}
+
 func (n *Nurse) leaseOf(k item) uint64 {
 	n.mu.Lock()
 	defer n.mu.Unlock()
