--- a/internal/scout/scout.go
+++ b/internal/scout/scout.go
@@ -8,7 +8,6 @@
 import (
 	"math"
 	"math/rand/v2"
-	"sort"
 	"strconv"
 	"strings"
 	"sync"
@@ -32,10 +31,7 @@
 	suspectAfterUs = 3_000_000
 	fewForagers    = 16
 	maxTold        = 256
-	choices        = 4 // workers drawn for a choice where many nodes choose
-	manyWorkers    = 24
-	readerShare    = 0.4 // of many workers: those that read long shared parts
-	readerMs       = 2.0 // what a short request is held to lose at one of them
+	choices        = 2 // workers drawn for a choice where many nodes choose
 )
 
 // Part is one part of a prompt.
@@ -103,7 +99,6 @@
 	dispatchers int64
 	moult       Moulting
 	groups      map[groupKey]*group
-	readersOf   map[string]*readerSet
 	fared       map[string]*fare
 	usualUs     map[string]float64 // by service: the usual wait for a head
 }
@@ -112,7 +107,7 @@
 
 // New makes a scout for a node in zone az.
 func New(az string) *Scout {
-	return &Scout{az: az, workers: map[string]*state{}, kept: map[keptKey]int64{}, foragers: 1, dispatchers: 1, groups: map[groupKey]*group{}, readersOf: map[string]*readerSet{}, fared: map[string]*fare{}, usualUs: map[string]float64{}}
+	return &Scout{az: az, workers: map[string]*state{}, kept: map[keptKey]int64{}, foragers: 1, dispatchers: 1, groups: map[groupKey]*group{}, fared: map[string]*fare{}, usualUs: map[string]float64{}}
 }
 
 // SetForagers tells how many nodes share the workers.
@@ -184,14 +179,12 @@
 			key = n.Parts[len(n.Parts)-2].ID
 		}
 	}
-	long := sharedToks >= bigSharedToks
-	readers := s.readers(n.Svc, ws)
 	first, second := "", ""
 	var homes []string // while an upgrade spreads groups: as many as it asks
 	if key != "" {
 		var w1, w2 uint64
 		for _, w := range ws {
-			if s.moult.Out[w.ID] || long && readers != nil && !readers[w.ID] {
+			if s.moult.Out[w.ID] {
 				continue
 			}
 			switch x := s.weight(key, w); {
@@ -231,9 +224,6 @@
 				continue
 			}
 			c := s.cost(w, st, n, nowUs, sharedToks, first, second, homes)
-			if !long && readers[w.ID] {
-				c += readerMs
-			}
 			if best == nil || c < bestCost {
 				best, bestCost = w, c
 			}
@@ -259,42 +249,6 @@
 	return best
 }
 
-// readers are the workers of a service that take the prompts with long shared
-// parts. Reading one holds up every other request at its worker for as long as
-// it takes, and no node knows of another's in time; so where a service has many
-// workers, long ones are kept to a share of them, the same at all nodes, and
-// short ones prefer the others (design 7.2). nil: all workers take all.
-func (s *Scout) readers(svc string, ws []*flora.Worker) map[string]bool {
-	if len(ws) < manyWorkers {
-		return nil
-	}
-	if c := s.readersOf[svc]; c != nil && c.first == ws[0] && c.count == len(ws) {
-		return c.ids
-	}
-	type weighed struct {
-		id string
-		w  uint64
-	}
-	all := make([]weighed, len(ws))
-	for i, w := range ws {
-		all[i] = weighed{w.ID, s.weight("reader/"+svc, w)}
-	}
-	sort.Slice(all, func(i, j int) bool { return all[i].w > all[j].w })
-	c := &readerSet{first: ws[0], count: len(ws), ids: map[string]bool{}}
-	for _, x := range all[:int(math.Ceil(readerShare*float64(len(ws))))] {
-		c.ids[x.id] = true
-	}
-	s.readersOf[svc] = c
-	return c.ids
-}
-
-// readerSet is kept for as long as the directory stays the same.
-type readerSet struct {
-	first *flora.Worker
-	count int
-	ids   map[string]bool
-}
-
 // sample draws the workers that a choice looks at. What a node knows of a
 // worker is up to half a second old, and what the other nodes sent meanwhile is
 // not in it: if all of them took the least loaded of all, it would be flooded.
