--- a/internal/brood/brood.go
+++ b/internal/brood/brood.go
@@ -725,6 +725,9 @@
 	}()
 }
 
+// Written tells what this store wrote since it started.
+func (b *Brood) Written() cell.Written { return b.cell.Written() }
+
 // Owns tells whether this store serves the lots of a host now.
 func (b *Brood) Owns(host string) bool {
 	ctx, cancel := context.WithTimeout(b.ctx, time.Second)
--- a/internal/cell/cell.go
+++ b/internal/cell/cell.go
@@ -45,6 +45,21 @@
 	wake    chan struct{}
 	done    chan struct{}
 	failure error
+	written Written
+}
+
+// Written counts what a cell did since it was opened.
+type Written struct {
+	Syncs    int64 // batches, each one write and one fsync
+	Bytes    int64
+	Rewrites int64
+}
+
+// Written tells what the cell did so far.
+func (c *Cell) Written() Written {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.written
 }
 
 type job struct {
@@ -314,6 +329,9 @@
 	defer c.mu.Unlock()
 	if anew {
 		c.sizeBytes = 0
+		c.written.Rewrites++
 	}
+	c.written.Syncs++
+	c.written.Bytes += nBytes
 	c.sizeBytes += nBytes
 }
--- a/internal/cell/cell_test.go
+++ b/internal/cell/cell_test.go
@@ -110,6 +110,25 @@
 	}
 }
 
+// A cell counts its batches, its bytes and its rewritings.
+func TestWritten(t *testing.T) {
+	c, _, _ := open(t, t.TempDir())
+	for range 3 {
+		if err := c.Write([]byte("four")); err != nil {
+			t.Fatal(err)
+		}
+	}
+	got := make(chan error, 1)
+	c.Rewrite(func(err error) { got <- err }, Records([]byte("four")))
+	if err := <-got; err != nil {
+		t.Fatal(err)
+	}
+	if w := c.Written(); w.Syncs != 4 || w.Rewrites != 1 || w.Bytes != 4*(headLen+4) {
+		t.Errorf("%+v", w)
+	}
+	c.Close()
+}
+
 func TestDeclined(t *testing.T) {
 	dir := t.TempDir()
 	write(t, dir, 1)
--- a/internal/colony/run.go
+++ b/internal/colony/run.go
@@ -12,6 +12,7 @@
 	"github.com/go-faster/errors"
 	"github.com/sourcegraph/conc"
 
+	"rowanshunt/internal/cell"
 	"rowanshunt/internal/forage"
 	"rowanshunt/internal/guard"
 	"rowanshunt/internal/pollen"
@@ -91,6 +92,23 @@
 	}
 }
 
+// tellWritten logs what a store wrote to its disk.
+func (c *Comb) tellWritten(ctx context.Context) {
+	tick := time.NewTicker(tallyEvery)
+	defer tick.Stop()
+	var last cell.Written
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+		}
+		now := c.Brood.Written()
+		c.env.Log.Info("cell_writes", "cell", "brood", "syncs", now.Syncs-last.Syncs, "bytes", now.Bytes-last.Bytes, "rewrites", now.Rewrites-last.Rewrites)
+		last = now
+	}
+}
+
 func runComb(ctx context.Context, cancel func(), env Env, opts *skep.Options, path string, term, hup <-chan os.Signal) error {
 	c, err := NewComb(ctx, env, opts)
 	if err != nil {
@@ -101,6 +119,7 @@
 	}
 	c.Start(ctx)
 	c.wg.Go(func() { c.watchOptions(ctx, path, hup) })
+	c.wg.Go(func() { c.tellWritten(ctx) })
 	defer c.wg.Wait()
 	defer cancel()
 	select {
