--- a/cmd/hive/main.go
+++ b/cmd/hive/main.go
@@ -68,6 +68,9 @@
 				l.Add(opts.CheckRole(role))
 			}
 			fmt.Printf("options ok: node=%s az=%s\n", opts.Node, opts.Az)
+			for _, d := range opts.Doubts() {
+				fmt.Println("doubtful:", d)
+			}
 		}
 	}
 	if doc != "" {
--- a/internal/colony/colony.go
+++ b/internal/colony/colony.go
@@ -115,12 +115,31 @@
 		return nil, err
 	}
 	n.Swarm.OnRev = n.Nest.Hear
+	n.Floor.Every(fewEveryUs, n.tellFew)
 	n.Trail = trail.New(n.Desk, env.Mesh, n.Swarm, n.self)
 	n.Trail.On(trail.Blueprint, n.tellBlueprint)
 	env.Log.Info("started", "role", role, "partner", n.self.Addr, "disk", n.self.Disk, "boot", n.self.Boot)
 	return n, nil
 }
 
+// fewEveryUs is how often a node looks whether there are machines enough.
+const fewEveryUs = 30_000_000
+
+// tellFew warns where the rosters cannot bear the losses that the options ask
+// for. Only nodes that hold a seat speak.
+func (n *Node) tellFew() {
+	st := n.Nest.Committed()
+	need := 2*n.opts.Load().Ft.Nodes + 1
+	if st == nil || n.self.Disk == "" {
+		return
+	}
+	for what, r := range map[string]*nest.Roster{"register": &st.Core, "lots": &st.Stores} {
+		if r.Has(n.self.Seat()) && len(r.Cur) < need {
+			n.env.Log.Warn("too_few_seats", "of", what, "seats", len(r.Cur), "need", need, "remedy", "add machines with a disk, or lower ft.nodes")
+		}
+	}
+}
+
 // Start runs the floor, once all that lives on it is there.
 func (n *Node) Start(ctx context.Context) { n.wg.Go(func() { n.Floor.Run(ctx) }) }
 
--- a/internal/colony/run.go
+++ b/internal/colony/run.go
@@ -48,6 +48,9 @@
 	defer cancel()
 	tally := pollen.NewTally()
 	env := Env{Mesh: pollen.NewTCP(tally), Tally: tally, Dial: forage.DialTCP(), WallUs: wallUs, Log: wax.NewLog(os.Stderr, logLevel, "node", opts.Node)}
+	for _, d := range opts.Doubts() {
+		env.Log.Warn("options_doubtful", "what", d)
+	}
 	if role == "comb" {
 		return runComb(ctx, cancel, env, opts, path, term, hup)
 	}
--- a/internal/skep/options.go
+++ b/internal/skep/options.go
@@ -177,9 +177,50 @@
 	if o.Ft.Nodes < 0 {
 		l.Addf("ft.nodes", "is negative", "give 0 or more")
 	}
+	if o.Ft.Nodes > MaxSpared {
+		l.Addf("ft.nodes", "is over "+strconv.Itoa(MaxSpared), "the register has at most "+strconv.Itoa(2*MaxSpared+1)+" seats, which bear the loss of so many: give less")
+	}
 	return l.Err()
 }
 
+// What a process needs at least; below it a start would only end later.
+const (
+	MaxSpared     = 3 // machines that the register's seats can bear the loss of
+	minNoFile     = 256
+	minForagerMb  = 32
+	minCombMb     = 64
+	minCombDiskMb = 32
+)
+
+// floors looks whether the machine has what a role needs at least.
+func (o *Options) floors(l *wax.Ledger, role string) {
+	ramMb := int64(minForagerMb)
+	if role == "comb" {
+		ramMb = minCombMb
+		if o.Caps.DiskMb > 0 && o.Caps.DiskMb < minCombDiskMb {
+			l.Addf("caps.disk_mb", "is below "+strconv.Itoa(minCombDiskMb), "a comb writes its file anew beside the old one: give it a larger disk")
+		}
+	}
+	if o.Caps.RAMMb < ramMb {
+		l.Addf("caps.ram_mb", "is below "+strconv.FormatInt(ramMb, 10), "give the role "+role+" a larger machine")
+	}
+	if o.Caps.NoFile < minNoFile {
+		l.Addf("caps.nofile", "is below "+strconv.Itoa(minNoFile), "raise the limit of descriptors")
+	}
+}
+
+// Doubts are what an operator may mean, but should know: each with a remedy.
+func (o *Options) Doubts() []string {
+	var out []string
+	if o.Ft.Azs > 0 || o.Ft.Regions > 0 {
+		out = append(out, "ft.azs, ft.regions: shards are spread over zones, the register's seats are not: the loss of a zone is borne only while a majority of the seats is elsewhere (remedy: place the disks so)")
+	}
+	if o.Ft.Nodes == 0 {
+		out = append(out, "ft.nodes: is 0: every lot has one copy, and the loss of its disk loses it (remedy: give 1 and three disk machines of each kind)")
+	}
+	return out
+}
+
 // CheckRole looks at what one role needs.
 func (o *Options) CheckRole(role string) error {
 	var l wax.Ledger
@@ -199,6 +240,7 @@
 			l.Addf("datadir", "is missing", "a comb keeps data: give a folder on its disk")
 		}
 	}
+	o.floors(&l, role)
 	return l.Err()
 }
 
--- a/internal/skep/options_test.go
+++ b/internal/skep/options_test.go
@@ -59,6 +59,7 @@
 		{`http = "10.1.0.35:8144"`, `http = "nowhere"`, "listen.http"},
 		{`ram_mb = 284`, `ram_mb = -1`, "caps"},
 		{`nodes = 1`, `nodes = -1`, "ft.nodes"},
+		{`nodes = 1`, `nodes = 4`, "ft.nodes"},
 		{`az = "north"`, "az = \"north\"\nevents_sink = \"somewhere\"", "events_sink"},
 		{`bootstrap = true`, `bootstrap = "maybe"`, "options"},
 	} {
@@ -78,3 +79,34 @@
 		t.Errorf("a comb without disk: %v", err)
 	}
 }
+
+// Machines too small for a role are declined, doubtful options are told
+// (design 1.2).
+func TestFloorsAndDoubts(t *testing.T) {
+	for _, tc := range []struct{ role, old, new, field string }{
+		{"forager", "ram_mb = 284", "ram_mb = 31", "caps.ram_mb"},
+		{"comb", "ram_mb = 284", "ram_mb = 63", "caps.ram_mb"},
+		{"comb", "ram_mb = 284", "ram_mb = 284\ndisk_mb = 16", "caps.disk_mb"},
+		{"forager", "nofile = 4100", "nofile = 100", "caps.nofile"},
+		{"forager", "ram_mb = 284", "ram_mb = 32", ""},
+		{"comb", "ram_mb = 284", "ram_mb = 64\ndisk_mb = 32", ""},
+	} {
+		o, err := Parse([]byte(strings.Replace(good, tc.old, tc.new, 1)))
+		if err != nil {
+			t.Fatal(err)
+		}
+		err = o.CheckRole(tc.role)
+		if tc.field == "" && err != nil || tc.field != "" && (err == nil || !strings.Contains(err.Error(), tc.field+":") || !strings.Contains(err.Error(), "remedy")) {
+			t.Errorf("%s, %s: %v", tc.role, tc.new, err)
+		}
+	}
+	for _, tc := range []struct {
+		ft   string
+		want int
+	}{{"nodes = 1", 0}, {"nodes = 0", 1}, {"nodes = 1\nazs = 1", 1}, {"nodes = 0\nregions = 1", 2}} {
+		o, err := Parse([]byte(strings.Replace(good, "nodes = 1", tc.ft, 1)))
+		if err != nil || len(o.Doubts()) != tc.want {
+			t.Errorf("%s: %v %v", tc.ft, o.Doubts(), err)
+		}
+	}
+}
