--- a/cmd/hive/main_test.go
+++ b/cmd/hive/main_test.go
@@ -62,7 +62,7 @@
 		fmt.Fprint(w, "{}")
 	})
 	mux.HandleFunc("GET /-/quotas/books", func(w http.ResponseWriter, _ *http.Request) {
-		fmt.Fprint(w, `[{"service":"llm","tenant":"books","slots_percent":50,"kv_percent":60,"cap_percent":80,"live_slots":4,"batch_slots":9,"kv_tokens":1200,"fleet_slots":20,"fleet_kv_tokens":4000,"may_slots":12.5,"may_kv_tokens":2400,"borrowed_slots":3,"waiting":true,"why":"over its guarantee"}]`)
+		fmt.Fprint(w, `[{"service":"llm","tenant":"books","slots_percent":50,"kv_percent":60,"cap_percent":80,"live_slots":4,"batch_slots":9,"kv_tokens":1200,"fleet_slots":20,"fleet_kv_tokens":4000,"may_slots":12.5,"may_kv_tokens":2400,"borrowed_slots":3,"bounded":true,"waiting":true,"why":"over its guarantee"}]`)
 	})
 	mux.HandleFunc("/", func(w http.ResponseWriter, _ *http.Request) {
 		w.WriteHeader(http.StatusNotFound)
--- a/cmd/hive/quota.go
+++ b/cmd/hive/quota.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/alecthomas/kingpin/v2"
+	"github.com/go-faster/errors"
 
 	"rowanshunt/internal/nectar"
 	"rowanshunt/internal/wax"
@@ -86,7 +87,8 @@
 // inPlace is the version in place, 0 for none.
 func (q *quotaCommand) inPlace() (int64, error) {
 	raw, err := q.ask.call(http.MethodGet, "/-/quotas", nil)
-	if wax.Is(err, wax.Unknown) {
+	var no *answered
+	if errors.As(err, &no) && no.status == http.StatusNotFound {
 		return 0, nil
 	}
 	if err != nil {
@@ -128,7 +130,9 @@
 			fmt.Fprintf(w, "cap\t%.4g%%\n", r.CapPercent)
 		}
 		fmt.Fprintf(w, "in use\t%.0f live and %.0f batch slots of %.0f, %.0f tokens of cache memory of %.0f\n", r.LiveSlots, r.BatchSlots, r.FleetSlots, r.Kv, r.FleetKv)
-		fmt.Fprintf(w, "may have\t%.1f slots, %.0f tokens\n", r.MaySlots, r.MayKv)
+		if r.Bounded {
+			fmt.Fprintf(w, "bounded to\t%.1f slots, %.0f tokens\n", r.MaySlots, r.MayKv)
+		}
 		fmt.Fprintf(w, "borrowed\t%.1f slots\n", r.Borrowed)
 		fmt.Fprintf(w, "waiting\t%v\n", r.Waiting)
 		fmt.Fprintf(w, "why\t%s\n", r.Why)
@@ -136,6 +140,15 @@
 	return w.Flush()
 }
 
+// answered is a node's clear "no".
+type answered struct {
+	status int
+	what   string
+}
+
+// Error says what the node said.
+func (a *answered) Error() string { return a.what }
+
 // asker calls nodes' control addresses: the first that gives a clear answer
 // decides.
 type asker struct {
@@ -159,10 +172,8 @@
 			l.Add(wax.New(wax.Unreached, node, err.Error(), "name another node with --node"))
 		case status >= 500:
 			l.Add(wax.New(wax.Unsure, node, strings.TrimSpace(string(raw)), "look what is in place, then try again"))
-		case status == http.StatusNotFound:
-			return nil, wax.New(wax.Unknown, "", declined(raw), "")
 		case status != http.StatusOK:
-			return nil, wax.New(wax.Declined, "", declined(raw), "")
+			return nil, &answered{status: status, what: declined(raw)}
 		default:
 			return raw, nil
 		}
--- a/internal/nectar/duty.go
+++ b/internal/nectar/duty.go
@@ -214,6 +214,7 @@
 	FleetKv      float64  `json:"fleet_kv_tokens"`
 	MaySlots     float64  `json:"may_slots"`
 	MayKv        float64  `json:"may_kv_tokens"`
+	Bounded      bool     `json:"bounded"` // what it may have is a bound now
 	Borrowed     float64  `json:"borrowed_slots"`
 	Waiting      bool     `json:"waiting"`
 	Why          string   `json:"why"`
@@ -471,7 +472,7 @@
 		use := s.live.plus(s.batch)
 		t.rows = append(t.rows, Row{Svc: t.svc, Tenant: name, SlotsPercent: 100 * g.Slots, KvPercent: 100 * g.Kv, CapPercent: 100 * g.Cap,
 			LiveSlots: s.live.Slots, BatchSlots: s.batch.Slots, Kv: use.Kv, FleetSlots: fleet.Slots, FleetKv: fleet.Kv, MaySlots: may[i].Slots, MayKv: may[i].Kv,
-			Borrowed: max(use.Slots-fleet.Slots*g.Slots, 0), Waiting: s.waiting || s.short > 0, Why: why(within[i], contended, g.Cap > 0 && use.Dominant(fleet) >= withinShare*g.Cap, s.waiting || s.short > 0)})
+			Bounded: g.Cap > 0 || contended && !within[i], Borrowed: max(use.Slots-fleet.Slots*g.Slots, 0), Waiting: s.waiting || s.short > 0, Why: why(within[i], contended, g.Cap > 0 && use.Dominant(fleet) >= withinShare*g.Cap, s.waiting || s.short > 0)})
 	}
 }
 
