--- a/internal/colony/faults_test.go
+++ b/internal/colony/faults_test.go
@@ -43,6 +43,16 @@
 	return ""
 }
 
+// freeze stops a store's floor for a while: what is asked of it meanwhile waits
+// and is answered by what it knew, or no longer, when it wakes.
+func (h *hive) freeze(name string, d time.Duration) {
+	h.t.Helper()
+	m := h.nodes[name]
+	if _, err := waggle.Ask(m.ctx, m.c.Floor, func() bool { time.Sleep(d); return true }); err != nil {
+		h.t.Errorf("freeze %s: %v", name, err)
+	}
+}
+
 // inStep tells whether a roster is settled and each seat is held by a machine
 // that runs with that very disk.
 func (h *hive) inStep(r *nest.Roster, seats int) bool {
--- a/internal/colony/history_test.go
+++ b/internal/colony/history_test.go
@@ -74,8 +74,8 @@
 }
 
 // Random histories of lots against the model: stores, and now and then edges,
-// are killed, wiped, cut off (a cut-off owner is a late one when it is back),
-// added and replaced, one loss at a time, while clients hand in, read and end.
+// are killed, wiped, cut off, frozen (such an owner is a late one when it is
+// back), added and replaced, one loss at a time, while clients hand in, read and end.
 func TestLotHistories(t *testing.T) {
 	for seed := uint64(1); seed <= 6; seed++ {
 		synctest.Test(t, func(t *testing.T) { lotHistory(t, seed) })
@@ -134,7 +134,9 @@
 	for fault := range 7 {
 		time.Sleep(time.Duration(200+luck.IntN(900)) * time.Millisecond)
 		name := h.ownerNow(luck)
-		switch luck.IntN(5) {
+		switch luck.IntN(6) {
+		case 5:
+			h.freeze(name, time.Duration(500+luck.IntN(4000))*time.Millisecond)
 		case 0:
 			h.kill(name)
 			time.Sleep(time.Duration(luck.IntN(2500)) * time.Millisecond)
--- a/internal/colony/lease_test.go
+++ b/internal/colony/lease_test.go
@@ -338,3 +338,76 @@
 		t.Error("no hand-in was refused: the test tests nothing")
 	}
 }
+
+// A frozen owner's leases are known to the next one and run on there; when it
+// wakes it gives nothing and takes no ack: no leased item is given twice
+// (design 8.7).
+func TestLeasesWhileTheOwnerIsFrozen(t *testing.T) {
+	for seed := uint64(1); seed <= 5; seed++ {
+		synctest.Test(t, func(t *testing.T) {
+			h := newHive(t, seed, 3, 3)
+			defer h.end()
+			h.m.Double = 0.05
+			h.serving()
+			h.idle()
+			h.mustHandIn("a", 4, 10)
+			one, two := hand{h, "edge-0"}, hand{h, "edge-1"}
+			var got []brood.Given
+			h.until("four leases", 10*time.Second, func() bool {
+				var hs []brood.Held
+				for _, g := range got {
+					hs = append(hs, held(g))
+				}
+				got = append(got, one.take(4-len(got), hs...).Given...)
+				return len(got) == 4
+			})
+			var hs []brood.Held
+			for _, g := range got {
+				hs = append(hs, held(g))
+			}
+			old := h.ownerOf()
+			woke := make(chan struct{})
+			go func() {
+				h.freeze(old, 4*time.Second)
+				close(woke)
+			}()
+			time.Sleep(100 * time.Millisecond)
+			next := func() string {
+				for name, m := range h.nodes {
+					if m.c != nil && name != old && m.c.Brood.Owns("shop.example") {
+						return name
+					}
+				}
+				return ""
+			}
+			h.until("another owner", 3900*time.Millisecond, func() bool { return next() != "" })
+			to := h.nodes[next()].opts.PartnerAddr()
+			ask := func(kind string, in, out any) error {
+				ctx, cancel := context.WithTimeout(context.Background(), 1500*time.Millisecond)
+				defer cancel()
+				return h.m.MeshOf("10.5.0.1:7000").Call(ctx, to, kind, in, out)
+			}
+			out := &brood.TakeAnswer{}
+			if err := ask("brood.take", &brood.TakeCall{From: "edge-0", Held: hs, WaitUs: 100_000, LeftUs: 1_000_000}, out); err != nil || len(out.Stop) != 0 {
+				t.Errorf("the next owner does not know the leases: %v %v", out.Stop, err)
+			}
+			if err := ask("brood.take", &brood.TakeCall{From: "edge-1", Room: 4, WaitUs: 100_000, LeftUs: 1_000_000}, out); err != nil || len(out.Given) != 0 {
+				t.Errorf("leased items were given to another: %v %v", out.Given, err)
+			}
+			if err := ask("brood.ack", &brood.AckCall{Shard: got[0].Shard, Lot: "a", Item: got[0].Item, Phase: brood.PhaseDone, Msg: []byte("x"), Lease: got[0].Lease}, nil); err != nil {
+				t.Errorf("an ack at the next owner: %v", err)
+			}
+			<-woke
+			to = h.nodes[old].opts.PartnerAddr()
+			if err := ask("brood.ack", &brood.AckCall{Shard: got[1].Shard, Lot: "a", Item: got[1].Item, Phase: brood.PhaseDone, Msg: []byte("y"), Lease: got[1].Lease}, nil); err == nil {
+				t.Error("the one that woke took an ack")
+			}
+			if g := two.take(4).Given; len(g) != 0 {
+				t.Errorf("leased items were given again: %+v", g)
+			}
+			if err := one.ack(got[1], got[1].Lease, "y"); err != nil {
+				t.Errorf("an ack sent again: %v", err)
+			}
+		})
+	}
+}
