drone: hollow nodes call each other within the process; a real node that has ended is a fault

Cause: a circuit for each pair of hollow nodes took 80,000 descriptors at 200 nodes, of 20,000; /proc could not be read either, so the row showed 0.0 MB.

--- a/cmd/drone/main_test.go
+++ b/cmd/drone/main_test.go
@@ -5,6 +5,8 @@
 	"os/exec"
 	"testing"
 	"time"
+
+	"rowanshunt/internal/wax"
 )
 
 func TestNumbers(t *testing.T) {
@@ -40,8 +42,15 @@
 		t.Fatal(err)
 	}
 	p := &process{cmd: &exec.Cmd{Process: self}}
-	if _, peakKB := p.spent(); peakKB < 100 {
-		t.Errorf("a peak of %d KB", peakKB)
+	if _, peakKB, err := p.spent(); err != nil || peakKB < 100 {
+		t.Errorf("a peak of %d KB: %v", peakKB, err)
+	}
+	ended := exec.Command("true")
+	if err := ended.Run(); err != nil {
+		t.Fatal(err)
+	}
+	if _, _, err := (&process{name: "real-0", cmd: ended}).spent(); !wax.Is(err, wax.Damaged) {
+		t.Errorf("a process that has ended: %v", err)
 	}
 }
 
--- /dev/null
+++ b/cmd/drone/mesh.go
@@ -0,0 +1,37 @@
+package main
+
+import (
+	"context"
+	"sync"
+
+	"github.com/vmihailenco/msgpack/v5"
+
+	"rowanshunt/internal/pollen"
+	"rowanshunt/internal/wax"
+)
+
+// mesh is the partner protocol as hollow nodes speak it: with each other within
+// this process, bodies encoded as on the wire, and over sockets with the real
+// ones. A circuit for each pair of hollow nodes would need more descriptors than a
+// process has.
+type mesh struct {
+	tcp   pollen.Mesh
+	desks *sync.Map // by address: *pollen.Desk
+}
+
+// Call implements pollen.Mesh.
+func (m *mesh) Call(ctx context.Context, addr, kind string, in, out any) error {
+	desk, hollow := m.desks.Load(addr)
+	if !hollow {
+		return m.tcp.Call(ctx, addr, kind, in, out)
+	}
+	body, err := msgpack.Marshal(in)
+	if err != nil {
+		return wax.New(wax.Internal, kind, err.Error(), "report this")
+	}
+	answer, err := desk.(*pollen.Desk).Serve(ctx, kind, body)
+	if err != nil || out == nil {
+		return err
+	}
+	return msgpack.Unmarshal(answer, out)
+}
--- /dev/null
+++ b/cmd/drone/mesh_test.go
@@ -0,0 +1,43 @@
+package main
+
+import (
+	"context"
+	"sync"
+	"testing"
+
+	"rowanshunt/internal/pollen"
+	"rowanshunt/internal/wax"
+)
+
+// elsewhere stands for the sockets.
+type elsewhere struct{ called []string }
+
+func (e *elsewhere) Call(_ context.Context, addr, _ string, _, _ any) error {
+	e.called = append(e.called, addr)
+	return nil
+}
+
+// Hollow nodes are called within the process, all others over sockets.
+func TestMesh(t *testing.T) {
+	type word struct{ Text string }
+	desk := pollen.NewDesk()
+	pollen.On(desk, "echo", func(_ context.Context, in *word) (*word, error) {
+		if in.Text == "" {
+			return nil, wax.New(wax.Invalid, "text", "is missing", "give one")
+		}
+		return &word{Text: in.Text + " back"}, nil
+	})
+	tcp := &elsewhere{}
+	m := &mesh{tcp: tcp, desks: &sync.Map{}}
+	m.desks.Store("hollow", desk)
+	out := &word{}
+	if err := m.Call(t.Context(), "hollow", "echo", &word{Text: "there"}, out); err != nil || out.Text != "there back" {
+		t.Errorf("%+v %v", out, err)
+	}
+	if err := m.Call(t.Context(), "hollow", "echo", &word{}, out); !wax.Is(err, wax.Invalid) {
+		t.Errorf("a fault: %v", err)
+	}
+	if err := m.Call(t.Context(), "real", "echo", &word{}, nil); err != nil || len(tcp.called) != 1 || tcp.called[0] != "real" {
+		t.Errorf("%v %v", tcp.called, err)
+	}
+}
--- a/cmd/drone/step.go
+++ b/cmd/drone/step.go
@@ -35,6 +35,7 @@
 	Verbose                       bool
 	dir                           string
 	real                          []*process
+	desks                         sync.Map // of the hollow nodes, by address
 	hollow                        []*colony.Forager
 	running                       context.Context
 	ver                           int
@@ -89,8 +90,9 @@
 	return 0
 }
 
-// spent is the processor time and peak memory of a process, from /proc.
-func (p *process) spent() (cpuMs, peakKB int64) {
+// spent is the processor time and peak memory of a process, from /proc; a fault
+// if it cannot be read or the process has ended.
+func (p *process) spent() (cpuMs, peakKB int64, err error) {
 	dir := filepath.Join("/proc", strconv.Itoa(p.cmd.Process.Pid))
 	if raw, err := os.ReadFile(filepath.Join(dir, "stat")); err == nil {
 		if at := strings.LastIndexByte(string(raw), ')'); at >= 0 {
@@ -108,7 +110,10 @@
 			}
 		}
 	}
-	return cpuMs, peakKB
+	if peakKB == 0 {
+		return 0, 0, wax.New(wax.Damaged, p.name, "has ended, or cannot be read", "look whether another run uses the same addresses, or the descriptors have run out")
+	}
+	return cpuMs, peakKB, nil
 }
 
 func (s *step) zone(i int) string { return "z" + strconv.Itoa(i%s.Zones) }
@@ -225,7 +230,7 @@
 		return err
 	}
 	opts.Bootstrap, opts.DataDir = false, ""
-	env := colony.Env{Mesh: pollen.NewTCP(nil), Dial: forage.DialTCP(), WallUs: func() int64 { return time.Now().UnixMicro() }, Log: wax.Quiet()}
+	env := colony.Env{Mesh: &mesh{tcp: pollen.NewTCP(nil), desks: &s.desks}, Dial: forage.DialTCP(), WallUs: func() int64 { return time.Now().UnixMicro() }, Log: wax.Quiet()}
 	f, err := colony.NewForager(s.running, env, opts)
 	if err != nil {
 		return err
@@ -236,6 +241,7 @@
 	}
 	go ln.Run(s.running)
 	f.Start(s.running)
+	s.desks.Store(opts.PartnerAddr(), f.Desk)
 	s.hollow = append(s.hollow, f)
 	return nil
 }
@@ -318,12 +324,14 @@
 
 // measure reads the counters around the span, then times changes.
 func (s *step) measure(ctx context.Context) (string, error) {
-	type reading struct{ cpuMs, calls, bytes int64 }
+	type reading struct{ cpuMs, peakKB, calls, bytes int64 }
+	var faults wax.Ledger
 	read := func(p *process) reading {
-		cpu, _ := p.spent()
+		cpuMs, peakKB, err := p.spent()
+		faults.Add(err)
 		p.mu.Lock()
 		defer p.mu.Unlock()
-		return reading{cpu, p.calls, p.bytes}
+		return reading{cpuMs, peakKB, p.calls, p.bytes}
 	}
 	before := make([]reading, len(s.real))
 	for i, p := range s.real {
@@ -335,11 +343,13 @@
 	cpu, kb, calls, peak := map[string][]float64{}, map[string][]float64{}, map[string][]float64{}, map[string][]float64{}
 	for i, p := range s.real {
 		now := read(p)
-		_, peakKB := p.spent()
 		cpu[p.role] = append(cpu[p.role], float64(now.cpuMs-before[i].cpuMs)/took/10)
 		kb[p.role] = append(kb[p.role], float64(now.bytes-before[i].bytes)/took/1000)
 		calls[p.role] = append(calls[p.role], float64(now.calls-before[i].calls)/took)
-		peak[p.role] = append(peak[p.role], float64(peakKB)/1000)
+		peak[p.role] = append(peak[p.role], float64(now.peakKB)/1000)
+	}
+	if err := faults.Err(); err != nil {
+		return "", err
 	}
 	var times []float64
 	for range s.Changes {
