--- a/internal/swarm/swarm.go
+++ b/internal/swarm/swarm.go
@@ -57,6 +57,7 @@
 	aliveUs    = 1_300_000
 	metUs      = 800_000
 	forgetUs   = 60_000_000
+	seedRounds = 25
 )
 
 // Sighting is a partner with what this node knows of its life.
@@ -343,7 +344,7 @@
 	}
 	// Seeds are asked while few are known, and now and then later, so that
 	// parts that lost sight of each other meet again (design 3.3).
-	if (len(live) < 3 || s.rng.IntN(25) == 0) && len(s.seeds) > 0 {
+	if s.rng.IntN(seedOneIn(len(live))) == 0 && len(s.seeds) > 0 {
 		targets[s.seeds[s.rng.IntN(len(s.seeds))]] = true
 	}
 	if s.rng.IntN(10) == 0 {
@@ -361,6 +362,16 @@
 	}
 }
 
+// seedOneIn is in how many rounds one goes to a seed too: the fewer the more
+// partners are known, for the seeds are the same for all nodes and what comes to
+// them must not grow with these (design 3.3).
+func seedOneIn(live int) int {
+	if live < 3 {
+		return 1
+	}
+	return max(seedRounds, live)
+}
+
 // tell shuffles with one partner; what one side cannot read of the other's
 // words is handed over in a second call.
 func (s *Swarm) tell(addr string, msg *shuffle) {
--- a/internal/swarm/swarm_test.go
+++ b/internal/swarm/swarm_test.go
@@ -120,3 +120,12 @@
 		}
 	})
 }
+
+// What comes to the seeds does not grow with the nodes (design 3.3).
+func TestSeedsAreAskedBySize(t *testing.T) {
+	for _, tc := range []struct{ live, oneIn int }{{0, 1}, {2, 1}, {3, 25}, {25, 25}, {80, 80}, {390, 390}} {
+		if got := seedOneIn(tc.live); got != tc.oneIn {
+			t.Errorf("with %d partners one round in %d, want %d", tc.live, got, tc.oneIn)
+		}
+	}
+}
