Shuffles name first what was heard last; the silence limit grows with the partners

Cause: at 390 nodes 64 random words a shuffle do not bring each partner's beat round within 1.3 s: in the scale run a real node thought a partner silent 2337 times in 20 s, though none was. Now the newest go first, and with more than 96 partners the limit grows in proportion. Ruled out: longer messages (the budget is 29 KB/s).

--- a/cmd/drone/step.go
+++ b/cmd/drone/step.go
@@ -53,7 +53,7 @@
 	hbMs         = 1200
 )
 
-const header = "nodes workers routes | role: cpu % of a core (least-most), peak MB, KB/s of partner calls, calls/s | changes in force everywhere: ms (least-most)"
+const header = "nodes workers routes | role: cpu % of a core (least-most), peak MB, KB/s of partner calls, calls/s, partners thought silent | changes in force everywhere: ms (least-most)"
 
 // process is a real hive with what its log tells.
 type process struct {
@@ -61,7 +61,8 @@
 	cmd            *exec.Cmd
 	mu             sync.Mutex
 	calls, bytes   int64
-	verbose        bool // its partner_calls lines are passed on
+	silent         int64 // partners it thought silent, though none is
+	verbose        bool  // its partner_calls lines are passed on
 }
 
 // Write takes the process's log and adds up its partner_calls lines.
@@ -69,6 +70,9 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, line := range strings.Split(string(b), "\n") {
+		if strings.Contains(line, "event=partner_silent") {
+			p.silent++
+		}
 		if strings.Contains(line, "event=partner_calls") {
 			p.calls += field(line, "calls")
 			p.bytes += field(line, "bytes")
@@ -324,14 +328,14 @@
 
 // measure reads the counters around the span, then times changes.
 func (s *step) measure(ctx context.Context) (string, error) {
-	type reading struct{ cpuMs, peakKB, calls, bytes int64 }
+	type reading struct{ cpuMs, peakKB, calls, bytes, silent int64 }
 	var faults wax.Ledger
 	read := func(p *process) reading {
 		cpuMs, peakKB, err := p.spent()
 		faults.Add(err)
 		p.mu.Lock()
 		defer p.mu.Unlock()
-		return reading{cpuMs, peakKB, p.calls, p.bytes}
+		return reading{cpuMs, peakKB, p.calls, p.bytes, p.silent}
 	}
 	before := make([]reading, len(s.real))
 	for i, p := range s.real {
@@ -340,12 +344,13 @@
 	began := time.Now()
 	pause(ctx, s.Span)
 	took := time.Since(began).Seconds()
-	cpu, kb, calls, peak := map[string][]float64{}, map[string][]float64{}, map[string][]float64{}, map[string][]float64{}
+	cpu, kb, calls, peak, silent := map[string][]float64{}, map[string][]float64{}, map[string][]float64{}, map[string][]float64{}, map[string][]float64{}
 	for i, p := range s.real {
 		now := read(p)
 		cpu[p.role] = append(cpu[p.role], float64(now.cpuMs-before[i].cpuMs)/took/10)
 		kb[p.role] = append(kb[p.role], float64(now.bytes-before[i].bytes)/took/1000)
 		calls[p.role] = append(calls[p.role], float64(now.calls-before[i].calls)/took)
+		silent[p.role] = append(silent[p.role], float64(now.silent-before[i].silent))
 		peak[p.role] = append(peak[p.role], float64(now.peakKB)/1000)
 	}
 	if err := faults.Err(); err != nil {
@@ -364,7 +369,7 @@
 	}
 	row := fmt.Sprintf("%d %d %d", s.Nodes, s.Workers, s.Routes)
 	for _, role := range []string{"forager", "comb"} {
-		row += fmt.Sprintf(" | %s: %s, %s MB, %s KB/s, %s calls/s", role, spread(cpu[role]), spread(peak[role]), spread(kb[role]), spread(calls[role]))
+		row += fmt.Sprintf(" | %s: %s, %s MB, %s KB/s, %s calls/s, %s thought silent", role, spread(cpu[role]), spread(peak[role]), spread(kb[role]), spread(calls[role]), spread(silent[role]))
 	}
 	return row + fmt.Sprintf(" | changes: %s", spread(times)), nil
 }
--- a/internal/swarm/swarm.go
+++ b/internal/swarm/swarm.go
@@ -5,8 +5,10 @@
 package swarm
 
 import (
+	"cmp"
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sort"
 	"strconv"
 	"sync/atomic"
@@ -58,6 +60,8 @@
 	metUs      = 800_000
 	forgetUs   = 60_000_000
 	seedRounds = 25
+	// wellNamed is how many partners shuffles name often enough for aliveUs.
+	wellNamed = 96
 )
 
 // Sighting is a partner with what this node knows of its life.
@@ -223,11 +227,13 @@
 	nowUs := waggle.NowUs()
 	var live []*Sighting
 	for _, t := range s.table {
-		if nowUs-t.SeenUs < 3*aliveUs {
+		if nowUs-t.SeenUs < 3*silentUs(len(s.table)) {
 			live = append(live, t)
 		}
 	}
+	// What was heard last goes first, for it is news to most; among equals by lot.
 	s.rng.Shuffle(len(live), func(i, j int) { live[i], live[j] = live[j], live[i] })
+	slices.SortStableFunc(live, func(a, b *Sighting) int { return cmp.Compare(b.SeenUs, a.SeenUs) })
 	var out []word
 	for _, t := range live[:min(len(live), maxShuffle)] {
 		out = append(out, word{t.key, t.Beat, t.Rev})
@@ -419,11 +425,19 @@
 	return nil
 }
 
+// silentUs is how long a partner's beat may stand still before it is thought
+// silent: where a shuffle names but a part of the partners, news of each takes
+// longer to come round (design 3.3).
+func silentUs(partners int) int64 {
+	return aliveUs * int64(max(partners, wellNamed)) / wellNamed
+}
+
 func (s *Swarm) publish() {
 	nowUs := waggle.NowUs()
+	limitUs := silentUs(len(s.table))
 	v := &View{Self: s.self, All: make([]Sighting, 0, len(s.table)+1)}
 	for name, t := range s.table {
-		alive := nowUs-t.SeenUs < aliveUs
+		alive := nowUs-t.SeenUs < limitUs
 		if alive != t.Alive {
 			t.Alive, t.SinceUs = alive, nowUs
 			if !alive {
--- a/internal/swarm/swarm_test.go
+++ b/internal/swarm/swarm_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -129,3 +130,36 @@
 		}
 	}
 }
+
+// With many partners each is thought silent later, and a shuffle names first what
+// was heard last (design 3.1, 3.3).
+func TestManyPartners(t *testing.T) {
+	for _, tc := range []struct {
+		partners int
+		us       int64
+	}{{0, aliveUs}, {wellNamed, aliveUs}, {2 * wellNamed, 2 * aliveUs}, {390, aliveUs * 390 / wellNamed}} {
+		if got := silentUs(tc.partners); got != tc.us {
+			t.Errorf("%d partners: silent after %d us, want %d", tc.partners, got, tc.us)
+		}
+	}
+	s := &Swarm{table: map[string]*Sighting{}, rng: rand.New(rand.NewPCG(1, 1))}
+	nowUs := waggle.NowUs()
+	fresh := map[uint64]bool{}
+	for i := range 300 {
+		p := Partner{Name: fmt.Sprint("n", i), Beat: uint64(i)}
+		t := &Sighting{Partner: p, Alive: true, SeenUs: nowUs - int64(i)*1000, key: p.key()}
+		s.table[p.Name] = t
+		if i < maxShuffle {
+			fresh[t.key] = true
+		}
+	}
+	words := unpackWords(s.sample())
+	if len(words) != maxShuffle {
+		t.Errorf("%d words", len(words))
+	}
+	for _, w := range words {
+		if !fresh[w.key] {
+			t.Errorf("a partner heard of earlier was named before one heard of later")
+		}
+	}
+}
