--- a/internal/brood/brood.go
+++ b/internal/brood/brood.go
@@ -561,7 +561,7 @@
 		b.lastNames, b.stableUs = names, nowUs
 	}
 	upUs := nowUs - b.startUs
-	self := nest.Seat{ID: b.cfg.Seat, Name: b.cfg.Self.Name, Addr: b.cfg.Self.Addr, Az: b.cfg.Self.Az}
+	self := nest.SeatOf(&b.cfg.Self)
 	switch {
 	case len(st.Stores.Cur) == 0:
 		if nowUs-b.stableUs > 1_200_000 && upUs > 1_500_000 {
@@ -572,7 +572,7 @@
 				var first []nest.Seat
 				for _, p := range v.All {
 					if p.Alive && p.Role == b.cfg.Self.Role && p.Disk != "" {
-						first = append(first, nest.Seat{ID: p.Seat(), Name: p.Name, Addr: p.Addr, Az: p.Az})
+						first = append(first, nest.SeatOf(&p.Partner))
 					}
 				}
 				sort.Slice(first, func(i, j int) bool { return first[i].ID < first[j].ID })
--- a/internal/brood/dispatch.go
+++ b/internal/brood/dispatch.go
@@ -209,6 +209,7 @@
 	var changed []*lotRows
 	bytes, n := 0, 0
 	var skipped []cached
+	leads := map[*shard]bool{} // asked once for each shard
 	for n < len(b.cache) && len(out) < min(t.call.Room, b.cfg.Options.BatchSize) && bytes < maxBatch {
 		c := b.cache[n]
 		n++
@@ -216,7 +217,10 @@
 		if l == nil {
 			continue
 		}
-		if !b.leads(c.s) || slices.Contains(t.call.Full, l.Host) {
+		if _, asked := leads[c.s]; !asked {
+			leads[c.s] = b.leads(c.s)
+		}
+		if !leads[c.s] || slices.Contains(t.call.Full, l.Host) {
 			p.cached = true
 			skipped = append(skipped, c)
 			continue
@@ -246,33 +250,40 @@
 		return false
 	}
 	b.takers = slices.Delete(b.takers, at, at+1)
-	left := len(changed)
-	var failed error
+	saved := gather(len(changed), func(err error) {
+		if err != nil {
+			t.reply(nil, err)
+			return
+		}
+		b.answerTaker(t, out)
+	})
 	for _, x := range changed {
-		b.issue(x.s, op{Kind: opCursor, Lot: x.l.ID, Rev: x.l.Rev + 1, Rows: x.rows}, func(err error) {
-			if err != nil {
-				failed = err
-			}
-			if left--; left > 0 {
-				return
-			}
-			if failed != nil {
-				t.reply(nil, failed)
-				return
-			}
-			b.answerTaker(t, out)
-		})
+		b.issue(x.s, op{Kind: opCursor, Lot: x.l.ID, Rev: x.l.Rev + 1, Rows: x.rows}, saved)
 	}
 	return true
 }
 
+// gather calls then once it was itself called so often, with a fault if any of
+// these calls had one.
+func gather(calls int, then func(error)) func(error) {
+	var failed error
+	return func(err error) {
+		if err != nil {
+			failed = err
+		}
+		if calls--; calls == 0 {
+			then(failed)
+		}
+	}
+}
+
 // leaseID names a lease: by the owner's count and the revision that gave it, so
 // that no two answered leases share one.
 func leaseID(st Stamp, rev uint64) uint64 { return st.N<<32 | rev&(1<<32-1) }
 
-// onTake gives prompts, or waits for some. What the caller was sent and does
-// not hold was lost on the way and is due again; what it holds from an earlier
-// owner's hand stays with it.
+// onTake gives prompts, or waits for some. It also renews the leases that the
+// caller names; one that the rows say it holds and that it does not name was lost
+// on the way and ends (design 8.7).
 func (b *Brood) onTake(ctx context.Context, in *TakeCall) (*TakeAnswer, error) {
 	return answered(ctx, b.cfg.Floor, func(reply func(*TakeAnswer, error)) {
 		nowUs := waggle.NowUs()
@@ -293,21 +304,6 @@
 // confirmed: the dispatcher's leave to send follows from it (design 9.2).
 func (b *Brood) answerTaker(t *taker, given []Given) {
 	out := &TakeAnswer{Given: given, Stop: t.stop}
-	left := 1
-	var failed error
-	done := func(err error) {
-		if err != nil {
-			failed = err
-		}
-		if left--; left > 0 {
-			return
-		}
-		if failed != nil {
-			t.reply(nil, failed)
-			return
-		}
-		t.reply(out, nil)
-	}
 	speak := map[int]bool{}
 	for _, g := range given {
 		speak[g.Shard] = true
@@ -320,10 +316,22 @@
 			continue
 		}
 		out.Shards = append(out.Shards, n)
-		left++
-		b.confirm(b.shards[n], leadUs, done)
 	}
-	done(nil)
+	confirmed := gather(len(out.Shards)+1, func(err error) {
+		if err != nil {
+			t.reply(nil, err)
+			return
+		}
+		t.reply(out, nil)
+	})
+	for _, n := range out.Shards {
+		if b.shards[n].owner == nil {
+			confirmed(wax.New(wax.Unsure, "shard", "changed hands meanwhile", "ask again"))
+			continue
+		}
+		b.confirm(b.shards[n], leadUs, confirmed)
+	}
+	confirmed(nil)
 }
 
 // reclaim goes through what the asker holds: a live lease is renewed, another
--- a/internal/brood/owner.go
+++ b/internal/brood/owner.go
@@ -31,8 +31,7 @@
 	readAgeUs    = 250_000   // the same for reads: well below settle_ms
 	stuckUs      = 1_500_000
 	maxBatch     = 1 << 20   // what one answer to a dispatcher holds
-	feedBatch    = 256 << 10 // small, for pings go over the same link
-	mendBatch    = 256 << 10 // small, for pings and ops go over the same link
+	feedBatch    = 256 << 10 // small, for pings and ops go over the same link
 	mendTimeout  = 60 * time.Second
 	maxFeedBytes = 24 << 20
 )
@@ -756,7 +755,7 @@
 	add := func(p op) {
 		batch = append(batch, p)
 		bytes += p.cost()
-		if bytes > mendBatch {
+		if bytes > feedBatch {
 			out, batch, bytes = append(out, batch), nil, 0
 		}
 	}
@@ -772,10 +771,15 @@
 		case have && c.Stamp == l.Stamp && c.Rev == l.Rev:
 		case have && c.Stamp == l.src.Stamp && c.Rev == l.src.Rev && l.Rev == l.src.Rev:
 			add(op{Kind: opStamp, Lot: id, Stamp: stamp, Rev: l.Rev, Src: c.Stamp})
-		case have && l.since(stamp, c) != nil:
-			add(*l.since(stamp, c))
 		default:
-			add(op{Kind: opPut, Lot: id, Stamp: stamp, Rev: l.Rev, Whole: l.share()})
+			catch := (*op)(nil)
+			if have {
+				catch = l.since(stamp, c)
+			}
+			if catch == nil {
+				catch = &op{Kind: opPut, Lot: id, Stamp: stamp, Rev: l.Rev, Whole: l.share()}
+			}
+			add(*catch)
 		}
 	}
 	for id := range there {
--- a/internal/colony/colony_test.go
+++ b/internal/colony/colony_test.go
@@ -176,7 +176,11 @@
 }
 
 func (h *hive) client(f *Forager, method, target string, body []byte, heads ...string) *httptest.ResponseRecorder {
-	r := httptest.NewRequest(method, "http://shop.example"+target, bytes.NewReader(body))
+	return h.clientAt(f, "shop.example", method, target, body, heads...)
+}
+
+func (h *hive) clientAt(f *Forager, host, method, target string, body []byte, heads ...string) *httptest.ResponseRecorder {
+	r := httptest.NewRequest(method, "http://"+host+target, bytes.NewReader(body))
 	r.RequestURI = target
 	for i := 0; i+1 < len(heads); i += 2 {
 		r.Header.Set(heads[i], heads[i+1])
--- a/internal/colony/quota_test.go
+++ b/internal/colony/quota_test.go
@@ -1,10 +1,8 @@
 package colony
 
 import (
-	"bytes"
 	"encoding/json"
 	"fmt"
-	"net/http"
 	"net/http/httptest"
 	"slices"
 	"sync"
@@ -91,29 +89,8 @@
 	return out
 }
 
-func (q *quotaHive) callAs(f *Forager, host, method, target string, body []byte, heads ...string) *httptest.ResponseRecorder {
-	r := httptest.NewRequest(method, "http://"+host+target, bytes.NewReader(body))
-	r.RequestURI = target
-	for i := 0; i+1 < len(heads); i += 2 {
-		r.Header.Set(heads[i], heads[i+1])
-	}
-	w := httptest.NewRecorder()
-	w.Code = 0
-	func() {
-		defer func() {
-			if p := recover(); p != nil && p != http.ErrAbortHandler {
-				panic(p)
-			} else if p != nil {
-				w.Code = -1
-			}
-		}()
-		f.Guard.Clients().ServeHTTP(w, r)
-	}()
-	return w
-}
-
 func (q *quotaHive) handInAs(host, id string, items int) *httptest.ResponseRecorder {
-	return q.callAs(q.edge(), host, "POST", "/lots/"+id, lotBody(id, items, 20), "X-Rowanshunt-Request-Id", id)
+	return q.clientAt(q.edge(), host, "POST", "/lots/"+id, lotBody(id, items, 20), "X-Rowanshunt-Request-Id", id)
 }
 
 func (q *quotaHive) set(doc string, expect int) *httptest.ResponseRecorder {
@@ -158,7 +135,7 @@
 				default:
 				}
 				es := q.edges()
-				w := q.callAs(es[c%min(through, len(es))], host, "POST", "/chat/x", []byte("x"), "X-Rowanshunt-Request-Id", fmt.Sprintf("f%d-%d", c, n), "X-Rowanshunt-Tokens", "30,10")
+				w := q.clientAt(es[c%min(through, len(es))], host, "POST", "/chat/x", []byte("x"), "X-Rowanshunt-Request-Id", fmt.Sprintf("f%d-%d", c, n), "X-Rowanshunt-Tokens", "30,10")
 				if w.Code == 200 {
 					q.ended.Add(1)
 					continue
@@ -184,7 +161,7 @@
 			es := q.edges()
 			began := time.Now()
 			for try := range 2 {
-				w := q.callAs(es[(n+try)%len(es)], books, "POST", "/chat/till", []byte("x"), "X-Rowanshunt-Request-Id", fmt.Sprintf("%s%d-%d", prefix, n, try), "X-Rowanshunt-Tokens", "30,10")
+				w := q.clientAt(es[(n+try)%len(es)], books, "POST", "/chat/till", []byte("x"), "X-Rowanshunt-Request-Id", fmt.Sprintf("%s%d-%d", prefix, n, try), "X-Rowanshunt-Tokens", "30,10")
 				if w.Code == 200 {
 					mu.Lock()
 					tookMs = append(tookMs, time.Since(began).Milliseconds())
@@ -290,7 +267,7 @@
 		done := make(chan time.Duration, 1)
 		go func() {
 			for {
-				w := q.callAs(q.edge(), books, "GET", "/-/lots/mine?start_at=0", nil)
+				w := q.clientAt(q.edge(), books, "GET", "/-/lots/mine?start_at=0", nil)
 				var out lotRead
 				if w.Code == 200 && json.Unmarshal(w.Body.Bytes(), &out) == nil && out.Cont == 20 {
 					done <- time.Since(handed)
@@ -317,7 +294,7 @@
 			id := fmt.Sprint("flood-", i)
 			var out lotRead
 			q.until(id+" is complete", 90*time.Second, func() bool {
-				w := q.callAs(q.edge(), dealers, "GET", "/-/lots/"+id+"?start_at=0", nil)
+				w := q.clientAt(q.edge(), dealers, "GET", "/-/lots/"+id+"?start_at=0", nil)
 				out = lotRead{}
 				return w.Code == 200 && json.Unmarshal(w.Body.Bytes(), &out) == nil && out.Cont == 60
 			})
@@ -359,7 +336,7 @@
 		}
 		var out lotRead
 		q.until("it is complete", 100*time.Second, func() bool {
-			w := q.callAs(q.edge(), dealers, "GET", "/-/lots/long?start_at=0", nil)
+			w := q.clientAt(q.edge(), dealers, "GET", "/-/lots/long?start_at=0", nil)
 			out = lotRead{}
 			return w.Code == 200 && json.Unmarshal(w.Body.Bytes(), &out) == nil && out.Cont == 40
 		})
@@ -455,7 +432,7 @@
 		began := time.Now()
 		ok := false
 		for try := 0; try < 2 && !ok; try++ {
-			w := q.callAs(es[(n+try)%len(es)], books, "POST", "/chat/till", []byte("x"), "X-Rowanshunt-Request-Id", fmt.Sprintf("d%d-%d", n, try), "X-Rowanshunt-Tokens", "30,10")
+			w := q.clientAt(es[(n+try)%len(es)], books, "POST", "/chat/till", []byte("x"), "X-Rowanshunt-Request-Id", fmt.Sprintf("d%d-%d", n, try), "X-Rowanshunt-Tokens", "30,10")
 			if ok = w.Code == 200; !ok {
 				time.Sleep(300 * time.Millisecond)
 			}
--- a/internal/nest/nest.go
+++ b/internal/nest/nest.go
@@ -273,7 +273,7 @@
 	var first []Seat
 	for _, p := range n.cfg.Swarm.Look().All {
 		if p.Alive && p.Boot && p.Disk != "" && p.Role == n.cfg.Self.Role {
-			first = append(first, Seat{ID: p.Seat(), Name: p.Name, Addr: p.Addr, Az: p.Az})
+			first = append(first, SeatOf(&p.Partner))
 		}
 	}
 	sort.Slice(first, func(i, j int) bool { return first[i].ID < first[j].ID })
@@ -355,7 +355,7 @@
 
 // join brings this node's seat into the roster.
 func (n *Nest) join(ctx context.Context) {
-	self := Seat{ID: n.seat.ID(), Name: n.cfg.Self.Name, Addr: n.cfg.Self.Addr, Az: n.cfg.Self.Az}
+	self := SeatOf(&n.cfg.Self)
 	for ctx.Err() == nil {
 		s, err := n.Change(ctx, func(now *State) (*State, error) {
 			if now.Core.Joint() {
--- a/internal/nest/state.go
+++ b/internal/nest/state.go
@@ -11,6 +11,7 @@
 	"github.com/vmihailenco/msgpack/v5"
 
 	"rowanshunt/internal/pollen"
+	"rowanshunt/internal/swarm"
 )
 
 // Ballot orders proposals; By is unique to one life of one node.
@@ -32,6 +33,9 @@
 	Az       string
 }
 
+// SeatOf is the seat that a partner holds with its disk.
+func SeatOf(p *swarm.Partner) Seat { return Seat{ID: p.Seat(), Name: p.Name, Addr: p.Addr, Az: p.Az} }
+
 // DecodeMsgpack reads seats of earlier versions too.
 func (s *Seat) DecodeMsgpack(d *msgpack.Decoder) error {
 	return pollen.Fields(d, &s.ID, &s.Name, &s.Addr, &s.Az)
--- a/internal/scout/judge.go
+++ b/internal/scout/judge.go
@@ -32,25 +32,14 @@
 	usualWeight  = 0.02
 )
 
-// record counts a worker's answers in two buckets of time.
-type record struct {
-	sinceUs             int64
-	good, bad           int64
-	beforeGood, befoBad int64
-}
+// record counts a worker's answers.
+type record struct{ lately[outcomes] }
 
-func (r *record) turn(nowUs int64) {
-	switch ageUs := nowUs - r.sinceUs; {
-	case ageUs >= 2*recordUs:
-		*r = record{sinceUs: nowUs}
-	case ageUs >= recordUs:
-		*r = record{sinceUs: r.sinceUs + recordUs, beforeGood: r.good, befoBad: r.bad}
-	}
-}
+type outcomes struct{ good, bad int64 }
 
 func (r *record) sum(nowUs int64) (good, bad int64) {
-	r.turn(nowUs)
-	return r.good + r.beforeGood, r.bad + r.befoBad
+	r.turn(nowUs, recordUs)
+	return r.now.good + r.before.good, r.now.bad + r.before.bad
 }
 
 // hint is what one partner saw of a worker.
@@ -94,15 +83,15 @@
 		return
 	}
 	nowUs := waggle.NowUs()
-	st.own.turn(nowUs)
+	st.own.turn(nowUs, recordUs)
 	if good {
-		st.own.good++
+		st.own.now.good++
 		if st.onTrial > 0 {
 			st.onTrial--
 		}
 		return
 	}
-	st.own.bad++
+	st.own.now.bad++
 	s.judge(id, st, nowUs)
 }
 
@@ -147,7 +136,7 @@
 	}
 	st.outUs = nowUs + min(outUs<<min(st.times, 3), maxOutUs)
 	st.backUs, st.times, st.onTrial = st.outUs, st.times+1, trialGood
-	st.own, st.hints = record{sinceUs: nowUs}, nil
+	st.own, st.hints = record{lately[outcomes]{sinceUs: nowUs}}, nil
 }
 
 // Heads notes how long a service's worker took to the head of an answer.
--- a/internal/scout/moult.go
+++ b/internal/scout/moult.go
@@ -79,11 +79,10 @@
 
 type groupKey struct{ svc, id string }
 
-// group counts in two buckets of time, the one that runs and the one before.
+// group counts a group's requests.
 type group struct {
-	sinceUs     int64
-	now, before int64
-	holders     map[string]int64 // worker, and when it last answered
+	lately[int64]
+	holders map[string]int64 // worker, and when it last answered
 }
 
 // GroupSeen is what this node saw of a group lately.
@@ -107,21 +106,16 @@
 				return
 			}
 		}
-		g = &group{sinceUs: nowUs, holders: map[string]int64{}}
+		g = &group{lately: lately[int64]{sinceUs: nowUs}, holders: map[string]int64{}}
 		s.groups[k] = g
 	}
-	g.turn(nowUs)
+	g.age(nowUs)
 	g.now++
 	g.holders[worker] = nowUs
 }
 
-func (g *group) turn(nowUs int64) {
-	switch ageUs := nowUs - g.sinceUs; {
-	case ageUs >= 2*bucketUs:
-		g.before, g.now, g.sinceUs = 0, 0, nowUs
-	case ageUs >= bucketUs:
-		g.before, g.now, g.sinceUs = g.now, 0, g.sinceUs+bucketUs
-	}
+func (g *group) age(nowUs int64) {
+	g.turn(nowUs, bucketUs)
 	for w, at := range g.holders {
 		if nowUs-at > 2*bucketUs {
 			delete(g.holders, w)
@@ -139,7 +133,7 @@
 		if k.svc != svc {
 			continue
 		}
-		g.turn(nowUs)
+		g.age(nowUs)
 		if g.now+g.before == 0 {
 			delete(s.groups, k)
 			continue
@@ -169,21 +163,10 @@
 	return out
 }
 
-// fare counts a service's answers in two buckets of time.
-type fare struct {
-	sinceUs                      int64
-	answers, late, failed        int64
-	beforeAns, beforeL, beforeFd int64
-}
+// fare counts how a service's answers fared.
+type fare struct{ lately[fares] }
 
-func (f *fare) turn(nowUs int64) {
-	switch ageUs := nowUs - f.sinceUs; {
-	case ageUs >= 2*bucketUs:
-		*f = fare{sinceUs: nowUs}
-	case ageUs >= bucketUs:
-		*f = fare{sinceUs: f.sinceUs + bucketUs, beforeAns: f.answers, beforeL: f.late, beforeFd: f.failed}
-	}
-}
+type fares struct{ answers, late, failed int64 }
 
 // Fare notes how an answer of a service fared.
 func (s *Scout) Fare(svc string, late, failed bool) {
@@ -192,16 +175,16 @@
 	nowUs := waggle.NowUs()
 	f := s.fared[svc]
 	if f == nil {
-		f = &fare{sinceUs: nowUs}
+		f = &fare{lately[fares]{sinceUs: nowUs}}
 		s.fared[svc] = f
 	}
-	f.turn(nowUs)
-	f.answers++
+	f.turn(nowUs, bucketUs)
+	f.now.answers++
 	if late {
-		f.late++
+		f.now.late++
 	}
 	if failed {
-		f.failed++
+		f.now.failed++
 	}
 }
 
@@ -213,8 +196,8 @@
 	if f == nil {
 		return 0, 0, 0
 	}
-	f.turn(waggle.NowUs())
-	return f.answers + f.beforeAns, f.late + f.beforeL, f.failed + f.beforeFd
+	f.turn(waggle.NowUs(), bucketUs)
+	return f.now.answers + f.before.answers, f.now.late + f.before.late, f.now.failed + f.before.failed
 }
 
 // HasVersion tells whether any worker in use, of the services a binding sends
