--- a/cmd/drone/main_test.go
+++ b/cmd/drone/main_test.go
@@ -32,7 +32,7 @@
 			t.Errorf("%d %v", n, err)
 		}
 	}
-	if p.calls != 16 || p.bytes != 308 || p.silent != 1 {
+	if p.calls != 16 || p.bytes != 308 || p.silent != 1 || p.lines != 3 {
 		t.Errorf("%d calls, %d bytes", p.calls, p.bytes)
 	}
 }
--- a/cmd/drone/step.go
+++ b/cmd/drone/step.go
@@ -55,12 +55,16 @@
 
 const header = "nodes workers routes | role: cpu % of a core (least-most), peak MB, KB/s of partner calls, calls/s, partners thought silent | changes in force everywhere: ms (least-most)"
 
+// lineS is how often a node tells its partner calls (docs/operators.md).
+const lineS = 10.0
+
 // process is a real hive with what its log tells.
 type process struct {
 	name, role, ip string
 	cmd            *exec.Cmd
 	mu             sync.Mutex
 	calls, bytes   int64
+	lines          int64 // of partner_calls
 	silent         int64 // partners it thought silent, though none is
 	verbose        bool  // its partner_calls lines are passed on
 }
@@ -74,6 +78,7 @@
 			p.silent++
 		}
 		if strings.Contains(line, "event=partner_calls") {
+			p.lines++
 			p.calls += field(line, "calls")
 			p.bytes += field(line, "bytes")
 			if p.verbose {
@@ -327,15 +332,16 @@
 }
 
 // measure reads the counters around the span, then times changes.
+// A node's lines come each lineS, so a span below that may see none of them.
 func (s *step) measure(ctx context.Context) (string, error) {
-	type reading struct{ cpuMs, peakKB, calls, bytes, silent int64 }
+	type reading struct{ cpuMs, peakKB, calls, bytes, lines, silent int64 }
 	var faults wax.Ledger
 	read := func(p *process) reading {
 		cpuMs, peakKB, err := p.spent()
 		faults.Add(err)
 		p.mu.Lock()
 		defer p.mu.Unlock()
-		return reading{cpuMs, peakKB, p.calls, p.bytes, p.silent}
+		return reading{cpuMs, peakKB, p.calls, p.bytes, p.lines, p.silent}
 	}
 	before := make([]reading, len(s.real))
 	for i, p := range s.real {
@@ -348,8 +354,10 @@
 	for i, p := range s.real {
 		now := read(p)
 		cpu[p.role] = append(cpu[p.role], float64(now.cpuMs-before[i].cpuMs)/took/10)
-		kb[p.role] = append(kb[p.role], float64(now.bytes-before[i].bytes)/took/1000)
-		calls[p.role] = append(calls[p.role], float64(now.calls-before[i].calls)/took)
+		// Each line tells of its own ten seconds, whatever part of them is ours.
+		toldS := max(float64(now.lines-before[i].lines), 1) * lineS
+		kb[p.role] = append(kb[p.role], float64(now.bytes-before[i].bytes)/toldS/1000)
+		calls[p.role] = append(calls[p.role], float64(now.calls-before[i].calls)/toldS)
 		silent[p.role] = append(silent[p.role], float64(now.silent-before[i].silent))
 		peak[p.role] = append(peak[p.role], float64(now.peakKB)/1000)
 	}
