--- a/internal/colony/quota_test.go
+++ b/internal/colony/quota_test.go
@@ -229,9 +229,10 @@
 			before := q.ended.Load()
 			time.Sleep(5 * time.Second)
 			// Sixteen slots at half a second a run: 160 runs in five seconds.
-			if alone := q.ended.Load() - before; alone < 110 {
+			if alone := q.ended.Load() - before; alone < 120 {
 				t.Errorf("through %d: alone, the flood had %d of 160 runs: room lies idle", through, alone)
 			}
+			t.Logf("alone: %d of 160", q.ended.Load()-before)
 			busy, failed := q.calls(100, "b")
 			if failed > 0 || float64(p99(busy)) > stalled*float64(p99(quiet)) {
 				t.Errorf("through %d: %d of 100 calls failed, the 99th percentile is %d ms, %d on the quiet run", through, failed, p99(busy), p99(quiet))
--- a/internal/nectar/duty.go
+++ b/internal/nectar/duty.go
@@ -436,7 +436,10 @@
 		case s.waiting:
 			s.want = s.want.notBelow(fleet)
 		case within[i]:
-			s.want = s.want.times(headroom).plus(mean)
+			s.want = s.want.times(headroom)
+			if use.Slots > 0 {
+				s.want = s.want.plus(mean)
+			}
 		}
 		claims[i] = Claim{Name: name, Want: s.want, Guarantee: g}
 		if within[i] && s.short > 0 {
