--- a/cmd/drone/step.go
+++ b/cmd/drone/step.go
@@ -209,7 +209,13 @@
 
 func addr(ip string, port int) string { return ip + ":" + strconv.Itoa(port) }
 
-func realIP(i int) string { return "127.77.0." + strconv.Itoa(i+1) }
+// block is this run's part of the loopback addresses, so that two runs at a time
+// do not take each other's.
+var block = os.Getpid() % 50
+
+func realIP(i int) string { return fmt.Sprintf("127.%d.0.%d", 20+block, i+1) }
+
+func hollowIP(i int) string { return fmt.Sprintf("127.%d.%d.%d", 80+block, i/200, i%200+1) }
 
 func (s *step) startReal(i int) error {
 	role := "forager"
@@ -233,7 +239,7 @@
 // startHollow starts a forager in this process: all of its control, none of its
 // listeners for clients.
 func (s *step) startHollow(i int) error {
-	ip := fmt.Sprintf("127.78.%d.%d", i/200, i%200+1)
+	ip := hollowIP(i)
 	opts, err := parse(s.options("hollow-"+strconv.Itoa(i), ip, "forager", i+realForagers+realCombs), "forager")
 	if err != nil {
 		return err
