--- a/internal/brood/brood.go
+++ b/internal/brood/brood.go
@@ -277,13 +277,8 @@
 					openToks += other.openToks()
 				}
 			}
-			ahead := s.owner.line.ahead(l.Binding, l.ID, nowUs)
-			if over := openToks + ahead + in.Toks - in.Backlog; over > 0 {
-				afterMs := s.owner.pace.afterMs(over, nowUs)
-				if in.Toks <= in.Backlog {
-					s.owner.line.declined(l.Binding, l.ID, in.Toks, afterMs, nowUs)
-				}
-				b.refuse(s, in, old, &handAnswer{AfterMs: afterMs}, reply)
+			if over := openToks + in.Toks - in.Backlog; over > 0 {
+				b.refuse(s, in, old, &handAnswer{AfterMs: s.owner.pace.afterMs(over, nowUs)}, reply)
 				return
 			}
 		}
@@ -294,7 +289,6 @@
 			return
 		}
 		delete(s.owner.offers, l.ID)
-		s.owner.line.taken(l.Binding, l.ID)
 		l.First = s.nextOffset
 		s.nextOffset += int64(len(l.Prompts))
 		whole := *l
--- a/internal/brood/owner.go
+++ b/internal/brood/owner.go
@@ -53,7 +53,6 @@
 	diskIssued, diskDone uint64 // own disk: last op written, last op safe
 
 	offers map[string]offer // by lot: room kept for lots that were offered
-	line   line             // lots that did not fit and may come again
 
 	heardUs map[string]int64 // by seat: start of the newest call it answered under this stamp
 }
