--- a/internal/colony/lease_test.go
+++ b/internal/colony/lease_test.go
@@ -51,6 +51,19 @@
 	return out
 }
 
+// takeAll takes until it has so many items, and gives them with what it is to name
+// of them in the next ask.
+func (d hand) takeAll(n int) (got []brood.Given, named []brood.Held) {
+	d.h.t.Helper()
+	d.h.until(fmt.Sprint(n, " leases"), 10*time.Second, func() bool {
+		for _, g := range d.take(n-len(got), named...).Given {
+			got, named = append(got, g), append(named, held(g))
+		}
+		return len(got) == n
+	})
+	return got, named
+}
+
 func held(g brood.Given) brood.Held {
 	return brood.Held{Shard: g.Shard, Lot: g.Lot, Item: g.Item, Lease: g.Lease}
 }
@@ -94,15 +107,7 @@
 			h.idle()
 			h.mustHandIn("a", 6, 10)
 			one, two := hand{h, "edge-0"}, hand{h, "edge-1"}
-			var got []brood.Given
-			h.until("six leases", 10*time.Second, func() bool {
-				var hs []brood.Held
-				for _, g := range got {
-					hs = append(hs, held(g))
-				}
-				got = append(got, one.take(6-len(got), hs...).Given...)
-				return len(got) == 6
-			})
+			got, named := one.takeAll(6)
 			seen := map[uint64]bool{}
 			for _, g := range got {
 				if g.Lease == 0 {
@@ -141,11 +146,7 @@
 			// A new owner reads all of it from the rows.
 			h.kill(h.ownerOf())
 			time.Sleep(2 * time.Second)
-			var hs []brood.Held
-			for _, g := range got[2:] {
-				hs = append(hs, held(g))
-			}
-			if a := one.take(0, hs...); len(a.Stop) != 0 {
+			if a := one.take(0, named[2:]...); len(a.Stop) != 0 {
 				t.Errorf("the new owner does not know the leases: %v", a.Stop)
 			}
 			if err := one.ack(got[0], got[0].Lease, "first"); err != nil {
@@ -352,19 +353,7 @@
 			h.idle()
 			h.mustHandIn("a", 4, 10)
 			one, two := hand{h, "edge-0"}, hand{h, "edge-1"}
-			var got []brood.Given
-			h.until("four leases", 10*time.Second, func() bool {
-				var hs []brood.Held
-				for _, g := range got {
-					hs = append(hs, held(g))
-				}
-				got = append(got, one.take(4-len(got), hs...).Given...)
-				return len(got) == 4
-			})
-			var hs []brood.Held
-			for _, g := range got {
-				hs = append(hs, held(g))
-			}
+			got, named := one.takeAll(4)
 			old := h.ownerOf()
 			woke := make(chan struct{})
 			go func() {
@@ -388,7 +377,7 @@
 				return h.m.MeshOf("10.5.0.1:7000").Call(ctx, to, kind, in, out)
 			}
 			out := &brood.TakeAnswer{}
-			if err := ask("brood.take", &brood.TakeCall{From: "edge-0", Held: hs, WaitUs: 100_000, LeftUs: 1_000_000}, out); err != nil || len(out.Stop) != 0 {
+			if err := ask("brood.take", &brood.TakeCall{From: "edge-0", Held: named, WaitUs: 100_000, LeftUs: 1_000_000}, out); err != nil || len(out.Stop) != 0 {
 				t.Errorf("the next owner does not know the leases: %v %v", out.Stop, err)
 			}
 			if err := ask("brood.take", &brood.TakeCall{From: "edge-1", Room: 4, WaitUs: 100_000, LeftUs: 1_000_000}, out); err != nil || len(out.Given) != 0 {
