--- a/internal/colony/quota_test.go
+++ b/internal/colony/quota_test.go
@@ -227,12 +227,13 @@
 			q.floods(dealers, 40, through)
 			time.Sleep(3 * time.Second)
 			before := q.ended.Load()
-			time.Sleep(5 * time.Second)
-			// Sixteen slots at half a second a run: 160 runs in five seconds.
-			if alone := q.ended.Load() - before; alone < 120 {
-				t.Errorf("through %d: alone, the flood had %d of 160 runs: room lies idle", through, alone)
+			time.Sleep(20 * time.Second)
+			// Sixteen slots at half a second a run: 640 runs in twenty seconds.
+			alone := q.ended.Load() - before
+			if alone < 480 {
+				t.Errorf("through %d: alone, the flood had %d of 640 runs: room lies idle", through, alone)
 			}
-			t.Logf("alone: %d of 160", q.ended.Load()-before)
+			t.Logf("alone: %d of 640", alone)
 			busy, failed := q.calls(100, "b")
 			if failed > 0 || float64(p99(busy)) > stalled*float64(p99(quiet)) {
 				t.Errorf("through %d: %d of 100 calls failed, the 99th percentile is %d ms, %d on the quiet run", through, failed, p99(busy), p99(quiet))
