cell: damage in what was synced is told from a torn tail; identity lives in the log

Cause: a bad record anywhere cut the file there, so that a member could forget what it had promised or acknowledged, and vote; the identity was a file of its own, which could outlive the log or be lost alone.

A log of the first version is read and converted; with a record that checks behind its damage it counts as lost.

A disk that refuses writes: an unknown tail is cut off at the synced length, durably, before anything goes on; stores hold the record and decline calls, the register's member declines, neither ends itself. A claim or look that meets a promise still on its way to the disk waits for it.

--- a/internal/brood/brood.go
+++ b/internal/brood/brood.go
@@ -74,6 +74,8 @@
 	stableUs     int64
 	lastNames    string
 	slowness     slowness
+	diskRefuses  bool
+	cellOptions  []cell.Option
 }
 
 type cached struct {
@@ -175,8 +177,9 @@
 func (b *Brood) tick() {
 	if b.slowness.beat(waggle.NowUs(), tickUs) {
 		b.cfg.Log.Info("store_slow", "slow", b.slowness.slow, "late_ms", int64(b.slowness.meanUs)/1000)
-		b.cfg.Swarm.Tell(func(p *swarm.Partner) { p.Slow = b.slowness.slow })
+		b.tellSlow()
 	}
+	b.diskTick()
 	if st := b.cfg.State(); st != nil && st.Stores.Ver != b.rosterVer {
 		b.rosterVer, b.rosterUs = st.Stores.Ver, waggle.NowUs()
 	}
--- a/internal/brood/owner.go
+++ b/internal/brood/owner.go
@@ -247,7 +247,7 @@
 func (b *Brood) shouldOwn(s *shard, st *nest.State, v *swarm.View, names []string) bool {
 	node := ownerName(s.promised.By)
 	holder := tending.Holder("shard/"+strconv.Itoa(s.n), names)
-	if s.promised.By == b.cfg.Self.Life() && !b.cfg.Self.Leaving && !retiring(st, b.cfg.Seat) && (!b.slowness.slow || slices.Contains(names, b.cfg.Self.Name)) {
+	if s.promised.By == b.cfg.Self.Life() && !b.cfg.Self.Leaving && !retiring(st, b.cfg.Seat) && (!b.slowness.slow && !b.diskRefuses || slices.Contains(names, b.cfg.Self.Name)) {
 		return true
 	}
 	if node != "" && node != b.cfg.Self.Name {
--- a/internal/brood/replica.go
+++ b/internal/brood/replica.go
@@ -2,16 +2,12 @@
 
 import (
 	"context"
-	"crypto/rand"
-	"encoding/hex"
-	"os"
-	"path/filepath"
 	"strings"
 
-	"github.com/go-faster/errors"
 	"github.com/vmihailenco/msgpack/v5"
 
 	"rowanshunt/internal/cell"
+	"rowanshunt/internal/swarm"
 	"rowanshunt/internal/waggle"
 	"rowanshunt/internal/wax"
 )
@@ -51,33 +47,18 @@
 	nextOffset int64
 }
 
-// OpenIncarnation reads the name of this disk, made anew on an empty one.
-func OpenIncarnation(dir string) (id string, fresh bool, err error) {
-	path := filepath.Join(dir, "incarnation")
-	raw, err := os.ReadFile(path)
-	if err == nil && len(raw) == 32 {
-		return string(raw), false, nil
-	}
-	if err := os.MkdirAll(dir, 0o755); err != nil {
-		return "", false, errors.Wrap(err, "make folder")
-	}
-	var b [16]byte
-	if _, err := rand.Read(b[:]); err != nil {
-		return "", false, err
-	}
-	id = hex.EncodeToString(b[:])
-	f, err := os.OpenFile(path, os.O_CREATE|os.O_TRUNC|os.O_WRONLY, 0o644)
-	if err != nil {
-		return "", false, errors.Wrap(err, "incarnation")
-	}
-	_, err = f.WriteString(id)
-	if err == nil {
-		err = f.Sync()
+// LogName is the file that holds a store's records and its identity.
+const LogName = "brood.cell"
+
+func decodeRecord(raw []byte) (*record, error) {
+	r := &record{}
+	if err := msgpack.Unmarshal(raw, r); err != nil {
+		return nil, err
 	}
-	if e := f.Close(); err == nil {
-		err = e
+	if r.Shard < 0 || r.Shard >= Shards {
+		return nil, wax.New(wax.Damaged, "shard", "is out of bounds", "")
 	}
-	return id, true, err
+	return r, nil
 }
 
 // openReplica reads all shards from disk.
@@ -86,14 +67,11 @@
 		b.shards[n] = &shard{n: n, lots: map[string]*Lot{}}
 	}
 	misfits := 0
-	c, damage, err := cell.Open(dir, "brood.cell", func(raw []byte) error {
-		var r record
-		if err := msgpack.Unmarshal(raw, &r); err != nil {
+	c, damage, err := cell.Open(dir, LogName, func(raw []byte) error {
+		r, err := decodeRecord(raw)
+		if err != nil {
 			return err
 		}
-		if r.Shard < 0 || r.Shard >= Shards {
-			return wax.New(wax.Damaged, "shard", "is out of bounds", "")
-		}
 		s := b.shards[r.Shard]
 		if r.Promise != nil && s.promised.Less(*r.Promise) {
 			s.promised = *r.Promise
@@ -107,7 +85,7 @@
 			}
 		}
 		return nil
-	})
+	}, append([]cell.Option{cell.Hold()}, b.cellOptions...)...)
 	if err != nil {
 		return err
 	}
@@ -123,8 +101,9 @@
 	return nil
 }
 
-// persist writes a record and then answers on the floor; without a disk to
-// write to the node ends, for it may not answer.
+// persist writes a record and then answers. Memory runs ahead of the file here,
+// so a record that the disk refuses is held and tried again in its turn; until
+// it is written nothing that follows is answered (design 10.4).
 func (b *Brood) persist(r *record, then func()) {
 	wire := rawRecord{Shard: r.Shard, Promise: r.Promise}
 	for i := range r.Ops {
@@ -135,16 +114,50 @@
 		b.cfg.Fatal(err)
 		return
 	}
+	b.append(then, raw)
+	if size := b.cell.SizeBytes(); size > b.longBytes && !b.rewriting {
+		b.rewrite()
+	}
+}
+
+// append writes records; without any it is a barrier behind all earlier ones.
+func (b *Brood) append(then func(), raw ...[]byte) {
 	b.cell.Append(func(err error) {
 		if err != nil {
 			b.cfg.Fatal(err)
 			return
 		}
 		then()
-	}, raw)
-	if size := b.cell.SizeBytes(); size > b.longBytes && !b.rewriting {
-		b.rewrite()
+	}, raw...)
+}
+
+// refused is the fault of a store whose disk takes nothing: nothing is promised.
+func (b *Brood) refused() error {
+	if err := b.cell.Refused(); err != nil {
+		return wax.New(wax.Declined, "disk", err.Error(), "ask another store; make room on the disk")
 	}
+	return nil
+}
+
+// diskTick warns when the disk begins or ends to refuse writes.
+func (b *Brood) diskTick() {
+	err := b.cell.Refused()
+	if (err != nil) == b.diskRefuses {
+		return
+	}
+	b.diskRefuses = err != nil
+	if err != nil {
+		b.cfg.Log.Warn("disk_refuses", "cell", "brood", "err", err, "remedy", "make room on the disk, or replace it")
+	} else {
+		b.cfg.Log.Info("disk_takes_writes", "cell", "brood")
+	}
+	b.tellSlow()
+}
+
+// tellSlow tells the others whether this store should own shards.
+func (b *Brood) tellSlow() {
+	slow := b.slowness.slow || b.diskRefuses
+	b.cfg.Swarm.Tell(func(p *swarm.Partner) { p.Slow = slow })
 }
 
 // rewrite makes the file anew out of what the shards hold now; the lots are
@@ -168,8 +181,8 @@
 	b.rewriting = true
 	b.cell.Rewrite(func(err error) {
 		if err != nil {
-			b.cfg.Fatal(err)
-			return
+			// The file goes on as it is; later, with more room, it is tried again.
+			b.cfg.Log.Warn("cell_rewrite_failed", "cell", "brood", "err", err)
 		}
 		_ = b.cfg.Floor.Do(b.ctx, func() { b.rewriting, b.longBytes = false, b.nextLong() })
 	}, func(write func([]byte) error) error {
@@ -293,6 +306,10 @@
 			reply(nil, err)
 			return
 		}
+		if err := b.refused(); err != nil {
+			reply(nil, err)
+			return
+		}
 		if in.Stamp.Less(s.promised) || in.Look && in.Stamp != s.promised {
 			reply(&claimAnswer{Promised: s.promised}, nil)
 			return
@@ -302,7 +319,8 @@
 			out.Copies = append(out.Copies, copyOf{Lot: l.ID, Stamp: l.Stamp, Rev: l.Rev, Listed: len(l.List)})
 		}
 		if s.promised == in.Stamp {
-			reply(out, nil)
+			// The promise and the copies may be on their way to the disk still.
+			b.append(func() { reply(out, nil) })
 			return
 		}
 		b.promise(s, in.Stamp)
@@ -347,6 +365,10 @@
 			reply(&writeAnswer{Promised: s.promised}, nil)
 			return
 		}
+		if err := b.refused(); err != nil {
+			reply(nil, err)
+			return
+		}
 		rec := &record{Shard: s.n}
 		if s.promised.Less(in.Stamp) {
 			b.promise(s, in.Stamp)
--- a/internal/cell/cell.go
+++ b/internal/cell/cell.go
@@ -1,51 +1,51 @@
-// Package cell keeps an append-only file of checksummed records that is
-// rewritten when it gets long (design 10). The field's standard terms: cell =
-// write-ahead log; rewrite = compaction; batch = group commit.
+// Package cell keeps a write-ahead log: an append-only file of checksummed
+// batches that is compacted when it gets long (design 10). The field's standard
+// terms: cell = write-ahead log; rewrite = compaction; batch = group commit.
 package cell
 
 import (
-	"bufio"
-	"encoding/binary"
-	"hash/crc32"
-	"io"
 	"os"
 	"path/filepath"
 	"sync"
+	"time"
 
 	"github.com/go-faster/errors"
 
 	"rowanshunt/internal/wax"
 )
 
-// MaxRecord bounds one record.
-const MaxRecord = 32 << 20
-
-const headLen = 8
-
-var table = crc32.MakeTable(crc32.Castagnoli)
-
-// Damage tells what opening a file had to leave out.
-type Damage struct {
-	AtByte   int64
-	CutBytes int64
-	Why      string
-}
+const (
+	// markAfter is how long a cell rests before it writes its synced mark.
+	markAfter = 100 * time.Millisecond
+	// Pauses between the attempts of a cell that holds what its disk refuses.
+	holdFirst = 50 * time.Millisecond
+	holdMost  = 500 * time.Millisecond
+)
 
 // Cell is one file. Append and Rewrite may be called by one owner at a time;
 // the file itself is written by the cell's own goroutine, one batch and one
 // fsync at a time, so that only the last batch can ever be torn.
 type Cell struct {
-	dir, name string
-	file      *os.File
-	sizeBytes int64
+	dir, name, id string
+	hold          bool
+	before        func(Step) error
+
+	// Of the cell's goroutine alone.
+	file        *os.File
+	markedBytes int64
+	unknownTail bool // a write or sync failed: what lies behind sizeBytes is unknown
+	folderDirty bool // renamed, and the folder is not synced yet
+
+	mu        sync.Mutex
+	sizeBytes int64 // synced
+	queue     []job
+	closed    bool
+	refused   error // of the last attempt
+	written   Written
 
-	mu      sync.Mutex
-	queue   []job
-	closed  bool
 	wake    chan struct{}
+	closing chan struct{}
 	done    chan struct{}
-	failure error
-	written Written
 }
 
 // Written counts what a cell did since it was opened.
@@ -64,105 +64,127 @@
 
 type job struct {
 	records [][]byte
-	anew    bool
-	source  func(write func(record []byte) error) error // of a rewrite
+	source  Source // of a rewrite
 	then    func(error)
 }
 
-// Open reads the file whole, hands each good record to each, cuts a torn tail
-// and says what it cut.
-func Open(dir, name string, each func(record []byte) error) (*Cell, *Damage, error) {
+// Option changes how a cell works.
+type Option func(*Cell)
+
+// Hold makes a cell keep a batch that its disk refuses, and try it again until
+// it is written or the cell is closed, instead of handing the error back. It is
+// for owners whose memory runs ahead of the file.
+func Hold() Option { return func(c *Cell) { c.hold = true } }
+
+// Step is one thing that a cell does at its disk.
+type Step int
+
+// The steps.
+const (
+	StepWrite Step = iota
+	StepSync
+	StepTruncate
+	StepSnapshot // a whole new file, up to its rename
+	StepSyncFolder
+)
+
+// Interpose calls before ahead of each step; an error takes the step's place.
+// Tests make disks with it that stall or refuse.
+func Interpose(before func(Step) error) Option { return func(c *Cell) { c.before = before } }
+
+// Open reads the file whole, makes it where there is none, hands each good
+// record to each and cuts a torn tail. A file with Lost damage is a fault: its
+// owner calls Recover first.
+func Open(dir, name string, each func(record []byte) error, options ...Option) (*Cell, *Damage, error) {
 	if err := os.MkdirAll(dir, 0o755); err != nil {
 		return nil, nil, errors.Wrap(err, "make folder")
 	}
 	path := filepath.Join(dir, name)
-	_ = os.Remove(path + ".new")
-	f, err := os.OpenFile(path, os.O_RDWR|os.O_CREATE, 0o644)
+	_ = os.Remove(path + newSuffix)
+	if _, err := os.Stat(path); errors.Is(err, os.ErrNotExist) {
+		if _, err := create(dir, name); err != nil {
+			return nil, nil, err
+		}
+	}
+	f, err := os.OpenFile(path, os.O_RDWR, 0)
 	if err != nil {
 		return nil, nil, errors.Wrap(err, "open cell")
 	}
-	goodBytes, damage, err := scan(f, each)
+	c := &Cell{dir: dir, name: name, file: f, before: func(Step) error { return nil }, wake: make(chan struct{}, 1), closing: make(chan struct{}), done: make(chan struct{})}
+	for _, o := range options {
+		o(c)
+	}
+	damage, err := c.load(each)
 	if err != nil {
 		_ = f.Close()
 		return nil, nil, err
 	}
-	if damage != nil {
-		if err := f.Truncate(goodBytes); err != nil {
-			_ = f.Close()
-			return nil, nil, errors.Wrap(err, "cut torn tail")
-		}
-	}
-	if _, err := f.Seek(goodBytes, io.SeekStart); err != nil {
-		_ = f.Close()
-		return nil, nil, errors.Wrap(err, "seek")
-	}
-	if err := errors.Join(f.Sync(), syncDir(dir)); err != nil {
-		_ = f.Close()
-		return nil, nil, errors.Wrap(err, "sync")
-	}
-	c := &Cell{dir: dir, name: name, file: f, sizeBytes: goodBytes, wake: make(chan struct{}, 1), done: make(chan struct{})}
 	go c.work()
 	return c, damage, nil
 }
 
-func scan(f *os.File, each func([]byte) error) (int64, *Damage, error) {
-	info, err := f.Stat()
+// OpenDisposable opens a file on which nothing depends: one with Lost damage is
+// made anew.
+func OpenDisposable(dir, name string, each func(record []byte) error) (*Cell, *Damage, error) {
+	id, err := newID()
 	if err != nil {
-		return 0, nil, errors.Wrap(err, "stat")
-	}
-	totalBytes := info.Size()
-	cut := func(at int64, why string) (int64, *Damage, error) {
-		return at, &Damage{AtByte: at, CutBytes: totalBytes - at, Why: why}, nil
+		return nil, nil, err
 	}
-	var at int64
-	head := make([]byte, headLen)
-	for at < totalBytes {
-		if totalBytes-at < headLen {
-			return cut(at, "short head")
-		}
-		if _, err := f.ReadAt(head, at); err != nil {
-			return 0, nil, errors.Wrap(err, "read head")
-		}
-		lenBytes := int64(binary.LittleEndian.Uint32(head))
-		if lenBytes == 0 || lenBytes > MaxRecord {
-			return cut(at, "impossible length")
-		}
-		if at+headLen+lenBytes > totalBytes {
-			return cut(at, "short record")
-		}
-		body := make([]byte, lenBytes)
-		if _, err := f.ReadAt(body, at+headLen); err != nil {
-			return 0, nil, errors.Wrap(err, "read record")
-		}
-		if crc32.Checksum(body, table) != binary.LittleEndian.Uint32(head[4:]) {
-			return cut(at, "checksum")
-		}
-		if err := each(body); err != nil {
-			return 0, nil, wax.New(wax.Damaged, f.Name(), err.Error(), "the file holds a record of another version: run that version or empty the folder so that the node joins anew")
-		}
-		at += headLen + lenBytes
+	found, err := Recover(dir, name, id)
+	if err != nil {
+		return nil, nil, err
 	}
-	return at, nil, nil
+	c, _, err := Open(dir, name, each)
+	return c, found.Damage, err
 }
 
-func syncDir(dir string) error {
-	d, err := os.Open(dir)
+// load replays the file and makes what it read durable: what a process that
+// died left in the kernel's hands may be answered from memory soon.
+func (c *Cell) load(each func([]byte) error) (*Damage, error) {
+	h, ok, err := readHeader(c.file)
 	if err != nil {
-		return err
+		return nil, err
+	}
+	if !ok {
+		return nil, wax.New(wax.Damaged, c.file.Name(), "no header", "recover the file first")
+	}
+	end, err := scan(c.file, h, each)
+	if err != nil {
+		return nil, err
+	}
+	if end.damage != nil && end.damage.Lost {
+		return nil, wax.New(wax.Damaged, c.file.Name(), end.damage.Why, "recover the file first")
 	}
-	return errors.Join(d.Sync(), d.Close())
+	if end.damage != nil {
+		if err := c.file.Truncate(end.goodBytes); err != nil {
+			return nil, errors.Wrap(err, "cut torn tail")
+		}
+	}
+	c.id, c.sizeBytes, c.markedBytes = h.id, end.goodBytes, h.syncedAtLeast()
+	return end.damage, wrapped(errors.Join(syncFile(c.file), syncDir(c.dir)), "sync")
 }
 
+// ID is the identity that the file carries.
+func (c *Cell) ID() string { return c.id }
+
 // Append writes the records and calls then once they are on disk, or with the
-// error that kept them off it. then runs on the cell's goroutine.
-func (c *Cell) Append(then func(error), records ...[]byte) { c.push(job{records: records, then: then}) }
+// error that kept them off it. then runs on the cell's goroutine. With no
+// records it tells when all that was appended before is on disk.
+func (c *Cell) Append(then func(error), records ...[]byte) {
+	for _, r := range records {
+		if err := checkRecord(c.name, r); err != nil {
+			then(err)
+			return
+		}
+	}
+	c.push(job{records: records, then: then})
+}
 
 // Rewrite replaces the whole file by the records that source writes, which must
 // say all that the earlier appends said. source runs on the cell's goroutine,
-// record by record, so that a long file is never in memory whole.
-func (c *Cell) Rewrite(then func(error), source func(write func(record []byte) error) error) {
-	c.push(job{anew: true, source: source, then: then})
-}
+// record by record, so that a long file is never in memory whole. If it fails,
+// then gets the error and the file goes on as it was, with all appends.
+func (c *Cell) Rewrite(then func(error), source Source) { c.push(job{source: source, then: then}) }
 
 // Write appends and waits.
 func (c *Cell) Write(records ...[]byte) error {
@@ -178,12 +200,22 @@
 	return c.sizeBytes
 }
 
+// Refused is the error with which the disk refused the last attempt, nil once
+// one succeeds.
+func (c *Cell) Refused() error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.refused
+}
+
 // Close writes what is queued and closes the file.
 func (c *Cell) Close() {
 	c.mu.Lock()
-	c.closed = true
+	if !c.closed {
+		c.closed = true
+		close(c.closing)
+	}
 	c.mu.Unlock()
-	c.poke()
 	<-c.done
 }
 
@@ -196,142 +228,59 @@
 	}
 	c.queue = append(c.queue, j)
 	c.mu.Unlock()
-	c.poke()
-}
-
-func (c *Cell) poke() {
 	select {
 	case c.wake <- struct{}{}:
 	default:
 	}
 }
 
+func (c *Cell) takeQueue() (batch []job, closed bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	batch = c.queue
+	c.queue = nil
+	return batch, c.closed
+}
+
 func (c *Cell) work() {
 	defer close(c.done)
 	for {
-		c.mu.Lock()
-		batch, closed := c.queue, c.closed
-		c.queue = nil
-		c.mu.Unlock()
-		if len(batch) == 0 {
-			if closed {
-				_ = c.file.Close()
-				return
-			}
-			<-c.wake
+		batch, closed := c.takeQueue()
+		if len(batch) > 0 {
+			c.commitAll(batch)
 			continue
 		}
-		err := c.failure
-		if err == nil {
-			err = c.commit(batch)
-			c.failure = err
-		}
-		for _, j := range batch {
-			j.then(err)
+		if closed {
+			_ = c.file.Close()
+			return
 		}
+		c.rest()
 	}
 }
 
-// commit writes a batch with one write and one fsync; a rewrite in the batch
-// starts a new file that takes the old one's name once it is whole.
-func (c *Cell) commit(batch []job) error {
-	first := 0
-	for i, j := range batch {
-		if j.anew {
-			first = i
-		}
-	}
-	var buf []byte
-	for _, j := range batch[first:] {
-		for _, r := range j.records {
-			var err error
-			if buf, err = c.framed(buf, r); err != nil {
-				return err
-			}
-		}
-	}
-	if !batch[first].anew {
-		if _, err := c.file.Write(buf); err != nil {
-			return errors.Wrap(err, "write")
-		}
-		if err := c.file.Sync(); err != nil {
-			return errors.Wrap(err, "sync")
-		}
-		c.grow(int64(len(buf)), false)
-		return nil
-	}
-	path := filepath.Join(c.dir, c.name)
-	f, err := os.OpenFile(path+".new", os.O_RDWR|os.O_CREATE|os.O_TRUNC, 0o644)
-	if err != nil {
-		return errors.Wrap(err, "open new")
-	}
-	wroteBytes := int64(len(buf))
-	w := bufio.NewWriterSize(f, 64<<10)
-	var one []byte
-	err = batch[first].source(func(r []byte) error {
-		var err error
-		if one, err = c.framed(one[:0], r); err != nil {
-			return err
+// rest waits for work; a file that rests gets its synced mark.
+func (c *Cell) rest() {
+	if c.markedBytes >= c.sizeBytes || c.unknownTail || c.folderDirty {
+		select {
+		case <-c.wake:
+		case <-c.closing:
 		}
-		wroteBytes += int64(len(one))
-		_, err = w.Write(one)
-		return err
-	})
-	if err == nil {
-		_, err = w.Write(buf)
-	}
-	if err == nil {
-		err = w.Flush()
-	}
-	if err == nil {
-		err = f.Sync()
-	}
-	if err == nil {
-		err = os.Rename(path+".new", path)
-	}
-	if err == nil {
-		err = syncDir(c.dir)
-	}
-	if err != nil {
-		_ = f.Close()
-		return errors.Wrap(err, "rewrite")
-	}
-	_ = c.file.Close()
-	c.file = f
-	c.grow(wroteBytes, true)
-	return nil
-}
-
-// framed adds a record with its head to buf.
-func (c *Cell) framed(buf, r []byte) ([]byte, error) {
-	if len(r) == 0 || len(r) > MaxRecord {
-		return buf, wax.New(wax.TooLarge, c.name, "a record is empty or too long", "bound what is stored")
+		return
 	}
-	buf = binary.LittleEndian.AppendUint32(buf, uint32(len(r)))
-	buf = binary.LittleEndian.AppendUint32(buf, crc32.Checksum(r, table))
-	return append(buf, r...), nil
-}
-
-// Records is a source of records that are there already.
-func Records(records ...[]byte) func(func([]byte) error) error {
-	return func(write func([]byte) error) error {
-		for _, r := range records {
-			if err := write(r); err != nil {
-				return err
-			}
-		}
-		return nil
+	timer := time.NewTimer(markAfter)
+	defer timer.Stop()
+	select {
+	case <-c.wake:
+	case <-c.closing:
+	case <-timer.C:
+		c.mark()
 	}
 }
 
-func (c *Cell) grow(nBytes int64, anew bool) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if anew {
-		c.sizeBytes = 0
-		c.written.Rewrites++
-	}
-	c.written.Syncs++
-	c.written.Bytes += nBytes
-	c.sizeBytes += nBytes
+// mark notes in the header how much is synced, so that damage of the last batch
+// and a file cut short are known for what they are. It needs no sync: it is
+// true whenever it is there.
+func (c *Cell) mark() {
+	c.markedBytes = c.sizeBytes
+	_, _ = c.file.WriteAt(encodeMark(c.id, c.sizeBytes), identityBytes)
 }
--- /dev/null
+++ b/internal/cell/legacy_test.go
@@ -0,0 +1,70 @@
+package cell
+
+import (
+	"bytes"
+	"encoding/binary"
+	"fmt"
+	"hash/crc32"
+	"testing"
+)
+
+const legacyTestID = "00112233445566778899aabbccddeeff"
+
+func legacyFile(n int) []byte {
+	var out []byte
+	for i := range n {
+		r := testRecord(i)
+		out = binary.LittleEndian.AppendUint32(out, uint32(len(r)))
+		out = binary.LittleEndian.AppendUint32(out, crc32.Checksum(r, table))
+		out = append(out, r...)
+	}
+	return out
+}
+
+// A file of the first version is read, under the identity that it had, and is
+// of this version from then on; cut at any byte it comes back to the last whole
+// record, and without one whole record it is lost.
+func TestLegacyCutAtEveryByte(t *testing.T) {
+	whole := legacyFile(4)
+	one := len(whole) / 4
+	for cut := 0; cut <= len(whole); cut++ {
+		what := fmt.Sprint("cut at ", cut)
+		dir := folderWith(t, whole[:cut])
+		found := mustRecover(t, dir, legacyTestID)
+		c, got, _ := open(t, dir)
+		c.Close()
+		if cut < one {
+			if found.ID == legacyTestID || found.Fresh || !found.Damage.Lost || len(got) != 0 {
+				t.Errorf("%s: %+v", what, found)
+			}
+			continue
+		}
+		if found.ID != legacyTestID || (found.Damage != nil) != (cut%one != 0) || found.Damage != nil && found.Damage.Lost || c.ID() != legacyTestID {
+			t.Errorf("%s: %+v", what, found)
+		}
+		checkRecords(t, what, got, cut/one)
+		if again := mustRecover(t, dir, ""); again.ID != legacyTestID || again.Damage != nil {
+			t.Errorf("%s: read again: %+v", what, again)
+		}
+	}
+}
+
+// With a record that checks behind the damage it is lost; so it is without the
+// identity that belongs to it.
+func TestLegacyDamage(t *testing.T) {
+	whole := legacyFile(4)
+	one := len(whole) / 4
+	for at := range whole {
+		bad := bytes.Clone(whole)
+		bad[at] ^= 0x55
+		found := mustRecover(t, folderWith(t, bad), legacyTestID)
+		if lost := at < 3*one; found.Damage == nil || found.Damage.Lost != lost || (found.ID == legacyTestID) == lost {
+			t.Errorf("byte %d turned: %+v", at, found)
+		}
+	}
+	for _, id := range []string{"", "short"} {
+		if found := mustRecover(t, folderWith(t, whole), id); found.ID == id || !found.Damage.Lost || found.Fresh {
+			t.Errorf("identity %q: %+v", id, found)
+		}
+	}
+}
--- /dev/null
+++ b/internal/cell/snapshot.go
@@ -0,0 +1,123 @@
+package cell
+
+import (
+	"bufio"
+	"hash/crc32"
+	"os"
+	"path/filepath"
+
+	"github.com/go-faster/errors"
+)
+
+// Source hands records to write, one by one.
+type Source func(write func(record []byte) error) error
+
+// Records is a source of records that are there already.
+func Records(records ...[]byte) Source {
+	return func(write func([]byte) error) error {
+		for _, r := range records {
+			if err := write(r); err != nil {
+				return err
+			}
+		}
+		return nil
+	}
+}
+
+// snapshotBatch is the payload at which a snapshot's batch is closed.
+const snapshotBatch = 64 << 10
+
+// batchWriter frames records into batches, each at its offset.
+type batchWriter struct {
+	name        string
+	id          string
+	atBytes     int64 // where the next batch begins
+	syncedBytes int64 // what its heads say
+	longBytes   int   // payload at which a batch is closed
+	payload     []byte
+	emit        func([]byte) error
+}
+
+func (w *batchWriter) add(record []byte) error {
+	if err := checkRecord(w.name, record); err != nil {
+		return err
+	}
+	if len(w.payload) > 0 && len(w.payload)+recordHeadBytes+len(record) > maxPayload {
+		if err := w.flush(); err != nil {
+			return err
+		}
+	}
+	w.payload = appendRecord(w.payload, record)
+	if len(w.payload) < w.longBytes {
+		return nil
+	}
+	return w.flush()
+}
+
+func (w *batchWriter) flush() error {
+	if len(w.payload) == 0 {
+		return nil
+	}
+	head := encodeBatchHead(w.id, batchHead{
+		payloadBytes: int64(len(w.payload)),
+		offset:       w.atBytes,
+		syncedBytes:  w.syncedBytes,
+		payloadCRC:   crc32.Checksum(w.payload, table),
+	})
+	if err := w.emit(head); err != nil {
+		return err
+	}
+	if err := w.emit(w.payload); err != nil {
+		return err
+	}
+	w.atBytes += int64(len(head) + len(w.payload))
+	w.payload = w.payload[:0]
+	return nil
+}
+
+// writeSnapshot writes a whole file under another name, syncs it and gives it
+// its name; the folder is not synced yet. Until the rename nothing that was
+// there is touched, and what was written is removed again after a failure.
+func writeSnapshot(dir, name, id string, source Source) (f *os.File, sizeBytes int64, err error) {
+	path := filepath.Join(dir, name)
+	f, err = os.OpenFile(path+newSuffix, os.O_RDWR|os.O_CREATE|os.O_TRUNC, 0o644)
+	if err != nil {
+		return nil, 0, errors.Wrap(err, "open new")
+	}
+	sizeBytes, err = fillSnapshot(f, name, id, source)
+	if err == nil {
+		err = wrapped(os.Rename(path+newSuffix, path), "rename")
+	}
+	if err != nil {
+		_ = f.Close()
+		_ = os.Remove(path + newSuffix)
+		return nil, 0, err
+	}
+	return f, sizeBytes, nil
+}
+
+// fillSnapshot writes the records, then the header that vouches for them, and
+// syncs both at once.
+func fillSnapshot(f *os.File, name, id string, source Source) (int64, error) {
+	out := bufio.NewWriterSize(f, snapshotBatch)
+	if _, err := out.Write(make([]byte, headerBytes)); err != nil {
+		return 0, errors.Wrap(err, "write header")
+	}
+	w := &batchWriter{name: name, id: id, atBytes: headerBytes, longBytes: snapshotBatch, emit: func(b []byte) error {
+		_, err := out.Write(b)
+		return err
+	}}
+	if err := source(w.add); err != nil {
+		return 0, errors.Wrap(err, "write records")
+	}
+	if err := w.flush(); err != nil {
+		return 0, errors.Wrap(err, "write records")
+	}
+	if err := out.Flush(); err != nil {
+		return 0, errors.Wrap(err, "write records")
+	}
+	if _, err := f.WriteAt(encodeHeader(header{id: id, snapshotBytes: w.atBytes}), 0); err != nil {
+		return 0, errors.Wrap(err, "write header")
+	}
+	return w.atBytes, wrapped(syncFile(f), "sync")
+}
--- a/internal/colony/colony.go
+++ b/internal/colony/colony.go
@@ -76,7 +76,7 @@
 		Cap: int64(opts.Caps.CPUFrac * max(opts.Caps.NCPU, 1) * 1000)}
 	empty := true // nothing on disk, or no disk
 	if opts.DataDir != "" && (role == "comb" || opts.Has("ctl")) {
-		id, fresh, err := brood.OpenIncarnation(opts.DataDir)
+		id, fresh, err := openIdentity(opts.DataDir, role, env.Log)
 		if err != nil {
 			return nil, err
 		}
--- /dev/null
+++ b/internal/colony/identity.go
@@ -0,0 +1,47 @@
+package colony
+
+import (
+	"os"
+	"path/filepath"
+
+	"github.com/go-faster/errors"
+
+	"rowanshunt/internal/brood"
+	"rowanshunt/internal/cell"
+	"rowanshunt/internal/nest"
+	"rowanshunt/internal/wax"
+)
+
+// legacyIdentity is the file that held a member's identity before the log did.
+const legacyIdentity = "incarnation"
+
+// openIdentity reads the identity of this disk out of the log that holds the
+// member's promises, so that neither is ever there without the other (design
+// 10.2). fresh: the disk was never used.
+func openIdentity(dir, role string, log *wax.Log) (id string, fresh bool, err error) {
+	name := nest.LogName
+	if role == "comb" {
+		name = brood.LogName
+	}
+	legacyPath := filepath.Join(dir, legacyIdentity)
+	legacy, err := os.ReadFile(legacyPath)
+	if err != nil && !errors.Is(err, os.ErrNotExist) {
+		return "", false, errors.Wrap(err, "read identity")
+	}
+	found, err := cell.Recover(dir, name, string(legacy))
+	if err != nil {
+		return "", false, errors.Wrap(err, "recover "+name)
+	}
+	if d := found.Damage; d != nil && d.Lost {
+		log.Warn("disk_lost", "cell", name, "at", d.AtByte, "bytes", d.CutBytes, "why", d.Why, "aside", found.Aside,
+			"remedy", "none needed: this member joins anew; look at the disk")
+	} else if d != nil {
+		log.Warn("cell_tail_cut", "cell", name, "at", d.AtByte, "bytes", d.CutBytes, "why", d.Why)
+	}
+	// From here the identity is the log's: an earlier version that is put back
+	// must not vote under the old one with a log that it can't read.
+	if err := os.Remove(legacyPath); err != nil && !errors.Is(err, os.ErrNotExist) {
+		return "", false, errors.Wrap(err, "remove the old identity")
+	}
+	return found.ID, found.Fresh, nil
+}
--- a/internal/flora/diary.go
+++ b/internal/flora/diary.go
@@ -37,7 +37,7 @@
 
 func openDiary(dir string, wallUs func() int64, log *wax.Log) (*diary, []Worker, error) {
 	var last page
-	c, damage, err := cell.Open(dir, "flora.cell", func(raw []byte) error {
+	c, damage, err := cell.OpenDisposable(dir, "flora.cell", func(raw []byte) error {
 		var p page
 		if err := msgpack.Unmarshal(raw, &p); err != nil {
 			return err
--- a/internal/nest/acceptor.go
+++ b/internal/nest/acceptor.go
@@ -38,30 +38,40 @@
 	disk keeper
 }
 
+// LogName is the file that holds a member's vote and its identity.
+const LogName = "register.cell"
+
+// rewriteBytes, beside some documents, is how long the file gets before it is
+// written anew.
+const rewriteBytes = 4 << 20
+
 // OpenAcceptor reads the vote that the seat left on disk.
 func OpenAcceptor(id, dir string, log *wax.Log) (*Acceptor, error) {
 	a := &Acceptor{id: id}
-	c, damage, err := cell.Open(dir, "register.cell", func(rec []byte) error {
-		var v vote
-		if err := msgpack.Unmarshal(rec, &v); err != nil {
-			return err
-		}
-		if v.State == nil {
-			v.State = a.v.State // a promise alone leaves the accepted state
-		}
-		a.v = v
-		return nil
-	})
+	c, damage, err := cell.Open(dir, LogName, a.replay)
 	if err != nil {
 		return nil, err
 	}
 	if damage != nil {
 		log.Warn("cell_tail_cut", "cell", "register", "at", damage.AtByte, "bytes", damage.CutBytes, "why", damage.Why)
 	}
-	a.disk = &cellKeeper{c: c, longBytes: 4 << 20}
+	a.disk = &cellKeeper{c: c, longBytes: rewriteBytes}
 	return a, nil
 }
 
+// replay takes one record of the file.
+func (a *Acceptor) replay(rec []byte) error {
+	var v vote
+	if err := msgpack.Unmarshal(rec, &v); err != nil {
+		return err
+	}
+	if v.State == nil {
+		v.State = a.v.State // a promise alone leaves the accepted state
+	}
+	a.v = v
+	return nil
+}
+
 // NewFoundingAcceptor makes the seat that a seed holds in its first life.
 func NewFoundingAcceptor(id string) *Acceptor { return &Acceptor{id: id, disk: memory{}} }
 
@@ -78,7 +88,11 @@
 		}
 		got := make(chan error, 1)
 		k.c.Rewrite(func(err error) { got <- err }, cell.Records(rec))
-		return <-got
+		if err := <-got; err == nil {
+			return nil
+		}
+		// No room for a second file: the first one goes on while it can.
+		return k.c.Write(rec)
 	}
 	if !whole {
 		v.State = nil
