Forwarding: whole answers without a length, no foreign status amid a stream, bounded heads

Found and mended:

- a resumed stream whose next worker answered with anything but a stream got that answer's bytes written amid its events, and ended as complete;
- an answer in chunks over 256 KiB was passed on with status 200 whatever its worker said;
- an answer without a length was thrown away though it had ended in order with its connection;
- a body left half read (over 64 KiB beside a refusal, over 1 MiB beside a surplus answer) went back into the pool with its circuit;
- a circuit taken and given back unused was promised a new rest, so that an unsafe request could go out on one that its worker had closed;
- a request whose id a circuit carried last could take a surplus answer of that one for its own;
- heads and interim answers of workers had no bound;
- the walk's cut of a request could be undone by the deadline set after it; client and time left are now looked at right before the write;
- a stream with events that bear no id was resumed behind the last id;
- targets, hosts and ids with spaces or control characters never reach a request line; what a client lists under Connection never drops the protocol's own headers;
- a long answer to a client that stopped reading, and a body that comes slowly, are bounded by the request's time; slow bodies count as held;
- a client is not cut before the idle time it was last told when a configuration shortens it.

Calls between nodes: a frame that is no answer, or answers a call never made, ends the circuit; a message over the bound fails alone; a call whose time ended while others wrote is not sent.

--- a/internal/brood/api.go
+++ b/internal/brood/api.go
@@ -83,6 +83,9 @@
 		if q.ID == "" || len(q.ID) > 256 {
 			l.Addf(at+".id", "is missing or too long", "name each item")
 		}
+		if !valueOK(q.ID) {
+			l.Addf(at+".id", "cannot be sent in a head", "use printable characters")
+		}
 		if seen[q.ID] {
 			l.Addf(at+".id", "is there twice", "name each item once")
 		}
@@ -90,6 +93,9 @@
 		if len(q.Path) == 0 || q.Path[0] != '/' {
 			l.Addf(at+".path", "is no path", "begin it with a slash")
 		}
+		if !targetOK(q.Path) {
+			l.Addf(at+".path", "cannot be sent", "encode spaces and control characters")
+		}
 		if q.Toks == nil || *q.Toks < 0 {
 			l.Addf(at+".toks", "is missing or negative", "give the tokens of the prompt and the most out, summed")
 		}
@@ -124,6 +130,16 @@
 	return true
 }
 
+// targetOK tells whether a path goes into a request line as it is.
+func targetOK(path string) bool {
+	for i := range len(path) {
+		if path[i] <= ' ' || path[i] == 0x7f {
+			return false
+		}
+	}
+	return true
+}
+
 func valueOK(v string) bool {
 	for i := 0; i < len(v); i++ {
 		if v[i] < ' ' && v[i] != '\t' || v[i] == 0x7f {
--- a/internal/forage/circuit.go
+++ b/internal/forage/circuit.go
@@ -3,8 +3,10 @@
 import (
 	"bufio"
 	"context"
+	"math"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -31,11 +33,20 @@
 	br      *bufio.Reader
 	bw      *bufio.Writer
 	worker  string
+	in      *headReader
 	reused  bool
+	lastID  string // of the request before
 	untilUs int64
 	idleUs  int64 // when it was given back
 }
 
+func newCircuit(conn net.Conn, worker string) *Circuit {
+	in := &headReader{conn: conn, left: math.MaxInt}
+	nowUs := waggle.NowUs()
+	return &Circuit{conn: conn, in: in, br: bufio.NewReaderSize(in, 2<<10), bw: bufio.NewWriterSize(conn, 2<<10), worker: worker,
+		untilUs: nowUs + idleUs, idleUs: nowUs}
+}
+
 // intact looks whether the other end closed, or sent bytes nobody asked for.
 func (c *Circuit) intact() bool {
 	if c.br.Buffered() > 0 {
@@ -92,8 +103,10 @@
 
 // Get gives a circuit to the worker, an idle one if there is one that was used
 // within youngUs: a worker may forget an idle circuit and say nothing, and what
-// is sent on it next is lost. Its faults promise that nothing was sent.
-func (cs *Circuits) Get(ctx context.Context, w *flora.Worker, maxOpen int, youngUs int64) (*Circuit, error) {
+// is sent on it next is lost. A circuit whose last request had the same id is not
+// used: a surplus answer to that one could not be told from the next (design
+// 6.4). Its faults promise that nothing was sent.
+func (cs *Circuits) Get(ctx context.Context, w *flora.Worker, id string, maxOpen int, youngUs int64) (*Circuit, error) {
 	nowUs := waggle.NowUs()
 	for {
 		cs.mu.Lock()
@@ -123,8 +136,8 @@
 		if c == nil {
 			break
 		}
-		if c.untilUs > nowUs && c.intact() {
-			c.reused = true
+		if c.untilUs > nowUs && c.lastID != id && c.intact() {
+			c.reused, c.lastID = true, id
 			return c, nil
 		}
 		cs.Drop(c)
@@ -136,7 +149,9 @@
 		cs.mu.Unlock()
 		return nil, wax.New(wax.Unreached, w.ID, err.Error(), "look whether the worker runs")
 	}
-	return &Circuit{conn: conn, br: bufio.NewReaderSize(conn, 2<<10), bw: bufio.NewWriterSize(conn, 2<<10), worker: w.ID, untilUs: nowUs + idleUs}, nil
+	c := newCircuit(conn, w.ID)
+	c.lastID = id
+	return c, nil
 }
 
 // Put gives a circuit back after a whole answer.
@@ -163,6 +178,22 @@
 	}
 }
 
+// Unused gives a circuit back on which nothing was sent: its rest goes on, as the
+// worker sees it.
+func (cs *Circuits) Unused(c *Circuit) {
+	_ = c.conn.SetDeadline(time.Time{})
+	c.lastID = ""
+	cs.mu.Lock()
+	p := cs.pools[c.worker]
+	if p != nil {
+		p.idle = slices.Insert(p.idle, 0, c) // the last one rested least
+	}
+	cs.mu.Unlock()
+	if p == nil {
+		_ = c.conn.Close()
+	}
+}
+
 func keepAliveS(head string) (int64, bool) {
 	for _, part := range strings.Split(head, ",") {
 		part = strings.TrimSpace(part)
--- a/internal/forage/event.go
+++ b/internal/forage/event.go
@@ -62,6 +62,14 @@
 	return ev, buf, nil
 }
 
+// HasData tells whether the event has data: a comment has none.
+func (e *Event) HasData() bool {
+	return bytes.HasPrefix(e.Raw, []byte(dataField)) || bytes.Contains(e.Raw, []byte("\n"+dataField))
+}
+
+// dataField begins a line of data.
+const dataField = "data:"
+
 // Version is the version of the weights, where the event says that it changed.
 func (e *Event) Version() (int64, bool) {
 	line, _, _ := bytes.Cut(e.Raw, []byte("\n"))
@@ -104,7 +112,7 @@
 		var line []byte
 		line, rest, _ = bytes.Cut(rest, []byte("\n"))
 		line = bytes.TrimSuffix(line, []byte("\r"))
-		if v, ok := bytes.CutPrefix(line, []byte("data:")); ok {
+		if v, ok := bytes.CutPrefix(line, []byte(dataField)); ok {
 			if !first {
 				out = append(out, '\n')
 			}
--- a/internal/forage/forage.go
+++ b/internal/forage/forage.go
@@ -3,7 +3,6 @@
 import (
 	"bufio"
 	"context"
-	"errors"
 	"io"
 	"math/rand/v2"
 	"net/http"
@@ -31,6 +30,9 @@
 var circuitHeads = []string{"Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate", "Proxy-Authorization", "Te", "Trailer",
 	"Transfer-Encoding", "Upgrade", "Expect", "Content-Length", HeadWant, HeadTimeLeft}
 
+// protocolPrefix begins the names of the protocol's own headers.
+const protocolPrefix = "X-Rowanshunt-"
+
 // wholeBytes is how much of an answer is read before the client gets any of it.
 const wholeBytes = 256 << 10
 
@@ -60,6 +62,7 @@
 	begun   bool // the client has the head of an answer
 	lastID  int64
 	hasLast bool
+	unnamed bool // the client has data of an event without an id: no worker can go on behind it
 	startUs int64
 	firstUs int64 // when the first event, or the answer, was there
 	failed  bool
@@ -101,18 +104,18 @@
 		leftMs = min(n, leftMs)
 	}
 	until := time.Now().Add(time.Duration(leftMs) * time.Millisecond)
-	body, status := f.readBody(w, r, b.Caps.PayloadBytes)
+	body, status := f.readBody(w, r, b.Caps.PayloadBytes, until)
+	defer f.held.Add(-int64(len(body)))
 	if status != 0 {
 		switch status {
-		case http.StatusServiceUnavailable:
-			Decline(w, status, 300, "too much under way")
+		case http.StatusServiceUnavailable, http.StatusRequestTimeout:
+			w.Header().Set("Connection", "close")
+			Decline(w, status, 300, "the body was not taken")
 		default:
 			http.Error(w, "the body cannot be taken", status)
 		}
 		return
 	}
-	f.held.Add(int64(len(body)))
-	defer f.held.Add(-int64(len(body)))
 	j := &job{f: f, w: w, r: r, b: binding, startUs: waggle.NowUs()}
 	defer j.fare()
 	j.parcel = &Parcel{Method: r.Method, Target: r.RequestURI, Host: r.Host, Header: passOn(r.Header), Body: body, ID: id,
@@ -154,40 +157,14 @@
 	return sum
 }
 
-func (f *Forage) readBody(w http.ResponseWriter, r *http.Request, maxBytes int64) ([]byte, int) {
-	if r.ContentLength == 0 || r.Body == nil || r.Body == http.NoBody {
-		return nil, 0
-	}
-	if r.ContentLength > maxBytes {
-		return nil, http.StatusRequestEntityTooLarge
-	}
-	if f.BodyBytes > 0 && f.held.Load()+max(r.ContentLength, 0) > f.BodyBytes {
-		return nil, http.StatusServiceUnavailable
-	}
-	if r.ContentLength > 0 {
-		buf := make([]byte, r.ContentLength)
-		if _, err := io.ReadFull(r.Body, buf); err != nil {
-			return nil, http.StatusBadRequest
-		}
-		return buf, 0
-	}
-	buf, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBytes))
-	if err != nil {
-		var over *http.MaxBytesError
-		if errors.As(err, &over) {
-			return nil, http.StatusRequestEntityTooLarge
-		}
-		return nil, http.StatusBadRequest
-	}
-	return buf, 0
-}
-
 func passOn(h http.Header) http.Header {
 	out := make(http.Header, len(h))
 	drop := map[string]bool{}
 	for _, v := range h["Connection"] {
 		for _, name := range strings.Split(v, ",") {
-			drop[http.CanonicalHeaderKey(strings.TrimSpace(name))] = true
+			name = http.CanonicalHeaderKey(strings.TrimSpace(name))
+			// The protocol's own headers concern the worker, whatever is said here.
+			drop[name] = !strings.HasPrefix(name, protocolPrefix)
 		}
 	}
 	for k, v := range h {
@@ -215,6 +192,10 @@
 			j.giveUp(mayHaveRun, true, 0)
 			return
 		}
+		if j.unnamed {
+			j.giveUp(true, false, 0)
+			return
+		}
 		if j.tries >= j.b.Tries {
 			if !mayHaveRun && j.waits(ctx) {
 				continue
@@ -355,9 +336,13 @@
 	if j.b.Type == foundation.Stream && a.Resp.StatusCode == http.StatusOK {
 		return j.stream(a, read)
 	}
+	if j.begun {
+		// The client is amid a stream; another kind of answer cannot go on with it.
+		a.Discard()
+		return true, false, wax.New(wax.Unsure, worker.ID, "does not go on with the stream", "")
+	}
 	if a.Resp.StatusCode >= 500 && j.b.Repeatable() && j.tries+1 < j.b.Tries {
-		_, err := io.Copy(io.Discard, io.LimitReader(a.Resp.Body, 64<<10))
-		a.End(err == nil)
+		a.Discard()
 		return true, false, wax.New(wax.Unsure, worker.ID, "failed", "")
 	}
 	return j.whole(a)
@@ -366,18 +351,23 @@
 // whole passes on an answer that is no stream, once it was read whole.
 func (j *job) whole(a *Answer) (ran, finished bool, err error) {
 	resp := a.Resp
-	if resp.StatusCode < 300 && resp.Header.Get(HeadSeal) == "" || resp.ContentLength < 0 && !chunked(resp) {
-		return true, false, wax.New(wax.Unsure, a.way.worker, "the answer has no seal or no end", "")
+	if resp.StatusCode < 300 && resp.Header.Get(HeadSeal) == "" {
+		return true, false, wax.New(wax.Unsure, a.way.worker, "the answer has no seal", "")
 	}
 	if resp.ContentLength > wholeBytes {
 		return j.long(a)
 	}
+	// A body without a length ends with its connection: in order, it is whole; reset
+	// on the way, the read fails (design 6.5).
 	body, err := io.ReadAll(io.LimitReader(resp.Body, wholeBytes+1))
 	if err != nil {
 		return true, false, wax.New(wax.Unsure, a.way.worker, "broke off: "+err.Error(), "")
 	}
 	if len(body) > wholeBytes {
 		j.head(resp)
+		j.w.WriteHeader(resp.StatusCode)
+		j.begun = true
+		j.bound()
 		if _, err := j.w.Write(body); err != nil {
 			panic(http.ErrAbortHandler)
 		}
@@ -387,7 +377,7 @@
 	j.moved()
 	j.failed = resp.StatusCode >= 500
 	j.head(resp)
-	if resp.ContentLength < 0 {
+	if resp.ContentLength < 0 && j.r.Method != http.MethodHead {
 		j.w.Header().Set("Content-Length", strconv.Itoa(len(body)))
 	}
 	j.w.WriteHeader(resp.StatusCode)
@@ -398,9 +388,22 @@
 func (j *job) long(a *Answer) (ran, finished bool, err error) {
 	j.head(a.Resp)
 	j.w.WriteHeader(a.Resp.StatusCode)
+	j.bound()
 	return j.rest(a)
 }
 
+// clientGrace is how long after the request's time its client may take to read
+// the rest of the answer.
+const clientGrace = time.Second
+
+// bound ends the writing of a long answer to a client that stopped reading.
+func (j *job) bound() {
+	_ = http.NewResponseController(j.w).SetWriteDeadline(j.parcel.Until.Add(clientGrace))
+}
+
+// unbound is for the next request on the client's connection.
+func (j *job) unbound() { _ = http.NewResponseController(j.w).SetWriteDeadline(time.Time{}) }
+
 func (j *job) rest(a *Answer) (ran, finished bool, err error) {
 	j.begun = true
 	j.moved()
@@ -409,13 +412,10 @@
 		panic(http.ErrAbortHandler)
 	}
 	a.End(true)
+	j.unbound()
 	return true, true, nil
 }
 
-func chunked(resp *http.Response) bool {
-	return len(resp.TransferEncoding) > 0 && resp.TransferEncoding[0] == "chunked"
-}
-
 func (j *job) head(resp *http.Response) {
 	h := j.w.Header()
 	for _, k := range answerHeads {
@@ -432,8 +432,11 @@
 // worker behind the last event passed on, within the same answer.
 func (j *job) stream(a *Answer, read func()) (ran, finished bool, err error) {
 	resp := a.Resp
-	if resp.Header.Get(HeadSeal) == "" || resp.ContentLength < 0 && !chunked(resp) {
-		return true, false, wax.New(wax.Unsure, a.way.worker, "the stream has no seal or no end", "")
+	if resp.Header.Get(HeadSeal) == "" {
+		return true, false, wax.New(wax.Unsure, a.way.worker, "the stream has no seal", "")
+	}
+	if v, ok := headVersion(resp); ok && j.begun && j.version > 0 && v != j.version {
+		return true, false, wax.New(wax.Unsure, a.way.worker, "goes on with other weights", "")
 	}
 	er := eventReaders.Get().(*eventReader)
 	defer eventReaders.Put(er)
@@ -447,6 +450,7 @@
 			if !j.begun {
 				j.begin(resp)
 			}
+			j.unbound()
 			return true, true, nil
 		}
 		if err != nil {
@@ -474,6 +478,8 @@
 		a.Moved()
 		if ev.HasID {
 			j.lastID, j.hasLast = ev.ID, true
+		} else if ev.HasData() {
+			j.unnamed = true
 		}
 	}
 }
@@ -483,6 +489,7 @@
 	j.w.Header().Del("Content-Length") // a resumed answer may differ in length
 	j.w.WriteHeader(resp.StatusCode)
 	j.begun = true
+	j.bound()
 	if v, ok := headVersion(resp); ok {
 		j.version = v
 	}
--- a/internal/forage/item.go
+++ b/internal/forage/item.go
@@ -61,18 +61,16 @@
 	defer a.End(false)
 	switch code := a.Resp.StatusCode; {
 	case code == http.StatusUnprocessableEntity:
-		_, err := io.Copy(io.Discard, io.LimitReader(a.Resp.Body, 64<<10))
-		a.End(err == nil)
+		a.Discard()
 		return Never, nil
 	case code == http.StatusInternalServerError:
-		_, err := io.Copy(io.Discard, io.LimitReader(a.Resp.Body, 64<<10))
-		a.End(err == nil)
+		a.Discard()
 		return Failed, nil
 	case code != http.StatusOK:
 		return Broken, wax.New(wax.Unsure, w.ID, "answers "+strconv.Itoa(code), "")
 	}
-	if a.Resp.Header.Get(HeadSeal) == "" || a.Resp.ContentLength < 0 && !chunked(a.Resp) {
-		return Broken, wax.New(wax.Unsure, w.ID, "the stream has no seal or no end", "")
+	if a.Resp.Header.Get(HeadSeal) == "" {
+		return Broken, wax.New(wax.Unsure, w.ID, "the stream has no seal", "")
 	}
 	version, told := headVersion(a.Resp)
 	if told && text.Any && text.Version > 0 && version != text.Version {
--- /dev/null
+++ b/internal/forage/request.go
@@ -0,0 +1,77 @@
+package forage
+
+import (
+	"bufio"
+	"net/http"
+	"strconv"
+
+	"rowanshunt/internal/wax"
+)
+
+// withheld are the headers of a parcel that are not copied to the worker: those
+// of one connection, and those that the sender writes itself (design 6.6).
+var withheld = func() map[string]bool {
+	out := map[string]bool{"Host": true, HeadID: true}
+	for _, name := range circuitHeads {
+		out[name] = true
+	}
+	return out
+}()
+
+// check refuses a parcel whose request line or id would be read as something
+// else by the worker. Such a parcel is never sent.
+func (p *Parcel) check() error {
+	switch {
+	case !printable(p.Method, '!') || !printable(p.Target, '!') || p.Target == "" || p.Method == "":
+		return wax.New(wax.Invalid, "target", "has a space or a control character", "encode it")
+	case !printable(p.Host, '!'):
+		return wax.New(wax.Invalid, "host", "has a space or a control character", "give a host name")
+	case !printable(p.ID, ' '):
+		return wax.New(wax.Invalid, HeadID, "has a control character", "use printable characters")
+	}
+	return nil
+}
+
+// printable tells whether no byte of text is below least or a delete character.
+func printable(text string, least byte) bool {
+	for i := range len(text) {
+		if text[i] < least || text[i] == 0x7f {
+			return false
+		}
+	}
+	return true
+}
+
+// write sends the request as the worker is to see it, whole, before anything is
+// read of its answer: an answer that comes early leaves no part of the body due
+// on the connection. Method, target, body and all other headers go out as they
+// came in (design 6.3).
+func (p *Parcel) write(w *bufio.Writer, worker string) error {
+	writeLine(w, p.Method, " ", p.Target, " HTTP/1.1")
+	writeLine(w, "Host: ", p.Host)
+	if err := p.Header.WriteSubset(w, withheld); err != nil {
+		return err
+	}
+	writeLine(w, HeadID, ": ", p.ID)
+	writeLine(w, HeadWant, ": ", worker)
+	if p.LeftMs != nil {
+		writeLine(w, HeadTimeLeft, ": ", strconv.FormatInt(max(p.LeftMs(), 1), 10))
+	}
+	if len(p.Body) > 0 || p.Method == http.MethodPost || p.Method == http.MethodPut || p.Method == http.MethodPatch {
+		writeLine(w, "Content-Length: ", strconv.Itoa(len(p.Body)))
+	}
+	writeLine(w)
+	if _, err := w.Write(p.Body); err != nil {
+		return err
+	}
+	return w.Flush()
+}
+
+// writeLine writes one line of a head. Errors stay in the writer and come out of
+// its Flush.
+func writeLine(w *bufio.Writer, parts ...string) {
+	for _, part := range parts {
+		_, _ = w.WriteString(part)
+	}
+	_, _ = w.WriteString("\r\n")
+}
--- a/internal/forage/sender.go
+++ b/internal/forage/sender.go
@@ -5,7 +5,6 @@
 	"io"
 	"math"
 	"net/http"
-	"net/url"
 	"strconv"
 	"strings"
 	"sync/atomic"
@@ -176,6 +175,40 @@
 	}
 }
 
+// unused gives the circuit back: nothing was sent on it.
+func (a *Answer) unused() {
+	a.over = true
+	a.s.Ways.Drop(a.slot)
+	if a.way.cut.Load() {
+		a.s.Circuits.Drop(a.c)
+		return
+	}
+	a.s.Circuits.Unused(a.c)
+}
+
+// What is read of a body that nobody wants, so that its circuit can be used
+// again: so much, and for so long.
+const (
+	maxDiscard  = 64 << 10
+	discardTime = 50 * time.Millisecond
+)
+
+// Discard ends an answer whose body is not wanted. The circuit is used again
+// only if the end of the body was seen.
+func (a *Answer) Discard() {
+	if a.Resp.ContentLength < 0 || a.Resp.ContentLength > int64(a.c.br.Buffered()) {
+		_ = a.c.conn.SetReadDeadline(time.Now().Add(discardTime))
+	}
+	a.End(discarded(a.Resp.Body, maxDiscard))
+}
+
+// discarded reads a body of at most most bytes away, false if its end was not
+// seen.
+func discarded(body io.Reader, most int64) bool {
+	n, err := io.Copy(io.Discard, io.LimitReader(body, most+1))
+	return err == nil && n <= most
+}
+
 // maxOpen is this node's share of the circuits a worker takes (design 6.4).
 func (s *Sender) maxOpen(svc string) int {
 	b := s.Blueprint()
@@ -195,10 +228,29 @@
 		// forgotten it. A new one, the same worker (design 6.4).
 		s.Circuits.Forgot(w.ID)
 		a, err = s.send(ctx, w, p, repeatable, 0)
+		if err != nil && !wax.Is(err, wax.Unsure) {
+			// The second send promises nothing for the first.
+			err = wax.New(wax.Unsure, w.ID, "forgot its circuit: "+err.Error(), "")
+		}
 	}
 	return a, err
 }
 
+// stopped is the fence at the write: a client that left or has no time left, a
+// worker that left in the meantime, or a claim on the parcel that ended, stops
+// it here (design 6.3). Its faults promise that nothing was sent.
+func (s *Sender) stopped(ctx context.Context, w *flora.Worker, p *Parcel) error {
+	switch {
+	case ctx.Err() != nil:
+		return wax.New(wax.Conflict, w.ID, "nobody waits for the answer any more", "")
+	case !time.Now().Before(p.Until):
+		return wax.New(wax.Conflict, w.ID, "no time was left before the request was sent", "")
+	case s.Dir().ByID[w.ID] == nil || p.Fence != nil && !p.Fence():
+		return wax.New(wax.Conflict, w.ID, "left before the request was sent", "try another worker")
+	}
+	return p.check()
+}
+
 // errForgotten: a circuit that was idle ended before any byte of an answer, and
 // the parcel may be repeated.
 var errForgotten = wax.New(wax.Unsure, "circuit", "was forgotten by the worker", "send again on a new one")
@@ -207,7 +259,7 @@
 	if !p.Repeatable {
 		ageUs = min(ageUs, youngUs)
 	}
-	c, err := s.Circuits.Get(ctx, w, s.maxOpen(w.Svc), ageUs)
+	c, err := s.Circuits.Get(ctx, w, p.ID, s.maxOpen(w.Svc), ageUs)
 	if err != nil {
 		if wax.Is(err, wax.Unreached) && ctx.Err() == nil {
 			s.Scout.Failed(w.ID, true)
@@ -216,26 +268,19 @@
 	}
 	way := &Way{ctx: ctx, circuit: c, worker: w.ID, repeatable: repeatable, slowUs: s.Scout.SlowUs(w.Svc), silentUs: muteUs(p.GapMs)}
 	sentUs := waggle.NowUs()
-	way.movedUs.Store(waggle.NowUs())
+	way.movedUs.Store(sentUs)
+	_ = c.conn.SetDeadline(p.Until) // before the walk may cut it
 	slot, ok := s.Ways.Put(way)
 	if !ok {
-		s.Circuits.Drop(c)
+		s.Circuits.Unused(c)
 		return nil, wax.New(wax.Conflict, "slab", "too many requests are under way", "try again later")
 	}
 	a := &Answer{s: s, c: c, way: way, slot: slot}
-	// The fence at the write: a worker that left in the meantime, or a claim
-	// on the parcel that ended, stops it here (design 6.3).
-	if s.Dir().ByID[w.ID] == nil || p.Fence != nil && !p.Fence() {
-		a.Resp = &http.Response{Header: http.Header{}}
-		a.End(true)
-		return nil, wax.New(wax.Conflict, w.ID, "left before the request was sent", "try another worker")
-	}
-	req := p.request(w)
-	_ = c.conn.SetDeadline(p.Until)
-	err = req.Write(c.bw)
-	if err == nil {
-		err = c.bw.Flush()
+	if err := s.stopped(ctx, w, p); err != nil {
+		a.unused()
+		return nil, err
 	}
+	err = p.write(c.bw, w.ID)
 	if err == nil && c.reused {
 		_, err = c.br.Peek(1)
 	}
@@ -248,35 +293,20 @@
 		s.broke(ctx, a, w)
 		return nil, wax.New(wax.Unsure, w.ID, "broke off before an answer: "+err.Error(), "")
 	}
-	for surplus := 0; ; {
-		resp, err := http.ReadResponse(c.br, req)
-		if err != nil {
-			a.End(false)
+	a.Resp, err = c.answerTo(p)
+	if err != nil {
+		a.End(false)
+		if err != errForeign {
 			s.broke(ctx, a, w)
-			return nil, wax.New(wax.Unsure, w.ID, "no answer: "+err.Error(), "")
 		}
-		if resp.StatusCode < 200 {
-			continue
-		}
-		if id := resp.Header.Get(HeadID); id != p.ID {
-			// A late surplus answer stands in the place of ours (design 6.4).
-			surplus++
-			if _, err := io.Copy(io.Discard, io.LimitReader(resp.Body, 1<<20)); err != nil || surplus > 2 || resp.Close {
-				a.End(false)
-				return nil, wax.New(wax.Unsure, w.ID, "answers to other requests", "")
-			}
-			continue
-		}
-		a.Resp = resp
-		break
+		return nil, wax.New(wax.Unsure, w.ID, "no answer: "+err.Error(), "")
 	}
 	a.Moved()
 	way.headed.Store(true)
 	s.heard(w.ID, a.Resp.Header)
 	if a.Resp.Header.Get(HeadNotRun) != "" || a.Resp.StatusCode == http.StatusMisdirectedRequest {
-		_, err := io.Copy(io.Discard, io.LimitReader(a.Resp.Body, 64<<10))
 		status := a.Resp.StatusCode
-		a.End(err == nil)
+		a.Discard()
 		if status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests {
 			s.Scout.Full(w.ID)
 		} else if status == http.StatusMisdirectedRequest {
@@ -316,57 +346,3 @@
 	}
 	s.Scout.Heard(worker, n[0], n[1], n[2])
 }
-
-// request makes the request as the worker is to see it. The target goes out
-// as it came in.
-func (p *Parcel) request(w *flora.Worker) *http.Request {
-	h := p.Header.Clone()
-	if h == nil {
-		h = http.Header{}
-	}
-	h.Set(HeadID, p.ID)
-	h.Set(HeadWant, w.ID)
-	if p.LeftMs != nil {
-		h.Set(HeadTimeLeft, strconv.FormatInt(max(p.LeftMs(), 1), 10))
-	}
-	if _, ok := h["User-Agent"]; !ok {
-		h["User-Agent"] = []string{""} // none of our own
-	}
-	u := &url.URL{Opaque: p.Target}
-	if strings.HasPrefix(p.Target, "//") {
-		if v, err := url.ParseRequestURI(p.Target); err == nil {
-			u = v
-		}
-	}
-	req := &http.Request{Method: p.Method, URL: u, Host: p.Host, Header: h, Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1}
-	if len(p.Body) > 0 {
-		req.Body = io.NopCloser(newBody(p.Body))
-		req.ContentLength = int64(len(p.Body))
-	} else if p.Method == http.MethodPost || p.Method == http.MethodPut || p.Method == http.MethodPatch {
-		req.Body = http.NoBody
-	}
-	return req
-}
-
-type bodyReader struct {
-	b  []byte
-	at int
-}
-
-func newBody(b []byte) *bodyReader { return &bodyReader{b: b} }
-
-func (r *bodyReader) Read(p []byte) (int, error) {
-	if r.at >= len(r.b) {
-		return 0, io.EOF
-	}
-	n := copy(p, r.b[r.at:])
-	r.at += n
-	return n, nil
-}
-
-// WriteTo spares a copy on the way to the circuit.
-func (r *bodyReader) WriteTo(w io.Writer) (int64, error) {
-	n, err := w.Write(r.b[r.at:])
-	r.at += n
-	return int64(n), err
-}
--- a/internal/guard/guard.go
+++ b/internal/guard/guard.go
@@ -108,6 +108,7 @@
 				}
 				if idleS := b.Caps.IdleMs/1000 - 1; idleS > 0 && !g.Draining.Load() {
 					w.Header().Set("Keep-Alive", "timeout="+strconv.FormatInt(idleS, 10))
+					promiseIdle(r, b.Caps.IdleMs)
 				}
 			}
 			next.ServeHTTP(w, r)
@@ -115,6 +116,17 @@
 	}
 }
 
+// connKey finds a request's connection in its context.
+type connKey struct{}
+
+// promiseIdle notes what the client is told: a configuration that shortens the
+// time while the request is under way does not cut the rest that follows it.
+func promiseIdle(r *http.Request, idleMs int64) {
+	if c, ok := r.Context().Value(connKey{}).(*boundedConn); ok {
+		c.promisedMs.Store(idleMs)
+	}
+}
+
 // headBytes is about what a request's head takes on the wire.
 func headBytes(r *http.Request) int64 {
 	n := len(r.Method) + len(r.RequestURI) + len(r.Host) + 24
@@ -244,6 +256,9 @@
 		ReadHeaderTimeout: time.Duration(l.HdrMs) * time.Millisecond,
 		IdleTimeout:       time.Duration(l.IdleMs) * time.Millisecond,
 		MaxHeaderBytes:    l.HdrBytes,
+		ConnContext: func(ctx context.Context, c net.Conn) context.Context {
+			return context.WithValue(ctx, connKey{}, c)
+		},
 	}
 	if o.Waits != nil {
 		s.HTTP.ReadHeaderTimeout, s.HTTP.IdleTimeout = markHdr, markIdle
@@ -289,6 +304,9 @@
 	net.Conn
 	b    *bounded
 	once sync.Once
+	// promisedMs is how long the client was last told that it may rest, 0 if it
+	// was not told.
+	promisedMs atomic.Int64
 }
 
 // SetReadDeadline puts the times in force in the place of the marks.
@@ -300,7 +318,8 @@
 			t = t.Add(hdr - markHdr)
 		case left > markIdle-markEdge:
 			_, idle := c.b.waits()
-			t = t.Add(idle - markIdle)
+			promised := time.Duration(c.promisedMs.Load()) * time.Millisecond
+			t = t.Add(max(idle, promised) - markIdle)
 		}
 	}
 	return c.Conn.SetReadDeadline(t)
--- a/internal/pollen/frame.go
+++ b/internal/pollen/frame.go
@@ -33,10 +33,20 @@
 
 const frameHead = 4 + 1 + 1 + 8 + 1
 
+// Bounds of what one frame carries.
+const (
+	maxName = 255
+	maxBody = MaxFrame - frameHead - maxName
+)
+
+func errFrameTooLong(name string) error {
+	return wax.New(wax.TooLarge, name, "the message is over the frame's bound", "send less at a time")
+}
+
 func writeFrame(w *bufio.Writer, f frame) error {
 	var head [frameHead]byte
-	if len(f.name) > 255 || len(f.body) > MaxFrame-frameHead-255 {
-		return wax.New(wax.TooLarge, f.name, "the message is over the frame's bound", "send less at a time")
+	if len(f.name) > maxName || len(f.body) > maxBody {
+		return errFrameTooLong(f.name)
 	}
 	binary.BigEndian.PutUint32(head[:], uint32(frameHead-4+len(f.name)+len(f.body)))
 	head[4], head[5] = Version, byte(f.kind)
--- a/internal/pollen/tcp.go
+++ b/internal/pollen/tcp.go
@@ -187,8 +187,16 @@
 		}
 		c.mu.Lock()
 		ch := c.waiting[f.id]
+		asked := f.id > 0 && f.id <= c.nextID
 		delete(c.waiting, f.id)
 		c.mu.Unlock()
+		if !asked || f.kind != frameAnswer && f.kind != frameFault {
+			c.fail(wax.New(wax.Invalid, "frame", "no answer to a call of this circuit", "drop the circuit"))
+			if ch != nil {
+				close(ch)
+			}
+			return
+		}
 		if ch != nil {
 			ch <- f
 		}
@@ -196,6 +204,9 @@
 }
 
 func (c *circuit) call(ctx context.Context, kind string, body []byte) (frame, error) {
+	if len(kind) > maxName || len(body) > maxBody {
+		return frame{}, errFrameTooLong(kind) // nothing was sent, and the other calls go on
+	}
 	ch := make(chan frame, 1)
 	c.mu.Lock()
 	if c.broken != nil {
@@ -208,6 +219,12 @@
 	c.mu.Unlock()
 
 	c.wmu.Lock()
+	if ctx.Err() != nil {
+		// The calls before this one took all of its time.
+		c.wmu.Unlock()
+		c.forget(id)
+		return frame{}, wax.New(wax.Unreached, kind, "no time was left before the call was sent", "try again")
+	}
 	_ = c.conn.SetWriteDeadline(time.Now().Add(userTimeoutMs * time.Millisecond))
 	err := writeFrame(c.w, frame{kind: frameCall, id: id, name: kind, body: body})
 	if err == nil {
@@ -225,13 +242,18 @@
 		}
 		return f, nil
 	case <-ctx.Done():
-		c.mu.Lock()
-		delete(c.waiting, id)
-		c.mu.Unlock()
+		c.forget(id)
 		return frame{}, wax.New(wax.Unsure, kind, "no answer in time", "try again")
 	}
 }
 
+// forget gives a call up; its answer is read over.
+func (c *circuit) forget(id uint64) {
+	c.mu.Lock()
+	delete(c.waiting, id)
+	c.mu.Unlock()
+}
+
 // Listener serves partners.
 type Listener struct {
 	ln    net.Listener
@@ -314,6 +336,9 @@
 			defer func() { <-room }()
 			answer := frame{kind: frameAnswer, id: f.id}
 			body, err := l.run(ctx, f)
+			if err == nil && len(body) > maxBody {
+				err = errFrameTooLong(f.name)
+			}
 			if err != nil {
 				answer.kind = frameFault
 				body, _ = msgpack.Marshal(wireOf(err))
