--- /dev/null
+++ b/internal/forage/hostile_worker_test.go
@@ -0,0 +1,485 @@
+package forage
+
+import (
+	"bufio"
+	"bytes"
+	"errors"
+	"fmt"
+	"hash/fnv"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// call is what one request is, all of it a function of its id: the worker can
+// tell what it must receive, and the client what it must be answered.
+type call struct {
+	id     string
+	kind   string // safe, unsafe, stream, resumable
+	n      int
+	leftMs int64
+}
+
+func callOf(id string) (call, bool) {
+	kind, number, ok := strings.Cut(id, "-")
+	n, err := strconv.Atoi(number)
+	if !ok || err != nil {
+		return call{}, false
+	}
+	return call{id: id, kind: kind, n: n, leftMs: hostileLimitMs - int64(n%50)}, true
+}
+
+func (c call) repeatable() bool { return c.kind == "safe" || c.kind == "resumable" }
+func (c call) streamed() bool   { return c.kind == "stream" || c.kind == "resumable" }
+func (c call) method() string {
+	if c.kind == "safe" && c.n%3 != 0 {
+		return http.MethodGet
+	}
+	return http.MethodPost
+}
+func (c call) target() string { return "/" + c.kind + "/a%2fb/" + c.id + "?q=" + strconv.Itoa(c.n) }
+func (c call) events() int    { return 1 + c.n%6 }
+
+func filled(name string, size int) []byte {
+	return bytes.Repeat([]byte(name+";"), size/(len(name)+1)+1)[:size]
+}
+
+func (c call) body() []byte {
+	switch {
+	case c.method() == http.MethodGet || c.n%5 == 0:
+		return nil
+	case c.n%997 == 0:
+		return filled("body of "+c.id, 300<<10)
+	case c.n%61 == 0:
+		return filled("body of "+c.id, 70<<10)
+	}
+	return filled("body of "+c.id, 1+c.n%300)
+}
+
+// answer is the whole body of an answer with a status, whichever worker gives it.
+func (c call) answer(status int) []byte {
+	size := 20 + c.n%400
+	if c.n%199 == 0 {
+		size = wholeBytes + 1000 + c.n%5000
+	}
+	return filled(fmt.Sprintf("answer %d to %s", status, c.id), size)
+}
+
+func (c call) event(i int) string { return fmt.Sprintf("id: %d\ndata: %s/%d\n\n", i, c.id, i) }
+
+// ledger is what the workers saw.
+type ledger struct {
+	mu       sync.Mutex
+	runs     map[string][]string // by request, the workers that ran it
+	lastAt   map[string]time.Time
+	received map[string]int64 // the least time left that came with a request
+	faults   []string
+}
+
+func (l *ledger) fault(format string, args ...any) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if len(l.faults) < 50 {
+		l.faults = append(l.faults, fmt.Sprintf(format, args...))
+	}
+}
+
+func (l *ledger) arrived(id string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.lastAt[id] = time.Now()
+}
+
+func (l *ledger) ran(id, worker string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.runs[id] = append(l.runs[id], worker)
+}
+
+// hostileWorker does to its callers, at random, all that the protocol says a
+// worker in trouble may do, and some more.
+type hostileWorker struct {
+	name   string
+	life   atomic.Int64
+	ln     net.Listener
+	seed   uint64
+	ledger *ledger
+	conns  atomic.Uint64
+	acts   *[actCount]atomic.Int64
+}
+
+func (w *hostileWorker) id() string { return w.name + "-" + strconv.FormatInt(w.life.Load(), 10) }
+
+// act is one behaviour.
+type act int
+
+const (
+	actGood act = iota
+	actSecondAnswer
+	actLateSecondAnswer
+	actSecondInPlaceOfNext
+	actForeignID
+	actCutHead
+	actResetInHead
+	actNoLength
+	actNoLengthReset
+	actShortBody
+	actShortBodyReset
+	actBadChunk
+	actResetUnread
+	actResetUnrun
+	actResetRun
+	actEarlyRefusal
+	actInterim
+	actInterimFlood
+	actSwitch
+	actSilent
+	actForgetIdle
+	actForgetAtNext
+	actSlowBytes
+	actHeadFlood
+	actFailure
+	actRefusal
+	actRefusalLongBody
+	actNotFound
+	actGarbage
+	actNoSeal
+	actLongFailure
+	actSplitEvents
+	actCutInEvent
+	actEventGap
+	actEventDoubled
+	actStreamFailure
+	actCount
+)
+
+// draw draws a behaviour. Refusals come more often, so that some requests find
+// nothing else; those that hold a connection for long, less often.
+func draw(rng *rand.Rand) act {
+	switch n := rng.IntN(100); {
+	case n < 55:
+		return actGood
+	case n < 63:
+		return actRefusal
+	}
+	a := act(rng.IntN(int(actCount)))
+	if (a == actSilent || a == actHeadFlood) && rng.IntN(20) > 0 {
+		return actGood
+	}
+	return a
+}
+
+func (w *hostileWorker) run() {
+	for {
+		conn, err := w.ln.Accept()
+		if err != nil {
+			return
+		}
+		go w.serve(conn.(*net.TCPConn), rand.New(rand.NewPCG(w.seed, w.conns.Add(1))))
+	}
+}
+
+func reset(conn *net.TCPConn) {
+	_ = conn.SetLinger(0)
+	_ = conn.Close()
+}
+
+func broken(err error) bool {
+	var netErr net.Error
+	return err == io.EOF || errors.Is(err, io.ErrUnexpectedEOF) || errors.As(err, &netErr) || errors.Is(err, net.ErrClosed)
+}
+
+// serve answers the requests of one connection until it ends.
+func (w *hostileWorker) serve(conn *net.TCPConn, rng *rand.Rand) {
+	defer conn.Close()
+	br := bufio.NewReader(conn)
+	for pending := ""; ; {
+		req, err := http.ReadRequest(br)
+		if err != nil {
+			if !broken(err) {
+				w.ledger.fault("%s received what is no request: %v", w.name, err)
+			}
+			return
+		}
+		id := req.Header.Get(HeadID)
+		c, known := callOf(id)
+		if !known {
+			w.ledger.fault("%s received a request nobody sent: %q", w.name, id)
+			return
+		}
+		w.ledger.arrived(id)
+		a := draw(rng)
+		w.acts[a].Add(1)
+		if a == actResetUnread {
+			reset(conn)
+			return
+		}
+		if a == actEarlyRefusal {
+			// Answers before the body is read, and reads on later.
+			_, _ = io.WriteString(conn, refusal(id, http.StatusServiceUnavailable, 0))
+			time.Sleep(time.Duration(rng.IntN(2000)) * time.Microsecond)
+		}
+		body, err := io.ReadAll(req.Body)
+		if err != nil {
+			if !broken(err) {
+				w.ledger.fault("the body of %s: %v", id, err)
+			}
+			return
+		}
+		w.check(c, req, body)
+		if a == actEarlyRefusal {
+			continue
+		}
+		if req.Header.Get(HeadWant) != w.id() {
+			_, _ = io.WriteString(conn, refusal(id, http.StatusMisdirectedRequest, 0))
+			continue
+		}
+		_, _ = io.WriteString(conn, pending)
+		pending = ""
+		if !w.answer(conn, rng, a, c, req, &pending) {
+			return
+		}
+	}
+}
+
+// check compares what came with what the client sent.
+func (w *hostileWorker) check(c call, req *http.Request, body []byte) {
+	left, _ := strconv.ParseInt(req.Header.Get(HeadTimeLeft), 10, 64)
+	switch {
+	case req.Method != c.method() || req.RequestURI != c.target() || req.Host != hostileHost:
+		w.ledger.fault("%s came as %s %s at %s", c.id, req.Method, req.RequestURI, req.Host)
+	case !bytes.Equal(body, c.body()):
+		w.ledger.fault("%s came with another body of %d bytes", c.id, len(body))
+	case req.Header.Get("X-Rowanshunt-Model") != "m-"+c.id || req.Header.Get(HeadTokens) != strconv.Itoa(c.n)+",7" || req.Header.Get(HeadPrefix) != "ab:10":
+		w.ledger.fault("%s came with other headers: %v", c.id, req.Header)
+	case left < 1 || left > c.leftMs:
+		w.ledger.fault("%s came with %d ms of the client's %d", c.id, left, c.leftMs)
+	}
+	w.ledger.mu.Lock()
+	defer w.ledger.mu.Unlock()
+	w.ledger.received[c.id] = left
+}
+
+func refusal(id string, status, size int) string {
+	return fmt.Sprintf("HTTP/1.1 %d No\r\nX-Rowanshunt-Request-Id: %s\r\nX-Rowanshunt-Not-Run: 1\r\nContent-Length: %d\r\n\r\n%s", status, id, size, strings.Repeat("n", size))
+}
+
+// sealed is the head of an answer up to its framing. The seal names the request
+// and the status, so that a client sees any that were swapped.
+func sealed(c call, status int) string {
+	return fmt.Sprintf("HTTP/1.1 %d Status\r\nX-Rowanshunt-Request-Id: %s\r\nX-Rowanshunt-Seal: %s/%d\r\n", status, c.id, c.id, status)
+}
+
+func chunk(s string) string { return fmt.Sprintf("%x\r\n%s\r\n", len(s), s) }
+
+// whole is a whole answer with a length or in chunks.
+func whole(c call, status int) string {
+	body := string(c.answer(status))
+	if c.n%2 == 0 || c.n%199 == 0 {
+		return sealed(c, status) + "Transfer-Encoding: chunked\r\n\r\n" + chunk(body[:len(body)/2]) + chunk(body[len(body)/2:]) + "0\r\n\r\n"
+	}
+	return sealed(c, status) + "Content-Length: " + strconv.Itoa(len(body)) + "\r\n\r\n" + body
+}
+
+// streamFrom is a whole stream behind the event that was had.
+func streamFrom(c call, had int) string {
+	var b strings.Builder
+	b.WriteString(sealed(c, http.StatusOK) + "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n")
+	for i := had + 1; i <= c.events(); i++ {
+		b.WriteString(chunk(c.event(i)))
+	}
+	return b.String() + "0\r\n\r\n"
+}
+
+// answer runs a request and answers it in one of the ways, false if the
+// connection ends.
+func (w *hostileWorker) answer(conn *net.TCPConn, rng *rand.Rand, a act, c call, req *http.Request, pending *string) bool {
+	say := func(s string) { _, _ = io.WriteString(conn, s) }
+	switch a { // without a run
+	case actResetUnrun:
+		reset(conn)
+		return false
+	case actRefusal:
+		say(refusal(c.id, []int{503, 429, 421}[rng.IntN(3)], rng.IntN(50)))
+		return true
+	case actRefusalLongBody:
+		say(refusal(c.id, 503, 100<<10))
+		return true
+	case actForgetAtNext:
+		_, _ = io.ReadAll(io.LimitReader(conn, 0))
+		say(w.good(c, req))
+		w.ledger.ran(c.id, w.name)
+		if _, err := conn.Read(make([]byte, 1)); err == nil {
+			reset(conn) // what was sent on the idle connection is not read
+		}
+		return false
+	}
+	w.ledger.ran(c.id, w.name)
+	switch a {
+	case actSecondAnswer:
+		say(w.good(c, req) + w.good(c, req))
+	case actLateSecondAnswer:
+		say(w.good(c, req))
+		time.Sleep(time.Duration(rng.IntN(1500)) * time.Microsecond)
+		say(w.good(c, req))
+	case actSecondInPlaceOfNext:
+		say(w.good(c, req))
+		*pending = w.good(c, req)
+	case actForeignID:
+		other, _ := callOf(c.kind + "-" + strconv.Itoa(c.n+1))
+		say(whole(other, 200))
+		return rng.IntN(2) == 0
+	case actCutHead:
+		say(sealed(c, 200)[:20+rng.IntN(40)])
+		return false
+	case actResetInHead:
+		say(sealed(c, 200)[:20+rng.IntN(40)])
+		reset(conn)
+		return false
+	case actNoLength:
+		say(w.unframed(c, req, -1))
+		return false
+	case actNoLengthReset:
+		say(w.unframed(c, req, rng.IntN(20)))
+		time.Sleep(time.Duration(rng.IntN(500)) * time.Microsecond)
+		reset(conn)
+		return false
+	case actShortBody, actShortBodyReset:
+		all := w.good(c, req)
+		say(all[:len(all)-1-rng.IntN(15)])
+		if a == actShortBodyReset {
+			reset(conn)
+		}
+		return false
+	case actBadChunk:
+		say(sealed(c, 200) + "Transfer-Encoding: chunked\r\n\r\n" + chunk("id: 1\ndata: x\n\n"[:1+rng.IntN(5)]) + "zz\r\nid")
+		return rng.IntN(2) == 0
+	case actResetRun:
+		reset(conn)
+		return false
+	case actInterim:
+		say("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: </x>\r\n\r\n" + w.good(c, req))
+	case actInterimFlood:
+		say(strings.Repeat("HTTP/1.1 102 Processing\r\n\r\n", 40) + w.good(c, req))
+	case actSwitch:
+		say("HTTP/1.1 101 Switching Protocols\r\nX-Rowanshunt-Request-Id: " + c.id + "\r\nUpgrade: x\r\nConnection: Upgrade\r\n\r\n")
+	case actSilent:
+		_, _ = io.Copy(io.Discard, conn)
+		return false
+	case actForgetIdle:
+		say(w.good(c, req))
+		time.Sleep(time.Duration(rng.IntN(3000)) * time.Microsecond)
+		reset(conn)
+		return false
+	case actSlowBytes:
+		for rest := w.good(c, req); rest != ""; {
+			n := min(len(rest), 1+len(rest)/4)
+			say(rest[:n])
+			rest = rest[n:]
+			time.Sleep(time.Millisecond)
+		}
+	case actHeadFlood:
+		flood := "X-Pad: " + strings.Repeat("p", 4000) + "\r\n"
+		say(sealed(c, 200))
+		for range 50_000 {
+			if _, err := io.WriteString(conn, flood); err != nil {
+				return false
+			}
+		}
+		w.ledger.fault("200 MB of a head were read")
+		return false
+	case actFailure:
+		say(whole(c, 500))
+	case actNotFound:
+		say(whole(c, 404))
+	case actGarbage:
+		say("\x00\x01 no answer at all\r\n\r\n")
+		return rng.IntN(2) == 0
+	case actNoSeal:
+		say(strings.Replace(w.good(c, req), HeadSeal, "X-Other", 1))
+	case actLongFailure:
+		body := string(c.answer(500))
+		say(sealed(c, 500) + "Transfer-Encoding: chunked\r\n\r\n" + chunk(body) + "0\r\n\r\n")
+	case actSplitEvents, actCutInEvent, actEventGap, actEventDoubled, actStreamFailure:
+		return w.oddStream(conn, rng, a, c, req)
+	default:
+		say(w.good(c, req))
+	}
+	return true
+}
+
+func had(req *http.Request) int {
+	n, _ := strconv.Atoi(req.Header.Get(HeadLastID))
+	return n
+}
+
+// good is the answer that a worker without trouble gives.
+func (w *hostileWorker) good(c call, req *http.Request) string {
+	if c.streamed() {
+		return streamFrom(c, had(req))
+	}
+	return whole(c, 200)
+}
+
+// unframed is an answer that ends with its connection, of at most size bytes.
+func (w *hostileWorker) unframed(c call, req *http.Request, size int) string {
+	body := string(c.answer(200))
+	if c.streamed() {
+		body = ""
+		for i := had(req) + 1; i <= c.events(); i++ {
+			body += c.event(i)
+		}
+	}
+	if size >= 0 {
+		body = body[:min(size, len(body))]
+	}
+	return sealed(c, 200) + "\r\n" + body
+}
+
+// oddStream spoils a stream amid its events, and any other answer in its middle.
+func (w *hostileWorker) oddStream(conn *net.TCPConn, rng *rand.Rand, a act, c call, req *http.Request) bool {
+	say := func(s string) { _, _ = io.WriteString(conn, s) }
+	if !c.streamed() {
+		say(whole(c, 200))
+		return true
+	}
+	if a == actStreamFailure {
+		say(whole(c, []int{500, 404, 422}[rng.IntN(3)]))
+		return true
+	}
+	first := had(req) + 1
+	say(sealed(c, 200) + "Transfer-Encoding: chunked\r\n\r\n")
+	for i := first; i <= c.events(); i++ {
+		switch {
+		case a == actCutInEvent && (i == c.events() || rng.IntN(3) == 0):
+			say(chunk(c.event(i)[:rng.IntN(12)+1]))
+			if rng.IntN(2) == 0 {
+				reset(conn)
+			}
+			return false
+		case a == actEventGap && i == c.events() && i > 1: // nobody can tell where a stream begins
+			say(chunk(c.event(i + 1)))
+		case a == actEventDoubled && i > first:
+			say(chunk(c.event(i-1)) + chunk(c.event(i)))
+		default:
+			cut := rng.IntN(8) + 1
+			say(chunk(c.event(i)[:cut]))
+			time.Sleep(time.Duration(rng.IntN(300)) * time.Microsecond)
+			say(chunk(c.event(i)[cut:]))
+		}
+	}
+	say("0\r\n\r\n")
+	return true
+}
+
+func hashOf(s string) uint64 {
+	h := fnv.New64a()
+	_, _ = io.WriteString(h, s)
+	return h.Sum64()
+}
