--- a/internal/brood/api.go
+++ b/internal/brood/api.go
@@ -63,6 +63,9 @@
 	} `json:"reqs"`
 }
 
+// maxToks bounds an item's tokens, so that no sum of them overflows.
+const maxToks = 1 << 40
+
 // ParseLot reads and checks the body of a lot.
 func ParseLot(raw []byte, wallUs int64) ([]Prompt, error) {
 	var doc lotDoc
@@ -96,8 +99,8 @@
 		if !targetOK(q.Path) {
 			l.Addf(at+".path", "cannot be sent", "encode spaces and control characters")
 		}
-		if q.Toks == nil || *q.Toks < 0 {
-			l.Addf(at+".toks", "is missing or negative", "give the tokens of the prompt and the most out, summed")
+		if q.Toks == nil || *q.Toks < 0 || *q.Toks > maxToks {
+			l.Addf(at+".toks", "is missing, negative or over the bound", "give the tokens of the prompt and the most out, summed")
 		}
 		body, err := base64.StdEncoding.DecodeString(q.Body)
 		if err != nil {
--- /dev/null
+++ b/internal/brood/fuzz_test.go
@@ -0,0 +1,106 @@
+package brood
+
+import (
+	"bytes"
+	"testing"
+
+	"github.com/vmihailenco/msgpack/v5"
+)
+
+// A lot is taken whole or not at all, and what is taken can be sent as it is.
+func FuzzParseLot(f *testing.F) {
+	for _, seed := range []string{
+		`{"reqs":[{"id":"e5","path":"/p/3","hdrs":{"X-Rowanshunt-Model":"m"},"body":"q83vEg==","toks":940}]}`,
+		`{"reqs":[{"id":"a","path":"/p","toks":9000000000000000000},{"id":"b","path":"/p","toks":9000000000000000000}]}`,
+		`{"reqs":[{"id":"a\r\nX: y","path":"/p HTTP/1.1\r\n","hdrs":{"Content-Length":"1"},"toks":1}]}`,
+		`{"reqs":[]}`, `{"reqs":null}`, `{"reqs":[{}]}`, `[`, ``,
+	} {
+		f.Add([]byte(seed))
+	}
+	f.Fuzz(func(t *testing.T, raw []byte) {
+		prompts, err := ParseLot(raw, 7)
+		if err != nil {
+			return
+		}
+		if len(prompts) == 0 || len(prompts) > MaxItems {
+			t.Fatalf("%d items were taken", len(prompts))
+		}
+		var toks int64
+		seen := map[string]bool{}
+		for _, p := range prompts {
+			if p.ID == "" || seen[p.ID] || !valueOK(p.ID) || !targetOK(p.Path) || p.Path[0] != '/' || len(p.Hdrs)%2 != 0 {
+				t.Fatalf("taken: %+v", p)
+			}
+			seen[p.ID] = true
+			toks += p.Toks
+			if toks < 0 {
+				t.Fatal("the tokens overflow")
+			}
+		}
+	})
+}
+
+// Ops of a peer or of a file never bring the table down, and a lot whose op is
+// declined is as it was.
+func FuzzApply(f *testing.F) {
+	pack := func(ops ...*op) []byte {
+		raw, err := msgpack.Marshal(ops)
+		if err != nil {
+			f.Fatal(err)
+		}
+		return raw
+	}
+	lot := &Lot{ID: "a", Prompts: []Prompt{{ID: "1", Toks: 3}, {ID: "2", Toks: 4}}}
+	put := &op{Kind: opPut, Lot: "a", Rev: 1, Whole: lot}
+	f.Add(pack(put))
+	f.Add(pack(put, &op{Kind: opAppend, Lot: "a", Rev: 2, Results: []Result{{Item: 1, Phase: PhaseDone}, {Item: 1, Phase: PhaseDone}, {Item: -5}, {Item: 900}}}))
+	f.Add(pack(put, &op{Kind: opCursor, Lot: "a", Rev: 2, Rows: []CursorAt{{Item: -1}, {Item: 7}, {Item: 0, Row: Cursor{Lease: 4}}}}, &op{Kind: opEnd, Lot: "a", Rev: 3}))
+	f.Add(pack(put, &op{Kind: opCatch, Lot: "a", Rev: 9, From: 1, Listed: 44}, &op{Kind: opStamp, Lot: "a", Rev: 1}, &op{Kind: opDrop, Lot: "a"}))
+	f.Fuzz(func(t *testing.T, raw []byte) {
+		var ops []*op
+		if msgpack.Unmarshal(raw, &ops) != nil || len(ops) > 50 {
+			return
+		}
+		lots := map[string]*Lot{}
+		for _, o := range ops {
+			if o == nil {
+				continue
+			}
+			before := packed1(lots[o.Lot])
+			if !apply(lots, o) && !bytes.Equal(before, packed1(lots[o.Lot])) {
+				t.Fatalf("an op that was declined changed its lot: %+v", o)
+			}
+			if l := lots[o.Lot]; l != nil {
+				_ = l.openToks()
+				if len(l.Rows) != len(l.Prompts) || len(l.listed) != len(l.Prompts) {
+					t.Fatalf("%d prompts, %d rows, %d marks", len(l.Prompts), len(l.Rows), len(l.listed))
+				}
+			}
+		}
+	})
+}
+
+func packed1(l *Lot) []byte {
+	raw, _ := msgpack.Marshal(l)
+	return raw
+}
+
+// Messages of peers are read, or refused, without a panic.
+func FuzzMessages(f *testing.F) {
+	for _, v := range []any{&handCall{Lot: &Lot{ID: "a"}}, &handAnswer{}, &TakeCall{Held: []Held{{Lot: "a"}}}, &TakeAnswer{Given: []Given{{Lot: "a"}}}, &AckCall{Msg: []byte("m")}, &GiveCall{}, &claimCall{}, &claimAnswer{}, &writeCall{}, &writeAnswer{}, &readAnswer{}} {
+		raw, err := msgpack.Marshal(v)
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(raw)
+	}
+	f.Add([]byte{0xdd, 0xff, 0xff, 0xff, 0xff})
+	f.Fuzz(func(_ *testing.T, raw []byte) {
+		for _, v := range []any{&handCall{}, &handAnswer{}, &TakeCall{}, &TakeAnswer{}, &AckCall{}, &GiveCall{}, &claimCall{}, &claimAnswer{}, &writeCall{}, &writeAnswer{}, &readAnswer{}} {
+			_ = msgpack.Unmarshal(raw, v)
+		}
+		for _, enc := range []uint8{plain, packed, 9} {
+			_, _ = Unpack(enc, raw, len(raw)*3)
+		}
+	})
+}
--- a/internal/flora/worker.go
+++ b/internal/flora/worker.go
@@ -8,6 +8,7 @@
 import (
 	"encoding/json"
 	"hash/fnv"
+	"strings"
 
 	"rowanshunt/internal/wax"
 )
@@ -52,6 +53,9 @@
 	if id == "" || len(id) > 256 {
 		l.Addf("id", "is missing or too long", "put it into the path")
 	}
+	if strings.ContainsFunc(id, unprintable) || strings.ContainsFunc(w.Addr, unprintable) {
+		l.Addf("id", "or addr holds a control character", "use printable characters")
+	}
 	if w.Svc == "" {
 		l.Addf("svc", "is missing", "name the service")
 	}
@@ -67,6 +71,9 @@
 	return w, l.Err()
 }
 
+// unprintable tells control characters, which would end a header's line.
+func unprintable(r rune) bool { return r < ' ' || r == 0x7f }
+
 // state is what news is about: all but the beat number and the age.
 func (w *Worker) state() uint64 {
 	h := fnv.New64a()
--- a/internal/forage/request.go
+++ b/internal/forage/request.go
@@ -18,16 +18,16 @@
 	return out
 }()
 
-// check refuses a parcel whose request line or id would be read as something
+// check refuses a parcel whose request line or ids would be read as something
 // else by the worker. Such a parcel is never sent.
-func (p *Parcel) check() error {
+func (p *Parcel) check(worker string) error {
 	switch {
 	case !printable(p.Method, '!') || !printable(p.Target, '!') || p.Target == "" || p.Method == "":
 		return wax.New(wax.Invalid, "target", "has a space or a control character", "encode it")
 	case !printable(p.Host, '!'):
 		return wax.New(wax.Invalid, "host", "has a space or a control character", "give a host name")
-	case !printable(p.ID, ' '):
-		return wax.New(wax.Invalid, HeadID, "has a control character", "use printable characters")
+	case !printable(p.ID, ' ') || !printable(worker, ' '):
+		return wax.New(wax.Invalid, HeadID, "or the worker's has a control character", "use printable characters")
 	}
 	return nil
 }
--- a/internal/forage/sender.go
+++ b/internal/forage/sender.go
@@ -248,7 +248,7 @@
 	case s.Dir().ByID[w.ID] == nil || p.Fence != nil && !p.Fence():
 		return wax.New(wax.Conflict, w.ID, "left before the request was sent", "try another worker")
 	}
-	return p.check()
+	return p.check(w.ID)
 }
 
 // errForgotten: a circuit that was idle ended before any byte of an answer, and
