Taken orders are kept in the register and acknowledged again

Cause: an order was known only while its document was in force; 4 on 1, 9 on 4, then 4 on 1 again was answered 412, also when a later proposer had carried it through.

Change: OrderLog in the register's value (Extra, so that nodes of the version before carry it along): version and 128-bit digest of the last 256 orders taken, each on the one before. Orders refused before their base is in force are logged too (64), so that a late copy can't be taken after the refusal. The same for quotas; retire orders are known by name after their store left; start, pause, resume and undo of upgrades sent again are answered with the upgrade as it stands or 409, and are judged inside the change. Change may return a state with a refusal: the state is committed first.

Ruled out: a trailing field of State, since a proposer of the version before would drop it.

--- a/internal/colony/colony.go
+++ b/internal/colony/colony.go
@@ -261,10 +261,6 @@
 		Ready: func() bool { return n.caughtUp.Load() && n.blueprint.Load() != nil && f.Flora.Synced() }}
 	f.Moult = moult.New(ctx, moult.Config{Floor: n.Floor, Desk: n.Desk, Mesh: env.Mesh, Swarm: n.Swarm, Log: env.Log, Self: n.self,
 		State: n.Nest.Committed, Change: n.Nest.Change, Known: f.Flora.Known, Scout: f.Scout, WallUs: env.WallUs,
-		HasService: func(svc string) bool {
-			b := n.blueprint.Load()
-			return b != nil && b.Services[svc] != nil
-		},
 		OnMove: func(u *moult.Upgrade) {
 			f.Buzz.Emit(buzz.UpgradeChanged, u.Svc, map[string]any{"act": "moved", "phase": u.Phase, "wave": u.Wave, "why": u.Why})
 		}})
--- a/internal/colony/faults_test.go
+++ b/internal/colony/faults_test.go
@@ -200,6 +200,9 @@
 		h.kill(next)
 		h.wipe(next)
 		h.complete("a", 20, 20*time.Second)
+		if w := h.control(h.edge(), "POST", "/-/retire/"+gone, map[string]any{"over_s": 5}); w.Code != 200 {
+			t.Errorf("the order sent again after the store has left: %d %s", w.Code, w.Body)
+		}
 	})
 }
 
--- a/internal/moult/driver.go
+++ b/internal/moult/driver.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"rowanshunt/internal/flora"
+	"rowanshunt/internal/foundation"
 	"rowanshunt/internal/nest"
 	"rowanshunt/internal/pollen"
 	"rowanshunt/internal/scout"
@@ -36,9 +37,7 @@
 	Known  func() []flora.Worker // all registered workers, in use or not
 	Scout  *scout.Scout
 	WallUs func() int64
-	// Services is the blueprint's, nil before the first.
-	HasService func(string) bool
-	OnMove     func(*Upgrade)
+	OnMove func(*Upgrade)
 }
 
 // Moult is one node's part in upgrades: it applies them to its own picks, tells
@@ -106,12 +105,16 @@
 // tick drives each open upgrade whose key falls to this node.
 func (m *Moult) tick() {
 	s := m.cfg.State()
-	if m.busy || s == nil || len(s.Extra) == 0 {
+	if m.busy || s == nil {
+		return
+	}
+	upgrades := All(s)
+	if len(upgrades) == 0 {
 		return
 	}
 	v := m.cfg.Swarm.Look()
 	live := v.Names(func(p *swarm.Sighting) bool { return p.Alive && p.Role == m.cfg.Self.Role && !p.Leaving })
-	for _, u := range All(s) {
+	for _, u := range upgrades {
 		if !u.Open() || tending.Holder(keyPrefix+u.Svc, live) != m.cfg.Self.Name {
 			continue
 		}
@@ -264,62 +267,96 @@
 	return ver
 }
 
-// Start begins an upgrade.
+// Start begins an upgrade. Everything that may refuse it is looked at inside the
+// change, so that a refusal stands on a committed value at a majority. A repeated
+// order is never refused: while its upgrade is open it gets a Conflict, after it
+// ended the upgrade as it stands (design 13.4).
 func (m *Moult) Start(ctx context.Context, svc string, to int64, rules Rules) (*Upgrade, error) {
-	if !m.cfg.HasService(svc) {
-		return nil, wax.New(wax.Unknown, svc, "is no service of the blueprint", "name a service under svcs")
-	}
-	counts := map[int64]int64{}
-	var total int64
-	for _, w := range m.cfg.Known() {
-		if w.Svc == svc && w.Up() {
-			counts[version(&w)]++
-			total++
+	return m.change(ctx, svc, func(now *nest.State, old *Upgrade) (*Upgrade, error) {
+		workers := m.countWorkers(svc, to)
+		switch {
+		case old.Open():
+			return nil, wax.New(wax.Conflict, svc, "an upgrade of it is under way", "wait for it, or undo it")
+		case old.endedAs(to, rules) && (workers.total == 0 || workers.byVer[to] == workers.total):
+			return nil, nil
 		}
-	}
-	heirs := map[string]string{}
+		if err := mayStart(now, svc, to, workers, rules); err != nil {
+			return nil, err
+		}
+		u := &Upgrade{Svc: svc, From: workers.mostCommon(), To: to, Rules: rules, Phase: Running, Total: workers.total, Heirs: workers.atTarget}
+		if old != nil {
+			u.Term = old.Term
+			for id, name := range old.Heirs {
+				u.Heirs[id] = name
+			}
+		}
+		return u, nil
+	})
+}
+
+// workerCount is what a node knows of the workers of one service.
+type workerCount struct {
+	total    int64
+	byVer    map[int64]int64   // workers that are up, by version
+	atTarget map[string]string // those at the target version keep their own place
+}
+
+func (m *Moult) countWorkers(svc string, to int64) *workerCount {
+	count := &workerCount{byVer: map[int64]int64{}, atTarget: map[string]string{}}
 	for _, w := range m.cfg.Known() {
-		if w.Svc == svc && version(&w) == to {
-			heirs[w.ID] = w.ID // they are there already and keep their own place
+		if w.Svc != svc {
+			continue
+		}
+		ver := version(&w)
+		if w.Up() {
+			count.byVer[ver]++
+			count.total++
+		}
+		if ver == to {
+			count.atTarget[w.ID] = w.ID
 		}
 	}
+	return count
+}
+
+// mostCommon is the version that most workers have, the lower one of equals.
+func (c *workerCount) mostCommon() int64 {
 	var from, most int64
-	for ver, n := range counts {
+	for ver, n := range c.byVer {
 		if n > most || n == most && ver < from {
 			from, most = ver, n
 		}
 	}
+	return from
+}
+
+func mayStart(now *nest.State, svc string, to int64, workers *workerCount, rules Rules) error {
 	switch {
+	case !hasService(now, svc):
+		return wax.New(wax.Unknown, svc, "is no service of the blueprint", "name a service under svcs")
 	case to <= 0:
-		return nil, wax.New(wax.Invalid, "to", "is no version", "give the number of the weights' version, above 0")
-	case total == 0:
-		return nil, wax.New(wax.Conflict, svc, "no worker of it is up", "start its workers first")
-	case counts[to] == total:
-		return nil, wax.New(wax.Conflict, "to", "all workers are at that version", "nothing to do")
+		return wax.New(wax.Invalid, "to", "is no version", "give the number of the weights' version, above 0")
+	case workers.total == 0:
+		return wax.New(wax.Conflict, svc, "no worker of it is up", "start its workers first")
+	case workers.byVer[to] == workers.total:
+		return wax.New(wax.Conflict, "to", "all workers are at that version", "nothing to do")
 	}
-	if err := rules.Check(total); err != nil {
-		return nil, err
+	return rules.Check(workers.total)
+}
+
+// hasService tells whether the configuration in a value names the service.
+func hasService(now *nest.State, svc string) bool {
+	if now.Ver == 0 {
+		return false
 	}
-	return m.change(ctx, svc, func(old *Upgrade) (*Upgrade, error) {
-		if old.Open() {
-			return nil, wax.New(wax.Conflict, svc, "an upgrade of it is under way", "wait for it, or undo it")
-		}
-		u := &Upgrade{Svc: svc, From: from, To: to, Rules: rules, Phase: Running, Total: total}
-		if old != nil {
-			u.Term = old.Term
-			for id, name := range old.Heirs {
-				heirs[id] = name
-			}
-		}
-		u.Heirs = heirs
-		return u, nil
-	})
+	configuration, err := foundation.Parse(now.Doc)
+	return err == nil && configuration.Services[svc] != nil
 }
 
 // change runs a change of one upgrade in the register.
-func (m *Moult) change(ctx context.Context, svc string, fn func(*Upgrade) (*Upgrade, error)) (*Upgrade, error) {
+func (m *Moult) change(ctx context.Context, svc string, fn func(*nest.State, *Upgrade) (*Upgrade, error)) (*Upgrade, error) {
 	s, err := m.cfg.Change(ctx, func(now *nest.State) (*nest.State, error) {
-		u, err := fn(Load(now, svc))
+		u, err := fn(now, Load(now, svc))
 		if err != nil || u == nil {
 			return nil, err
 		}
@@ -337,10 +374,13 @@
 
 // Pause stops an upgrade where it is.
 func (m *Moult) Pause(ctx context.Context, svc string) (*Upgrade, error) {
-	return m.change(ctx, svc, func(u *Upgrade) (*Upgrade, error) {
-		if !u.Open() {
+	return m.change(ctx, svc, func(_ *nest.State, u *Upgrade) (*Upgrade, error) {
+		if u == nil {
 			return nil, unknown(svc)
 		}
+		if !u.Open() {
+			return nil, nil // at its end: perhaps an order sent again
+		}
 		u.pause("paused by the operator", "resume when ready")
 		return u, nil
 	})
@@ -348,10 +388,13 @@
 
 // Resume lets a paused upgrade go on, its times anew.
 func (m *Moult) Resume(ctx context.Context, svc string) (*Upgrade, error) {
-	return m.change(ctx, svc, func(u *Upgrade) (*Upgrade, error) {
-		if !u.Open() {
+	return m.change(ctx, svc, func(_ *nest.State, u *Upgrade) (*Upgrade, error) {
+		if u == nil {
 			return nil, unknown(svc)
 		}
+		if u.Phase != Paused {
+			return nil, nil // it runs or is at its end: perhaps an order sent again
+		}
 		u.Phase, u.Why, u.Remedy = Running, "", ""
 		u.WaveUs, u.SpreadUs = m.cfg.WallUs(), 0
 		return u, nil
@@ -361,10 +404,13 @@
 // Undo turns an upgrade round: the workers at the target version go back in
 // waves, under the same rules.
 func (m *Moult) Undo(ctx context.Context, svc string) (*Upgrade, error) {
-	return m.change(ctx, svc, func(u *Upgrade) (*Upgrade, error) {
-		if u == nil || u.Phase == Undone {
+	return m.change(ctx, svc, func(_ *nest.State, u *Upgrade) (*Upgrade, error) {
+		if u == nil {
 			return nil, unknown(svc)
 		}
+		if u.Phase == Undone {
+			return nil, nil // perhaps an order sent again
+		}
 		if u.Undoing && u.Open() {
 			return nil, wax.New(wax.Conflict, svc, "is being undone already", "wait for it")
 		}
--- /dev/null
+++ b/internal/moult/orders_test.go
@@ -0,0 +1,87 @@
+package moult
+
+import (
+	"context"
+	"testing"
+
+	"rowanshunt/internal/flora"
+	"rowanshunt/internal/foundation"
+	"rowanshunt/internal/nest"
+	"rowanshunt/internal/wax"
+)
+
+const ordersConfiguration = `{"ver":1,"routes":[{"name":"a","host":"shop.example","pfx":"/a/","type":"safe","limit_ms":5,"svc":"llm"}],"svcs":[{"name":"llm","hc":"/h"}],"caps":{}}`
+
+// An order about an upgrade that was taken is, when it is sent again, answered
+// as the upgrade stands or as under way, never refused otherwise (design 13.4).
+func TestOrdersSentAgain(t *testing.T) {
+	if _, err := foundation.Parse([]byte(ordersConfiguration)); err != nil {
+		t.Fatal(err)
+	}
+	state := &nest.State{Ver: 1, Doc: []byte(ordersConfiguration)}
+	workers := []flora.Worker{
+		{ID: "w1", Svc: "llm", Phase: "up", Models: []flora.Model{{Name: "m", Ver: 1}}},
+		{ID: "w2", Svc: "llm", Phase: "up", Models: []flora.Model{{Name: "m", Ver: 1}}},
+	}
+	m := &Moult{cfg: Config{
+		Known:  func() []flora.Worker { return workers },
+		WallUs: func() int64 { return 1 },
+		Change: func(_ context.Context, change nest.Change) (*nest.State, error) {
+			now := *state
+			next, err := change(&now)
+			if err == nil && next != nil {
+				state = next
+			}
+			return state, err
+		},
+	}}
+	ctx := t.Context()
+	start := func() (*Upgrade, error) { return m.Start(ctx, "llm", 2, DefaultRules()) }
+	pause := func() (*Upgrade, error) { return m.Pause(ctx, "llm") }
+	resume := func() (*Upgrade, error) { return m.Resume(ctx, "llm") }
+	undo := func() (*Upgrade, error) { return m.Undo(ctx, "llm") }
+	end := func(phase Phase, ver int64) func() (*Upgrade, error) {
+		return func() (*Upgrade, error) {
+			for i := range workers {
+				workers[i].Models[0].Ver = ver
+			}
+			u := Load(state, "llm")
+			u.Phase = phase
+			return u, u.store(state)
+		}
+	}
+	for _, step := range []struct {
+		name  string
+		run   func() (*Upgrade, error)
+		fails bool
+		kind  wax.Kind
+		phase Phase
+	}{
+		{"pause before there is one", pause, true, wax.Unknown, ""},
+		{"undo before there is one", undo, true, wax.Unknown, ""},
+		{"start", start, false, 0, Running},
+		{"start again", start, true, wax.Conflict, Running},
+		{"resume what runs", resume, false, 0, Running},
+		{"pause", pause, false, 0, Paused},
+		{"pause again", pause, false, 0, Paused},
+		{"resume", resume, false, 0, Running},
+		{"resume again", resume, false, 0, Running},
+		{"the end", end(Done, 2), false, 0, Done},
+		{"start after the end", start, false, 0, Done},
+		{"pause after the end", pause, false, 0, Done},
+		{"resume after the end", resume, false, 0, Done},
+		{"undo", undo, false, 0, Running},
+		{"undo again", undo, true, wax.Conflict, Running},
+		{"undone", end(Undone, 1), false, 0, Undone},
+		{"undo after that", undo, false, 0, Undone},
+		{"pause after that", pause, false, 0, Undone},
+	} {
+		u, err := step.run()
+		if step.fails && !wax.Is(err, step.kind) || !step.fails && err != nil {
+			t.Errorf("%s: %v", step.name, err)
+		}
+		if got := Load(state, "llm"); got != nil && got.Phase != step.phase || !step.fails && u.Phase != step.phase {
+			t.Errorf("%s: phase %s, not %s", step.name, got.Phase, step.phase)
+		}
+	}
+}
--- a/internal/moult/upgrade.go
+++ b/internal/moult/upgrade.go
@@ -137,6 +137,12 @@
 // Open tells whether the upgrade is not at its end.
 func (u *Upgrade) Open() bool { return u != nil && (u.Phase == Running || u.Phase == Paused) }
 
+// endedAs tells whether the upgrade reached that target under those rules. A start
+// that says the same may be the one that began it, sent again.
+func (u *Upgrade) endedAs(to int64, rules Rules) bool {
+	return u != nil && u.Phase == Done && u.To == to && u.Rules == rules
+}
+
 // Seen is what the driver sees of a worker in use or taken out.
 type Seen struct {
 	ID   string
--- a/internal/nectar/doc.go
+++ b/internal/nectar/doc.go
@@ -335,32 +335,29 @@
 // (design 17.1).
 func Put(ctx context.Context, change func(context.Context, nest.Change) (*nest.State, error), d *Doc, expect int64) error {
 	raw := d.JSON()
+	order := nest.NewOrder(d.Ver, expect, raw)
 	_, err := change(ctx, func(now *nest.State) (*nest.State, error) {
 		var ver int64
 		if old := Load(now); old != nil {
 			ver = old.Ver
 		}
 		if bytes.Equal(now.Extra[docKey], raw) {
-			return nil, nil // the very same one, sent again
+			return nil, nil // the very same one, in force
 		}
-		if ver != expect {
-			return nil, wax.New(wax.Stale, "If-Match", "version "+strconv.FormatInt(ver, 10)+" is in place", "read the quotas and build on their version")
-		}
-		if d.Ver <= ver {
-			return nil, wax.New(wax.Invalid, "ver", "is not above the current one", "raise it above "+strconv.FormatInt(ver, 10))
-		}
-		if now.Ver == 0 {
-			return nil, wax.New(wax.Conflict, "quotas", "there is no blueprint to check them against", "put a blueprint first")
-		}
-		b, err := foundation.Parse(now.Doc)
-		if err != nil {
-			return nil, err
-		}
-		if err := d.CheckAgainst(b); err != nil {
-			return nil, err
-		}
-		now.SetExtra(docKey, raw)
-		return now, nil
+		return nest.QuotaOrders.ApplyOrder(now, ver, order, func(now *nest.State) error {
+			if now.Ver == 0 {
+				return wax.New(wax.Conflict, "quotas", "there is no blueprint to check them against", "put a blueprint first")
+			}
+			b, err := foundation.Parse(now.Doc)
+			if err != nil {
+				return err
+			}
+			if err := d.CheckAgainst(b); err != nil {
+				return err
+			}
+			now.SetExtra(docKey, raw)
+			return nil
+		})
 	})
 	return err
 }
--- a/internal/nectar/doc_test.go
+++ b/internal/nectar/doc_test.go
@@ -161,7 +161,18 @@
 	if err := put(doc("5"), 3); err != nil || Load(state).Ver != 5 {
 		t.Errorf("the next: %v", err)
 	}
+	if err := put(doc("3"), 0); err != nil || Load(state).Ver != 5 {
+		t.Errorf("a taken one sent again after a later one: %v", err)
+	}
+	other := doc("3")
+	other.Tenants["dealers"] = Tenant{Hosts: []string{"till.example"}}
+	if err := put(other, 0); !wax.Is(err, wax.Stale) {
+		t.Errorf("another document under a taken number: %v", err)
+	}
 	state.Doc = blueprint(`{"name":"llm","hc":"/h"}`)
+	if err := put(doc("3"), 0); err != nil || Load(state).Ver != 5 {
+		t.Errorf("a taken one sent again when its services are gone: %v", err)
+	}
 	if err := put(doc("6"), 5); !wax.Is(err, wax.Invalid) || !strings.Contains(err.Error(), "shares.app") {
 		t.Errorf("no such service: %v", err)
 	}
--- a/internal/nest/nest.go
+++ b/internal/nest/nest.go
@@ -1,7 +1,6 @@
 package nest
 
 import (
-	"bytes"
 	"context"
 	"slices"
 	"sort"
@@ -414,33 +413,15 @@
 	}
 }
 
-// Put takes an operator's document on top of the version it expects. The doc
-// must have been checked; check refuses it where it does not fit the current
-// version.
-func (n *Nest) Put(ctx context.Context, doc []byte, ver, expect int64) (*State, error) {
-	return n.Change(ctx, func(now *State) (*State, error) {
-		if now.Ver == ver && bytes.Equal(now.Doc, doc) {
-			return nil, nil // the very same one, sent again
-		}
-		if now.Ver != expect {
-			return nil, wax.New(wax.Stale, "If-Match", "another version is in place", "read the configuration and build on its version")
-		}
-		if ver <= now.Ver {
-			return nil, wax.New(wax.Invalid, "ver", "is not above the current one", "raise it")
-		}
-		now.Ver, now.Doc = ver, doc
-		return now, nil
-	})
-}
-
 // Retire marks a store to be emptied.
 func (n *Nest) Retire(ctx context.Context, name string) error {
 	_, err := n.Change(ctx, func(now *State) (*State, error) {
 		at := slices.IndexFunc(now.Stores.All(), func(s Seat) bool { return s.Name == name })
 		retired := slices.ContainsFunc(now.Retiring, func(id string) bool { return strings.HasPrefix(id, name+"#") })
 		if at < 0 {
-			if retired {
-				return nil, nil
+			taken, err := tookRetire(now, name)
+			if retired || taken || err != nil {
+				return nil, err
 			}
 			return nil, wax.New(wax.Unknown, name, "is no store of this system", "name a store's node")
 		}
@@ -458,6 +439,9 @@
 			return nil, wax.New(wax.Conflict, name, "too few stores would be left", "add a store first")
 		}
 		now.Retiring = append(slices.Clone(now.Retiring), id)
+		if err := logRetire(now, name); err != nil {
+			return nil, err
+		}
 		return now, nil
 	})
 	return err
--- /dev/null
+++ b/internal/nest/orders.go
@@ -0,0 +1,302 @@
+package nest
+
+import (
+	"bytes"
+	"context"
+	"slices"
+
+	"github.com/vmihailenco/msgpack/v5"
+	"github.com/zeebo/xxh3"
+
+	"rowanshunt/internal/pollen"
+	"rowanshunt/internal/wax"
+)
+
+// Bounds of an order log: entries kept of each kind. An entry takes at most 28
+// bytes, so that a full log adds under 9 kB to the register's value.
+const (
+	maxTakenOrders   = 256
+	maxRefusedOrders = 64
+)
+
+// Order identifies one versioned document that an operator sends: its version,
+// the version it builds on, and the digest of its bytes. Two calls with the
+// same Order are the same order sent again (design 4.2).
+type Order struct {
+	Ver    int64
+	Base   int64
+	Digest Digest
+}
+
+// Digest is the 128-bit xxh3 hash of a document.
+type Digest struct {
+	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by the library
+	Hi, Lo   uint64
+}
+
+// DecodeMsgpack reads digests of later versions too.
+func (d *Digest) DecodeMsgpack(dec *msgpack.Decoder) error { return pollen.Fields(dec, &d.Hi, &d.Lo) }
+
+// NewOrder makes the identity of a document sent with a version on a base.
+func NewOrder(ver, base int64, doc []byte) Order {
+	sum := xxh3.Hash128(doc)
+	return Order{Ver: ver, Base: base, Digest: Digest{Hi: sum.Hi, Lo: sum.Lo}}
+}
+
+// OrderLog is the record of the orders of one document. It is kept in the
+// register's value, so an order counts as taken by whichever proposer carried
+// it through, and an order that was refused before its base was in force stays
+// refused (design 4.2).
+type OrderLog struct {
+	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by the library
+	// Floor is the version that the oldest entry of Taken builds on. Nothing
+	// is known of orders at or below it.
+	Floor int64
+	// Taken are the orders in the order of taking; each builds on the one
+	// before it.
+	Taken []TakenOrder
+	// Refused are orders that were refused although their base could still
+	// have come into force, oldest first.
+	Refused []RefusedOrder
+}
+
+// TakenOrder is an entry of an order log; its base is the version of the entry
+// before it.
+type TakenOrder struct {
+	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by the library
+	Ver      int64
+	Digest   Digest
+}
+
+// RefusedOrder is the identity of an order that must never be taken.
+type RefusedOrder struct {
+	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by the library
+	Ver      int64
+	Base     int64
+	Digest   Digest
+}
+
+// DecodeMsgpack reads logs of earlier and later versions too.
+func (l *OrderLog) DecodeMsgpack(d *msgpack.Decoder) error {
+	return pollen.Fields(d, &l.Floor, &l.Taken, &l.Refused)
+}
+
+// DecodeMsgpack reads entries of later versions too.
+func (t *TakenOrder) DecodeMsgpack(d *msgpack.Decoder) error {
+	return pollen.Fields(d, &t.Ver, &t.Digest)
+}
+
+// DecodeMsgpack reads entries of later versions too.
+func (r *RefusedOrder) DecodeMsgpack(d *msgpack.Decoder) error {
+	return pollen.Fields(d, &r.Ver, &r.Base, &r.Digest)
+}
+
+// OrderKind is the key under which the register's value keeps an order log.
+type OrderKind string
+
+// The documents whose orders are logged.
+const (
+	ConfigOrders OrderKind = "orders/config"
+	QuotaOrders  OrderKind = "orders/quotas"
+)
+
+// Load reads the log from the register's value. inForce is the version of the
+// document there: if the log does not end with it, a node of an earlier version
+// took an order without logging it, and the log begins anew.
+func (k OrderKind) Load(s *State, inForce int64) (*OrderLog, error) {
+	log := &OrderLog{Floor: inForce}
+	raw := s.Extra[string(k)]
+	if raw == nil {
+		return log, nil
+	}
+	stored := &OrderLog{}
+	if err := msgpack.Unmarshal(raw, stored); err != nil {
+		return nil, wax.New(wax.Damaged, string(k), err.Error(), "run the same version on all nodes")
+	}
+	if stored.newest() != inForce {
+		log.Refused = stored.Refused
+		return log, nil
+	}
+	return stored, nil
+}
+
+// store puts the log into a value that is not shared yet.
+func (l *OrderLog) store(s *State, k OrderKind) error {
+	raw, err := msgpack.Marshal(l)
+	if err != nil {
+		return err
+	}
+	s.SetExtra(string(k), raw)
+	return nil
+}
+
+func (l *OrderLog) newest() int64 {
+	if len(l.Taken) == 0 {
+		return l.Floor
+	}
+	return l.Taken[len(l.Taken)-1].Ver
+}
+
+func (l *OrderLog) hasTaken(o Order) bool {
+	base := l.Floor
+	for _, t := range l.Taken {
+		if t.Ver == o.Ver {
+			return t.Digest == o.Digest && base == o.Base
+		}
+		base = t.Ver
+	}
+	return false
+}
+
+func (l *OrderLog) hasRefused(o Order) bool {
+	for _, r := range l.Refused {
+		if r.Ver == o.Ver && r.Base == o.Base && r.Digest == o.Digest {
+			return true
+		}
+	}
+	return false
+}
+
+// take appends an order that builds on the newest one.
+func (l *OrderLog) take(o Order) {
+	l.Taken = append(l.Taken, TakenOrder{Ver: o.Ver, Digest: o.Digest})
+	if over := len(l.Taken) - maxTakenOrders; over > 0 {
+		l.Floor = l.Taken[over-1].Ver
+		l.Taken = l.Taken[over:]
+	}
+	// What builds on a version below the new one can't be taken any more.
+	var open []RefusedOrder
+	for _, r := range l.Refused {
+		if r.Base >= o.Ver {
+			open = append(open, r)
+		}
+	}
+	l.Refused = open
+}
+
+func (l *OrderLog) refuse(o Order) {
+	l.Refused = append(l.Refused, RefusedOrder{Ver: o.Ver, Base: o.Base, Digest: o.Digest})
+	if over := len(l.Refused) - maxRefusedOrders; over > 0 {
+		l.Refused = l.Refused[over:]
+	}
+}
+
+// errStaleBase refuses an order that builds on another version.
+func errStaleBase() error {
+	return wax.New(wax.Stale, "If-Match", "another version is in place", "read it and build on its version")
+}
+
+// ApplyOrder decides an order on a value that is not shared yet. An order that
+// was taken changes nothing. A new one that builds on the version in force is
+// given to apply, which checks the document and puts it into the value, and is
+// logged. Every other order is refused. One whose base is not in force yet could
+// be taken later from a late copy of the same call, so that refusal is logged:
+// then both a value to commit and the refusal are returned. An order so old that
+// the log can't tell whether it was taken gets an Unsure fault, never a refusal.
+// What apply refuses stands on the value found and is not logged: whoever sends
+// that order again may mend the cause first.
+func (k OrderKind) ApplyOrder(now *State, inForce int64, o Order, apply func(*State) error) (*State, error) {
+	log, err := k.Load(now, inForce)
+	if err != nil {
+		return nil, err
+	}
+	if log.hasTaken(o) {
+		return nil, nil
+	}
+	if o.Ver <= o.Base {
+		// Such an order can't be taken at any time.
+		if o.Base != inForce {
+			return nil, errStaleBase()
+		}
+		return nil, wax.New(wax.Invalid, "ver", "is not above the current one", "raise it")
+	}
+	if log.hasRefused(o) {
+		return nil, errStaleBase()
+	}
+	if o.Base < inForce {
+		// An order on a base below the floor was taken, if at all, as a version
+		// that is at most the floor. The one in force is known by its document.
+		if o.Base < log.Floor && o.Ver <= log.Floor && o.Ver != inForce {
+			return nil, wax.New(wax.Unsure, "ver", "was sent so long ago that nothing is known of it", "read the current version")
+		}
+		return nil, errStaleBase()
+	}
+	if o.Base > inForce {
+		log.refuse(o)
+		if err := log.store(now, k); err != nil {
+			return nil, err
+		}
+		return now, errStaleBase()
+	}
+	if err := apply(now); err != nil {
+		return nil, err
+	}
+	log.take(o)
+	if err := log.store(now, k); err != nil {
+		return nil, err
+	}
+	return now, nil
+}
+
+// Put takes an operator's document on top of the version it expects. The doc
+// must have been checked.
+func (n *Nest) Put(ctx context.Context, doc []byte, ver, expect int64) (*State, error) {
+	return n.Change(ctx, PutChange(doc, ver, expect))
+}
+
+// PutChange is the change that takes a configuration document.
+func PutChange(doc []byte, ver, expect int64) Change {
+	order := NewOrder(ver, expect, doc)
+	return func(now *State) (*State, error) {
+		if now.Ver == ver && bytes.Equal(now.Doc, doc) {
+			return nil, nil // the very same one, in force
+		}
+		return ConfigOrders.ApplyOrder(now, now.Ver, order, func(now *State) error {
+			now.Ver, now.Doc = ver, doc
+			return nil
+		})
+	}
+}
+
+// retireOrders is the key of the names that were taken by retire orders, the
+// oldest first, so that an order for a store that has left since is known.
+const (
+	retireOrders    = "orders/retire"
+	maxRetireOrders = 64
+)
+
+func loadRetired(s *State) ([]string, error) {
+	raw := s.Extra[retireOrders]
+	if raw == nil {
+		return nil, nil
+	}
+	var names []string
+	if err := msgpack.Unmarshal(raw, &names); err != nil {
+		return nil, wax.New(wax.Damaged, retireOrders, err.Error(), "run the same version on all nodes")
+	}
+	return names, nil
+}
+
+// tookRetire tells whether a retire order for that name was taken lately.
+func tookRetire(s *State, name string) (bool, error) {
+	names, err := loadRetired(s)
+	return slices.Contains(names, name), err
+}
+
+// logRetire adds a name to the retire orders in a value that is not shared yet.
+func logRetire(s *State, name string) error {
+	names, err := loadRetired(s)
+	if err != nil {
+		return err
+	}
+	names = append(slices.DeleteFunc(names, func(n string) bool { return n == name }), name)
+	if over := len(names) - maxRetireOrders; over > 0 {
+		names = names[over:]
+	}
+	raw, err := msgpack.Marshal(names)
+	if err != nil {
+		return err
+	}
+	s.SetExtra(retireOrders, raw)
+	return nil
+}
--- /dev/null
+++ b/internal/nest/orders_test.go
@@ -0,0 +1,161 @@
+package nest
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/vmihailenco/msgpack/v5"
+
+	"rowanshunt/internal/wax"
+)
+
+// applyTo runs a change on a state as the register does and gives what is
+// committed.
+func applyTo(state *State, change Change) (*State, error) {
+	next, err := change(state.clone())
+	if next == nil {
+		return state, err
+	}
+	next.Rev = state.Rev + 1
+	return next, err
+}
+
+// An order that was taken is acknowledged again whatever came after it; one
+// order has one outcome (design 4.2).
+func TestOrderSentAgain(t *testing.T) {
+	type step struct {
+		ver, base int64
+		doc       string
+		want      wax.Kind
+		refused   bool
+	}
+	taken := func(ver, base int64, doc string) step { return step{ver: ver, base: base, doc: doc} }
+	refused := func(ver, base int64, doc string, kind wax.Kind) step { return step{ver, base, doc, kind, true} }
+	first := taken(1, 0, "a")
+	for _, tc := range []struct {
+		name  string
+		steps []step
+	}{
+		{"in force", []step{first, first}},
+		{"built upon", []step{first, taken(4, 1, "b"), taken(9, 4, "c"), taken(4, 1, "b"), first, taken(9, 4, "c")}},
+		{"equal number, another document", []step{first, taken(4, 1, "b"), refused(4, 1, "x", wax.Stale), taken(9, 4, "c"), refused(4, 1, "x", wax.Stale), taken(4, 1, "b")}},
+		{"lost its race", []step{first, taken(4, 1, "b"), refused(5, 1, "x", wax.Stale), taken(9, 4, "c"), refused(5, 1, "x", wax.Stale)}},
+		{"refused before its base came", []step{first, refused(9, 4, "c", wax.Stale), taken(4, 1, "b"), refused(9, 4, "c", wax.Stale), taken(9, 4, "d"), refused(9, 4, "c", wax.Stale)}},
+		{"a number that is not above its base", []step{first, refused(1, 1, "x", wax.Invalid), taken(4, 1, "b"), refused(3, 4, "x", wax.Invalid)}},
+		{"another base", []step{first, taken(4, 1, "b"), taken(9, 4, "c"), refused(4, 0, "b", wax.Stale)}},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			state := &State{Rev: 1}
+			for i, s := range tc.steps {
+				var err error
+				state, err = applyTo(state, PutChange([]byte(s.doc), s.ver, s.base))
+				if s.refused && !wax.Is(err, s.want) || !s.refused && err != nil {
+					t.Errorf("step %d: %d on %d: %v", i, s.ver, s.base, err)
+				}
+			}
+		})
+	}
+}
+
+// The log is bounded; an order that fell out of it is left without a clear
+// answer, and what can still be told apart is refused.
+func TestOrderLogBounded(t *testing.T) {
+	state := &State{Rev: 1}
+	doc := func(ver int64) []byte { return []byte(fmt.Sprint("doc ", ver)) }
+	put := func(ver, base int64, doc []byte) error {
+		var err error
+		state, err = applyTo(state, PutChange(doc, ver, base))
+		return err
+	}
+	const changes = 1000
+	for i := int64(0); i < changes; i++ {
+		if err := put(10*(i+1), 10*i, doc(10*(i+1))); err != nil {
+			t.Fatal(err)
+		}
+		if err := put(1_000_000+i, 900_000, []byte("x")); !wax.Is(err, wax.Stale) {
+			t.Fatalf("on a base that is not there: %v", err)
+		}
+	}
+	if size := len(state.Extra[string(ConfigOrders)]); size > 16<<10 {
+		t.Errorf("the log takes %d bytes", size)
+	}
+	oldest := int64(10 * (changes - maxTakenOrders))
+	for _, tc := range []struct {
+		name      string
+		ver, base int64
+		doc       []byte
+		want      wax.Kind
+		ok        bool
+	}{
+		{"the oldest in the log", oldest + 10, oldest, doc(oldest + 10), 0, true},
+		{"just out of the log", oldest, oldest - 10, doc(oldest), wax.Unsure, false},
+		{"out of the log, never taken", oldest - 5, oldest - 10, doc(1), wax.Unsure, false},
+		{"on a forgotten base, a number too high to have been taken on it", oldest + 5, oldest - 10, doc(1), wax.Stale, false},
+		{"on a base in the log, never taken", oldest + 5, oldest, doc(1), wax.Stale, false},
+	} {
+		err := put(tc.ver, tc.base, tc.doc)
+		if tc.ok && err != nil || !tc.ok && !wax.Is(err, tc.want) {
+			t.Errorf("%s: %v", tc.name, err)
+		}
+	}
+}
+
+// A value that a node of the version before wrote has no log, or one that does
+// not end with the version in force.
+func TestOrderLogOfEarlierVersion(t *testing.T) {
+	state := &State{Rev: 5, Ver: 7, Doc: []byte("g")}
+	var err error
+	if _, err = applyTo(state, PutChange([]byte("f"), 6, 5)); !wax.Is(err, wax.Unsure) {
+		t.Errorf("taken or not before the log began: %v", err)
+	}
+	if _, err = applyTo(state, PutChange([]byte("x"), 7, 5)); !wax.Is(err, wax.Stale) {
+		t.Errorf("the number in force with another document: %v", err)
+	}
+	if state, err = applyTo(state, PutChange([]byte("h"), 9, 7)); err != nil {
+		t.Fatal(err)
+	}
+	// A node of the version before takes 11 and keeps the log as it is.
+	state.Ver, state.Doc = 11, []byte("i")
+	if _, err = applyTo(state, PutChange([]byte("h"), 9, 7)); !wax.Is(err, wax.Unsure) {
+		t.Errorf("across a gap in the log: %v", err)
+	}
+	if state, err = applyTo(state, PutChange([]byte("j"), 12, 11)); err != nil {
+		t.Fatal(err)
+	}
+	if _, err = applyTo(state, PutChange([]byte("j"), 12, 11)); err != nil {
+		t.Errorf("in force: %v", err)
+	}
+	state.SetExtra(string(ConfigOrders), []byte{0xc1})
+	if _, err = applyTo(state, PutChange([]byte("k"), 13, 12)); !wax.Is(err, wax.Damaged) {
+		t.Errorf("a log that can't be read: %v", err)
+	}
+}
+
+// Fields that a later version adds to the log are skipped.
+func TestOrderLogOfLaterVersion(t *testing.T) {
+	raw, err := msgpack.Marshal([]any{int64(3), []any{[]any{int64(5), []any{uint64(1), uint64(2), "more"}, "more"}}, []any{}, "more"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	log, err := ConfigOrders.Load(&State{Extra: map[string][]byte{string(ConfigOrders): raw}}, 5)
+	if err != nil || log.Floor != 3 || !log.hasTaken(Order{Ver: 5, Base: 3, Digest: Digest{Hi: 1, Lo: 2}}) {
+		t.Errorf("%+v, %v", log, err)
+	}
+}
+
+// The names of retire orders that were taken are bounded and read back.
+func TestRetireOrders(t *testing.T) {
+	state := &State{Rev: 1}
+	for i := range 3 * maxRetireOrders {
+		if err := logRetire(state, fmt.Sprint("store-", i/2)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	last := 3*maxRetireOrders/2 - 1
+	if took, err := tookRetire(state, fmt.Sprint("store-", last)); !took || err != nil {
+		t.Error("the newest is not known", err)
+	}
+	if took, err := tookRetire(state, fmt.Sprint("store-", last-maxRetireOrders)); took || err != nil {
+		t.Error("the list is not bounded", err)
+	}
+}
--- a/internal/nest/proposer.go
+++ b/internal/nest/proposer.go
@@ -11,7 +11,9 @@
 )
 
 // Change makes the next state out of the newest one; the returned state gets
-// its Rev from the register. A nil state with a nil error changes nothing.
+// its Rev from the register. A nil state with a nil error changes nothing. With
+// an error, which refuses what was asked, a state that records the refusal may
+// be returned: it is committed before the refusal is answered.
 type Change func(now *State) (*State, error)
 
 // Proposer runs the two rounds. One may run at a time in a node; others wait.
@@ -162,16 +164,16 @@
 		}
 		next, refusal := change(now.clone())
 		commit := now.clone()
-		if refusal == nil && next != nil {
+		if next != nil {
 			if next.Core.Ver == now.Core.Ver || committed {
 				commit = next
 				commit.Rev = now.Rev + 1
 			}
-			tried = true
+			tried = tried || refusal == nil
 		}
 		if p.accept(ctx, known, ballot, commit) {
 			p.learn(commit)
-			if refusal == nil && next != nil && commit != next {
+			if next != nil && commit != next {
 				// A roster only moves on from a committed one: without that
 				// rule two rosters could each find a majority (design 4.4).
 				basis = nil
