Nothing is decided by the time of day: node lives, lots, the diary, upgrades

Cause: four things were read from the wall clock. LifeUs (start time in microseconds) ordered the records of a node and signed ballots and stamps, so a node that started with its clock behind lost against its own former record. A lot's age was the store's clock less the edge's at the hand-in, so a step of 60 s on the stores gave items up before retain_s.

Ruled out: sending the skew along with each call (needs a clock to be right somewhere); ages in each lot's ops (a lot that waits without ops loses its age at every takeover).

Change: records are ordered by an incarnation (a count of starts, durable where there is a disk, above a random tag of the process; raised above what partners hold of the name), and everything is signed with a random process id. A shard has a clock of its own that counts while it has an owner, rides on every op, and is taken over by a claim; lots are placed on it. Diary pages count for 2.4 s whatever their age. A driver of upgrades runs its waits on its steady clock, one that takes over begins them anew.

--- a/internal/brood/api.go
+++ b/internal/brood/api.go
@@ -45,7 +45,7 @@
 type API struct {
 	Client    *Client
 	Blueprint func() *foundation.Blueprint
-	WallUs    func() int64
+	WallUs    func() int64 // notes when a lot came: nothing is decided by it
 	Decline   func(w http.ResponseWriter, status int, afterMs int64, why string)
 	// Admit are the bytes of bodies that may be in hand at a time.
 	Admit      *semaphore.Weighted
@@ -97,7 +97,7 @@
 		if err != nil {
 			l.Addf(at+".body", "is no base64", "encode the body")
 		}
-		p := Prompt{ID: q.ID, Path: q.Path, Body: body, ScheduledUs: wallUs, NextUs: wallUs, CreatedUs: wallUs}
+		p := Prompt{ID: q.ID, Path: q.Path, Body: body, CreatedUs: wallUs}
 		if q.Toks != nil {
 			p.Toks = *q.Toks
 		}
--- a/internal/brood/brood.go
+++ b/internal/brood/brood.go
@@ -48,7 +48,6 @@
 	Fatal     func(error)
 	Options   Options
 	Spared    int
-	WallUs    func() int64
 }
 
 // Brood is a store's part of the queue. It owns its shards; all runs on the
@@ -93,6 +92,7 @@
 	context.AfterFunc(ctx, b.cell.Close)
 	d := cfg.Desk
 	pollen.On(d, "brood.claim", b.onClaim)
+	pollen.On(d, "brood.clock", b.onClock)
 	pollen.On(d, "brood.fetch", b.onFetch)
 	pollen.On(d, "brood.write", b.onWrite)
 	pollen.On(d, "brood.hand", b.onHand)
@@ -185,6 +185,7 @@
 		b.shedMoved(st)
 	}
 	b.rosterTick()
+	b.clockTick(waggle.NowUs())
 	b.expireWaiting()
 }
 
@@ -282,7 +283,7 @@
 				return
 			}
 		}
-		l.List, l.Ended = nil, false
+		l.List, l.Ended, l.BornUs = nil, false, s.clock.now(nowUs)
 		if in.Offer {
 			s.owner.keepRoom(l.Binding, l.ID, in.Toks, nowUs)
 			reply(&handAnswer{Welcome: true}, nil)
@@ -316,7 +317,7 @@
 		reply(out, nil)
 		return
 	}
-	l := &Lot{ID: in.Lot.ID, Host: in.Lot.Host, Binding: in.Lot.Binding, SentUs: in.Lot.SentUs, RetainMs: in.Lot.RetainMs, Ended: true}
+	l := &Lot{ID: in.Lot.ID, Host: in.Lot.Host, Binding: in.Lot.Binding, SentUs: in.Lot.SentUs, RetainMs: in.Lot.RetainMs, Ended: true, BornUs: s.clock.now(waggle.NowUs())}
 	rev := uint64(1)
 	if old != nil {
 		rev = old.Rev + 1
--- a/internal/brood/dispatch.go
+++ b/internal/brood/dispatch.go
@@ -79,10 +79,10 @@
 // poll moves due prompts into the send cache, the lots due first first, and
 // gives up what is past its time.
 func (b *Brood) poll() {
-	nowUs, wallUs := waggle.NowUs(), b.cfg.WallUs()
+	nowUs := waggle.NowUs()
 	type due struct {
 		c     cached
-		dueUs int64
+		dueUs int64 // until its lot is due
 	}
 	var found []due
 	for _, s := range b.shards {
@@ -93,13 +93,14 @@
 			if !l.taken && !l.refused() || l.live == nil {
 				continue
 			}
+			ageUs := s.ageUs(l, nowUs)
 			if l.closed() {
-				if wallUs-l.SentUs > b.cfg.Options.PurgeUs && wallUs-l.SentUs > 2*l.RetainMs*1000 {
+				if ageUs > b.cfg.Options.PurgeUs && ageUs > 2*l.RetainMs*1000 {
 					b.issue(s, op{Kind: opDrop, Lot: id}, func(error) {})
 				}
 				continue
 			}
-			pastEnd := wallUs-l.SentUs > l.RetainMs*1000
+			pastEnd := ageUs > l.RetainMs*1000
 			for i := range l.Prompts {
 				p := &l.live.at[i]
 				if l.listed[i] {
@@ -109,10 +110,10 @@
 					b.list(s, l, Result{Item: i, Phase: PhaseGaveUp, Why: WhyTime}, nil)
 					continue
 				}
-				if p.cached || p.nextUs > nowUs || l.Prompts[i].ScheduledUs > wallUs {
+				if p.cached || p.nextUs > nowUs {
 					continue
 				}
-				found = append(found, due{cached{s, id, i}, l.SentUs + l.DueMs*1000})
+				found = append(found, due{cached{s, id, i}, l.DueMs*1000 - ageUs})
 			}
 		}
 	}
@@ -199,7 +200,7 @@
 // once the checkpoint with the leases is on disk at a majority (design 8.7).
 func (b *Brood) claimTo(at int) bool {
 	t := b.takers[at]
-	nowUs, wallUs := waggle.NowUs(), b.cfg.WallUs()
+	nowUs := waggle.NowUs()
 	var out []Given
 	type lotRows struct {
 		s    *shard
@@ -240,7 +241,7 @@
 		p.sentUs, p.nextUs = nowUs, nowUs+b.leaseUs(row.Epoch)
 		bytes += len(l.Prompts[c.item].Body)
 		out = append(out, Given{Shard: c.s.n, Lot: l.ID, Host: l.Host, Item: c.item, Epoch: row.Epoch, Lease: row.Lease,
-			EndUs: l.SentUs + l.RetainMs*1000 - wallUs, DueUs: l.SentUs + l.DueMs*1000 - wallUs, Prompt: l.Prompts[c.item]})
+			EndUs: l.RetainMs*1000 - c.s.ageUs(l, nowUs), DueUs: l.DueMs*1000 - c.s.ageUs(l, nowUs), Prompt: l.Prompts[c.item]})
 	}
 	b.cache = append(skipped, b.cache[n:]...)
 	if len(b.cache) == 0 {
@@ -554,7 +555,7 @@
 // list puts a result at the next position; readers see it once a majority has
 // it.
 func (b *Brood) list(s *shard, l *Lot, r Result, then func(error)) {
-	r.AckedUs = b.cfg.WallUs()
+	r.AckedUs = s.clock.now(waggle.NowUs())
 	id, at := l.ID, len(l.List)+1
 	s.owner.pace.done(l.Prompts[r.Item].Toks, waggle.NowUs())
 	b.issue(s, op{Kind: opAppend, Lot: id, Rev: l.Rev + 1, Results: []Result{r}}, func(err error) {
--- a/internal/brood/lot.go
+++ b/internal/brood/lot.go
@@ -29,8 +29,8 @@
 	return nest.Ballot{N: a.N, By: a.By}.Less(nest.Ballot{N: b.N, By: b.By})
 }
 
-// Prompt is the durable record of one item (design 8.4). All times are whole
-// microseconds of the time of day.
+// Prompt is the durable record of one item (design 8.4). Its times are of the
+// time of day, for readers: nothing is decided by them.
 type Prompt struct {
 	_msgpack    struct{} `msgpack:",as_array"` //nolint:unused // read by the library
 	ID          string
@@ -56,7 +56,7 @@
 	Item     int
 	Phase    string
 	Msg      []byte
-	AckedUs  int64
+	AckedUs  int64  // the shard's clock
 	Lease    uint64 // the lease whose ack listed it, so that a resent ack gets the first answer
 	Why      string // of an item given up: what ended it (a dead letter)
 	Enc      uint8  // how Msg is kept
@@ -101,7 +101,7 @@
 	Host     string
 	Path     string
 	Binding  string
-	SentUs   int64
+	SentUs   int64 // time of day of the hand-in: for readers, and for the version before
 	DueMs    int64
 	RetainMs int64
 	Tries    int64
@@ -117,19 +117,23 @@
 	// an attempt of theirs may still be on its way (design 8.4). Such a lot has
 	// no prompts; it is taken if it is handed in anew.
 	Refused []uint64
+	// BornUs is the shard's clock when the lot was accepted: its age is read from
+	// it (design 8.12). 0 in what the version before wrote.
+	BornUs int64
 
 	listed  []bool // by prompt
 	src     copyOf // what it was when this node took it over
 	live    *live  // the owner's own, nil elsewhere
 	seenLen int    // entries of List that a majority holds
 	taken   bool   // a majority holds the lot
+	placed  bool   // this owner gave it its place on the clock
 	endSeen bool   // a majority holds its end
 }
 
 // DecodeMsgpack reads lots of earlier versions too.
 func (l *Lot) DecodeMsgpack(d *msgpack.Decoder) error {
 	return pollen.Fields(d, &l.ID, &l.Host, &l.Path, &l.Binding, &l.SentUs, &l.DueMs, &l.RetainMs, &l.Tries, &l.Prompts, &l.List, &l.Ended,
-		&l.Stamp, &l.Rev, &l.Rows, &l.First, &l.Digest, &l.Refused)
+		&l.Stamp, &l.Rev, &l.Rows, &l.First, &l.Digest, &l.Refused, &l.BornUs)
 }
 
 // live is what only the owner knows of a lot's prompts. Times are of its own
@@ -215,13 +219,14 @@
 	From     uint64 // of a catch-up: the copy's revision under Src, and how many
 	Listed   int    // it has listed
 	Ended    bool
+	ClockUs  int64 // the shard's clock when the op was made (design 8.12)
 
 	raw msgpack.RawMessage // as it goes to disk and to replicas, once it was made
 }
 
 // DecodeMsgpack reads ops of earlier versions too.
 func (o *op) DecodeMsgpack(d *msgpack.Decoder) error {
-	return pollen.Fields(d, &o.Kind, &o.Lot, &o.Stamp, &o.Rev, &o.Src, &o.Whole, &o.Results, &o.Rows, &o.From, &o.Listed, &o.Ended)
+	return pollen.Fields(d, &o.Kind, &o.Lot, &o.Stamp, &o.Rev, &o.Src, &o.Whole, &o.Results, &o.Rows, &o.From, &o.Listed, &o.Ended, &o.ClockUs)
 }
 
 // encoded is the op as it goes to disk and to every replica: made once.
@@ -378,7 +383,7 @@
 func (l *Lot) since(stamp Stamp, c copyOf) *op {
 	same := c.Stamp == l.Stamp && c.Rev <= l.Rev
 	former := c.Stamp == l.src.Stamp && c.Rev <= l.src.Rev
-	if !same && !former || c.Listed > len(l.List) || l.refused() {
+	if !same && !former || c.Listed > len(l.List) || l.refused() || l.placed {
 		return nil
 	}
 	o := &op{Kind: opCatch, Lot: l.ID, Stamp: stamp, Rev: l.Rev, Src: c.Stamp, From: c.Rev, Listed: c.Listed, Ended: l.Ended,
--- a/internal/brood/owner.go
+++ b/internal/brood/owner.go
@@ -49,6 +49,8 @@
 	unsaved    []op
 	saving     bool // a checkpoint is due
 	confirming bool
+	// clockSentUs is when the shard's clock last went to the replicas.
+	clockSentUs int64
 
 	diskIssued, diskDone uint64 // own disk: last op written, last op safe
 
@@ -252,7 +254,7 @@
 	}
 	if node != "" && node != b.cfg.Self.Name {
 		p := v.Get(node)
-		alive := p != nil && v.Met(node) && p.Life() == s.promised.By && !p.Leaving
+		alive := p != nil && v.Met(node) && p.Signed(s.promised.By) && !p.Leaving
 		stays := false
 		for _, n := range names {
 			stays = stays || n == node
@@ -297,9 +299,10 @@
 func (b *Brood) runClaim(ctx context.Context, s *shard, stamp Stamp, roster nest.Roster) error {
 	seats := roster.All()
 	type reply struct {
-		seat nest.Seat
-		out  *claimAnswer
-		err  error
+		seat    nest.Seat
+		out     *claimAnswer
+		err     error
+		clockUs int64 // the shard's clock at that replica
 	}
 	replies := make(chan reply, len(seats))
 	for _, seat := range seats {
@@ -308,19 +311,22 @@
 			defer cancel()
 			out := &claimAnswer{}
 			call := &claimCall{Seat: seat.ID, Shard: s.n, Stamp: stamp}
+			clock := make(chan int64, 1)
+			go func() { clock <- b.askClock(callCtx, b.addrOf(seat), &clockCall{Seat: seat.ID, Shard: s.n}) }()
 			var err error
 			if seat.ID == b.cfg.Seat {
 				out, err = b.onClaim(callCtx, call)
 			} else {
 				err = b.cfg.Mesh.Call(callCtx, b.addrOf(seat), "brood.claim", call, out)
 			}
-			replies <- reply{seat, out, err}
+			replies <- reply{seat, out, err, <-clock}
 		}()
 	}
 	agreed := map[string]bool{}
 	best := map[string]copyOf{}
 	holders := map[string]nest.Seat{}
 	var higher *Stamp
+	clockUs := int64(0)
 	for range seats {
 		r := <-replies
 		if r.err != nil {
@@ -334,6 +340,7 @@
 			continue
 		}
 		agreed[r.seat.ID] = true
+		clockUs = max(clockUs, r.clockUs)
 		for _, c := range r.out.Copies {
 			old, have := best[c.Lot]
 			if !have || old.Stamp.Less(c.Stamp) || old.Stamp == c.Stamp && old.Rev < c.Rev {
@@ -408,30 +415,41 @@
 		if s.promised != stamp {
 			return false
 		}
-		b.install(s, stamp, roster, fetched)
+		b.install(s, stamp, roster, fetched, clockUs)
 		return true
 	})
 	return err
 }
 
-// install makes this node the owner of what the claim found.
-func (b *Brood) install(s *shard, stamp Stamp, roster nest.Roster, fetched map[string]*Lot) {
+// install makes this node the owner of what the claim found, the shard's clock
+// among it.
+func (b *Brood) install(s *shard, stamp Stamp, roster nest.Roster, fetched map[string]*Lot, clockUs int64) {
 	o := &owner{stamp: stamp, roster: roster, feeds: map[string]*feed{}}
 	rec := &record{Shard: s.n}
+	nowUs := waggle.NowUs()
+	for _, lots := range []map[string]*Lot{s.lots, fetched} {
+		for _, l := range lots {
+			clockUs = max(clockUs, l.BornUs)
+		}
+	}
+	s.clock.start(nowUs, clockUs)
 	for id, l := range fetched {
+		placed := s.placeOnClock(l, nowUs)
 		src := copyOf{Lot: id, Stamp: l.Stamp, Rev: l.Rev}
 		whole := *l
 		put := op{Kind: opPut, Lot: id, Stamp: stamp, Rev: l.Rev, Whole: &whole}
 		apply(s.lots, &put)
-		s.lots[id].src = src
+		s.lots[id].src, s.lots[id].placed = src, placed
 		rec.Ops = append(rec.Ops, put)
 	}
-	nowUs := waggle.NowUs()
 	for id, l := range s.lots {
 		if fetched[id] == nil {
 			l.src = copyOf{Lot: id, Stamp: l.Stamp, Rev: l.Rev}
 			st := op{Kind: opStamp, Lot: id, Stamp: stamp, Rev: l.Rev, Src: l.Stamp}
 			apply(s.lots, &st)
+			if l.placed = s.placeOnClock(l, nowUs); l.placed {
+				st = op{Kind: opPut, Lot: id, Stamp: stamp, Rev: l.Rev, Whole: l.share()}
+			}
 			rec.Ops = append(rec.Ops, st)
 		}
 		l = s.lots[id]
@@ -489,6 +507,8 @@
 	o.seq++
 	seq := o.seq
 	p.Stamp = o.stamp
+	o.clockSentUs = waggle.NowUs()
+	p.ClockUs = s.clock.now(o.clockSentUs)
 	o.waits = append(o.waits, wait{seq, waggle.NowUs(), then})
 	if p.Kind != opNone {
 		apply(s.lots, &p)
@@ -496,6 +516,9 @@
 		p.raw = nil
 		_ = p.encoded()
 		o.unsaved = append(o.unsaved, p)
+		s.clock.saved(p.ClockUs)
+	} else {
+		b.saveClock(s, o.stamp, p.ClockUs)
 	}
 	cost := p.cost()
 	for _, f := range o.feeds {
@@ -588,6 +611,7 @@
 func (b *Brood) depose(s *shard, why string) {
 	o := s.owner
 	s.owner = nil
+	s.clock.stop(waggle.NowUs())
 	// What was done here is in the copy that this node keeps as a replica: the
 	// disk must have it before anything that is built on it.
 	if len(o.unsaved) > 0 {
@@ -768,7 +792,7 @@
 		c, have := there[id]
 		switch {
 		case have && c.Stamp == l.Stamp && c.Rev == l.Rev:
-		case have && c.Stamp == l.src.Stamp && c.Rev == l.src.Rev && l.Rev == l.src.Rev:
+		case have && c.Stamp == l.src.Stamp && c.Rev == l.src.Rev && l.Rev == l.src.Rev && !l.placed:
 			add(op{Kind: opStamp, Lot: id, Stamp: stamp, Rev: l.Rev, Src: c.Stamp})
 		default:
 			catch := (*op)(nil)
--- a/internal/brood/owner_test.go
+++ b/internal/brood/owner_test.go
@@ -16,7 +16,7 @@
 // keeper is a store alone: its own majority.
 func keeper(t *testing.T, dir string) *Brood {
 	b := &Brood{cfg: Config{Floor: waggle.NewFloor(256), Log: wax.Quiet(), Seat: "s", Dir: dir, DiskBytes: 64 << 20, Options: Defaults(),
-		Fatal: func(err error) { t.Errorf("fatal: %v", err) }, WallUs: func() int64 { return 0 }}, ctx: t.Context()}
+		Fatal: func(err error) { t.Errorf("fatal: %v", err) }}, ctx: t.Context()}
 	b.minLongBytes = 1 << 12
 	b.longBytes = b.minLongBytes
 	if err := b.openReplica(dir); err != nil {
@@ -51,7 +51,7 @@
 				st := Stamp{Roster: 1, N: n, By: "s/1"}
 				s.promised = st
 				b.persist(&record{Shard: 0, Promise: &st}, func() {})
-				b.install(s, st, nest.Roster{Ver: 1, Cur: []nest.Seat{seat}}, nil)
+				b.install(s, st, nest.Roster{Ver: 1, Cur: []nest.Seat{seat}}, nil, 0)
 			}
 			do(own)
 			for i := range 200 {
--- a/internal/brood/replica.go
+++ b/internal/brood/replica.go
@@ -49,6 +49,7 @@
 	fetched  map[string]*Lot // by a claim that did not come to its end
 	// nextOffset is where the next lot's run begins in the shard's log.
 	nextOffset int64
+	clock      shardClock
 }
 
 // OpenIncarnation reads the name of this disk, made anew on an empty one.
@@ -105,6 +106,8 @@
 			if s.promised.Less(r.Ops[i].Stamp) {
 				s.promised = r.Ops[i].Stamp
 			}
+			s.clock.record(r.Ops[i].ClockUs)
+			s.clock.saved(r.Ops[i].ClockUs)
 		}
 		return nil
 	})
@@ -153,12 +156,14 @@
 	type kept struct {
 		shard    int
 		promised Stamp
+		clockUs  int64
 		lots     []*Lot
 	}
 	var all []kept
 	var total int64
 	for _, s := range b.shards {
-		k := kept{shard: s.n, promised: s.promised}
+		k := kept{shard: s.n, promised: s.promised, clockUs: s.clock.now(waggle.NowUs())}
+		s.clock.saved(k.clockUs)
 		for _, l := range s.lots {
 			k.lots = append(k.lots, l.share())
 			total += int64(l.cost())
@@ -174,7 +179,7 @@
 		_ = b.cfg.Floor.Do(b.ctx, func() { b.rewriting, b.longBytes = false, b.nextLong() })
 	}, func(write func([]byte) error) error {
 		for i := range all {
-			if err := writeRecord(write, &record{Shard: all[i].shard, Promise: &all[i].promised}); err != nil {
+			if err := writeRecord(write, &record{Shard: all[i].shard, Promise: &all[i].promised, Ops: []op{{Kind: opNone, ClockUs: all[i].clockUs}}}); err != nil {
 				return err
 			}
 			for at, l := range all[i].lots {
@@ -360,12 +365,16 @@
 				return
 			}
 			o.raw = raw
+			s.clock.record(o.ClockUs)
 			if !apply(s.lots, &o) {
 				out.OK, out.Misfit = false, true
 				break
 			}
 			if o.Kind != opNone {
 				rec.Ops = append(rec.Ops, op{raw: raw})
+				s.clock.saved(o.ClockUs)
+			} else {
+				b.saveClock(s, o.Stamp, o.ClockUs)
 			}
 		}
 		if len(rec.Ops) == 0 && rec.Promise == nil {
--- a/internal/buzz/buzz.go
+++ b/internal/buzz/buzz.go
@@ -43,15 +43,16 @@
 	holding chan event.Event
 	seq     atomic.Int64
 	dropped atomic.Int64
-	life    int64
+	process string // leads the ids of its events
 }
 
-// New makes an emitter, nil without a sink.
-func New(sink, node string, lifeUs int64, log *wax.Log, transport http.RoundTripper) *Buzz {
+// New makes an emitter, nil without a sink. process is the random name of the
+// process: no two processes ever give two events one id.
+func New(sink, node, process string, log *wax.Log, transport http.RoundTripper) *Buzz {
 	if sink == "" {
 		return nil
 	}
-	return &Buzz{sink: sink, source: "/rowanshunt/nodes/" + node, log: log, life: lifeUs,
+	return &Buzz{sink: sink, source: "/rowanshunt/nodes/" + node, log: log, process: process,
 		client: &http.Client{Timeout: postTimeout, Transport: transport}, holding: make(chan event.Event, maxHeld)}
 }
 
@@ -61,7 +62,7 @@
 		return
 	}
 	e := event.New()
-	e.SetID(strconv.FormatInt(b.life, 36) + "-" + strconv.FormatInt(b.seq.Add(1), 10))
+	e.SetID(b.process + "-" + strconv.FormatInt(b.seq.Add(1), 10))
 	e.SetSource(b.source)
 	e.SetType(kind)
 	e.SetSubject(subject)
--- a/internal/colony/colony.go
+++ b/internal/colony/colony.go
@@ -72,7 +72,7 @@
 func New(ctx context.Context, env Env, opts *skep.Options, role string) (*Node, error) {
 	n := &Node{env: env, role: role, fatal: make(chan error, 4), Floor: waggle.NewFloor(4096), Desk: pollen.NewDesk()}
 	n.opts.Store(opts)
-	n.self = swarm.Partner{Name: opts.Node, Addr: opts.PartnerAddr(), Ctl: opts.Listen.Ctl, Az: opts.Az, Role: role, LifeUs: env.WallUs(),
+	n.self = swarm.Partner{Name: opts.Node, Addr: opts.PartnerAddr(), Ctl: opts.Listen.Ctl, Az: opts.Az, Role: role,
 		Cap: int64(opts.Caps.CPUFrac * max(opts.Caps.NCPU, 1) * 1000)}
 	empty := true // nothing on disk, or no disk
 	if opts.DataDir != "" && (role == "comb" || opts.Has("ctl")) {
@@ -86,6 +86,15 @@
 		}
 	}
 	n.self.Boot = opts.Bootstrap && empty
+	durable := ""
+	if n.self.Disk != "" {
+		durable = opts.DataDir
+	}
+	process, err := swarm.NewProcess(durable)
+	if err != nil {
+		return nil, err
+	}
+	n.self.SetProcess(process)
 	seeds := opts.SeedAddrs()
 	// Nodes that hold seats listen closely to those of their kind: a shard
 	// waits for its owner, a newcomer must know whom it replaces.
@@ -107,7 +116,6 @@
 		return v.Names(func(s *swarm.Sighting) bool { return s.Role == role && s.Disk != "" })
 	}
 	n.Swarm = swarm.New(ctx, n.Floor, n.Desk, env.Mesh, env.Log, n.self, seeds, near)
-	var err error
 	n.Nest, err = nest.New(ctx, nest.Config{Floor: n.Floor, Desk: n.Desk, Mesh: env.Mesh, Swarm: n.Swarm, Log: env.Log, Self: n.self,
 		DiskDir: n.diskDir, Seeds: seeds, Boot: n.self.Boot, Spared: opts.Ft.Nodes, OnState: n.onState,
 		Proposer: n.self.Life()})
@@ -205,7 +213,7 @@
 	}
 	b, err := brood.Open(ctx, brood.Config{Floor: n.Floor, Desk: n.Desk, Mesh: env.Mesh, Swarm: n.Swarm, Log: env.Log, Self: n.self,
 		Seat: n.self.Seat(), Dir: opts.DataDir, DiskBytes: opts.Caps.DiskMb << 20, State: n.Nest.Committed, Change: n.Nest.Change,
-		Fatal: func(err error) { n.fatal <- err }, Options: brood.Defaults(), Spared: opts.Ft.Nodes, WallUs: env.WallUs})
+		Fatal: func(err error) { n.fatal <- err }, Options: brood.Defaults(), Spared: opts.Ft.Nodes})
 	if err != nil {
 		return nil, err
 	}
@@ -235,9 +243,9 @@
 	if err != nil {
 		return nil, err
 	}
-	f := &Forager{Node: n, Scout: scout.New(opts.Az), Buzz: buzz.New(opts.Sink, opts.Node, n.self.LifeUs, env.Log, nil)}
+	f := &Forager{Node: n, Scout: scout.New(opts.Az), Buzz: buzz.New(opts.Sink, opts.Node, n.self.Life(), env.Log, nil)}
 	f.Flora, err = flora.New(ctx, flora.Config{Floor: n.Floor, Desk: n.Desk, Mesh: env.Mesh, Swarm: n.Swarm, Log: env.Log, Self: n.self,
-		HbUs: opts.HbMs * 1000, Services: n.services, Pressures: f.Scout.Pressures, Hear: f.Scout.Hear, Dir: n.diskDir, WallUs: env.WallUs,
+		HbUs: opts.HbMs * 1000, Services: n.services, Pressures: f.Scout.Pressures, Hear: f.Scout.Hear, Dir: n.diskDir,
 		OnNews: func(w flora.Worker) {
 			f.Buzz.Emit(buzz.WorkerChanged, w.ID, map[string]any{"svc": w.Svc, "addr": w.Addr, "phase": w.Phase, "gone": w.Gone})
 		}})
@@ -260,7 +268,7 @@
 	f.Guard = &guard.Guard{Forage: f.Forage, Lots: lots, Blueprint: n.blueprint.Load, Log: env.Log, Limits: limits,
 		Ready: func() bool { return n.caughtUp.Load() && n.blueprint.Load() != nil && f.Flora.Synced() }}
 	f.Moult = moult.New(ctx, moult.Config{Floor: n.Floor, Desk: n.Desk, Mesh: env.Mesh, Swarm: n.Swarm, Log: env.Log, Self: n.self,
-		State: n.Nest.Committed, Change: n.Nest.Change, Known: f.Flora.Known, Scout: f.Scout, WallUs: env.WallUs,
+		State: n.Nest.Committed, Change: n.Nest.Change, Known: f.Flora.Known, Scout: f.Scout,
 		HasService: func(svc string) bool {
 			b := n.blueprint.Load()
 			return b != nil && b.Services[svc] != nil
--- a/internal/flora/diary.go
+++ b/internal/flora/diary.go
@@ -11,18 +11,18 @@
 
 // The diary lets a node that starts again use the workers it knew before, for
 // as long as it is not yet in touch: each must beat anew or be told of by a
-// partner, or it is dropped (design 5.5). Nothing depends on it being whole.
+// partner, or it is dropped (design 5.5). Nothing depends on it being whole. How
+// long the node was down is not known, for no clock of its own ran meanwhile: a
+// page counts for oldUs whatever its age.
 const (
 	diaryUs   = 1_000_000
 	oldUs     = 2_400_000
-	tooOldUs  = 10_000_000
 	longBytes = 256 << 10
 )
 
 type diary struct {
-	cell   *cell.Cell
-	wallUs func() int64
-	log    *wax.Log
+	cell *cell.Cell
+	log  *wax.Log
 
 	mu   sync.Mutex
 	busy bool
@@ -31,11 +31,11 @@
 
 type page struct {
 	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by the library
-	AtUs     int64    // time of day
+	AtUs     int64    // 0; the version before wrote the time of day and left out pages of another time
 	Workers  []Worker
 }
 
-func openDiary(dir string, wallUs func() int64, log *wax.Log) (*diary, []Worker, error) {
+func openDiary(dir string, log *wax.Log) (*diary, []Worker, error) {
 	var last page
 	c, damage, err := cell.Open(dir, "flora.cell", func(raw []byte) error {
 		var p page
@@ -51,11 +51,7 @@
 	if damage != nil {
 		log.Warn("cell_tail_cut", "cell", "flora", "at", damage.AtByte, "bytes", damage.CutBytes, "why", damage.Why)
 	}
-	d := &diary{cell: c, wallUs: wallUs, log: log}
-	agoUs := wallUs() - last.AtUs
-	if agoUs < 0 || agoUs > tooOldUs {
-		return d, nil, nil
-	}
+	d := &diary{cell: c, log: log}
 	for i := range last.Workers {
 		last.Workers[i].Old = true
 		last.Workers[i].AgeUs = 0
@@ -65,7 +61,7 @@
 
 // write adds a page; while one is on its way only the newest one waits.
 func (d *diary) write(ws []Worker) {
-	raw, err := msgpack.Marshal(&page{AtUs: d.wallUs(), Workers: ws})
+	raw, err := msgpack.Marshal(&page{Workers: ws})
 	if err != nil {
 		return
 	}
--- a/internal/flora/flora.go
+++ b/internal/flora/flora.go
@@ -41,7 +41,6 @@
 	Hear      func(from string, ps []Pressure)
 	OnNews    func(Worker)
 	Dir       string // folder for what outlives a restart, "" without a disk
-	WallUs    func() int64
 }
 
 type entry struct {
@@ -119,7 +118,7 @@
 	f := &Flora{cfg: cfg, ctx: ctx, workers: map[string]*entry{}, subs: map[string]*subscriber{}, pending: map[string]bool{}, startUs: waggle.NowUs()}
 	f.dir.Store(&Directory{BySvc: map[string][]*Worker{}, ByID: map[string]*Worker{}})
 	if cfg.Dir != "" {
-		d, old, err := openDiary(cfg.Dir, cfg.WallUs, cfg.Log)
+		d, old, err := openDiary(cfg.Dir, cfg.Log)
 		if err != nil {
 			return nil, err
 		}
--- a/internal/flora/flora_test.go
+++ b/internal/flora/flora_test.go
@@ -18,10 +18,10 @@
 	t.Helper()
 	m := meadow.New(1)
 	floor, desk := waggle.NewFloor(64), pollen.NewDesk()
-	self := swarm.Partner{Name: "n", Addr: "10.0.0.1:1", Az: "z", Role: "forager", LifeUs: time.Now().UnixMicro()}
+	self := swarm.Partner{Name: "n", Addr: "10.0.0.1:1", Az: "z", Role: "forager", LifeUs: 1}
 	sw := swarm.New(ctx, floor, desk, m.MeshOf(self.Addr), wax.Quiet(), self, nil, nil)
 	f, err := New(ctx, Config{Floor: floor, Desk: desk, Mesh: m.MeshOf(self.Addr), Swarm: sw, Log: wax.Quiet(), Self: self, HbUs: 1_200_000,
-		Services: func() []string { return []string{"s"} }, Dir: dir, WallUs: func() int64 { return time.Now().UnixMicro() }})
+		Services: func() []string { return []string{"s"} }, Dir: dir})
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/moult/driver.go
+++ b/internal/moult/driver.go
@@ -35,7 +35,6 @@
 	Change func(context.Context, nest.Change) (*nest.State, error)
 	Known  func() []flora.Worker // all registered workers, in use or not
 	Scout  *scout.Scout
-	WallUs func() int64
 	// Services is the blueprint's, nil before the first.
 	HasService func(string) bool
 	OnMove     func(*Upgrade)
@@ -147,6 +146,7 @@
 				return nil, wax.New(wax.Stale, svc, "another node drives", "nothing to do")
 			}
 			u.Term, u.Driver = u.Term+1, m.me()
+			u.restartWaits()
 			return now, u.store(now)
 		})
 		if err != nil {
@@ -162,7 +162,7 @@
 	}
 	trial := *u
 	trial.Out = append([]Out(nil), u.Out...)
-	if !trial.Step(seen, groups, vitals, m.cfg.WallUs()) {
+	if !trial.Step(seen, groups, vitals, waggle.NowUs()) {
 		return nil
 	}
 	s, err := m.cfg.Change(ctx, func(now *nest.State) (*nest.State, error) {
@@ -170,7 +170,7 @@
 		if u == nil || u.Term != term || u.Driver != m.me() {
 			return nil, wax.New(wax.Stale, svc, "another node drives", "nothing to do")
 		}
-		if !u.Step(seen, groups, vitals, m.cfg.WallUs()) {
+		if !u.Step(seen, groups, vitals, waggle.NowUs()) {
 			return nil, nil
 		}
 		return now, u.store(now)
@@ -353,7 +353,7 @@
 			return nil, unknown(svc)
 		}
 		u.Phase, u.Why, u.Remedy = Running, "", ""
-		u.WaveUs, u.SpreadUs = m.cfg.WallUs(), 0
+		u.restartWaits()
 		return u, nil
 	})
 }
--- a/internal/moult/upgrade.go
+++ b/internal/moult/upgrade.go
@@ -52,7 +52,7 @@
 	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by the library
 	ID       string   `json:"id"`
 	Addr     string   `json:"addr"`
-	AtUs     int64    `json:"at_us"` // time of day
+	AtUs     int64    `json:"at_us"` // on the steady clock of the driver that took it
 	Idle     bool     `json:"idle"`  // nothing runs there any more: it may be replaced
 	Gone     bool     `json:"gone"`
 }
@@ -70,14 +70,16 @@
 	Why      string   `json:"why,omitempty"`
 	Remedy   string   `json:"remedy,omitempty"`
 	Wave     int64    `json:"wave"`
-	WaveUs   int64    `json:"wave_us"`
-	Out      []Out    `json:"out"`
+	// WaveUs, SpreadUs and WarmUs are when the waits under way began, on the
+	// steady clock of the driver: one that takes over begins them anew.
+	WaveUs int64 `json:"wave_us"`
+	Out    []Out `json:"out"`
 	// Returned are the workers at the target version when the wave began.
 	Returned int64  `json:"returned"`
 	Total    int64  `json:"total"` // workers when it started
 	Spread   int64  `json:"spread"`
 	SpreadUs int64  `json:"spread_us"`
-	WarmUs   int64  `json:"warm_us"` // since when the last wave is back
+	WarmUs   int64  `json:"warm_us"` // the last wave is back
 	Driver   string `json:"driver"`  // node/life
 	Term     uint64 `json:"term"`
 	// Known are the workers there when the wave began.
@@ -203,11 +205,13 @@
 
 // Step moves the upgrade on by what is seen now; true if it changed. It is the
 // one place that decides, and touches nothing but the aggregate.
+// nowUs is the driver's steady clock.
 func (u *Upgrade) Step(seen []Seen, groups []Group, v Vitals, nowUs int64) bool {
 	if u.Phase != Running {
 		return u.look(seen)
 	}
 	changed := u.look(seen)
+	changed = u.beginWaits(nowUs) || changed
 	well, old, atTarget := u.count(seen)
 	out := int64(len(u.Out))
 	switch {
@@ -247,6 +251,28 @@
 	return changed
 }
 
+// waitAnew marks a wait that the driver has yet to begin on its own clock.
+const waitAnew = -1
+
+// restartWaits lets the waits under way run in full again: the clock on which
+// they began is that of another process, or they were stopped.
+func (u *Upgrade) restartWaits() {
+	for _, wait := range []*int64{&u.WaveUs, &u.SpreadUs, &u.WarmUs} {
+		if *wait != 0 {
+			*wait = waitAnew
+		}
+	}
+}
+
+func (u *Upgrade) beginWaits(nowUs int64) (changed bool) {
+	for _, wait := range []*int64{&u.WaveUs, &u.SpreadUs, &u.WarmUs} {
+		if *wait == waitAnew {
+			*wait, changed = nowUs, true
+		}
+	}
+	return changed
+}
+
 // look takes in what became of the workers that are out.
 func (u *Upgrade) look(seen []Seen) bool {
 	byID := map[string]Seen{}
--- /dev/null
+++ b/internal/swarm/incarnation.go
@@ -0,0 +1,180 @@
+package swarm
+
+import (
+	"crypto/rand"
+	"encoding/binary"
+	"encoding/hex"
+	"fmt"
+	"os"
+	"path/filepath"
+
+	"github.com/go-faster/errors"
+)
+
+// Incarnation orders the records that a node gives of itself: the higher one is
+// the later. It is a count of starts above a random tag of the process, so that
+// it can be raised (refutation, as SWIM's incarnation numbers) without looking
+// like another process: the tag stays (design 3.5). No clock has a part in it.
+type Incarnation int64
+
+// The parts of an incarnation. firstIncarnation lies above all the numbers of
+// the version before, which were the time of day in microseconds.
+const (
+	firstIncarnation = Incarnation(1) << 52
+	tagBits          = 20
+	tagMask          = Incarnation(1)<<tagBits - 1
+	// maxIncarnation bounds what is believed of a record, so that a damaged one
+	// cannot use the numbers up.
+	maxIncarnation = Incarnation(1) << 62
+)
+
+func newIncarnation(starts int64, tag Incarnation) Incarnation {
+	return firstIncarnation + Incarnation(starts)<<tagBits | tag&tagMask
+}
+
+func (i Incarnation) tag() Incarnation { return i & tagMask }
+
+func (i Incarnation) starts() int64 { return int64((i - firstIncarnation) >> tagBits) }
+
+// counted tells whether this version made the number.
+func (i Incarnation) counted() bool { return i >= firstIncarnation }
+
+// above is the lowest incarnation of this process that is higher than other.
+func (i Incarnation) above(other Incarnation) Incarnation {
+	return newIncarnation(max(other.starts()+1, 0), i.tag())
+}
+
+// Process is what tells one run of a node's program from all others.
+type Process struct {
+	Incarnation Incarnation
+	// ID is random and never changes while the process runs; what the process
+	// signs (ballots, terms, event ids) carries it.
+	ID string
+}
+
+// idBytes is how long the random part of a process id is.
+const idBytes = 12
+
+// NewProcess makes the identity of this process. With a folder on disk the count
+// of starts is durable before it returns; without one it begins at 0 and is
+// raised above what others still hold of this node's name.
+func NewProcess(dir string) (Process, error) {
+	var raw [idBytes + 4]byte
+	if _, err := rand.Read(raw[:]); err != nil {
+		return Process{}, errors.Wrap(err, "process id")
+	}
+	tag := Incarnation(binary.LittleEndian.Uint32(raw[idBytes:])) & tagMask
+	starts := int64(0)
+	if dir != "" {
+		var err error
+		if starts, tag, err = countStart(dir, tag); err != nil {
+			return Process{}, err
+		}
+	}
+	// The tag leads the id: others find the process of a signature by it.
+	id := fmt.Sprintf("%05x%s", int64(tag), hex.EncodeToString(raw[:idBytes]))
+	return Process{Incarnation: newIncarnation(starts, tag), ID: id}, nil
+}
+
+const startsFile = "starts"
+
+// countStart counts this start in a file of the folder and gives a tag that the
+// last start did not have. A file that cannot be read counts as none: the number
+// is then raised by what others hold.
+func countStart(dir string, tag Incarnation) (starts int64, _ Incarnation, err error) {
+	if err := os.MkdirAll(dir, 0o755); err != nil {
+		return 0, 0, errors.Wrap(err, "make folder")
+	}
+	path := filepath.Join(dir, startsFile)
+	raw, err := os.ReadFile(path)
+	if err != nil && !os.IsNotExist(err) {
+		return 0, 0, errors.Wrap(err, "read the count of starts")
+	}
+	var last, lastTag int64
+	if n, err := fmt.Sscanf(string(raw), "%d %d\n", &last, &lastTag); err == nil && n == 2 && last >= 0 && last < 1<<40 {
+		starts = last + 1
+		if Incarnation(lastTag) == tag {
+			tag = (tag + 1) & tagMask
+		}
+	}
+	if err := replaceFile(dir, startsFile, fmt.Sprintf("%d %d\n", starts, tag)); err != nil {
+		return 0, 0, errors.Wrap(err, "count this start")
+	}
+	return starts, tag, nil
+}
+
+// replaceFile puts a file in place whole: synced, renamed, the folder synced.
+func replaceFile(dir, name, content string) error {
+	path := filepath.Join(dir, name)
+	f, err := os.OpenFile(path+".new", os.O_CREATE|os.O_TRUNC|os.O_WRONLY, 0o644)
+	if err != nil {
+		return err
+	}
+	_, err = f.WriteString(content)
+	if err == nil {
+		err = f.Sync()
+	}
+	if closeErr := f.Close(); err == nil {
+		err = closeErr
+	}
+	if err != nil {
+		return err
+	}
+	if err := os.Rename(path+".new", path); err != nil {
+		return err
+	}
+	d, err := os.Open(dir)
+	if err != nil {
+		return err
+	}
+	return errors.Join(d.Sync(), d.Close())
+}
+
+// SetProcess makes p the partner of a process.
+func (p *Partner) SetProcess(process Process) {
+	p.LifeUs, p.process = process.Incarnation, process.ID
+}
+
+// Life names the partner together with its process: what ballots, stamps and
+// terms are signed with. Only a node's own partner knows the whole of it; of
+// others see Signed.
+func (p *Partner) Life() string {
+	if p.process != "" {
+		return p.Name + "/" + p.process
+	}
+	return fmt.Sprintf("%s/%d", p.Name, int64(p.LifeUs))
+}
+
+// Signed tells whether the process that this record is of made a signature. Of
+// two processes of one node that follow each other the later never has the
+// earlier one's tag where there is a disk.
+func (p *Partner) Signed(signature string) bool {
+	if p.process != "" || !p.LifeUs.counted() {
+		return p.Life() == signature
+	}
+	prefix := fmt.Sprintf("%s/%05x", p.Name, int64(p.LifeUs.tag()))
+	return len(signature) == len(prefix)+2*idBytes && signature[:len(prefix)] == prefix
+}
+
+// refute raises this node's incarnation above that of a record of its name that
+// another process left with the partners (design 3.5).
+func (s *Swarm) refute(p *Partner) {
+	if !p.newer(&s.self) || p.LifeUs >= maxIncarnation {
+		return
+	}
+	s.self.LifeUs = s.self.LifeUs.above(p.LifeUs)
+	s.self.Beat++
+	s.refuted++
+	s.publish()
+	s.log.Info("incarnation_raised", "starts", s.self.LifeUs.starts(), "held", int64(p.LifeUs))
+}
+
+// contradict gives the record that is held of a sender whose own word is older:
+// it must hear of it, to rise above it and be believed.
+func (s *Swarm) contradict(from *Partner) []Partner {
+	t := s.table[from.Name]
+	if t == nil || t.LifeUs <= from.LifeUs {
+		return nil
+	}
+	return []Partner{t.Partner}
+}
--- a/internal/swarm/swarm.go
+++ b/internal/swarm/swarm.go
@@ -10,10 +10,11 @@
 	"math/rand/v2"
 	"slices"
 	"sort"
-	"strconv"
 	"sync/atomic"
 	"time"
 
+	"github.com/zeebo/xxh3"
+
 	"rowanshunt/internal/pollen"
 	"rowanshunt/internal/tending"
 	"rowanshunt/internal/waggle"
@@ -31,21 +32,21 @@
 	Disk     string // incarnation of its disk, "" without one
 	Boot     bool   // first start of the whole system, disk found empty
 	Leaving  bool
-	LifeUs   int64  // wall time of its start: a later life wins
-	Beat     uint64 // grows as it lives
-	Rev      uint64 // newest register revision it knows
-	Ready    bool
-	Cap      int64 // processor, in thousandths of a core
-	Slow     bool  // its own floor runs late (design 8.2)
+	// LifeUs orders the records of one node (design 3.5). Of the version before
+	// it is the time of day at which the process started, in microseconds.
+	LifeUs Incarnation
+	Beat   uint64 // grows as it lives
+	Rev    uint64 // newest register revision it knows
+	Ready  bool
+	Cap    int64 // processor, in thousandths of a core
+	Slow   bool  // its own floor runs late (design 8.2)
+
+	process string // of this node itself: the random id of its process
 }
 
 // Seat names the partner together with its disk.
 func (p *Partner) Seat() string { return p.Name + "#" + p.Disk }
 
-// Life names the partner together with its life: what ballots, stamps and terms
-// are signed with.
-func (p *Partner) Life() string { return p.Name + "/" + strconv.FormatInt(p.LifeUs, 10) }
-
 func (p *Partner) newer(q *Partner) bool {
 	return p.LifeUs > q.LifeUs || p.LifeUs == q.LifeUs && p.Beat > q.Beat
 }
@@ -177,6 +178,8 @@
 	stale map[uint64]bool   // keys that newer words replaced: not asked for again
 	view  atomic.Pointer[View]
 	rng   *rand.Rand
+	// refuted counts how often this node rose above a record of its own name.
+	refuted int
 	// OnRev is told of a partner that knows a newer register revision.
 	OnRev func(p Partner)
 	ctx   context.Context
@@ -194,12 +197,12 @@
 // New makes the swarm of one node. Everything but Look runs on the floor.
 func New(ctx context.Context, floor *waggle.Floor, desk *pollen.Desk, mesh pollen.Mesh, log *wax.Log, self Partner, seeds []string, close func(*View) []string) *Swarm {
 	s := &Swarm{floor: floor, mesh: mesh, log: log, seeds: seeds, close: close, self: self, table: map[string]*Sighting{}, byKey: map[uint64]string{}, stale: map[uint64]bool{}, ctx: ctx,
-		rng: rand.New(rand.NewPCG(uint64(self.LifeUs), uint64(len(self.Name)+1)))}
+		rng: rand.New(rand.NewPCG(xxh3.HashString(self.Life()), uint64(len(self.Name)+1)))}
 	s.publish()
 	pollen.On(desk, "swarm.shuffle", func(ctx context.Context, in *shuffle) (*shuffle, error) {
 		return waggle.Ask(ctx, floor, func() *shuffle {
 			want := s.merge(in)
-			out := &shuffle{From: s.self, Full: s.lookUp(in.Want)}
+			out := &shuffle{From: s.self, Full: append(s.lookUp(in.Want), s.contradict(&in.From)...)}
 			if !in.Ping && len(in.Full) == 0 && len(in.Want) == 0 {
 				out.Words, out.Want = s.sample(), want
 			}
@@ -283,7 +286,11 @@
 }
 
 func (s *Swarm) take(p Partner) {
-	if p.Name == "" || p.Addr == "" || p.Name == s.self.Name {
+	if p.Name == s.self.Name {
+		s.refute(&p)
+		return
+	}
+	if p.Name == "" || p.Addr == "" || p.LifeUs >= maxIncarnation {
 		return
 	}
 	nowUs := waggle.NowUs()
@@ -390,11 +397,13 @@
 		var back shuffle
 		err := s.mesh.Call(ctx, addr, "swarm.shuffle", msg, &back)
 		more, askErr := waggle.Ask(s.ctx, s.floor, func() *shuffle {
+			refuted := s.refuted
 			want := s.called(addr, &back, err)
-			if len(want) == 0 && len(back.Want) == 0 {
+			full := append(s.lookUp(back.Want), s.contradict(&back.From)...)
+			if len(want) == 0 && len(full) == 0 && refuted == s.refuted {
 				return nil
 			}
-			return &shuffle{From: s.self, Want: want, Full: s.lookUp(back.Want)}
+			return &shuffle{From: s.self, Want: want, Full: full}
 		})
 		if askErr != nil || more == nil {
 			return
--- a/internal/swarm/swarm_test.go
+++ b/internal/swarm/swarm_test.go
@@ -24,7 +24,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	b := &bee{addr: fmt.Sprintf("10.0.0.%d:1", i), cancel: cancel}
 	floor, desk := waggle.NewFloor(256), pollen.NewDesk()
-	b.s = New(ctx, floor, desk, m.MeshOf(b.addr), wax.Quiet(), Partner{Name: fmt.Sprint("n", i), Addr: b.addr, Role: "forager", LifeUs: time.Now().UnixMicro()}, seeds, nil)
+	b.s = New(ctx, floor, desk, m.MeshOf(b.addr), wax.Quiet(), Partner{Name: fmt.Sprint("n", i), Addr: b.addr, Role: "forager", LifeUs: 1}, seeds, nil)
 	m.Place(ctx, b.addr, desk)
 	go floor.Run(ctx)
 	return b
--- a/internal/swarm/word.go
+++ b/internal/swarm/word.go
@@ -19,7 +19,7 @@
 // key hashes all that a partner tells of itself except its beat and revision.
 func (p *Partner) key() uint64 {
 	var h xxh3.Hasher
-	for _, s := range []string{p.Name, p.Addr, p.Ctl, p.Az, p.Role, p.Disk, strconv.FormatInt(p.LifeUs, 36), strconv.FormatInt(p.Cap, 36)} {
+	for _, s := range []string{p.Name, p.Addr, p.Ctl, p.Az, p.Role, p.Disk, strconv.FormatInt(int64(p.LifeUs), 36), strconv.FormatInt(p.Cap, 36)} {
 		_, _ = h.WriteString(s)
 		_, _ = h.WriteString("\x00")
 	}
