--- /dev/null
+++ b/internal/brood/clock_test.go
@@ -0,0 +1,166 @@
+package brood
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"rowanshunt/internal/nest"
+	"rowanshunt/internal/waggle"
+)
+
+// A shard's clock over many owners, orderly and sudden ends, with values recorded
+// at a majority of three only and claims that hear a majority only, is never ahead
+// of the time that passed, and behind it by no more than what each takeover may
+// lose: the time without an owner and one recording period.
+func TestClockIsNeverAhead(t *testing.T) {
+	for seed := range uint64(300) {
+		luck := rand.New(rand.NewPCG(seed, 3))
+		replicas := make([]shardClock, 3)
+		trueUs, lostUs, recordedUs := int64(1), int64(0), int64(0)
+		steady := func(node int) int64 { return trueUs + int64(node+1)<<50 } // no two nodes agree
+		owner := 0
+		for takeover := range 60 {
+			switch {
+			case takeover == 0:
+			case luck.IntN(2) == 0:
+				replicas[owner].stop(steady(owner))
+			default:
+				replicas[owner] = shardClock{recordedUs: recordedUs}
+			}
+			idleUs := luck.Int64N(2_000_000)
+			trueUs += idleUs
+			owner = luck.IntN(3)
+			other := (owner + 1 + luck.IntN(2)) % 3
+			replicas[owner].start(steady(owner), replicas[other].now(steady(other)))
+			recordedUs = replicas[owner].now(steady(owner))
+			lostUs += idleUs + clockEveryUs
+			for range luck.IntN(20) {
+				trueUs += clockEveryUs
+				recordedUs = replicas[owner].now(steady(owner))
+				replicas[(owner+1+luck.IntN(2))%3].record(recordedUs)
+				if recordedUs > trueUs {
+					t.Fatalf("seed %d: the clock shows %d after %d", seed, recordedUs, trueUs)
+				}
+			}
+			trueUs += luck.Int64N(clockEveryUs)
+		}
+		if got := replicas[owner].now(steady(owner)); got > trueUs || got < trueUs-lostUs {
+			t.Fatalf("seed %d: the clock shows %d after %d, of which %d may be lost", seed, got, trueUs, lostUs)
+		}
+	}
+}
+
+// owned makes a store alone the owner of shard 0, as a claim does.
+func owned(b *Brood, n uint64, clockUs int64) *shard {
+	s := b.shards[0]
+	stamp := Stamp{Roster: 1, N: n, By: "s/1"}
+	s.promised = stamp
+	b.persist(&record{Shard: 0, Promise: &stamp}, func() {})
+	b.install(s, stamp, nest.Roster{Ver: 1, Cur: []nest.Seat{{ID: "s", Name: "s"}}}, nil, clockUs)
+	return s
+}
+
+// The age of a lot goes on from what is on the disk: after a restart, after the
+// file was rewritten, and counted only while somebody owned the shard.
+func TestAgesOutliveAProcess(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		dir := t.TempDir()
+		const second = int64(1_000_000)
+		age, n := int64(0), uint64(0)
+		for life := range 4 {
+			ctx, stop := context.WithCancel(context.Background())
+			b := keeper(t, dir)
+			go b.cfg.Floor.Run(ctx)
+			do := func(fn func()) {
+				if err := b.cfg.Floor.Do(ctx, fn); err != nil {
+					t.Fatal(err)
+				}
+				synctest.Wait()
+			}
+			var s *shard
+			do(func() {
+				n++
+				s = owned(b, n, 0)
+				if life == 0 {
+					l := &Lot{ID: "l", SentUs: 1, RetainMs: 40_000, Prompts: make([]Prompt, 1), BornUs: s.clock.now(waggle.NowUs())}
+					l.index()
+					b.issue(s, op{Kind: opPut, Lot: "l", Rev: 1, Whole: l}, func(error) {})
+				}
+			})
+			for range 50 {
+				time.Sleep(100 * time.Millisecond)
+				do(func() { b.clockTick(waggle.NowUs()) })
+			}
+			if life == 2 {
+				do(b.rewrite)
+			}
+			do(func() {
+				got := s.ageUs(s.lots["l"], waggle.NowUs())
+				// A sudden end loses what was not saved on the disk.
+				least := age + 5*second - clockSaveUs - clockEveryUs
+				if got > age+5*second+1 || got < least {
+					t.Errorf("life %d: the lot is %d us old, at least %d and at most %d", life, got, least, age+5*second)
+				}
+				age = got
+			})
+			time.Sleep(time.Second)
+			b.cell.Close()
+			stop()
+			synctest.Wait()
+			time.Sleep(time.Hour) // nobody runs
+		}
+	})
+}
+
+// Lots that the version before accepted have no place on the clock: they get one
+// when a shard is next taken over, on disk and at replicas that have the lot as it
+// was, and their age begins there, whatever the time of day of their hand-in.
+func TestLotsOfTheVersionBeforeArePlaced(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		dir := t.TempDir()
+		ctx, stop := context.WithCancel(context.Background())
+		b := keeper(t, dir)
+		go b.cfg.Floor.Run(ctx)
+		var s *shard
+		took := make(chan struct{})
+		_ = b.cfg.Floor.Do(ctx, func() {
+			defer close(took)
+			before := Stamp{Roster: 1, N: 1, By: "s/1"}
+			for i, sentUs := range []int64{1, time.Now().UnixMicro(), 1 << 60} {
+				l := &Lot{ID: fmt.Sprint("l", i), SentUs: sentUs, RetainMs: 40_000, Prompts: make([]Prompt, 1)}
+				put := op{Kind: opPut, Lot: l.ID, Stamp: before, Rev: 1, Whole: l}
+				apply(b.shards[0].lots, &put)
+				b.persist(&record{Shard: 0, Ops: []op{put}}, func() {})
+			}
+			s = owned(b, 2, 7_000_000_000)
+			for id, l := range s.lots {
+				if age := s.ageUs(l, waggle.NowUs()); age != 0 || l.BornUs < 7_000_000_000 {
+					t.Errorf("%s: taken over at the age of %d us", id, age)
+				}
+			}
+			there := copyOf{Lot: "l0", Stamp: before, Rev: 1}
+			sent := differences(s, s.owner.stamp, []copyOf{there})
+			for _, o := range sent[0] {
+				if o.Kind != opPut || o.Whole.BornUs == 0 {
+					t.Errorf("a replica is sent %d of lot %s without its place", o.Kind, o.Lot)
+				}
+			}
+		})
+		<-took
+		time.Sleep(time.Second)
+		b.cell.Close()
+		stop()
+		synctest.Wait()
+		again := keeper(t, dir)
+		defer again.cell.Close()
+		for id, l := range again.shards[0].lots {
+			if l.BornUs != s.lots[id].BornUs || again.shards[0].clock.now(0) < l.BornUs {
+				t.Errorf("%s: on disk at %d of %d, in memory at %d", id, l.BornUs, again.shards[0].clock.now(0), s.lots[id].BornUs)
+			}
+		}
+	})
+}
--- a/internal/brood/owner.go
+++ b/internal/brood/owner.go
@@ -481,6 +481,10 @@
 		b.poll()
 	}})
 	o.diskIssued = 1
+	if n := len(rec.Ops); n > 0 {
+		rec.Ops[n-1].ClockUs = s.clock.now(nowUs)
+		s.clock.saved(rec.Ops[n-1].ClockUs)
+	}
 	b.toDisk(s, o, rec, 1)
 	for _, f := range o.feeds {
 		b.mend(s, f)
--- a/internal/colony/colony_test.go
+++ b/internal/colony/colony_test.go
@@ -46,6 +46,7 @@
 	cancel func()
 	f      *Forager
 	c      *Comb
+	skewUs atomic.Int64 // of its time of day
 }
 
 var zones = []string{"ash", "birch", "cedar"}
@@ -94,7 +95,7 @@
 func (h *hive) start(name string) {
 	m := h.nodes[name]
 	m.ctx, m.cancel = context.WithCancel(context.Background())
-	env := Env{Mesh: h.m.MeshOf(m.opts.PartnerAddr()), Dial: h.m.DialFrom(m.opts.PartnerAddr()), WallUs: wall, Log: testLog(h.t, name)}
+	env := Env{Mesh: h.m.MeshOf(m.opts.PartnerAddr()), Dial: h.m.DialFrom(m.opts.PartnerAddr()), WallUs: func() int64 { return wall() + m.skewUs.Load() }, Log: testLog(h.t, name)}
 	var err error
 	if m.role == "forager" {
 		m.f, err = NewForager(m.ctx, env, m.opts)
--- a/internal/swarm/incarnation.go
+++ b/internal/swarm/incarnation.go
@@ -173,7 +173,7 @@
 // it must hear of it, to rise above it and be believed.
 func (s *Swarm) contradict(from *Partner) []Partner {
 	t := s.table[from.Name]
-	if t == nil || t.LifeUs <= from.LifeUs {
+	if t == nil || !t.newer(from) {
 		return nil
 	}
 	return []Partner{t.Partner}
--- /dev/null
+++ b/internal/swarm/incarnation_test.go
@@ -0,0 +1,176 @@
+package swarm
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"rowanshunt/internal/meadow"
+	"rowanshunt/internal/pollen"
+	"rowanshunt/internal/waggle"
+	"rowanshunt/internal/wax"
+)
+
+// Where there is a disk, each start is above the one before and never has its
+// tag; a file that cannot be read counts as none, and no two processes sign alike.
+func TestStartsAreCounted(t *testing.T) {
+	dir := filepath.Join(t.TempDir(), "data")
+	var last Process
+	ids := map[string]bool{}
+	for n := range 50 {
+		p, err := NewProcess(dir)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if p.Incarnation <= last.Incarnation || p.Incarnation.starts() != int64(n) || p.Incarnation.tag() == last.Incarnation.tag() && n > 0 {
+			t.Fatalf("start %d is %d after %d", n, p.Incarnation, last.Incarnation)
+		}
+		if ids[p.ID] {
+			t.Fatalf("two processes have the id %s", p.ID)
+		}
+		ids[p.ID] = true
+		last = p
+	}
+	for _, content := range []string{"", "5", "x y\n", "-3 1\n", "99999999999999999999 1\n", "\x00\x00\x00"} {
+		if err := os.WriteFile(filepath.Join(dir, startsFile), []byte(content), 0o644); err != nil {
+			t.Fatal(err)
+		}
+		if p, err := NewProcess(dir); err != nil || p.Incarnation.starts() != 0 {
+			t.Errorf("%q: %d, %v", content, p.Incarnation.starts(), err)
+		}
+		if p, err := NewProcess(dir); err != nil || p.Incarnation.starts() != 1 {
+			t.Errorf("the start after %q: %d, %v", content, p.Incarnation.starts(), err)
+		}
+	}
+	if err := os.WriteFile(filepath.Join(dir, startsFile), []byte("7 12\n"), 0o644); err != nil {
+		t.Fatal(err)
+	}
+	if starts, tag, err := countStart(dir, 12); err != nil || starts != 8 || tag == 12 {
+		t.Errorf("after a start with the same tag: %d %d %v", starts, tag, err)
+	}
+	blocked := filepath.Join(t.TempDir(), "file")
+	if err := os.WriteFile(blocked, nil, 0o644); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := NewProcess(blocked); err == nil {
+		t.Error("a start that cannot be counted goes on")
+	}
+}
+
+// A raised incarnation is above the other one, keeps the process's tag and leaves
+// what it signs as it was; a signature is found by the record that others hold.
+func TestRaisedIncarnation(t *testing.T) {
+	self, other := Partner{Name: "a"}, Partner{Name: "a"}
+	self.SetProcess(Process{Incarnation: newIncarnation(0, 5), ID: "00005" + strings.Repeat("ab", idBytes)})
+	signature := self.Life()
+	for _, held := range []Incarnation{newIncarnation(0, 9), newIncarnation(7, 3), newIncarnation(1<<30, tagMask), firstIncarnation - 1} {
+		up := self.LifeUs.above(held)
+		if up <= held || up.tag() != self.LifeUs.tag() {
+			t.Errorf("raised above %d: %d", held, up)
+		}
+		self.LifeUs = up
+		told := self
+		told.process = "" // as others read it
+		if self.Life() != signature || !self.Signed(signature) || !told.Signed(signature) {
+			t.Errorf("at %d the process is not known by its signature", up)
+		}
+	}
+	other.LifeUs = newIncarnation(3, 6)
+	if other.Signed(signature) || self.Signed("a/00006"+signature[len("a/00005"):]) || (&Partner{Name: "b", LifeUs: self.LifeUs}).Signed(signature) {
+		t.Error("a signature of another process counts")
+	}
+	earlier := Partner{Name: "a", LifeUs: 1_764_633_600_000_000}
+	if earlier.LifeUs.counted() || !earlier.Signed("a/1764633600000000") || earlier.Signed("a/1764633600000001") {
+		t.Error("a partner of the version before is not known by its signature")
+	}
+	if newIncarnation(0, 0) < earlier.LifeUs {
+		t.Error("the version before outranks a process that starts now")
+	}
+}
+
+// place starts a node of this name with an incarnation of its own.
+func place(m *meadow.Meadow, name, addr string, incarnation Incarnation, seeds []string) *bee {
+	ctx, cancel := context.WithCancel(context.Background())
+	b := &bee{addr: addr, cancel: cancel}
+	floor, desk := waggle.NewFloor(256), pollen.NewDesk()
+	self := Partner{Name: name, Addr: addr, Role: "forager"}
+	self.SetProcess(Process{Incarnation: incarnation, ID: fmt.Sprintf("%05x%s", int64(incarnation.tag()), strings.Repeat("0", 2*idBytes))})
+	b.s = New(ctx, floor, desk, m.MeshOf(addr), wax.Quiet(), self, seeds, nil)
+	m.Place(ctx, addr, desk)
+	go floor.Run(ctx)
+	return b
+}
+
+// A process that starts below what the partners hold of its name is seen alive
+// within a gossip round: it is told, and rises above it. So whatever the former
+// incarnation was (a count that was lost with its disk, a number of the version
+// before), and also if only partners call it.
+func TestRefutation(t *testing.T) {
+	for name, tc := range map[string]struct {
+		before, after Incarnation
+		calls         bool // the new process has seeds to call
+	}{
+		"lower count":           {newIncarnation(9, 1), newIncarnation(0, 2), true},
+		"lower tag":             {newIncarnation(0, 2), newIncarnation(0, 1), true},
+		"the same number":       {newIncarnation(0, 2), newIncarnation(0, 2), true},
+		"only called":           {newIncarnation(9, 1), newIncarnation(0, 2), false},
+		"of the version before": {1_764_633_600_000_000, newIncarnation(0, 0), true},
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			m := meadow.New(3)
+			seeds := []string{"10.0.0.1:1", "10.0.0.2:1"}
+			var all []*bee
+			defer func() {
+				for _, b := range all {
+					b.cancel()
+				}
+				time.Sleep(5 * time.Second)
+			}()
+			for i := range 4 {
+				all = append(all, place(m, fmt.Sprint("n", i), fmt.Sprintf("10.0.0.%d:1", i), newIncarnation(0, Incarnation(i)), seeds))
+			}
+			old := place(m, "x", "10.0.0.9:1", tc.before, seeds)
+			time.Sleep(3 * time.Second)
+			old.cancel()
+			time.Sleep(3 * time.Second) // all think it silent
+			for i, b := range all {
+				if b.s.Look().Alive("x") {
+					t.Errorf("%s: n%d takes the stopped process for alive", name, i)
+				}
+			}
+			if !tc.calls {
+				seeds = nil
+			}
+			x := place(m, "x", "10.0.0.9:1", tc.after, seeds)
+			all = append(all, x)
+			signature := x.s.Look().Self.Life()
+			limit := 2 * shuffleUs * time.Microsecond
+			if !tc.calls {
+				limit = 4 * time.Second // silent partners are tried now and then
+			}
+			time.Sleep(limit)
+			first := false
+			for _, b := range all[:4] {
+				first = first || b.s.Look().Alive("x")
+			}
+			if !first {
+				t.Errorf("%s: nobody sees the new process after %v", name, limit)
+			}
+			time.Sleep(time.Second)
+			for i, b := range all[:4] {
+				p := b.s.Look().Get("x")
+				if p == nil || !p.Alive || !p.Signed(signature) {
+					t.Errorf("%s: n%d does not see the new process: %+v", name, i, p)
+				}
+			}
+			if got := x.s.Look().Self.Life(); got != signature {
+				t.Errorf("%s: it signs %s and then %s", name, signature, got)
+			}
+		})
+	}
+}
