--- a/cmd/faultgen/kit.go
+++ b/cmd/faultgen/kit.go
@@ -8,8 +8,6 @@
 	"strings"
 	"sync"
 
-	"github.com/go-faster/errors"
-
 	"rowanshunt/internal/rehearsal"
 )
 
@@ -27,7 +25,7 @@
 		return err
 	}
 	_, err = os.Stdout.Write(raw)
-	return errors.Wrap(err, "write day")
+	return err
 }
 
 func (k kit) hunt(ctx context.Context, first uint64, days, jobs int, shrinks bool) (int, error) {
--- a/cmd/faultgen/main.go
+++ b/cmd/faultgen/main.go
@@ -98,5 +98,5 @@
 	if len(k.player.Command) == 0 {
 		return errors.New("--player is needed to play days")
 	}
-	return errors.Wrap(os.MkdirAll(k.player.Dir, 0o755), "make output directory")
+	return os.MkdirAll(k.player.Dir, 0o755)
 }
--- a/internal/rehearsal/day.go
+++ b/internal/rehearsal/day.go
@@ -68,5 +68,5 @@
 	if err != nil {
 		return err
 	}
-	return errors.Wrap(os.WriteFile(path, raw, 0o644), "write day")
+	return os.WriteFile(path, raw, 0o644)
 }
--- a/internal/rehearsal/player.go
+++ b/internal/rehearsal/player.go
@@ -84,5 +84,8 @@
 		return Report{}, errors.Wrap(err, "read report")
 	}
 	var report Report
-	return report, errors.Wrapf(json.Unmarshal(raw, &report), "decode report %s", path)
+	if err := json.Unmarshal(raw, &report); err != nil {
+		return Report{}, errors.Wrapf(err, "decode report %s", path)
+	}
+	return report, nil
 }
