--- a/internal/rehearsal/draw.go
+++ b/internal/rehearsal/draw.go
@@ -29,10 +29,7 @@
 // Draw draws a whole day for the site.
 func Draw(site Site, settings Settings, seed uint64) Day {
 	d := drawer{random: rand.New(rand.NewPCG(seed, 0)), site: site, settings: settings}
-	shape := settings.Short
-	if d.chance(settings.Chances.Long) {
-		shape = settings.Long
-	}
+	shape := pick(d.random, weighted(settings.Shapes, func(s Shape) int { return s.Weight }))
 	d.day = Day{
 		Name:    fmt.Sprintf("drawn-%s-%d", site.Name, seed),
 		Seed:    1 + d.random.Uint64N(playerSeeds),
@@ -53,9 +50,10 @@
 	var kinds []Kind
 	for _, kind := range d.settings.Kinds {
 		if kind.Part == part && d.site.Allows(kind) {
-			kinds = append(kinds, slices.Repeat([]Kind{kind}, max(1, kind.Weight))...)
+			kinds = append(kinds, kind)
 		}
 	}
+	kinds = weighted(kinds, func(k Kind) int { return k.Weight })
 	for range n {
 		kind := pick(d.random, kinds)
 		entry := d.entry(kind, d.within(Range{earliestS, d.day.LengthS - tailS}))
@@ -158,6 +156,15 @@
 	return pick(d.random, words)
 }
 
+// weighted repeats each value by its weight, once where it has none.
+func weighted[T any](all []T, weight func(T) int) []T {
+	var repeated []T
+	for _, value := range all {
+		repeated = append(repeated, slices.Repeat([]T{value}, max(1, weight(value)))...)
+	}
+	return repeated
+}
+
 func (d *drawer) chance(p float64) bool { return d.random.Float64() < p }
 
 func (d *drawer) whole(r Range) int { return int(r[0]) + d.random.IntN(int(r[1])-int(r[0])+1) }
--- a/internal/rehearsal/settings.go
+++ b/internal/rehearsal/settings.go
@@ -39,6 +39,7 @@
 
 // Shape is the size of a day: its length and how many entries it gets.
 type Shape struct {
+	Weight  int   `toml:"weight"` // how often it is drawn; 1 when left out
 	LengthS Range `toml:"length_s"`
 	Plan    Range `toml:"plan"`
 	Faults  Range `toml:"faults"`
@@ -47,7 +48,6 @@
 
 // Chances are the odds of what a draw decides, each from 0 to 1.
 type Chances struct {
-	Long     float64 `toml:"long"`
 	Closing  float64 `toml:"closing"`
 	Target   float64 `toml:"target"`
 	After    float64 `toml:"after"`
@@ -67,8 +67,7 @@
 	Arguments   []string      `toml:"arguments"` // of the player; see Player
 	Targets     []string      `toml:"targets"`
 	Chances     Chances       `toml:"chances"`
-	Short       Shape         `toml:"short"`
-	Long        Shape         `toml:"long"`
+	Shapes      []Shape       `toml:"shape"`
 	DownS       Range         `toml:"down_s"`
 	FollowS     Range         `toml:"follow_s"` // past the time that makes a loss good
 	Storm       Kind          `toml:"storm"`
@@ -91,8 +90,8 @@
 }
 
 func (s Settings) check() error {
-	if len(s.Kinds) == 0 || len(s.ClosingKind) == 0 || len(s.Targets) == 0 {
-		return errors.New("settings: kind, closing and targets are needed")
+	if len(s.Kinds) == 0 || len(s.ClosingKind) == 0 || len(s.Targets) == 0 || len(s.Shapes) == 0 {
+		return errors.New("settings: kind, shape, closing and targets are needed")
 	}
 	for _, kind := range s.Kinds {
 		if err := kind.check(); err != nil {
