--- a/internal/rehearsal/player.go
+++ b/internal/rehearsal/player.go
@@ -8,6 +8,8 @@
 	"path/filepath"
 	"sort"
 	"strings"
+	"syscall"
+	"time"
 
 	"github.com/go-faster/errors"
 )
@@ -35,6 +37,9 @@
 	return rules
 }
 
+// stopWait is how long a player that was told to end may take over it.
+const stopWait = 10 * time.Second
+
 // Player is the program that plays days. Its arguments are Arguments with
 // {site}, {day}, {report} and {why} replaced.
 type Player struct {
@@ -60,6 +65,8 @@
 	line := append(p.Command[:len(p.Command):len(p.Command)], p.arguments(base, day)...)
 	command := exec.CommandContext(ctx, line[0], line[1:]...)
 	command.Stdout, command.Stderr = output, output
+	command.Cancel = func() error { return command.Process.Signal(syscall.SIGTERM) }
+	command.WaitDelay = stopWait
 	runErr := command.Run()
 	report, err := readReport(base + ".json")
 	if err != nil && runErr != nil {
