--- a/internal/moult/driver.go
+++ b/internal/moult/driver.go
@@ -36,7 +36,6 @@
 	Change func(context.Context, nest.Change) (*nest.State, error)
 	Known  func() []flora.Worker // all registered workers, in use or not
 	Scout  *scout.Scout
-	WallUs func() int64
 	OnMove func(*Upgrade)
 }
 
@@ -150,6 +149,7 @@
 				return nil, wax.New(wax.Stale, svc, "another node drives", "nothing to do")
 			}
 			u.Term, u.Driver = u.Term+1, m.me()
+			u.restartWaits()
 			return now, u.store(now)
 		})
 		if err != nil {
@@ -165,7 +165,7 @@
 	}
 	trial := *u
 	trial.Out = append([]Out(nil), u.Out...)
-	if !trial.Step(seen, groups, vitals, m.cfg.WallUs()) {
+	if !trial.Step(seen, groups, vitals, waggle.NowUs()) {
 		return nil
 	}
 	s, err := m.cfg.Change(ctx, func(now *nest.State) (*nest.State, error) {
@@ -173,7 +173,7 @@
 		if u == nil || u.Term != term || u.Driver != m.me() {
 			return nil, wax.New(wax.Stale, svc, "another node drives", "nothing to do")
 		}
-		if !u.Step(seen, groups, vitals, m.cfg.WallUs()) {
+		if !u.Step(seen, groups, vitals, waggle.NowUs()) {
 			return nil, nil
 		}
 		return now, u.store(now)
@@ -396,7 +396,7 @@
 			return nil, nil // it runs or is at its end: perhaps an order sent again
 		}
 		u.Phase, u.Why, u.Remedy = Running, "", ""
-		u.WaveUs, u.SpreadUs = m.cfg.WallUs(), 0
+		u.restartWaits()
 		return u, nil
 	})
 }
--- a/internal/moult/orders_test.go
+++ b/internal/moult/orders_test.go
@@ -24,8 +24,7 @@
 		{ID: "w2", Svc: "llm", Phase: "up", Models: []flora.Model{{Name: "m", Ver: 1}}},
 	}
 	m := &Moult{cfg: Config{
-		Known:  func() []flora.Worker { return workers },
-		WallUs: func() int64 { return 1 },
+		Known: func() []flora.Worker { return workers },
 		Change: func(_ context.Context, change nest.Change) (*nest.State, error) {
 			now := *state
 			next, err := change(&now)
