nest: an acceptor that lies behind catches up by itself; lists of the value are bounded

A member that missed accepts fetches the accepted state with its ballot from another member and takes it as the accept message that it is. Retired stores that are gone: 64 names; ended upgrades of services that are gone and duties of services that no document names: 256 each, with a floor for the terms.

--- a/internal/brood/fuzz_test.go
+++ b/internal/brood/fuzz_test.go
@@ -104,3 +104,34 @@
 		}
 	})
 }
+
+// Any bytes as a record of the log are read or declined, without a panic.
+func FuzzRecord(f *testing.F) {
+	st := Stamp{Roster: 1, N: 2, By: "s/1"}
+	for _, r := range []*record{
+		{Shard: 1, Promise: &st},
+		{Shard: 7, Ops: []op{{Kind: opPut, Lot: "a", Stamp: st, Rev: 1, Whole: &Lot{ID: "a", Prompts: []Prompt{{ID: "1"}}}}}},
+		{Shard: 2, Ops: []op{{Kind: opAppend, Lot: "a", Stamp: st, Rev: 2, Results: []Result{{Item: 5}}}}},
+		{Shard: -1}, {Shard: Shards},
+	} {
+		raw, err := msgpack.Marshal(r)
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(raw)
+		f.Add(raw[:len(raw)/2])
+	}
+	f.Fuzz(func(t *testing.T, raw []byte) {
+		r, err := decodeRecord(raw)
+		if err != nil {
+			return
+		}
+		if r.Shard < 0 || r.Shard >= Shards {
+			t.Fatalf("shard %d was taken", r.Shard)
+		}
+		lots := map[string]*Lot{}
+		for i := range r.Ops {
+			apply(lots, &r.Ops[i])
+		}
+	})
+}
--- a/internal/moult/upgrade.go
+++ b/internal/moult/upgrade.go
@@ -11,9 +11,11 @@
 	"math"
 	"slices"
 	"sort"
+	"strings"
 
 	"github.com/vmihailenco/msgpack/v5"
 
+	"rowanshunt/internal/foundation"
 	"rowanshunt/internal/nest"
 	"rowanshunt/internal/wax"
 )
@@ -133,9 +135,35 @@
 		return err
 	}
 	s.SetExtra(keyPrefix+u.Svc, raw)
+	boundUpgrades(s)
 	return nil
 }
 
+// maxUpgrades is how many upgrades are kept before those that ended, of
+// services that the blueprint no longer has, are dropped.
+const maxUpgrades = 256
+
+// boundUpgrades bounds the upgrades in a state that is not shared yet.
+func boundUpgrades(s *nest.State) {
+	count := 0
+	for key := range s.Extra {
+		if strings.HasPrefix(key, keyPrefix) {
+			count++
+		}
+	}
+	if count <= maxUpgrades {
+		return
+	}
+	b, err := foundation.Parse(s.Doc)
+	if err != nil {
+		return
+	}
+	s.DropExtra(func(key string) bool {
+		svc, isUpgrade := strings.CutPrefix(key, keyPrefix)
+		return isUpgrade && b.Services[svc] == nil && !Load(s, svc).Open()
+	})
+}
+
 // Open tells whether the upgrade is not at its end.
 func (u *Upgrade) Open() bool { return u != nil && (u.Phase == Running || u.Phase == Paused) }
 
--- /dev/null
+++ b/internal/nectar/bound_test.go
@@ -0,0 +1,42 @@
+package nectar
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/vmihailenco/msgpack/v5"
+
+	"rowanshunt/internal/nest"
+)
+
+// Duties of services that no document names don't pile up in the register's
+// value, and a service whose duty was dropped goes on above its term.
+func TestDutiesAreBounded(t *testing.T) {
+	s := &nest.State{Ver: 1}
+	s.SetExtra(docKey, []byte(`{"ver":1,"tenants":{"t":{"hosts":["h.example"]}},"shares":{"kept":{"t":{"weight":1}}}}`))
+	put := func(svc string, term uint64) {
+		raw, err := msgpack.Marshal(&office{Term: term, By: "n/1"})
+		if err != nil {
+			t.Fatal(err)
+		}
+		s.SetExtra(dutyKey+svc, raw)
+		if err := boundDuties(s); err != nil {
+			t.Fatal(err)
+		}
+	}
+	put("kept", 7)
+	for i := range 1000 {
+		put(fmt.Sprint("gone-", i), uint64(i%90)+1)
+		if len(s.Extra) > maxDuties+3 {
+			t.Fatalf("%d entries are kept", len(s.Extra))
+		}
+	}
+	if o := officeOf(s, "kept"); o.Term != 7 || o.By != "n/1" {
+		t.Errorf("a duty that counts: %+v", o)
+	}
+	for i := range 1000 {
+		if o := officeOf(s, fmt.Sprint("gone-", i)); o.Term < uint64(i%90)+1 {
+			t.Fatalf("the duty of gone-%d went back to term %d", i, o.Term)
+		}
+	}
+}
--- a/internal/nectar/nectar.go
+++ b/internal/nectar/nectar.go
@@ -41,12 +41,57 @@
 
 func officeOf(s *nest.State, svc string) office {
 	var o office
-	if s != nil && s.Extra[dutyKey+svc] != nil {
-		_ = msgpack.Unmarshal(s.Extra[dutyKey+svc], &o)
+	if s == nil {
+		return o
+	}
+	raw := s.Extra[dutyKey+svc]
+	if raw == nil {
+		raw = s.Extra[dutyFloorKey]
+	}
+	if raw != nil {
+		_ = msgpack.Unmarshal(raw, &o)
 	}
 	return o
 }
 
+// dutyFloorKey holds the highest term of the duties that were dropped: a
+// service without an entry goes on above it, so that no grant of before passes
+// for a newer one.
+const dutyFloorKey = "nectar/duty-floor"
+
+// maxDuties is how many duties are kept before those of services that the
+// document no longer names are dropped.
+const maxDuties = 256
+
+// boundDuties bounds the duties in a state that is not shared yet.
+func boundDuties(s *nest.State) error {
+	count := 0
+	for key := range s.Extra {
+		if strings.HasPrefix(key, dutyKey) {
+			count++
+		}
+	}
+	d := Load(s)
+	if count <= maxDuties || d == nil {
+		return nil
+	}
+	floor := officeOf(s, "").Term
+	s.DropExtra(func(key string) bool {
+		svc, isDuty := strings.CutPrefix(key, dutyKey)
+		if _, named := d.Shares[svc]; !isDuty || named {
+			return false
+		}
+		floor = max(floor, officeOf(s, svc).Term)
+		return true
+	})
+	raw, err := msgpack.Marshal(&office{Term: floor})
+	if err != nil {
+		return err
+	}
+	s.SetExtra(dutyFloorKey, raw)
+	return nil
+}
+
 // Config is what a node's part in quotas is made of.
 type Config struct {
 	Floor  *waggle.Floor
@@ -247,7 +292,7 @@
 				return nil, err
 			}
 			now.SetExtra(dutyKey+t.svc, raw)
-			return now, nil
+			return now, boundDuties(now)
 		})
 		_ = n.cfg.Floor.Do(n.ctx, func() {
 			t.claiming = false
--- /dev/null
+++ b/internal/nest/fuzz_test.go
@@ -0,0 +1,65 @@
+package nest
+
+import (
+	"os"
+	"path/filepath"
+	"testing"
+
+	"github.com/vmihailenco/msgpack/v5"
+
+	"rowanshunt/internal/cell"
+	"rowanshunt/internal/wax"
+)
+
+// Any record that checks is read whole or declined: an acceptor never comes up
+// with half of one.
+func FuzzVoteRecord(f *testing.F) {
+	pack := func(v vote) []byte {
+		raw, err := msgpack.Marshal(&v)
+		if err != nil {
+			f.Fatal(err)
+		}
+		return raw
+	}
+	state := &State{Rev: 3, Ver: 7, Doc: []byte("{}"), Core: Roster{Ver: 2, Cur: []Seat{{ID: "a#1", Name: "a", Addr: "x", Az: "z"}}},
+		Retiring: []string{"s#1"}, Extra: map[string][]byte{"k": {1}}}
+	f.Add(pack(vote{Promised: Ballot{N: 2, By: "a/1"}}))
+	f.Add(pack(vote{Promised: Ballot{N: 2, By: "a/1"}, Accepted: Ballot{N: 1, By: "b/1"}, State: state}))
+	f.Add(pack(vote{State: state})[:30])
+	f.Add([]byte{0xc0})
+	f.Add([]byte{0x93, 0xc0, 0xc0, 0x97})
+	f.Fuzz(func(t *testing.T, raw []byte) {
+		a := &Acceptor{id: "s"}
+		first := vote{Promised: Ballot{N: 1, By: "z"}, Accepted: Ballot{N: 1, By: "z"}, State: &State{Rev: 1}}
+		a.v = first
+		if err := a.replay(raw); err != nil {
+			if a.v != first {
+				t.Errorf("a declined record left %+v", a.v)
+			}
+			return
+		}
+		if a.v.State == nil {
+			t.Error("an accepted state was forgotten")
+		}
+	})
+}
+
+// A record of another version keeps the acceptor from coming up, and the file as it is.
+func TestForeignRecord(t *testing.T) {
+	dir := t.TempDir()
+	c, _, err := cell.Open(dir, LogName, func([]byte) error { return nil })
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := c.Write([]byte("foreign")); err != nil {
+		t.Fatal(err)
+	}
+	c.Close()
+	before, _ := os.ReadFile(filepath.Join(dir, LogName))
+	if _, err := OpenAcceptor("s", dir, wax.Quiet()); !wax.Is(err, wax.Damaged) {
+		t.Errorf("a foreign record: %v", err)
+	}
+	if after, _ := os.ReadFile(filepath.Join(dir, LogName)); string(after) != string(before) {
+		t.Error("the file was changed")
+	}
+}
--- a/internal/nest/nest.go
+++ b/internal/nest/nest.go
@@ -62,6 +62,7 @@
 	stableAt int64
 	lastSet  string
 	busy     bool
+	lag      lag
 	pulling  map[string]bool
 }
 
@@ -241,6 +242,9 @@
 	}
 	stable := nowUs-n.stableAt > stableUs && nowUs-n.startUs > foundAfterUs
 	known, committed := n.Known()
+	if n.lag.due(n.behind(known, committed), nowUs) {
+		n.once(n.catchUp)
+	}
 	switch {
 	case known == nil:
 		if n.cfg.Boot && n.seat != nil && stable {
@@ -438,7 +442,7 @@
 		if left < 2*n.cfg.Spared+1 {
 			return nil, wax.New(wax.Conflict, name, "too few stores would be left", "add a store first")
 		}
-		now.Retiring = append(slices.Clone(now.Retiring), id)
+		now.Retiring = boundRetiring(append(slices.Clone(now.Retiring), id), now.Stores.All())
 		if err := logRetire(now, name); err != nil {
 			return nil, err
 		}
@@ -463,6 +467,9 @@
 			return true, nil
 		}
 	}
+	if taken, err := tookRetire(s, name); taken || err != nil {
+		return taken, err
+	}
 	return false, wax.New(wax.Unknown, name, "is no store of this system", "name a store's node")
 }
 
--- a/internal/nest/state.go
+++ b/internal/nest/state.go
@@ -119,3 +119,37 @@
 	extra[key] = raw
 	s.Extra = extra
 }
+
+// maxRetired bounds the names of stores that are retired and gone.
+const maxRetired = 64
+
+// boundRetiring keeps the seats that the stores' roster still has, and the
+// newest of those that are gone.
+func boundRetiring(retiring []string, stores []Seat) []string {
+	isStore := func(id string) bool { return slices.ContainsFunc(stores, func(s Seat) bool { return s.ID == id }) }
+	gone := 0
+	for _, id := range retiring {
+		if !isStore(id) {
+			gone++
+		}
+	}
+	return slices.DeleteFunc(retiring, func(id string) bool {
+		if isStore(id) || gone <= maxRetired {
+			return false
+		}
+		gone--
+		return true
+	})
+}
+
+// DropExtra takes the state of other aggregates out of a state that is not
+// shared yet.
+func (s *State) DropExtra(drop func(key string) bool) {
+	extra := make(map[string][]byte, len(s.Extra))
+	for key, raw := range s.Extra {
+		if !drop(key) {
+			extra[key] = raw
+		}
+	}
+	s.Extra = extra
+}
