--- /dev/null
+++ b/internal/brood/disk_test.go
@@ -0,0 +1,118 @@
+package brood
+
+import (
+	"context"
+	"errors"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"rowanshunt/internal/cell"
+	"rowanshunt/internal/waggle"
+	"rowanshunt/internal/wax"
+)
+
+// storeWithDisk is a store whose disk's syncs are up to the test.
+func storeWithDisk(t *testing.T, dir string, sync func() error) *Brood {
+	t.Helper()
+	b := &Brood{cfg: Config{Floor: waggle.NewFloor(256), Log: wax.Quiet(), Seat: "s", Dir: dir, DiskBytes: 64 << 20, Options: Defaults(),
+		Fatal: func(err error) { t.Errorf("the store would end: %v", err) }}, ctx: t.Context()}
+	b.minLongBytes, b.longBytes = 1<<20, 1<<20
+	b.cellOptions = []cell.Option{cell.Interpose(func(s cell.Step) error {
+		if s == cell.StepSync {
+			return sync()
+		}
+		return nil
+	})}
+	if err := b.openReplica(dir); err != nil {
+		t.Fatal(err)
+	}
+	return b
+}
+
+// A store whose disk refuses writes declines, promises nothing and doesn't end;
+// with room again it goes on, and its file has all that it took (design 10.4).
+func TestStoreDeclinesWhileItsDiskRefuses(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var full atomic.Bool
+		dir := t.TempDir()
+		b := storeWithDisk(t, dir, func() error {
+			if full.Load() {
+				return errors.New("no space left on device")
+			}
+			return nil
+		})
+		ctx, stop := context.WithCancel(context.Background())
+		go b.cfg.Floor.Run(ctx)
+		claim := func(n uint64) error {
+			callCtx, cancel := context.WithTimeout(ctx, time.Second)
+			defer cancel()
+			out, err := b.onClaim(callCtx, &claimCall{Seat: "s", Shard: 0, Stamp: Stamp{Roster: 1, N: n, By: "o/1"}})
+			if err == nil && !out.OK {
+				t.Errorf("claim %d: %+v", n, out)
+			}
+			return err
+		}
+		if err := claim(1); err != nil {
+			t.Fatal(err)
+		}
+		full.Store(true)
+		if err := claim(2); err == nil {
+			t.Error("a claim was promised that is on no disk")
+		}
+		for n := uint64(3); n < 6; n++ {
+			if err := claim(n); !wax.Is(err, wax.Declined) {
+				t.Errorf("claim %d of a store that takes no writes: %v", n, err)
+			}
+		}
+		if _, err := b.onWrite(ctx, &writeCall{Seat: "s", Shard: 0, Stamp: Stamp{Roster: 1, N: 9, By: "o/1"}}); !wax.Is(err, wax.Declined) {
+			t.Errorf("a write to a store that takes none: %v", err)
+		}
+		full.Store(false)
+		time.Sleep(2 * time.Second)
+		if err := claim(7); err != nil {
+			t.Errorf("with room again: %v", err)
+		}
+		b.cell.Close()
+		stop()
+		synctest.Wait()
+		again := keeper(t, dir)
+		defer again.cell.Close()
+		if got := again.shards[0].promised.N; got != 7 {
+			t.Errorf("the file has promise %d, want 7", got)
+		}
+	})
+}
+
+// A second claim under the same stamp, as an owner that compares copies sends
+// it, is not answered before the first one is on disk: else what is only in
+// memory would count as held.
+func TestLookWaitsForTheDisk(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		release := make(chan struct{})
+		b := storeWithDisk(t, t.TempDir(), func() error { <-release; return nil })
+		ctx, stop := context.WithCancel(context.Background())
+		go b.cfg.Floor.Run(ctx)
+		call := &claimCall{Seat: "s", Shard: 0, Stamp: Stamp{Roster: 1, N: 1, By: "o/1"}}
+		var answers atomic.Int64
+		for range 2 {
+			go func() {
+				if _, err := b.onClaim(ctx, call); err == nil {
+					answers.Add(1)
+				}
+			}()
+			time.Sleep(100 * time.Millisecond)
+		}
+		if n := answers.Load(); n != 0 {
+			t.Errorf("%d answers while the disk stands still", n)
+		}
+		close(release)
+		time.Sleep(time.Second)
+		if n := answers.Load(); n != 2 {
+			t.Errorf("%d answers with the disk back", n)
+		}
+		b.cell.Close()
+		stop()
+	})
+}
--- /dev/null
+++ b/internal/colony/disk_test.go
@@ -0,0 +1,125 @@
+package colony
+
+import (
+	"os"
+	"path/filepath"
+	"slices"
+	"strconv"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"rowanshunt/internal/brood"
+	"rowanshunt/internal/nest"
+)
+
+// turnByte turns a byte near the front of a node's log, in what was synced.
+func (h *hive) turnByte(name, file string) {
+	h.t.Helper()
+	path := filepath.Join(h.nodes[name].opts.DataDir, file)
+	raw, err := os.ReadFile(path)
+	if err != nil {
+		h.t.Fatal(err)
+	}
+	raw[72+32+5] ^= 0x10 // in the first batch
+	if err := os.WriteFile(path, raw, 0o644); err != nil {
+		h.t.Fatal(err)
+	}
+}
+
+// A core machine whose log is damaged in what was synced comes back as another
+// member and joins anew; the damaged file is kept, and nothing acknowledged is
+// gone (design 10.2).
+func TestDamagedMemberJoinsAnew(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newHive(t, 4, 3, 3)
+		defer h.end()
+		h.serving()
+		for ver := 5; ver < 30; ver += 5 {
+			h.putOK(ver, max(ver-5, 1))
+		}
+		old := h.nodes["edge-1"].node().Seat()
+		h.kill("edge-1")
+		time.Sleep(200 * time.Millisecond)
+		h.turnByte("edge-1", nest.LogName)
+		h.start("edge-1")
+		if h.nodes["edge-1"].node().Seat() == old {
+			t.Fatal("the damaged member came back as the old one")
+		}
+		if _, err := os.Stat(filepath.Join(h.nodes["edge-1"].opts.DataDir, nest.LogName+".damaged")); err != nil {
+			t.Error(err)
+		}
+		h.until("three members, settled, without the old one", 15*time.Second, func() bool {
+			core := &h.edge().Nest.Committed().Core
+			return h.inStep(core, 3) && !core.Has(old)
+		})
+		h.putOK(40, 25)
+	})
+}
+
+// The same for a store: its lots come back from the others.
+func TestDamagedStoreJoinsAnew(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newHive(t, 5, 3, 3)
+		defer h.end()
+		h.serving()
+		h.mustHandIn("a", 20, 10)
+		owner := h.ownerOf()
+		old := h.nodes[owner].node().Seat()
+		h.kill(owner)
+		time.Sleep(200 * time.Millisecond)
+		h.turnByte(owner, brood.LogName)
+		h.start(owner)
+		if h.nodes[owner].node().Seat() == old {
+			t.Fatal("the damaged store came back as the old one")
+		}
+		h.until("three stores, settled, without the old one", 20*time.Second, func() bool {
+			stores := &h.edge().Nest.Committed().Stores
+			return h.inStep(stores, 3) && !stores.Has(old)
+		})
+		h.complete("a", 20, 20*time.Second)
+	})
+}
+
+// A member that was away while the configuration changed, and one that was cut
+// off, hold the newest one on their own disks soon after, with no further change
+// (design 4.5).
+func TestMemberCatchesUpByItself(t *testing.T) {
+	for _, how := range []string{"killed", "cut off"} {
+		t.Run(how, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				h := newHive(t, 6, 4, 3)
+				defer h.end()
+				h.serving()
+				h.putOK(5, 1)
+				cut := func(on bool) { h.m.CutOff("10.1.0.2:7000", h.addrs(""), on) }
+				if how == "killed" {
+					h.kill("edge-1")
+				} else {
+					cut(true)
+				}
+				// The machines that are left take the changes.
+				members := h.nodes["edge-0"].f
+				for ver := 10; ver <= 30; ver += 5 {
+					h.until("a change is taken", 6*time.Second, func() bool {
+						return h.control(members, "PUT", "/-/config", blueprint(ver), "If-Match", strconv.Itoa(ver-5)).Code == 200
+					})
+				}
+				if how == "killed" {
+					h.start("edge-1")
+				} else {
+					cut(false)
+				}
+				member := h.nodes["edge-1"].f.Nest
+				seat := h.nodes["edge-1"].node().Seat()
+				if !slices.ContainsFunc(members.Nest.Committed().Core.All(), func(s nest.Seat) bool { return s.ID == seat }) {
+					t.Fatal("the member was dropped: the test tests nothing")
+				}
+				h.until("its own disk has the newest", 3*time.Second, func() bool {
+					ver, votes := member.Held()
+					return votes && ver == 30
+				})
+			})
+		})
+	}
+}
