--- a/internal/swarm/incarnation.go
+++ b/internal/swarm/incarnation.go
@@ -80,7 +80,9 @@
 
 // countStart counts this start in a file of the folder and gives a tag that the
 // last start did not have. A file that cannot be read counts as none: the number
-// is then raised by what others hold.
+// is then raised by what others hold. A disk that refuses the new count (it may
+// be full) doesn't keep the node from starting either: a later start may then
+// get the same number, and is raised in the same way.
 func countStart(dir string, tag Incarnation) (starts int64, _ Incarnation, err error) {
 	if err := os.MkdirAll(dir, 0o755); err != nil {
 		return 0, 0, errors.Wrap(err, "make folder")
@@ -97,9 +99,7 @@
 			tag = (tag + 1) & tagMask
 		}
 	}
-	if err := replaceFile(dir, startsFile, fmt.Sprintf("%d %d\n", starts, tag)); err != nil {
-		return 0, 0, errors.Wrap(err, "count this start")
-	}
+	_ = replaceFile(dir, startsFile, fmt.Sprintf("%d %d\n", starts, tag))
 	return starts, tag, nil
 }
 
--- a/internal/swarm/incarnation_test.go
+++ b/internal/swarm/incarnation_test.go
@@ -174,3 +174,30 @@
 		})
 	}
 }
+
+// A disk that takes no new count (it may be full) doesn't keep a node from
+// starting; its number is still above that of the starts that were counted.
+func TestStartsOnARefusingDisk(t *testing.T) {
+	dir := t.TempDir()
+	counted, err := NewProcess(dir)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := os.Mkdir(filepath.Join(dir, startsFile+".new"), 0o755); err != nil {
+		t.Fatal(err)
+	}
+	var ids []string
+	for range 2 {
+		p, err := NewProcess(dir)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if p.Incarnation.starts() != counted.Incarnation.starts()+1 || p.ID == counted.ID {
+			t.Errorf("%+v after %+v", p, counted)
+		}
+		ids = append(ids, p.ID)
+	}
+	if ids[0] == ids[1] {
+		t.Error("two processes have one id")
+	}
+}
