--- a/internal/brood/brood.go
+++ b/internal/brood/brood.go
@@ -208,7 +208,7 @@
 	if !s.owner.ready {
 		return nil, wax.New(wax.Declined, "shard", "is being taken over", "ask again")
 	}
-	return s, nil
+	return s, b.behind()
 }
 
 type handCall struct {
--- a/internal/brood/disk_test.go
+++ b/internal/brood/disk_test.go
@@ -118,3 +118,26 @@
 		stop()
 	})
 }
+
+// What waits in memory for a disk that stalls is bounded: the store declines
+// from there on, and takes calls again once the disk has caught up.
+func TestWaitingForTheDiskIsBounded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		release := make(chan struct{})
+		b := storeWithDisk(t, t.TempDir(), func() error { <-release; return nil })
+		ctx, stop := context.WithCancel(context.Background())
+		go b.cfg.Floor.Run(ctx)
+		claim := &claimCall{Seat: "s", Shard: 0, Stamp: Stamp{Roster: 1, N: 1, By: "o/1"}}
+		b.append(func() {}, make([]byte, maxWaitingBytes+1))
+		if _, err := b.onClaim(ctx, claim); !wax.Is(err, wax.Declined) {
+			t.Errorf("a call with much waiting for the disk: %v", err)
+		}
+		close(release)
+		time.Sleep(time.Second)
+		if _, err := b.onClaim(ctx, claim); err != nil {
+			t.Errorf("with the disk back: %v", err)
+		}
+		b.cell.Close()
+		stop()
+	})
+}
--- a/internal/brood/replica.go
+++ b/internal/brood/replica.go
@@ -126,6 +126,9 @@
 // append writes records; without any it is a barrier behind all earlier ones.
 func (b *Brood) append(then func(), raw ...[]byte) {
 	b.cell.Append(func(err error) {
+		if err != nil && b.ctx.Err() != nil {
+			return // closed: whoever waits is told by the end of its call
+		}
 		if err != nil {
 			b.cfg.Fatal(err)
 			return
@@ -134,11 +137,22 @@
 	}, raw...)
 }
 
+// maxWaitingBytes bounds what waits in memory for a disk that refuses or stalls.
+const maxWaitingBytes = 16 << 20
+
 // refused is the fault of a store whose disk takes nothing: nothing is promised.
 func (b *Brood) refused() error {
 	if err := b.cell.Refused(); err != nil {
 		return wax.New(wax.Declined, "disk", err.Error(), "ask another store; make room on the disk")
 	}
+	return b.behind()
+}
+
+// behind is the fault of a store that holds too much for its disk to write.
+func (b *Brood) behind() error {
+	if b.cell.WaitingBytes() > maxWaitingBytes {
+		return wax.New(wax.Declined, "disk", "is far behind", "ask again later")
+	}
 	return nil
 }
 
--- a/internal/cell/cell.go
+++ b/internal/cell/cell.go
@@ -39,6 +39,7 @@
 	mu        sync.Mutex
 	sizeBytes int64 // synced
 	queue     []job
+	waiting   int64 // bytes that were handed in and are neither on disk nor refused
 	closed    bool
 	refused   error // of the last attempt
 	written   Written
@@ -68,6 +69,13 @@
 	then    func(error)
 }
 
+func (j *job) bytes() (n int64) {
+	for _, r := range j.records {
+		n += int64(len(r))
+	}
+	return n
+}
+
 // Option changes how a cell works.
 type Option func(*Cell)
 
@@ -200,6 +208,13 @@
 	return c.sizeBytes
 }
 
+// WaitingBytes is how much waits for the disk, in memory.
+func (c *Cell) WaitingBytes() int64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.waiting
+}
+
 // Refused is the error with which the disk refused the last attempt, nil once
 // one succeeds.
 func (c *Cell) Refused() error {
@@ -227,6 +242,7 @@
 		return
 	}
 	c.queue = append(c.queue, j)
+	c.waiting += j.bytes()
 	c.mu.Unlock()
 	select {
 	case c.wake <- struct{}{}:
--- a/internal/cell/commit.go
+++ b/internal/cell/commit.go
@@ -24,6 +24,7 @@
 	for pause := holdFirst; err != nil && c.hold && c.pause(pause); pause = min(2*pause, holdMost) {
 		err = c.attempt(attempt)
 	}
+	c.noteDone(batch)
 	for _, j := range batch {
 		if j.source != nil && rewriteErr != nil {
 			j.then(rewriteErr)
@@ -33,6 +34,14 @@
 	}
 }
 
+func (c *Cell) noteDone(batch []job) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for i := range batch {
+		c.waiting -= batch[i].bytes()
+	}
+}
+
 func lastRewrite(batch []job) int {
 	for i := len(batch) - 1; i >= 0; i-- {
 		if batch[i].source != nil {
