--- /dev/null
+++ b/internal/flora/diary_test.go
@@ -0,0 +1,41 @@
+package flora
+
+import (
+	"context"
+	"os"
+	"path/filepath"
+	"testing"
+
+	"rowanshunt/internal/meadow"
+	"rowanshunt/internal/pollen"
+	"rowanshunt/internal/swarm"
+	"rowanshunt/internal/waggle"
+	"rowanshunt/internal/wax"
+)
+
+// A diary that can't be read or made doesn't keep a node from starting.
+func TestStartsWithoutADiary(t *testing.T) {
+	for name, prepare := range map[string]func(dir string) error{
+		"damaged": func(dir string) error {
+			return os.WriteFile(filepath.Join(dir, "flora.cell"), []byte("not a log"), 0o644)
+		},
+		"unreadable": func(dir string) error { return os.Mkdir(filepath.Join(dir, "flora.cell"), 0o755) },
+	} {
+		dir := t.TempDir()
+		if err := prepare(dir); err != nil {
+			t.Fatal(err)
+		}
+		ctx, stop := context.WithCancel(context.Background())
+		floor, desk, m := waggle.NewFloor(64), pollen.NewDesk(), meadow.New(1)
+		self := swarm.Partner{Name: "n", Addr: "10.0.0.1:1", Az: "z", Role: "forager", LifeUs: 1}
+		sw := swarm.New(ctx, floor, desk, m.MeshOf(self.Addr), wax.Quiet(), self, nil, nil)
+		f, err := New(ctx, Config{Floor: floor, Desk: desk, Mesh: m.MeshOf(self.Addr), Swarm: sw, Log: wax.Quiet(), Self: self, HbUs: 1_200_000,
+			Services: func() []string { return nil }, Dir: dir})
+		if err != nil {
+			t.Errorf("%s: %v", name, err)
+		} else if f.diary != nil {
+			f.diary.cell.Close()
+		}
+		stop()
+	}
+}
--- a/internal/flora/flora.go
+++ b/internal/flora/flora.go
@@ -113,21 +113,28 @@
 	Pressures []Pressure
 }
 
+// startDiary reads the diary and goes on with it; where the disk gives or takes
+// none the node does without.
+func (f *Flora) startDiary() {
+	d, old, err := openDiary(f.cfg.Dir, f.cfg.Log)
+	if err != nil {
+		f.cfg.Log.Warn("diary_unavailable", "err", err)
+		return
+	}
+	f.diary = d
+	context.AfterFunc(f.ctx, d.cell.Close)
+	for _, w := range old {
+		f.take(w, f.startUs)
+	}
+	f.cfg.Floor.Every(diaryUs, f.note)
+}
+
 // New joins the news path.
 func New(ctx context.Context, cfg Config) (*Flora, error) {
 	f := &Flora{cfg: cfg, ctx: ctx, workers: map[string]*entry{}, subs: map[string]*subscriber{}, pending: map[string]bool{}, startUs: waggle.NowUs()}
 	f.dir.Store(&Directory{BySvc: map[string][]*Worker{}, ByID: map[string]*Worker{}})
 	if cfg.Dir != "" {
-		d, old, err := openDiary(cfg.Dir, cfg.Log)
-		if err != nil {
-			return nil, err
-		}
-		f.diary = d
-		context.AfterFunc(ctx, d.cell.Close)
-		for _, w := range old {
-			f.take(w, f.startUs)
-		}
-		cfg.Floor.Every(diaryUs, f.note)
+		f.startDiary()
 	}
 	pollen.On(cfg.Desk, "flora.news", f.onNews)
 	pollen.On(cfg.Desk, "flora.sub", f.onSub)
