--- /dev/null
+++ b/internal/flora/subscriptions.go
@@ -0,0 +1,216 @@
+package flora
+
+import (
+	"context"
+	"sort"
+	"time"
+
+	"rowanshunt/internal/swarm"
+	"rowanshunt/internal/waggle"
+	"rowanshunt/internal/wax"
+)
+
+// nextRenew tells whether a renewal is due; a node that has no answer yet asks
+// more often.
+func nextRenew(lastUs *int64) bool {
+	nowUs := waggle.NowUs()
+	if nowUs-*lastUs < renewUs {
+		return false
+	}
+	*lastUs = nowUs
+	return true
+}
+
+type subscriber struct {
+	addr    string
+	untilUs int64
+}
+
+type subCall struct {
+	_msgpack  struct{} `msgpack:",as_array"` //nolint:unused // read by the library
+	From      string
+	Addr      string
+	Svcs      []string
+	Digests   []uint64
+	Pressures []Pressure
+}
+
+type age struct {
+	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by the library
+	ID       string
+	AgeUs    int64
+}
+
+type subAnswer struct {
+	_msgpack  struct{} `msgpack:",as_array"` //nolint:unused // read by the library
+	Workers   []Worker // of the services whose digest differs
+	Same      []string // services whose digest is the same: their workers were
+	FreshUs   int64    // all heard within this time, but for those in Ages
+	Ages      []age    // below 0: not heard of since a restart
+	Pressures []Pressure
+}
+
+func (f *Flora) digest(svc string) uint64 {
+	var sum uint64
+	for _, e := range f.workers {
+		if e.Svc == svc {
+			sum += e.state() // order does not matter
+		}
+	}
+	return sum
+}
+
+func (f *Flora) onSub(ctx context.Context, in *subCall) (*subAnswer, error) {
+	if len(in.Svcs) != len(in.Digests) || len(in.Svcs) > 4096 {
+		return nil, wax.New(wax.Invalid, "svcs", "and digests do not match", "run the same version on all nodes")
+	}
+	if f.cfg.Hear != nil {
+		f.cfg.Hear(in.From, in.Pressures)
+	}
+	return waggle.Ask(ctx, f.cfg.Floor, func() *subAnswer {
+		nowUs := waggle.NowUs()
+		f.subs[in.From] = &subscriber{addr: in.Addr, untilUs: nowUs + subscribedUs}
+		out := &subAnswer{FreshUs: f.freshUs()}
+		if f.cfg.Pressures != nil {
+			out.Pressures = f.cfg.Pressures(true)
+		}
+		for i, svc := range in.Svcs {
+			same := f.digest(svc) == in.Digests[i]
+			if same {
+				out.Same = append(out.Same, svc)
+			}
+			for _, e := range f.workers {
+				if e.Svc != svc {
+					continue
+				}
+				ageUs := nowUs - e.seenUs
+				if same {
+					switch {
+					case e.Gone:
+					case e.Old:
+						out.Ages = append(out.Ages, age{ID: e.ID, AgeUs: -1})
+					case ageUs > out.FreshUs:
+						out.Ages = append(out.Ages, age{ID: e.ID, AgeUs: ageUs})
+					}
+					continue
+				}
+				w := e.Worker
+				w.AgeUs = ageUs
+				out.Workers = append(out.Workers, w)
+			}
+		}
+		return out
+	})
+}
+
+// renew subscribes at the zone's homes; a home itself asks the home of the
+// next zone, so that zones cannot drift apart.
+func (f *Flora) renew() {
+	nowUs := waggle.NowUs()
+	for name, s := range f.subs {
+		if nowUs > s.untilUs {
+			delete(f.subs, name)
+		}
+	}
+	v := f.cfg.Swarm.Look()
+	bySource := map[string][]string{}
+	for _, svc := range f.cfg.Services() {
+		homes := f.homes(svc, v)
+		source := homes[f.cfg.Self.Az]
+		if source == f.cfg.Self.Name || source == "" {
+			source = next(homes, f.cfg.Self.Az)
+		}
+		if source == "" || source == f.cfg.Self.Name {
+			// Alone: what comes in here is all there is.
+			f.syncUs = nowUs
+			if nowUs-f.startUs > 1_500_000 {
+				f.synced.Store(true)
+			}
+			continue
+		}
+		bySource[source] = append(bySource[source], svc)
+	}
+	if nowUs-f.startUs < oldUs && f.cfg.Dir == "" {
+		// Those with a disk may have a diary: one of them is asked too while
+		// this node knows little (design 5.5).
+		disks := v.Names(func(s *swarm.Sighting) bool {
+			return s.Alive && s.Disk != "" && s.Role == f.cfg.Self.Role && bySource[s.Name] == nil
+		})
+		if len(disks) > 0 {
+			bySource[disks[f.asks%len(disks)]] = f.cfg.Services()
+			f.asks++
+		}
+	}
+	for source, svcs := range bySource {
+		p := v.Get(source)
+		call := &subCall{From: f.cfg.Self.Name, Addr: f.cfg.Self.Addr, Svcs: svcs}
+		for _, s := range svcs {
+			call.Digests = append(call.Digests, f.digest(s))
+		}
+		if f.cfg.Pressures != nil {
+			call.Pressures = f.cfg.Pressures(false)
+		}
+		go func() {
+			ctx, cancel := context.WithTimeout(f.ctx, 450*time.Millisecond)
+			defer cancel()
+			out := &subAnswer{}
+			if err := f.cfg.Mesh.Call(ctx, p.Addr, "flora.sub", call, out); err != nil {
+				return
+			}
+			if f.cfg.Hear != nil {
+				f.cfg.Hear("", out.Pressures)
+			}
+			_ = f.cfg.Floor.Do(ctx, func() { f.refresh(out) })
+		}()
+	}
+}
+
+// next is the home of the zone after az, in the zones' order.
+func next(homes map[string]string, az string) string {
+	var azs []string
+	for a := range homes {
+		if a != az {
+			azs = append(azs, a)
+		}
+	}
+	if len(azs) == 0 {
+		return ""
+	}
+	sort.Strings(azs)
+	at := sort.SearchStrings(azs, az)
+	return homes[azs[at%len(azs)]]
+}
+
+func (f *Flora) refresh(out *subAnswer) {
+	nowUs := waggle.NowUs()
+	f.syncUs = nowUs
+	f.synced.Store(true)
+	late := make(map[string]int64, len(out.Ages))
+	for _, a := range out.Ages {
+		late[a.ID] = a.AgeUs
+	}
+	same := map[string]bool{}
+	for _, svc := range out.Same {
+		same[svc] = true
+	}
+	for id, e := range f.workers {
+		if e.Gone || !same[e.Svc] {
+			continue
+		}
+		ageUs, told := late[id]
+		if !told {
+			ageUs = out.FreshUs // it was heard since, which is all that is known
+		}
+		if ageUs >= 0 {
+			e.Old = false // its home heard it beat
+			e.seenUs = max(e.seenUs, nowUs-ageUs)
+		}
+	}
+	news := false
+	for _, w := range out.Workers {
+		news = f.take(w, nowUs) || news
+	}
+	if news {
+		f.publish()
+	}
+}
