A worker's leaving is acknowledged once a majority of the core holds it

Beat answered 200 for news that nobody else had heard. Now draining and gone are brought to the core's members as well as to the homes, and a majority of the former must have taken them, else the answer is 503. First beats that no other node heard, and beats at a node that sees no majority of the core, are 503 too.

--- a/internal/colony/colony.go
+++ b/internal/colony/colony.go
@@ -149,6 +149,14 @@
 // Blueprint is the blueprint in force here, nil before the first.
 func (n *Node) Blueprint() *foundation.Blueprint { return n.blueprint.Load() }
 
+// core is the committed roster of the core, nil before this node knows one.
+func (n *Node) core() *nest.Roster {
+	if s := n.Nest.Committed(); s != nil {
+		return &s.Core
+	}
+	return nil
+}
+
 // onState applies a committed state; it runs on the floor, in order, and never
 // goes back (design 4.2).
 func (n *Node) onState(s *nest.State) {
@@ -237,7 +245,7 @@
 	}
 	f := &Forager{Node: n, Scout: scout.New(opts.Az), Buzz: buzz.New(opts.Sink, opts.Node, n.self.LifeUs, env.Log, nil)}
 	f.Flora, err = flora.New(ctx, flora.Config{Floor: n.Floor, Desk: n.Desk, Mesh: env.Mesh, Swarm: n.Swarm, Log: env.Log, Self: n.self,
-		HbUs: opts.HbMs * 1000, Services: n.services, Pressures: f.Scout.Pressures, Hear: f.Scout.Hear, Dir: n.diskDir, WallUs: env.WallUs,
+		HbUs: opts.HbMs * 1000, Services: n.services, Pressures: f.Scout.Pressures, Hear: f.Scout.Hear, Dir: n.diskDir, WallUs: env.WallUs, Core: n.core,
 		OnNews: func(w flora.Worker) {
 			f.Buzz.Emit(buzz.WorkerChanged, w.ID, map[string]any{"svc": w.Svc, "addr": w.Addr, "phase": w.Phase, "gone": w.Gone})
 		}})
--- /dev/null
+++ b/internal/flora/departures.go
@@ -0,0 +1,251 @@
+package flora
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync/atomic"
+	"time"
+
+	"github.com/vmihailenco/msgpack/v5"
+
+	"rowanshunt/internal/nest"
+	"rowanshunt/internal/pollen"
+	"rowanshunt/internal/swarm"
+	"rowanshunt/internal/waggle"
+)
+
+// Figures of the departure log (design 5.4).
+const (
+	// departureKeepUs is how long a departure can be asked for.
+	departureKeepUs = buryUs
+	// departurePage bounds the departures of one answer.
+	departurePage = 256
+	// departureTimeout bounds one question, so that a silent member leaves time
+	// to ask the next one within the bound of design 5.4.
+	departureTimeout = 250 * time.Millisecond
+)
+
+// departure is one entry of the log: a worker that began to drain or is gone.
+type departure struct {
+	seq      uint64
+	atUs     int64 // steady clock
+	workerID string
+}
+
+// departureLog lists the workers that left lately, in the order in which this
+// node heard of them. Its numbers hold within one life of the node, which the
+// epoch names. It lives on the event loop.
+type departureLog struct {
+	epoch   uint64
+	lastSeq uint64
+	entries []departure
+}
+
+func newDepartureLog() *departureLog { return &departureLog{epoch: rand.Uint64() | 1} }
+
+// add notes a departure and forgets those that are past asking.
+func (l *departureLog) add(workerID string, nowUs int64) {
+	expired := 0
+	for expired < len(l.entries) && (nowUs-l.entries[expired].atUs > departureKeepUs || len(l.entries)-expired >= maxWorkers) {
+		expired++
+	}
+	l.entries = l.entries[expired:]
+	l.lastSeq++
+	l.entries = append(l.entries, departure{seq: l.lastSeq, atUs: nowUs, workerID: workerID})
+}
+
+// after lists one page of what follows a number.
+func (l *departureLog) after(seq uint64) []departure {
+	at := len(l.entries)
+	for at > 0 && l.entries[at-1].seq > seq {
+		at--
+	}
+	return l.entries[at:min(len(l.entries), at+departurePage)]
+}
+
+// departureCursor is how far a node has read another one's log.
+type departureCursor struct {
+	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by the library
+	Epoch    uint64
+	Seq      uint64
+}
+
+// DecodeMsgpack reads cursors of other versions too.
+func (c *departureCursor) DecodeMsgpack(d *msgpack.Decoder) error {
+	return pollen.Fields(d, &c.Epoch, &c.Seq)
+}
+
+// departureAnswer is one page of a departure log.
+type departureAnswer struct {
+	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by the library
+	Next     departureCursor
+	More     bool
+	Workers  []Worker
+}
+
+// DecodeMsgpack reads answers of other versions too.
+func (a *departureAnswer) DecodeMsgpack(d *msgpack.Decoder) error {
+	return pollen.Fields(d, &a.Next, &a.More, &a.Workers)
+}
+
+// onDepartures answers what the asker has not read yet. A cursor of another
+// life starts from the first departure that is kept.
+func (f *Flora) onDepartures(ctx context.Context, in *departureCursor) (*departureAnswer, error) {
+	return waggle.Ask(ctx, f.cfg.Floor, func() *departureAnswer {
+		nowUs := waggle.NowUs()
+		log := f.departures
+		read := in.Seq
+		if in.Epoch != log.epoch {
+			read = 0
+		}
+		out := &departureAnswer{Next: departureCursor{Epoch: log.epoch, Seq: read}}
+		for _, d := range log.after(read) {
+			out.Next.Seq = d.seq
+			if e := f.workers[d.workerID]; e != nil && !e.Up() {
+				w := e.Worker
+				w.AgeUs = nowUs - e.seenUs
+				out.Workers = append(out.Workers, w)
+			}
+		}
+		out.More = out.Next.Seq < log.lastSeq
+		return out
+	})
+}
+
+// departureReader keeps, for each core member, how far its log was read.
+type departureReader struct {
+	cursors map[string]departureCursor // by member name; event loop
+	turn    int
+	busy    atomic.Bool // a question round is under way
+}
+
+// coreMembers are the members of the core's roster, nil if it isn't known.
+func (f *Flora) coreMembers() []nest.Seat {
+	r := f.coreRoster()
+	if r == nil {
+		return nil
+	}
+	return r.All()
+}
+
+func (f *Flora) coreRoster() *nest.Roster {
+	if f.cfg.Core == nil {
+		return nil
+	}
+	return f.cfg.Core()
+}
+
+// readDepartures keeps this node's list of leaving workers up to date by way of
+// the core (design 5.4): a core member asks all others; a node that answers for
+// others, or whose own source is silent, asks one of them. It runs on the event
+// loop.
+func (f *Flora) readDepartures(serves, sourceSilent bool) {
+	var others []string
+	isMember := false
+	v := f.cfg.Swarm.Look()
+	for _, m := range f.coreMembers() {
+		switch {
+		case m.Name == f.cfg.Self.Name:
+			isMember = true
+		case v.Alive(m.Name):
+			others = append(others, m.Name)
+		}
+	}
+	switch {
+	case len(others) == 0:
+	case isMember:
+		for _, name := range others {
+			go func() { _ = f.readDeparturesOf(name) }()
+		}
+	case serves || sourceSilent:
+		f.reader.turn++
+		f.readDeparturesOfOne(others, f.reader.turn)
+	}
+}
+
+// readDeparturesOfOne asks the members in turn until one answers.
+func (f *Flora) readDeparturesOfOne(members []string, first int) {
+	if !f.reader.busy.CompareAndSwap(false, true) {
+		return
+	}
+	go func() {
+		defer f.reader.busy.Store(false)
+		for i := range members {
+			if f.readDeparturesOf(members[(first+i)%len(members)]) == nil {
+				return
+			}
+		}
+	}()
+}
+
+// readDeparturesOf reads what is new in one member's log.
+func (f *Flora) readDeparturesOf(member string) error {
+	for {
+		cursor, err := waggle.Ask(f.ctx, f.cfg.Floor, func() departureCursor { return f.reader.cursors[member] })
+		if err != nil {
+			return err
+		}
+		p := f.cfg.Swarm.Look().Get(member)
+		if p == nil {
+			return notInSight(member)
+		}
+		page := &departureAnswer{}
+		callCtx, cancel := context.WithTimeout(f.ctx, departureTimeout)
+		err = f.cfg.Mesh.Call(callCtx, p.Addr, "flora.departures", &cursor, page)
+		cancel()
+		if err != nil {
+			return err
+		}
+		if err := f.cfg.Floor.Do(f.ctx, func() { f.takeDepartures(member, page) }); err != nil {
+			return err
+		}
+		if !page.More {
+			return nil
+		}
+	}
+}
+
+// takeDepartures merges one page of a member's log.
+func (f *Flora) takeDepartures(member string, page *departureAnswer) {
+	f.reader.cursors[member] = page.Next
+	nowUs := waggle.NowUs()
+	news := false
+	for _, w := range page.Workers {
+		news = f.take(w, nowUs) || news
+	}
+	if news {
+		f.publish()
+	}
+}
+
+// holdsMajority tells whether those that took a departure, by name, are a
+// majority of the core.
+func holdsMajority(core *nest.Roster, took map[string]bool) bool {
+	if core == nil {
+		return false
+	}
+	agreed := map[string]bool{}
+	for _, m := range core.All() {
+		if took[m.Name] {
+			agreed[m.ID] = true
+		}
+	}
+	return core.Quorum(agreed)
+}
+
+// inContact tells whether this node sees a majority of the core alive: where it
+// does not, a worker is better off at another node (design 5.2).
+func (f *Flora) inContact(v *swarm.View) bool {
+	if f.cfg.Core == nil {
+		return true
+	}
+	core := f.coreRoster()
+	if core == nil {
+		return true // not founded yet, or not heard of: nobody is sent anything
+	}
+	alive := map[string]bool{}
+	for _, m := range core.All() {
+		alive[m.Name] = v.Alive(m.Name)
+	}
+	return holdsMajority(core, alive)
+}
--- a/internal/flora/flora.go
+++ b/internal/flora/flora.go
@@ -6,6 +6,7 @@
 	"sync/atomic"
 	"time"
 
+	"rowanshunt/internal/nest"
 	"rowanshunt/internal/pollen"
 	"rowanshunt/internal/swarm"
 	"rowanshunt/internal/tending"
@@ -41,12 +42,18 @@
 	OnNews    func(Worker)
 	Dir       string // folder for what outlives a restart, "" without a disk
 	WallUs    func() int64
+	// Core gives the roster of the core as last committed, nil if this node
+	// knows none yet. Without the function a node is alone.
+	Core func() *nest.Roster
 }
 
 type entry struct {
 	Worker
 	seenUs int64 // steady clock at its last beat
 	buried int64
+	// settled: a majority of the core holds that this worker drains, or that it
+	// is gone (design 5.4).
+	settled bool
 }
 
 // Flora owns the node's table of workers. All but Look runs on the floor.
@@ -65,11 +72,17 @@
 
 	renewedUs int64
 	asks      int
+
+	departures    *departureLog
+	reader        departureReader
+	deafUntilUs   atomic.Int64 // beats are declined until then
+	silentSources map[string]int64
 }
 
 // New joins the news path.
 func New(ctx context.Context, cfg Config) (*Flora, error) {
-	f := &Flora{cfg: cfg, ctx: ctx, workers: map[string]*entry{}, subs: map[string]*subscriber{}, pending: map[string]bool{}, startUs: waggle.NowUs()}
+	f := &Flora{cfg: cfg, ctx: ctx, workers: map[string]*entry{}, subs: map[string]*subscriber{}, pending: map[string]bool{}, startUs: waggle.NowUs(),
+		departures: newDepartureLog(), reader: departureReader{cursors: map[string]departureCursor{}}, silentSources: map[string]int64{}}
 	f.dir.Store(&Directory{BySvc: map[string][]*Worker{}, ByID: map[string]*Worker{}})
 	if cfg.Dir != "" {
 		d, old, err := openDiary(cfg.Dir, cfg.WallUs, cfg.Log)
@@ -85,6 +98,7 @@
 	}
 	pollen.On(cfg.Desk, "flora.news", f.onNews)
 	pollen.On(cfg.Desk, "flora.sub", f.onSub)
+	pollen.On(cfg.Desk, "flora.departures", f.onDepartures)
 	cfg.Floor.Every(soonUs, func() {
 		early := waggle.NowUs()-f.startUs < earlyUs
 		if early || !f.synced.Load() || nextRenew(&f.renewedUs) {
@@ -160,6 +174,9 @@
 		if w.Gone {
 			e.buried = nowUs
 		}
+		if !w.Up() {
+			f.departures.add(w.ID, nowUs)
+		}
 		f.cfg.Log.Debug("worker_found", "worker", w.ID, "svc", w.Svc, "addr", w.Addr, "phase", w.Phase)
 		return true
 	}
@@ -168,14 +185,19 @@
 		return false
 	}
 	if w.Gone {
-		e.Gone, e.buried = true, nowUs
+		e.Gone, e.buried, e.settled = true, nowUs, false
+		f.departures.add(w.ID, nowUs)
 		return true
 	}
 	if w.Seq < e.Seq || w.Seq == e.Seq && !e.Old {
 		return false
 	}
-	before := e.state()
+	before, wasUp := e.state(), e.Up()
 	e.Worker = w
+	if wasUp && !w.Up() {
+		e.settled = false
+		f.departures.add(w.ID, nowUs)
+	}
 	return e.state() != before
 }
 
--- a/internal/flora/news.go
+++ b/internal/flora/news.go
@@ -2,9 +2,12 @@
 
 import (
 	"context"
+	"maps"
 	"sync"
+	"sync/atomic"
 	"time"
 
+	"rowanshunt/internal/nest"
 	"rowanshunt/internal/pollen"
 	"rowanshunt/internal/swarm"
 	"rowanshunt/internal/waggle"
@@ -17,45 +20,106 @@
 	Workers  []Worker
 }
 
-// Beat takes a worker's own word and answers where it may beat next. A change
-// is at every forager in reach before this returns (design 5.2).
+// Times of the acknowledgement of a beat; a worker waits for one second.
+const (
+	spreadTimeout = 750 * time.Millisecond
+	// deafUs is for how long a node declines beats after none of the homes
+	// took what it forwarded.
+	deafUs = 1_000_000
+)
+
+// beatPlan is what a beat calls for.
+type beatPlan struct {
+	worker   Worker
+	homes    map[string]string
+	news     bool // something changed
+	leaving  bool // the worker drains or is gone
+	settled  bool // a majority of the core holds that already
+	outdated bool // a later beat, already known, said that it is up
+}
+
+// Beat takes a worker's own word and answers where it may beat next. It returns
+// nil only if the word is where all that send to this worker learn it in time:
+// for a worker that leaves, at a majority of the core (design 5.4).
 func (f *Flora) Beat(ctx context.Context, w Worker) (home string, err error) {
-	type plan struct {
-		news  bool
-		w     Worker
-		homes map[string]string
-	}
-	p, err := waggle.Ask(ctx, f.cfg.Floor, func() plan {
-		old := f.workers[w.ID]
-		if w.Gone && old != nil {
-			w.Svc, w.Addr, w.Az = old.Svc, old.Addr, old.Az
-		}
-		news := f.take(w, waggle.NowUs())
-		if news {
-			f.publish()
-		}
-		return plan{news: news, w: w, homes: f.homes(w.Svc, f.cfg.Swarm.Look())}
-	})
+	p, err := waggle.Ask(ctx, f.cfg.Floor, func() beatPlan { return f.planBeat(w) })
 	if err != nil {
 		return "", err
 	}
 	if p.news {
 		if f.cfg.OnNews != nil {
-			f.cfg.OnNews(p.w)
+			f.cfg.OnNews(p.worker)
 		}
-		f.cfg.Log.Info("worker_news", "worker", w.ID, "svc", p.w.Svc, "phase", p.w.Phase, "gone", p.w.Gone)
+		f.cfg.Log.Info("worker_news", "worker", w.ID, "svc", p.worker.Svc, "phase", p.worker.Phase, "gone", p.worker.Gone)
 	}
-	if v := f.cfg.Swarm.Look().Get(p.homes[p.w.Az]); v != nil {
+	if v := f.cfg.Swarm.Look().Get(p.homes[p.worker.Az]); v != nil {
 		home = v.Ctl
 	}
-	if p.news {
-		f.spread(ctx, p.w, p.homes)
-		return home, nil
+	switch {
+	case p.outdated:
+		return "", wax.New(wax.Declined, "seq", "a later beat said that the worker is up", "raise seq with each beat")
+	case p.leaving && !p.settled:
+		return home, f.confirmDeparture(ctx, &p)
+	case p.news:
+		return home, f.announce(ctx, &p)
+	}
+	_ = f.cfg.Floor.Do(ctx, func() { f.pending[p.worker.ID] = true })
+	if waggle.NowUs() < f.deafUntilUs.Load() || !f.inContact(f.cfg.Swarm.Look()) {
+		return "", outOfContact()
 	}
-	_ = f.cfg.Floor.Do(ctx, func() { f.pending[p.w.ID] = true })
 	return home, nil
 }
 
+func outOfContact() error {
+	return wax.New(wax.Declined, "beat", "no other node of the system heard it from here", "beat at another node")
+}
+
+// planBeat merges a beat; it runs on the event loop.
+func (f *Flora) planBeat(w Worker) beatPlan {
+	if old := f.workers[w.ID]; w.Gone && old != nil {
+		w.Svc, w.Addr, w.Az = old.Svc, old.Addr, old.Az
+	}
+	p := beatPlan{worker: w, leaving: !w.Up(), news: f.take(w, waggle.NowUs())}
+	if p.news {
+		f.publish()
+	}
+	if e := f.workers[w.ID]; p.leaving && e != nil {
+		p.outdated = e.Up()
+		p.settled = e.settled && (e.Gone || !w.Gone)
+	}
+	p.homes = f.homes(w.Svc, f.cfg.Swarm.Look())
+	return p
+}
+
+// confirmDeparture brings a departure to the homes and to the core, and fails
+// unless a majority of the core holds it.
+func (f *Flora) confirmDeparture(ctx context.Context, p *beatPlan) error {
+	core := f.coreRoster()
+	took := f.spread(ctx, p.worker, p.homes, f.coreMembers())
+	if f.cfg.Core != nil && !holdsMajority(core, took) {
+		return wax.New(wax.Declined, "beat", "no majority of the core heard that the worker leaves", "tell another node")
+	}
+	_ = f.cfg.Floor.Do(f.ctx, func() {
+		if e := f.workers[p.worker.ID]; e != nil && !e.Up() && e.Gone == p.worker.Gone {
+			e.settled = true
+		}
+	})
+	return nil
+}
+
+// announce brings other news to the homes, and fails if nobody else took it.
+func (f *Flora) announce(ctx context.Context, p *beatPlan) error {
+	took := f.spread(ctx, p.worker, p.homes, nil)
+	needsOther := false
+	for _, name := range p.homes {
+		needsOther = needsOther || name != f.cfg.Self.Name
+	}
+	if needsOther && len(took) < 2 || !f.inContact(f.cfg.Swarm.Look()) {
+		return outOfContact()
+	}
+	return nil
+}
+
 // forward brings the beats without news of the last moment to the homes, each
 // in one call: calls follow the homes, not the beats (design 5.2).
 func (f *Flora) forward() {
@@ -83,32 +147,90 @@
 		}
 	}
 	clear(f.pending)
+	go f.forwardTo(byHome)
+}
+
+// forwardTo sends each home its beats and notes whether any home took them.
+func (f *Flora) forwardTo(byHome map[string][]Worker) {
+	var wg sync.WaitGroup
+	var heard atomic.Bool
 	for name, ws := range byHome {
-		go f.send(name, false, ws...)
+		wg.Go(func() {
+			if f.send(name, false, ws...) == nil {
+				heard.Store(true)
+			}
+		})
+	}
+	wg.Wait()
+	switch {
+	case heard.Load():
+		f.deafUntilUs.Store(0)
+	case len(byHome) > 0:
+		f.deafUntilUs.Store(waggle.NowUs() + deafUs)
 	}
 }
 
 func (f *Flora) send(name string, home bool, ws ...Worker) error {
 	p := f.cfg.Swarm.Look().Get(name)
 	if p == nil {
-		return wax.New(wax.Unreached, name, "is not in sight", "")
+		return notInSight(name)
 	}
 	ctx, cancel := context.WithTimeout(f.ctx, 700*time.Millisecond)
 	defer cancel()
 	return f.cfg.Mesh.Call(ctx, p.Addr, "flora.news", &newsCall{Home: home, Workers: ws}, nil)
 }
 
-// spread brings news to the home of every zone, which passes it on; where a
-// home does not answer, to the zone's foragers themselves.
-func (f *Flora) spread(ctx context.Context, w Worker, homes map[string]string) {
+func notInSight(name string) error {
+	return wax.New(wax.Unreached, name, "is not in sight", "")
+}
+
+// listeners collects the names of those that took a piece of news.
+type listeners struct {
+	mu   sync.Mutex
+	took map[string]bool
+}
+
+func (l *listeners) add(name string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.took[name] = true
+}
+
+func (l *listeners) names() map[string]bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return maps.Clone(l.took)
+}
+
+// spread brings news to the core members given and to the home of every zone,
+// which passes it on; where a home does not answer, to the zone's foragers
+// themselves. It tells who took it in time, this node included.
+func (f *Flora) spread(ctx context.Context, w Worker, homes map[string]string, core []nest.Seat) map[string]bool {
+	ctx, cancel := context.WithTimeout(ctx, spreadTimeout)
+	defer cancel()
+	heard := &listeners{took: map[string]bool{f.cfg.Self.Name: true}}
 	var wg sync.WaitGroup
+	tell := func(name string, home bool) error {
+		err := f.send(name, home, w)
+		if err == nil {
+			heard.add(name)
+		}
+		return err
+	}
+	for _, m := range core {
+		if m.Name != f.cfg.Self.Name {
+			// A member that is a home too is told apart from its subscribers,
+			// the slowest of which its answer would wait for.
+			wg.Go(func() { _ = tell(m.Name, false) })
+		}
+	}
 	for az, name := range homes {
 		wg.Go(func() {
 			if name == f.cfg.Self.Name {
 				f.toSubscribers(w)
 				return
 			}
-			if f.send(name, true, w) == nil {
+			if tell(name, true) == nil {
 				return
 			}
 			v := f.cfg.Swarm.Look()
@@ -116,20 +238,18 @@
 			for _, n := range v.Names(func(s *swarm.Sighting) bool {
 				return s.Az == az && s.Role == f.cfg.Self.Role && s.Alive && s.Name != f.cfg.Self.Name && s.Name != name
 			}) {
-				direct.Go(func() { _ = f.send(n, false, w) })
+				direct.Go(func() { _ = tell(n, false) })
 			}
 			direct.Wait()
 		})
 	}
 	done := make(chan struct{})
 	go func() { wg.Wait(); close(done) }()
-	timer := time.NewTimer(750 * time.Millisecond)
-	defer timer.Stop()
 	select {
 	case <-done:
-	case <-timer.C:
 	case <-ctx.Done():
 	}
+	return heard.names()
 }
 
 func (f *Flora) toSubscribers(w Worker) {
--- a/internal/flora/subscriptions.go
+++ b/internal/flora/subscriptions.go
@@ -114,11 +114,19 @@
 	}
 	v := f.cfg.Swarm.Look()
 	bySource := map[string][]string{}
+	serves := len(f.subs) > 0
 	for _, svc := range f.cfg.Services() {
 		homes := f.homes(svc, v)
 		source := homes[f.cfg.Self.Az]
-		if source == f.cfg.Self.Name || source == "" {
-			source = next(homes, f.cfg.Self.Az)
+		if source == f.cfg.Self.Name {
+			serves = true
+		}
+		if source == f.cfg.Self.Name || source == "" || f.isSilent(source) {
+			// A silent home is asked again after a while; meanwhile the next
+			// zone's knows as much.
+			if other := next(homes, f.cfg.Self.Az); other != "" || source == f.cfg.Self.Name {
+				source = other
+			}
 		}
 		if source == "" || source == f.cfg.Self.Name {
 			// Alone: what comes in here is all there is.
@@ -155,6 +163,7 @@
 			defer cancel()
 			out := &subAnswer{}
 			if err := f.cfg.Mesh.Call(ctx, p.Addr, "flora.sub", call, out); err != nil {
+				_ = f.cfg.Floor.Do(f.ctx, func() { f.sourceFailed(source) })
 				return
 			}
 			if f.cfg.Hear != nil {
@@ -163,6 +172,27 @@
 			_ = f.cfg.Floor.Do(ctx, func() { f.refresh(out) })
 		}()
 	}
+	f.readDepartures(serves, false)
+}
+
+// silentSourceUs is how long a source that did not answer is left aside.
+const silentSourceUs = 2_000_000
+
+func (f *Flora) isSilent(source string) bool {
+	atUs, failed := f.silentSources[source]
+	return failed && waggle.NowUs()-atUs < silentSourceUs
+}
+
+// sourceFailed notes a source that did not answer, and asks the core at once
+// for what it would have told of workers that leave (design 5.4).
+func (f *Flora) sourceFailed(source string) {
+	for name := range f.silentSources {
+		if !f.isSilent(name) {
+			delete(f.silentSources, name)
+		}
+	}
+	f.silentSources[source] = waggle.NowUs()
+	f.readDepartures(false, true)
 }
 
 // next is the home of the zone after az, in the zones' order.
