--- /dev/null
+++ b/internal/colony/departure_test.go
@@ -0,0 +1,174 @@
+package colony
+
+import (
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+)
+
+// drainBound is within what time of an acknowledgement all nodes in contact with
+// the core stop sending to a worker that leaves (design 5.4): the least drain_ms
+// that deployments set.
+const drainBound = 2 * time.Second
+
+// edgesServing brings up a system of edges alone, with three workers of one
+// service.
+func edgesServing(t *testing.T, seed uint64, edges int) *hive {
+	t.Helper()
+	h := newHive(t, seed, edges, 0)
+	h.startAll()
+	for i, zone := range zones {
+		h.worker(fmt.Sprint(21+i), "app", zone)
+	}
+	h.until("founded", 8*time.Second, func() bool { return h.edge().Nest.Committed() != nil })
+	h.putOK(1, 0)
+	h.beats()
+	h.until("all edges ready and know the workers", 10*time.Second, func() bool {
+		for _, m := range h.nodes {
+			if !m.f.Guard.Ready() || len(m.f.Flora.Look().ByID) < 3 {
+				return false
+			}
+		}
+		return true
+	})
+	return h
+}
+
+// leave sends one word of a leaving worker to an edge and tells the answer and
+// how long it took.
+func (h *hive) leave(edge, worker, how string) (code int, took time.Duration) {
+	f := h.nodes[edge].f
+	from := time.Now()
+	if how == "gone" {
+		h.beatMu.Lock()
+		delete(h.beatOn, worker)
+		h.beatMu.Unlock()
+		code = h.control(f, "DELETE", "/-/workers/"+worker, nil).Code
+		return code, time.Since(from)
+	}
+	h.beatMu.Lock()
+	h.seq++
+	h.beatOn[worker]["phase"] = "draining"
+	body := map[string]any{"seq": h.seq}
+	for k, v := range h.beatOn[worker] {
+		body[k] = v
+	}
+	h.beatMu.Unlock()
+	code = h.control(f, "PUT", "/-/workers/"+worker, body).Code
+	return code, time.Since(from)
+}
+
+// cutOneWay cuts what an edge sends (out) or what it hears.
+func (h *hive) cutOneWay(edge string, out, cut bool) {
+	self := h.nodes[edge].opts.PartnerAddr()
+	for _, other := range h.addrs("") {
+		if other == self {
+			continue
+		}
+		if out {
+			h.m.Cut(self, other, cut)
+		} else {
+			h.m.Cut(other, self, cut)
+		}
+	}
+}
+
+// A node that reaches no majority of the core does not acknowledge that a worker
+// leaves, whichever way it is cut, from the first moment to the last, and
+// answers within the second that a worker waits.
+func TestLeavingIsNotAcknowledgedOutOfContact(t *testing.T) {
+	cuts := map[string]func(h *hive, edge string, cut bool){
+		"from all":  func(h *hive, e string, cut bool) { h.m.CutOff(h.nodes[e].opts.PartnerAddr(), h.addrs(""), cut) },
+		"sends":     func(h *hive, e string, cut bool) { h.cutOneWay(e, true, cut) },
+		"hears":     func(h *hive, e string, cut bool) { h.cutOneWay(e, false, cut) },
+		"from core": func(h *hive, e string, cut bool) { h.cutFromCore(e, cut) },
+	}
+	for kind, cut := range cuts {
+		for _, edge := range []string{"edge-0", "edge-4"} { // a core member, and another
+			for _, how := range []string{"draining", "gone"} {
+				t.Run(kind+" "+edge+" "+how, func(t *testing.T) {
+					synctest.Test(t, func(t *testing.T) {
+						h := edgesServing(t, 3, 5)
+						defer h.end()
+						h.shunned.Store(edge)
+						cut(h, edge, true)
+						for at := time.Duration(0); at < 20*time.Second; at += 2500 * time.Millisecond {
+							code, took := h.leave(edge, "21", how)
+							if code != 503 || took >= time.Second {
+								t.Fatalf("%v into the cut: %d after %v", at, code, took)
+							}
+							time.Sleep(2500*time.Millisecond - took)
+						}
+						cut(h, edge, false)
+						h.until("acknowledged after the cut", 4*time.Second, func() bool {
+							code, _ := h.leave(edge, "21", how)
+							return code == 200
+						})
+					})
+				})
+			}
+		}
+	}
+}
+
+// cutFromCore cuts an edge from the members of the core alone.
+func (h *hive) cutFromCore(edge string, cut bool) {
+	self := h.nodes[edge].opts.PartnerAddr()
+	for _, m := range h.edge().Nest.Committed().Core.Cur {
+		if m.Addr != self {
+			h.m.Cut(self, m.Addr, cut)
+			h.m.Cut(m.Addr, self, cut)
+		}
+	}
+}
+
+// Once a departure is acknowledged, every node in contact with the core stops
+// using the worker within the bound, also those that the acknowledging node
+// cannot reach, whose own home cannot be reached, and whose homes know nothing.
+func TestAcknowledgedDepartureReachesAllInContact(t *testing.T) {
+	for _, how := range []string{"draining", "gone"} {
+		for seed := uint64(1); seed <= 6; seed++ {
+			t.Run(fmt.Sprintf("%s %d", how, seed), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					h := edgesServing(t, seed, 7)
+					defer h.end()
+					const teller = "edge-6"
+					self := h.nodes[teller].opts.PartnerAddr()
+					core := h.edge().Nest.Committed().Core.Cur
+					inCore := map[string]bool{}
+					for _, m := range core {
+						inCore[m.Addr] = true
+					}
+					// The teller reaches the core alone; and no two others that
+					// are not core members reach each other, so that homes among
+					// them are silent to their zone.
+					for _, a := range h.addrs("") {
+						for _, b := range h.addrs("") {
+							if a != b && !inCore[a] && !inCore[b] {
+								h.m.Cut(a, b, true)
+							}
+						}
+					}
+					// One core member, a minority, is out of the teller's reach.
+					far := core[h.m.Luck(len(core))].Addr
+					h.m.Cut(self, far, true)
+					h.m.Cut(far, self, true)
+					time.Sleep(time.Duration(h.m.Luck(1000)) * time.Millisecond)
+					h.stopBeat() // no other node hears of it from the worker
+					h.stopBeat = nil
+					code, took := h.leave(teller, "21", how)
+					if code != 200 || took >= time.Second {
+						t.Fatalf("%d after %v", code, took)
+					}
+					time.Sleep(drainBound)
+					for name, m := range h.nodes {
+						if m.f.Flora.Look().ByID["21"] != nil {
+							t.Errorf("%s still sends to the worker %v after the acknowledgement", name, drainBound)
+						}
+					}
+				})
+			})
+		}
+	}
+}
