--- a/internal/colony/colony.go
+++ b/internal/colony/colony.go
@@ -157,6 +157,16 @@
 	return nil
 }
 
+// hasService tells whether the newest configuration known here has the service,
+// also one that isn't applied yet.
+func (n *Node) hasService(svc string) bool {
+	s, b := n.Nest.Committed(), n.blueprint.Load()
+	if s != nil && (b == nil || b.Ver != s.Ver) {
+		b, _ = foundation.Parse(s.Doc)
+	}
+	return b != nil && b.Services[svc] != nil
+}
+
 // onState applies a committed state; it runs on the floor, in order, and never
 // goes back (design 4.2).
 func (n *Node) onState(s *nest.State) {
@@ -284,10 +294,7 @@
 		Ready: func() bool { return n.caughtUp.Load() && n.blueprint.Load() != nil && f.Flora.Synced() }}
 	f.Moult = moult.New(ctx, moult.Config{Floor: n.Floor, Desk: n.Desk, Mesh: env.Mesh, Swarm: n.Swarm, Log: env.Log, Self: n.self,
 		State: n.Nest.Committed, Change: n.Nest.Change, Known: f.Flora.Known, Scout: f.Scout, WallUs: env.WallUs,
-		HasService: func(svc string) bool {
-			b := n.blueprint.Load()
-			return b != nil && b.Services[svc] != nil
-		},
+		HasService: n.hasService,
 		OnMove: func(u *moult.Upgrade) {
 			f.Buzz.Emit(buzz.UpgradeChanged, u.Svc, map[string]any{"act": "moved", "phase": u.Phase, "wave": u.Wave, "why": u.Why})
 		}})
--- a/internal/guard/control.go
+++ b/internal/guard/control.go
@@ -8,7 +8,6 @@
 	"net/http"
 	"strconv"
 	"sync"
-	"time"
 
 	"github.com/julienschmidt/httprouter"
 
@@ -79,8 +78,14 @@
 // TrailCommand follows a change through all nodes.
 type TrailCommand struct{ Ask trail.Ask }
 
-// Run asks all nodes.
+// Run asks all nodes, once a majority of the core has been heard.
 func (t *TrailCommand) Run(ctx context.Context, c *Control) (Reply, error) {
+	if err := t.Ask.Check(); err != nil {
+		return Reply{}, err
+	}
+	if _, err := c.Nest.Read(ctx); err != nil {
+		return Reply{}, err
+	}
 	r, err := c.Trail.Follow(ctx, &t.Ask)
 	if err != nil {
 		return Reply{}, err
@@ -189,49 +194,6 @@
 // maxBeat bounds a worker's beat.
 const maxBeat = 64 << 10
 
-// Handler decodes calls into commands and runs them.
-func (c *Control) Handler() http.Handler {
-	rt := httprouter.New()
-	rt.RedirectTrailingSlash = false
-	rt.RedirectFixedPath = false
-	rt.HandleMethodNotAllowed = true
-	on := func(method, path string, limit time.Duration, decode func(r *http.Request, ps httprouter.Params) (Command, error)) {
-		rt.Handle(method, path, func(w http.ResponseWriter, r *http.Request, ps httprouter.Params) {
-			cmd, err := decode(r, ps)
-			var out Reply
-			if err == nil {
-				ctx, cancel := context.WithTimeout(r.Context(), limit)
-				out, err = cmd.Run(ctx, c)
-				cancel()
-			}
-			c.answer(w, r, out, err)
-		})
-	}
-	on(http.MethodPut, "/-/workers/:id", 900*time.Millisecond, decodeBeat)
-	on(http.MethodDelete, "/-/workers/:id", 900*time.Millisecond, func(_ *http.Request, ps httprouter.Params) (Command, error) {
-		return &BeatCommand{Worker: flora.Worker{ID: ps.ByName("id"), Gone: true}}, nil
-	})
-	on(http.MethodPut, "/-/config", 3*time.Second, decodePut)
-	on(http.MethodGet, "/-/config", 2*time.Second, func(*http.Request, httprouter.Params) (Command, error) { return GetCommand{}, nil })
-	on(http.MethodPost, "/-/upgrades/:svc/:act", 3*time.Second, decodeUpgrade)
-	on(http.MethodGet, "/-/upgrades/:svc", 2*time.Second, func(_ *http.Request, ps httprouter.Params) (Command, error) {
-		return &UpgradeCommand{Svc: ps.ByName("svc"), Act: "status"}, nil
-	})
-	on(http.MethodGet, "/-/trail/:kind/:id", 3*time.Second, func(r *http.Request, ps httprouter.Params) (Command, error) {
-		return &TrailCommand{Ask: trail.Ask{Kind: ps.ByName("kind"), ID: ps.ByName("id"), Host: r.URL.Query().Get("host")}}, nil
-	})
-	on(http.MethodPut, "/-/quotas", 3*time.Second, decodeQuotas)
-	on(http.MethodGet, "/-/quotas", 2*time.Second, func(*http.Request, httprouter.Params) (Command, error) { return QuotasCommand{}, nil })
-	on(http.MethodGet, "/-/quotas/:tenant", 2*time.Second, func(_ *http.Request, ps httprouter.Params) (Command, error) {
-		return &ExplainCommand{Tenant: ps.ByName("tenant")}, nil
-	})
-	on(http.MethodPost, "/-/retire/:node", 3*time.Second, decodeRetire)
-	on(http.MethodGet, "/-/retire/:node", 2*time.Second, func(_ *http.Request, ps httprouter.Params) (Command, error) {
-		return &RetiredCommand{Node: ps.ByName("node")}, nil
-	})
-	return rt
-}
-
 func (c *Control) answer(w http.ResponseWriter, r *http.Request, out Reply, err error) {
 	if err != nil {
 		out.Status = statusOf(err)
--- a/internal/guard/quota.go
+++ b/internal/guard/quota.go
@@ -46,8 +46,15 @@
 // ExplainCommand asks how a tenant stands.
 type ExplainCommand struct{ Tenant string }
 
-// Run asks the duties of all services.
+// Run asks the duties of all services, once this node has the newest document.
 func (e *ExplainCommand) Run(ctx context.Context, c *Control) (Reply, error) {
+	s, err := c.Nest.Read(ctx)
+	if err != nil {
+		return Reply{}, err
+	}
+	if d := nectar.Load(s); d != nil && c.Nectar.RulesVer() < d.Ver {
+		return Reply{}, wax.New(wax.Declined, "quotas", "the newest document is not in force here yet", "ask again")
+	}
 	rows, err := c.Nectar.Explain(ctx, e.Tenant)
 	if err != nil {
 		return Reply{}, err
--- a/internal/guard/upgrade.go
+++ b/internal/guard/upgrade.go
@@ -15,20 +15,23 @@
 // UpgradeCommand is an operator's call about a model upgrade (design 13.4).
 type UpgradeCommand struct {
 	Svc   string
-	Act   string // start, status, pause, resume, undo
+	Act   string // start, pause, resume, undo
 	To    int64
 	Rules moult.Rules
 }
 
 // Run carries the call out and answers the upgrade as it stands.
 func (u *UpgradeCommand) Run(ctx context.Context, c *Control) (Reply, error) {
+	// What is checked against this node's own knowledge must not be older than
+	// the call.
+	if _, err := c.Nest.Read(ctx); err != nil {
+		return Reply{}, err
+	}
 	var now *moult.Upgrade
 	var err error
 	switch u.Act {
 	case "start":
 		now, err = c.Moult.Start(ctx, u.Svc, u.To, u.Rules)
-	case "status":
-		now, err = c.Moult.Status(u.Svc)
 	case "pause":
 		now, err = c.Moult.Pause(ctx, u.Svc)
 	case "resume":
@@ -45,13 +48,28 @@
 	if err != nil {
 		return Reply{}, err
 	}
-	if u.Act != "status" {
-		c.Buzz.Emit(buzz.UpgradeChanged, u.Svc, map[string]any{"act": u.Act, "phase": now.Phase, "to": now.To})
-		c.Log.Info("upgrade_told", "service", u.Svc, "act", u.Act, "phase", now.Phase)
-	}
+	c.Buzz.Emit(buzz.UpgradeChanged, u.Svc, map[string]any{"act": u.Act, "phase": now.Phase, "to": now.To})
+	c.Log.Info("upgrade_told", "service", u.Svc, "act", u.Act, "phase", now.Phase)
 	return Reply{Status: http.StatusOK, Body: body}, nil
 }
 
+// UpgradeStatusCommand asks how an upgrade stands.
+type UpgradeStatusCommand struct{ Svc string }
+
+// Run reads the register at a majority.
+func (u *UpgradeStatusCommand) Run(ctx context.Context, c *Control) (Reply, error) {
+	s, err := c.Nest.Read(ctx)
+	if err != nil {
+		return Reply{}, err
+	}
+	now, err := moult.Status(s, u.Svc)
+	if err != nil {
+		return Reply{}, err
+	}
+	body, err := json.Marshal(now)
+	return Reply{Status: http.StatusOK, Body: body}, err
+}
+
 func decodeUpgrade(r *http.Request, ps httprouter.Params) (Command, error) {
 	u := &UpgradeCommand{Svc: ps.ByName("svc"), Act: ps.ByName("act"), Rules: moult.DefaultRules()}
 	raw, err := readAll(r, maxBeat)
--- a/internal/moult/driver.go
+++ b/internal/moult/driver.go
@@ -377,9 +377,9 @@
 	})
 }
 
-// Status is an upgrade as it stands.
-func (m *Moult) Status(svc string) (*Upgrade, error) {
-	u := Load(m.cfg.State(), svc)
+// Status is an upgrade as it stands in a state of the register.
+func Status(s *nest.State, svc string) (*Upgrade, error) {
+	u := Load(s, svc)
 	if u == nil {
 		return nil, unknown(svc)
 	}
--- a/internal/nectar/nectar.go
+++ b/internal/nectar/nectar.go
@@ -218,8 +218,8 @@
 	if !t.quorum {
 		return nil, wax.New(wax.Declined, in.Svc, "too few nodes are in touch", "live on your part until more are")
 	}
-	g := &Grant{Term: t.term, TTLUs: ttlUs, EveryUs: max(reportUs, int64(len(t.nodes))*reportPaceUs), Contended: nowUs < t.busyUs, Yield: t.yield, Of: t.limits[in.From]}
-	g.TTLUs = max(g.TTLUs, 3*g.EveryUs)
+	everyUs := reportEveryUs(len(t.nodes))
+	g := &Grant{Term: t.term, TTLUs: grantTTLUs(everyUs), EveryUs: everyUs, Contended: nowUs < t.busyUs, Yield: t.yield, Of: t.limits[in.From]}
 	node.parts = map[string]float64{}
 	for _, l := range g.Of {
 		node.parts[l.Name] = l.Part
@@ -227,6 +227,12 @@
 	return g, nil
 }
 
+// reportEveryUs is how often each of so many nodes reports.
+func reportEveryUs(nodes int) int64 { return max(reportUs, int64(nodes)*reportPaceUs) }
+
+// grantTTLUs is how long a grant holds after the report that asked for it.
+func grantTTLUs(everyUs int64) int64 { return max(ttlUs, 3*everyUs) }
+
 // claim takes the duty of a service under a higher term; grants are given once
 // all of before have run out.
 func (n *Nectar) claim(t *table) {
@@ -255,7 +261,9 @@
 				n.cfg.Log.Debug("quota_duty_waits", "service", t.svc, "err", err)
 				return
 			}
-			t.term, t.openUs = term, waggle.NowUs()+ttlUs
+			// Grants of before hold as long as the most nodes would make them.
+			nodes := max(len(t.nodes), len(n.cfg.Swarm.Look().All))
+			t.term, t.openUs = term, waggle.NowUs()+grantTTLUs(reportEveryUs(nodes))
 			n.cfg.Log.Info("quota_duty_held", "service", t.svc, "term", term)
 		})
 	}()
@@ -292,6 +300,14 @@
 	return out, err
 }
 
+// RulesVer is the version of the document in force here, 0 without one.
+func (n *Nectar) RulesVer() int64 {
+	if r := n.cfg.Gate.Rules(); r != nil {
+		return r.Ver
+	}
+	return 0
+}
+
 // Explain tells how a tenant stands at every service that has shares; any node
 // may be asked.
 func (n *Nectar) Explain(ctx context.Context, tenant string) ([]Row, error) {
--- a/internal/trail/trail.go
+++ b/internal/trail/trail.go
@@ -76,8 +76,8 @@
 func New(desk *pollen.Desk, mesh pollen.Mesh, sw *swarm.Swarm, self swarm.Partner) *Trail {
 	t := &Trail{mesh: mesh, swarm: sw, self: self, tellers: map[string][]Teller{}}
 	pollen.On(desk, "trail.tell", func(ctx context.Context, a *Ask) (*Word, error) {
-		if !known(a.Kind) {
-			return nil, wax.New(wax.Invalid, "kind", "cannot be followed", "ask for a blueprint, a worker or a lot")
+		if err := a.Check(); err != nil {
+			return nil, err
 		}
 		return t.tell(ctx, a), nil
 	})
@@ -86,6 +86,14 @@
 
 func known(kind string) bool { return kind == Blueprint || kind == Worker || kind == Lot }
 
+// Check tells whether that kind of change can be followed.
+func (a *Ask) Check() error {
+	if !known(a.Kind) {
+		return wax.New(wax.Invalid, "kind", "cannot be followed", "ask for a blueprint, a worker or a lot")
+	}
+	return nil
+}
+
 // On adds a teller for a kind.
 func (t *Trail) On(kind string, fn Teller) {
 	t.mu.Lock()
@@ -108,8 +116,8 @@
 
 // Follow asks every node in view, living or silent.
 func (t *Trail) Follow(ctx context.Context, a *Ask) (*Report, error) {
-	if !known(a.Kind) {
-		return nil, wax.New(wax.Invalid, "kind", "cannot be followed", "ask for a blueprint, a worker or a lot")
+	if err := a.Check(); err != nil {
+		return nil, err
 	}
 	v := t.swarm.Look()
 	out := &Report{Kind: a.Kind, ID: a.ID, Words: make([]Word, len(v.All))}
