--- a/internal/flora/departures.go
+++ b/internal/flora/departures.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -140,17 +141,23 @@
 // others, or whose own source is silent, asks one of them. It runs on the event
 // loop.
 func (f *Flora) readDepartures(serves, sourceSilent bool) {
-	var others []string
+	var others, silent []string
 	isMember := false
 	v := f.cfg.Swarm.Look()
 	for _, m := range f.coreMembers() {
 		switch {
 		case m.Name == f.cfg.Self.Name:
 			isMember = true
-		case v.Alive(m.Name):
+		case !v.Alive(m.Name):
+		case f.isSilent(m.Name):
+			silent = append(silent, m.Name)
+		default:
 			others = append(others, m.Name)
 		}
 	}
+	f.reader.turn++
+	rotate(others, f.reader.turn)
+	others = append(others, silent...)
 	switch {
 	case len(others) == 0:
 	case isMember:
@@ -158,22 +165,30 @@
 			go func() { _ = f.readDeparturesOf(name) }()
 		}
 	case serves || sourceSilent:
-		f.reader.turn++
-		f.readDeparturesOfOne(others, f.reader.turn)
+		f.readDeparturesOfOne(others)
 	}
 }
 
-// readDeparturesOfOne asks the members in turn until one answers.
-func (f *Flora) readDeparturesOfOne(members []string, first int) {
+// rotate brings another name to the front with each turn.
+func rotate(names []string, turn int) {
+	if len(names) > 1 {
+		at := turn % len(names)
+		copy(names, append(slices.Clone(names[at:]), names[:at]...))
+	}
+}
+
+// readDeparturesOfOne asks the members in their order until one answers.
+func (f *Flora) readDeparturesOfOne(members []string) {
 	if !f.reader.busy.CompareAndSwap(false, true) {
 		return
 	}
 	go func() {
 		defer f.reader.busy.Store(false)
-		for i := range members {
-			if f.readDeparturesOf(members[(first+i)%len(members)]) == nil {
+		for _, name := range members {
+			if f.readDeparturesOf(name) == nil {
 				return
 			}
+			_ = f.cfg.Floor.Do(f.ctx, func() { f.silentSources[name] = waggle.NowUs() })
 		}
 	}()
 }
