--- /dev/null
+++ b/internal/colony/freeze_test.go
@@ -0,0 +1,135 @@
+package colony
+
+import (
+	"encoding/json"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+)
+
+// version reads the configuration's number at an edge, 0 without an answer.
+func (h *hive) version(f *Forager) int {
+	var doc struct {
+		Ver int `json:"ver"`
+	}
+	w := h.control(f, "GET", "/-/config", nil)
+	if w.Code != 200 || json.Unmarshal(w.Body.Bytes(), &doc) != nil {
+		return 0
+	}
+	return doc.Ver
+}
+
+// Two orders on the same version, one at a node that freezes for three seconds
+// in the middle of it or whose register disk stalls: at most one is taken, what
+// is acknowledged is in force, a refusal stands on the other, and what the node
+// reads is no older than what was acknowledged before the read began.
+func TestOrdersAtAFrozenNode(t *testing.T) {
+	for _, how := range []string{"freeze", "disk stall"} {
+		for _, edge := range []string{"edge-0", "edge-4"} {
+			for seed := uint64(1); seed <= 3; seed++ {
+				t.Run(fmt.Sprintf("%s %s %d", how, edge, seed), func(t *testing.T) {
+					synctest.Test(t, func(t *testing.T) {
+						h := edgesServing(t, seed, 5)
+						defer h.end()
+						h.shunned.Store(edge)
+						for round := 1; round <= 8; round++ {
+							h.orderRace(round, edge, how)
+						}
+					})
+				})
+			}
+		}
+	}
+}
+
+func (h *hive) orderRace(round int, edge, how string) {
+	h.t.Helper()
+	addr := h.nodes[edge].opts.PartnerAddr()
+	hold := func(on bool) {
+		if how == "freeze" {
+			h.m.Freeze(addr, on)
+		} else {
+			h.m.Stall(addr, "nest.", on)
+		}
+	}
+	shaken, calm := h.nodes[edge].f, h.edge()
+	base := h.version(calm)
+	type outcome struct{ code, ver int }
+	done := make(chan outcome, 3)
+	put := func(f *Forager, ver, delayMs int) {
+		time.Sleep(time.Duration(h.m.Luck(delayMs)) * time.Millisecond)
+		w := h.control(f, "PUT", "/-/config", blueprint(ver), "If-Match", fmt.Sprint(base))
+		done <- outcome{w.Code, ver}
+	}
+	go put(shaken, 10*round+1, 20)
+	go put(calm, 10*round+2, 1500)
+	go func() {
+		time.Sleep(time.Duration(h.m.Luck(3000)) * time.Millisecond)
+		before := h.version(calm)
+		if got := h.version(shaken); got != 0 && got < before {
+			h.t.Errorf("round %d: version %d is read after %d was read elsewhere", round, got, before)
+		}
+		done <- outcome{}
+	}()
+	time.Sleep(time.Duration(h.m.Luck(15)) * time.Millisecond)
+	hold(true)
+	time.Sleep(3 * time.Second)
+	hold(false)
+	var taken, refused, unsure []int
+	for range 3 {
+		switch o := <-done; {
+		case o.code == 200:
+			taken = append(taken, o.ver)
+		case o.code == 412:
+			refused = append(refused, o.ver)
+		case o.code == 502 || o.code == 504:
+			unsure = append(unsure, o.ver)
+		case o.code == 503 || o.code == 0:
+		default:
+			h.t.Errorf("round %d: the order for %d was answered %d", round, o.ver, o.code)
+		}
+	}
+	time.Sleep(2 * time.Second)
+	now := h.version(calm)
+	switch {
+	case len(taken) > 1:
+		h.t.Errorf("round %d: two orders on version %d were taken: %v", round, base, taken)
+	case len(taken) == 1 && now != taken[0]:
+		h.t.Errorf("round %d: %d was acknowledged, %d is in force", round, taken[0], now)
+	case len(refused) > 0 && now == base:
+		h.t.Errorf("round %d: %v was refused, and nothing else was taken", round, refused)
+	case now != base && len(taken) == 0 && (len(unsure) == 0 || now != unsure[0] && now != unsure[len(unsure)-1]):
+		h.t.Errorf("round %d: %d is in force, which was declined", round, now)
+	}
+	h.until("the shaken node reads the same", 4*time.Second, func() bool { return h.version(shaken) == now })
+}
+
+// While the disks of a majority of the core stall, orders and reads are 5xx
+// within a second, and are answered again afterwards; one stalled disk holds up
+// nothing.
+func TestStalledCoreDisks(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := edgesServing(t, 8, 5)
+		defer h.end()
+		core := h.edge().Nest.Committed().Core.Cur
+		f := h.nodes["edge-4"].f
+		h.m.Stall(core[0].Addr, "nest.", true)
+		from := time.Now()
+		if w := h.control(f, "PUT", "/-/config", blueprint(2), "If-Match", "1"); w.Code != 200 || time.Since(from) > 100*time.Millisecond {
+			t.Errorf("an order while one disk stalls: %d after %v", w.Code, time.Since(from))
+		}
+		h.m.Stall(core[1].Addr, "nest.", true)
+		for n := range 10 {
+			for _, c := range []controlCall{{method: "GET", path: "/-/config"},
+				{method: "PUT", path: "/-/config", body: blueprint(100 + n), heads: []string{"If-Match", "2"}}} {
+				if w, took := h.run(f, c); w.Code < 500 || took >= time.Second {
+					t.Errorf("%s while two of three disks stall: %d after %v", c.method, w.Code, took)
+				}
+			}
+			time.Sleep(time.Second)
+		}
+		h.m.Stall(core[0].Addr, "", false)
+		h.until("reads are answered again", 4*time.Second, func() bool { return h.version(f) >= 2 })
+	})
+}
--- /dev/null
+++ b/internal/meadow/hold.go
@@ -0,0 +1,56 @@
+package meadow
+
+import (
+	"context"
+	"strings"
+	"time"
+)
+
+// holdStep is how often held traffic looks whether it may go on.
+const holdStep = 5 * time.Millisecond
+
+// holds are the machines that stand still and the disks that do not answer.
+type holds struct {
+	frozen  map[string]bool
+	stalled map[string]string // address to the prefix of the kinds of calls held
+}
+
+func newHolds() holds { return holds{frozen: map[string]bool{}, stalled: map[string]string{}} }
+
+// Freeze stops a machine's partner traffic, both ways, until it thaws. Nothing
+// is lost: calls to it and answers for it arrive then, also those whose callers
+// have left.
+func (m *Meadow) Freeze(addr string, frozen bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.holds.frozen[addr] = frozen
+}
+
+// Stall holds the calls of kinds with a prefix that reach an address, as a disk
+// does that does not answer; they are served once it ends.
+func (m *Meadow) Stall(addr, kindPrefix string, stalled bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	delete(m.holds.stalled, addr)
+	if stalled {
+		m.holds.stalled[addr] = kindPrefix
+	}
+}
+
+func (m *Meadow) held(addr, kind string) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	prefix, stalled := m.holds.stalled[addr]
+	return m.holds.frozen[addr] || stalled && kind != "" && strings.HasPrefix(kind, prefix)
+}
+
+// pass waits while the machine, or the disk behind that kind of call, stands
+// still; false if ctx ended first.
+func (m *Meadow) pass(ctx context.Context, addr, kind string) bool {
+	for m.held(addr, kind) {
+		if !wait(ctx, holdStep) {
+			return false
+		}
+	}
+	return true
+}
--- a/internal/meadow/meadow.go
+++ b/internal/meadow/meadow.go
@@ -25,6 +25,7 @@
 	desks     map[string]*site
 	listeners map[string]*Listener
 	cuts      map[[2]string]bool
+	holds     holds
 	// DelayUs bounds the delay of one way; Lose and Double are shares of
 	// partner calls.
 	DelayUs int64
@@ -39,7 +40,7 @@
 
 // New makes a network whose luck follows from the seed.
 func New(seed uint64) *Meadow {
-	return &Meadow{rng: rand.New(rand.NewPCG(seed, 7)), desks: map[string]*site{}, listeners: map[string]*Listener{}, cuts: map[[2]string]bool{}, DelayUs: 1000}
+	return &Meadow{rng: rand.New(rand.NewPCG(seed, 7)), desks: map[string]*site{}, listeners: map[string]*Listener{}, cuts: map[[2]string]bool{}, holds: newHolds(), DelayUs: 1000}
 }
 
 // Place puts a node's desk at an address until ctx ends.
@@ -114,6 +115,9 @@
 	if err != nil {
 		return wax.New(wax.Internal, kind, err.Error(), "report this")
 	}
+	if !h.m.pass(ctx, h.from, "") {
+		return wax.New(wax.Unsure, kind, "no answer in time", "try again")
+	}
 	there := h.m.travel(h.from, addr)
 	if there.lost {
 		<-ctx.Done()
@@ -131,6 +135,9 @@
 	}
 	got := make(chan answer, 2)
 	serve := func() {
+		if !h.m.pass(there.site.ctx, addr, kind) {
+			return
+		}
 		b, err := there.site.desk.Serve(there.site.ctx, kind, body)
 		got <- answer{b, err}
 	}
@@ -144,6 +151,9 @@
 	case <-ctx.Done():
 		return wax.New(wax.Unsure, kind, "no answer in time", "try again")
 	}
+	if !h.m.pass(ctx, addr, "") || !h.m.pass(ctx, h.from, "") {
+		return wax.New(wax.Unsure, kind, "no answer in time", "try again")
+	}
 	back := h.m.travel(addr, h.from)
 	if back.lost || there.site.ctx.Err() != nil {
 		<-ctx.Done()
