--- a/internal/colony/departure_test.go
+++ b/internal/colony/departure_test.go
@@ -112,6 +112,50 @@
 	}
 }
 
+// A worker that beats at a node that nobody hears is sent on to another one.
+func TestBeatsOutOfContactAreDeclined(t *testing.T) {
+	for kind, cut := range map[string]func(h *hive, edge string, cut bool){
+		"from all": func(h *hive, e string, cut bool) { h.m.CutOff(h.nodes[e].opts.PartnerAddr(), h.addrs(""), cut) },
+		"sends":    func(h *hive, e string, cut bool) { h.cutOneWay(e, true, cut) },
+		"hears":    func(h *hive, e string, cut bool) { h.cutOneWay(e, false, cut) },
+	} {
+		for _, edge := range []string{"edge-0", "edge-4"} {
+			t.Run(kind+" "+edge, func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					h := edgesServing(t, 4, 5)
+					defer h.end()
+					h.shunned.Store(edge)
+					f := h.nodes[edge].f
+					beat := func() int {
+						h.beatMu.Lock()
+						h.seq++
+						body := map[string]any{"seq": h.seq}
+						for k, v := range h.beatOn["22"] {
+							body[k] = v
+						}
+						h.beatMu.Unlock()
+						return h.control(f, "PUT", "/-/workers/22", body).Code
+					}
+					if code := beat(); code != 200 {
+						t.Fatalf("before the cut: %d", code)
+					}
+					cut(h, edge, true)
+					beat()
+					for range 14 {
+						time.Sleep(1200 * time.Millisecond)
+						// The first moments are those in which it is found out.
+						if code := beat(); code != 503 {
+							t.Errorf("in the cut: %d", code)
+						}
+					}
+					cut(h, edge, false)
+					h.until("beats are taken again", 4*time.Second, func() bool { return beat() == 200 })
+				})
+			})
+		}
+	}
+}
+
 // cutFromCore cuts an edge from the members of the core alone.
 func (h *hive) cutFromCore(edge string, cut bool) {
 	self := h.nodes[edge].opts.PartnerAddr()
--- a/internal/flora/departures.go
+++ b/internal/flora/departures.go
@@ -141,18 +141,18 @@
 // others, or whose own source is silent, asks one of them. It runs on the event
 // loop.
 func (f *Flora) readDepartures(serves, sourceSilent bool) {
-	var others, silent []string
+	var others, silent []nest.Seat
 	isMember := false
 	v := f.cfg.Swarm.Look()
 	for _, m := range f.coreMembers() {
 		switch {
 		case m.Name == f.cfg.Self.Name:
 			isMember = true
-		case !v.Alive(m.Name):
+		case !maybeAlive(v, m.Name):
 		case f.isSilent(m.Name):
-			silent = append(silent, m.Name)
+			silent = append(silent, m)
 		default:
-			others = append(others, m.Name)
+			others = append(others, m)
 		}
 	}
 	f.reader.turn++
@@ -161,57 +161,67 @@
 	switch {
 	case len(others) == 0:
 	case isMember:
-		for _, name := range others {
-			go func() { _ = f.readDeparturesOf(name) }()
+		for _, m := range others {
+			go func() { _ = f.readDeparturesOf(m) }()
 		}
 	case serves || sourceSilent:
 		f.readDeparturesOfOne(others)
 	}
 }
 
-// rotate brings another name to the front with each turn.
-func rotate(names []string, turn int) {
-	if len(names) > 1 {
-		at := turn % len(names)
-		copy(names, append(slices.Clone(names[at:]), names[:at]...))
+// rotate brings another member to the front with each turn.
+func rotate(members []nest.Seat, turn int) {
+	if len(members) > 1 {
+		at := turn % len(members)
+		copy(members, append(slices.Clone(members[at:]), members[:at]...))
 	}
 }
 
+// maybeAlive tells whether a core member is alive in view, or may be although
+// the view has no room for it.
+func maybeAlive(v *swarm.View, name string) bool {
+	return v.Alive(name) || v.Partial() && v.Get(name) == nil
+}
+
+// addrOf is a core member's address: as membership has it, or else the roster.
+func (f *Flora) addrOf(m nest.Seat) string {
+	if p := f.cfg.Swarm.Look().Get(m.Name); p != nil {
+		return p.Addr
+	}
+	return m.Addr
+}
+
 // readDeparturesOfOne asks the members in their order until one answers.
-func (f *Flora) readDeparturesOfOne(members []string) {
+func (f *Flora) readDeparturesOfOne(members []nest.Seat) {
 	if !f.reader.busy.CompareAndSwap(false, true) {
 		return
 	}
 	go func() {
 		defer f.reader.busy.Store(false)
-		for _, name := range members {
-			if f.readDeparturesOf(name) == nil {
+		for _, m := range members {
+			if f.readDeparturesOf(m) == nil {
 				return
 			}
-			_ = f.cfg.Floor.Do(f.ctx, func() { f.silentSources[name] = waggle.NowUs() })
+			_ = f.cfg.Floor.Do(f.ctx, func() { f.silentSources[m.Name] = waggle.NowUs() })
 		}
 	}()
 }
 
 // readDeparturesOf reads what is new in one member's log.
-func (f *Flora) readDeparturesOf(member string) error {
+func (f *Flora) readDeparturesOf(member nest.Seat) error {
 	for {
-		cursor, err := waggle.Ask(f.ctx, f.cfg.Floor, func() departureCursor { return f.reader.cursors[member] })
+		cursor, err := waggle.Ask(f.ctx, f.cfg.Floor, func() departureCursor { return f.reader.cursors[member.Name] })
 		if err != nil {
 			return err
 		}
-		p := f.cfg.Swarm.Look().Get(member)
-		if p == nil {
-			return notInSight(member)
-		}
 		page := &departureAnswer{}
 		callCtx, cancel := context.WithTimeout(f.ctx, departureTimeout)
-		err = f.cfg.Mesh.Call(callCtx, p.Addr, "flora.departures", &cursor, page)
+		err = f.cfg.Mesh.Call(callCtx, f.addrOf(member), "flora.departures", &cursor, page)
 		cancel()
 		if err != nil {
 			return err
 		}
-		if err := f.cfg.Floor.Do(f.ctx, func() { f.takeDepartures(member, page) }); err != nil {
+		if err := f.cfg.Floor.Do(f.ctx, func() { f.takeDepartures(member.Name, page) }); err != nil {
 			return err
 		}
 		if !page.More {
@@ -260,7 +270,7 @@
 	}
 	alive := map[string]bool{}
 	for _, m := range core.All() {
-		alive[m.Name] = v.Alive(m.Name)
+		alive[m.Name] = maybeAlive(v, m.Name)
 	}
 	return holdsMajority(core, alive)
 }
--- a/internal/flora/news.go
+++ b/internal/flora/news.go
@@ -20,13 +20,13 @@
 	Workers  []Worker
 }
 
-// Times of the acknowledgement of a beat; a worker waits for one second.
-const (
-	spreadTimeout = 750 * time.Millisecond
-	// deafUs is for how long a node declines beats after none of the homes
-	// took what it forwarded.
-	deafUs = 1_000_000
-)
+// spreadTimeout bounds the acknowledgement of a beat; a worker waits for one
+// second.
+const spreadTimeout = 750 * time.Millisecond
+
+// deafUs is for how long a node declines beats after none of the homes took
+// what it forwarded: until the worker's next beat has shown it again.
+func (f *Flora) deafUs() int64 { return 2 * f.cfg.HbUs }
 
 // beatPlan is what a beat calls for.
 type beatPlan struct {
@@ -166,22 +166,22 @@
 	case heard.Load():
 		f.deafUntilUs.Store(0)
 	case len(byHome) > 0:
-		f.deafUntilUs.Store(waggle.NowUs() + deafUs)
+		f.deafUntilUs.Store(waggle.NowUs() + f.deafUs())
 	}
 }
 
 func (f *Flora) send(name string, home bool, ws ...Worker) error {
 	p := f.cfg.Swarm.Look().Get(name)
 	if p == nil {
-		return notInSight(name)
+		return wax.New(wax.Unreached, name, "is not in sight", "")
 	}
-	ctx, cancel := context.WithTimeout(f.ctx, 700*time.Millisecond)
-	defer cancel()
-	return f.cfg.Mesh.Call(ctx, p.Addr, "flora.news", &newsCall{Home: home, Workers: ws}, nil)
+	return f.sendTo(p.Addr, home, ws...)
 }
 
-func notInSight(name string) error {
-	return wax.New(wax.Unreached, name, "is not in sight", "")
+func (f *Flora) sendTo(addr string, home bool, ws ...Worker) error {
+	ctx, cancel := context.WithTimeout(f.ctx, 700*time.Millisecond)
+	defer cancel()
+	return f.cfg.Mesh.Call(ctx, addr, "flora.news", &newsCall{Home: home, Workers: ws}, nil)
 }
 
 // listeners collects the names of those that took a piece of news.
@@ -221,7 +221,11 @@
 		if m.Name != f.cfg.Self.Name {
 			// A member that is a home too is told apart from its subscribers,
 			// the slowest of which its answer would wait for.
-			wg.Go(func() { _ = tell(m.Name, false) })
+			wg.Go(func() {
+				if f.sendTo(f.addrOf(m), false, w) == nil {
+					heard.add(m.Name)
+				}
+			})
 		}
 	}
 	for az, name := range homes {
--- a/internal/swarm/swarm.go
+++ b/internal/swarm/swarm.go
@@ -132,6 +132,9 @@
 	return tending.Rank(duty, names)[:most]
 }
 
+// Partial tells whether there may be nodes that the view has no room for.
+func (v *View) Partial() bool { return len(v.All) >= maxView }
+
 // Met tells whether the partner lives and answered this node itself lately:
 // others may still hear of one that is cut off from here.
 func (v *View) Met(name string) bool {
