--- a/internal/flora/flora.go
+++ b/internal/flora/flora.go
@@ -41,7 +41,6 @@
 	Hear      func(from string, ps []Pressure)
 	OnNews    func(Worker)
 	Dir       string // folder for what outlives a restart, "" without a disk
-	WallUs    func() int64
 	// Core gives the roster of the core as last committed, nil if this node
 	// knows none yet. Without the function a node is alone.
 	Core func() *nest.Roster
@@ -85,7 +84,7 @@
 		departures: newDepartureLog(), reader: departureReader{cursors: map[string]departureCursor{}}, silentSources: map[string]int64{}}
 	f.dir.Store(&Directory{BySvc: map[string][]*Worker{}, ByID: map[string]*Worker{}})
 	if cfg.Dir != "" {
-		d, old, err := openDiary(cfg.Dir, cfg.WallUs, cfg.Log)
+		d, old, err := openDiary(cfg.Dir, cfg.Log)
 		if err != nil {
 			return nil, err
 		}
--- a/internal/guard/upgrade.go
+++ b/internal/guard/upgrade.go
@@ -22,11 +22,6 @@
 
 // Run carries the call out and answers the upgrade as it stands.
 func (u *UpgradeCommand) Run(ctx context.Context, c *Control) (Reply, error) {
-	// What is checked against this node's own knowledge must not be older than
-	// the call.
-	if _, err := c.Nest.Read(ctx); err != nil {
-		return Reply{}, err
-	}
 	var now *moult.Upgrade
 	var err error
 	switch u.Act {
