Time of day kept out by a check; a replica that was away learns the shard's clock

Refutation needs no call of its own: the answer to the first call carries the record that is held, and the next round (200 ms) tells the raised one; the caller's side of it was taken out again, for no test told it from its absence.

--- a/internal/colony/clock_test.go
+++ b/internal/colony/clock_test.go
@@ -154,6 +154,37 @@
 			h.start(owner)
 			time.Sleep(1500 * time.Millisecond)
 		}
-		h.watch([]waiting{lot}, takeovers*4*time.Second)
+		h.watch([]waiting{lot}, takeovers*time.Second)
 	})
 }
+
+// A replica that was away takes the shard over: its own record of the clock is old,
+// and it learns the newest from the others.
+func TestStaleReplicaLearnsTheClock(t *testing.T) {
+	for _, second := range []bool{false, true} {
+		synctest.Test(t, func(t *testing.T) {
+			h := newHive(t, 13, 3, 3)
+			defer h.end()
+			h.serving()
+			h.idle()
+			lot := h.waitingLot("w")
+			owner := h.nextOwner("")
+			var away []string
+			for _, name := range []string{"store-0", "store-1", "store-2"} {
+				if name != owner {
+					away = append(away, name)
+				}
+			}
+			stale, other := away[0], away[1]
+			if second {
+				stale, other = other, stale
+			}
+			h.kill(stale)
+			time.Sleep(20 * time.Second)
+			h.kill(owner)
+			h.start(stale)
+			t.Logf("%s was away, %s was not: %s takes the shard", stale, other, h.nextOwner(owner))
+			h.watch([]waiting{lot}, 6*time.Second)
+		})
+	}
+}
--- a/internal/swarm/incarnation.go
+++ b/internal/swarm/incarnation.go
@@ -164,7 +164,6 @@
 	}
 	s.self.LifeUs = s.self.LifeUs.above(p.LifeUs)
 	s.self.Beat++
-	s.refuted++
 	s.publish()
 	s.log.Info("incarnation_raised", "starts", s.self.LifeUs.starts(), "held", int64(p.LifeUs))
 }
--- a/internal/swarm/swarm.go
+++ b/internal/swarm/swarm.go
@@ -178,8 +178,6 @@
 	stale map[uint64]bool   // keys that newer words replaced: not asked for again
 	view  atomic.Pointer[View]
 	rng   *rand.Rand
-	// refuted counts how often this node rose above a record of its own name.
-	refuted int
 	// OnRev is told of a partner that knows a newer register revision.
 	OnRev func(p Partner)
 	ctx   context.Context
@@ -397,13 +395,11 @@
 		var back shuffle
 		err := s.mesh.Call(ctx, addr, "swarm.shuffle", msg, &back)
 		more, askErr := waggle.Ask(s.ctx, s.floor, func() *shuffle {
-			refuted := s.refuted
 			want := s.called(addr, &back, err)
-			full := append(s.lookUp(back.Want), s.contradict(&back.From)...)
-			if len(want) == 0 && len(full) == 0 && refuted == s.refuted {
+			if len(want) == 0 && len(back.Want) == 0 {
 				return nil
 			}
-			return &shuffle{From: s.self, Want: want, Full: full}
+			return &shuffle{From: s.self, Want: want, Full: s.lookUp(back.Want)}
 		})
 		if askErr != nil || more == nil {
 			return
--- /dev/null
+++ b/internal/waggle/wallclock_test.go
@@ -0,0 +1,183 @@
+package waggle
+
+import (
+	"go/ast"
+	"go/parser"
+	"go/token"
+	"io/fs"
+	"path/filepath"
+	"strings"
+	"testing"
+)
+
+// Where the time of day may be read, and what for: logs, events and tracers. All
+// else runs on NowUs (design 1.6).
+var readsTimeOfDay = map[string]string{
+	"internal/buzz/buzz.go":     "the time of an event",
+	"internal/colony/run.go":    "the node's time of day, for tracers",
+	"internal/colony/colony.go": "when a configuration came into force, for tracers; hands the clock on",
+	"internal/guard/control.go": "when a configuration was acknowledged, for tracers",
+	"internal/brood/api.go":     "notes when a lot came, for readers and the version before",
+	"cmd/drone/step.go":         "builds nodes for the scale run",
+	"cmd/beeline/main.go":       "prints what tracers told",
+}
+
+// Fields that hold a time of day, and the files that may name them: records that
+// carry them, never a decision.
+var holdsTimeOfDay = map[string][]string{
+	"SentUs":      {"internal/brood/lot.go", "internal/brood/brood.go"},
+	"ScheduledUs": nil,
+	"NextUs":      nil,
+	"CreatedUs":   nil,
+}
+
+// Calls that turn a time into one of the day, or drop its steady part.
+var timeOfDayMethods = map[string]bool{"Unix": true, "UnixMicro": true, "UnixMilli": true, "UnixNano": true, "UTC": true, "Local": true, "Date": true,
+	"Clock": true, "Round": true, "Truncate": true, "Format": true, "Gettimeofday": true, "ClockGettime": true, "TimestampUTC": true, "ModTime": true}
+
+// Other uses of those names, by file.
+var otherUses = map[string]string{
+	"internal/forage/sender.go": "Unix",     // a deadline in the past ends a read
+	"internal/colony/colony.go": "ModTime",  // tells whether a file changed
+	"internal/cell/cell.go":     "Truncate", // of a file
+}
+
+// Calls on and with time.Now() that go by its steady part.
+var steadyMethods = map[string]bool{"Add": true, "Sub": true, "After": true, "Before": true, "Since": true, "Until": true}
+
+// checkTimeOfDay lists the places of a file that read the time of day without
+// being allowed to.
+func checkTimeOfDay(fset *token.FileSet, name string, file *ast.File) (faults []string) {
+	allowed := readsTimeOfDay[name] != ""
+	fault := func(n ast.Node, what string) {
+		faults = append(faults, fset.Position(n.Pos()).String()+": "+what)
+	}
+	steady := map[ast.Node]bool{} // time.Now() in places that are fine
+	isNow := func(e ast.Expr) bool {
+		call, ok := e.(*ast.CallExpr)
+		if !ok {
+			return false
+		}
+		sel, ok := call.Fun.(*ast.SelectorExpr)
+		if !ok {
+			return false
+		}
+		pkg, ok := sel.X.(*ast.Ident)
+		return ok && pkg.Name == "time" && sel.Sel.Name == "Now"
+	}
+	ast.Inspect(file, func(n ast.Node) bool {
+		switch n := n.(type) {
+		case *ast.AssignStmt:
+			for _, e := range n.Rhs {
+				steady[e] = true
+			}
+		case *ast.ValueSpec:
+			for _, e := range n.Values {
+				steady[e] = true
+			}
+		case *ast.CallExpr:
+			if sel, ok := n.Fun.(*ast.SelectorExpr); ok {
+				if steadyMethods[sel.Sel.Name] {
+					steady[sel.X] = true
+					for _, e := range n.Args {
+						steady[e] = true
+					}
+				}
+				if timeOfDayMethods[sel.Sel.Name] && !allowed && otherUses[name] != sel.Sel.Name {
+					fault(n, "calls "+sel.Sel.Name)
+				}
+			}
+			if isNow(n) && !steady[n] && !allowed {
+				fault(n, "time.Now() is handed on as a time of day")
+			}
+		case *ast.SelectorExpr:
+			if n.Sel.Name == "WallUs" && !allowed {
+				fault(n, "reads WallUs")
+			}
+			if files, ok := holdsTimeOfDay[n.Sel.Name]; ok {
+				known := false
+				for _, f := range files {
+					known = known || f == name
+				}
+				if !known {
+					fault(n, "reads the time of day in "+n.Sel.Name)
+				}
+			}
+		case *ast.BinaryExpr:
+			for _, e := range []ast.Expr{n.X, n.Y} {
+				ast.Inspect(e, func(inner ast.Node) bool {
+					if sel, ok := inner.(*ast.SelectorExpr); ok {
+						if _, ok := holdsTimeOfDay[sel.Sel.Name]; ok || sel.Sel.Name == "WallUs" {
+							fault(sel, "counts or compares with "+sel.Sel.Name)
+						}
+					}
+					return true
+				})
+			}
+		}
+		return true
+	})
+	return faults
+}
+
+// No source but those listed reads the time of day, and none decides by it.
+func TestTimeOfDayIsKeptOut(t *testing.T) {
+	root := filepath.Join("..", "..")
+	fset := token.NewFileSet()
+	seen := map[string]bool{}
+	for _, top := range []string{"internal", "cmd", "examples"} {
+		err := filepath.WalkDir(filepath.Join(root, top), func(path string, d fs.DirEntry, err error) error {
+			if err != nil || d.IsDir() || !strings.HasSuffix(path, ".go") || strings.HasSuffix(path, "_test.go") {
+				return err
+			}
+			file, err := parser.ParseFile(fset, path, nil, parser.SkipObjectResolution)
+			if err != nil {
+				return err
+			}
+			name, err := filepath.Rel(root, path)
+			if err != nil {
+				return err
+			}
+			name = filepath.ToSlash(name)
+			seen[name] = true
+			for _, fault := range checkTimeOfDay(fset, name, file) {
+				t.Error(fault)
+			}
+			return nil
+		})
+		if err != nil {
+			t.Fatal(err)
+		}
+	}
+	for name := range readsTimeOfDay {
+		if !seen[name] {
+			t.Errorf("%s is allowed to read the time of day and is not there", name)
+		}
+	}
+}
+
+// The check finds each way in which the time of day came in before.
+func TestCheckFindsTimeOfDay(t *testing.T) {
+	for body, want := range map[string]bool{
+		`x := time.Now(); _ = time.Since(x)`:                 false,
+		`until := time.Now().Add(time.Second); _ = until`:    false,
+		`_ = time.Now().After(end)`:                          false,
+		`_ = end.Before(time.Now())`:                         false,
+		`x := time.Now().UnixMicro(); _ = x`:                 true,
+		`x := time.Now(); _ = x.UnixNano()`:                  true,
+		`x := time.Now().Round(0); _ = x`:                    true,
+		`_ = cfg.WallUs() - lot.SentUs`:                      true,
+		`set(time.Now())`:                                    true,
+		`_ = lot.SentUs > age`:                               true,
+		`x := time.Date(2026, 1, 1, 0, 0, 0, 0, nil); _ = x`: true,
+	} {
+		fset := token.NewFileSet()
+		file, err := parser.ParseFile(fset, "x.go", "package x\nfunc f() { "+body+" }", 0)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if got := len(checkTimeOfDay(fset, "x.go", file)) > 0; got != want {
+			t.Errorf("%s: found %v, want %v", body, got, want)
+		}
+	}
+}
