--- a/internal/flora/flora_test.go
+++ b/internal/flora/flora_test.go
@@ -6,6 +6,9 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/vmihailenco/msgpack/v5"
+
+	"rowanshunt/internal/cell"
 	"rowanshunt/internal/meadow"
 	"rowanshunt/internal/pollen"
 	"rowanshunt/internal/swarm"
@@ -129,3 +132,37 @@
 		}
 	}
 }
+
+// A page of the diary counts for the moment after a restart whatever time of day
+// the version before wrote beside it: the clock may have been stepped since.
+func TestDiaryOfAnotherTimeOfDay(t *testing.T) {
+	for _, atUs := range []int64{0, 1, 1 << 60} {
+		synctest.Test(t, func(t *testing.T) {
+			dir := t.TempDir()
+			c, _, err := cell.Open(dir, "flora.cell", func([]byte) error { return nil })
+			if err != nil {
+				t.Fatal(err)
+			}
+			raw, err := msgpack.Marshal(&page{AtUs: atUs, Workers: []Worker{{ID: "w", Svc: "s", Addr: "10.0.0.9:80", Phase: "up", Seq: 5}}})
+			if err != nil {
+				t.Fatal(err)
+			}
+			if err := c.Write(raw); err != nil {
+				t.Fatal(err)
+			}
+			c.Close()
+			ctx, cancel := context.WithCancel(context.Background())
+			f, _ := alone(t, ctx, dir)
+			time.Sleep(200 * time.Millisecond)
+			if !f.has("w") {
+				t.Errorf("the page of %d is not used", atUs)
+			}
+			time.Sleep(3 * time.Second)
+			if f.has("w") {
+				t.Errorf("the page of %d is used for longer than a moment", atUs)
+			}
+			cancel()
+			time.Sleep(time.Second)
+		})
+	}
+}
--- a/internal/moult/upgrade_test.go
+++ b/internal/moult/upgrade_test.go
@@ -177,3 +177,33 @@
 		t.Errorf("the defaults: %v", err)
 	}
 }
+
+// Waits are counted on the steady clock of the process that drives: one that takes
+// over, whatever its clock shows, and one that resumes run them in full again, and
+// not longer.
+func TestWaitsBeginAnewWithEachDriver(t *testing.T) {
+	for name, clocks := range map[string][2]int64{"ahead": {1_000, 1 << 55}, "behind": {1 << 55, 1_000}} {
+		u := running(10)
+		ws := fleet(10, 1)
+		waveUs := u.Rules.WaveMs * 1000
+		if !u.Step(ws, nil, Vitals{}, clocks[0]) || len(u.Out) == 0 {
+			t.Fatal("no wave begins")
+		}
+		gone := ws[len(u.Out):]
+		u.Step(gone, nil, Vitals{}, clocks[0]+waveUs)
+		if u.Phase != Running {
+			t.Fatalf("%s: paused within the wave's time: %s", name, u.Why)
+		}
+		u.restartWaits() // another driver
+		nowUs := clocks[1]
+		for _, stepUs := range []int64{0, waveUs - 1, 1} {
+			nowUs += stepUs
+			if u.Step(gone, nil, Vitals{}, nowUs); u.Phase != Running {
+				t.Errorf("%s: the new driver paused after %d us: %s", name, nowUs-clocks[1], u.Why)
+			}
+		}
+		if u.Step(gone, nil, Vitals{}, nowUs+1); u.Phase != Paused {
+			t.Errorf("%s: the new driver waits for longer than the wave's time", name)
+		}
+	}
+}
--- a/internal/swarm/incarnation_test.go
+++ b/internal/swarm/incarnation_test.go
@@ -10,6 +10,8 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/vmihailenco/msgpack/v5"
+
 	"rowanshunt/internal/meadow"
 	"rowanshunt/internal/pollen"
 	"rowanshunt/internal/waggle"
@@ -174,3 +176,37 @@
 		})
 	}
 }
+
+// earlierPartner is the record as the version before reads it.
+type earlierPartner struct {
+	_msgpack                        struct{} `msgpack:",as_array"` //nolint:unused // read by the library
+	Name, Addr, Ctl, Az, Role, Disk string
+	Boot, Leaving                   bool
+	LifeUs                          int64
+	Beat, Rev                       uint64
+	Ready                           bool
+	Cap                             int64
+	Slow                            bool
+}
+
+// A node of the version before reads the records of this one, and the other way.
+func TestPartnerOfTheVersionBefore(t *testing.T) {
+	p := Partner{Name: "a", Addr: "b", Ctl: "c", Az: "d", Role: "e", Disk: "f", Leaving: true, Beat: 2, Rev: 3, Cap: 4}
+	p.SetProcess(Process{Incarnation: newIncarnation(3, 9), ID: "00009ab"})
+	raw, err := msgpack.Marshal(&p)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var old earlierPartner
+	if err := msgpack.Unmarshal(raw, &old); err != nil || old.LifeUs != int64(p.LifeUs) || old.Cap != 4 || old.Name != "a" {
+		t.Errorf("read as %+v: %v", old, err)
+	}
+	old.LifeUs = 1_764_633_600_000_000
+	if raw, err = msgpack.Marshal(&old); err != nil {
+		t.Fatal(err)
+	}
+	var back Partner
+	if err := msgpack.Unmarshal(raw, &back); err != nil || back.LifeUs != 1_764_633_600_000_000 || back.Disk != "f" || !p.newer(&back) {
+		t.Errorf("read as %+v: %v", back, err)
+	}
+}
