--- a/internal/moult/driver.go
+++ b/internal/moult/driver.go
@@ -145,8 +145,7 @@
 			if !u.Open() || u.Term != from {
 				return nil, wax.New(wax.Stale, svc, "another node drives", "nothing to do")
 			}
-			u.Term, u.Driver = u.Term+1, m.me()
-			u.restartWaits()
+			u.takeOver(m.me())
 			return now, u.store(now)
 		})
 		if err != nil {
--- a/internal/moult/upgrade.go
+++ b/internal/moult/upgrade.go
@@ -264,6 +264,12 @@
 	}
 }
 
+// takeOver gives the upgrade to a new driver under a higher term.
+func (u *Upgrade) takeOver(driver string) {
+	u.Term, u.Driver = u.Term+1, driver
+	u.restartWaits()
+}
+
 func (u *Upgrade) beginWaits(nowUs int64) (changed bool) {
 	for _, wait := range []*int64{&u.WaveUs, &u.SpreadUs, &u.WarmUs} {
 		if *wait == waitAnew {
--- a/internal/moult/upgrade_test.go
+++ b/internal/moult/upgrade_test.go
@@ -194,7 +194,9 @@
 		if u.Phase != Running {
 			t.Fatalf("%s: paused within the wave's time: %s", name, u.Why)
 		}
-		u.restartWaits() // another driver
+		if u.takeOver("other/1"); u.Driver != "other/1" || u.Term != 1 {
+			t.Fatalf("%s: driven by %s under term %d", name, u.Driver, u.Term)
+		}
 		nowUs := clocks[1]
 		for _, stepUs := range []int64{0, waveUs - 1, 1} {
 			nowUs += stepUs
