A shard's clock belongs to its owner: values of one that was cut off and ran on are out

Found while arguing that ages are never ahead: an owner that was cut off runs its clock on, while its successors lose time at takeovers; a claim that took the highest value heard would have aged their lots by the difference. A value now goes with its owner's stamp and the highest stamp wins; a claim asks for it after the promise. TestClockNeverRunsAhead fails if the values are compared without their owner.

--- a/internal/brood/brood.go
+++ b/internal/brood/brood.go
@@ -92,7 +92,7 @@
 	context.AfterFunc(ctx, b.cell.Close)
 	d := cfg.Desk
 	pollen.On(d, "brood.claim", b.onClaim)
-	pollen.On(d, "brood.clock", b.onClock)
+	pollen.On(d, clockKind, b.onClock)
 	pollen.On(d, "brood.fetch", b.onFetch)
 	pollen.On(d, "brood.write", b.onWrite)
 	pollen.On(d, "brood.hand", b.onHand)
--- a/internal/brood/clock.go
+++ b/internal/brood/clock.go
@@ -3,18 +3,38 @@
 import (
 	"context"
 
+	"github.com/go-faster/errors"
+
 	"rowanshunt/internal/waggle"
+	"rowanshunt/internal/wax"
 )
 
+// clockValue is a value of a shard's clock and the owner that it is of.
+type clockValue struct {
+	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by the library
+	Stamp    Stamp
+	Us       int64
+}
+
+// newer gives the value of the higher owner, of one owner the higher value. A
+// value of an owner that was cut off and ran on is thereby out, however high it
+// is, once a majority has one of a later owner.
+func (v clockValue) newer(w clockValue) clockValue {
+	if v.Stamp.Less(w.Stamp) || v.Stamp == w.Stamp && v.Us < w.Us {
+		return w
+	}
+	return v
+}
+
 // shardClock counts the time during which a shard had an owner: the ages of its
 // lots are read from it (design 8.12). It runs on the owner's steady clock and
-// goes on, at the next owner or after a restart, from the highest value recorded
-// at the replicas that the claim heard. So it is never ahead of the time that
-// passed: what may not happen before a time happens late rather than early.
+// goes on, at the next owner or after a restart, from the newest value recorded
+// at the replicas that the claim heard. So it never runs faster than time: what
+// may not happen before a time happens late rather than early.
 type shardClock struct {
-	recordedUs int64 // highest value known here, by a record or as the owner
-	savedUs    int64 // highest value on this disk
-	startUs    int64 // steady time at which the owner here took it up; 0: it stands
+	recorded clockValue // newest value known here, by a record or as the owner
+	savedUs  int64      // value on this disk
+	startUs  int64      // steady time at which the owner here took it up; 0: it stands
 }
 
 // How often the clock is recorded at least, while the owner has nothing else to
@@ -28,42 +48,55 @@
 // now reads the clock; it stands still where this node is not the owner.
 func (c *shardClock) now(steadyUs int64) int64 {
 	if c.startUs == 0 {
-		return c.recordedUs
+		return c.recorded.Us
 	}
-	return c.recordedUs + steadyUs - c.startUs
+	return c.recorded.Us + steadyUs - c.startUs
 }
 
-// record takes a value that an owner recorded. This node's own clock does not
-// follow it while it runs.
-func (c *shardClock) record(clockUs int64) {
-	if c.startUs == 0 {
-		c.recordedUs = max(c.recordedUs, clockUs)
+// value is the clock's value with its owner.
+func (c *shardClock) value(steadyUs int64) clockValue {
+	return clockValue{Stamp: c.recorded.Stamp, Us: c.now(steadyUs)}
+}
+
+// record takes a value that an owner recorded; an op of the version before has
+// none. This node's own clock does not follow it while it runs.
+func (c *shardClock) record(stamp Stamp, clockUs int64) {
+	if c.startUs == 0 && clockUs > 0 {
+		c.recorded = c.recorded.newer(clockValue{Stamp: stamp, Us: clockUs})
 	}
 }
 
 // saved notes that this value goes to the disk with a record.
-func (c *shardClock) saved(clockUs int64) { c.savedUs = max(c.savedUs, clockUs) }
+func (c *shardClock) saved(clockUs int64) {
+	if clockUs > 0 {
+		c.savedUs = clockUs
+	}
+}
 
-// start lets the clock run on from at least a value found elsewhere. It begins
-// at 1: a lot with 0 has no place on it yet.
-func (c *shardClock) start(steadyUs, atLeastUs int64) {
-	c.recordedUs, c.startUs = max(c.now(steadyUs), atLeastUs, 1), steadyUs
+// start lets the clock run on under a new owner from the newest value found. It
+// begins at 1: a lot with 0 has no place on it yet.
+func (c *shardClock) start(stamp Stamp, steadyUs int64, found clockValue) {
+	c.stop(steadyUs)
+	c.recorded = clockValue{Stamp: stamp, Us: max(c.recorded.newer(found).Us, 1)}
+	c.startUs = steadyUs
 }
 
 // stop keeps the value that the clock has reached.
-func (c *shardClock) stop(steadyUs int64) { c.recordedUs, c.startUs = c.now(steadyUs), 0 }
+func (c *shardClock) stop(steadyUs int64) { c.recorded, c.startUs = c.value(steadyUs), 0 }
 
 // ageUs is how long the lot has waited while its shard had an owner.
 func (s *shard) ageUs(l *Lot, steadyUs int64) int64 { return s.clock.now(steadyUs) - l.BornUs }
 
-// placeOnClock gives a lot that an owner of the version before accepted its place
-// on the clock, true if it had none: it counts as accepted now, so that nothing of
-// it comes too early. Such a lot is to be written whole.
+// placeOnClock gives a lot its place on the clock, true if it has none that
+// counts: it was accepted by an owner of the version before, or by one that was cut
+// off and whose clock ran on. It counts as accepted now, so that nothing of it comes
+// too early. Such a lot is to be written whole.
 func (s *shard) placeOnClock(l *Lot, steadyUs int64) bool {
-	if l.BornUs != 0 {
+	nowUs := s.clock.now(steadyUs)
+	if l.BornUs != 0 && l.BornUs <= nowUs {
 		return false
 	}
-	l.BornUs = s.clock.now(steadyUs)
+	l.BornUs = nowUs
 	return true
 }
 
@@ -92,7 +125,7 @@
 // saveClock writes the clock to this disk if that has not been done lately, as
 // an op that changes no lot.
 func (b *Brood) saveClock(s *shard, stamp Stamp, clockUs int64) {
-	if clockUs-s.clock.savedUs < clockSaveUs {
+	if sinceUs := clockUs - s.clock.savedUs; sinceUs >= 0 && sinceUs < clockSaveUs {
 		return
 	}
 	s.clock.saved(clockUs)
@@ -105,35 +138,36 @@
 	Shard    int
 }
 
-type clockAnswer struct {
-	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by the library
-	ClockUs  int64
-}
-
-// onClock tells the highest value of a shard's clock that is known here.
-func (b *Brood) onClock(ctx context.Context, in *clockCall) (*clockAnswer, error) {
-	return answered(ctx, b.cfg.Floor, func(reply func(*clockAnswer, error)) {
+// onClock tells the newest value of a shard's clock that is known here. A claim
+// asks after it has the promise: then no earlier owner can record any more.
+func (b *Brood) onClock(ctx context.Context, in *clockCall) (*clockValue, error) {
+	return answered(ctx, b.cfg.Floor, func(reply func(*clockValue, error)) {
 		s, err := b.mine(in.Seat, in.Shard)
 		if err != nil {
 			reply(nil, err)
 			return
 		}
-		reply(&clockAnswer{ClockUs: s.clock.now(waggle.NowUs())}, nil)
+		value := s.clock.value(waggle.NowUs())
+		reply(&value, nil)
 	})
 }
 
-// askClock reads a shard's clock at a replica, 0 at one of the version before.
-func (b *Brood) askClock(ctx context.Context, addr string, in *clockCall) int64 {
-	out := &clockAnswer{}
+const clockKind = "brood.clock"
+
+// askClock reads a shard's clock at a replica; one of the version before has none.
+func (b *Brood) askClock(ctx context.Context, addr string, in *clockCall) (clockValue, error) {
 	if in.Seat == b.cfg.Seat {
 		here, err := b.onClock(ctx, in)
 		if err != nil {
-			return 0
+			return clockValue{}, err
 		}
-		return here.ClockUs
+		return *here, nil
 	}
-	if err := b.cfg.Mesh.Call(ctx, addr, "brood.clock", in, out); err != nil {
-		return 0
+	out := clockValue{}
+	err := b.cfg.Mesh.Call(ctx, addr, clockKind, in, &out)
+	var fault *wax.Fault
+	if errors.As(err, &fault) && fault.Kind == wax.Declined && fault.Field == clockKind {
+		return clockValue{}, nil
 	}
-	return out.ClockUs
+	return out, err
 }
--- a/internal/brood/clock_test.go
+++ b/internal/brood/clock_test.go
@@ -12,55 +12,80 @@
 	"rowanshunt/internal/waggle"
 )
 
-// A shard's clock over many owners, orderly and sudden ends, with values recorded
-// at a majority of three only and claims that hear a majority only, is never ahead
-// of the time that passed, and behind it by no more than what each takeover may
-// lose: the time without an owner and one recording period.
-func TestClockIsNeverAhead(t *testing.T) {
+// seenLot is a lot that a majority took, with its place and the true time.
+type seenLot struct{ bornUs, trueUs int64 }
+
+// A shard's clock over many owners: with orderly and sudden ends, owners that were
+// cut off and run on, values that reach a majority of three only or not even that,
+// and claims that hear a majority only, no lot is ever older on it than it is, and
+// none younger than what the takeovers may lose: the time without an owner and one
+// recording period each.
+func TestClockNeverRunsAhead(t *testing.T) {
 	for seed := range uint64(300) {
 		luck := rand.New(rand.NewPCG(seed, 3))
 		replicas := make([]shardClock, 3)
-		trueUs, lostUs, recordedUs := int64(1), int64(0), int64(0)
+		trueUs, lostUs := int64(1), int64(0)
 		steady := func(node int) int64 { return trueUs + int64(node+1)<<50 } // no two nodes agree
-		owner := 0
-		for takeover := range 60 {
-			switch {
-			case takeover == 0:
-			case luck.IntN(2) == 0:
-				replicas[owner].stop(steady(owner))
-			default:
-				replicas[owner] = shardClock{recordedUs: recordedUs}
+		var lots []seenLot
+		owner := -1
+		for takeover := range uint64(60) {
+			if owner >= 0 {
+				c := &replicas[owner]
+				switch luck.IntN(3) {
+				case 0: // in order
+					c.stop(steady(owner))
+				case 1: // what was on its disk is left
+					*c = shardClock{recorded: clockValue{Stamp: c.recorded.Stamp, Us: c.savedUs}}
+				default: // cut off: it does not know, runs on and records to nobody
+				}
 			}
 			idleUs := luck.Int64N(2_000_000)
 			trueUs += idleUs
+			lostUs += idleUs + clockEveryUs
+			last := owner
 			owner = luck.IntN(3)
+			if owner == last {
+				owner = (owner + 1) % 3
+			}
 			other := (owner + 1 + luck.IntN(2)) % 3
-			replicas[owner].start(steady(owner), replicas[other].now(steady(other)))
-			recordedUs = replicas[owner].now(steady(owner))
-			lostUs += idleUs + clockEveryUs
+			stamp := Stamp{Roster: 1, N: takeover + 1}
+			// The promise comes first: it ends an owner that ran on.
+			found := clockValue{}
+			for _, heard := range []int{owner, other} {
+				replicas[heard].stop(steady(heard))
+				found = found.newer(replicas[heard].value(steady(heard)))
+			}
+			replicas[owner].start(stamp, steady(owner), found)
+			replicas[owner].saved(replicas[owner].now(steady(owner)))
 			for range luck.IntN(20) {
-				trueUs += clockEveryUs
-				recordedUs = replicas[owner].now(steady(owner))
-				replicas[(owner+1+luck.IntN(2))%3].record(recordedUs)
-				if recordedUs > trueUs {
-					t.Fatalf("seed %d: the clock shows %d after %d", seed, recordedUs, trueUs)
+				clockUs := replicas[owner].now(steady(owner))
+				replicas[owner].saved(clockUs)
+				to := other
+				if third := 3 - owner - other; luck.IntN(2) == 0 {
+					replicas[third].stop(steady(third)) // hears of the later owner
+					to = third
+				}
+				replicas[to].record(stamp, clockUs)
+				lots = append(lots, seenLot{bornUs: clockUs, trueUs: trueUs})
+				trueUs += 1 + luck.Int64N(clockEveryUs) // recorded at least that often
+				for _, l := range lots {
+					ageUs, trueAgeUs := replicas[owner].now(steady(owner))-l.bornUs, trueUs-l.trueUs
+					if ageUs > trueAgeUs || ageUs < trueAgeUs-lostUs {
+						t.Fatalf("seed %d: a lot is %d old on the clock and %d by the time, of which %d may be lost", seed, ageUs, trueAgeUs, lostUs)
+					}
 				}
 			}
-			trueUs += luck.Int64N(clockEveryUs)
-		}
-		if got := replicas[owner].now(steady(owner)); got > trueUs || got < trueUs-lostUs {
-			t.Fatalf("seed %d: the clock shows %d after %d, of which %d may be lost", seed, got, trueUs, lostUs)
 		}
 	}
 }
 
 // owned makes a store alone the owner of shard 0, as a claim does.
-func owned(b *Brood, n uint64, clockUs int64) *shard {
+func owned(b *Brood, n uint64, clock clockValue) *shard {
 	s := b.shards[0]
 	stamp := Stamp{Roster: 1, N: n, By: "s/1"}
 	s.promised = stamp
 	b.persist(&record{Shard: 0, Promise: &stamp}, func() {})
-	b.install(s, stamp, nest.Roster{Ver: 1, Cur: []nest.Seat{{ID: "s", Name: "s"}}}, nil, clockUs)
+	b.install(s, stamp, nest.Roster{Ver: 1, Cur: []nest.Seat{{ID: "s", Name: "s"}}}, nil, clock)
 	return s
 }
 
@@ -84,7 +109,7 @@
 			var s *shard
 			do(func() {
 				n++
-				s = owned(b, n, 0)
+				s = owned(b, n, clockValue{})
 				if life == 0 {
 					l := &Lot{ID: "l", SentUs: 1, RetainMs: 40_000, Prompts: make([]Prompt, 1), BornUs: s.clock.now(waggle.NowUs())}
 					l.index()
@@ -116,7 +141,8 @@
 	})
 }
 
-// Lots that the version before accepted have no place on the clock: they get one
+// Lots that the version before accepted have no place on the clock, and those of an
+// owner whose clock ran on have one that is yet to come: they get one
 // when a shard is next taken over, on disk and at replicas that have the lot as it
 // was, and their age begins there, whatever the time of day of their hand-in.
 func TestLotsOfTheVersionBeforeArePlaced(t *testing.T) {
@@ -136,7 +162,11 @@
 				apply(b.shards[0].lots, &put)
 				b.persist(&record{Shard: 0, Ops: []op{put}}, func() {})
 			}
-			s = owned(b, 2, 7_000_000_000)
+			// One that an owner accepted alone while it was cut off and its clock ran on.
+			l := &Lot{ID: "ahead", RetainMs: 40_000, Prompts: make([]Prompt, 1), BornUs: 9_000_000_000}
+			put := op{Kind: opPut, Lot: l.ID, Stamp: before, Rev: 1, Whole: l}
+			apply(b.shards[0].lots, &put)
+			s = owned(b, 2, clockValue{Stamp: before, Us: 7_000_000_000})
 			for id, l := range s.lots {
 				if age := s.ageUs(l, waggle.NowUs()); age != 0 || l.BornUs < 7_000_000_000 {
 					t.Errorf("%s: taken over at the age of %d us", id, age)
--- a/internal/brood/owner.go
+++ b/internal/brood/owner.go
@@ -299,10 +299,10 @@
 func (b *Brood) runClaim(ctx context.Context, s *shard, stamp Stamp, roster nest.Roster) error {
 	seats := roster.All()
 	type reply struct {
-		seat    nest.Seat
-		out     *claimAnswer
-		err     error
-		clockUs int64 // the shard's clock at that replica
+		seat  nest.Seat
+		out   *claimAnswer
+		err   error
+		clock clockValue // of the shard at that replica, after its promise
 	}
 	replies := make(chan reply, len(seats))
 	for _, seat := range seats {
@@ -311,22 +311,24 @@
 			defer cancel()
 			out := &claimAnswer{}
 			call := &claimCall{Seat: seat.ID, Shard: s.n, Stamp: stamp}
-			clock := make(chan int64, 1)
-			go func() { clock <- b.askClock(callCtx, b.addrOf(seat), &clockCall{Seat: seat.ID, Shard: s.n}) }()
 			var err error
 			if seat.ID == b.cfg.Seat {
 				out, err = b.onClaim(callCtx, call)
 			} else {
 				err = b.cfg.Mesh.Call(callCtx, b.addrOf(seat), "brood.claim", call, out)
 			}
-			replies <- reply{seat, out, err, <-clock}
+			clock := clockValue{}
+			if err == nil && out.OK {
+				clock, err = b.askClock(callCtx, b.addrOf(seat), &clockCall{Seat: seat.ID, Shard: s.n})
+			}
+			replies <- reply{seat, out, err, clock}
 		}()
 	}
 	agreed := map[string]bool{}
 	best := map[string]copyOf{}
 	holders := map[string]nest.Seat{}
 	var higher *Stamp
-	clockUs := int64(0)
+	clock := clockValue{}
 	for range seats {
 		r := <-replies
 		if r.err != nil {
@@ -340,7 +342,7 @@
 			continue
 		}
 		agreed[r.seat.ID] = true
-		clockUs = max(clockUs, r.clockUs)
+		clock = clock.newer(r.clock)
 		for _, c := range r.out.Copies {
 			old, have := best[c.Lot]
 			if !have || old.Stamp.Less(c.Stamp) || old.Stamp == c.Stamp && old.Rev < c.Rev {
@@ -415,7 +417,7 @@
 		if s.promised != stamp {
 			return false
 		}
-		b.install(s, stamp, roster, fetched, clockUs)
+		b.install(s, stamp, roster, fetched, clock)
 		return true
 	})
 	return err
@@ -423,16 +425,11 @@
 
 // install makes this node the owner of what the claim found, the shard's clock
 // among it.
-func (b *Brood) install(s *shard, stamp Stamp, roster nest.Roster, fetched map[string]*Lot, clockUs int64) {
+func (b *Brood) install(s *shard, stamp Stamp, roster nest.Roster, fetched map[string]*Lot, clock clockValue) {
 	o := &owner{stamp: stamp, roster: roster, feeds: map[string]*feed{}}
 	rec := &record{Shard: s.n}
 	nowUs := waggle.NowUs()
-	for _, lots := range []map[string]*Lot{s.lots, fetched} {
-		for _, l := range lots {
-			clockUs = max(clockUs, l.BornUs)
-		}
-	}
-	s.clock.start(nowUs, clockUs)
+	s.clock.start(stamp, nowUs, clock)
 	for id, l := range fetched {
 		placed := s.placeOnClock(l, nowUs)
 		src := copyOf{Lot: id, Stamp: l.Stamp, Rev: l.Rev}
--- a/internal/brood/owner_test.go
+++ b/internal/brood/owner_test.go
@@ -51,7 +51,7 @@
 				st := Stamp{Roster: 1, N: n, By: "s/1"}
 				s.promised = st
 				b.persist(&record{Shard: 0, Promise: &st}, func() {})
-				b.install(s, st, nest.Roster{Ver: 1, Cur: []nest.Seat{seat}}, nil, 0)
+				b.install(s, st, nest.Roster{Ver: 1, Cur: []nest.Seat{seat}}, nil, clockValue{})
 			}
 			do(own)
 			for i := range 200 {
--- a/internal/brood/replica.go
+++ b/internal/brood/replica.go
@@ -106,7 +106,7 @@
 			if s.promised.Less(r.Ops[i].Stamp) {
 				s.promised = r.Ops[i].Stamp
 			}
-			s.clock.record(r.Ops[i].ClockUs)
+			s.clock.record(r.Ops[i].Stamp, r.Ops[i].ClockUs)
 			s.clock.saved(r.Ops[i].ClockUs)
 		}
 		return nil
@@ -156,14 +156,14 @@
 	type kept struct {
 		shard    int
 		promised Stamp
-		clockUs  int64
+		clock    clockValue
 		lots     []*Lot
 	}
 	var all []kept
 	var total int64
 	for _, s := range b.shards {
-		k := kept{shard: s.n, promised: s.promised, clockUs: s.clock.now(waggle.NowUs())}
-		s.clock.saved(k.clockUs)
+		k := kept{shard: s.n, promised: s.promised, clock: s.clock.value(waggle.NowUs())}
+		s.clock.saved(k.clock.Us)
 		for _, l := range s.lots {
 			k.lots = append(k.lots, l.share())
 			total += int64(l.cost())
@@ -179,7 +179,7 @@
 		_ = b.cfg.Floor.Do(b.ctx, func() { b.rewriting, b.longBytes = false, b.nextLong() })
 	}, func(write func([]byte) error) error {
 		for i := range all {
-			if err := writeRecord(write, &record{Shard: all[i].shard, Promise: &all[i].promised, Ops: []op{{Kind: opNone, ClockUs: all[i].clockUs}}}); err != nil {
+			if err := writeRecord(write, &record{Shard: all[i].shard, Promise: &all[i].promised, Ops: []op{{Kind: opNone, Stamp: all[i].clock.Stamp, ClockUs: all[i].clock.Us}}}); err != nil {
 				return err
 			}
 			for at, l := range all[i].lots {
@@ -365,7 +365,7 @@
 				return
 			}
 			o.raw = raw
-			s.clock.record(o.ClockUs)
+			s.clock.record(o.Stamp, o.ClockUs)
 			if !apply(s.lots, &o) {
 				out.OK, out.Misfit = false, true
 				break
