--- a/internal/colony/colony.go
+++ b/internal/colony/colony.go
@@ -94,6 +94,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if process.Uncounted != nil {
+		env.Log.Warn("start_not_counted", "err", process.Uncounted, "remedy", "look at the disk; partners are asked instead")
+	}
 	n.self.SetProcess(process)
 	seeds := opts.SeedAddrs()
 	// Nodes that hold seats listen closely to those of their kind: a shard
--- a/internal/swarm/incarnation.go
+++ b/internal/swarm/incarnation.go
@@ -50,14 +50,17 @@
 	// ID is random and never changes while the process runs; what the process
 	// signs (ballots, terms, event ids) carries it.
 	ID string
+	// Uncounted is why the count of starts is not on disk, nil if it is or there
+	// is no disk.
+	Uncounted error
 }
 
 // idBytes is how long the random part of a process id is.
 const idBytes = 12
 
 // NewProcess makes the identity of this process. With a folder on disk the count
-// of starts is durable before it returns; without one it begins at 0 and is
-// raised above what others still hold of this node's name.
+// of starts is durable before it returns; without one, or on a disk that takes no
+// more, it is raised above what others still hold of this node's name.
 func NewProcess(dir string) (Process, error) {
 	var raw [idBytes + 4]byte
 	if _, err := rand.Read(raw[:]); err != nil {
@@ -65,15 +68,13 @@
 	}
 	tag := Incarnation(binary.LittleEndian.Uint32(raw[idBytes:])) & tagMask
 	starts := int64(0)
+	var uncounted error
 	if dir != "" {
-		var err error
-		if starts, tag, err = countStart(dir, tag); err != nil {
-			return Process{}, err
-		}
+		starts, tag, uncounted = countStart(dir, tag)
 	}
 	// The tag leads the id: others find the process of a signature by it.
 	id := fmt.Sprintf("%05x%s", int64(tag), hex.EncodeToString(raw[:idBytes]))
-	return Process{Incarnation: newIncarnation(starts, tag), ID: id}, nil
+	return Process{Incarnation: newIncarnation(starts, tag), ID: id, Uncounted: uncounted}, nil
 }
 
 const startsFile = "starts"
@@ -83,12 +84,12 @@
 // is then raised by what others hold.
 func countStart(dir string, tag Incarnation) (starts int64, _ Incarnation, err error) {
 	if err := os.MkdirAll(dir, 0o755); err != nil {
-		return 0, 0, errors.Wrap(err, "make folder")
+		return 0, tag, errors.Wrap(err, "make folder")
 	}
 	path := filepath.Join(dir, startsFile)
 	raw, err := os.ReadFile(path)
 	if err != nil && !os.IsNotExist(err) {
-		return 0, 0, errors.Wrap(err, "read the count of starts")
+		return 0, tag, errors.Wrap(err, "read the count of starts")
 	}
 	var last, lastTag int64
 	if n, err := fmt.Sscanf(string(raw), "%d %d\n", &last, &lastTag); err == nil && n == 2 && last >= 0 && last < 1<<40 {
@@ -98,7 +99,7 @@
 		}
 	}
 	if err := replaceFile(dir, startsFile, fmt.Sprintf("%d %d\n", starts, tag)); err != nil {
-		return 0, 0, errors.Wrap(err, "count this start")
+		return starts, tag, errors.Wrap(err, "count this start")
 	}
 	return starts, tag, nil
 }
