--- a/internal/brood/dispatch.go
+++ b/internal/brood/dispatch.go
@@ -5,7 +5,6 @@
 	"slices"
 	"sort"
 
-	"rowanshunt/internal/pollen"
 	"rowanshunt/internal/waggle"
 	"rowanshunt/internal/wax"
 )
@@ -71,11 +70,6 @@
 	claimLeadUs  = 250_000 // the margin before an asker's deadline, at most
 )
 
-// leaseUs is how long a lease runs: twice as long with each time sent.
-func (b *Brood) leaseUs(epoch int64) int64 {
-	return b.cfg.Options.AckWaitUs << min(max(epoch-1, 0), maxDoublings)
-}
-
 // poll moves due prompts into the send cache, the lots due first first, and
 // gives up what is past its time.
 func (b *Brood) poll() {
@@ -278,10 +272,6 @@
 	}
 }
 
-// leaseID names a lease: by the owner's count and the revision that gave it, so
-// that no two answered leases share one.
-func leaseID(st Stamp, rev uint64) uint64 { return st.N<<32 | rev&(1<<32-1) }
-
 // onTake gives prompts, or waits for some. It also renews the leases that the
 // caller names; one that the rows say it holds and that it does not name was lost
 // on the way and ends (design 8.7).
@@ -335,56 +325,6 @@
 	confirmed(nil)
 }
 
-// reclaim goes through what the asker holds: a live lease is renewed, another
-// one must stop. What the rows say it holds and it does not name was lost on
-// the way: that lease is over.
-func (b *Brood) reclaim(from string, held []Held) (stop []Held) {
-	nowUs := waggle.NowUs()
-	have := make(map[Held]bool, len(held))
-	for _, h := range held {
-		if h.Shard < 0 || h.Shard >= Shards || b.shards[h.Shard].owner == nil || !b.shards[h.Shard].owner.ready {
-			continue
-		}
-		have[h] = true
-		l := b.shards[h.Shard].lots[h.Lot]
-		if l == nil || l.live == nil || h.Item < 0 || h.Item >= len(l.Prompts) || l.Ended || l.listed[h.Item] || !l.leased(h.Item, h.Lease, nowUs) {
-			stop = append(stop, h)
-			continue
-		}
-		l.live.at[h.Item].nextUs = nowUs + b.leaseUs(l.Rows[h.Item].Epoch)
-	}
-	b.eachHeld(nowUs, func(s *shard, l *Lot, i int, p *promptState) {
-		if l.Rows[i].Holder == from && nowUs-p.sentUs > lostHoldUs && !have[Held{Shard: s.n, Lot: l.ID, Item: i, Lease: l.Rows[i].Lease}] {
-			p.nextUs = nowUs
-		}
-	})
-	return stop
-}
-
-// leased tells whether that lease of an item is live: the same one, not over.
-func (l *Lot) leased(item int, lease uint64, nowUs int64) bool {
-	return lease != 0 && l.Rows[item].Lease == lease && nowUs < l.live.at[item].nextUs
-}
-
-// eachHeld walks over the items with live leases.
-func (b *Brood) eachHeld(nowUs int64, fn func(s *shard, l *Lot, i int, p *promptState)) {
-	for _, s := range b.shards {
-		if s.owner == nil {
-			continue
-		}
-		for _, l := range s.lots {
-			if l.live == nil || l.closed() {
-				continue
-			}
-			for i := range l.live.at {
-				if p := &l.live.at[i]; l.Rows[i].Lease != 0 && p.nextUs > nowUs && !l.listed[i] {
-					fn(s, l, i, p)
-				}
-			}
-		}
-	}
-}
-
 // expireWaiting answers takers and readers whose wait is over, and takes
 // prompts back from dispatchers that are gone.
 func (b *Brood) expireWaiting() {
@@ -431,142 +371,3 @@
 		}
 	}
 }
-
-// GiveCall hands a prompt back under its lease: unplaced, or after a failed
-// attempt.
-type GiveCall struct {
-	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by the library
-	Shard    int
-	Lot      string
-	Item     int
-	Lease    uint64
-	Failed   bool // a worker answered 500
-	AfterUs  int64
-}
-
-// errLease is the answer to who comes under a lease that is over.
-func errLease(lot string) error {
-	return wax.New(wax.Stale, lot, "the lease is not the live one", "drop what was run under it")
-}
-
-// onGive frees a lease; only a failed attempt charges the item's tries. It is
-// answered once the checkpoint with the row is committed, and again the same
-// way if it is resent (design 8.7).
-func (b *Brood) onGive(ctx context.Context, in *GiveCall) (*pollen.Nothing, error) {
-	return answered(ctx, b.cfg.Floor, func(reply func(*pollen.Nothing, error)) {
-		s, l, p, err := b.prompt(in.Shard, in.Lot, in.Item)
-		if err != nil {
-			reply(nil, err)
-			return
-		}
-		nowUs := waggle.NowUs()
-		row := l.Rows[in.Item]
-		done := func(err error) { reply(&pollen.Nothing{}, err) }
-		switch {
-		case l.Ended, l.listed[in.Item] && l.leaseOf(in.Item) == in.Lease, in.Lease != 0 && row.Freed == in.Lease:
-			b.issue(s, op{Kind: opNone}, done)
-			return
-		case l.listed[in.Item] || !l.leased(in.Item, in.Lease, nowUs):
-			reply(nil, errLease(in.Lot))
-			return
-		}
-		if in.Failed && row.Fails+1 >= max(l.Tries, 1) {
-			b.list(s, l, Result{Item: in.Item, Phase: PhaseGaveUp, Lease: in.Lease, Why: WhyTries}, done)
-			return
-		}
-		freed := Cursor{Epoch: row.Epoch, Fails: row.Fails, Freed: in.Lease}
-		if in.Failed {
-			freed.Fails++
-		} else {
-			freed.Epoch--
-		}
-		p.nextUs = nowUs + max(in.AfterUs, 0)
-		b.issue(s, op{Kind: opCursor, Lot: l.ID, Rev: l.Rev + 1, Rows: []CursorAt{{Item: in.Item, Row: freed}}}, done)
-	})
-}
-
-// leaseOf is the lease under which an item was listed.
-func (l *Lot) leaseOf(item int) uint64 {
-	for i := range l.List {
-		if l.List[i].Item == item {
-			return l.List[i].Lease
-		}
-	}
-	return 0
-}
-
-func (b *Brood) prompt(shardN int, lot string, item int) (*shard, *Lot, *promptState, error) {
-	s, err := b.own(shardN)
-	if err != nil {
-		return nil, nil, nil, err
-	}
-	l := s.lots[lot]
-	if l == nil || l.live == nil || item < 0 || item >= len(l.Prompts) {
-		return nil, nil, nil, wax.New(wax.Unknown, lot, "no such item", "drop it")
-	}
-	return s, l, &l.live.at[item], nil
-}
-
-// AckCall brings a result under the lease it was run under. Only once a
-// majority has it on disk is it acked; then the prompt is never sent again.
-type AckCall struct {
-	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by the library
-	Shard    int
-	Lot      string
-	Item     int
-	Phase    string
-	Msg      []byte // as Pack made it
-	Lease    uint64
-	Enc      uint8
-	RawBytes int
-}
-
-func (b *Brood) onAck(ctx context.Context, in *AckCall) (*pollen.Nothing, error) {
-	return answered(ctx, b.cfg.Floor, func(reply func(*pollen.Nothing, error)) {
-		s, l, _, err := b.prompt(in.Shard, in.Lot, in.Item)
-		if err != nil {
-			reply(nil, err)
-			return
-		}
-		if in.Phase != PhaseDone && in.Phase != PhaseGaveUp {
-			reply(nil, wax.New(wax.Invalid, "phase", "is neither done nor gave_up", "run the same version on all nodes"))
-			return
-		}
-		done := func(err error) { reply(&pollen.Nothing{}, err) }
-		switch {
-		case l.Ended:
-			done(nil)
-		case l.listed[in.Item] && l.leaseOf(in.Item) == in.Lease:
-			// Sent again: the first answer, once the first is safe. The lease
-			// stands beside the result, so a new owner knows it too.
-			b.issue(s, op{Kind: opNone}, done)
-		case l.listed[in.Item] || !l.leased(in.Item, in.Lease, waggle.NowUs()):
-			reply(nil, errLease(in.Lot))
-		default:
-			r := Result{Item: in.Item, Phase: in.Phase, Msg: in.Msg, Lease: in.Lease, Enc: in.Enc, RawBytes: in.RawBytes}
-			if in.Phase == PhaseGaveUp {
-				r.Why = WhyNever
-			}
-			b.list(s, l, r, done)
-		}
-	})
-}
-
-// list puts a result at the next position; readers see it once a majority has
-// it.
-func (b *Brood) list(s *shard, l *Lot, r Result, then func(error)) {
-	r.AckedUs = s.clock.now(waggle.NowUs())
-	id, at := l.ID, len(l.List)+1
-	s.owner.pace.done(l.Prompts[r.Item].Toks, waggle.NowUs())
-	b.issue(s, op{Kind: opAppend, Lot: id, Rev: l.Rev + 1, Results: []Result{r}}, func(err error) {
-		if err == nil {
-			if got := s.lots[id]; got != nil {
-				got.seenLen = max(got.seenLen, at)
-				b.wakeReaders(waggle.NowUs())
-			}
-		}
-		if then != nil {
-			then(err)
-		}
-	})
-}
