Lists with a lying length are declined before room is made for them

Found by FuzzRecord: a record of 221 bytes made the decoder ask for 65 GB. Messages between nodes and records on disk are decoded by pollen.Unmarshal, which walks over their lengths first.

--- a/internal/brood/replica.go
+++ b/internal/brood/replica.go
@@ -7,6 +7,7 @@
 	"github.com/vmihailenco/msgpack/v5"
 
 	"rowanshunt/internal/cell"
+	"rowanshunt/internal/pollen"
 	"rowanshunt/internal/swarm"
 	"rowanshunt/internal/waggle"
 	"rowanshunt/internal/wax"
@@ -53,7 +54,7 @@
 
 func decodeRecord(raw []byte) (*record, error) {
 	r := &record{}
-	if err := msgpack.Unmarshal(raw, r); err != nil {
+	if err := pollen.Unmarshal(raw, r); err != nil {
 		return nil, err
 	}
 	if r.Shard < 0 || r.Shard >= Shards {
--- a/internal/flora/diary.go
+++ b/internal/flora/diary.go
@@ -6,6 +6,7 @@
 	"github.com/vmihailenco/msgpack/v5"
 
 	"rowanshunt/internal/cell"
+	"rowanshunt/internal/pollen"
 	"rowanshunt/internal/wax"
 )
 
@@ -39,7 +40,7 @@
 	var last page
 	c, damage, err := cell.OpenDisposable(dir, "flora.cell", func(raw []byte) error {
 		var p page
-		if err := msgpack.Unmarshal(raw, &p); err != nil {
+		if err := pollen.Unmarshal(raw, &p); err != nil {
 			return err
 		}
 		last = p
--- a/internal/nest/acceptor.go
+++ b/internal/nest/acceptor.go
@@ -7,6 +7,7 @@
 	"github.com/vmihailenco/msgpack/v5"
 
 	"rowanshunt/internal/cell"
+	"rowanshunt/internal/pollen"
 	"rowanshunt/internal/wax"
 )
 
@@ -62,7 +63,7 @@
 // replay takes one record of the file.
 func (a *Acceptor) replay(rec []byte) error {
 	var v vote
-	if err := msgpack.Unmarshal(rec, &v); err != nil {
+	if err := pollen.Unmarshal(rec, &v); err != nil {
 		return err
 	}
 	if v.State == nil {
