--- a/internal/cell/cell.go
+++ b/internal/cell/cell.go
@@ -169,7 +169,10 @@
 		}
 	}
 	c.id, c.sizeBytes, c.markedBytes = h.id, end.goodBytes, h.syncedAtLeast()
-	return end.damage, wrapped(errors.Join(syncFile(c.file), syncDir(c.dir)), "sync")
+	if end.damage != nil || end.goodBytes > h.snapshotBytes {
+		err = syncFile(c.file) // a snapshot was synced before it got its name
+	}
+	return end.damage, wrapped(errors.Join(err, syncDir(c.dir)), "sync")
 }
 
 // ID is the identity that the file carries.
--- a/internal/cell/recover.go
+++ b/internal/cell/recover.go
@@ -129,6 +129,7 @@
 }
 
 // create makes an empty file with a new id; it has its name once it is whole.
+// The folder is synced by Open, before anything is written to the file.
 func create(dir, name string) (string, error) {
 	id, err := newID()
 	if err != nil {
@@ -138,7 +139,7 @@
 	if err != nil {
 		return "", errors.Wrap(err, "make cell")
 	}
-	return id, errors.Join(f.Close(), syncDir(dir))
+	return id, f.Close()
 }
 
 // setAside gives a damaged file another name, in place of an earlier one, and
