--- a/internal/forage/hostile_test.go
+++ b/internal/forage/hostile_test.go
@@ -55,6 +55,14 @@
 		go w.run()
 	}
 	s.publish()
+	s.forage = newForage(t, s.dir.Load, hostileLimitMs)
+	s.serve()
+	return s
+}
+
+// newForage makes the forwarding of a node with a route of each kind.
+func newForage(t *testing.T, dir func() *flora.Directory, limitMs int) *Forage {
+	t.Helper()
 	var routes []string
 	for _, kind := range []string{"safe", "unsafe", "stream", "resumable"} {
 		typ := kind
@@ -62,17 +70,15 @@
 			typ = "stream"
 		}
 		routes = append(routes, fmt.Sprintf(`{"name":%q,"host":%q,"pfx":"/%s/","type":%q,"limit_ms":%d,"goal_ms":100,"prio":0,"svc":"a","tries":%d,"pin":false,"resume":%v,"gap_goal_ms":100}`,
-			kind, hostileHost, kind, typ, hostileLimitMs, hostileTries, kind == "resumable"))
+			kind, hostileHost, kind, typ, limitMs, hostileTries, kind == "resumable"))
 	}
 	bp, err := foundation.Parse([]byte(`{"ver":1,"routes":[` + strings.Join(routes, ",") + `],"svcs":[{"name":"a","hc":"/h","maxconn":1000}],"caps":{"hdr_bytes":16384,"payload_bytes":4194304,"hdr_ms":3000,"idle_ms":15000}}`))
 	if err != nil {
 		t.Fatal(err)
 	}
 	blueprint := func() *foundation.Blueprint { return bp }
-	sender := &Sender{Dir: s.dir.Load, Scout: scout.New("z"), Circuits: NewCircuits(DialTCP()), Blueprint: blueprint, Ways: NewSlab[Way](10_000)}
-	s.forage = &Forage{Sender: sender, Blueprint: blueprint, Log: wax.Quiet(), BodyBytes: 1 << 30, HbMs: 500, Gate: &nectar.Gate{}}
-	s.serve()
-	return s
+	sender := &Sender{Dir: dir, Scout: scout.New("z"), Circuits: NewCircuits(DialTCP()), Blueprint: blueprint, Ways: NewSlab[Way](10_000)}
+	return &Forage{Sender: sender, Blueprint: blueprint, Log: wax.Quiet(), BodyBytes: 1 << 30, HbMs: 500, Gate: &nectar.Gate{}}
 }
 
 // serve opens the clients' address and keeps up what a node keeps up.
