A worker's 408, 429 or 503 without X-Rowanshunt-Not-Run reaches no client as a promise

Such a status would tell the client that nothing ran, although the worker may have run it: it is taken as a broken answer (tried again where the route repeats, else 502). What may not be repeated goes out only on connections used within 0.25 s in place of 0.3 s: the rest is counted here from the answer's end, at the worker until the next request is there.

--- a/internal/forage/forage.go
+++ b/internal/forage/forage.go
@@ -348,12 +348,26 @@
 	return j.whole(a)
 }
 
+// promises tells whether a status tells clients that the request has not run and
+// never will.
+func promises(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	}
+	return false
+}
+
 // whole passes on an answer that is no stream, once it was read whole.
 func (j *job) whole(a *Answer) (ran, finished bool, err error) {
 	resp := a.Resp
 	if resp.StatusCode < 300 && resp.Header.Get(HeadSeal) == "" {
 		return true, false, wax.New(wax.Unsure, a.way.worker, "the answer has no seal", "")
 	}
+	if promises(resp.StatusCode) {
+		// The worker did not say that it has not run: to the client this status would.
+		return true, false, wax.New(wax.Unsure, a.way.worker, "answers "+strconv.Itoa(resp.StatusCode)+" without a promise", "")
+	}
 	if resp.ContentLength > wholeBytes {
 		return j.long(a)
 	}
--- a/internal/forage/send_test.go
+++ b/internal/forage/send_test.go
@@ -350,6 +350,22 @@
 	}
 }
 
+// A worker's status that would promise that nothing ran is no such promise unless
+// the worker says so.
+func TestStatusWithoutPromise(t *testing.T) {
+	for _, status := range []int{408, 429, 503} {
+		c := callMust("unsafe-3")
+		n := newScriptedNode(t, 3000, func(_ int, conn *net.TCPConn, br *bufio.Reader) {
+			if _, ok := read(br); ok {
+				say(conn, whole(c, status))
+			}
+		})
+		if got, body, err := n.ask(c); got != http.StatusBadGateway || err != nil {
+			t.Errorf("%d after a run: the client gets %d %q, %v", status, got, body, err)
+		}
+	}
+}
+
 // A failure keeps its status, however long it is.
 func TestLongFailureKeepsItsStatus(t *testing.T) {
 	c := callMust("unsafe-199") // its answers are over wholeBytes
--- a/internal/forage/sender.go
+++ b/internal/forage/sender.go
@@ -75,8 +75,9 @@
 }
 
 // youngUs is how long a circuit may have been idle before what cannot be
-// repeated goes out on it (design 6.4).
-const youngUs = 300_000
+// repeated goes out on it (design 6.4): the least rest after which workers forget
+// one is 0.3 s, and what is sent takes a while to come there.
+const youngUs = 250_000
 
 // anyAgeUs lets a circuit of any age be used.
 const anyAgeUs = int64(1) << 50
