--- a/internal/forage/send_test.go
+++ b/internal/forage/send_test.go
@@ -456,3 +456,30 @@
 		t.Errorf("%d bytes are held on", held)
 	}
 }
+
+// A head without an end costs neither memory nor the request's whole time.
+func TestEndlessHead(t *testing.T) {
+	c := callMust("unsafe-3")
+	wrote := make(chan int, 1)
+	n := newScriptedNode(t, 5000, func(_ int, conn *net.TCPConn, br *bufio.Reader) {
+		if _, ok := read(br); !ok {
+			return
+		}
+		line, sum := "X-Pad: "+strings.Repeat("p", 4000)+"\r\n", 0
+		say(conn, sealed(c, 200))
+		for {
+			sent, err := io.WriteString(conn, line)
+			if sum += sent; err != nil {
+				wrote <- sum
+				return
+			}
+		}
+	})
+	began := time.Now()
+	if status, _, err := n.ask(c); status != http.StatusBadGateway || err != nil {
+		t.Errorf("%d, %v", status, err)
+	}
+	if sum := <-wrote; sum > 32<<20 || time.Since(began) > 3*time.Second {
+		t.Errorf("%d bytes of a head were taken in %v", sum, time.Since(began))
+	}
+}
