--- a/internal/forage/sender.go
+++ b/internal/forage/sender.go
@@ -2,12 +2,9 @@
 
 import (
 	"context"
-	"io"
-	"math"
 	"net/http"
 	"strconv"
 	"strings"
-	"sync/atomic"
 	"time"
 
 	"rowanshunt/internal/flora"
@@ -60,20 +57,6 @@
 	Ways      *Slab[Way]
 }
 
-// Way is the record of a request at a worker.
-type Way struct {
-	ctx        context.Context
-	circuit    *Circuit
-	worker     string
-	movedUs    atomic.Int64 // when the worker was last heard
-	repeatable bool
-	cut        atomic.Bool
-	slowUs     int64       // a head later than this counts against the worker
-	silentUs   int64       // and so does a silence this long behind the head
-	headed     atomic.Bool // the head is there
-	blamed     atomic.Bool // it was counted against the worker
-}
-
 // youngUs is how long a circuit may have been idle before what cannot be
 // repeated goes out on it (design 6.4): the least rest after which workers forget
 // one is 0.3 s, and what is sent takes a while to come there.
@@ -82,134 +65,6 @@
 // anyAgeUs lets a circuit of any age be used.
 const anyAgeUs = int64(1) << 50
 
-// silentUs is how long a suspected worker may be silent on a repeatable
-// request before another one is tried (design 6.5).
-const silentUs = 500_000
-
-// minHangUs is the least time without a head after which a repeatable request is
-// taken from a worker that has room.
-const minHangUs = 600_000
-
-// How long a worker may be silent between two events before that counts against
-// it (design 7.4): four of the pauses at which an answer is still in time.
-const (
-	silentPauses = 4
-	minMuteUs    = 1_000_000
-	maxMuteUs    = 2_000_000
-)
-
-// muteUs is that time for a binding's pause, 0 if it names none.
-func muteUs(gapMs int64) int64 {
-	if gapMs <= 0 {
-		return maxMuteUs
-	}
-	return min(max(silentPauses*gapMs*1000, minMuteUs), maxMuteUs)
-}
-
-// Walk looks over all requests at workers: what its client gave up is cut, and
-// so is a repeatable one that hangs at a worker nobody reaches, or at one that
-// fell silent amid its answers.
-func (s *Sender) Walk() {
-	nowUs := waggle.NowUs()
-	heardUs := map[string]int64{} // when this node last heard anything of a worker
-	s.Ways.Each(func(w *Way) {
-		if w.headed.Load() {
-			heardUs[w.worker] = max(heardUs[w.worker], w.movedUs.Load())
-		}
-	})
-	var slow []string
-	s.Ways.Each(func(w *Way) {
-		if w.cut.Load() {
-			return
-		}
-		quietUs := nowUs - w.movedUs.Load()
-		headed := w.headed.Load()
-		late := !headed && quietUs > w.slowUs || headed && quietUs > w.silentUs
-		if late && w.ctx.Err() == nil && !w.blamed.Swap(true) {
-			slow = append(slow, w.worker)
-		}
-		// One answer may pause while its worker goes on with others; a worker
-		// that lives goes on with some.
-		mute := headed && quietUs > w.silentUs && nowUs-heardUs[w.worker] > w.silentUs
-		// No head so late hangs, unless the worker's own load explains it.
-		hangs := !headed && quietUs > max(w.slowUs, minHangUs) && s.Scout.AtLeisure(w.worker)
-		if w.ctx.Err() != nil || w.repeatable && (mute || hangs || quietUs > silentUs && s.Scout.Suspect(w.worker)) {
-			w.cut.Store(true)
-			_ = w.circuit.conn.SetDeadline(time.Unix(1, 0))
-		}
-	})
-	for _, id := range slow {
-		s.Scout.Outcome(id, false)
-	}
-}
-
-// Answer is a worker's answer whose head was read.
-type Answer struct {
-	Resp *http.Response
-	s    *Sender
-	c    *Circuit
-	way  *Way
-	slot int
-	over bool
-}
-
-// Moved notes that the worker was heard, or is waited for again.
-func (a *Answer) Moved() { a.way.movedUs.Store(waggle.NowUs()) }
-
-// Busy notes that it is not the worker that is waited for now.
-func (a *Answer) Busy() { a.way.movedUs.Store(math.MaxInt64) }
-
-// End gives the circuit back if the answer was read whole, else closes it.
-func (a *Answer) End(whole bool) {
-	if a.over {
-		return
-	}
-	a.over = true
-	a.s.Ways.Drop(a.slot)
-	if whole && !a.way.cut.Load() {
-		if a.Resp.StatusCode >= 200 && a.Resp.StatusCode < 500 && !a.way.blamed.Load() {
-			a.s.Scout.Outcome(a.way.worker, true)
-		}
-		a.s.Circuits.Put(a.c, a.Resp)
-	} else {
-		a.s.Circuits.Drop(a.c)
-	}
-}
-
-// unused gives the circuit back: nothing was sent on it.
-func (a *Answer) unused() {
-	a.over = true
-	a.s.Ways.Drop(a.slot)
-	if a.way.cut.Load() {
-		a.s.Circuits.Drop(a.c)
-		return
-	}
-	a.s.Circuits.Unused(a.c)
-}
-
-// What is read of a body that nobody wants, so that its circuit can be used
-// again: so much, and for so long.
-const (
-	maxDiscard  = 64 << 10
-	discardTime = 50 * time.Millisecond
-)
-
-// Discard ends an answer whose body is not wanted. The circuit is used again
-// only if the end of the body was seen.
-func (a *Answer) Discard() {
-	if a.Resp.ContentLength < 0 || a.Resp.ContentLength > int64(a.c.br.Buffered()) {
-		_ = a.c.conn.SetReadDeadline(time.Now().Add(discardTime))
-	}
-	a.End(discarded(a.Resp.Body, maxDiscard))
-}
-
-// discarded reads a body of at most most bytes away, false if its end was not
-// seen.
-func discarded(body io.Reader, most int64) bool {
-	n, err := io.Copy(io.Discard, io.LimitReader(body, most+1))
-	return err == nil && n <= most
-}
-
 // maxOpen is this node's share of the circuits a worker takes (design 6.4).
 func (s *Sender) maxOpen(svc string) int {
 	b := s.Blueprint()
