Lengths in messages of other nodes are checked before the decoder makes room for them

Cause: the MessagePack library makes room for as many elements as an array says it has (its limit is read the wrong way round in decodeSliceValue), so six bytes could take gigabytes and end the process; found by FuzzApply, the input is its seed.

--- a/internal/brood/fuzz_test.go
+++ b/internal/brood/fuzz_test.go
@@ -5,6 +5,8 @@
 	"testing"
 
 	"github.com/vmihailenco/msgpack/v5"
+
+	"rowanshunt/internal/pollen"
 )
 
 // A lot is taken whole or not at all, and what is taken can be sent as it is.
@@ -13,6 +15,7 @@
 		`{"reqs":[{"id":"e5","path":"/p/3","hdrs":{"X-Rowanshunt-Model":"m"},"body":"q83vEg==","toks":940}]}`,
 		`{"reqs":[{"id":"a","path":"/p","toks":9000000000000000000},{"id":"b","path":"/p","toks":9000000000000000000}]}`,
 		`{"reqs":[{"id":"a\r\nX: y","path":"/p HTTP/1.1\r\n","hdrs":{"Content-Length":"1"},"toks":1}]}`,
+		`{"reqs":[{"id":"a\u0007","path":"/p","toks":1}]}`, `{"reqs":[{"id":"a","path":"/p q","toks":1}]}`,
 		`{"reqs":[]}`, `{"reqs":null}`, `{"reqs":[{}]}`, `[`, ``,
 	} {
 		f.Add([]byte(seed))
@@ -58,7 +61,7 @@
 	f.Add(pack(put, &op{Kind: opCatch, Lot: "a", Rev: 9, From: 1, Listed: 44}, &op{Kind: opStamp, Lot: "a", Rev: 1}, &op{Kind: opDrop, Lot: "a"}))
 	f.Fuzz(func(t *testing.T, raw []byte) {
 		var ops []*op
-		if msgpack.Unmarshal(raw, &ops) != nil || len(ops) > 50 {
+		if pollen.Unmarshal(raw, &ops) != nil || len(ops) > 50 {
 			return
 		}
 		lots := map[string]*Lot{}
@@ -97,7 +100,7 @@
 	f.Add([]byte{0xdd, 0xff, 0xff, 0xff, 0xff})
 	f.Fuzz(func(_ *testing.T, raw []byte) {
 		for _, v := range []any{&handCall{}, &handAnswer{}, &TakeCall{}, &TakeAnswer{}, &AckCall{}, &GiveCall{}, &claimCall{}, &claimAnswer{}, &writeCall{}, &writeAnswer{}, &readAnswer{}} {
-			_ = msgpack.Unmarshal(raw, v)
+			_ = pollen.Unmarshal(raw, v)
 		}
 		for _, enc := range []uint8{plain, packed, 9} {
 			_, _ = Unpack(enc, raw, len(raw)*3)
--- a/internal/forage/fuzz_test.go
+++ b/internal/forage/fuzz_test.go
@@ -94,6 +94,7 @@
 	f.Add("PUT", "/a\r\nX: y", "h\n", "i\r\nX-Rowanshunt-Model: z", "w\n", "Content-Length", "99", []byte("x"))
 	f.Add("PUT", "/a", "h", "i", "w", "Content-Length", "99", []byte("x"))
 	f.Add("POST", "/a", "h", "i", "w", "Transfer-Encoding", "chunked", []byte("x"))
+	f.Add("POST", "/a", "h", "i", "w\r\nX-Rowanshunt-Request-Id: other", "A", "b", []byte("x"))
 	f.Add("POST", "/a", "h", "i", "w", HeadID, "another", []byte("x"))
 	f.Fuzz(func(t *testing.T, method, target, host, id, worker, name, value string, body []byte) {
 		p := &Parcel{Method: method, Target: target, Host: host, ID: id, Header: http.Header{}, Body: body}
--- a/internal/pollen/desk.go
+++ b/internal/pollen/desk.go
@@ -39,7 +39,7 @@
 	defer d.mu.Unlock()
 	d.kinds[kind] = func(ctx context.Context, body []byte) (any, error) {
 		in := new(In)
-		if err := msgpack.Unmarshal(body, in); err != nil {
+		if err := Unmarshal(body, in); err != nil {
 			return nil, wax.New(wax.Invalid, kind, "cannot be read: "+err.Error(), "run the same version on all nodes")
 		}
 		out, err := fn(ctx, in)
--- a/internal/pollen/hostile_test.go
+++ b/internal/pollen/hostile_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"errors"
 	"io"
@@ -223,3 +224,17 @@
 		t.Errorf("%d bytes came, %v", n, err)
 	}
 }
+
+// A peer that answers a call never made is told nothing more and believed nothing
+// more: what waits on its circuit learns that it broke.
+func TestAnswerNobodyAsked(t *testing.T) {
+	for _, id := range []uint64{0, 9, 1 << 63} {
+		raw := append(packed(t, frame{kind: frameAnswer, id: id}), packed(t, frame{kind: frameAnswer, id: 1})...)
+		ch := make(chan frame, 1)
+		c := &circuit{conn: &streamConn{in: bytes.NewReader(raw)}, waiting: map[uint64]chan frame{1: ch}, nextID: 3}
+		c.read()
+		if _, ok := <-ch; ok || !c.dead() {
+			t.Errorf("after an answer under %d, call 1 was answered", id)
+		}
+	}
+}
--- a/internal/pollen/tcp.go
+++ b/internal/pollen/tcp.go
@@ -84,7 +84,7 @@
 	t.tally.asked(kind, len(body), len(answer.body))
 	if answer.kind == frameFault {
 		var w faultWire
-		if err := msgpack.Unmarshal(answer.body, &w); err != nil {
+		if err := Unmarshal(answer.body, &w); err != nil {
 			return wax.New(wax.Unsure, kind, "the fault cannot be read", "run the same version on all nodes")
 		}
 		return wax.New(w.Kind, w.Field, w.What, w.Remedy)
@@ -92,7 +92,7 @@
 	if out == nil {
 		return nil
 	}
-	if err := msgpack.Unmarshal(answer.body, out); err != nil {
+	if err := Unmarshal(answer.body, out); err != nil {
 		return wax.New(wax.Unsure, kind, "the answer cannot be read: "+err.Error(), "run the same version on all nodes")
 	}
 	return nil
