--- /dev/null
+++ b/internal/forage/hostile_items_test.go
@@ -0,0 +1,70 @@
+package forage
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+)
+
+// The text of an item is each event's data once and in order, whichever workers
+// broke off, spoiled or refused its runs (design 9.3).
+func TestHostileItems(t *testing.T) {
+	count := 20_000
+	if testing.Short() {
+		count = 3_000
+	}
+	const seed = 7
+	s := newHostileSystem(t, seed)
+	var next, whole, never, left, runs atomic.Int64
+	var all sync.WaitGroup
+	for i := range 64 {
+		all.Go(func() {
+			rng := rand.New(rand.NewPCG(seed, uint64(i)))
+			for n := int(next.Add(1)); n <= count; n = int(next.Add(1)) {
+				c := callMust(fmt.Sprintf("resumable-%d", n))
+				text := &Text{}
+				outcome := NotSent
+				for try := 0; try < 30 && outcome != Whole && outcome != Never; try++ {
+					workers := s.dir.Load().BySvc["a"]
+					until := time.Now().Add(time.Duration(c.leftMs) * time.Millisecond)
+					header := http.Header{"X-Rowanshunt-Model": {"m-" + c.id}, HeadTokens: {fmt.Sprintf("%d,7", c.n)}, HeadPrefix: {"ab:10"}}
+					p := &Parcel{Method: c.method(), Target: c.target(), Host: hostileHost, Header: header, Body: c.body(), ID: c.id, Repeatable: true,
+						Until: until, LeftMs: func() int64 { return time.Until(until).Milliseconds() }}
+					runs.Add(1)
+					outcome, _ = s.forage.Sender.RunItem(context.Background(), workers[rng.IntN(len(workers))], p, text)
+				}
+				switch outcome {
+				case Whole:
+					whole.Add(1)
+					var want []string
+					for i := 1; i <= c.events(); i++ {
+						want = append(want, fmt.Sprintf("%s/%d", c.id, i))
+					}
+					if string(text.Msg) != strings.Join(want, "\n") {
+						t.Errorf("%s: the text is %q", c.id, text.Msg)
+					}
+				case Never:
+					never.Add(1)
+				default:
+					left.Add(1)
+				}
+			}
+		})
+	}
+	all.Wait()
+	s.ledger.mu.Lock()
+	defer s.ledger.mu.Unlock()
+	for _, f := range s.ledger.faults {
+		t.Error(f)
+	}
+	t.Logf("%d items in %d runs: %d whole, %d never, %d left", count, runs.Load(), whole.Load(), never.Load(), left.Load())
+	if whole.Load() < int64(count)*3/4 {
+		t.Errorf("only %d of %d are whole", whole.Load(), count)
+	}
+}
