--- a/internal/forage/job.go
+++ b/internal/forage/job.go
@@ -92,7 +92,7 @@
 		j.need.Exclude = append(j.need.Exclude, worker.ID)
 		mayHaveRun = mayHaveRun || ran
 		if ran && !j.b.Repeatable() {
-			j.giveUp(true, false, 0)
+			j.giveUp(true, !time.Now().Before(j.parcel.Until), 0)
 			return
 		}
 	}
--- a/internal/forage/send_test.go
+++ b/internal/forage/send_test.go
@@ -57,7 +57,12 @@
 	n.forage = newForage(t, func() *flora.Directory { return n.dir }, limitMs)
 	n.server = httptest.NewServer(n.forage)
 	stop := make(chan struct{})
-	t.Cleanup(func() { close(stop); n.server.Close(); n.forage.Sender.Circuits.CloseAll() })
+	t.Cleanup(func() {
+		n.server.CloseClientConnections() // the sweeps end what is under way
+		n.server.Close()
+		close(stop)
+		n.forage.Sender.Circuits.CloseAll()
+	})
 	go func() {
 		for {
 			select {
