Acceptor and proposer as state machines, explored by a model checker

Prepare, accept, the choice of value and the rule that a roster only moves on from a committed one are in acceptor_core.go and proposer_core.go, with neither goroutine, clock, disk nor socket; Acceptor and Proposer drive them. A look (peek) is answered from the durable vote and waits for no write under way. A read by one look at a majority also needs the quorum of the roster found.

The model checker explores all interleavings of two proposers with three to five members, lost and repeated rounds, lost answers, a crash, a wipe and one or two roster changes. Nine planted faults are found, each with a shortest trace.

--- a/internal/nest/acceptor.go
+++ b/internal/nest/acceptor.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 
 	"github.com/vmihailenco/msgpack/v5"
 
@@ -32,24 +33,26 @@
 // Acceptor is one seat's vote. Its rules: a promise is never broken, and what
 // is answered is on disk first.
 type Acceptor struct {
-	mu   sync.Mutex
-	id   string
-	v    vote
+	mu   sync.Mutex // held from a decision until its write is durable
+	core acceptorCore
 	disk keeper
+	// durable is what is on disk, for those who only look: they don't wait for
+	// the lock, since a disk may stall for long.
+	durable atomic.Pointer[vote]
 }
 
 // OpenAcceptor reads the vote that the seat left on disk.
 func OpenAcceptor(id, dir string, log *wax.Log) (*Acceptor, error) {
-	a := &Acceptor{id: id}
+	var last vote
 	c, damage, err := cell.Open(dir, "register.cell", func(rec []byte) error {
 		var v vote
 		if err := msgpack.Unmarshal(rec, &v); err != nil {
 			return err
 		}
 		if v.State == nil {
-			v.State = a.v.State // a promise alone leaves the accepted state
+			v.State = last.State // a promise alone leaves the accepted state
 		}
-		a.v = v
+		last = v
 		return nil
 	})
 	if err != nil {
@@ -58,12 +61,17 @@
 	if damage != nil {
 		log.Warn("cell_tail_cut", "cell", "register", "at", damage.AtByte, "bytes", damage.CutBytes, "why", damage.Why)
 	}
-	a.disk = &cellKeeper{c: c, longBytes: 4 << 20}
-	return a, nil
+	return newAcceptor(id, last, &cellKeeper{c: c, longBytes: 4 << 20}), nil
+}
+
+func newAcceptor(id string, durable vote, disk keeper) *Acceptor {
+	a := &Acceptor{core: acceptorCore{id: id, durable: durable}, disk: disk}
+	a.durable.Store(&durable)
+	return a
 }
 
 // NewFoundingAcceptor makes the seat that a seed holds in its first life.
-func NewFoundingAcceptor(id string) *Acceptor { return &Acceptor{id: id, disk: memory{}} }
+func NewFoundingAcceptor(id string) *Acceptor { return newAcceptor(id, vote{}, memory{}) }
 
 type cellKeeper struct {
 	c         *cell.Cell
@@ -105,13 +113,11 @@
 }
 
 // ID is the seat's identity.
-func (a *Acceptor) ID() string { return a.id }
+func (a *Acceptor) ID() string { return a.core.id }
 
 // State is what the seat last accepted, nil if nothing.
 func (a *Acceptor) State() *State {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	return a.v.State
+	return a.durable.Load().State
 }
 
 type prepareCall struct {
@@ -142,37 +148,27 @@
 	Promised Ballot
 }
 
-func (a *Acceptor) mine(seat string) error {
-	if seat != a.id {
-		return wax.New(wax.Unknown, "seat", "this node holds another seat", "read the roster again")
-	}
-	return nil
-}
-
-// Prepare promises not to accept lower ballots; with Peek it only looks.
+// Prepare promises not to accept lower ballots; with Peek it only looks, which
+// waits for no write under way.
 func (a *Acceptor) Prepare(_ context.Context, in *prepareCall) (*prepareAnswer, error) {
-	if err := a.mine(in.Seat); err != nil {
+	if err := a.core.checkMember(in.Seat); err != nil {
 		return nil, err
 	}
+	if in.Peek {
+		return peek(a.durable.Load()), nil
+	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if !in.Peek {
-		if in.Ballot.Less(a.v.Promised) {
-			return &prepareAnswer{Promised: a.v.Promised}, nil
-		}
-		v := a.v
-		v.Promised = in.Ballot
-		if err := a.disk.keep(v, false); err != nil {
-			return nil, err
-		}
-		a.v = v
+	write, answer := a.core.prepare(in)
+	if err := a.perform(write); err != nil {
+		return nil, err
 	}
-	return &prepareAnswer{OK: true, Promised: a.v.Promised, Accepted: a.v.Accepted, State: a.v.State}, nil
+	return answer, nil
 }
 
 // Accept takes a state unless a higher ballot was promised.
 func (a *Acceptor) Accept(_ context.Context, in *acceptCall) (*acceptAnswer, error) {
-	if err := a.mine(in.Seat); err != nil {
+	if err := a.core.checkMember(in.Seat); err != nil {
 		return nil, err
 	}
 	if in.State == nil {
@@ -180,13 +176,23 @@
 	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if in.Ballot.Less(a.v.Promised) {
-		return &acceptAnswer{Promised: a.v.Promised}, nil
-	}
-	v := vote{Promised: in.Ballot, Accepted: in.Ballot, State: in.State}
-	if err := a.disk.keep(v, true); err != nil {
+	write, answer := a.core.accept(in)
+	if err := a.perform(write); err != nil {
 		return nil, err
 	}
-	a.v = v
-	return &acceptAnswer{OK: true, Promised: in.Ballot}, nil
+	return answer, nil
+}
+
+// perform makes a write durable, if there is one; the lock is held.
+func (a *Acceptor) perform(write *diskWrite) error {
+	if write == nil {
+		return nil
+	}
+	if err := a.disk.keep(write.vote, write.whole); err != nil {
+		return err
+	}
+	a.core.written(write)
+	durable := a.core.durable
+	a.durable.Store(&durable)
+	return nil
 }
--- /dev/null
+++ b/internal/nest/model_explore_test.go
@@ -0,0 +1,519 @@
+package nest
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+
+	"github.com/zeebo/xxh3"
+
+	"rowanshunt/internal/wax"
+)
+
+// scenario bounds what the model checker explores, and holds the machines: a
+// planted fault replaces one of their functions.
+type scenario struct {
+	name      string
+	members   int // of the first roster
+	newcomers int // members that may take the place of a wiped one
+	calls     [][]orderCall
+	attempts  int  // of one call
+	crashes   int  // of acceptors
+	wipes     int  // of acceptors: the next newcomer starts in its place
+	deaths    int  // of proposers: a call is left as it is, a new life begins
+	answered  bool // no answer is lost while it is waited for; rounds may be
+	news      bool // proposers hear of committed states between their calls
+	// leftChange tells that a proposer began replaceCall(0, 3) and died, and that
+	// proposer 1 knows of it from what the acceptor of its own node accepted.
+	leftChange bool
+
+	// Planted faults; nil or false in the real machines.
+	prepare         func(*acceptorCore, *prepareCall) (*diskWrite, *prepareAnswer)
+	accept          func(*acceptorCore, *acceptCall) (*diskWrite, *acceptAnswer)
+	quorum          func(*Roster, map[string]bool) bool
+	answerFirst     bool // an answer leaves before its write is durable
+	sameLife        bool // a new life signs ballots as the one before
+	alwaysCommitted bool // every roster passes for a committed one
+	sameMember      bool // a wiped disk comes back as the old member
+}
+
+type actionKind uint8
+
+const (
+	beginAttempt actionKind = iota
+	deliver
+	deliverAnswerLost
+	giveUpRound
+	crashAcceptor
+	wipeAcceptor
+	killProposer
+	hearNews
+)
+
+// action is one step of the world.
+type action struct {
+	kind actionKind
+	who  uint8 // proposer, or acceptor
+	what uint8 // round
+}
+
+// explorer runs a breadth-first search with a visited set.
+type explorer struct {
+	scenario *scenario
+	in       *interner
+	key      keyWriter
+	fault    string // found in the step just made
+}
+
+type verdict struct {
+	states, transitions, depth int
+	complete                   bool
+	fault                      string
+	trace                      []string
+	acknowledged, refused      int // calls, over all transitions: the run tests something
+}
+
+func acceptorID(i int) string { return string(rune('a' + i)) }
+
+func newExplorer(s *scenario) *explorer {
+	e := &explorer{scenario: s, in: newInterner()}
+	e.key.in = e.in
+	// Members that no call names are alike.
+	switch {
+	case s.leftChange:
+	case s.newcomers > 1:
+		e.key.alikeFrom, e.key.alikeTo = 2, s.members
+	case s.newcomers > 0 || s.wipes > 0:
+		e.key.alikeFrom, e.key.alikeTo = 1, s.members
+	default:
+		e.key.alikeTo = s.members
+	}
+	return e
+}
+
+func (e *explorer) first() *world {
+	s := e.scenario
+	first := &State{Rev: 1, Core: Roster{Ver: 1}}
+	w := &world{crashes: s.crashes, wipes: s.wipes, deaths: s.deaths}
+	for i := range s.members + s.newcomers {
+		w.acceptors = append(w.acceptors, modelAcceptor{core: acceptorCore{id: acceptorID(i)}, alive: i < s.members || s.wipes == 0})
+		if i < s.members {
+			first.Core.Cur = append(first.Core.Cur, Seat{ID: acceptorID(i), Name: acceptorID(i)})
+		}
+	}
+	first = e.in.intern(first)
+	if s.leftChange {
+		// A majority (a, c) promised; c alone accepted.
+		joint, _ := replaceCall(0, 3).change(first.clone())
+		joint.Rev++
+		ballot := Ballot{N: 1, By: "dead"}
+		for i, v := range map[int]vote{0: {Promised: ballot}, 2: {Promised: ballot, Accepted: ballot, State: e.in.intern(joint)}} {
+			w.acceptors[i].disk, w.acceptors[i].core.durable = v, v
+		}
+	}
+	w.committed = []*State{nil, first}
+	for _, calls := range s.calls {
+		w.proposers = append(w.proposers, modelProposer{known: first, committed: true, outcomes: make([]outcome, len(calls))})
+	}
+	if s.leftChange {
+		w.proposers[1].known, w.proposers[1].committed = w.acceptors[2].disk.State, false
+	}
+	return w
+}
+
+func (e *explorer) actions(w *world) []action {
+	var out []action
+	for i := range w.proposers {
+		p := &w.proposers[i]
+		who := uint8(i)
+		if p.phase == idle && p.at < len(e.scenario.calls[i]) {
+			for _, count := range ballotCounts(w, p) {
+				out = append(out, action{beginAttempt, who, count})
+			}
+		}
+		if p.phase != idle {
+			if e.givingUpMatters(w, i) {
+				out = append(out, action{kind: giveUpRound, who: who})
+			}
+			if w.deaths > 0 {
+				out = append(out, action{kind: killProposer, who: who})
+			}
+		}
+		if newest := w.committed[len(w.committed)-1]; e.scenario.news && newest != nil && p.phase == idle && newest.Rev > p.known.Rev {
+			out = append(out, action{kind: hearNews, who: who})
+		}
+	}
+	for i := range w.acceptors {
+		a := &w.acceptors[i]
+		if !a.alive {
+			continue
+		}
+		for r := range w.rounds {
+			if !slices.Contains(w.rounds[r].members, a.core.id) || e.spent(w, &w.rounds[r], a) {
+				continue
+			}
+			out = append(out, action{deliver, uint8(i), uint8(r)})
+			if !e.scenario.answered && waits(w, &w.rounds[r]) && w.rounds[r].state != nil {
+				out = append(out, action{deliverAnswerLost, uint8(i), uint8(r)})
+			}
+		}
+		if w.crashes > 0 && a.core.durable != a.disk {
+			out = append(out, action{kind: crashAcceptor, who: uint8(i)})
+		}
+		if w.wipes > 0 && i == 0 { // members of the first roster are alike
+			out = append(out, action{kind: wipeAcceptor, who: uint8(i)})
+		}
+	}
+	return out
+}
+
+// waits tells whether the round's proposer still takes answers to it.
+func waits(w *world, r *sentRound) bool {
+	p := &w.proposers[r.proposer]
+	return p.call != nil && p.call.ballot == r.ballot && (p.phase == preparing && r.state == nil || p.phase == accepting && r.state != nil)
+}
+
+// ballotCounts lists the counts that a new attempt may have: the next one, or
+// one more than any that a member promised, whichever answers told of it.
+func ballotCounts(w *world, p *modelProposer) []uint8 {
+	counts := []uint8{uint8(p.highest + 1)}
+	for i := range w.acceptors {
+		count := uint8(w.acceptors[i].core.durable.Promised.N + 1)
+		if count > counts[0] && !slices.Contains(counts, count) {
+			counts = append(counts, count)
+		}
+	}
+	return counts
+}
+
+// givingUpMatters tells whether anything may follow from giving up the round
+// that would not follow from waiting on: another attempt or call, or an answer
+// with nothing promised after an earlier attempt.
+func (e *explorer) givingUpMatters(w *world, i int) bool {
+	p := &w.proposers[i]
+	last := p.at == len(e.scenario.calls[i])-1 && p.attempts == e.attemptsOf(i, p)
+	return !last || p.phase == preparing && p.attempts > 1
+}
+
+// spent tells whether a round can do nothing any more at a member. Left out for
+// good reason are promises whose answer nobody takes and calls that the member
+// refuses: the first only make the member refuse more, and a refusal is the same
+// as a loss, but for the ballot count that it tells (ballotCounts). A machine
+// with a planted fault is asked all the same.
+func (e *explorer) spent(w *world, r *sentRound, a *modelAcceptor) bool {
+	durable := &a.core.durable
+	if e.scenario.prepare == nil && e.scenario.accept == nil && r.ballot.Less(durable.Promised) {
+		return true
+	}
+	if waits(w, r) {
+		return w.proposers[r.proposer].call.agreed[a.core.id]
+	}
+	return r.state == nil || durable.Accepted == r.ballot
+}
+
+// dropSpent takes out the rounds that are spent at all members for good. A disk
+// that is behind may lose a promise again.
+func (e *explorer) dropSpent(w *world) {
+	w.rounds = slices.DeleteFunc(w.rounds, func(r sentRound) bool {
+		if waits(w, &r) {
+			return false
+		}
+		for i := range w.acceptors {
+			a := &w.acceptors[i]
+			later := !a.alive && i >= e.scenario.members // a newcomer not there yet
+			if slices.Contains(r.members, a.core.id) && (later || a.alive && (!e.spent(w, &r, a) || a.core.durable != a.disk)) {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+// step makes the world that an action leads to.
+func (e *explorer) step(from *world, act action) *world {
+	w := from.clone()
+	switch act.kind {
+	case beginAttempt:
+		e.begin(w, int(act.who), uint64(act.what))
+	case deliver, deliverAnswerLost:
+		e.deliver(w, &w.rounds[act.what], int(act.who), act.kind == deliver)
+	case giveUpRound:
+		e.endRound(w, int(act.who))
+	case crashAcceptor:
+		w.crashes--
+		a := &w.acceptors[act.who]
+		a.core.durable = a.disk
+	case wipeAcceptor:
+		e.wipe(w, int(act.who))
+	case killProposer:
+		w.deaths--
+		e.endCall(w, int(act.who), unsure)
+		p := &w.proposers[act.who]
+		p.known, p.committed, p.highest = w.committed[1], false, 0
+		if !e.scenario.sameLife {
+			p.life++
+		}
+	case hearNews:
+		p := w.proposerToChange(int(act.who))
+		p.known, p.committed = w.committed[len(w.committed)-1], true
+	}
+	e.dropSpent(w)
+	return w
+}
+
+func (e *explorer) begin(w *world, i int, count uint64) {
+	p := w.proposerToChange(i)
+	if p.call == nil {
+		p.call = newProposal(e.scenario.calls[i][p.at].change)
+		if e.scenario.quorum != nil {
+			p.call.quorum = e.scenario.quorum
+		}
+	}
+	p.attempts++
+	p.highest = count
+	ballot := Ballot{N: p.highest, By: fmt.Sprintf("%d.%d", i, p.life)}
+	members := p.call.prepare(p.known, p.committed || e.scenario.alwaysCommitted, ballot)
+	p.call.committed = p.call.committed || e.scenario.alwaysCommitted
+	p.phase = preparing
+	w.rounds = append(w.rounds, sentRound{proposer: i, ballot: ballot, members: memberIDs(members)})
+}
+
+func memberIDs(members []Seat) []string {
+	ids := make([]string, len(members))
+	for i, m := range members {
+		ids[i] = m.ID
+	}
+	return ids
+}
+
+func (e *explorer) deliver(w *world, r *sentRound, at int, answered bool) {
+	a := &w.acceptors[at]
+	round := *r
+	taken := answered && waits(w, &round)
+	perform := func(write *diskWrite) {
+		if write == nil {
+			return
+		}
+		a.core.written(write)
+		if !e.scenario.answerFirst {
+			a.disk = write.vote
+		}
+	}
+	if round.state == nil {
+		prepare := (*acceptorCore).prepare
+		if e.scenario.prepare != nil {
+			prepare = e.scenario.prepare
+		}
+		write, answer := prepare(&a.core, &prepareCall{Seat: a.core.id, Ballot: round.ballot})
+		perform(write)
+		if taken && w.proposerToChange(round.proposer).call.promised(a.core.id, answer) {
+			e.endRound(w, round.proposer)
+		}
+		return
+	}
+	accept := (*acceptorCore).accept
+	if e.scenario.accept != nil {
+		accept = e.scenario.accept
+	}
+	write, answer := accept(&a.core, &acceptCall{Seat: a.core.id, Ballot: round.ballot, State: round.state})
+	perform(write)
+	if taken && w.proposerToChange(round.proposer).call.accepted(a.core.id, answer) {
+		e.endRound(w, round.proposer)
+	}
+}
+
+// endRound ends a round that has its quorum, or whose time is over.
+func (e *explorer) endRound(w *world, i int) {
+	p := w.proposerToChange(i)
+	if p.phase == preparing {
+		members := p.call.propose()
+		if len(members) > 0 {
+			moved := p.call.next != nil && p.call.next != p.call.commit
+			p.call.commit = e.in.intern(p.call.commit)
+			if p.call.next != nil && !moved {
+				p.call.next = p.call.commit
+			}
+			p.phase = accepting
+			w.rounds = append(w.rounds, sentRound{proposer: i, ballot: p.call.ballot, members: memberIDs(members), state: p.call.commit})
+			return
+		}
+		e.retry(w, i)
+		return
+	}
+	learned, ended := p.call.conclude()
+	if learned != nil {
+		e.commit(w, i, learned)
+	}
+	if !ended {
+		e.retry(w, i)
+		return
+	}
+	call := e.scenario.calls[i][p.at]
+	if call.again != nil && p.call.refusal == nil && call.again(learned) {
+		p.phase, p.call = idle, nil
+		p.attempts = 0
+		return
+	}
+	if p.call.refusal != nil {
+		e.endCall(w, i, refused)
+	} else {
+		e.endCall(w, i, acknowledged)
+	}
+}
+
+// attemptsOf bounds the attempts of the call under way.
+func (e *explorer) attemptsOf(i int, p *modelProposer) int {
+	call := e.scenario.calls[i][p.at]
+	if call.attempts > 0 {
+		return call.attempts
+	}
+	return e.scenario.attempts
+}
+
+// retry begins a new attempt, or ends the call if there were enough.
+func (e *explorer) retry(w *world, i int) {
+	p := &w.proposers[i]
+	if p.attempts < e.attemptsOf(i, p) {
+		p.phase = idle
+		return
+	}
+	if wax.Is(p.call.abandoned(), wax.Declined) {
+		e.endCall(w, i, declined)
+	} else {
+		e.endCall(w, i, unsure)
+	}
+}
+
+func (e *explorer) endCall(w *world, i int, how outcome) {
+	p := w.proposerToChange(i)
+	p.outcomes[p.at] = how
+	p.at++
+	p.attempts, p.phase, p.call = 0, idle, nil
+	e.checkOutcomes(w)
+}
+
+// wipe loses an acceptor's disk; the next newcomer starts in its place.
+func (e *explorer) wipe(w *world, i int) {
+	w.wipes--
+	if e.scenario.sameMember {
+		w.acceptors[i] = modelAcceptor{core: acceptorCore{id: acceptorID(i)}, alive: true}
+		return
+	}
+	w.acceptors[i].alive = false
+	for k := e.scenario.members; k < len(w.acceptors); k++ {
+		if !w.acceptors[k].alive {
+			w.acceptors[k].alive = true
+			return
+		}
+	}
+}
+
+// run explores until there is nothing new, a fault, or too many states.
+func (e *explorer) run(mostStates int) verdict {
+	type origin struct {
+		parent int32
+		act    action
+	}
+	first := e.first()
+	visited := map[xxh3.Uint128]struct{}{xxh3.Hash128(e.key.world(first)): {}}
+	origins := []origin{{parent: -1}}
+	type node struct {
+		w  *world
+		id int32
+	}
+	frontier := []node{{first, 0}}
+	v := verdict{states: 1}
+	for ; len(frontier) > 0; v.depth++ {
+		var next []node
+		for _, from := range frontier {
+			for _, act := range e.actions(from.w) {
+				w := e.step(from.w, act)
+				v.transitions++
+				hash := xxh3.Hash128(e.key.world(w))
+				if _, seen := visited[hash]; seen && e.fault == "" {
+					continue
+				}
+				visited[hash] = struct{}{}
+				id := int32(len(origins))
+				origins = append(origins, origin{from.id, act})
+				v.states++
+				if e.fault != "" {
+					v.fault = e.fault
+					var path []action
+					for at := id; at > 0; at = origins[at].parent {
+						path = append(path, origins[at].act)
+					}
+					slices.Reverse(path)
+					v.trace = e.describe(path)
+					return v
+				}
+				next = append(next, node{w, id})
+				v.count(from.w, w)
+			}
+		}
+		if v.states > mostStates {
+			return v
+		}
+		frontier = next
+	}
+	v.complete = true
+	return v
+}
+
+func (v *verdict) count(before, after *world) {
+	for i := range after.proposers {
+		for k, o := range after.proposers[i].outcomes {
+			if before.proposers[i].outcomes[k] != o && o == acknowledged {
+				v.acknowledged++
+			}
+			if before.proposers[i].outcomes[k] != o && o == refused {
+				v.refused++
+			}
+		}
+	}
+}
+
+// describe replays a path and says what happens in each step.
+func (e *explorer) describe(path []action) []string {
+	w := e.first()
+	var out []string
+	for _, act := range path {
+		var text string
+		switch act.kind {
+		case beginAttempt:
+			p := &w.proposers[act.who]
+			text = fmt.Sprintf("proposer %d sends a prepare round for %q", act.who, e.scenario.calls[act.who][p.at].name)
+		case deliver, deliverAnswerLost:
+			r := &w.rounds[act.what]
+			what := "a prepare"
+			if r.state != nil {
+				what = "an accept of " + describeState(r.state)
+			}
+			text = fmt.Sprintf("member %s gets %s, ballot %d of %s", w.acceptors[act.who].core.id, what, r.ballot.N, r.ballot.By)
+			if act.kind == deliverAnswerLost {
+				text += "; the answer is lost"
+			}
+		case giveUpRound:
+			text = fmt.Sprintf("proposer %d waits no longer", act.who)
+		case crashAcceptor:
+			text = fmt.Sprintf("member %s crashes and reads its disk", w.acceptors[act.who].core.id)
+		case wipeAcceptor:
+			text = fmt.Sprintf("member %s loses its disk", w.acceptors[act.who].core.id)
+		case killProposer:
+			text = fmt.Sprintf("proposer %d dies and starts again", act.who)
+		case hearNews:
+			text = fmt.Sprintf("proposer %d hears what is committed", act.who)
+		}
+		next := e.step(w, act)
+		for i := range next.proposers {
+			for k, o := range next.proposers[i].outcomes {
+				if w.proposers[i].outcomes[k] != o {
+					text += fmt.Sprintf("; %q is %s", e.scenario.calls[i][k].name, outcomeNames[o])
+				}
+			}
+		}
+		w = next
+		out = append(out, text)
+	}
+	return append(out, "FAULT: "+strings.TrimSpace(e.fault))
+}
--- /dev/null
+++ b/internal/nest/model_test.go
@@ -0,0 +1,260 @@
+package nest
+
+import (
+	"flag"
+	"fmt"
+	"slices"
+	"strings"
+	"testing"
+)
+
+// The model checker explores all interleavings of a scenario within its bounds.
+// It runs longer with, for instance,
+//
+//	go test ./internal/nest -run 'TestModel$' -timeout 2h -model.long -model.states 100000000 -v
+var (
+	modelAttempts = flag.Int("model.attempts", 0, "attempts of each call, 0 for the scenario's own")
+	modelLong     = flag.Bool("model.long", false, "explore the scenarios that take minutes too")
+	modelStates   = flag.Int("model.states", 3_000_000, "states after which a scenario is given up")
+)
+
+// Invariants, looked at when a proposer learns that a state is committed and
+// when a call is answered.
+
+// commit takes what proposer i learned to be committed.
+func (e *explorer) commit(w *world, i int, s *State) {
+	p := &w.proposers[i]
+	if !p.committed || s.Rev > p.known.Rev {
+		p.known, p.committed = s, true
+	}
+	for uint64(len(w.committed)) <= s.Rev {
+		w.committed = append(w.committed, nil)
+	}
+	if other := w.committed[s.Rev]; other != nil && other != s {
+		e.faulty("two values of one revision: %s, and %s", describeState(other), describeState(s))
+		return
+	}
+	w.committed[s.Rev] = s
+	var before *State
+	for _, later := range w.committed {
+		if later == nil {
+			continue
+		}
+		if before != nil && !extends(logOf(later), logOf(before)) {
+			e.faulty("no chain: %s, after %s", describeState(later), describeState(before))
+		}
+		before = later
+	}
+	e.checkOutcomes(w)
+}
+
+func (e *explorer) faulty(format string, args ...any) {
+	if e.fault == "" {
+		e.fault = fmt.Sprintf(format, args...)
+	}
+}
+
+func logOf(s *State) *OrderLog {
+	log, err := ConfigOrders.Load(s, s.Ver)
+	if err != nil {
+		panic(err)
+	}
+	return log
+}
+
+func extends(later, before *OrderLog) bool {
+	return len(later.Taken) >= len(before.Taken) && slices.Equal(later.Taken[:len(before.Taken)], before.Taken)
+}
+
+// checkOutcomes holds what was answered against what is committed.
+func (e *explorer) checkOutcomes(w *world) {
+	var newest *State
+	for _, s := range w.committed {
+		if s != nil {
+			newest = s
+		}
+	}
+	log := logOf(newest)
+	type answers struct{ byOutcome [len(outcomeNames)]int }
+	byOrder := map[Order]*answers{}
+	ackedOn := map[int64]Order{}
+	for i := range w.proposers {
+		for k, how := range w.proposers[i].outcomes {
+			order := e.scenario.calls[i][k].order
+			if order == nil {
+				continue
+			}
+			if byOrder[*order] == nil {
+				byOrder[*order] = &answers{}
+			}
+			byOrder[*order].byOutcome[how]++
+			if how != acknowledged {
+				continue
+			}
+			if other, twice := ackedOn[order.Base]; twice && other != *order {
+				e.faulty("two orders on version %d were acknowledged: %d and %d", order.Base, other.Ver, order.Ver)
+			}
+			ackedOn[order.Base] = *order
+		}
+	}
+	for order, a := range byOrder {
+		taken := log.hasTaken(order)
+		switch {
+		case a.byOutcome[acknowledged] > 0 && !taken:
+			e.faulty("order %d on %d was acknowledged and is lost", order.Ver, order.Base)
+		case a.byOutcome[refused] > 0 && taken:
+			e.faulty("order %d on %d was refused and is taken", order.Ver, order.Base)
+		case taken && a.byOutcome[declined] > 0 && a.byOutcome[acknowledged]+a.byOutcome[pending]+a.byOutcome[unsure] == 0:
+			e.faulty("order %d on %d was declined with nothing promised and is taken", order.Ver, order.Base)
+		}
+	}
+}
+
+func putCall(name string, ver, base int64) orderCall {
+	doc := []byte(name)
+	order := NewOrder(ver, base, doc)
+	return orderCall{name: fmt.Sprintf("%s: %d on %d", name, ver, base), order: &order, change: PutChange(doc, ver, base)}
+}
+
+var readCall = orderCall{name: "read", change: func(*State) (*State, error) { return nil, nil }}
+
+// replaceCall brings a newcomer in, in the place of a member, as a node does
+// that joins.
+func replaceCall(old, newcomer int) orderCall {
+	has := func(s *State) bool { return s.Core.Has(acceptorID(newcomer)) }
+	return orderCall{
+		name:  "replace " + acceptorID(old) + " by " + acceptorID(newcomer),
+		again: func(s *State) bool { return s.Core.Joint() || !has(s) },
+		change: func(now *State) (*State, error) {
+			switch {
+			case now.Core.Joint():
+				now.Core = now.Core.Settle()
+			case has(now):
+				return nil, nil
+			default:
+				next := slices.Clone(now.Core.Cur)
+				for i := range next {
+					if next[i].ID == acceptorID(old) {
+						next[i] = Seat{ID: acceptorID(newcomer), Name: acceptorID(old)}
+					}
+				}
+				now.Core = now.Core.Begin(next)
+			}
+			return now, nil
+		},
+	}
+}
+
+// once leaves a change of several steps after the first that is answered.
+func (c orderCall) once() orderCall {
+	c.again = nil
+	return c
+}
+
+var (
+	race       = [][]orderCall{{putCall("x", 4, 0)}, {putCall("y", 5, 0)}}
+	resend     = [][]orderCall{{putCall("x", 4, 0), putCall("x", 4, 0)}, {putCall("y", 9, 4)}}
+	replaceOne = [][]orderCall{{replaceCall(0, 3).within(2)}, {putCall("y", 5, 0)}}
+	// A roster change that was left is found and carried on while another
+	// proposer knows the first roster only.
+	leftChange     = [][]orderCall{{putCall("x", 4, 0).within(1)}, {replaceCall(0, 3).within(2).once()}}
+	leftChangeLong = [][]orderCall{{putCall("x", 4, 0).within(1)}, {replaceCall(0, 3).within(3).once()}}
+)
+
+// within bounds the attempts of the call.
+func (c orderCall) within(attempts int) orderCall {
+	c.attempts = attempts
+	return c
+}
+
+func modelScenarios() []*scenario {
+	scenarios := []*scenario{
+		{name: "race of two orders, three members", members: 3, calls: race, attempts: 2},
+		{name: "an order sent again and built upon", members: 3, calls: resend, attempts: 1},
+		{name: "a proposer dies and sends its order again", members: 3, calls: [][]orderCall{{putCall("x", 4, 0), putCall("x", 4, 0)}, {putCall("y", 5, 0)}}, attempts: 1, deaths: 1, crashes: 1},
+		{name: "race, five members", members: 5, calls: race, attempts: 1},
+		{name: "a member is wiped and replaced under an order", members: 3, newcomers: 1, calls: replaceOne, attempts: 1, wipes: 1},
+		{name: "a roster change that was left is carried on", members: 3, newcomers: 1, calls: leftChange, leftChange: true, answered: true},
+		{name: "two roster changes at once", members: 3, newcomers: 2, calls: [][]orderCall{{replaceCall(0, 3)}, {replaceCall(1, 4), putCall("y", 5, 0)}}, attempts: 1, wipes: 2},
+	}
+	if *modelLong {
+		scenarios = append(scenarios,
+			&scenario{name: "a roster change that was left, three attempts", members: 3, newcomers: 1, calls: leftChangeLong, leftChange: true, answered: true},
+			&scenario{name: "race of two orders, five members, two attempts", members: 5, calls: race, attempts: 2},
+			&scenario{name: "a member is wiped and replaced, two attempts", members: 3, newcomers: 1, calls: replaceOne, attempts: 2, wipes: 1})
+	}
+	return scenarios
+}
+
+func TestModel(t *testing.T) {
+	for _, s := range modelScenarios() {
+		t.Run(s.name, func(t *testing.T) {
+			if *modelAttempts > 0 {
+				s.attempts = *modelAttempts
+			}
+			v := newExplorer(s).run(*modelStates)
+			t.Logf("%d states, %d transitions, depth %d, complete: %v; %d acknowledgements, %d refusals", v.states, v.transitions, v.depth, v.complete, v.acknowledged, v.refused)
+			if v.fault != "" {
+				t.Fatalf("fault:\n%s", strings.Join(v.trace, "\n"))
+			}
+			if !v.complete && *modelAttempts == 0 {
+				t.Errorf("more than %d states", *modelStates)
+			}
+			if v.acknowledged == 0 {
+				t.Error("nothing was acknowledged: the scenario tests nothing")
+			}
+		})
+	}
+}
+
+// Faults planted in the machines are found, each with its shortest trace.
+func TestModelFindsPlantedFaults(t *testing.T) {
+	mine := func(name string, calls [][]orderCall, plant func(*scenario)) *scenario {
+		s := &scenario{name: name, members: 3, calls: calls, attempts: 2}
+		plant(s)
+		return s
+	}
+	for _, s := range []*scenario{
+		mine("accept without a look at the promise", race, func(s *scenario) {
+			s.accept = func(c *acceptorCore, in *acceptCall) (*diskWrite, *acceptAnswer) {
+				return &diskWrite{vote: vote{Promised: in.Ballot, Accepted: in.Ballot, State: in.State}, whole: true}, &acceptAnswer{OK: true, Promised: in.Ballot}
+			}
+		}),
+		mine("a promise that tells nothing of what was accepted", race, func(s *scenario) {
+			s.prepare = func(c *acceptorCore, in *prepareCall) (*diskWrite, *prepareAnswer) {
+				write, answer := c.prepare(in)
+				answer.State = nil
+				return write, answer
+			}
+		}),
+		mine("an answer before its write is durable", race, func(s *scenario) { s.answerFirst, s.crashes = true, 1 }),
+		mine("a quorum of one", race, func(s *scenario) {
+			s.quorum = func(_ *Roster, agreed map[string]bool) bool { return len(agreed) > 0 }
+		}),
+		mine("a half is a quorum", [][]orderCall{{putCall("x", 4, 0)}, {putCall("y", 5, 0)}}, func(s *scenario) {
+			s.members, s.attempts = 4, 1
+			s.quorum = func(r *Roster, agreed map[string]bool) bool { return 2*len(agreed) >= len(r.Cur) }
+		}),
+		mine("a new life signs as the one before", [][]orderCall{{putCall("x", 4, 0), putCall("z", 6, 0)}, {putCall("y", 5, 0)}}, func(s *scenario) {
+			s.sameLife, s.deaths, s.attempts = true, 1, 1
+		}),
+		mine("a wiped disk comes back as the old member", race, func(s *scenario) { s.sameMember, s.wipes, s.attempts = true, 1, 1 }),
+		mine("only the new set's quorum while joint", leftChange, func(s *scenario) {
+			s.newcomers, s.leftChange, s.answered = 1, true, true
+			s.quorum = func(r *Roster, agreed map[string]bool) bool { return majority(r.Cur, agreed) }
+		}),
+		mine("a roster moves on from one that is not committed", leftChangeLong, func(s *scenario) {
+			s.newcomers, s.leftChange, s.answered = 1, true, true
+			s.alwaysCommitted = true
+		}),
+	} {
+		t.Run(s.name, func(t *testing.T) {
+			v := newExplorer(s).run(*modelStates)
+			t.Logf("%d states, depth %d, %s", v.states, v.depth, v.fault)
+			if v.fault == "" {
+				t.Fatalf("not found in %d states, complete: %v", v.states, v.complete)
+			}
+			t.Logf("shortest trace:\n%s", strings.Join(v.trace, "\n"))
+		})
+	}
+}
--- /dev/null
+++ b/internal/nest/model_world_test.go
@@ -0,0 +1,283 @@
+package nest
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+
+	"github.com/vmihailenco/msgpack/v5"
+
+	"rowanshunt/internal/wax"
+)
+
+// The model checker's world: the real acceptor and proposer state machines, a
+// network that keeps every round ever sent, and the record of what was answered.
+//
+// Loss, repetition and delay: a round, once sent, may reach each member at any
+// later time, any number of times, or never. An answer reaches the proposer at
+// once or never. That leaves nothing out: an answer only changes the proposer's
+// own state, and what follows from it leaves the proposer as a round, which may
+// be as late as you like.
+//
+// Crash of an acceptor: its memory is read anew from its disk. Since a write and
+// its answer are one step here, a crash between them is a lost answer, and one
+// before the write is a lost round.
+
+// orderCall is one call that a proposer makes in a scenario.
+type orderCall struct {
+	name   string
+	order  *Order // nil for reads and roster changes
+	change Change
+	// again tells from the committed state whether the call is to be made once
+	// more, as a member that joins does.
+	again func(*State) bool
+	// attempts are those of this call, 0 for the scenario's.
+	attempts int
+}
+
+// outcome is what an operator was answered.
+type outcome uint8
+
+const (
+	pending outcome = iota
+	acknowledged
+	refused
+	declined // with nothing promised
+	unsure
+)
+
+var outcomeNames = [...]string{"pending", "acknowledged", "refused", "declined", "unsure"}
+
+type modelAcceptor struct {
+	core  acceptorCore
+	disk  vote
+	alive bool
+}
+
+type proposerPhase uint8
+
+const (
+	idle proposerPhase = iota
+	preparing
+	accepting
+)
+
+type modelProposer struct {
+	life      int
+	highest   uint64
+	known     *State
+	committed bool
+	at        int // index of the call under way or next
+	attempts  int // made for that call
+	phase     proposerPhase
+	call      *proposal
+	outcomes  []outcome
+}
+
+// sentRound is a round in the network.
+type sentRound struct {
+	proposer int
+	ballot   Ballot
+	members  []string
+	state    *State // of an accept round, nil for a prepare round
+}
+
+type world struct {
+	acceptors []modelAcceptor
+	proposers []modelProposer
+	rounds    []sentRound
+	committed []*State // by revision, as the proposers learned them
+	crashes   int      // left
+	wipes     int      // left
+	deaths    int      // of proposers, left
+}
+
+func (w *world) clone() *world {
+	c := *w
+	c.acceptors = slices.Clone(w.acceptors)
+	c.proposers = slices.Clone(w.proposers)
+	c.rounds = slices.Clone(w.rounds)
+	c.committed = slices.Clone(w.committed)
+	return &c
+}
+
+// proposerToChange gives a proposer that may be changed without touching the
+// worlds that share it.
+func (w *world) proposerToChange(i int) *modelProposer {
+	p := &w.proposers[i]
+	if p.call != nil {
+		call := *p.call
+		call.agreed = maps.Clone(call.agreed)
+		p.call = &call
+	}
+	p.outcomes = slices.Clone(p.outcomes)
+	return p
+}
+
+// interner gives equal states one pointer and one number.
+type interner struct {
+	byBytes map[string]*State
+	numbers map[*State]uint16
+}
+
+func newInterner() *interner {
+	return &interner{byBytes: map[string]*State{}, numbers: map[*State]uint16{nil: 0}}
+}
+
+func (in *interner) intern(s *State) *State {
+	if s == nil {
+		return nil
+	}
+	raw, err := msgpack.Marshal(s)
+	if err != nil {
+		panic(err)
+	}
+	if known, ok := in.byBytes[string(raw)]; ok {
+		return known
+	}
+	in.byBytes[string(raw)] = s
+	in.numbers[s] = uint16(len(in.numbers))
+	return s
+}
+
+// keyWriter writes a world as bytes: equal bytes, equal worlds.
+type keyWriter struct {
+	in  *interner
+	buf []byte
+	// Members with these indices are alike: worlds that differ only in which of
+	// them is which count as one.
+	alikeFrom, alikeTo int
+}
+
+func (k *keyWriter) byte(b int) { k.buf = append(k.buf, byte(b)) }
+
+func (k *keyWriter) flag(b bool) {
+	if b {
+		k.byte(1)
+	} else {
+		k.byte(0)
+	}
+}
+
+func (k *keyWriter) ballot(b Ballot) {
+	k.byte(int(b.N))
+	k.buf = append(k.buf, b.By...)
+	k.byte(255)
+}
+
+func (k *keyWriter) state(s *State) {
+	n, ok := k.in.numbers[s]
+	if !ok {
+		panic("a state is not interned")
+	}
+	k.buf = append(k.buf, byte(n), byte(n>>8))
+}
+
+func (k *keyWriter) vote(v *vote) {
+	k.ballot(v.Promised)
+	k.ballot(v.Accepted)
+	k.state(v.State)
+}
+
+func (k *keyWriter) proposer(w *world, p *modelProposer) {
+	k.byte(p.life)
+	k.byte(int(p.highest))
+	k.state(p.known)
+	k.flag(p.committed)
+	k.byte(p.at)
+	k.byte(p.attempts)
+	k.byte(int(p.phase))
+	for _, o := range p.outcomes {
+		k.byte(int(o))
+	}
+	if p.call == nil {
+		return
+	}
+	k.state(p.call.basis)
+	k.flag(p.call.tried)
+	if p.phase == idle {
+		return
+	}
+	k.state(p.call.known)
+	k.flag(p.call.committed)
+	k.ballot(p.call.ballot)
+	if p.phase == preparing {
+		k.state(p.call.found)
+		k.ballot(p.call.foundAt)
+		return
+	}
+	k.state(p.call.commit)
+	k.flag(p.call.next != nil && p.call.next != p.call.commit)
+	k.byte(int(wax.KindOf(p.call.refusal)))
+	k.flag(p.call.refusal != nil)
+}
+
+func (k *keyWriter) member(w *world, a *modelAcceptor) {
+	k.flag(a.alive)
+	if a.alive {
+		k.vote(&a.core.durable)
+		k.flag(a.disk != a.core.durable)
+		if a.disk != a.core.durable {
+			k.vote(&a.disk)
+		}
+	}
+	for i := range w.proposers {
+		p := &w.proposers[i]
+		k.flag(p.phase != idle && p.call.agreed[a.core.id])
+	}
+}
+
+func (k *keyWriter) members(w *world) {
+	var alike []string
+	for i := range w.acceptors {
+		start := len(k.buf)
+		k.member(w, &w.acceptors[i])
+		if i >= k.alikeFrom && i < k.alikeTo {
+			alike = append(alike, string(k.buf[start:]))
+			k.buf = k.buf[:start]
+		}
+	}
+	slices.Sort(alike)
+	for _, member := range alike {
+		k.buf = append(k.buf, member...)
+		k.byte(253)
+	}
+}
+
+func (k *keyWriter) world(w *world) []byte {
+	k.buf = k.buf[:0]
+	k.members(w)
+	for i := range w.proposers {
+		k.proposer(w, &w.proposers[i])
+	}
+	for _, r := range w.rounds {
+		k.byte(r.proposer)
+		k.ballot(r.ballot)
+		k.state(r.state)
+	}
+	k.byte(254)
+	for _, s := range w.committed {
+		k.state(s)
+	}
+	k.byte(w.crashes)
+	k.byte(w.wipes)
+	k.byte(w.deaths)
+	return k.buf
+}
+
+func describeState(s *State) string {
+	if s == nil {
+		return "nothing"
+	}
+	ids := func(seats []Seat) (out string) {
+		for _, seat := range seats {
+			out += seat.ID
+		}
+		return out
+	}
+	text := fmt.Sprintf("revision %d, version %d %q, roster %d of %s", s.Rev, s.Ver, s.Doc, s.Core.Ver, ids(s.Core.Cur))
+	if s.Core.Joint() {
+		text += " joint with " + ids(s.Core.Prev)
+	}
+	return text
+}
--- a/internal/nest/proposer.go
+++ b/internal/nest/proposer.go
@@ -102,7 +102,7 @@
 		if top.State == nil {
 			return known, nil
 		}
-		if top.State.Core.Ver == known.Core.Ver {
+		if top.State.Core.Ver == known.Core.Ver && top.State.Core.Quorum(agreed) {
 			p.learn(top.State)
 			return top.State, nil
 		}
@@ -113,6 +113,7 @@
 // Change runs change on the newest state and commits what it returns. If
 // change refuses, the state it saw is committed first, so that the refusal
 // stands on something that will stay. An Unsure fault: may or may not be done.
+// It drives a proposal, which decides.
 func (p *Proposer) Change(ctx context.Context, change Change) (*State, error) {
 	select {
 	case <-p.turn:
@@ -120,120 +121,53 @@
 		return nil, wax.New(wax.Declined, "register", "no turn in time", "try again")
 	}
 	defer func() { p.turn <- struct{}{} }()
-	tried := false
-	var basis *State // knowledge won in this call, maybe not committed
+	call := newProposal(change)
 	for attempt := 0; ; attempt++ {
-		if ctx.Err() != nil {
-			kind := wax.Declined
-			if tried {
-				kind = wax.Unsure
-			}
-			return nil, wax.New(kind, "register", "no majority in time", "look which core machines run; try again")
-		}
-		if attempt > 0 {
+		if attempt > 0 && ctx.Err() == nil {
 			waggle.Pause(ctx, time.Duration(5+rand.IntN(20*min(attempt, 8)))*time.Millisecond)
-			if ctx.Err() != nil {
-				continue
-			}
 		}
-		known, committed := p.known()
-		if basis != nil && (known == nil || basis.Core.Ver > known.Core.Ver) {
-			known, committed = basis, false
+		if ctx.Err() != nil {
+			return nil, call.abandoned()
 		}
-		if known == nil {
-			continue
+		members := p.prepare(ctx, call)
+		if call.known != nil && call.foundNewerRoster() {
+			attempt = 0 // again, with the roster that holds now
 		}
-		ballot, found, ok := p.prepare(ctx, known)
-		if !ok {
-			// The seats it knows may be gone, all but one: what that one has
-			// accepted tells whom to ask now (design 4.4).
-			if found != nil && found.Core.Ver > known.Core.Ver {
-				basis = found
-				attempt = 0
-			}
+		if len(members) == 0 {
 			continue
 		}
-		now := known
-		if found != nil {
-			if found.Core.Ver > known.Core.Ver {
-				basis = found
-				attempt = 0
-				continue // again, with the roster that holds now
-			}
-			now = found
-		}
-		next, refusal := change(now.clone())
-		commit := now.clone()
-		if next != nil {
-			if next.Core.Ver == now.Core.Ver || committed {
-				commit = next
-				commit.Rev = now.Rev + 1
-			}
-			tried = tried || refusal == nil
+		p.accept(ctx, call, members)
+		learned, ended := call.conclude()
+		if learned != nil {
+			p.learn(learned)
 		}
-		if p.accept(ctx, known, ballot, commit) {
-			p.learn(commit)
-			if next != nil && commit != next {
-				// A roster only moves on from a committed one: without that
-				// rule two rosters could each find a majority (design 4.4).
-				basis = nil
-				continue
-			}
-			return commit, refusal
+		if ended {
+			return learned, call.refusal
 		}
 	}
 }
 
-// prepare asks for promises. found is the newest state that those who promised
-// have accepted; without a majority (not ok) it is a hint and no more.
-func (p *Proposer) prepare(ctx context.Context, known *State) (Ballot, *State, bool) {
+// prepare sends a prepare round and gives the members to send the accept round
+// to, none if a new attempt is needed.
+func (p *Proposer) prepare(ctx context.Context, call *proposal) []Seat {
 	p.highest++
+	known, committed := p.known()
 	ballot := Ballot{N: p.highest, By: p.by}
-	agreed := map[string]bool{}
-	var top *prepareAnswer
-	askSeats(ctx, p, known.Core.All(), p.kinds[0], func(s Seat) any { return &prepareCall{Seat: s.ID, Ballot: ballot} }, func(a callOut[prepareAnswer]) bool {
-		if a.err != nil {
-			return false
-		}
-		p.highest = max(p.highest, a.out.Promised.N)
-		if !a.out.OK {
-			return false
-		}
-		if a.out.State != nil && (top == nil || top.Accepted.Less(a.out.Accepted)) {
-			top = a.out
-		}
-		agreed[a.seat.ID] = true
-		return known.Core.Quorum(agreed)
-	})
-	var found *State
-	if top != nil {
-		found = top.State
+	members := call.prepare(known, committed, ballot)
+	if len(members) == 0 {
+		return nil
 	}
-	return ballot, found, known.Core.Quorum(agreed)
+	askSeats(ctx, p, members, p.kinds[0], func(s Seat) any { return &prepareCall{Seat: s.ID, Ballot: ballot} }, func(a callOut[prepareAnswer]) bool {
+		return a.err == nil && call.promised(a.seat.ID, a.out)
+	})
+	p.highest = max(p.highest, call.highest)
+	return call.propose()
 }
 
-func (p *Proposer) accept(ctx context.Context, known *State, ballot Ballot, next *State) bool {
-	seats := known.Core.All()
-	for _, s := range next.Core.All() {
-		have := false
-		for _, t := range seats {
-			have = have || t.ID == s.ID
-		}
-		if !have {
-			seats = append(seats, s)
-		}
-	}
-	agreed := map[string]bool{}
-	enough := func() bool { return known.Core.Quorum(agreed) && next.Core.Quorum(agreed) }
-	askSeats(ctx, p, seats, p.kinds[1], func(s Seat) any { return &acceptCall{Seat: s.ID, Ballot: ballot, State: next} }, func(a callOut[acceptAnswer]) bool {
-		if a.err != nil {
-			return false
-		}
-		p.highest = max(p.highest, a.out.Promised.N)
-		if a.out.OK {
-			agreed[a.seat.ID] = true
-		}
-		return enough()
+// accept sends an accept round.
+func (p *Proposer) accept(ctx context.Context, call *proposal, members []Seat) {
+	askSeats(ctx, p, members, p.kinds[1], func(s Seat) any { return &acceptCall{Seat: s.ID, Ballot: call.ballot, State: call.commit} }, func(a callOut[acceptAnswer]) bool {
+		return a.err == nil && call.accepted(a.seat.ID, a.out)
 	})
-	return enough()
+	p.highest = max(p.highest, call.highest)
 }
