--- a/internal/flora/departures.go
+++ b/internal/flora/departures.go
@@ -44,8 +44,9 @@
 
 func newDepartureLog() *departureLog { return &departureLog{epoch: rand.Uint64() | 1} }
 
-// add notes a departure and forgets those that are past asking.
-func (l *departureLog) add(workerID string, nowUs int64) {
+// add notes a departure, forgets those that are past asking, and gives the
+// number of the new one.
+func (l *departureLog) add(workerID string, nowUs int64) uint64 {
 	expired := 0
 	for expired < len(l.entries) && (nowUs-l.entries[expired].atUs > departureKeepUs || len(l.entries)-expired >= maxWorkers) {
 		expired++
@@ -53,6 +54,7 @@
 	l.entries = l.entries[expired:]
 	l.lastSeq++
 	l.entries = append(l.entries, departure{seq: l.lastSeq, atUs: nowUs, workerID: workerID})
+	return l.lastSeq
 }
 
 // after lists one page of what follows a number.
@@ -102,7 +104,7 @@
 		out := &departureAnswer{Next: departureCursor{Epoch: log.epoch, Seq: read}}
 		for _, d := range log.after(read) {
 			out.Next.Seq = d.seq
-			if e := f.workers[d.workerID]; e != nil && !e.Up() {
+			if e := f.workers[d.workerID]; e != nil && !e.Up() && e.departure == d.seq {
 				w := e.Worker
 				w.AgeUs = nowUs - e.seenUs
 				out.Workers = append(out.Workers, w)
--- a/internal/flora/flora.go
+++ b/internal/flora/flora.go
@@ -52,7 +52,8 @@
 	buried int64
 	// settled: a majority of the core holds that this worker drains, or that it
 	// is gone (design 5.4).
-	settled bool
+	settled   bool
+	departure uint64 // its newest number in the departure log
 }
 
 // Flora owns the node's table of workers. All but Look runs on the floor.
@@ -174,7 +175,7 @@
 			e.buried = nowUs
 		}
 		if !w.Up() {
-			f.departures.add(w.ID, nowUs)
+			e.departure = f.departures.add(w.ID, nowUs)
 		}
 		f.cfg.Log.Debug("worker_found", "worker", w.ID, "svc", w.Svc, "addr", w.Addr, "phase", w.Phase)
 		return true
@@ -185,7 +186,7 @@
 	}
 	if w.Gone {
 		e.Gone, e.buried, e.settled = true, nowUs, false
-		f.departures.add(w.ID, nowUs)
+		e.departure = f.departures.add(w.ID, nowUs)
 		return true
 	}
 	if w.Seq < e.Seq || w.Seq == e.Seq && !e.Old {
@@ -195,7 +196,7 @@
 	e.Worker = w
 	if wasUp && !w.Up() {
 		e.settled = false
-		f.departures.add(w.ID, nowUs)
+		e.departure = f.departures.add(w.ID, nowUs)
 	}
 	return e.state() != before
 }
