--- a/internal/brood/brood.go
+++ b/internal/brood/brood.go
@@ -73,6 +73,8 @@
 	stableUs     int64
 	lastNames    string
 	slowness     slowness
+	diskRefuses  bool
+	cellOptions  []cell.Option
 }
 
 type cached struct {
@@ -92,7 +94,7 @@
 	context.AfterFunc(ctx, b.cell.Close)
 	d := cfg.Desk
 	pollen.On(d, "brood.claim", b.onClaim)
-	pollen.On(d, "brood.clock", b.onClock)
+	pollen.On(d, clockKind, b.onClock)
 	pollen.On(d, "brood.fetch", b.onFetch)
 	pollen.On(d, "brood.write", b.onWrite)
 	pollen.On(d, "brood.hand", b.onHand)
@@ -175,8 +177,9 @@
 func (b *Brood) tick() {
 	if b.slowness.beat(waggle.NowUs(), tickUs) {
 		b.cfg.Log.Info("store_slow", "slow", b.slowness.slow, "late_ms", int64(b.slowness.meanUs)/1000)
-		b.cfg.Swarm.Tell(func(p *swarm.Partner) { p.Slow = b.slowness.slow })
+		b.tellSlow()
 	}
+	b.diskTick()
 	if st := b.cfg.State(); st != nil && st.Stores.Ver != b.rosterVer {
 		b.rosterVer, b.rosterUs = st.Stores.Ver, waggle.NowUs()
 	}
@@ -205,7 +208,7 @@
 	if !s.owner.ready {
 		return nil, wax.New(wax.Declined, "shard", "is being taken over", "ask again")
 	}
-	return s, nil
+	return s, b.behind()
 }
 
 type handCall struct {
