--- a/internal/brood/disk_test.go
+++ b/internal/brood/disk_test.go
@@ -129,7 +129,9 @@
 		go b.cfg.Floor.Run(ctx)
 		claim := &claimCall{Seat: "s", Shard: 0, Stamp: Stamp{Roster: 1, N: 1, By: "o/1"}}
 		b.append(func() {}, make([]byte, maxWaitingBytes+1))
-		if _, err := b.onClaim(ctx, claim); !wax.Is(err, wax.Declined) {
+		callCtx, cancel := context.WithTimeout(ctx, time.Second)
+		defer cancel()
+		if _, err := b.onClaim(callCtx, claim); !wax.Is(err, wax.Declined) {
 			t.Errorf("a call with much waiting for the disk: %v", err)
 		}
 		close(release)
