--- a/internal/moult/driver.go
+++ b/internal/moult/driver.go
@@ -148,8 +148,7 @@
 			if !u.Open() || u.Term != from {
 				return nil, wax.New(wax.Stale, svc, "another node drives", "nothing to do")
 			}
-			u.Term, u.Driver = u.Term+1, m.me()
-			u.restartWaits()
+			u.takeOver(m.me())
 			return now, u.store(now)
 		})
 		if err != nil {
@@ -423,9 +422,9 @@
 	})
 }
 
-// Status is an upgrade as it stands.
-func (m *Moult) Status(svc string) (*Upgrade, error) {
-	u := Load(m.cfg.State(), svc)
+// Status is an upgrade as it stands in a state of the register.
+func Status(s *nest.State, svc string) (*Upgrade, error) {
+	u := Load(s, svc)
 	if u == nil {
 		return nil, unknown(svc)
 	}
--- a/internal/pollen/lengths.go
+++ b/internal/pollen/lengths.go
@@ -3,14 +3,15 @@
 import (
 	"encoding/binary"
 
-	"github.com/go-faster/errors"
 	"github.com/vmihailenco/msgpack/v5"
+
+	"rowanshunt/internal/wax"
 )
 
 // maxDepth bounds how deep values may be nested; ours are far from it.
 const maxDepth = 64
 
-var errLying = errors.New("a value is longer than the message, or nested too deep")
+var errLying = wax.New(wax.Invalid, "message", "a value is longer than the message, or nested too deep", "run the same version on all nodes")
 
 // Unmarshal decodes a message or a record on disk once its lengths are known to
 // be true: the decoder makes room for as many elements as a list says it has.
@@ -70,6 +71,12 @@
 	return longHead(raw)
 }
 
+// Codes of the format: the first with a table entry, and the one never used.
+const (
+	firstWideCode = 0xc0
+	unusedCode    = 0xc1
+)
+
 // wideHeads gives, for the codes from 0xc0 to 0xdf, how many bytes a length
 // takes behind the code, and what follows it.
 var wideHeads = [0x20]struct {
@@ -89,7 +96,10 @@
 }
 
 func longHead(raw []byte) (size int, elements uint64, err error) {
-	head := wideHeads[raw[0]-0xc0]
+	if raw[0] == unusedCode {
+		return 0, 0, errLying
+	}
+	head := wideHeads[raw[0]-firstWideCode]
 	if len(raw) < 1+head.lengthBytes {
 		return 0, 0, errLying
 	}
