--- a/internal/nectar/nectar.go
+++ b/internal/nectar/nectar.go
@@ -41,12 +41,57 @@
 
 func officeOf(s *nest.State, svc string) office {
 	var o office
-	if s != nil && s.Extra[dutyKey+svc] != nil {
-		_ = msgpack.Unmarshal(s.Extra[dutyKey+svc], &o)
+	if s == nil {
+		return o
+	}
+	raw := s.Extra[dutyKey+svc]
+	if raw == nil {
+		raw = s.Extra[dutyFloorKey]
+	}
+	if raw != nil {
+		_ = msgpack.Unmarshal(raw, &o)
 	}
 	return o
 }
 
+// dutyFloorKey holds the highest term of the duties that were dropped: a
+// service without an entry goes on above it, so that no grant of before passes
+// for a newer one.
+const dutyFloorKey = "nectar/duty-floor"
+
+// maxDuties is how many duties are kept before those of services that the
+// document no longer names are dropped.
+const maxDuties = 256
+
+// boundDuties bounds the duties in a state that is not shared yet.
+func boundDuties(s *nest.State) error {
+	count := 0
+	for key := range s.Extra {
+		if strings.HasPrefix(key, dutyKey) {
+			count++
+		}
+	}
+	d := Load(s)
+	if count <= maxDuties || d == nil {
+		return nil
+	}
+	floor := officeOf(s, "").Term
+	s.DropExtra(func(key string) bool {
+		svc, isDuty := strings.CutPrefix(key, dutyKey)
+		if _, named := d.Shares[svc]; !isDuty || named {
+			return false
+		}
+		floor = max(floor, officeOf(s, svc).Term)
+		return true
+	})
+	raw, err := msgpack.Marshal(&office{Term: floor})
+	if err != nil {
+		return err
+	}
+	s.SetExtra(dutyFloorKey, raw)
+	return nil
+}
+
 // Config is what a node's part in quotas is made of.
 type Config struct {
 	Floor  *waggle.Floor
@@ -218,8 +263,8 @@
 	if !t.quorum {
 		return nil, wax.New(wax.Declined, in.Svc, "too few nodes are in touch", "live on your part until more are")
 	}
-	g := &Grant{Term: t.term, TTLUs: ttlUs, EveryUs: max(reportUs, int64(len(t.nodes))*reportPaceUs), Contended: nowUs < t.busyUs, Yield: t.yield, Of: t.limits[in.From]}
-	g.TTLUs = max(g.TTLUs, 3*g.EveryUs)
+	everyUs := reportEveryUs(len(t.nodes))
+	g := &Grant{Term: t.term, TTLUs: grantTTLUs(everyUs), EveryUs: everyUs, Contended: nowUs < t.busyUs, Yield: t.yield, Of: t.limits[in.From]}
 	node.parts = map[string]float64{}
 	for _, l := range g.Of {
 		node.parts[l.Name] = l.Part
@@ -227,6 +272,12 @@
 	return g, nil
 }
 
+// reportEveryUs is how often each of so many nodes reports.
+func reportEveryUs(nodes int) int64 { return max(reportUs, int64(nodes)*reportPaceUs) }
+
+// grantTTLUs is how long a grant holds after the report that asked for it.
+func grantTTLUs(everyUs int64) int64 { return max(ttlUs, 3*everyUs) }
+
 // claim takes the duty of a service under a higher term; grants are given once
 // all of before have run out.
 func (n *Nectar) claim(t *table) {
@@ -247,7 +298,7 @@
 				return nil, err
 			}
 			now.SetExtra(dutyKey+t.svc, raw)
-			return now, nil
+			return now, boundDuties(now)
 		})
 		_ = n.cfg.Floor.Do(n.ctx, func() {
 			t.claiming = false
@@ -255,7 +306,9 @@
 				n.cfg.Log.Debug("quota_duty_waits", "service", t.svc, "err", err)
 				return
 			}
-			t.term, t.openUs = term, waggle.NowUs()+ttlUs
+			// Grants of before hold as long as the most nodes would make them.
+			nodes := max(len(t.nodes), len(n.cfg.Swarm.Look().All))
+			t.term, t.openUs = term, waggle.NowUs()+grantTTLUs(reportEveryUs(nodes))
 			n.cfg.Log.Info("quota_duty_held", "service", t.svc, "term", term)
 		})
 	}()
@@ -292,6 +345,14 @@
 	return out, err
 }
 
+// RulesVer is the version of the document in force here, 0 without one.
+func (n *Nectar) RulesVer() int64 {
+	if r := n.cfg.Gate.Rules(); r != nil {
+		return r.Ver
+	}
+	return 0
+}
+
 // Explain tells how a tenant stands at every service that has shares; any node
 // may be asked.
 func (n *Nectar) Explain(ctx context.Context, tenant string) ([]Row, error) {
--- /dev/null
+++ b/internal/nest/catchup.go
@@ -0,0 +1,93 @@
+package nest
+
+import (
+	"context"
+
+	"rowanshunt/internal/pollen"
+)
+
+// catchUpAfterUs is how long an acceptor lies behind the newest committed state
+// before it fetches what it missed: the accept of a change under way comes of
+// itself.
+const catchUpAfterUs = 600_000
+
+// lag is since when this node's acceptor lies behind.
+type lag struct {
+	sinceUs int64
+}
+
+// due tells whether an acceptor that lies behind, or not, is to catch up now.
+func (l *lag) due(behind bool, nowUs int64) bool {
+	switch {
+	case !behind:
+		l.sinceUs = 0
+	case l.sinceUs == 0:
+		l.sinceUs = nowUs
+	case nowUs-l.sinceUs > catchUpAfterUs:
+		l.sinceUs = nowUs // once more later, if it fails
+		return true
+	}
+	return false
+}
+
+// acceptedRev is the revision that the acceptor holds; not ok: the acceptor is
+// at its disk, which the caller doesn't wait for.
+func (a *Acceptor) acceptedRev() (rev uint64, ok bool) {
+	if !a.mu.TryLock() {
+		return 0, false
+	}
+	defer a.mu.Unlock()
+	if a.v.State == nil {
+		return 0, true
+	}
+	return a.v.State.Rev, true
+}
+
+// behind tells whether this node's acceptor is a member and lacks the newest
+// committed state that the node knows.
+func (n *Nest) behind(known *State, committed bool) bool {
+	if n.seat == nil || !committed || !known.Core.Has(n.seat.ID()) {
+		return false
+	}
+	rev, ok := n.seat.acceptedRev()
+	return ok && rev < known.Rev
+}
+
+// fetchMissed takes the newest state that another member accepted, if it is at
+// least as new as known, and tells from whom. What a member accepted, with its
+// ballot, is an accept message that some proposer sent: to take it late is as
+// sound as to take it in time. Not taken: nobody has it, or more was promised
+// here since.
+func (a *Acceptor) fetchMissed(ctx context.Context, mesh pollen.Mesh, addrOf func(Seat) string, known *State) (from string, taken bool, err error) {
+	for _, s := range known.Core.All() {
+		if s.ID == a.id {
+			continue
+		}
+		missed := &prepareAnswer{}
+		call := &prepareCall{Seat: s.ID, Peek: true}
+		if err := mesh.Call(ctx, addrOf(s), "nest.prepare", call, missed); err != nil || missed.State == nil || missed.State.Rev < known.Rev {
+			continue
+		}
+		out, err := a.Accept(ctx, &acceptCall{Seat: a.id, Ballot: missed.Accepted, State: missed.State})
+		return s.Name, err == nil && out.OK, err
+	}
+	return "", false, nil
+}
+
+// catchUp brings this node's acceptor the state that it missed, so that it
+// counts as holding it without waiting for the next change (design 4.5). Where
+// it can't be taken late, a round of its own commits it anew.
+func (n *Nest) catchUp(ctx context.Context) {
+	known, _ := n.Known()
+	from, taken, err := n.seat.fetchMissed(ctx, n.cfg.Mesh, n.addrOf, known)
+	if taken {
+		n.cfg.Log.Info("caught_up", "rev", known.Rev, "from", from)
+		return
+	}
+	if err == nil {
+		_, err = n.Change(ctx, func(*State) (*State, error) { return nil, nil })
+	}
+	if err != nil {
+		n.cfg.Log.Debug("catch_up_waits", "err", err)
+	}
+}
--- a/internal/pollen/unmarshal_test.go
+++ b/internal/pollen/lying_length_test.go
@@ -24,11 +24,11 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		if !lengthsFit(raw) || !lengthsFit(append(bytes.Clone(raw), 7)) {
+		if checkLengths(raw) != nil || checkLengths(append(bytes.Clone(raw), 7)) != nil {
 			t.Errorf("%T does not fit: %.20x", v, raw)
 		}
 		for _, cut := range []int{0, 1, len(raw) / 2, len(raw) - 1} {
-			if cut < len(raw) && lengthsFit(raw[:cut]) {
+			if cut < len(raw) && checkLengths(raw[:cut]) == nil {
 				t.Errorf("%T cut at %d of %d fits", v, cut, len(raw))
 			}
 		}
@@ -37,7 +37,7 @@
 	for i := range 70_000 {
 		big[i] = i
 	}
-	if raw, _ := msgpack.Marshal(big); !lengthsFit(raw) {
+	if raw, _ := msgpack.Marshal(big); checkLengths(raw) != nil {
 		t.Error("a large map does not fit")
 	}
 }
@@ -64,7 +64,7 @@
 	}
 }
 
-func BenchmarkLengthsFit(b *testing.B) {
+func BenchmarkCheckLengths(b *testing.B) {
 	type row struct {
 		_msgpack struct{} `msgpack:",as_array"`
 		Name     string
@@ -78,7 +78,7 @@
 	raw, _ := msgpack.Marshal(rows)
 	b.Run("check", func(b *testing.B) {
 		for b.Loop() {
-			lengthsFit(raw)
+			_ = checkLengths(raw)
 		}
 	})
 	b.Run("decode", func(b *testing.B) {
