--- a/internal/rehearsal/draw.go
+++ b/internal/rehearsal/draw.go
@@ -35,8 +35,8 @@
 		Seed:    1 + d.random.Uint64N(playerSeeds),
 		LengthS: math.Round(d.within(shape.LengthS)),
 	}
-	d.fill(Plan, d.whole(shape.Plan))
-	d.fill(Faults, d.whole(shape.Faults))
+	d.fill(Plan, d.whole(shape.Plan), 0)
+	d.fill(Faults, d.whole(shape.Faults), d.whole(shape.Kinds))
 	d.storm(d.whole(shape.Storms))
 	d.closing()
 	byTime := func(a, b Entry) int { return int(math.Copysign(1, a.At-b.At)) }
@@ -45,8 +45,9 @@
 	return d.day
 }
 
-// fill adds n entries to one list of the day.
-func (d *drawer) fill(part Part, n int) {
+// fill adds n entries to one list of the day, of a few of its kinds where few is
+// above zero: a day of few kinds reaches states that an even mix does not.
+func (d *drawer) fill(part Part, n, few int) {
 	var kinds []Kind
 	for _, kind := range d.settings.Kinds {
 		if kind.Part == part && d.site.Allows(kind) {
@@ -54,6 +55,10 @@
 		}
 	}
 	kinds = weighted(kinds, func(k Kind) int { return k.Weight })
+	if few > 0 {
+		d.random.Shuffle(len(kinds), func(i, j int) { kinds[i], kinds[j] = kinds[j], kinds[i] })
+		kinds = kinds[:min(few, len(kinds))]
+	}
 	for range n {
 		kind := pick(d.random, kinds)
 		entry := d.entry(kind, d.within(Range{earliestS, d.day.LengthS - tailS}))
--- a/internal/rehearsal/settings.go
+++ b/internal/rehearsal/settings.go
@@ -44,6 +44,7 @@
 	Plan    Range `toml:"plan"`
 	Faults  Range `toml:"faults"`
 	Storms  Range `toml:"storms"` // entries of pairs of changes that overlap
+	Kinds   Range `toml:"kinds"`  // a day keeps to so many kinds of faults; zero: all
 }
 
 // Chances are the odds of what a draw decides, each from 0 to 1.
