--- a/internal/rehearsal/draw.go
+++ b/internal/rehearsal/draw.go
@@ -63,6 +63,10 @@
 		kind := pick(d.random, kinds)
 		entry := d.entry(kind, d.within(Range{earliestS, d.day.LengthS - tailS}))
 		d.add(part, entry)
+		if kind.NewStore {
+			ready := max(earliestS, round(entry.At-2*d.site.Timing.CatchUpS))
+			d.add(Plan, Entry{At: ready, Kind: "add_nodes", On: "store", Count: 1})
+		}
 		if kind.Loses && d.chance(d.settings.Chances.Follow) {
 			d.follow(entry, kinds)
 		}
--- a/internal/rehearsal/settings.go
+++ b/internal/rehearsal/settings.go
@@ -24,13 +24,14 @@
 	Contract string   `toml:"contract"` // the site must have it
 	Weight   int      `toml:"weight"`   // how often it is drawn; 1 when left out
 	On       []string `toml:"on"`
-	How      []string `toml:"how"`     // one of these variants
-	Target   bool     `toml:"target"`  // takes one of Settings.Targets
-	After    []string `toml:"after"`   // each of these with chance AfterChance
-	Service  bool     `toml:"service"` // names a service
-	Class    bool     `toml:"class"`   // names a class of requests
-	Loses    bool     `toml:"loses"`   // takes a machine away: a second loss may follow
-	Share    Range    `toml:"share"`   // zero ranges: the field is left out
+	How      []string `toml:"how"`       // one of these variants
+	Target   bool     `toml:"target"`    // takes one of Settings.Targets
+	After    []string `toml:"after"`     // each of these with chance AfterChance
+	Service  bool     `toml:"service"`   // names a service
+	Class    bool     `toml:"class"`     // names a class of requests
+	Loses    bool     `toml:"loses"`     // takes a machine away: a second loss may follow
+	NewStore bool     `toml:"new_store"` // a store is added well before, so that enough are left
+	Share    Range    `toml:"share"`     // zero ranges: the field is left out
 	Count    Range    `toml:"count"`
 	X        Range    `toml:"x"`
 	GapS     Range    `toml:"gap_s"`
