--- a/internal/nest/model_explore_test.go
+++ b/internal/nest/model_explore_test.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"slices"
-	"strings"
 
 	"github.com/zeebo/xxh3"
 
@@ -198,11 +197,10 @@
 // spent tells whether a round can do nothing any more at a member. Left out for
 // good reason are promises whose answer nobody takes and calls that the member
 // refuses: the first only make the member refuse more, and a refusal is the same
-// as a loss, but for the ballot count that it tells (ballotCounts). A machine
-// with a planted fault is asked all the same.
+// as a loss, but for the ballot count that it tells (ballotCounts).
 func (e *explorer) spent(w *world, r *sentRound, a *modelAcceptor) bool {
 	durable := &a.core.durable
-	if e.scenario.prepare == nil && e.scenario.accept == nil && r.ballot.Less(durable.Promised) {
+	if r.ballot.Less(durable.Promised) && e.refuses(r, a) {
 		return true
 	}
 	if waits(w, r) {
@@ -211,6 +209,31 @@
 	return r.state == nil || durable.Accepted == r.ballot
 }
 
+// refuses asks the machine itself whether it would refuse the call.
+func (e *explorer) refuses(r *sentRound, a *modelAcceptor) bool {
+	core := a.core
+	if r.state == nil {
+		write, _ := e.prepareOf()(&core, &prepareCall{Seat: core.id, Ballot: r.ballot})
+		return write == nil
+	}
+	write, _ := e.acceptOf()(&core, &acceptCall{Seat: core.id, Ballot: r.ballot, State: r.state})
+	return write == nil
+}
+
+func (e *explorer) prepareOf() func(*acceptorCore, *prepareCall) (*diskWrite, *prepareAnswer) {
+	if e.scenario.prepare != nil {
+		return e.scenario.prepare
+	}
+	return (*acceptorCore).prepare
+}
+
+func (e *explorer) acceptOf() func(*acceptorCore, *acceptCall) (*diskWrite, *acceptAnswer) {
+	if e.scenario.accept != nil {
+		return e.scenario.accept
+	}
+	return (*acceptorCore).accept
+}
+
 // dropSpent takes out the rounds that are spent at all members for good. A disk
 // that is behind may lose a promise again.
 func (e *explorer) dropSpent(w *world) {
@@ -300,22 +323,14 @@
 		}
 	}
 	if round.state == nil {
-		prepare := (*acceptorCore).prepare
-		if e.scenario.prepare != nil {
-			prepare = e.scenario.prepare
-		}
-		write, answer := prepare(&a.core, &prepareCall{Seat: a.core.id, Ballot: round.ballot})
+		write, answer := e.prepareOf()(&a.core, &prepareCall{Seat: a.core.id, Ballot: round.ballot})
 		perform(write)
 		if taken && w.proposerToChange(round.proposer).call.promised(a.core.id, answer) {
 			e.endRound(w, round.proposer)
 		}
 		return
 	}
-	accept := (*acceptorCore).accept
-	if e.scenario.accept != nil {
-		accept = e.scenario.accept
-	}
-	write, answer := accept(&a.core, &acceptCall{Seat: a.core.id, Ballot: round.ballot, State: round.state})
+	write, answer := e.acceptOf()(&a.core, &acceptCall{Seat: a.core.id, Ballot: round.ballot, State: round.state})
 	perform(write)
 	if taken && w.proposerToChange(round.proposer).call.accepted(a.core.id, answer) {
 		e.endRound(w, round.proposer)
@@ -472,48 +487,3 @@
 		}
 	}
 }
-
-// describe replays a path and says what happens in each step.
-func (e *explorer) describe(path []action) []string {
-	w := e.first()
-	var out []string
-	for _, act := range path {
-		var text string
-		switch act.kind {
-		case beginAttempt:
-			p := &w.proposers[act.who]
-			text = fmt.Sprintf("proposer %d sends a prepare round for %q", act.who, e.scenario.calls[act.who][p.at].name)
-		case deliver, deliverAnswerLost:
-			r := &w.rounds[act.what]
-			what := "a prepare"
-			if r.state != nil {
-				what = "an accept of " + describeState(r.state)
-			}
-			text = fmt.Sprintf("member %s gets %s, ballot %d of %s", w.acceptors[act.who].core.id, what, r.ballot.N, r.ballot.By)
-			if act.kind == deliverAnswerLost {
-				text += "; the answer is lost"
-			}
-		case giveUpRound:
-			text = fmt.Sprintf("proposer %d waits no longer", act.who)
-		case crashAcceptor:
-			text = fmt.Sprintf("member %s crashes and reads its disk", w.acceptors[act.who].core.id)
-		case wipeAcceptor:
-			text = fmt.Sprintf("member %s loses its disk", w.acceptors[act.who].core.id)
-		case killProposer:
-			text = fmt.Sprintf("proposer %d dies and starts again", act.who)
-		case hearNews:
-			text = fmt.Sprintf("proposer %d hears what is committed", act.who)
-		}
-		next := e.step(w, act)
-		for i := range next.proposers {
-			for k, o := range next.proposers[i].outcomes {
-				if w.proposers[i].outcomes[k] != o {
-					text += fmt.Sprintf("; %q is %s", e.scenario.calls[i][k].name, outcomeNames[o])
-				}
-			}
-		}
-		w = next
-		out = append(out, text)
-	}
-	return append(out, "FAULT: "+strings.TrimSpace(e.fault))
-}
--- a/internal/nest/model_test.go
+++ b/internal/nest/model_test.go
@@ -173,7 +173,7 @@
 		{name: "an order sent again and built upon", members: 3, calls: resend, attempts: 1},
 		{name: "a proposer dies and sends its order again", members: 3, calls: [][]orderCall{{putCall("x", 4, 0), putCall("x", 4, 0)}, {putCall("y", 5, 0)}}, attempts: 1, deaths: 1, crashes: 1},
 		{name: "race, five members", members: 5, calls: race, attempts: 1},
-		{name: "a member is wiped and replaced under an order", members: 3, newcomers: 1, calls: replaceOne, attempts: 1, wipes: 1},
+		{name: "a member is wiped and replaced under an order", members: 3, newcomers: 1, calls: replaceOne, attempts: 1, wipes: 1, answered: true},
 		{name: "a roster change that was left is carried on", members: 3, newcomers: 1, calls: leftChange, leftChange: true, answered: true},
 		{name: "two roster changes at once", members: 3, newcomers: 2, calls: [][]orderCall{{replaceCall(0, 3)}, {replaceCall(1, 4), putCall("y", 5, 0)}}, attempts: 1, wipes: 2},
 	}
--- /dev/null
+++ b/internal/nest/model_trace_test.go
@@ -0,0 +1,51 @@
+package nest
+
+import (
+	"fmt"
+	"strings"
+)
+
+// describe replays a path and says what happens in each step.
+func (e *explorer) describe(path []action) []string {
+	w := e.first()
+	var out []string
+	for _, act := range path {
+		var text string
+		switch act.kind {
+		case beginAttempt:
+			p := &w.proposers[act.who]
+			text = fmt.Sprintf("proposer %d sends a prepare round for %q", act.who, e.scenario.calls[act.who][p.at].name)
+		case deliver, deliverAnswerLost:
+			r := &w.rounds[act.what]
+			what := "a prepare"
+			if r.state != nil {
+				what = "an accept of " + describeState(r.state)
+			}
+			text = fmt.Sprintf("member %s gets %s, ballot %d of %s", w.acceptors[act.who].core.id, what, r.ballot.N, r.ballot.By)
+			if act.kind == deliverAnswerLost {
+				text += "; the answer is lost"
+			}
+		case giveUpRound:
+			text = fmt.Sprintf("proposer %d waits no longer", act.who)
+		case crashAcceptor:
+			text = fmt.Sprintf("member %s crashes and reads its disk", w.acceptors[act.who].core.id)
+		case wipeAcceptor:
+			text = fmt.Sprintf("member %s loses its disk", w.acceptors[act.who].core.id)
+		case killProposer:
+			text = fmt.Sprintf("proposer %d dies and starts again", act.who)
+		case hearNews:
+			text = fmt.Sprintf("proposer %d hears what is committed", act.who)
+		}
+		next := e.step(w, act)
+		for i := range next.proposers {
+			for k, o := range next.proposers[i].outcomes {
+				if w.proposers[i].outcomes[k] != o {
+					text += fmt.Sprintf("; %q is %s", e.scenario.calls[i][k].name, outcomeNames[o])
+				}
+			}
+		}
+		w = next
+		out = append(out, text)
+	}
+	return append(out, "FAULT: "+strings.TrimSpace(e.fault))
+}
