brood: a claim lists what it lacks before the first fetch writes the map

The loop that started the fetches read the map of fetched lots while a fetch already started wrote it under the lock. The list of missing copies is now complete before the first fetch starts. TestDiskFollowsMemory drew from one generator in two goroutines; it now waits for each command. go test -race of internal/brood: failed before, clean after (2 runs).

--- a/internal/brood/owner.go
+++ b/internal/brood/owner.go
@@ -34,6 +34,8 @@
 	feedBatch    = 256 << 10 // small, for pings and ops go over the same link
 	mendTimeout  = 60 * time.Second
 	maxFeedBytes = 24 << 20
+	// fetchesAtOnce bounds the lots that a claim fetches at a time.
+	fetchesAtOnce = 8
 )
 
 // owner is what the node that owns a shard keeps of it.
@@ -371,47 +373,80 @@
 	}); err != nil {
 		return err
 	}
-	var mu sync.Mutex
-	var wg sync.WaitGroup
-	room := make(chan struct{}, 8)
-	failed := error(nil)
+	missing := missingCopies(best, holders, fetched, b.cfg.Seat)
+	failed := b.fetchCopies(ctx, s.n, missing, fetched)
+	if failed != nil {
+		_ = b.cfg.Floor.Do(b.ctx, func() { s.fetched = fetched })
+		return failed
+	}
+	_, err := waggle.Ask(ctx, b.cfg.Floor, func() bool {
+		s.fetched = nil
+		if s.promised != stamp {
+			return false
+		}
+		b.install(s, stamp, roster, fetched)
+		return true
+	})
+	return err
+}
+
+// remoteCopy is the best copy of a lot where another replica has it.
+type remoteCopy struct {
+	copy   copyOf
+	holder nest.Seat
+}
+
+// missingCopies lists the best copies that are neither here nor fetched yet. It
+// is complete before the first fetch starts, for fetches write to the map that
+// it reads.
+func missingCopies(best map[string]copyOf, holders map[string]nest.Seat, fetched map[string]*Lot, self string) []remoteCopy {
+	var missing []remoteCopy
 	for id, c := range best {
-		if holders[id].ID == b.cfg.Seat || fetched[id] != nil {
-			continue
+		if holders[id].ID != self && fetched[id] == nil {
+			missing = append(missing, remoteCopy{c, holders[id]})
 		}
+	}
+	return missing
+}
+
+// fetchCopies fetches copies, a few at a time, into the map; on an error what
+// came before it, and beside it, is there.
+func (b *Brood) fetchCopies(ctx context.Context, shardN int, missing []remoteCopy, fetched map[string]*Lot) error {
+	var mu sync.Mutex
+	var wg sync.WaitGroup
+	var failed error
+	room := make(chan struct{}, fetchesAtOnce)
+	for _, m := range missing {
 		wg.Go(func() {
 			room <- struct{}{}
 			defer func() { <-room }()
-			l := &Lot{}
-			oneCtx, cancelOne := context.WithTimeout(ctx, oneTimeout)
-			defer cancelOne()
-			err := b.cfg.Mesh.Call(oneCtx, b.addrOf(holders[id]), "brood.fetch", &fetchCall{Seat: holders[id].ID, Shard: s.n, Lot: id}, l)
+			lot, err := b.fetchCopy(ctx, shardN, m)
 			mu.Lock()
 			defer mu.Unlock()
-			if err == nil && (l.Stamp != c.Stamp || l.Rev != c.Rev) {
-				err = wax.New(wax.Stale, id, "the copy changed meanwhile", "claim again")
-			}
 			if err != nil {
 				failed = err
 				return
 			}
-			fetched[id] = l
+			fetched[m.copy.Lot] = lot
 		})
 	}
 	wg.Wait()
-	if failed != nil {
-		_ = b.cfg.Floor.Do(b.ctx, func() { s.fetched = fetched })
-		return failed
+	return failed
+}
+
+// fetchCopy fetches one copy; it must still be the one that was promised.
+func (b *Brood) fetchCopy(ctx context.Context, shardN int, m remoteCopy) (*Lot, error) {
+	oneCtx, cancel := context.WithTimeout(ctx, oneTimeout)
+	defer cancel()
+	lot := &Lot{}
+	call := &fetchCall{Seat: m.holder.ID, Shard: shardN, Lot: m.copy.Lot}
+	if err := b.cfg.Mesh.Call(oneCtx, b.addrOf(m.holder), "brood.fetch", call, lot); err != nil {
+		return nil, err
 	}
-	_, err := waggle.Ask(ctx, b.cfg.Floor, func() bool {
-		s.fetched = nil
-		if s.promised != stamp {
-			return false
-		}
-		b.install(s, stamp, roster, fetched)
-		return true
-	})
-	return err
+	if lot.Stamp != m.copy.Stamp || lot.Rev != m.copy.Rev {
+		return nil, wax.New(wax.Stale, m.copy.Lot, "the copy changed meanwhile", "claim again")
+	}
+	return lot, nil
 }
 
 // install makes this node the owner of what the claim found.
--- a/internal/brood/owner_test.go
+++ b/internal/brood/owner_test.go
@@ -40,7 +40,8 @@
 			s := b.shards[0]
 			seat := nest.Seat{ID: "s", Name: "s"}
 			do := func(fn func()) {
-				if err := b.cfg.Floor.Do(ctx, fn); err != nil {
+				// Waits for fn: both sides draw from rng.
+				if _, err := waggle.Ask(ctx, b.cfg.Floor, func() bool { fn(); return true }); err != nil {
 					t.Fatal(err)
 				}
 				time.Sleep(time.Duration(rng.IntN(3)) * time.Millisecond)
