Members leave in order, are displaced by majority contact, and changes settle whole

Core and stores: a newcomer displaces a member, and a silent one is dropped, only if a majority of the members, asked then, has lost contact with it; the view of one node decided before. A member that gets SIGTERM leaves the roster before it ends while more than 2*ft+1 are there, so that a machine gone for good no longer counts; a newcomer takes the place of one that leaves. A joint roster of the core settles once all living members of the new set hold it. The living members take turns to drive a change that its driver left. The removal of a store settles only when silent replicas of the new set have come back and hold all, or were silent for 6 s. Tests of internal/nest, internal/brood and the fault tests of internal/colony pass.

--- a/internal/brood/brood.go
+++ b/internal/brood/brood.go
@@ -4,7 +4,6 @@
 	"context"
 	"hash/fnv"
 	"slices"
-	"sort"
 	"strconv"
 	"time"
 
@@ -49,6 +48,10 @@
 	Options   Options
 	Spared    int
 	WallUs    func() int64
+	// Lost asks the members which of the suspects a majority of them has lost.
+	Lost func(ctx context.Context, members, suspects []nest.Seat, forUs int64) map[string]bool
+	// SyncUs is how soon a replica that is back must hold all copies again.
+	SyncUs int64
 }
 
 // Brood is a store's part of the queue. It owns its shards; all runs on the
@@ -74,6 +77,7 @@
 	stableUs     int64
 	lastNames    string
 	slowness     slowness
+	need         rosterNeed
 }
 
 type cached struct {
@@ -537,188 +541,6 @@
 	}
 }
 
-// rosterTick brings this store into the roster, and, at the first living seat,
-// settles changes, empties what retires and drops what is long gone
-// (design 8.6).
-func (b *Brood) rosterTick() {
-	st := b.cfg.State()
-	if st == nil || b.rostering {
-		return
-	}
-	v := b.cfg.Swarm.Look()
-	nowUs := waggle.NowUs()
-	names := ""
-	for _, n := range v.Names(func(s *swarm.Sighting) bool { return s.Alive && s.Role == b.cfg.Self.Role }) {
-		names += n + " "
-	}
-	if names != b.lastNames {
-		b.lastNames, b.stableUs = names, nowUs
-	}
-	upUs := nowUs - b.startUs
-	self := nest.SeatOf(&b.cfg.Self)
-	switch {
-	case len(st.Stores.Cur) == 0:
-		if nowUs-b.stableUs > 1_200_000 && upUs > 1_500_000 {
-			b.changeRoster("stores_founded", func(now *nest.State) (*nest.State, error) {
-				if len(now.Stores.Cur) > 0 {
-					return nil, nil
-				}
-				var first []nest.Seat
-				for _, p := range v.All {
-					if p.Alive && p.Role == b.cfg.Self.Role && p.Disk != "" {
-						first = append(first, nest.SeatOf(&p.Partner))
-					}
-				}
-				sort.Slice(first, func(i, j int) bool { return first[i].ID < first[j].ID })
-				now.Stores = nest.Roster{Ver: now.Stores.Ver + 1, Cur: first}
-				return now, nil
-			})
-		}
-	case !st.Stores.Has(self.ID):
-		if !st.Stores.Joint() && !retiring(st, self.ID) && upUs > 400_000 && nest.NextSeats(&st.Stores, self, v, upUs, maxStores) != nil {
-			b.changeRoster("store_joining", func(now *nest.State) (*nest.State, error) {
-				if now.Stores.Joint() || now.Stores.Has(self.ID) || retiring(now, self.ID) {
-					return nil, nil
-				}
-				next := nest.NextSeats(&now.Stores, self, b.cfg.Swarm.Look(), upUs, maxStores)
-				if next == nil {
-					return nil, nil
-				}
-				now.Stores = now.Stores.Begin(next)
-				return now, nil
-			})
-		}
-	case firstLiving(st, v) == self.ID:
-		if st.Stores.Joint() {
-			b.settleRoster(st)
-			return
-		}
-		if next := b.without(st, v, upUs); next != nil {
-			b.changeRoster("store_leaving", func(now *nest.State) (*nest.State, error) {
-				if now.Stores.Ver != st.Stores.Ver || now.Stores.Joint() {
-					return nil, nil
-				}
-				now.Stores = now.Stores.Begin(next)
-				return now, nil
-			})
-		}
-	}
-}
-
-func firstLiving(st *nest.State, v *swarm.View) string {
-	for _, s := range st.Stores.Cur {
-		if p := v.Get(s.Name); p != nil && p.Alive && p.Seat() == s.ID {
-			return s.ID
-		}
-	}
-	return ""
-}
-
-// without is the next roster where a seat is to leave, nil if none is.
-func (b *Brood) without(st *nest.State, v *swarm.View, upUs int64) []nest.Seat {
-	if len(st.Stores.Cur) <= 2*b.cfg.Spared+1 {
-		return nil
-	}
-	for _, s := range st.Stores.Cur {
-		if retiring(st, s.ID) || nest.Gone(s, v, nest.GoneForDropUs, upUs) {
-			return slices.DeleteFunc(slices.Clone(st.Stores.Cur), func(t nest.Seat) bool { return t.ID == s.ID })
-		}
-	}
-	return nil
-}
-
-func (b *Brood) changeRoster(event string, change nest.Change) {
-	b.rostering = true
-	go func() {
-		ctx, cancel := context.WithTimeout(b.ctx, 3*time.Second)
-		defer cancel()
-		st, err := b.cfg.Change(ctx, change)
-		if err != nil {
-			b.cfg.Log.Debug(event+"_waits", "err", err)
-		} else {
-			b.cfg.Log.Info(event, "roster", st.Stores.Ver, "seats", len(st.Stores.Cur), "joint", st.Stores.Joint())
-		}
-		_ = b.cfg.Floor.Do(b.ctx, func() { b.rostering = false })
-	}()
-}
-
-type ownedCall struct {
-	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by the library
-	Roster   uint64
-}
-
-type ownedAnswer struct {
-	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by the library
-	Shards   []int
-}
-
-// onOwned lists the shards that this store owns under a roster and whose
-// copies are at all living seats of its current set.
-func (b *Brood) onOwned(ctx context.Context, in *ownedCall) (*ownedAnswer, error) {
-	return waggle.Ask(ctx, b.cfg.Floor, func() *ownedAnswer {
-		out := &ownedAnswer{}
-		v := b.cfg.Swarm.Look()
-		for _, s := range b.shards {
-			if s.owner == nil || !s.owner.ready || s.owner.roster.Ver != in.Roster {
-				continue
-			}
-			all := true
-			for _, f := range s.owner.feeds {
-				// A machine that came back with another disk is not that seat:
-				// it joins anew once this change is settled.
-				p := v.Get(f.seat.Name)
-				if s.owner.roster.Has(f.seat.ID) && p != nil && p.Alive && p.Seat() == f.seat.ID && (f.cold || !f.synced) {
-					all = false
-				}
-			}
-			if all {
-				out.Shards = append(out.Shards, s.n)
-			}
-		}
-		return out
-	})
-}
-
-// settleRoster ends a change once every shard is owned under it.
-func (b *Brood) settleRoster(st *nest.State) {
-	b.rostering = true
-	go func() {
-		ctx, cancel := context.WithTimeout(b.ctx, 3*time.Second)
-		defer cancel()
-		defer func() { _ = b.cfg.Floor.Do(b.ctx, func() { b.rostering = false }) }()
-		owned := map[int]bool{}
-		for _, seat := range st.Stores.Cur {
-			callCtx, cancelCall := context.WithTimeout(ctx, 400*time.Millisecond)
-			out := &ownedAnswer{}
-			var err error
-			if seat.ID == b.cfg.Seat {
-				out, err = b.onOwned(callCtx, &ownedCall{Roster: st.Stores.Ver})
-			} else {
-				err = b.cfg.Mesh.Call(callCtx, b.addrOf(seat), "brood.owned", &ownedCall{Roster: st.Stores.Ver}, out)
-			}
-			cancelCall()
-			if err == nil {
-				for _, n := range out.Shards {
-					owned[n] = true
-				}
-			}
-		}
-		if len(owned) < Shards {
-			return
-		}
-		_, err := b.cfg.Change(ctx, func(now *nest.State) (*nest.State, error) {
-			if now.Stores.Ver != st.Stores.Ver || !now.Stores.Joint() {
-				return nil, nil
-			}
-			now.Stores = now.Stores.Settle()
-			return now, nil
-		})
-		if err == nil {
-			b.cfg.Log.Info("stores_settled", "roster", st.Stores.Ver+1, "seats", len(st.Stores.Cur))
-		}
-	}()
-}
-
 // Written tells what this store wrote since it started.
 func (b *Brood) Written() cell.Written { return b.cell.Written() }
 
--- /dev/null
+++ b/internal/brood/membership.go
@@ -0,0 +1,297 @@
+package brood
+
+import (
+	"context"
+	"slices"
+	"sort"
+	"time"
+
+	"rowanshunt/internal/nest"
+	"rowanshunt/internal/swarm"
+	"rowanshunt/internal/waggle"
+)
+
+// Times of the stores' membership (design 8.6).
+const (
+	foundStableUs  = 1_200_000
+	foundAfterUs   = 1_500_000
+	joinAfterUs    = 400_000
+	judgeUs        = 1_300_000
+	changeTimeout  = 3 * time.Second
+	ownedTimeout   = 400 * time.Millisecond
+	dropSlackUs    = 1_000_000
+	defaultSyncUs  = 5_000_000
+	mendPacedShare = 4 // a repair is paced for the first quarter of SyncUs only
+)
+
+// rosterNeed is a change of the roster that is due, and since when this store
+// has known it.
+type rosterNeed struct {
+	rosterVer uint64
+	sinceUs   int64
+}
+
+// rosterTick brings this store into the roster; the members take turns to
+// settle changes, empty what retires or leaves and drop what is long gone
+// (design 8.6).
+func (b *Brood) rosterTick() {
+	st := b.cfg.State()
+	if st == nil || b.rostering {
+		return
+	}
+	v := b.cfg.Swarm.Look()
+	nowUs := waggle.NowUs()
+	names := ""
+	for _, n := range v.Names(func(s *swarm.Sighting) bool { return s.Alive && s.Role == b.cfg.Self.Role }) {
+		names += n + " "
+	}
+	if names != b.lastNames {
+		b.lastNames, b.stableUs = names, nowUs
+	}
+	self := nest.SeatOf(&b.cfg.Self)
+	switch {
+	case len(st.Stores.Cur) == 0:
+		if nowUs-b.stableUs > foundStableUs && nowUs-b.startUs > foundAfterUs {
+			b.foundRoster(v)
+		}
+	case !st.Stores.Has(self.ID):
+		if !st.Stores.Joint() && !retiring(st, self.ID) && !v.Self.Leaving && nowUs-b.startUs > joinAfterUs {
+			b.joinRoster(st, self, v)
+		}
+	default:
+		b.keepRoster(st, v, nowUs)
+	}
+}
+
+// foundRoster proposes the first roster.
+func (b *Brood) foundRoster(v *swarm.View) {
+	b.changeRoster("stores_founded", nil, func(now *nest.State, _ map[string]bool) (*nest.State, error) {
+		if len(now.Stores.Cur) > 0 {
+			return nil, nil
+		}
+		var first []nest.Seat
+		for _, p := range v.All {
+			if p.Alive && p.Role == b.cfg.Self.Role && p.Disk != "" {
+				first = append(first, nest.SeatOf(&p.Partner))
+			}
+		}
+		sort.Slice(first, func(i, j int) bool { return first[i].ID < first[j].ID })
+		now.Stores = nest.Roster{Ver: now.Stores.Ver + 1, Cur: first}
+		return now, nil
+	})
+}
+
+// joinRoster proposes the roster that takes this store in.
+func (b *Brood) joinRoster(st *nest.State, self nest.Seat, v *swarm.View) {
+	var unmet []nest.Seat
+	if waggle.NowUs()-b.startUs >= judgeUs {
+		unmet = nest.Unmet(&st.Stores, v)
+	}
+	b.changeRoster("store_joining", &suspicion{members: st.Stores.Cur, suspects: unmet}, func(now *nest.State, lost map[string]bool) (*nest.State, error) {
+		if now.Stores.Joint() || now.Stores.Has(self.ID) || retiring(now, self.ID) {
+			return nil, nil
+		}
+		next := nest.NextSeats(&now.Stores, self, b.cfg.Swarm.Look(), waggle.NowUs()-b.startUs, maxStores, lost)
+		if next == nil {
+			return nil, nil
+		}
+		now.Stores = now.Stores.Begin(next)
+		return now, nil
+	})
+}
+
+// keepRoster drives what the roster needs when it is this store's turn.
+func (b *Brood) keepRoster(st *nest.State, v *swarm.View, nowUs int64) {
+	leaver, asked := b.leaver(st, v, nowUs-b.startUs)
+	if !st.Stores.Joint() && leaver == "" {
+		b.need = rosterNeed{}
+		return
+	}
+	if b.need.sinceUs == 0 || b.need.rosterVer != st.Stores.Ver {
+		b.need = rosterNeed{rosterVer: st.Stores.Ver, sinceUs: nowUs}
+	}
+	if nowUs-b.need.sinceUs < nest.TurnUs(st.Stores.Cur, b.cfg.Seat, v) {
+		return
+	}
+	if st.Stores.Joint() {
+		b.settleRoster(st)
+		return
+	}
+	b.changeRoster("store_leaving", asked, func(now *nest.State, lost map[string]bool) (*nest.State, error) {
+		if now.Stores.Ver != st.Stores.Ver || now.Stores.Joint() || asked != nil && !lost[leaver] {
+			return nil, nil
+		}
+		now.Stores = now.Stores.Begin(slices.DeleteFunc(slices.Clone(now.Stores.Cur), func(t nest.Seat) bool { return t.ID == leaver }))
+		return now, nil
+	})
+}
+
+// suspicion is what a majority of the members must confirm before a change.
+type suspicion struct {
+	members  []nest.Seat
+	suspects []nest.Seat
+	forUs    int64
+}
+
+// leaver is a seat that is to leave, "" if none is. One that retires, or that
+// says it leaves, needs no confirmation; silence does.
+func (b *Brood) leaver(st *nest.State, v *swarm.View, upUs int64) (id string, asked *suspicion) {
+	members := st.Stores.Cur
+	if len(members) <= 2*b.cfg.Spared+1 {
+		return "", nil
+	}
+	for _, s := range members {
+		p := v.Get(s.Name)
+		if retiring(st, s.ID) || p != nil && p.Alive && p.Leaving && p.Seat() == s.ID {
+			return s.ID, nil
+		}
+	}
+	for _, s := range members {
+		if nest.Gone(s, v, nest.GoneForDropUs, upUs) {
+			return s.ID, &suspicion{members: members, suspects: []nest.Seat{s}, forUs: nest.GoneForDropUs - dropSlackUs}
+		}
+	}
+	return "", nil
+}
+
+// changeRoster commits a change beside the floor, once it was asked what a
+// majority has lost.
+func (b *Brood) changeRoster(event string, asked *suspicion, change func(now *nest.State, lost map[string]bool) (*nest.State, error)) {
+	b.rostering = true
+	go func() {
+		ctx, cancel := context.WithTimeout(b.ctx, changeTimeout)
+		defer cancel()
+		defer func() { _ = b.cfg.Floor.Do(b.ctx, func() { b.rostering = false }) }()
+		var lost map[string]bool
+		if asked != nil {
+			lost = b.cfg.Lost(ctx, asked.members, asked.suspects, asked.forUs)
+		}
+		begun := false
+		st, err := b.cfg.Change(ctx, func(now *nest.State) (*nest.State, error) {
+			next, err := change(now, lost)
+			begun = next != nil
+			return next, err
+		})
+		if err != nil {
+			b.cfg.Log.Debug(event+"_waits", "err", err)
+		} else if begun {
+			b.cfg.Log.Info(event, "roster", st.Stores.Ver, "seats", len(st.Stores.Cur), "joint", st.Stores.Joint())
+		}
+	}()
+}
+
+type ownedCall struct {
+	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by the library
+	Roster   uint64
+}
+
+type ownedAnswer struct {
+	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by the library
+	Shards   []int
+}
+
+// onOwned lists the shards that this store owns under a roster and whose
+// copies are at all seats of its current set that count.
+func (b *Brood) onOwned(ctx context.Context, in *ownedCall) (*ownedAnswer, error) {
+	return waggle.Ask(ctx, b.cfg.Floor, func() *ownedAnswer {
+		out := &ownedAnswer{}
+		for _, s := range b.shards {
+			if s.owner != nil && s.owner.ready && s.owner.roster.Ver == in.Roster && b.whole(s.owner) {
+				out.Shards = append(out.Shards, s.n)
+			}
+		}
+		return out
+	})
+}
+
+// whole tells whether all seats of the shard's current set that count have all
+// copies. A silent one counts while the change only takes a seat away, until it
+// has been silent for long: what leaves may hold the copy that the silent one
+// lacks, so it stays until then (design 8.6).
+func (b *Brood) whole(o *owner) bool {
+	v := b.cfg.Swarm.Look()
+	takesAway := len(o.roster.Prev) > 0 && !slices.ContainsFunc(o.roster.Cur, func(t nest.Seat) bool { return !hasSeat(o.roster.Prev, t.ID) })
+	for _, f := range o.feeds {
+		if !o.roster.Has(f.seat.ID) || f.synced && !f.cold {
+			continue
+		}
+		// A machine that came back with another disk is not that seat: it joins
+		// anew once this change is settled.
+		p := v.Get(f.seat.Name)
+		lives := p != nil && p.Alive && p.Seat() == f.seat.ID
+		if lives || takesAway && !nest.Gone(f.seat, v, nest.GoneForDropUs, waggle.NowUs()-b.startUs) {
+			return false
+		}
+	}
+	return true
+}
+
+func hasSeat(seats []nest.Seat, id string) bool {
+	return slices.ContainsFunc(seats, func(s nest.Seat) bool { return s.ID == id })
+}
+
+// settleRoster ends a change once every shard is owned under it.
+func (b *Brood) settleRoster(st *nest.State) {
+	b.rostering = true
+	go func() {
+		ctx, cancel := context.WithTimeout(b.ctx, changeTimeout)
+		defer cancel()
+		defer func() { _ = b.cfg.Floor.Do(b.ctx, func() { b.rostering = false }) }()
+		if !b.allOwned(ctx, st) {
+			return
+		}
+		_, err := b.cfg.Change(ctx, func(now *nest.State) (*nest.State, error) {
+			if now.Stores.Ver != st.Stores.Ver || !now.Stores.Joint() {
+				return nil, nil
+			}
+			now.Stores = now.Stores.Settle()
+			return now, nil
+		})
+		if err == nil {
+			b.cfg.Log.Info("stores_settled", "roster", st.Stores.Ver+1, "seats", len(st.Stores.Cur))
+		}
+	}()
+}
+
+// allOwned asks the stores which shards they own under this roster, all at once:
+// some of them may be silent.
+func (b *Brood) allOwned(ctx context.Context, st *nest.State) bool {
+	answers := make(chan []int, len(st.Stores.Cur))
+	for _, seat := range st.Stores.Cur {
+		go func() {
+			callCtx, cancel := context.WithTimeout(ctx, ownedTimeout)
+			defer cancel()
+			out, call := &ownedAnswer{}, &ownedCall{Roster: st.Stores.Ver}
+			var err error
+			if seat.ID == b.cfg.Seat {
+				out, err = b.onOwned(callCtx, call)
+			} else {
+				err = b.cfg.Mesh.Call(callCtx, b.addrOf(seat), "brood.owned", call, out)
+			}
+			if err != nil {
+				out = &ownedAnswer{}
+			}
+			answers <- out.Shards
+		}()
+	}
+	owned := map[int]bool{}
+	for range st.Stores.Cur {
+		for _, n := range <-answers {
+			owned[n] = true
+		}
+		if len(owned) == Shards {
+			return true
+		}
+	}
+	return false
+}
+
+// Departed tells whether this store may end: no set of the newest roster counts
+// on it, or too few would be left for it to be let go.
+func (b *Brood) Departed() bool {
+	st := b.cfg.State()
+	if st == nil || !hasSeat(st.Stores.All(), b.cfg.Seat) {
+		return true
+	}
+	return !st.Stores.Joint() && len(st.Stores.Cur) <= 2*b.cfg.Spared+1
+}
--- a/internal/brood/owner.go
+++ b/internal/brood/owner.go
@@ -748,8 +748,9 @@
 			if err != nil {
 				break
 			}
-			if i+1 < len(batches) {
-				// Half of the link's time is left to what is in use.
+			if i+1 < len(batches) && waggle.NowUs()-startUs < b.syncUs()/mendPacedShare {
+				// Half of the link's time is left to what is in use, unless the
+				// replica would be back too late for the next loss.
 				waggle.Pause(ctx, time.Duration(waggle.NowUs()-sentUs)*time.Microsecond)
 			}
 		}
@@ -777,6 +778,14 @@
 	}()
 }
 
+// syncUs is how soon a replica that is back must hold all copies again.
+func (b *Brood) syncUs() int64 {
+	if b.cfg.SyncUs > 0 {
+		return b.cfg.SyncUs
+	}
+	return defaultSyncUs
+}
+
 // differences lists what a replica lacks, in batches.
 func differences(s *shard, stamp Stamp, copies []copyOf) [][]op {
 	there := map[string]copyOf{}
--- a/internal/colony/run.go
+++ b/internal/colony/run.go
@@ -128,14 +128,31 @@
 	select {
 	case <-term:
 		// The others take over at once; what was acknowledged is on disk.
-		c.leave(ctx)
-		waggle.Pause(ctx, settleLeave)
+		c.Leave(ctx)
 		return nil
 	case err := <-c.fatal:
 		return errors.Wrap(err, "disk")
 	}
 }
 
+// Leave tells the others that this store goes, and stays until they count on it
+// no more, for as long as the platform lets it (design 8.6).
+func (c *Comb) Leave(ctx context.Context) {
+	c.leave(ctx)
+	endUs := waggle.NowUs() + c.opts.Load().GraceUs() - leaveReserveUs
+	waggle.Pause(ctx, settleLeave)
+	for ctx.Err() == nil && !c.Brood.Departed() && waggle.NowUs() < endUs {
+		waggle.Pause(ctx, leavePause)
+	}
+	c.env.Log.Info("left", "departed", c.Brood.Departed())
+}
+
+// Figures of a store's leaving.
+const (
+	leaveReserveUs = 1_000_000 // of the grace, kept for the end of the process
+	leavePause     = 50 * time.Millisecond
+)
+
 func runForager(ctx context.Context, cancel func(), env Env, opts *skep.Options, path string, term, hup <-chan os.Signal) error {
 	f, err := NewForager(ctx, env, opts)
 	if err != nil {
--- a/internal/nest/membership.go
+++ b/internal/nest/membership.go
@@ -4,6 +4,7 @@
 	"context"
 	"slices"
 	"sort"
+	"time"
 
 	"github.com/vmihailenco/msgpack/v5"
 
@@ -12,15 +13,6 @@
 	"rowanshunt/internal/wax"
 )
 
-func (n *Nest) firstAlive(seats []Seat, v *swarm.View) string {
-	for _, s := range seats {
-		if v.Alive(s.Name) {
-			return s.Name
-		}
-	}
-	return ""
-}
-
 // found settles the first roster in the founding register of the seeds
 // (design 4.3).
 func (n *Nest) found(ctx context.Context) {
@@ -67,9 +59,11 @@
 }
 
 // NextSeats is the roster that takes self in: in the place of an earlier
-// incarnation of its disk, of a member that does not answer it, or beside the
-// others; nil while it is too early to tell, or if there is no room.
-func NextSeats(r *Roster, self Seat, v *swarm.View, upUs int64, most int) []Seat {
+// incarnation of its disk, of a member that leaves, of one that does not answer
+// self and is in lost, or beside the others; nil while it is too early to tell,
+// or if there is no room. lost holds the seats with which a majority of the
+// members has no contact: what self alone cannot reach may be well (design 4.4).
+func NextSeats(r *Roster, self Seat, v *swarm.View, upUs int64, most int, lost map[string]bool) []Seat {
 	next := slices.Clone(r.Cur)
 	for i, s := range next {
 		if s.Name == self.Name {
@@ -77,16 +71,25 @@
 			return next
 		}
 	}
+	missing := false
 	for i, s := range next {
-		if p := v.Get(s.Name); p != nil && v.Met(s.Name) && p.Seat() == s.ID {
+		p := v.Get(s.Name)
+		met := p != nil && v.Met(s.Name) && p.Seat() == s.ID
+		if met && !p.Leaving {
 			continue
 		}
 		// What others tell of a member that died just now is old news.
-		if upUs < judgeUs {
+		if !met && upUs < judgeUs {
 			return nil
 		}
-		next[i] = self
-		return next
+		if met || lost[s.ID] {
+			next[i] = self
+			return next
+		}
+		missing = true
+	}
+	if missing && upUs < besideUs {
+		return nil
 	}
 	if len(next) < most {
 		return append(next, self)
@@ -94,6 +97,21 @@
 	return nil
 }
 
+// Unmet lists the members that have not answered this node lately, at most a
+// few: those that a newcomer might displace.
+func Unmet(r *Roster, v *swarm.View) []Seat {
+	var out []Seat
+	for _, s := range r.Cur {
+		if p := v.Get(s.Name); (p == nil || !v.Met(s.Name) || p.Seat() != s.ID) && len(out) < maxUnmet {
+			out = append(out, s)
+		}
+	}
+	return out
+}
+
+// maxUnmet bounds the members that a newcomer asks the others about at a time.
+const maxUnmet = 4
+
 // Gone tells whether the seat's holder has been silent for so long, or now has
 // another disk.
 func Gone(s Seat, v *swarm.View, forUs, upUs int64) bool {
@@ -107,63 +125,223 @@
 	return waggle.NowUs()-p.SinceUs > forUs
 }
 
-// join brings this node's seat into the roster.
-func (n *Nest) join(ctx context.Context) {
-	self := SeatOf(&n.cfg.Self)
-	for ctx.Err() == nil {
-		s, err := n.Change(ctx, func(now *State) (*State, error) {
+// membershipNeed is a change of the membership that is due, and since when this
+// node has known it.
+type membershipNeed struct {
+	rosterVer uint64
+	sinceUs   int64
+}
+
+// keepMembership drives what the roster needs: the end of a change whose driver
+// is gone, the departure of this node, and the removal of members long silent.
+// The living members take turns, for the first may be cut off from the others.
+func (n *Nest) keepMembership(core *Roster, v *swarm.View, nowUs int64) {
+	spare := len(core.Cur) > 2*n.cfg.Spared+1
+	if v.Self.Leaving && (core.Joint() || spare) {
+		n.once(n.leave)
+		return
+	}
+	if !core.Joint() && n.outworn(core.Cur, v) == nil {
+		n.need = membershipNeed{}
+		return
+	}
+	if n.need.sinceUs == 0 || n.need.rosterVer != core.Ver {
+		n.need = membershipNeed{rosterVer: core.Ver, sinceUs: nowUs}
+	}
+	delayUs := TurnUs(core.Cur, n.seat.ID(), v)
+	if core.Joint() {
+		delayUs += stableUs // its driver comes first
+	}
+	if nowUs-n.need.sinceUs >= delayUs {
+		n.once(n.tidy)
+	}
+}
+
+// TurnUs is how long a member waits before it takes a due change up itself: the
+// longer, the more living members stand before it.
+func TurnUs(members []Seat, self string, v *swarm.View) int64 {
+	delayUs := int64(0)
+	for _, s := range members {
+		if s.ID == self {
+			break
+		}
+		if p := v.Get(s.Name); p != nil && p.Alive && p.Seat() == s.ID {
+			delayUs += turnUs
+		}
+	}
+	return delayUs
+}
+
+// changeMembers drives one change of the membership to its end. next gives the
+// set to move to, nil once the roster is as it should be. A joint roster is
+// settled only when all living members of the new set hold it, and the change
+// counts as over when they hold the settled one, too (design 4.4).
+func (n *Nest) changeMembers(ctx context.Context, next func(*Roster) ([]Seat, error)) (*State, error) {
+	held := uint64(0) // the roster that all living members are known to hold
+	startUs := waggle.NowUs()
+	for {
+		done := false
+		state, err := n.Change(ctx, func(now *State) (*State, error) {
+			done = false
 			if now.Core.Joint() {
+				if held != now.Core.Ver {
+					return nil, nil // committed again, which brings it to those that lack it
+				}
 				now.Core = now.Core.Settle()
 				return now, nil
 			}
-			if now.Core.Has(self.ID) {
-				return nil, nil
+			members, err := next(&now.Core)
+			if err != nil {
+				return nil, err
 			}
-			next := NextSeats(&now.Core, self, n.cfg.Swarm.Look(), waggle.NowUs()-n.startUs, maxSeats)
-			if next == nil {
-				return nil, wax.New(wax.Declined, "core", "is full, or it is too early to tell who is there", "nothing to do")
+			if members == nil {
+				done = true
+				return nil, nil
 			}
-			now.Core = now.Core.Begin(next)
+			now.Core = now.Core.Begin(members)
 			return now, nil
 		})
 		if err != nil {
-			n.cfg.Log.Debug("core_join_waits", "err", err)
-			return
+			return state, err
+		}
+		if n.heldByLiving(ctx, state, waggle.NowUs()-startUs < patienceUs) {
+			held = state.Core.Ver
+			if done {
+				return state, nil
+			}
+			continue
+		}
+		waggle.Pause(ctx, heldPause)
+		if ctx.Err() != nil {
+			return state, wax.New(wax.Declined, "core", "a living member does not hold the roster yet", "nothing to do")
 		}
-		if s.Core.Has(self.ID) && !s.Core.Joint() {
-			n.cfg.Log.Info("core_joined", "seat", self.ID, "roster", s.Core.Ver, "seats", len(s.Core.Cur))
-			return
+	}
+}
+
+// Figures of the look at who holds a roster.
+const (
+	// patienceUs bounds how long a member that lives but does not answer, as one
+	// whose disk stalls, holds a change up: a joint roster bears less than either.
+	patienceUs  = 1_500_000
+	heldPause   = 20 * time.Millisecond
+	heldTimeout = 400 * time.Millisecond
+)
+
+// heldByLiving tells whether ft+1 members of the current set, a majority of it
+// and, if all is set, all that live have a state with this roster, or a later
+// one, on disk.
+func (n *Nest) heldByLiving(ctx context.Context, state *State, all bool) bool {
+	members := state.Core.Cur
+	type reply struct {
+		seat Seat
+		out  prepareAnswer
+		err  error
+	}
+	replies := make(chan reply, len(members))
+	for _, seat := range members {
+		go func() {
+			callCtx, cancel := context.WithTimeout(ctx, heldTimeout)
+			defer cancel()
+			r := reply{seat: seat}
+			r.err = n.cfg.Mesh.Call(callCtx, n.addrOf(seat), "nest.prepare", &prepareCall{Seat: seat.ID, Peek: true}, &r.out)
+			replies <- r
+		}()
+	}
+	holders, lacking := 0, false
+	for range members {
+		r := <-replies
+		switch {
+		case r.err != nil:
+			p := n.cfg.Swarm.Look().Get(r.seat.Name)
+			lives := p != nil && p.Alive && p.Seat() == r.seat.ID && n.cfg.Swarm.Look().Met(r.seat.Name)
+			lacking = lacking || lives
+		case r.out.State == nil || r.out.State.Core.Ver < state.Core.Ver:
+			lacking = true
+		default:
+			holders++
+		}
+	}
+	return !(all && lacking) && 2*holders > len(members) && holders >= min(len(members), n.cfg.Spared+1)
+}
+
+// join brings this node's seat into the roster.
+func (n *Nest) join(ctx context.Context) {
+	self := SeatOf(&n.cfg.Self)
+	known, _ := n.Known()
+	lost := map[string]bool{}
+	if waggle.NowUs()-n.startUs >= judgeUs {
+		lost = n.Lost(ctx, known.Core.Cur, Unmet(&known.Core, n.cfg.Swarm.Look()), 0)
+	}
+	s, err := n.changeMembers(ctx, func(core *Roster) ([]Seat, error) {
+		if core.Has(self.ID) {
+			return nil, nil
+		}
+		next := NextSeats(core, self, n.cfg.Swarm.Look(), waggle.NowUs()-n.startUs, maxSeats, lost)
+		if next == nil {
+			return nil, wax.New(wax.Declined, "core", "is full, or it is too early to tell who is there", "nothing to do")
+		}
+		return next, nil
+	})
+	if err != nil {
+		n.cfg.Log.Debug("core_join_waits", "err", err)
+		return
+	}
+	n.cfg.Log.Info("core_joined", "seat", self.ID, "roster", s.Core.Ver, "seats", len(s.Core.Cur))
+}
+
+// leave takes this node's seat out of the roster before it ends, where enough
+// others are left: a machine that is gone for good must not count (design 4.4).
+func (n *Nest) leave(ctx context.Context) {
+	self := SeatOf(&n.cfg.Self)
+	s, err := n.changeMembers(ctx, func(core *Roster) ([]Seat, error) {
+		if !core.Has(self.ID) || len(core.Cur) <= 2*n.cfg.Spared+1 {
+			return nil, nil
 		}
+		return without(core.Cur, self.ID), nil
+	})
+	if err != nil {
+		n.cfg.Log.Debug("core_leave_waits", "err", err)
+		return
 	}
+	n.cfg.Log.Info("core_left", "seat", self.ID, "roster", s.Core.Ver, "seats", len(s.Core.Cur))
 }
 
-// outworn is a member long gone that the roster can do without.
-func (n *Nest) outworn(seats []Seat, v *swarm.View) string {
-	if len(seats) <= 2*n.cfg.Spared+1 {
-		return ""
+func without(members []Seat, id string) []Seat {
+	return slices.DeleteFunc(slices.Clone(members), func(s Seat) bool { return s.ID == id })
+}
+
+// outworn is a member long gone that the roster can do without, nil if none.
+func (n *Nest) outworn(members []Seat, v *swarm.View) *Seat {
+	if len(members) <= 2*n.cfg.Spared+1 {
+		return nil
 	}
-	for _, s := range seats {
+	for _, s := range members {
 		if Gone(s, v, GoneForDropUs, waggle.NowUs()-n.startUs) {
-			return s.ID
+			return &s
 		}
 	}
-	return ""
+	return nil
 }
 
-// tidy settles a change that its driver left, and drops members long gone.
+// tidy settles a change that its driver left, and drops a member long gone if a
+// majority has lost it, too.
 func (n *Nest) tidy(ctx context.Context) {
-	_, err := n.Change(ctx, func(now *State) (*State, error) {
-		if now.Core.Joint() {
-			now.Core = now.Core.Settle()
-			return now, nil
-		}
-		if id := n.outworn(now.Core.Cur, n.cfg.Swarm.Look()); id != "" {
-			now.Core = now.Core.Begin(slices.DeleteFunc(slices.Clone(now.Core.Cur), func(s Seat) bool { return s.ID == id }))
-			return now, nil
+	known, _ := n.Known()
+	drop := n.outworn(known.Core.Cur, n.cfg.Swarm.Look())
+	if drop != nil && !n.Lost(ctx, known.Core.Cur, []Seat{*drop}, GoneForDropUs-dropSlackUs)[drop.ID] {
+		drop = nil
+	}
+	_, err := n.changeMembers(ctx, func(core *Roster) ([]Seat, error) {
+		if drop == nil || !core.Has(drop.ID) || len(core.Cur) <= 2*n.cfg.Spared+1 {
+			return nil, nil
 		}
-		return nil, nil
+		return without(core.Cur, drop.ID), nil
 	})
 	if err != nil {
 		n.cfg.Log.Debug("core_tidy_waits", "err", err)
 	}
 }
+
+// dropSlackUs is how much later than this node another may have noticed a
+// member's silence.
+const dropSlackUs = 1_000_000
--- a/internal/nest/nest.go
+++ b/internal/nest/nest.go
@@ -20,7 +20,12 @@
 	stableUs     = 900_000
 	foundAfterUs = 1_500_000
 	judgeUs      = 1_300_000
-	joinAfterUs  = 400_000
+	// besideUs is the age at which a newcomer that misses members which others
+	// still hear joins beside them.
+	besideUs    = 2_600_000
+	joinAfterUs = 400_000
+	// turnUs is how much later each further member takes a due change up.
+	turnUs = 1_500_000
 	// GoneForDropUs is how long a member is silent before a roster drops it.
 	GoneForDropUs = 6_000_000
 	neverSeenUs   = 3_000_000
@@ -61,6 +66,7 @@
 	lastSet  string
 	busy     bool
 	pulling  map[string]bool
+	need     membershipNeed
 }
 
 // New opens the node's seat and joins the register.
@@ -120,6 +126,7 @@
 		n.Learn(in)
 		return &pollen.Nothing{}, nil
 	})
+	n.serveContact()
 	pollen.On(d, "nest.get", func(_ context.Context, _ *pollen.Nothing) (*State, error) {
 		s, ok := n.Known()
 		if s == nil || !ok {
@@ -245,13 +252,11 @@
 			n.once(n.found)
 		}
 	case n.seat != nil && !known.Core.Has(n.seat.ID()):
-		if nowUs-n.startUs > joinAfterUs {
+		if nowUs-n.startUs > joinAfterUs && !v.Self.Leaving {
 			n.once(n.join)
 		}
-	case n.seat != nil && committed && n.firstAlive(known.Core.Cur, v) == n.cfg.Self.Name:
-		if known.Core.Joint() && nowUs-n.stableAt > stableUs || n.outworn(known.Core.Cur, v) != "" {
-			n.once(n.tidy)
-		}
+	case n.seat != nil && committed:
+		n.keepMembership(&known.Core, v, nowUs)
 	}
 }
 
