colony: the tests' members are guarded where beats and clients look for an edge

TestLotHistories raced in its own set-up: add wrote the map of members while clients read it. The detector named only edgeAt; edge, which the beats call, read it too.

--- a/internal/colony/colony_test.go
+++ b/internal/colony/colony_test.go
@@ -35,6 +35,9 @@
 	beatMu   sync.Mutex
 	stopBeat func()
 	seq      int
+	// mu guards nodes, order and what start sets of a member, for beats and
+	// clients look for an edge beside the test's own goroutine.
+	mu       sync.Mutex
 	resting  atomic.Bool  // the dispatchers take nothing
 	shunned  atomic.Value // the node that the test's own calls leave out, if any
 }
@@ -84,6 +87,8 @@
 		o.DataDir = filepath.Join(h.dir, name)
 	}
 	m := &member{opts: o, role: role}
+	h.mu.Lock()
+	defer h.mu.Unlock()
 	h.nodes[name] = m
 	h.order = append(h.order, name)
 	return m
@@ -93,28 +98,33 @@
 
 func (h *hive) start(name string) {
 	m := h.nodes[name]
-	m.ctx, m.cancel = context.WithCancel(context.Background())
+	ctx, cancel := context.WithCancel(context.Background())
 	env := Env{Mesh: h.m.MeshOf(m.opts.PartnerAddr()), Dial: h.m.DialFrom(m.opts.PartnerAddr()), WallUs: wall, Log: testLog(h.t, name)}
+	var f *Forager
+	var c *Comb
 	var err error
 	if m.role == "forager" {
-		m.f, err = NewForager(m.ctx, env, m.opts)
+		f, err = NewForager(ctx, env, m.opts)
 		if err == nil {
-			strong := m.f.Nurse.Dispatches
-			m.f.Nurse.Dispatches = func() bool { return !h.resting.Load() && strong() }
-			m.f.Start(m.ctx)
-			h.m.Place(m.ctx, m.opts.PartnerAddr(), m.f.Desk)
+			strong := f.Nurse.Dispatches
+			f.Nurse.Dispatches = func() bool { return !h.resting.Load() && strong() }
+			f.Start(ctx)
+			h.m.Place(ctx, m.opts.PartnerAddr(), f.Desk)
 		}
 	} else {
-		m.c, err = NewComb(m.ctx, env, m.opts)
+		c, err = NewComb(ctx, env, m.opts)
 		if err == nil {
-			m.c.Start(m.ctx)
-			h.m.Place(m.ctx, m.opts.PartnerAddr(), m.c.Desk)
+			c.Start(ctx)
+			h.m.Place(ctx, m.opts.PartnerAddr(), c.Desk)
 		}
 	}
 	if err != nil {
 		h.t.Fatalf("start %s: %v", name, err)
 	}
 	m.opts.Bootstrap = false // later starts are not the first
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	m.ctx, m.cancel, m.f, m.c = ctx, cancel, f, c
 }
 
 func (h *hive) startAll() {
@@ -152,6 +162,8 @@
 
 // edge is a living forager.
 func (h *hive) edge() *Forager {
+	h.mu.Lock()
+	defer h.mu.Unlock()
 	for _, n := range h.order {
 		if m := h.nodes[n]; m.role == "forager" && m.f != nil && m.ctx.Err() == nil && h.shunned.Load() != n {
 			return m.f
--- a/internal/colony/moult_test.go
+++ b/internal/colony/moult_test.go
@@ -171,12 +171,22 @@
 }
 
 func (h *hive) edgeAt(n int) *Forager {
+	if f := h.oneOfFour(n); f != nil {
+		return f
+	}
+	return h.edge()
+}
+
+// oneOfFour is the first of the four first edges, from the nth on, that is up.
+func (h *hive) oneOfFour(n int) *Forager {
+	h.mu.Lock()
+	defer h.mu.Unlock()
 	for i := range 4 {
 		if m := h.nodes[fmt.Sprintf("edge-%d", (n+i)%4)]; m.f != nil && m.ctx.Err() == nil {
 			return m.f
 		}
 	}
-	return h.edge()
+	return nil
 }
 
 // oneVersion tells whether a stream is whole and of one weight version.
