--- a/internal/colony/colony_test.go
+++ b/internal/colony/colony_test.go
@@ -27,6 +27,7 @@
 	t        *testing.T
 	m        *meadow.Meadow
 	seed     uint64
+	ft       int
 	dir      string
 	nodes    map[string]*member
 	order    []string
@@ -37,9 +38,9 @@
 	seq      int
 	// mu guards nodes, order and what start sets of a member, for beats and
 	// clients look for an edge beside the test's own goroutine.
-	mu       sync.Mutex
-	resting  atomic.Bool  // the dispatchers take nothing
-	shunned  atomic.Value // the node that the test's own calls leave out, if any
+	mu      sync.Mutex
+	resting atomic.Bool  // the dispatchers take nothing
+	shunned atomic.Value // the node that the test's own calls leave out, if any
 }
 
 type member struct {
@@ -53,18 +54,29 @@
 
 var zones = []string{"ash", "birch", "cedar"}
 
+// hiveSize is how many machines a hive starts with, and how many it may lose.
+type hiveSize struct {
+	core, edges, stores int // edges: those without a disk
+	ft                  int
+}
+
 func newHive(t *testing.T, seed uint64, edges, stores int) *hive {
 	t.Helper()
-	h := &hive{t: t, m: meadow.New(seed), seed: seed, dir: t.TempDir(), nodes: map[string]*member{}, workers: map[string]*meadow.Worker{}, beatOn: map[string]map[string]any{}}
+	return newHiveOf(t, seed, hiveSize{core: min(edges, 3), edges: max(edges-3, 0), stores: stores, ft: 1})
+}
+
+func newHiveOf(t *testing.T, seed uint64, size hiveSize) *hive {
+	t.Helper()
+	h := &hive{t: t, ft: size.ft, m: meadow.New(seed), seed: seed, dir: t.TempDir(), nodes: map[string]*member{}, workers: map[string]*meadow.Worker{}, beatOn: map[string]map[string]any{}}
 	t.Cleanup(func() {
 		if t.Failed() {
 			t.Logf("seed %d", seed)
 		}
 	})
-	for i := range edges {
-		h.add(fmt.Sprintf("edge-%d", i), "forager", i, i < 3, true)
+	for i := range size.core + size.edges {
+		h.add(fmt.Sprintf("edge-%d", i), "forager", i, i < size.core, true)
 	}
-	for i := range stores {
+	for i := range size.stores {
 		h.add(fmt.Sprintf("store-%d", i), "comb", i, true, true)
 	}
 	return h
@@ -77,8 +89,8 @@
 	}
 	ip := fmt.Sprintf("10.%d.0.%d", net, i+1)
 	o := &skep.Options{Node: name, IPAddr: ip, Az: zones[i%len(zones)], PortRange: []int{7000, 7010}, Bootstrap: boot, HbMs: 1200,
-		Seeds: []string{"10.1.0.1:8000", "10.1.0.2:8000", "10.1.0.3:8000"}, Caps: skep.Caps{RAMMb: 256, NoFile: 4096, CPUFrac: 1, DiskMb: 64}, Ft: skep.Ft{Nodes: 1}}
-	o.Bounds.GraceS = 8
+		Seeds: []string{"10.1.0.1:8000", "10.1.0.2:8000", "10.1.0.3:8000"}, Caps: skep.Caps{RAMMb: 256, NoFile: 4096, CPUFrac: 1, DiskMb: 64}, Ft: skep.Ft{Nodes: h.ft}}
+	o.Bounds.GraceS, o.Bounds.SyncS = 8, 5
 	if role == "forager" {
 		o.Serves = []string{"edge", "ctl"}
 		o.Listen = skep.Listen{HTTP: ip + ":8001", Readyz: ip + ":8002", Ctl: ip + ":8000"}
