A cut newcomer gets in; a store that stays silent holds a retirement back

A proposer that is outbid tries again at once: it waited out the round for a silent seat, and was outbid again, for 4 s on end (seen in TestNewcomerCutFromAMember).

--- a/internal/brood/membership.go
+++ b/internal/brood/membership.go
@@ -20,6 +20,7 @@
 	changeTimeout  = 3 * time.Second
 	ownedTimeout   = 400 * time.Millisecond
 	dropSlackUs    = 1_000_000
+	unreachedUs    = 3_000_000
 	defaultSyncUs  = 5_000_000
 	mendPacedShare = 4 // a repair is paced for the first quarter of SyncUs only
 )
@@ -195,8 +196,13 @@
 func (b *Brood) onOwned(ctx context.Context, in *ownedCall) (*ownedAnswer, error) {
 	return waggle.Ask(ctx, b.cfg.Floor, func() *ownedAnswer {
 		out := &ownedAnswer{}
+		st := b.cfg.State()
+		if st == nil || st.Stores.Ver != in.Roster {
+			return out
+		}
+		takesAway := onlyTakesAway(&st.Stores)
 		for _, s := range b.shards {
-			if s.owner != nil && s.owner.ready && s.owner.roster.Ver == in.Roster && b.whole(s.owner) {
+			if s.owner != nil && s.owner.ready && s.owner.roster.Ver == in.Roster && b.whole(s.owner, takesAway) {
 				out.Shards = append(out.Shards, s.n)
 			}
 		}
@@ -208,24 +214,35 @@
 // copies. A silent one counts while the change only takes a seat away, until it
 // has been silent for long: what leaves may hold the copy that the silent one
 // lacks, so it stays until then (design 8.6).
-func (b *Brood) whole(o *owner) bool {
+func (b *Brood) whole(o *owner, takesAway bool) bool {
 	v := b.cfg.Swarm.Look()
-	takesAway := len(o.roster.Prev) > 0 && !slices.ContainsFunc(o.roster.Cur, func(t nest.Seat) bool { return !hasSeat(o.roster.Prev, t.ID) })
 	for _, f := range o.feeds {
 		if !o.roster.Has(f.seat.ID) || f.synced && !f.cold {
 			continue
 		}
 		// A machine that came back with another disk is not that seat: it joins
 		// anew once this change is settled.
-		p := v.Get(f.seat.Name)
-		lives := p != nil && p.Alive && p.Seat() == f.seat.ID
-		if lives || takesAway && !nest.Gone(f.seat, v, nest.GoneForDropUs, waggle.NowUs()-b.startUs) {
+		if b.reaches(v, f.seat) || takesAway && !nest.Gone(f.seat, v, nest.GoneForDropUs, waggle.NowUs()-b.startUs) {
 			return false
 		}
 	}
 	return true
 }
 
+// onlyTakesAway tells whether a change brings no store in. Its shards' sets may
+// well bring in stores that are new to a shard.
+func onlyTakesAway(r *nest.Roster) bool {
+	return r.Joint() && !slices.ContainsFunc(r.Cur, func(t nest.Seat) bool { return !hasSeat(r.Prev, t.ID) })
+}
+
+// reaches tells whether a seat's holder lives and has answered this store within
+// the last while: a store whose link to one other is cut does not hold a change
+// up for ever.
+func (b *Brood) reaches(v *swarm.View, seat nest.Seat) bool {
+	p := v.Get(seat.Name)
+	return p != nil && p.Alive && p.Seat() == seat.ID && waggle.NowUs()-max(p.MetUs, p.SinceUs) < unreachedUs
+}
+
 func hasSeat(seats []nest.Seat, id string) bool {
 	return slices.ContainsFunc(seats, func(s nest.Seat) bool { return s.ID == id })
 }
--- a/internal/nest/proposer.go
+++ b/internal/nest/proposer.go
@@ -195,7 +195,9 @@
 		}
 		p.highest = max(p.highest, a.out.Promised.N)
 		if !a.out.OK {
-			return false
+			// A higher ballot is out: the next attempt tops it. To wait for a
+			// silent seat instead would let others top this one again and again.
+			return true
 		}
 		if a.out.State != nil && (top == nil || top.Accepted.Less(a.out.Accepted)) {
 			top = a.out
@@ -228,9 +230,10 @@
 			return false
 		}
 		p.highest = max(p.highest, a.out.Promised.N)
-		if a.out.OK {
-			agreed[a.seat.ID] = true
+		if !a.out.OK {
+			return true // outbid: see prepare
 		}
+		agreed[a.seat.ID] = true
 		return enough()
 	})
 	return enough()
