--- a/internal/colony/losses_test.go
+++ b/internal/colony/losses_test.go
@@ -345,3 +345,26 @@
 		time.Sleep(300 * time.Millisecond)
 	}
 }
+
+// The first store of the roster may be cut off from the core: another one takes
+// its turn at the roster's upkeep (design 8.6).
+func TestUpkeepWithTheFirstStoreCutOff(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newHive(t, 5, 3, 4)
+		defer h.end()
+		h.serving()
+		first := h.edge().Nest.Committed().Stores.Cur[0].Name
+		h.m.CutOff(h.nodes[first].opts.PartnerAddr(), h.addrs("forager"), true)
+		retired := "store-3"
+		if first == retired {
+			retired = "store-2"
+		}
+		time.Sleep(500 * time.Millisecond)
+		if w := h.control(h.edge(), "POST", "/-/retire/"+retired, map[string]any{"over_s": 5}); w.Code != 200 {
+			t.Fatalf("retire: %d %s", w.Code, w.Body)
+		}
+		h.until("done", 10*time.Second, func() bool {
+			return h.control(h.edge(), "GET", "/-/retire/"+retired, nil).Body.String() == `{"phase":"done"}`
+		})
+	})
+}
