--- a/internal/nest/register_test.go
+++ b/internal/nest/register_test.go
@@ -395,3 +395,46 @@
 		t.Errorf("roster change: %+v", j)
 	}
 }
+
+// A proposer that is outbid again and again while a member is silent does not
+// wait for that one: it tops the higher ballot at once.
+func TestOutbidTriesAgainAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m := meadow.New(4)
+		root := t.TempDir()
+		first := &State{Rev: 1, Core: Roster{Ver: 1}}
+		var sites []*site
+		for i := range 3 {
+			s := &site{t: t, m: m, addr: fmt.Sprintf("n%d", i), dir: filepath.Join(root, fmt.Sprint("d", i))}
+			sites = append(sites, s)
+			first.Core.Cur = append(first.Core.Cur, Seat{ID: "seat@" + s.dir, Name: s.addr, Addr: s.addr})
+		}
+		for _, s := range sites {
+			s.start(first, true)
+		}
+		m.CutOff("n2", []string{"n0", "n1"}, true)
+		ctx, cancel := context.WithTimeout(context.Background(), 4*time.Second)
+		go func() {
+			for n := uint64(1); ctx.Err() == nil; n++ {
+				for _, s := range sites[:2] {
+					_, _ = s.seat.Prepare(ctx, &prepareCall{Seat: s.seat.ID(), Ballot: Ballot{N: 10 * n, By: "other"}})
+				}
+				time.Sleep(300 * time.Millisecond)
+			}
+		}()
+		time.Sleep(time.Millisecond)
+		began := time.Now()
+		_, err := sites[0].p.Change(ctx, func(now *State) (*State, error) {
+			now.Ver = 5
+			return now, nil
+		})
+		if took := time.Since(began); err != nil || took > time.Second {
+			t.Errorf("committed after %v: %v", took, err)
+		}
+		cancel()
+		for _, s := range sites {
+			s.cancel()
+		}
+		time.Sleep(5 * time.Second)
+	})
+}
