Newcomers that find no place do not trouble the core

A store or core machine without a place asked for a change four to ten times a second; each refusal committed the value it saw, documents and all. It now looks at the roster that it knows first.

--- a/internal/brood/membership.go
+++ b/internal/brood/membership.go
@@ -167,6 +167,11 @@
 		if asked != nil {
 			lost = b.cfg.Lost(ctx, asked.members, asked.suspects, asked.forUs)
 		}
+		// Nothing is asked of the core for what would change nothing.
+		now := *b.cfg.State()
+		if next, err := change(&now, lost); next == nil || err != nil {
+			return
+		}
 		begun := false
 		st, err := b.cfg.Change(ctx, func(now *nest.State) (*nest.State, error) {
 			next, err := change(now, lost)
--- a/internal/nest/membership.go
+++ b/internal/nest/membership.go
@@ -272,11 +272,17 @@
 	if waggle.NowUs()-n.startUs >= judgeUs {
 		lost = n.Lost(ctx, known.Core.Cur, Unmet(&known.Core, n.cfg.Swarm.Look()), 0)
 	}
+	nextSeats := func(core *Roster) []Seat {
+		return NextSeats(core, self, n.cfg.Swarm.Look(), waggle.NowUs()-n.startUs, maxSeats, lost)
+	}
+	if !known.Core.Joint() && nextSeats(&known.Core) == nil {
+		return // the others need not be troubled
+	}
 	s, err := n.changeMembers(ctx, func(core *Roster) ([]Seat, error) {
 		if core.Has(self.ID) {
 			return nil, nil
 		}
-		next := NextSeats(core, self, n.cfg.Swarm.Look(), waggle.NowUs()-n.startUs, maxSeats, lost)
+		next := nextSeats(core)
 		if next == nil {
 			return nil, wax.New(wax.Declined, "core", "is full, or it is too early to tell who is there", "nothing to do")
 		}
