--- a/internal/brood/membership.go
+++ b/internal/brood/membership.go
@@ -148,7 +148,7 @@
 		}
 	}
 	for _, s := range members {
-		if nest.Gone(s, v, nest.GoneForDropUs, upUs) {
+		if nest.LongSilent(s, v, upUs) {
 			return s.ID, &suspicion{members: members, suspects: []nest.Seat{s}, forUs: nest.GoneForDropUs - dropSlackUs}
 		}
 	}
--- a/internal/colony/losses_test.go
+++ b/internal/colony/losses_test.go
@@ -95,6 +95,30 @@
 	}
 }
 
+// A store that is back with another disk takes its own place in one change: it
+// is not dropped first (design 8.6).
+func TestWipedStoreTakesItsOwnPlace(t *testing.T) {
+	for seed := uint64(1); seed <= 3; seed++ {
+		synctest.Test(t, func(t *testing.T) {
+			h := newHive(t, seed, 3, 5)
+			defer h.end()
+			h.serving()
+			before := h.edge().Nest.Committed().Stores.Ver
+			h.kill("store-1")
+			h.wipe("store-1")
+			time.Sleep(time.Second)
+			h.start("store-1")
+			h.until("five stores again", 4*time.Second, func() bool {
+				s := h.edge().Nest.Committed()
+				return h.inStep(&s.Stores, 5)
+			})
+			if now := h.edge().Nest.Committed().Stores.Ver; now != before+2 {
+				t.Errorf("roster %d became %d: more than one change and its settling", before, now)
+			}
+		})
+	}
+}
+
 // While a replica that is to stay is silent, a retired store is not let go: it
 // may hold a copy that the silent one lacks (design 8.6).
 func TestRetireWaitsForASilentReplica(t *testing.T) {
--- a/internal/nest/membership.go
+++ b/internal/nest/membership.go
@@ -264,6 +264,16 @@
 	return !(all && lacking) && 2*holders > len(members) && holders >= min(len(members), n.cfg.Spared+1)
 }
 
+// LongSilent tells whether a roster may drop the seat: silent for
+// GoneForDropUs. One whose machine is back with another disk is left to that
+// machine, which takes its own place in one change instead of two.
+func LongSilent(s Seat, v *swarm.View, upUs int64) bool {
+	if p := v.Get(s.Name); p != nil && p.Alive {
+		return false
+	}
+	return Gone(s, v, GoneForDropUs, upUs)
+}
+
 // join brings this node's seat into the roster.
 func (n *Nest) join(ctx context.Context) {
 	self := SeatOf(&n.cfg.Self)
@@ -322,7 +332,7 @@
 		return nil
 	}
 	for _, s := range members {
-		if Gone(s, v, GoneForDropUs, waggle.NowUs()-n.startUs) {
+		if LongSilent(s, v, waggle.NowUs()-n.startUs) {
 			return &s
 		}
 	}
