--- a/internal/nest/proposer.go
+++ b/internal/nest/proposer.go
@@ -158,7 +158,14 @@
 		return nil
 	}
 	askSeats(ctx, p, members, p.kinds[0], func(s Seat) any { return &prepareCall{Seat: s.ID, Ballot: ballot} }, func(a callOut[prepareAnswer]) bool {
-		return a.err == nil && call.promised(a.seat.ID, a.out)
+		if a.err != nil {
+			return false
+		}
+		enough := call.promised(a.seat.ID, a.out)
+		// A higher ballot is out: the next attempt tops it. To wait for a silent
+		// member instead would let others top this one again and again.
+		outbid := !a.out.OK
+		return enough || outbid
 	})
 	p.highest = max(p.highest, call.highest)
 	return call.propose()
@@ -167,7 +174,12 @@
 // accept sends an accept round.
 func (p *Proposer) accept(ctx context.Context, call *proposal, members []Seat) {
 	askSeats(ctx, p, members, p.kinds[1], func(s Seat) any { return &acceptCall{Seat: s.ID, Ballot: call.ballot, State: call.commit} }, func(a callOut[acceptAnswer]) bool {
-		return a.err == nil && call.accepted(a.seat.ID, a.out)
+		if a.err != nil {
+			return false
+		}
+		enough := call.accepted(a.seat.ID, a.out)
+		outbid := !a.out.OK
+		return enough || outbid
 	})
 	p.highest = max(p.highest, call.highest)
 }
