--- a/internal/brood/brood.go
+++ b/internal/brood/brood.go
@@ -47,7 +47,6 @@
 	Fatal     func(error)
 	Options   Options
 	Spared    int
-	WallUs    func() int64
 	// Lost asks the members which of the suspects a majority of them has lost.
 	Lost func(ctx context.Context, members, suspects []nest.Seat, forUs int64) map[string]bool
 	// SyncUs is how soon a replica that is back must hold all copies again.
@@ -78,6 +77,8 @@
 	lastNames    string
 	slowness     slowness
 	need         rosterNeed
+	diskRefuses  bool
+	cellOptions  []cell.Option
 }
 
 type cached struct {
@@ -97,6 +98,7 @@
 	context.AfterFunc(ctx, b.cell.Close)
 	d := cfg.Desk
 	pollen.On(d, "brood.claim", b.onClaim)
+	pollen.On(d, clockKind, b.onClock)
 	pollen.On(d, "brood.fetch", b.onFetch)
 	pollen.On(d, "brood.write", b.onWrite)
 	pollen.On(d, "brood.hand", b.onHand)
@@ -179,8 +181,9 @@
 func (b *Brood) tick() {
 	if b.slowness.beat(waggle.NowUs(), tickUs) {
 		b.cfg.Log.Info("store_slow", "slow", b.slowness.slow, "late_ms", int64(b.slowness.meanUs)/1000)
-		b.cfg.Swarm.Tell(func(p *swarm.Partner) { p.Slow = b.slowness.slow })
+		b.tellSlow()
 	}
+	b.diskTick()
 	if st := b.cfg.State(); st != nil && st.Stores.Ver != b.rosterVer {
 		b.rosterVer, b.rosterUs = st.Stores.Ver, waggle.NowUs()
 	}
@@ -189,6 +192,7 @@
 		b.shedMoved(st)
 	}
 	b.rosterTick()
+	b.clockTick(waggle.NowUs())
 	b.expireWaiting()
 }
 
@@ -208,7 +212,7 @@
 	if !s.owner.ready {
 		return nil, wax.New(wax.Declined, "shard", "is being taken over", "ask again")
 	}
-	return s, nil
+	return s, b.behind()
 }
 
 type handCall struct {
@@ -286,7 +290,7 @@
 				return
 			}
 		}
-		l.List, l.Ended = nil, false
+		l.List, l.Ended, l.BornUs = nil, false, s.clock.now(nowUs)
 		if in.Offer {
 			s.owner.keepRoom(l.Binding, l.ID, in.Toks, nowUs)
 			reply(&handAnswer{Welcome: true}, nil)
@@ -320,7 +324,7 @@
 		reply(out, nil)
 		return
 	}
-	l := &Lot{ID: in.Lot.ID, Host: in.Lot.Host, Binding: in.Lot.Binding, SentUs: in.Lot.SentUs, RetainMs: in.Lot.RetainMs, Ended: true}
+	l := &Lot{ID: in.Lot.ID, Host: in.Lot.Host, Binding: in.Lot.Binding, SentUs: in.Lot.SentUs, RetainMs: in.Lot.RetainMs, Ended: true, BornUs: s.clock.now(waggle.NowUs())}
 	rev := uint64(1)
 	if old != nil {
 		rev = old.Rev + 1
--- /dev/null
+++ b/internal/brood/clock.go
@@ -0,0 +1,173 @@
+package brood
+
+import (
+	"context"
+
+	"github.com/go-faster/errors"
+
+	"rowanshunt/internal/waggle"
+	"rowanshunt/internal/wax"
+)
+
+// clockValue is a value of a shard's clock and the owner that it is of.
+type clockValue struct {
+	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by the library
+	Stamp    Stamp
+	Us       int64
+}
+
+// newer gives the value of the higher owner, of one owner the higher value. A
+// value of an owner that was cut off and ran on is thereby out, however high it
+// is, once a majority has one of a later owner.
+func (v clockValue) newer(w clockValue) clockValue {
+	if v.Stamp.Less(w.Stamp) || v.Stamp == w.Stamp && v.Us < w.Us {
+		return w
+	}
+	return v
+}
+
+// shardClock counts the time during which a shard had an owner: the ages of its
+// lots are read from it (design 8.12). It runs on the owner's steady clock and
+// goes on, at the next owner or after a restart, from the newest value recorded
+// at the replicas that the claim heard. So it never runs faster than time: what
+// may not happen before a time happens late rather than early.
+type shardClock struct {
+	recorded clockValue // newest value known here, by a record or as the owner
+	savedUs  int64      // value on this disk
+	startUs  int64      // steady time at which the owner here took it up; 0: it stands
+}
+
+// How often the clock is recorded at least, while the owner has nothing else to
+// record.
+const (
+	clockEveryUs     = 250_000   // at the replicas, while a lot is open
+	clockIdleEveryUs = 5_000_000 // the same, while all lots are closed
+	clockSaveUs      = 1_000_000 // on their disks
+)
+
+// now reads the clock; it stands still where this node is not the owner.
+func (c *shardClock) now(steadyUs int64) int64 {
+	if c.startUs == 0 {
+		return c.recorded.Us
+	}
+	return c.recorded.Us + steadyUs - c.startUs
+}
+
+// value is the clock's value with its owner.
+func (c *shardClock) value(steadyUs int64) clockValue {
+	return clockValue{Stamp: c.recorded.Stamp, Us: c.now(steadyUs)}
+}
+
+// record takes a value that an owner recorded; an op of the version before has
+// none. This node's own clock does not follow it while it runs.
+func (c *shardClock) record(stamp Stamp, clockUs int64) {
+	if c.startUs == 0 && clockUs > 0 {
+		c.recorded = c.recorded.newer(clockValue{Stamp: stamp, Us: clockUs})
+	}
+}
+
+// saved notes that this value goes to the disk with a record.
+func (c *shardClock) saved(clockUs int64) {
+	if clockUs > 0 {
+		c.savedUs = clockUs
+	}
+}
+
+// start lets the clock run on under a new owner from the newest value found. It
+// begins at 1: a lot with 0 has no place on it yet.
+func (c *shardClock) start(stamp Stamp, steadyUs int64, found clockValue) {
+	c.stop(steadyUs)
+	c.recorded = clockValue{Stamp: stamp, Us: max(c.recorded.newer(found).Us, 1)}
+	c.startUs = steadyUs
+}
+
+// stop keeps the value that the clock has reached.
+func (c *shardClock) stop(steadyUs int64) { c.recorded, c.startUs = c.value(steadyUs), 0 }
+
+// ageUs is how long the lot has waited while its shard had an owner.
+func (s *shard) ageUs(l *Lot, steadyUs int64) int64 { return s.clock.now(steadyUs) - l.BornUs }
+
+// placeOnClock gives a lot its place on the clock, true if it has none that
+// counts: it was accepted by an owner of the version before, or by one that was cut
+// off and whose clock ran on. It counts as accepted now, so that nothing of it comes
+// too early. Such a lot is to be written whole.
+func (s *shard) placeOnClock(l *Lot, steadyUs int64) bool {
+	nowUs := s.clock.now(steadyUs)
+	if l.BornUs != 0 && l.BornUs <= nowUs {
+		return false
+	}
+	l.BornUs = nowUs
+	return true
+}
+
+// clockTick records the clocks of the shards that had nothing else to record
+// lately, so that a takeover loses little of them.
+func (b *Brood) clockTick(steadyUs int64) {
+	for _, s := range b.shards {
+		if s.owner == nil || !s.owner.ready || len(s.lots) == 0 {
+			continue
+		}
+		if steadyUs-s.owner.clockSentUs >= s.clockEvery() {
+			b.issue(s, op{Kind: opNone}, func(error) {})
+		}
+	}
+}
+
+func (s *shard) clockEvery() int64 {
+	for _, l := range s.lots {
+		if !l.closed() {
+			return clockEveryUs
+		}
+	}
+	return clockIdleEveryUs
+}
+
+// saveClock writes the clock to this disk if that has not been done lately, as
+// an op that changes no lot.
+func (b *Brood) saveClock(s *shard, stamp Stamp, clockUs int64) {
+	if sinceUs := clockUs - s.clock.savedUs; sinceUs >= 0 && sinceUs < clockSaveUs {
+		return
+	}
+	s.clock.saved(clockUs)
+	b.persist(&record{Shard: s.n, Ops: []op{{Kind: opNone, Stamp: stamp, ClockUs: clockUs}}}, func() {})
+}
+
+type clockCall struct {
+	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by the library
+	Seat     string
+	Shard    int
+}
+
+// onClock tells the newest value of a shard's clock that is known here. A claim
+// asks after it has the promise: then no earlier owner can record any more.
+func (b *Brood) onClock(ctx context.Context, in *clockCall) (*clockValue, error) {
+	return answered(ctx, b.cfg.Floor, func(reply func(*clockValue, error)) {
+		s, err := b.mine(in.Seat, in.Shard)
+		if err != nil {
+			reply(nil, err)
+			return
+		}
+		value := s.clock.value(waggle.NowUs())
+		reply(&value, nil)
+	})
+}
+
+const clockKind = "brood.clock"
+
+// askClock reads a shard's clock at a replica; one of the version before has none.
+func (b *Brood) askClock(ctx context.Context, addr string, in *clockCall) (clockValue, error) {
+	if in.Seat == b.cfg.Seat {
+		here, err := b.onClock(ctx, in)
+		if err != nil {
+			return clockValue{}, err
+		}
+		return *here, nil
+	}
+	out := clockValue{}
+	err := b.cfg.Mesh.Call(ctx, addr, clockKind, in, &out)
+	var fault *wax.Fault
+	if errors.As(err, &fault) && fault.Kind == wax.Declined && fault.Field == clockKind {
+		return clockValue{}, nil
+	}
+	return out, err
+}
--- a/internal/colony/colony_test.go
+++ b/internal/colony/colony_test.go
@@ -50,6 +50,7 @@
 	cancel func()
 	f      *Forager
 	c      *Comb
+	skewUs atomic.Int64 // of its time of day
 }
 
 var zones = []string{"ash", "birch", "cedar"}
@@ -111,7 +112,7 @@
 func (h *hive) start(name string) {
 	m := h.nodes[name]
 	ctx, cancel := context.WithCancel(context.Background())
-	env := Env{Mesh: h.m.MeshOf(m.opts.PartnerAddr()), Dial: h.m.DialFrom(m.opts.PartnerAddr()), WallUs: wall, Log: testLog(h.t, name)}
+	env := Env{Mesh: h.m.MeshOf(m.opts.PartnerAddr()), Dial: h.m.DialFrom(m.opts.PartnerAddr()), WallUs: func() int64 { return wall() + m.skewUs.Load() }, Log: testLog(h.t, name)}
 	var f *Forager
 	var c *Comb
 	var err error
--- a/internal/moult/upgrade.go
+++ b/internal/moult/upgrade.go
@@ -11,9 +11,11 @@
 	"math"
 	"slices"
 	"sort"
+	"strings"
 
 	"github.com/vmihailenco/msgpack/v5"
 
+	"rowanshunt/internal/foundation"
 	"rowanshunt/internal/nest"
 	"rowanshunt/internal/wax"
 )
@@ -52,7 +54,7 @@
 	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by the library
 	ID       string   `json:"id"`
 	Addr     string   `json:"addr"`
-	AtUs     int64    `json:"at_us"` // time of day
+	AtUs     int64    `json:"at_us"` // on the steady clock of the driver that took it
 	Idle     bool     `json:"idle"`  // nothing runs there any more: it may be replaced
 	Gone     bool     `json:"gone"`
 }
@@ -70,14 +72,16 @@
 	Why      string   `json:"why,omitempty"`
 	Remedy   string   `json:"remedy,omitempty"`
 	Wave     int64    `json:"wave"`
-	WaveUs   int64    `json:"wave_us"`
-	Out      []Out    `json:"out"`
+	// WaveUs, SpreadUs and WarmUs are when the waits under way began, on the
+	// steady clock of the driver: one that takes over begins them anew.
+	WaveUs int64 `json:"wave_us"`
+	Out    []Out `json:"out"`
 	// Returned are the workers at the target version when the wave began.
 	Returned int64  `json:"returned"`
 	Total    int64  `json:"total"` // workers when it started
 	Spread   int64  `json:"spread"`
 	SpreadUs int64  `json:"spread_us"`
-	WarmUs   int64  `json:"warm_us"` // since when the last wave is back
+	WarmUs   int64  `json:"warm_us"` // the last wave is back
 	Driver   string `json:"driver"`  // node/life
 	Term     uint64 `json:"term"`
 	// Known are the workers there when the wave began.
@@ -131,12 +135,44 @@
 		return err
 	}
 	s.SetExtra(keyPrefix+u.Svc, raw)
+	boundUpgrades(s)
 	return nil
 }
 
+// maxUpgrades is how many upgrades are kept before those that ended, of
+// services that the blueprint no longer has, are dropped.
+const maxUpgrades = 256
+
+// boundUpgrades bounds the upgrades in a state that is not shared yet.
+func boundUpgrades(s *nest.State) {
+	count := 0
+	for key := range s.Extra {
+		if strings.HasPrefix(key, keyPrefix) {
+			count++
+		}
+	}
+	if count <= maxUpgrades {
+		return
+	}
+	b, err := foundation.Parse(s.Doc)
+	if err != nil {
+		return
+	}
+	s.DropExtra(func(key string) bool {
+		svc, isUpgrade := strings.CutPrefix(key, keyPrefix)
+		return isUpgrade && b.Services[svc] == nil && !Load(s, svc).Open()
+	})
+}
+
 // Open tells whether the upgrade is not at its end.
 func (u *Upgrade) Open() bool { return u != nil && (u.Phase == Running || u.Phase == Paused) }
 
+// endedAs tells whether the upgrade reached that target under those rules. A start
+// that says the same may be the one that began it, sent again.
+func (u *Upgrade) endedAs(to int64, rules Rules) bool {
+	return u != nil && u.Phase == Done && u.To == to && u.Rules == rules
+}
+
 // Seen is what the driver sees of a worker in use or taken out.
 type Seen struct {
 	ID   string
@@ -203,11 +239,13 @@
 
 // Step moves the upgrade on by what is seen now; true if it changed. It is the
 // one place that decides, and touches nothing but the aggregate.
+// nowUs is the driver's steady clock.
 func (u *Upgrade) Step(seen []Seen, groups []Group, v Vitals, nowUs int64) bool {
 	if u.Phase != Running {
 		return u.look(seen)
 	}
 	changed := u.look(seen)
+	changed = u.beginWaits(nowUs) || changed
 	well, old, atTarget := u.count(seen)
 	out := int64(len(u.Out))
 	switch {
@@ -247,6 +285,34 @@
 	return changed
 }
 
+// waitAnew marks a wait that the driver has yet to begin on its own clock.
+const waitAnew = -1
+
+// restartWaits lets the waits under way run in full again: the clock on which
+// they began is that of another process, or they were stopped.
+func (u *Upgrade) restartWaits() {
+	for _, wait := range []*int64{&u.WaveUs, &u.SpreadUs, &u.WarmUs} {
+		if *wait != 0 {
+			*wait = waitAnew
+		}
+	}
+}
+
+// takeOver gives the upgrade to a new driver under a higher term.
+func (u *Upgrade) takeOver(driver string) {
+	u.Term, u.Driver = u.Term+1, driver
+	u.restartWaits()
+}
+
+func (u *Upgrade) beginWaits(nowUs int64) (changed bool) {
+	for _, wait := range []*int64{&u.WaveUs, &u.SpreadUs, &u.WarmUs} {
+		if *wait == waitAnew {
+			*wait, changed = nowUs, true
+		}
+	}
+	return changed
+}
+
 // look takes in what became of the workers that are out.
 func (u *Upgrade) look(seen []Seen) bool {
 	byID := map[string]Seen{}
