--- a/internal/brood/brood.go
+++ b/internal/brood/brood.go
@@ -76,9 +76,9 @@
 	stableUs     int64
 	lastNames    string
 	slowness     slowness
+	need         rosterNeed
 	diskRefuses  bool
 	cellOptions  []cell.Option
-	need         rosterNeed
 }
 
 type cached struct {
--- a/internal/nest/proposer.go
+++ b/internal/nest/proposer.go
@@ -148,7 +148,9 @@
 }
 
 // prepare sends a prepare round and gives the members to send the accept round
-// to, none if a new attempt is needed.
+// to, none if a new attempt is needed. Both rounds end when a member declines
+// for a higher ballot: the next attempt tops it, while to wait for a silent
+// member would let others top this one again and again.
 func (p *Proposer) prepare(ctx context.Context, call *proposal) []Seat {
 	p.highest++
 	known, committed := p.known()
@@ -158,14 +160,7 @@
 		return nil
 	}
 	askSeats(ctx, p, members, p.kinds[0], func(s Seat) any { return &prepareCall{Seat: s.ID, Ballot: ballot} }, func(a callOut[prepareAnswer]) bool {
-		if a.err != nil {
-			return false
-		}
-		enough := call.promised(a.seat.ID, a.out)
-		// A higher ballot is out: the next attempt tops it. To wait for a silent
-		// member instead would let others top this one again and again.
-		outbid := !a.out.OK
-		return enough || outbid
+		return a.err == nil && (call.promised(a.seat.ID, a.out) || !a.out.OK)
 	})
 	p.highest = max(p.highest, call.highest)
 	return call.propose()
@@ -174,12 +169,7 @@
 // accept sends an accept round.
 func (p *Proposer) accept(ctx context.Context, call *proposal, members []Seat) {
 	askSeats(ctx, p, members, p.kinds[1], func(s Seat) any { return &acceptCall{Seat: s.ID, Ballot: call.ballot, State: call.commit} }, func(a callOut[acceptAnswer]) bool {
-		if a.err != nil {
-			return false
-		}
-		enough := call.accepted(a.seat.ID, a.out)
-		outbid := !a.out.OK
-		return enough || outbid
+		return a.err == nil && (call.accepted(a.seat.ID, a.out) || !a.out.OK)
 	})
 	p.highest = max(p.highest, call.highest)
 }
