TestTimeOfDayIsKeptOut names the file that the walk moved to

The one use of time.Unix (a deadline in the past, which ends a read) moved from sender.go to walk.go; the list follows it and allows no more than before.

--- a/internal/waggle/wallclock_test.go
+++ b/internal/waggle/wallclock_test.go
@@ -37,7 +37,7 @@
 
 // Other uses of those names, by file.
 var otherUses = map[string]string{
-	"internal/forage/sender.go": "Unix",     // a deadline in the past ends a read
+	"internal/forage/walk.go":   "Unix",     // a deadline in the past ends a read
 	"internal/colony/colony.go": "ModTime",  // tells whether a file changed
 	"internal/cell/cell.go":     "Truncate", // of a file
 }
