--- a/internal/waggle/floor_test.go
+++ b/internal/waggle/floor_test.go
@@ -47,8 +47,10 @@
 func TestFloorBounds(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := NewFloor(2)
-		if !f.Try(func() {}) || !f.Try(func() {}) || f.Try(func() {}) {
-			t.Error("the holding's bound does not hold")
+		for i, want := range []bool{true, true, false} {
+			if got := f.Try(func() {}); got != want {
+				t.Errorf("try %d at a floor of two: taken %v, want %v", i+1, got, want)
+			}
 		}
 		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 		defer cancel()
