The roles are called edge and store; the earlier names are hidden aliases

The values in members' records stay as the first version had them, behind skep.RoleEdge and skep.RoleStore, so that nodes of both versions know each other.

--- a/cmd/drone/step.go
+++ b/cmd/drone/step.go
@@ -184,7 +184,7 @@
 
 func (s *step) options(name, ip, role string, i int) string {
 	serves, listen, data := `["edge","ctl"]`, fmt.Sprintf("[listen]\nhttp = %q\nreadyz = %q\nctl = %q\n", addr(ip, httpPort), addr(ip, readyPort), addr(ip, ctlPort)), ""
-	if role == "comb" {
+	if role == skep.RoleStore {
 		serves, listen = `["store"]`, "[listen]\n"
 	}
 	if i < realForagers+realCombs {
@@ -218,9 +218,9 @@
 func hollowIP(i int) string { return fmt.Sprintf("127.%d.%d.%d", 80+block, i/200, i%200+1) }
 
 func (s *step) startReal(i int) error {
-	role := "forager"
+	role := skep.RoleEdge
 	if i >= realForagers {
-		role = "comb"
+		role = skep.RoleStore
 	}
 	p := &process{name: "real-" + strconv.Itoa(i), role: role, ip: realIP(i), verbose: s.Verbose}
 	path := filepath.Join(s.dir, p.name+".toml")
@@ -240,7 +240,7 @@
 // listeners for clients.
 func (s *step) startHollow(i int) error {
 	ip := hollowIP(i)
-	opts, err := parse(s.options("hollow-"+strconv.Itoa(i), ip, "forager", i+realForagers+realCombs), "forager")
+	opts, err := parse(s.options("hollow-"+strconv.Itoa(i), ip, skep.RoleEdge, i+realForagers+realCombs), skep.RoleEdge)
 	if err != nil {
 		return err
 	}
@@ -382,7 +382,7 @@
 		times = append(times, float64(time.Since(at).Milliseconds()))
 	}
 	row := fmt.Sprintf("%d %d %d", s.Nodes, s.Workers, s.Routes)
-	for _, role := range []string{"forager", "comb"} {
+	for _, role := range []string{skep.RoleEdge, skep.RoleStore} {
 		row += fmt.Sprintf(" | %s: %s, %s MB, %s KB/s, %s calls/s, %s thought silent", role, spread(cpu[role]), spread(peak[role]), spread(kb[role]), spread(calls[role]), spread(silent[role]))
 	}
 	return row + fmt.Sprintf(" | changes: %s", spread(times)), nil
--- a/cmd/hive/main.go
+++ b/cmd/hive/main.go
@@ -24,10 +24,10 @@
 	app.Version(version)
 	file := app.Flag("file", "Options file (TOML). Without it, $"+skep.EnvFile+", then "+skep.DefaultFile+".").String()
 	level := app.Flag("log-level", "Lowest level logged.").Default("info").Enum("debug", "info", "warn", "error")
-	forager := app.Command("forager", "Run a node that serves clients, workers and operators.")
-	comb := app.Command("comb", "Run a node that keeps lots on its disk.")
+	edge := app.Command("edge", "Run a node that serves clients, workers and operators.").Alias("forager")
+	store := app.Command("store", "Run a node that keeps lots on its disk.").Alias("comb")
 	check := app.Command("check", "Check an options file, and a blueprint if one is named, without starting anything.")
-	checkRole := check.Flag("role", "Check the options for this role.").Enum("forager", "comb")
+	checkRole := check.Flag("role", "Check the options for this role, edge or store.").Enum("edge", "store", "forager", "comb")
 	checkDoc := check.Flag("blueprint", "A blueprint (JSON) to check.").String()
 	noOptions := check.Flag("no-options", "Check the blueprint only.").Bool()
 	upgrade := newUpgradeCommand(app)
@@ -38,10 +38,10 @@
 	}
 	var err error
 	switch cmd {
-	case forager.FullCommand():
-		err = colony.Run(skep.Path(*file), "forager", *level)
-	case comb.FullCommand():
-		err = colony.Run(skep.Path(*file), "comb", *level)
+	case edge.FullCommand():
+		err = colony.Run(skep.Path(*file), skep.RoleEdge, *level)
+	case store.FullCommand():
+		err = colony.Run(skep.Path(*file), skep.RoleStore, *level)
 	case check.FullCommand():
 		err = checkFiles(skep.Path(*file), *checkRole, *checkDoc, *noOptions)
 	default:
@@ -65,7 +65,7 @@
 		l.Add(err)
 		if err == nil {
 			if role != "" {
-				l.Add(opts.CheckRole(role))
+				l.Add(opts.CheckRole(skep.RoleOf(role)))
 			}
 			fmt.Printf("options ok: node=%s az=%s\n", opts.Node, opts.Az)
 			for _, d := range opts.Doubts() {
--- a/internal/colony/colony.go
+++ b/internal/colony/colony.go
@@ -75,13 +75,13 @@
 	n.self = swarm.Partner{Name: opts.Node, Addr: opts.PartnerAddr(), Ctl: opts.Listen.Ctl, Az: opts.Az, Role: role, LifeUs: env.WallUs(),
 		Cap: int64(opts.Caps.CPUFrac * max(opts.Caps.NCPU, 1) * 1000)}
 	empty := true // nothing on disk, or no disk
-	if opts.DataDir != "" && (role == "comb" || opts.Has("ctl")) {
+	if opts.DataDir != "" && (role == skep.RoleStore || opts.Has("ctl")) {
 		id, fresh, err := brood.OpenIncarnation(opts.DataDir)
 		if err != nil {
 			return nil, err
 		}
 		n.self.Disk, empty = id, fresh
-		if role == "forager" {
+		if role == skep.RoleEdge {
 			n.diskDir = opts.DataDir
 		}
 	}
@@ -95,7 +95,7 @@
 		if v.Self.Disk == "" {
 			return nil
 		}
-		if role == "comb" {
+		if role == skep.RoleStore {
 			// A member listens to those it shares a shard with.
 			if st := n.Nest.Committed(); st != nil && st.Stores.Has(v.Self.Seat()) {
 				if matesVer != st.Stores.Ver {
@@ -199,7 +199,7 @@
 
 // NewComb makes a node of the role comb.
 func NewComb(ctx context.Context, env Env, opts *skep.Options) (*Comb, error) {
-	n, err := New(ctx, env, opts, "comb")
+	n, err := New(ctx, env, opts, skep.RoleStore)
 	if err != nil {
 		return nil, err
 	}
@@ -231,7 +231,7 @@
 
 // NewForager makes a node of the role forager.
 func NewForager(ctx context.Context, env Env, opts *skep.Options) (*Forager, error) {
-	n, err := New(ctx, env, opts, "forager")
+	n, err := New(ctx, env, opts, skep.RoleEdge)
 	if err != nil {
 		return nil, err
 	}
@@ -314,7 +314,7 @@
 	if c := n.chosen.Load(); c != nil && c.view == v {
 		return c.names
 	}
-	c := &chosen{view: v, names: v.Chosen("forager", "dispatch", maxDispatchers)}
+	c := &chosen{view: v, names: v.Chosen(skep.RoleEdge, "dispatch", maxDispatchers)}
 	n.chosen.Store(c)
 	return c.names
 }
--- a/internal/colony/run.go
+++ b/internal/colony/run.go
@@ -36,7 +36,7 @@
 	// Memory is kept small: the heap is collected early and the limit of the
 	// machine is never reached by garbage (design 11.2).
 	debug.SetGCPercent(50)
-	if role == "comb" {
+	if role == skep.RoleStore {
 		debug.SetGCPercent(20) // what it holds is large and lives long
 	}
 	debug.SetMemoryLimit(opts.Caps.RAMMb << 20 * 6 / 10)
@@ -51,7 +51,7 @@
 	for _, d := range opts.Doubts() {
 		env.Log.Warn("options_doubtful", "what", d)
 	}
-	if role == "comb" {
+	if role == skep.RoleStore {
 		return runComb(ctx, cancel, env, opts, path, term, hup)
 	}
 	return runForager(ctx, cancel, env, opts, path, term, hup)
--- a/internal/skep/options.go
+++ b/internal/skep/options.go
@@ -195,14 +195,14 @@
 // floors looks whether the machine has what a role needs at least.
 func (o *Options) floors(l *wax.Ledger, role string) {
 	ramMb := int64(minForagerMb)
-	if role == "comb" {
+	if role == RoleStore {
 		ramMb = minCombMb
 		if o.Caps.DiskMb > 0 && o.Caps.DiskMb < minCombDiskMb {
 			l.Addf("caps.disk_mb", "is below "+strconv.Itoa(minCombDiskMb), "a comb writes its file anew beside the old one: give it a larger disk")
 		}
 	}
 	if o.Caps.RAMMb < ramMb {
-		l.Addf("caps.ram_mb", "is below "+strconv.FormatInt(ramMb, 10), "give the role "+role+" a larger machine")
+		l.Addf("caps.ram_mb", "is below "+strconv.FormatInt(ramMb, 10), "give this role a larger machine")
 	}
 	if o.Caps.NoFile < minNoFile {
 		l.Addf("caps.nofile", "is below "+strconv.Itoa(minNoFile), "raise the limit of descriptors")
@@ -221,11 +221,29 @@
 	return out
 }
 
+// The roles of nodes. The values travel in the records of members, so they stay
+// as the first version had them; the commands are called edge and store.
+const (
+	RoleEdge  = "forager" // serves clients, workers and operators
+	RoleStore = "comb"    // keeps lots on its disk
+)
+
+// RoleOf gives the role that a command line names.
+func RoleOf(name string) string {
+	switch name {
+	case "edge":
+		return RoleEdge
+	case "store":
+		return RoleStore
+	}
+	return name
+}
+
 // CheckRole looks at what one role needs.
 func (o *Options) CheckRole(role string) error {
 	var l wax.Ledger
 	switch role {
-	case "forager":
+	case RoleEdge:
 		if o.Listen.HTTP == "" {
 			l.Addf("listen.http", "is missing", "a forager serves clients: give its address")
 		}
@@ -235,7 +253,7 @@
 		if o.Listen.Readyz == "" {
 			l.Addf("listen.readyz", "is missing", "give the address the platform asks for readiness")
 		}
-	case "comb":
+	case RoleStore:
 		if o.DataDir == "" {
 			l.Addf("datadir", "is missing", "a comb keeps data: give a folder on its disk")
 		}
