--- a/examples/first-run.sh
+++ b/examples/first-run.sh
@@ -1,11 +1,29 @@
 #!/usr/bin/env bash
-# A first run on one machine: three foragers and three combs on loopback
-# addresses, data below run/. Ctrl-C stops them. Build first (see README).
+# A first run on one machine, in one command: three edge nodes, three stores and
+# two stand-in workers on loopback addresses; a configuration, a streamed answer,
+# a batch and its result. It stops all it started when it is through; with --stay
+# it leaves all running until Ctrl-C. Data and logs are in run/; a further run
+# starts from the data. Needs curl, and the programs (README, "Set up").
 set -euo pipefail
 cd "$(dirname "$0")/.."
+stay=false
+[ "${1:-}" = --stay ] && stay=true
+for need in target/hive target/worker; do
+  [ -x "$need" ] || { echo "$need is missing: build first (README, \"Set up\")"; exit 1; }
+done
+
 first=true
 [ -d run ] && first=false
 mkdir -p run
+pids=()
+stop() {
+  trap - EXIT INT TERM
+  [ ${#pids[@]} -eq 0 ] || kill "${pids[@]}" 2>/dev/null || true
+  wait
+}
+trap stop EXIT
+trap 'exit 130' INT TERM
+
 node() { # name role last-byte zone
   local ip=127.0.0.$3 file=run/$1.toml
   {
@@ -16,7 +34,7 @@
     echo 'seeds = ["127.0.0.1:8146","127.0.0.2:8146","127.0.0.3:8146"]'
     echo "bootstrap = $first"
     echo "datadir = \"run/$1\""
-    if [ "$2" = forager ]; then
+    if [ "$2" = edge ]; then
       echo 'serves = ["edge","ctl"]'
       echo '[listen]'
       echo "http = \"$ip:8144\""
@@ -29,13 +47,56 @@
   target/hive "$2" --file "$file" 2> "run/$1.log" &
   pids+=($!)
 }
-pids=()
-trap 'kill "${pids[@]}" 2>/dev/null; wait' EXIT
-node edge-1 forager 1 north
-node edge-2 forager 2 east
-node edge-3 forager 3 west
-node store-1 comb 11 north
-node store-2 comb 12 east
-node store-3 comb 13 west
-echo "running; logs and data are in run/. Ctrl-C ends it."
-wait
+
+# until_ok WHAT WANT COMMAND...: repeats a command until its output matches.
+until_ok() {
+  local what=$1 want=$2 out=
+  shift 2
+  for _ in $(seq 150); do
+    out=$("$@" 2>/dev/null) || true
+    if [[ $out =~ $want ]]; then return 0; fi
+    sleep 0.2
+  done
+  echo "$what: last heard: $out (logs are in run/)"
+  return 1
+}
+
+code() { curl -sS -o /dev/null -w '%{http_code}' --max-time 3 "$@"; }
+
+echo "starting three edge nodes, three stores and two workers"
+node edge-1 edge 1 north
+node edge-2 edge 2 east
+node edge-3 edge 3 west
+node store-1 store 11 north
+node store-2 store 12 east
+node store-3 store 13 west
+target/worker --id i-1 --addr 127.0.0.1:9001 2> run/worker-1.log &
+pids+=($!)
+target/worker --id i-2 --addr 127.0.0.1:9002 --node 127.0.0.2:8146 2> run/worker-2.log &
+pids+=($!)
+
+# 503 until the system is founded; 412 where a run before has set it.
+until_ok "setting the configuration" '^(200|204|412)$' \
+  code -X PUT -H 'If-Match: 0' --data @examples/blueprint.json http://127.0.0.1:8146/-/config
+echo "configuration set: examples/blueprint.json"
+
+ask=(-H 'Host: shop.example' -H 'X-Rowanshunt-Tokens: 5,5' -d hello)
+until_ok "a first answer" '^200$' code "${ask[@]}" -H 'X-Rowanshunt-Request-Id: warm-up' http://127.0.0.3:8144/chat/1
+echo "a streamed answer, by way of edge-3:"
+curl -sS -N --max-time 10 "${ask[@]}" -H 'X-Rowanshunt-Request-Id: r1' http://127.0.0.3:8144/chat/1
+
+lot=lot-$(date +%s)
+until_ok "handing in a batch" '^2..$' \
+  code -H 'Host: shop.example' -H "X-Rowanshunt-Request-Id: $lot" http://127.0.0.1:8144/lots/1 \
+  -d '{"reqs":[{"id":"a","path":"/lots/1/a","hdrs":{"X-Rowanshunt-Tokens":"5,5"},"body":"aGVsbG8=","toks":10}]}'
+result() { curl -sS --max-time 5 -H 'Host: shop.example' -H 'X-Rowanshunt-Wait-Ms: 1000' "http://127.0.0.2:8144/-/lots/$lot?start_at=0"; }
+until_ok "the batch's result" '"phase":"done"' result
+echo "the batch $lot and its result, by way of edge-2:"
+result
+echo
+
+if $stay; then
+  echo "running; Ctrl-C ends it"
+  wait
+fi
+echo "done"
