--- a/internal/brood/api.go
+++ b/internal/brood/api.go
@@ -45,7 +45,7 @@
 type API struct {
 	Client    *Client
 	Blueprint func() *foundation.Blueprint
-	WallUs    func() int64
+	WallUs    func() int64 // notes when a lot came: nothing is decided by it
 	Decline   func(w http.ResponseWriter, status int, afterMs int64, why string)
 	// Admit are the bytes of bodies that may be in hand at a time.
 	Admit      *semaphore.Weighted
@@ -63,6 +63,9 @@
 	} `json:"reqs"`
 }
 
+// maxToks bounds an item's tokens, so that no sum of them overflows.
+const maxToks = 1 << 40
+
 // ParseLot reads and checks the body of a lot.
 func ParseLot(raw []byte, wallUs int64) ([]Prompt, error) {
 	var doc lotDoc
@@ -83,6 +86,9 @@
 		if q.ID == "" || len(q.ID) > 256 {
 			l.Addf(at+".id", "is missing or too long", "name each item")
 		}
+		if !valueOK(q.ID) {
+			l.Addf(at+".id", "cannot be sent in a head", "use printable characters")
+		}
 		if seen[q.ID] {
 			l.Addf(at+".id", "is there twice", "name each item once")
 		}
@@ -90,14 +96,17 @@
 		if len(q.Path) == 0 || q.Path[0] != '/' {
 			l.Addf(at+".path", "is no path", "begin it with a slash")
 		}
-		if q.Toks == nil || *q.Toks < 0 {
-			l.Addf(at+".toks", "is missing or negative", "give the tokens of the prompt and the most out, summed")
+		if !targetOK(q.Path) {
+			l.Addf(at+".path", "cannot be sent", "encode spaces and control characters")
+		}
+		if q.Toks == nil || *q.Toks < 0 || *q.Toks > maxToks {
+			l.Addf(at+".toks", "is missing, negative or over the bound", "give the tokens of the prompt and the most out, summed")
 		}
 		body, err := base64.StdEncoding.DecodeString(q.Body)
 		if err != nil {
 			l.Addf(at+".body", "is no base64", "encode the body")
 		}
-		p := Prompt{ID: q.ID, Path: q.Path, Body: body, ScheduledUs: wallUs, NextUs: wallUs, CreatedUs: wallUs}
+		p := Prompt{ID: q.ID, Path: q.Path, Body: body, CreatedUs: wallUs}
 		if q.Toks != nil {
 			p.Toks = *q.Toks
 		}
@@ -124,6 +133,16 @@
 	return true
 }
 
+// targetOK tells whether a path goes into a request line as it is.
+func targetOK(path string) bool {
+	for i := range len(path) {
+		if path[i] <= ' ' || path[i] == 0x7f {
+			return false
+		}
+	}
+	return true
+}
+
 func valueOK(v string) bool {
 	for i := 0; i < len(v); i++ {
 		if v[i] < ' ' && v[i] != '\t' || v[i] == 0x7f {
--- a/internal/brood/brood.go
+++ b/internal/brood/brood.go
@@ -48,7 +48,6 @@
 	Fatal     func(error)
 	Options   Options
 	Spared    int
-	WallUs    func() int64
 }
 
 // Brood is a store's part of the queue. It owns its shards; all runs on the
@@ -74,6 +73,8 @@
 	stableUs     int64
 	lastNames    string
 	slowness     slowness
+	diskRefuses  bool
+	cellOptions  []cell.Option
 }
 
 type cached struct {
@@ -93,6 +94,7 @@
 	context.AfterFunc(ctx, b.cell.Close)
 	d := cfg.Desk
 	pollen.On(d, "brood.claim", b.onClaim)
+	pollen.On(d, "brood.clock", b.onClock)
 	pollen.On(d, "brood.fetch", b.onFetch)
 	pollen.On(d, "brood.write", b.onWrite)
 	pollen.On(d, "brood.hand", b.onHand)
@@ -175,8 +177,9 @@
 func (b *Brood) tick() {
 	if b.slowness.beat(waggle.NowUs(), tickUs) {
 		b.cfg.Log.Info("store_slow", "slow", b.slowness.slow, "late_ms", int64(b.slowness.meanUs)/1000)
-		b.cfg.Swarm.Tell(func(p *swarm.Partner) { p.Slow = b.slowness.slow })
+		b.tellSlow()
 	}
+	b.diskTick()
 	if st := b.cfg.State(); st != nil && st.Stores.Ver != b.rosterVer {
 		b.rosterVer, b.rosterUs = st.Stores.Ver, waggle.NowUs()
 	}
@@ -185,6 +188,7 @@
 		b.shedMoved(st)
 	}
 	b.rosterTick()
+	b.clockTick(waggle.NowUs())
 	b.expireWaiting()
 }
 
@@ -204,7 +208,7 @@
 	if !s.owner.ready {
 		return nil, wax.New(wax.Declined, "shard", "is being taken over", "ask again")
 	}
-	return s, nil
+	return s, b.behind()
 }
 
 type handCall struct {
@@ -280,7 +284,7 @@
 				return
 			}
 		}
-		l.List, l.Ended = nil, false
+		l.List, l.Ended, l.BornUs = nil, false, s.clock.now(nowUs)
 		if in.Offer {
 			s.owner.keepRoom(l.Binding, l.ID, in.Toks, nowUs)
 			reply(&handAnswer{Welcome: true}, nil)
@@ -314,7 +318,7 @@
 		reply(out, nil)
 		return
 	}
-	l := &Lot{ID: in.Lot.ID, Host: in.Lot.Host, Binding: in.Lot.Binding, SentUs: in.Lot.SentUs, RetainMs: in.Lot.RetainMs, Ended: true}
+	l := &Lot{ID: in.Lot.ID, Host: in.Lot.Host, Binding: in.Lot.Binding, SentUs: in.Lot.SentUs, RetainMs: in.Lot.RetainMs, Ended: true, BornUs: s.clock.now(waggle.NowUs())}
 	rev := uint64(1)
 	if old != nil {
 		rev = old.Rev + 1
--- a/internal/brood/replica.go
+++ b/internal/brood/replica.go
@@ -2,17 +2,13 @@
 
 import (
 	"context"
-	"crypto/rand"
-	"encoding/hex"
-	"os"
-	"path/filepath"
 	"strings"
 
-	"github.com/go-faster/errors"
 	"github.com/vmihailenco/msgpack/v5"
 
 	"rowanshunt/internal/cell"
 	"rowanshunt/internal/codec"
+	"rowanshunt/internal/swarm"
 	"rowanshunt/internal/waggle"
 	"rowanshunt/internal/wax"
 )
@@ -48,35 +44,21 @@
 	fetched  map[string]*Lot // by a claim that did not come to its end
 	// nextOffset is where the next lot's run begins in the shard's log.
 	nextOffset int64
+	clock      shardClock
 }
 
-// OpenIncarnation reads the name of this disk, made anew on an empty one.
-func OpenIncarnation(dir string) (id string, fresh bool, err error) {
-	path := filepath.Join(dir, "incarnation")
-	raw, err := os.ReadFile(path)
-	if err == nil && len(raw) == 32 {
-		return string(raw), false, nil
-	}
-	if err := os.MkdirAll(dir, 0o755); err != nil {
-		return "", false, errors.Wrap(err, "make folder")
-	}
-	var b [16]byte
-	if _, err := rand.Read(b[:]); err != nil {
-		return "", false, err
-	}
-	id = hex.EncodeToString(b[:])
-	f, err := os.OpenFile(path, os.O_CREATE|os.O_TRUNC|os.O_WRONLY, 0o644)
-	if err != nil {
-		return "", false, errors.Wrap(err, "incarnation")
-	}
-	_, err = f.WriteString(id)
-	if err == nil {
-		err = f.Sync()
+// LogName is the file that holds a store's records and its identity.
+const LogName = "brood.cell"
+
+func decodeRecord(raw []byte) (*record, error) {
+	r := &record{}
+	if err := msgpack.Unmarshal(raw, r); err != nil {
+		return nil, err
 	}
-	if e := f.Close(); err == nil {
-		err = e
+	if r.Shard < 0 || r.Shard >= Shards {
+		return nil, wax.New(wax.Damaged, "shard", "is out of bounds", "")
 	}
-	return id, true, err
+	return r, nil
 }
 
 // openReplica reads all shards from disk.
@@ -85,14 +67,11 @@
 		b.shards[n] = &shard{n: n, lots: map[string]*Lot{}}
 	}
 	misfits := 0
-	c, damage, err := cell.Open(dir, "brood.cell", func(raw []byte) error {
-		var r record
-		if err := msgpack.Unmarshal(raw, &r); err != nil {
+	c, damage, err := cell.Open(dir, LogName, func(raw []byte) error {
+		r, err := decodeRecord(raw)
+		if err != nil {
 			return err
 		}
-		if r.Shard < 0 || r.Shard >= Shards {
-			return wax.New(wax.Damaged, "shard", "is out of bounds", "")
-		}
 		s := b.shards[r.Shard]
 		if r.Promise != nil && s.promised.Less(*r.Promise) {
 			s.promised = *r.Promise
@@ -104,9 +83,11 @@
 			if s.promised.Less(r.Ops[i].Stamp) {
 				s.promised = r.Ops[i].Stamp
 			}
+			s.clock.record(r.Ops[i].ClockUs)
+			s.clock.saved(r.Ops[i].ClockUs)
 		}
 		return nil
-	})
+	}, append([]cell.Option{cell.Hold()}, b.cellOptions...)...)
 	if err != nil {
 		return err
 	}
@@ -122,8 +103,9 @@
 	return nil
 }
 
-// persist writes a record and then answers on the floor; without a disk to
-// write to the node ends, for it may not answer.
+// persist writes a record and then answers. Memory runs ahead of the file here,
+// so a record that the disk refuses is held and tried again in its turn; until
+// it is written nothing that follows is answered (design 10.4).
 func (b *Brood) persist(r *record, then func()) {
 	wire := rawRecord{Shard: r.Shard, Promise: r.Promise}
 	for i := range r.Ops {
@@ -134,16 +116,64 @@
 		b.cfg.Fatal(err)
 		return
 	}
+	b.append(then, raw)
+	if size := b.cell.SizeBytes(); size > b.longBytes && !b.rewriting {
+		b.rewrite()
+	}
+}
+
+// append writes records; without any it is a barrier behind all earlier ones.
+func (b *Brood) append(then func(), raw ...[]byte) {
 	b.cell.Append(func(err error) {
+		if err != nil && b.ctx.Err() != nil {
+			return // closed: whoever waits is told by the end of its call
+		}
 		if err != nil {
 			b.cfg.Fatal(err)
 			return
 		}
 		then()
-	}, raw)
-	if size := b.cell.SizeBytes(); size > b.longBytes && !b.rewriting {
-		b.rewrite()
+	}, raw...)
+}
+
+// maxWaitingBytes bounds what waits in memory for a disk that refuses or stalls.
+const maxWaitingBytes = 16 << 20
+
+// refused is the fault of a store whose disk takes nothing: nothing is promised.
+func (b *Brood) refused() error {
+	if err := b.cell.Refused(); err != nil {
+		return wax.New(wax.Declined, "disk", err.Error(), "ask another store; make room on the disk")
 	}
+	return b.behind()
+}
+
+// behind is the fault of a store that holds too much for its disk to write.
+func (b *Brood) behind() error {
+	if b.cell.WaitingBytes() > maxWaitingBytes {
+		return wax.New(wax.Declined, "disk", "is far behind", "ask again later")
+	}
+	return nil
+}
+
+// diskTick warns when the disk begins or ends to refuse writes.
+func (b *Brood) diskTick() {
+	err := b.cell.Refused()
+	if (err != nil) == b.diskRefuses {
+		return
+	}
+	b.diskRefuses = err != nil
+	if err != nil {
+		b.cfg.Log.Warn("disk_refuses", "cell", "brood", "err", err, "remedy", "make room on the disk, or replace it")
+	} else {
+		b.cfg.Log.Info("disk_takes_writes", "cell", "brood")
+	}
+	b.tellSlow()
+}
+
+// tellSlow tells the others whether this store should own shards.
+func (b *Brood) tellSlow() {
+	slow := b.slowness.slow || b.diskRefuses
+	b.cfg.Swarm.Tell(func(p *swarm.Partner) { p.Slow = slow })
 }
 
 // rewrite makes the file anew out of what the shards hold now; the lots are
@@ -152,12 +182,14 @@
 	type kept struct {
 		shard    int
 		promised Stamp
+		clockUs  int64
 		lots     []*Lot
 	}
 	var all []kept
 	var total int64
 	for _, s := range b.shards {
-		k := kept{shard: s.n, promised: s.promised}
+		k := kept{shard: s.n, promised: s.promised, clockUs: s.clock.now(waggle.NowUs())}
+		s.clock.saved(k.clockUs)
 		for _, l := range s.lots {
 			k.lots = append(k.lots, l.share())
 			total += int64(l.cost())
@@ -167,13 +199,13 @@
 	b.rewriting = true
 	b.cell.Rewrite(func(err error) {
 		if err != nil {
-			b.cfg.Fatal(err)
-			return
+			// The file goes on as it is; later, with more room, it is tried again.
+			b.cfg.Log.Warn("cell_rewrite_failed", "cell", "brood", "err", err)
 		}
 		_ = b.cfg.Floor.Do(b.ctx, func() { b.rewriting, b.longBytes = false, b.nextLong() })
 	}, func(write func([]byte) error) error {
 		for i := range all {
-			if err := writeRecord(write, &record{Shard: all[i].shard, Promise: &all[i].promised}); err != nil {
+			if err := writeRecord(write, &record{Shard: all[i].shard, Promise: &all[i].promised, Ops: []op{{Kind: opNone, ClockUs: all[i].clockUs}}}); err != nil {
 				return err
 			}
 			for at, l := range all[i].lots {
@@ -286,6 +318,10 @@
 			reply(nil, err)
 			return
 		}
+		if err := b.refused(); err != nil {
+			reply(nil, err)
+			return
+		}
 		if in.Stamp.Less(s.promised) || in.Look && in.Stamp != s.promised {
 			reply(&claimAnswer{Promised: s.promised}, nil)
 			return
@@ -295,7 +331,8 @@
 			out.Copies = append(out.Copies, copyOf{Lot: l.ID, Stamp: l.Stamp, Rev: l.Rev, Listed: len(l.List)})
 		}
 		if s.promised == in.Stamp {
-			reply(out, nil)
+			// The promise and the copies may be on their way to the disk still.
+			b.append(func() { reply(out, nil) })
 			return
 		}
 		b.promise(s, in.Stamp)
@@ -340,6 +377,10 @@
 			reply(&writeAnswer{Promised: s.promised}, nil)
 			return
 		}
+		if err := b.refused(); err != nil {
+			reply(nil, err)
+			return
+		}
 		rec := &record{Shard: s.n}
 		if s.promised.Less(in.Stamp) {
 			b.promise(s, in.Stamp)
@@ -353,12 +394,16 @@
 				return
 			}
 			o.raw = raw
+			s.clock.record(o.ClockUs)
 			if !apply(s.lots, &o) {
 				out.OK, out.Misfit = false, true
 				break
 			}
 			if o.Kind != opNone {
 				rec.Ops = append(rec.Ops, op{raw: raw})
+				s.clock.saved(o.ClockUs)
+			} else {
+				b.saveClock(s, o.Stamp, o.ClockUs)
 			}
 		}
 		if len(rec.Ops) == 0 && rec.Promise == nil {
--- a/internal/nest/nest.go
+++ b/internal/nest/nest.go
@@ -1,7 +1,6 @@
 package nest
 
 import (
-	"bytes"
 	"context"
 	"slices"
 	"sort"
@@ -64,6 +63,7 @@
 	stableAt int64
 	lastSet  string
 	busy     bool
+	lag      lag
 	pulling  map[string]bool
 }
 
@@ -243,6 +243,9 @@
 	}
 	stable := nowUs-n.stableAt > stableUs && nowUs-n.startUs > foundAfterUs
 	known, committed := n.Known()
+	if n.lag.due(n.behind(known, committed), nowUs) {
+		n.once(n.catchUp)
+	}
 	switch {
 	case known == nil:
 		if n.cfg.Boot && n.seat != nil && stable {
@@ -415,33 +418,15 @@
 	}
 }
 
-// Put takes an operator's document on top of the version it expects. The doc
-// must have been checked; check refuses it where it does not fit the current
-// version.
-func (n *Nest) Put(ctx context.Context, doc []byte, ver, expect int64) (*State, error) {
-	return n.Change(ctx, func(now *State) (*State, error) {
-		if now.Ver == ver && bytes.Equal(now.Doc, doc) {
-			return nil, nil // the very same one, sent again
-		}
-		if now.Ver != expect {
-			return nil, wax.New(wax.Stale, "If-Match", "another version is in place", "read the configuration and build on its version")
-		}
-		if ver <= now.Ver {
-			return nil, wax.New(wax.Invalid, "ver", "is not above the current one", "raise it")
-		}
-		now.Ver, now.Doc = ver, doc
-		return now, nil
-	})
-}
-
 // Retire marks a store to be emptied.
 func (n *Nest) Retire(ctx context.Context, name string) error {
 	_, err := n.Change(ctx, func(now *State) (*State, error) {
 		at := slices.IndexFunc(now.Stores.All(), func(s Seat) bool { return s.Name == name })
 		retired := slices.ContainsFunc(now.Retiring, func(id string) bool { return strings.HasPrefix(id, name+"#") })
 		if at < 0 {
-			if retired {
-				return nil, nil
+			taken, err := tookRetire(now, name)
+			if retired || taken || err != nil {
+				return nil, err
 			}
 			return nil, wax.New(wax.Unknown, name, "is no store of this system", "name a store's node")
 		}
@@ -458,7 +443,10 @@
 		if left < 2*n.cfg.Spared+1 {
 			return nil, wax.New(wax.Conflict, name, "too few stores would be left", "add a store first")
 		}
-		now.Retiring = append(slices.Clone(now.Retiring), id)
+		now.Retiring = boundRetiring(append(slices.Clone(now.Retiring), id), now.Stores.All())
+		if err := logRetire(now, name); err != nil {
+			return nil, err
+		}
 		return now, nil
 	})
 	return err
@@ -480,6 +468,9 @@
 			return true, nil
 		}
 	}
+	if taken, err := tookRetire(s, name); taken || err != nil {
+		return taken, err
+	}
 	return false, wax.New(wax.Unknown, name, "is no store of this system", "name a store's node")
 }
 
