--- a/internal/brood/clock.go
+++ b/internal/brood/clock.go
@@ -11,9 +11,8 @@
 
 // clockValue is a value of a shard's clock and the owner that it is of.
 type clockValue struct {
-	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by the library
-	Stamp    Stamp
-	Us       int64
+	Stamp Stamp
+	Us    int64
 }
 
 // newer gives the value of the higher owner, of one owner the higher value. A
@@ -133,9 +132,8 @@
 }
 
 type clockCall struct {
-	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by the library
-	Seat     string
-	Shard    int
+	Seat  string
+	Shard int
 }
 
 // onClock tells the newest value of a shard's clock that is known here. A claim
--- a/internal/brood/fuzz_test.go
+++ b/internal/brood/fuzz_test.go
@@ -4,8 +4,7 @@
 	"bytes"
 	"testing"
 
-	"github.com/vmihailenco/msgpack/v5"
-
+	"rowanshunt/internal/codec"
 	"rowanshunt/internal/pollen"
 )
 
@@ -47,7 +46,7 @@
 // declined is as it was.
 func FuzzApply(f *testing.F) {
 	pack := func(ops ...*op) []byte {
-		raw, err := msgpack.Marshal(ops)
+		raw, err := codec.Marshal(ops)
 		if err != nil {
 			f.Fatal(err)
 		}
@@ -84,14 +83,14 @@
 }
 
 func packed1(l *Lot) []byte {
-	raw, _ := msgpack.Marshal(l)
+	raw, _ := codec.Marshal(l)
 	return raw
 }
 
 // Messages of peers are read, or refused, without a panic.
 func FuzzMessages(f *testing.F) {
 	for _, v := range []any{&handCall{Lot: &Lot{ID: "a"}}, &handAnswer{}, &TakeCall{Held: []Held{{Lot: "a"}}}, &TakeAnswer{Given: []Given{{Lot: "a"}}}, &AckCall{Msg: []byte("m")}, &GiveCall{}, &claimCall{}, &claimAnswer{}, &writeCall{}, &writeAnswer{}, &readAnswer{}} {
-		raw, err := msgpack.Marshal(v)
+		raw, err := codec.Marshal(v)
 		if err != nil {
 			f.Fatal(err)
 		}
@@ -117,7 +116,7 @@
 		{Shard: 2, Ops: []op{{Kind: opAppend, Lot: "a", Stamp: st, Rev: 2, Results: []Result{{Item: 5}}}}},
 		{Shard: -1}, {Shard: Shards},
 	} {
-		raw, err := msgpack.Marshal(r)
+		raw, err := codec.Marshal(r)
 		if err != nil {
 			f.Fatal(err)
 		}
--- a/internal/brood/membership.go
+++ b/internal/brood/membership.go
@@ -187,13 +187,11 @@
 }
 
 type ownedCall struct {
-	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by the library
-	Roster   uint64
+	Roster uint64
 }
 
 type ownedAnswer struct {
-	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by the library
-	Shards   []int
+	Shards []int
 }
 
 // onOwned lists the shards that this store owns under a roster and whose
--- a/internal/brood/outcomes.go
+++ b/internal/brood/outcomes.go
@@ -11,13 +11,12 @@
 // GiveCall hands a prompt back under its lease: unplaced, or after a failed
 // attempt.
 type GiveCall struct {
-	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by the library
-	Shard    int
-	Lot      string
-	Item     int
-	Lease    uint64
-	Failed   bool // a worker answered 500
-	AfterUs  int64
+	Shard   int
+	Lot     string
+	Item    int
+	Lease   uint64
+	Failed  bool // a worker answered 500
+	AfterUs int64
 }
 
 // onGive frees a lease; only a failed attempt charges the item's tries. It is
@@ -71,7 +70,6 @@
 // AckCall brings a result under the lease it was run under. Only once a
 // majority has it on disk is it acked; then the prompt is never sent again.
 type AckCall struct {
-	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by the library
 	Shard    int
 	Lot      string
 	Item     int
--- a/internal/colony/colony.go
+++ b/internal/colony/colony.go
@@ -81,7 +81,7 @@
 			return nil, err
 		}
 		n.self.Disk, empty = id, fresh
-		if role == "forager" {
+		if role == skep.RoleEdge {
 			n.diskDir = opts.DataDir
 		}
 	}
@@ -107,7 +107,7 @@
 		if v.Self.Disk == "" {
 			return nil
 		}
-		if role == "comb" {
+		if role == skep.RoleStore {
 			// A member listens to those it shares a shard with.
 			if st := n.Nest.Committed(); st != nil && st.Stores.Has(v.Self.Seat()) {
 				if matesVer != st.Stores.Ver {
@@ -233,7 +233,7 @@
 
 // NewComb makes a node of the role comb.
 func NewComb(ctx context.Context, env Env, opts *skep.Options) (*Comb, error) {
-	n, err := New(ctx, env, opts, "comb")
+	n, err := New(ctx, env, opts, skep.RoleStore)
 	if err != nil {
 		return nil, err
 	}
@@ -266,7 +266,7 @@
 
 // NewForager makes a node of the role forager.
 func NewForager(ctx context.Context, env Env, opts *skep.Options) (*Forager, error) {
-	n, err := New(ctx, env, opts, "forager")
+	n, err := New(ctx, env, opts, skep.RoleEdge)
 	if err != nil {
 		return nil, err
 	}
@@ -345,7 +345,7 @@
 	if c := n.chosen.Load(); c != nil && c.view == v {
 		return c.names
 	}
-	c := &chosen{view: v, names: v.Chosen("forager", "dispatch", maxDispatchers)}
+	c := &chosen{view: v, names: v.Chosen(skep.RoleEdge, "dispatch", maxDispatchers)}
 	n.chosen.Store(c)
 	return c.names
 }
--- a/internal/flora/departures.go
+++ b/internal/flora/departures.go
@@ -68,9 +68,8 @@
 
 // departureCursor is how far a node has read another one's log.
 type departureCursor struct {
-	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by the library
-	Epoch    uint64
-	Seq      uint64
+	Epoch uint64
+	Seq   uint64
 }
 
 // DecodeMsgpack reads cursors of other versions too.
@@ -80,10 +79,9 @@
 
 // departureAnswer is one page of a departure log.
 type departureAnswer struct {
-	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by the library
-	Next     departureCursor
-	More     bool
-	Workers  []Worker
+	Next    departureCursor
+	More    bool
+	Workers []Worker
 }
 
 // DecodeMsgpack reads answers of other versions too.
--- a/internal/flora/diary.go
+++ b/internal/flora/diary.go
@@ -3,9 +3,8 @@
 import (
 	"sync"
 
-	"github.com/vmihailenco/msgpack/v5"
-
 	"rowanshunt/internal/cell"
+	"rowanshunt/internal/codec"
 	"rowanshunt/internal/pollen"
 	"rowanshunt/internal/wax"
 )
@@ -31,9 +30,8 @@
 }
 
 type page struct {
-	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by the library
-	AtUs     int64    // 0; the version before wrote the time of day and left out pages of another time
-	Workers  []Worker
+	AtUs    int64 // 0; the version before wrote the time of day and left out pages of another time
+	Workers []Worker
 }
 
 func openDiary(dir string, log *wax.Log) (*diary, []Worker, error) {
@@ -62,7 +60,7 @@
 
 // write adds a page; while one is on its way only the newest one waits.
 func (d *diary) write(ws []Worker) {
-	raw, err := msgpack.Marshal(&page{Workers: ws})
+	raw, err := codec.Marshal(&page{Workers: ws})
 	if err != nil {
 		return
 	}
--- a/internal/flora/flora_test.go
+++ b/internal/flora/flora_test.go
@@ -6,9 +6,8 @@
 	"testing/synctest"
 	"time"
 
-	"github.com/vmihailenco/msgpack/v5"
-
 	"rowanshunt/internal/cell"
+	"rowanshunt/internal/codec"
 	"rowanshunt/internal/meadow"
 	"rowanshunt/internal/pollen"
 	"rowanshunt/internal/swarm"
@@ -143,7 +142,7 @@
 			if err != nil {
 				t.Fatal(err)
 			}
-			raw, err := msgpack.Marshal(&page{AtUs: atUs, Workers: []Worker{{ID: "w", Svc: "s", Addr: "10.0.0.9:80", Phase: "up", Seq: 5}}})
+			raw, err := codec.Marshal(&page{AtUs: atUs, Workers: []Worker{{ID: "w", Svc: "s", Addr: "10.0.0.9:80", Phase: "up", Seq: 5}}})
 			if err != nil {
 				t.Fatal(err)
 			}
--- a/internal/flora/fuzz_test.go
+++ b/internal/flora/fuzz_test.go
@@ -4,6 +4,8 @@
 	"testing"
 
 	"github.com/vmihailenco/msgpack/v5"
+
+	"rowanshunt/internal/codec"
 )
 
 // A beat is taken whole or not at all; what is taken has what the directory
@@ -27,7 +29,7 @@
 			}
 		}
 		_ = w.state()
-		packed, err := msgpack.Marshal(w)
+		packed, err := codec.Marshal(w)
 		if err != nil {
 			t.Fatal(err)
 		}
--- a/internal/flora/news.go
+++ b/internal/flora/news.go
@@ -15,9 +15,8 @@
 )
 
 type newsCall struct {
-	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by the library
-	Home     bool     // pass it on to the zone's subscribers
-	Workers  []Worker
+	Home    bool // pass it on to the zone's subscribers
+	Workers []Worker
 }
 
 // spreadTimeout bounds the acknowledgement of a beat; a worker waits for one
--- a/internal/flora/subscriptions.go
+++ b/internal/flora/subscriptions.go
@@ -27,7 +27,6 @@
 }
 
 type subCall struct {
-	_msgpack  struct{} `msgpack:",as_array"` //nolint:unused // read by the library
 	From      string
 	Addr      string
 	Svcs      []string
@@ -36,13 +35,11 @@
 }
 
 type age struct {
-	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by the library
-	ID       string
-	AgeUs    int64
+	ID    string
+	AgeUs int64
 }
 
 type subAnswer struct {
-	_msgpack  struct{} `msgpack:",as_array"` //nolint:unused // read by the library
 	Workers   []Worker // of the services whose digest differs
 	Same      []string // services whose digest is the same: their workers were
 	FreshUs   int64    // all heard within this time, but for those in Ages
--- a/internal/nectar/bound_test.go
+++ b/internal/nectar/bound_test.go
@@ -4,8 +4,7 @@
 	"fmt"
 	"testing"
 
-	"github.com/vmihailenco/msgpack/v5"
-
+	"rowanshunt/internal/codec"
 	"rowanshunt/internal/nest"
 )
 
@@ -15,7 +14,7 @@
 	s := &nest.State{Ver: 1}
 	s.SetExtra(docKey, []byte(`{"ver":1,"tenants":{"t":{"hosts":["h.example"]}},"shares":{"kept":{"t":{"weight":1}}}}`))
 	put := func(svc string, term uint64) {
-		raw, err := msgpack.Marshal(&office{Term: term, By: "n/1"})
+		raw, err := codec.Marshal(&office{Term: term, By: "n/1"})
 		if err != nil {
 			t.Fatal(err)
 		}
--- a/internal/nest/contact.go
+++ b/internal/nest/contact.go
@@ -14,14 +14,12 @@
 // contactCall asks a member with which of these seats it has had no contact for
 // so long.
 type contactCall struct {
-	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by the library
-	Seats    []Seat
-	ForUs    int64
+	Seats []Seat
+	ForUs int64
 }
 
 type contactAnswer struct {
-	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by the library
-	Lost     []string // seats
+	Lost []string // seats
 }
 
 func (n *Nest) serveContact() {
--- a/internal/nest/disk_test.go
+++ b/internal/nest/disk_test.go
@@ -14,6 +14,7 @@
 	"github.com/vmihailenco/msgpack/v5"
 
 	"rowanshunt/internal/cell"
+	"rowanshunt/internal/codec"
 	"rowanshunt/internal/pollen"
 	"rowanshunt/internal/wax"
 )
@@ -120,7 +121,7 @@
 }
 
 func (m *countingMesh) Call(ctx context.Context, addr, kind string, in, out any) error {
-	raw, err := msgpack.Marshal(in)
+	raw, err := codec.Marshal(in)
 	if err != nil {
 		return err
 	}
@@ -149,7 +150,7 @@
 	if err != nil {
 		return err
 	}
-	if raw, err = msgpack.Marshal(answer); err != nil {
+	if raw, err = codec.Marshal(answer); err != nil {
 		return err
 	}
 	m.mu.Lock()
--- a/internal/nest/fuzz_test.go
+++ b/internal/nest/fuzz_test.go
@@ -5,9 +5,8 @@
 	"path/filepath"
 	"testing"
 
-	"github.com/vmihailenco/msgpack/v5"
-
 	"rowanshunt/internal/cell"
+	"rowanshunt/internal/codec"
 	"rowanshunt/internal/wax"
 )
 
@@ -15,7 +14,7 @@
 // with half of one.
 func FuzzVoteRecord(f *testing.F) {
 	pack := func(v vote) []byte {
-		raw, err := msgpack.Marshal(&v)
+		raw, err := codec.Marshal(&v)
 		if err != nil {
 			f.Fatal(err)
 		}
--- a/internal/nest/membership.go
+++ b/internal/nest/membership.go
@@ -8,6 +8,7 @@
 
 	"github.com/vmihailenco/msgpack/v5"
 
+	"rowanshunt/internal/codec"
 	"rowanshunt/internal/swarm"
 	"rowanshunt/internal/waggle"
 	"rowanshunt/internal/wax"
@@ -26,7 +27,7 @@
 	if len(first) > maxSeats {
 		first = first[:maxSeats]
 	}
-	doc, err := msgpack.Marshal(&State{Rev: 1, Core: Roster{Ver: 1, Cur: first}})
+	doc, err := codec.Marshal(&State{Rev: 1, Core: Roster{Ver: 1, Cur: first}})
 	if err != nil {
 		return
 	}
--- a/internal/nest/model_test.go
+++ b/internal/nest/model_test.go
@@ -116,8 +116,6 @@
 	return orderCall{name: fmt.Sprintf("%s: %d on %d", name, ver, base), order: &order, change: PutChange(doc, ver, base)}
 }
 
-var readCall = orderCall{name: "read", change: func(*State) (*State, error) { return nil, nil }}
-
 // replaceCall brings a newcomer in, in the place of a member, as a node does
 // that joins.
 func replaceCall(old, newcomer int) orderCall {
--- a/internal/nest/model_world_test.go
+++ b/internal/nest/model_world_test.go
@@ -5,8 +5,7 @@
 	"maps"
 	"slices"
 
-	"github.com/vmihailenco/msgpack/v5"
-
+	"rowanshunt/internal/codec"
 	"rowanshunt/internal/wax"
 )
 
@@ -128,7 +127,7 @@
 	if s == nil {
 		return nil
 	}
-	raw, err := msgpack.Marshal(s)
+	raw, err := codec.Marshal(s)
 	if err != nil {
 		panic(err)
 	}
--- a/internal/nest/orders.go
+++ b/internal/nest/orders.go
@@ -8,6 +8,7 @@
 	"github.com/vmihailenco/msgpack/v5"
 	"github.com/zeebo/xxh3"
 
+	"rowanshunt/internal/codec"
 	"rowanshunt/internal/pollen"
 	"rowanshunt/internal/wax"
 )
@@ -30,8 +31,7 @@
 
 // Digest is the 128-bit xxh3 hash of a document.
 type Digest struct {
-	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by the library
-	Hi, Lo   uint64
+	Hi, Lo uint64
 }
 
 // DecodeMsgpack reads digests of later versions too.
@@ -48,7 +48,6 @@
 // it through, and an order that was refused before its base was in force stays
 // refused (design 4.2).
 type OrderLog struct {
-	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by the library
 	// Floor is the version that the oldest entry of Taken builds on. Nothing
 	// is known of orders at or below it.
 	Floor int64
@@ -63,17 +62,15 @@
 // TakenOrder is an entry of an order log; its base is the version of the entry
 // before it.
 type TakenOrder struct {
-	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by the library
-	Ver      int64
-	Digest   Digest
+	Ver    int64
+	Digest Digest
 }
 
 // RefusedOrder is the identity of an order that must never be taken.
 type RefusedOrder struct {
-	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by the library
-	Ver      int64
-	Base     int64
-	Digest   Digest
+	Ver    int64
+	Base   int64
+	Digest Digest
 }
 
 // DecodeMsgpack reads logs of earlier and later versions too.
@@ -122,7 +119,7 @@
 
 // store puts the log into a value that is not shared yet.
 func (l *OrderLog) store(s *State, k OrderKind) error {
-	raw, err := msgpack.Marshal(l)
+	raw, err := codec.Marshal(l)
 	if err != nil {
 		return err
 	}
@@ -175,7 +172,7 @@
 }
 
 func (l *OrderLog) refuse(o Order) {
-	l.Refused = append(l.Refused, RefusedOrder{Ver: o.Ver, Base: o.Base, Digest: o.Digest})
+	l.Refused = append(l.Refused, RefusedOrder(o))
 	if over := len(l.Refused) - maxRefusedOrders; over > 0 {
 		l.Refused = l.Refused[over:]
 	}
@@ -293,7 +290,7 @@
 	if over := len(names) - maxRetireOrders; over > 0 {
 		names = names[over:]
 	}
-	raw, err := msgpack.Marshal(names)
+	raw, err := codec.Marshal(names)
 	if err != nil {
 		return err
 	}
--- a/internal/nest/orders_test.go
+++ b/internal/nest/orders_test.go
@@ -4,8 +4,7 @@
 	"fmt"
 	"testing"
 
-	"github.com/vmihailenco/msgpack/v5"
-
+	"rowanshunt/internal/codec"
 	"rowanshunt/internal/wax"
 )
 
@@ -133,7 +132,7 @@
 
 // Fields that a later version adds to the log are skipped.
 func TestOrderLogOfLaterVersion(t *testing.T) {
-	raw, err := msgpack.Marshal([]any{int64(3), []any{[]any{int64(5), []any{uint64(1), uint64(2), "more"}, "more"}}, []any{}, "more"})
+	raw, err := codec.Marshal([]any{int64(3), []any{[]any{int64(5), []any{uint64(1), uint64(2), "more"}, "more"}}, []any{}, "more"})
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/pollen/fuzz_test.go
+++ b/internal/pollen/fuzz_test.go
@@ -7,7 +7,7 @@
 	"testing"
 	"time"
 
-	"github.com/vmihailenco/msgpack/v5"
+	"rowanshunt/internal/codec"
 )
 
 // streamConn is a connection whose other end has sent all it will.
@@ -63,7 +63,7 @@
 		Many   []inner
 		Shaped *inner
 	}
-	raw, err := msgpack.Marshal(&body{Names: map[string]inner{"a": {}}, Many: []inner{{}}})
+	raw, err := codec.Marshal(&body{Names: map[string]inner{"a": {}}, Many: []inner{{}}})
 	if err != nil {
 		f.Fatal(err)
 	}
--- a/internal/pollen/hostile_test.go
+++ b/internal/pollen/hostile_test.go
@@ -15,13 +15,13 @@
 
 	"github.com/vmihailenco/msgpack/v5"
 
+	"rowanshunt/internal/codec"
 	"rowanshunt/internal/wax"
 )
 
 // numbered is a call whose answer tells which call it belongs to.
 type numbered struct {
-	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by the library
-	N        int
+	N int
 }
 
 // hostilePeer answers calls in any order, late, twice, under other numbers, with
@@ -73,7 +73,7 @@
 		p.mu.Lock()
 		p.got[in.N]++
 		p.mu.Unlock()
-		body, _ := msgpack.Marshal(&in)
+		body, _ := codec.Marshal(&in)
 		answer := frame{kind: frameAnswer, id: f.id, body: body}
 		if len(before) > 50 {
 			before = before[1:]
--- a/internal/pollen/lengths_test.go
+++ b/internal/pollen/lengths_test.go
@@ -5,7 +5,7 @@
 	"reflect"
 	"testing"
 
-	"github.com/vmihailenco/msgpack/v5"
+	"rowanshunt/internal/codec"
 )
 
 // Whatever the encoder writes passes; cut anywhere it doesn't.
@@ -15,7 +15,7 @@
 		[]byte(long[:10]), []byte(long[:300]), []byte(long), []int{}, []int{1, 2, 3}, make([]int, 20), make([]int, 70_000),
 		map[string]int{"a": 1}, map[string][]string{"a": {"b", "c"}, "d": nil}, [][]string{{"a"}, {}, {"b", "c"}}}
 	for _, v := range append(values, values) {
-		raw, err := msgpack.Marshal(v)
+		raw, err := codec.Marshal(v)
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -42,8 +42,7 @@
 // nested without end, are declined before anything is made for them.
 func TestLyingLengths(t *testing.T) {
 	type element struct {
-		_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by the library
-		Room     [32]int64
+		Room [32]int64
 	}
 	for name, raw := range map[string][]byte{
 		"array":         {0xdd, 0x12, 0xa1, 0x61, 0xa0, 0xc0},
--- a/internal/pollen/lying_length_test.go
+++ b/internal/pollen/lying_length_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/vmihailenco/msgpack/v5"
 
+	"rowanshunt/internal/codec"
 	"rowanshunt/internal/wax"
 )
 
@@ -20,7 +21,7 @@
 		[]byte{}, make([]byte, 300), make([]byte, 70_000), []int{}, make([]int, 20), make([]bool, 70_000), time.Unix(1, 1), time.Unix(1<<40, 1),
 		map[string]int{}, map[string][]int{"a": {1}, "b": nil}, []any{map[int]any{1: []any{"x"}}, nil},
 	} {
-		raw, err := msgpack.Marshal(v)
+		raw, err := codec.Marshal(v)
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -37,7 +38,7 @@
 	for i := range 70_000 {
 		big[i] = i
 	}
-	if raw, _ := msgpack.Marshal(big); checkLengths(raw) != nil {
+	if raw, _ := codec.Marshal(big); checkLengths(raw) != nil {
 		t.Error("a large map does not fit")
 	}
 }
@@ -66,16 +67,15 @@
 
 func BenchmarkCheckLengths(b *testing.B) {
 	type row struct {
-		_msgpack struct{} `msgpack:",as_array"`
-		Name     string
-		N        int64
-		Raw      []byte
+		Name string
+		N    int64
+		Raw  []byte
 	}
 	rows := make([]row, 200)
 	for i := range rows {
 		rows[i] = row{Name: "a name of a row", N: int64(i) << 20, Raw: make([]byte, 500)}
 	}
-	raw, _ := msgpack.Marshal(rows)
+	raw, _ := codec.Marshal(rows)
 	b.Run("check", func(b *testing.B) {
 		for b.Loop() {
 			_ = checkLengths(raw)
--- a/internal/swarm/incarnation_test.go
+++ b/internal/swarm/incarnation_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/vmihailenco/msgpack/v5"
 
+	"rowanshunt/internal/codec"
 	"rowanshunt/internal/meadow"
 	"rowanshunt/internal/pollen"
 	"rowanshunt/internal/waggle"
@@ -209,7 +210,6 @@
 
 // earlierPartner is the record as the version before reads it.
 type earlierPartner struct {
-	_msgpack                        struct{} `msgpack:",as_array"` //nolint:unused // read by the library
 	Name, Addr, Ctl, Az, Role, Disk string
 	Boot, Leaving                   bool
 	LifeUs                          int64
@@ -223,7 +223,7 @@
 func TestPartnerOfTheVersionBefore(t *testing.T) {
 	p := Partner{Name: "a", Addr: "b", Ctl: "c", Az: "d", Role: "e", Disk: "f", Leaving: true, Beat: 2, Rev: 3, Cap: 4}
 	p.SetProcess(Process{Incarnation: newIncarnation(3, 9), ID: "00009ab"})
-	raw, err := msgpack.Marshal(&p)
+	raw, err := codec.Marshal(&p)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -232,7 +232,7 @@
 		t.Errorf("read as %+v: %v", old, err)
 	}
 	old.LifeUs = 1_764_633_600_000_000
-	if raw, err = msgpack.Marshal(&old); err != nil {
+	if raw, err = codec.Marshal(&old); err != nil {
 		t.Fatal(err)
 	}
 	var back Partner
--- a/internal/swarm/swarm.go
+++ b/internal/swarm/swarm.go
@@ -23,15 +23,14 @@
 
 // Partner is what a node tells of itself.
 type Partner struct {
-	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by the library
-	Name     string
-	Addr     string // partner protocol
-	Ctl      string // workers and operators, "" if not served
-	Az       string
-	Role     string
-	Disk     string // incarnation of its disk, "" without one
-	Boot     bool   // first start of the whole system, disk found empty
-	Leaving  bool
+	Name    string
+	Addr    string // partner protocol
+	Ctl     string // workers and operators, "" if not served
+	Az      string
+	Role    string
+	Disk    string // incarnation of its disk, "" without one
+	Boot    bool   // first start of the whole system, disk found empty
+	Leaving bool
 	// LifeUs orders the records of one node (design 3.5). Of the version before
 	// it is the time of day at which the process started, in microseconds.
 	LifeUs Incarnation
@@ -187,12 +186,11 @@
 }
 
 type shuffle struct {
-	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by the library
-	From     Partner
-	Words    []byte    // of some others
-	Want     []uint64  // keys the sender cannot read
-	Full     []Partner // what the other side wanted
-	Ping     bool      // only the answer matters
+	From  Partner
+	Words []byte    // of some others
+	Want  []uint64  // keys the sender cannot read
+	Full  []Partner // what the other side wanted
+	Ping  bool      // only the answer matters
 }
 
 // New makes the swarm of one node. Everything but Look runs on the floor.
