--- a/internal/waggle/wallclock_test.go
+++ b/internal/waggle/wallclock_test.go
@@ -40,6 +40,7 @@
 	"internal/forage/walk.go":   "Unix",     // a deadline in the past ends a read
 	"internal/colony/colony.go": "ModTime",  // tells whether a file changed
 	"internal/cell/cell.go":     "Truncate", // of a file
+	"internal/cell/recover.go":  "Truncate", // of a file
 }
 
 // Calls on and with time.Now() that go by its steady part.
