--- a/internal/flora/flora.go
+++ b/internal/flora/flora.go
@@ -75,7 +75,6 @@
 
 	departures    *departureLog
 	reader        departureReader
-	deafUntilUs   atomic.Int64 // beats are declined until then
 	silentSources map[string]int64
 }
 
--- a/internal/flora/news.go
+++ b/internal/flora/news.go
@@ -4,7 +4,6 @@
 	"context"
 	"maps"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"rowanshunt/internal/nest"
@@ -24,10 +23,6 @@
 // second.
 const spreadTimeout = 750 * time.Millisecond
 
-// deafUs is for how long a node declines beats after none of the homes took
-// what it forwarded: until the worker's next beat has shown it again.
-func (f *Flora) deafUs() int64 { return 2 * f.cfg.HbUs }
-
 // beatPlan is what a beat calls for.
 type beatPlan struct {
 	worker   Worker
@@ -64,14 +59,14 @@
 		return home, f.announce(ctx, &p)
 	}
 	_ = f.cfg.Floor.Do(ctx, func() { f.pending[p.worker.ID] = true })
-	if waggle.NowUs() < f.deafUntilUs.Load() || !f.inContact(f.cfg.Swarm.Look()) {
+	if !f.inContact(f.cfg.Swarm.Look()) {
 		return "", outOfContact()
 	}
 	return home, nil
 }
 
 func outOfContact() error {
-	return wax.New(wax.Declined, "beat", "no other node of the system heard it from here", "beat at another node")
+	return wax.New(wax.Declined, "beat", "this node sees no majority of the core", "beat at another node")
 }
 
 // planBeat merges a beat; it runs on the event loop.
@@ -107,14 +102,11 @@
 	return nil
 }
 
-// announce brings other news to the homes, and fails if nobody else took it.
+// announce brings other news to the homes. That some were slow to take it is no
+// reason to send the worker on: a busy system would only get busier.
 func (f *Flora) announce(ctx context.Context, p *beatPlan) error {
-	took := f.spread(ctx, p.worker, p.homes, nil)
-	needsOther := false
-	for _, name := range p.homes {
-		needsOther = needsOther || name != f.cfg.Self.Name
-	}
-	if needsOther && len(took) < 2 || !f.inContact(f.cfg.Swarm.Look()) {
+	f.spread(ctx, p.worker, p.homes, nil)
+	if !f.inContact(f.cfg.Swarm.Look()) {
 		return outOfContact()
 	}
 	return nil
@@ -147,26 +139,8 @@
 		}
 	}
 	clear(f.pending)
-	go f.forwardTo(byHome)
-}
-
-// forwardTo sends each home its beats and notes whether any home took them.
-func (f *Flora) forwardTo(byHome map[string][]Worker) {
-	var wg sync.WaitGroup
-	var heard atomic.Bool
 	for name, ws := range byHome {
-		wg.Go(func() {
-			if f.send(name, false, ws...) == nil {
-				heard.Store(true)
-			}
-		})
-	}
-	wg.Wait()
-	switch {
-	case heard.Load():
-		f.deafUntilUs.Store(0)
-	case len(byHome) > 0:
-		f.deafUntilUs.Store(waggle.NowUs() + f.deafUs())
+		go f.send(name, false, ws...)
 	}
 }
 
--- a/internal/guard/routes.go
+++ b/internal/guard/routes.go
@@ -16,8 +16,8 @@
 type Contact uint8
 
 const (
-	// ContactDirectory: other nodes took the worker's word; for one that
-	// leaves, a majority of the core (design 5.4).
+	// ContactDirectory: for a worker that leaves, a majority of the core took
+	// its word (design 5.4); other beats promise nothing.
 	ContactDirectory Contact = iota + 1
 	// ContactRead: the answer is a value read at a majority of the core after
 	// the call began.
