--- a/internal/nest/catchup.go
+++ b/internal/nest/catchup.go
@@ -30,17 +30,13 @@
 	return false
 }
 
-// acceptedRev is the revision that the acceptor holds; not ok: the acceptor is
-// at its disk, which the caller doesn't wait for.
-func (a *Acceptor) acceptedRev() (rev uint64, ok bool) {
-	if !a.mu.TryLock() {
-		return 0, false
+// acceptedRev is the revision that the acceptor holds durably; it waits for no
+// disk.
+func (a *Acceptor) acceptedRev() uint64 {
+	if s := a.State(); s != nil {
+		return s.Rev
 	}
-	defer a.mu.Unlock()
-	if a.v.State == nil {
-		return 0, true
-	}
-	return a.v.State.Rev, true
+	return 0
 }
 
 // behind tells whether this node's acceptor is a member and lacks the newest
@@ -49,8 +45,7 @@
 	if n.seat == nil || !committed || !known.Core.Has(n.seat.ID()) {
 		return false
 	}
-	rev, ok := n.seat.acceptedRev()
-	return ok && rev < known.Rev
+	return n.seat.acceptedRev() < known.Rev
 }
 
 // fetchMissed takes the newest state that another member accepted, if it is at
@@ -60,7 +55,7 @@
 // here since.
 func (a *Acceptor) fetchMissed(ctx context.Context, mesh pollen.Mesh, addrOf func(Seat) string, known *State) (from string, taken bool, err error) {
 	for _, s := range known.Core.All() {
-		if s.ID == a.id {
+		if s.ID == a.ID() {
 			continue
 		}
 		missed := &prepareAnswer{}
@@ -68,7 +63,7 @@
 		if err := mesh.Call(ctx, addrOf(s), "nest.prepare", call, missed); err != nil || missed.State == nil || missed.State.Rev < known.Rev {
 			continue
 		}
-		out, err := a.Accept(ctx, &acceptCall{Seat: a.id, Ballot: missed.Accepted, State: missed.State})
+		out, err := a.Accept(ctx, &acceptCall{Seat: a.ID(), Ballot: missed.Accepted, State: missed.State})
 		return s.Name, err == nil && out.OK, err
 	}
 	return "", false, nil
--- a/internal/nest/disk_test.go
+++ b/internal/nest/disk_test.go
@@ -80,8 +80,9 @@
 		}
 		disk := a.disk.(*cellKeeper)
 		disk.longBytes = longBytes
-		if a.v.Promised.Less(promised) || a.v.Accepted.Less(accepted) || rev > 0 && (a.State() == nil || a.State().Rev < rev) {
-			t.Fatalf("forgotten: %+v, was promised %+v, accepted %+v at %d", a.v, promised, accepted, rev)
+		held := a.durable.Load()
+		if held.Promised.Less(promised) || held.Accepted.Less(accepted) || rev > 0 && (a.State() == nil || a.State().Rev < rev) {
+			t.Fatalf("forgotten: %+v, was promised %+v, accepted %+v at %d", held, promised, accepted, rev)
 		}
 		for range 40 {
 			n++
