--- /dev/null
+++ b/internal/nest/acceptor_test.go
@@ -0,0 +1,59 @@
+package nest
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+)
+
+// stalledDisk keeps nothing until it is released.
+type stalledDisk struct{ released chan struct{} }
+
+func (d *stalledDisk) keep(vote, bool) error {
+	<-d.released
+	return nil
+}
+
+// A look is answered while a write is under way, and shows only what is durable.
+func TestPeekWhileDiskStalls(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		disk := &stalledDisk{released: make(chan struct{})}
+		durable := vote{Promised: Ballot{N: 1, By: "a"}, Accepted: Ballot{N: 1, By: "a"}, State: &State{Rev: 1, Ver: 7}}
+		a := newAcceptor("m", durable, disk)
+		ctx := context.Background()
+		accepted := make(chan error, 1)
+		go func() {
+			_, err := a.Accept(ctx, &acceptCall{Seat: "m", Ballot: Ballot{N: 2, By: "a"}, State: &State{Rev: 2, Ver: 9}})
+			accepted <- err
+		}()
+		synctest.Wait()
+		peek := func() (ver int64) {
+			answers := make(chan *prepareAnswer, 1)
+			go func() {
+				answer, _ := a.Prepare(ctx, &prepareCall{Seat: "m", Peek: true})
+				answers <- answer
+			}()
+			select {
+			case answer := <-answers:
+				return answer.State.Ver
+			case <-time.After(time.Second):
+				return -1
+			}
+		}
+		if ver := peek(); ver != 7 {
+			t.Errorf("a look during the write shows %d", ver)
+		}
+		if a.State().Ver != 7 {
+			t.Error("the state shows what is not durable")
+		}
+		close(disk.released)
+		if err := <-accepted; err != nil {
+			t.Fatal(err)
+		}
+		if ver := peek(); ver != 9 {
+			t.Errorf("a look after the write shows %d", ver)
+		}
+		synctest.Wait()
+	})
+}
