--- a/internal/colony/colony_test.go
+++ b/internal/colony/colony_test.go
@@ -109,8 +109,14 @@
 
 func wall() int64 { return time.Now().UnixMicro() }
 
+func (h *hive) member(name string) *member {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.nodes[name]
+}
+
 func (h *hive) start(name string) {
-	m := h.nodes[name]
+	m := h.member(name)
 	ctx, cancel := context.WithCancel(context.Background())
 	env := Env{Mesh: h.m.MeshOf(m.opts.PartnerAddr()), Dial: h.m.DialFrom(m.opts.PartnerAddr()), WallUs: func() int64 { return wall() + m.skewUs.Load() }, Log: testLog(h.t, name)}
 	var f *Forager
@@ -146,10 +152,10 @@
 	}
 }
 
-func (h *hive) kill(name string) { h.nodes[name].cancel() }
+func (h *hive) kill(name string) { h.member(name).cancel() }
 
 func (h *hive) wipe(name string) {
-	m := h.nodes[name]
+	m := h.member(name)
 	m.opts.DataDir = filepath.Join(h.dir, fmt.Sprintf("%s-%d", name, h.m.Luck(1<<30)))
 }
 
--- a/internal/colony/faults_test.go
+++ b/internal/colony/faults_test.go
@@ -22,6 +22,8 @@
 // was acknowledged is there and nothing is there twice (design 12.3).
 
 func (h *hive) addrs(role string) []string {
+	h.mu.Lock()
+	defer h.mu.Unlock()
 	var out []string
 	for _, m := range h.nodes {
 		if role == "" || m.role == role {
--- a/internal/colony/losses_test.go
+++ b/internal/colony/losses_test.go
@@ -17,7 +17,7 @@
 // terminate is the SIGTERM of a machine and the end of its process.
 func (h *hive) terminate(name string) {
 	h.t.Helper()
-	m := h.nodes[name]
+	m := h.member(name)
 	if m.f != nil {
 		m.f.Drain(m.ctx, func(context.Context) {})
 	} else {
@@ -269,7 +269,7 @@
 func (l *losses) fresh(old string) string {
 	l.next++
 	name, role := fmt.Sprintf("edge-%d", l.next), "forager"
-	if l.h.nodes[old].c != nil {
+	if l.h.member(old).c != nil {
 		name, role = fmt.Sprintf("store-%d", l.next), "comb"
 	}
 	l.h.add(name, role, l.next, true, false)
@@ -280,7 +280,7 @@
 // when that was.
 func (l *losses) strike(name, fresh string, kind int, pause time.Duration) time.Time {
 	h := l.h
-	addr := h.nodes[name].opts.PartnerAddr()
+	addr := h.member(name).opts.PartnerAddr()
 	switch kind {
 	case 0: // power
 		h.kill(name)
@@ -334,7 +334,7 @@
 // putConfigs puts one version on top of the other; what was acknowledged must
 // be seen by each later read.
 func (l *losses) putConfigs(stop chan struct{}) {
-	f := l.h.nodes[l.entry].f
+	f := l.h.member(l.entry).f
 	expect := 1
 	for ver := 2; ; ver++ {
 		select {
@@ -362,7 +362,7 @@
 }
 
 func (l *losses) handInLots(stop chan struct{}) {
-	f := l.h.nodes[l.entry].f
+	f := l.h.member(l.entry).f
 	for n := 0; ; n++ {
 		select {
 		case <-stop:
