--- a/cmd/hive/main.go
+++ b/cmd/rowanshunt/main.go
@@ -1,4 +1,4 @@
-// Command hive is the one program of rowanshunt; its first word is the role of
+// Command rowanshunt is the one program of rowanshunt; its first word is the role of
 // the node (design 1.1).
 package main
 
@@ -8,10 +8,10 @@
 
 	"github.com/alecthomas/kingpin/v2"
 
-	"rowanshunt/internal/colony"
-	"rowanshunt/internal/foundation"
-	"rowanshunt/internal/skep"
-	"rowanshunt/internal/wax"
+	"rowanshunt/internal/config"
+	"rowanshunt/internal/fault"
+	"rowanshunt/internal/node"
+	"rowanshunt/internal/settings"
 )
 
 // version is the version of the program; builds may set it.
@@ -20,9 +20,9 @@
 func main() { os.Exit(run(os.Args[1:])) }
 
 func run(args []string) int {
-	app := kingpin.New("hive", "A serving tier with a batch interface. Each process is a node in one role.")
+	app := kingpin.New("rowanshunt", "A serving tier with a batch interface. Each process is a node in one role.")
 	app.Version(version)
-	file := app.Flag("file", "Options file (TOML). Without it, $"+skep.EnvFile+", then "+skep.DefaultFile+".").String()
+	file := app.Flag("file", "Options file (TOML). Without it, $"+settings.EnvFile+", then "+settings.DefaultFile+".").String()
 	level := app.Flag("log-level", "Lowest level logged.").Default("info").Enum("debug", "info", "warn", "error")
 	edge := app.Command("edge", "Run a node that serves clients, workers and operators.").Alias("forager")
 	store := app.Command("store", "Run a node that keeps lots on its disk.").Alias("comb")
@@ -32,18 +32,18 @@
 	noOptions := check.Flag("no-options", "Check the blueprint only.").Bool()
 	upgrade := newUpgradeCommand(app)
 	quota := newQuotaCommand(app)
-	cmd, code, ended := skep.ParseLine(app, args)
+	cmd, code, ended := settings.ParseLine(app, args)
 	if ended {
 		return code
 	}
 	var err error
 	switch cmd {
 	case edge.FullCommand():
-		err = colony.Run(skep.Path(*file), skep.RoleEdge, *level)
+		err = node.Run(settings.Path(*file), settings.RoleEdge, *level)
 	case store.FullCommand():
-		err = colony.Run(skep.Path(*file), skep.RoleStore, *level)
+		err = node.Run(settings.Path(*file), settings.RoleStore, *level)
 	case check.FullCommand():
-		err = checkFiles(skep.Path(*file), *checkRole, *checkDoc, *noOptions)
+		err = checkFiles(settings.Path(*file), *checkRole, *checkDoc, *noOptions)
 	default:
 		if act := quota.acts[cmd]; act != nil {
 			err = act()
@@ -52,20 +52,20 @@
 		}
 	}
 	if err != nil {
-		fmt.Fprintln(os.Stderr, "hive:", err)
+		fmt.Fprintln(os.Stderr, "rowanshunt:", err)
 		return 1
 	}
 	return 0
 }
 
 func checkFiles(path, role, doc string, noOptions bool) error {
-	var l wax.Ledger
+	var l fault.Ledger
 	if !noOptions {
-		opts, err := skep.Load(path)
+		opts, err := settings.Load(path)
 		l.Add(err)
 		if err == nil {
 			if role != "" {
-				l.Add(opts.CheckRole(skep.RoleOf(role)))
+				l.Add(opts.CheckRole(settings.RoleOf(role)))
 			}
 			fmt.Printf("options ok: node=%s az=%s\n", opts.Node, opts.Az)
 			for _, d := range opts.Doubts() {
@@ -76,8 +76,8 @@
 	if doc != "" {
 		raw, err := os.ReadFile(doc)
 		if err != nil {
-			l.Add(wax.New(wax.Invalid, doc, err.Error(), "name a readable file"))
-		} else if b, err := foundation.Parse(raw); err != nil {
+			l.Add(fault.New(fault.Invalid, doc, err.Error(), "name a readable file"))
+		} else if b, err := config.Parse(raw); err != nil {
 			l.Add(err)
 		} else {
 			fmt.Printf("blueprint ok: ver=%d routes=%d svcs=%d\n", b.Ver, len(b.Bindings), len(b.Services))
--- a/cmd/hive/main_test.go
+++ b/cmd/rowanshunt/main_test.go
@@ -12,7 +12,7 @@
 )
 
 func TestMain(m *testing.M) {
-	testscript.Main(m, map[string]func(){"hive": func() { os.Exit(run(os.Args[1:])) }})
+	testscript.Main(m, map[string]func(){"rowanshunt": func() { os.Exit(run(os.Args[1:])) }})
 }
 
 // The command line as a user types it.
--- a/cmd/hive/quota.go
+++ b/cmd/rowanshunt/quota.go
@@ -13,11 +13,11 @@
 	"github.com/alecthomas/kingpin/v2"
 	"github.com/go-faster/errors"
 
-	"rowanshunt/internal/nectar"
-	"rowanshunt/internal/wax"
+	"rowanshunt/internal/fault"
+	"rowanshunt/internal/quota"
 )
 
-// quotaCommand is `hive quota ...`: fair shares for tenants (docs/quotas.md).
+// quotaCommand is `rowanshunt quota ...`: fair shares for tenants (docs/quotas.md).
 type quotaCommand struct {
 	ask    asker
 	file   string
@@ -44,17 +44,17 @@
 	explain := cmd.Command("explain", "Show how a tenant stands: share, use, borrowed, waiting, and why.")
 	q.ask.flags(explain)
 	explain.Flag("json", "Print JSON.").BoolVar(&q.asJSON)
-	explain.Arg("tenant", "A tenant of the document, or "+nectar.Others+".").Required().StringVar(&q.tenant)
+	explain.Arg("tenant", "A tenant of the document, or "+quota.Others+".").Required().StringVar(&q.tenant)
 	q.acts[explain.FullCommand()] = q.explain
 	return q
 }
 
-func (q *quotaCommand) read() (*nectar.Doc, error) {
+func (q *quotaCommand) read() (*quota.Doc, error) {
 	raw, err := os.ReadFile(q.file)
 	if err != nil {
-		return nil, wax.New(wax.Invalid, q.file, err.Error(), "name a readable file")
+		return nil, fault.New(fault.Invalid, q.file, err.Error(), "name a readable file")
 	}
-	return nectar.ParseTOML(raw)
+	return quota.ParseTOML(raw)
 }
 
 func (q *quotaCommand) check() error {
@@ -94,7 +94,7 @@
 	if err != nil {
 		return 0, err
 	}
-	d, err := nectar.ParseJSON(raw)
+	d, err := quota.ParseJSON(raw)
 	if err != nil {
 		return 0, err
 	}
@@ -118,9 +118,9 @@
 		fmt.Println(string(raw))
 		return nil
 	}
-	var rows []nectar.Row
+	var rows []quota.Row
 	if err := json.Unmarshal(raw, &rows); err != nil {
-		return wax.New(wax.Invalid, "answer", err.Error(), "run the same version of hive as the nodes")
+		return fault.New(fault.Invalid, "answer", err.Error(), "run the same version of hive as the nodes")
 	}
 	w := tabwriter.NewWriter(os.Stdout, 0, 4, 2, ' ', 0)
 	for _, r := range rows {
@@ -164,14 +164,14 @@
 
 // call gives the body of a 200, or a fault that says what a node declined.
 func (a *asker) call(method, path string, body []byte, heads ...string) ([]byte, error) {
-	var l wax.Ledger
+	var l fault.Ledger
 	for _, node := range a.nodes {
 		status, raw, err := request(a.timeout, node, method, path, body, heads...)
 		switch {
 		case err != nil:
-			l.Add(wax.New(wax.Unreached, node, err.Error(), "name another node with --node"))
+			l.Add(fault.New(fault.Unreached, node, err.Error(), "name another node with --node"))
 		case status >= 500:
-			l.Add(wax.New(wax.Unsure, node, strings.TrimSpace(string(raw)), "look what is in place, then try again"))
+			l.Add(fault.New(fault.Unsure, node, strings.TrimSpace(string(raw)), "look what is in place, then try again"))
 		case status != http.StatusOK:
 			return nil, &answered{status: status, what: declined(raw)}
 		default:
--- a/cmd/hive/upgrade.go
+++ b/cmd/rowanshunt/upgrade.go
@@ -13,24 +13,24 @@
 
 	"github.com/alecthomas/kingpin/v2"
 
-	"rowanshunt/internal/moult"
-	"rowanshunt/internal/wax"
+	"rowanshunt/internal/fault"
+	"rowanshunt/internal/upgrade"
 )
 
-// upgradeCommand is `hive upgrade ...`: model upgrades through any node
+// upgradeCommand is `rowanshunt upgrade ...`: model upgrades through any node
 // (docs/upgrades.md).
 type upgradeCommand struct {
 	nodes   []string
 	service string
 	to      int64
-	rules   moult.Rules
+	rules   upgrade.Rules
 	asJSON  bool
 	timeout time.Duration
 	acts    map[string]string // full command to act
 }
 
 func newUpgradeCommand(app *kingpin.Application) *upgradeCommand {
-	u := &upgradeCommand{rules: moult.DefaultRules(), acts: map[string]string{}}
+	u := &upgradeCommand{rules: upgrade.DefaultRules(), acts: map[string]string{}}
 	cmd := app.Command("upgrade", "Move a service's workers to a new model version while they serve.")
 	cmd.Flag("node", "ctl address of a node, host:port; may be given several times, tried in turn.").Required().StringsVar(&u.nodes)
 	cmd.Flag("service", "The service, as the blueprint names it.").Required().StringVar(&u.service)
@@ -61,15 +61,15 @@
 
 // run carries out an act; the first node that gives a clear answer decides.
 func (u *upgradeCommand) run(act string) error {
-	var l wax.Ledger
+	var l fault.Ledger
 	for _, node := range u.nodes {
 		status, body, err := u.call(node, act)
 		if err != nil {
-			l.Add(wax.New(wax.Unreached, node, err.Error(), "name another node with --node"))
+			l.Add(fault.New(fault.Unreached, node, err.Error(), "name another node with --node"))
 			continue
 		}
 		if status >= 500 {
-			l.Add(wax.New(wax.Unsure, node, strings.TrimSpace(string(body)), "ask for the status, then try again"))
+			l.Add(fault.New(fault.Unsure, node, strings.TrimSpace(string(body)), "ask for the status, then try again"))
 			continue
 		}
 		if status != http.StatusOK {
@@ -130,9 +130,9 @@
 		fmt.Println(string(body))
 		return nil
 	}
-	var now moult.Upgrade
+	var now upgrade.Upgrade
 	if err := json.Unmarshal(body, &now); err != nil {
-		return wax.New(wax.Invalid, "answer", err.Error(), "run the same version of hive as the nodes")
+		return fault.New(fault.Invalid, "answer", err.Error(), "run the same version of hive as the nodes")
 	}
 	w := tabwriter.NewWriter(os.Stdout, 0, 4, 2, ' ', 0)
 	fmt.Fprintf(w, "service\t%s\nfrom\t%d\nto\t%d\nphase\t%s\nwave\t%d\ndriver\t%s\n", now.Svc, now.From, now.To, now.Phase, now.Wave, now.Driver)
--- a/cmd/drone/main.go
+++ b/cmd/scalerun/main.go
@@ -1,5 +1,5 @@
-// Command drone measures what the system's size costs its nodes (design 16). It
-// runs a few real hive processes on loopback addresses beside hollow nodes: the
+// Command scalerun measures what the system's size costs its nodes (design 16). It
+// runs a few real rowanshunt processes on loopback addresses beside hollow nodes: the
 // project's own foragers, many to a process, that speak the partner protocol and
 // take workers' beats, but carry no traffic. docs/CAPACITY.md is made from it.
 package main
@@ -15,12 +15,12 @@
 
 	"github.com/alecthomas/kingpin/v2"
 
-	"rowanshunt/internal/wax"
+	"rowanshunt/internal/fault"
 )
 
 func main() {
-	app := kingpin.New("drone", "Measures what the size of the system costs a node: real hive processes beside hollow nodes on loopback.")
-	hive := app.Flag("hive", "The hive program to measure.").Default("target/hive").ExistingFile()
+	app := kingpin.New("scalerun", "Measures what the size of the system costs a node: real rowanshunt processes beside hollow nodes on loopback.")
+	hive := app.Flag("program", "The program to measure.").Default("target/rowanshunt").ExistingFile()
 	nodes := app.Flag("nodes", "Foragers in all, a step for each number.").Default("25,50,100").String()
 	workers := app.Flag("workers", "Hollow workers that beat; with several numbers the last of --nodes is kept.").Default("50").String()
 	tenants := app.Flag("routes", "Routes of the blueprint, one host each.").Default("20").Int()
@@ -64,7 +64,7 @@
 	for _, f := range strings.Split(s, ",") {
 		n, err := strconv.Atoi(strings.TrimSpace(f))
 		if err != nil || n < 1 || n > 20_000 {
-			return nil, wax.New(wax.Invalid, "numbers", strconv.Quote(f)+" is no size", "give whole numbers from 1 to 20000, separated by commas")
+			return nil, fault.New(fault.Invalid, "numbers", strconv.Quote(f)+" is no size", "give whole numbers from 1 to 20000, separated by commas")
 		}
 		out = append(out, n)
 	}
--- a/cmd/drone/main_test.go
+++ b/cmd/scalerun/main_test.go
@@ -6,7 +6,7 @@
 	"testing"
 	"time"
 
-	"rowanshunt/internal/wax"
+	"rowanshunt/internal/fault"
 )
 
 func TestNumbers(t *testing.T) {
@@ -50,7 +50,7 @@
 	if err := ended.Run(); err != nil {
 		t.Fatal(err)
 	}
-	if _, _, err := (&process{name: "real-0", cmd: ended}).spent(); !wax.Is(err, wax.Damaged) {
+	if _, _, err := (&process{name: "real-0", cmd: ended}).spent(); !fault.Is(err, fault.Damaged) {
 		t.Errorf("a process that has ended: %v", err)
 	}
 }
--- a/cmd/drone/mesh.go
+++ b/cmd/scalerun/mesh.go
@@ -7,8 +7,8 @@
 	"github.com/vmihailenco/msgpack/v5"
 
 	"rowanshunt/internal/codec"
-	"rowanshunt/internal/pollen"
-	"rowanshunt/internal/wax"
+	"rowanshunt/internal/fault"
+	"rowanshunt/internal/rpc"
 )
 
 // mesh is the partner protocol as hollow nodes speak it: with each other within
@@ -16,7 +16,7 @@
 // ones. A circuit for each pair of hollow nodes would need more descriptors than a
 // process has.
 type mesh struct {
-	tcp   pollen.Mesh
+	tcp   rpc.Mesh
 	desks *sync.Map // by address: *pollen.Desk
 }
 
@@ -28,9 +28,9 @@
 	}
 	body, err := codec.Marshal(in)
 	if err != nil {
-		return wax.New(wax.Internal, kind, err.Error(), "report this")
+		return fault.New(fault.Internal, kind, err.Error(), "report this")
 	}
-	answer, err := desk.(*pollen.Desk).Serve(ctx, kind, body)
+	answer, err := desk.(*rpc.Desk).Serve(ctx, kind, body)
 	if err != nil || out == nil {
 		return err
 	}
--- a/cmd/drone/mesh_test.go
+++ b/cmd/scalerun/mesh_test.go
@@ -5,8 +5,8 @@
 	"sync"
 	"testing"
 
-	"rowanshunt/internal/pollen"
-	"rowanshunt/internal/wax"
+	"rowanshunt/internal/fault"
+	"rowanshunt/internal/rpc"
 )
 
 // elsewhere stands for the sockets.
@@ -20,10 +20,10 @@
 // Hollow nodes are called within the process, all others over sockets.
 func TestMesh(t *testing.T) {
 	type word struct{ Text string }
-	desk := pollen.NewDesk()
-	pollen.On(desk, "echo", func(_ context.Context, in *word) (*word, error) {
+	desk := rpc.NewDesk()
+	rpc.On(desk, "echo", func(_ context.Context, in *word) (*word, error) {
 		if in.Text == "" {
-			return nil, wax.New(wax.Invalid, "text", "is missing", "give one")
+			return nil, fault.New(fault.Invalid, "text", "is missing", "give one")
 		}
 		return &word{Text: in.Text + " back"}, nil
 	})
@@ -34,7 +34,7 @@
 	if err := m.Call(t.Context(), "hollow", "echo", &word{Text: "there"}, out); err != nil || out.Text != "there back" {
 		t.Errorf("%+v %v", out, err)
 	}
-	if err := m.Call(t.Context(), "hollow", "echo", &word{}, out); !wax.Is(err, wax.Invalid) {
+	if err := m.Call(t.Context(), "hollow", "echo", &word{}, out); !fault.Is(err, fault.Invalid) {
 		t.Errorf("a fault: %v", err)
 	}
 	if err := m.Call(t.Context(), "real", "echo", &word{}, nil); err != nil || len(tcp.called) != 1 || tcp.called[0] != "real" {
--- a/cmd/drone/step.go
+++ b/cmd/scalerun/step.go
@@ -18,12 +18,13 @@
 	"sync"
 	"time"
 
-	"rowanshunt/internal/colony"
-	"rowanshunt/internal/flora"
-	"rowanshunt/internal/forage"
-	"rowanshunt/internal/pollen"
-	"rowanshunt/internal/skep"
-	"rowanshunt/internal/wax"
+	"rowanshunt/internal/discovery"
+	"rowanshunt/internal/fault"
+	"rowanshunt/internal/forward"
+	"rowanshunt/internal/logging"
+	"rowanshunt/internal/node"
+	"rowanshunt/internal/rpc"
+	"rowanshunt/internal/settings"
 )
 
 // step is one size of the system.
@@ -36,7 +37,7 @@
 	dir                           string
 	real                          []*process
 	desks                         sync.Map // of the hollow nodes, by address
-	hollow                        []*colony.Forager
+	hollow                        []*node.Forager
 	running                       context.Context
 	ver                           int
 }
@@ -120,7 +121,7 @@
 		}
 	}
 	if peakKB == 0 {
-		return 0, 0, wax.New(wax.Damaged, p.name, "has ended, or cannot be read", "look whether another run uses the same addresses, or the descriptors have run out")
+		return 0, 0, fault.New(fault.Damaged, p.name, "has ended, or cannot be read", "look whether another run uses the same addresses, or the descriptors have run out")
 	}
 	return cpuMs, peakKB, nil
 }
@@ -132,7 +133,7 @@
 	ctx, cancel := context.WithTimeout(ctx, 90*time.Second+s.Settle+s.Span)
 	defer cancel()
 	s.running = ctx
-	dir, err := os.MkdirTemp("", "drone")
+	dir, err := os.MkdirTemp("", "scalerun")
 	if err != nil {
 		return "", err
 	}
@@ -184,7 +185,7 @@
 
 func (s *step) options(name, ip, role string, i int) string {
 	serves, listen, data := `["edge","ctl"]`, fmt.Sprintf("[listen]\nhttp = %q\nreadyz = %q\nctl = %q\n", addr(ip, httpPort), addr(ip, readyPort), addr(ip, ctlPort)), ""
-	if role == skep.RoleStore {
+	if role == settings.RoleStore {
 		serves, listen = `["store"]`, "[listen]\n"
 	}
 	if i < realForagers+realCombs {
@@ -199,8 +200,8 @@
 }
 
 // parse checks options as the program itself does.
-func parse(text, role string) (*skep.Options, error) {
-	opts, err := skep.Parse([]byte(text))
+func parse(text, role string) (*settings.Options, error) {
+	opts, err := settings.Parse([]byte(text))
 	if err != nil {
 		return nil, err
 	}
@@ -218,9 +219,9 @@
 func hollowIP(i int) string { return fmt.Sprintf("127.%d.%d.%d", 80+block, i/200, i%200+1) }
 
 func (s *step) startReal(i int) error {
-	role := skep.RoleEdge
+	role := settings.RoleEdge
 	if i >= realForagers {
-		role = skep.RoleStore
+		role = settings.RoleStore
 	}
 	p := &process{name: "real-" + strconv.Itoa(i), role: role, ip: realIP(i), verbose: s.Verbose}
 	path := filepath.Join(s.dir, p.name+".toml")
@@ -240,17 +241,17 @@
 // listeners for clients.
 func (s *step) startHollow(i int) error {
 	ip := hollowIP(i)
-	opts, err := parse(s.options("hollow-"+strconv.Itoa(i), ip, skep.RoleEdge, i+realForagers+realCombs), skep.RoleEdge)
+	opts, err := parse(s.options("hollow-"+strconv.Itoa(i), ip, settings.RoleEdge, i+realForagers+realCombs), settings.RoleEdge)
 	if err != nil {
 		return err
 	}
 	opts.Bootstrap, opts.DataDir = false, ""
-	env := colony.Env{Mesh: &mesh{tcp: pollen.NewTCP(nil), desks: &s.desks}, Dial: forage.DialTCP(), WallUs: func() int64 { return time.Now().UnixMicro() }, Log: wax.Quiet()}
-	f, err := colony.NewForager(s.running, env, opts)
+	env := node.Env{Mesh: &mesh{tcp: rpc.NewTCP(nil), desks: &s.desks}, Dial: forward.DialTCP(), WallUs: func() int64 { return time.Now().UnixMicro() }, Log: logging.Quiet()}
+	f, err := node.NewForager(s.running, env, opts)
 	if err != nil {
 		return err
 	}
-	ln, err := pollen.Listen(opts.PartnerAddr(), f.Desk, env.Log, nil)
+	ln, err := rpc.Listen(opts.PartnerAddr(), f.Desk, env.Log, nil)
 	if err != nil {
 		return err
 	}
@@ -328,7 +329,7 @@
 			id := at % s.Workers
 			at++
 			seq++
-			w := flora.Worker{ID: fmt.Sprint("w", id), Svc: "llm", Addr: fmt.Sprintf("127.79.%d.%d:80", id/200, id%200+1), Az: s.zone(id), Ver: "1", Slots: 16, Phase: "up", Seq: seq}
+			w := discovery.Worker{ID: fmt.Sprint("w", id), Svc: "llm", Addr: fmt.Sprintf("127.79.%d.%d:80", id/200, id%200+1), Az: s.zone(id), Ver: "1", Slots: 16, Phase: "up", Seq: seq}
 			if len(s.hollow) > 0 {
 				f := s.hollow[rand.IntN(len(s.hollow))]
 				go func() { _, _ = f.Flora.Beat(ctx, w) }()
@@ -341,7 +342,7 @@
 // A node's lines come each lineS, so a span below that may see none of them.
 func (s *step) measure(ctx context.Context) (string, error) {
 	type reading struct{ cpuMs, peakKB, calls, bytes, lines, silent int64 }
-	var faults wax.Ledger
+	var faults fault.Ledger
 	read := func(p *process) reading {
 		cpuMs, peakKB, err := p.spent()
 		faults.Add(err)
@@ -382,7 +383,7 @@
 		times = append(times, float64(time.Since(at).Milliseconds()))
 	}
 	row := fmt.Sprintf("%d %d %d", s.Nodes, s.Workers, s.Routes)
-	for _, role := range []string{skep.RoleEdge, skep.RoleStore} {
+	for _, role := range []string{settings.RoleEdge, settings.RoleStore} {
 		row += fmt.Sprintf(" | %s: %s, %s MB, %s KB/s, %s calls/s, %s thought silent", role, spread(cpu[role]), spread(peak[role]), spread(kb[role]), spread(calls[role]), spread(silent[role]))
 	}
 	return row + fmt.Sprintf(" | changes: %s", spread(times)), nil
--- a/cmd/beeline/main.go
+++ b/cmd/tracer/main.go
@@ -1,5 +1,5 @@
-// Command beeline follows one change through all nodes of a system
-// (docs/beeline.md).
+// Command tracer follows one change through all nodes of a system
+// (docs/tracer.md).
 package main
 
 import (
@@ -16,8 +16,8 @@
 
 	"github.com/alecthomas/kingpin/v2"
 
-	"rowanshunt/internal/skep"
-	"rowanshunt/internal/trail"
+	"rowanshunt/internal/settings"
+	"rowanshunt/internal/trace"
 )
 
 // The exit codes; 2 is a command line that cannot be read.
@@ -30,25 +30,25 @@
 func main() { os.Exit(run(os.Args[1:])) }
 
 func run(args []string) int {
-	app := kingpin.New("beeline", "Follow one change through all nodes: where it is held, where it is in force, what is missing. Exit code 0: everywhere; 3: not yet; 1: no node answered.")
+	app := kingpin.New("tracer", "Follow one change through all nodes: where it is held, where it is in force, what is missing. Exit code 0: everywhere; 3: not yet; 1: no node answered.")
 	nodes := app.Flag("node", "ctl address of a node, host:port; may be given several times, tried in turn.").Required().Strings()
 	asJSON := app.Flag("json", "Print JSON.").Bool()
 	limit := app.Flag("timeout", "How long to wait in all.").Default("5s").Duration()
-	bp := app.Command(trail.Blueprint, "Follow a blueprint.")
+	bp := app.Command(trace.Blueprint, "Follow a blueprint.")
 	ver := bp.Arg("version", "Its version.").Required().Uint64()
-	wk := app.Command(trail.Worker, "Follow a worker.")
+	wk := app.Command(trace.Worker, "Follow a worker.")
 	worker := wk.Arg("id", "Its id.").Required().String()
-	lt := app.Command(trail.Lot, "Follow a lot.")
+	lt := app.Command(trace.Lot, "Follow a lot.")
 	lot := lt.Arg("id", "Its id.").Required().String()
 	host := lt.Flag("host", "The host it was handed in under.").Required().String()
-	cmd, code, ended := skep.ParseLine(app, args)
+	cmd, code, ended := settings.ParseLine(app, args)
 	if ended {
 		return code
 	}
-	id := map[string]string{trail.Blueprint: fmt.Sprint(*ver), trail.Worker: *worker, trail.Lot: *lot}[cmd]
+	id := map[string]string{trace.Blueprint: fmt.Sprint(*ver), trace.Worker: *worker, trace.Lot: *lot}[cmd]
 	report, err := ask(*nodes, *limit, cmd, id, *host)
 	if err != nil {
-		fmt.Fprintln(os.Stderr, "beeline:", err)
+		fmt.Fprintln(os.Stderr, "tracer:", err)
 		return exitError
 	}
 	if *asJSON {
@@ -64,7 +64,7 @@
 }
 
 // ask tries the nodes in turn until one answers.
-func ask(nodes []string, limit time.Duration, kind, id, host string) (*trail.Report, error) {
+func ask(nodes []string, limit time.Duration, kind, id, host string) (*trace.Report, error) {
 	var faults []string
 	client := &http.Client{}
 	end := time.Now().Add(limit)
@@ -83,7 +83,7 @@
 	return nil, errors.New("no node answered (name others with --node, or allow more with --timeout): " + strings.Join(faults, "; "))
 }
 
-func askOne(client *http.Client, node, kind, id, host string) (*trail.Report, error) {
+func askOne(client *http.Client, node, kind, id, host string) (*trace.Report, error) {
 	resp, err := client.Get("http://" + node + "/-/trail/" + kind + "/" + url.PathEscape(id) + "?host=" + url.QueryEscape(host))
 	if err != nil {
 		return nil, err
@@ -96,11 +96,11 @@
 	if resp.StatusCode != http.StatusOK {
 		return nil, fmt.Errorf("%s: %s", resp.Status, strings.TrimSpace(string(raw)))
 	}
-	r := &trail.Report{}
+	r := &trace.Report{}
 	return r, json.Unmarshal(raw, r)
 }
 
-func show(out io.Writer, r *trail.Report) {
+func show(out io.Writer, r *trace.Report) {
 	w := tabwriter.NewWriter(out, 0, 4, 2, ' ', 0)
 	fmt.Fprintf(w, "%s %s\n", r.Kind, r.ID)
 	for _, word := range r.Words {
--- a/cmd/beeline/main_test.go
+++ b/cmd/tracer/main_test.go
@@ -11,7 +11,7 @@
 )
 
 func TestMain(m *testing.M) {
-	testscript.Main(m, map[string]func(){"beeline": func() { os.Exit(run(os.Args[1:])) }})
+	testscript.Main(m, map[string]func(){"tracer": func() { os.Exit(run(os.Args[1:])) }})
 }
 
 func TestScripts(t *testing.T) {
--- a/examples/first-run.sh
+++ b/examples/first-run.sh
@@ -8,7 +8,7 @@
 cd "$(dirname "$0")/.."
 stay=false
 [ "${1:-}" = --stay ] && stay=true
-for need in target/hive target/worker; do
+for need in target/rowanshunt target/worker; do
   [ -x "$need" ] || { echo "$need is missing: build first (README, \"Set up\")"; exit 1; }
 done
 
@@ -44,7 +44,7 @@
     echo '[ft]'
     echo 'nodes = 1'
   } > "$file"
-  target/hive "$2" --file "$file" 2> "run/$1.log" &
+  target/rowanshunt "$2" --file "$file" 2> "run/$1.log" &
   pids+=($!)
 }
 
--- a/examples/worker/main.go
+++ b/examples/worker/main.go
@@ -12,7 +12,7 @@
 	"os"
 	"time"
 
-	"rowanshunt/internal/meadow"
+	"rowanshunt/internal/simnet"
 )
 
 func main() {
@@ -33,7 +33,7 @@
 	if err != nil {
 		return err
 	}
-	w := meadow.NewStandIn(id)
+	w := simnet.NewStandIn(id)
 	w.Ver = ver
 	failed := make(chan error, 1)
 	go func() { failed <- http.Serve(ln, w) }()
--- a/internal/scout/judge.go
+++ b/internal/balancer/judge.go
@@ -1,10 +1,10 @@
-package scout
+package balancer
 
 import (
 	"math"
 
-	"rowanshunt/internal/flora"
-	"rowanshunt/internal/waggle"
+	"rowanshunt/internal/discovery"
+	"rowanshunt/internal/eventloop"
 )
 
 // Workers are judged by their answers (design 7.4): health answers may be false
@@ -82,7 +82,7 @@
 	if st == nil {
 		return
 	}
-	nowUs := waggle.NowUs()
+	nowUs := eventloop.NowUs()
 	st.own.turn(nowUs, recordUs)
 	if good {
 		st.own.now.good++
@@ -163,7 +163,7 @@
 
 // blame adds what this node holds against a worker: of its own alone, or with
 // what partners told it.
-func (s *Scout) blame(p *flora.Pressure, st *state, all bool, nowUs int64) {
+func (s *Scout) blame(p *discovery.Pressure, st *state, all bool, nowUs int64) {
 	p.Good, p.Bad = st.own.sum(nowUs)
 	if all {
 		g, b := st.told(nowUs)
@@ -175,7 +175,7 @@
 }
 
 // hinted takes what a partner saw fail.
-func (s *Scout) hinted(from string, p *flora.Pressure, st *state, nowUs int64) {
+func (s *Scout) hinted(from string, p *discovery.Pressure, st *state, nowUs int64) {
 	if p.Bad == 0 {
 		return
 	}
@@ -194,6 +194,6 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	st := s.workers[id]
-	nowUs := waggle.NowUs()
+	nowUs := eventloop.NowUs()
 	return st != nil && nowUs-st.heardUs < freshUs && st.waiting == 0 && st.est(nowUs) < float64(st.slots)
 }
--- a/internal/scout/judge_test.go
+++ b/internal/balancer/judge_test.go
@@ -1,16 +1,16 @@
-package scout
+package balancer
 
 import (
 	"testing"
 	"testing/synctest"
 	"time"
 
-	"rowanshunt/internal/flora"
+	"rowanshunt/internal/discovery"
 )
 
 // answers lets every worker of the directory answer n requests; those named
 // fail every second one.
-func answers(s *Scout, d *flora.Directory, n int, grey ...string) {
+func answers(s *Scout, d *discovery.Directory, n int, grey ...string) {
 	for _, w := range d.BySvc["s"] {
 		s.mu.Lock()
 		s.of(w)
@@ -22,7 +22,7 @@
 	}
 }
 
-func picked(s *Scout, d *flora.Directory, n int) map[string]int {
+func picked(s *Scout, d *discovery.Directory, n int) map[string]int {
 	seen := map[string]int{}
 	for range n {
 		if w := s.Pick(d, &Need{Svc: "s"}); w != nil {
@@ -84,7 +84,7 @@
 		answers(home, d, 4)
 		answers(node, d, 4)
 		for i := range 3 {
-			home.Hear("n"+string(rune('0'+i)), []flora.Pressure{{ID: "w5", AgeUs: -1, Bad: 1, Good: 1}})
+			home.Hear("n"+string(rune('0'+i)), []discovery.Pressure{{ID: "w5", AgeUs: -1, Bad: 1, Good: 1}})
 		}
 		if seen := picked(home, d, 200); seen["w5"] != 0 {
 			t.Errorf("the home keeps it: %v", seen)
@@ -93,9 +93,9 @@
 		// not judge tells the sum on.
 		other := New("a")
 		answers(other, d, 1)
-		other.Hear("n0", []flora.Pressure{{ID: "w5", AgeUs: -1, Bad: 2, Good: 1}})
-		other.Hear("n1", []flora.Pressure{{ID: "w5", AgeUs: -1, Bad: 2, Good: 1}})
-		node.Hear("", []flora.Pressure{{ID: "w5", AgeUs: -1, Bad: 4, Good: 2}})
+		other.Hear("n0", []discovery.Pressure{{ID: "w5", AgeUs: -1, Bad: 2, Good: 1}})
+		other.Hear("n1", []discovery.Pressure{{ID: "w5", AgeUs: -1, Bad: 2, Good: 1}})
+		node.Hear("", []discovery.Pressure{{ID: "w5", AgeUs: -1, Bad: 4, Good: 2}})
 		if seen := picked(node, d, 200); seen["w5"] != 0 {
 			t.Errorf("the node keeps it: %v", seen)
 		}
--- a/internal/scout/lately.go
+++ b/internal/balancer/lately.go
@@ -1,4 +1,4 @@
-package scout
+package balancer
 
 // lately counts in two buckets of time, the one that runs and the one before, so
 // that what is older fades without a record of each event.
--- a/internal/scout/lately_test.go
+++ b/internal/balancer/lately_test.go
@@ -1,4 +1,4 @@
-package scout
+package balancer
 
 import "testing"
 
--- a/internal/scout/moult.go
+++ b/internal/balancer/moult.go
@@ -1,12 +1,12 @@
-package scout
+package balancer
 
 import (
 	"sort"
 
-	"rowanshunt/internal/flora"
-	"rowanshunt/internal/foundation"
-	"rowanshunt/internal/tending"
-	"rowanshunt/internal/waggle"
+	"rowanshunt/internal/config"
+	"rowanshunt/internal/discovery"
+	"rowanshunt/internal/eventloop"
+	"rowanshunt/internal/rendezvous"
 )
 
 // What upgrades ask of the choice, and what they are told of it (design 13).
@@ -34,19 +34,19 @@
 
 // weight is how strongly a worker is drawn to a shared part: one that came in
 // another's place has that one's.
-func (s *Scout) weight(key string, w *flora.Worker) uint64 {
+func (s *Scout) weight(key string, w *discovery.Worker) uint64 {
 	if name, ok := s.moult.Heirs[w.ID]; ok {
-		return tending.Weight(key, name)
+		return rendezvous.Weight(key, name)
 	}
 	if warm, ok := s.moult.Warm[w.Svc]; ok && len(w.Models) > 0 && hasVersion(w, warm.Ver) {
 		return 0 // just came: its place is not settled yet
 	}
-	return tending.Weight(key, w.ID)
+	return rendezvous.Weight(key, w.ID)
 }
 
 // homes are the first n of the rendezvous rank of a shared part.
-func (s *Scout) homes(key string, ws []*flora.Worker, n int) []string {
-	var in []*flora.Worker
+func (s *Scout) homes(key string, ws []*discovery.Worker, n int) []string {
+	var in []*discovery.Worker
 	for _, w := range ws {
 		if !s.moult.Out[w.ID] {
 			in = append(in, w)
@@ -62,7 +62,7 @@
 
 // warming tells whether a worker that came back has all it may have for now:
 // its room grows with the time since it was first seen.
-func (s *Scout) warming(w *flora.Worker, st *state, nowUs int64) bool {
+func (s *Scout) warming(w *discovery.Worker, st *state, nowUs int64) bool {
 	warm, ok := s.moult.Warm[w.Svc]
 	if !ok || warm.OverUs <= 0 || !hasVersion(w, warm.Ver) || nowUs-st.firstUs >= warm.OverUs {
 		return false
@@ -127,7 +127,7 @@
 func (s *Scout) Groups(svc string) []GroupSeen {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	nowUs := waggle.NowUs()
+	nowUs := eventloop.NowUs()
 	var out []GroupSeen
 	for k, g := range s.groups {
 		if k.svc != svc {
@@ -172,7 +172,7 @@
 func (s *Scout) Fare(svc string, late, failed bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	nowUs := waggle.NowUs()
+	nowUs := eventloop.NowUs()
 	f := s.fared[svc]
 	if f == nil {
 		f = &fare{lately[fares]{sinceUs: nowUs}}
@@ -196,13 +196,13 @@
 	if f == nil {
 		return 0, 0, 0
 	}
-	f.turn(waggle.NowUs(), bucketUs)
+	f.turn(eventloop.NowUs(), bucketUs)
 	return f.now.answers + f.before.answers, f.now.late + f.before.late, f.now.failed + f.before.failed
 }
 
 // HasVersion tells whether any worker in use, of the services a binding sends
 // to, has weights of that version.
-func (s *Scout) HasVersion(d *flora.Directory, b *foundation.Binding, ver int64) bool {
+func (s *Scout) HasVersion(d *discovery.Directory, b *config.Binding, ver int64) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, share := range b.Split {
--- a/internal/scout/scout.go
+++ b/internal/balancer/scout.go
@@ -1,9 +1,9 @@
-// Package scout picks the worker for a request: by pressure, zone and the
+// Package balancer picks the worker for a request: by pressure, zone and the
 // prompt parts it is likely to keep (design 7). The field's standard terms:
 // scout = load balancer; pressure = load; affinity = cache-aware routing.
 // Requests call it from their own goroutines, so its one table is guarded by a
 // short critical section in place of a command queue (design 1.5).
-package scout
+package balancer
 
 import (
 	"math"
@@ -12,8 +12,8 @@
 	"strings"
 	"sync"
 
-	"rowanshunt/internal/flora"
-	"rowanshunt/internal/waggle"
+	"rowanshunt/internal/discovery"
+	"rowanshunt/internal/eventloop"
 )
 
 // Figures of the choice (design 7.2); all are the project's own.
@@ -132,7 +132,7 @@
 }
 
 // Keep forgets workers that are no longer in the directory.
-func (s *Scout) Keep(d *flora.Directory) {
+func (s *Scout) Keep(d *discovery.Directory) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for id, w := range s.workers {
@@ -142,10 +142,10 @@
 	}
 }
 
-func (s *Scout) of(w *flora.Worker) *state {
+func (s *Scout) of(w *discovery.Worker) *state {
 	st := s.workers[w.ID]
 	if st == nil {
-		st = &state{slots: max(w.Slots, 1), firstUs: waggle.NowUs(), verdict: verdict{svc: w.Svc}}
+		st = &state{slots: max(w.Slots, 1), firstUs: eventloop.NowUs(), verdict: verdict{svc: w.Svc}}
 		s.workers[w.ID] = st
 	}
 	return st
@@ -160,14 +160,14 @@
 
 // Pick chooses a worker and counts the request there; nil if none will do.
 // Done must be called for each worker picked.
-func (s *Scout) Pick(d *flora.Directory, n *Need) *flora.Worker {
+func (s *Scout) Pick(d *discovery.Directory, n *Need) *discovery.Worker {
 	ws := d.BySvc[n.Svc]
 	if len(ws) == 0 {
 		return nil
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	nowUs := waggle.NowUs()
+	nowUs := eventloop.NowUs()
 	var sharedToks int64
 	key := ""
 	if len(n.Parts) > 1 {
@@ -198,7 +198,7 @@
 			homes = s.homes(key, ws, n)
 		}
 	}
-	var best *flora.Worker
+	var best *discovery.Worker
 	var bestCost float64
 	sampled := s.sample(ws, first, second, homes)
 	for pass := 0; pass < 3 && best == nil; pass++ {
@@ -255,11 +255,11 @@
 // With few nodes, a node sees most of it itself and looks at all; with many, at
 // a few drawn by lot and at those that keep the prompt's shared parts
 // (design 7.2).
-func (s *Scout) sample(ws []*flora.Worker, first, second string, homes []string) []*flora.Worker {
+func (s *Scout) sample(ws []*discovery.Worker, first, second string, homes []string) []*discovery.Worker {
 	if s.foragers <= fewForagers || len(ws) <= choices {
 		return ws
 	}
-	out := make([]*flora.Worker, 0, choices+2+len(homes))
+	out := make([]*discovery.Worker, 0, choices+2+len(homes))
 	if first != "" {
 		for _, w := range ws {
 			if w.ID == first || w.ID == second || contains(homes, w.ID) {
@@ -306,7 +306,7 @@
 	return st.items < share
 }
 
-func (s *Scout) cost(w *flora.Worker, st *state, n *Need, nowUs, sharedToks int64, first, second string, homes []string) float64 {
+func (s *Scout) cost(w *discovery.Worker, st *state, n *Need, nowUs, sharedToks int64, first, second string, homes []string) float64 {
 	est, slots := st.est(nowUs), float64(st.slots)
 	c := 4*est/slots + rand.Float64()*0.3
 	if est >= slots {
@@ -354,7 +354,7 @@
 	return false
 }
 
-func hasVersion(w *flora.Worker, ver int64) bool {
+func hasVersion(w *discovery.Worker, ver int64) bool {
 	for _, m := range w.Models {
 		if m.Ver == ver {
 			return true
@@ -391,7 +391,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if st := s.workers[id]; st != nil {
-		st.running, st.waiting, st.heardUs, st.since = running, waiting, waggle.NowUs(), 0
+		st.running, st.waiting, st.heardUs, st.since = running, waiting, eventloop.NowUs(), 0
 		st.atFirst = true
 		if slots > 0 {
 			st.slots = slots
@@ -403,13 +403,13 @@
 
 // Pressures lists what was heard lately, for partners: what the workers told
 // this node itself, or all it knows.
-func (s *Scout) Pressures(all bool) []flora.Pressure {
+func (s *Scout) Pressures(all bool) []discovery.Pressure {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	nowUs := waggle.NowUs()
-	var out []flora.Pressure
+	nowUs := eventloop.NowUs()
+	var out []discovery.Pressure
 	for id, st := range s.workers {
-		p := flora.Pressure{ID: id, Running: st.running, Waiting: st.waiting, Slots: st.slots, AgeUs: nowUs - st.heardUs}
+		p := discovery.Pressure{ID: id, Running: st.running, Waiting: st.waiting, Slots: st.slots, AgeUs: nowUs - st.heardUs}
 		s.blame(&p, st, all, nowUs)
 		fresh := st.heardUs > 0 && p.AgeUs < freshUs && (all || st.atFirst)
 		if !fresh {
@@ -423,10 +423,10 @@
 }
 
 // Hear takes what a partner heard, where it is newer.
-func (s *Scout) Hear(from string, ps []flora.Pressure) {
+func (s *Scout) Hear(from string, ps []discovery.Pressure) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	nowUs := waggle.NowUs()
+	nowUs := eventloop.NowUs()
 	for i := range ps {
 		p := &ps[i]
 		st := s.workers[p.ID]
@@ -449,7 +449,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if st := s.workers[id]; st != nil {
-		st.noRoomUs = waggle.NowUs() + 150_000
+		st.noRoomUs = eventloop.NowUs() + 150_000
 	}
 }
 
@@ -462,7 +462,7 @@
 	if st == nil {
 		return
 	}
-	nowUs := waggle.NowUs()
+	nowUs := eventloop.NowUs()
 	st.fails++
 	st.failUs = nowUs
 	if unreachable || st.fails >= 3 {
@@ -475,16 +475,16 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	st := s.workers[id]
-	nowUs := waggle.NowUs()
+	nowUs := eventloop.NowUs()
 	return st != nil && (st.fails > 0 && nowUs-st.failUs < suspectAfterUs || nowUs < st.outUs)
 }
 
 // Fullness is the least share of slots taken at any worker of the service, -1
 // without workers.
-func (s *Scout) Fullness(d *flora.Directory, svc string) float64 {
+func (s *Scout) Fullness(d *discovery.Directory, svc string) float64 {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	nowUs := waggle.NowUs()
+	nowUs := eventloop.NowUs()
 	least := -1.0
 	for _, w := range d.BySvc[svc] {
 		st := s.of(w)
@@ -499,10 +499,10 @@
 }
 
 // ItemRoom is how many more items this node may send to a service's workers.
-func (s *Scout) ItemRoom(d *flora.Directory, svc string) int {
+func (s *Scout) ItemRoom(d *discovery.Directory, svc string) int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	nowUs := waggle.NowUs()
+	nowUs := eventloop.NowUs()
 	room := 0
 	for _, w := range d.BySvc[svc] {
 		st := s.of(w)
--- a/internal/scout/scout_test.go
+++ b/internal/balancer/scout_test.go
@@ -1,4 +1,4 @@
-package scout
+package balancer
 
 import (
 	"fmt"
@@ -6,13 +6,13 @@
 	"testing/synctest"
 	"time"
 
-	"rowanshunt/internal/flora"
+	"rowanshunt/internal/discovery"
 )
 
-func directory(n int, slots int64) *flora.Directory {
-	d := &flora.Directory{BySvc: map[string][]*flora.Worker{}, ByID: map[string]*flora.Worker{}}
+func directory(n int, slots int64) *discovery.Directory {
+	d := &discovery.Directory{BySvc: map[string][]*discovery.Worker{}, ByID: map[string]*discovery.Worker{}}
 	for i := range n {
-		w := &flora.Worker{ID: fmt.Sprintf("w%d", i), Svc: "s", Az: "a", Slots: slots, Phase: "up"}
+		w := &discovery.Worker{ID: fmt.Sprintf("w%d", i), Svc: "s", Az: "a", Slots: slots, Phase: "up"}
 		d.BySvc["s"] = append(d.BySvc["s"], w)
 		d.ByID[w.ID] = w
 	}
@@ -116,9 +116,9 @@
 		}
 		s = New("a")
 		for _, w := range d.BySvc["s"] {
-			w.Models = []flora.Model{{Name: "m", Ver: 1}}
+			w.Models = []discovery.Model{{Name: "m", Ver: 1}}
 		}
-		d.BySvc["s"][0].Models = []flora.Model{{Name: "m", Ver: 2}}
+		d.BySvc["s"][0].Models = []discovery.Model{{Name: "m", Ver: 2}}
 		s.SetMoult(Moulting{Warm: map[string]Warming{"s": {Ver: 2, OverUs: 10_000_000}}})
 		count := func() (n int) {
 			for range 60 {
@@ -152,11 +152,11 @@
 			}
 		}
 		time.Sleep(time.Second)
-		s.Hear("p", []flora.Pressure{{ID: "w1", Running: 10, Waiting: 30, Slots: 10}, {ID: "w0", Slots: 10, AgeUs: 100}})
+		s.Hear("p", []discovery.Pressure{{ID: "w1", Running: 10, Waiting: 30, Slots: 10}, {ID: "w0", Slots: 10, AgeUs: 100}})
 		if w := s.Pick(d, &Need{Svc: "s"}); w.ID != "w0" {
 			t.Error("what a partner heard was not taken")
 		}
-		s.Hear("p", []flora.Pressure{{ID: "w0", Running: 10, Waiting: 30, Slots: 10, AgeUs: 900_000}})
+		s.Hear("p", []discovery.Pressure{{ID: "w0", Running: 10, Waiting: 30, Slots: 10, AgeUs: 900_000}})
 		if w := s.Pick(d, &Need{Svc: "s"}); w.ID != "w0" {
 			t.Error("older news replaced newer")
 		}
@@ -184,7 +184,7 @@
 	heirs := map[string]string{}
 	for i := range 12 {
 		old := d.BySvc["s"][i]
-		w := &flora.Worker{ID: fmt.Sprint("n", i), Svc: "s", Az: "a", Slots: 48, Phase: "up"}
+		w := &discovery.Worker{ID: fmt.Sprint("n", i), Svc: "s", Az: "a", Slots: 48, Phase: "up"}
 		d.BySvc["s"][i] = w
 		d.ByID[w.ID] = w
 		delete(d.ByID, old.ID)
--- a/internal/foundation/blueprint.go
+++ b/internal/config/blueprint.go
@@ -1,8 +1,8 @@
-// Package foundation is the blueprint aggregate: it reads an operator's
+// Package config is the blueprint aggregate: it reads an operator's
 // document field by field, checks it whole and answers which binding a
 // request takes (design 4.1). The field's standard terms: blueprint =
 // configuration; binding = route; foundation = schema and validation.
-package foundation
+package config
 
 import (
 	"sort"
@@ -11,7 +11,7 @@
 
 	"github.com/go-faster/jx"
 
-	"rowanshunt/internal/wax"
+	"rowanshunt/internal/fault"
 )
 
 // Type is what a binding's requests are.
@@ -115,11 +115,11 @@
 // Parse reads a document and checks all of it.
 func Parse(raw []byte) (*Blueprint, error) {
 	if len(raw) > MaxBytes {
-		return nil, wax.New(wax.TooLarge, "blueprint", "is over 4 MiB", "send a smaller one")
+		return nil, fault.New(fault.TooLarge, "blueprint", "is over 4 MiB", "send a smaller one")
 	}
 	b := &Blueprint{Services: map[string]*Service{}, Caps: Caps{HdrBytes: 16 << 10, PayloadBytes: 4 << 20, HdrMs: 3000, IdleMs: 15000}}
 	d := jx.DecodeBytes(raw)
-	var l wax.Ledger
+	var l fault.Ledger
 	sawVer, sawRoutes, sawSvcs := false, false, false
 	err := d.Obj(func(d *jx.Decoder, key string) error {
 		switch key {
@@ -130,7 +130,7 @@
 			sawRoutes = true
 			return d.Arr(func(d *jx.Decoder) error {
 				if len(b.Bindings) >= maxBindings {
-					return wax.New(wax.TooLarge, "routes", "are too many", "send fewer")
+					return fault.New(fault.TooLarge, "routes", "are too many", "send fewer")
 				}
 				r, err := readBinding(d)
 				b.Bindings = append(b.Bindings, r)
@@ -144,7 +144,7 @@
 					return err
 				}
 				if len(b.Services) >= maxServices {
-					return wax.New(wax.TooLarge, "svcs", "are too many", "send fewer")
+					return fault.New(fault.TooLarge, "svcs", "are too many", "send fewer")
 				}
 				if s.Name == "" {
 					l.Addf("svcs", "one has no name", "name it")
@@ -172,10 +172,10 @@
 		return d.Skip()
 	})
 	if err == nil && !jx.Valid(raw) {
-		err = wax.New(wax.Invalid, "", "something follows the object", "send one JSON object")
+		err = fault.New(fault.Invalid, "", "something follows the object", "send one JSON object")
 	}
 	if err != nil {
-		return nil, wax.New(wax.Invalid, "blueprint", "cannot be read whole: "+err.Error(), "send one JSON object with ver, routes, svcs and caps")
+		return nil, fault.New(fault.Invalid, "blueprint", "cannot be read whole: "+err.Error(), "send one JSON object with ver, routes, svcs and caps")
 	}
 	if !sawVer || b.Ver <= 0 {
 		l.Addf("ver", "is missing or not above 0", "count versions from 1")
@@ -190,7 +190,7 @@
 	return b, nil
 }
 
-func (b *Blueprint) check(l *wax.Ledger) {
+func (b *Blueprint) check(l *fault.Ledger) {
 	b.byHost = map[string][]*Binding{}
 	seen := map[string]bool{}
 	for i, r := range b.Bindings {
@@ -304,7 +304,7 @@
 		case "split":
 			return d.Arr(func(d *jx.Decoder) error {
 				if len(r.Split) >= maxSplit {
-					return wax.New(wax.TooLarge, "split", "has too many parts", "send fewer")
+					return fault.New(fault.TooLarge, "split", "has too many parts", "send fewer")
 				}
 				var s Share
 				err := d.Obj(func(d *jx.Decoder, key string) error {
@@ -327,7 +327,7 @@
 	}
 	t, ok := typeWords[typeWord]
 	if !ok {
-		return r, wax.New(wax.Invalid, "type", strconv.Quote(typeWord)+" is no type of route", "use safe, unsafe, stream or bulk")
+		return r, fault.New(fault.Invalid, "type", strconv.Quote(typeWord)+" is no type of route", "use safe, unsafe, stream or bulk")
 	}
 	r.Type = t
 	return r, nil
--- a/internal/foundation/blueprint_test.go
+++ b/internal/config/blueprint_test.go
@@ -1,10 +1,10 @@
-package foundation
+package config
 
 import (
 	"strings"
 	"testing"
 
-	"rowanshunt/internal/wax"
+	"rowanshunt/internal/fault"
 )
 
 const good = `{"ver":7,"routes":[
@@ -86,11 +86,11 @@
 		{"no service at all", swap(`"svc":"s1","tries":1`, `"tries":1`), "routes.r2.svc"},
 	} {
 		_, err := Parse([]byte(tc.doc))
-		if !wax.Is(err, wax.Invalid) || !strings.Contains(err.Error(), tc.field) || !strings.Contains(err.Error(), "remedy") {
+		if !fault.Is(err, fault.Invalid) || !strings.Contains(err.Error(), tc.field) || !strings.Contains(err.Error(), "remedy") {
 			t.Errorf("%s: %v", tc.name, err)
 		}
 	}
-	if _, err := Parse(make([]byte, MaxBytes+1)); !wax.Is(err, wax.TooLarge) {
+	if _, err := Parse(make([]byte, MaxBytes+1)); !fault.Is(err, fault.TooLarge) {
 		t.Errorf("too large: %v", err)
 	}
 }
--- a/internal/flora/ages_test.go
+++ b/internal/discovery/ages_test.go
@@ -1,9 +1,9 @@
-package flora
+package discovery
 
 import (
 	"testing"
 
-	"rowanshunt/internal/waggle"
+	"rowanshunt/internal/eventloop"
 )
 
 // A home tells the ages of late workers only; the others are known to be
@@ -11,7 +11,7 @@
 // (design 5.2).
 func TestAges(t *testing.T) {
 	const hbUs = 1_200_000
-	nowUs := waggle.NowUs()
+	nowUs := eventloop.NowUs()
 	node := func(ages map[string]int64) *Flora {
 		f := &Flora{cfg: Config{HbUs: hbUs}, workers: map[string]*entry{}, pending: map[string]bool{}}
 		for id, ageUs := range ages {
--- a/internal/flora/departures.go
+++ b/internal/discovery/departures.go
@@ -1,4 +1,4 @@
-package flora
+package discovery
 
 import (
 	"context"
@@ -9,10 +9,10 @@
 
 	"github.com/vmihailenco/msgpack/v5"
 
-	"rowanshunt/internal/nest"
-	"rowanshunt/internal/pollen"
-	"rowanshunt/internal/swarm"
-	"rowanshunt/internal/waggle"
+	"rowanshunt/internal/eventloop"
+	"rowanshunt/internal/gossip"
+	"rowanshunt/internal/register"
+	"rowanshunt/internal/rpc"
 )
 
 // Figures of the departure log (design 5.4).
@@ -74,7 +74,7 @@
 
 // DecodeMsgpack reads cursors of other versions too.
 func (c *departureCursor) DecodeMsgpack(d *msgpack.Decoder) error {
-	return pollen.Fields(d, &c.Epoch, &c.Seq)
+	return rpc.Fields(d, &c.Epoch, &c.Seq)
 }
 
 // departureAnswer is one page of a departure log.
@@ -86,14 +86,14 @@
 
 // DecodeMsgpack reads answers of other versions too.
 func (a *departureAnswer) DecodeMsgpack(d *msgpack.Decoder) error {
-	return pollen.Fields(d, &a.Next, &a.More, &a.Workers)
+	return rpc.Fields(d, &a.Next, &a.More, &a.Workers)
 }
 
 // onDepartures answers what the asker has not read yet. A cursor of another
 // life starts from the first departure that is kept.
 func (f *Flora) onDepartures(ctx context.Context, in *departureCursor) (*departureAnswer, error) {
-	return waggle.Ask(ctx, f.cfg.Floor, func() *departureAnswer {
-		nowUs := waggle.NowUs()
+	return eventloop.Ask(ctx, f.cfg.Floor, func() *departureAnswer {
+		nowUs := eventloop.NowUs()
 		log := f.departures
 		read := in.Seq
 		if in.Epoch != log.epoch {
@@ -121,7 +121,7 @@
 }
 
 // coreMembers are the members of the core's roster, nil if it isn't known.
-func (f *Flora) coreMembers() []nest.Seat {
+func (f *Flora) coreMembers() []register.Seat {
 	r := f.coreRoster()
 	if r == nil {
 		return nil
@@ -129,7 +129,7 @@
 	return r.All()
 }
 
-func (f *Flora) coreRoster() *nest.Roster {
+func (f *Flora) coreRoster() *register.Roster {
 	if f.cfg.Core == nil {
 		return nil
 	}
@@ -141,7 +141,7 @@
 // others, or whose own source is silent, asks one of them. It runs on the event
 // loop.
 func (f *Flora) readDepartures(serves, sourceSilent bool) {
-	var others, silent []nest.Seat
+	var others, silent []register.Seat
 	isMember := false
 	v := f.cfg.Swarm.Look()
 	for _, m := range f.coreMembers() {
@@ -170,7 +170,7 @@
 }
 
 // rotate brings another member to the front with each turn.
-func rotate(members []nest.Seat, turn int) {
+func rotate(members []register.Seat, turn int) {
 	if len(members) > 1 {
 		at := turn % len(members)
 		copy(members, append(slices.Clone(members[at:]), members[:at]...))
@@ -179,12 +179,12 @@
 
 // maybeAlive tells whether a core member is alive in view, or may be although
 // the view has no room for it.
-func maybeAlive(v *swarm.View, name string) bool {
+func maybeAlive(v *gossip.View, name string) bool {
 	return v.Alive(name) || v.Partial() && v.Get(name) == nil
 }
 
 // addrOf is a core member's address: as membership has it, or else the roster.
-func (f *Flora) addrOf(m nest.Seat) string {
+func (f *Flora) addrOf(m register.Seat) string {
 	if p := f.cfg.Swarm.Look().Get(m.Name); p != nil {
 		return p.Addr
 	}
@@ -192,7 +192,7 @@
 }
 
 // readDeparturesOfOne asks the members in their order until one answers.
-func (f *Flora) readDeparturesOfOne(members []nest.Seat) {
+func (f *Flora) readDeparturesOfOne(members []register.Seat) {
 	if !f.reader.busy.CompareAndSwap(false, true) {
 		return
 	}
@@ -202,15 +202,15 @@
 			if f.readDeparturesOf(m) == nil {
 				return
 			}
-			_ = f.cfg.Floor.Do(f.ctx, func() { f.silentSources[m.Name] = waggle.NowUs() })
+			_ = f.cfg.Floor.Do(f.ctx, func() { f.silentSources[m.Name] = eventloop.NowUs() })
 		}
 	}()
 }
 
 // readDeparturesOf reads what is new in one member's log.
-func (f *Flora) readDeparturesOf(member nest.Seat) error {
+func (f *Flora) readDeparturesOf(member register.Seat) error {
 	for {
-		cursor, err := waggle.Ask(f.ctx, f.cfg.Floor, func() departureCursor { return f.reader.cursors[member.Name] })
+		cursor, err := eventloop.Ask(f.ctx, f.cfg.Floor, func() departureCursor { return f.reader.cursors[member.Name] })
 		if err != nil {
 			return err
 		}
@@ -233,7 +233,7 @@
 // takeDepartures merges one page of a member's log.
 func (f *Flora) takeDepartures(member string, page *departureAnswer) {
 	f.reader.cursors[member] = page.Next
-	nowUs := waggle.NowUs()
+	nowUs := eventloop.NowUs()
 	news := false
 	for _, w := range page.Workers {
 		news = f.take(w, nowUs) || news
@@ -245,7 +245,7 @@
 
 // holdsMajority tells whether those that took a departure, by name, are a
 // majority of the core.
-func holdsMajority(core *nest.Roster, took map[string]bool) bool {
+func holdsMajority(core *register.Roster, took map[string]bool) bool {
 	if core == nil {
 		return false
 	}
@@ -260,7 +260,7 @@
 
 // inContact tells whether this node sees a majority of the core alive: where it
 // does not, a worker is better off at another node (design 5.2).
-func (f *Flora) inContact(v *swarm.View) bool {
+func (f *Flora) inContact(v *gossip.View) bool {
 	if f.cfg.Core == nil {
 		return true
 	}
--- a/internal/flora/departures_test.go
+++ b/internal/discovery/departures_test.go
@@ -1,4 +1,4 @@
-package flora
+package discovery
 
 import (
 	"context"
--- a/internal/flora/diary.go
+++ b/internal/discovery/diary.go
@@ -1,12 +1,12 @@
-package flora
+package discovery
 
 import (
 	"sync"
 
-	"rowanshunt/internal/cell"
 	"rowanshunt/internal/codec"
-	"rowanshunt/internal/pollen"
-	"rowanshunt/internal/wax"
+	"rowanshunt/internal/logging"
+	"rowanshunt/internal/rpc"
+	"rowanshunt/internal/wal"
 )
 
 // The diary lets a node that starts again use the workers it knew before, for
@@ -21,8 +21,8 @@
 )
 
 type diary struct {
-	cell *cell.Cell
-	log  *wax.Log
+	cell *wal.Cell
+	log  *logging.Log
 
 	mu   sync.Mutex
 	busy bool
@@ -34,11 +34,11 @@
 	Workers []Worker
 }
 
-func openDiary(dir string, log *wax.Log) (*diary, []Worker, error) {
+func openDiary(dir string, log *logging.Log) (*diary, []Worker, error) {
 	var last page
-	c, damage, err := cell.OpenDisposable(dir, "flora.cell", func(raw []byte) error {
+	c, damage, err := wal.OpenDisposable(dir, "flora.cell", func(raw []byte) error {
 		var p page
-		if err := pollen.Unmarshal(raw, &p); err != nil {
+		if err := rpc.Unmarshal(raw, &p); err != nil {
 			return err
 		}
 		last = p
@@ -77,7 +77,7 @@
 
 func (d *diary) put(raw []byte) {
 	if d.cell.SizeBytes() > longBytes {
-		d.cell.Rewrite(d.written, cell.Records(raw))
+		d.cell.Rewrite(d.written, wal.Records(raw))
 	} else {
 		d.cell.Append(d.written, raw)
 	}
--- a/internal/flora/diary_test.go
+++ b/internal/discovery/diary_test.go
@@ -1,4 +1,4 @@
-package flora
+package discovery
 
 import (
 	"context"
@@ -6,11 +6,11 @@
 	"path/filepath"
 	"testing"
 
-	"rowanshunt/internal/meadow"
-	"rowanshunt/internal/pollen"
-	"rowanshunt/internal/swarm"
-	"rowanshunt/internal/waggle"
-	"rowanshunt/internal/wax"
+	"rowanshunt/internal/eventloop"
+	"rowanshunt/internal/gossip"
+	"rowanshunt/internal/logging"
+	"rowanshunt/internal/rpc"
+	"rowanshunt/internal/simnet"
 )
 
 // A diary that can't be read or made doesn't keep a node from starting.
@@ -26,10 +26,10 @@
 			t.Fatal(err)
 		}
 		ctx, stop := context.WithCancel(context.Background())
-		floor, desk, m := waggle.NewFloor(64), pollen.NewDesk(), meadow.New(1)
-		self := swarm.Partner{Name: "n", Addr: "10.0.0.1:1", Az: "z", Role: "forager", LifeUs: 1}
-		sw := swarm.New(ctx, floor, desk, m.MeshOf(self.Addr), wax.Quiet(), self, nil, nil)
-		f, err := New(ctx, Config{Floor: floor, Desk: desk, Mesh: m.MeshOf(self.Addr), Swarm: sw, Log: wax.Quiet(), Self: self, HbUs: 1_200_000,
+		floor, desk, m := eventloop.NewFloor(64), rpc.NewDesk(), simnet.New(1)
+		self := gossip.Partner{Name: "n", Addr: "10.0.0.1:1", Az: "z", Role: "forager", LifeUs: 1}
+		sw := gossip.New(ctx, floor, desk, m.MeshOf(self.Addr), logging.Quiet(), self, nil, nil)
+		f, err := New(ctx, Config{Floor: floor, Desk: desk, Mesh: m.MeshOf(self.Addr), Swarm: sw, Log: logging.Quiet(), Self: self, HbUs: 1_200_000,
 			Services: func() []string { return nil }, Dir: dir})
 		if err != nil {
 			t.Errorf("%s: %v", name, err)
--- a/internal/flora/flora.go
+++ b/internal/discovery/flora.go
@@ -1,4 +1,4 @@
-package flora
+package discovery
 
 import (
 	"context"
@@ -6,12 +6,12 @@
 	"sync/atomic"
 	"time"
 
-	"rowanshunt/internal/nest"
-	"rowanshunt/internal/pollen"
-	"rowanshunt/internal/swarm"
-	"rowanshunt/internal/tending"
-	"rowanshunt/internal/waggle"
-	"rowanshunt/internal/wax"
+	"rowanshunt/internal/eventloop"
+	"rowanshunt/internal/gossip"
+	"rowanshunt/internal/logging"
+	"rowanshunt/internal/register"
+	"rowanshunt/internal/rendezvous"
+	"rowanshunt/internal/rpc"
 )
 
 // Times of the news path (design 5.2, 5.3).
@@ -27,12 +27,12 @@
 
 // Config is what a flora is made of.
 type Config struct {
-	Floor    *waggle.Floor
-	Desk     *pollen.Desk
-	Mesh     pollen.Mesh
-	Swarm    *swarm.Swarm
-	Log      *wax.Log
-	Self     swarm.Partner
+	Floor    *eventloop.Floor
+	Desk     *rpc.Desk
+	Mesh     rpc.Mesh
+	Swarm    *gossip.Swarm
+	Log      *logging.Log
+	Self     gossip.Partner
 	HbUs     int64
 	Services func() []string // of the blueprint in force
 	// Pressures gives what this node heard of workers itself, or with all that
@@ -43,7 +43,7 @@
 	Dir       string // folder for what outlives a restart, "" without a disk
 	// Core gives the roster of the core as last committed, nil if this node
 	// knows none yet. Without the function a node is alone.
-	Core func() *nest.Roster
+	Core func() *register.Roster
 }
 
 type entry struct {
@@ -96,17 +96,17 @@
 
 // New joins the news path.
 func New(ctx context.Context, cfg Config) (*Flora, error) {
-	f := &Flora{cfg: cfg, ctx: ctx, workers: map[string]*entry{}, subs: map[string]*subscriber{}, pending: map[string]bool{}, startUs: waggle.NowUs(),
+	f := &Flora{cfg: cfg, ctx: ctx, workers: map[string]*entry{}, subs: map[string]*subscriber{}, pending: map[string]bool{}, startUs: eventloop.NowUs(),
 		departures: newDepartureLog(), reader: departureReader{cursors: map[string]departureCursor{}}, silentSources: map[string]int64{}}
 	f.dir.Store(&Directory{BySvc: map[string][]*Worker{}, ByID: map[string]*Worker{}})
 	if cfg.Dir != "" {
 		f.startDiary()
 	}
-	pollen.On(cfg.Desk, "flora.news", f.onNews)
-	pollen.On(cfg.Desk, "flora.sub", f.onSub)
-	pollen.On(cfg.Desk, "flora.departures", f.onDepartures)
+	rpc.On(cfg.Desk, "flora.news", f.onNews)
+	rpc.On(cfg.Desk, "flora.sub", f.onSub)
+	rpc.On(cfg.Desk, "flora.departures", f.onDepartures)
 	cfg.Floor.Every(soonUs, func() {
-		early := waggle.NowUs()-f.startUs < earlyUs
+		early := eventloop.NowUs()-f.startUs < earlyUs
 		if early || !f.synced.Load() || nextRenew(&f.renewedUs) {
 			f.renew()
 		}
@@ -118,7 +118,7 @@
 
 // note writes the workers of the directory down.
 func (f *Flora) note() {
-	nowUs := waggle.NowUs()
+	nowUs := eventloop.NowUs()
 	var ws []Worker
 	for _, e := range f.workers {
 		if !e.Old && f.usable(e) {
@@ -137,7 +137,7 @@
 func (f *Flora) Known() []Worker {
 	ctx, cancel := context.WithTimeout(f.ctx, time.Second)
 	defer cancel()
-	out, err := waggle.Ask(ctx, f.cfg.Floor, func() []Worker {
+	out, err := eventloop.Ask(ctx, f.cfg.Floor, func() []Worker {
 		var ws []Worker
 		for _, e := range f.workers {
 			if !e.Gone && f.syncUs-e.seenUs < f.TenureUs() {
@@ -209,7 +209,7 @@
 
 // homes lists the home node of a service in each zone: one of the zone's
 // strong nodes if it has any (design 5.2).
-func (f *Flora) homes(svc string, v *swarm.View) map[string]string {
+func (f *Flora) homes(svc string, v *gossip.View) map[string]string {
 	byAz := map[string][]string{}
 	for _, p := range v.Strong(f.cfg.Self.Role) {
 		byAz[p.Az] = append(byAz[p.Az], p.Name)
@@ -225,7 +225,7 @@
 	}
 	out := map[string]string{}
 	for az, names := range byAz {
-		out[az] = tending.Holder("home/"+svc, names)
+		out[az] = rendezvous.Holder("home/"+svc, names)
 	}
 	return out
 }
@@ -233,7 +233,7 @@
 // publish renews the directory if it changed. A silent worker's tenure ends
 // only while news comes in: a node that is cut off keeps what it had.
 func (f *Flora) publish() {
-	nowUs := waggle.NowUs()
+	nowUs := eventloop.NowUs()
 	var sum uint64
 	for id, e := range f.workers {
 		if e.Old && nowUs-f.startUs > oldUs {
@@ -276,13 +276,13 @@
 // Trace tells what this node knows of a worker, nil if nothing, and whether it
 // is in the directory.
 func (f *Flora) Trace(ctx context.Context, id string) (w *Worker, inUse bool) {
-	got, err := waggle.Ask(ctx, f.cfg.Floor, func() *Worker {
+	got, err := eventloop.Ask(ctx, f.cfg.Floor, func() *Worker {
 		e := f.workers[id]
 		if e == nil {
 			return nil
 		}
 		c := e.Worker
-		c.AgeUs = waggle.NowUs() - e.seenUs
+		c.AgeUs = eventloop.NowUs() - e.seenUs
 		return &c
 	})
 	if err != nil {
--- a/internal/flora/flora_test.go
+++ b/internal/discovery/flora_test.go
@@ -1,4 +1,4 @@
-package flora
+package discovery
 
 import (
 	"context"
@@ -6,23 +6,24 @@
 	"testing/synctest"
 	"time"
 
-	"rowanshunt/internal/cell"
 	"rowanshunt/internal/codec"
-	"rowanshunt/internal/meadow"
-	"rowanshunt/internal/pollen"
-	"rowanshunt/internal/swarm"
-	"rowanshunt/internal/waggle"
-	"rowanshunt/internal/wax"
+	"rowanshunt/internal/eventloop"
+	"rowanshunt/internal/fault"
+	"rowanshunt/internal/gossip"
+	"rowanshunt/internal/logging"
+	"rowanshunt/internal/rpc"
+	"rowanshunt/internal/simnet"
+	"rowanshunt/internal/wal"
 )
 
 // alone makes a flora on a node that knows no other.
-func alone(t *testing.T, ctx context.Context, dir string) (*Flora, *waggle.Floor) {
+func alone(t *testing.T, ctx context.Context, dir string) (*Flora, *eventloop.Floor) {
 	t.Helper()
-	m := meadow.New(1)
-	floor, desk := waggle.NewFloor(64), pollen.NewDesk()
-	self := swarm.Partner{Name: "n", Addr: "10.0.0.1:1", Az: "z", Role: "forager", LifeUs: 1}
-	sw := swarm.New(ctx, floor, desk, m.MeshOf(self.Addr), wax.Quiet(), self, nil, nil)
-	f, err := New(ctx, Config{Floor: floor, Desk: desk, Mesh: m.MeshOf(self.Addr), Swarm: sw, Log: wax.Quiet(), Self: self, HbUs: 1_200_000,
+	m := simnet.New(1)
+	floor, desk := eventloop.NewFloor(64), rpc.NewDesk()
+	self := gossip.Partner{Name: "n", Addr: "10.0.0.1:1", Az: "z", Role: "forager", LifeUs: 1}
+	sw := gossip.New(ctx, floor, desk, m.MeshOf(self.Addr), logging.Quiet(), self, nil, nil)
+	f, err := New(ctx, Config{Floor: floor, Desk: desk, Mesh: m.MeshOf(self.Addr), Swarm: sw, Log: logging.Quiet(), Self: self, HbUs: 1_200_000,
 		Services: func() []string { return []string{"s"} }, Dir: dir})
 	if err != nil {
 		t.Fatal(err)
@@ -126,7 +127,7 @@
 	}
 	for name, doc := range map[string]string{"no json": "{", "no svc": `{"addr":"a:1","phase":"up"}`, "no addr": `{"svc":"s","phase":"up"}`,
 		"another phase": `{"svc":"s","addr":"a:1","phase":"x"}`, "negative slots": `{"svc":"s","addr":"a:1","phase":"up","slots":-1}`} {
-		if _, err := ParseBeat("i-1", []byte(doc)); !wax.Is(err, wax.Invalid) {
+		if _, err := ParseBeat("i-1", []byte(doc)); !fault.Is(err, fault.Invalid) {
 			t.Errorf("%s: %v", name, err)
 		}
 	}
@@ -138,7 +139,7 @@
 	for _, atUs := range []int64{0, 1, 1 << 60} {
 		synctest.Test(t, func(t *testing.T) {
 			dir := t.TempDir()
-			c, _, err := cell.Open(dir, "flora.cell", func([]byte) error { return nil })
+			c, _, err := wal.Open(dir, "flora.cell", func([]byte) error { return nil })
 			if err != nil {
 				t.Fatal(err)
 			}
--- a/internal/flora/news.go
+++ b/internal/discovery/news.go
@@ -1,4 +1,4 @@
-package flora
+package discovery
 
 import (
 	"context"
@@ -6,11 +6,11 @@
 	"sync"
 	"time"
 
-	"rowanshunt/internal/nest"
-	"rowanshunt/internal/pollen"
-	"rowanshunt/internal/swarm"
-	"rowanshunt/internal/waggle"
-	"rowanshunt/internal/wax"
+	"rowanshunt/internal/eventloop"
+	"rowanshunt/internal/fault"
+	"rowanshunt/internal/gossip"
+	"rowanshunt/internal/register"
+	"rowanshunt/internal/rpc"
 )
 
 type newsCall struct {
@@ -36,7 +36,7 @@
 // nil only if the word is where all that send to this worker learn it in time:
 // for a worker that leaves, at a majority of the core (design 5.4).
 func (f *Flora) Beat(ctx context.Context, w Worker) (home string, err error) {
-	p, err := waggle.Ask(ctx, f.cfg.Floor, func() beatPlan { return f.planBeat(w) })
+	p, err := eventloop.Ask(ctx, f.cfg.Floor, func() beatPlan { return f.planBeat(w) })
 	if err != nil {
 		return "", err
 	}
@@ -51,7 +51,7 @@
 	}
 	switch {
 	case p.outdated:
-		return "", wax.New(wax.Declined, "seq", "a later beat said that the worker is up", "raise seq with each beat")
+		return "", fault.New(fault.Declined, "seq", "a later beat said that the worker is up", "raise seq with each beat")
 	case p.leaving && !p.settled:
 		return home, f.confirmDeparture(ctx, &p)
 	case p.news:
@@ -65,7 +65,7 @@
 }
 
 func outOfContact() error {
-	return wax.New(wax.Declined, "beat", "this node sees no majority of the core", "beat at another node")
+	return fault.New(fault.Declined, "beat", "this node sees no majority of the core", "beat at another node")
 }
 
 // planBeat merges a beat; it runs on the event loop.
@@ -73,7 +73,7 @@
 	if old := f.workers[w.ID]; w.Gone && old != nil {
 		w.Svc, w.Addr, w.Az = old.Svc, old.Addr, old.Az
 	}
-	p := beatPlan{worker: w, leaving: !w.Up(), news: f.take(w, waggle.NowUs())}
+	p := beatPlan{worker: w, leaving: !w.Up(), news: f.take(w, eventloop.NowUs())}
 	if p.news {
 		f.publish()
 	}
@@ -91,7 +91,7 @@
 	core := f.coreRoster()
 	took := f.spread(ctx, p.worker, p.homes, f.coreMembers())
 	if f.cfg.Core != nil && !holdsMajority(core, took) {
-		return wax.New(wax.Declined, "beat", "no majority of the core heard that the worker leaves", "tell another node")
+		return fault.New(fault.Declined, "beat", "no majority of the core heard that the worker leaves", "tell another node")
 	}
 	_ = f.cfg.Floor.Do(f.ctx, func() {
 		if e := f.workers[p.worker.ID]; e != nil && !e.Up() && e.Gone == p.worker.Gone {
@@ -117,7 +117,7 @@
 	if len(f.pending) == 0 {
 		return
 	}
-	nowUs := waggle.NowUs()
+	nowUs := eventloop.NowUs()
 	v := f.cfg.Swarm.Look()
 	homes := map[string]map[string]string{} // by service
 	byHome := map[string][]Worker{}
@@ -146,7 +146,7 @@
 func (f *Flora) send(name string, home bool, ws ...Worker) error {
 	p := f.cfg.Swarm.Look().Get(name)
 	if p == nil {
-		return wax.New(wax.Unreached, name, "is not in sight", "")
+		return fault.New(fault.Unreached, name, "is not in sight", "")
 	}
 	return f.sendTo(p.Addr, home, ws...)
 }
@@ -178,7 +178,7 @@
 // spread brings news to the core members given and to the home of every zone,
 // which passes it on; where a home does not answer, to the zone's foragers
 // themselves. It tells who took it in time, this node included.
-func (f *Flora) spread(ctx context.Context, w Worker, homes map[string]string, core []nest.Seat) map[string]bool {
+func (f *Flora) spread(ctx context.Context, w Worker, homes map[string]string, core []register.Seat) map[string]bool {
 	ctx, cancel := context.WithTimeout(ctx, spreadTimeout)
 	defer cancel()
 	heard := &listeners{took: map[string]bool{f.cfg.Self.Name: true}}
@@ -212,7 +212,7 @@
 			}
 			v := f.cfg.Swarm.Look()
 			var direct sync.WaitGroup
-			for _, n := range v.Names(func(s *swarm.Sighting) bool {
+			for _, n := range v.Names(func(s *gossip.Sighting) bool {
 				return s.Az == az && s.Role == f.cfg.Self.Role && s.Alive && s.Name != f.cfg.Self.Name && s.Name != name
 			}) {
 				direct.Go(func() { _ = tell(n, false) })
@@ -230,7 +230,7 @@
 }
 
 func (f *Flora) toSubscribers(w Worker) {
-	addrs, err := waggle.Ask(f.ctx, f.cfg.Floor, func() []string {
+	addrs, err := eventloop.Ask(f.ctx, f.cfg.Floor, func() []string {
 		var out []string
 		for _, s := range f.subs {
 			out = append(out, s.addr)
@@ -251,9 +251,9 @@
 	wg.Wait()
 }
 
-func (f *Flora) onNews(ctx context.Context, in *newsCall) (*pollen.Nothing, error) {
-	_, err := waggle.Ask(ctx, f.cfg.Floor, func() bool {
-		nowUs := waggle.NowUs()
+func (f *Flora) onNews(ctx context.Context, in *newsCall) (*rpc.Nothing, error) {
+	_, err := eventloop.Ask(ctx, f.cfg.Floor, func() bool {
+		nowUs := eventloop.NowUs()
 		news := false
 		for _, w := range in.Workers {
 			news = f.take(w, nowUs) || news
@@ -268,5 +268,5 @@
 			f.toSubscribers(w)
 		}
 	}
-	return &pollen.Nothing{}, err
+	return &rpc.Nothing{}, err
 }
--- a/internal/flora/subscriptions.go
+++ b/internal/discovery/subscriptions.go
@@ -1,19 +1,19 @@
-package flora
+package discovery
 
 import (
 	"context"
 	"sort"
 	"time"
 
-	"rowanshunt/internal/swarm"
-	"rowanshunt/internal/waggle"
-	"rowanshunt/internal/wax"
+	"rowanshunt/internal/eventloop"
+	"rowanshunt/internal/fault"
+	"rowanshunt/internal/gossip"
 )
 
 // nextRenew tells whether a renewal is due; a node that has no answer yet asks
 // more often.
 func nextRenew(lastUs *int64) bool {
-	nowUs := waggle.NowUs()
+	nowUs := eventloop.NowUs()
 	if nowUs-*lastUs < renewUs {
 		return false
 	}
@@ -59,13 +59,13 @@
 
 func (f *Flora) onSub(ctx context.Context, in *subCall) (*subAnswer, error) {
 	if len(in.Svcs) != len(in.Digests) || len(in.Svcs) > 4096 {
-		return nil, wax.New(wax.Invalid, "svcs", "and digests do not match", "run the same version on all nodes")
+		return nil, fault.New(fault.Invalid, "svcs", "and digests do not match", "run the same version on all nodes")
 	}
 	if f.cfg.Hear != nil {
 		f.cfg.Hear(in.From, in.Pressures)
 	}
-	return waggle.Ask(ctx, f.cfg.Floor, func() *subAnswer {
-		nowUs := waggle.NowUs()
+	return eventloop.Ask(ctx, f.cfg.Floor, func() *subAnswer {
+		nowUs := eventloop.NowUs()
 		f.subs[in.From] = &subscriber{addr: in.Addr, untilUs: nowUs + subscribedUs}
 		out := &subAnswer{FreshUs: f.freshUs()}
 		if f.cfg.Pressures != nil {
@@ -103,7 +103,7 @@
 // renew subscribes at the zone's homes; a home itself asks the home of the
 // next zone, so that zones cannot drift apart.
 func (f *Flora) renew() {
-	nowUs := waggle.NowUs()
+	nowUs := eventloop.NowUs()
 	for name, s := range f.subs {
 		if nowUs > s.untilUs {
 			delete(f.subs, name)
@@ -138,7 +138,7 @@
 	if nowUs-f.startUs < oldUs && f.cfg.Dir == "" {
 		// Those with a disk may have a diary: one of them is asked too while
 		// this node knows little (design 5.5).
-		disks := v.Names(func(s *swarm.Sighting) bool {
+		disks := v.Names(func(s *gossip.Sighting) bool {
 			return s.Alive && s.Disk != "" && s.Role == f.cfg.Self.Role && bySource[s.Name] == nil
 		})
 		if len(disks) > 0 {
@@ -177,7 +177,7 @@
 
 func (f *Flora) isSilent(source string) bool {
 	atUs, failed := f.silentSources[source]
-	return failed && waggle.NowUs()-atUs < silentSourceUs
+	return failed && eventloop.NowUs()-atUs < silentSourceUs
 }
 
 // sourceFailed notes a source that did not answer, and asks the core at once
@@ -188,7 +188,7 @@
 			delete(f.silentSources, name)
 		}
 	}
-	f.silentSources[source] = waggle.NowUs()
+	f.silentSources[source] = eventloop.NowUs()
 	f.readDepartures(false, true)
 }
 
@@ -209,7 +209,7 @@
 }
 
 func (f *Flora) refresh(out *subAnswer) {
-	nowUs := waggle.NowUs()
+	nowUs := eventloop.NowUs()
 	f.syncUs = nowUs
 	f.synced.Store(true)
 	late := make(map[string]int64, len(out.Ages))
--- a/internal/flora/worker.go
+++ b/internal/discovery/worker.go
@@ -1,16 +1,16 @@
-// Package flora is the directory of workers: beats, tenures, drain, and the
+// Package discovery is the directory of workers: beats, tenures, drain, and the
 // news path from each service's home node in a zone to the zone's foragers
 // (design 5). The field's standard terms: flora = service registry; worker =
 // backend, endpoint; tenure = lease; home = owner of a registry partition;
 // pressure = load.
-package flora
+package discovery
 
 import (
 	"encoding/json"
 	"hash/fnv"
 	"strings"
 
-	"rowanshunt/internal/wax"
+	"rowanshunt/internal/fault"
 )
 
 // Model is a model a worker serves, with the version of its weights.
@@ -44,10 +44,10 @@
 func ParseBeat(id string, body []byte) (*Worker, error) {
 	w := &Worker{}
 	if err := json.Unmarshal(body, w); err != nil {
-		return nil, wax.New(wax.Invalid, "beat", err.Error(), "send the JSON object of the protocol page")
+		return nil, fault.New(fault.Invalid, "beat", err.Error(), "send the JSON object of the protocol page")
 	}
 	w.ID = id
-	var l wax.Ledger
+	var l fault.Ledger
 	if id == "" || len(id) > 256 {
 		l.Addf("id", "is missing or too long", "put it into the path")
 	}
--- a/internal/nurse/nurse.go
+++ b/internal/dispatch/nurse.go
@@ -1,9 +1,9 @@
-// Package nurse is the dispatcher: it takes prompts from the shards' owners,
+// Package dispatch is the dispatcher: it takes prompts from the shards' owners,
 // runs them in the room that live work leaves, goes on with Last-Event-Id
 // after a break, and acks once the result is durable (design 9). The field's
 // standard terms: nurse = dispatcher, consumer; leave = lease on the right to
 // send.
-package nurse
+package dispatch
 
 import (
 	"context"
@@ -12,15 +12,16 @@
 	"sync"
 	"time"
 
-	"rowanshunt/internal/brood"
-	"rowanshunt/internal/flora"
-	"rowanshunt/internal/forage"
-	"rowanshunt/internal/foundation"
-	"rowanshunt/internal/nectar"
-	"rowanshunt/internal/pollen"
-	"rowanshunt/internal/scout"
-	"rowanshunt/internal/waggle"
-	"rowanshunt/internal/wax"
+	"rowanshunt/internal/balancer"
+	"rowanshunt/internal/config"
+	"rowanshunt/internal/discovery"
+	"rowanshunt/internal/eventloop"
+	"rowanshunt/internal/fault"
+	"rowanshunt/internal/forward"
+	"rowanshunt/internal/logging"
+	"rowanshunt/internal/lotstore"
+	"rowanshunt/internal/quota"
+	"rowanshunt/internal/rpc"
 )
 
 // Times of the dispatcher (design 9.2).
@@ -35,21 +36,21 @@
 
 // Nurse runs items on one node.
 type Nurse struct {
-	Mesh      pollen.Mesh
-	Client    *brood.Client
-	Sender    *forage.Sender
-	Blueprint func() *foundation.Blueprint
-	Log       *wax.Log
+	Mesh      rpc.Mesh
+	Client    *lotstore.Client
+	Sender    *forward.Sender
+	Blueprint func() *config.Blueprint
+	Log       *logging.Log
 	Name      string
 	MaxHeld   int
 	// Dispatches tells whether this node takes items now (design 9.1).
 	Dispatches func() bool
 	// Gate keeps items to their tenants' fair shares (design 17.4).
-	Gate *nectar.Gate
+	Gate *quota.Gate
 
 	mu      sync.Mutex
 	held    map[item]*inHand
-	leave   [brood.Shards]int64 // until when items of a shard may be sent
+	leave   [lotstore.Shards]int64 // until when items of a shard may be sent
 	stores  map[string]bool
 	closing bool
 	ctx     context.Context
@@ -70,13 +71,13 @@
 }
 
 // Start joins the node's desk.
-func (n *Nurse) Start(ctx context.Context, desk *pollen.Desk) {
+func (n *Nurse) Start(ctx context.Context, desk *rpc.Desk) {
 	n.ctx = ctx
 	n.held = map[item]*inHand{}
 	n.stores = map[string]bool{}
-	pollen.On(desk, "nurse.stop", func(_ context.Context, in *brood.StopCall) (*pollen.Nothing, error) {
+	rpc.On(desk, "nurse.stop", func(_ context.Context, in *lotstore.StopCall) (*rpc.Nothing, error) {
 		n.stopLot(in.Lot)
-		return &pollen.Nothing{}, nil
+		return &rpc.Nothing{}, nil
 	})
 }
 
@@ -134,7 +135,7 @@
 	dir := n.Sender.Dir()
 	svcs := map[string]bool{}
 	for _, b := range bp.Bindings {
-		if b.Type == foundation.Bulk {
+		if b.Type == config.Bulk {
 			for _, s := range b.Split {
 				if s.Wt > 0 {
 					svcs[s.Svc] = true
@@ -166,7 +167,7 @@
 	}
 	bySvc := map[string][]string{}
 	for _, b := range bp.Bindings {
-		if b.Type == foundation.Bulk {
+		if b.Type == config.Bulk {
 			for _, s := range b.Split {
 				if s.Wt > 0 {
 					bySvc[s.Svc] = append(bySvc[s.Svc], b.Host)
@@ -212,19 +213,19 @@
 	if n.closing || !n.Dispatches() {
 		room = 0
 	}
-	held := make([]brood.Held, 0, len(n.held))
+	held := make([]lotstore.Held, 0, len(n.held))
 	for k, h := range n.held {
-		held = append(held, brood.Held{Shard: k.shard, Lot: k.lot, Item: k.item, Lease: h.lease})
+		held = append(held, lotstore.Held{Shard: k.shard, Lot: k.lot, Item: k.item, Lease: h.lease})
 	}
 	n.mu.Unlock()
 	if room < 0 {
 		room = 0
 	}
-	startUs := waggle.NowUs()
+	startUs := eventloop.NowUs()
 	ctx, cancel := context.WithTimeout(n.ctx, (takeUs+takeOverUs)*time.Microsecond)
 	defer cancel()
-	out := &brood.TakeAnswer{}
-	call := &brood.TakeCall{From: n.Name, Room: room, Held: held, WaitUs: takeUs, LeftUs: takeUs + takeOverUs, Full: n.full()}
+	out := &lotstore.TakeAnswer{}
+	call := &lotstore.TakeCall{From: n.Name, Room: room, Held: held, WaitUs: takeUs, LeftUs: takeUs + takeOverUs, Full: n.full()}
 	if len(call.Full) > 0 {
 		call.WaitUs = takeUs / 4 // what is full now may have room soon
 	}
@@ -236,7 +237,7 @@
 	}
 	n.mu.Lock()
 	for _, s := range out.Shards {
-		if s >= 0 && s < brood.Shards {
+		if s >= 0 && s < lotstore.Shards {
 			n.leave[s] = max(n.leave[s], startUs+leaveUs)
 		}
 	}
@@ -247,7 +248,7 @@
 	}
 	for _, g := range out.Given {
 		k := item{g.Shard, g.Lot, g.Item}
-		if g.Shard < 0 || g.Shard >= brood.Shards {
+		if g.Shard < 0 || g.Shard >= lotstore.Shards {
 			continue
 		}
 		if h := n.held[k]; h != nil {
@@ -266,11 +267,11 @@
 func (n *Nurse) mayStart(k item) bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	return n.held[k] != nil && waggle.NowUs() < n.leave[k.shard]
+	return n.held[k] != nil && eventloop.NowUs() < n.leave[k.shard]
 }
 
 // run brings one item to its end here.
-func (n *Nurse) run(ctx context.Context, k item, g brood.Given, takenUs int64) {
+func (n *Nurse) run(ctx context.Context, k item, g lotstore.Given, takenUs int64) {
 	defer n.all.Done()
 	defer func() {
 		n.mu.Lock()
@@ -281,7 +282,7 @@
 		n.mu.Unlock()
 	}()
 	endUs := takenUs + g.EndUs
-	text := &forage.Text{}
+	text := &forward.Text{}
 	phase, failed, gaveBack := n.tryWorkers(ctx, k, &g, endUs, text)
 	if ctx.Err() != nil && phase == "" {
 		// Stopped, or the node leaves: the owner may give it to another.
@@ -289,16 +290,16 @@
 	}
 	if phase == "" {
 		if gaveBack || failed {
-			n.settle(waggle.NowUs()+settleUs, g.Shard, "brood.give", func() any {
-				return &brood.GiveCall{Shard: g.Shard, Lot: g.Lot, Item: g.Item, Lease: n.leaseOf(k), Failed: failed, AfterUs: 150_000}
+			n.settle(eventloop.NowUs()+settleUs, g.Shard, "brood.give", func() any {
+				return &lotstore.GiveCall{Shard: g.Shard, Lot: g.Lot, Item: g.Item, Lease: n.leaseOf(k), Failed: failed, AfterUs: 150_000}
 			})
 		}
 		return
 	}
 	// The result stays in hand until it is durable, whoever owns the shard.
-	enc, msg := brood.Pack(text.Msg)
+	enc, msg := lotstore.Pack(text.Msg)
 	n.settle(endUs+settleUs, g.Shard, "brood.ack", func() any {
-		return &brood.AckCall{Shard: g.Shard, Lot: g.Lot, Item: g.Item, Phase: phase, Msg: msg, Enc: enc, RawBytes: len(text.Msg), Lease: n.leaseOf(k)}
+		return &lotstore.AckCall{Shard: g.Shard, Lot: g.Lot, Item: g.Item, Phase: phase, Msg: msg, Enc: enc, RawBytes: len(text.Msg), Lease: n.leaseOf(k)}
 	})
 }
 
@@ -306,28 +307,28 @@
 // the same lease it gets the first answer, from a new owner too, so no outcome
 // stays unknown (design 9.3).
 func (n *Nurse) settle(untilUs int64, shardN int, kind string, call func() any) {
-	for n.ctx.Err() == nil && waggle.NowUs() < untilUs {
+	for n.ctx.Err() == nil && eventloop.NowUs() < untilUs {
 		callCtx, cancel := context.WithTimeout(n.ctx, 5*time.Second)
 		err := n.Client.Call(callCtx, shardN, kind, call(), nil, 1500*time.Millisecond)
 		cancel()
-		if err == nil || wax.Is(err, wax.Unknown) || wax.Is(err, wax.Invalid) || wax.Is(err, wax.Stale) {
+		if err == nil || fault.Is(err, fault.Unknown) || fault.Is(err, fault.Invalid) || fault.Is(err, fault.Stale) {
 			return
 		}
 	}
 }
 
-func (n *Nurse) tryWorkers(ctx context.Context, k item, g *brood.Given, endUs int64, text *forage.Text) (phase string, failed, gaveBack bool) {
+func (n *Nurse) tryWorkers(ctx context.Context, k item, g *lotstore.Given, endUs int64, text *forward.Text) (phase string, failed, gaveBack bool) {
 	var exclude []string
 	breaks := 0
-	startUs := waggle.NowUs()
+	startUs := eventloop.NowUs()
 	header := http.Header{}
 	for i := 0; i+1 < len(g.Prompt.Hdrs); i += 2 {
 		header.Set(g.Prompt.Hdrs[i], g.Prompt.Hdrs[i+1])
 	}
-	parts := scout.ParseParts(header.Get(forage.HeadPrefix))
-	for ctx.Err() == nil && waggle.NowUs() < endUs {
+	parts := balancer.ParseParts(header.Get(forward.HeadPrefix))
+	for ctx.Err() == nil && eventloop.NowUs() < endUs {
 		bp := n.Blueprint()
-		var b *foundation.Binding
+		var b *config.Binding
 		if bp != nil {
 			b = bp.Find(g.Host, g.Prompt.Path)
 		}
@@ -340,7 +341,7 @@
 		if !admitted {
 			return "", false, true
 		}
-		w := n.Sender.Scout.Pick(dir, &scout.Need{Svc: svc, Parts: parts, Exclude: exclude, Item: true, Version: text.Version})
+		w := n.Sender.Scout.Pick(dir, &balancer.Need{Svc: svc, Parts: parts, Exclude: exclude, Item: true, Version: text.Version})
 		if w == nil {
 			ticket.Release()
 			exclude = nil
@@ -350,37 +351,37 @@
 				text.Restart()
 				continue
 			}
-			if !text.Any && waggle.NowUs()-startUs > placeUs {
+			if !text.Any && eventloop.NowUs()-startUs > placeUs {
 				return "", false, true
 			}
-			waggle.Pause(ctx, 60*time.Millisecond)
+			eventloop.Pause(ctx, 60*time.Millisecond)
 			continue
 		}
 		n.placed(k)
 		outcome := n.runAt(ctx, k, g, w, bp, header, endUs, text)
 		ticket.Release()
 		switch outcome {
-		case forage.Whole:
-			return brood.PhaseDone, false, false
-		case forage.Never:
+		case forward.Whole:
+			return lotstore.PhaseDone, false, false
+		case forward.Never:
 			text.Msg = nil
-			return brood.PhaseGaveUp, false, false
-		case forage.Failed:
+			return lotstore.PhaseGaveUp, false, false
+		case forward.Failed:
 			return "", true, false
-		case forage.Broken:
+		case forward.Broken:
 			breaks++
 			if breaks >= maxBreaks {
 				return "", false, true
 			}
-			waggle.Pause(ctx, 20*time.Millisecond)
-		case forage.NotSent:
+			eventloop.Pause(ctx, 20*time.Millisecond)
+		case forward.NotSent:
 			if !n.mayStart(k) {
 				if !text.Any {
 					return "", false, true
 				}
-				waggle.Pause(ctx, 100*time.Millisecond) // a take renews the leave
+				eventloop.Pause(ctx, 100*time.Millisecond) // a take renews the leave
 			} else {
-				waggle.Pause(ctx, 15*time.Millisecond)
+				eventloop.Pause(ctx, 15*time.Millisecond)
 			}
 		}
 		exclude = append(exclude, w.ID)
@@ -388,10 +389,10 @@
 	return "", false, true
 }
 
-func (n *Nurse) runAt(ctx context.Context, k item, g *brood.Given, w *flora.Worker, bp *foundation.Blueprint, header http.Header, endUs int64, text *forage.Text) forage.Outcome {
+func (n *Nurse) runAt(ctx context.Context, k item, g *lotstore.Given, w *discovery.Worker, bp *config.Blueprint, header http.Header, endUs int64, text *forward.Text) forward.Outcome {
 	defer n.Sender.Scout.Done(w.ID, true)
-	leftMs := func() int64 { return (endUs - waggle.NowUs()) / 1000 }
-	p := &forage.Parcel{Method: http.MethodPost, Target: g.Prompt.Path, Host: g.Host, Header: header.Clone(), Body: g.Prompt.Body, ID: g.Prompt.ID, Repeatable: true,
+	leftMs := func() int64 { return (endUs - eventloop.NowUs()) / 1000 }
+	p := &forward.Parcel{Method: http.MethodPost, Target: g.Prompt.Path, Host: g.Host, Header: header.Clone(), Body: g.Prompt.Body, ID: g.Prompt.ID, Repeatable: true,
 		LeftMs: leftMs, Until: time.Now().Add(time.Duration(leftMs()) * time.Millisecond),
 		Fence: func() bool {
 			// The route may have moved since the worker was picked.
--- a/internal/waggle/floor.go
+++ b/internal/eventloop/floor.go
@@ -1,13 +1,13 @@
-// Package waggle is the dance floor on which the commands of one owner are
+// Package eventloop is the dance floor on which the commands of one owner are
 // run one after the other (design 1.5). The field's standard terms: floor =
 // event loop, actor; command = message.
-package waggle
+package eventloop
 
 import (
 	"context"
 	"time"
 
-	"rowanshunt/internal/wax"
+	"rowanshunt/internal/fault"
 )
 
 // NowUs is the steady clock in whole microseconds. It starts far from 0, so
@@ -63,7 +63,7 @@
 	case f.commands <- fn:
 		return nil
 	case <-ctx.Done():
-		return wax.New(wax.Declined, "", "the command holding is full or closed", "try again later")
+		return fault.New(fault.Declined, "", "the command holding is full or closed", "try again later")
 	}
 }
 
@@ -78,7 +78,7 @@
 	case v := <-got:
 		return v, nil
 	case <-ctx.Done():
-		return zero, wax.New(wax.Unsure, "", "no answer from the owner in time", "try again")
+		return zero, fault.New(fault.Unsure, "", "no answer from the owner in time", "try again")
 	}
 }
 
--- a/internal/waggle/floor_test.go
+++ b/internal/eventloop/floor_test.go
@@ -1,4 +1,4 @@
-package waggle
+package eventloop
 
 import (
 	"context"
@@ -6,7 +6,7 @@
 	"testing/synctest"
 	"time"
 
-	"rowanshunt/internal/wax"
+	"rowanshunt/internal/fault"
 )
 
 // Commands run one after the other and in order; beats keep their period.
@@ -54,13 +54,13 @@
 		}
 		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 		defer cancel()
-		if err := f.Do(ctx, func() {}); !wax.Is(err, wax.Declined) {
+		if err := f.Do(ctx, func() {}); !fault.Is(err, fault.Declined) {
 			t.Errorf("a full holding: %v", err)
 		}
 		g := NewFloor(2)
 		ctx2, cancel2 := context.WithTimeout(context.Background(), time.Second)
 		defer cancel2()
-		if _, err := Ask(ctx2, g, func() int { return 1 }); !wax.Is(err, wax.Unsure) {
+		if _, err := Ask(ctx2, g, func() int { return 1 }); !fault.Is(err, fault.Unsure) {
 			t.Errorf("no answer: %v", err)
 		}
 	})
--- a/internal/waggle/wallclock_test.go
+++ b/internal/eventloop/wallclock_test.go
@@ -1,4 +1,4 @@
-package waggle
+package eventloop
 
 import (
 	"go/ast"
@@ -13,19 +13,19 @@
 // Where the time of day may be read, and what for: logs, events and tracers. All
 // else runs on NowUs (design 1.6).
 var readsTimeOfDay = map[string]string{
-	"internal/buzz/buzz.go":     "the time of an event",
-	"internal/colony/run.go":    "the node's time of day, for tracers",
-	"internal/colony/colony.go": "when a configuration came into force, for tracers; hands the clock on",
-	"internal/guard/control.go": "when a configuration was acknowledged, for tracers",
-	"internal/brood/api.go":     "notes when a lot came, for readers and the version before",
-	"cmd/drone/step.go":         "builds nodes for the scale run",
-	"cmd/beeline/main.go":       "prints what tracers told",
+	"internal/events/buzz.go":     "the time of an event",
+	"internal/node/run.go":        "the node's time of day, for tracers",
+	"internal/node/colony.go":     "when a configuration came into force, for tracers; hands the clock on",
+	"internal/ingress/control.go": "when a configuration was acknowledged, for tracers",
+	"internal/lotstore/api.go":    "notes when a lot came, for readers and the version before",
+	"cmd/scalerun/step.go":        "builds nodes for the scale run",
+	"cmd/tracer/main.go":          "prints what tracers told",
 }
 
 // Fields that hold a time of day, and the files that may name them: records that
 // carry them, never a decision.
 var holdsTimeOfDay = map[string][]string{
-	"SentUs":      {"internal/brood/lot.go", "internal/brood/brood.go"},
+	"SentUs":      {"internal/lotstore/lot.go", "internal/lotstore/brood.go"},
 	"ScheduledUs": nil,
 	"NextUs":      nil,
 	"CreatedUs":   nil,
@@ -37,10 +37,10 @@
 
 // Other uses of those names, by file.
 var otherUses = map[string]string{
-	"internal/forage/walk.go":   "Unix",     // a deadline in the past ends a read
-	"internal/colony/colony.go": "ModTime",  // tells whether a file changed
-	"internal/cell/cell.go":     "Truncate", // of a file
-	"internal/cell/recover.go":  "Truncate", // of a file
+	"internal/forward/walk.go": "Unix",     // a deadline in the past ends a read
+	"internal/node/colony.go":  "ModTime",  // tells whether a file changed
+	"internal/wal/cell.go":     "Truncate", // of a file
+	"internal/wal/recover.go":  "Truncate", // of a file
 }
 
 // Calls on and with time.Now() that go by its steady part.
--- a/internal/buzz/buzz.go
+++ b/internal/events/buzz.go
@@ -1,8 +1,8 @@
-// Package buzz emits CloudEvents for changes, where an option names a sink
+// Package events emits CloudEvents for changes, where an option names a sink
 // (design 15). A slow or dead sink delays nothing: events wait in a bounded
 // holding and are dropped when it is full. The field's standard terms: buzz =
 // event emitter; holding = queue.
-package buzz
+package events
 
 import (
 	"bytes"
@@ -15,8 +15,8 @@
 
 	"github.com/cloudevents/sdk-go/v2/event"
 
-	"rowanshunt/internal/waggle"
-	"rowanshunt/internal/wax"
+	"rowanshunt/internal/eventloop"
+	"rowanshunt/internal/logging"
 )
 
 // The types of events.
@@ -38,7 +38,7 @@
 type Buzz struct {
 	sink    string
 	source  string
-	log     *wax.Log
+	log     *logging.Log
 	client  *http.Client
 	holding chan event.Event
 	seq     atomic.Int64
@@ -48,7 +48,7 @@
 
 // New makes an emitter, nil without a sink. process is the random name of the
 // process: no two processes ever give two events one id.
-func New(sink, node, process string, log *wax.Log, transport http.RoundTripper) *Buzz {
+func New(sink, node, process string, log *logging.Log, transport http.RoundTripper) *Buzz {
 	if sink == "" {
 		return nil
 	}
@@ -106,7 +106,7 @@
 			pause = min(2*pause, maxPause)
 		}
 		b.dropped.Add(1)
-		waggle.Pause(ctx, pause)
+		eventloop.Pause(ctx, pause)
 	}
 }
 
--- a/internal/buzz/buzz_test.go
+++ b/internal/events/buzz_test.go
@@ -1,4 +1,4 @@
-package buzz
+package events
 
 import (
 	"context"
@@ -13,7 +13,7 @@
 
 	"github.com/cloudevents/sdk-go/v2/event"
 
-	"rowanshunt/internal/wax"
+	"rowanshunt/internal/logging"
 )
 
 // sink is a transport that stands in for the operator's sink.
@@ -29,7 +29,7 @@
 func TestEvents(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		var got []event.Event
-		b := New("http://10.0.0.9/sink", "edge-1", "edge-1/77", wax.Quiet(), sink(func(r *http.Request) (*http.Response, error) {
+		b := New("http://10.0.0.9/sink", "edge-1", "edge-1/77", logging.Quiet(), sink(func(r *http.Request) (*http.Response, error) {
 			raw, _ := io.ReadAll(r.Body)
 			e := event.New()
 			if err := e.UnmarshalJSON(raw); err != nil || e.Validate() != nil || r.Header.Get("Content-Type") != ContentType {
@@ -58,7 +58,7 @@
 		var down atomic.Bool
 		var got atomic.Int64
 		down.Store(true)
-		b := New("http://10.0.0.9/sink", "edge-1", "edge-1/1", wax.Quiet(), sink(func(r *http.Request) (*http.Response, error) {
+		b := New("http://10.0.0.9/sink", "edge-1", "edge-1/1", logging.Quiet(), sink(func(r *http.Request) (*http.Response, error) {
 			if down.Load() {
 				<-r.Context().Done()
 				return nil, errors.New("gone")
@@ -89,7 +89,7 @@
 	})
 	var none *Buzz
 	none.Emit(WorkerChanged, "x", nil) // off: nothing happens
-	if New("", "n", "edge-1/1", wax.Quiet(), nil) != nil {
+	if New("", "n", "edge-1/1", logging.Quiet(), nil) != nil {
 		t.Error("an emitter without a sink")
 	}
 }
--- a/internal/wax/fault.go
+++ b/internal/fault/fault.go
@@ -1,7 +1,7 @@
-// Package wax holds the typed faults that every other package answers with
+// Package fault holds the typed faults that every other package answers with
 // and the log lines they end in (design 1.3). The field's standard terms:
 // fault = error, remedy = suggested fix.
-package wax
+package fault
 
 import (
 	"fmt"
--- a/internal/forage/answer.go
+++ b/internal/forward/answer.go
@@ -1,4 +1,4 @@
-package forage
+package forward
 
 import (
 	"io"
@@ -6,7 +6,7 @@
 	"net/http"
 	"time"
 
-	"rowanshunt/internal/waggle"
+	"rowanshunt/internal/eventloop"
 )
 
 // Answer is a worker's answer whose head was read.
@@ -20,7 +20,7 @@
 }
 
 // Moved notes that the worker was heard, or is waited for again.
-func (a *Answer) Moved() { a.way.movedUs.Store(waggle.NowUs()) }
+func (a *Answer) Moved() { a.way.movedUs.Store(eventloop.NowUs()) }
 
 // Busy notes that it is not the worker that is waited for now.
 func (a *Answer) Busy() { a.way.movedUs.Store(math.MaxInt64) }
--- a/internal/forage/circuit.go
+++ b/internal/forward/circuit.go
@@ -1,4 +1,4 @@
-package forage
+package forward
 
 import (
 	"bufio"
@@ -14,10 +14,10 @@
 
 	"golang.org/x/sys/unix"
 
-	"rowanshunt/internal/flora"
-	"rowanshunt/internal/pollen"
-	"rowanshunt/internal/waggle"
-	"rowanshunt/internal/wax"
+	"rowanshunt/internal/discovery"
+	"rowanshunt/internal/eventloop"
+	"rowanshunt/internal/fault"
+	"rowanshunt/internal/rpc"
 )
 
 // Times of circuits (design 6.4).
@@ -42,7 +42,7 @@
 
 func newCircuit(conn net.Conn, worker string) *Circuit {
 	in := &headReader{conn: conn, left: math.MaxInt}
-	nowUs := waggle.NowUs()
+	nowUs := eventloop.NowUs()
 	return &Circuit{conn: conn, in: in, br: bufio.NewReaderSize(in, 2<<10), bw: bufio.NewWriterSize(conn, 2<<10), worker: worker,
 		untilUs: nowUs + idleUs, idleUs: nowUs}
 }
@@ -92,7 +92,7 @@
 
 // DialTCP dials real sockets.
 func DialTCP() Dial {
-	d := pollen.Dialer(dialTimeout)
+	d := rpc.Dialer(dialTimeout)
 	return func(ctx context.Context, addr string) (net.Conn, error) { return d.DialContext(ctx, "tcp", addr) }
 }
 
@@ -106,8 +106,8 @@
 // is sent on it next is lost. A circuit whose last request had the same id is not
 // used: a surplus answer to that one could not be told from the next (design
 // 6.4). Its faults promise that nothing was sent.
-func (cs *Circuits) Get(ctx context.Context, w *flora.Worker, id string, maxOpen int, youngUs int64) (*Circuit, error) {
-	nowUs := waggle.NowUs()
+func (cs *Circuits) Get(ctx context.Context, w *discovery.Worker, id string, maxOpen int, youngUs int64) (*Circuit, error) {
+	nowUs := eventloop.NowUs()
 	for {
 		cs.mu.Lock()
 		p := cs.pools[w.ID]
@@ -125,7 +125,7 @@
 			p.idle = p.idle[1:]
 		} else if p.open >= maxOpen {
 			cs.mu.Unlock()
-			return nil, wax.New(wax.Conflict, w.ID, "this node's share of circuits is in use", "try another worker")
+			return nil, fault.New(fault.Conflict, w.ID, "this node's share of circuits is in use", "try another worker")
 		} else {
 			p.open++
 		}
@@ -147,7 +147,7 @@
 		cs.mu.Lock()
 		cs.pools[w.ID].open--
 		cs.mu.Unlock()
-		return nil, wax.New(wax.Unreached, w.ID, err.Error(), "look whether the worker runs")
+		return nil, fault.New(fault.Unreached, w.ID, err.Error(), "look whether the worker runs")
 	}
 	c := newCircuit(conn, w.ID)
 	c.lastID = id
@@ -165,7 +165,7 @@
 		return
 	}
 	_ = c.conn.SetDeadline(time.Time{})
-	c.idleUs = waggle.NowUs()
+	c.idleUs = eventloop.NowUs()
 	c.untilUs = c.idleUs + keepUs
 	cs.mu.Lock()
 	p := cs.pools[c.worker]
@@ -233,8 +233,8 @@
 }
 
 // Sweep closes idle circuits that are past their time or whose worker is gone.
-func (cs *Circuits) Sweep(d *flora.Directory) {
-	nowUs := waggle.NowUs()
+func (cs *Circuits) Sweep(d *discovery.Directory) {
+	nowUs := eventloop.NowUs()
 	var old []*Circuit
 	cs.mu.Lock()
 	for id, p := range cs.pools {
--- a/internal/forage/event.go
+++ b/internal/forward/event.go
@@ -1,4 +1,4 @@
-package forage
+package forward
 
 import (
 	"bufio"
@@ -8,7 +8,7 @@
 	"strconv"
 	"strings"
 
-	"rowanshunt/internal/wax"
+	"rowanshunt/internal/fault"
 )
 
 // maxEvent bounds one event of a stream.
@@ -30,7 +30,7 @@
 		line, err := r.ReadSlice('\n')
 		buf = append(buf, line...)
 		if len(buf) > maxEvent {
-			return ev, buf, wax.New(wax.TooLarge, "event", "is over 1 MiB", "")
+			return ev, buf, fault.New(fault.TooLarge, "event", "is over 1 MiB", "")
 		}
 		if err == bufio.ErrBufferFull {
 			continue
--- a/internal/forage/forage.go
+++ b/internal/forward/forage.go
@@ -1,4 +1,4 @@
-package forage
+package forward
 
 import (
 	"math/rand/v2"
@@ -8,11 +8,11 @@
 	"sync/atomic"
 	"time"
 
-	"rowanshunt/internal/foundation"
-	"rowanshunt/internal/nectar"
-	"rowanshunt/internal/scout"
-	"rowanshunt/internal/waggle"
-	"rowanshunt/internal/wax"
+	"rowanshunt/internal/balancer"
+	"rowanshunt/internal/config"
+	"rowanshunt/internal/eventloop"
+	"rowanshunt/internal/logging"
+	"rowanshunt/internal/quota"
 )
 
 // answerHeads are the heads of a worker's answer that clients get: an allow
@@ -35,13 +35,13 @@
 // Forage serves clients' requests.
 type Forage struct {
 	Sender    *Sender
-	Blueprint func() *foundation.Blueprint
-	Log       *wax.Log
+	Blueprint func() *config.Blueprint
+	Log       *logging.Log
 	// BodyBytes bounds what the bodies under way hold together.
 	BodyBytes int64
 	HbMs      int64 // how often workers beat
 	// Gate keeps calls to their tenants' fair shares (design 17.4).
-	Gate *nectar.Gate
+	Gate *quota.Gate
 	held atomic.Int64
 }
 
@@ -91,11 +91,11 @@
 		}
 		return
 	}
-	j := &job{f: f, w: w, r: r, b: binding, startUs: waggle.NowUs()}
+	j := &job{f: f, w: w, r: r, b: binding, startUs: eventloop.NowUs()}
 	defer j.fare()
 	j.parcel = &Parcel{Method: r.Method, Target: r.RequestURI, Host: r.Host, Header: passOn(r.Header), Body: body, ID: id,
 		LeftMs: func() int64 { return time.Until(until).Milliseconds() }, Until: until, Repeatable: binding.Repeatable(), GapMs: binding.GapGoalMs}
-	j.need = scout.Need{Svc: binding.Pick(rand.Uint64()), Parts: scout.ParseParts(r.Header.Get(HeadPrefix))}
+	j.need = balancer.Need{Svc: binding.Pick(rand.Uint64()), Parts: balancer.ParseParts(r.Header.Get(HeadPrefix))}
 	if v, err := strconv.ParseInt(r.Header.Get(HeadWantVer), 10, 64); err == nil {
 		j.need.Version = v
 	}
--- a/internal/forage/hostile_test.go
+++ b/internal/forward/hostile_test.go
@@ -1,4 +1,4 @@
-package forage
+package forward
 
 import (
 	"bufio"
@@ -15,11 +15,11 @@
 	"testing"
 	"time"
 
-	"rowanshunt/internal/flora"
-	"rowanshunt/internal/foundation"
-	"rowanshunt/internal/nectar"
-	"rowanshunt/internal/scout"
-	"rowanshunt/internal/wax"
+	"rowanshunt/internal/balancer"
+	"rowanshunt/internal/config"
+	"rowanshunt/internal/discovery"
+	"rowanshunt/internal/logging"
+	"rowanshunt/internal/quota"
 )
 
 const (
@@ -37,7 +37,7 @@
 	workers []*hostileWorker
 	acts    [actCount]atomic.Int64
 	forage  *Forage
-	dir     atomic.Pointer[flora.Directory]
+	dir     atomic.Pointer[discovery.Directory]
 	addr    string
 }
 
@@ -61,7 +61,7 @@
 }
 
 // newForage makes the forwarding of a node with a route of each kind.
-func newForage(t *testing.T, dir func() *flora.Directory, limitMs int) *Forage {
+func newForage(t *testing.T, dir func() *discovery.Directory, limitMs int) *Forage {
 	t.Helper()
 	var routes []string
 	for _, kind := range []string{"safe", "unsafe", "stream", "resumable"} {
@@ -72,13 +72,13 @@
 		routes = append(routes, fmt.Sprintf(`{"name":%q,"host":%q,"pfx":"/%s/","type":%q,"limit_ms":%d,"goal_ms":100,"prio":0,"svc":"a","tries":%d,"pin":false,"resume":%v,"gap_goal_ms":100}`,
 			kind, hostileHost, kind, typ, limitMs, hostileTries, kind == "resumable"))
 	}
-	bp, err := foundation.Parse([]byte(`{"ver":1,"routes":[` + strings.Join(routes, ",") + `],"svcs":[{"name":"a","hc":"/h","maxconn":1000}],"caps":{"hdr_bytes":16384,"payload_bytes":4194304,"hdr_ms":3000,"idle_ms":15000}}`))
+	bp, err := config.Parse([]byte(`{"ver":1,"routes":[` + strings.Join(routes, ",") + `],"svcs":[{"name":"a","hc":"/h","maxconn":1000}],"caps":{"hdr_bytes":16384,"payload_bytes":4194304,"hdr_ms":3000,"idle_ms":15000}}`))
 	if err != nil {
 		t.Fatal(err)
 	}
-	blueprint := func() *foundation.Blueprint { return bp }
-	sender := &Sender{Dir: dir, Scout: scout.New("z"), Circuits: NewCircuits(DialTCP()), Blueprint: blueprint, Ways: NewSlab[Way](10_000)}
-	return &Forage{Sender: sender, Blueprint: blueprint, Log: wax.Quiet(), BodyBytes: 1 << 30, HbMs: 500, Gate: &nectar.Gate{}}
+	blueprint := func() *config.Blueprint { return bp }
+	sender := &Sender{Dir: dir, Scout: balancer.New("z"), Circuits: NewCircuits(DialTCP()), Blueprint: blueprint, Ways: NewSlab[Way](10_000)}
+	return &Forage{Sender: sender, Blueprint: blueprint, Log: logging.Quiet(), BodyBytes: 1 << 30, HbMs: 500, Gate: &quota.Gate{}}
 }
 
 // serve opens the clients' address and keeps up what a node keeps up.
@@ -115,9 +115,9 @@
 }
 
 func (s *hostileSystem) publish() {
-	d := &flora.Directory{BySvc: map[string][]*flora.Worker{}, ByID: map[string]*flora.Worker{}}
+	d := &discovery.Directory{BySvc: map[string][]*discovery.Worker{}, ByID: map[string]*discovery.Worker{}}
 	for _, w := range s.workers {
-		worker := &flora.Worker{ID: w.id(), Svc: "a", Addr: w.ln.Addr().String(), Az: "z", Slots: 64, Phase: "up"}
+		worker := &discovery.Worker{ID: w.id(), Svc: "a", Addr: w.ln.Addr().String(), Az: "z", Slots: 64, Phase: "up"}
 		d.BySvc["a"] = append(d.BySvc["a"], worker)
 		d.ByID[worker.ID] = worker
 	}
--- a/internal/forage/item.go
+++ b/internal/forward/item.go
@@ -1,4 +1,4 @@
-package forage
+package forward
 
 import (
 	"bufio"
@@ -8,8 +8,8 @@
 	"strconv"
 	"sync"
 
-	"rowanshunt/internal/flora"
-	"rowanshunt/internal/wax"
+	"rowanshunt/internal/discovery"
+	"rowanshunt/internal/fault"
 )
 
 func newEventReaders() *sync.Pool {
@@ -42,7 +42,7 @@
 
 // RunItem sends an item to a worker and adds the events to text; it goes on
 // behind the last event that text holds (design 9.3).
-func (s *Sender) RunItem(ctx context.Context, w *flora.Worker, p *Parcel, text *Text) (Outcome, error) {
+func (s *Sender) RunItem(ctx context.Context, w *discovery.Worker, p *Parcel, text *Text) (Outcome, error) {
 	if text.Any {
 		p.Header.Set(HeadLastID, strconv.FormatInt(text.LastID, 10))
 		if text.Version > 0 {
@@ -53,7 +53,7 @@
 	}
 	a, err := s.Send(ctx, w, p, true)
 	if err != nil {
-		if wax.Is(err, wax.Unsure) {
+		if fault.Is(err, fault.Unsure) {
 			return Broken, err
 		}
 		return NotSent, err
@@ -67,14 +67,14 @@
 		a.Discard()
 		return Failed, nil
 	case code != http.StatusOK:
-		return Broken, wax.New(wax.Unsure, w.ID, "answers "+strconv.Itoa(code), "")
+		return Broken, fault.New(fault.Unsure, w.ID, "answers "+strconv.Itoa(code), "")
 	}
 	if a.Resp.Header.Get(HeadSeal) == "" {
-		return Broken, wax.New(wax.Unsure, w.ID, "the stream has no seal", "")
+		return Broken, fault.New(fault.Unsure, w.ID, "the stream has no seal", "")
 	}
 	version, told := headVersion(a.Resp)
 	if told && text.Any && text.Version > 0 && version != text.Version {
-		return Broken, wax.New(wax.Unsure, w.ID, "goes on with other weights", "")
+		return Broken, fault.New(fault.Unsure, w.ID, "goes on with other weights", "")
 	}
 	if told {
 		text.Version = version
@@ -91,14 +91,14 @@
 		}
 		if err != nil {
 			s.broke(ctx, a, w)
-			return Broken, wax.New(wax.Unsure, w.ID, "the stream broke off: "+err.Error(), "")
+			return Broken, fault.New(fault.Unsure, w.ID, "the stream broke off: "+err.Error(), "")
 		}
 		a.Moved()
 		if !ev.HasID {
-			return Broken, wax.New(wax.Unsure, w.ID, "an event has no id", "")
+			return Broken, fault.New(fault.Unsure, w.ID, "an event has no id", "")
 		}
 		if text.Any && ev.ID != text.LastID+1 {
-			return Broken, wax.New(wax.Unsure, w.ID, "an event is missing or doubled", "")
+			return Broken, fault.New(fault.Unsure, w.ID, "an event is missing or doubled", "")
 		}
 		if text.Any {
 			text.Msg = append(text.Msg, '\n')
--- a/internal/forage/job.go
+++ b/internal/forward/job.go
@@ -1,4 +1,4 @@
-package forage
+package forward
 
 import (
 	"context"
@@ -6,11 +6,11 @@
 	"strconv"
 	"time"
 
-	"rowanshunt/internal/flora"
-	"rowanshunt/internal/foundation"
-	"rowanshunt/internal/scout"
-	"rowanshunt/internal/waggle"
-	"rowanshunt/internal/wax"
+	"rowanshunt/internal/balancer"
+	"rowanshunt/internal/config"
+	"rowanshunt/internal/discovery"
+	"rowanshunt/internal/eventloop"
+	"rowanshunt/internal/fault"
 )
 
 // job is one client's try on its way.
@@ -18,9 +18,9 @@
 	f       *Forage
 	w       http.ResponseWriter
 	r       *http.Request
-	b       *foundation.Binding
+	b       *config.Binding
 	parcel  *Parcel
-	need    scout.Need
+	need    balancer.Need
 	readTok int64
 	tries   int64
 	begun   bool // the client has the head of an answer
@@ -79,8 +79,8 @@
 		if finished {
 			return
 		}
-		switch wax.KindOf(err) {
-		case wax.Unreached, wax.Conflict:
+		switch fault.KindOf(err) {
+		case fault.Unreached, fault.Conflict:
 			noPlace++
 			if noPlace > 3+len(dir.BySvc[j.need.Svc])/2 {
 				j.giveUp(mayHaveRun, false, 400)
@@ -112,21 +112,21 @@
 	if j.b.GoalMs > 0 {
 		goalUs = min(j.b.GoalMs*1000, maxWaitsUs)
 	}
-	if waggle.NowUs()-j.startUs >= goalUs || !j.f.Gate.Entitled(j.need.Svc, j.r.Host) {
+	if eventloop.NowUs()-j.startUs >= goalUs || !j.f.Gate.Entitled(j.need.Svc, j.r.Host) {
 		return false
 	}
 	if !j.waited {
 		j.waited = true
 		j.f.Gate.Short(j.need.Svc, j.r.Host)
 	}
-	waggle.Pause(ctx, waitStep)
+	eventloop.Pause(ctx, waitStep)
 	j.tries, j.need.Exclude = 0, nil
 	return true
 }
 
 // noWorkerMs is when to come back if no worker can be picked: where none is
 // known at all, once each had time to beat.
-func (j *job) noWorkerMs(dir *flora.Directory) int64 {
+func (j *job) noWorkerMs(dir *discovery.Directory) int64 {
 	if len(dir.BySvc[j.need.Svc]) == 0 && j.f.HbMs > 0 {
 		return j.f.HbMs
 	}
@@ -142,7 +142,7 @@
 // moved notes that something of the answer is there.
 func (j *job) moved() {
 	if j.firstUs == 0 {
-		j.firstUs = waggle.NowUs()
+		j.firstUs = eventloop.NowUs()
 	}
 }
 
@@ -165,7 +165,7 @@
 
 // try sends the request to one worker. ran: it may have run there. finished:
 // the client has its answer.
-func (j *job) try(ctx context.Context, worker *flora.Worker) (ran, finished bool, err error) {
+func (j *job) try(ctx context.Context, worker *discovery.Worker) (ran, finished bool, err error) {
 	s := j.f.Sender
 	defer s.Scout.Done(worker.ID, false)
 	if j.hasLast {
@@ -186,20 +186,20 @@
 	defer read()
 	a, err := s.Send(ctx, worker, j.parcel, j.b.Repeatable() && j.tries+1 < j.b.Tries)
 	if err != nil {
-		return wax.Is(err, wax.Unsure), false, err
+		return fault.Is(err, fault.Unsure), false, err
 	}
 	defer a.End(false)
-	if j.b.Type == foundation.Stream && a.Resp.StatusCode == http.StatusOK {
+	if j.b.Type == config.Stream && a.Resp.StatusCode == http.StatusOK {
 		return j.stream(a, read)
 	}
 	if j.begun {
 		// The client is amid a stream; another kind of answer cannot go on with it.
 		a.Discard()
-		return true, false, wax.New(wax.Unsure, worker.ID, "does not go on with the stream", "")
+		return true, false, fault.New(fault.Unsure, worker.ID, "does not go on with the stream", "")
 	}
 	if a.Resp.StatusCode >= 500 && j.b.Repeatable() && j.tries+1 < j.b.Tries {
 		a.Discard()
-		return true, false, wax.New(wax.Unsure, worker.ID, "failed", "")
+		return true, false, fault.New(fault.Unsure, worker.ID, "failed", "")
 	}
 	return j.whole(a)
 }
--- a/internal/forage/request.go
+++ b/internal/forward/request.go
@@ -1,11 +1,11 @@
-package forage
+package forward
 
 import (
 	"bufio"
 	"net/http"
 	"strconv"
 
-	"rowanshunt/internal/wax"
+	"rowanshunt/internal/fault"
 )
 
 // withheld are the headers of a parcel that are not copied to the worker: those
@@ -23,11 +23,11 @@
 func (p *Parcel) check(worker string) error {
 	switch {
 	case !printable(p.Method, '!') || !printable(p.Target, '!') || p.Target == "" || p.Method == "":
-		return wax.New(wax.Invalid, "target", "has a space or a control character", "encode it")
+		return fault.New(fault.Invalid, "target", "has a space or a control character", "encode it")
 	case !printable(p.Host, '!'):
-		return wax.New(wax.Invalid, "host", "has a space or a control character", "give a host name")
+		return fault.New(fault.Invalid, "host", "has a space or a control character", "give a host name")
 	case !printable(p.ID, ' ') || !printable(worker, ' '):
-		return wax.New(wax.Invalid, HeadID, "or the worker's has a control character", "use printable characters")
+		return fault.New(fault.Invalid, HeadID, "or the worker's has a control character", "use printable characters")
 	}
 	return nil
 }
--- a/internal/forage/response.go
+++ b/internal/forward/response.go
@@ -1,4 +1,4 @@
-package forage
+package forward
 
 import (
 	"math"
--- a/internal/forage/send_test.go
+++ b/internal/forward/send_test.go
@@ -1,4 +1,4 @@
-package forage
+package forward
 
 import (
 	"bufio"
@@ -14,8 +14,8 @@
 	"testing"
 	"time"
 
-	"rowanshunt/internal/flora"
-	"rowanshunt/internal/wax"
+	"rowanshunt/internal/discovery"
+	"rowanshunt/internal/fault"
 )
 
 // script is what a worker does on its nth connection, from 0.
@@ -26,12 +26,12 @@
 	t      *testing.T
 	forage *Forage
 	server *httptest.Server
-	dir    *flora.Directory
+	dir    *discovery.Directory
 }
 
 func newScriptedNode(t *testing.T, limitMs int, scripts ...script) *scriptedNode {
 	t.Helper()
-	n := &scriptedNode{t: t, dir: &flora.Directory{BySvc: map[string][]*flora.Worker{}, ByID: map[string]*flora.Worker{}}}
+	n := &scriptedNode{t: t, dir: &discovery.Directory{BySvc: map[string][]*discovery.Worker{}, ByID: map[string]*discovery.Worker{}}}
 	for i, play := range scripts {
 		ln, err := net.Listen("tcp", "127.0.0.1:0")
 		if err != nil {
@@ -50,11 +50,11 @@
 				}()
 			}
 		}()
-		w := &flora.Worker{ID: fmt.Sprintf("w%d", i), Svc: "a", Addr: ln.Addr().String(), Slots: 8, Phase: "up"}
+		w := &discovery.Worker{ID: fmt.Sprintf("w%d", i), Svc: "a", Addr: ln.Addr().String(), Slots: 8, Phase: "up"}
 		n.dir.BySvc["a"] = append(n.dir.BySvc["a"], w)
 		n.dir.ByID[w.ID] = w
 	}
-	n.forage = newForage(t, func() *flora.Directory { return n.dir }, limitMs)
+	n.forage = newForage(t, func() *discovery.Directory { return n.dir }, limitMs)
 	n.server = httptest.NewServer(n.forage)
 	stop := make(chan struct{})
 	t.Cleanup(func() {
@@ -151,7 +151,7 @@
 		say(conn, whole(c, 200))
 		_, _ = read(br)
 	})
-	if _, err := n.send(c, nil); !wax.Is(err, wax.Declined) {
+	if _, err := n.send(c, nil); !fault.Is(err, fault.Declined) {
 		t.Fatalf("refused: %v", err)
 	}
 	a, err := n.send(c, nil)
@@ -181,7 +181,7 @@
 	before := *cs.pools["w0"].idle[0]
 	time.Sleep(5 * time.Millisecond)
 	other, _ := callOf("unsafe-4")
-	if _, err := n.send(other, func(p *Parcel) { p.Fence = func() bool { return false } }); !wax.Is(err, wax.Conflict) {
+	if _, err := n.send(other, func(p *Parcel) { p.Fence = func() bool { return false } }); !fault.Is(err, fault.Conflict) {
 		t.Fatalf("behind its fence: %v", err)
 	}
 	after := cs.pools["w0"].idle[0]
@@ -218,7 +218,7 @@
 			}
 			ctx = gone
 		}
-		if _, err := n.forage.Sender.Send(ctx, worker, p, false); err == nil || wax.Is(err, wax.Unsure) {
+		if _, err := n.forage.Sender.Send(ctx, worker, p, false); err == nil || fault.Is(err, fault.Unsure) {
 			t.Errorf("%s: %v", name, err)
 		}
 	}
@@ -268,7 +268,7 @@
 		t.Fatal(err)
 	}
 	a.Discard()
-	if _, err := n.send(c, nil); !wax.Is(err, wax.Unsure) {
+	if _, err := n.send(c, nil); !fault.Is(err, fault.Unsure) {
 		t.Errorf("refused on a new circuit after it was forgotten: %v", err)
 	}
 }
--- a/internal/forage/sender.go
+++ b/internal/forward/sender.go
@@ -1,4 +1,4 @@
-package forage
+package forward
 
 import (
 	"context"
@@ -7,11 +7,11 @@
 	"strings"
 	"time"
 
-	"rowanshunt/internal/flora"
-	"rowanshunt/internal/foundation"
-	"rowanshunt/internal/scout"
-	"rowanshunt/internal/waggle"
-	"rowanshunt/internal/wax"
+	"rowanshunt/internal/balancer"
+	"rowanshunt/internal/config"
+	"rowanshunt/internal/discovery"
+	"rowanshunt/internal/eventloop"
+	"rowanshunt/internal/fault"
 )
 
 // Heads of the protocol.
@@ -50,10 +50,10 @@
 
 // Sender sends parcels to workers and reads the heads of their answers.
 type Sender struct {
-	Dir       func() *flora.Directory
-	Scout     *scout.Scout
+	Dir       func() *discovery.Directory
+	Scout     *balancer.Scout
 	Circuits  *Circuits
-	Blueprint func() *foundation.Blueprint
+	Blueprint func() *config.Blueprint
 	Ways      *Slab[Way]
 }
 
@@ -77,16 +77,16 @@
 // Send sends the parcel to the worker and reads the head of its answer.
 // Faults: Unreached and Conflict, nothing was sent; Declined, the worker says
 // that it did not run it; Unsure, it may have run.
-func (s *Sender) Send(ctx context.Context, w *flora.Worker, p *Parcel, repeatable bool) (*Answer, error) {
+func (s *Sender) Send(ctx context.Context, w *discovery.Worker, p *Parcel, repeatable bool) (*Answer, error) {
 	a, err := s.send(ctx, w, p, repeatable, anyAgeUs)
 	if err == errForgotten {
 		// Nothing of an answer came on a circuit that was idle: the worker had
 		// forgotten it. A new one, the same worker (design 6.4).
 		s.Circuits.Forgot(w.ID)
 		a, err = s.send(ctx, w, p, repeatable, 0)
-		if err != nil && !wax.Is(err, wax.Unsure) {
+		if err != nil && !fault.Is(err, fault.Unsure) {
 			// The second send promises nothing for the first.
-			err = wax.New(wax.Unsure, w.ID, "forgot its circuit: "+err.Error(), "")
+			err = fault.New(fault.Unsure, w.ID, "forgot its circuit: "+err.Error(), "")
 		}
 	}
 	return a, err
@@ -95,41 +95,41 @@
 // stopped is the fence at the write: a client that left or has no time left, a
 // worker that left in the meantime, or a claim on the parcel that ended, stops
 // it here (design 6.3). Its faults promise that nothing was sent.
-func (s *Sender) stopped(ctx context.Context, w *flora.Worker, p *Parcel) error {
+func (s *Sender) stopped(ctx context.Context, w *discovery.Worker, p *Parcel) error {
 	switch {
 	case ctx.Err() != nil:
-		return wax.New(wax.Conflict, w.ID, "nobody waits for the answer any more", "")
+		return fault.New(fault.Conflict, w.ID, "nobody waits for the answer any more", "")
 	case !time.Now().Before(p.Until):
-		return wax.New(wax.Conflict, w.ID, "no time was left before the request was sent", "")
+		return fault.New(fault.Conflict, w.ID, "no time was left before the request was sent", "")
 	case s.Dir().ByID[w.ID] == nil || p.Fence != nil && !p.Fence():
-		return wax.New(wax.Conflict, w.ID, "left before the request was sent", "try another worker")
+		return fault.New(fault.Conflict, w.ID, "left before the request was sent", "try another worker")
 	}
 	return p.check(w.ID)
 }
 
 // errForgotten: a circuit that was idle ended before any byte of an answer, and
 // the parcel may be repeated.
-var errForgotten = wax.New(wax.Unsure, "circuit", "was forgotten by the worker", "send again on a new one")
+var errForgotten = fault.New(fault.Unsure, "circuit", "was forgotten by the worker", "send again on a new one")
 
-func (s *Sender) send(ctx context.Context, w *flora.Worker, p *Parcel, repeatable bool, ageUs int64) (*Answer, error) {
+func (s *Sender) send(ctx context.Context, w *discovery.Worker, p *Parcel, repeatable bool, ageUs int64) (*Answer, error) {
 	if !p.Repeatable {
 		ageUs = min(ageUs, youngUs)
 	}
 	c, err := s.Circuits.Get(ctx, w, p.ID, s.maxOpen(w.Svc), ageUs)
 	if err != nil {
-		if wax.Is(err, wax.Unreached) && ctx.Err() == nil {
+		if fault.Is(err, fault.Unreached) && ctx.Err() == nil {
 			s.Scout.Failed(w.ID, true)
 		}
 		return nil, err
 	}
 	way := &Way{ctx: ctx, circuit: c, worker: w.ID, repeatable: repeatable, slowUs: s.Scout.SlowUs(w.Svc), silentUs: muteUs(p.GapMs)}
-	sentUs := waggle.NowUs()
+	sentUs := eventloop.NowUs()
 	way.movedUs.Store(sentUs)
 	_ = c.conn.SetDeadline(p.Until) // before the walk may cut it
 	slot, ok := s.Ways.Put(way)
 	if !ok {
 		s.Circuits.Unused(c)
-		return nil, wax.New(wax.Conflict, "slab", "too many requests are under way", "try again later")
+		return nil, fault.New(fault.Conflict, "slab", "too many requests are under way", "try again later")
 	}
 	a := &Answer{s: s, c: c, way: way, slot: slot}
 	if err := s.stopped(ctx, w, p); err != nil {
@@ -147,7 +147,7 @@
 			return nil, errForgotten
 		}
 		s.broke(ctx, a, w)
-		return nil, wax.New(wax.Unsure, w.ID, "broke off before an answer: "+err.Error(), "")
+		return nil, fault.New(fault.Unsure, w.ID, "broke off before an answer: "+err.Error(), "")
 	}
 	a.Resp, err = c.answerTo(p)
 	if err != nil {
@@ -155,7 +155,7 @@
 		if err != errForeign {
 			s.broke(ctx, a, w)
 		}
-		return nil, wax.New(wax.Unsure, w.ID, "no answer: "+err.Error(), "")
+		return nil, fault.New(fault.Unsure, w.ID, "no answer: "+err.Error(), "")
 	}
 	a.Moved()
 	way.headed.Store(true)
@@ -168,17 +168,17 @@
 		} else if status == http.StatusMisdirectedRequest {
 			s.Scout.Failed(w.ID, true)
 		}
-		return nil, wax.New(wax.Declined, strconv.Itoa(status), "the worker did not run it", "")
+		return nil, fault.New(fault.Declined, strconv.Itoa(status), "the worker did not run it", "")
 	}
 	if a.Resp.StatusCode < 500 {
-		s.Scout.Heads(w.Svc, waggle.NowUs()-sentUs)
+		s.Scout.Heads(w.Svc, eventloop.NowUs()-sentUs)
 	} else {
 		s.Scout.Outcome(w.ID, false)
 	}
 	return a, nil
 }
 
-func (s *Sender) broke(ctx context.Context, a *Answer, w *flora.Worker) {
+func (s *Sender) broke(ctx context.Context, a *Answer, w *discovery.Worker) {
 	if ctx.Err() == nil {
 		if !a.way.blamed.Swap(true) {
 			s.Scout.Outcome(w.ID, false)
--- a/internal/forage/slab.go
+++ b/internal/forward/slab.go
@@ -1,8 +1,8 @@
-// Package forage is a request's way through a node: its record in the slab,
+// Package forward is a request's way through a node: its record in the slab,
 // its tries at workers, streams and their resumption. No other package sends
 // to workers (design 6). The field's standard terms: forage = request
 // forwarding; circuit = connection; parcel = request; decline = refuse.
-package forage
+package forward
 
 import "sync"
 
--- a/internal/forage/walk.go
+++ b/internal/forward/walk.go
@@ -1,11 +1,11 @@
-package forage
+package forward
 
 import (
 	"context"
 	"sync/atomic"
 	"time"
 
-	"rowanshunt/internal/waggle"
+	"rowanshunt/internal/eventloop"
 )
 
 // Way is the record of a request at a worker.
@@ -50,7 +50,7 @@
 // so is a repeatable one that hangs at a worker nobody reaches, or at one that
 // fell silent amid its answers.
 func (s *Sender) Walk() {
-	nowUs := waggle.NowUs()
+	nowUs := eventloop.NowUs()
 	heardUs := map[string]int64{} // when this node last heard anything of a worker
 	s.Ways.Each(func(w *Way) {
 		if w.headed.Load() {
--- a/internal/swarm/incarnation_test.go
+++ b/internal/gossip/incarnation_test.go
@@ -1,4 +1,4 @@
-package swarm
+package gossip
 
 import (
 	"context"
@@ -13,10 +13,10 @@
 	"github.com/vmihailenco/msgpack/v5"
 
 	"rowanshunt/internal/codec"
-	"rowanshunt/internal/meadow"
-	"rowanshunt/internal/pollen"
-	"rowanshunt/internal/waggle"
-	"rowanshunt/internal/wax"
+	"rowanshunt/internal/eventloop"
+	"rowanshunt/internal/logging"
+	"rowanshunt/internal/rpc"
+	"rowanshunt/internal/simnet"
 )
 
 // Where there is a disk, each start is above the one before and never has its
@@ -100,13 +100,13 @@
 }
 
 // place starts a node of this name with an incarnation of its own.
-func place(m *meadow.Meadow, name, addr string, incarnation Incarnation, seeds []string) *bee {
+func place(m *simnet.Meadow, name, addr string, incarnation Incarnation, seeds []string) *bee {
 	ctx, cancel := context.WithCancel(context.Background())
 	b := &bee{addr: addr, cancel: cancel}
-	floor, desk := waggle.NewFloor(256), pollen.NewDesk()
+	floor, desk := eventloop.NewFloor(256), rpc.NewDesk()
 	self := Partner{Name: name, Addr: addr, Role: "forager"}
 	self.SetProcess(Process{Incarnation: incarnation, ID: fmt.Sprintf("%05x%s", int64(incarnation.tag()), strings.Repeat("0", 2*idBytes))})
-	b.s = New(ctx, floor, desk, m.MeshOf(addr), wax.Quiet(), self, seeds, nil)
+	b.s = New(ctx, floor, desk, m.MeshOf(addr), logging.Quiet(), self, seeds, nil)
 	m.Place(ctx, addr, desk)
 	go floor.Run(ctx)
 	return b
@@ -128,7 +128,7 @@
 		"of the version before": {1_764_633_600_000_000, newIncarnation(0, 0), true},
 	} {
 		synctest.Test(t, func(t *testing.T) {
-			m := meadow.New(3)
+			m := simnet.New(3)
 			seeds := []string{"10.0.0.1:1", "10.0.0.2:1"}
 			var all []*bee
 			defer func() {
--- a/internal/swarm/swarm.go
+++ b/internal/gossip/swarm.go
@@ -1,8 +1,8 @@
-// Package swarm is how nodes know each other: partial views that are shuffled
+// Package gossip is how nodes know each other: partial views that are shuffled
 // between neighbours, and the age of what was last heard of each (design 3).
 // The field's standard terms: swarm = membership (gossip); sighting = member
 // state; view = snapshot; life = incarnation.
-package swarm
+package gossip
 
 import (
 	"cmp"
@@ -15,10 +15,11 @@
 
 	"github.com/zeebo/xxh3"
 
-	"rowanshunt/internal/pollen"
-	"rowanshunt/internal/tending"
-	"rowanshunt/internal/waggle"
-	"rowanshunt/internal/wax"
+	"rowanshunt/internal/eventloop"
+	"rowanshunt/internal/fault"
+	"rowanshunt/internal/logging"
+	"rowanshunt/internal/rendezvous"
+	"rowanshunt/internal/rpc"
 )
 
 // Partner is what a node tells of itself.
@@ -129,7 +130,7 @@
 	if len(names) <= most {
 		return names
 	}
-	return tending.Rank(duty, names)[:most]
+	return rendezvous.Rank(duty, names)[:most]
 }
 
 // Partial tells whether there may be nodes that the view has no room for.
@@ -139,7 +140,7 @@
 // others may still hear of one that is cut off from here.
 func (v *View) Met(name string) bool {
 	s := v.Get(name)
-	return s != nil && s.Alive && (name == v.Self.Name || waggle.NowUs()-s.MetUs < metUs)
+	return s != nil && s.Alive && (name == v.Self.Name || eventloop.NowUs()-s.MetUs < metUs)
 }
 
 // Slow tells whether the partner says that its floor runs late.
@@ -167,9 +168,9 @@
 
 // Swarm owns this node's table of partners.
 type Swarm struct {
-	floor *waggle.Floor
-	mesh  pollen.Mesh
-	log   *wax.Log
+	floor *eventloop.Floor
+	mesh  rpc.Mesh
+	log   *logging.Log
 	seeds []string
 	// close are shuffled with each round, besides a random one.
 	close func(*View) []string
@@ -194,12 +195,12 @@
 }
 
 // New makes the swarm of one node. Everything but Look runs on the floor.
-func New(ctx context.Context, floor *waggle.Floor, desk *pollen.Desk, mesh pollen.Mesh, log *wax.Log, self Partner, seeds []string, close func(*View) []string) *Swarm {
+func New(ctx context.Context, floor *eventloop.Floor, desk *rpc.Desk, mesh rpc.Mesh, log *logging.Log, self Partner, seeds []string, close func(*View) []string) *Swarm {
 	s := &Swarm{floor: floor, mesh: mesh, log: log, seeds: seeds, close: close, self: self, table: map[string]*Sighting{}, byKey: map[uint64]string{}, stale: map[uint64]bool{}, ctx: ctx,
 		rng: rand.New(rand.NewPCG(xxh3.HashString(self.Life()), uint64(len(self.Name)+1)))}
 	s.publish()
-	pollen.On(desk, "swarm.shuffle", func(ctx context.Context, in *shuffle) (*shuffle, error) {
-		return waggle.Ask(ctx, floor, func() *shuffle {
+	rpc.On(desk, "swarm.shuffle", func(ctx context.Context, in *shuffle) (*shuffle, error) {
+		return eventloop.Ask(ctx, floor, func() *shuffle {
 			want := s.merge(in)
 			out := &shuffle{From: s.self, Full: append(s.lookUp(in.Want), s.contradict(&in.From)...)}
 			if !in.Ping && len(in.Full) == 0 && len(in.Want) == 0 {
@@ -226,7 +227,7 @@
 func (s *Swarm) SetSeeds(seeds []string) { s.seeds = seeds }
 
 func (s *Swarm) sample() []byte {
-	nowUs := waggle.NowUs()
+	nowUs := eventloop.NowUs()
 	var live []*Sighting
 	for _, t := range s.table {
 		if nowUs-t.SeenUs < 3*silentUs(len(s.table)) {
@@ -260,7 +261,7 @@
 	for _, p := range in.Full[:min(len(in.Full), 4*maxShuffle)] {
 		s.take(p)
 	}
-	nowUs, own := waggle.NowUs(), s.self.key()
+	nowUs, own := eventloop.NowUs(), s.self.key()
 	for _, w := range unpackWords(in.Words) {
 		t := s.table[s.byKey[w.key]]
 		switch {
@@ -292,7 +293,7 @@
 	if p.Name == "" || p.Addr == "" || p.LifeUs >= maxIncarnation {
 		return
 	}
-	nowUs := waggle.NowUs()
+	nowUs := eventloop.NowUs()
 	t := s.table[p.Name]
 	switch {
 	case t == nil:
@@ -330,7 +331,7 @@
 			oldest = t
 		}
 	}
-	if oldest == nil || waggle.NowUs()-oldest.SeenUs < aliveUs {
+	if oldest == nil || eventloop.NowUs()-oldest.SeenUs < aliveUs {
 		return false
 	}
 	delete(s.byKey, oldest.key)
@@ -395,7 +396,7 @@
 		defer cancel()
 		var back shuffle
 		err := s.mesh.Call(ctx, addr, "swarm.shuffle", msg, &back)
-		more, askErr := waggle.Ask(s.ctx, s.floor, func() *shuffle {
+		more, askErr := eventloop.Ask(s.ctx, s.floor, func() *shuffle {
 			want := s.called(addr, &back, err)
 			if len(want) == 0 && len(back.Want) == 0 {
 				return nil
@@ -417,11 +418,11 @@
 	if err == nil {
 		want = s.merge(back)
 		if t := s.table[back.From.Name]; t != nil {
-			t.MetUs = waggle.NowUs()
+			t.MetUs = eventloop.NowUs()
 		}
 		return want
 	}
-	if wax.Is(err, wax.Unreached) {
+	if fault.Is(err, fault.Unreached) {
 		for _, t := range s.table {
 			if t.Addr == addr {
 				t.MetUs = 0
@@ -439,7 +440,7 @@
 }
 
 func (s *Swarm) publish() {
-	nowUs := waggle.NowUs()
+	nowUs := eventloop.NowUs()
 	limitUs := silentUs(len(s.table))
 	v := &View{Self: s.self, All: make([]Sighting, 0, len(s.table)+1)}
 	for name, t := range s.table {
--- a/internal/swarm/swarm_test.go
+++ b/internal/gossip/swarm_test.go
@@ -1,4 +1,4 @@
-package swarm
+package gossip
 
 import (
 	"context"
@@ -8,10 +8,10 @@
 	"testing/synctest"
 	"time"
 
-	"rowanshunt/internal/meadow"
-	"rowanshunt/internal/pollen"
-	"rowanshunt/internal/waggle"
-	"rowanshunt/internal/wax"
+	"rowanshunt/internal/eventloop"
+	"rowanshunt/internal/logging"
+	"rowanshunt/internal/rpc"
+	"rowanshunt/internal/simnet"
 )
 
 type bee struct {
@@ -20,11 +20,11 @@
 	cancel func()
 }
 
-func hatch(m *meadow.Meadow, i int, seeds []string) *bee {
+func hatch(m *simnet.Meadow, i int, seeds []string) *bee {
 	ctx, cancel := context.WithCancel(context.Background())
 	b := &bee{addr: fmt.Sprintf("10.0.0.%d:1", i), cancel: cancel}
-	floor, desk := waggle.NewFloor(256), pollen.NewDesk()
-	b.s = New(ctx, floor, desk, m.MeshOf(b.addr), wax.Quiet(), Partner{Name: fmt.Sprint("n", i), Addr: b.addr, Role: "forager", LifeUs: 1}, seeds, nil)
+	floor, desk := eventloop.NewFloor(256), rpc.NewDesk()
+	b.s = New(ctx, floor, desk, m.MeshOf(b.addr), logging.Quiet(), Partner{Name: fmt.Sprint("n", i), Addr: b.addr, Role: "forager", LifeUs: 1}, seeds, nil)
 	m.Place(ctx, b.addr, desk)
 	go floor.Run(ctx)
 	return b
@@ -36,7 +36,7 @@
 // is the same partner in a new life, and parts meet again (design 3).
 func TestSwarm(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		m := meadow.New(5)
+		m := simnet.New(5)
 		m.Lose = 0.05
 		const n = 20
 		seeds := []string{"10.0.0.0:1"}
@@ -94,9 +94,9 @@
 // What a partner must not be able to do to the table.
 func TestViewBounds(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		b := hatch(meadow.New(1), 1, nil)
+		b := hatch(simnet.New(1), 1, nil)
 		defer func() { b.cancel(); time.Sleep(2 * time.Second) }()
-		_, err := waggle.Ask(context.Background(), b.s.floor, func() bool {
+		_, err := eventloop.Ask(context.Background(), b.s.floor, func() bool {
 			for i := range 3 * maxView {
 				b.s.take(Partner{Name: fmt.Sprint("p", i), Addr: "10.0.1.1:1", Beat: 1, LifeUs: 1})
 			}
@@ -143,7 +143,7 @@
 		}
 	}
 	s := &Swarm{table: map[string]*Sighting{}, rng: rand.New(rand.NewPCG(1, 1))}
-	nowUs := waggle.NowUs()
+	nowUs := eventloop.NowUs()
 	fresh := map[uint64]bool{}
 	for i := range 300 {
 		p := Partner{Name: fmt.Sprint("n", i), Beat: uint64(i)}
--- a/internal/swarm/word_test.go
+++ b/internal/gossip/word_test.go
@@ -1,4 +1,4 @@
-package swarm
+package gossip
 
 import (
 	"fmt"
--- a/internal/guard/control.go
+++ b/internal/ingress/control.go
@@ -1,4 +1,4 @@
-package guard
+package ingress
 
 import (
 	"context"
@@ -11,14 +11,15 @@
 
 	"github.com/julienschmidt/httprouter"
 
-	"rowanshunt/internal/buzz"
-	"rowanshunt/internal/flora"
-	"rowanshunt/internal/foundation"
-	"rowanshunt/internal/moult"
-	"rowanshunt/internal/nectar"
-	"rowanshunt/internal/nest"
-	"rowanshunt/internal/trail"
-	"rowanshunt/internal/wax"
+	"rowanshunt/internal/config"
+	"rowanshunt/internal/discovery"
+	"rowanshunt/internal/events"
+	"rowanshunt/internal/fault"
+	"rowanshunt/internal/logging"
+	"rowanshunt/internal/quota"
+	"rowanshunt/internal/register"
+	"rowanshunt/internal/trace"
+	"rowanshunt/internal/upgrade"
 )
 
 // Reply is what a command answers.
@@ -35,13 +36,13 @@
 
 // Control serves workers and operators.
 type Control struct {
-	Nest   *nest.Nest
-	Flora  *flora.Flora
-	Moult  *moult.Moult
-	Nectar *nectar.Nectar
-	Trail  *trail.Trail
-	Log    *wax.Log
-	Buzz   *buzz.Buzz
+	Nest   *register.Nest
+	Flora  *discovery.Flora
+	Moult  *upgrade.Moult
+	Nectar *quota.Nectar
+	Trail  *trace.Trail
+	Log    *logging.Log
+	Buzz   *events.Buzz
 	WallUs func() int64
 
 	mu    sync.Mutex
@@ -76,7 +77,7 @@
 }
 
 // TrailCommand follows a change through all nodes.
-type TrailCommand struct{ Ask trail.Ask }
+type TrailCommand struct{ Ask trace.Ask }
 
 // Run asks all nodes, once a majority of the core has been heard.
 func (t *TrailCommand) Run(ctx context.Context, c *Control) (Reply, error) {
@@ -95,7 +96,7 @@
 }
 
 // BeatCommand is a worker's beat.
-type BeatCommand struct{ Worker flora.Worker }
+type BeatCommand struct{ Worker discovery.Worker }
 
 // Run takes the beat and names the home for the next ones.
 func (b *BeatCommand) Run(ctx context.Context, c *Control) (Reply, error) {
@@ -124,7 +125,7 @@
 		return Reply{}, err
 	}
 	c.note(p.Ver)
-	c.Buzz.Emit(buzz.BlueprintTaken, strconv.FormatInt(p.Ver, 10), map[string]any{"ver": p.Ver, "on": p.Expect})
+	c.Buzz.Emit(events.BlueprintTaken, strconv.FormatInt(p.Ver, 10), map[string]any{"ver": p.Ver, "on": p.Expect})
 	c.Log.Info("blueprint_taken", "ver", s.Ver, "rev", s.Rev)
 	return Reply{Status: 200, Body: []byte("{}")}, nil
 }
@@ -139,7 +140,7 @@
 		return Reply{}, err
 	}
 	if s.Ver == 0 {
-		return Reply{}, wax.New(wax.Unknown, "blueprint", "none was put yet", "put one")
+		return Reply{}, fault.New(fault.Unknown, "blueprint", "none was put yet", "put one")
 	}
 	return Reply{Status: 200, Body: s.Doc}, nil
 }
@@ -174,18 +175,18 @@
 // statusOf is the status a fault is answered with. A call that may have been
 // carried out is no promise, so it is 502; one that was not gets 503.
 func statusOf(err error) int {
-	switch wax.KindOf(err) {
-	case wax.Invalid:
+	switch fault.KindOf(err) {
+	case fault.Invalid:
 		return http.StatusBadRequest
-	case wax.Unknown:
+	case fault.Unknown:
 		return http.StatusNotFound
-	case wax.Stale:
+	case fault.Stale:
 		return http.StatusPreconditionFailed
-	case wax.Conflict:
+	case fault.Conflict:
 		return http.StatusConflict
-	case wax.TooLarge:
+	case fault.TooLarge:
 		return http.StatusRequestEntityTooLarge
-	case wax.Declined, wax.Unreached:
+	case fault.Declined, fault.Unreached:
 		return http.StatusServiceUnavailable
 	}
 	return http.StatusBadGateway
@@ -213,10 +214,10 @@
 	raw, err := io.ReadAll(http.MaxBytesReader(nil, r.Body, maxBytes))
 	var over *http.MaxBytesError
 	if errors.As(err, &over) {
-		return nil, wax.New(wax.TooLarge, "body", "is over "+strconv.FormatInt(maxBytes, 10)+" bytes", "send less")
+		return nil, fault.New(fault.TooLarge, "body", "is over "+strconv.FormatInt(maxBytes, 10)+" bytes", "send less")
 	}
 	if err != nil {
-		return nil, wax.New(wax.Invalid, "body", "cannot be read: "+err.Error(), "send it whole")
+		return nil, fault.New(fault.Invalid, "body", "cannot be read: "+err.Error(), "send it whole")
 	}
 	return raw, nil
 }
@@ -226,7 +227,7 @@
 	if err != nil {
 		return nil, err
 	}
-	w, err := flora.ParseBeat(ps.ByName("id"), raw)
+	w, err := discovery.ParseBeat(ps.ByName("id"), raw)
 	if err != nil {
 		return nil, err
 	}
@@ -234,17 +235,17 @@
 }
 
 func decodePut(r *http.Request, _ httprouter.Params) (Command, error) {
-	raw, err := readAll(r, foundation.MaxBytes)
+	raw, err := readAll(r, config.MaxBytes)
 	if err != nil {
 		return nil, err
 	}
-	b, err := foundation.Parse(raw)
+	b, err := config.Parse(raw)
 	if err != nil {
 		return nil, err
 	}
 	expect, err := strconv.ParseInt(r.Header.Get("If-Match"), 10, 64)
 	if err != nil || expect < 0 {
-		return nil, wax.New(wax.Invalid, "If-Match", "holds no version", "give the version it builds on, 0 for the first")
+		return nil, fault.New(fault.Invalid, "If-Match", "holds no version", "give the version it builds on, 0 for the first")
 	}
 	return &PutCommand{Doc: raw, Ver: b.Ver, Expect: expect}, nil
 }
@@ -259,7 +260,7 @@
 	}
 	if len(raw) > 0 {
 		if err := json.Unmarshal(raw, &doc); err != nil || doc.OverS < 0 {
-			return nil, wax.New(wax.Invalid, "over_s", "cannot be read", "send a JSON object with over_s in seconds")
+			return nil, fault.New(fault.Invalid, "over_s", "cannot be read", "send a JSON object with over_s in seconds")
 		}
 	}
 	return &RetireCommand{Node: ps.ByName("node")}, nil
--- a/internal/guard/guard.go
+++ b/internal/ingress/guard.go
@@ -1,7 +1,7 @@
-// Package guard is the entrance: listeners, limits, readiness, drain and
+// Package ingress is the entrance: listeners, limits, readiness, drain and
 // admission (design 11). The field's standard terms: guard = ingress; decline
 // = load shedding.
-package guard
+package ingress
 
 import (
 	"context"
@@ -15,11 +15,11 @@
 	"github.com/go-faster/errors"
 	"github.com/julienschmidt/httprouter"
 
-	"rowanshunt/internal/brood"
-	"rowanshunt/internal/forage"
-	"rowanshunt/internal/foundation"
-	"rowanshunt/internal/skep"
-	"rowanshunt/internal/wax"
+	"rowanshunt/internal/config"
+	"rowanshunt/internal/forward"
+	"rowanshunt/internal/logging"
+	"rowanshunt/internal/lotstore"
+	"rowanshunt/internal/settings"
 )
 
 // Limits follow from what the machine gives (design 11.2).
@@ -32,7 +32,7 @@
 }
 
 // LimitsOf takes the limits from the options.
-func LimitsOf(o *skep.Options) Limits {
+func LimitsOf(o *settings.Options) Limits {
 	return Limits{MaxConns: int(o.Caps.NoFile / 2), HdrBytes: 64 << 10, HdrMs: 5000, IdleMs: 60_000, BodyBytes: o.Caps.RAMMb << 20 / 6}
 }
 
@@ -44,10 +44,10 @@
 
 // Guard is one node's entrance.
 type Guard struct {
-	Forage    *forage.Forage
-	Lots      *brood.API
-	Blueprint func() *foundation.Blueprint
-	Log       *wax.Log
+	Forage    *forward.Forage
+	Lots      *lotstore.API
+	Blueprint func() *config.Blueprint
+	Log       *logging.Log
 	Limits    Limits
 	Ready     func() bool
 	Draining  atomic.Bool
@@ -170,7 +170,7 @@
 func (g *Guard) request(w http.ResponseWriter, r *http.Request) {
 	b := g.Blueprint()
 	if b != nil {
-		if binding := b.Find(r.Host, r.RequestURI); binding != nil && binding.Type == foundation.Bulk {
+		if binding := b.Find(r.Host, r.RequestURI); binding != nil && binding.Type == config.Bulk {
 			g.hand(w, r, b, binding)
 			return
 		}
@@ -178,22 +178,22 @@
 	g.Forage.ServeHTTP(w, r)
 }
 
-func (g *Guard) hand(w http.ResponseWriter, r *http.Request, b *foundation.Blueprint, binding *foundation.Binding) {
+func (g *Guard) hand(w http.ResponseWriter, r *http.Request, b *config.Blueprint, binding *config.Binding) {
 	if r.Method != http.MethodPost {
 		w.Header().Set("Allow", http.MethodPost)
 		http.Error(w, "lots are handed in by POST", http.StatusMethodNotAllowed)
 		return
 	}
-	id := r.Header.Get(forage.HeadID)
+	id := r.Header.Get(forward.HeadID)
 	if id == "" || len(id) > 256 {
-		http.Error(w, forage.HeadID+" is missing", http.StatusBadRequest)
+		http.Error(w, forward.HeadID+" is missing", http.StatusBadRequest)
 		return
 	}
 	leftMs := int64(2500)
-	if s := r.Header.Get(forage.HeadTimeLeft); s != "" {
+	if s := r.Header.Get(forward.HeadTimeLeft); s != "" {
 		n, err := strconv.ParseInt(s, 10, 64)
 		if err != nil || n < 0 {
-			http.Error(w, forage.HeadTimeLeft+" is no number of milliseconds", http.StatusBadRequest)
+			http.Error(w, forward.HeadTimeLeft+" is no number of milliseconds", http.StatusBadRequest)
 			return
 		}
 		leftMs = n
--- a/internal/guard/guard_test.go
+++ b/internal/ingress/guard_test.go
@@ -1,4 +1,4 @@
-package guard
+package ingress
 
 import (
 	"bufio"
@@ -11,8 +11,8 @@
 	"testing/synctest"
 	"time"
 
-	"rowanshunt/internal/foundation"
-	"rowanshunt/internal/wax"
+	"rowanshunt/internal/config"
+	"rowanshunt/internal/logging"
 )
 
 // pipes is a listener over in-memory connections.
@@ -40,9 +40,9 @@
 	return near
 }
 
-func blueprint(t *testing.T, caps string) *foundation.Blueprint {
+func blueprint(t *testing.T, caps string) *config.Blueprint {
 	t.Helper()
-	b, err := foundation.Parse([]byte(`{"ver":1,"routes":[],"svcs":[],"caps":` + caps + `}`))
+	b, err := config.Parse([]byte(`{"ver":1,"routes":[],"svcs":[],"caps":` + caps + `}`))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -54,7 +54,7 @@
 func TestWaits(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		caps := blueprint(t, `{"hdr_ms":3000,"idle_ms":15000}`)
-		g := &Guard{Blueprint: func() *foundation.Blueprint { return caps }, Log: wax.Quiet(), Limits: Limits{HdrMs: 5000, IdleMs: 60000}}
+		g := &Guard{Blueprint: func() *config.Blueprint { return caps }, Log: logging.Quiet(), Limits: Limits{HdrMs: 5000, IdleMs: 60000}}
 		p := newPipes()
 		s := newServer(p, Opening{Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(204) }), Limits: Limits{MaxConns: 100}, Waits: g.Waits})
 		go func() { _ = s.Run() }()
@@ -90,7 +90,7 @@
 
 func TestCaps(t *testing.T) {
 	caps := blueprint(t, `{"hdr_bytes":400,"idle_ms":15000}`)
-	g := &Guard{Blueprint: func() *foundation.Blueprint { return caps }, Log: wax.Quiet()}
+	g := &Guard{Blueprint: func() *config.Blueprint { return caps }, Log: logging.Quiet()}
 	h := Chain(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(204) }), g.lastCircuit(), g.noPanic(), g.capped())
 	ask := func(pad int) *httptest.ResponseRecorder {
 		r := httptest.NewRequest("GET", "/x", nil)
--- a/internal/guard/idle_test.go
+++ b/internal/ingress/idle_test.go
@@ -1,4 +1,4 @@
-package guard
+package ingress
 
 import (
 	"bufio"
@@ -8,8 +8,8 @@
 	"testing/synctest"
 	"time"
 
-	"rowanshunt/internal/foundation"
-	"rowanshunt/internal/wax"
+	"rowanshunt/internal/config"
+	"rowanshunt/internal/logging"
 )
 
 // A client is not cut before the time that it was last told, also where a
@@ -19,7 +19,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		long, short := blueprint(t, `{"hdr_ms":3000,"idle_ms":15000}`), blueprint(t, `{"hdr_ms":3000,"idle_ms":4000}`)
 		caps := long
-		g := &Guard{Blueprint: func() *foundation.Blueprint { return caps }, Log: wax.Quiet(), Limits: Limits{HdrMs: 5000, IdleMs: 60000}}
+		g := &Guard{Blueprint: func() *config.Blueprint { return caps }, Log: logging.Quiet(), Limits: Limits{HdrMs: 5000, IdleMs: 60000}}
 		changes := false
 		h := Chain(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 			if changes {
--- a/internal/guard/quota.go
+++ b/internal/ingress/quota.go
@@ -1,4 +1,4 @@
-package guard
+package ingress
 
 import (
 	"context"
@@ -8,19 +8,19 @@
 
 	"github.com/julienschmidt/httprouter"
 
-	"rowanshunt/internal/nectar"
-	"rowanshunt/internal/wax"
+	"rowanshunt/internal/fault"
+	"rowanshunt/internal/quota"
 )
 
 // PutQuotasCommand is an operator's new quota document (design 17.1).
 type PutQuotasCommand struct {
-	Doc    *nectar.Doc
+	Doc    *quota.Doc
 	Expect int64
 }
 
 // Run commits the document.
 func (p *PutQuotasCommand) Run(ctx context.Context, c *Control) (Reply, error) {
-	if err := nectar.Put(ctx, c.Nest.Change, p.Doc, p.Expect); err != nil {
+	if err := quota.Put(ctx, c.Nest.Change, p.Doc, p.Expect); err != nil {
 		return Reply{}, err
 	}
 	c.Log.Info("quotas_taken", "ver", p.Doc.Ver)
@@ -36,9 +36,9 @@
 	if err != nil {
 		return Reply{}, err
 	}
-	d := nectar.Load(s)
+	d := quota.Load(s)
 	if d == nil {
-		return Reply{}, wax.New(wax.Unknown, "quotas", "none are set", "set some with hive quota set")
+		return Reply{}, fault.New(fault.Unknown, "quotas", "none are set", "set some with rowanshunt quota set")
 	}
 	return Reply{Status: http.StatusOK, Body: d.JSON()}, nil
 }
@@ -52,8 +52,8 @@
 	if err != nil {
 		return Reply{}, err
 	}
-	if d := nectar.Load(s); d != nil && c.Nectar.RulesVer() < d.Ver {
-		return Reply{}, wax.New(wax.Declined, "quotas", "the newest document is not in force here yet", "ask again")
+	if d := quota.Load(s); d != nil && c.Nectar.RulesVer() < d.Ver {
+		return Reply{}, fault.New(fault.Declined, "quotas", "the newest document is not in force here yet", "ask again")
 	}
 	rows, err := c.Nectar.Explain(ctx, e.Tenant)
 	if err != nil {
@@ -64,17 +64,17 @@
 }
 
 func decodeQuotas(r *http.Request, _ httprouter.Params) (Command, error) {
-	raw, err := readAll(r, nectar.MaxBytes)
+	raw, err := readAll(r, quota.MaxBytes)
 	if err != nil {
 		return nil, err
 	}
-	d, err := nectar.ParseJSON(raw)
+	d, err := quota.ParseJSON(raw)
 	if err != nil {
 		return nil, err
 	}
 	expect, err := strconv.ParseInt(r.Header.Get("If-Match"), 10, 64)
 	if err != nil || expect < 0 {
-		return nil, wax.New(wax.Invalid, "If-Match", "holds no version", "give the version it builds on, 0 for the first")
+		return nil, fault.New(fault.Invalid, "If-Match", "holds no version", "give the version it builds on, 0 for the first")
 	}
 	return &PutQuotasCommand{Doc: d, Expect: expect}, nil
 }
--- a/internal/guard/routes.go
+++ b/internal/ingress/routes.go
@@ -1,4 +1,4 @@
-package guard
+package ingress
 
 import (
 	"context"
@@ -7,8 +7,8 @@
 
 	"github.com/julienschmidt/httprouter"
 
-	"rowanshunt/internal/flora"
-	"rowanshunt/internal/trail"
+	"rowanshunt/internal/discovery"
+	"rowanshunt/internal/trace"
 )
 
 // Contact is what a control call needs before it is answered with anything but
@@ -65,7 +65,7 @@
 			return &UpgradeStatusCommand{Svc: ps.ByName("svc")}, nil
 		}},
 		{http.MethodGet, "/-/trail/:kind/:id", ContactConfirmed, func(r *http.Request, ps httprouter.Params) (Command, error) {
-			return &TrailCommand{Ask: trail.Ask{Kind: ps.ByName("kind"), ID: ps.ByName("id"), Host: r.URL.Query().Get("host")}}, nil
+			return &TrailCommand{Ask: trace.Ask{Kind: ps.ByName("kind"), ID: ps.ByName("id"), Host: r.URL.Query().Get("host")}}, nil
 		}},
 		{http.MethodPut, "/-/quotas", ContactWrite, decodeQuotas},
 		{http.MethodGet, "/-/quotas", ContactRead, func(*http.Request, httprouter.Params) (Command, error) { return QuotasCommand{}, nil }},
@@ -80,7 +80,7 @@
 }
 
 func decodeGone(_ *http.Request, ps httprouter.Params) (Command, error) {
-	return &BeatCommand{Worker: flora.Worker{ID: ps.ByName("id"), Gone: true}}, nil
+	return &BeatCommand{Worker: discovery.Worker{ID: ps.ByName("id"), Gone: true}}, nil
 }
 
 // Times of a control call. Callers leave for another node after a second of
--- a/internal/guard/routes_test.go
+++ b/internal/ingress/routes_test.go
@@ -1,4 +1,4 @@
-package guard
+package ingress
 
 import (
 	"fmt"
--- a/internal/guard/upgrade.go
+++ b/internal/ingress/upgrade.go
@@ -1,4 +1,4 @@
-package guard
+package ingress
 
 import (
 	"context"
@@ -7,9 +7,9 @@
 
 	"github.com/julienschmidt/httprouter"
 
-	"rowanshunt/internal/buzz"
-	"rowanshunt/internal/moult"
-	"rowanshunt/internal/wax"
+	"rowanshunt/internal/events"
+	"rowanshunt/internal/fault"
+	"rowanshunt/internal/upgrade"
 )
 
 // UpgradeCommand is an operator's call about a model upgrade (design 13.4).
@@ -17,12 +17,12 @@
 	Svc   string
 	Act   string // start, pause, resume, undo
 	To    int64
-	Rules moult.Rules
+	Rules upgrade.Rules
 }
 
 // Run carries the call out and answers the upgrade as it stands.
 func (u *UpgradeCommand) Run(ctx context.Context, c *Control) (Reply, error) {
-	var now *moult.Upgrade
+	var now *upgrade.Upgrade
 	var err error
 	switch u.Act {
 	case "start":
@@ -34,7 +34,7 @@
 	case "undo":
 		now, err = c.Moult.Undo(ctx, u.Svc)
 	default:
-		err = wax.New(wax.Unknown, u.Act, "is nothing an upgrade can do", "use start, pause, resume or undo")
+		err = fault.New(fault.Unknown, u.Act, "is nothing an upgrade can do", "use start, pause, resume or undo")
 	}
 	if err != nil {
 		return Reply{}, err
@@ -43,7 +43,7 @@
 	if err != nil {
 		return Reply{}, err
 	}
-	c.Buzz.Emit(buzz.UpgradeChanged, u.Svc, map[string]any{"act": u.Act, "phase": now.Phase, "to": now.To})
+	c.Buzz.Emit(events.UpgradeChanged, u.Svc, map[string]any{"act": u.Act, "phase": now.Phase, "to": now.To})
 	c.Log.Info("upgrade_told", "service", u.Svc, "act", u.Act, "phase", now.Phase)
 	return Reply{Status: http.StatusOK, Body: body}, nil
 }
@@ -57,7 +57,7 @@
 	if err != nil {
 		return Reply{}, err
 	}
-	now, err := moult.Status(s, u.Svc)
+	now, err := upgrade.Status(s, u.Svc)
 	if err != nil {
 		return Reply{}, err
 	}
@@ -66,7 +66,7 @@
 }
 
 func decodeUpgrade(r *http.Request, ps httprouter.Params) (Command, error) {
-	u := &UpgradeCommand{Svc: ps.ByName("svc"), Act: ps.ByName("act"), Rules: moult.DefaultRules()}
+	u := &UpgradeCommand{Svc: ps.ByName("svc"), Act: ps.ByName("act"), Rules: upgrade.DefaultRules()}
 	raw, err := readAll(r, maxBeat)
 	if err != nil {
 		return nil, err
@@ -75,11 +75,11 @@
 		return u, nil
 	}
 	doc := struct {
-		To    int64        `json:"to"`
-		Rules *moult.Rules `json:"rules"`
+		To    int64          `json:"to"`
+		Rules *upgrade.Rules `json:"rules"`
 	}{Rules: &u.Rules}
 	if err := json.Unmarshal(raw, &doc); err != nil {
-		return nil, wax.New(wax.Invalid, "upgrade", err.Error(), "send a JSON object with to and rules")
+		return nil, fault.New(fault.Invalid, "upgrade", err.Error(), "send a JSON object with to and rules")
 	}
 	u.To = doc.To
 	return u, nil
--- a/internal/wax/log.go
+++ b/internal/logging/log.go
@@ -1,4 +1,4 @@
-package wax
+package logging
 
 import (
 	"io"
--- a/internal/brood/api.go
+++ b/internal/lotstore/api.go
@@ -1,4 +1,4 @@
-package brood
+package lotstore
 
 import (
 	"context"
@@ -17,8 +17,9 @@
 	"github.com/zeebo/xxh3"
 	"golang.org/x/sync/semaphore"
 
-	"rowanshunt/internal/foundation"
-	"rowanshunt/internal/wax"
+	"rowanshunt/internal/config"
+	"rowanshunt/internal/fault"
+	"rowanshunt/internal/logging"
 )
 
 // admitMs is how long a hand-in may wait for permits.
@@ -44,13 +45,13 @@
 // API is the lots' side of a node that serves clients.
 type API struct {
 	Client    *Client
-	Blueprint func() *foundation.Blueprint
+	Blueprint func() *config.Blueprint
 	WallUs    func() int64 // notes when a lot came: nothing is decided by it
 	Decline   func(w http.ResponseWriter, status int, afterMs int64, why string)
 	// Admit are the bytes of bodies that may be in hand at a time.
 	Admit      *semaphore.Weighted
 	AdmitBytes int64
-	Log        *wax.Log
+	Log        *logging.Log
 }
 
 type lotDoc struct {
@@ -70,15 +71,15 @@
 func ParseLot(raw []byte, wallUs int64) ([]Prompt, error) {
 	var doc lotDoc
 	if err := json.Unmarshal(raw, &doc); err != nil {
-		return nil, wax.New(wax.Invalid, "lot", err.Error(), "send one JSON object with reqs")
+		return nil, fault.New(fault.Invalid, "lot", err.Error(), "send one JSON object with reqs")
 	}
 	if len(doc.Reqs) == 0 {
-		return nil, wax.New(wax.Invalid, "reqs", "is missing or empty", "hand in at least one item")
+		return nil, fault.New(fault.Invalid, "reqs", "is missing or empty", "hand in at least one item")
 	}
 	if len(doc.Reqs) > MaxItems {
-		return nil, wax.New(wax.Invalid, "reqs", "holds more than 200 items", "hand in several lots")
+		return nil, fault.New(fault.Invalid, "reqs", "holds more than 200 items", "hand in several lots")
 	}
-	var l wax.Ledger
+	var l fault.Ledger
 	seen := map[string]bool{}
 	out := make([]Prompt, 0, len(doc.Reqs))
 	for i, q := range doc.Reqs {
@@ -153,7 +154,7 @@
 }
 
 // Hand takes a lot in.
-func (a *API) Hand(w http.ResponseWriter, r *http.Request, binding *foundation.Binding, id string, maxBytes int64, leftMs int64) {
+func (a *API) Hand(w http.ResponseWriter, r *http.Request, binding *config.Binding, id string, maxBytes int64, leftMs int64) {
 	if r.ContentLength > maxBytes {
 		http.Error(w, "the lot is too large", http.StatusRequestEntityTooLarge)
 		return
@@ -191,7 +192,7 @@
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
-	lot := &Lot{ID: id, Host: foundation.HostKey(r.Host), Path: r.URL.Path, Binding: binding.Name, SentUs: wallUs, DueMs: binding.DueMs,
+	lot := &Lot{ID: id, Host: config.HostKey(r.Host), Path: r.URL.Path, Binding: binding.Name, SentUs: wallUs, DueMs: binding.DueMs,
 		RetainMs: int64(binding.RetainS * 1000), Tries: binding.Tries, Prompts: prompts, Digest: digestOf(prompts)}
 	if lot.RetainMs <= 0 {
 		lot.RetainMs = max(10*binding.DueMs, 60_000)
@@ -222,9 +223,9 @@
 		w.WriteHeader(http.StatusAccepted)
 	case err == nil:
 		a.Decline(w, http.StatusTooManyRequests, out.AfterMs, "the lot does not fit into the backlog")
-	case wax.Is(err, wax.Declined) || wax.Is(err, wax.Unreached):
+	case fault.Is(err, fault.Declined) || fault.Is(err, fault.Unreached):
 		a.Decline(w, http.StatusServiceUnavailable, 300, err.Error())
-	case wax.Is(err, wax.Invalid):
+	case fault.Is(err, fault.Invalid):
 		http.Error(w, err.Error(), http.StatusBadRequest)
 	default:
 		http.Error(w, err.Error(), http.StatusGatewayTimeout)
@@ -285,7 +286,7 @@
 	switch {
 	case err == nil:
 		return false
-	case wax.Is(err, wax.Unknown):
+	case fault.Is(err, fault.Unknown):
 		http.Error(w, err.Error(), http.StatusNotFound)
 	default:
 		a.Decline(w, http.StatusServiceUnavailable, 200, err.Error())
@@ -314,7 +315,7 @@
 	defer cancel()
 	shardN := ShardOf(r.Host)
 	err := a.Client.Call(ctx, shardN, "brood.end", &endCall{Shard: shardN, Lot: ps.ByName("id")}, nil, 700*time.Millisecond)
-	if wax.Is(err, wax.Unsure) {
+	if fault.Is(err, fault.Unsure) {
 		// It may have been ended: 503 would promise that it was not.
 		http.Error(w, err.Error(), http.StatusGatewayTimeout)
 		return
--- a/internal/brood/brood.go
+++ b/internal/lotstore/brood.go
@@ -1,4 +1,4 @@
-package brood
+package lotstore
 
 import (
 	"context"
@@ -7,13 +7,14 @@
 	"strconv"
 	"time"
 
-	"rowanshunt/internal/cell"
-	"rowanshunt/internal/foundation"
-	"rowanshunt/internal/nest"
-	"rowanshunt/internal/pollen"
-	"rowanshunt/internal/swarm"
-	"rowanshunt/internal/waggle"
-	"rowanshunt/internal/wax"
+	"rowanshunt/internal/config"
+	"rowanshunt/internal/eventloop"
+	"rowanshunt/internal/fault"
+	"rowanshunt/internal/gossip"
+	"rowanshunt/internal/logging"
+	"rowanshunt/internal/register"
+	"rowanshunt/internal/rpc"
+	"rowanshunt/internal/wal"
 )
 
 // Options of the queue; the source's figures are in docs/paper.md, these are
@@ -33,22 +34,22 @@
 
 // Config is what a brood is made of.
 type Config struct {
-	Floor     *waggle.Floor
-	Desk      *pollen.Desk
-	Mesh      pollen.Mesh
-	Swarm     *swarm.Swarm
-	Log       *wax.Log
-	Self      swarm.Partner
+	Floor     *eventloop.Floor
+	Desk      *rpc.Desk
+	Mesh      rpc.Mesh
+	Swarm     *gossip.Swarm
+	Log       *logging.Log
+	Self      gossip.Partner
 	Seat      string
 	Dir       string
 	DiskBytes int64
-	State     func() *nest.State // newest committed
-	Change    func(context.Context, nest.Change) (*nest.State, error)
+	State     func() *register.State // newest committed
+	Change    func(context.Context, register.Change) (*register.State, error)
 	Fatal     func(error)
 	Options   Options
 	Spared    int
 	// Lost asks the members which of the suspects a majority of them has lost.
-	Lost func(ctx context.Context, members, suspects []nest.Seat, forUs int64) map[string]bool
+	Lost func(ctx context.Context, members, suspects []register.Seat, forUs int64) map[string]bool
 	// SyncUs is how soon a replica that is back must hold all copies again.
 	SyncUs int64
 }
@@ -59,13 +60,13 @@
 	cfg          Config
 	ctx          context.Context
 	shards       [Shards]*shard
-	cell         *cell.Cell
+	cell         *wal.Cell
 	longBytes    int64
 	minLongBytes int64
 	startUs      int64
 	rosterVer    uint64
 	rosterUs     int64
-	setsOf       *[Shards]nest.Roster
+	setsOf       *[Shards]register.Roster
 	setsVer      uint64
 	cache        []cached
 	takers       []*taker
@@ -78,7 +79,7 @@
 	slowness     slowness
 	need         rosterNeed
 	diskRefuses  bool
-	cellOptions  []cell.Option
+	cellOptions  []wal.Option
 }
 
 type cached struct {
@@ -89,7 +90,7 @@
 
 // Open reads the store's disk and joins the queue.
 func Open(ctx context.Context, cfg Config) (*Brood, error) {
-	b := &Brood{cfg: cfg, ctx: ctx, startUs: waggle.NowUs()}
+	b := &Brood{cfg: cfg, ctx: ctx, startUs: eventloop.NowUs()}
 	b.minLongBytes = max(cfg.DiskBytes/4, 16<<20)
 	b.longBytes = b.minLongBytes
 	if err := b.openReplica(cfg.Dir); err != nil {
@@ -97,18 +98,18 @@
 	}
 	context.AfterFunc(ctx, b.cell.Close)
 	d := cfg.Desk
-	pollen.On(d, "brood.claim", b.onClaim)
-	pollen.On(d, clockKind, b.onClock)
-	pollen.On(d, "brood.fetch", b.onFetch)
-	pollen.On(d, "brood.write", b.onWrite)
-	pollen.On(d, "brood.hand", b.onHand)
-	pollen.On(d, "brood.read", b.onRead)
-	pollen.On(d, "brood.body", b.onBody)
-	pollen.On(d, "brood.end", b.onEnd)
-	pollen.On(d, "brood.take", b.onTake)
-	pollen.On(d, "brood.give", b.onGive)
-	pollen.On(d, "brood.ack", b.onAck)
-	pollen.On(d, "brood.owned", b.onOwned)
+	rpc.On(d, "brood.claim", b.onClaim)
+	rpc.On(d, clockKind, b.onClock)
+	rpc.On(d, "brood.fetch", b.onFetch)
+	rpc.On(d, "brood.write", b.onWrite)
+	rpc.On(d, "brood.hand", b.onHand)
+	rpc.On(d, "brood.read", b.onRead)
+	rpc.On(d, "brood.body", b.onBody)
+	rpc.On(d, "brood.end", b.onEnd)
+	rpc.On(d, "brood.take", b.onTake)
+	rpc.On(d, "brood.give", b.onGive)
+	rpc.On(d, "brood.ack", b.onAck)
+	rpc.On(d, "brood.owned", b.onOwned)
 	cfg.Floor.Every(tickUs, b.tick)
 	cfg.Floor.Every(cfg.Options.PollUs, b.poll)
 	return b, nil
@@ -117,7 +118,7 @@
 // ShardOf cuts lots by the host they are handed in under.
 func ShardOf(host string) int {
 	h := fnv.New32a()
-	_, _ = h.Write([]byte(foundation.HostKey(host)))
+	_, _ = h.Write([]byte(config.HostKey(host)))
 	return int(h.Sum32() % Shards)
 }
 
@@ -126,17 +127,17 @@
 
 // replicasOf is the roster of one shard: 2·ft+1 of the stores bear the loss of
 // ft, however many stores there are (design 8.1).
-func replicasOf(r *nest.Roster, shardN, spared int) nest.Roster {
+func replicasOf(r *register.Roster, shardN, spared int) register.Roster {
 	return r.Replicas("replica/"+strconv.Itoa(shardN), 2*spared+1)
 }
 
 // Mates are the stores that share a shard with a seat: the ones it must know
 // closely, however many others there are.
-func Mates(r *nest.Roster, seat string, spared int) map[string]bool {
+func Mates(r *register.Roster, seat string, spared int) map[string]bool {
 	out := map[string]bool{}
 	for n := range Shards {
 		set := replicasOf(r, n, spared)
-		if all := set.All(); slices.ContainsFunc(all, func(s nest.Seat) bool { return s.ID == seat }) {
+		if all := set.All(); slices.ContainsFunc(all, func(s register.Seat) bool { return s.ID == seat }) {
 			for _, s := range all {
 				out[s.Name] = true
 			}
@@ -147,9 +148,9 @@
 
 // sets gives the shards' rosters under the newest state, worked out once for
 // each roster.
-func (b *Brood) sets(st *nest.State) *[Shards]nest.Roster {
+func (b *Brood) sets(st *register.State) *[Shards]register.Roster {
 	if b.setsOf == nil || b.setsVer != st.Stores.Ver {
-		b.setsOf, b.setsVer = &[Shards]nest.Roster{}, st.Stores.Ver
+		b.setsOf, b.setsVer = &[Shards]register.Roster{}, st.Stores.Ver
 		for n := range b.setsOf {
 			b.setsOf[n] = replicasOf(&st.Stores, n, b.cfg.Spared)
 		}
@@ -160,7 +161,7 @@
 // shedMoved lets go of the lots of shards that a settled roster keeps
 // elsewhere: a majority of their own replicas has them, and every later claim
 // goes by this roster or one that follows it.
-func (b *Brood) shedMoved(st *nest.State) {
+func (b *Brood) shedMoved(st *register.State) {
 	if st.Stores.Joint() || len(st.Stores.Cur) == 0 {
 		return
 	}
@@ -179,27 +180,27 @@
 }
 
 func (b *Brood) tick() {
-	if b.slowness.beat(waggle.NowUs(), tickUs) {
+	if b.slowness.beat(eventloop.NowUs(), tickUs) {
 		b.cfg.Log.Info("store_slow", "slow", b.slowness.slow, "late_ms", int64(b.slowness.meanUs)/1000)
 		b.tellSlow()
 	}
 	b.diskTick()
 	if st := b.cfg.State(); st != nil && st.Stores.Ver != b.rosterVer {
-		b.rosterVer, b.rosterUs = st.Stores.Ver, waggle.NowUs()
+		b.rosterVer, b.rosterUs = st.Stores.Ver, eventloop.NowUs()
 	}
 	b.claimTick()
 	if st := b.cfg.State(); st != nil {
 		b.shedMoved(st)
 	}
 	b.rosterTick()
-	b.clockTick(waggle.NowUs())
+	b.clockTick(eventloop.NowUs())
 	b.expireWaiting()
 }
 
 // own gives the shard if this node may serve it.
 func (b *Brood) own(shardN int) (*shard, error) {
 	if shardN < 0 || shardN >= Shards {
-		return nil, wax.New(wax.Invalid, "shard", "is out of bounds", "run the same version on all nodes")
+		return nil, fault.New(fault.Invalid, "shard", "is out of bounds", "run the same version on all nodes")
 	}
 	s := b.shards[shardN]
 	if s.owner == nil {
@@ -207,10 +208,10 @@
 		if node == b.cfg.Self.Name {
 			node = ""
 		}
-		return nil, wax.New(wax.NotOwner, node, "this store does not own the shard", "ask the owner")
+		return nil, fault.New(fault.NotOwner, node, "this store does not own the shard", "ask the owner")
 	}
 	if !s.owner.ready {
-		return nil, wax.New(wax.Declined, "shard", "is being taken over", "ask again")
+		return nil, fault.New(fault.Declined, "shard", "is being taken over", "ask again")
 	}
 	return s, b.behind()
 }
@@ -239,7 +240,7 @@
 
 // onHand accepts a lot: on disk at a majority before the answer (design 8.4).
 func (b *Brood) onHand(ctx context.Context, in *handCall) (*handAnswer, error) {
-	startUs := waggle.NowUs()
+	startUs := eventloop.NowUs()
 	return answered(ctx, b.cfg.Floor, func(reply func(*handAnswer, error)) {
 		s, err := b.own(in.Shard)
 		if err != nil {
@@ -247,7 +248,7 @@
 			return
 		}
 		if in.Lot == nil || in.Lot.ID == "" || len(in.Lot.Prompts) == 0 && !in.Offer {
-			reply(nil, wax.New(wax.Invalid, "lot", "is empty", "hand in at least one item"))
+			reply(nil, fault.New(fault.Invalid, "lot", "is empty", "hand in at least one item"))
 			return
 		}
 		old := s.lots[in.Lot.ID]
@@ -264,8 +265,8 @@
 			b.issue(s, op{Kind: opNone}, func(err error) { reply(&handAnswer{AfterMs: maxAfterMs}, err) })
 			return
 		}
-		if in.LeftUs > 0 && waggle.NowUs()-startUs > in.LeftUs {
-			reply(nil, wax.New(wax.Declined, "lot", "its caller no longer waits", "hand it in again"))
+		if in.LeftUs > 0 && eventloop.NowUs()-startUs > in.LeftUs {
+			reply(nil, fault.New(fault.Declined, "lot", "its caller no longer waits", "hand it in again"))
 			return
 		}
 		l := in.Lot
@@ -275,7 +276,7 @@
 		if old != nil {
 			rev = old.Rev + 1
 		}
-		nowUs := waggle.NowUs()
+		nowUs := eventloop.NowUs()
 		if in.Backlog > 0 {
 			openToks := s.owner.keptRoom(l.Binding, l.ID, nowUs)
 			for _, other := range s.lots {
@@ -322,7 +323,7 @@
 		reply(out, nil)
 		return
 	}
-	l := &Lot{ID: in.Lot.ID, Host: in.Lot.Host, Binding: in.Lot.Binding, SentUs: in.Lot.SentUs, RetainMs: in.Lot.RetainMs, Ended: true, BornUs: s.clock.now(waggle.NowUs())}
+	l := &Lot{ID: in.Lot.ID, Host: in.Lot.Host, Binding: in.Lot.Binding, SentUs: in.Lot.SentUs, RetainMs: in.Lot.RetainMs, Ended: true, BornUs: s.clock.now(eventloop.NowUs())}
 	rev := uint64(1)
 	if old != nil {
 		rev = old.Rev + 1
@@ -375,7 +376,7 @@
 		}
 		l := s.lots[in.Lot]
 		if l != nil && l.taken && in.StartAt >= int64(l.seenLen) && in.WaitUs > 0 && !(l.closed() && l.seenLen == len(l.List)) {
-			b.readers = append(b.readers, &reader{s: s, in: in, untilUs: waggle.NowUs() + in.WaitUs, reply: reply})
+			b.readers = append(b.readers, &reader{s: s, in: in, untilUs: eventloop.NowUs() + in.WaitUs, reply: reply})
 			return
 		}
 		b.confirmRead(s, in, reply)
@@ -384,7 +385,7 @@
 
 func (b *Brood) confirmRead(s *shard, in *readCall, reply func(*readAnswer, error)) {
 	if s.owner == nil {
-		reply(nil, wax.New(wax.Unsure, "shard", "changed hands meanwhile", "ask again"))
+		reply(nil, fault.New(fault.Unsure, "shard", "changed hands meanwhile", "ask again"))
 		return
 	}
 	ageUs := int64(readAgeUs)
@@ -398,7 +399,7 @@
 		}
 		l := s.lots[in.Lot]
 		if l == nil || !l.taken {
-			reply(nil, wax.New(wax.Unknown, in.Lot, "no such lot", "check the id"))
+			reply(nil, fault.New(fault.Unknown, in.Lot, "no such lot", "check the id"))
 			return
 		}
 		reply(l.read(in.StartAt, in.MaxBytes), nil)
@@ -467,7 +468,7 @@
 			case err != nil:
 				reply(nil, err)
 			case l == nil || !l.taken || at < 0 || l.Ended || l.listed[at]:
-				reply(nil, wax.New(wax.Unknown, in.Item, "no such item, or it is listed", "read the lot"))
+				reply(nil, fault.New(fault.Unknown, in.Item, "no such item, or it is listed", "read the lot"))
 			default:
 				reply(&bodyAnswer{Body: l.Prompts[at].Body}, nil)
 			}
@@ -482,8 +483,8 @@
 
 // onEnd ends a lot for its client; dispatchers that have items of it are told
 // to stop.
-func (b *Brood) onEnd(ctx context.Context, in *endCall) (*pollen.Nothing, error) {
-	return answered(ctx, b.cfg.Floor, func(reply func(*pollen.Nothing, error)) {
+func (b *Brood) onEnd(ctx context.Context, in *endCall) (*rpc.Nothing, error) {
+	return answered(ctx, b.cfg.Floor, func(reply func(*rpc.Nothing, error)) {
 		s, err := b.own(in.Shard)
 		if err != nil {
 			reply(nil, err)
@@ -493,9 +494,9 @@
 		if l == nil || l.Ended {
 			b.issue(s, op{Kind: opNone}, func(err error) {
 				if err == nil && (l == nil || l.refused()) {
-					err = wax.New(wax.Unknown, in.Lot, "no such lot", "check the id")
+					err = fault.New(fault.Unknown, in.Lot, "no such lot", "check the id")
 				}
-				reply(&pollen.Nothing{}, err)
+				reply(&rpc.Nothing{}, err)
 			})
 			return
 		}
@@ -505,9 +506,9 @@
 				if got := s.lots[in.Lot]; got != nil {
 					got.endSeen = true
 				}
-				b.wakeReaders(waggle.NowUs())
+				b.wakeReaders(eventloop.NowUs())
 			}
-			reply(&pollen.Nothing{}, err)
+			reply(&rpc.Nothing{}, err)
 		})
 	})
 }
@@ -537,13 +538,13 @@
 }
 
 // Written tells what this store wrote since it started.
-func (b *Brood) Written() cell.Written { return b.cell.Written() }
+func (b *Brood) Written() wal.Written { return b.cell.Written() }
 
 // Owns tells whether this store serves the lots of a host now.
 func (b *Brood) Owns(host string) bool {
 	ctx, cancel := context.WithTimeout(b.ctx, time.Second)
 	defer cancel()
-	owns, err := waggle.Ask(ctx, b.cfg.Floor, func() bool {
+	owns, err := eventloop.Ask(ctx, b.cfg.Floor, func() bool {
 		o := b.shards[ShardOf(host)].owner
 		return o != nil && o.ready
 	})
@@ -551,7 +552,7 @@
 }
 
 // Keeps tells whether this store is to hold copies of a host's lots.
-func (b *Brood) Keeps(st *nest.State, host string) bool {
+func (b *Brood) Keeps(st *register.State, host string) bool {
 	set := replicasOf(&st.Stores, ShardOf(host), b.cfg.Spared)
 	return set.Has(b.cfg.Seat)
 }
@@ -570,7 +571,7 @@
 
 // Trace tells what this store has of a lot, nil if nothing.
 func (b *Brood) Trace(ctx context.Context, host, lot string) (*Copy, error) {
-	return waggle.Ask(ctx, b.cfg.Floor, func() *Copy {
+	return eventloop.Ask(ctx, b.cfg.Floor, func() *Copy {
 		s := b.shards[ShardOf(host)]
 		l := s.lots[lot]
 		if l == nil {
--- a/internal/brood/client.go
+++ b/internal/lotstore/client.go
@@ -1,4 +1,4 @@
-package brood
+package lotstore
 
 import (
 	"context"
@@ -6,31 +6,31 @@
 	"sync"
 	"time"
 
-	"rowanshunt/internal/nest"
-	"rowanshunt/internal/pollen"
-	"rowanshunt/internal/swarm"
-	"rowanshunt/internal/tending"
-	"rowanshunt/internal/waggle"
-	"rowanshunt/internal/wax"
+	"rowanshunt/internal/eventloop"
+	"rowanshunt/internal/fault"
+	"rowanshunt/internal/gossip"
+	"rowanshunt/internal/register"
+	"rowanshunt/internal/rendezvous"
+	"rowanshunt/internal/rpc"
 )
 
 // Client finds the owners of shards for the nodes that serve clients.
 type Client struct {
-	mesh   pollen.Mesh
-	swarm  *swarm.Swarm
-	state  func() *nest.State
+	mesh   rpc.Mesh
+	swarm  *gossip.Swarm
+	state  func() *register.State
 	spared int
 	mu     sync.Mutex
 	hints  [Shards]string
 }
 
 // NewClient makes a client.
-func NewClient(mesh pollen.Mesh, sw *swarm.Swarm, state func() *nest.State, spared int) *Client {
+func NewClient(mesh rpc.Mesh, sw *gossip.Swarm, state func() *register.State, spared int) *Client {
 	return &Client{mesh: mesh, swarm: sw, state: state, spared: spared}
 }
 
 // Stores lists the living stores of the roster.
-func (c *Client) Stores() []swarm.Sighting {
+func (c *Client) Stores() []gossip.Sighting {
 	st := c.state()
 	if st == nil {
 		return nil
@@ -38,9 +38,9 @@
 	return c.living(&st.Stores)
 }
 
-func (c *Client) living(r *nest.Roster) []swarm.Sighting {
+func (c *Client) living(r *register.Roster) []gossip.Sighting {
 	v := c.swarm.Look()
-	var out []swarm.Sighting
+	var out []gossip.Sighting
 	for _, seat := range r.All() {
 		if p := v.Get(seat.Name); p != nil && p.Alive && p.Seat() == seat.ID {
 			out = append(out, *p)
@@ -71,7 +71,7 @@
 	if a, ok := byName[hint]; ok && attempt%3 != 2 {
 		return hint, a
 	}
-	rank := tending.Rank("shard/"+strconv.Itoa(shardN), names)
+	rank := rendezvous.Rank("shard/"+strconv.Itoa(shardN), names)
 	name = rank[attempt%len(rank)]
 	return name, byName[name]
 }
@@ -89,13 +89,13 @@
 	for attempt := 0; ; attempt++ {
 		if ctx.Err() != nil {
 			if unsure {
-				return wax.New(wax.Unsure, "shard", "no clear answer in time", "ask again")
+				return fault.New(fault.Unsure, "shard", "no clear answer in time", "ask again")
 			}
-			return wax.New(wax.Declined, "shard", "its owner was not found in time", "ask again")
+			return fault.New(fault.Declined, "shard", "its owner was not found in time", "ask again")
 		}
 		name, addr := c.candidate(shardN, attempt)
 		if name == "" {
-			waggle.Pause(ctx, 100*time.Millisecond)
+			eventloop.Pause(ctx, 100*time.Millisecond)
 			continue
 		}
 		callCtx, cancel := context.WithTimeout(ctx, each)
@@ -105,13 +105,13 @@
 			c.hint(shardN, name)
 			return nil
 		}
-		switch wax.KindOf(err) {
-		case wax.NotOwner:
+		switch fault.KindOf(err) {
+		case fault.NotOwner:
 			c.hint(shardN, fieldOf(err))
-		case wax.Unreached:
+		case fault.Unreached:
 			c.hint(shardN, "")
-		case wax.Declined:
-		case wax.Unsure, wax.Internal:
+		case fault.Declined:
+		case fault.Unsure, fault.Internal:
 			unsure = true
 			if m, ok := in.(interface{ markUnsure() }); ok {
 				m.markUnsure() // the next owner settles what became of it
@@ -120,12 +120,12 @@
 		default:
 			return err
 		}
-		waggle.Pause(ctx, 30*time.Millisecond)
+		eventloop.Pause(ctx, 30*time.Millisecond)
 	}
 }
 
 func fieldOf(err error) string {
-	if f, ok := err.(*wax.Fault); ok {
+	if f, ok := err.(*fault.Fault); ok {
 		return f.Field
 	}
 	return ""
--- a/internal/brood/clock.go
+++ b/internal/lotstore/clock.go
@@ -1,12 +1,12 @@
-package brood
+package lotstore
 
 import (
 	"context"
 
 	"github.com/go-faster/errors"
 
-	"rowanshunt/internal/waggle"
-	"rowanshunt/internal/wax"
+	"rowanshunt/internal/eventloop"
+	"rowanshunt/internal/fault"
 )
 
 // clockValue is a value of a shard's clock and the owner that it is of.
@@ -145,7 +145,7 @@
 			reply(nil, err)
 			return
 		}
-		value := s.clock.value(waggle.NowUs())
+		value := s.clock.value(eventloop.NowUs())
 		reply(&value, nil)
 	})
 }
@@ -163,8 +163,8 @@
 	}
 	out := clockValue{}
 	err := b.cfg.Mesh.Call(ctx, addr, clockKind, in, &out)
-	var fault *wax.Fault
-	if errors.As(err, &fault) && fault.Kind == wax.Declined && fault.Field == clockKind {
+	var faultValue *fault.Fault
+	if errors.As(err, &faultValue) && faultValue.Kind == fault.Declined && faultValue.Field == clockKind {
 		return clockValue{}, nil
 	}
 	return out, err
--- a/internal/brood/clock_test.go
+++ b/internal/lotstore/clock_test.go
@@ -1,4 +1,4 @@
-package brood
+package lotstore
 
 import (
 	"context"
@@ -8,8 +8,8 @@
 	"testing/synctest"
 	"time"
 
-	"rowanshunt/internal/nest"
-	"rowanshunt/internal/waggle"
+	"rowanshunt/internal/eventloop"
+	"rowanshunt/internal/register"
 )
 
 // seenLot is a lot that a majority took, with its place and the true time.
@@ -85,7 +85,7 @@
 	stamp := Stamp{Roster: 1, N: n, By: "s/1"}
 	s.promised = stamp
 	b.persist(&record{Shard: 0, Promise: &stamp}, func() {})
-	b.install(s, stamp, nest.Roster{Ver: 1, Cur: []nest.Seat{{ID: "s", Name: "s"}}}, nil, clock)
+	b.install(s, stamp, register.Roster{Ver: 1, Cur: []register.Seat{{ID: "s", Name: "s"}}}, nil, clock)
 	return s
 }
 
@@ -111,20 +111,20 @@
 				n++
 				s = owned(b, n, clockValue{})
 				if life == 0 {
-					l := &Lot{ID: "l", SentUs: 1, RetainMs: 40_000, Prompts: make([]Prompt, 1), BornUs: s.clock.now(waggle.NowUs())}
+					l := &Lot{ID: "l", SentUs: 1, RetainMs: 40_000, Prompts: make([]Prompt, 1), BornUs: s.clock.now(eventloop.NowUs())}
 					l.index()
 					b.issue(s, op{Kind: opPut, Lot: "l", Rev: 1, Whole: l}, func(error) {})
 				}
 			})
 			for range 50 {
 				time.Sleep(100 * time.Millisecond)
-				do(func() { b.clockTick(waggle.NowUs()) })
+				do(func() { b.clockTick(eventloop.NowUs()) })
 			}
 			if life == 2 {
 				do(b.rewrite)
 			}
 			do(func() {
-				got := s.ageUs(s.lots["l"], waggle.NowUs())
+				got := s.ageUs(s.lots["l"], eventloop.NowUs())
 				// A sudden end loses what was not saved on the disk.
 				least := age + 5*second - clockSaveUs - clockEveryUs
 				if got > age+5*second+1 || got < least {
@@ -168,7 +168,7 @@
 			apply(b.shards[0].lots, &put)
 			s = owned(b, 2, clockValue{Stamp: before, Us: 7_000_000_000})
 			for id, l := range s.lots {
-				if age := s.ageUs(l, waggle.NowUs()); age != 0 || l.BornUs < 7_000_000_000 {
+				if age := s.ageUs(l, eventloop.NowUs()); age != 0 || l.BornUs < 7_000_000_000 {
 					t.Errorf("%s: taken over at the age of %d us", id, age)
 				}
 			}
--- a/internal/brood/disk_test.go
+++ b/internal/lotstore/disk_test.go
@@ -1,4 +1,4 @@
-package brood
+package lotstore
 
 import (
 	"context"
@@ -8,19 +8,20 @@
 	"testing/synctest"
 	"time"
 
-	"rowanshunt/internal/cell"
-	"rowanshunt/internal/waggle"
-	"rowanshunt/internal/wax"
+	"rowanshunt/internal/eventloop"
+	"rowanshunt/internal/fault"
+	"rowanshunt/internal/logging"
+	"rowanshunt/internal/wal"
 )
 
 // storeWithDisk is a store whose disk's syncs are up to the test.
 func storeWithDisk(t *testing.T, dir string, sync func() error) *Brood {
 	t.Helper()
-	b := &Brood{cfg: Config{Floor: waggle.NewFloor(256), Log: wax.Quiet(), Seat: "s", Dir: dir, DiskBytes: 64 << 20, Options: Defaults(),
+	b := &Brood{cfg: Config{Floor: eventloop.NewFloor(256), Log: logging.Quiet(), Seat: "s", Dir: dir, DiskBytes: 64 << 20, Options: Defaults(),
 		Fatal: func(err error) { t.Errorf("the store would end: %v", err) }}, ctx: t.Context()}
 	b.minLongBytes, b.longBytes = 1<<20, 1<<20
-	b.cellOptions = []cell.Option{cell.Interpose(func(s cell.Step) error {
-		if s == cell.StepSync {
+	b.cellOptions = []wal.Option{wal.Interpose(func(s wal.Step) error {
+		if s == wal.StepSync {
 			return sync()
 		}
 		return nil
@@ -62,13 +63,13 @@
 			t.Error("a claim was promised that is on no disk")
 		}
 		for n := uint64(3); n < 6; n++ {
-			if err := claim(n); !wax.Is(err, wax.Declined) {
+			if err := claim(n); !fault.Is(err, fault.Declined) {
 				t.Errorf("claim %d of a store that takes no writes: %v", n, err)
 			}
 		}
 		callCtx, cancel := context.WithTimeout(ctx, time.Second)
 		defer cancel()
-		if _, err := b.onWrite(callCtx, &writeCall{Seat: "s", Shard: 0, Stamp: Stamp{Roster: 1, N: 9, By: "o/1"}}); !wax.Is(err, wax.Declined) {
+		if _, err := b.onWrite(callCtx, &writeCall{Seat: "s", Shard: 0, Stamp: Stamp{Roster: 1, N: 9, By: "o/1"}}); !fault.Is(err, fault.Declined) {
 			t.Errorf("a write to a store that takes none: %v", err)
 		}
 		full.Store(false)
@@ -131,7 +132,7 @@
 		b.append(func() {}, make([]byte, maxWaitingBytes+1))
 		callCtx, cancel := context.WithTimeout(ctx, time.Second)
 		defer cancel()
-		if _, err := b.onClaim(callCtx, claim); !wax.Is(err, wax.Declined) {
+		if _, err := b.onClaim(callCtx, claim); !fault.Is(err, fault.Declined) {
 			t.Errorf("a call with much waiting for the disk: %v", err)
 		}
 		close(release)
--- a/internal/brood/dispatch.go
+++ b/internal/lotstore/dispatch.go
@@ -1,12 +1,12 @@
-package brood
+package lotstore
 
 import (
 	"context"
 	"slices"
 	"sort"
 
-	"rowanshunt/internal/waggle"
-	"rowanshunt/internal/wax"
+	"rowanshunt/internal/eventloop"
+	"rowanshunt/internal/fault"
 )
 
 // The dispatcher's side of the queue, after the paper: a poller moves due
@@ -69,7 +69,7 @@
 // poll moves due prompts into the send cache, the lots due first first, and
 // gives up what is past its time.
 func (b *Brood) poll() {
-	nowUs := waggle.NowUs()
+	nowUs := eventloop.NowUs()
 	type due struct {
 		c     cached
 		dueUs int64 // until its lot is due
@@ -155,7 +155,7 @@
 func (b *Brood) serveTakers() {
 	for i := 0; i < len(b.takers) && len(b.cache) > 0; {
 		t := b.takers[i]
-		if waggle.NowUs() >= t.untilUs {
+		if eventloop.NowUs() >= t.untilUs {
 			return // answered empty by the next tick
 		}
 		if !b.claimTo(i) {
@@ -171,7 +171,7 @@
 // within 400 ms. Else it is asked, and the takers are served when it answers.
 func (b *Brood) leads(s *shard) bool {
 	o := s.owner
-	if waggle.NowUs()-o.quorumUs(b.cfg.Seat) <= leadUs {
+	if eventloop.NowUs()-o.quorumUs(b.cfg.Seat) <= leadUs {
 		return true
 	}
 	if !o.confirming {
@@ -190,7 +190,7 @@
 // once the checkpoint with the leases is on disk at a majority (design 8.7).
 func (b *Brood) claimTo(at int) bool {
 	t := b.takers[at]
-	nowUs := waggle.NowUs()
+	nowUs := eventloop.NowUs()
 	var out []Given
 	type lotRows struct {
 		s    *shard
@@ -273,7 +273,7 @@
 // on the way and ends (design 8.7).
 func (b *Brood) onTake(ctx context.Context, in *TakeCall) (*TakeAnswer, error) {
 	return answered(ctx, b.cfg.Floor, func(reply func(*TakeAnswer, error)) {
-		nowUs := waggle.NowUs()
+		nowUs := eventloop.NowUs()
 		t := &taker{call: in, stop: b.reclaim(in.From, in.Held), untilUs: nowUs + in.WaitUs, reply: reply}
 		if in.LeftUs > 0 {
 			t.untilUs = min(t.untilUs, nowUs+in.LeftUs-min(claimLeadUs, in.LeftUs/4))
@@ -313,7 +313,7 @@
 	})
 	for _, n := range out.Shards {
 		if b.shards[n].owner == nil {
-			confirmed(wax.New(wax.Unsure, "shard", "changed hands meanwhile", "ask again"))
+			confirmed(fault.New(fault.Unsure, "shard", "changed hands meanwhile", "ask again"))
 			continue
 		}
 		b.confirm(b.shards[n], leadUs, confirmed)
@@ -324,7 +324,7 @@
 // expireWaiting answers takers and readers whose wait is over, and takes
 // prompts back from dispatchers that are gone.
 func (b *Brood) expireWaiting() {
-	nowUs := waggle.NowUs()
+	nowUs := eventloop.NowUs()
 	var due []*taker
 	keep := b.takers[:0]
 	for _, t := range b.takers {
--- a/internal/brood/earlier_test.go
+++ b/internal/lotstore/earlier_test.go
@@ -1,4 +1,4 @@
-package brood
+package lotstore
 
 import (
 	"reflect"
@@ -6,9 +6,9 @@
 
 	"github.com/vmihailenco/msgpack/v5"
 
-	"rowanshunt/internal/cell"
 	"rowanshunt/internal/codec"
-	"rowanshunt/internal/nest"
+	"rowanshunt/internal/register"
+	"rowanshunt/internal/wal"
 )
 
 // The records as they were before lots had cursor rows, offsets and packed texts.
@@ -52,7 +52,7 @@
 func TestReadsTheEarlierVersion(t *testing.T) {
 	dir := t.TempDir()
 	st := Stamp{Roster: 1, N: 3, By: "s/1"}
-	c, _, err := cell.Open(dir, "brood.cell", func([]byte) error { return nil })
+	c, _, err := wal.Open(dir, "brood.cell", func([]byte) error { return nil })
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -87,8 +87,8 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	var seat nest.Seat
-	if err := msgpack.Unmarshal(raw, &seat); err != nil || seat != (nest.Seat{ID: "a#1", Name: "a", Addr: "x"}) {
+	var seat register.Seat
+	if err := msgpack.Unmarshal(raw, &seat); err != nil || seat != (register.Seat{ID: "a#1", Name: "a", Addr: "x"}) {
 		t.Errorf("a seat without a zone: %+v, %v", seat, err)
 	}
 }
@@ -101,7 +101,7 @@
 	lot := Lot{ID: "i", Host: "h", Path: "p", Binding: "b", SentUs: 1, DueMs: 2, RetainMs: 3, Tries: 4, Prompts: []Prompt{{ID: "q", Hdrs: []string{"k", "v"}, Toks: 5}},
 		List: []Result{res}, Ended: true, Stamp: st, Rev: 6, Rows: rows, First: 7, Digest: [2]uint64{8, 9}, Refused: []uint64{10}, BornUs: 11}
 	o := op{Kind: opPut, Lot: "l", Stamp: st, Rev: 1, Src: st, Whole: &lot, Results: []Result{res}, Rows: []CursorAt{{Item: 1, Row: rows[0]}}, From: 2, Listed: 3, Ended: true, ClockUs: 12}
-	seat := nest.Seat{ID: "i", Name: "n", Addr: "a", Az: "z"}
+	seat := register.Seat{ID: "i", Name: "n", Addr: "a", Az: "z"}
 	for _, v := range []any{&res, &lot, &o, &seat} {
 		for i := range reflect.ValueOf(v).Elem().NumField() {
 			if f := reflect.TypeOf(v).Elem().Field(i); f.IsExported() && reflect.ValueOf(v).Elem().Field(i).IsZero() {
--- a/internal/brood/fuzz_test.go
+++ b/internal/lotstore/fuzz_test.go
@@ -1,11 +1,11 @@
-package brood
+package lotstore
 
 import (
 	"bytes"
 	"testing"
 
 	"rowanshunt/internal/codec"
-	"rowanshunt/internal/pollen"
+	"rowanshunt/internal/rpc"
 )
 
 // A lot is taken whole or not at all, and what is taken can be sent as it is.
@@ -60,7 +60,7 @@
 	f.Add(pack(put, &op{Kind: opCatch, Lot: "a", Rev: 9, From: 1, Listed: 44}, &op{Kind: opStamp, Lot: "a", Rev: 1}, &op{Kind: opDrop, Lot: "a"}))
 	f.Fuzz(func(t *testing.T, raw []byte) {
 		var ops []*op
-		if pollen.Unmarshal(raw, &ops) != nil || len(ops) > 50 {
+		if rpc.Unmarshal(raw, &ops) != nil || len(ops) > 50 {
 			return
 		}
 		lots := map[string]*Lot{}
@@ -99,7 +99,7 @@
 	f.Add([]byte{0xdd, 0xff, 0xff, 0xff, 0xff})
 	f.Fuzz(func(_ *testing.T, raw []byte) {
 		for _, v := range []any{&handCall{}, &handAnswer{}, &TakeCall{}, &TakeAnswer{}, &AckCall{}, &GiveCall{}, &claimCall{}, &claimAnswer{}, &writeCall{}, &writeAnswer{}, &readAnswer{}} {
-			_ = pollen.Unmarshal(raw, v)
+			_ = rpc.Unmarshal(raw, v)
 		}
 		for _, enc := range []uint8{plain, packed, 9} {
 			_, _ = Unpack(enc, raw, len(raw)*3)
--- a/internal/brood/leases.go
+++ b/internal/lotstore/leases.go
@@ -1,8 +1,8 @@
-package brood
+package lotstore
 
 import (
-	"rowanshunt/internal/waggle"
-	"rowanshunt/internal/wax"
+	"rowanshunt/internal/eventloop"
+	"rowanshunt/internal/fault"
 )
 
 // leaseUs is how long a lease runs: twice as long with each time sent.
@@ -28,7 +28,7 @@
 // one must stop. What the rows say it holds and it does not name was lost on
 // the way: that lease is over.
 func (b *Brood) reclaim(from string, held []Held) (stop []Held) {
-	nowUs := waggle.NowUs()
+	nowUs := eventloop.NowUs()
 	have := make(map[Held]bool, len(held))
 	for _, h := range held {
 		if h.Shard < 0 || h.Shard >= Shards || b.shards[h.Shard].owner == nil || !b.shards[h.Shard].owner.ready {
@@ -76,5 +76,5 @@
 
 // errLease is the answer to who comes under a lease that is over.
 func errLease(lot string) error {
-	return wax.New(wax.Stale, lot, "the lease is not the live one", "drop what was run under it")
+	return fault.New(fault.Stale, lot, "the lease is not the live one", "drop what was run under it")
 }
--- a/internal/brood/lot.go
+++ b/internal/lotstore/lot.go
@@ -1,8 +1,8 @@
-// Package brood keeps the lots on the stores: queue shards with a fenced owner
+// Package lotstore keeps the lots on the stores: queue shards with a fenced owner
 // each, durable prompts, positions and quota (design 8). The field's standard
 // terms: brood = replicated durable queue; lot = batch; prompt = message;
 // holding = queue; stamp = term; feed = replication stream.
-package brood
+package lotstore
 
 import (
 	"slices"
@@ -10,8 +10,8 @@
 	"github.com/vmihailenco/msgpack/v5"
 
 	"rowanshunt/internal/codec"
-	"rowanshunt/internal/nest"
-	"rowanshunt/internal/pollen"
+	"rowanshunt/internal/register"
+	"rowanshunt/internal/rpc"
 )
 
 // Stamp orders the owners of a shard: a newer roster first, then the count.
@@ -26,7 +26,7 @@
 	if a.Roster != b.Roster {
 		return a.Roster < b.Roster
 	}
-	return nest.Ballot{N: a.N, By: a.By}.Less(nest.Ballot{N: b.N, By: b.By})
+	return register.Ballot{N: a.N, By: a.By}.Less(register.Ballot{N: b.N, By: b.By})
 }
 
 // Prompt is the durable record of one item (design 8.4). Its times are of the
@@ -70,7 +70,7 @@
 
 // DecodeMsgpack reads results of earlier versions too.
 func (r *Result) DecodeMsgpack(d *msgpack.Decoder) error {
-	return pollen.Fields(d, &r.Item, &r.Phase, &r.Msg, &r.AckedUs, &r.Lease, &r.Why, &r.Enc, &r.RawBytes)
+	return rpc.Fields(d, &r.Item, &r.Phase, &r.Msg, &r.AckedUs, &r.Lease, &r.Why, &r.Enc, &r.RawBytes)
 }
 
 // Cursor is the cursor row of one prompt: who has it under which lease. It is
@@ -127,7 +127,7 @@
 
 // DecodeMsgpack reads lots of earlier versions too.
 func (l *Lot) DecodeMsgpack(d *msgpack.Decoder) error {
-	return pollen.Fields(d, &l.ID, &l.Host, &l.Path, &l.Binding, &l.SentUs, &l.DueMs, &l.RetainMs, &l.Tries, &l.Prompts, &l.List, &l.Ended,
+	return rpc.Fields(d, &l.ID, &l.Host, &l.Path, &l.Binding, &l.SentUs, &l.DueMs, &l.RetainMs, &l.Tries, &l.Prompts, &l.List, &l.Ended,
 		&l.Stamp, &l.Rev, &l.Rows, &l.First, &l.Digest, &l.Refused, &l.BornUs)
 }
 
@@ -220,7 +220,7 @@
 
 // DecodeMsgpack reads ops of earlier versions too.
 func (o *op) DecodeMsgpack(d *msgpack.Decoder) error {
-	return pollen.Fields(d, &o.Kind, &o.Lot, &o.Stamp, &o.Rev, &o.Src, &o.Whole, &o.Results, &o.Rows, &o.From, &o.Listed, &o.Ended, &o.ClockUs)
+	return rpc.Fields(d, &o.Kind, &o.Lot, &o.Stamp, &o.Rev, &o.Src, &o.Whole, &o.Results, &o.Rows, &o.From, &o.Listed, &o.Ended, &o.ClockUs)
 }
 
 // encoded is the op as it goes to disk and to every replica: made once.
--- a/internal/brood/lot_test.go
+++ b/internal/lotstore/lot_test.go
@@ -1,4 +1,4 @@
-package brood
+package lotstore
 
 import (
 	"fmt"
@@ -6,7 +6,7 @@
 	"strings"
 	"testing"
 
-	"rowanshunt/internal/wax"
+	"rowanshunt/internal/fault"
 )
 
 func TestParseLot(t *testing.T) {
@@ -32,7 +32,7 @@
 		{"no path", strings.Replace(`{"reqs":[`+item+`]}`, `/x/1`, `x`, 1), "reqs.0.path"},
 		{"a head that would smuggle", strings.Replace(`{"reqs":[`+item+`]}`, `"v"`, `"v\r\nX: y"`, 1), "reqs.0.hdrs"},
 	} {
-		if _, err := ParseLot([]byte(tc.doc), 5); !wax.Is(err, wax.Invalid) || !strings.Contains(err.Error(), tc.field) {
+		if _, err := ParseLot([]byte(tc.doc), 5); !fault.Is(err, fault.Invalid) || !strings.Contains(err.Error(), tc.field) {
 			t.Errorf("%s: %v", tc.name, err)
 		}
 	}
--- a/internal/brood/membership.go
+++ b/internal/lotstore/membership.go
@@ -1,4 +1,4 @@
-package brood
+package lotstore
 
 import (
 	"context"
@@ -6,9 +6,9 @@
 	"sort"
 	"time"
 
-	"rowanshunt/internal/nest"
-	"rowanshunt/internal/swarm"
-	"rowanshunt/internal/waggle"
+	"rowanshunt/internal/eventloop"
+	"rowanshunt/internal/gossip"
+	"rowanshunt/internal/register"
 )
 
 // Times of the stores' membership (design 8.6).
@@ -41,15 +41,15 @@
 		return
 	}
 	v := b.cfg.Swarm.Look()
-	nowUs := waggle.NowUs()
+	nowUs := eventloop.NowUs()
 	names := ""
-	for _, n := range v.Names(func(s *swarm.Sighting) bool { return s.Alive && s.Role == b.cfg.Self.Role }) {
+	for _, n := range v.Names(func(s *gossip.Sighting) bool { return s.Alive && s.Role == b.cfg.Self.Role }) {
 		names += n + " "
 	}
 	if names != b.lastNames {
 		b.lastNames, b.stableUs = names, nowUs
 	}
-	self := nest.SeatOf(&b.cfg.Self)
+	self := register.SeatOf(&b.cfg.Self)
 	switch {
 	case len(st.Stores.Cur) == 0:
 		if nowUs-b.stableUs > foundStableUs && nowUs-b.startUs > foundAfterUs {
@@ -65,34 +65,34 @@
 }
 
 // foundRoster proposes the first roster.
-func (b *Brood) foundRoster(v *swarm.View) {
-	b.changeRoster("stores_founded", nil, func(now *nest.State, _ map[string]bool) (*nest.State, error) {
+func (b *Brood) foundRoster(v *gossip.View) {
+	b.changeRoster("stores_founded", nil, func(now *register.State, _ map[string]bool) (*register.State, error) {
 		if len(now.Stores.Cur) > 0 {
 			return nil, nil
 		}
-		var first []nest.Seat
+		var first []register.Seat
 		for _, p := range v.All {
 			if p.Alive && p.Role == b.cfg.Self.Role && p.Disk != "" {
-				first = append(first, nest.SeatOf(&p.Partner))
+				first = append(first, register.SeatOf(&p.Partner))
 			}
 		}
 		sort.Slice(first, func(i, j int) bool { return first[i].ID < first[j].ID })
-		now.Stores = nest.Roster{Ver: now.Stores.Ver + 1, Cur: first}
+		now.Stores = register.Roster{Ver: now.Stores.Ver + 1, Cur: first}
 		return now, nil
 	})
 }
 
 // joinRoster proposes the roster that takes this store in.
-func (b *Brood) joinRoster(st *nest.State, self nest.Seat, v *swarm.View) {
-	var unmet []nest.Seat
-	if waggle.NowUs()-b.startUs >= judgeUs {
-		unmet = nest.Unmet(&st.Stores, v)
+func (b *Brood) joinRoster(st *register.State, self register.Seat, v *gossip.View) {
+	var unmet []register.Seat
+	if eventloop.NowUs()-b.startUs >= judgeUs {
+		unmet = register.Unmet(&st.Stores, v)
 	}
-	b.changeRoster("store_joining", &suspicion{members: st.Stores.Cur, suspects: unmet}, func(now *nest.State, lost map[string]bool) (*nest.State, error) {
+	b.changeRoster("store_joining", &suspicion{members: st.Stores.Cur, suspects: unmet}, func(now *register.State, lost map[string]bool) (*register.State, error) {
 		if now.Stores.Joint() || now.Stores.Has(self.ID) || retiring(now, self.ID) {
 			return nil, nil
 		}
-		next := nest.NextSeats(&now.Stores, self, b.cfg.Swarm.Look(), waggle.NowUs()-b.startUs, maxStores, lost)
+		next := register.NextSeats(&now.Stores, self, b.cfg.Swarm.Look(), eventloop.NowUs()-b.startUs, maxStores, lost)
 		if next == nil {
 			return nil, nil
 		}
@@ -102,7 +102,7 @@
 }
 
 // keepRoster drives what the roster needs when it is this store's turn.
-func (b *Brood) keepRoster(st *nest.State, v *swarm.View, nowUs int64) {
+func (b *Brood) keepRoster(st *register.State, v *gossip.View, nowUs int64) {
 	leaver, asked := b.leaver(st, v, nowUs-b.startUs)
 	if !st.Stores.Joint() && leaver == "" {
 		b.need = rosterNeed{}
@@ -111,32 +111,32 @@
 	if b.need.sinceUs == 0 || b.need.rosterVer != st.Stores.Ver {
 		b.need = rosterNeed{rosterVer: st.Stores.Ver, sinceUs: nowUs}
 	}
-	if nowUs-b.need.sinceUs < nest.TurnUs(st.Stores.Cur, b.cfg.Seat, v) {
+	if nowUs-b.need.sinceUs < register.TurnUs(st.Stores.Cur, b.cfg.Seat, v) {
 		return
 	}
 	if st.Stores.Joint() {
 		b.settleRoster(st)
 		return
 	}
-	b.changeRoster("store_leaving", asked, func(now *nest.State, lost map[string]bool) (*nest.State, error) {
+	b.changeRoster("store_leaving", asked, func(now *register.State, lost map[string]bool) (*register.State, error) {
 		if now.Stores.Ver != st.Stores.Ver || now.Stores.Joint() || asked != nil && !lost[leaver] {
 			return nil, nil
 		}
-		now.Stores = now.Stores.Begin(slices.DeleteFunc(slices.Clone(now.Stores.Cur), func(t nest.Seat) bool { return t.ID == leaver }))
+		now.Stores = now.Stores.Begin(slices.DeleteFunc(slices.Clone(now.Stores.Cur), func(t register.Seat) bool { return t.ID == leaver }))
 		return now, nil
 	})
 }
 
 // suspicion is what a majority of the members must confirm before a change.
 type suspicion struct {
-	members  []nest.Seat
-	suspects []nest.Seat
+	members  []register.Seat
+	suspects []register.Seat
 	forUs    int64
 }
 
 // leaver is a seat that is to leave, "" if none is. One that retires, or that
 // says it leaves, needs no confirmation; silence does.
-func (b *Brood) leaver(st *nest.State, v *swarm.View, upUs int64) (id string, asked *suspicion) {
+func (b *Brood) leaver(st *register.State, v *gossip.View, upUs int64) (id string, asked *suspicion) {
 	members := st.Stores.Cur
 	if len(members) <= 2*b.cfg.Spared+1 {
 		return "", nil
@@ -148,8 +148,8 @@
 		}
 	}
 	for _, s := range members {
-		if nest.LongSilent(s, v, upUs) {
-			return s.ID, &suspicion{members: members, suspects: []nest.Seat{s}, forUs: nest.GoneForDropUs - dropSlackUs}
+		if register.LongSilent(s, v, upUs) {
+			return s.ID, &suspicion{members: members, suspects: []register.Seat{s}, forUs: register.GoneForDropUs - dropSlackUs}
 		}
 	}
 	return "", nil
@@ -157,7 +157,7 @@
 
 // changeRoster commits a change beside the floor, once it was asked what a
 // majority has lost.
-func (b *Brood) changeRoster(event string, asked *suspicion, change func(now *nest.State, lost map[string]bool) (*nest.State, error)) {
+func (b *Brood) changeRoster(event string, asked *suspicion, change func(now *register.State, lost map[string]bool) (*register.State, error)) {
 	b.rostering = true
 	go func() {
 		ctx, cancel := context.WithTimeout(b.ctx, changeTimeout)
@@ -173,7 +173,7 @@
 			return
 		}
 		begun := false
-		st, err := b.cfg.Change(ctx, func(now *nest.State) (*nest.State, error) {
+		st, err := b.cfg.Change(ctx, func(now *register.State) (*register.State, error) {
 			next, err := change(now, lost)
 			begun = next != nil
 			return next, err
@@ -197,7 +197,7 @@
 // onOwned lists the shards that this store owns under a roster and whose
 // copies are at all seats of its current set that count.
 func (b *Brood) onOwned(ctx context.Context, in *ownedCall) (*ownedAnswer, error) {
-	return waggle.Ask(ctx, b.cfg.Floor, func() *ownedAnswer {
+	return eventloop.Ask(ctx, b.cfg.Floor, func() *ownedAnswer {
 		out := &ownedAnswer{}
 		st := b.cfg.State()
 		if st == nil || st.Stores.Ver != in.Roster {
@@ -225,7 +225,7 @@
 		}
 		// A machine that came back with another disk is not that seat: it joins
 		// anew once this change is settled.
-		if b.reaches(v, f.seat) || takesAway && !nest.Gone(f.seat, v, nest.GoneForDropUs, waggle.NowUs()-b.startUs) {
+		if b.reaches(v, f.seat) || takesAway && !register.Gone(f.seat, v, register.GoneForDropUs, eventloop.NowUs()-b.startUs) {
 			return false
 		}
 	}
@@ -234,24 +234,24 @@
 
 // onlyTakesAway tells whether a change brings no store in. Its shards' sets may
 // well bring in stores that are new to a shard.
-func onlyTakesAway(r *nest.Roster) bool {
-	return r.Joint() && !slices.ContainsFunc(r.Cur, func(t nest.Seat) bool { return !hasSeat(r.Prev, t.ID) })
+func onlyTakesAway(r *register.Roster) bool {
+	return r.Joint() && !slices.ContainsFunc(r.Cur, func(t register.Seat) bool { return !hasSeat(r.Prev, t.ID) })
 }
 
 // reaches tells whether a seat's holder lives and has answered this store within
 // the last while: a store whose link to one other is cut does not hold a change
 // up for ever.
-func (b *Brood) reaches(v *swarm.View, seat nest.Seat) bool {
+func (b *Brood) reaches(v *gossip.View, seat register.Seat) bool {
 	p := v.Get(seat.Name)
-	return p != nil && p.Alive && p.Seat() == seat.ID && waggle.NowUs()-max(p.MetUs, p.SinceUs) < unreachedUs
+	return p != nil && p.Alive && p.Seat() == seat.ID && eventloop.NowUs()-max(p.MetUs, p.SinceUs) < unreachedUs
 }
 
-func hasSeat(seats []nest.Seat, id string) bool {
-	return slices.ContainsFunc(seats, func(s nest.Seat) bool { return s.ID == id })
+func hasSeat(seats []register.Seat, id string) bool {
+	return slices.ContainsFunc(seats, func(s register.Seat) bool { return s.ID == id })
 }
 
 // settleRoster ends a change once every shard is owned under it.
-func (b *Brood) settleRoster(st *nest.State) {
+func (b *Brood) settleRoster(st *register.State) {
 	b.rostering = true
 	go func() {
 		ctx, cancel := context.WithTimeout(b.ctx, changeTimeout)
@@ -260,7 +260,7 @@
 		if !b.allOwned(ctx, st) {
 			return
 		}
-		_, err := b.cfg.Change(ctx, func(now *nest.State) (*nest.State, error) {
+		_, err := b.cfg.Change(ctx, func(now *register.State) (*register.State, error) {
 			if now.Stores.Ver != st.Stores.Ver || !now.Stores.Joint() {
 				return nil, nil
 			}
@@ -275,7 +275,7 @@
 
 // allOwned asks the stores which shards they own under this roster, all at once:
 // some of them may be silent.
-func (b *Brood) allOwned(ctx context.Context, st *nest.State) bool {
+func (b *Brood) allOwned(ctx context.Context, st *register.State) bool {
 	answers := make(chan []int, len(st.Stores.Cur))
 	for _, seat := range st.Stores.Cur {
 		go func() {
--- a/internal/brood/outcomes.go
+++ b/internal/lotstore/outcomes.go
@@ -1,11 +1,11 @@
-package brood
+package lotstore
 
 import (
 	"context"
 
-	"rowanshunt/internal/pollen"
-	"rowanshunt/internal/waggle"
-	"rowanshunt/internal/wax"
+	"rowanshunt/internal/eventloop"
+	"rowanshunt/internal/fault"
+	"rowanshunt/internal/rpc"
 )
 
 // GiveCall hands a prompt back under its lease: unplaced, or after a failed
@@ -22,16 +22,16 @@
 // onGive frees a lease; only a failed attempt charges the item's tries. It is
 // answered once the checkpoint with the row is committed, and again the same
 // way if it is resent (design 8.7).
-func (b *Brood) onGive(ctx context.Context, in *GiveCall) (*pollen.Nothing, error) {
-	return answered(ctx, b.cfg.Floor, func(reply func(*pollen.Nothing, error)) {
+func (b *Brood) onGive(ctx context.Context, in *GiveCall) (*rpc.Nothing, error) {
+	return answered(ctx, b.cfg.Floor, func(reply func(*rpc.Nothing, error)) {
 		s, l, p, err := b.prompt(in.Shard, in.Lot, in.Item)
 		if err != nil {
 			reply(nil, err)
 			return
 		}
-		nowUs := waggle.NowUs()
+		nowUs := eventloop.NowUs()
 		row := l.Rows[in.Item]
-		done := func(err error) { reply(&pollen.Nothing{}, err) }
+		done := func(err error) { reply(&rpc.Nothing{}, err) }
 		switch {
 		case l.Ended, l.listed[in.Item] && l.leaseOf(in.Item) == in.Lease, in.Lease != 0 && row.Freed == in.Lease:
 			b.issue(s, op{Kind: opNone}, done)
@@ -62,7 +62,7 @@
 	}
 	l := s.lots[lot]
 	if l == nil || l.live == nil || item < 0 || item >= len(l.Prompts) {
-		return nil, nil, nil, wax.New(wax.Unknown, lot, "no such item", "drop it")
+		return nil, nil, nil, fault.New(fault.Unknown, lot, "no such item", "drop it")
 	}
 	return s, l, &l.live.at[item], nil
 }
@@ -80,18 +80,18 @@
 	RawBytes int
 }
 
-func (b *Brood) onAck(ctx context.Context, in *AckCall) (*pollen.Nothing, error) {
-	return answered(ctx, b.cfg.Floor, func(reply func(*pollen.Nothing, error)) {
+func (b *Brood) onAck(ctx context.Context, in *AckCall) (*rpc.Nothing, error) {
+	return answered(ctx, b.cfg.Floor, func(reply func(*rpc.Nothing, error)) {
 		s, l, _, err := b.prompt(in.Shard, in.Lot, in.Item)
 		if err != nil {
 			reply(nil, err)
 			return
 		}
 		if in.Phase != PhaseDone && in.Phase != PhaseGaveUp {
-			reply(nil, wax.New(wax.Invalid, "phase", "is neither done nor gave_up", "run the same version on all nodes"))
+			reply(nil, fault.New(fault.Invalid, "phase", "is neither done nor gave_up", "run the same version on all nodes"))
 			return
 		}
-		done := func(err error) { reply(&pollen.Nothing{}, err) }
+		done := func(err error) { reply(&rpc.Nothing{}, err) }
 		switch {
 		case l.Ended:
 			done(nil)
@@ -99,7 +99,7 @@
 			// Sent again: the first answer, once the first is safe. The lease
 			// stands beside the result, so a new owner knows it too.
 			b.issue(s, op{Kind: opNone}, done)
-		case l.listed[in.Item] || !l.leased(in.Item, in.Lease, waggle.NowUs()):
+		case l.listed[in.Item] || !l.leased(in.Item, in.Lease, eventloop.NowUs()):
 			reply(nil, errLease(in.Lot))
 		default:
 			r := Result{Item: in.Item, Phase: in.Phase, Msg: in.Msg, Lease: in.Lease, Enc: in.Enc, RawBytes: in.RawBytes}
@@ -114,14 +114,14 @@
 // list puts a result at the next position; readers see it once a majority has
 // it.
 func (b *Brood) list(s *shard, l *Lot, r Result, then func(error)) {
-	r.AckedUs = s.clock.now(waggle.NowUs())
+	r.AckedUs = s.clock.now(eventloop.NowUs())
 	id, at := l.ID, len(l.List)+1
-	s.owner.pace.done(l.Prompts[r.Item].Toks, waggle.NowUs())
+	s.owner.pace.done(l.Prompts[r.Item].Toks, eventloop.NowUs())
 	b.issue(s, op{Kind: opAppend, Lot: id, Rev: l.Rev + 1, Results: []Result{r}}, func(err error) {
 		if err == nil {
 			if got := s.lots[id]; got != nil {
 				got.seenLen = max(got.seenLen, at)
-				b.wakeReaders(waggle.NowUs())
+				b.wakeReaders(eventloop.NowUs())
 			}
 		}
 		if then != nil {
