--- a/internal/brood/owner.go
+++ b/internal/lotstore/owner.go
@@ -1,4 +1,4 @@
-package brood
+package lotstore
 
 import (
 	"context"
@@ -8,11 +8,11 @@
 	"sync"
 	"time"
 
-	"rowanshunt/internal/nest"
-	"rowanshunt/internal/swarm"
-	"rowanshunt/internal/tending"
-	"rowanshunt/internal/waggle"
-	"rowanshunt/internal/wax"
+	"rowanshunt/internal/eventloop"
+	"rowanshunt/internal/fault"
+	"rowanshunt/internal/gossip"
+	"rowanshunt/internal/register"
+	"rowanshunt/internal/rendezvous"
 )
 
 // Times of ownership (design 8.2).
@@ -41,7 +41,7 @@
 // owner is what the node that owns a shard keeps of it.
 type owner struct {
 	stamp  Stamp
-	roster nest.Roster
+	roster register.Roster
 	seq    uint64 // of the last op
 	waits  []wait
 	feeds  map[string]*feed
@@ -92,7 +92,7 @@
 // quorumUs is the moment up to which a majority has confirmed this owner: no
 // other can have been let in before it (design 8.8).
 func (o *owner) quorumUs(self string) int64 {
-	nowUs := waggle.NowUs()
+	nowUs := eventloop.NowUs()
 	times := []int64{}
 	for _, t := range o.heardUs {
 		times = append(times, t)
@@ -130,7 +130,7 @@
 
 // feed brings one replica what the owner did, in order.
 type feed struct {
-	seat   nest.Seat
+	seat   register.Seat
 	acked  uint64
 	cold   bool // must be compared and mended before ops fit
 	busy   bool
@@ -154,7 +154,7 @@
 		}
 		return
 	}
-	nowUs := waggle.NowUs()
+	nowUs := eventloop.NowUs()
 	v := b.cfg.Swarm.Look()
 	reach, fit := map[string]bool{}, map[string]bool{}
 	for _, seat := range st.Stores.All() {
@@ -184,7 +184,7 @@
 		if set.Joint() {
 			// One that is new to the shard has yet to be brought all its lots.
 			if old := slices.DeleteFunc(slices.Clone(names), func(name string) bool {
-				return !slices.ContainsFunc(set.Prev, func(t nest.Seat) bool { return t.Name == name && set.Has(t.ID) })
+				return !slices.ContainsFunc(set.Prev, func(t register.Seat) bool { return t.Name == name && set.Has(t.ID) })
 			}); len(old) > 0 {
 				names = old
 			}
@@ -205,7 +205,7 @@
 			continue
 		}
 		// A node that starts listens first, unless all replicas have answered it.
-		if nowUs-b.startUs < claimAfterUs && slices.ContainsFunc(set.All(), func(t nest.Seat) bool { return !reach[t.ID] }) {
+		if nowUs-b.startUs < claimAfterUs && slices.ContainsFunc(set.All(), func(t register.Seat) bool { return !reach[t.ID] }) {
 			continue
 		}
 		// Without a majority in reach a claim would only raise the fence against
@@ -220,7 +220,7 @@
 // fenceOf is the roster number that stamps carry. A change and its settling
 // share one: the settled set's majorities meet those of the change, so owners
 // need no new claim when a change settles (design 8.6).
-func fenceOf(r *nest.Roster) uint64 {
+func fenceOf(r *register.Roster) uint64 {
 	if r.Joint() {
 		return r.Ver
 	}
@@ -228,7 +228,7 @@
 }
 
 // settled drops the seats that a change has let go.
-func (b *Brood) settled(s *shard, r nest.Roster) {
+func (b *Brood) settled(s *shard, r register.Roster) {
 	o := s.owner
 	o.roster = r
 	for id := range o.feeds {
@@ -239,7 +239,7 @@
 	b.advance(s, o)
 }
 
-func retiring(st *nest.State, id string) bool {
+func retiring(st *register.State, id string) bool {
 	for _, r := range st.Retiring {
 		if r == id {
 			return true
@@ -248,9 +248,9 @@
 	return false
 }
 
-func (b *Brood) shouldOwn(s *shard, st *nest.State, v *swarm.View, names []string) bool {
+func (b *Brood) shouldOwn(s *shard, st *register.State, v *gossip.View, names []string) bool {
 	node := ownerName(s.promised.By)
-	holder := tending.Holder("shard/"+strconv.Itoa(s.n), names)
+	holder := rendezvous.Holder("shard/"+strconv.Itoa(s.n), names)
 	if s.promised.By == b.cfg.Self.Life() && !b.cfg.Self.Leaving && !retiring(st, b.cfg.Seat) && (!b.slowness.slow && !b.diskRefuses || slices.Contains(names, b.cfg.Self.Name)) {
 		return true
 	}
@@ -267,7 +267,7 @@
 			if s.promised.Roster == fenceOf(&st.Stores) {
 				return false
 			}
-			if waggle.NowUs()-b.rosterUs < claimAfterUs {
+			if eventloop.NowUs()-b.rosterUs < claimAfterUs {
 				return false
 			}
 		}
@@ -277,7 +277,7 @@
 
 // claim takes a shard over: a promise from a majority, the best copy of every
 // lot, and those copies brought to a majority before anything is served.
-func (b *Brood) claim(s *shard, st *nest.State) {
+func (b *Brood) claim(s *shard, st *register.State) {
 	s.claiming = true
 	if s.owner != nil {
 		b.depose(s, "new roster")
@@ -298,10 +298,10 @@
 	}()
 }
 
-func (b *Brood) runClaim(ctx context.Context, s *shard, stamp Stamp, roster nest.Roster) error {
+func (b *Brood) runClaim(ctx context.Context, s *shard, stamp Stamp, roster register.Roster) error {
 	seats := roster.All()
 	type reply struct {
-		seat  nest.Seat
+		seat  register.Seat
 		out   *claimAnswer
 		err   error
 		clock clockValue // of the shard at that replica, after its promise
@@ -328,7 +328,7 @@
 	}
 	agreed := map[string]bool{}
 	best := map[string]copyOf{}
-	holders := map[string]nest.Seat{}
+	holders := map[string]register.Seat{}
 	var higher *Stamp
 	clock := clockValue{}
 	for range seats {
@@ -363,16 +363,16 @@
 			if s.promised.Less(*higher) {
 				// Remembered so that its holder is left alone; the promise
 				// itself is not ours to make.
-				s.tryUs = waggle.NowUs() + claimPauseUs
+				s.tryUs = eventloop.NowUs() + claimPauseUs
 			}
 		})
 	}
 	if !agreed[b.cfg.Seat] || !roster.Quorum(agreed) {
-		return wax.New(wax.Declined, "shard", "no majority promised", "look which stores run")
+		return fault.New(fault.Declined, "shard", "no majority promised", "look which stores run")
 	}
 	// What an attempt before this one fetched counts, if it is still the best.
 	fetched := map[string]*Lot{}
-	if _, err := waggle.Ask(ctx, b.cfg.Floor, func() bool {
+	if _, err := eventloop.Ask(ctx, b.cfg.Floor, func() bool {
 		for id, l := range s.fetched {
 			if c, ok := best[id]; ok && l.Stamp == c.Stamp && l.Rev == c.Rev {
 				fetched[id] = l
@@ -388,7 +388,7 @@
 		_ = b.cfg.Floor.Do(b.ctx, func() { s.fetched = fetched })
 		return failed
 	}
-	_, err := waggle.Ask(ctx, b.cfg.Floor, func() bool {
+	_, err := eventloop.Ask(ctx, b.cfg.Floor, func() bool {
 		s.fetched = nil
 		if s.promised != stamp {
 			return false
@@ -402,13 +402,13 @@
 // remoteCopy is the best copy of a lot where another replica has it.
 type remoteCopy struct {
 	copy   copyOf
-	holder nest.Seat
+	holder register.Seat
 }
 
 // missingCopies lists the best copies that are neither here nor fetched yet. It
 // is complete before the first fetch starts, for fetches write to the map that
 // it reads.
-func missingCopies(best map[string]copyOf, holders map[string]nest.Seat, fetched map[string]*Lot, self string) []remoteCopy {
+func missingCopies(best map[string]copyOf, holders map[string]register.Seat, fetched map[string]*Lot, self string) []remoteCopy {
 	var missing []remoteCopy
 	for id, c := range best {
 		if holders[id].ID != self && fetched[id] == nil {
@@ -453,17 +453,17 @@
 		return nil, err
 	}
 	if lot.Stamp != m.copy.Stamp || lot.Rev != m.copy.Rev {
-		return nil, wax.New(wax.Stale, m.copy.Lot, "the copy changed meanwhile", "claim again")
+		return nil, fault.New(fault.Stale, m.copy.Lot, "the copy changed meanwhile", "claim again")
 	}
 	return lot, nil
 }
 
 // install makes this node the owner of what the claim found, the shard's clock
 // among it.
-func (b *Brood) install(s *shard, stamp Stamp, roster nest.Roster, fetched map[string]*Lot, clock clockValue) {
+func (b *Brood) install(s *shard, stamp Stamp, roster register.Roster, fetched map[string]*Lot, clock clockValue) {
 	o := &owner{stamp: stamp, roster: roster, feeds: map[string]*feed{}}
 	rec := &record{Shard: s.n}
-	nowUs := waggle.NowUs()
+	nowUs := eventloop.NowUs()
 	s.clock.start(stamp, nowUs, clock)
 	for id, l := range fetched {
 		placed := s.placeOnClock(l, nowUs)
@@ -501,7 +501,7 @@
 			o.feeds[seat.ID] = &feed{seat: seat, cold: true}
 		}
 	}
-	o.waits = append(o.waits, wait{1, waggle.NowUs(), func(err error) {
+	o.waits = append(o.waits, wait{1, eventloop.NowUs(), func(err error) {
 		if err != nil {
 			return
 		}
@@ -543,9 +543,9 @@
 	o.seq++
 	seq := o.seq
 	p.Stamp = o.stamp
-	o.clockSentUs = waggle.NowUs()
+	o.clockSentUs = eventloop.NowUs()
 	p.ClockUs = s.clock.now(o.clockSentUs)
-	o.waits = append(o.waits, wait{seq, waggle.NowUs(), then})
+	o.waits = append(o.waits, wait{seq, eventloop.NowUs(), then})
 	if p.Kind != opNone {
 		apply(s.lots, &p)
 		o.diskIssued = seq
@@ -608,7 +608,7 @@
 // confirm calls back once a majority is known to have had no other owner at a
 // moment at most ageUs ago.
 func (b *Brood) confirm(s *shard, ageUs int64, then func(error)) {
-	if waggle.NowUs()-s.owner.quorumUs(b.cfg.Seat) <= ageUs {
+	if eventloop.NowUs()-s.owner.quorumUs(b.cfg.Seat) <= ageUs {
 		then(nil)
 		return
 	}
@@ -647,7 +647,7 @@
 func (b *Brood) depose(s *shard, why string) {
 	o := s.owner
 	s.owner = nil
-	s.clock.stop(waggle.NowUs())
+	s.clock.stop(eventloop.NowUs())
 	// What was done here is in the copy that this node keeps as a replica: the
 	// disk must have it before anything that is built on it.
 	if len(o.unsaved) > 0 {
@@ -658,7 +658,7 @@
 	for _, l := range s.lots {
 		l.live = nil
 	}
-	fault := wax.New(wax.Unsure, "shard", "changed hands meanwhile", "ask again")
+	fault := fault.New(fault.Unsure, "shard", "changed hands meanwhile", "ask again")
 	for _, w := range o.waits {
 		w.then(fault)
 	}
@@ -682,7 +682,7 @@
 	upTo := f.lastQ - uint64(len(f.queue))
 	f.busy = true
 	call := &writeCall{Seat: f.seat.ID, Shard: s.n, Stamp: o.stamp, Ops: rawOps(batch)}
-	startUs := waggle.NowUs()
+	startUs := eventloop.NowUs()
 	go func() {
 		ctx, cancel := context.WithTimeout(b.ctx, writeTimeout)
 		defer cancel()
@@ -705,9 +705,9 @@
 				s.seenMax = max(s.seenMax, out.Promised.N)
 				b.depose(s, "a replica promised "+out.Promised.By)
 			default:
-				b.cfg.Log.Info("replica_behind", "shard", s.n, "replica", f.seat.Name, "misfit", out.Misfit, "waited_ms", (waggle.NowUs()-startUs)/1000, "queued", f.bytes, "err", err)
+				b.cfg.Log.Info("replica_behind", "shard", s.n, "replica", f.seat.Name, "misfit", out.Misfit, "waited_ms", (eventloop.NowUs()-startUs)/1000, "queued", f.bytes, "err", err)
 				f.cold, f.queue, f.bytes, f.synced = true, nil, 0, false
-				f.tryUs = waggle.NowUs()
+				f.tryUs = eventloop.NowUs()
 			}
 		})
 	}()
@@ -733,7 +733,7 @@
 		defer cancel()
 		callCtx, cancelCall := context.WithTimeout(ctx, claimTimeout)
 		out := &claimAnswer{}
-		startUs := waggle.NowUs()
+		startUs := eventloop.NowUs()
 		err := b.cfg.Mesh.Call(callCtx, b.addrOf(f.seat), "brood.claim", &claimCall{Seat: f.seat.ID, Shard: s.n, Stamp: o.stamp}, out)
 		cancelCall()
 		if err != nil || !out.OK {
@@ -748,7 +748,7 @@
 		}
 		var batches [][]op
 		var upTo uint64
-		ok, err := waggle.Ask(ctx, b.cfg.Floor, func() bool {
+		ok, err := eventloop.Ask(ctx, b.cfg.Floor, func() bool {
 			if s.owner != o {
 				return false
 			}
@@ -762,21 +762,21 @@
 		}
 		for i, batch := range batches {
 			batches[i] = nil
-			sentUs := waggle.NowUs()
+			sentUs := eventloop.NowUs()
 			writeCtx, cancelWrite := context.WithTimeout(ctx, 2*writeTimeout)
 			res := &writeAnswer{}
 			err = b.cfg.Mesh.Call(writeCtx, b.addrOf(f.seat), "brood.write", &writeCall{Seat: f.seat.ID, Shard: s.n, Stamp: o.stamp, Ops: rawOps(batch)}, res)
 			cancelWrite()
 			if err == nil && !res.OK {
-				err = wax.New(wax.Stale, "replica", "changed while it was mended", "")
+				err = fault.New(fault.Stale, "replica", "changed while it was mended", "")
 			}
 			if err != nil {
 				break
 			}
-			if i+1 < len(batches) && waggle.NowUs()-startUs < b.syncUs()/mendPacedShare {
+			if i+1 < len(batches) && eventloop.NowUs()-startUs < b.syncUs()/mendPacedShare {
 				// Half of the link's time is left to what is in use, unless the
 				// replica would be back too late for the next loss.
-				waggle.Pause(ctx, time.Duration(waggle.NowUs()-sentUs)*time.Microsecond)
+				eventloop.Pause(ctx, time.Duration(eventloop.NowUs()-sentUs)*time.Microsecond)
 			}
 		}
 		_ = b.cfg.Floor.Do(b.ctx, func() {
@@ -787,12 +787,12 @@
 			if err != nil {
 				b.cfg.Log.Info("replica_not_mended", "shard", s.n, "replica", f.seat.Name, "batches", len(batches), "err", err)
 				f.cold, f.queue, f.bytes = true, nil, 0
-				f.tryUs = waggle.NowUs()
+				f.tryUs = eventloop.NowUs()
 				return
 			}
 			f.acked, f.synced = max(f.acked, upTo), true
 			if len(batches) > 0 {
-				b.cfg.Log.Info("replica_mended", "shard", s.n, "replica", f.seat.Name, "batches", len(batches), "took_ms", (waggle.NowUs()-startUs)/1000)
+				b.cfg.Log.Info("replica_mended", "shard", s.n, "replica", f.seat.Name, "batches", len(batches), "took_ms", (eventloop.NowUs()-startUs)/1000)
 			}
 			o.heard(f.seat.ID, startUs)
 			b.advance(s, o)
@@ -861,7 +861,7 @@
 	return out
 }
 
-func (b *Brood) addrOf(seat nest.Seat) string {
+func (b *Brood) addrOf(seat register.Seat) string {
 	if p := b.cfg.Swarm.Look().Get(seat.Name); p != nil {
 		return p.Addr
 	}
--- a/internal/brood/owner_test.go
+++ b/internal/lotstore/owner_test.go
@@ -1,4 +1,4 @@
-package brood
+package lotstore
 
 import (
 	"context"
@@ -8,14 +8,14 @@
 	"testing/synctest"
 	"time"
 
-	"rowanshunt/internal/nest"
-	"rowanshunt/internal/waggle"
-	"rowanshunt/internal/wax"
+	"rowanshunt/internal/eventloop"
+	"rowanshunt/internal/logging"
+	"rowanshunt/internal/register"
 )
 
 // keeper is a store alone: its own majority.
 func keeper(t *testing.T, dir string) *Brood {
-	b := &Brood{cfg: Config{Floor: waggle.NewFloor(256), Log: wax.Quiet(), Seat: "s", Dir: dir, DiskBytes: 64 << 20, Options: Defaults(),
+	b := &Brood{cfg: Config{Floor: eventloop.NewFloor(256), Log: logging.Quiet(), Seat: "s", Dir: dir, DiskBytes: 64 << 20, Options: Defaults(),
 		Fatal: func(err error) { t.Errorf("fatal: %v", err) }}, ctx: t.Context()}
 	b.minLongBytes = 1 << 12
 	b.longBytes = b.minLongBytes
@@ -38,10 +38,10 @@
 			b := keeper(t, dir)
 			go b.cfg.Floor.Run(ctx)
 			s := b.shards[0]
-			seat := nest.Seat{ID: "s", Name: "s"}
+			seat := register.Seat{ID: "s", Name: "s"}
 			do := func(fn func()) {
 				// Waits for fn: both sides draw from rng.
-				if _, err := waggle.Ask(ctx, b.cfg.Floor, func() bool { fn(); return true }); err != nil {
+				if _, err := eventloop.Ask(ctx, b.cfg.Floor, func() bool { fn(); return true }); err != nil {
 					t.Fatal(err)
 				}
 				time.Sleep(time.Duration(rng.IntN(3)) * time.Millisecond)
@@ -52,7 +52,7 @@
 				st := Stamp{Roster: 1, N: n, By: "s/1"}
 				s.promised = st
 				b.persist(&record{Shard: 0, Promise: &st}, func() {})
-				b.install(s, st, nest.Roster{Ver: 1, Cur: []nest.Seat{seat}}, nil, clockValue{})
+				b.install(s, st, register.Roster{Ver: 1, Cur: []register.Seat{seat}}, nil, clockValue{})
 			}
 			do(own)
 			for i := range 200 {
--- a/internal/brood/pace_test.go
+++ b/internal/lotstore/pace_test.go
@@ -1,4 +1,4 @@
-package brood
+package lotstore
 
 import "testing"
 
--- a/internal/brood/pack.go
+++ b/internal/lotstore/pack.go
@@ -1,4 +1,4 @@
-package brood
+package lotstore
 
 import (
 	"bytes"
@@ -6,7 +6,7 @@
 	"io"
 	"sync"
 
-	"rowanshunt/internal/wax"
+	"rowanshunt/internal/fault"
 )
 
 // Texts are packed by the dispatcher that ran the item and unpacked by the node
@@ -52,17 +52,17 @@
 		return data, nil
 	case packed:
 		if rawBytes < 0 || rawBytes > 1032*len(data)+1032 { // no more than DEFLATE can make of it
-			return nil, wax.New(wax.Damaged, "text", "has an impossible length", "read it from another node")
+			return nil, fault.New(fault.Damaged, "text", "has an impossible length", "read it from another node")
 		}
 		out := make([]byte, rawBytes)
 		r := flate.NewReader(bytes.NewReader(data))
 		if _, err := io.ReadFull(r, out); err != nil {
-			return nil, wax.New(wax.Damaged, "text", err.Error(), "read it from another node")
+			return nil, fault.New(fault.Damaged, "text", err.Error(), "read it from another node")
 		}
 		if n, err := r.Read(make([]byte, 1)); n > 0 || err != io.EOF {
-			return nil, wax.New(wax.Damaged, "text", "is longer than was said", "read it from another node")
+			return nil, fault.New(fault.Damaged, "text", "is longer than was said", "read it from another node")
 		}
 		return out, nil
 	}
-	return nil, wax.New(wax.Damaged, "text", "is packed in a way not known here", "run the same version on all nodes")
+	return nil, fault.New(fault.Damaged, "text", "is packed in a way not known here", "run the same version on all nodes")
 }
--- a/internal/brood/replica.go
+++ b/internal/lotstore/replica.go
@@ -1,4 +1,4 @@
-package brood
+package lotstore
 
 import (
 	"context"
@@ -6,12 +6,12 @@
 
 	"github.com/vmihailenco/msgpack/v5"
 
-	"rowanshunt/internal/cell"
 	"rowanshunt/internal/codec"
-	"rowanshunt/internal/pollen"
-	"rowanshunt/internal/swarm"
-	"rowanshunt/internal/waggle"
-	"rowanshunt/internal/wax"
+	"rowanshunt/internal/eventloop"
+	"rowanshunt/internal/fault"
+	"rowanshunt/internal/gossip"
+	"rowanshunt/internal/rpc"
+	"rowanshunt/internal/wal"
 )
 
 // Shards is how many queue shards there are; a host's lots are all in one, so
@@ -53,11 +53,11 @@
 
 func decodeRecord(raw []byte) (*record, error) {
 	r := &record{}
-	if err := pollen.Unmarshal(raw, r); err != nil {
+	if err := rpc.Unmarshal(raw, r); err != nil {
 		return nil, err
 	}
 	if r.Shard < 0 || r.Shard >= Shards {
-		return nil, wax.New(wax.Damaged, "shard", "is out of bounds", "")
+		return nil, fault.New(fault.Damaged, "shard", "is out of bounds", "")
 	}
 	return r, nil
 }
@@ -68,7 +68,7 @@
 		b.shards[n] = &shard{n: n, lots: map[string]*Lot{}}
 	}
 	misfits := 0
-	c, damage, err := cell.Open(dir, LogName, func(raw []byte) error {
+	c, damage, err := wal.Open(dir, LogName, func(raw []byte) error {
 		r, err := decodeRecord(raw)
 		if err != nil {
 			return err
@@ -88,7 +88,7 @@
 			s.clock.saved(r.Ops[i].ClockUs)
 		}
 		return nil
-	}, append([]cell.Option{cell.Hold()}, b.cellOptions...)...)
+	}, append([]wal.Option{wal.Hold()}, b.cellOptions...)...)
 	if err != nil {
 		return err
 	}
@@ -143,7 +143,7 @@
 // refused is the fault of a store whose disk takes nothing: nothing is promised.
 func (b *Brood) refused() error {
 	if err := b.cell.Refused(); err != nil {
-		return wax.New(wax.Declined, "disk", err.Error(), "ask another store; make room on the disk")
+		return fault.New(fault.Declined, "disk", err.Error(), "ask another store; make room on the disk")
 	}
 	return b.behind()
 }
@@ -151,7 +151,7 @@
 // behind is the fault of a store that holds too much for its disk to write.
 func (b *Brood) behind() error {
 	if b.cell.WaitingBytes() > maxWaitingBytes {
-		return wax.New(wax.Declined, "disk", "is far behind", "ask again later")
+		return fault.New(fault.Declined, "disk", "is far behind", "ask again later")
 	}
 	return nil
 }
@@ -174,7 +174,7 @@
 // tellSlow tells the others whether this store should own shards.
 func (b *Brood) tellSlow() {
 	slow := b.slowness.slow || b.diskRefuses
-	b.cfg.Swarm.Tell(func(p *swarm.Partner) { p.Slow = slow })
+	b.cfg.Swarm.Tell(func(p *gossip.Partner) { p.Slow = slow })
 }
 
 // rewrite makes the file anew out of what the shards hold now; the lots are
@@ -189,7 +189,7 @@
 	var all []kept
 	var total int64
 	for _, s := range b.shards {
-		k := kept{shard: s.n, promised: s.promised, clock: s.clock.value(waggle.NowUs())}
+		k := kept{shard: s.n, promised: s.promised, clock: s.clock.value(eventloop.NowUs())}
 		s.clock.saved(k.clock.Us)
 		for _, l := range s.lots {
 			k.lots = append(k.lots, l.share())
@@ -285,16 +285,16 @@
 
 func (b *Brood) mine(seat string, shardN int) (*shard, error) {
 	if seat != b.cfg.Seat {
-		return nil, wax.New(wax.Unknown, "seat", "this node holds another seat", "read the roster again")
+		return nil, fault.New(fault.Unknown, "seat", "this node holds another seat", "read the roster again")
 	}
 	if shardN < 0 || shardN >= Shards {
-		return nil, wax.New(wax.Invalid, "shard", "is out of bounds", "run the same version on all nodes")
+		return nil, fault.New(fault.Invalid, "shard", "is out of bounds", "run the same version on all nodes")
 	}
 	return b.shards[shardN], nil
 }
 
 // answered waits for an answer that the floor gives later.
-func answered[T any](ctx context.Context, f *waggle.Floor, run func(reply func(*T, error))) (*T, error) {
+func answered[T any](ctx context.Context, f *eventloop.Floor, run func(reply func(*T, error))) (*T, error) {
 	type both struct {
 		out *T
 		err error
@@ -307,7 +307,7 @@
 	case v := <-got:
 		return v.out, v.err
 	case <-ctx.Done():
-		return nil, wax.New(wax.Unsure, "", "no answer in time", "try again")
+		return nil, fault.New(fault.Unsure, "", "no answer in time", "try again")
 	}
 }
 
@@ -359,7 +359,7 @@
 		}
 		l := s.lots[in.Lot]
 		if l == nil {
-			reply(nil, wax.New(wax.Unknown, in.Lot, "no copy here", "ask another replica"))
+			reply(nil, fault.New(fault.Unknown, in.Lot, "no copy here", "ask another replica"))
 			return
 		}
 		reply(l.share(), nil)
@@ -391,7 +391,7 @@
 		for _, raw := range in.Ops {
 			o := op{}
 			if err := msgpack.Unmarshal(raw, &o); err != nil {
-				reply(nil, wax.New(wax.Invalid, "ops", err.Error(), "run the same version on all nodes"))
+				reply(nil, fault.New(fault.Invalid, "ops", err.Error(), "run the same version on all nodes"))
 				return
 			}
 			o.raw = raw
--- a/internal/colony/clock_test.go
+++ b/internal/node/clock_test.go
@@ -1,4 +1,4 @@
-package colony
+package node
 
 import (
 	"testing"
--- a/internal/colony/colony.go
+++ b/internal/node/colony.go
@@ -1,7 +1,7 @@
-// Package colony puts a node together out of its parts (design 1.1). The
+// Package node puts a node together out of its parts (design 1.1). The
 // field's standard terms: colony = application assembly; forager = edge role;
 // comb = storage role.
-package colony
+package node
 
 import (
 	"context"
@@ -14,53 +14,53 @@
 	"github.com/sourcegraph/conc"
 	"golang.org/x/sync/semaphore"
 
-	"rowanshunt/internal/brood"
-	"rowanshunt/internal/buzz"
-	"rowanshunt/internal/flora"
-	"rowanshunt/internal/forage"
-	"rowanshunt/internal/foundation"
-	"rowanshunt/internal/guard"
-	"rowanshunt/internal/moult"
-	"rowanshunt/internal/nectar"
-	"rowanshunt/internal/nest"
-	"rowanshunt/internal/nurse"
-	"rowanshunt/internal/pollen"
-	"rowanshunt/internal/scout"
-	"rowanshunt/internal/skep"
-	"rowanshunt/internal/swarm"
-	"rowanshunt/internal/trail"
-	"rowanshunt/internal/waggle"
-	"rowanshunt/internal/wax"
+	"rowanshunt/internal/balancer"
+	"rowanshunt/internal/config"
+	"rowanshunt/internal/discovery"
+	"rowanshunt/internal/dispatch"
+	"rowanshunt/internal/eventloop"
+	"rowanshunt/internal/events"
+	"rowanshunt/internal/forward"
+	"rowanshunt/internal/gossip"
+	"rowanshunt/internal/ingress"
+	"rowanshunt/internal/logging"
+	"rowanshunt/internal/lotstore"
+	"rowanshunt/internal/quota"
+	"rowanshunt/internal/register"
+	"rowanshunt/internal/rpc"
+	"rowanshunt/internal/settings"
+	"rowanshunt/internal/trace"
+	"rowanshunt/internal/upgrade"
 )
 
 // Env is the world a node lives in: real sockets, or a simulated meadow.
 type Env struct {
-	Mesh   pollen.Mesh
-	Dial   forage.Dial
+	Mesh   rpc.Mesh
+	Dial   forward.Dial
 	WallUs func() int64
-	Log    *wax.Log
-	Tally  *pollen.Tally // nil: partner calls are not counted
+	Log    *logging.Log
+	Tally  *rpc.Tally // nil: partner calls are not counted
 }
 
 // Node is one node's parts that every role has.
 type Node struct {
-	opts atomic.Pointer[skep.Options]
+	opts atomic.Pointer[settings.Options]
 	env  Env
 	role string
-	self swarm.Partner
+	self gossip.Partner
 	// diskDir is the folder of a forager that votes on the register.
 	diskDir string
 
-	Floor *waggle.Floor
-	Desk  *pollen.Desk
-	Swarm *swarm.Swarm
-	Nest  *nest.Nest
-	Trail *trail.Trail
+	Floor *eventloop.Floor
+	Desk  *rpc.Desk
+	Swarm *gossip.Swarm
+	Nest  *register.Nest
+	Trail *trace.Trail
 
-	blueprint atomic.Pointer[foundation.Blueprint]
+	blueprint atomic.Pointer[config.Blueprint]
 	applied   int64
-	appliedUs atomic.Int64      // time of day
-	applyMore func(*nest.State) // what a role applies beside the blueprint
+	appliedUs atomic.Int64          // time of day
+	applyMore func(*register.State) // what a role applies beside the blueprint
 	caughtUp  atomic.Bool
 	chosen    atomic.Pointer[chosen]
 	fatal     chan error
@@ -69,10 +69,10 @@
 
 // New makes the partners, the register and the directory of nodes. Nothing
 // runs before Start.
-func New(ctx context.Context, env Env, opts *skep.Options, role string) (*Node, error) {
-	n := &Node{env: env, role: role, fatal: make(chan error, 4), Floor: waggle.NewFloor(4096), Desk: pollen.NewDesk()}
+func New(ctx context.Context, env Env, opts *settings.Options, role string) (*Node, error) {
+	n := &Node{env: env, role: role, fatal: make(chan error, 4), Floor: eventloop.NewFloor(4096), Desk: rpc.NewDesk()}
 	n.opts.Store(opts)
-	n.self = swarm.Partner{Name: opts.Node, Addr: opts.PartnerAddr(), Ctl: opts.Listen.Ctl, Az: opts.Az, Role: role,
+	n.self = gossip.Partner{Name: opts.Node, Addr: opts.PartnerAddr(), Ctl: opts.Listen.Ctl, Az: opts.Az, Role: role,
 		Cap: int64(opts.Caps.CPUFrac * max(opts.Caps.NCPU, 1) * 1000)}
 	empty := true // nothing on disk, or no disk
 	if opts.DataDir != "" && (role == "comb" || opts.Has("ctl")) {
@@ -81,7 +81,7 @@
 			return nil, err
 		}
 		n.self.Disk, empty = id, fresh
-		if role == skep.RoleEdge {
+		if role == settings.RoleEdge {
 			n.diskDir = opts.DataDir
 		}
 	}
@@ -90,7 +90,7 @@
 	if n.self.Disk != "" {
 		durable = opts.DataDir
 	}
-	process, err := swarm.NewProcess(durable)
+	process, err := gossip.NewProcess(durable)
 	if err != nil {
 		return nil, err
 	}
@@ -103,23 +103,23 @@
 	// waits for its owner, a newcomer must know whom it replaces.
 	var mates map[string]bool
 	matesVer := uint64(0)
-	near := func(v *swarm.View) []string {
+	near := func(v *gossip.View) []string {
 		if v.Self.Disk == "" {
 			return nil
 		}
-		if role == skep.RoleStore {
+		if role == settings.RoleStore {
 			// A member listens to those it shares a shard with.
 			if st := n.Nest.Committed(); st != nil && st.Stores.Has(v.Self.Seat()) {
 				if matesVer != st.Stores.Ver {
-					mates, matesVer = brood.Mates(&st.Stores, v.Self.Seat(), opts.Ft.Nodes), st.Stores.Ver
+					mates, matesVer = lotstore.Mates(&st.Stores, v.Self.Seat(), opts.Ft.Nodes), st.Stores.Ver
 				}
-				return v.Names(func(s *swarm.Sighting) bool { return mates[s.Name] })
+				return v.Names(func(s *gossip.Sighting) bool { return mates[s.Name] })
 			}
 		}
-		return v.Names(func(s *swarm.Sighting) bool { return s.Role == role && s.Disk != "" })
+		return v.Names(func(s *gossip.Sighting) bool { return s.Role == role && s.Disk != "" })
 	}
-	n.Swarm = swarm.New(ctx, n.Floor, n.Desk, env.Mesh, env.Log, n.self, seeds, near)
-	n.Nest, err = nest.New(ctx, nest.Config{Floor: n.Floor, Desk: n.Desk, Mesh: env.Mesh, Swarm: n.Swarm, Log: env.Log, Self: n.self,
+	n.Swarm = gossip.New(ctx, n.Floor, n.Desk, env.Mesh, env.Log, n.self, seeds, near)
+	n.Nest, err = register.New(ctx, register.Config{Floor: n.Floor, Desk: n.Desk, Mesh: env.Mesh, Swarm: n.Swarm, Log: env.Log, Self: n.self,
 		DiskDir: n.diskDir, Seeds: seeds, Boot: n.self.Boot, Spared: opts.Ft.Nodes, OnState: n.onState,
 		Proposer: n.self.Life()})
 	if err != nil {
@@ -127,8 +127,8 @@
 	}
 	n.Swarm.OnRev = n.Nest.Hear
 	n.Floor.Every(fewEveryUs, n.tellFew)
-	n.Trail = trail.New(n.Desk, env.Mesh, n.Swarm, n.self)
-	n.Trail.On(trail.Blueprint, n.tellBlueprint)
+	n.Trail = trace.New(n.Desk, env.Mesh, n.Swarm, n.self)
+	n.Trail.On(trace.Blueprint, n.tellBlueprint)
 	env.Log.Info("started", "role", role, "partner", n.self.Addr, "disk", n.self.Disk, "boot", n.self.Boot)
 	return n, nil
 }
@@ -144,7 +144,7 @@
 	if st == nil || n.self.Disk == "" {
 		return
 	}
-	for what, r := range map[string]*nest.Roster{"register": &st.Core, "lots": &st.Stores} {
+	for what, r := range map[string]*register.Roster{"register": &st.Core, "lots": &st.Stores} {
 		if r.Has(n.self.Seat()) && len(r.Cur) < need {
 			n.env.Log.Warn("too_few_seats", "of", what, "seats", len(r.Cur), "need", need, "remedy", "add machines with a disk, or lower ft.nodes")
 		}
@@ -158,10 +158,10 @@
 func (n *Node) Seat() string { return n.self.Seat() }
 
 // Blueprint is the blueprint in force here, nil before the first.
-func (n *Node) Blueprint() *foundation.Blueprint { return n.blueprint.Load() }
+func (n *Node) Blueprint() *config.Blueprint { return n.blueprint.Load() }
 
 // core is the committed roster of the core, nil before this node knows one.
-func (n *Node) core() *nest.Roster {
+func (n *Node) core() *register.Roster {
 	if s := n.Nest.Committed(); s != nil {
 		return &s.Core
 	}
@@ -170,14 +170,14 @@
 
 // onState applies a committed state; it runs on the floor, in order, and never
 // goes back (design 4.2).
-func (n *Node) onState(s *nest.State) {
+func (n *Node) onState(s *register.State) {
 	if n.applyMore != nil {
 		n.applyMore(s)
 	}
 	if s.Ver <= n.applied {
 		return
 	}
-	b, err := foundation.Parse(s.Doc)
+	b, err := config.Parse(s.Doc)
 	if err != nil {
 		n.env.Log.Warn("blueprint_unreadable", "ver", s.Ver, "err", err)
 		return
@@ -190,7 +190,7 @@
 
 // inForce is the blueprint that traffic is served by: none until the register
 // was read at a majority in this life of the node (design 4.5).
-func (n *Node) inForce() *foundation.Blueprint {
+func (n *Node) inForce() *config.Blueprint {
 	if !n.caughtUp.Load() {
 		return nil
 	}
@@ -212,7 +212,7 @@
 		_, err := n.Nest.Read(readCtx)
 		cancel()
 		if err == nil {
-			_, err = waggle.Ask(ctx, n.Floor, func() bool {
+			_, err = eventloop.Ask(ctx, n.Floor, func() bool {
 				n.onState(n.Nest.Committed())
 				n.caughtUp.Store(true)
 				return true
@@ -221,92 +221,92 @@
 		if err == nil {
 			return
 		}
-		waggle.Pause(ctx, catchUpPause)
+		eventloop.Pause(ctx, catchUpPause)
 	}
 }
 
 // Comb is a node that keeps lots.
 type Comb struct {
 	*Node
-	Brood *brood.Brood
+	Brood *lotstore.Brood
 }
 
 // NewComb makes a node of the role comb.
-func NewComb(ctx context.Context, env Env, opts *skep.Options) (*Comb, error) {
-	n, err := New(ctx, env, opts, skep.RoleStore)
+func NewComb(ctx context.Context, env Env, opts *settings.Options) (*Comb, error) {
+	n, err := New(ctx, env, opts, settings.RoleStore)
 	if err != nil {
 		return nil, err
 	}
-	b, err := brood.Open(ctx, brood.Config{Floor: n.Floor, Desk: n.Desk, Mesh: env.Mesh, Swarm: n.Swarm, Log: env.Log, Self: n.self,
+	b, err := lotstore.Open(ctx, lotstore.Config{Floor: n.Floor, Desk: n.Desk, Mesh: env.Mesh, Swarm: n.Swarm, Log: env.Log, Self: n.self,
 		Seat: n.self.Seat(), Dir: opts.DataDir, DiskBytes: opts.Caps.DiskMb << 20, State: n.Nest.Committed, Change: n.Nest.Change,
-		Fatal: func(err error) { n.fatal <- err }, Options: brood.Defaults(), Spared: opts.Ft.Nodes,
+		Fatal: func(err error) { n.fatal <- err }, Options: lotstore.Defaults(), Spared: opts.Ft.Nodes,
 		Lost: n.Nest.Lost, SyncUs: int64(opts.Bounds.SyncS * 1e6)})
 	if err != nil {
 		return nil, err
 	}
 	c := &Comb{Node: n, Brood: b}
-	n.Trail.On(trail.Lot, c.tellLot)
+	n.Trail.On(trace.Lot, c.tellLot)
 	return c, nil
 }
 
 // Forager is a node that serves clients, workers and operators.
 type Forager struct {
 	*Node
-	Flora   *flora.Flora
-	Scout   *scout.Scout
-	Forage  *forage.Forage
-	Nurse   *nurse.Nurse
-	Guard   *guard.Guard
-	Control *guard.Control
-	Moult   *moult.Moult
-	Nectar  *nectar.Nectar
-	Gate    *nectar.Gate
-	Buzz    *buzz.Buzz
+	Flora   *discovery.Flora
+	Scout   *balancer.Scout
+	Forage  *forward.Forage
+	Nurse   *dispatch.Nurse
+	Guard   *ingress.Guard
+	Control *ingress.Control
+	Moult   *upgrade.Moult
+	Nectar  *quota.Nectar
+	Gate    *quota.Gate
+	Buzz    *events.Buzz
 }
 
 // NewForager makes a node of the role forager.
-func NewForager(ctx context.Context, env Env, opts *skep.Options) (*Forager, error) {
-	n, err := New(ctx, env, opts, skep.RoleEdge)
+func NewForager(ctx context.Context, env Env, opts *settings.Options) (*Forager, error) {
+	n, err := New(ctx, env, opts, settings.RoleEdge)
 	if err != nil {
 		return nil, err
 	}
-	f := &Forager{Node: n, Scout: scout.New(opts.Az), Buzz: buzz.New(opts.Sink, opts.Node, n.self.Life(), env.Log, nil)}
-	f.Flora, err = flora.New(ctx, flora.Config{Floor: n.Floor, Desk: n.Desk, Mesh: env.Mesh, Swarm: n.Swarm, Log: env.Log, Self: n.self,
+	f := &Forager{Node: n, Scout: balancer.New(opts.Az), Buzz: events.New(opts.Sink, opts.Node, n.self.Life(), env.Log, nil)}
+	f.Flora, err = discovery.New(ctx, discovery.Config{Floor: n.Floor, Desk: n.Desk, Mesh: env.Mesh, Swarm: n.Swarm, Log: env.Log, Self: n.self,
 		HbUs: opts.HbMs * 1000, Services: n.services, Pressures: f.Scout.Pressures, Hear: f.Scout.Hear, Dir: n.diskDir, Core: n.core,
-		OnNews: func(w flora.Worker) {
-			f.Buzz.Emit(buzz.WorkerChanged, w.ID, map[string]any{"svc": w.Svc, "addr": w.Addr, "phase": w.Phase, "gone": w.Gone})
+		OnNews: func(w discovery.Worker) {
+			f.Buzz.Emit(events.WorkerChanged, w.ID, map[string]any{"svc": w.Svc, "addr": w.Addr, "phase": w.Phase, "gone": w.Gone})
 		}})
 	if err != nil {
 		return nil, err
 	}
-	sender := &forage.Sender{Dir: f.Flora.Look, Scout: f.Scout, Circuits: forage.NewCircuits(env.Dial), Blueprint: n.inForce,
-		Ways: forage.NewSlab[forage.Way](int(opts.Caps.NoFile / 3))}
-	limits := guard.LimitsOf(opts)
-	f.Gate = &nectar.Gate{Foragers: f.Scout.Foragers, Fleet: f.fleet}
-	f.Nectar = nectar.New(ctx, nectar.Config{Floor: n.Floor, Desk: n.Desk, Mesh: env.Mesh, Swarm: n.Swarm, Log: env.Log, Self: n.self,
+	sender := &forward.Sender{Dir: f.Flora.Look, Scout: f.Scout, Circuits: forward.NewCircuits(env.Dial), Blueprint: n.inForce,
+		Ways: forward.NewSlab[forward.Way](int(opts.Caps.NoFile / 3))}
+	limits := ingress.LimitsOf(opts)
+	f.Gate = &quota.Gate{Foragers: f.Scout.Foragers, Fleet: f.fleet}
+	f.Nectar = quota.New(ctx, quota.Config{Floor: n.Floor, Desk: n.Desk, Mesh: env.Mesh, Swarm: n.Swarm, Log: env.Log, Self: n.self,
 		State: n.Nest.Committed, Change: n.Nest.Change, Gate: f.Gate})
-	f.Forage = &forage.Forage{Sender: sender, Blueprint: n.inForce, Log: env.Log, BodyBytes: limits.BodyBytes, HbMs: opts.HbMs, Gate: f.Gate}
-	client := brood.NewClient(env.Mesh, n.Swarm, n.Nest.Committed, opts.Ft.Nodes)
-	lots := &brood.API{Client: client, Blueprint: n.inForce, WallUs: env.WallUs, Decline: forage.Decline, Log: env.Log,
+	f.Forage = &forward.Forage{Sender: sender, Blueprint: n.inForce, Log: env.Log, BodyBytes: limits.BodyBytes, HbMs: opts.HbMs, Gate: f.Gate}
+	client := lotstore.NewClient(env.Mesh, n.Swarm, n.Nest.Committed, opts.Ft.Nodes)
+	lots := &lotstore.API{Client: client, Blueprint: n.inForce, WallUs: env.WallUs, Decline: forward.Decline, Log: env.Log,
 		Admit: semaphore.NewWeighted(limits.BodyBytes), AdmitBytes: limits.BodyBytes}
-	f.Nurse = &nurse.Nurse{Mesh: env.Mesh, Client: client, Sender: sender, Blueprint: n.inForce, Log: env.Log, Name: n.self.Name, MaxHeld: maxHeld, Gate: f.Gate,
+	f.Nurse = &dispatch.Nurse{Mesh: env.Mesh, Client: client, Sender: sender, Blueprint: n.inForce, Log: env.Log, Name: n.self.Name, MaxHeld: maxHeld, Gate: f.Gate,
 		Dispatches: func() bool { return slices.Contains(n.dispatchers(), n.self.Name) }}
 	f.Nurse.Start(ctx, n.Desk)
-	f.Guard = &guard.Guard{Forage: f.Forage, Lots: lots, Blueprint: n.inForce, Log: env.Log, Limits: limits,
+	f.Guard = &ingress.Guard{Forage: f.Forage, Lots: lots, Blueprint: n.inForce, Log: env.Log, Limits: limits,
 		Ready: func() bool { return n.caughtUp.Load() && n.blueprint.Load() != nil && f.Flora.Synced() }}
-	f.Moult = moult.New(ctx, moult.Config{Floor: n.Floor, Desk: n.Desk, Mesh: env.Mesh, Swarm: n.Swarm, Log: env.Log, Self: n.self,
+	f.Moult = upgrade.New(ctx, upgrade.Config{Floor: n.Floor, Desk: n.Desk, Mesh: env.Mesh, Swarm: n.Swarm, Log: env.Log, Self: n.self,
 		State: n.Nest.Committed, Change: n.Nest.Change, Known: f.Flora.Known, Scout: f.Scout,
-		OnMove: func(u *moult.Upgrade) {
-			f.Buzz.Emit(buzz.UpgradeChanged, u.Svc, map[string]any{"act": "moved", "phase": u.Phase, "wave": u.Wave, "why": u.Why})
+		OnMove: func(u *upgrade.Upgrade) {
+			f.Buzz.Emit(events.UpgradeChanged, u.Svc, map[string]any{"act": "moved", "phase": u.Phase, "wave": u.Wave, "why": u.Why})
 		}})
-	n.applyMore = func(s *nest.State) {
-		moult.Apply(s, f.Scout)
+	n.applyMore = func(s *register.State) {
+		upgrade.Apply(s, f.Scout)
 		f.Nectar.Apply(s)
 	}
-	f.Control = &guard.Control{Nest: n.Nest, Flora: f.Flora, Moult: f.Moult, Nectar: f.Nectar, Trail: n.Trail, Log: env.Log, Buzz: f.Buzz, WallUs: env.WallUs}
-	n.Trail.On(trail.Blueprint, f.tellAcked)
-	n.Trail.On(trail.Worker, f.tellWorker)
-	n.Trail.On(trail.Lot, f.tellInHand)
+	f.Control = &ingress.Control{Nest: n.Nest, Flora: f.Flora, Moult: f.Moult, Nectar: f.Nectar, Trail: n.Trail, Log: env.Log, Buzz: f.Buzz, WallUs: env.WallUs}
+	n.Trail.On(trace.Blueprint, f.tellAcked)
+	n.Trail.On(trace.Worker, f.tellWorker)
+	n.Trail.On(trace.Lot, f.tellInHand)
 	n.Floor.Every(300_000, f.upkeep)
 	return f, nil
 }
@@ -319,7 +319,7 @@
 		f.wg.Go(func() { f.Buzz.Run(ctx) })
 	}
 	f.wg.Go(func() {
-		sweep := time.NewTicker(forage.SweepUs * time.Microsecond)
+		sweep := time.NewTicker(forward.SweepUs * time.Microsecond)
 		defer sweep.Stop()
 		for {
 			select {
@@ -345,13 +345,13 @@
 	if c := n.chosen.Load(); c != nil && c.view == v {
 		return c.names
 	}
-	c := &chosen{view: v, names: v.Chosen(skep.RoleEdge, "dispatch", maxDispatchers)}
+	c := &chosen{view: v, names: v.Chosen(settings.RoleEdge, "dispatch", maxDispatchers)}
 	n.chosen.Store(c)
 	return c.names
 }
 
 type chosen struct {
-	view  *swarm.View
+	view  *gossip.View
 	names []string
 }
 
@@ -370,12 +370,12 @@
 
 // fleet is what a service's workers have together: slots as they tell them, cache
 // memory as the blueprint does.
-func (f *Forager) fleet(svc string) nectar.Amount {
+func (f *Forager) fleet(svc string) quota.Amount {
 	var kvToks int64
 	if b := f.blueprint.Load(); b != nil && b.Services[svc] != nil && b.Services[svc].Engine != nil {
 		kvToks = b.Services[svc].Engine.KvToks
 	}
-	var out nectar.Amount
+	var out quota.Amount
 	for _, w := range f.Flora.Look().BySvc[svc] {
 		out.Slots += float64(max(w.Slots, 1))
 		out.Kv += float64(kvToks)
@@ -400,7 +400,7 @@
 // leave tells the partners that this node goes, so that they take its duties.
 func (n *Node) leave(ctx context.Context) {
 	n.env.Log.Info("leaving")
-	_ = n.Floor.Do(ctx, func() { n.Swarm.Tell(func(p *swarm.Partner) { p.Leaving = true }) })
+	_ = n.Floor.Do(ctx, func() { n.Swarm.Tell(func(p *gossip.Partner) { p.Leaving = true }) })
 }
 
 // settleLeave is how long a leaving node's word takes to go round.
@@ -415,10 +415,10 @@
 	defer cancel()
 	var wg conc.WaitGroup
 	wg.Go(func() { f.Nurse.Close(endCtx) })
-	waggle.Pause(endCtx, 2500*time.Millisecond)
+	eventloop.Pause(endCtx, 2500*time.Millisecond)
 	wg.Go(func() { shut(endCtx) })
 	wg.Wait()
-	waggle.Pause(ctx, 150*time.Millisecond) // items given back reach their owners
+	eventloop.Pause(ctx, 150*time.Millisecond) // items given back reach their owners
 	f.env.Log.Info("left")
 }
 
--- a/internal/colony/colony_test.go
+++ b/internal/node/colony_test.go
@@ -1,4 +1,4 @@
-package colony
+package node
 
 import (
 	"bytes"
@@ -17,21 +17,21 @@
 	"testing/synctest"
 	"time"
 
-	"rowanshunt/internal/meadow"
-	"rowanshunt/internal/skep"
-	"rowanshunt/internal/wax"
+	"rowanshunt/internal/logging"
+	"rowanshunt/internal/settings"
+	"rowanshunt/internal/simnet"
 )
 
 // hive is a whole system in a meadow: the in-memory test of design 12.2.
 type hive struct {
 	t        *testing.T
-	m        *meadow.Meadow
+	m        *simnet.Meadow
 	seed     uint64
 	ft       int
 	dir      string
 	nodes    map[string]*member
 	order    []string
-	workers  map[string]*meadow.Worker
+	workers  map[string]*simnet.Worker
 	beatOn   map[string]map[string]any
 	beatMu   sync.Mutex
 	stopBeat func()
@@ -44,7 +44,7 @@
 }
 
 type member struct {
-	opts   *skep.Options
+	opts   *settings.Options
 	role   string
 	ctx    context.Context
 	cancel func()
@@ -68,7 +68,7 @@
 
 func newHiveOf(t *testing.T, seed uint64, size hiveSize) *hive {
 	t.Helper()
-	h := &hive{t: t, ft: size.ft, m: meadow.New(seed), seed: seed, dir: t.TempDir(), nodes: map[string]*member{}, workers: map[string]*meadow.Worker{}, beatOn: map[string]map[string]any{}}
+	h := &hive{t: t, ft: size.ft, m: simnet.New(seed), seed: seed, dir: t.TempDir(), nodes: map[string]*member{}, workers: map[string]*simnet.Worker{}, beatOn: map[string]map[string]any{}}
 	t.Cleanup(func() {
 		if t.Failed() {
 			t.Logf("seed %d", seed)
@@ -89,12 +89,12 @@
 		net = 2
 	}
 	ip := fmt.Sprintf("10.%d.0.%d", net, i+1)
-	o := &skep.Options{Node: name, IPAddr: ip, Az: zones[i%len(zones)], PortRange: []int{7000, 7010}, Bootstrap: boot, HbMs: 1200,
-		Seeds: []string{"10.1.0.1:8000", "10.1.0.2:8000", "10.1.0.3:8000"}, Caps: skep.Caps{RAMMb: 256, NoFile: 4096, CPUFrac: 1, DiskMb: 64}, Ft: skep.Ft{Nodes: h.ft}}
+	o := &settings.Options{Node: name, IPAddr: ip, Az: zones[i%len(zones)], PortRange: []int{7000, 7010}, Bootstrap: boot, HbMs: 1200,
+		Seeds: []string{"10.1.0.1:8000", "10.1.0.2:8000", "10.1.0.3:8000"}, Caps: settings.Caps{RAMMb: 256, NoFile: 4096, CPUFrac: 1, DiskMb: 64}, Ft: settings.Ft{Nodes: h.ft}}
 	o.Bounds.GraceS, o.Bounds.SyncS = 8, 5
 	if role == "forager" {
 		o.Serves = []string{"edge", "ctl"}
-		o.Listen = skep.Listen{HTTP: ip + ":8001", Readyz: ip + ":8002", Ctl: ip + ":8000"}
+		o.Listen = settings.Listen{HTTP: ip + ":8001", Readyz: ip + ":8002", Ctl: ip + ":8000"}
 	}
 	if disk {
 		o.DataDir = filepath.Join(h.dir, name)
@@ -257,9 +257,9 @@
 	h.until(fmt.Sprintf("blueprint %d taken", ver), 10*time.Second, func() bool { return h.put(ver, expect).Code == 200 })
 }
 
-func (h *hive) worker(id, svc, az string) *meadow.Worker {
+func (h *hive) worker(id, svc, az string) *simnet.Worker {
 	addr := "10.9.0." + id + ":80"
-	w := meadow.NewWorker(h.m, id, addr)
+	w := simnet.NewWorker(h.m, id, addr)
 	h.workers[id] = w
 	h.beatOn[id] = map[string]any{"svc": svc, "addr": addr, "az": az, "ver": "v1", "slots": w.Slots, "phase": "up"}
 	return w
@@ -401,7 +401,7 @@
 func wholeText(id string, n int) string {
 	var parts []string
 	for i := 1; i <= n; i++ {
-		parts = append(parts, meadow.EventData(id, i))
+		parts = append(parts, simnet.EventData(id, i))
 	}
 	return strings.Join(parts, "\n")
 }
@@ -461,7 +461,7 @@
 		w := h.client(h.edge(), "POST", "/chat/1", []byte("hi"), "X-Rowanshunt-Request-Id", "c1", "X-Rowanshunt-Tokens", "5,5")
 		want := ""
 		for i := 1; i <= 5; i++ {
-			want += fmt.Sprintf("id: %d\ndata: %s\n\n", i, meadow.EventData("c1", i))
+			want += fmt.Sprintf("id: %d\ndata: %s\n\n", i, simnet.EventData("c1", i))
 		}
 		if w.Code != 200 || w.Body.String() != want {
 			t.Errorf("resumed stream: %d %q", w.Code, w.Body)
@@ -602,9 +602,9 @@
 }
 
 // testLog writes nodes' logs where HIVE_TEST_LOG is set.
-func testLog(t *testing.T, name string) *wax.Log {
+func testLog(t *testing.T, name string) *logging.Log {
 	if os.Getenv("HIVE_TEST_LOG") == "" {
-		return wax.Quiet()
+		return logging.Quiet()
 	}
-	return wax.NewLog(t.Output(), "debug", "node", name)
+	return logging.NewLog(t.Output(), "debug", "node", name)
 }
--- a/internal/colony/contact_test.go
+++ b/internal/node/contact_test.go
@@ -1,4 +1,4 @@
-package colony
+package node
 
 import (
 	"encoding/json"
@@ -9,7 +9,7 @@
 	"testing/synctest"
 	"time"
 
-	"rowanshunt/internal/guard"
+	"rowanshunt/internal/ingress"
 )
 
 // controlCall is one proper call of a route of the control table.
@@ -20,7 +20,7 @@
 }
 
 // callOf makes a proper call of a route; n makes each one different.
-func callOf(r *guard.Route, n int) controlCall {
+func callOf(r *ingress.Route, n int) controlCall {
 	path := strings.NewReplacer(":id", fmt.Sprint("w", n), ":svc", "app", ":act", "pause", ":kind", "worker", ":tenant", "books", ":node", "store-0").Replace(r.Path)
 	c := controlCall{method: r.Method, path: path}
 	switch r.Method + " " + r.Path {
@@ -64,7 +64,7 @@
 					unsure := false
 					n := 0
 					for end := time.Now().Add(20 * time.Second); time.Now().Before(end); {
-						for _, r := range guard.Routes() {
+						for _, r := range ingress.Routes() {
 							n++
 							if r.Path == "/-/workers/:id" && r.Method == "PUT" {
 								continue // of beats, those of leaving workers alone promise something
@@ -92,7 +92,7 @@
 					if got.Ver != 2 && !unsure {
 						t.Errorf("version %d is read, 2 was acknowledged last", got.Ver)
 					}
-					for _, r := range guard.Routes() {
+					for _, r := range ingress.Routes() {
 						h.until("after the cut: "+r.Method+" "+r.Path, 4*time.Second, func() bool {
 							n++
 							w, _ := h.run(f, callOf(&r, n))
--- a/internal/colony/departure_test.go
+++ b/internal/node/departure_test.go
@@ -1,4 +1,4 @@
-package colony
+package node
 
 import (
 	"fmt"
@@ -6,7 +6,7 @@
 	"testing/synctest"
 	"time"
 
-	"rowanshunt/internal/tending"
+	"rowanshunt/internal/rendezvous"
 )
 
 // drainBound is within what time of an acknowledgement all nodes in contact with
@@ -180,7 +180,7 @@
 		for i := z; i < edges; i += len(zones) {
 			names = append(names, fmt.Sprintf("edge-%d", i))
 		}
-		if tending.Holder("home/"+svc, names) == names[0] {
+		if rendezvous.Holder("home/"+svc, names) == names[0] {
 			return false
 		}
 	}
--- a/internal/colony/disk_test.go
+++ b/internal/node/disk_test.go
@@ -1,4 +1,4 @@
-package colony
+package node
 
 import (
 	"os"
@@ -9,8 +9,8 @@
 	"testing/synctest"
 	"time"
 
-	"rowanshunt/internal/brood"
-	"rowanshunt/internal/nest"
+	"rowanshunt/internal/lotstore"
+	"rowanshunt/internal/register"
 )
 
 // turnByte turns a byte near the front of a node's log, in what was synced.
@@ -41,12 +41,12 @@
 		old := h.nodes["edge-1"].node().Seat()
 		h.kill("edge-1")
 		time.Sleep(200 * time.Millisecond)
-		h.turnByte("edge-1", nest.LogName)
+		h.turnByte("edge-1", register.LogName)
 		h.start("edge-1")
 		if h.nodes["edge-1"].node().Seat() == old {
 			t.Fatal("the damaged member came back as the old one")
 		}
-		if _, err := os.Stat(filepath.Join(h.nodes["edge-1"].opts.DataDir, nest.LogName+".damaged")); err != nil {
+		if _, err := os.Stat(filepath.Join(h.nodes["edge-1"].opts.DataDir, register.LogName+".damaged")); err != nil {
 			t.Error(err)
 		}
 		h.until("three members, settled, without the old one", 15*time.Second, func() bool {
@@ -68,7 +68,7 @@
 		old := h.nodes[owner].node().Seat()
 		h.kill(owner)
 		time.Sleep(200 * time.Millisecond)
-		h.turnByte(owner, brood.LogName)
+		h.turnByte(owner, lotstore.LogName)
 		h.start(owner)
 		if h.nodes[owner].node().Seat() == old {
 			t.Fatal("the damaged store came back as the old one")
@@ -112,7 +112,7 @@
 				}
 				member := h.nodes["edge-1"].f.Nest
 				seat := h.nodes["edge-1"].node().Seat()
-				if !slices.ContainsFunc(members.Nest.Committed().Core.All(), func(s nest.Seat) bool { return s.ID == seat }) {
+				if !slices.ContainsFunc(members.Nest.Committed().Core.All(), func(s register.Seat) bool { return s.ID == seat }) {
 					t.Fatal("the member was dropped: the test tests nothing")
 				}
 				h.until("its own disk has the newest", 3*time.Second, func() bool {
@@ -167,9 +167,9 @@
 				if h.nodes[n].opts.DataDir == "" {
 					continue
 				}
-				file := nest.LogName
+				file := register.LogName
 				if h.nodes[n].role == "comb" {
-					file = brood.LogName
+					file = lotstore.LogName
 				}
 				h.tearLog(n, file)
 				if n == "edge-1" || n == "store-1" {
--- a/internal/colony/faults_test.go
+++ b/internal/node/faults_test.go
@@ -1,4 +1,4 @@
-package colony
+package node
 
 import (
 	"context"
@@ -11,11 +11,11 @@
 	"testing/synctest"
 	"time"
 
-	"rowanshunt/internal/brood"
-	"rowanshunt/internal/nest"
-	"rowanshunt/internal/tending"
-	"rowanshunt/internal/trail"
-	"rowanshunt/internal/waggle"
+	"rowanshunt/internal/eventloop"
+	"rowanshunt/internal/lotstore"
+	"rowanshunt/internal/register"
+	"rowanshunt/internal/rendezvous"
+	"rowanshunt/internal/trace"
 )
 
 // The faults that the deployments list, caused in the meadow; after each, what
@@ -48,14 +48,14 @@
 func (h *hive) freeze(name string, d time.Duration) {
 	h.t.Helper()
 	m := h.nodes[name]
-	if _, err := waggle.Ask(m.ctx, m.c.Floor, func() bool { time.Sleep(d); return true }); err != nil {
+	if _, err := eventloop.Ask(m.ctx, m.c.Floor, func() bool { time.Sleep(d); return true }); err != nil {
 		h.t.Errorf("freeze %s: %v", name, err)
 	}
 }
 
 // inStep tells whether a roster is settled and each seat is held by a machine
 // that runs with that very disk.
-func (h *hive) inStep(r *nest.Roster, seats int) bool {
+func (h *hive) inStep(r *register.Roster, seats int) bool {
 	if r.Joint() || len(r.Cur) != seats {
 		return false
 	}
@@ -479,13 +479,13 @@
 		h.mustHandIn("a", 5, 10)
 		h.complete("a", 5, 10*time.Second)
 		time.Sleep(time.Second)
-		follow := func(path string) (trail.Report, int) {
+		follow := func(path string) (trace.Report, int) {
 			w := h.control(h.edge(), "GET", "/-/trail/"+path, nil)
-			var r trail.Report
+			var r trace.Report
 			_ = json.Unmarshal(w.Body.Bytes(), &r)
 			return r, w.Code
 		}
-		hops := func(r trail.Report) string {
+		hops := func(r trace.Report) string {
 			n := map[string]int{}
 			for _, w := range r.Words {
 				for _, f := range w.Facts {
@@ -568,7 +568,7 @@
 		names := []string{"store-0", "store-1", "store-2"}
 		owner := h.ownerOf()
 		others := slices.DeleteFunc(names, func(n string) bool { return n == owner })
-		next := tending.Holder("shard/"+strconv.Itoa(brood.ShardOf("shop.example")), others)
+		next := rendezvous.Holder("shard/"+strconv.Itoa(lotstore.ShardOf("shop.example")), others)
 		h.kill(next)
 		time.Sleep(2 * time.Second)
 		const lots = 120
@@ -605,7 +605,7 @@
 			defer well()
 			go func() {
 				for laming.Err() == nil {
-					_, _ = waggle.Ask(laming, store.Floor, func() bool { time.Sleep(300 * time.Millisecond); return true })
+					_, _ = eventloop.Ask(laming, store.Floor, func() bool { time.Sleep(300 * time.Millisecond); return true })
 				}
 			}()
 			h.until("another store owns the shard", 8*time.Second, func() bool {
--- a/internal/colony/identity.go
+++ b/internal/node/identity.go
@@ -1,4 +1,4 @@
-package colony
+package node
 
 import (
 	"os"
@@ -6,10 +6,10 @@
 
 	"github.com/go-faster/errors"
 
-	"rowanshunt/internal/brood"
-	"rowanshunt/internal/cell"
-	"rowanshunt/internal/nest"
-	"rowanshunt/internal/wax"
+	"rowanshunt/internal/logging"
+	"rowanshunt/internal/lotstore"
+	"rowanshunt/internal/register"
+	"rowanshunt/internal/wal"
 )
 
 // legacyIdentity is the file that held a member's identity before the log did.
@@ -18,17 +18,17 @@
 // openIdentity reads the identity of this disk out of the log that holds the
 // member's promises, so that neither is ever there without the other (design
 // 10.2). fresh: the disk was never used.
-func openIdentity(dir, role string, log *wax.Log) (id string, fresh bool, err error) {
-	name := nest.LogName
+func openIdentity(dir, role string, log *logging.Log) (id string, fresh bool, err error) {
+	name := register.LogName
 	if role == "comb" {
-		name = brood.LogName
+		name = lotstore.LogName
 	}
 	legacyPath := filepath.Join(dir, legacyIdentity)
 	legacy, err := os.ReadFile(legacyPath)
 	if err != nil && !errors.Is(err, os.ErrNotExist) {
 		return "", false, errors.Wrap(err, "read identity")
 	}
-	found, err := cell.Recover(dir, name, string(legacy))
+	found, err := wal.Recover(dir, name, string(legacy))
 	if err != nil {
 		return "", false, errors.Wrap(err, "recover "+name)
 	}
--- a/internal/colony/lease_test.go
+++ b/internal/node/lease_test.go
@@ -1,4 +1,4 @@
-package colony
+package node
 
 import (
 	"context"
@@ -8,8 +8,8 @@
 	"testing/synctest"
 	"time"
 
-	"rowanshunt/internal/brood"
-	"rowanshunt/internal/wax"
+	"rowanshunt/internal/fault"
+	"rowanshunt/internal/lotstore"
 )
 
 // The queue's conformance to "Life of a step" (design 8.7), seen from a
@@ -33,7 +33,7 @@
 			ctx, cancel := context.WithTimeout(context.Background(), 1500*time.Millisecond)
 			err = d.h.m.MeshOf("10.5.0.1:7000").Call(ctx, m.opts.PartnerAddr(), kind, in, out)
 			cancel()
-			if err == nil || !wax.Is(err, wax.Unsure) && !wax.Is(err, wax.NotOwner) && !wax.Is(err, wax.Declined) && !wax.Is(err, wax.Unreached) {
+			if err == nil || !fault.Is(err, fault.Unsure) && !fault.Is(err, fault.NotOwner) && !fault.Is(err, fault.Declined) && !fault.Is(err, fault.Unreached) {
 				return true
 			}
 		}
@@ -42,10 +42,10 @@
 	return err
 }
 
-func (d hand) take(room int, held ...brood.Held) *brood.TakeAnswer {
+func (d hand) take(room int, held ...lotstore.Held) *lotstore.TakeAnswer {
 	d.h.t.Helper()
-	out := &brood.TakeAnswer{}
-	if err := d.call("brood.take", &brood.TakeCall{From: d.name, Room: room, Held: held, WaitUs: 200_000, LeftUs: 1_000_000}, out); err != nil {
+	out := &lotstore.TakeAnswer{}
+	if err := d.call("brood.take", &lotstore.TakeCall{From: d.name, Room: room, Held: held, WaitUs: 200_000, LeftUs: 1_000_000}, out); err != nil {
 		d.h.t.Fatalf("take: %v", err)
 	}
 	return out
@@ -53,7 +53,7 @@
 
 // takeAll takes until it has so many items, and gives them with what it is to name
 // of them in the next ask.
-func (d hand) takeAll(n int) (got []brood.Given, named []brood.Held) {
+func (d hand) takeAll(n int) (got []lotstore.Given, named []lotstore.Held) {
 	d.h.t.Helper()
 	d.h.until(fmt.Sprint(n, " leases"), 10*time.Second, func() bool {
 		for _, g := range d.take(n-len(got), named...).Given {
@@ -64,16 +64,16 @@
 	return got, named
 }
 
-func held(g brood.Given) brood.Held {
-	return brood.Held{Shard: g.Shard, Lot: g.Lot, Item: g.Item, Lease: g.Lease}
+func held(g lotstore.Given) lotstore.Held {
+	return lotstore.Held{Shard: g.Shard, Lot: g.Lot, Item: g.Item, Lease: g.Lease}
 }
 
-func (d hand) ack(g brood.Given, lease uint64, msg string) error {
-	return d.call("brood.ack", &brood.AckCall{Shard: g.Shard, Lot: g.Lot, Item: g.Item, Phase: brood.PhaseDone, Msg: []byte(msg), Lease: lease}, nil)
+func (d hand) ack(g lotstore.Given, lease uint64, msg string) error {
+	return d.call("brood.ack", &lotstore.AckCall{Shard: g.Shard, Lot: g.Lot, Item: g.Item, Phase: lotstore.PhaseDone, Msg: []byte(msg), Lease: lease}, nil)
 }
 
-func (d hand) give(g brood.Given, lease uint64, failed bool) error {
-	return d.call("brood.give", &brood.GiveCall{Shard: g.Shard, Lot: g.Lot, Item: g.Item, Lease: lease, Failed: failed}, nil)
+func (d hand) give(g lotstore.Given, lease uint64, failed bool) error {
+	return d.call("brood.give", &lotstore.GiveCall{Shard: g.Shard, Lot: g.Lot, Item: g.Item, Lease: lease, Failed: failed}, nil)
 }
 
 // idle makes the workers turn everything away, so that the hive's own
@@ -123,7 +123,7 @@
 			}
 			// An ack counts only under the live lease; one sent again gets the
 			// first answer and changes nothing.
-			if err := one.ack(got[0], got[0].Lease+1, "wrong"); !wax.Is(err, wax.Stale) {
+			if err := one.ack(got[0], got[0].Lease+1, "wrong"); !fault.Is(err, fault.Stale) {
 				t.Errorf("an ack under another lease: %v", err)
 			}
 			for range 2 {
@@ -131,7 +131,7 @@
 					t.Errorf("ack: %v", err)
 				}
 			}
-			if err := two.ack(got[0], got[0].Lease+9, "late"); !wax.Is(err, wax.Stale) {
+			if err := two.ack(got[0], got[0].Lease+9, "late"); !fault.Is(err, fault.Stale) {
 				t.Errorf("a second result of another holder: %v", err)
 			}
 			// A nack frees the lease, and only a failure charges the tries.
@@ -140,7 +140,7 @@
 					t.Errorf("nack: %v", err)
 				}
 			}
-			if err := one.ack(got[1], got[1].Lease, "after the nack"); !wax.Is(err, wax.Stale) {
+			if err := one.ack(got[1], got[1].Lease, "after the nack"); !fault.Is(err, fault.Stale) {
 				t.Errorf("an ack under a lease that was freed: %v", err)
 			}
 			// A new owner reads all of it from the rows.
@@ -160,7 +160,7 @@
 			}
 			// The item handed back was charged once: it may fail twice more.
 			for n := range 2 {
-				var g brood.Given
+				var g lotstore.Given
 				h.until("the failed item comes again", 10*time.Second, func() bool {
 					for _, x := range two.take(1).Given {
 						g = x
@@ -207,12 +207,12 @@
 		h.idle()
 		h.mustHandIn("a", 2, 10)
 		one, two := hand{h, "edge-0"}, hand{h, "edge-1"}
-		var got []brood.Given
+		var got []lotstore.Given
 		h.until("two leases", 10*time.Second, func() bool {
 			got = append(got, one.take(2-len(got)).Given...)
 			return len(got) == 2
 		})
-		wait := time.Duration(brood.Defaults().AckWaitUs) * time.Microsecond
+		wait := time.Duration(lotstore.Defaults().AckWaitUs) * time.Microsecond
 		for range 16 {
 			one.take(0, held(got[0]), held(got[1]))
 			time.Sleep(wait / 10)
@@ -227,7 +227,7 @@
 		if len(g) != 1 || g[0].Item != got[1].Item || g[0].Epoch != 2 {
 			t.Fatalf("the lost item was not given again: %+v", g)
 		}
-		if err := one.ack(got[1], got[1].Lease, "late"); !wax.Is(err, wax.Stale) {
+		if err := one.ack(got[1], got[1].Lease, "late"); !fault.Is(err, fault.Stale) {
 			t.Errorf("an ack under a lease that ended: %v", err)
 		}
 		if err := two.ack(g[0], g[0].Lease, "in time"); err != nil {
@@ -376,19 +376,19 @@
 				defer cancel()
 				return h.m.MeshOf("10.5.0.1:7000").Call(ctx, to, kind, in, out)
 			}
-			out := &brood.TakeAnswer{}
-			if err := ask("brood.take", &brood.TakeCall{From: "edge-0", Held: named, WaitUs: 100_000, LeftUs: 1_000_000}, out); err != nil || len(out.Stop) != 0 {
+			out := &lotstore.TakeAnswer{}
+			if err := ask("brood.take", &lotstore.TakeCall{From: "edge-0", Held: named, WaitUs: 100_000, LeftUs: 1_000_000}, out); err != nil || len(out.Stop) != 0 {
 				t.Errorf("the next owner does not know the leases: %v %v", out.Stop, err)
 			}
-			if err := ask("brood.take", &brood.TakeCall{From: "edge-1", Room: 4, WaitUs: 100_000, LeftUs: 1_000_000}, out); err != nil || len(out.Given) != 0 {
+			if err := ask("brood.take", &lotstore.TakeCall{From: "edge-1", Room: 4, WaitUs: 100_000, LeftUs: 1_000_000}, out); err != nil || len(out.Given) != 0 {
 				t.Errorf("leased items were given to another: %v %v", out.Given, err)
 			}
-			if err := ask("brood.ack", &brood.AckCall{Shard: got[0].Shard, Lot: "a", Item: got[0].Item, Phase: brood.PhaseDone, Msg: []byte("x"), Lease: got[0].Lease}, nil); err != nil {
+			if err := ask("brood.ack", &lotstore.AckCall{Shard: got[0].Shard, Lot: "a", Item: got[0].Item, Phase: lotstore.PhaseDone, Msg: []byte("x"), Lease: got[0].Lease}, nil); err != nil {
 				t.Errorf("an ack at the next owner: %v", err)
 			}
 			<-woke
 			to = h.nodes[old].opts.PartnerAddr()
-			if err := ask("brood.ack", &brood.AckCall{Shard: got[1].Shard, Lot: "a", Item: got[1].Item, Phase: brood.PhaseDone, Msg: []byte("y"), Lease: got[1].Lease}, nil); err == nil {
+			if err := ask("brood.ack", &lotstore.AckCall{Shard: got[1].Shard, Lot: "a", Item: got[1].Item, Phase: lotstore.PhaseDone, Msg: []byte("y"), Lease: got[1].Lease}, nil); err == nil {
 				t.Error("the one that woke took an ack")
 			}
 			if g := two.take(4).Given; len(g) != 0 {
--- a/internal/colony/losses_test.go
+++ b/internal/node/losses_test.go
@@ -1,4 +1,4 @@
-package colony
+package node
 
 import (
 	"context"
@@ -11,7 +11,7 @@
 	"testing/synctest"
 	"time"
 
-	"rowanshunt/internal/nest"
+	"rowanshunt/internal/register"
 )
 
 // terminate is the SIGTERM of a machine and the end of its process.
@@ -26,8 +26,8 @@
 	h.kill(name)
 }
 
-func hasName(r *nest.Roster, name string) bool {
-	return slices.ContainsFunc(r.All(), func(s nest.Seat) bool { return s.Name == name })
+func hasName(r *register.Roster, name string) bool {
+	return slices.ContainsFunc(r.All(), func(s register.Seat) bool { return s.Name == name })
 }
 
 // A machine that is replaced as planned no longer counts in any roster when its
--- a/internal/colony/moult_test.go
+++ b/internal/node/moult_test.go
@@ -1,4 +1,4 @@
-package colony
+package node
 
 import (
 	"encoding/json"
@@ -12,8 +12,8 @@
 	"testing/synctest"
 	"time"
 
-	"rowanshunt/internal/meadow"
-	"rowanshunt/internal/moult"
+	"rowanshunt/internal/simnet"
+	"rowanshunt/internal/upgrade"
 )
 
 // upgradeHive is a system with twelve workers at version 1 and an operator's
@@ -52,7 +52,7 @@
 }
 
 func (u *upgradeHive) versioned(id string, ver int, addr string) {
-	w := meadow.NewWorker(u.m, id, addr)
+	w := simnet.NewWorker(u.m, id, addr)
 	w.Ver, w.ReadPerMs = ver, 100
 	u.beatMu.Lock()
 	defer u.beatMu.Unlock()
@@ -110,8 +110,8 @@
 	u.end()
 }
 
-func (u *upgradeHive) status() (moult.Upgrade, int) {
-	var st moult.Upgrade
+func (u *upgradeHive) status() (upgrade.Upgrade, int) {
+	var st upgrade.Upgrade
 	w := u.control(u.edge(), "GET", "/-/upgrades/llm", nil)
 	_ = json.Unmarshal(w.Body.Bytes(), &st)
 	return st, w.Code
@@ -125,9 +125,9 @@
 	return u.control(u.edge(), "POST", "/-/upgrades/llm/start", map[string]any{"to": 2, "rules": all}).Code
 }
 
-func (u *upgradeHive) untilPhase(p moult.Phase, limit time.Duration) moult.Upgrade {
+func (u *upgradeHive) untilPhase(p upgrade.Phase, limit time.Duration) upgrade.Upgrade {
 	u.t.Helper()
-	var st moult.Upgrade
+	var st upgrade.Upgrade
 	u.until("phase "+string(p), limit, func() bool {
 		now, code := u.status()
 		st = now
@@ -194,7 +194,7 @@
 	for ver := 1; ver <= 2; ver++ {
 		want := ""
 		for i := 1; i <= 5; i++ {
-			want += fmt.Sprintf("id: %d\ndata: %s\n\n", i, meadow.VersionedData(id, i, ver))
+			want += fmt.Sprintf("id: %d\ndata: %s\n\n", i, simnet.VersionedData(id, i, ver))
 		}
 		if body == want {
 			return true
@@ -230,7 +230,7 @@
 // without one, every item is listed once and each text is of one version
 // (design 13.1; figures simulated, in docs/upgrades.md).
 func TestUpgradeUnderLoad(t *testing.T) {
-	measure := func(upgrade bool) (p98 time.Duration, n, read int) {
+	measure := func(upgradeCommand bool) (p98 time.Duration, n, read int) {
 		synctest.Test(t, func(t *testing.T) {
 			u := newUpgradeHive(t, 31)
 			defer u.leave()
@@ -238,7 +238,7 @@
 			times, failed, wait := u.load(8, stop)
 			time.Sleep(2 * time.Second)
 			warm := time.Now() // openings were read once, with or without an upgrade
-			if upgrade {
+			if upgradeCommand {
 				if code := u.begin(nil); code != 200 {
 					t.Fatalf("start: %d", code)
 				}
@@ -260,8 +260,8 @@
 				u.until("a lot midway is taken", 5*time.Second, func() bool { return u.handIn(id, 20, 10).Code == 202 })
 				time.Sleep(2 * time.Second)
 			}
-			if upgrade {
-				st := u.untilPhase(moult.Done, 60*time.Second)
+			if upgradeCommand {
+				st := u.untilPhase(upgrade.Done, 60*time.Second)
 				if st.Wave < 6 {
 					t.Errorf("done after %d waves of at most 2 of 12", st.Wave)
 				}
@@ -311,7 +311,7 @@
 		for ver := 1; ver <= 2; ver++ {
 			var parts []string
 			for i := 1; i <= 5; i++ {
-				parts = append(parts, meadow.VersionedData(r.ID, i, ver))
+				parts = append(parts, simnet.VersionedData(r.ID, i, ver))
 			}
 			ok = ok || r.Msg == strings.Join(parts, "\n")
 		}
@@ -333,7 +333,7 @@
 				if code := u.begin(nil); code != 200 {
 					t.Fatalf("start: %d", code)
 				}
-				var st moult.Upgrade
+				var st upgrade.Upgrade
 				u.until("the wave under way", 30*time.Second, func() bool {
 					st, _ = u.status()
 					return st.Wave >= at && st.Driver != ""
@@ -354,10 +354,10 @@
 					return nil
 				}
 				u.until("done under another driver", 60*time.Second, func() bool {
-					var now moult.Upgrade
+					var now upgrade.Upgrade
 					w := u.control(other(), "GET", "/-/upgrades/llm", nil)
 					_ = json.Unmarshal(w.Body.Bytes(), &now)
-					return w.Code == 200 && now.Phase == moult.Done && (now.Term > st.Term || how == "cut off" && now.Term >= st.Term)
+					return w.Code == 200 && now.Phase == upgrade.Done && (now.Term > st.Term || how == "cut off" && now.Term >= st.Term)
 				})
 			})
 		}
@@ -372,7 +372,7 @@
 		if code := u.begin(map[string]any{"wave_ms": 5000}); code != 200 {
 			t.Fatalf("start: %d", code)
 		}
-		if st := u.untilPhase(moult.Paused, 20*time.Second); !strings.Contains(st.Why, "not back") || st.Remedy == "" {
+		if st := u.untilPhase(upgrade.Paused, 20*time.Second); !strings.Contains(st.Why, "not back") || st.Remedy == "" {
 			t.Errorf("paused: %q %q", st.Why, st.Remedy)
 		}
 		// They come back at the old version: paused again.
@@ -384,12 +384,12 @@
 		if w := u.control(u.edge(), "POST", "/-/upgrades/llm/resume", nil); w.Code != 200 {
 			t.Fatalf("resume: %d", w.Code)
 		}
-		u.untilPhase(moult.Paused, 20*time.Second)
+		u.untilPhase(upgrade.Paused, 20*time.Second)
 		// Undone: back in use, all at version 1.
 		if w := u.control(u.edge(), "POST", "/-/upgrades/llm/undo", nil); w.Code != 200 {
 			t.Fatalf("undo: %d %s", w.Code, w.Body)
 		}
-		u.untilPhase(moult.Undone, 20*time.Second)
+		u.untilPhase(upgrade.Undone, 20*time.Second)
 	})
 	// Undone midway: those that moved go back in waves.
 	synctest.Test(t, func(t *testing.T) {
@@ -401,7 +401,7 @@
 		if w := u.control(u.edge(), "POST", "/-/upgrades/llm/undo", nil); w.Code != 200 {
 			t.Fatalf("undo: %d", w.Code)
 		}
-		u.untilPhase(moult.Undone, 60*time.Second)
+		u.untilPhase(upgrade.Undone, 60*time.Second)
 		for id, b := range u.beatOn {
 			if b["svc"] == "llm" && u.workers[id].Ver != 1 {
 				t.Errorf("worker %s is at version %d after an undo", id, u.workers[id].Ver)
@@ -421,7 +421,7 @@
 		if code := u.begin(map[string]any{"min_replicas": 2}); code != 200 {
 			t.Fatalf("start: %d", code)
 		}
-		u.untilPhase(moult.Done, 90*time.Second)
+		u.untilPhase(upgrade.Done, 90*time.Second)
 		close(stop)
 		wait()
 		if failed.Load() > 0 {
--- a/internal/colony/quota_test.go
+++ b/internal/node/quota_test.go
@@ -1,4 +1,4 @@
-package colony
+package node
 
 import (
 	"encoding/json"
@@ -11,7 +11,7 @@
 	"testing/synctest"
 	"time"
 
-	"rowanshunt/internal/nectar"
+	"rowanshunt/internal/quota"
 )
 
 // Fair shares in whole systems (design 17, docs/quotas.md): a neighbour floods,
@@ -116,9 +116,9 @@
 	})
 }
 
-func (q *quotaHive) explain(tenant string) []nectar.Row {
+func (q *quotaHive) explain(tenant string) []quota.Row {
 	w := q.control(q.edge(), "GET", "/-/quotas/"+tenant, nil)
-	var rows []nectar.Row
+	var rows []quota.Row
 	_ = json.Unmarshal(w.Body.Bytes(), &rows)
 	return rows
 }
@@ -404,7 +404,7 @@
 	}
 }
 
-func (f *Forager) explained(t *testing.T, tenant string) []nectar.Row {
+func (f *Forager) explained(t *testing.T, tenant string) []quota.Row {
 	rows, err := f.Nectar.Explain(t.Context(), tenant)
 	if err != nil {
 		t.Error(err)
--- a/internal/colony/reload_test.go
+++ b/internal/node/reload_test.go
@@ -1,4 +1,4 @@
-package colony
+package node
 
 import (
 	"context"
@@ -9,8 +9,8 @@
 	"testing/synctest"
 	"time"
 
-	"rowanshunt/internal/meadow"
-	"rowanshunt/internal/skep"
+	"rowanshunt/internal/settings"
+	"rowanshunt/internal/simnet"
 )
 
 const optionsFile = `
@@ -39,11 +39,11 @@
 			}
 		}
 		write(fmt.Sprintf(optionsFile, "10.1.0.2:8000", 8))
-		opts, err := skep.Load(path)
+		opts, err := settings.Load(path)
 		if err != nil {
 			t.Fatal(err)
 		}
-		m := meadow.New(1)
+		m := simnet.New(1)
 		ctx, cancel := context.WithCancel(context.Background())
 		f, err := NewForager(ctx, Env{Mesh: m.MeshOf(opts.PartnerAddr()), Dial: m.DialFrom(opts.PartnerAddr()), WallUs: wall, Log: testLog(t, "edge-1")}, opts)
 		if err != nil {
--- a/internal/colony/run.go
+++ b/internal/node/run.go
@@ -1,4 +1,4 @@
-package colony
+package node
 
 import (
 	"context"
@@ -12,13 +12,14 @@
 	"github.com/go-faster/errors"
 	"github.com/sourcegraph/conc"
 
-	"rowanshunt/internal/cell"
-	"rowanshunt/internal/forage"
-	"rowanshunt/internal/guard"
-	"rowanshunt/internal/pollen"
-	"rowanshunt/internal/skep"
-	"rowanshunt/internal/waggle"
-	"rowanshunt/internal/wax"
+	"rowanshunt/internal/eventloop"
+	"rowanshunt/internal/fault"
+	"rowanshunt/internal/forward"
+	"rowanshunt/internal/ingress"
+	"rowanshunt/internal/logging"
+	"rowanshunt/internal/rpc"
+	"rowanshunt/internal/settings"
+	"rowanshunt/internal/wal"
 )
 
 func wallUs() int64 { return time.Now().UnixMicro() }
@@ -26,7 +27,7 @@
 // Run starts a node of a role on real sockets and serves until it is told to
 // stop.
 func Run(path, role, logLevel string) error {
-	opts, err := skep.Load(path)
+	opts, err := settings.Load(path)
 	if err != nil {
 		return err
 	}
@@ -36,7 +37,7 @@
 	// Memory is kept small: the heap is collected early and the limit of the
 	// machine is never reached by garbage (design 11.2).
 	debug.SetGCPercent(50)
-	if role == skep.RoleStore {
+	if role == settings.RoleStore {
 		debug.SetGCPercent(20) // what it holds is large and lives long
 	}
 	debug.SetMemoryLimit(opts.Caps.RAMMb << 20 * 6 / 10)
@@ -46,12 +47,12 @@
 	signal.Notify(hup, syscall.SIGHUP)
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	tally := pollen.NewTally()
-	env := Env{Mesh: pollen.NewTCP(tally), Tally: tally, Dial: forage.DialTCP(), WallUs: wallUs, Log: wax.NewLog(os.Stderr, logLevel, "node", opts.Node)}
+	tally := rpc.NewTally()
+	env := Env{Mesh: rpc.NewTCP(tally), Tally: tally, Dial: forward.DialTCP(), WallUs: wallUs, Log: logging.NewLog(os.Stderr, logLevel, "node", opts.Node)}
 	for _, d := range opts.Doubts() {
 		env.Log.Warn("options_doubtful", "what", d)
 	}
-	if role == skep.RoleStore {
+	if role == settings.RoleStore {
 		return runComb(ctx, cancel, env, opts, path, term, hup)
 	}
 	return runForager(ctx, cancel, env, opts, path, term, hup)
@@ -59,7 +60,7 @@
 
 // listen opens the partner port; calls wait for the floor to run.
 func (n *Node) listen(ctx context.Context) error {
-	ln, err := pollen.Listen(n.self.Addr, n.Desk, n.env.Log, n.env.Tally)
+	ln, err := rpc.Listen(n.self.Addr, n.Desk, n.env.Log, n.env.Tally)
 	if err != nil {
 		return err
 	}
@@ -99,7 +100,7 @@
 func (c *Comb) tellWritten(ctx context.Context) {
 	tick := time.NewTicker(tallyEvery)
 	defer tick.Stop()
-	var last cell.Written
+	var last wal.Written
 	for {
 		select {
 		case <-ctx.Done():
@@ -112,7 +113,7 @@
 	}
 }
 
-func runComb(ctx context.Context, cancel func(), env Env, opts *skep.Options, path string, term, hup <-chan os.Signal) error {
+func runComb(ctx context.Context, cancel func(), env Env, opts *settings.Options, path string, term, hup <-chan os.Signal) error {
 	c, err := NewComb(ctx, env, opts)
 	if err != nil {
 		return err
@@ -139,10 +140,10 @@
 // no more, for as long as the platform lets it (design 8.6).
 func (c *Comb) Leave(ctx context.Context) {
 	c.leave(ctx)
-	endUs := waggle.NowUs() + c.opts.Load().GraceUs() - leaveReserveUs
-	waggle.Pause(ctx, settleLeave)
-	for ctx.Err() == nil && !c.Brood.Departed() && waggle.NowUs() < endUs {
-		waggle.Pause(ctx, leavePause)
+	endUs := eventloop.NowUs() + c.opts.Load().GraceUs() - leaveReserveUs
+	eventloop.Pause(ctx, settleLeave)
+	for ctx.Err() == nil && !c.Brood.Departed() && eventloop.NowUs() < endUs {
+		eventloop.Pause(ctx, leavePause)
 	}
 	c.env.Log.Info("left", "departed", c.Brood.Departed())
 }
@@ -153,7 +154,7 @@
 	leavePause     = 50 * time.Millisecond
 )
 
-func runForager(ctx context.Context, cancel func(), env Env, opts *skep.Options, path string, term, hup <-chan os.Signal) error {
+func runForager(ctx context.Context, cancel func(), env Env, opts *settings.Options, path string, term, hup <-chan os.Signal) error {
 	f, err := NewForager(ctx, env, opts)
 	if err != nil {
 		return err
@@ -161,14 +162,14 @@
 	if err := f.listen(ctx); err != nil {
 		return err
 	}
-	var faults wax.Ledger
-	var servers []*guard.Server
-	for _, o := range []guard.Opening{
+	var faults fault.Ledger
+	var servers []*ingress.Server
+	for _, o := range []ingress.Opening{
 		{Addr: opts.Listen.HTTP, Handler: f.Guard.Clients(), Limits: f.Guard.Limits, Waits: f.Guard.Waits},
 		{Addr: opts.Listen.Readyz, Handler: f.Guard.Readyz(), Limits: f.Guard.Limits.Small()},
 		{Addr: opts.Listen.Ctl, Handler: f.Control.Handler(), Limits: f.Guard.Limits.Small()},
 	} {
-		s, err := guard.Open(o)
+		s, err := ingress.Open(o)
 		faults.Add(err)
 		servers = append(servers, s)
 	}
@@ -223,7 +224,7 @@
 
 // Reload takes new options if they check.
 func (n *Node) Reload(ctx context.Context, path string) {
-	opts, err := skep.Load(path)
+	opts, err := settings.Load(path)
 	if err == nil {
 		err = opts.CheckRole(n.role)
 	}
--- a/internal/colony/tell.go
+++ b/internal/node/tell.go
@@ -1,51 +1,51 @@
-package colony
+package node
 
 import (
 	"context"
 	"fmt"
 	"strconv"
 
-	"rowanshunt/internal/trail"
+	"rowanshunt/internal/trace"
 )
 
 // What a node tells a tracer (design 14.2).
 
-func (n *Node) tellBlueprint(_ context.Context, a *trail.Ask) []trail.Fact {
+func (n *Node) tellBlueprint(_ context.Context, a *trace.Ask) []trace.Fact {
 	ver, err := strconv.ParseInt(a.ID, 10, 64)
 	if err != nil {
 		return nil
 	}
-	var out []trail.Fact
+	var out []trace.Fact
 	if held, votes := n.Nest.Held(); votes {
-		out = append(out, trail.Fact{Hop: "held", State: fmt.Sprintf("version %d on disk", held), Behind: held < ver})
+		out = append(out, trace.Fact{Hop: "held", State: fmt.Sprintf("version %d on disk", held), Behind: held < ver})
 	}
 	now := int64(0)
 	if s := n.Nest.Committed(); s != nil {
 		now = s.Ver
 	}
-	out = append(out, trail.Fact{Hop: "committed", State: fmt.Sprintf("version %d known", now), Behind: now < ver})
+	out = append(out, trace.Fact{Hop: "committed", State: fmt.Sprintf("version %d known", now), Behind: now < ver})
 	inForce := int64(0)
 	if b := n.blueprint.Load(); b != nil {
 		inForce = b.Ver
 	}
-	return append(out, trail.Fact{Hop: "in_force", State: fmt.Sprintf("version %d", inForce), AtUs: n.appliedUs.Load(), Behind: inForce < ver})
+	return append(out, trace.Fact{Hop: "in_force", State: fmt.Sprintf("version %d", inForce), AtUs: n.appliedUs.Load(), Behind: inForce < ver})
 }
 
-func (f *Forager) tellAcked(_ context.Context, a *trail.Ask) []trail.Fact {
+func (f *Forager) tellAcked(_ context.Context, a *trace.Ask) []trace.Fact {
 	ver, err := strconv.ParseInt(a.ID, 10, 64)
 	if err != nil {
 		return nil
 	}
 	if atUs := f.Control.Acked(ver); atUs > 0 {
-		return []trail.Fact{{Hop: "acknowledged", State: "here", AtUs: atUs}}
+		return []trace.Fact{{Hop: "acknowledged", State: "here", AtUs: atUs}}
 	}
 	return nil
 }
 
-func (f *Forager) tellWorker(ctx context.Context, a *trail.Ask) []trail.Fact {
+func (f *Forager) tellWorker(ctx context.Context, a *trace.Ask) []trace.Fact {
 	w, inUse := f.Flora.Trace(ctx, a.ID)
 	if w == nil {
-		return []trail.Fact{{Hop: "worker", State: "unknown", Behind: true}}
+		return []trace.Fact{{Hop: "worker", State: "unknown", Behind: true}}
 	}
 	state := fmt.Sprintf("%s seq %d, heard %d ms ago", w.Phase, w.Seq, w.AgeUs/1000)
 	mark := w.Phase
@@ -55,29 +55,29 @@
 	if inUse {
 		state, mark = state+", in use", mark+" in use"
 	}
-	out := []trail.Fact{{Hop: "worker", State: state, Mark: mark}}
+	out := []trace.Fact{{Hop: "worker", State: state, Mark: mark}}
 	if f.Flora.HomeOf(w.Svc) == f.self.Name {
-		out = append(out, trail.Fact{Hop: "home", State: "of " + w.Svc + " in " + f.self.Az})
+		out = append(out, trace.Fact{Hop: "home", State: "of " + w.Svc + " in " + f.self.Az})
 	}
 	return out
 }
 
-func (f *Forager) tellInHand(_ context.Context, a *trail.Ask) []trail.Fact {
+func (f *Forager) tellInHand(_ context.Context, a *trace.Ask) []trace.Fact {
 	if n := f.Nurse.InHand(a.ID); n > 0 {
-		return []trail.Fact{{Hop: "in_hand", State: fmt.Sprintf("%d items run here", n)}}
+		return []trace.Fact{{Hop: "in_hand", State: fmt.Sprintf("%d items run here", n)}}
 	}
 	return nil
 }
 
-func (c *Comb) tellLot(ctx context.Context, a *trail.Ask) []trail.Fact {
+func (c *Comb) tellLot(ctx context.Context, a *trace.Ask) []trace.Fact {
 	s := c.Nest.Committed()
 	votes := s != nil && c.Brood.Keeps(s, a.Host)
 	l, err := c.Brood.Trace(ctx, a.Host, a.ID)
 	switch {
 	case err != nil:
-		return []trail.Fact{{Hop: "copy", State: "the store is busy", Behind: true}}
+		return []trace.Fact{{Hop: "copy", State: "the store is busy", Behind: true}}
 	case l == nil && votes:
-		return []trail.Fact{{Hop: "copy", State: "none", Behind: true}}
+		return []trace.Fact{{Hop: "copy", State: "none", Behind: true}}
 	case l == nil:
 		return nil
 	}
@@ -85,9 +85,9 @@
 	if l.Ended {
 		state += ", ended"
 	}
-	out := []trail.Fact{{Hop: "copy", State: state, Mark: fmt.Sprintf("%d/%d/%d", l.Stamp.Roster, l.Stamp.N, l.Rev)}}
+	out := []trace.Fact{{Hop: "copy", State: state, Mark: fmt.Sprintf("%d/%d/%d", l.Stamp.Roster, l.Stamp.N, l.Rev)}}
 	if l.Owner {
-		out = append(out, trail.Fact{Hop: "owner", State: fmt.Sprintf("serves it, %d replicas in step", l.Synced)})
+		out = append(out, trace.Fact{Hop: "owner", State: fmt.Sprintf("serves it, %d replicas in step", l.Synced)})
 	}
 	return out
 }
--- a/internal/nectar/bound_test.go
+++ b/internal/quota/bound_test.go
@@ -1,17 +1,17 @@
-package nectar
+package quota
 
 import (
 	"fmt"
 	"testing"
 
 	"rowanshunt/internal/codec"
-	"rowanshunt/internal/nest"
+	"rowanshunt/internal/register"
 )
 
 // Duties of services that no document names don't pile up in the register's
 // value, and a service whose duty was dropped goes on above its term.
 func TestDutiesAreBounded(t *testing.T) {
-	s := &nest.State{Ver: 1}
+	s := &register.State{Ver: 1}
 	s.SetExtra(docKey, []byte(`{"ver":1,"tenants":{"t":{"hosts":["h.example"]}},"shares":{"kept":{"t":{"weight":1}}}}`))
 	put := func(svc string, term uint64) {
 		raw, err := codec.Marshal(&office{Term: term, By: "n/1"})
--- a/internal/nectar/doc.go
+++ b/internal/quota/doc.go
@@ -1,11 +1,11 @@
-// Package nectar keeps the tenants' fair shares of the fleet (docs/quotas.md,
+// Package quota keeps the tenants' fair shares of the fleet (docs/quotas.md,
 // design 17): a document in the register says what each is guaranteed of a
 // service's cache memory and decode slots, one fenced duty for each service
 // turns what the nodes report into expiring grants, and the nodes admit by
 // these. Without a document nothing of it runs. The field's standard terms:
 // nectar = quota; gate = admission control; grant = lease on capacity; dominant
 // share = largest share of any one resource.
-package nectar
+package quota
 
 import (
 	"bytes"
@@ -18,9 +18,9 @@
 	"github.com/BurntSushi/toml"
 	"github.com/go-faster/jx"
 
-	"rowanshunt/internal/foundation"
-	"rowanshunt/internal/nest"
-	"rowanshunt/internal/wax"
+	"rowanshunt/internal/config"
+	"rowanshunt/internal/fault"
+	"rowanshunt/internal/register"
 )
 
 // Others is the tenant of all hosts that the document names nowhere.
@@ -58,9 +58,9 @@
 	d := &Doc{}
 	meta, err := toml.Decode(string(raw), d)
 	if err != nil {
-		return nil, wax.New(wax.Invalid, "quotas", err.Error(), "write it as docs/quotas.md shows")
+		return nil, fault.New(fault.Invalid, "quotas", err.Error(), "write it as docs/quotas.md shows")
 	}
-	var l wax.Ledger
+	var l fault.Ledger
 	for _, k := range meta.Undecoded() {
 		l.Addf(k.String(), "is no field of the document", "take it out, or write it as docs/quotas.md shows")
 	}
@@ -71,10 +71,10 @@
 // ParseJSON reads a document as nodes take it, field by field.
 func ParseJSON(raw []byte) (*Doc, error) {
 	if len(raw) > MaxBytes {
-		return nil, wax.New(wax.TooLarge, "quotas", "are over 4 MiB", "send a smaller document")
+		return nil, fault.New(fault.TooLarge, "quotas", "are over 4 MiB", "send a smaller document")
 	}
 	d := &Doc{Tenants: map[string]Tenant{}, Shares: map[string]map[string]Share{}}
-	var l wax.Ledger
+	var l fault.Ledger
 	unknown := func(place string, dec *jx.Decoder) error {
 		l.Addf(place, "is no field of the document", "take it out, or write it as docs/quotas.md shows")
 		return dec.Skip()
@@ -133,10 +133,10 @@
 		return unknown(key, dec)
 	})
 	if err == nil && !jx.Valid(raw) {
-		err = wax.New(wax.Invalid, "", "something follows the object", "send one JSON object")
+		err = fault.New(fault.Invalid, "", "something follows the object", "send one JSON object")
 	}
 	if err != nil {
-		return nil, wax.New(wax.Invalid, "quotas", "cannot be read whole: "+err.Error(), "send one JSON object with ver, tenants and shares")
+		return nil, fault.New(fault.Invalid, "quotas", "cannot be read whole: "+err.Error(), "send one JSON object with ver, tenants and shares")
 	}
 	d.check(&l)
 	return d, l.Err()
@@ -214,7 +214,7 @@
 }
 
 // check looks at the whole of the document and names every place that is wrong.
-func (d *Doc) check(l *wax.Ledger) {
+func (d *Doc) check(l *fault.Ledger) {
 	if d.Ver <= 0 {
 		l.Addf("ver", "is missing or not above 0", "count versions from 1")
 	}
@@ -228,7 +228,7 @@
 			l.Addf(at+".hosts", "is missing or empty", "name at least one host")
 		}
 		for _, h := range d.Tenants[name].Hosts {
-			key := foundation.HostKey(h)
+			key := config.HostKey(h)
 			switch other, twice := of[key]; {
 			case key == "":
 				l.Addf(at+".hosts", "holds an empty name", "name the host as the routes do")
@@ -243,7 +243,7 @@
 	}
 }
 
-func (d *Doc) checkService(l *wax.Ledger, svc string) {
+func (d *Doc) checkService(l *fault.Ledger, svc string) {
 	at := "shares." + svc
 	if len(d.Shares[svc]) == 0 {
 		l.Addf(at, "names no tenant", "give at least one its share, or leave the service out")
@@ -298,15 +298,15 @@
 }
 
 // CheckAgainst looks whether a blueprint has what the document names.
-func (d *Doc) CheckAgainst(b *foundation.Blueprint) error {
-	var l wax.Ledger
+func (d *Doc) CheckAgainst(b *config.Blueprint) error {
+	var l fault.Ledger
 	hosts := map[string]bool{}
 	for _, r := range b.Bindings {
 		hosts[r.Host] = true
 	}
 	for _, name := range sorted(d.Tenants) {
 		for _, h := range d.Tenants[name].Hosts {
-			if !hosts[foundation.HostKey(h)] {
+			if !hosts[config.HostKey(h)] {
 				l.Addf("tenants."+name+".hosts", strconv.Quote(h)+" is no host of a route", "add a route first, or take it out")
 			}
 		}
@@ -320,7 +320,7 @@
 }
 
 // Load reads the document from the register's state, nil if there is none.
-func Load(s *nest.State) *Doc {
+func Load(s *register.State) *Doc {
 	if s == nil || s.Extra[docKey] == nil {
 		return nil
 	}
@@ -333,10 +333,10 @@
 
 // Put commits a document on top of the version it expects, 0 for the first
 // (design 17.1).
-func Put(ctx context.Context, change func(context.Context, nest.Change) (*nest.State, error), d *Doc, expect int64) error {
+func Put(ctx context.Context, change func(context.Context, register.Change) (*register.State, error), d *Doc, expect int64) error {
 	raw := d.JSON()
-	order := nest.NewOrder(d.Ver, expect, raw)
-	_, err := change(ctx, func(now *nest.State) (*nest.State, error) {
+	order := register.NewOrder(d.Ver, expect, raw)
+	_, err := change(ctx, func(now *register.State) (*register.State, error) {
 		var ver int64
 		if old := Load(now); old != nil {
 			ver = old.Ver
@@ -344,11 +344,11 @@
 		if bytes.Equal(now.Extra[docKey], raw) {
 			return nil, nil // the very same one, in force
 		}
-		return nest.QuotaOrders.ApplyOrder(now, ver, order, func(now *nest.State) error {
+		return register.QuotaOrders.ApplyOrder(now, ver, order, func(now *register.State) error {
 			if now.Ver == 0 {
-				return wax.New(wax.Conflict, "quotas", "there is no blueprint to check them against", "put a blueprint first")
+				return fault.New(fault.Conflict, "quotas", "there is no blueprint to check them against", "put a blueprint first")
 			}
-			b, err := foundation.Parse(now.Doc)
+			b, err := config.Parse(now.Doc)
 			if err != nil {
 				return err
 			}
@@ -379,7 +379,7 @@
 	r := &Rules{Ver: d.Ver, tenantOf: map[string]string{}, shares: map[string]map[string]Guarantee{}}
 	for name, t := range d.Tenants {
 		for _, h := range t.Hosts {
-			r.tenantOf[foundation.HostKey(h)] = name
+			r.tenantOf[config.HostKey(h)] = name
 		}
 	}
 	for svc, of := range d.Shares {
@@ -422,7 +422,7 @@
 // Tenant names the tenant of a host at a service: one that has no share there
 // is one of the others.
 func (r *Rules) Tenant(svc, host string) string {
-	name := r.tenantOf[foundation.HostKey(host)]
+	name := r.tenantOf[config.HostKey(host)]
 	if _, ok := r.shares[svc][name]; ok && name != "" {
 		return name
 	}
--- a/internal/nectar/doc_test.go
+++ b/internal/quota/doc_test.go
@@ -1,13 +1,13 @@
-package nectar
+package quota
 
 import (
 	"context"
 	"strings"
 	"testing"
 
-	"rowanshunt/internal/foundation"
-	"rowanshunt/internal/nest"
-	"rowanshunt/internal/wax"
+	"rowanshunt/internal/config"
+	"rowanshunt/internal/fault"
+	"rowanshunt/internal/register"
 )
 
 const goodTOML = `
@@ -55,7 +55,7 @@
 	} {
 		doc := strings.Replace(goodTOML, tc.old, tc.new, 1)
 		_, err := ParseTOML([]byte(doc))
-		if !wax.Is(err, wax.Invalid) || !strings.Contains(err.Error(), tc.place+":") || !strings.Contains(err.Error(), "remedy") {
+		if !fault.Is(err, fault.Invalid) || !strings.Contains(err.Error(), tc.place+":") || !strings.Contains(err.Error(), "remedy") {
 			t.Errorf("%s: %v", tc.name, err)
 		}
 	}
@@ -82,11 +82,11 @@
 		"a share twice":     `{"ver":1,"shares":{"s":{"others":{"weight":1},"others":{"weight":2}}}}`,
 		"no tenant's share": `{"ver":1,"shares":{"s":{}}}`,
 	} {
-		if _, err := ParseJSON([]byte(doc)); !wax.Is(err, wax.Invalid) {
+		if _, err := ParseJSON([]byte(doc)); !fault.Is(err, fault.Invalid) {
 			t.Errorf("%s: %v", name, err)
 		}
 	}
-	if _, err := ParseJSON(make([]byte, MaxBytes+1)); !wax.Is(err, wax.TooLarge) {
+	if _, err := ParseJSON(make([]byte, MaxBytes+1)); !fault.Is(err, fault.TooLarge) {
 		t.Errorf("too large: %v", err)
 	}
 }
@@ -123,11 +123,11 @@
 			`{"name":"c","host":"feeds.example","pfx":"/a/","type":"safe","limit_ms":5,"svc":"llm"}],"svcs":[` + svcs + `],"caps":{}}`)
 	}
 	both := `{"name":"llm","hc":"/h"},{"name":"app","hc":"/h"}`
-	if _, err := foundation.Parse(blueprint(both)); err != nil {
+	if _, err := config.Parse(blueprint(both)); err != nil {
 		t.Fatal(err)
 	}
-	state := &nest.State{Ver: 1, Doc: blueprint(both)}
-	change := func(_ context.Context, c nest.Change) (*nest.State, error) {
+	state := &register.State{Ver: 1, Doc: blueprint(both)}
+	change := func(_ context.Context, c register.Change) (*register.State, error) {
 		now := *state
 		next, err := c(&now)
 		if err != nil {
@@ -152,10 +152,10 @@
 	if err := put(doc("3"), 0); err != nil {
 		t.Errorf("the same again: %v", err)
 	}
-	if err := put(doc("4"), 2); !wax.Is(err, wax.Stale) {
+	if err := put(doc("4"), 2); !fault.Is(err, fault.Stale) {
 		t.Errorf("on a version that is not in place: %v", err)
 	}
-	if err := put(doc("2"), 3); !wax.Is(err, wax.Invalid) {
+	if err := put(doc("2"), 3); !fault.Is(err, fault.Invalid) {
 		t.Errorf("not above: %v", err)
 	}
 	if err := put(doc("5"), 3); err != nil || Load(state).Ver != 5 {
@@ -166,24 +166,24 @@
 	}
 	other := doc("3")
 	other.Tenants["dealers"] = Tenant{Hosts: []string{"till.example"}}
-	if err := put(other, 0); !wax.Is(err, wax.Stale) {
+	if err := put(other, 0); !fault.Is(err, fault.Stale) {
 		t.Errorf("another document under a taken number: %v", err)
 	}
 	state.Doc = blueprint(`{"name":"llm","hc":"/h"}`)
 	if err := put(doc("3"), 0); err != nil || Load(state).Ver != 5 {
 		t.Errorf("a taken one sent again when its services are gone: %v", err)
 	}
-	if err := put(doc("6"), 5); !wax.Is(err, wax.Invalid) || !strings.Contains(err.Error(), "shares.app") {
+	if err := put(doc("6"), 5); !fault.Is(err, fault.Invalid) || !strings.Contains(err.Error(), "shares.app") {
 		t.Errorf("no such service: %v", err)
 	}
 	state.Doc = blueprint(both)
 	strange := doc("6")
 	strange.Tenants["dealers"] = Tenant{Hosts: []string{"elsewhere.example"}}
-	if err := put(strange, 5); !wax.Is(err, wax.Invalid) || !strings.Contains(err.Error(), "tenants.dealers.hosts") {
+	if err := put(strange, 5); !fault.Is(err, fault.Invalid) || !strings.Contains(err.Error(), "tenants.dealers.hosts") {
 		t.Errorf("no such host: %v", err)
 	}
-	state = &nest.State{}
-	if err := put(doc("1"), 0); !wax.Is(err, wax.Conflict) {
+	state = &register.State{}
+	if err := put(doc("1"), 0); !fault.Is(err, fault.Conflict) {
 		t.Errorf("without a blueprint: %v", err)
 	}
 	if Load(state) != nil || Load(nil) != nil {
--- a/internal/nectar/gate.go
+++ b/internal/quota/gate.go
@@ -1,11 +1,11 @@
-package nectar
+package quota
 
 import (
 	"slices"
 	"sync"
 	"sync/atomic"
 
-	"rowanshunt/internal/waggle"
+	"rowanshunt/internal/eventloop"
 )
 
 // liveFirstUs is how long a tenant's batch stands back after one of its own live
@@ -160,7 +160,7 @@
 func (g *Gate) admit(svc, host string, kv int64, yield func()) (*Ticket, bool) {
 	r := g.Rules()
 	name := r.Tenant(svc, host)
-	nowUs := waggle.NowUs()
+	nowUs := eventloop.NowUs()
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	s := g.of(svc)
@@ -240,7 +240,7 @@
 	defer g.mu.Unlock()
 	u := g.of(svc).of(name)
 	u.short++
-	u.shortUs = waggle.NowUs()
+	u.shortUs = eventloop.NowUs()
 }
 
 // Entitled tells whether a host's tenant is known to be within its guarantee: what
@@ -253,7 +253,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	s := g.of(svc)
-	if waggle.NowUs() >= s.untilUs {
+	if eventloop.NowUs() >= s.untilUs {
 		return false
 	}
 	lim, _ := s.limit(name)
@@ -266,7 +266,7 @@
 		return nil
 	}
 	r := g.Rules()
-	nowUs := waggle.NowUs()
+	nowUs := eventloop.NowUs()
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	s := g.of(svc)
@@ -295,7 +295,7 @@
 // Report drains what this node has to tell of a service: tenants with nothing
 // are left out, so that it follows the node's own traffic.
 func (g *Gate) Report(svc string) []Use {
-	nowUs := waggle.NowUs()
+	nowUs := eventloop.NowUs()
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	s := g.of(svc)
@@ -321,9 +321,9 @@
 	s := g.of(svc)
 	if term > s.term {
 		if s.term == 0 {
-			s.beganUs = waggle.NowUs()
+			s.beganUs = eventloop.NowUs()
 		}
-		s.term, s.untilUs = term, min(s.untilUs, waggle.NowUs()+ttlUs)
+		s.term, s.untilUs = term, min(s.untilUs, eventloop.NowUs()+ttlUs)
 	}
 }
 
--- a/internal/nectar/gate_test.go
+++ b/internal/quota/gate_test.go
@@ -1,11 +1,11 @@
-package nectar
+package quota
 
 import (
 	"testing"
 	"testing/synctest"
 	"time"
 
-	"rowanshunt/internal/waggle"
+	"rowanshunt/internal/eventloop"
 )
 
 func newGate(t *testing.T) *Gate {
@@ -47,7 +47,7 @@
 		{"nothing", contended(Limit{Name: "dealers"}), map[string]int{feeds: 0}},
 	} {
 		g := newGate(t)
-		g.Take("llm", tc.grant, waggle.NowUs())
+		g.Take("llm", tc.grant, eventloop.NowUs())
 		for host, want := range tc.want {
 			if got := fill(g, host); got != want {
 				t.Errorf("%s: %d of %s were admitted, want %d", tc.name, got, host, want)
@@ -58,7 +58,7 @@
 	if g.Entitled("llm", shop) {
 		t.Error("entitled without a grant")
 	}
-	g.Take("llm", contended(Limit{Name: "dealers", Slots: 3}, Limit{Name: "books", Free: true}), waggle.NowUs())
+	g.Take("llm", contended(Limit{Name: "dealers", Slots: 3}, Limit{Name: "books", Free: true}), eventloop.NowUs())
 	if !g.Entitled("llm", shop) || g.Entitled("llm", feeds) || g.Entitled("app", shop) {
 		t.Error("who is within its guarantee")
 	}
@@ -90,7 +90,7 @@
 			t.Errorf("while the first holder looks round: %d", n)
 		}
 		g = newGate(t)
-		g.Take("llm", &Grant{Term: 3, TTLUs: ttlUs, Of: []Limit{{Name: "books", Part: 0.5, Free: true}}}, waggle.NowUs())
+		g.Take("llm", &Grant{Term: 3, TTLUs: ttlUs, Of: []Limit{{Name: "books", Part: 0.5, Free: true}}}, eventloop.NowUs())
 		time.Sleep(ttlUs*time.Microsecond + time.Second)
 		// dealers: 20 percent of 40 slots, a quarter of that here.
 		if n := fill(g, "feeds.example"); n != 2 {
@@ -101,10 +101,10 @@
 			t.Errorf("the part that was told: %d", n)
 		}
 		g.Fence("llm", 4)
-		if g.Take("llm", &Grant{Term: 3, TTLUs: ttlUs}, waggle.NowUs()) {
+		if g.Take("llm", &Grant{Term: 3, TTLUs: ttlUs}, eventloop.NowUs()) {
 			t.Error("a grant of an older term was taken")
 		}
-		if !g.Take("llm", &Grant{Term: 4, TTLUs: ttlUs}, waggle.NowUs()) || fill(g, "feeds.example") != 50 {
+		if !g.Take("llm", &Grant{Term: 4, TTLUs: ttlUs}, eventloop.NowUs()) || fill(g, "feeds.example") != 50 {
 			t.Error("a grant of the newest term was not")
 		}
 	})
@@ -126,13 +126,13 @@
 		}
 		live, _ := g.Admit("llm", "feeds.example", 10)
 		bound := &Grant{Term: 1, TTLUs: ttlUs, Contended: true, Of: []Limit{{Name: "dealers", Slots: 3, Kv: 1000}}}
-		g.Take("llm", bound, waggle.NowUs())
+		g.Take("llm", bound, eventloop.NowUs())
 		if len(told) != 0 {
 			t.Errorf("%v gave way though nobody comes within its guarantee", told)
 		}
 		bound.Yield = true
-		g.Take("llm", bound, waggle.NowUs())
-		g.Take("llm", bound, waggle.NowUs())
+		g.Take("llm", bound, eventloop.NowUs())
+		g.Take("llm", bound, eventloop.NowUs())
 		if len(told) != 3 || told[0] != 4 || told[2] != 2 {
 			t.Errorf("gave way: %v", told)
 		}
@@ -151,7 +151,7 @@
 			t.Errorf("full: %v", full)
 		}
 		time.Sleep(time.Second)
-		g.Take("llm", bound, waggle.NowUs())
+		g.Take("llm", bound, eventloop.NowUs())
 		if _, ok := g.AdmitItem("llm", "feeds.example", 10, func() {}); !ok {
 			t.Error("a second later there is room")
 		}
--- a/internal/nectar/nectar.go
+++ b/internal/quota/nectar.go
@@ -1,4 +1,4 @@
-package nectar
+package quota
 
 import (
 	"context"
@@ -9,12 +9,13 @@
 	"github.com/vmihailenco/msgpack/v5"
 
 	"rowanshunt/internal/codec"
-	"rowanshunt/internal/nest"
-	"rowanshunt/internal/pollen"
-	"rowanshunt/internal/swarm"
-	"rowanshunt/internal/tending"
-	"rowanshunt/internal/waggle"
-	"rowanshunt/internal/wax"
+	"rowanshunt/internal/eventloop"
+	"rowanshunt/internal/fault"
+	"rowanshunt/internal/gossip"
+	"rowanshunt/internal/logging"
+	"rowanshunt/internal/register"
+	"rowanshunt/internal/rendezvous"
+	"rowanshunt/internal/rpc"
 )
 
 // Times of the duty (design 17.3).
@@ -39,7 +40,7 @@
 	By   string // node/life
 }
 
-func officeOf(s *nest.State, svc string) office {
+func officeOf(s *register.State, svc string) office {
 	var o office
 	if s == nil {
 		return o
@@ -64,7 +65,7 @@
 const maxDuties = 256
 
 // boundDuties bounds the duties in a state that is not shared yet.
-func boundDuties(s *nest.State) error {
+func boundDuties(s *register.State) error {
 	count := 0
 	for key := range s.Extra {
 		if strings.HasPrefix(key, dutyKey) {
@@ -94,14 +95,14 @@
 
 // Config is what a node's part in quotas is made of.
 type Config struct {
-	Floor  *waggle.Floor
-	Desk   *pollen.Desk
-	Mesh   pollen.Mesh
-	Swarm  *swarm.Swarm
-	Log    *wax.Log
-	Self   swarm.Partner
-	State  func() *nest.State
-	Change func(context.Context, nest.Change) (*nest.State, error)
+	Floor  *eventloop.Floor
+	Desk   *rpc.Desk
+	Mesh   rpc.Mesh
+	Swarm  *gossip.Swarm
+	Log    *logging.Log
+	Self   gossip.Partner
+	State  func() *register.State
+	Change func(context.Context, register.Change) (*register.State, error)
 	Gate   *Gate
 }
 
@@ -124,14 +125,14 @@
 // New joins the quotas.
 func New(ctx context.Context, cfg Config) *Nectar {
 	n := &Nectar{cfg: cfg, ctx: ctx, tables: map[string]*table{}, asked: map[string]*asking{}}
-	pollen.On(cfg.Desk, "nectar.report", n.onReport)
-	pollen.On(cfg.Desk, "nectar.explain", n.onExplain)
+	rpc.On(cfg.Desk, "nectar.report", n.onReport)
+	rpc.On(cfg.Desk, "nectar.explain", n.onExplain)
 	cfg.Floor.Every(tickUs, n.tick)
 	return n
 }
 
 // Apply takes a committed state: the document in force, and who holds the duties.
-func (n *Nectar) Apply(s *nest.State) {
+func (n *Nectar) Apply(s *register.State) {
 	if raw := string(s.Extra[docKey]); raw != n.docRaw {
 		n.docRaw = raw
 		d := Load(s)
@@ -150,13 +151,13 @@
 }
 
 // holder names the node whom a service's duty falls to.
-func (n *Nectar) holder(svc string, v *swarm.View) string {
+func (n *Nectar) holder(svc string, v *gossip.View) string {
 	strong := v.Strong(n.cfg.Self.Role)
 	names := make([]string, len(strong))
 	for i, s := range strong {
 		names[i] = s.Name
 	}
-	return tending.Holder(dutyKey+svc, names)
+	return rendezvous.Holder(dutyKey+svc, names)
 }
 
 type reportCall struct {
@@ -172,7 +173,7 @@
 	if r == nil {
 		return
 	}
-	nowUs := waggle.NowUs()
+	nowUs := eventloop.NowUs()
 	v := n.cfg.Swarm.Look()
 	for _, svc := range r.Services() {
 		holder := n.holder(svc, v)
@@ -217,7 +218,7 @@
 		g   *Grant
 		err error
 	}
-	got, err := waggle.Ask(ctx, n.cfg.Floor, func() answer {
+	got, err := eventloop.Ask(ctx, n.cfg.Floor, func() answer {
 		g, err := n.report(in)
 		return answer{g, err}
 	})
@@ -231,17 +232,17 @@
 	r := n.cfg.Gate.Rules()
 	v := n.cfg.Swarm.Look()
 	if holder := n.holder(in.Svc, v); holder != n.cfg.Self.Name {
-		return nil, wax.New(wax.NotOwner, holder, "this node does not hold the duty", "tell its holder")
+		return nil, fault.New(fault.NotOwner, holder, "this node does not hold the duty", "tell its holder")
 	}
 	if r == nil || r.Ver != in.Ver || r.shares[in.Svc] == nil {
-		return nil, wax.New(wax.Stale, "quotas", "another version is in force here", "report again")
+		return nil, fault.New(fault.Stale, "quotas", "another version is in force here", "report again")
 	}
 	t := n.tables[in.Svc]
 	if t == nil {
 		t = &table{svc: in.Svc, nodes: map[string]*told{}}
 		n.tables[in.Svc] = t
 	}
-	nowUs := waggle.NowUs()
+	nowUs := eventloop.NowUs()
 	node := t.nodes[in.From]
 	if node == nil {
 		node = &told{}
@@ -251,16 +252,16 @@
 	// Whoever took the duty after this node did ends it here (design 17.3).
 	if now := officeOf(n.cfg.State(), in.Svc); t.term == 0 || now.Term > t.term || now.Term == t.term && now.By != n.cfg.Self.Life() {
 		n.claim(t)
-		return nil, wax.New(wax.Declined, in.Svc, "the duty changes hands", "live on your part until it has")
+		return nil, fault.New(fault.Declined, in.Svc, "the duty changes hands", "live on your part until it has")
 	}
 	if nowUs < t.openUs && !t.heardAll(v, n.cfg.Self.Role, nowUs) {
-		return nil, wax.New(wax.Declined, in.Svc, "grants of before may still hold", "live on your part until they have run out")
+		return nil, fault.New(fault.Declined, in.Svc, "grants of before may still hold", "live on your part until they have run out")
 	}
 	if nowUs-t.madeUs > computeUs {
 		t.divide(r, n.cfg.Gate.Fleet(in.Svc), known(v, n.cfg.Self.Role, nowUs), nowUs)
 	}
 	if !t.quorum {
-		return nil, wax.New(wax.Declined, in.Svc, "too few nodes are in touch", "live on your part until more are")
+		return nil, fault.New(fault.Declined, in.Svc, "too few nodes are in touch", "live on your part until more are")
 	}
 	everyUs := reportEveryUs(len(t.nodes))
 	g := &Grant{Term: t.term, TTLUs: grantTTLUs(everyUs), EveryUs: everyUs, Contended: nowUs < t.busyUs, Yield: t.yield, Of: t.limits[in.From]}
@@ -289,7 +290,7 @@
 		ctx, cancel := context.WithTimeout(n.ctx, 2*time.Second)
 		defer cancel()
 		var term uint64
-		_, err := n.cfg.Change(ctx, func(now *nest.State) (*nest.State, error) {
+		_, err := n.cfg.Change(ctx, func(now *register.State) (*register.State, error) {
 			o := officeOf(now, t.svc)
 			term = o.Term + 1
 			raw, err := codec.Marshal(&office{Term: term, By: me})
@@ -307,7 +308,7 @@
 			}
 			// Grants of before hold as long as the most nodes would make them.
 			nodes := max(len(t.nodes), len(n.cfg.Swarm.Look().All))
-			t.term, t.openUs = term, waggle.NowUs()+grantTTLUs(reportEveryUs(nodes))
+			t.term, t.openUs = term, eventloop.NowUs()+grantTTLUs(reportEveryUs(nodes))
 			n.cfg.Log.Info("quota_duty_held", "service", t.svc, "term", term)
 		})
 	}()
@@ -323,7 +324,7 @@
 }
 
 func (n *Nectar) onExplain(ctx context.Context, in *explainCall) (*explainAnswer, error) {
-	out, err := waggle.Ask(ctx, n.cfg.Floor, func() *explainAnswer {
+	out, err := eventloop.Ask(ctx, n.cfg.Floor, func() *explainAnswer {
 		t := n.tables[in.Svc]
 		if t == nil {
 			return nil
@@ -337,7 +338,7 @@
 		return out
 	})
 	if err == nil && out == nil {
-		err = wax.New(wax.NotOwner, in.Svc, "this node does not hold the duty", "ask again")
+		err = fault.New(fault.NotOwner, in.Svc, "this node does not hold the duty", "ask again")
 	}
 	return out, err
 }
@@ -355,7 +356,7 @@
 func (n *Nectar) Explain(ctx context.Context, tenant string) ([]Row, error) {
 	r := n.cfg.Gate.Rules()
 	if r == nil {
-		return nil, wax.New(wax.Unknown, "quotas", "none are set", "set some with hive quota set")
+		return nil, fault.New(fault.Unknown, "quotas", "none are set", "set some with rowanshunt quota set")
 	}
 	services := r.Services()
 	known := tenant == Others
@@ -363,7 +364,7 @@
 		known = known || name == tenant
 	}
 	if !known {
-		return nil, wax.New(wax.Unknown, tenant, "is no tenant", "name one of the document, or "+Others)
+		return nil, fault.New(fault.Unknown, tenant, "is no tenant", "name one of the document, or "+Others)
 	}
 	v := n.cfg.Swarm.Look()
 	var out []Row
@@ -387,7 +388,7 @@
 		n.cfg.Log.Debug("quota_duty_silent", "services", strings.Join(silent, " "))
 	}
 	if len(out) == 0 {
-		return nil, wax.New(wax.Unknown, tenant, fmt.Sprintf("has no share of its own at any of %d services", len(services)), "see "+Others)
+		return nil, fault.New(fault.Unknown, tenant, fmt.Sprintf("has no share of its own at any of %d services", len(services)), "see "+Others)
 	}
 	return out, nil
 }
--- a/internal/nectar/share_test.go
+++ b/internal/quota/share_test.go
@@ -1,4 +1,4 @@
-package nectar
+package quota
 
 import (
 	"math"
--- a/internal/nectar/table.go
+++ b/internal/quota/table.go
@@ -1,9 +1,9 @@
-package nectar
+package quota
 
 import (
 	"sort"
 
-	"rowanshunt/internal/swarm"
+	"rowanshunt/internal/gossip"
 )
 
 // Figures of the division; our own.
@@ -58,7 +58,7 @@
 
 // heardAll tells whether every living node has reported to this holder: then
 // each gets a new grant in the place of the one it may still have.
-func (t *table) heardAll(v *swarm.View, role string, nowUs int64) bool {
+func (t *table) heardAll(v *gossip.View, role string, nowUs int64) bool {
 	for i := range v.All {
 		s := &v.All[i]
 		if s.Role != role || !s.Alive {
@@ -72,8 +72,8 @@
 }
 
 // known lists the nodes that admit calls, also those that fell silent lately.
-func known(v *swarm.View, role string, nowUs int64) []string {
-	return v.Names(func(s *swarm.Sighting) bool {
+func known(v *gossip.View, role string, nowUs int64) []string {
+	return v.Names(func(s *gossip.Sighting) bool {
 		return s.Role == role && (s.Alive || nowUs-s.SinceUs < 10_000_000)
 	})
 }
--- a/internal/nest/acceptor.go
+++ b/internal/register/acceptor.go
@@ -1,14 +1,15 @@
-package nest
+package register
 
 import (
 	"context"
 	"sync"
 	"sync/atomic"
 
-	"rowanshunt/internal/cell"
 	"rowanshunt/internal/codec"
-	"rowanshunt/internal/pollen"
-	"rowanshunt/internal/wax"
+	"rowanshunt/internal/fault"
+	"rowanshunt/internal/logging"
+	"rowanshunt/internal/rpc"
+	"rowanshunt/internal/wal"
 )
 
 // vote is what a seat remembers, on disk before it answers.
@@ -48,9 +49,9 @@
 const rewriteBytes = 4 << 20
 
 // OpenAcceptor reads the vote that the seat left on disk.
-func OpenAcceptor(id, dir string, log *wax.Log, options ...cell.Option) (*Acceptor, error) {
+func OpenAcceptor(id, dir string, log *logging.Log, options ...wal.Option) (*Acceptor, error) {
 	var last vote
-	c, damage, err := cell.Open(dir, LogName, last.replay, options...)
+	c, damage, err := wal.Open(dir, LogName, last.replay, options...)
 	if err != nil {
 		return nil, err
 	}
@@ -69,7 +70,7 @@
 // replay takes the next record of the file.
 func (v *vote) replay(rec []byte) error {
 	var next vote
-	if err := pollen.Unmarshal(rec, &next); err != nil {
+	if err := rpc.Unmarshal(rec, &next); err != nil {
 		return err
 	}
 	if next.State == nil {
@@ -83,7 +84,7 @@
 func NewFoundingAcceptor(id string) *Acceptor { return newAcceptor(id, vote{}, memory{}) }
 
 type cellKeeper struct {
-	c         *cell.Cell
+	c         *wal.Cell
 	longBytes int64
 }
 
@@ -94,7 +95,7 @@
 			return err
 		}
 		got := make(chan error, 1)
-		k.c.Rewrite(func(err error) { got <- err }, cell.Records(rec))
+		k.c.Rewrite(func(err error) { got <- err }, wal.Records(rec))
 		if err := <-got; err == nil {
 			return nil
 		}
@@ -181,7 +182,7 @@
 		return nil, err
 	}
 	if in.State == nil {
-		return nil, wax.New(wax.Invalid, "state", "is missing", "run the same version on all nodes")
+		return nil, fault.New(fault.Invalid, "state", "is missing", "run the same version on all nodes")
 	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
--- a/internal/nest/acceptor_core.go
+++ b/internal/register/acceptor_core.go
@@ -1,6 +1,6 @@
-package nest
+package register
 
-import "rowanshunt/internal/wax"
+import "rowanshunt/internal/fault"
 
 // acceptorCore decides what an acceptor answers: a state machine with neither
 // goroutine, clock, disk nor socket. Each call gives the answer and, where one
@@ -22,7 +22,7 @@
 // checkMember refuses calls meant for another member.
 func (c *acceptorCore) checkMember(id string) error {
 	if id != c.id {
-		return wax.New(wax.Unknown, "seat", "this node holds another seat", "read the roster again")
+		return fault.New(fault.Unknown, "seat", "this node holds another seat", "read the roster again")
 	}
 	return nil
 }
--- a/internal/nest/bounds_test.go
+++ b/internal/register/bounds_test.go
@@ -1,4 +1,4 @@
-package nest
+package register
 
 import (
 	"fmt"
--- a/internal/nest/catchup.go
+++ b/internal/register/catchup.go
@@ -1,9 +1,9 @@
-package nest
+package register
 
 import (
 	"context"
 
-	"rowanshunt/internal/pollen"
+	"rowanshunt/internal/rpc"
 )
 
 // catchUpAfterUs is how long an acceptor lies behind the newest committed state
@@ -53,7 +53,7 @@
 // ballot, is an accept message that some proposer sent: to take it late is as
 // sound as to take it in time. Not taken: nobody has it, or more was promised
 // here since.
-func (a *Acceptor) fetchMissed(ctx context.Context, mesh pollen.Mesh, addrOf func(Seat) string, known *State) (from string, taken bool, err error) {
+func (a *Acceptor) fetchMissed(ctx context.Context, mesh rpc.Mesh, addrOf func(Seat) string, known *State) (from string, taken bool, err error) {
 	for _, s := range known.Core.All() {
 		if s.ID == a.ID() {
 			continue
--- a/internal/nest/contact.go
+++ b/internal/register/contact.go
@@ -1,11 +1,11 @@
-package nest
+package register
 
 import (
 	"context"
 	"time"
 
-	"rowanshunt/internal/pollen"
-	"rowanshunt/internal/waggle"
+	"rowanshunt/internal/eventloop"
+	"rowanshunt/internal/rpc"
 )
 
 // contactTimeout bounds the question whether others still hear a member.
@@ -23,7 +23,7 @@
 }
 
 func (n *Nest) serveContact() {
-	pollen.On(n.cfg.Desk, "nest.contact", func(_ context.Context, in *contactCall) (*contactAnswer, error) {
+	rpc.On(n.cfg.Desk, "nest.contact", func(_ context.Context, in *contactCall) (*contactAnswer, error) {
 		return &contactAnswer{Lost: n.lostHere(in)}, nil
 	})
 }
@@ -33,7 +33,7 @@
 	var lost []string
 	view := n.cfg.Swarm.Look()
 	for _, seat := range in.Seats {
-		if Gone(seat, view, in.ForUs, waggle.NowUs()-n.startUs) {
+		if Gone(seat, view, in.ForUs, eventloop.NowUs()-n.startUs) {
 			lost = append(lost, seat.ID)
 		}
 	}
--- a/internal/nest/disk_test.go
+++ b/internal/register/disk_test.go
@@ -1,4 +1,4 @@
-package nest
+package register
 
 import (
 	"bytes"
@@ -13,10 +13,10 @@
 
 	"github.com/vmihailenco/msgpack/v5"
 
-	"rowanshunt/internal/cell"
 	"rowanshunt/internal/codec"
-	"rowanshunt/internal/pollen"
-	"rowanshunt/internal/wax"
+	"rowanshunt/internal/logging"
+	"rowanshunt/internal/rpc"
+	"rowanshunt/internal/wal"
 )
 
 // powerLoss leaves in a new folder what a disk may have of an acceptor's file:
@@ -55,7 +55,7 @@
 	const docBytes, longBytes, rounds = 6_000, 100_000, 60
 	luck := rand.New(rand.NewPCG(13, 4))
 	dir := t.TempDir()
-	found, err := cell.Recover(dir, LogName, "")
+	found, err := wal.Recover(dir, LogName, "")
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -65,11 +65,11 @@
 	var rev, n uint64
 	var refusals, largest int64
 	for range rounds {
-		found, err := cell.Recover(dir, LogName, "")
+		found, err := wal.Recover(dir, LogName, "")
 		if err != nil || found.ID != id || found.Damage != nil && found.Damage.Lost {
 			t.Fatalf("after a loss of power: %+v, %v", found, err)
 		}
-		a, err := OpenAcceptor("s", dir, wax.Quiet(), cell.Interpose(func(cell.Step) error {
+		a, err := OpenAcceptor("s", dir, logging.Quiet(), wal.Interpose(func(wal.Step) error {
 			if luck.IntN(4) == 0 {
 				refusals++
 				return errors.New("no space left on device")
@@ -159,7 +159,7 @@
 	return msgpack.Unmarshal(raw, out)
 }
 
-var _ pollen.Mesh = (*countingMesh)(nil)
+var _ rpc.Mesh = (*countingMesh)(nil)
 
 func (m *countingMesh) set(addr string, a *Acceptor) {
 	m.mu.Lock()
@@ -179,7 +179,7 @@
 		known := &State{Rev: 1, Core: Roster{Ver: 1}}
 		start := func(i int) *Acceptor {
 			addr := fmt.Sprint("m", i)
-			a, err := OpenAcceptor(addr, filepath.Join(root, addr), wax.Quiet())
+			a, err := OpenAcceptor(addr, filepath.Join(root, addr), logging.Quiet())
 			if err != nil {
 				b.Fatal(err)
 			}
--- a/internal/nest/fuzz_test.go
+++ b/internal/register/fuzz_test.go
@@ -1,13 +1,14 @@
-package nest
+package register
 
 import (
 	"os"
 	"path/filepath"
 	"testing"
 
-	"rowanshunt/internal/cell"
 	"rowanshunt/internal/codec"
-	"rowanshunt/internal/wax"
+	"rowanshunt/internal/fault"
+	"rowanshunt/internal/logging"
+	"rowanshunt/internal/wal"
 )
 
 // Any record that checks is read whole or declined: an acceptor never comes up
@@ -45,7 +46,7 @@
 // A record of another version keeps the acceptor from coming up, and the file as it is.
 func TestForeignRecord(t *testing.T) {
 	dir := t.TempDir()
-	c, _, err := cell.Open(dir, LogName, func([]byte) error { return nil })
+	c, _, err := wal.Open(dir, LogName, func([]byte) error { return nil })
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -54,7 +55,7 @@
 	}
 	c.Close()
 	before, _ := os.ReadFile(filepath.Join(dir, LogName))
-	if _, err := OpenAcceptor("s", dir, wax.Quiet()); !wax.Is(err, wax.Damaged) {
+	if _, err := OpenAcceptor("s", dir, logging.Quiet()); !fault.Is(err, fault.Damaged) {
 		t.Errorf("a foreign record: %v", err)
 	}
 	if after, _ := os.ReadFile(filepath.Join(dir, LogName)); string(after) != string(before) {
--- a/internal/nest/history_test.go
+++ b/internal/register/history_test.go
@@ -1,4 +1,4 @@
-package nest
+package register
 
 import (
 	"cmp"
@@ -15,9 +15,9 @@
 	"github.com/anishathalye/porcupine"
 	"pgregory.net/rapid"
 
-	"rowanshunt/internal/meadow"
-	"rowanshunt/internal/pollen"
-	"rowanshunt/internal/wax"
+	"rowanshunt/internal/fault"
+	"rowanshunt/internal/rpc"
+	"rowanshunt/internal/simnet"
 )
 
 // historyScript is a drawn run: orders of two operators, up to eight under way,
@@ -220,9 +220,9 @@
 	switch {
 	case err == nil:
 		return acknowledged
-	case wax.Is(err, wax.Stale), wax.Is(err, wax.Invalid):
+	case fault.Is(err, fault.Stale), fault.Is(err, fault.Invalid):
 		return refused
-	case wax.Is(err, wax.Declined):
+	case fault.Is(err, fault.Declined):
 		return declined
 	}
 	return unsure
@@ -230,7 +230,7 @@
 
 // historyRun plays a script and records what the operators saw.
 type historyRun struct {
-	m     *meadow.Meadow
+	m     *simnet.Meadow
 	nodes []*historyNode
 	began time.Time
 
@@ -240,9 +240,9 @@
 
 func (h *historyRun) start(n *historyNode, first *State) {
 	n.life++
-	desk := pollen.NewDesk()
-	pollen.On(desk, "nest.prepare", n.acceptor.Prepare)
-	pollen.On(desk, "nest.accept", n.acceptor.Accept)
+	desk := rpc.NewDesk()
+	rpc.On(desk, "nest.prepare", n.acceptor.Prepare)
+	rpc.On(desk, "nest.accept", n.acceptor.Accept)
 	ctx, cancel := context.WithCancel(context.Background())
 	h.m.Place(ctx, n.addr, desk)
 	h.mu.Lock()
@@ -331,7 +331,7 @@
 }
 
 func playHistory(script *historyScript) []porcupine.Operation {
-	m := meadow.New(script.seed)
+	m := simnet.New(script.seed)
 	m.DelayUs, m.Lose, m.Double = 30_000, 0.04, 0.1
 	h := &historyRun{m: m, began: time.Now()}
 	first := &State{Rev: 1, Core: Roster{Ver: 1}}
--- a/internal/nest/membership.go
+++ b/internal/register/membership.go
@@ -1,4 +1,4 @@
-package nest
+package register
 
 import (
 	"context"
@@ -9,9 +9,9 @@
 	"github.com/vmihailenco/msgpack/v5"
 
 	"rowanshunt/internal/codec"
-	"rowanshunt/internal/swarm"
-	"rowanshunt/internal/waggle"
-	"rowanshunt/internal/wax"
+	"rowanshunt/internal/eventloop"
+	"rowanshunt/internal/fault"
+	"rowanshunt/internal/gossip"
 )
 
 // found settles the first roster in the founding register of the seeds
@@ -64,7 +64,7 @@
 // self and is in lost, or beside the others; nil while it is too early to tell,
 // or if there is no room. lost holds the seats with which a majority of the
 // members has no contact: what self alone cannot reach may be well (design 4.4).
-func NextSeats(r *Roster, self Seat, v *swarm.View, upUs int64, most int, lost map[string]bool) []Seat {
+func NextSeats(r *Roster, self Seat, v *gossip.View, upUs int64, most int, lost map[string]bool) []Seat {
 	next := slices.Clone(r.Cur)
 	for i, s := range next {
 		if s.Name == self.Name {
@@ -100,7 +100,7 @@
 
 // Unmet lists the members that have not answered this node lately, at most a
 // few: those that a newcomer might displace.
-func Unmet(r *Roster, v *swarm.View) []Seat {
+func Unmet(r *Roster, v *gossip.View) []Seat {
 	var out []Seat
 	for _, s := range r.Cur {
 		if p := v.Get(s.Name); (p == nil || !v.Met(s.Name) || p.Seat() != s.ID) && len(out) < maxUnmet {
@@ -115,7 +115,7 @@
 
 // Gone tells whether the seat's holder has been silent for so long, or now has
 // another disk.
-func Gone(s Seat, v *swarm.View, forUs, upUs int64) bool {
+func Gone(s Seat, v *gossip.View, forUs, upUs int64) bool {
 	p := v.Get(s.Name)
 	if p == nil {
 		return upUs > neverSeenUs+forUs
@@ -123,7 +123,7 @@
 	if p.Alive {
 		return p.Seat() != s.ID
 	}
-	return waggle.NowUs()-p.SinceUs > forUs
+	return eventloop.NowUs()-p.SinceUs > forUs
 }
 
 // membershipNeed is a change of the membership that is due, and since when this
@@ -136,7 +136,7 @@
 // keepMembership drives what the roster needs: the end of a change whose driver
 // is gone, the departure of this node, and the removal of members long silent.
 // The living members take turns, for the first may be cut off from the others.
-func (n *Nest) keepMembership(core *Roster, v *swarm.View, nowUs int64) {
+func (n *Nest) keepMembership(core *Roster, v *gossip.View, nowUs int64) {
 	spare := len(core.Cur) > 2*n.cfg.Spared+1
 	if v.Self.Leaving && (core.Joint() || spare) {
 		n.once(n.leave)
@@ -160,7 +160,7 @@
 
 // TurnUs is how long a member waits before it takes a due change up itself: the
 // longer, the more living members stand before it.
-func TurnUs(members []Seat, self string, v *swarm.View) int64 {
+func TurnUs(members []Seat, self string, v *gossip.View) int64 {
 	delayUs := int64(0)
 	for _, s := range members {
 		if s.ID == self {
@@ -179,7 +179,7 @@
 // counts as over when they hold the settled one, too (design 4.4).
 func (n *Nest) changeMembers(ctx context.Context, next func(*Roster) ([]Seat, error)) (*State, error) {
 	held := uint64(0) // the roster that all living members are known to hold
-	startUs := waggle.NowUs()
+	startUs := eventloop.NowUs()
 	for {
 		done := false
 		state, err := n.Change(ctx, func(now *State) (*State, error) {
@@ -205,16 +205,16 @@
 		if err != nil {
 			return state, err
 		}
-		if n.heldByLiving(ctx, state, waggle.NowUs()-startUs < patienceUs) {
+		if n.heldByLiving(ctx, state, eventloop.NowUs()-startUs < patienceUs) {
 			held = state.Core.Ver
 			if done {
 				return state, nil
 			}
 			continue
 		}
-		waggle.Pause(ctx, heldPause)
+		eventloop.Pause(ctx, heldPause)
 		if ctx.Err() != nil {
-			return state, wax.New(wax.Declined, "core", "a living member does not hold the roster yet", "nothing to do")
+			return state, fault.New(fault.Declined, "core", "a living member does not hold the roster yet", "nothing to do")
 		}
 	}
 }
@@ -268,7 +268,7 @@
 // LongSilent tells whether a roster may drop the seat: silent for
 // GoneForDropUs. One whose machine is back with another disk is left to that
 // machine, which takes its own place in one change instead of two.
-func LongSilent(s Seat, v *swarm.View, upUs int64) bool {
+func LongSilent(s Seat, v *gossip.View, upUs int64) bool {
 	if p := v.Get(s.Name); p != nil && p.Alive {
 		return false
 	}
@@ -280,11 +280,11 @@
 	self := SeatOf(&n.cfg.Self)
 	known, _ := n.Known()
 	lost := map[string]bool{}
-	if waggle.NowUs()-n.startUs >= judgeUs {
+	if eventloop.NowUs()-n.startUs >= judgeUs {
 		lost = n.Lost(ctx, known.Core.Cur, Unmet(&known.Core, n.cfg.Swarm.Look()), 0)
 	}
 	nextSeats := func(core *Roster) []Seat {
-		return NextSeats(core, self, n.cfg.Swarm.Look(), waggle.NowUs()-n.startUs, maxSeats, lost)
+		return NextSeats(core, self, n.cfg.Swarm.Look(), eventloop.NowUs()-n.startUs, maxSeats, lost)
 	}
 	if !known.Core.Joint() && nextSeats(&known.Core) == nil {
 		return // the others need not be troubled
@@ -295,7 +295,7 @@
 		}
 		next := nextSeats(core)
 		if next == nil {
-			return nil, wax.New(wax.Declined, "core", "is full, or it is too early to tell who is there", "nothing to do")
+			return nil, fault.New(fault.Declined, "core", "is full, or it is too early to tell who is there", "nothing to do")
 		}
 		return next, nil
 	})
@@ -328,12 +328,12 @@
 }
 
 // outworn is a member long gone that the roster can do without, nil if none.
-func (n *Nest) outworn(members []Seat, v *swarm.View) *Seat {
+func (n *Nest) outworn(members []Seat, v *gossip.View) *Seat {
 	if len(members) <= 2*n.cfg.Spared+1 {
 		return nil
 	}
 	for _, s := range members {
-		if LongSilent(s, v, waggle.NowUs()-n.startUs) {
+		if LongSilent(s, v, eventloop.NowUs()-n.startUs) {
 			return &s
 		}
 	}
--- a/internal/nest/membership_test.go
+++ b/internal/register/membership_test.go
@@ -1,4 +1,4 @@
-package nest
+package register
 
 import (
 	"context"
@@ -9,34 +9,35 @@
 	"testing/synctest"
 	"time"
 
-	"rowanshunt/internal/meadow"
-	"rowanshunt/internal/pollen"
-	"rowanshunt/internal/swarm"
-	"rowanshunt/internal/waggle"
-	"rowanshunt/internal/wax"
+	"rowanshunt/internal/eventloop"
+	"rowanshunt/internal/fault"
+	"rowanshunt/internal/gossip"
+	"rowanshunt/internal/logging"
+	"rowanshunt/internal/rpc"
+	"rowanshunt/internal/simnet"
 )
 
 // lossyMesh loses the first accepts that go to one address.
 type lossyMesh struct {
-	pollen.Mesh
+	rpc.Mesh
 	to   string
 	left atomic.Int64
 }
 
 func (m *lossyMesh) Call(ctx context.Context, addr, kind string, in, out any) error {
 	if addr == m.to && kind == "nest.accept" && m.left.Add(-1) >= 0 {
-		return wax.New(wax.Unsure, kind, "lost", "try again")
+		return fault.New(fault.Unsure, kind, "lost", "try again")
 	}
 	return m.Mesh.Call(ctx, addr, kind, in, out)
 }
 
 // startNest runs one node's part of the register with its gossip.
-func startNest(t *testing.T, ctx context.Context, m *meadow.Meadow, mesh pollen.Mesh, self swarm.Partner, dir string, seeds []string) *Nest {
+func startNest(t *testing.T, ctx context.Context, m *simnet.Meadow, mesh rpc.Mesh, self gossip.Partner, dir string, seeds []string) *Nest {
 	t.Helper()
-	floor, desk := waggle.NewFloor(256), pollen.NewDesk()
-	near := func(v *swarm.View) []string { return v.Names(func(*swarm.Sighting) bool { return true }) }
-	members := swarm.New(ctx, floor, desk, mesh, wax.Quiet(), self, seeds, near)
-	n, err := New(ctx, Config{Floor: floor, Desk: desk, Mesh: mesh, Swarm: members, Log: wax.Quiet(), Self: self, DiskDir: dir,
+	floor, desk := eventloop.NewFloor(256), rpc.NewDesk()
+	near := func(v *gossip.View) []string { return v.Names(func(*gossip.Sighting) bool { return true }) }
+	members := gossip.New(ctx, floor, desk, mesh, logging.Quiet(), self, seeds, near)
+	n, err := New(ctx, Config{Floor: floor, Desk: desk, Mesh: mesh, Swarm: members, Log: logging.Quiet(), Self: self, DiskDir: dir,
 		Seeds: seeds, Spared: 1, Proposer: self.Life()})
 	if err != nil {
 		t.Fatal(err)
@@ -51,14 +52,14 @@
 // roster, also one that missed the accepts that made it (design 4.4).
 func TestSettlesOnceAllLivingMembersHoldIt(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		m := meadow.New(3)
+		m := simnet.New(3)
 		ctx, cancel := context.WithCancel(context.Background())
 		root := t.TempDir()
-		var selves []swarm.Partner
+		var selves []gossip.Partner
 		first := &State{Rev: 1, Core: Roster{Ver: 1}}
 		for i := range 4 {
 			name := fmt.Sprint("n", i)
-			selves = append(selves, swarm.Partner{Name: name, Addr: name, Role: "core", Disk: "d", LifeUs: 1})
+			selves = append(selves, gossip.Partner{Name: name, Addr: name, Role: "core", Disk: "d", LifeUs: 1})
 			if i < 3 {
 				first.Core.Cur = append(first.Core.Cur, SeatOf(&selves[i]))
 			}
@@ -67,7 +68,7 @@
 		seeds := []string{"n0", "n1"}
 		for i := range 3 {
 			dir := filepath.Join(root, selves[i].Name)
-			a, err := OpenAcceptor(selves[i].Seat(), dir, wax.Quiet())
+			a, err := OpenAcceptor(selves[i].Seat(), dir, logging.Quiet())
 			if err != nil {
 				t.Fatal(err)
 			}
@@ -114,21 +115,21 @@
 // Who a newcomer may displace (design 4.4).
 func TestNextSeats(t *testing.T) {
 	seat := func(name, disk string) Seat { return Seat{ID: name + "#" + disk, Name: name} }
-	sighting := func(name string, alive, met, leaving bool) swarm.Sighting {
-		s := swarm.Sighting{Partner: swarm.Partner{Name: name, Disk: "d", Leaving: leaving}, Alive: alive}
+	sighting := func(name string, alive, met, leaving bool) gossip.Sighting {
+		s := gossip.Sighting{Partner: gossip.Partner{Name: name, Disk: "d", Leaving: leaving}, Alive: alive}
 		if met {
-			s.MetUs = waggle.NowUs()
+			s.MetUs = eventloop.NowUs()
 		}
 		return s
 	}
 	r := &Roster{Ver: 1, Cur: []Seat{seat("a", "d"), seat("b", "d"), seat("c", "d")}}
-	well := []swarm.Sighting{sighting("a", true, true, false), sighting("b", true, true, false), sighting("c", true, true, false)}
-	unmet := []swarm.Sighting{well[0], sighting("b", true, false, false), well[2]}
-	leaving := []swarm.Sighting{well[0], sighting("b", true, true, true), well[2]}
+	well := []gossip.Sighting{sighting("a", true, true, false), sighting("b", true, true, false), sighting("c", true, true, false)}
+	unmet := []gossip.Sighting{well[0], sighting("b", true, false, false), well[2]}
+	leaving := []gossip.Sighting{well[0], sighting("b", true, true, true), well[2]}
 	for _, tc := range []struct {
 		name string
 		self Seat
-		all  []swarm.Sighting
+		all  []gossip.Sighting
 		upUs int64
 		most int
 		lost map[string]bool
@@ -145,7 +146,7 @@
 		{"leaving", seat("n", "d"), leaving, joinAfterUs, 7, nil, "a#d n#d c#d"},
 	} {
 		got := ""
-		for _, s := range NextSeats(r, tc.self, &swarm.View{All: tc.all}, tc.upUs, tc.most, tc.lost) {
+		for _, s := range NextSeats(r, tc.self, &gossip.View{All: tc.all}, tc.upUs, tc.most, tc.lost) {
 			if got != "" {
 				got += " "
 			}
--- a/internal/nest/model_explore_test.go
+++ b/internal/register/model_explore_test.go
@@ -1,4 +1,4 @@
-package nest
+package register
 
 import (
 	"fmt"
@@ -6,7 +6,7 @@
 
 	"github.com/zeebo/xxh3"
 
-	"rowanshunt/internal/wax"
+	"rowanshunt/internal/fault"
 )
 
 // scenario bounds what the model checker explores, and holds the machines: a
@@ -392,7 +392,7 @@
 		p.phase = idle
 		return
 	}
-	if wax.Is(p.call.abandoned(), wax.Declined) {
+	if fault.Is(p.call.abandoned(), fault.Declined) {
 		e.endCall(w, i, declined)
 	} else {
 		e.endCall(w, i, unsure)
--- a/internal/nest/model_test.go
+++ b/internal/register/model_test.go
@@ -1,4 +1,4 @@
-package nest
+package register
 
 import (
 	"flag"
@@ -11,7 +11,7 @@
 // The model checker explores all interleavings of a scenario within its bounds.
 // It runs longer with, for instance,
 //
-//	go test ./internal/nest -run 'TestModel$' -timeout 2h -model.long -model.states 100000000 -v
+//	go test ./internal/register -run 'TestModel$' -timeout 2h -model.long -model.states 100000000 -v
 var (
 	modelAttempts = flag.Int("model.attempts", 0, "attempts of each call, 0 for the scenario's own")
 	modelLong     = flag.Bool("model.long", false, "explore the scenarios that take minutes too")
--- a/internal/nest/model_world_test.go
+++ b/internal/register/model_world_test.go
@@ -1,4 +1,4 @@
-package nest
+package register
 
 import (
 	"fmt"
@@ -6,7 +6,7 @@
 	"slices"
 
 	"rowanshunt/internal/codec"
-	"rowanshunt/internal/wax"
+	"rowanshunt/internal/fault"
 )
 
 // The model checker's world: the real acceptor and proposer state machines, a
@@ -207,7 +207,7 @@
 	}
 	k.state(p.call.commit)
 	k.flag(p.call.next != nil && p.call.next != p.call.commit)
-	k.byte(int(wax.KindOf(p.call.refusal)))
+	k.byte(int(fault.KindOf(p.call.refusal)))
 	k.flag(p.call.refusal != nil)
 }
 
--- a/internal/nest/nest.go
+++ b/internal/register/nest.go
@@ -1,4 +1,4 @@
-package nest
+package register
 
 import (
 	"context"
@@ -7,10 +7,11 @@
 	"sync"
 	"time"
 
-	"rowanshunt/internal/pollen"
-	"rowanshunt/internal/swarm"
-	"rowanshunt/internal/waggle"
-	"rowanshunt/internal/wax"
+	"rowanshunt/internal/eventloop"
+	"rowanshunt/internal/fault"
+	"rowanshunt/internal/gossip"
+	"rowanshunt/internal/logging"
+	"rowanshunt/internal/rpc"
 )
 
 // Times of the roster's upkeep (design 4.4).
@@ -33,12 +34,12 @@
 
 // Config is what a nest is made of.
 type Config struct {
-	Floor    *waggle.Floor
-	Desk     *pollen.Desk
-	Mesh     pollen.Mesh
-	Swarm    *swarm.Swarm
-	Log      *wax.Log
-	Self     swarm.Partner
+	Floor    *eventloop.Floor
+	Desk     *rpc.Desk
+	Mesh     rpc.Mesh
+	Swarm    *gossip.Swarm
+	Log      *logging.Log
+	Self     gossip.Partner
 	DiskDir  string // "" for nodes without a vote
 	Seeds    []string
 	Boot     bool
@@ -71,7 +72,7 @@
 
 // New opens the node's seat and joins the register.
 func New(ctx context.Context, cfg Config) (*Nest, error) {
-	n := &Nest{cfg: cfg, ctx: ctx, startUs: waggle.NowUs(), pulling: map[string]bool{}}
+	n := &Nest{cfg: cfg, ctx: ctx, startUs: eventloop.NowUs(), pulling: map[string]bool{}}
 	if cfg.DiskDir != "" {
 		seat, err := OpenAcceptor(cfg.Self.Seat(), cfg.DiskDir, cfg.Log)
 		if err != nil {
@@ -93,44 +94,44 @@
 }
 
 func noSeat() error {
-	return wax.New(wax.Unknown, "seat", "this node has no such seat", "read the roster again")
+	return fault.New(fault.Unknown, "seat", "this node has no such seat", "read the roster again")
 }
 
 func (n *Nest) serve() {
 	d := n.cfg.Desk
-	pollen.On(d, "nest.prepare", func(ctx context.Context, in *prepareCall) (*prepareAnswer, error) {
+	rpc.On(d, "nest.prepare", func(ctx context.Context, in *prepareCall) (*prepareAnswer, error) {
 		if n.seat == nil {
 			return nil, noSeat()
 		}
 		return n.seat.Prepare(ctx, in)
 	})
-	pollen.On(d, "nest.accept", func(ctx context.Context, in *acceptCall) (*acceptAnswer, error) {
+	rpc.On(d, "nest.accept", func(ctx context.Context, in *acceptCall) (*acceptAnswer, error) {
 		if n.seat == nil {
 			return nil, noSeat()
 		}
 		return n.seat.Accept(ctx, in)
 	})
-	pollen.On(d, "nest.found.prepare", func(ctx context.Context, in *prepareCall) (*prepareAnswer, error) {
+	rpc.On(d, "nest.found.prepare", func(ctx context.Context, in *prepareCall) (*prepareAnswer, error) {
 		if n.founding == nil {
 			return nil, noSeat()
 		}
 		return n.founding.Prepare(ctx, in)
 	})
-	pollen.On(d, "nest.found.accept", func(ctx context.Context, in *acceptCall) (*acceptAnswer, error) {
+	rpc.On(d, "nest.found.accept", func(ctx context.Context, in *acceptCall) (*acceptAnswer, error) {
 		if n.founding == nil {
 			return nil, noSeat()
 		}
 		return n.founding.Accept(ctx, in)
 	})
-	pollen.On(d, "nest.learn", func(_ context.Context, in *State) (*pollen.Nothing, error) {
+	rpc.On(d, "nest.learn", func(_ context.Context, in *State) (*rpc.Nothing, error) {
 		n.Learn(in)
-		return &pollen.Nothing{}, nil
+		return &rpc.Nothing{}, nil
 	})
 	n.serveContact()
-	pollen.On(d, "nest.get", func(_ context.Context, _ *pollen.Nothing) (*State, error) {
+	rpc.On(d, "nest.get", func(_ context.Context, _ *rpc.Nothing) (*State, error) {
 		s, ok := n.Known()
 		if s == nil || !ok {
-			return nil, wax.New(wax.Unknown, "register", "no committed state known here", "ask another node")
+			return nil, fault.New(fault.Unknown, "register", "no committed state known here", "ask another node")
 		}
 		return s, nil
 	})
@@ -169,7 +170,7 @@
 	n.known, n.committed = s, true
 	n.mu.Unlock()
 	_ = n.cfg.Floor.Do(n.ctx, func() {
-		n.cfg.Swarm.Tell(func(p *swarm.Partner) { p.Rev = max(p.Rev, s.Rev) })
+		n.cfg.Swarm.Tell(func(p *gossip.Partner) { p.Rev = max(p.Rev, s.Rev) })
 		if n.cfg.OnState != nil {
 			if now := n.Committed(); now != nil {
 				n.cfg.OnState(now)
@@ -207,7 +208,7 @@
 }
 
 // Hear is told of a partner that knows more; the state is pulled from it.
-func (n *Nest) Hear(p swarm.Partner) {
+func (n *Nest) Hear(p gossip.Partner) {
 	if n.pulling[p.Name] {
 		return
 	}
@@ -216,7 +217,7 @@
 		ctx, cancel := context.WithTimeout(n.ctx, time.Second)
 		defer cancel()
 		s := &State{}
-		if err := n.cfg.Mesh.Call(ctx, p.Addr, "nest.get", &pollen.Nothing{}, s); err == nil {
+		if err := n.cfg.Mesh.Call(ctx, p.Addr, "nest.get", &rpc.Nothing{}, s); err == nil {
 			n.Learn(s)
 		}
 		_ = n.cfg.Floor.Do(n.ctx, func() { delete(n.pulling, p.Name) })
@@ -239,8 +240,8 @@
 
 func (n *Nest) tick() {
 	v := n.cfg.Swarm.Look()
-	nowUs := waggle.NowUs()
-	set := strings.Join(v.Names(func(s *swarm.Sighting) bool { return s.Alive && s.Disk != "" }), " ")
+	nowUs := eventloop.NowUs()
+	set := strings.Join(v.Names(func(s *gossip.Sighting) bool { return s.Alive && s.Disk != "" }), " ")
 	if set != n.lastSet {
 		n.lastSet, n.stableAt = set, nowUs
 	}
@@ -273,7 +274,7 @@
 			if retired || taken || err != nil {
 				return nil, err
 			}
-			return nil, wax.New(wax.Unknown, name, "is no store of this system", "name a store's node")
+			return nil, fault.New(fault.Unknown, name, "is no store of this system", "name a store's node")
 		}
 		id := now.Stores.All()[at].ID
 		if slices.Contains(now.Retiring, id) {
@@ -286,7 +287,7 @@
 			}
 		}
 		if left < 2*n.cfg.Spared+1 {
-			return nil, wax.New(wax.Conflict, name, "too few stores would be left", "add a store first")
+			return nil, fault.New(fault.Conflict, name, "too few stores would be left", "add a store first")
 		}
 		now.Retiring = boundRetiring(append(slices.Clone(now.Retiring), id), now.Stores.All())
 		if err := logRetire(now, name); err != nil {
@@ -316,7 +317,7 @@
 	if taken, err := tookRetire(s, name); taken || err != nil {
 		return taken, err
 	}
-	return false, wax.New(wax.Unknown, name, "is no store of this system", "name a store's node")
+	return false, fault.New(fault.Unknown, name, "is no store of this system", "name a store's node")
 }
 
 // Held tells what this node's seat accepted: its version, and whether there is
--- a/internal/nest/orders.go
+++ b/internal/register/orders.go
@@ -1,4 +1,4 @@
-package nest
+package register
 
 import (
 	"bytes"
@@ -9,8 +9,8 @@
 	"github.com/zeebo/xxh3"
 
 	"rowanshunt/internal/codec"
-	"rowanshunt/internal/pollen"
-	"rowanshunt/internal/wax"
+	"rowanshunt/internal/fault"
+	"rowanshunt/internal/rpc"
 )
 
 // Bounds of an order log: entries kept of each kind. An entry takes at most 28
@@ -35,7 +35,7 @@
 }
 
 // DecodeMsgpack reads digests of later versions too.
-func (d *Digest) DecodeMsgpack(dec *msgpack.Decoder) error { return pollen.Fields(dec, &d.Hi, &d.Lo) }
+func (d *Digest) DecodeMsgpack(dec *msgpack.Decoder) error { return rpc.Fields(dec, &d.Hi, &d.Lo) }
 
 // NewOrder makes the identity of a document sent with a version on a base.
 func NewOrder(ver, base int64, doc []byte) Order {
@@ -75,17 +75,17 @@
 
 // DecodeMsgpack reads logs of earlier and later versions too.
 func (l *OrderLog) DecodeMsgpack(d *msgpack.Decoder) error {
-	return pollen.Fields(d, &l.Floor, &l.Taken, &l.Refused)
+	return rpc.Fields(d, &l.Floor, &l.Taken, &l.Refused)
 }
 
 // DecodeMsgpack reads entries of later versions too.
 func (t *TakenOrder) DecodeMsgpack(d *msgpack.Decoder) error {
-	return pollen.Fields(d, &t.Ver, &t.Digest)
+	return rpc.Fields(d, &t.Ver, &t.Digest)
 }
 
 // DecodeMsgpack reads entries of later versions too.
 func (r *RefusedOrder) DecodeMsgpack(d *msgpack.Decoder) error {
-	return pollen.Fields(d, &r.Ver, &r.Base, &r.Digest)
+	return rpc.Fields(d, &r.Ver, &r.Base, &r.Digest)
 }
 
 // OrderKind is the key under which the register's value keeps an order log.
@@ -108,7 +108,7 @@
 	}
 	stored := &OrderLog{}
 	if err := msgpack.Unmarshal(raw, stored); err != nil {
-		return nil, wax.New(wax.Damaged, string(k), err.Error(), "run the same version on all nodes")
+		return nil, fault.New(fault.Damaged, string(k), err.Error(), "run the same version on all nodes")
 	}
 	if stored.newest() != inForce {
 		log.Refused = stored.Refused
@@ -180,7 +180,7 @@
 
 // errStaleBase refuses an order that builds on another version.
 func errStaleBase() error {
-	return wax.New(wax.Stale, "If-Match", "another version is in place", "read it and build on its version")
+	return fault.New(fault.Stale, "If-Match", "another version is in place", "read it and build on its version")
 }
 
 // ApplyOrder decides an order on a value that is not shared yet. An order that
@@ -205,7 +205,7 @@
 		if o.Base != inForce {
 			return nil, errStaleBase()
 		}
-		return nil, wax.New(wax.Invalid, "ver", "is not above the current one", "raise it")
+		return nil, fault.New(fault.Invalid, "ver", "is not above the current one", "raise it")
 	}
 	if log.hasRefused(o) {
 		return nil, errStaleBase()
@@ -214,7 +214,7 @@
 		// An order on a base below the floor was taken, if at all, as a version
 		// that is at most the floor. The one in force is known by its document.
 		if o.Base < log.Floor && o.Ver <= log.Floor && o.Ver != inForce {
-			return nil, wax.New(wax.Unsure, "ver", "was sent so long ago that nothing is known of it", "read the current version")
+			return nil, fault.New(fault.Unsure, "ver", "was sent so long ago that nothing is known of it", "read the current version")
 		}
 		return nil, errStaleBase()
 	}
@@ -269,7 +269,7 @@
 	}
 	var names []string
 	if err := msgpack.Unmarshal(raw, &names); err != nil {
-		return nil, wax.New(wax.Damaged, retireOrders, err.Error(), "run the same version on all nodes")
+		return nil, fault.New(fault.Damaged, retireOrders, err.Error(), "run the same version on all nodes")
 	}
 	return names, nil
 }
--- a/internal/nest/orders_test.go
+++ b/internal/register/orders_test.go
@@ -1,11 +1,11 @@
-package nest
+package register
 
 import (
 	"fmt"
 	"testing"
 
 	"rowanshunt/internal/codec"
-	"rowanshunt/internal/wax"
+	"rowanshunt/internal/fault"
 )
 
 // applyTo runs a change on a state as the register does and gives what is
@@ -25,11 +25,11 @@
 	type step struct {
 		ver, base int64
 		doc       string
-		want      wax.Kind
+		want      fault.Kind
 		refused   bool
 	}
 	taken := func(ver, base int64, doc string) step { return step{ver: ver, base: base, doc: doc} }
-	refused := func(ver, base int64, doc string, kind wax.Kind) step { return step{ver, base, doc, kind, true} }
+	refused := func(ver, base int64, doc string, kind fault.Kind) step { return step{ver, base, doc, kind, true} }
 	first := taken(1, 0, "a")
 	for _, tc := range []struct {
 		name  string
@@ -37,18 +37,18 @@
 	}{
 		{"in force", []step{first, first}},
 		{"built upon", []step{first, taken(4, 1, "b"), taken(9, 4, "c"), taken(4, 1, "b"), first, taken(9, 4, "c")}},
-		{"equal number, another document", []step{first, taken(4, 1, "b"), refused(4, 1, "x", wax.Stale), taken(9, 4, "c"), refused(4, 1, "x", wax.Stale), taken(4, 1, "b")}},
-		{"lost its race", []step{first, taken(4, 1, "b"), refused(5, 1, "x", wax.Stale), taken(9, 4, "c"), refused(5, 1, "x", wax.Stale)}},
-		{"refused before its base came", []step{first, refused(9, 4, "c", wax.Stale), taken(4, 1, "b"), refused(9, 4, "c", wax.Stale), taken(9, 4, "d"), refused(9, 4, "c", wax.Stale)}},
-		{"a number that is not above its base", []step{first, refused(1, 1, "x", wax.Invalid), taken(4, 1, "b"), refused(3, 4, "x", wax.Invalid)}},
-		{"another base", []step{first, taken(4, 1, "b"), taken(9, 4, "c"), refused(4, 0, "b", wax.Stale)}},
+		{"equal number, another document", []step{first, taken(4, 1, "b"), refused(4, 1, "x", fault.Stale), taken(9, 4, "c"), refused(4, 1, "x", fault.Stale), taken(4, 1, "b")}},
+		{"lost its race", []step{first, taken(4, 1, "b"), refused(5, 1, "x", fault.Stale), taken(9, 4, "c"), refused(5, 1, "x", fault.Stale)}},
+		{"refused before its base came", []step{first, refused(9, 4, "c", fault.Stale), taken(4, 1, "b"), refused(9, 4, "c", fault.Stale), taken(9, 4, "d"), refused(9, 4, "c", fault.Stale)}},
+		{"a number that is not above its base", []step{first, refused(1, 1, "x", fault.Invalid), taken(4, 1, "b"), refused(3, 4, "x", fault.Invalid)}},
+		{"another base", []step{first, taken(4, 1, "b"), taken(9, 4, "c"), refused(4, 0, "b", fault.Stale)}},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			state := &State{Rev: 1}
 			for i, s := range tc.steps {
 				var err error
 				state, err = applyTo(state, PutChange([]byte(s.doc), s.ver, s.base))
-				if s.refused && !wax.Is(err, s.want) || !s.refused && err != nil {
+				if s.refused && !fault.Is(err, s.want) || !s.refused && err != nil {
 					t.Errorf("step %d: %d on %d: %v", i, s.ver, s.base, err)
 				}
 			}
@@ -71,7 +71,7 @@
 		if err := put(10*(i+1), 10*i, doc(10*(i+1))); err != nil {
 			t.Fatal(err)
 		}
-		if err := put(1_000_000+i, 900_000, []byte("x")); !wax.Is(err, wax.Stale) {
+		if err := put(1_000_000+i, 900_000, []byte("x")); !fault.Is(err, fault.Stale) {
 			t.Fatalf("on a base that is not there: %v", err)
 		}
 	}
@@ -83,17 +83,17 @@
 		name      string
 		ver, base int64
 		doc       []byte
-		want      wax.Kind
+		want      fault.Kind
 		ok        bool
 	}{
 		{"the oldest in the log", oldest + 10, oldest, doc(oldest + 10), 0, true},
-		{"just out of the log", oldest, oldest - 10, doc(oldest), wax.Unsure, false},
-		{"out of the log, never taken", oldest - 5, oldest - 10, doc(1), wax.Unsure, false},
-		{"on a forgotten base, a number too high to have been taken on it", oldest + 5, oldest - 10, doc(1), wax.Stale, false},
-		{"on a base in the log, never taken", oldest + 5, oldest, doc(1), wax.Stale, false},
+		{"just out of the log", oldest, oldest - 10, doc(oldest), fault.Unsure, false},
+		{"out of the log, never taken", oldest - 5, oldest - 10, doc(1), fault.Unsure, false},
+		{"on a forgotten base, a number too high to have been taken on it", oldest + 5, oldest - 10, doc(1), fault.Stale, false},
+		{"on a base in the log, never taken", oldest + 5, oldest, doc(1), fault.Stale, false},
 	} {
 		err := put(tc.ver, tc.base, tc.doc)
-		if tc.ok && err != nil || !tc.ok && !wax.Is(err, tc.want) {
+		if tc.ok && err != nil || !tc.ok && !fault.Is(err, tc.want) {
 			t.Errorf("%s: %v", tc.name, err)
 		}
 	}
@@ -104,10 +104,10 @@
 func TestOrderLogOfEarlierVersion(t *testing.T) {
 	state := &State{Rev: 5, Ver: 7, Doc: []byte("g")}
 	var err error
-	if _, err = applyTo(state, PutChange([]byte("f"), 6, 5)); !wax.Is(err, wax.Unsure) {
+	if _, err = applyTo(state, PutChange([]byte("f"), 6, 5)); !fault.Is(err, fault.Unsure) {
 		t.Errorf("taken or not before the log began: %v", err)
 	}
-	if _, err = applyTo(state, PutChange([]byte("x"), 7, 5)); !wax.Is(err, wax.Stale) {
+	if _, err = applyTo(state, PutChange([]byte("x"), 7, 5)); !fault.Is(err, fault.Stale) {
 		t.Errorf("the number in force with another document: %v", err)
 	}
 	if state, err = applyTo(state, PutChange([]byte("h"), 9, 7)); err != nil {
@@ -115,7 +115,7 @@
 	}
 	// A node of the version before takes 11 and keeps the log as it is.
 	state.Ver, state.Doc = 11, []byte("i")
-	if _, err = applyTo(state, PutChange([]byte("h"), 9, 7)); !wax.Is(err, wax.Unsure) {
+	if _, err = applyTo(state, PutChange([]byte("h"), 9, 7)); !fault.Is(err, fault.Unsure) {
 		t.Errorf("across a gap in the log: %v", err)
 	}
 	if state, err = applyTo(state, PutChange([]byte("j"), 12, 11)); err != nil {
@@ -125,7 +125,7 @@
 		t.Errorf("in force: %v", err)
 	}
 	state.SetExtra(string(ConfigOrders), []byte{0xc1})
-	if _, err = applyTo(state, PutChange([]byte("k"), 13, 12)); !wax.Is(err, wax.Damaged) {
+	if _, err = applyTo(state, PutChange([]byte("k"), 13, 12)); !fault.Is(err, fault.Damaged) {
 		t.Errorf("a log that can't be read: %v", err)
 	}
 }
--- a/internal/nest/proposer.go
+++ b/internal/register/proposer.go
@@ -1,13 +1,13 @@
-package nest
+package register
 
 import (
 	"context"
 	"math/rand/v2"
 	"time"
 
-	"rowanshunt/internal/pollen"
-	"rowanshunt/internal/waggle"
-	"rowanshunt/internal/wax"
+	"rowanshunt/internal/eventloop"
+	"rowanshunt/internal/fault"
+	"rowanshunt/internal/rpc"
 )
 
 // Change makes the next state out of the newest one; the returned state gets
@@ -19,7 +19,7 @@
 // Proposer runs the two rounds. One may run at a time in a node; others wait.
 type Proposer struct {
 	by      string
-	mesh    pollen.Mesh
+	mesh    rpc.Mesh
 	addrOf  func(Seat) string
 	known   func() (now *State, committed bool)
 	learn   func(*State)
@@ -30,7 +30,7 @@
 
 // NewProposer makes the proposer of one life of a node. known gives the newest
 // committed state the node has seen; learn is told of newer ones.
-func NewProposer(by string, mesh pollen.Mesh, addrOf func(Seat) string, known func() (*State, bool), learn func(*State)) *Proposer {
+func NewProposer(by string, mesh rpc.Mesh, addrOf func(Seat) string, known func() (*State, bool), learn func(*State)) *Proposer {
 	p := &Proposer{by: by, mesh: mesh, addrOf: addrOf, known: known, learn: learn, turn: make(chan struct{}, 1), kinds: [2]string{"nest.prepare", "nest.accept"}}
 	p.turn <- struct{}{}
 	return p
@@ -80,7 +80,7 @@
 func (p *Proposer) Read(ctx context.Context) (*State, error) {
 	known, _ := p.known()
 	if known == nil {
-		return nil, wax.New(wax.Unsure, "register", "is not founded here yet", "try again")
+		return nil, fault.New(fault.Unsure, "register", "is not founded here yet", "try again")
 	}
 	agreed := map[string]bool{}
 	var top *prepareAnswer
@@ -118,13 +118,13 @@
 	select {
 	case <-p.turn:
 	case <-ctx.Done():
-		return nil, wax.New(wax.Declined, "register", "no turn in time", "try again")
+		return nil, fault.New(fault.Declined, "register", "no turn in time", "try again")
 	}
 	defer func() { p.turn <- struct{}{} }()
 	call := newProposal(change)
 	for attempt := 0; ; attempt++ {
 		if attempt > 0 && ctx.Err() == nil {
-			waggle.Pause(ctx, time.Duration(5+rand.IntN(20*min(attempt, 8)))*time.Millisecond)
+			eventloop.Pause(ctx, time.Duration(5+rand.IntN(20*min(attempt, 8)))*time.Millisecond)
 		}
 		if ctx.Err() != nil {
 			return nil, call.abandoned()
--- a/internal/nest/proposer_core.go
+++ b/internal/register/proposer_core.go
@@ -1,6 +1,6 @@
-package nest
+package register
 
-import "rowanshunt/internal/wax"
+import "rowanshunt/internal/fault"
 
 // proposal is one call of Change as a state machine with neither goroutine,
 // clock nor socket. The driver (Proposer) runs it attempt by attempt:
@@ -150,9 +150,9 @@
 // abandoned is the answer to a call that ends without a quorum: an Unsure fault
 // if the change may come into force yet, else a Declined one.
 func (p *proposal) abandoned() error {
-	kind := wax.Declined
+	kind := fault.Declined
 	if p.tried {
-		kind = wax.Unsure
+		kind = fault.Unsure
 	}
-	return wax.New(kind, "register", "no majority in time", "look which core machines run; try again")
+	return fault.New(kind, "register", "no majority in time", "look which core machines run; try again")
 }
--- a/internal/nest/register_test.go
+++ b/internal/register/register_test.go
@@ -1,4 +1,4 @@
-package nest
+package register
 
 import (
 	"context"
@@ -11,16 +11,17 @@
 	"testing/synctest"
 	"time"
 
-	"rowanshunt/internal/meadow"
-	"rowanshunt/internal/pollen"
-	"rowanshunt/internal/wax"
+	"rowanshunt/internal/fault"
+	"rowanshunt/internal/logging"
+	"rowanshunt/internal/rpc"
+	"rowanshunt/internal/simnet"
 )
 
 // site is one node of the register's test: a seat that can be killed, frozen
 // or wiped, and a proposer.
 type site struct {
 	t      *testing.T
-	m      *meadow.Meadow
+	m      *simnet.Meadow
 	addr   string
 	dir    string
 	life   int
@@ -50,15 +51,15 @@
 func (s *site) start(first *State, committed bool) {
 	s.life++
 	id := "seat@" + s.dir
-	a, err := OpenAcceptor(id, s.dir, wax.Quiet())
+	a, err := OpenAcceptor(id, s.dir, logging.Quiet())
 	if err != nil {
 		s.t.Fatal(err)
 	}
 	s.seat = a
 	ctx, cancel := context.WithCancel(context.Background())
-	desk := pollen.NewDesk()
-	pollen.On(desk, "nest.prepare", a.Prepare)
-	pollen.On(desk, "nest.accept", a.Accept)
+	desk := rpc.NewDesk()
+	rpc.On(desk, "nest.prepare", a.Prepare)
+	rpc.On(desk, "nest.accept", a.Accept)
 	s.m.Place(ctx, s.addr, desk)
 	s.cancel = func() { cancel(); a.Close() }
 	s.mu.Lock()
@@ -95,7 +96,7 @@
 		}
 	}()
 	rng := rand.New(rand.NewPCG(seed, 1))
-	m := meadow.New(seed)
+	m := simnet.New(seed)
 	m.DelayUs, m.Lose, m.Double = 4000, 0.03, 0.05
 	root := t.TempDir()
 	var sites []*site
@@ -145,7 +146,7 @@
 					doc := []byte(fmt.Sprint(op, "-", n))
 					st, err := p.Change(ctx, func(now *State) (*State, error) {
 						if now.Ver != expect {
-							return nil, wax.New(wax.Stale, "If-Match", "another version", "")
+							return nil, fault.New(fault.Stale, "If-Match", "another version", "")
 						}
 						now.Ver, now.Doc = ver, doc
 						return now, nil
@@ -222,7 +223,7 @@
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				m := meadow.New(1)
+				m := simnet.New(1)
 				root := t.TempDir()
 				place := func(addr, dir string) *site { return &site{t: t, m: m, addr: addr, dir: filepath.Join(root, dir)} }
 				seat := func(s *site) Seat { return Seat{ID: "seat@" + s.dir, Name: s.addr, Addr: s.addr} }
@@ -323,7 +324,7 @@
 func TestAcceptorOnDisk(t *testing.T) {
 	dir := t.TempDir()
 	open := func() *Acceptor {
-		a, err := OpenAcceptor("s", dir, wax.Quiet())
+		a, err := OpenAcceptor("s", dir, logging.Quiet())
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -347,10 +348,10 @@
 	if out, _ := a.Prepare(ctx, &prepareCall{Seat: "s", Ballot: mid, Peek: true}); out.State == nil || out.State.Ver != 7 || string(out.State.Doc) != "x" {
 		t.Errorf("what was accepted is gone: %+v", out)
 	}
-	if _, err := a.Prepare(ctx, &prepareCall{Seat: "another", Ballot: high}); !wax.Is(err, wax.Unknown) {
+	if _, err := a.Prepare(ctx, &prepareCall{Seat: "another", Ballot: high}); !fault.Is(err, fault.Unknown) {
 		t.Errorf("another's seat: %v", err)
 	}
-	if _, err := a.Accept(ctx, &acceptCall{Seat: "s", Ballot: high}); !wax.Is(err, wax.Invalid) {
+	if _, err := a.Accept(ctx, &acceptCall{Seat: "s", Ballot: high}); !fault.Is(err, fault.Invalid) {
 		t.Errorf("no state: %v", err)
 	}
 }
@@ -400,7 +401,7 @@
 // wait for that one: it tops the higher ballot at once.
 func TestOutbidTriesAgainAtOnce(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		m := meadow.New(4)
+		m := simnet.New(4)
 		root := t.TempDir()
 		first := &State{Rev: 1, Core: Roster{Ver: 1}}
 		var sites []*site
--- a/internal/nest/replicas.go
+++ b/internal/register/replicas.go
@@ -1,9 +1,9 @@
-package nest
+package register
 
 import (
 	"sort"
 
-	"rowanshunt/internal/tending"
+	"rowanshunt/internal/rendezvous"
 )
 
 // Replicas is the roster of one shard: of each set the first want seats of the
@@ -21,7 +21,7 @@
 	ranked := make([]Seat, len(seats))
 	copy(ranked, seats)
 	sort.Slice(ranked, func(i, j int) bool {
-		wi, wj := tending.Weight(key, ranked[i].Name), tending.Weight(key, ranked[j].Name)
+		wi, wj := rendezvous.Weight(key, ranked[i].Name), rendezvous.Weight(key, ranked[j].Name)
 		return wi > wj || wi == wj && ranked[i].Name < ranked[j].Name
 	})
 	out := make([]Seat, 0, want)
--- a/internal/nest/state.go
+++ b/internal/register/state.go
@@ -1,17 +1,17 @@
-// Package nest is the blueprint register: a compare-and-set register that any
+// Package register is the blueprint register: a compare-and-set register that any
 // node changes in two rounds at a majority of the disk-holding edges; no log,
 // no leader (design 4). The field's standard terms: nest = CASPaxos register;
 // seat = acceptor identity; roster = acceptor configuration; joint = joint
 // consensus; ballot = proposal number.
-package nest
+package register
 
 import (
 	"slices"
 
 	"github.com/vmihailenco/msgpack/v5"
 
-	"rowanshunt/internal/pollen"
-	"rowanshunt/internal/swarm"
+	"rowanshunt/internal/gossip"
+	"rowanshunt/internal/rpc"
 )
 
 // Ballot orders proposals; By is unique to one life of one node.
@@ -32,11 +32,11 @@
 }
 
 // SeatOf is the seat that a partner holds with its disk.
-func SeatOf(p *swarm.Partner) Seat { return Seat{ID: p.Seat(), Name: p.Name, Addr: p.Addr, Az: p.Az} }
+func SeatOf(p *gossip.Partner) Seat { return Seat{ID: p.Seat(), Name: p.Name, Addr: p.Addr, Az: p.Az} }
 
 // DecodeMsgpack reads seats of earlier versions too.
 func (s *Seat) DecodeMsgpack(d *msgpack.Decoder) error {
-	return pollen.Fields(d, &s.ID, &s.Name, &s.Addr, &s.Az)
+	return rpc.Fields(d, &s.ID, &s.Name, &s.Addr, &s.Az)
 }
 
 // Roster is a set of seats that is changed one seat at a time. While Prev is
--- a/internal/tending/rank.go
+++ b/internal/rendezvous/rank.go
@@ -1,7 +1,7 @@
-// Package tending cuts duties by key over the live nodes (design 8.2). The
+// Package rendezvous cuts duties by key over the live nodes (design 8.2). The
 // field's standard terms: rank = rendezvous (highest random weight) hashing;
 // duty = partition ownership.
-package tending
+package rendezvous
 
 import (
 	"hash/fnv"
--- a/internal/tending/rank_test.go
+++ b/internal/rendezvous/rank_test.go
@@ -1,4 +1,4 @@
-package tending
+package rendezvous
 
 import (
 	"fmt"
--- a/internal/pollen/desk.go
+++ b/internal/rpc/desk.go
@@ -1,15 +1,15 @@
-// Package pollen is the partner protocol: calls between the system's own
+// Package rpc is the partner protocol: calls between the system's own
 // nodes, msgpack in frames with a bounded length (design 2). The field's
 // standard terms: desk = service registry; partner = peer; circuit =
 // connection; call = RPC.
-package pollen
+package rpc
 
 import (
 	"context"
 	"sync"
 
 	"rowanshunt/internal/codec"
-	"rowanshunt/internal/wax"
+	"rowanshunt/internal/fault"
 )
 
 // Mesh carries calls to partners. Tests put a simulated network in its place.
@@ -39,7 +39,7 @@
 	d.kinds[kind] = func(ctx context.Context, body []byte) (any, error) {
 		in := new(In)
 		if err := Unmarshal(body, in); err != nil {
-			return nil, wax.New(wax.Invalid, kind, "cannot be read: "+err.Error(), "run the same version on all nodes")
+			return nil, fault.New(fault.Invalid, kind, "cannot be read: "+err.Error(), "run the same version on all nodes")
 		}
 		out, err := fn(ctx, in)
 		if err != nil {
@@ -56,7 +56,7 @@
 	h := d.kinds[kind]
 	d.mu.RUnlock()
 	if h == nil {
-		return nil, wax.New(wax.Declined, kind, "no such kind of call here", "run the same version on all nodes")
+		return nil, fault.New(fault.Declined, kind, "no such kind of call here", "run the same version on all nodes")
 	}
 	out, err := h(ctx, body)
 	if err != nil {
--- a/internal/pollen/fields.go
+++ b/internal/rpc/fields.go
@@ -1,4 +1,4 @@
-package pollen
+package rpc
 
 import "github.com/vmihailenco/msgpack/v5"
 
--- a/internal/pollen/frame.go
+++ b/internal/rpc/frame.go
@@ -1,11 +1,11 @@
-package pollen
+package rpc
 
 import (
 	"bufio"
 	"encoding/binary"
 	"io"
 
-	"rowanshunt/internal/wax"
+	"rowanshunt/internal/fault"
 )
 
 // Version is the version of the partner protocol; frames of another one are
@@ -40,7 +40,7 @@
 )
 
 func errFrameTooLong(name string) error {
-	return wax.New(wax.TooLarge, name, "the message is over the frame's bound", "send less at a time")
+	return fault.New(fault.TooLarge, name, "the message is over the frame's bound", "send less at a time")
 }
 
 func writeFrame(w *bufio.Writer, f frame) error {
@@ -69,18 +69,18 @@
 	}
 	lenBytes := int(binary.BigEndian.Uint32(head[:]))
 	if lenBytes < frameHead-4 || lenBytes > MaxFrame {
-		return frame{}, wax.New(wax.Invalid, "frame", "impossible length", "drop the circuit")
+		return frame{}, fault.New(fault.Invalid, "frame", "impossible length", "drop the circuit")
 	}
 	if _, err := io.ReadFull(r, head[4:]); err != nil {
 		return frame{}, noEOF(err)
 	}
 	if head[4] != Version {
-		return frame{}, wax.New(wax.Invalid, "frame", "another version of the partner protocol", "run the same version on all nodes")
+		return frame{}, fault.New(fault.Invalid, "frame", "another version of the partner protocol", "run the same version on all nodes")
 	}
 	nameLen := int(head[14])
 	restLen := lenBytes - (frameHead - 4)
 	if nameLen > restLen {
-		return frame{}, wax.New(wax.Invalid, "frame", "the name is longer than the frame", "drop the circuit")
+		return frame{}, fault.New(fault.Invalid, "frame", "the name is longer than the frame", "drop the circuit")
 	}
 	name := make([]byte, nameLen)
 	if _, err := io.ReadFull(r, name); err != nil {
--- a/internal/pollen/frame_test.go
+++ b/internal/rpc/frame_test.go
@@ -1,4 +1,4 @@
-package pollen
+package rpc
 
 import (
 	"bufio"
@@ -8,7 +8,7 @@
 	"io"
 	"testing"
 
-	"rowanshunt/internal/wax"
+	"rowanshunt/internal/fault"
 )
 
 func packed(t *testing.T, f frame) []byte {
@@ -56,12 +56,12 @@
 	} {
 		bad := bytes.Clone(good)
 		tc.spoil(bad)
-		if _, err := readFrame(bufio.NewReader(bytes.NewReader(bad))); !wax.Is(err, wax.Invalid) {
+		if _, err := readFrame(bufio.NewReader(bytes.NewReader(bad))); !fault.Is(err, fault.Invalid) {
 			t.Errorf("%s: %v", tc.name, err)
 		}
 	}
 	var b bytes.Buffer
-	if err := writeFrame(bufio.NewWriter(&b), frame{body: make([]byte, MaxFrame)}); !wax.Is(err, wax.TooLarge) {
+	if err := writeFrame(bufio.NewWriter(&b), frame{body: make([]byte, MaxFrame)}); !fault.Is(err, fault.TooLarge) {
 		t.Errorf("a body over the bound: %v", err)
 	}
 }
--- a/internal/pollen/hostile_test.go
+++ b/internal/rpc/hostile_test.go
@@ -1,4 +1,4 @@
-package pollen
+package rpc
 
 import (
 	"bufio"
@@ -16,7 +16,7 @@
 	"github.com/vmihailenco/msgpack/v5"
 
 	"rowanshunt/internal/codec"
-	"rowanshunt/internal/wax"
+	"rowanshunt/internal/fault"
 )
 
 // numbered is a call whose answer tells which call it belongs to.
@@ -147,10 +147,10 @@
 					mixed.Add(1)
 				case err == nil:
 					answered.Add(1)
-				case wax.Is(err, wax.Unreached):
+				case fault.Is(err, fault.Unreached):
 					unreached.Add(1)
 					notSent.Store(n, true)
-				case wax.Is(err, wax.Unsure):
+				case fault.Is(err, fault.Unsure):
 					unsure.Add(1)
 				default:
 					t.Errorf("call %d: %v", n, err)
@@ -192,10 +192,10 @@
 	defer cancel()
 	waits := make(chan error)
 	go func() { waits <- m.Call(ctx, addr, "wait", &raw{}, nil) }()
-	if err := m.Call(ctx, addr, "large", &raw{make([]byte, MaxFrame)}, nil); !wax.Is(err, wax.TooLarge) {
+	if err := m.Call(ctx, addr, "large", &raw{make([]byte, MaxFrame)}, nil); !fault.Is(err, fault.TooLarge) {
 		t.Errorf("a call over the bound: %v", err)
 	}
-	if err := m.Call(ctx, addr, "large", &raw{}, nil); !wax.Is(err, wax.TooLarge) {
+	if err := m.Call(ctx, addr, "large", &raw{}, nil); !fault.Is(err, fault.TooLarge) {
 		t.Errorf("an answer over the bound: %v", err)
 	}
 	close(release)
@@ -216,7 +216,7 @@
 	go func() { _, err := c.call(ctx, "late", nil); out <- err }()
 	cancel()
 	c.wmu.Unlock()
-	if err := <-out; !wax.Is(err, wax.Unreached) {
+	if err := <-out; !fault.Is(err, fault.Unreached) {
 		t.Errorf("not sent: %v", err)
 	}
 	_ = far.SetReadDeadline(time.Now().Add(50 * time.Millisecond))
--- a/internal/pollen/lengths.go
+++ b/internal/rpc/lengths.go
@@ -1,17 +1,17 @@
-package pollen
+package rpc
 
 import (
 	"encoding/binary"
 
 	"github.com/vmihailenco/msgpack/v5"
 
-	"rowanshunt/internal/wax"
+	"rowanshunt/internal/fault"
 )
 
 // maxDepth bounds how deep values may be nested; ours are far from it.
 const maxDepth = 64
 
-var errLying = wax.New(wax.Invalid, "message", "a value is longer than the message, or nested too deep", "run the same version on all nodes")
+var errLying = fault.New(fault.Invalid, "message", "a value is longer than the message, or nested too deep", "run the same version on all nodes")
 
 // Unmarshal decodes a message or a record on disk once its lengths are known to
 // be true: the decoder makes room for as many elements as a list says it has.
--- a/internal/pollen/lying_length_test.go
+++ b/internal/rpc/lying_length_test.go
@@ -1,4 +1,4 @@
-package pollen
+package rpc
 
 import (
 	"bytes"
@@ -10,7 +10,7 @@
 	"github.com/vmihailenco/msgpack/v5"
 
 	"rowanshunt/internal/codec"
-	"rowanshunt/internal/wax"
+	"rowanshunt/internal/fault"
 )
 
 // Everything that the library writes fits; cut anywhere, it does not.
@@ -56,7 +56,7 @@
 		var out []row
 		err := Unmarshal(raw, &out)
 		runtime.ReadMemStats(&after)
-		if !wax.Is(err, wax.Invalid) {
+		if !fault.Is(err, fault.Invalid) {
 			t.Errorf("%x: %v", raw, err)
 		}
 		if took := after.TotalAlloc - before.TotalAlloc; took > 1<<20 {
--- a/internal/pollen/tally.go
+++ b/internal/rpc/tally.go
@@ -1,4 +1,4 @@
-package pollen
+package rpc
 
 import (
 	"sort"
--- a/internal/pollen/tcp.go
+++ b/internal/rpc/tcp.go
@@ -1,4 +1,4 @@
-package pollen
+package rpc
 
 import (
 	"bufio"
@@ -13,7 +13,8 @@
 	"golang.org/x/sys/unix"
 
 	"rowanshunt/internal/codec"
-	"rowanshunt/internal/wax"
+	"rowanshunt/internal/fault"
+	"rowanshunt/internal/logging"
 )
 
 // userTimeoutMs is how long sent bytes may stay unacknowledged on any circuit.
@@ -67,11 +68,11 @@
 func (t *TCP) Call(ctx context.Context, addr, kind string, in, out any) error {
 	body, err := codec.Marshal(in)
 	if err != nil {
-		return wax.New(wax.Internal, kind, err.Error(), "report this")
+		return fault.New(fault.Internal, kind, err.Error(), "report this")
 	}
 	c, err := t.circuit(ctx, addr)
 	if err != nil {
-		return wax.New(wax.Unreached, addr, err.Error(), "look whether that node runs")
+		return fault.New(fault.Unreached, addr, err.Error(), "look whether that node runs")
 	}
 	answer, err := c.call(ctx, kind, body)
 	if err != nil {
@@ -85,21 +86,21 @@
 	if answer.kind == frameFault {
 		var w faultWire
 		if err := Unmarshal(answer.body, &w); err != nil {
-			return wax.New(wax.Unsure, kind, "the fault cannot be read", "run the same version on all nodes")
+			return fault.New(fault.Unsure, kind, "the fault cannot be read", "run the same version on all nodes")
 		}
-		return wax.New(w.Kind, w.Field, w.What, w.Remedy)
+		return fault.New(w.Kind, w.Field, w.What, w.Remedy)
 	}
 	if out == nil {
 		return nil
 	}
 	if err := Unmarshal(answer.body, out); err != nil {
-		return wax.New(wax.Unsure, kind, "the answer cannot be read: "+err.Error(), "run the same version on all nodes")
+		return fault.New(fault.Unsure, kind, "the answer cannot be read: "+err.Error(), "run the same version on all nodes")
 	}
 	return nil
 }
 
 type faultWire struct {
-	Kind   wax.Kind
+	Kind   fault.Kind
 	Field  string
 	What   string
 	Remedy string
@@ -190,7 +191,7 @@
 		delete(c.waiting, f.id)
 		c.mu.Unlock()
 		if !asked || f.kind != frameAnswer && f.kind != frameFault {
-			c.fail(wax.New(wax.Invalid, "frame", "no answer to a call of this circuit", "drop the circuit"))
+			c.fail(fault.New(fault.Invalid, "frame", "no answer to a call of this circuit", "drop the circuit"))
 			if ch != nil {
 				close(ch)
 			}
@@ -210,7 +211,7 @@
 	c.mu.Lock()
 	if c.broken != nil {
 		c.mu.Unlock()
-		return frame{}, wax.New(wax.Unreached, kind, "the circuit is broken", "try again")
+		return frame{}, fault.New(fault.Unreached, kind, "the circuit is broken", "try again")
 	}
 	c.nextID++
 	id := c.nextID
@@ -222,7 +223,7 @@
 		// The calls before this one took all of its time.
 		c.wmu.Unlock()
 		c.forget(id)
-		return frame{}, wax.New(wax.Unreached, kind, "no time was left before the call was sent", "try again")
+		return frame{}, fault.New(fault.Unreached, kind, "no time was left before the call was sent", "try again")
 	}
 	_ = c.conn.SetWriteDeadline(time.Now().Add(userTimeoutMs * time.Millisecond))
 	err := writeFrame(c.w, frame{kind: frameCall, id: id, name: kind, body: body})
@@ -232,17 +233,17 @@
 	c.wmu.Unlock()
 	if err != nil {
 		c.fail(err)
-		return frame{}, wax.New(wax.Unsure, kind, err.Error(), "try again")
+		return frame{}, fault.New(fault.Unsure, kind, err.Error(), "try again")
 	}
 	select {
 	case f, ok := <-ch:
 		if !ok {
-			return frame{}, wax.New(wax.Unsure, kind, "the circuit broke before the answer", "try again")
+			return frame{}, fault.New(fault.Unsure, kind, "the circuit broke before the answer", "try again")
 		}
 		return f, nil
 	case <-ctx.Done():
 		c.forget(id)
-		return frame{}, wax.New(wax.Unsure, kind, "no answer in time", "try again")
+		return frame{}, fault.New(fault.Unsure, kind, "no answer in time", "try again")
 	}
 }
 
@@ -257,7 +258,7 @@
 type Listener struct {
 	ln    net.Listener
 	desk  *Desk
-	log   *wax.Log
+	log   *logging.Log
 	tally *Tally
 	mu    sync.Mutex
 	open  map[net.Conn]struct{}
@@ -267,7 +268,7 @@
 const maxCallsOpen = 512
 
 // Listen opens the partner port.
-func Listen(addr string, desk *Desk, log *wax.Log, tally *Tally) (*Listener, error) {
+func Listen(addr string, desk *Desk, log *logging.Log, tally *Tally) (*Listener, error) {
 	ln, err := net.Listen("tcp", addr)
 	if err != nil {
 		return nil, errors.Wrap(err, "partner port")
@@ -322,7 +323,7 @@
 	for {
 		f, err := readFrame(r)
 		if err != nil {
-			if wax.KindOf(err) == wax.Invalid {
+			if fault.KindOf(err) == fault.Invalid {
 				l.log.Warn("partner_frame_declined", "from", conn.RemoteAddr(), "err", err)
 			}
 			return
@@ -358,16 +359,16 @@
 	defer func() {
 		if p := recover(); p != nil {
 			l.log.Warn("partner_call_panicked", "kind", f.name, "panic", p, "stack", string(debug.Stack()))
-			err = wax.New(wax.Unsure, f.name, "the handler failed", "report this")
+			err = fault.New(fault.Unsure, f.name, "the handler failed", "report this")
 		}
 	}()
 	return l.desk.Serve(ctx, f.name, f.body)
 }
 
 func wireOf(err error) faultWire {
-	var f *wax.Fault
+	var f *fault.Fault
 	if errors.As(err, &f) {
 		return faultWire{Kind: f.Kind, Field: f.Field, What: f.What, Remedy: f.Remedy}
 	}
-	return faultWire{Kind: wax.Unsure, What: err.Error()}
+	return faultWire{Kind: fault.Unsure, What: err.Error()}
 }
--- a/internal/pollen/tcp_test.go
+++ b/internal/rpc/tcp_test.go
@@ -1,4 +1,4 @@
-package pollen
+package rpc
 
 import (
 	"context"
@@ -7,7 +7,8 @@
 	"testing"
 	"time"
 
-	"rowanshunt/internal/wax"
+	"rowanshunt/internal/fault"
+	"rowanshunt/internal/logging"
 )
 
 type echo struct{ N int }
@@ -15,7 +16,7 @@
 func listen(t *testing.T) (*Desk, string) {
 	t.Helper()
 	d := NewDesk()
-	l, err := Listen("127.0.0.1:0", d, wax.Quiet(), nil)
+	l, err := Listen("127.0.0.1:0", d, logging.Quiet(), nil)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -29,7 +30,7 @@
 	d, addr := listen(t)
 	On(d, "echo", func(_ context.Context, in *echo) (*echo, error) { return &echo{in.N + 1}, nil })
 	On(d, "fault", func(context.Context, *echo) (*echo, error) {
-		return nil, wax.New(wax.NotOwner, "store-2", "not here", "ask it")
+		return nil, fault.New(fault.NotOwner, "store-2", "not here", "ask it")
 	})
 	On(d, "panic", func(context.Context, *echo) (*echo, error) { panic("no") })
 	m := NewTCP(nil)
@@ -47,16 +48,16 @@
 	}
 	wg.Wait()
 	err := m.Call(ctx, addr, "fault", &echo{}, nil)
-	if f, ok := err.(*wax.Fault); !ok || f.Kind != wax.NotOwner || f.Field != "store-2" {
+	if f, ok := err.(*fault.Fault); !ok || f.Kind != fault.NotOwner || f.Field != "store-2" {
 		t.Errorf("fault: %v", err)
 	}
-	if err := m.Call(ctx, addr, "panic", &echo{}, nil); !wax.Is(err, wax.Unsure) {
+	if err := m.Call(ctx, addr, "panic", &echo{}, nil); !fault.Is(err, fault.Unsure) {
 		t.Errorf("panic: %v", err)
 	}
-	if err := m.Call(ctx, addr, "unknown", &echo{}, nil); !wax.Is(err, wax.Declined) {
+	if err := m.Call(ctx, addr, "unknown", &echo{}, nil); !fault.Is(err, fault.Declined) {
 		t.Errorf("unknown kind: %v", err)
 	}
-	if err := m.Call(ctx, addr, "echo", "not an echo", nil); !wax.Is(err, wax.Invalid) {
+	if err := m.Call(ctx, addr, "echo", "not an echo", nil); !fault.Is(err, fault.Invalid) {
 		t.Errorf("another shape: %v", err)
 	}
 }
@@ -80,11 +81,11 @@
 		_, _ = c.Read(make([]byte, 4))
 		_ = c.Close()
 	}()
-	if err := m.Call(ctx, addr, "echo", &echo{}, nil); !wax.Is(err, wax.Unsure) {
+	if err := m.Call(ctx, addr, "echo", &echo{}, nil); !fault.Is(err, fault.Unsure) {
 		t.Errorf("closed after it was sent: %v", err)
 	}
 	_ = ln.Close()
-	if err := m.Call(ctx, addr, "echo", &echo{}, nil); !wax.Is(err, wax.Unreached) {
+	if err := m.Call(ctx, addr, "echo", &echo{}, nil); !fault.Is(err, fault.Unreached) {
 		t.Errorf("nobody listens: %v", err)
 	}
 }
--- a/internal/skep/line.go
+++ b/internal/settings/line.go
@@ -1,4 +1,4 @@
-package skep
+package settings
 
 import (
 	"fmt"
--- a/internal/skep/options.go
+++ b/internal/settings/options.go
@@ -1,7 +1,7 @@
-// Package skep reads and checks the options a process is started with
+// Package settings reads and checks the options a process is started with
 // (design 1.2). The field's standard terms: options = settings, configuration
 // file.
-package skep
+package settings
 
 import (
 	"net"
@@ -12,7 +12,7 @@
 
 	"github.com/BurntSushi/toml"
 
-	"rowanshunt/internal/wax"
+	"rowanshunt/internal/fault"
 )
 
 // EnvFile is the variable that holds the path of the options file.
@@ -97,7 +97,7 @@
 func Load(path string) (*Options, error) {
 	raw, err := os.ReadFile(path)
 	if err != nil {
-		return nil, wax.New(wax.Invalid, path, err.Error(), "name a readable options file with --file or "+EnvFile)
+		return nil, fault.New(fault.Invalid, path, err.Error(), "name a readable options file with --file or "+EnvFile)
 	}
 	return Parse(raw)
 }
@@ -106,7 +106,7 @@
 func Parse(raw []byte) (*Options, error) {
 	o := &Options{}
 	if err := toml.Unmarshal(raw, o); err != nil {
-		return nil, wax.New(wax.Invalid, "options", err.Error(), "write the file as TOML with the fields of docs/operators.md")
+		return nil, fault.New(fault.Invalid, "options", err.Error(), "write the file as TOML with the fields of docs/operators.md")
 	}
 	if o.HbMs == 0 {
 		o.HbMs = 1200
@@ -139,7 +139,7 @@
 
 // Check looks at the whole of the options and names every field that is wrong.
 func (o *Options) Check() error {
-	var l wax.Ledger
+	var l fault.Ledger
 	if o.Node == "" {
 		l.Addf("node", "is missing", "give the node's name")
 	}
@@ -193,7 +193,7 @@
 )
 
 // floors looks whether the machine has what a role needs at least.
-func (o *Options) floors(l *wax.Ledger, role string) {
+func (o *Options) floors(l *fault.Ledger, role string) {
 	ramMb := int64(minForagerMb)
 	if role == RoleStore {
 		ramMb = minCombMb
@@ -241,7 +241,7 @@
 
 // CheckRole looks at what one role needs.
 func (o *Options) CheckRole(role string) error {
-	var l wax.Ledger
+	var l fault.Ledger
 	switch role {
 	case RoleEdge:
 		if o.Listen.HTTP == "" {
--- a/internal/meadow/meadow.go
+++ b/internal/simnet/meadow.go
@@ -1,8 +1,8 @@
-// Package meadow is the simulated network that tests put nodes into: partner
+// Package simnet is the simulated network that tests put nodes into: partner
 // calls and byte circuits with delay, loss, doubling and cuts, all drawn from
 // one seed (design 12.2). It runs inside a synctest bubble, so that waiting
 // takes no time. The field's standard terms: meadow = network simulator.
-package meadow
+package simnet
 
 import (
 	"context"
@@ -15,8 +15,8 @@
 	"github.com/vmihailenco/msgpack/v5"
 
 	"rowanshunt/internal/codec"
-	"rowanshunt/internal/pollen"
-	"rowanshunt/internal/wax"
+	"rowanshunt/internal/fault"
+	"rowanshunt/internal/rpc"
 )
 
 // Meadow is one network.
@@ -35,7 +35,7 @@
 }
 
 type site struct {
-	desk *pollen.Desk
+	desk *rpc.Desk
 	ctx  context.Context
 }
 
@@ -45,7 +45,7 @@
 }
 
 // Place puts a node's desk at an address until ctx ends.
-func (m *Meadow) Place(ctx context.Context, addr string, desk *pollen.Desk) {
+func (m *Meadow) Place(ctx context.Context, addr string, desk *rpc.Desk) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.desks[addr] = &site{desk: desk, ctx: ctx}
@@ -92,7 +92,7 @@
 }
 
 // MeshOf is the mesh as the node at an address sees it.
-func (m *Meadow) MeshOf(addr string) pollen.Mesh { return &mesh{m: m, from: addr} }
+func (m *Meadow) MeshOf(addr string) rpc.Mesh { return &mesh{m: m, from: addr} }
 
 type mesh struct {
 	m    *Meadow
@@ -114,21 +114,21 @@
 func (h *mesh) Call(ctx context.Context, addr, kind string, in, out any) error {
 	body, err := codec.Marshal(in)
 	if err != nil {
-		return wax.New(wax.Internal, kind, err.Error(), "report this")
+		return fault.New(fault.Internal, kind, err.Error(), "report this")
 	}
 	if !h.m.pass(ctx, h.from, "") {
-		return wax.New(wax.Unsure, kind, "no answer in time", "try again")
+		return fault.New(fault.Unsure, kind, "no answer in time", "try again")
 	}
 	there := h.m.travel(h.from, addr)
 	if there.lost {
 		<-ctx.Done()
-		return wax.New(wax.Unsure, kind, "no answer in time", "try again")
+		return fault.New(fault.Unsure, kind, "no answer in time", "try again")
 	}
 	if !wait(ctx, there.delay) {
-		return wax.New(wax.Unsure, kind, "no answer in time", "try again")
+		return fault.New(fault.Unsure, kind, "no answer in time", "try again")
 	}
 	if there.site == nil || there.site.ctx.Err() != nil {
-		return wax.New(wax.Unreached, addr, "nobody listens", "look whether that node runs")
+		return fault.New(fault.Unreached, addr, "nobody listens", "look whether that node runs")
 	}
 	type answer struct {
 		body []byte
@@ -150,24 +150,24 @@
 	select {
 	case a = <-got:
 	case <-ctx.Done():
-		return wax.New(wax.Unsure, kind, "no answer in time", "try again")
+		return fault.New(fault.Unsure, kind, "no answer in time", "try again")
 	}
 	if !h.m.pass(ctx, addr, "") || !h.m.pass(ctx, h.from, "") {
-		return wax.New(wax.Unsure, kind, "no answer in time", "try again")
+		return fault.New(fault.Unsure, kind, "no answer in time", "try again")
 	}
 	back := h.m.travel(addr, h.from)
 	if back.lost || there.site.ctx.Err() != nil {
 		<-ctx.Done()
-		return wax.New(wax.Unsure, kind, "no answer in time", "try again")
+		return fault.New(fault.Unsure, kind, "no answer in time", "try again")
 	}
 	if !wait(ctx, back.delay) {
-		return wax.New(wax.Unsure, kind, "no answer in time", "try again")
+		return fault.New(fault.Unsure, kind, "no answer in time", "try again")
 	}
 	if a.err != nil {
-		if f, ok := a.err.(*wax.Fault); ok {
-			return wax.New(f.Kind, f.Field, f.What, f.Remedy)
+		if f, ok := a.err.(*fault.Fault); ok {
+			return fault.New(f.Kind, f.Field, f.What, f.Remedy)
 		}
-		return wax.New(wax.Unsure, kind, a.err.Error(), "try again")
+		return fault.New(fault.Unsure, kind, a.err.Error(), "try again")
 	}
 	if out == nil {
 		return nil
--- a/internal/meadow/worker.go
+++ b/internal/simnet/worker.go
@@ -1,4 +1,4 @@
-package meadow
+package simnet
 
 import (
 	"fmt"
--- a/internal/trail/trail.go
+++ b/internal/trace/trail.go
@@ -1,7 +1,7 @@
-// Package trail answers where one change is, by asking every node (design 14).
+// Package trace answers where one change is, by asking every node (design 14).
 // It keeps nothing and does nothing while nobody asks. The field's standard
 // terms: trail = trace; fact = span; teller = trace source.
-package trail
+package trace
 
 import (
 	"context"
@@ -9,9 +9,9 @@
 	"sync"
 	"time"
 
-	"rowanshunt/internal/pollen"
-	"rowanshunt/internal/swarm"
-	"rowanshunt/internal/wax"
+	"rowanshunt/internal/fault"
+	"rowanshunt/internal/gossip"
+	"rowanshunt/internal/rpc"
 )
 
 // The kinds of changes that can be followed.
@@ -62,17 +62,17 @@
 
 // Trail is one node's part.
 type Trail struct {
-	mesh    pollen.Mesh
-	swarm   *swarm.Swarm
-	self    swarm.Partner
+	mesh    rpc.Mesh
+	swarm   *gossip.Swarm
+	self    gossip.Partner
 	mu      sync.Mutex
 	tellers map[string][]Teller
 }
 
 // New joins the desk.
-func New(desk *pollen.Desk, mesh pollen.Mesh, sw *swarm.Swarm, self swarm.Partner) *Trail {
+func New(desk *rpc.Desk, mesh rpc.Mesh, sw *gossip.Swarm, self gossip.Partner) *Trail {
 	t := &Trail{mesh: mesh, swarm: sw, self: self, tellers: map[string][]Teller{}}
-	pollen.On(desk, "trail.tell", func(ctx context.Context, a *Ask) (*Word, error) {
+	rpc.On(desk, "trail.tell", func(ctx context.Context, a *Ask) (*Word, error) {
 		if err := a.Check(); err != nil {
 			return nil, err
 		}
@@ -86,7 +86,7 @@
 // Check tells whether that kind of change can be followed.
 func (a *Ask) Check() error {
 	if !known(a.Kind) {
-		return wax.New(wax.Invalid, "kind", "cannot be followed", "ask for a blueprint, a worker or a lot")
+		return fault.New(fault.Invalid, "kind", "cannot be followed", "ask for a blueprint, a worker or a lot")
 	}
 	return nil
 }
--- a/internal/trail/trail_test.go
+++ b/internal/trace/trail_test.go
@@ -1,4 +1,4 @@
-package trail
+package trace
 
 import (
 	"strings"
--- a/internal/moult/bound_test.go
+++ b/internal/upgrade/bound_test.go
@@ -1,16 +1,16 @@
-package moult
+package upgrade
 
 import (
 	"fmt"
 	"testing"
 
-	"rowanshunt/internal/nest"
+	"rowanshunt/internal/register"
 )
 
 // Upgrades of services that are gone don't pile up in the register's value;
 // those under way, and those of services that are there, stay.
 func TestUpgradesAreBounded(t *testing.T) {
-	s := &nest.State{Ver: 1, Doc: []byte(`{"ver":1,"routes":[{"name":"r","host":"h","pfx":"/","type":"safe","limit_ms":4000,"svc":"kept","tries":1}],"svcs":[{"name":"kept","maxconn":120}],"caps":{"hdr_bytes":16384,"payload_bytes":4194304,"hdr_ms":3000,"idle_ms":15000}}`)}
+	s := &register.State{Ver: 1, Doc: []byte(`{"ver":1,"routes":[{"name":"r","host":"h","pfx":"/","type":"safe","limit_ms":4000,"svc":"kept","tries":1}],"svcs":[{"name":"kept","maxconn":120}],"caps":{"hdr_bytes":16384,"payload_bytes":4194304,"hdr_ms":3000,"idle_ms":15000}}`)}
 	if err := (&Upgrade{Svc: "kept", Phase: Done}).store(s); err != nil {
 		t.Fatal(err)
 	}
--- a/internal/moult/driver.go
+++ b/internal/upgrade/driver.go
@@ -1,4 +1,4 @@
-package moult
+package upgrade
 
 import (
 	"context"
@@ -6,15 +6,16 @@
 	"sync"
 	"time"
 
-	"rowanshunt/internal/flora"
-	"rowanshunt/internal/foundation"
-	"rowanshunt/internal/nest"
-	"rowanshunt/internal/pollen"
-	"rowanshunt/internal/scout"
-	"rowanshunt/internal/swarm"
-	"rowanshunt/internal/tending"
-	"rowanshunt/internal/waggle"
-	"rowanshunt/internal/wax"
+	"rowanshunt/internal/balancer"
+	"rowanshunt/internal/config"
+	"rowanshunt/internal/discovery"
+	"rowanshunt/internal/eventloop"
+	"rowanshunt/internal/fault"
+	"rowanshunt/internal/gossip"
+	"rowanshunt/internal/logging"
+	"rowanshunt/internal/register"
+	"rowanshunt/internal/rendezvous"
+	"rowanshunt/internal/rpc"
 )
 
 // Times of the driver (design 13.3).
@@ -26,16 +27,16 @@
 
 // Config is what a driver is made of.
 type Config struct {
-	Floor  *waggle.Floor
-	Desk   *pollen.Desk
-	Mesh   pollen.Mesh
-	Swarm  *swarm.Swarm
-	Log    *wax.Log
-	Self   swarm.Partner
-	State  func() *nest.State
-	Change func(context.Context, nest.Change) (*nest.State, error)
-	Known  func() []flora.Worker // all registered workers, in use or not
-	Scout  *scout.Scout
+	Floor  *eventloop.Floor
+	Desk   *rpc.Desk
+	Mesh   rpc.Mesh
+	Swarm  *gossip.Swarm
+	Log    *logging.Log
+	Self   gossip.Partner
+	State  func() *register.State
+	Change func(context.Context, register.Change) (*register.State, error)
+	Known  func() []discovery.Worker // all registered workers, in use or not
+	Scout  *balancer.Scout
 	OnMove func(*Upgrade)
 }
 
@@ -50,7 +51,7 @@
 // New joins the upgrades.
 func New(ctx context.Context, cfg Config) *Moult {
 	m := &Moult{cfg: cfg, ctx: ctx}
-	pollen.On(cfg.Desk, "moult.tell", func(_ context.Context, in *tellCall) (*tellAnswer, error) { return m.tell(in.Svc), nil })
+	rpc.On(cfg.Desk, "moult.tell", func(_ context.Context, in *tellCall) (*tellAnswer, error) { return m.tell(in.Svc), nil })
 	cfg.Floor.Every(stepUs, m.tick)
 	return m
 }
@@ -77,10 +78,10 @@
 
 // Apply takes the upgrades of a committed state to this node's picks: workers
 // out of use get nothing new, groups are spread, returned workers are warmed.
-func Apply(s *nest.State, sc *scout.Scout) {
+func Apply(s *register.State, sc *balancer.Scout) {
 	out := map[string]bool{}
 	spread := map[string]int{}
-	warm := map[string]scout.Warming{}
+	warm := map[string]balancer.Warming{}
 	heirs := map[string]string{}
 	for _, u := range All(s) {
 		for id, name := range u.Heirs {
@@ -90,13 +91,13 @@
 			out[o.ID] = true
 		}
 		if u.Open() {
-			warm[u.Svc] = scout.Warming{Ver: u.To, OverUs: u.Rules.WarmMs * 1000}
+			warm[u.Svc] = balancer.Warming{Ver: u.To, OverUs: u.Rules.WarmMs * 1000}
 			if u.Spread > 1 {
 				spread[u.Svc] = int(u.Spread)
 			}
 		}
 	}
-	sc.SetMoult(scout.Moulting{Out: out, Spread: spread, Warm: warm, Heirs: heirs})
+	sc.SetMoult(balancer.Moulting{Out: out, Spread: spread, Warm: warm, Heirs: heirs})
 }
 
 // tick drives each open upgrade whose key falls to this node.
@@ -110,9 +111,9 @@
 		return
 	}
 	v := m.cfg.Swarm.Look()
-	live := v.Names(func(p *swarm.Sighting) bool { return p.Alive && p.Role == m.cfg.Self.Role && !p.Leaving })
+	live := v.Names(func(p *gossip.Sighting) bool { return p.Alive && p.Role == m.cfg.Self.Role && !p.Leaving })
 	for _, u := range upgrades {
-		if !u.Open() || tending.Holder(keyPrefix+u.Svc, live) != m.cfg.Self.Name {
+		if !u.Open() || rendezvous.Holder(keyPrefix+u.Svc, live) != m.cfg.Self.Name {
 			continue
 		}
 		m.busy = true
@@ -141,10 +142,10 @@
 	}
 	if u.Driver != m.me() {
 		from := u.Term
-		s, err := m.cfg.Change(ctx, func(now *nest.State) (*nest.State, error) {
+		s, err := m.cfg.Change(ctx, func(now *register.State) (*register.State, error) {
 			u := Load(now, svc)
 			if !u.Open() || u.Term != from {
-				return nil, wax.New(wax.Stale, svc, "another node drives", "nothing to do")
+				return nil, fault.New(fault.Stale, svc, "another node drives", "nothing to do")
 			}
 			u.takeOver(m.me())
 			return now, u.store(now)
@@ -162,15 +163,15 @@
 	}
 	trial := *u
 	trial.Out = append([]Out(nil), u.Out...)
-	if !trial.Step(seen, groups, vitals, waggle.NowUs()) {
+	if !trial.Step(seen, groups, vitals, eventloop.NowUs()) {
 		return nil
 	}
-	s, err := m.cfg.Change(ctx, func(now *nest.State) (*nest.State, error) {
+	s, err := m.cfg.Change(ctx, func(now *register.State) (*register.State, error) {
 		u := Load(now, svc)
 		if u == nil || u.Term != term || u.Driver != m.me() {
-			return nil, wax.New(wax.Stale, svc, "another node drives", "nothing to do")
+			return nil, fault.New(fault.Stale, svc, "another node drives", "nothing to do")
 		}
-		if !u.Step(seen, groups, vitals, waggle.NowUs()) {
+		if !u.Step(seen, groups, vitals, eventloop.NowUs()) {
 			return nil, nil
 		}
 		return now, u.store(now)
@@ -236,7 +237,7 @@
 	}
 	wg.Wait()
 	if 2*told <= asked {
-		return nil, nil, Vitals{}, wax.New(wax.Unsure, u.Svc, "too few foragers answer", "nothing is changed until they do")
+		return nil, nil, Vitals{}, fault.New(fault.Unsure, u.Svc, "too few foragers answer", "nothing is changed until they do")
 	}
 	var seen []Seen
 	for _, w := range m.cfg.Known() {
@@ -256,7 +257,7 @@
 }
 
 // version is the highest version of the weights that a worker has.
-func version(w *flora.Worker) int64 {
+func version(w *discovery.Worker) int64 {
 	var ver int64
 	for _, m := range w.Models {
 		ver = max(ver, m.Ver)
@@ -269,11 +270,11 @@
 // order is never refused: while its upgrade is open it gets a Conflict, after it
 // ended the upgrade as it stands (design 13.4).
 func (m *Moult) Start(ctx context.Context, svc string, to int64, rules Rules) (*Upgrade, error) {
-	return m.change(ctx, svc, func(now *nest.State, old *Upgrade) (*Upgrade, error) {
+	return m.change(ctx, svc, func(now *register.State, old *Upgrade) (*Upgrade, error) {
 		workers := m.countWorkers(svc, to)
 		switch {
 		case old.Open():
-			return nil, wax.New(wax.Conflict, svc, "an upgrade of it is under way", "wait for it, or undo it")
+			return nil, fault.New(fault.Conflict, svc, "an upgrade of it is under way", "wait for it, or undo it")
 		case old.endedAs(to, rules) && (workers.total == 0 || workers.byVer[to] == workers.total):
 			return nil, nil
 		}
@@ -327,32 +328,32 @@
 	return from
 }
 
-func mayStart(now *nest.State, svc string, to int64, workers *workerCount, rules Rules) error {
+func mayStart(now *register.State, svc string, to int64, workers *workerCount, rules Rules) error {
 	switch {
 	case !hasService(now, svc):
-		return wax.New(wax.Unknown, svc, "is no service of the blueprint", "name a service under svcs")
+		return fault.New(fault.Unknown, svc, "is no service of the blueprint", "name a service under svcs")
 	case to <= 0:
-		return wax.New(wax.Invalid, "to", "is no version", "give the number of the weights' version, above 0")
+		return fault.New(fault.Invalid, "to", "is no version", "give the number of the weights' version, above 0")
 	case workers.total == 0:
-		return wax.New(wax.Conflict, svc, "no worker of it is up", "start its workers first")
+		return fault.New(fault.Conflict, svc, "no worker of it is up", "start its workers first")
 	case workers.byVer[to] == workers.total:
-		return wax.New(wax.Conflict, "to", "all workers are at that version", "nothing to do")
+		return fault.New(fault.Conflict, "to", "all workers are at that version", "nothing to do")
 	}
 	return rules.Check(workers.total)
 }
 
 // hasService tells whether the configuration in a value names the service.
-func hasService(now *nest.State, svc string) bool {
+func hasService(now *register.State, svc string) bool {
 	if now.Ver == 0 {
 		return false
 	}
-	configuration, err := foundation.Parse(now.Doc)
+	configuration, err := config.Parse(now.Doc)
 	return err == nil && configuration.Services[svc] != nil
 }
 
 // change runs a change of one upgrade in the register.
-func (m *Moult) change(ctx context.Context, svc string, fn func(*nest.State, *Upgrade) (*Upgrade, error)) (*Upgrade, error) {
-	s, err := m.cfg.Change(ctx, func(now *nest.State) (*nest.State, error) {
+func (m *Moult) change(ctx context.Context, svc string, fn func(*register.State, *Upgrade) (*Upgrade, error)) (*Upgrade, error) {
+	s, err := m.cfg.Change(ctx, func(now *register.State) (*register.State, error) {
 		u, err := fn(now, Load(now, svc))
 		if err != nil || u == nil {
 			return nil, err
@@ -366,12 +367,12 @@
 }
 
 func unknown(svc string) error {
-	return wax.New(wax.Unknown, svc, "has no upgrade", "start one")
+	return fault.New(fault.Unknown, svc, "has no upgrade", "start one")
 }
 
 // Pause stops an upgrade where it is.
 func (m *Moult) Pause(ctx context.Context, svc string) (*Upgrade, error) {
-	return m.change(ctx, svc, func(_ *nest.State, u *Upgrade) (*Upgrade, error) {
+	return m.change(ctx, svc, func(_ *register.State, u *Upgrade) (*Upgrade, error) {
 		if u == nil {
 			return nil, unknown(svc)
 		}
@@ -385,7 +386,7 @@
 
 // Resume lets a paused upgrade go on, its times anew.
 func (m *Moult) Resume(ctx context.Context, svc string) (*Upgrade, error) {
-	return m.change(ctx, svc, func(_ *nest.State, u *Upgrade) (*Upgrade, error) {
+	return m.change(ctx, svc, func(_ *register.State, u *Upgrade) (*Upgrade, error) {
 		if u == nil {
 			return nil, unknown(svc)
 		}
@@ -401,7 +402,7 @@
 // Undo turns an upgrade round: the workers at the target version go back in
 // waves, under the same rules.
 func (m *Moult) Undo(ctx context.Context, svc string) (*Upgrade, error) {
-	return m.change(ctx, svc, func(_ *nest.State, u *Upgrade) (*Upgrade, error) {
+	return m.change(ctx, svc, func(_ *register.State, u *Upgrade) (*Upgrade, error) {
 		if u == nil {
 			return nil, unknown(svc)
 		}
@@ -409,7 +410,7 @@
 			return nil, nil // perhaps an order sent again
 		}
 		if u.Undoing && u.Open() {
-			return nil, wax.New(wax.Conflict, svc, "is being undone already", "wait for it")
+			return nil, fault.New(fault.Conflict, svc, "is being undone already", "wait for it")
 		}
 		u.From, u.To = u.To, u.From
 		u.Undoing, u.Phase, u.Why, u.Remedy = true, Running, "", ""
@@ -421,7 +422,7 @@
 }
 
 // Status is an upgrade as it stands in a state of the register.
-func Status(s *nest.State, svc string) (*Upgrade, error) {
+func Status(s *register.State, svc string) (*Upgrade, error) {
 	u := Load(s, svc)
 	if u == nil {
 		return nil, unknown(svc)
--- a/internal/moult/orders_test.go
+++ b/internal/upgrade/orders_test.go
@@ -1,13 +1,13 @@
-package moult
+package upgrade
 
 import (
 	"context"
 	"testing"
 
-	"rowanshunt/internal/flora"
-	"rowanshunt/internal/foundation"
-	"rowanshunt/internal/nest"
-	"rowanshunt/internal/wax"
+	"rowanshunt/internal/config"
+	"rowanshunt/internal/discovery"
+	"rowanshunt/internal/fault"
+	"rowanshunt/internal/register"
 )
 
 const ordersConfiguration = `{"ver":1,"routes":[{"name":"a","host":"shop.example","pfx":"/a/","type":"safe","limit_ms":5,"svc":"llm"}],"svcs":[{"name":"llm","hc":"/h"}],"caps":{}}`
@@ -15,17 +15,17 @@
 // An order about an upgrade that was taken is, when it is sent again, answered
 // as the upgrade stands or as under way, never refused otherwise (design 13.4).
 func TestOrdersSentAgain(t *testing.T) {
-	if _, err := foundation.Parse([]byte(ordersConfiguration)); err != nil {
+	if _, err := config.Parse([]byte(ordersConfiguration)); err != nil {
 		t.Fatal(err)
 	}
-	state := &nest.State{Ver: 1, Doc: []byte(ordersConfiguration)}
-	workers := []flora.Worker{
-		{ID: "w1", Svc: "llm", Phase: "up", Models: []flora.Model{{Name: "m", Ver: 1}}},
-		{ID: "w2", Svc: "llm", Phase: "up", Models: []flora.Model{{Name: "m", Ver: 1}}},
+	state := &register.State{Ver: 1, Doc: []byte(ordersConfiguration)}
+	workers := []discovery.Worker{
+		{ID: "w1", Svc: "llm", Phase: "up", Models: []discovery.Model{{Name: "m", Ver: 1}}},
+		{ID: "w2", Svc: "llm", Phase: "up", Models: []discovery.Model{{Name: "m", Ver: 1}}},
 	}
 	m := &Moult{cfg: Config{
-		Known: func() []flora.Worker { return workers },
-		Change: func(_ context.Context, change nest.Change) (*nest.State, error) {
+		Known: func() []discovery.Worker { return workers },
+		Change: func(_ context.Context, change register.Change) (*register.State, error) {
 			now := *state
 			next, err := change(&now)
 			if err == nil && next != nil {
@@ -53,13 +53,13 @@
 		name  string
 		run   func() (*Upgrade, error)
 		fails bool
-		kind  wax.Kind
+		kind  fault.Kind
 		phase Phase
 	}{
-		{"pause before there is one", pause, true, wax.Unknown, ""},
-		{"undo before there is one", undo, true, wax.Unknown, ""},
+		{"pause before there is one", pause, true, fault.Unknown, ""},
+		{"undo before there is one", undo, true, fault.Unknown, ""},
 		{"start", start, false, 0, Running},
-		{"start again", start, true, wax.Conflict, Running},
+		{"start again", start, true, fault.Conflict, Running},
 		{"resume what runs", resume, false, 0, Running},
 		{"pause", pause, false, 0, Paused},
 		{"pause again", pause, false, 0, Paused},
@@ -70,13 +70,13 @@
 		{"pause after the end", pause, false, 0, Done},
 		{"resume after the end", resume, false, 0, Done},
 		{"undo", undo, false, 0, Running},
-		{"undo again", undo, true, wax.Conflict, Running},
+		{"undo again", undo, true, fault.Conflict, Running},
 		{"undone", end(Undone, 1), false, 0, Undone},
 		{"undo after that", undo, false, 0, Undone},
 		{"pause after that", pause, false, 0, Undone},
 	} {
 		u, err := step.run()
-		if step.fails && !wax.Is(err, step.kind) || !step.fails && err != nil {
+		if step.fails && !fault.Is(err, step.kind) || !step.fails && err != nil {
 			t.Errorf("%s: %v", step.name, err)
 		}
 		if got := Load(state, "llm"); got != nil && got.Phase != step.phase || !step.fails && u.Phase != step.phase {
--- a/internal/moult/upgrade.go
+++ b/internal/upgrade/upgrade.go
@@ -1,10 +1,10 @@
-// Package moult moves a service's workers to a new model version while they
+// Package upgrade moves a service's workers to a new model version while they
 // serve: a few at a time, so that every group of requests that share an
 // opening prompt keeps its replicas (docs/upgrades.md, design 13). It only
 // takes workers out of use and says which may be replaced; whoever runs the
 // workers replaces them. The field's standard terms: moult = rolling upgrade;
 // wave = batch; driver = orchestrator; term = fencing token.
-package moult
+package upgrade
 
 import (
 	"fmt"
@@ -16,9 +16,9 @@
 	"github.com/vmihailenco/msgpack/v5"
 
 	"rowanshunt/internal/codec"
-	"rowanshunt/internal/foundation"
-	"rowanshunt/internal/nest"
-	"rowanshunt/internal/wax"
+	"rowanshunt/internal/config"
+	"rowanshunt/internal/fault"
+	"rowanshunt/internal/register"
 )
 
 // Phase is how far an upgrade is.
@@ -94,7 +94,7 @@
 
 // Load reads the upgrade of a service from the register's state, nil if there
 // is none.
-func Load(s *nest.State, svc string) *Upgrade {
+func Load(s *register.State, svc string) *Upgrade {
 	if s == nil {
 		return nil
 	}
@@ -110,7 +110,7 @@
 }
 
 // All lists the upgrades in a state, by service.
-func All(s *nest.State) []*Upgrade {
+func All(s *register.State) []*Upgrade {
 	if s == nil {
 		return nil
 	}
@@ -127,7 +127,7 @@
 }
 
 // store puts the upgrade into a state that is not shared yet.
-func (u *Upgrade) store(s *nest.State) error {
+func (u *Upgrade) store(s *register.State) error {
 	raw, err := codec.Marshal(u)
 	if err != nil {
 		return err
@@ -142,7 +142,7 @@
 const maxUpgrades = 256
 
 // boundUpgrades bounds the upgrades in a state that is not shared yet.
-func boundUpgrades(s *nest.State) {
+func boundUpgrades(s *register.State) {
 	count := 0
 	for key := range s.Extra {
 		if strings.HasPrefix(key, keyPrefix) {
@@ -152,7 +152,7 @@
 	if count <= maxUpgrades {
 		return
 	}
-	b, err := foundation.Parse(s.Doc)
+	b, err := config.Parse(s.Doc)
 	if err != nil {
 		return
 	}
@@ -202,7 +202,7 @@
 
 // Check looks at the rules against the workers there are.
 func (r *Rules) Check(workers int64) error {
-	var l wax.Ledger
+	var l fault.Ledger
 	if r.MinReplicas < 1 {
 		l.Addf("min_replicas", "is below 1", "keep at least one replica answering")
 	}
@@ -222,7 +222,7 @@
 		return err
 	}
 	if r.MinReplicas >= workers {
-		return wax.New(wax.Conflict, "min_replicas", fmt.Sprintf("%d replicas cannot answer while one of %d workers is out", r.MinReplicas, workers), "ask for fewer replicas or add workers first")
+		return fault.New(fault.Conflict, "min_replicas", fmt.Sprintf("%d replicas cannot answer while one of %d workers is out", r.MinReplicas, workers), "ask for fewer replicas or add workers first")
 	}
 	return nil
 }
--- a/internal/moult/upgrade_test.go
+++ b/internal/upgrade/upgrade_test.go
@@ -1,11 +1,11 @@
-package moult
+package upgrade
 
 import (
 	"fmt"
 	"strings"
 	"testing"
 
-	"rowanshunt/internal/wax"
+	"rowanshunt/internal/fault"
 )
 
 func fleet(n int, ver int64) []Seen {
@@ -155,20 +155,20 @@
 	for _, tc := range []struct {
 		field  string
 		change func(*Rules)
-		kind   wax.Kind
+		kind   fault.Kind
 	}{
-		{"min_replicas", func(r *Rules) { r.MinReplicas = 0 }, wax.Invalid},
-		{"min_replicas", func(r *Rules) { r.MinReplicas = 10 }, wax.Conflict},
-		{"max_share", func(r *Rules) { r.MaxShare = 0 }, wax.Invalid},
-		{"max_share", func(r *Rules) { r.MaxShare = 0.9 }, wax.Invalid},
-		{"max_late", func(r *Rules) { r.MaxLate = 0 }, wax.Invalid},
-		{"max_failed", func(r *Rules) { r.MaxFailed = 2 }, wax.Invalid},
-		{"wave_ms", func(r *Rules) { r.WaveMs = 0 }, wax.Invalid},
-		{"min_well_share", func(r *Rules) { r.Quorum = 0 }, wax.Invalid},
+		{"min_replicas", func(r *Rules) { r.MinReplicas = 0 }, fault.Invalid},
+		{"min_replicas", func(r *Rules) { r.MinReplicas = 10 }, fault.Conflict},
+		{"max_share", func(r *Rules) { r.MaxShare = 0 }, fault.Invalid},
+		{"max_share", func(r *Rules) { r.MaxShare = 0.9 }, fault.Invalid},
+		{"max_late", func(r *Rules) { r.MaxLate = 0 }, fault.Invalid},
+		{"max_failed", func(r *Rules) { r.MaxFailed = 2 }, fault.Invalid},
+		{"wave_ms", func(r *Rules) { r.WaveMs = 0 }, fault.Invalid},
+		{"min_well_share", func(r *Rules) { r.Quorum = 0 }, fault.Invalid},
 	} {
 		r := DefaultRules()
 		tc.change(&r)
-		if err := r.Check(10); !wax.Is(err, tc.kind) || !strings.Contains(err.Error(), tc.field) || !strings.Contains(err.Error(), "remedy") {
+		if err := r.Check(10); !fault.Is(err, tc.kind) || !strings.Contains(err.Error(), tc.field) || !strings.Contains(err.Error(), "remedy") {
 			t.Errorf("%s: %v", tc.field, err)
 		}
 	}
--- a/internal/moult/wire.go
+++ b/internal/upgrade/wire.go
@@ -1,4 +1,4 @@
-package moult
+package upgrade
 
 import (
 	"github.com/vmihailenco/msgpack/v5"
--- a/internal/moult/wire_test.go
+++ b/internal/upgrade/wire_test.go
@@ -1,4 +1,4 @@
-package moult
+package upgrade
 
 import (
 	"encoding/hex"
--- a/internal/cell/cell.go
+++ b/internal/wal/cell.go
@@ -1,7 +1,7 @@
-// Package cell keeps a write-ahead log: an append-only file of checksummed
+// Package wal keeps a write-ahead log: an append-only file of checksummed
 // batches that is compacted when it gets long (design 10). The field's standard
 // terms: cell = write-ahead log; rewrite = compaction; batch = group commit.
-package cell
+package wal
 
 import (
 	"os"
@@ -11,7 +11,7 @@
 
 	"github.com/go-faster/errors"
 
-	"rowanshunt/internal/wax"
+	"rowanshunt/internal/fault"
 )
 
 const (
@@ -154,14 +154,14 @@
 		return nil, err
 	}
 	if !ok {
-		return nil, wax.New(wax.Damaged, c.file.Name(), "no header", "recover the file first")
+		return nil, fault.New(fault.Damaged, c.file.Name(), "no header", "recover the file first")
 	}
 	end, err := scan(c.file, h, each)
 	if err != nil {
 		return nil, err
 	}
 	if end.damage != nil && end.damage.Lost {
-		return nil, wax.New(wax.Damaged, c.file.Name(), end.damage.Why, "recover the file first")
+		return nil, fault.New(fault.Damaged, c.file.Name(), end.damage.Why, "recover the file first")
 	}
 	if end.damage != nil {
 		if err := c.file.Truncate(end.goodBytes); err != nil {
@@ -241,7 +241,7 @@
 	c.mu.Lock()
 	if c.closed {
 		c.mu.Unlock()
-		j.then(wax.New(wax.Declined, c.name, "the cell is closed", "start the node again"))
+		j.then(fault.New(fault.Declined, c.name, "the cell is closed", "start the node again"))
 		return
 	}
 	c.queue = append(c.queue, j)
--- a/internal/cell/cell_test.go
+++ b/internal/wal/cell_test.go
@@ -1,4 +1,4 @@
-package cell
+package wal
 
 import (
 	"bytes"
@@ -8,7 +8,7 @@
 	"path/filepath"
 	"testing"
 
-	"rowanshunt/internal/wax"
+	"rowanshunt/internal/fault"
 )
 
 const testName = "x.cell"
@@ -207,7 +207,7 @@
 	bad := readFile(t, src)
 	bad[headerBytes+oneBatch+batchHeadBytes] ^= 1
 	for _, raw := range [][]byte{bad, nil, bad[:headerBytes-1]} {
-		if _, _, err := Open(folderWith(t, raw), testName, func([]byte) error { return nil }); !wax.Is(err, wax.Damaged) {
+		if _, _, err := Open(folderWith(t, raw), testName, func([]byte) error { return nil }); !fault.Is(err, fault.Damaged) {
 			t.Errorf("%d bytes: %v", len(raw), err)
 		}
 	}
@@ -260,15 +260,15 @@
 	dir := t.TempDir()
 	write(t, dir, 1)
 	_, _, err := Open(dir, testName, func([]byte) error { return errors.New("of another version") })
-	if !wax.Is(err, wax.Damaged) {
+	if !fault.Is(err, fault.Damaged) {
 		t.Errorf("a record of another version: %v", err)
 	}
 	c, _, _ := open(t, dir)
-	if err := c.Write(nil); !wax.Is(err, wax.TooLarge) {
+	if err := c.Write(nil); !fault.Is(err, fault.TooLarge) {
 		t.Errorf("an empty record: %v", err)
 	}
 	c.Close()
-	if err := c.Write([]byte("x")); !wax.Is(err, wax.Declined) {
+	if err := c.Write([]byte("x")); !fault.Is(err, fault.Declined) {
 		t.Errorf("a closed cell: %v", err)
 	}
 }
--- a/internal/cell/format.go
+++ b/internal/wal/format.go
@@ -1,4 +1,4 @@
-package cell
+package wal
 
 import (
 	"crypto/rand"
@@ -8,7 +8,7 @@
 
 	"github.com/go-faster/errors"
 
-	"rowanshunt/internal/wax"
+	"rowanshunt/internal/fault"
 )
 
 // Layout of a file (design 10.1). All integers are little-endian.
@@ -141,7 +141,7 @@
 
 func checkRecord(name string, record []byte) error {
 	if len(record) == 0 || len(record) > MaxRecord {
-		return wax.New(wax.TooLarge, name, "a record is empty or too long", "bound what is stored")
+		return fault.New(fault.TooLarge, name, "a record is empty or too long", "bound what is stored")
 	}
 	return nil
 }
--- a/internal/cell/fuzz_test.go
+++ b/internal/wal/fuzz_test.go
@@ -1,4 +1,4 @@
-package cell
+package wal
 
 import (
 	"bytes"
--- a/internal/cell/recover.go
+++ b/internal/wal/recover.go
@@ -1,4 +1,4 @@
-package cell
+package wal
 
 import (
 	"io"
@@ -7,7 +7,7 @@
 
 	"github.com/go-faster/errors"
 
-	"rowanshunt/internal/wax"
+	"rowanshunt/internal/fault"
 )
 
 const (
@@ -178,7 +178,7 @@
 }
 
 func foreignRecord(file string, err error) error {
-	return wax.New(wax.Damaged, file, err.Error(), "the file holds a record of another version: run that version or empty the folder so that the node joins anew")
+	return fault.New(fault.Damaged, file, err.Error(), "the file holds a record of another version: run that version or empty the folder so that the node joins anew")
 }
 
 // wrapped says what failed, and is nil where nothing did.
