--- a/internal/lotstore/client.go
+++ b/internal/lotstore/client.go
@@ -16,21 +16,21 @@
 
 // Client finds the owners of shards for the nodes that serve clients.
 type Client struct {
-	mesh   rpc.Mesh
-	swarm  *gossip.Swarm
-	state  func() *register.State
-	spared int
-	mu     sync.Mutex
-	hints  [Shards]string
+	transport rpc.Transport
+	gossip    *gossip.Gossip
+	state     func() *register.State
+	spared    int
+	mu        sync.Mutex
+	hints     [Shards]string
 }
 
 // NewClient makes a client.
-func NewClient(mesh rpc.Mesh, sw *gossip.Swarm, state func() *register.State, spared int) *Client {
-	return &Client{mesh: mesh, swarm: sw, state: state, spared: spared}
+func NewClient(transport rpc.Transport, sw *gossip.Gossip, state func() *register.State, spared int) *Client {
+	return &Client{transport: transport, gossip: sw, state: state, spared: spared}
 }
 
 // Stores lists the living stores of the roster.
-func (c *Client) Stores() []gossip.Sighting {
+func (c *Client) Stores() []gossip.NodeState {
 	st := c.state()
 	if st == nil {
 		return nil
@@ -38,11 +38,11 @@
 	return c.living(&st.Stores)
 }
 
-func (c *Client) living(r *register.Roster) []gossip.Sighting {
-	v := c.swarm.Look()
-	var out []gossip.Sighting
-	for _, seat := range r.All() {
-		if p := v.Get(seat.Name); p != nil && p.Alive && p.Seat() == seat.ID {
+func (c *Client) living(r *register.Membership) []gossip.NodeState {
+	v := c.gossip.Look()
+	var out []gossip.NodeState
+	for _, member := range r.All() {
+		if p := v.Get(member.Name); p != nil && p.Alive && p.MemberID() == member.ID {
 			out = append(out, *p)
 		}
 	}
@@ -91,7 +91,7 @@
 			if unsure {
 				return fault.New(fault.Unsure, "shard", "no clear answer in time", "ask again")
 			}
-			return fault.New(fault.Declined, "shard", "its owner was not found in time", "ask again")
+			return fault.New(fault.Refused, "shard", "its owner was not found in time", "ask again")
 		}
 		name, addr := c.candidate(shardN, attempt)
 		if name == "" {
@@ -99,7 +99,7 @@
 			continue
 		}
 		callCtx, cancel := context.WithTimeout(ctx, each)
-		err := c.mesh.Call(callCtx, addr, kind, in, out)
+		err := c.transport.Call(callCtx, addr, kind, in, out)
 		cancel()
 		if err == nil {
 			c.hint(shardN, name)
@@ -110,7 +110,7 @@
 			c.hint(shardN, fieldOf(err))
 		case fault.Unreached:
 			c.hint(shardN, "")
-		case fault.Declined:
+		case fault.Refused:
 		case fault.Unsure, fault.Internal:
 			unsure = true
 			if m, ok := in.(interface{ markUnsure() }); ok {
--- a/internal/lotstore/clock.go
+++ b/internal/lotstore/clock.go
@@ -11,15 +11,15 @@
 
 // clockValue is a value of a shard's clock and the owner that it is of.
 type clockValue struct {
-	Stamp Stamp
-	Us    int64
+	Term Term
+	Us   int64
 }
 
 // newer gives the value of the higher owner, of one owner the higher value. A
 // value of an owner that was cut off and ran on is thereby out, however high it
 // is, once a majority has one of a later owner.
 func (v clockValue) newer(w clockValue) clockValue {
-	if v.Stamp.Less(w.Stamp) || v.Stamp == w.Stamp && v.Us < w.Us {
+	if v.Term.Less(w.Term) || v.Term == w.Term && v.Us < w.Us {
 		return w
 	}
 	return v
@@ -54,14 +54,14 @@
 
 // value is the clock's value with its owner.
 func (c *shardClock) value(steadyUs int64) clockValue {
-	return clockValue{Stamp: c.recorded.Stamp, Us: c.now(steadyUs)}
+	return clockValue{Term: c.recorded.Term, Us: c.now(steadyUs)}
 }
 
 // record takes a value that an owner recorded; an op of the version before has
 // none. This node's own clock does not follow it while it runs.
-func (c *shardClock) record(stamp Stamp, clockUs int64) {
+func (c *shardClock) record(term Term, clockUs int64) {
 	if c.startUs == 0 && clockUs > 0 {
-		c.recorded = c.recorded.newer(clockValue{Stamp: stamp, Us: clockUs})
+		c.recorded = c.recorded.newer(clockValue{Term: term, Us: clockUs})
 	}
 }
 
@@ -74,9 +74,9 @@
 
 // start lets the clock run on under a new owner from the newest value found. It
 // begins at 1: a lot with 0 has no place on it yet.
-func (c *shardClock) start(stamp Stamp, steadyUs int64, found clockValue) {
+func (c *shardClock) start(term Term, steadyUs int64, found clockValue) {
 	c.stop(steadyUs)
-	c.recorded = clockValue{Stamp: stamp, Us: max(c.recorded.newer(found).Us, 1)}
+	c.recorded = clockValue{Term: term, Us: max(c.recorded.newer(found).Us, 1)}
 	c.startUs = steadyUs
 }
 
@@ -101,7 +101,7 @@
 
 // clockTick records the clocks of the shards that had nothing else to record
 // lately, so that a takeover loses little of them.
-func (b *Brood) clockTick(steadyUs int64) {
+func (b *Store) clockTick(steadyUs int64) {
 	for _, s := range b.shards {
 		if s.owner == nil || !s.owner.ready || len(s.lots) == 0 {
 			continue
@@ -123,24 +123,24 @@
 
 // saveClock writes the clock to this disk if that has not been done lately, as
 // an op that changes no lot.
-func (b *Brood) saveClock(s *shard, stamp Stamp, clockUs int64) {
+func (b *Store) saveClock(s *shard, term Term, clockUs int64) {
 	if sinceUs := clockUs - s.clock.savedUs; sinceUs >= 0 && sinceUs < clockSaveUs {
 		return
 	}
 	s.clock.saved(clockUs)
-	b.persist(&record{Shard: s.n, Ops: []op{{Kind: opNone, Stamp: stamp, ClockUs: clockUs}}}, func() {})
+	b.persist(&record{Shard: s.n, Ops: []op{{Kind: opNone, Term: term, ClockUs: clockUs}}}, func() {})
 }
 
 type clockCall struct {
-	Seat  string
-	Shard int
+	Member string
+	Shard  int
 }
 
 // onClock tells the newest value of a shard's clock that is known here. A claim
 // asks after it has the promise: then no earlier owner can record any more.
-func (b *Brood) onClock(ctx context.Context, in *clockCall) (*clockValue, error) {
-	return answered(ctx, b.cfg.Floor, func(reply func(*clockValue, error)) {
-		s, err := b.mine(in.Seat, in.Shard)
+func (b *Store) onClock(ctx context.Context, in *clockCall) (*clockValue, error) {
+	return answered(ctx, b.cfg.Loop, func(reply func(*clockValue, error)) {
+		s, err := b.mine(in.Member, in.Shard)
 		if err != nil {
 			reply(nil, err)
 			return
@@ -153,8 +153,8 @@
 const clockKind = "brood.clock"
 
 // askClock reads a shard's clock at a replica; one of the version before has none.
-func (b *Brood) askClock(ctx context.Context, addr string, in *clockCall) (clockValue, error) {
-	if in.Seat == b.cfg.Seat {
+func (b *Store) askClock(ctx context.Context, addr string, in *clockCall) (clockValue, error) {
+	if in.Member == b.cfg.Member {
 		here, err := b.onClock(ctx, in)
 		if err != nil {
 			return clockValue{}, err
@@ -162,9 +162,9 @@
 		return *here, nil
 	}
 	out := clockValue{}
-	err := b.cfg.Mesh.Call(ctx, addr, clockKind, in, &out)
+	err := b.cfg.Transport.Call(ctx, addr, clockKind, in, &out)
 	var faultValue *fault.Fault
-	if errors.As(err, &faultValue) && faultValue.Kind == fault.Declined && faultValue.Field == clockKind {
+	if errors.As(err, &faultValue) && faultValue.Kind == fault.Refused && faultValue.Field == clockKind {
 		return clockValue{}, nil
 	}
 	return out, err
--- a/internal/lotstore/clock_test.go
+++ b/internal/lotstore/clock_test.go
@@ -35,7 +35,7 @@
 				case 0: // in order
 					c.stop(steady(owner))
 				case 1: // what was on its disk is left
-					*c = shardClock{recorded: clockValue{Stamp: c.recorded.Stamp, Us: c.savedUs}}
+					*c = shardClock{recorded: clockValue{Term: c.recorded.Term, Us: c.savedUs}}
 				default: // cut off: it does not know, runs on and records to nobody
 				}
 			}
@@ -48,14 +48,14 @@
 				owner = (owner + 1) % 3
 			}
 			other := (owner + 1 + luck.IntN(2)) % 3
-			stamp := Stamp{Roster: 1, N: takeover + 1}
+			term := Term{Membership: 1, N: takeover + 1}
 			// The promise comes first: it ends an owner that ran on.
 			found := clockValue{}
 			for _, heard := range []int{owner, other} {
 				replicas[heard].stop(steady(heard))
 				found = found.newer(replicas[heard].value(steady(heard)))
 			}
-			replicas[owner].start(stamp, steady(owner), found)
+			replicas[owner].start(term, steady(owner), found)
 			replicas[owner].saved(replicas[owner].now(steady(owner)))
 			for range luck.IntN(20) {
 				clockUs := replicas[owner].now(steady(owner))
@@ -65,7 +65,7 @@
 					replicas[third].stop(steady(third)) // hears of the later owner
 					to = third
 				}
-				replicas[to].record(stamp, clockUs)
+				replicas[to].record(term, clockUs)
 				lots = append(lots, seenLot{bornUs: clockUs, trueUs: trueUs})
 				trueUs += 1 + luck.Int64N(clockEveryUs) // recorded at least that often
 				for _, l := range lots {
@@ -80,12 +80,12 @@
 }
 
 // owned makes a store alone the owner of shard 0, as a claim does.
-func owned(b *Brood, n uint64, clock clockValue) *shard {
+func owned(b *Store, n uint64, clock clockValue) *shard {
 	s := b.shards[0]
-	stamp := Stamp{Roster: 1, N: n, By: "s/1"}
-	s.promised = stamp
-	b.persist(&record{Shard: 0, Promise: &stamp}, func() {})
-	b.install(s, stamp, register.Roster{Ver: 1, Cur: []register.Seat{{ID: "s", Name: "s"}}}, nil, clock)
+	term := Term{Membership: 1, N: n, By: "s/1"}
+	s.promised = term
+	b.persist(&record{Shard: 0, Promise: &term}, func() {})
+	b.install(s, term, register.Membership{Ver: 1, Cur: []register.Member{{ID: "s", Name: "s"}}}, nil, clock)
 	return s
 }
 
@@ -98,10 +98,10 @@
 		age, n := int64(0), uint64(0)
 		for life := range 4 {
 			ctx, stop := context.WithCancel(context.Background())
-			b := keeper(t, dir)
-			go b.cfg.Floor.Run(ctx)
+			b := holderOf(t, dir)
+			go b.cfg.Loop.Run(ctx)
 			do := func(fn func()) {
-				if err := b.cfg.Floor.Do(ctx, fn); err != nil {
+				if err := b.cfg.Loop.Do(ctx, fn); err != nil {
 					t.Fatal(err)
 				}
 				synctest.Wait()
@@ -133,7 +133,7 @@
 				age = got
 			})
 			time.Sleep(time.Second)
-			b.cell.Close()
+			b.wal.Close()
 			stop()
 			synctest.Wait()
 			time.Sleep(time.Hour) // nobody runs
@@ -149,31 +149,31 @@
 	synctest.Test(t, func(t *testing.T) {
 		dir := t.TempDir()
 		ctx, stop := context.WithCancel(context.Background())
-		b := keeper(t, dir)
-		go b.cfg.Floor.Run(ctx)
+		b := holderOf(t, dir)
+		go b.cfg.Loop.Run(ctx)
 		var s *shard
 		took := make(chan struct{})
-		_ = b.cfg.Floor.Do(ctx, func() {
+		_ = b.cfg.Loop.Do(ctx, func() {
 			defer close(took)
-			before := Stamp{Roster: 1, N: 1, By: "s/1"}
+			before := Term{Membership: 1, N: 1, By: "s/1"}
 			for i, sentUs := range []int64{1, time.Now().UnixMicro(), 1 << 60} {
 				l := &Lot{ID: fmt.Sprint("l", i), SentUs: sentUs, RetainMs: 40_000, Prompts: make([]Prompt, 1)}
-				put := op{Kind: opPut, Lot: l.ID, Stamp: before, Rev: 1, Whole: l}
+				put := op{Kind: opPut, Lot: l.ID, Term: before, Rev: 1, Whole: l}
 				apply(b.shards[0].lots, &put)
 				b.persist(&record{Shard: 0, Ops: []op{put}}, func() {})
 			}
 			// One that an owner accepted alone while it was cut off and its clock ran on.
 			l := &Lot{ID: "ahead", RetainMs: 40_000, Prompts: make([]Prompt, 1), BornUs: 9_000_000_000}
-			put := op{Kind: opPut, Lot: l.ID, Stamp: before, Rev: 1, Whole: l}
+			put := op{Kind: opPut, Lot: l.ID, Term: before, Rev: 1, Whole: l}
 			apply(b.shards[0].lots, &put)
-			s = owned(b, 2, clockValue{Stamp: before, Us: 7_000_000_000})
+			s = owned(b, 2, clockValue{Term: before, Us: 7_000_000_000})
 			for id, l := range s.lots {
 				if age := s.ageUs(l, eventloop.NowUs()); age != 0 || l.BornUs < 7_000_000_000 {
 					t.Errorf("%s: taken over at the age of %d us", id, age)
 				}
 			}
-			there := copyOf{Lot: "l0", Stamp: before, Rev: 1}
-			sent := differences(s, s.owner.stamp, []copyOf{there})
+			there := copyOf{Lot: "l0", Term: before, Rev: 1}
+			sent := differences(s, s.owner.term, []copyOf{there})
 			for _, o := range sent[0] {
 				if o.Kind != opPut || o.Whole.BornUs == 0 {
 					t.Errorf("a replica is sent %d of lot %s without its place", o.Kind, o.Lot)
@@ -182,11 +182,11 @@
 		})
 		<-took
 		time.Sleep(time.Second)
-		b.cell.Close()
+		b.wal.Close()
 		stop()
 		synctest.Wait()
-		again := keeper(t, dir)
-		defer again.cell.Close()
+		again := holderOf(t, dir)
+		defer again.wal.Close()
 		for id, l := range again.shards[0].lots {
 			if l.BornUs != s.lots[id].BornUs || again.shards[0].clock.now(0) < l.BornUs {
 				t.Errorf("%s: on disk at %d of %d, in memory at %d", id, l.BornUs, again.shards[0].clock.now(0), s.lots[id].BornUs)
--- a/internal/lotstore/disk_test.go
+++ b/internal/lotstore/disk_test.go
@@ -15,12 +15,12 @@
 )
 
 // storeWithDisk is a store whose disk's syncs are up to the test.
-func storeWithDisk(t *testing.T, dir string, sync func() error) *Brood {
+func storeWithDisk(t *testing.T, dir string, sync func() error) *Store {
 	t.Helper()
-	b := &Brood{cfg: Config{Floor: eventloop.NewFloor(256), Log: logging.Quiet(), Seat: "s", Dir: dir, DiskBytes: 64 << 20, Options: Defaults(),
+	b := &Store{cfg: Config{Loop: eventloop.NewLoop(256), Log: logging.Quiet(), Member: "s", Dir: dir, DiskBytes: 64 << 20, Options: Defaults(),
 		Fatal: func(err error) { t.Errorf("the store would end: %v", err) }}, ctx: t.Context()}
 	b.minLongBytes, b.longBytes = 1<<20, 1<<20
-	b.cellOptions = []wal.Option{wal.Interpose(func(s wal.Step) error {
+	b.walOptions = []wal.Option{wal.Interpose(func(s wal.Step) error {
 		if s == wal.StepSync {
 			return sync()
 		}
@@ -34,7 +34,7 @@
 
 // A store whose disk refuses writes declines, promises nothing and doesn't end;
 // with room again it goes on, and its file has all that it took (design 10.4).
-func TestStoreDeclinesWhileItsDiskRefuses(t *testing.T) {
+func TestStoreRefusesWhileItsDiskRefuses(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		var full atomic.Bool
 		dir := t.TempDir()
@@ -45,11 +45,11 @@
 			return nil
 		})
 		ctx, stop := context.WithCancel(context.Background())
-		go b.cfg.Floor.Run(ctx)
+		go b.cfg.Loop.Run(ctx)
 		claim := func(n uint64) error {
 			callCtx, cancel := context.WithTimeout(ctx, time.Second)
 			defer cancel()
-			out, err := b.onClaim(callCtx, &claimCall{Seat: "s", Shard: 0, Stamp: Stamp{Roster: 1, N: n, By: "o/1"}})
+			out, err := b.onClaim(callCtx, &claimCall{Member: "s", Shard: 0, Term: Term{Membership: 1, N: n, By: "o/1"}})
 			if err == nil && !out.OK {
 				t.Errorf("claim %d: %+v", n, out)
 			}
@@ -63,13 +63,13 @@
 			t.Error("a claim was promised that is on no disk")
 		}
 		for n := uint64(3); n < 6; n++ {
-			if err := claim(n); !fault.Is(err, fault.Declined) {
+			if err := claim(n); !fault.Is(err, fault.Refused) {
 				t.Errorf("claim %d of a store that takes no writes: %v", n, err)
 			}
 		}
 		callCtx, cancel := context.WithTimeout(ctx, time.Second)
 		defer cancel()
-		if _, err := b.onWrite(callCtx, &writeCall{Seat: "s", Shard: 0, Stamp: Stamp{Roster: 1, N: 9, By: "o/1"}}); !fault.Is(err, fault.Declined) {
+		if _, err := b.onWrite(callCtx, &writeCall{Member: "s", Shard: 0, Term: Term{Membership: 1, N: 9, By: "o/1"}}); !fault.Is(err, fault.Refused) {
 			t.Errorf("a write to a store that takes none: %v", err)
 		}
 		full.Store(false)
@@ -77,11 +77,11 @@
 		if err := claim(7); err != nil {
 			t.Errorf("with room again: %v", err)
 		}
-		b.cell.Close()
+		b.wal.Close()
 		stop()
 		synctest.Wait()
-		again := keeper(t, dir)
-		defer again.cell.Close()
+		again := holderOf(t, dir)
+		defer again.wal.Close()
 		if got := again.shards[0].promised.N; got != 7 {
 			t.Errorf("the file has promise %d, want 7", got)
 		}
@@ -96,8 +96,8 @@
 		release := make(chan struct{})
 		b := storeWithDisk(t, t.TempDir(), func() error { <-release; return nil })
 		ctx, stop := context.WithCancel(context.Background())
-		go b.cfg.Floor.Run(ctx)
-		call := &claimCall{Seat: "s", Shard: 0, Stamp: Stamp{Roster: 1, N: 1, By: "o/1"}}
+		go b.cfg.Loop.Run(ctx)
+		call := &claimCall{Member: "s", Shard: 0, Term: Term{Membership: 1, N: 1, By: "o/1"}}
 		var answers atomic.Int64
 		for range 2 {
 			go func() {
@@ -115,7 +115,7 @@
 		if n := answers.Load(); n != 2 {
 			t.Errorf("%d answers with the disk back", n)
 		}
-		b.cell.Close()
+		b.wal.Close()
 		stop()
 	})
 }
@@ -127,12 +127,12 @@
 		release := make(chan struct{})
 		b := storeWithDisk(t, t.TempDir(), func() error { <-release; return nil })
 		ctx, stop := context.WithCancel(context.Background())
-		go b.cfg.Floor.Run(ctx)
-		claim := &claimCall{Seat: "s", Shard: 0, Stamp: Stamp{Roster: 1, N: 1, By: "o/1"}}
+		go b.cfg.Loop.Run(ctx)
+		claim := &claimCall{Member: "s", Shard: 0, Term: Term{Membership: 1, N: 1, By: "o/1"}}
 		b.append(func() {}, make([]byte, maxWaitingBytes+1))
 		callCtx, cancel := context.WithTimeout(ctx, time.Second)
 		defer cancel()
-		if _, err := b.onClaim(callCtx, claim); !fault.Is(err, fault.Declined) {
+		if _, err := b.onClaim(callCtx, claim); !fault.Is(err, fault.Refused) {
 			t.Errorf("a call with much waiting for the disk: %v", err)
 		}
 		close(release)
@@ -140,7 +140,7 @@
 		if _, err := b.onClaim(ctx, claim); err != nil {
 			t.Errorf("with the disk back: %v", err)
 		}
-		b.cell.Close()
+		b.wal.Close()
 		stop()
 	})
 }
--- a/internal/lotstore/dispatch.go
+++ b/internal/lotstore/dispatch.go
@@ -68,7 +68,7 @@
 
 // poll moves due prompts into the send cache, the lots due first first, and
 // gives up what is past its time.
-func (b *Brood) poll() {
+func (b *Store) poll() {
 	nowUs := eventloop.NowUs()
 	type due struct {
 		c     cached
@@ -152,7 +152,7 @@
 	return l, p
 }
 
-func (b *Brood) serveTakers() {
+func (b *Store) serveTakers() {
 	for i := 0; i < len(b.takers) && len(b.cache) > 0; {
 		t := b.takers[i]
 		if eventloop.NowUs() >= t.untilUs {
@@ -169,9 +169,9 @@
 
 // leads tells whether the shard's owner may serve pops: a majority was heard
 // within 400 ms. Else it is asked, and the takers are served when it answers.
-func (b *Brood) leads(s *shard) bool {
+func (b *Store) leads(s *shard) bool {
 	o := s.owner
-	if eventloop.NowUs()-o.quorumUs(b.cfg.Seat) <= leadUs {
+	if eventloop.NowUs()-o.quorumUs(b.cfg.Member) <= leadUs {
 		return true
 	}
 	if !o.confirming {
@@ -188,7 +188,7 @@
 
 // claimTo leases cached prompts, the oldest first, to an asker; it is answered
 // once the checkpoint with the leases is on disk at a majority (design 8.7).
-func (b *Brood) claimTo(at int) bool {
+func (b *Store) claimTo(at int) bool {
 	t := b.takers[at]
 	nowUs := eventloop.NowUs()
 	var out []Given
@@ -226,7 +226,7 @@
 			lr = &lotRows{s: c.s, l: l}
 			changed = append(changed, lr)
 		}
-		row := Cursor{Lease: leaseID(c.s.owner.stamp, l.Rev+1), Holder: t.call.From, Epoch: l.Rows[c.item].Epoch + 1, Fails: l.Rows[c.item].Fails}
+		row := Cursor{Lease: leaseID(c.s.owner.term, l.Rev+1), Holder: t.call.From, Epoch: l.Rows[c.item].Epoch + 1, Fails: l.Rows[c.item].Fails}
 		lr.rows = append(lr.rows, CursorAt{Item: c.item, Row: row})
 		p.sentUs, p.nextUs = nowUs, nowUs+b.leaseUs(row.Epoch)
 		bytes += len(l.Prompts[c.item].Body)
@@ -271,8 +271,8 @@
 // onTake gives prompts, or waits for some. It also renews the leases that the
 // caller names; one that the rows say it holds and that it does not name was lost
 // on the way and ends (design 8.7).
-func (b *Brood) onTake(ctx context.Context, in *TakeCall) (*TakeAnswer, error) {
-	return answered(ctx, b.cfg.Floor, func(reply func(*TakeAnswer, error)) {
+func (b *Store) onTake(ctx context.Context, in *TakeCall) (*TakeAnswer, error) {
+	return answered(ctx, b.cfg.Loop, func(reply func(*TakeAnswer, error)) {
 		nowUs := eventloop.NowUs()
 		t := &taker{call: in, stop: b.reclaim(in.From, in.Held), untilUs: nowUs + in.WaitUs, reply: reply}
 		if in.LeftUs > 0 {
@@ -289,7 +289,7 @@
 
 // answerTaker answers once the fence of every shard it speaks for is
 // confirmed: the dispatcher's leave to send follows from it (design 9.2).
-func (b *Brood) answerTaker(t *taker, given []Given) {
+func (b *Store) answerTaker(t *taker, given []Given) {
 	out := &TakeAnswer{Given: given, Stop: t.stop}
 	speak := map[int]bool{}
 	for _, g := range given {
@@ -323,7 +323,7 @@
 
 // expireWaiting answers takers and readers whose wait is over, and takes
 // prompts back from dispatchers that are gone.
-func (b *Brood) expireWaiting() {
+func (b *Store) expireWaiting() {
 	nowUs := eventloop.NowUs()
 	var due []*taker
 	keep := b.takers[:0]
@@ -340,7 +340,7 @@
 		b.answerTaker(t, nil)
 	}
 	b.wakeReaders(nowUs)
-	v := b.cfg.Swarm.Look()
+	v := b.cfg.Gossip.Look()
 	b.eachHeld(nowUs, func(_ *shard, l *Lot, i int, p *promptState) {
 		if nowUs-p.sentUs < lostHoldUs {
 			return
@@ -352,7 +352,7 @@
 }
 
 // flushTakers empties the cache when a shard leaves; the next poll fills it.
-func (b *Brood) flushTakers() {
+func (b *Store) flushTakers() {
 	b.cache = nil
 	for _, s := range b.shards {
 		if s.owner == nil {
--- a/internal/lotstore/earlier_test.go
+++ b/internal/lotstore/earlier_test.go
@@ -20,30 +20,30 @@
 		AckedUs int64
 	}
 	earlierLot struct {
-		ID, Host, Path, Binding string
+		ID, Host, Path, Route   string
 		SentUs, DueMs, RetainMs int64
 		Tries                   int64
 		Prompts                 []Prompt
 		List                    []earlierResult
 		Ended                   bool
-		Stamp                   Stamp
+		Term                    Term
 		Rev                     uint64
 	}
 	earlierOp struct {
 		Kind    opKind
 		Lot     string
-		Stamp   Stamp
+		Term    Term
 		Rev     uint64
-		Src     Stamp
+		Src     Term
 		Whole   *earlierLot
 		Results []earlierResult
 	}
 	earlierRecord struct {
 		Shard   int
-		Promise *Stamp
+		Promise *Term
 		Ops     []earlierOp
 	}
-	earlierSeat struct {
+	earlierMember struct {
 		ID, Name, Addr string
 	}
 )
@@ -51,16 +51,16 @@
 // A store reads the file that the version before wrote, and goes on from it.
 func TestReadsTheEarlierVersion(t *testing.T) {
 	dir := t.TempDir()
-	st := Stamp{Roster: 1, N: 3, By: "s/1"}
+	st := Term{Membership: 1, N: 3, By: "s/1"}
 	c, _, err := wal.Open(dir, "brood.cell", func([]byte) error { return nil })
 	if err != nil {
 		t.Fatal(err)
 	}
 	for _, r := range []earlierRecord{
 		{Shard: 2, Promise: &st},
-		{Shard: 2, Ops: []earlierOp{{Kind: opPut, Lot: "l", Stamp: st, Rev: 1, Whole: &earlierLot{ID: "l", Host: "h", Tries: 2,
+		{Shard: 2, Ops: []earlierOp{{Kind: opPut, Lot: "l", Term: st, Rev: 1, Whole: &earlierLot{ID: "l", Host: "h", Tries: 2,
 			Prompts: []Prompt{{ID: "a", Body: []byte("x")}, {ID: "b", Body: []byte("y")}}}}}},
-		{Shard: 2, Ops: []earlierOp{{Kind: opAppend, Lot: "l", Stamp: st, Rev: 2, Results: []earlierResult{{Item: 1, Phase: PhaseDone, Msg: []byte("text")}}}}},
+		{Shard: 2, Ops: []earlierOp{{Kind: opAppend, Lot: "l", Term: st, Rev: 2, Results: []earlierResult{{Item: 1, Phase: PhaseDone, Msg: []byte("text")}}}}},
 	} {
 		raw, err := codec.Marshal(&r)
 		if err != nil {
@@ -71,10 +71,10 @@
 		}
 	}
 	c.Close()
-	b := keeper(t, dir)
-	defer b.cell.Close()
+	b := holderOf(t, dir)
+	defer b.wal.Close()
 	l := b.shards[2].lots["l"]
-	if b.misfits != 0 || l == nil || l.Rev != 2 || l.Stamp != st || b.shards[2].promised != st {
+	if b.misfits != 0 || l == nil || l.Rev != 2 || l.Term != st || b.shards[2].promised != st {
 		t.Fatalf("read as %+v, %d misfits", l, b.misfits)
 	}
 	if len(l.Rows) != 2 || !l.listed[1] || l.listed[0] || string(l.Prompts[0].Body) != "x" {
@@ -83,26 +83,26 @@
 	if msg, err := Unpack(l.List[0].Enc, l.List[0].Msg, l.List[0].RawBytes); err != nil || string(msg) != "text" {
 		t.Errorf("the text came back as %q, %v", msg, err)
 	}
-	raw, err := codec.Marshal(&earlierSeat{ID: "a#1", Name: "a", Addr: "x"})
+	raw, err := codec.Marshal(&earlierMember{ID: "a#1", Name: "a", Addr: "x"})
 	if err != nil {
 		t.Fatal(err)
 	}
-	var seat register.Seat
-	if err := msgpack.Unmarshal(raw, &seat); err != nil || seat != (register.Seat{ID: "a#1", Name: "a", Addr: "x"}) {
-		t.Errorf("a seat without a zone: %+v, %v", seat, err)
+	var member register.Member
+	if err := msgpack.Unmarshal(raw, &member); err != nil || member != (register.Member{ID: "a#1", Name: "a", Addr: "x"}) {
+		t.Errorf("a seat without a zone: %+v, %v", member, err)
 	}
 }
 
 // Every field that is written is read again: the lists of the decoders are whole.
 func TestDecodersReadAllFields(t *testing.T) {
-	st := Stamp{Roster: 1, N: 2, By: "b"}
+	st := Term{Membership: 1, N: 2, By: "b"}
 	res := Result{Item: 1, Phase: "p", Msg: []byte("m"), AckedUs: 2, Lease: 3, Why: "w", Enc: 1, RawBytes: 4}
 	rows := []Cursor{{Lease: 1, Holder: "h", Epoch: 2, Fails: 3, Freed: 4}}
-	lot := Lot{ID: "i", Host: "h", Path: "p", Binding: "b", SentUs: 1, DueMs: 2, RetainMs: 3, Tries: 4, Prompts: []Prompt{{ID: "q", Hdrs: []string{"k", "v"}, Toks: 5}},
-		List: []Result{res}, Ended: true, Stamp: st, Rev: 6, Rows: rows, First: 7, Digest: [2]uint64{8, 9}, Refused: []uint64{10}, BornUs: 11}
-	o := op{Kind: opPut, Lot: "l", Stamp: st, Rev: 1, Src: st, Whole: &lot, Results: []Result{res}, Rows: []CursorAt{{Item: 1, Row: rows[0]}}, From: 2, Listed: 3, Ended: true, ClockUs: 12}
-	seat := register.Seat{ID: "i", Name: "n", Addr: "a", Az: "z"}
-	for _, v := range []any{&res, &lot, &o, &seat} {
+	lot := Lot{ID: "i", Host: "h", Path: "p", Route: "b", SentUs: 1, DueMs: 2, RetainMs: 3, Tries: 4, Prompts: []Prompt{{ID: "q", Hdrs: []string{"k", "v"}, Toks: 5}},
+		List: []Result{res}, Ended: true, Term: st, Rev: 6, Rows: rows, First: 7, Digest: [2]uint64{8, 9}, Refused: []uint64{10}, BornUs: 11}
+	o := op{Kind: opPut, Lot: "l", Term: st, Rev: 1, Src: st, Whole: &lot, Results: []Result{res}, Rows: []CursorAt{{Item: 1, Row: rows[0]}}, From: 2, Listed: 3, Ended: true, ClockUs: 12}
+	member := register.Member{ID: "i", Name: "n", Addr: "a", Az: "z"}
+	for _, v := range []any{&res, &lot, &o, &member} {
 		for i := range reflect.ValueOf(v).Elem().NumField() {
 			if f := reflect.TypeOf(v).Elem().Field(i); f.IsExported() && reflect.ValueOf(v).Elem().Field(i).IsZero() {
 				t.Errorf("%T: the test leaves %s empty", v, f.Name)
--- a/internal/lotstore/fuzz_test.go
+++ b/internal/lotstore/fuzz_test.go
@@ -57,7 +57,7 @@
 	f.Add(pack(put))
 	f.Add(pack(put, &op{Kind: opAppend, Lot: "a", Rev: 2, Results: []Result{{Item: 1, Phase: PhaseDone}, {Item: 1, Phase: PhaseDone}, {Item: -5}, {Item: 900}}}))
 	f.Add(pack(put, &op{Kind: opCursor, Lot: "a", Rev: 2, Rows: []CursorAt{{Item: -1}, {Item: 7}, {Item: 0, Row: Cursor{Lease: 4}}}}, &op{Kind: opEnd, Lot: "a", Rev: 3}))
-	f.Add(pack(put, &op{Kind: opCatch, Lot: "a", Rev: 9, From: 1, Listed: 44}, &op{Kind: opStamp, Lot: "a", Rev: 1}, &op{Kind: opDrop, Lot: "a"}))
+	f.Add(pack(put, &op{Kind: opCatch, Lot: "a", Rev: 9, From: 1, Listed: 44}, &op{Kind: opTerm, Lot: "a", Rev: 1}, &op{Kind: opDrop, Lot: "a"}))
 	f.Fuzz(func(t *testing.T, raw []byte) {
 		var ops []*op
 		if rpc.Unmarshal(raw, &ops) != nil || len(ops) > 50 {
@@ -109,11 +109,11 @@
 
 // Any bytes as a record of the log are read or declined, without a panic.
 func FuzzRecord(f *testing.F) {
-	st := Stamp{Roster: 1, N: 2, By: "s/1"}
+	st := Term{Membership: 1, N: 2, By: "s/1"}
 	for _, r := range []*record{
 		{Shard: 1, Promise: &st},
-		{Shard: 7, Ops: []op{{Kind: opPut, Lot: "a", Stamp: st, Rev: 1, Whole: &Lot{ID: "a", Prompts: []Prompt{{ID: "1"}}}}}},
-		{Shard: 2, Ops: []op{{Kind: opAppend, Lot: "a", Stamp: st, Rev: 2, Results: []Result{{Item: 5}}}}},
+		{Shard: 7, Ops: []op{{Kind: opPut, Lot: "a", Term: st, Rev: 1, Whole: &Lot{ID: "a", Prompts: []Prompt{{ID: "1"}}}}}},
+		{Shard: 2, Ops: []op{{Kind: opAppend, Lot: "a", Term: st, Rev: 2, Results: []Result{{Item: 5}}}}},
 		{Shard: -1}, {Shard: Shards},
 	} {
 		raw, err := codec.Marshal(r)
--- a/internal/lotstore/leases.go
+++ b/internal/lotstore/leases.go
@@ -6,13 +6,13 @@
 )
 
 // leaseUs is how long a lease runs: twice as long with each time sent.
-func (b *Brood) leaseUs(epoch int64) int64 {
+func (b *Store) leaseUs(epoch int64) int64 {
 	return b.cfg.Options.AckWaitUs << min(max(epoch-1, 0), maxDoublings)
 }
 
 // leaseID names a lease: by the owner's count and the revision that gave it, so
 // that no two answered leases share one.
-func leaseID(st Stamp, rev uint64) uint64 { return st.N<<32 | rev&(1<<32-1) }
+func leaseID(st Term, rev uint64) uint64 { return st.N<<32 | rev&(1<<32-1) }
 
 // leaseOf is the lease under which an item was listed.
 func (l *Lot) leaseOf(item int) uint64 {
@@ -27,7 +27,7 @@
 // reclaim goes through what the asker holds: a live lease is renewed, another
 // one must stop. What the rows say it holds and it does not name was lost on
 // the way: that lease is over.
-func (b *Brood) reclaim(from string, held []Held) (stop []Held) {
+func (b *Store) reclaim(from string, held []Held) (stop []Held) {
 	nowUs := eventloop.NowUs()
 	have := make(map[Held]bool, len(held))
 	for _, h := range held {
@@ -56,7 +56,7 @@
 }
 
 // eachHeld walks over the items with live leases.
-func (b *Brood) eachHeld(nowUs int64, fn func(s *shard, l *Lot, i int, p *promptState)) {
+func (b *Store) eachHeld(nowUs int64, fn func(s *shard, l *Lot, i int, p *promptState)) {
 	for _, s := range b.shards {
 		if s.owner == nil {
 			continue
--- a/internal/lotstore/lot.go
+++ b/internal/lotstore/lot.go
@@ -14,17 +14,17 @@
 	"rowanshunt/internal/rpc"
 )
 
-// Stamp orders the owners of a shard: a newer roster first, then the count.
-type Stamp struct {
-	Roster uint64
-	N      uint64
-	By     string // node and life of the owner
+// Term orders the owners of a shard: a newer roster first, then the count.
+type Term struct {
+	Membership uint64
+	N          uint64
+	By         string // node and life of the owner
 }
 
 // Less orders stamps.
-func (a Stamp) Less(b Stamp) bool {
-	if a.Roster != b.Roster {
-		return a.Roster < b.Roster
+func (a Term) Less(b Term) bool {
+	if a.Membership != b.Membership {
+		return a.Membership < b.Membership
 	}
 	return register.Ballot{N: a.N, By: a.By}.Less(register.Ballot{N: b.N, By: b.By})
 }
@@ -95,7 +95,7 @@
 	ID       string
 	Host     string
 	Path     string
-	Binding  string
+	Route    string
 	SentUs   int64 // time of day of the hand-in: for readers, and for the version before
 	DueMs    int64
 	RetainMs int64
@@ -103,7 +103,7 @@
 	Prompts  []Prompt
 	List     []Result
 	Ended    bool
-	Stamp    Stamp
+	Term     Term
 	Rev      uint64
 	Rows     []Cursor  // by prompt
 	First    int64     // offset of its first prompt in the shard's log; the run is gapless
@@ -127,8 +127,8 @@
 
 // DecodeMsgpack reads lots of earlier versions too.
 func (l *Lot) DecodeMsgpack(d *msgpack.Decoder) error {
-	return rpc.Fields(d, &l.ID, &l.Host, &l.Path, &l.Binding, &l.SentUs, &l.DueMs, &l.RetainMs, &l.Tries, &l.Prompts, &l.List, &l.Ended,
-		&l.Stamp, &l.Rev, &l.Rows, &l.First, &l.Digest, &l.Refused, &l.BornUs)
+	return rpc.Fields(d, &l.ID, &l.Host, &l.Path, &l.Route, &l.SentUs, &l.DueMs, &l.RetainMs, &l.Tries, &l.Prompts, &l.List, &l.Ended,
+		&l.Term, &l.Rev, &l.Rows, &l.First, &l.Digest, &l.Refused, &l.BornUs)
 }
 
 // live is what only the owner knows of a lot's prompts. Times are of its own
@@ -193,7 +193,7 @@
 	opPut    opKind = iota + 1 // the whole lot
 	opAppend                   // results at the end of the list
 	opEnd                      // the client ended it
-	opStamp                    // the copy at Src is this owner's now
+	opTerm                     // the copy at Src is this owner's now
 	opDrop                     // purged
 	opNone                     // nothing: a confirmation
 	opCursor                   // cursor rows changed: a part of a checkpoint
@@ -204,9 +204,9 @@
 type op struct {
 	Kind    opKind
 	Lot     string
-	Stamp   Stamp
+	Term    Term
 	Rev     uint64 // after the op
-	Src     Stamp
+	Src     Term
 	Whole   *Lot
 	Results []Result
 	Rows    []CursorAt
@@ -220,7 +220,7 @@
 
 // DecodeMsgpack reads ops of earlier versions too.
 func (o *op) DecodeMsgpack(d *msgpack.Decoder) error {
-	return rpc.Fields(d, &o.Kind, &o.Lot, &o.Stamp, &o.Rev, &o.Src, &o.Whole, &o.Results, &o.Rows, &o.From, &o.Listed, &o.Ended, &o.ClockUs)
+	return rpc.Fields(d, &o.Kind, &o.Lot, &o.Term, &o.Rev, &o.Src, &o.Whole, &o.Results, &o.Rows, &o.From, &o.Listed, &o.Ended, &o.ClockUs)
 }
 
 // encoded is the op as it goes to disk and to every replica: made once.
@@ -274,11 +274,11 @@
 		if o.Whole == nil {
 			return false
 		}
-		if l != nil && !l.before(o.Stamp, o.Rev) {
+		if l != nil && !l.before(o.Term, o.Rev) {
 			return true
 		}
 		w := *o.Whole.share()
-		w.Stamp, w.Rev = o.Stamp, o.Rev
+		w.Term, w.Rev = o.Term, o.Rev
 		w.index()
 		if l != nil {
 			w.seenLen, w.taken, w.endSeen, w.live = min(l.seenLen, len(w.List)), l.taken, l.endSeen, l.live
@@ -286,7 +286,7 @@
 		lots[o.Lot] = &w
 		return true
 	case opDrop:
-		if l != nil && !o.Stamp.Less(l.Stamp) {
+		if l != nil && !o.Term.Less(l.Term) {
 			delete(lots, o.Lot)
 		}
 		return true
@@ -294,20 +294,20 @@
 	if l == nil {
 		return false
 	}
-	if o.Kind == opStamp {
-		if l.Stamp == o.Stamp && l.Rev >= o.Rev {
+	if o.Kind == opTerm {
+		if l.Term == o.Term && l.Rev >= o.Rev {
 			return true
 		}
-		if l.Stamp != o.Src || l.Rev != o.Rev {
+		if l.Term != o.Src || l.Rev != o.Rev {
 			return false
 		}
-		l.Stamp = o.Stamp
+		l.Term = o.Term
 		return true
 	}
 	if o.Kind == opCatch {
 		return l.catchUp(o)
 	}
-	if l.Stamp != o.Stamp {
+	if l.Term != o.Term {
 		return false
 	}
 	if l.Rev >= o.Rev {
@@ -358,10 +358,10 @@
 // ops under one stamp follow each other, so a copy at (Src, From) is a beginning
 // of the owner's.
 func (l *Lot) catchUp(o *op) bool {
-	if l.Stamp == o.Stamp && l.Rev >= o.Rev {
+	if l.Term == o.Term && l.Rev >= o.Rev {
 		return true
 	}
-	if l.Stamp != o.Src || l.Rev != o.From || len(l.List) != o.Listed {
+	if l.Term != o.Src || l.Rev != o.From || len(l.List) != o.Listed {
 		return false
 	}
 	l.append(o.Results)
@@ -369,18 +369,18 @@
 	if o.Ended && !l.Ended {
 		l.end()
 	}
-	l.Stamp, l.Rev = o.Stamp, o.Rev
+	l.Term, l.Rev = o.Term, o.Rev
 	return true
 }
 
 // since is what a copy lacks, nil if it is no beginning of this one.
-func (l *Lot) since(stamp Stamp, c copyOf) *op {
-	same := c.Stamp == l.Stamp && c.Rev <= l.Rev
-	former := c.Stamp == l.src.Stamp && c.Rev <= l.src.Rev
+func (l *Lot) since(term Term, c copyOf) *op {
+	same := c.Term == l.Term && c.Rev <= l.Rev
+	former := c.Term == l.src.Term && c.Rev <= l.src.Rev
 	if !same && !former || c.Listed > len(l.List) || l.refused() || l.placed {
 		return nil
 	}
-	o := &op{Kind: opCatch, Lot: l.ID, Stamp: stamp, Rev: l.Rev, Src: c.Stamp, From: c.Rev, Listed: c.Listed, Ended: l.Ended,
+	o := &op{Kind: opCatch, Lot: l.ID, Term: term, Rev: l.Rev, Src: c.Term, From: c.Rev, Listed: c.Listed, Ended: l.Ended,
 		Results: slices.Clip(l.List[c.Listed:])}
 	for i := range l.Rows {
 		if !l.listed[i] {
@@ -404,6 +404,6 @@
 }
 
 // before tells whether the copy is older than one at (stamp, rev).
-func (l *Lot) before(stamp Stamp, rev uint64) bool {
-	return l.Stamp.Less(stamp) || l.Stamp == stamp && l.Rev < rev
+func (l *Lot) before(term Term, rev uint64) bool {
+	return l.Term.Less(term) || l.Term == term && l.Rev < rev
 }
--- a/internal/lotstore/lot_test.go
+++ b/internal/lotstore/lot_test.go
@@ -46,11 +46,11 @@
 		owner, replica := map[string]*Lot{}, map[string]*Lot{}
 		had := map[uint64]int{} // by rev: how many were listed
 		var ops []op
-		stamp := Stamp{N: 1, By: "a"}
+		term := Term{N: 1, By: "a"}
 		lot := &Lot{ID: "l", Prompts: make([]Prompt, 8)}
 		lot.index()
 		do := func(o op) {
-			o.Stamp = stamp
+			o.Term = term
 			if !apply(owner, &o) {
 				t.Fatalf("seed %d: the owner's own op does not fit", seed)
 			}
@@ -89,8 +89,8 @@
 }
 
 // An owner's stamp fences the one before it.
-func TestStampOrder(t *testing.T) {
-	in := []Stamp{{}, {N: 1, By: "a"}, {N: 1, By: "b"}, {N: 2, By: "a"}, {Roster: 2, N: 1, By: "a"}}
+func TestTermOrder(t *testing.T) {
+	in := []Term{{}, {N: 1, By: "a"}, {N: 1, By: "b"}, {N: 2, By: "a"}, {Membership: 2, N: 1, By: "a"}}
 	for i := range in {
 		for j := range in {
 			if in[i].Less(in[j]) != (i < j) {
@@ -99,15 +99,15 @@
 		}
 	}
 	lots := map[string]*Lot{}
-	put := func(s Stamp, rev uint64, ended bool) {
-		apply(lots, &op{Kind: opPut, Lot: "l", Stamp: s, Rev: rev, Whole: &Lot{ID: "l", Ended: ended}})
+	put := func(s Term, rev uint64, ended bool) {
+		apply(lots, &op{Kind: opPut, Lot: "l", Term: s, Rev: rev, Whole: &Lot{ID: "l", Ended: ended}})
 	}
-	put(Stamp{N: 2, By: "b"}, 3, true)
-	put(Stamp{N: 1, By: "z"}, 9, false) // a late owner
+	put(Term{N: 2, By: "b"}, 3, true)
+	put(Term{N: 1, By: "z"}, 9, false) // a late owner
 	if l := lots["l"]; !l.Ended || l.Rev != 3 {
 		t.Errorf("a late owner's copy replaced a newer one: %+v", l)
 	}
-	if apply(lots, &op{Kind: opAppend, Lot: "l", Stamp: Stamp{N: 1, By: "z"}, Rev: 4}) {
+	if apply(lots, &op{Kind: opAppend, Lot: "l", Term: Term{N: 1, By: "z"}, Rev: 4}) {
 		t.Error("a late owner's op was taken")
 	}
 }
@@ -117,7 +117,7 @@
 func TestCatchUp(t *testing.T) {
 	for seed := range uint64(200) {
 		rng := rand.New(rand.NewPCG(seed, 4))
-		first, second := Stamp{N: 1, By: "a"}, Stamp{N: 2, By: "b"}
+		first, second := Term{N: 1, By: "a"}, Term{N: 2, By: "b"}
 		lots := map[string]*Lot{}
 		var ops []op
 		do := func(o op) {
@@ -128,14 +128,14 @@
 		}
 		lot := &Lot{ID: "l", Prompts: make([]Prompt, 6)}
 		lot.index()
-		do(op{Kind: opPut, Lot: "l", Stamp: first, Rev: 1, Whole: lot})
+		do(op{Kind: opPut, Lot: "l", Term: first, Rev: 1, Whole: lot})
 		n := 3 + rng.IntN(12)
-		step := func(st Stamp) {
+		step := func(st Term) {
 			l := lots["l"]
 			if len(l.List) < 6 && rng.IntN(2) == 0 {
-				do(op{Kind: opAppend, Lot: "l", Stamp: st, Rev: l.Rev + 1, Results: []Result{{Item: len(l.List), Phase: PhaseDone, Msg: []byte{byte(l.Rev)}}}})
+				do(op{Kind: opAppend, Lot: "l", Term: st, Rev: l.Rev + 1, Results: []Result{{Item: len(l.List), Phase: PhaseDone, Msg: []byte{byte(l.Rev)}}}})
 			} else {
-				do(op{Kind: opCursor, Lot: "l", Stamp: st, Rev: l.Rev + 1, Rows: []CursorAt{{Item: rng.IntN(6), Row: Cursor{Lease: l.Rev, Holder: "h"}}}})
+				do(op{Kind: opCursor, Lot: "l", Term: st, Rev: l.Rev + 1, Rows: []CursorAt{{Item: rng.IntN(6), Row: Cursor{Lease: l.Rev, Holder: "h"}}}})
 			}
 		}
 		for range n {
@@ -146,25 +146,25 @@
 			apply(behind, &ops[i])
 		}
 		owner := lots["l"]
-		owner.src = copyOf{Lot: "l", Stamp: owner.Stamp, Rev: owner.Rev, Listed: len(owner.List)}
-		do(op{Kind: opStamp, Lot: "l", Stamp: second, Rev: owner.Rev, Src: first})
+		owner.src = copyOf{Lot: "l", Term: owner.Term, Rev: owner.Rev, Listed: len(owner.List)}
+		do(op{Kind: opTerm, Lot: "l", Term: second, Rev: owner.Rev, Src: first})
 		for range rng.IntN(5) {
 			step(second)
 		}
 		c := behind["l"]
-		o := lots["l"].since(second, copyOf{Lot: "l", Stamp: c.Stamp, Rev: c.Rev, Listed: len(c.List)})
+		o := lots["l"].since(second, copyOf{Lot: "l", Term: c.Term, Rev: c.Rev, Listed: len(c.List)})
 		if o == nil || !apply(behind, o) {
 			t.Fatalf("seed %d: a copy at rev %d does not catch up", seed, c.Rev)
 		}
 		got, want := behind["l"], lots["l"]
-		if got.Stamp != want.Stamp || got.Rev != want.Rev || fmt.Sprint(got.List) != fmt.Sprint(want.List) || fmt.Sprint(got.Rows) != fmt.Sprint(want.Rows) {
+		if got.Term != want.Term || got.Rev != want.Rev || fmt.Sprint(got.List) != fmt.Sprint(want.List) || fmt.Sprint(got.Rows) != fmt.Sprint(want.Rows) {
 			t.Fatalf("seed %d: caught up to %+v, not %+v", seed, got, want)
 		}
 		if !apply(behind, o) || behind["l"].Rev != want.Rev {
 			t.Errorf("seed %d: the same once more changes it", seed)
 		}
 		other := map[string]*Lot{"l": lots["l"].share()}
-		other["l"].Stamp = Stamp{N: 9, By: "z"}
+		other["l"].Term = Term{N: 9, By: "z"}
 		if apply(other, o) {
 			t.Errorf("seed %d: another owner's copy was taken for a beginning", seed)
 		}
--- a/internal/lotstore/brood.go
+++ b/internal/lotstore/lotstore.go
@@ -34,13 +34,13 @@
 
 // Config is what a brood is made of.
 type Config struct {
-	Floor     *eventloop.Floor
-	Desk      *rpc.Desk
-	Mesh      rpc.Mesh
-	Swarm     *gossip.Swarm
+	Loop      *eventloop.Loop
+	Mux       *rpc.Mux
+	Transport rpc.Transport
+	Gossip    *gossip.Gossip
 	Log       *logging.Log
-	Self      gossip.Partner
-	Seat      string
+	Self      gossip.Peer
+	Member    string
 	Dir       string
 	DiskBytes int64
 	State     func() *register.State // newest committed
@@ -49,37 +49,37 @@
 	Options   Options
 	Spared    int
 	// Lost asks the members which of the suspects a majority of them has lost.
-	Lost func(ctx context.Context, members, suspects []register.Seat, forUs int64) map[string]bool
+	Lost func(ctx context.Context, members, suspects []register.Member, forUs int64) map[string]bool
 	// SyncUs is how soon a replica that is back must hold all copies again.
 	SyncUs int64
 }
 
-// Brood is a store's part of the queue. It owns its shards; all runs on the
+// Store is a store's part of the queue. It owns its shards; all runs on the
 // floor.
-type Brood struct {
-	cfg          Config
-	ctx          context.Context
-	shards       [Shards]*shard
-	cell         *wal.Cell
-	longBytes    int64
-	minLongBytes int64
-	startUs      int64
-	rosterVer    uint64
-	rosterUs     int64
-	setsOf       *[Shards]register.Roster
-	setsVer      uint64
-	cache        []cached
-	takers       []*taker
-	readers      []*reader
-	rostering    bool
-	rewriting    bool
-	misfits      int // ops of the file that continued no copy, when it was read
-	stableUs     int64
-	lastNames    string
-	slowness     slowness
-	need         rosterNeed
-	diskRefuses  bool
-	cellOptions  []wal.Option
+type Store struct {
+	cfg                Config
+	ctx                context.Context
+	shards             [Shards]*shard
+	wal                *wal.Log
+	longBytes          int64
+	minLongBytes       int64
+	startUs            int64
+	membershipVer      uint64
+	membershipUs       int64
+	setsOf             *[Shards]register.Membership
+	setsVer            uint64
+	cache              []cached
+	takers             []*taker
+	readers            []*reader
+	changingMembership bool
+	rewriting          bool
+	misfits            int // ops of the file that continued no copy, when it was read
+	stableUs           int64
+	lastNames          string
+	slowness           slowness
+	need               membershipNeed
+	diskRefuses        bool
+	walOptions         []wal.Option
 }
 
 type cached struct {
@@ -89,15 +89,15 @@
 }
 
 // Open reads the store's disk and joins the queue.
-func Open(ctx context.Context, cfg Config) (*Brood, error) {
-	b := &Brood{cfg: cfg, ctx: ctx, startUs: eventloop.NowUs()}
+func Open(ctx context.Context, cfg Config) (*Store, error) {
+	b := &Store{cfg: cfg, ctx: ctx, startUs: eventloop.NowUs()}
 	b.minLongBytes = max(cfg.DiskBytes/4, 16<<20)
 	b.longBytes = b.minLongBytes
 	if err := b.openReplica(cfg.Dir); err != nil {
 		return nil, err
 	}
-	context.AfterFunc(ctx, b.cell.Close)
-	d := cfg.Desk
+	context.AfterFunc(ctx, b.wal.Close)
+	d := cfg.Mux
 	rpc.On(d, "brood.claim", b.onClaim)
 	rpc.On(d, clockKind, b.onClock)
 	rpc.On(d, "brood.fetch", b.onFetch)
@@ -110,8 +110,8 @@
 	rpc.On(d, "brood.give", b.onGive)
 	rpc.On(d, "brood.ack", b.onAck)
 	rpc.On(d, "brood.owned", b.onOwned)
-	cfg.Floor.Every(tickUs, b.tick)
-	cfg.Floor.Every(cfg.Options.PollUs, b.poll)
+	cfg.Loop.Every(tickUs, b.tick)
+	cfg.Loop.Every(cfg.Options.PollUs, b.poll)
 	return b, nil
 }
 
@@ -127,17 +127,17 @@
 
 // replicasOf is the roster of one shard: 2·ft+1 of the stores bear the loss of
 // ft, however many stores there are (design 8.1).
-func replicasOf(r *register.Roster, shardN, spared int) register.Roster {
+func replicasOf(r *register.Membership, shardN, spared int) register.Membership {
 	return r.Replicas("replica/"+strconv.Itoa(shardN), 2*spared+1)
 }
 
-// Mates are the stores that share a shard with a seat: the ones it must know
+// Replicas are the stores that share a shard with a seat: the ones it must know
 // closely, however many others there are.
-func Mates(r *register.Roster, seat string, spared int) map[string]bool {
+func Replicas(r *register.Membership, member string, spared int) map[string]bool {
 	out := map[string]bool{}
 	for n := range Shards {
 		set := replicasOf(r, n, spared)
-		if all := set.All(); slices.ContainsFunc(all, func(s register.Seat) bool { return s.ID == seat }) {
+		if all := set.All(); slices.ContainsFunc(all, func(s register.Member) bool { return s.ID == member }) {
 			for _, s := range all {
 				out[s.Name] = true
 			}
@@ -148,9 +148,9 @@
 
 // sets gives the shards' rosters under the newest state, worked out once for
 // each roster.
-func (b *Brood) sets(st *register.State) *[Shards]register.Roster {
+func (b *Store) sets(st *register.State) *[Shards]register.Membership {
 	if b.setsOf == nil || b.setsVer != st.Stores.Ver {
-		b.setsOf, b.setsVer = &[Shards]register.Roster{}, st.Stores.Ver
+		b.setsOf, b.setsVer = &[Shards]register.Membership{}, st.Stores.Ver
 		for n := range b.setsOf {
 			b.setsOf[n] = replicasOf(&st.Stores, n, b.cfg.Spared)
 		}
@@ -161,17 +161,17 @@
 // shedMoved lets go of the lots of shards that a settled roster keeps
 // elsewhere: a majority of their own replicas has them, and every later claim
 // goes by this roster or one that follows it.
-func (b *Brood) shedMoved(st *register.State) {
+func (b *Store) shedMoved(st *register.State) {
 	if st.Stores.Joint() || len(st.Stores.Cur) == 0 {
 		return
 	}
 	for n, s := range b.shards {
-		if len(s.lots) > 0 && s.owner == nil && !s.claiming && !b.sets(st)[n].Has(b.cfg.Seat) {
+		if len(s.lots) > 0 && s.owner == nil && !s.claiming && !b.sets(st)[n].Has(b.cfg.Member) {
 			b.cfg.Log.Info("shard_moved", "shard", n, "lots", len(s.lots), "roster", st.Stores.Ver)
 			// On disk too: an old copy must not come back with a restart.
 			rec := &record{Shard: n}
 			for id := range s.lots {
-				rec.Ops = append(rec.Ops, op{Kind: opDrop, Lot: id, Stamp: s.promised})
+				rec.Ops = append(rec.Ops, op{Kind: opDrop, Lot: id, Term: s.promised})
 			}
 			s.lots = map[string]*Lot{}
 			b.persist(rec, func() {})
@@ -179,26 +179,26 @@
 	}
 }
 
-func (b *Brood) tick() {
-	if b.slowness.beat(eventloop.NowUs(), tickUs) {
+func (b *Store) tick() {
+	if b.slowness.heartbeat(eventloop.NowUs(), tickUs) {
 		b.cfg.Log.Info("store_slow", "slow", b.slowness.slow, "late_ms", int64(b.slowness.meanUs)/1000)
 		b.tellSlow()
 	}
 	b.diskTick()
-	if st := b.cfg.State(); st != nil && st.Stores.Ver != b.rosterVer {
-		b.rosterVer, b.rosterUs = st.Stores.Ver, eventloop.NowUs()
+	if st := b.cfg.State(); st != nil && st.Stores.Ver != b.membershipVer {
+		b.membershipVer, b.membershipUs = st.Stores.Ver, eventloop.NowUs()
 	}
 	b.claimTick()
 	if st := b.cfg.State(); st != nil {
 		b.shedMoved(st)
 	}
-	b.rosterTick()
+	b.membershipTick()
 	b.clockTick(eventloop.NowUs())
 	b.expireWaiting()
 }
 
 // own gives the shard if this node may serve it.
-func (b *Brood) own(shardN int) (*shard, error) {
+func (b *Store) own(shardN int) (*shard, error) {
 	if shardN < 0 || shardN >= Shards {
 		return nil, fault.New(fault.Invalid, "shard", "is out of bounds", "run the same version on all nodes")
 	}
@@ -211,7 +211,7 @@
 		return nil, fault.New(fault.NotOwner, node, "this store does not own the shard", "ask the owner")
 	}
 	if !s.owner.ready {
-		return nil, fault.New(fault.Declined, "shard", "is being taken over", "ask again")
+		return nil, fault.New(fault.Refused, "shard", "is being taken over", "ask again")
 	}
 	return s, b.behind()
 }
@@ -239,9 +239,9 @@
 }
 
 // onHand accepts a lot: on disk at a majority before the answer (design 8.4).
-func (b *Brood) onHand(ctx context.Context, in *handCall) (*handAnswer, error) {
+func (b *Store) onHand(ctx context.Context, in *handCall) (*handAnswer, error) {
 	startUs := eventloop.NowUs()
-	return answered(ctx, b.cfg.Floor, func(reply func(*handAnswer, error)) {
+	return answered(ctx, b.cfg.Loop, func(reply func(*handAnswer, error)) {
 		s, err := b.own(in.Shard)
 		if err != nil {
 			reply(nil, err)
@@ -266,7 +266,7 @@
 			return
 		}
 		if in.LeftUs > 0 && eventloop.NowUs()-startUs > in.LeftUs {
-			reply(nil, fault.New(fault.Declined, "lot", "its caller no longer waits", "hand it in again"))
+			reply(nil, fault.New(fault.Refused, "lot", "its caller no longer waits", "hand it in again"))
 			return
 		}
 		l := in.Lot
@@ -278,9 +278,9 @@
 		}
 		nowUs := eventloop.NowUs()
 		if in.Backlog > 0 {
-			openToks := s.owner.keptRoom(l.Binding, l.ID, nowUs)
+			openToks := s.owner.keptRoom(l.Route, l.ID, nowUs)
 			for _, other := range s.lots {
-				if other.Binding == l.Binding {
+				if other.Route == l.Route {
 					openToks += other.openToks()
 				}
 			}
@@ -291,7 +291,7 @@
 		}
 		l.List, l.Ended, l.BornUs = nil, false, s.clock.now(nowUs)
 		if in.Offer {
-			s.owner.keepRoom(l.Binding, l.ID, in.Toks, nowUs)
+			s.owner.keepRoom(l.Route, l.ID, in.Toks, nowUs)
 			reply(&handAnswer{Welcome: true}, nil)
 			return
 		}
@@ -318,12 +318,12 @@
 // got no answer, some replica may hold a copy that a later owner would find:
 // the refusal is then an op of its own, on disk at a majority before it is
 // told, and outranks that copy for good (design 8.4).
-func (b *Brood) refuse(s *shard, in *handCall, old *Lot, out *handAnswer, reply func(*handAnswer, error)) {
+func (b *Store) refuse(s *shard, in *handCall, old *Lot, out *handAnswer, reply func(*handAnswer, error)) {
 	if !in.Unsure {
 		reply(out, nil)
 		return
 	}
-	l := &Lot{ID: in.Lot.ID, Host: in.Lot.Host, Binding: in.Lot.Binding, SentUs: in.Lot.SentUs, RetainMs: in.Lot.RetainMs, Ended: true, BornUs: s.clock.now(eventloop.NowUs())}
+	l := &Lot{ID: in.Lot.ID, Host: in.Lot.Host, Route: in.Lot.Route, SentUs: in.Lot.SentUs, RetainMs: in.Lot.RetainMs, Ended: true, BornUs: s.clock.now(eventloop.NowUs())}
 	rev := uint64(1)
 	if old != nil {
 		rev = old.Rev + 1
@@ -367,8 +367,8 @@
 
 // onRead lists results from a position on; nothing is told that a majority
 // does not hold, and the fence is confirmed after the call came in.
-func (b *Brood) onRead(ctx context.Context, in *readCall) (*readAnswer, error) {
-	return answered(ctx, b.cfg.Floor, func(reply func(*readAnswer, error)) {
+func (b *Store) onRead(ctx context.Context, in *readCall) (*readAnswer, error) {
+	return answered(ctx, b.cfg.Loop, func(reply func(*readAnswer, error)) {
 		s, err := b.own(in.Shard)
 		if err != nil {
 			reply(nil, err)
@@ -383,7 +383,7 @@
 	})
 }
 
-func (b *Brood) confirmRead(s *shard, in *readCall, reply func(*readAnswer, error)) {
+func (b *Store) confirmRead(s *shard, in *readCall, reply func(*readAnswer, error)) {
 	if s.owner == nil {
 		reply(nil, fault.New(fault.Unsure, "shard", "changed hands meanwhile", "ask again"))
 		return
@@ -423,7 +423,7 @@
 }
 
 // wakeReaders answers readers whose lot has something new, or whose time is up.
-func (b *Brood) wakeReaders(nowUs int64) {
+func (b *Store) wakeReaders(nowUs int64) {
 	keep := b.readers[:0]
 	var due []*reader
 	for _, r := range b.readers {
@@ -451,8 +451,8 @@
 	Body []byte
 }
 
-func (b *Brood) onBody(ctx context.Context, in *bodyCall) (*bodyAnswer, error) {
-	return answered(ctx, b.cfg.Floor, func(reply func(*bodyAnswer, error)) {
+func (b *Store) onBody(ctx context.Context, in *bodyCall) (*bodyAnswer, error) {
+	return answered(ctx, b.cfg.Loop, func(reply func(*bodyAnswer, error)) {
 		s, err := b.own(in.Shard)
 		if err != nil {
 			reply(nil, err)
@@ -483,8 +483,8 @@
 
 // onEnd ends a lot for its client; dispatchers that have items of it are told
 // to stop.
-func (b *Brood) onEnd(ctx context.Context, in *endCall) (*rpc.Nothing, error) {
-	return answered(ctx, b.cfg.Floor, func(reply func(*rpc.Nothing, error)) {
+func (b *Store) onEnd(ctx context.Context, in *endCall) (*rpc.Nothing, error) {
+	return answered(ctx, b.cfg.Loop, func(reply func(*rpc.Nothing, error)) {
 		s, err := b.own(in.Shard)
 		if err != nil {
 			reply(nil, err)
@@ -518,7 +518,7 @@
 	Lot string
 }
 
-func (b *Brood) stopHolders(l *Lot) {
+func (b *Store) stopHolders(l *Lot) {
 	if l.live == nil {
 		return
 	}
@@ -526,11 +526,11 @@
 	for i := range l.Rows {
 		if h := l.Rows[i].Holder; l.Rows[i].Lease != 0 && !l.listed[i] && !told[h] {
 			told[h] = true
-			if p := b.cfg.Swarm.Look().Get(h); p != nil {
+			if p := b.cfg.Gossip.Look().Get(h); p != nil {
 				go func() {
 					ctx, cancel := context.WithTimeout(b.ctx, time.Second)
 					defer cancel()
-					_ = b.cfg.Mesh.Call(ctx, p.Addr, "nurse.stop", &StopCall{Lot: l.ID}, nil)
+					_ = b.cfg.Transport.Call(ctx, p.Addr, "nurse.stop", &StopCall{Lot: l.ID}, nil)
 				}()
 			}
 		}
@@ -538,13 +538,13 @@
 }
 
 // Written tells what this store wrote since it started.
-func (b *Brood) Written() wal.Written { return b.cell.Written() }
+func (b *Store) Written() wal.Written { return b.wal.Written() }
 
 // Owns tells whether this store serves the lots of a host now.
-func (b *Brood) Owns(host string) bool {
+func (b *Store) Owns(host string) bool {
 	ctx, cancel := context.WithTimeout(b.ctx, time.Second)
 	defer cancel()
-	owns, err := eventloop.Ask(ctx, b.cfg.Floor, func() bool {
+	owns, err := eventloop.Ask(ctx, b.cfg.Loop, func() bool {
 		o := b.shards[ShardOf(host)].owner
 		return o != nil && o.ready
 	})
@@ -552,14 +552,14 @@
 }
 
 // Keeps tells whether this store is to hold copies of a host's lots.
-func (b *Brood) Keeps(st *register.State, host string) bool {
+func (b *Store) Keeps(st *register.State, host string) bool {
 	set := replicasOf(&st.Stores, ShardOf(host), b.cfg.Spared)
-	return set.Has(b.cfg.Seat)
+	return set.Has(b.cfg.Member)
 }
 
 // Copy is what this store has of a lot.
 type Copy struct {
-	Stamp  Stamp
+	Term   Term
 	Rev    uint64
 	Items  int
 	Listed int
@@ -570,14 +570,14 @@
 }
 
 // Trace tells what this store has of a lot, nil if nothing.
-func (b *Brood) Trace(ctx context.Context, host, lot string) (*Copy, error) {
-	return eventloop.Ask(ctx, b.cfg.Floor, func() *Copy {
+func (b *Store) Trace(ctx context.Context, host, lot string) (*Copy, error) {
+	return eventloop.Ask(ctx, b.cfg.Loop, func() *Copy {
 		s := b.shards[ShardOf(host)]
 		l := s.lots[lot]
 		if l == nil {
 			return nil
 		}
-		c := &Copy{Stamp: l.Stamp, Rev: l.Rev, Items: len(l.Prompts), Listed: len(l.List), Ended: l.Ended, First: l.First, Owner: s.owner != nil && s.owner.ready}
+		c := &Copy{Term: l.Term, Rev: l.Rev, Items: len(l.Prompts), Listed: len(l.List), Ended: l.Ended, First: l.First, Owner: s.owner != nil && s.owner.ready}
 		if c.Owner {
 			for _, f := range s.owner.feeds {
 				if f.acked == s.owner.seq {
--- a/internal/lotstore/membership.go
+++ b/internal/lotstore/membership.go
@@ -25,74 +25,74 @@
 	mendPacedShare = 4 // a repair is paced for the first quarter of SyncUs only
 )
 
-// rosterNeed is a change of the roster that is due, and since when this store
+// membershipNeed is a change of the roster that is due, and since when this store
 // has known it.
-type rosterNeed struct {
-	rosterVer uint64
-	sinceUs   int64
+type membershipNeed struct {
+	membershipVer uint64
+	sinceUs       int64
 }
 
-// rosterTick brings this store into the roster; the members take turns to
+// membershipTick brings this store into the roster; the members take turns to
 // settle changes, empty what retires or leaves and drop what is long gone
 // (design 8.6).
-func (b *Brood) rosterTick() {
+func (b *Store) membershipTick() {
 	st := b.cfg.State()
-	if st == nil || b.rostering {
+	if st == nil || b.changingMembership {
 		return
 	}
-	v := b.cfg.Swarm.Look()
+	v := b.cfg.Gossip.Look()
 	nowUs := eventloop.NowUs()
 	names := ""
-	for _, n := range v.Names(func(s *gossip.Sighting) bool { return s.Alive && s.Role == b.cfg.Self.Role }) {
+	for _, n := range v.Names(func(s *gossip.NodeState) bool { return s.Alive && s.Role == b.cfg.Self.Role }) {
 		names += n + " "
 	}
 	if names != b.lastNames {
 		b.lastNames, b.stableUs = names, nowUs
 	}
-	self := register.SeatOf(&b.cfg.Self)
+	self := register.MemberOf(&b.cfg.Self)
 	switch {
 	case len(st.Stores.Cur) == 0:
 		if nowUs-b.stableUs > foundStableUs && nowUs-b.startUs > foundAfterUs {
-			b.foundRoster(v)
+			b.foundMembership(v)
 		}
 	case !st.Stores.Has(self.ID):
 		if !st.Stores.Joint() && !retiring(st, self.ID) && !v.Self.Leaving && nowUs-b.startUs > joinAfterUs {
-			b.joinRoster(st, self, v)
+			b.joinMembership(st, self, v)
 		}
 	default:
-		b.keepRoster(st, v, nowUs)
+		b.keepMembership(st, v, nowUs)
 	}
 }
 
-// foundRoster proposes the first roster.
-func (b *Brood) foundRoster(v *gossip.View) {
-	b.changeRoster("stores_founded", nil, func(now *register.State, _ map[string]bool) (*register.State, error) {
+// foundMembership proposes the first roster.
+func (b *Store) foundMembership(v *gossip.View) {
+	b.changeMembership("stores_founded", nil, func(now *register.State, _ map[string]bool) (*register.State, error) {
 		if len(now.Stores.Cur) > 0 {
 			return nil, nil
 		}
-		var first []register.Seat
+		var first []register.Member
 		for _, p := range v.All {
 			if p.Alive && p.Role == b.cfg.Self.Role && p.Disk != "" {
-				first = append(first, register.SeatOf(&p.Partner))
+				first = append(first, register.MemberOf(&p.Peer))
 			}
 		}
 		sort.Slice(first, func(i, j int) bool { return first[i].ID < first[j].ID })
-		now.Stores = register.Roster{Ver: now.Stores.Ver + 1, Cur: first}
+		now.Stores = register.Membership{Ver: now.Stores.Ver + 1, Cur: first}
 		return now, nil
 	})
 }
 
-// joinRoster proposes the roster that takes this store in.
-func (b *Brood) joinRoster(st *register.State, self register.Seat, v *gossip.View) {
-	var unmet []register.Seat
+// joinMembership proposes the roster that takes this store in.
+func (b *Store) joinMembership(st *register.State, self register.Member, v *gossip.View) {
+	var unmet []register.Member
 	if eventloop.NowUs()-b.startUs >= judgeUs {
 		unmet = register.Unmet(&st.Stores, v)
 	}
-	b.changeRoster("store_joining", &suspicion{members: st.Stores.Cur, suspects: unmet}, func(now *register.State, lost map[string]bool) (*register.State, error) {
+	b.changeMembership("store_joining", &suspicion{members: st.Stores.Cur, suspects: unmet}, func(now *register.State, lost map[string]bool) (*register.State, error) {
 		if now.Stores.Joint() || now.Stores.Has(self.ID) || retiring(now, self.ID) {
 			return nil, nil
 		}
-		next := register.NextSeats(&now.Stores, self, b.cfg.Swarm.Look(), eventloop.NowUs()-b.startUs, maxStores, lost)
+		next := register.NextMembers(&now.Stores, self, b.cfg.Gossip.Look(), eventloop.NowUs()-b.startUs, maxStores, lost)
 		if next == nil {
 			return nil, nil
 		}
@@ -101,68 +101,68 @@
 	})
 }
 
-// keepRoster drives what the roster needs when it is this store's turn.
-func (b *Brood) keepRoster(st *register.State, v *gossip.View, nowUs int64) {
+// keepMembership drives what the roster needs when it is this store's turn.
+func (b *Store) keepMembership(st *register.State, v *gossip.View, nowUs int64) {
 	leaver, asked := b.leaver(st, v, nowUs-b.startUs)
 	if !st.Stores.Joint() && leaver == "" {
-		b.need = rosterNeed{}
+		b.need = membershipNeed{}
 		return
 	}
-	if b.need.sinceUs == 0 || b.need.rosterVer != st.Stores.Ver {
-		b.need = rosterNeed{rosterVer: st.Stores.Ver, sinceUs: nowUs}
+	if b.need.sinceUs == 0 || b.need.membershipVer != st.Stores.Ver {
+		b.need = membershipNeed{membershipVer: st.Stores.Ver, sinceUs: nowUs}
 	}
-	if nowUs-b.need.sinceUs < register.TurnUs(st.Stores.Cur, b.cfg.Seat, v) {
+	if nowUs-b.need.sinceUs < register.TurnUs(st.Stores.Cur, b.cfg.Member, v) {
 		return
 	}
 	if st.Stores.Joint() {
-		b.settleRoster(st)
+		b.settleMembership(st)
 		return
 	}
-	b.changeRoster("store_leaving", asked, func(now *register.State, lost map[string]bool) (*register.State, error) {
+	b.changeMembership("store_leaving", asked, func(now *register.State, lost map[string]bool) (*register.State, error) {
 		if now.Stores.Ver != st.Stores.Ver || now.Stores.Joint() || asked != nil && !lost[leaver] {
 			return nil, nil
 		}
-		now.Stores = now.Stores.Begin(slices.DeleteFunc(slices.Clone(now.Stores.Cur), func(t register.Seat) bool { return t.ID == leaver }))
+		now.Stores = now.Stores.Begin(slices.DeleteFunc(slices.Clone(now.Stores.Cur), func(t register.Member) bool { return t.ID == leaver }))
 		return now, nil
 	})
 }
 
 // suspicion is what a majority of the members must confirm before a change.
 type suspicion struct {
-	members  []register.Seat
-	suspects []register.Seat
+	members  []register.Member
+	suspects []register.Member
 	forUs    int64
 }
 
 // leaver is a seat that is to leave, "" if none is. One that retires, or that
 // says it leaves, needs no confirmation; silence does.
-func (b *Brood) leaver(st *register.State, v *gossip.View, upUs int64) (id string, asked *suspicion) {
+func (b *Store) leaver(st *register.State, v *gossip.View, upUs int64) (id string, asked *suspicion) {
 	members := st.Stores.Cur
 	if len(members) <= 2*b.cfg.Spared+1 {
 		return "", nil
 	}
 	for _, s := range members {
 		p := v.Get(s.Name)
-		if retiring(st, s.ID) || p != nil && p.Alive && p.Leaving && p.Seat() == s.ID {
+		if retiring(st, s.ID) || p != nil && p.Alive && p.Leaving && p.MemberID() == s.ID {
 			return s.ID, nil
 		}
 	}
 	for _, s := range members {
 		if register.LongSilent(s, v, upUs) {
-			return s.ID, &suspicion{members: members, suspects: []register.Seat{s}, forUs: register.GoneForDropUs - dropSlackUs}
+			return s.ID, &suspicion{members: members, suspects: []register.Member{s}, forUs: register.GoneForDropUs - dropSlackUs}
 		}
 	}
 	return "", nil
 }
 
-// changeRoster commits a change beside the floor, once it was asked what a
+// changeMembership commits a change beside the floor, once it was asked what a
 // majority has lost.
-func (b *Brood) changeRoster(event string, asked *suspicion, change func(now *register.State, lost map[string]bool) (*register.State, error)) {
-	b.rostering = true
+func (b *Store) changeMembership(event string, asked *suspicion, change func(now *register.State, lost map[string]bool) (*register.State, error)) {
+	b.changingMembership = true
 	go func() {
 		ctx, cancel := context.WithTimeout(b.ctx, changeTimeout)
 		defer cancel()
-		defer func() { _ = b.cfg.Floor.Do(b.ctx, func() { b.rostering = false }) }()
+		defer func() { _ = b.cfg.Loop.Do(b.ctx, func() { b.changingMembership = false }) }()
 		var lost map[string]bool
 		if asked != nil {
 			lost = b.cfg.Lost(ctx, asked.members, asked.suspects, asked.forUs)
@@ -187,7 +187,7 @@
 }
 
 type ownedCall struct {
-	Roster uint64
+	Membership uint64
 }
 
 type ownedAnswer struct {
@@ -196,16 +196,16 @@
 
 // onOwned lists the shards that this store owns under a roster and whose
 // copies are at all seats of its current set that count.
-func (b *Brood) onOwned(ctx context.Context, in *ownedCall) (*ownedAnswer, error) {
-	return eventloop.Ask(ctx, b.cfg.Floor, func() *ownedAnswer {
+func (b *Store) onOwned(ctx context.Context, in *ownedCall) (*ownedAnswer, error) {
+	return eventloop.Ask(ctx, b.cfg.Loop, func() *ownedAnswer {
 		out := &ownedAnswer{}
 		st := b.cfg.State()
-		if st == nil || st.Stores.Ver != in.Roster {
+		if st == nil || st.Stores.Ver != in.Membership {
 			return out
 		}
 		takesAway := onlyTakesAway(&st.Stores)
 		for _, s := range b.shards {
-			if s.owner != nil && s.owner.ready && s.owner.roster.Ver == in.Roster && b.whole(s.owner, takesAway) {
+			if s.owner != nil && s.owner.ready && s.owner.membership.Ver == in.Membership && b.whole(s.owner, takesAway) {
 				out.Shards = append(out.Shards, s.n)
 			}
 		}
@@ -217,15 +217,15 @@
 // copies. A silent one counts while the change only takes a seat away, until it
 // has been silent for long: what leaves may hold the copy that the silent one
 // lacks, so it stays until then (design 8.6).
-func (b *Brood) whole(o *owner, takesAway bool) bool {
-	v := b.cfg.Swarm.Look()
+func (b *Store) whole(o *owner, takesAway bool) bool {
+	v := b.cfg.Gossip.Look()
 	for _, f := range o.feeds {
-		if !o.roster.Has(f.seat.ID) || f.synced && !f.cold {
+		if !o.membership.Has(f.member.ID) || f.synced && !f.cold {
 			continue
 		}
 		// A machine that came back with another disk is not that seat: it joins
 		// anew once this change is settled.
-		if b.reaches(v, f.seat) || takesAway && !register.Gone(f.seat, v, register.GoneForDropUs, eventloop.NowUs()-b.startUs) {
+		if b.reaches(v, f.member) || takesAway && !register.Gone(f.member, v, register.GoneForDropUs, eventloop.NowUs()-b.startUs) {
 			return false
 		}
 	}
@@ -234,29 +234,29 @@
 
 // onlyTakesAway tells whether a change brings no store in. Its shards' sets may
 // well bring in stores that are new to a shard.
-func onlyTakesAway(r *register.Roster) bool {
-	return r.Joint() && !slices.ContainsFunc(r.Cur, func(t register.Seat) bool { return !hasSeat(r.Prev, t.ID) })
+func onlyTakesAway(r *register.Membership) bool {
+	return r.Joint() && !slices.ContainsFunc(r.Cur, func(t register.Member) bool { return !hasMember(r.Prev, t.ID) })
 }
 
 // reaches tells whether a seat's holder lives and has answered this store within
 // the last while: a store whose link to one other is cut does not hold a change
 // up for ever.
-func (b *Brood) reaches(v *gossip.View, seat register.Seat) bool {
-	p := v.Get(seat.Name)
-	return p != nil && p.Alive && p.Seat() == seat.ID && eventloop.NowUs()-max(p.MetUs, p.SinceUs) < unreachedUs
+func (b *Store) reaches(v *gossip.View, member register.Member) bool {
+	p := v.Get(member.Name)
+	return p != nil && p.Alive && p.MemberID() == member.ID && eventloop.NowUs()-max(p.MetUs, p.SinceUs) < unreachedUs
 }
 
-func hasSeat(seats []register.Seat, id string) bool {
-	return slices.ContainsFunc(seats, func(s register.Seat) bool { return s.ID == id })
+func hasMember(members []register.Member, id string) bool {
+	return slices.ContainsFunc(members, func(s register.Member) bool { return s.ID == id })
 }
 
-// settleRoster ends a change once every shard is owned under it.
-func (b *Brood) settleRoster(st *register.State) {
-	b.rostering = true
+// settleMembership ends a change once every shard is owned under it.
+func (b *Store) settleMembership(st *register.State) {
+	b.changingMembership = true
 	go func() {
 		ctx, cancel := context.WithTimeout(b.ctx, changeTimeout)
 		defer cancel()
-		defer func() { _ = b.cfg.Floor.Do(b.ctx, func() { b.rostering = false }) }()
+		defer func() { _ = b.cfg.Loop.Do(b.ctx, func() { b.changingMembership = false }) }()
 		if !b.allOwned(ctx, st) {
 			return
 		}
@@ -275,18 +275,18 @@
 
 // allOwned asks the stores which shards they own under this roster, all at once:
 // some of them may be silent.
-func (b *Brood) allOwned(ctx context.Context, st *register.State) bool {
+func (b *Store) allOwned(ctx context.Context, st *register.State) bool {
 	answers := make(chan []int, len(st.Stores.Cur))
-	for _, seat := range st.Stores.Cur {
+	for _, member := range st.Stores.Cur {
 		go func() {
 			callCtx, cancel := context.WithTimeout(ctx, ownedTimeout)
 			defer cancel()
-			out, call := &ownedAnswer{}, &ownedCall{Roster: st.Stores.Ver}
+			out, call := &ownedAnswer{}, &ownedCall{Membership: st.Stores.Ver}
 			var err error
-			if seat.ID == b.cfg.Seat {
+			if member.ID == b.cfg.Member {
 				out, err = b.onOwned(callCtx, call)
 			} else {
-				err = b.cfg.Mesh.Call(callCtx, b.addrOf(seat), "brood.owned", call, out)
+				err = b.cfg.Transport.Call(callCtx, b.addrOf(member), "brood.owned", call, out)
 			}
 			if err != nil {
 				out = &ownedAnswer{}
@@ -308,9 +308,9 @@
 
 // Departed tells whether this store may end: no set of the newest roster counts
 // on it, or too few would be left for it to be let go.
-func (b *Brood) Departed() bool {
+func (b *Store) Departed() bool {
 	st := b.cfg.State()
-	if st == nil || !hasSeat(st.Stores.All(), b.cfg.Seat) {
+	if st == nil || !hasMember(st.Stores.All(), b.cfg.Member) {
 		return true
 	}
 	return !st.Stores.Joint() && len(st.Stores.Cur) <= 2*b.cfg.Spared+1
--- a/internal/lotstore/outcomes.go
+++ b/internal/lotstore/outcomes.go
@@ -22,8 +22,8 @@
 // onGive frees a lease; only a failed attempt charges the item's tries. It is
 // answered once the checkpoint with the row is committed, and again the same
 // way if it is resent (design 8.7).
-func (b *Brood) onGive(ctx context.Context, in *GiveCall) (*rpc.Nothing, error) {
-	return answered(ctx, b.cfg.Floor, func(reply func(*rpc.Nothing, error)) {
+func (b *Store) onGive(ctx context.Context, in *GiveCall) (*rpc.Nothing, error) {
+	return answered(ctx, b.cfg.Loop, func(reply func(*rpc.Nothing, error)) {
 		s, l, p, err := b.prompt(in.Shard, in.Lot, in.Item)
 		if err != nil {
 			reply(nil, err)
@@ -55,7 +55,7 @@
 	})
 }
 
-func (b *Brood) prompt(shardN int, lot string, item int) (*shard, *Lot, *promptState, error) {
+func (b *Store) prompt(shardN int, lot string, item int) (*shard, *Lot, *promptState, error) {
 	s, err := b.own(shardN)
 	if err != nil {
 		return nil, nil, nil, err
@@ -80,8 +80,8 @@
 	RawBytes int
 }
 
-func (b *Brood) onAck(ctx context.Context, in *AckCall) (*rpc.Nothing, error) {
-	return answered(ctx, b.cfg.Floor, func(reply func(*rpc.Nothing, error)) {
+func (b *Store) onAck(ctx context.Context, in *AckCall) (*rpc.Nothing, error) {
+	return answered(ctx, b.cfg.Loop, func(reply func(*rpc.Nothing, error)) {
 		s, l, _, err := b.prompt(in.Shard, in.Lot, in.Item)
 		if err != nil {
 			reply(nil, err)
@@ -113,7 +113,7 @@
 
 // list puts a result at the next position; readers see it once a majority has
 // it.
-func (b *Brood) list(s *shard, l *Lot, r Result, then func(error)) {
+func (b *Store) list(s *shard, l *Lot, r Result, then func(error)) {
 	r.AckedUs = s.clock.now(eventloop.NowUs())
 	id, at := l.ID, len(l.List)+1
 	s.owner.pace.done(l.Prompts[r.Item].Toks, eventloop.NowUs())
--- a/internal/lotstore/owner.go
+++ b/internal/lotstore/owner.go
@@ -40,13 +40,13 @@
 
 // owner is what the node that owns a shard keeps of it.
 type owner struct {
-	stamp  Stamp
-	roster register.Roster
-	seq    uint64 // of the last op
-	waits  []wait
-	feeds  map[string]*feed
-	ready  bool // a majority holds all that the claim found
-	pace   pace
+	term       Term
+	membership register.Membership
+	seq        uint64 // of the last op
+	waits      []wait
+	feeds      map[string]*feed
+	ready      bool // a majority holds all that the claim found
+	pace       pace
 	// unsaved are the ops of the checkpoint that is being filled.
 	unsaved    []op
 	saving     bool // a checkpoint is due
@@ -63,26 +63,26 @@
 
 // offer is room kept for a lot whose body is on its way.
 type offer struct {
-	binding string
+	route   string
 	toks    int64
 	untilUs int64
 }
 
-func (o *owner) keepRoom(binding, lot string, toks, nowUs int64) {
+func (o *owner) keepRoom(route, lot string, toks, nowUs int64) {
 	if o.offers == nil {
 		o.offers = map[string]offer{}
 	}
-	o.offers[lot] = offer{binding, toks, nowUs + offerUs}
+	o.offers[lot] = offer{route, toks, nowUs + offerUs}
 }
 
 // keptRoom sums the room kept for other lots of a binding.
-func (o *owner) keptRoom(binding, lot string, nowUs int64) int64 {
+func (o *owner) keptRoom(route, lot string, nowUs int64) int64 {
 	var sum int64
 	for id, f := range o.offers {
 		switch {
 		case nowUs > f.untilUs:
 			delete(o.offers, id)
-		case id != lot && f.binding == binding:
+		case id != lot && f.route == route:
 			sum += f.toks
 		}
 	}
@@ -99,7 +99,7 @@
 	}
 	sort.Slice(times, func(i, j int) bool { return times[i] > times[j] })
 	agreed := map[string]bool{self: true}
-	if o.roster.Quorum(agreed) {
+	if o.membership.Quorum(agreed) {
 		return nowUs
 	}
 	for _, t := range times {
@@ -108,18 +108,18 @@
 				agreed[id] = true
 			}
 		}
-		if o.roster.Quorum(agreed) {
+		if o.membership.Quorum(agreed) {
 			return t
 		}
 	}
 	return 0
 }
 
-func (o *owner) heard(seat string, startUs int64) {
+func (o *owner) heard(member string, startUs int64) {
 	if o.heardUs == nil {
 		o.heardUs = map[string]int64{}
 	}
-	o.heardUs[seat] = max(o.heardUs[seat], startUs)
+	o.heardUs[member] = max(o.heardUs[member], startUs)
 }
 
 type wait struct {
@@ -130,7 +130,7 @@
 
 // feed brings one replica what the owner did, in order.
 type feed struct {
-	seat   register.Seat
+	member register.Member
 	acked  uint64
 	cold   bool // must be compared and mended before ops fit
 	busy   bool
@@ -144,37 +144,37 @@
 // claimTick looks which shards this node should own (design 8.2): the one that
 // holds the highest promise keeps a shard while it lives; else it falls to the
 // first of the rank.
-func (b *Brood) claimTick() {
+func (b *Store) claimTick() {
 	st := b.cfg.State()
-	if st == nil || !st.Stores.Has(b.cfg.Seat) {
+	if st == nil || !st.Stores.Has(b.cfg.Member) {
 		for _, s := range b.shards {
-			if s.owner != nil && st != nil && st.Stores.Ver > s.owner.roster.Ver {
+			if s.owner != nil && st != nil && st.Stores.Ver > s.owner.membership.Ver {
 				b.depose(s, "no longer in the roster")
 			}
 		}
 		return
 	}
 	nowUs := eventloop.NowUs()
-	v := b.cfg.Swarm.Look()
+	v := b.cfg.Gossip.Look()
 	reach, fit := map[string]bool{}, map[string]bool{}
-	for _, seat := range st.Stores.All() {
-		if p := v.Get(seat.Name); p != nil && v.Met(seat.Name) && p.Seat() == seat.ID {
-			reach[seat.ID] = true
-			fit[seat.ID] = !p.Leaving && !retiring(st, seat.ID)
+	for _, member := range st.Stores.All() {
+		if p := v.Get(member.Name); p != nil && v.Met(member.Name) && p.MemberID() == member.ID {
+			reach[member.ID] = true
+			fit[member.ID] = !p.Leaving && !retiring(st, member.ID)
 		}
 	}
 	for n, s := range b.shards {
 		set := &b.sets(st)[n]
-		if !set.Has(b.cfg.Seat) {
-			if s.owner != nil && fenceOf(&s.owner.roster) < fenceOf(&st.Stores) {
+		if !set.Has(b.cfg.Member) {
+			if s.owner != nil && fenceOf(&s.owner.membership) < fenceOf(&st.Stores) {
 				b.depose(s, "its replicas are elsewhere now")
 			}
 			continue
 		}
 		var names []string
-		for _, seat := range set.Cur {
-			if fit[seat.ID] {
-				names = append(names, seat.Name)
+		for _, member := range set.Cur {
+			if fit[member.ID] {
+				names = append(names, member.Name)
 			}
 		}
 		// One whose floor runs late owns nothing while a quicker one can.
@@ -184,13 +184,13 @@
 		if set.Joint() {
 			// One that is new to the shard has yet to be brought all its lots.
 			if old := slices.DeleteFunc(slices.Clone(names), func(name string) bool {
-				return !slices.ContainsFunc(set.Prev, func(t register.Seat) bool { return t.Name == name && set.Has(t.ID) })
+				return !slices.ContainsFunc(set.Prev, func(t register.Member) bool { return t.Name == name && set.Has(t.ID) })
 			}); len(old) > 0 {
 				names = old
 			}
 		}
-		if s.owner != nil && fenceOf(&s.owner.roster) == fenceOf(&st.Stores) {
-			if s.owner.roster.Ver < st.Stores.Ver {
+		if s.owner != nil && fenceOf(&s.owner.membership) == fenceOf(&st.Stores) {
+			if s.owner.membership.Ver < st.Stores.Ver {
 				b.settled(s, *set)
 			}
 			if s.owner != nil {
@@ -205,7 +205,7 @@
 			continue
 		}
 		// A node that starts listens first, unless all replicas have answered it.
-		if nowUs-b.startUs < claimAfterUs && slices.ContainsFunc(set.All(), func(t register.Seat) bool { return !reach[t.ID] }) {
+		if nowUs-b.startUs < claimAfterUs && slices.ContainsFunc(set.All(), func(t register.Member) bool { return !reach[t.ID] }) {
 			continue
 		}
 		// Without a majority in reach a claim would only raise the fence against
@@ -220,7 +220,7 @@
 // fenceOf is the roster number that stamps carry. A change and its settling
 // share one: the settled set's majorities meet those of the change, so owners
 // need no new claim when a change settles (design 8.6).
-func fenceOf(r *register.Roster) uint64 {
+func fenceOf(r *register.Membership) uint64 {
 	if r.Joint() {
 		return r.Ver
 	}
@@ -228,9 +228,9 @@
 }
 
 // settled drops the seats that a change has let go.
-func (b *Brood) settled(s *shard, r register.Roster) {
+func (b *Store) settled(s *shard, r register.Membership) {
 	o := s.owner
-	o.roster = r
+	o.membership = r
 	for id := range o.feeds {
 		if !r.Has(id) {
 			delete(o.feeds, id)
@@ -248,10 +248,10 @@
 	return false
 }
 
-func (b *Brood) shouldOwn(s *shard, st *register.State, v *gossip.View, names []string) bool {
+func (b *Store) shouldOwn(s *shard, st *register.State, v *gossip.View, names []string) bool {
 	node := ownerName(s.promised.By)
 	holder := rendezvous.Holder("shard/"+strconv.Itoa(s.n), names)
-	if s.promised.By == b.cfg.Self.Life() && !b.cfg.Self.Leaving && !retiring(st, b.cfg.Seat) && (!b.slowness.slow && !b.diskRefuses || slices.Contains(names, b.cfg.Self.Name)) {
+	if s.promised.By == b.cfg.Self.Life() && !b.cfg.Self.Leaving && !retiring(st, b.cfg.Member) && (!b.slowness.slow && !b.diskRefuses || slices.Contains(names, b.cfg.Self.Name)) {
 		return true
 	}
 	if node != "" && node != b.cfg.Self.Name {
@@ -264,10 +264,10 @@
 		if alive && stays {
 			// It lives and knows, or will learn, the roster: leave it to it
 			// for a while.
-			if s.promised.Roster == fenceOf(&st.Stores) {
+			if s.promised.Membership == fenceOf(&st.Stores) {
 				return false
 			}
-			if eventloop.NowUs()-b.rosterUs < claimAfterUs {
+			if eventloop.NowUs()-b.membershipUs < claimAfterUs {
 				return false
 			}
 		}
@@ -277,19 +277,19 @@
 
 // claim takes a shard over: a promise from a majority, the best copy of every
 // lot, and those copies brought to a majority before anything is served.
-func (b *Brood) claim(s *shard, st *register.State) {
+func (b *Store) claim(s *shard, st *register.State) {
 	s.claiming = true
 	if s.owner != nil {
 		b.depose(s, "new roster")
 	}
 	s.seenMax = max(s.seenMax, s.promised.N) + 1
-	stamp := Stamp{Roster: fenceOf(&st.Stores), N: s.seenMax, By: b.cfg.Self.Life()}
-	roster := b.sets(st)[s.n]
+	term := Term{Membership: fenceOf(&st.Stores), N: s.seenMax, By: b.cfg.Self.Life()}
+	membership := b.sets(st)[s.n]
 	go func() {
 		ctx, cancel := context.WithTimeout(b.ctx, fetchTimeout)
 		defer cancel()
-		err := b.runClaim(ctx, s, stamp, roster)
-		_ = b.cfg.Floor.Do(b.ctx, func() {
+		err := b.runClaim(ctx, s, term, membership)
+		_ = b.cfg.Loop.Do(b.ctx, func() {
 			s.claiming = false
 			if err != nil {
 				b.cfg.Log.Info("shard_claim_failed", "shard", s.n, "err", err)
@@ -298,40 +298,40 @@
 	}()
 }
 
-func (b *Brood) runClaim(ctx context.Context, s *shard, stamp Stamp, roster register.Roster) error {
-	seats := roster.All()
+func (b *Store) runClaim(ctx context.Context, s *shard, term Term, membership register.Membership) error {
+	members := membership.All()
 	type reply struct {
-		seat  register.Seat
-		out   *claimAnswer
-		err   error
-		clock clockValue // of the shard at that replica, after its promise
+		member register.Member
+		out    *claimAnswer
+		err    error
+		clock  clockValue // of the shard at that replica, after its promise
 	}
-	replies := make(chan reply, len(seats))
-	for _, seat := range seats {
+	replies := make(chan reply, len(members))
+	for _, member := range members {
 		go func() {
 			callCtx, cancel := context.WithTimeout(b.ctx, claimTimeout)
 			defer cancel()
 			out := &claimAnswer{}
-			call := &claimCall{Seat: seat.ID, Shard: s.n, Stamp: stamp}
+			call := &claimCall{Member: member.ID, Shard: s.n, Term: term}
 			var err error
-			if seat.ID == b.cfg.Seat {
+			if member.ID == b.cfg.Member {
 				out, err = b.onClaim(callCtx, call)
 			} else {
-				err = b.cfg.Mesh.Call(callCtx, b.addrOf(seat), "brood.claim", call, out)
+				err = b.cfg.Transport.Call(callCtx, b.addrOf(member), "brood.claim", call, out)
 			}
 			clock := clockValue{}
 			if err == nil && out.OK {
-				clock, err = b.askClock(callCtx, b.addrOf(seat), &clockCall{Seat: seat.ID, Shard: s.n})
+				clock, err = b.askClock(callCtx, b.addrOf(member), &clockCall{Member: member.ID, Shard: s.n})
 			}
-			replies <- reply{seat, out, err, clock}
+			replies <- reply{member, out, err, clock}
 		}()
 	}
 	agreed := map[string]bool{}
 	best := map[string]copyOf{}
-	holders := map[string]register.Seat{}
-	var higher *Stamp
+	holders := map[string]register.Member{}
+	var higher *Term
 	clock := clockValue{}
-	for range seats {
+	for range members {
 		r := <-replies
 		if r.err != nil {
 			continue
@@ -343,22 +343,22 @@
 			}
 			continue
 		}
-		agreed[r.seat.ID] = true
+		agreed[r.member.ID] = true
 		clock = clock.newer(r.clock)
 		for _, c := range r.out.Copies {
 			old, have := best[c.Lot]
-			if !have || old.Stamp.Less(c.Stamp) || old.Stamp == c.Stamp && old.Rev < c.Rev {
-				best[c.Lot], holders[c.Lot] = c, r.seat
-			} else if old.Stamp == c.Stamp && old.Rev == c.Rev && r.seat.ID == b.cfg.Seat {
-				holders[c.Lot] = r.seat
+			if !have || old.Term.Less(c.Term) || old.Term == c.Term && old.Rev < c.Rev {
+				best[c.Lot], holders[c.Lot] = c, r.member
+			} else if old.Term == c.Term && old.Rev == c.Rev && r.member.ID == b.cfg.Member {
+				holders[c.Lot] = r.member
 			}
 		}
-		if agreed[b.cfg.Seat] && roster.Quorum(agreed) {
+		if agreed[b.cfg.Member] && membership.Quorum(agreed) {
 			break
 		}
 	}
 	if higher != nil {
-		_ = b.cfg.Floor.Do(ctx, func() {
+		_ = b.cfg.Loop.Do(ctx, func() {
 			s.seenMax = max(s.seenMax, higher.N)
 			if s.promised.Less(*higher) {
 				// Remembered so that its holder is left alone; the promise
@@ -367,14 +367,14 @@
 			}
 		})
 	}
-	if !agreed[b.cfg.Seat] || !roster.Quorum(agreed) {
-		return fault.New(fault.Declined, "shard", "no majority promised", "look which stores run")
+	if !agreed[b.cfg.Member] || !membership.Quorum(agreed) {
+		return fault.New(fault.Refused, "shard", "no majority promised", "look which stores run")
 	}
 	// What an attempt before this one fetched counts, if it is still the best.
 	fetched := map[string]*Lot{}
-	if _, err := eventloop.Ask(ctx, b.cfg.Floor, func() bool {
+	if _, err := eventloop.Ask(ctx, b.cfg.Loop, func() bool {
 		for id, l := range s.fetched {
-			if c, ok := best[id]; ok && l.Stamp == c.Stamp && l.Rev == c.Rev {
+			if c, ok := best[id]; ok && l.Term == c.Term && l.Rev == c.Rev {
 				fetched[id] = l
 			}
 		}
@@ -382,18 +382,18 @@
 	}); err != nil {
 		return err
 	}
-	missing := missingCopies(best, holders, fetched, b.cfg.Seat)
+	missing := missingCopies(best, holders, fetched, b.cfg.Member)
 	failed := b.fetchCopies(ctx, s.n, missing, fetched)
 	if failed != nil {
-		_ = b.cfg.Floor.Do(b.ctx, func() { s.fetched = fetched })
+		_ = b.cfg.Loop.Do(b.ctx, func() { s.fetched = fetched })
 		return failed
 	}
-	_, err := eventloop.Ask(ctx, b.cfg.Floor, func() bool {
+	_, err := eventloop.Ask(ctx, b.cfg.Loop, func() bool {
 		s.fetched = nil
-		if s.promised != stamp {
+		if s.promised != term {
 			return false
 		}
-		b.install(s, stamp, roster, fetched, clock)
+		b.install(s, term, membership, fetched, clock)
 		return true
 	})
 	return err
@@ -402,13 +402,13 @@
 // remoteCopy is the best copy of a lot where another replica has it.
 type remoteCopy struct {
 	copy   copyOf
-	holder register.Seat
+	holder register.Member
 }
 
 // missingCopies lists the best copies that are neither here nor fetched yet. It
 // is complete before the first fetch starts, for fetches write to the map that
 // it reads.
-func missingCopies(best map[string]copyOf, holders map[string]register.Seat, fetched map[string]*Lot, self string) []remoteCopy {
+func missingCopies(best map[string]copyOf, holders map[string]register.Member, fetched map[string]*Lot, self string) []remoteCopy {
 	var missing []remoteCopy
 	for id, c := range best {
 		if holders[id].ID != self && fetched[id] == nil {
@@ -420,7 +420,7 @@
 
 // fetchCopies fetches copies, a few at a time, into the map; on an error what
 // came before it, and beside it, is there.
-func (b *Brood) fetchCopies(ctx context.Context, shardN int, missing []remoteCopy, fetched map[string]*Lot) error {
+func (b *Store) fetchCopies(ctx context.Context, shardN int, missing []remoteCopy, fetched map[string]*Lot) error {
 	var mu sync.Mutex
 	var wg sync.WaitGroup
 	var failed error
@@ -444,15 +444,15 @@
 }
 
 // fetchCopy fetches one copy; it must still be the one that was promised.
-func (b *Brood) fetchCopy(ctx context.Context, shardN int, m remoteCopy) (*Lot, error) {
+func (b *Store) fetchCopy(ctx context.Context, shardN int, m remoteCopy) (*Lot, error) {
 	oneCtx, cancel := context.WithTimeout(ctx, oneTimeout)
 	defer cancel()
 	lot := &Lot{}
-	call := &fetchCall{Seat: m.holder.ID, Shard: shardN, Lot: m.copy.Lot}
-	if err := b.cfg.Mesh.Call(oneCtx, b.addrOf(m.holder), "brood.fetch", call, lot); err != nil {
+	call := &fetchCall{Member: m.holder.ID, Shard: shardN, Lot: m.copy.Lot}
+	if err := b.cfg.Transport.Call(oneCtx, b.addrOf(m.holder), "brood.fetch", call, lot); err != nil {
 		return nil, err
 	}
-	if lot.Stamp != m.copy.Stamp || lot.Rev != m.copy.Rev {
+	if lot.Term != m.copy.Term || lot.Rev != m.copy.Rev {
 		return nil, fault.New(fault.Stale, m.copy.Lot, "the copy changed meanwhile", "claim again")
 	}
 	return lot, nil
@@ -460,27 +460,27 @@
 
 // install makes this node the owner of what the claim found, the shard's clock
 // among it.
-func (b *Brood) install(s *shard, stamp Stamp, roster register.Roster, fetched map[string]*Lot, clock clockValue) {
-	o := &owner{stamp: stamp, roster: roster, feeds: map[string]*feed{}}
+func (b *Store) install(s *shard, term Term, membership register.Membership, fetched map[string]*Lot, clock clockValue) {
+	o := &owner{term: term, membership: membership, feeds: map[string]*feed{}}
 	rec := &record{Shard: s.n}
 	nowUs := eventloop.NowUs()
-	s.clock.start(stamp, nowUs, clock)
+	s.clock.start(term, nowUs, clock)
 	for id, l := range fetched {
 		placed := s.placeOnClock(l, nowUs)
-		src := copyOf{Lot: id, Stamp: l.Stamp, Rev: l.Rev}
+		src := copyOf{Lot: id, Term: l.Term, Rev: l.Rev}
 		whole := *l
-		put := op{Kind: opPut, Lot: id, Stamp: stamp, Rev: l.Rev, Whole: &whole}
+		put := op{Kind: opPut, Lot: id, Term: term, Rev: l.Rev, Whole: &whole}
 		apply(s.lots, &put)
 		s.lots[id].src, s.lots[id].placed = src, placed
 		rec.Ops = append(rec.Ops, put)
 	}
 	for id, l := range s.lots {
 		if fetched[id] == nil {
-			l.src = copyOf{Lot: id, Stamp: l.Stamp, Rev: l.Rev}
-			st := op{Kind: opStamp, Lot: id, Stamp: stamp, Rev: l.Rev, Src: l.Stamp}
+			l.src = copyOf{Lot: id, Term: l.Term, Rev: l.Rev}
+			st := op{Kind: opTerm, Lot: id, Term: term, Rev: l.Rev, Src: l.Term}
 			apply(s.lots, &st)
 			if l.placed = s.placeOnClock(l, nowUs); l.placed {
-				st = op{Kind: opPut, Lot: id, Stamp: stamp, Rev: l.Rev, Whole: l.share()}
+				st = op{Kind: opPut, Lot: id, Term: term, Rev: l.Rev, Whole: l.share()}
 			}
 			rec.Ops = append(rec.Ops, st)
 		}
@@ -496,9 +496,9 @@
 	}
 	o.seq = 1
 	s.owner = o
-	for _, seat := range roster.All() {
-		if seat.ID != b.cfg.Seat {
-			o.feeds[seat.ID] = &feed{seat: seat, cold: true}
+	for _, member := range membership.All() {
+		if member.ID != b.cfg.Member {
+			o.feeds[member.ID] = &feed{member: member, cold: true}
 		}
 	}
 	o.waits = append(o.waits, wait{1, eventloop.NowUs(), func(err error) {
@@ -509,7 +509,7 @@
 		for _, l := range s.lots {
 			l.taken, l.endSeen, l.seenLen = !l.refused(), l.Ended, len(l.List)
 		}
-		b.cfg.Log.Info("shard_owned", "shard", s.n, "stamp", stamp.N, "roster", stamp.Roster, "lots", len(s.lots))
+		b.cfg.Log.Info("shard_owned", "shard", s.n, "stamp", term.N, "roster", term.Membership, "lots", len(s.lots))
 		b.poll()
 	}})
 	o.diskIssued = 1
@@ -524,7 +524,7 @@
 }
 
 // toDisk writes the owner's own copy.
-func (b *Brood) toDisk(s *shard, o *owner, rec *record, seq uint64) {
+func (b *Store) toDisk(s *shard, o *owner, rec *record, seq uint64) {
 	done := func() {
 		o.diskDone = max(o.diskDone, seq)
 		b.advance(s, o)
@@ -533,16 +533,16 @@
 		done()
 		return
 	}
-	b.persist(rec, func() { _ = b.cfg.Floor.Do(b.ctx, done) })
+	b.persist(rec, func() { _ = b.cfg.Loop.Do(b.ctx, done) })
 }
 
 // issue does an op: here at once, at the replicas in order; then is called
 // once a majority has it on disk, or with Unsure if the shard is lost before.
-func (b *Brood) issue(s *shard, p op, then func(error)) {
+func (b *Store) issue(s *shard, p op, then func(error)) {
 	o := s.owner
 	o.seq++
 	seq := o.seq
-	p.Stamp = o.stamp
+	p.Term = o.term
 	o.clockSentUs = eventloop.NowUs()
 	p.ClockUs = s.clock.now(o.clockSentUs)
 	o.waits = append(o.waits, wait{seq, eventloop.NowUs(), then})
@@ -554,7 +554,7 @@
 		o.unsaved = append(o.unsaved, p)
 		s.clock.saved(p.ClockUs)
 	} else {
-		b.saveClock(s, o.stamp, p.ClockUs)
+		b.saveClock(s, o.term, p.ClockUs)
 	}
 	cost := p.cost()
 	for _, f := range o.feeds {
@@ -562,7 +562,7 @@
 			continue
 		}
 		if f.bytes+cost > maxFeedBytes {
-			b.cfg.Log.Info("replica_behind", "shard", s.n, "replica", f.seat.Name, "queued", f.bytes)
+			b.cfg.Log.Info("replica_behind", "shard", s.n, "replica", f.member.Name, "queued", f.bytes)
 			f.cold, f.queue, f.bytes = true, nil, 0
 			continue
 		}
@@ -579,14 +579,14 @@
 	if !o.saving {
 		o.saving = true
 		time.AfterFunc(checkpointUs*time.Microsecond, func() {
-			_ = b.cfg.Floor.Do(b.ctx, func() { b.checkpoint(s, o) })
+			_ = b.cfg.Loop.Do(b.ctx, func() { b.checkpoint(s, o) })
 		})
 	}
 }
 
 // checkpoint sends what was done since the last one to the disk and to the
 // replicas.
-func (b *Brood) checkpoint(s *shard, o *owner) {
+func (b *Store) checkpoint(s *shard, o *owner) {
 	o.saving = false
 	if s.owner != o {
 		return
@@ -607,8 +607,8 @@
 
 // confirm calls back once a majority is known to have had no other owner at a
 // moment at most ageUs ago.
-func (b *Brood) confirm(s *shard, ageUs int64, then func(error)) {
-	if eventloop.NowUs()-s.owner.quorumUs(b.cfg.Seat) <= ageUs {
+func (b *Store) confirm(s *shard, ageUs int64, then func(error)) {
+	if eventloop.NowUs()-s.owner.quorumUs(b.cfg.Member) <= ageUs {
 		then(nil)
 		return
 	}
@@ -623,19 +623,19 @@
 }
 
 // advance calls back for all ops that a majority has.
-func (b *Brood) advance(s *shard, o *owner) {
+func (b *Store) advance(s *shard, o *owner) {
 	for s.owner == o && len(o.waits) > 0 {
 		w := o.waits[0]
 		agreed := map[string]bool{}
 		if o.selfAcked() >= w.seq {
-			agreed[b.cfg.Seat] = true
+			agreed[b.cfg.Member] = true
 		}
 		for id, f := range o.feeds {
 			if f.acked >= w.seq {
 				agreed[id] = true
 			}
 		}
-		if !o.roster.Quorum(agreed) {
+		if !o.membership.Quorum(agreed) {
 			return
 		}
 		o.waits = o.waits[1:]
@@ -644,7 +644,7 @@
 }
 
 // depose gives a shard up; whoever waits is told that it may or may not stand.
-func (b *Brood) depose(s *shard, why string) {
+func (b *Store) depose(s *shard, why string) {
 	o := s.owner
 	s.owner = nil
 	s.clock.stop(eventloop.NowUs())
@@ -666,7 +666,7 @@
 }
 
 // pump sends a replica what waits for it, one batch at a time.
-func (b *Brood) pump(s *shard, f *feed) {
+func (b *Store) pump(s *shard, f *feed) {
 	o := s.owner
 	if f.busy || f.cold || len(f.queue) == 0 {
 		return
@@ -681,14 +681,14 @@
 	f.bytes -= bytes
 	upTo := f.lastQ - uint64(len(f.queue))
 	f.busy = true
-	call := &writeCall{Seat: f.seat.ID, Shard: s.n, Stamp: o.stamp, Ops: rawOps(batch)}
+	call := &writeCall{Member: f.member.ID, Shard: s.n, Term: o.term, Ops: rawOps(batch)}
 	startUs := eventloop.NowUs()
 	go func() {
 		ctx, cancel := context.WithTimeout(b.ctx, writeTimeout)
 		defer cancel()
 		out := &writeAnswer{}
-		err := b.cfg.Mesh.Call(ctx, b.addrOf(f.seat), "brood.write", call, out)
-		_ = b.cfg.Floor.Do(b.ctx, func() {
+		err := b.cfg.Transport.Call(ctx, b.addrOf(f.member), "brood.write", call, out)
+		_ = b.cfg.Loop.Do(b.ctx, func() {
 			f.busy = false
 			if s.owner != o {
 				return
@@ -696,16 +696,16 @@
 			switch {
 			case err == nil && out.OK:
 				f.acked = max(f.acked, upTo)
-				o.heard(f.seat.ID, startUs)
+				o.heard(f.member.ID, startUs)
 				b.advance(s, o)
 				if s.owner == o {
 					b.pump(s, f)
 				}
-			case err == nil && o.stamp.Less(out.Promised):
+			case err == nil && o.term.Less(out.Promised):
 				s.seenMax = max(s.seenMax, out.Promised.N)
 				b.depose(s, "a replica promised "+out.Promised.By)
 			default:
-				b.cfg.Log.Info("replica_behind", "shard", s.n, "replica", f.seat.Name, "misfit", out.Misfit, "waited_ms", (eventloop.NowUs()-startUs)/1000, "queued", f.bytes, "err", err)
+				b.cfg.Log.Info("replica_behind", "shard", s.n, "replica", f.member.Name, "misfit", out.Misfit, "waited_ms", (eventloop.NowUs()-startUs)/1000, "queued", f.bytes, "err", err)
 				f.cold, f.queue, f.bytes, f.synced = true, nil, 0, false
 				f.tryUs = eventloop.NowUs()
 			}
@@ -714,7 +714,7 @@
 }
 
 // feedTick mends cold feeds.
-func (b *Brood) feedTick(s *shard, nowUs int64) {
+func (b *Store) feedTick(s *shard, nowUs int64) {
 	for _, f := range s.owner.feeds {
 		if f.cold && !f.busy && nowUs-f.tryUs > mendPauseUs {
 			f.tryUs = nowUs
@@ -725,7 +725,7 @@
 
 // mend compares a replica's copies with the owner's and sends what differs;
 // later ops wait behind it (design 8.5).
-func (b *Brood) mend(s *shard, f *feed) {
+func (b *Store) mend(s *shard, f *feed) {
 	o := s.owner
 	f.busy = true
 	go func() {
@@ -734,12 +734,12 @@
 		callCtx, cancelCall := context.WithTimeout(ctx, claimTimeout)
 		out := &claimAnswer{}
 		startUs := eventloop.NowUs()
-		err := b.cfg.Mesh.Call(callCtx, b.addrOf(f.seat), "brood.claim", &claimCall{Seat: f.seat.ID, Shard: s.n, Stamp: o.stamp}, out)
+		err := b.cfg.Transport.Call(callCtx, b.addrOf(f.member), "brood.claim", &claimCall{Member: f.member.ID, Shard: s.n, Term: o.term}, out)
 		cancelCall()
 		if err != nil || !out.OK {
-			_ = b.cfg.Floor.Do(b.ctx, func() {
+			_ = b.cfg.Loop.Do(b.ctx, func() {
 				f.busy = false
-				if s.owner == o && err == nil && o.stamp.Less(out.Promised) {
+				if s.owner == o && err == nil && o.term.Less(out.Promised) {
 					s.seenMax = max(s.seenMax, out.Promised.N)
 					b.depose(s, "a replica promised "+out.Promised.By)
 				}
@@ -748,16 +748,16 @@
 		}
 		var batches [][]op
 		var upTo uint64
-		ok, err := eventloop.Ask(ctx, b.cfg.Floor, func() bool {
+		ok, err := eventloop.Ask(ctx, b.cfg.Loop, func() bool {
 			if s.owner != o {
 				return false
 			}
-			batches, upTo = differences(s, o.stamp, out.Copies), o.seq
+			batches, upTo = differences(s, o.term, out.Copies), o.seq
 			f.cold, f.queue, f.bytes, f.lastQ = false, nil, 0, o.seq
 			return true
 		})
 		if err != nil || !ok {
-			_ = b.cfg.Floor.Do(b.ctx, func() { f.busy = false })
+			_ = b.cfg.Loop.Do(b.ctx, func() { f.busy = false })
 			return
 		}
 		for i, batch := range batches {
@@ -765,7 +765,7 @@
 			sentUs := eventloop.NowUs()
 			writeCtx, cancelWrite := context.WithTimeout(ctx, 2*writeTimeout)
 			res := &writeAnswer{}
-			err = b.cfg.Mesh.Call(writeCtx, b.addrOf(f.seat), "brood.write", &writeCall{Seat: f.seat.ID, Shard: s.n, Stamp: o.stamp, Ops: rawOps(batch)}, res)
+			err = b.cfg.Transport.Call(writeCtx, b.addrOf(f.member), "brood.write", &writeCall{Member: f.member.ID, Shard: s.n, Term: o.term, Ops: rawOps(batch)}, res)
 			cancelWrite()
 			if err == nil && !res.OK {
 				err = fault.New(fault.Stale, "replica", "changed while it was mended", "")
@@ -779,22 +779,22 @@
 				eventloop.Pause(ctx, time.Duration(eventloop.NowUs()-sentUs)*time.Microsecond)
 			}
 		}
-		_ = b.cfg.Floor.Do(b.ctx, func() {
+		_ = b.cfg.Loop.Do(b.ctx, func() {
 			f.busy = false
 			if s.owner != o {
 				return
 			}
 			if err != nil {
-				b.cfg.Log.Info("replica_not_mended", "shard", s.n, "replica", f.seat.Name, "batches", len(batches), "err", err)
+				b.cfg.Log.Info("replica_not_mended", "shard", s.n, "replica", f.member.Name, "batches", len(batches), "err", err)
 				f.cold, f.queue, f.bytes = true, nil, 0
 				f.tryUs = eventloop.NowUs()
 				return
 			}
 			f.acked, f.synced = max(f.acked, upTo), true
 			if len(batches) > 0 {
-				b.cfg.Log.Info("replica_mended", "shard", s.n, "replica", f.seat.Name, "batches", len(batches), "took_ms", (eventloop.NowUs()-startUs)/1000)
+				b.cfg.Log.Info("replica_mended", "shard", s.n, "replica", f.member.Name, "batches", len(batches), "took_ms", (eventloop.NowUs()-startUs)/1000)
 			}
-			o.heard(f.seat.ID, startUs)
+			o.heard(f.member.ID, startUs)
 			b.advance(s, o)
 			if s.owner == o {
 				b.pump(s, f)
@@ -804,7 +804,7 @@
 }
 
 // syncUs is how soon a replica that is back must hold all copies again.
-func (b *Brood) syncUs() int64 {
+func (b *Store) syncUs() int64 {
 	if b.cfg.SyncUs > 0 {
 		return b.cfg.SyncUs
 	}
@@ -812,7 +812,7 @@
 }
 
 // differences lists what a replica lacks, in batches.
-func differences(s *shard, stamp Stamp, copies []copyOf) [][]op {
+func differences(s *shard, term Term, copies []copyOf) [][]op {
 	there := map[string]copyOf{}
 	for _, c := range copies {
 		there[c.Lot] = c
@@ -836,23 +836,23 @@
 		l := s.lots[id]
 		c, have := there[id]
 		switch {
-		case have && c.Stamp == l.Stamp && c.Rev == l.Rev:
-		case have && c.Stamp == l.src.Stamp && c.Rev == l.src.Rev && l.Rev == l.src.Rev && !l.placed:
-			add(op{Kind: opStamp, Lot: id, Stamp: stamp, Rev: l.Rev, Src: c.Stamp})
+		case have && c.Term == l.Term && c.Rev == l.Rev:
+		case have && c.Term == l.src.Term && c.Rev == l.src.Rev && l.Rev == l.src.Rev && !l.placed:
+			add(op{Kind: opTerm, Lot: id, Term: term, Rev: l.Rev, Src: c.Term})
 		default:
 			catch := (*op)(nil)
 			if have {
-				catch = l.since(stamp, c)
+				catch = l.since(term, c)
 			}
 			if catch == nil {
-				catch = &op{Kind: opPut, Lot: id, Stamp: stamp, Rev: l.Rev, Whole: l.share()}
+				catch = &op{Kind: opPut, Lot: id, Term: term, Rev: l.Rev, Whole: l.share()}
 			}
 			add(*catch)
 		}
 	}
 	for id := range there {
 		if s.lots[id] == nil {
-			add(op{Kind: opDrop, Lot: id, Stamp: stamp})
+			add(op{Kind: opDrop, Lot: id, Term: term})
 		}
 	}
 	if len(batch) > 0 {
@@ -861,9 +861,9 @@
 	return out
 }
 
-func (b *Brood) addrOf(seat register.Seat) string {
-	if p := b.cfg.Swarm.Look().Get(seat.Name); p != nil {
+func (b *Store) addrOf(member register.Member) string {
+	if p := b.cfg.Gossip.Look().Get(member.Name); p != nil {
 		return p.Addr
 	}
-	return seat.Addr
+	return member.Addr
 }
--- a/internal/lotstore/owner_test.go
+++ b/internal/lotstore/owner_test.go
@@ -13,9 +13,9 @@
 	"rowanshunt/internal/register"
 )
 
-// keeper is a store alone: its own majority.
-func keeper(t *testing.T, dir string) *Brood {
-	b := &Brood{cfg: Config{Floor: eventloop.NewFloor(256), Log: logging.Quiet(), Seat: "s", Dir: dir, DiskBytes: 64 << 20, Options: Defaults(),
+// holderOf is a store alone: its own majority.
+func holderOf(t *testing.T, dir string) *Store {
+	b := &Store{cfg: Config{Loop: eventloop.NewLoop(256), Log: logging.Quiet(), Member: "s", Dir: dir, DiskBytes: 64 << 20, Options: Defaults(),
 		Fatal: func(err error) { t.Errorf("fatal: %v", err) }}, ctx: t.Context()}
 	b.minLongBytes = 1 << 12
 	b.longBytes = b.minLongBytes
@@ -35,13 +35,13 @@
 			rng := rand.New(rand.NewPCG(seed, 9))
 			dir := t.TempDir()
 			ctx, stop := context.WithCancel(context.Background())
-			b := keeper(t, dir)
-			go b.cfg.Floor.Run(ctx)
+			b := holderOf(t, dir)
+			go b.cfg.Loop.Run(ctx)
 			s := b.shards[0]
-			seat := register.Seat{ID: "s", Name: "s"}
+			member := register.Member{ID: "s", Name: "s"}
 			do := func(fn func()) {
 				// Waits for fn: both sides draw from rng.
-				if _, err := eventloop.Ask(ctx, b.cfg.Floor, func() bool { fn(); return true }); err != nil {
+				if _, err := eventloop.Ask(ctx, b.cfg.Loop, func() bool { fn(); return true }); err != nil {
 					t.Fatal(err)
 				}
 				time.Sleep(time.Duration(rng.IntN(3)) * time.Millisecond)
@@ -49,10 +49,10 @@
 			n := uint64(0)
 			own := func() {
 				n++
-				st := Stamp{Roster: 1, N: n, By: "s/1"}
+				st := Term{Membership: 1, N: n, By: "s/1"}
 				s.promised = st
 				b.persist(&record{Shard: 0, Promise: &st}, func() {})
-				b.install(s, st, register.Roster{Ver: 1, Cur: []register.Seat{seat}}, nil, clockValue{})
+				b.install(s, st, register.Membership{Ver: 1, Cur: []register.Member{member}}, nil, clockValue{})
 			}
 			do(own)
 			for i := range 200 {
@@ -70,7 +70,7 @@
 						s.lots[id].live = &live{at: make([]promptState, 4)}
 					case rng.IntN(3) > 0 && !l.closed():
 						item := rng.IntN(4)
-						b.issue(s, op{Kind: opCursor, Lot: id, Rev: l.Rev + 1, Rows: []CursorAt{{Item: item, Row: Cursor{Lease: leaseID(s.owner.stamp, l.Rev+1), Holder: "h", Epoch: int64(i)}}}}, func(error) {})
+						b.issue(s, op{Kind: opCursor, Lot: id, Rev: l.Rev + 1, Rows: []CursorAt{{Item: item, Row: Cursor{Lease: leaseID(s.owner.term, l.Rev+1), Holder: "h", Epoch: int64(i)}}}}, func(error) {})
 					case !l.closed() && !l.listed[len(l.List)]:
 						b.issue(s, op{Kind: opAppend, Lot: id, Rev: l.Rev + 1, Results: []Result{{Item: len(l.List), Phase: PhaseDone, Msg: []byte("m"), Lease: 7}}}, func(error) {})
 					}
@@ -78,18 +78,18 @@
 			}
 			do(func() { b.depose(s, "the end") })
 			time.Sleep(time.Second)
-			b.cell.Close()
+			b.wal.Close()
 			stop()
 			synctest.Wait()
-			again := keeper(t, dir)
-			defer again.cell.Close()
+			again := holderOf(t, dir)
+			defer again.wal.Close()
 			if again.misfits > 0 {
 				t.Errorf("seed %d: %d ops of the file continue no copy", seed, again.misfits)
 			}
 			for id, l := range s.lots {
 				r := again.shards[0].lots[id]
-				if r == nil || r.Stamp != l.Stamp || r.Rev != l.Rev || len(r.List) != len(l.List) || fmt.Sprint(r.Rows) != fmt.Sprint(l.Rows) {
-					t.Fatalf("seed %d: lot %s is at %v %d on disk and at %v %d in memory", seed, id, r.Stamp, r.Rev, l.Stamp, l.Rev)
+				if r == nil || r.Term != l.Term || r.Rev != l.Rev || len(r.List) != len(l.List) || fmt.Sprint(r.Rows) != fmt.Sprint(l.Rows) {
+					t.Fatalf("seed %d: lot %s is at %v %d on disk and at %v %d in memory", seed, id, r.Term, r.Rev, l.Term, l.Rev)
 				}
 			}
 		})
--- a/internal/lotstore/replica.go
+++ b/internal/lotstore/replica.go
@@ -21,7 +21,7 @@
 // record is what a store writes to disk.
 type record struct {
 	Shard   int
-	Promise *Stamp
+	Promise *Term
 	Ops     []op
 }
 
@@ -29,14 +29,14 @@
 // same bytes.
 type rawRecord struct {
 	Shard   int
-	Promise *Stamp
+	Promise *Term
 	Ops     []msgpack.RawMessage
 }
 
 // shard is one shard's copy here, and the owner's part if this node has it.
 type shard struct {
 	n        int
-	promised Stamp
+	promised Term
 	lots     map[string]*Lot
 	owner    *owner
 	claiming bool
@@ -63,7 +63,7 @@
 }
 
 // openReplica reads all shards from disk.
-func (b *Brood) openReplica(dir string) error {
+func (b *Store) openReplica(dir string) error {
 	for n := range b.shards {
 		b.shards[n] = &shard{n: n, lots: map[string]*Lot{}}
 	}
@@ -81,14 +81,14 @@
 			if !apply(s.lots, &r.Ops[i]) {
 				misfits++
 			}
-			if s.promised.Less(r.Ops[i].Stamp) {
-				s.promised = r.Ops[i].Stamp
+			if s.promised.Less(r.Ops[i].Term) {
+				s.promised = r.Ops[i].Term
 			}
-			s.clock.record(r.Ops[i].Stamp, r.Ops[i].ClockUs)
+			s.clock.record(r.Ops[i].Term, r.Ops[i].ClockUs)
 			s.clock.saved(r.Ops[i].ClockUs)
 		}
 		return nil
-	}, append([]wal.Option{wal.Hold()}, b.cellOptions...)...)
+	}, append([]wal.Option{wal.Hold()}, b.walOptions...)...)
 	if err != nil {
 		return err
 	}
@@ -100,14 +100,14 @@
 		b.cfg.Log.Warn("cell_misfits", "cell", "brood", "ops", misfits)
 	}
 	b.misfits = misfits
-	b.cell = c
+	b.wal = c
 	return nil
 }
 
 // persist writes a record and then answers. Memory runs ahead of the file here,
 // so a record that the disk refuses is held and tried again in its turn; until
 // it is written nothing that follows is answered (design 10.4).
-func (b *Brood) persist(r *record, then func()) {
+func (b *Store) persist(r *record, then func()) {
 	wire := rawRecord{Shard: r.Shard, Promise: r.Promise}
 	for i := range r.Ops {
 		wire.Ops = append(wire.Ops, r.Ops[i].encoded())
@@ -118,14 +118,14 @@
 		return
 	}
 	b.append(then, raw)
-	if size := b.cell.SizeBytes(); size > b.longBytes && !b.rewriting {
+	if size := b.wal.SizeBytes(); size > b.longBytes && !b.rewriting {
 		b.rewrite()
 	}
 }
 
 // append writes records; without any it is a barrier behind all earlier ones.
-func (b *Brood) append(then func(), raw ...[]byte) {
-	b.cell.Append(func(err error) {
+func (b *Store) append(then func(), raw ...[]byte) {
+	b.wal.Append(func(err error) {
 		if err != nil && b.ctx.Err() != nil {
 			return // closed: whoever waits is told by the end of its call
 		}
@@ -141,24 +141,24 @@
 const maxWaitingBytes = 16 << 20
 
 // refused is the fault of a store whose disk takes nothing: nothing is promised.
-func (b *Brood) refused() error {
-	if err := b.cell.Refused(); err != nil {
-		return fault.New(fault.Declined, "disk", err.Error(), "ask another store; make room on the disk")
+func (b *Store) refused() error {
+	if err := b.wal.Refused(); err != nil {
+		return fault.New(fault.Refused, "disk", err.Error(), "ask another store; make room on the disk")
 	}
 	return b.behind()
 }
 
 // behind is the fault of a store that holds too much for its disk to write.
-func (b *Brood) behind() error {
-	if b.cell.WaitingBytes() > maxWaitingBytes {
-		return fault.New(fault.Declined, "disk", "is far behind", "ask again later")
+func (b *Store) behind() error {
+	if b.wal.WaitingBytes() > maxWaitingBytes {
+		return fault.New(fault.Refused, "disk", "is far behind", "ask again later")
 	}
 	return nil
 }
 
 // diskTick warns when the disk begins or ends to refuse writes.
-func (b *Brood) diskTick() {
-	err := b.cell.Refused()
+func (b *Store) diskTick() {
+	err := b.wal.Refused()
 	if (err != nil) == b.diskRefuses {
 		return
 	}
@@ -172,17 +172,17 @@
 }
 
 // tellSlow tells the others whether this store should own shards.
-func (b *Brood) tellSlow() {
+func (b *Store) tellSlow() {
 	slow := b.slowness.slow || b.diskRefuses
-	b.cfg.Swarm.Tell(func(p *gossip.Partner) { p.Slow = slow })
+	b.cfg.Gossip.Tell(func(p *gossip.Peer) { p.Slow = slow })
 }
 
 // rewrite makes the file anew out of what the shards hold now; the lots are
 // encoded one by one while the floor goes on (design 10.3).
-func (b *Brood) rewrite() {
+func (b *Store) rewrite() {
 	type kept struct {
 		shard    int
-		promised Stamp
+		promised Term
 		clock    clockValue
 		lots     []*Lot
 	}
@@ -198,20 +198,20 @@
 		all = append(all, k)
 	}
 	b.rewriting = true
-	b.cell.Rewrite(func(err error) {
+	b.wal.Rewrite(func(err error) {
 		if err != nil {
 			// The file goes on as it is; later, with more room, it is tried again.
 			b.cfg.Log.Warn("cell_rewrite_failed", "cell", "brood", "err", err)
 		}
-		_ = b.cfg.Floor.Do(b.ctx, func() { b.rewriting, b.longBytes = false, b.nextLong() })
+		_ = b.cfg.Loop.Do(b.ctx, func() { b.rewriting, b.longBytes = false, b.nextLong() })
 	}, func(write func([]byte) error) error {
 		for i := range all {
-			if err := writeRecord(write, &record{Shard: all[i].shard, Promise: &all[i].promised, Ops: []op{{Kind: opNone, Stamp: all[i].clock.Stamp, ClockUs: all[i].clock.Us}}}); err != nil {
+			if err := writeRecord(write, &record{Shard: all[i].shard, Promise: &all[i].promised, Ops: []op{{Kind: opNone, Term: all[i].clock.Term, ClockUs: all[i].clock.Us}}}); err != nil {
 				return err
 			}
 			for at, l := range all[i].lots {
 				all[i].lots[at] = nil
-				if err := writeRecord(write, &record{Shard: all[i].shard, Ops: []op{{Kind: opPut, Lot: l.ID, Stamp: l.Stamp, Rev: l.Rev, Whole: l}}}); err != nil {
+				if err := writeRecord(write, &record{Shard: all[i].shard, Ops: []op{{Kind: opPut, Lot: l.ID, Term: l.Term, Rev: l.Rev, Whole: l}}}); err != nil {
 					return err
 				}
 			}
@@ -223,8 +223,8 @@
 
 // nextLong is the length at which the file is rewritten next: twice what it
 // holds now, but with room for the old and the new one on the disk.
-func (b *Brood) nextLong() int64 {
-	size := b.cell.SizeBytes()
+func (b *Store) nextLong() int64 {
+	size := b.wal.SizeBytes()
 	return max(min(2*size, b.cfg.DiskBytes*45/100), size*5/4, b.minLongBytes)
 }
 
@@ -237,36 +237,36 @@
 }
 
 type claimCall struct {
-	Seat  string
-	Shard int
-	Stamp Stamp
-	Look  bool // do not promise anew: tell what is there for this owner
+	Member string
+	Shard  int
+	Term   Term
+	Look   bool // do not promise anew: tell what is there for this owner
 }
 
 type copyOf struct {
 	Lot    string
-	Stamp  Stamp
+	Term   Term
 	Rev    uint64
 	Listed int
 }
 
 type claimAnswer struct {
 	OK       bool
-	Promised Stamp
+	Promised Term
 	Copies   []copyOf
 }
 
 type fetchCall struct {
-	Seat  string
-	Shard int
-	Lot   string
+	Member string
+	Shard  int
+	Lot    string
 }
 
 type writeCall struct {
-	Seat  string
-	Shard int
-	Stamp Stamp
-	Ops   []msgpack.RawMessage // of op: written to disk as they came
+	Member string
+	Shard  int
+	Term   Term
+	Ops    []msgpack.RawMessage // of op: written to disk as they came
 }
 
 func rawOps(ops []op) []msgpack.RawMessage {
@@ -279,12 +279,12 @@
 
 type writeAnswer struct {
 	OK       bool
-	Promised Stamp
+	Promised Term
 	Misfit   bool // a copy here does not fit: compare and mend
 }
 
-func (b *Brood) mine(seat string, shardN int) (*shard, error) {
-	if seat != b.cfg.Seat {
+func (b *Store) mine(member string, shardN int) (*shard, error) {
+	if member != b.cfg.Member {
 		return nil, fault.New(fault.Unknown, "seat", "this node holds another seat", "read the roster again")
 	}
 	if shardN < 0 || shardN >= Shards {
@@ -294,7 +294,7 @@
 }
 
 // answered waits for an answer that the floor gives later.
-func answered[T any](ctx context.Context, f *eventloop.Floor, run func(reply func(*T, error))) (*T, error) {
+func answered[T any](ctx context.Context, f *eventloop.Loop, run func(reply func(*T, error))) (*T, error) {
 	type both struct {
 		out *T
 		err error
@@ -312,9 +312,9 @@
 }
 
 // onClaim promises a shard to a new owner and tells what copies are here.
-func (b *Brood) onClaim(ctx context.Context, in *claimCall) (*claimAnswer, error) {
-	return answered(ctx, b.cfg.Floor, func(reply func(*claimAnswer, error)) {
-		s, err := b.mine(in.Seat, in.Shard)
+func (b *Store) onClaim(ctx context.Context, in *claimCall) (*claimAnswer, error) {
+	return answered(ctx, b.cfg.Loop, func(reply func(*claimAnswer, error)) {
+		s, err := b.mine(in.Member, in.Shard)
 		if err != nil {
 			reply(nil, err)
 			return
@@ -323,36 +323,36 @@
 			reply(nil, err)
 			return
 		}
-		if in.Stamp.Less(s.promised) || in.Look && in.Stamp != s.promised {
+		if in.Term.Less(s.promised) || in.Look && in.Term != s.promised {
 			reply(&claimAnswer{Promised: s.promised}, nil)
 			return
 		}
-		out := &claimAnswer{OK: true, Promised: in.Stamp}
+		out := &claimAnswer{OK: true, Promised: in.Term}
 		for _, l := range s.lots {
-			out.Copies = append(out.Copies, copyOf{Lot: l.ID, Stamp: l.Stamp, Rev: l.Rev, Listed: len(l.List)})
+			out.Copies = append(out.Copies, copyOf{Lot: l.ID, Term: l.Term, Rev: l.Rev, Listed: len(l.List)})
 		}
-		if s.promised == in.Stamp {
+		if s.promised == in.Term {
 			// The promise and the copies may be on their way to the disk still.
 			b.append(func() { reply(out, nil) })
 			return
 		}
-		b.promise(s, in.Stamp)
-		b.persist(&record{Shard: s.n, Promise: &in.Stamp}, func() { reply(out, nil) })
+		b.promise(s, in.Term)
+		b.persist(&record{Shard: s.n, Promise: &in.Term}, func() { reply(out, nil) })
 	})
 }
 
 // promise raises the fence; an owner here under a lower one is out.
-func (b *Brood) promise(s *shard, st Stamp) {
+func (b *Store) promise(s *shard, st Term) {
 	s.promised = st
 	s.seenMax = max(s.seenMax, st.N)
-	if s.owner != nil && s.owner.stamp != st {
+	if s.owner != nil && s.owner.term != st {
 		b.depose(s, "fenced by "+st.By)
 	}
 }
 
-func (b *Brood) onFetch(ctx context.Context, in *fetchCall) (*Lot, error) {
-	return answered(ctx, b.cfg.Floor, func(reply func(*Lot, error)) {
-		s, err := b.mine(in.Seat, in.Shard)
+func (b *Store) onFetch(ctx context.Context, in *fetchCall) (*Lot, error) {
+	return answered(ctx, b.cfg.Loop, func(reply func(*Lot, error)) {
+		s, err := b.mine(in.Member, in.Shard)
 		if err != nil {
 			reply(nil, err)
 			return
@@ -367,14 +367,14 @@
 }
 
 // onWrite takes an owner's ops, on disk before the answer.
-func (b *Brood) onWrite(ctx context.Context, in *writeCall) (*writeAnswer, error) {
-	return answered(ctx, b.cfg.Floor, func(reply func(*writeAnswer, error)) {
-		s, err := b.mine(in.Seat, in.Shard)
+func (b *Store) onWrite(ctx context.Context, in *writeCall) (*writeAnswer, error) {
+	return answered(ctx, b.cfg.Loop, func(reply func(*writeAnswer, error)) {
+		s, err := b.mine(in.Member, in.Shard)
 		if err != nil {
 			reply(nil, err)
 			return
 		}
-		if in.Stamp.Less(s.promised) {
+		if in.Term.Less(s.promised) {
 			reply(&writeAnswer{Promised: s.promised}, nil)
 			return
 		}
@@ -383,11 +383,11 @@
 			return
 		}
 		rec := &record{Shard: s.n}
-		if s.promised.Less(in.Stamp) {
-			b.promise(s, in.Stamp)
-			rec.Promise = &in.Stamp
+		if s.promised.Less(in.Term) {
+			b.promise(s, in.Term)
+			rec.Promise = &in.Term
 		}
-		out := &writeAnswer{OK: true, Promised: in.Stamp}
+		out := &writeAnswer{OK: true, Promised: in.Term}
 		for _, raw := range in.Ops {
 			o := op{}
 			if err := msgpack.Unmarshal(raw, &o); err != nil {
@@ -395,7 +395,7 @@
 				return
 			}
 			o.raw = raw
-			s.clock.record(o.Stamp, o.ClockUs)
+			s.clock.record(o.Term, o.ClockUs)
 			if !apply(s.lots, &o) {
 				out.OK, out.Misfit = false, true
 				break
@@ -404,7 +404,7 @@
 				rec.Ops = append(rec.Ops, op{raw: raw})
 				s.clock.saved(o.ClockUs)
 			} else {
-				b.saveClock(s, o.Stamp, o.ClockUs)
+				b.saveClock(s, o.Term, o.ClockUs)
 			}
 		}
 		if len(rec.Ops) == 0 && rec.Promise == nil {
--- a/internal/lotstore/slow.go
+++ b/internal/lotstore/slow.go
@@ -20,9 +20,9 @@
 	slowForget = 60_000_000
 )
 
-// beat takes the moment of a beat that is due every periodUs; true if the
+// heartbeat takes the moment of a beat that is due every periodUs; true if the
 // judgement changed.
-func (s *slowness) beat(nowUs, periodUs int64) bool {
+func (s *slowness) heartbeat(nowUs, periodUs int64) bool {
 	if s.lastUs == 0 {
 		s.lastUs = nowUs
 		return false
--- a/internal/lotstore/slow_test.go
+++ b/internal/lotstore/slow_test.go
@@ -7,10 +7,10 @@
 func TestSlowness(t *testing.T) {
 	var s slowness
 	nowUs := int64(1)
-	run := func(beats int, lateUs int64) (changes int) {
-		for range beats {
+	run := func(heartbeats int, lateUs int64) (changes int) {
+		for range heartbeats {
 			nowUs += tickUs + lateUs
-			if s.beat(nowUs, tickUs) {
+			if s.heartbeat(nowUs, tickUs) {
 				changes++
 			}
 		}
--- a/internal/node/clock_test.go
+++ b/internal/node/clock_test.go
@@ -7,7 +7,7 @@
 )
 
 // stepClock moves the time of day of a node; its steady clock goes on.
-func (h *hive) stepClock(name string, by time.Duration) {
+func (h *cluster) stepClock(name string, by time.Duration) {
 	h.nodes[name].skewUs.Store(by.Microseconds())
 }
 
@@ -18,7 +18,7 @@
 	handed time.Time
 }
 
-func (h *hive) waitingLot(id string) waiting {
+func (h *cluster) waitingLot(id string) waiting {
 	h.t.Helper()
 	w := waiting{id: id, items: 3}
 	h.until("lot "+id+" accepted", 5*time.Second, func() bool {
@@ -33,7 +33,7 @@
 
 // watch reads the lots until all are given up; no item may be given up before
 // retain_s or later than the time given behind it.
-func (h *hive) watch(lots []waiting, late time.Duration) {
+func (h *cluster) watch(lots []waiting, late time.Duration) {
 	h.t.Helper()
 	open := lots
 	for len(open) > 0 {
@@ -59,7 +59,7 @@
 }
 
 // seenAlive waits until all others see the process that a node runs now.
-func (h *hive) seenAlive(name string, limit time.Duration) {
+func (h *cluster) seenAlive(name string, limit time.Duration) {
 	h.t.Helper()
 	self := h.nodes[name].node().self
 	h.until(name+" is seen alive by all", limit, func() bool {
@@ -67,7 +67,7 @@
 			if other == name || m.ctx.Err() != nil {
 				continue
 			}
-			p := m.node().Swarm.Look().Get(name)
+			p := m.node().Gossip.Look().Get(name)
 			if p == nil || !p.Alive || !p.Signed(self.Life()) {
 				return false
 			}
@@ -77,11 +77,11 @@
 }
 
 // nextOwner waits for a living store other than this one to own the shard.
-func (h *hive) nextOwner(than string) (name string) {
+func (h *cluster) nextOwner(than string) (name string) {
 	h.t.Helper()
 	h.until("another owner than "+than, 8*time.Second, func() bool {
 		for other, m := range h.nodes {
-			if other != than && m.c != nil && m.ctx.Err() == nil && m.c.Brood.Owns("shop.example") {
+			if other != than && m.c != nil && m.ctx.Err() == nil && m.c.LotStore.Owns("shop.example") {
 				name = other
 				return true
 			}
@@ -91,7 +91,7 @@
 	return name
 }
 
-func (h *hive) restart(name string) {
+func (h *cluster) restart(name string) {
 	h.kill(name)
 	time.Sleep(300 * time.Millisecond)
 	h.start(name)
@@ -104,7 +104,7 @@
 func TestTimeOfDayDecidesNothing(t *testing.T) {
 	for _, by := range []time.Duration{time.Minute, -time.Minute} {
 		synctest.Test(t, func(t *testing.T) {
-			h := newHive(t, 11, 4, 3)
+			h := newCluster(t, 11, 4, 3)
 			defer h.end()
 			h.serving()
 			h.idle()
@@ -141,7 +141,7 @@
 // and never keep them for good.
 func TestTakeoversDelayGivingUpByLittle(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		h := newHive(t, 12, 3, 3)
+		h := newCluster(t, 12, 3, 3)
 		defer h.end()
 		h.serving()
 		h.idle()
@@ -163,7 +163,7 @@
 func TestStaleReplicaLearnsTheClock(t *testing.T) {
 	for _, second := range []bool{false, true} {
 		synctest.Test(t, func(t *testing.T) {
-			h := newHive(t, 13, 3, 3)
+			h := newCluster(t, 13, 3, 3)
 			defer h.end()
 			h.serving()
 			h.idle()
--- a/internal/node/contact_test.go
+++ b/internal/node/contact_test.go
@@ -27,7 +27,7 @@
 	case "PUT /-/workers/:id":
 		c.body = map[string]any{"svc": "app", "addr": "10.9.9.9:80", "az": "ash", "ver": "v1", "slots": 4, "phase": "up", "seq": n}
 	case "PUT /-/config":
-		c.body, c.heads = blueprint(100+n), []string{"If-Match", "1"}
+		c.body, c.heads = configuration(100+n), []string{"If-Match", "1"}
 	case "PUT /-/quotas":
 		c.body, c.heads = map[string]any{"ver": 1 + n, "tenants": map[string]any{}, "shares": map[string]any{}}, []string{"If-Match", "0"}
 	case "POST /-/retire/:node":
@@ -36,7 +36,7 @@
 	return c
 }
 
-func (h *hive) run(f *Forager, c controlCall) (*httptest.ResponseRecorder, time.Duration) {
+func (h *cluster) run(f *EdgeNode, c controlCall) (*httptest.ResponseRecorder, time.Duration) {
 	from := time.Now()
 	w := h.control(f, c.method, c.path, c.body, c.heads...)
 	return w, time.Since(from)
@@ -47,11 +47,11 @@
 // 503 is not in force afterwards, and all of them are answered again once the
 // cut is over.
 func TestControlOutOfContact(t *testing.T) {
-	for kind, cut := range map[string]func(h *hive, edge string, cut bool){
-		"from all":  func(h *hive, e string, cut bool) { h.m.CutOff(h.nodes[e].opts.PartnerAddr(), h.addrs(""), cut) },
-		"sends":     func(h *hive, e string, cut bool) { h.cutOneWay(e, true, cut) },
-		"hears":     func(h *hive, e string, cut bool) { h.cutOneWay(e, false, cut) },
-		"from core": func(h *hive, e string, cut bool) { h.cutFromCore(e, cut) },
+	for kind, cut := range map[string]func(h *cluster, edge string, cut bool){
+		"from all":  func(h *cluster, e string, cut bool) { h.m.CutOff(h.nodes[e].opts.PeerAddr(), h.addrs(""), cut) },
+		"sends":     func(h *cluster, e string, cut bool) { h.cutOneAttempt(e, true, cut) },
+		"hears":     func(h *cluster, e string, cut bool) { h.cutOneAttempt(e, false, cut) },
+		"from core": func(h *cluster, e string, cut bool) { h.cutFromCore(e, cut) },
 	} {
 		for _, edge := range []string{"edge-0", "edge-4"} {
 			t.Run(kind+" "+edge, func(t *testing.T) {
--- a/internal/node/departure_test.go
+++ b/internal/node/departure_test.go
@@ -14,26 +14,26 @@
 // that deployments set.
 const drainBound = 2 * time.Second
 
-func edgesServing(t *testing.T, seed uint64, edges int) *hive {
+func edgesServing(t *testing.T, seed uint64, edges int) *cluster {
 	t.Helper()
 	return edgesServingOf(t, seed, edges, "app")
 }
 
 // edgesServingOf brings up a system of edges alone, with three workers of one
 // service.
-func edgesServingOf(t *testing.T, seed uint64, edges int, svc string) *hive {
+func edgesServingOf(t *testing.T, seed uint64, edges int, svc string) *cluster {
 	t.Helper()
-	h := newHive(t, seed, edges, 0)
+	h := newCluster(t, seed, edges, 0)
 	h.startAll()
 	for i, zone := range zones {
 		h.worker(fmt.Sprint(21+i), svc, zone)
 	}
-	h.until("founded", 8*time.Second, func() bool { return h.edge().Nest.Committed() != nil })
+	h.until("founded", 8*time.Second, func() bool { return h.edge().Register.Committed() != nil })
 	h.putOK(1, 0)
-	h.beats()
+	h.heartbeats()
 	h.until("all edges ready and know the workers", 10*time.Second, func() bool {
 		for _, m := range h.nodes {
-			if !m.f.Guard.Ready() || len(m.f.Flora.Look().ByID) < 3 {
+			if !m.f.Ingress.Ready() || len(m.f.Discovery.Look().ByID) < 3 {
 				return false
 			}
 		}
@@ -44,31 +44,31 @@
 
 // leave sends one word of a leaving worker to an edge and tells the answer and
 // how long it took.
-func (h *hive) leave(edge, worker, how string) (code int, took time.Duration) {
+func (h *cluster) leave(edge, worker, how string) (code int, took time.Duration) {
 	f := h.nodes[edge].f
 	from := time.Now()
 	if how == "gone" {
-		h.beatMu.Lock()
-		delete(h.beatOn, worker)
-		h.beatMu.Unlock()
+		h.heartbeatMu.Lock()
+		delete(h.heartbeatOn, worker)
+		h.heartbeatMu.Unlock()
 		code = h.control(f, "DELETE", "/-/workers/"+worker, nil).Code
 		return code, time.Since(from)
 	}
-	h.beatMu.Lock()
+	h.heartbeatMu.Lock()
 	h.seq++
-	h.beatOn[worker]["phase"] = "draining"
+	h.heartbeatOn[worker]["phase"] = "draining"
 	body := map[string]any{"seq": h.seq}
-	for k, v := range h.beatOn[worker] {
+	for k, v := range h.heartbeatOn[worker] {
 		body[k] = v
 	}
-	h.beatMu.Unlock()
+	h.heartbeatMu.Unlock()
 	code = h.control(f, "PUT", "/-/workers/"+worker, body).Code
 	return code, time.Since(from)
 }
 
-// cutOneWay cuts what an edge sends (out) or what it hears.
-func (h *hive) cutOneWay(edge string, out, cut bool) {
-	self := h.nodes[edge].opts.PartnerAddr()
+// cutOneAttempt cuts what an edge sends (out) or what it hears.
+func (h *cluster) cutOneAttempt(edge string, out, cut bool) {
+	self := h.nodes[edge].opts.PeerAddr()
 	for _, other := range h.addrs("") {
 		if other == self {
 			continue
@@ -85,11 +85,11 @@
 // leaves, whichever way it is cut, from the first moment to the last, and
 // answers within the second that a worker waits.
 func TestLeavingIsNotAcknowledgedOutOfContact(t *testing.T) {
-	cuts := map[string]func(h *hive, edge string, cut bool){
-		"from all":  func(h *hive, e string, cut bool) { h.m.CutOff(h.nodes[e].opts.PartnerAddr(), h.addrs(""), cut) },
-		"sends":     func(h *hive, e string, cut bool) { h.cutOneWay(e, true, cut) },
-		"hears":     func(h *hive, e string, cut bool) { h.cutOneWay(e, false, cut) },
-		"from core": func(h *hive, e string, cut bool) { h.cutFromCore(e, cut) },
+	cuts := map[string]func(h *cluster, edge string, cut bool){
+		"from all":  func(h *cluster, e string, cut bool) { h.m.CutOff(h.nodes[e].opts.PeerAddr(), h.addrs(""), cut) },
+		"sends":     func(h *cluster, e string, cut bool) { h.cutOneAttempt(e, true, cut) },
+		"hears":     func(h *cluster, e string, cut bool) { h.cutOneAttempt(e, false, cut) },
+		"from core": func(h *cluster, e string, cut bool) { h.cutFromCore(e, cut) },
 	}
 	for kind, cut := range cuts {
 		for _, edge := range []string{"edge-0", "edge-4"} { // a core member, and another
@@ -120,10 +120,10 @@
 }
 
 // A worker that beats at a node that hears nobody is sent on to another one.
-func TestBeatsOutOfContactAreDeclined(t *testing.T) {
-	for kind, cut := range map[string]func(h *hive, edge string, cut bool){
-		"from all": func(h *hive, e string, cut bool) { h.m.CutOff(h.nodes[e].opts.PartnerAddr(), h.addrs(""), cut) },
-		"hears":    func(h *hive, e string, cut bool) { h.cutOneWay(e, false, cut) },
+func TestHeartbeatsOutOfContactAreRefused(t *testing.T) {
+	for kind, cut := range map[string]func(h *cluster, edge string, cut bool){
+		"from all": func(h *cluster, e string, cut bool) { h.m.CutOff(h.nodes[e].opts.PeerAddr(), h.addrs(""), cut) },
+		"hears":    func(h *cluster, e string, cut bool) { h.cutOneAttempt(e, false, cut) },
 	} {
 		for _, edge := range []string{"edge-0", "edge-4"} {
 			t.Run(kind+" "+edge, func(t *testing.T) {
@@ -132,29 +132,29 @@
 					defer h.end()
 					h.shunned.Store(edge)
 					f := h.nodes[edge].f
-					beat := func() int {
-						h.beatMu.Lock()
+					heartbeat := func() int {
+						h.heartbeatMu.Lock()
 						h.seq++
 						body := map[string]any{"seq": h.seq}
-						for k, v := range h.beatOn["22"] {
+						for k, v := range h.heartbeatOn["22"] {
 							body[k] = v
 						}
-						h.beatMu.Unlock()
+						h.heartbeatMu.Unlock()
 						return h.control(f, "PUT", "/-/workers/22", body).Code
 					}
-					if code := beat(); code != 200 {
+					if code := heartbeat(); code != 200 {
 						t.Fatalf("before the cut: %d", code)
 					}
 					cut(h, edge, true)
 					time.Sleep(time.Second) // in which it is found out
 					for range 14 {
 						time.Sleep(1200 * time.Millisecond)
-						if code := beat(); code != 503 {
+						if code := heartbeat(); code != 503 {
 							t.Errorf("in the cut: %d", code)
 						}
 					}
 					cut(h, edge, false)
-					h.until("beats are taken again", 4*time.Second, func() bool { return beat() == 200 })
+					h.until("beats are taken again", 4*time.Second, func() bool { return heartbeat() == 200 })
 				})
 			})
 		}
@@ -162,9 +162,9 @@
 }
 
 // cutFromCore cuts an edge from the members of the core alone.
-func (h *hive) cutFromCore(edge string, cut bool) {
-	self := h.nodes[edge].opts.PartnerAddr()
-	for _, m := range h.edge().Nest.Committed().Core.Cur {
+func (h *cluster) cutFromCore(edge string, cut bool) {
+	self := h.nodes[edge].opts.PeerAddr()
+	for _, m := range h.edge().Register.Committed().Core.Cur {
 		if m.Addr != self {
 			h.m.Cut(self, m.Addr, cut)
 			h.m.Cut(m.Addr, self, cut)
@@ -204,9 +204,9 @@
 					}
 					h := edgesServingOf(t, seed, edges, svc)
 					defer h.end()
-					const teller = "edge-3"
-					self := h.nodes[teller].opts.PartnerAddr()
-					core := h.edge().Nest.Committed().Core.Cur
+					const source = "edge-3"
+					self := h.nodes[source].opts.PeerAddr()
+					core := h.edge().Register.Committed().Core.Cur
 					inCore := map[string]bool{}
 					for _, m := range core {
 						inCore[m.Addr] = true
@@ -226,15 +226,15 @@
 					h.m.Cut(self, far, true)
 					h.m.Cut(far, self, true)
 					time.Sleep(time.Duration(h.m.Luck(1000)) * time.Millisecond)
-					h.stopBeat() // no other node hears of it from the worker
-					h.stopBeat = nil
-					code, took := h.leave(teller, "21", how)
+					h.stopHeartbeat() // no other node hears of it from the worker
+					h.stopHeartbeat = nil
+					code, took := h.leave(source, "21", how)
 					if code != 200 || took >= time.Second {
 						t.Fatalf("%d after %v", code, took)
 					}
 					time.Sleep(drainBound)
 					for name, m := range h.nodes {
-						if m.f.Flora.Look().ByID["21"] != nil {
+						if m.f.Discovery.Look().ByID["21"] != nil {
 							t.Errorf("%s still sends to the worker %v after the acknowledgement", name, drainBound)
 						}
 					}
--- a/internal/node/disk_test.go
+++ b/internal/node/disk_test.go
@@ -14,7 +14,7 @@
 )
 
 // turnByte turns a byte near the front of a node's log, in what was synced.
-func (h *hive) turnByte(name, file string) {
+func (h *cluster) turnByte(name, file string) {
 	h.t.Helper()
 	path := filepath.Join(h.nodes[name].opts.DataDir, file)
 	raw, err := os.ReadFile(path)
@@ -32,25 +32,25 @@
 // gone (design 10.2).
 func TestDamagedMemberJoinsAnew(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		h := newHive(t, 4, 3, 3)
+		h := newCluster(t, 4, 3, 3)
 		defer h.end()
 		h.serving()
 		for ver := 5; ver < 30; ver += 5 {
 			h.putOK(ver, max(ver-5, 1))
 		}
-		old := h.nodes["edge-1"].node().Seat()
+		old := h.nodes["edge-1"].node().MemberID()
 		h.kill("edge-1")
 		time.Sleep(200 * time.Millisecond)
 		h.turnByte("edge-1", register.LogName)
 		h.start("edge-1")
-		if h.nodes["edge-1"].node().Seat() == old {
+		if h.nodes["edge-1"].node().MemberID() == old {
 			t.Fatal("the damaged member came back as the old one")
 		}
 		if _, err := os.Stat(filepath.Join(h.nodes["edge-1"].opts.DataDir, register.LogName+".damaged")); err != nil {
 			t.Error(err)
 		}
 		h.until("three members, settled, without the old one", 15*time.Second, func() bool {
-			core := &h.edge().Nest.Committed().Core
+			core := &h.edge().Register.Committed().Core
 			return h.inStep(core, 3) && !core.Has(old)
 		})
 		h.putOK(40, 25)
@@ -60,21 +60,21 @@
 // The same for a store: its lots come back from the others.
 func TestDamagedStoreJoinsAnew(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		h := newHive(t, 5, 3, 3)
+		h := newCluster(t, 5, 3, 3)
 		defer h.end()
 		h.serving()
 		h.mustHandIn("a", 20, 10)
 		owner := h.ownerOf()
-		old := h.nodes[owner].node().Seat()
+		old := h.nodes[owner].node().MemberID()
 		h.kill(owner)
 		time.Sleep(200 * time.Millisecond)
 		h.turnByte(owner, lotstore.LogName)
 		h.start(owner)
-		if h.nodes[owner].node().Seat() == old {
+		if h.nodes[owner].node().MemberID() == old {
 			t.Fatal("the damaged store came back as the old one")
 		}
 		h.until("three stores, settled, without the old one", 20*time.Second, func() bool {
-			stores := &h.edge().Nest.Committed().Stores
+			stores := &h.edge().Register.Committed().Stores
 			return h.inStep(stores, 3) && !stores.Has(old)
 		})
 		h.complete("a", 20, 20*time.Second)
@@ -88,7 +88,7 @@
 	for _, how := range []string{"killed", "cut off"} {
 		t.Run(how, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				h := newHive(t, 6, 4, 3)
+				h := newCluster(t, 6, 4, 3)
 				defer h.end()
 				h.serving()
 				h.putOK(5, 1)
@@ -102,7 +102,7 @@
 				members := h.nodes["edge-0"].f
 				for ver := 10; ver <= 30; ver += 5 {
 					h.until("a change is taken", 6*time.Second, func() bool {
-						return h.control(members, "PUT", "/-/config", blueprint(ver), "If-Match", strconv.Itoa(ver-5)).Code == 200
+						return h.control(members, "PUT", "/-/config", configuration(ver), "If-Match", strconv.Itoa(ver-5)).Code == 200
 					})
 				}
 				if how == "killed" {
@@ -110,9 +110,9 @@
 				} else {
 					cut(false)
 				}
-				member := h.nodes["edge-1"].f.Nest
-				seat := h.nodes["edge-1"].node().Seat()
-				if !slices.ContainsFunc(members.Nest.Committed().Core.All(), func(s register.Seat) bool { return s.ID == seat }) {
+				member := h.nodes["edge-1"].f.Register
+				seat := h.nodes["edge-1"].node().MemberID()
+				if !slices.ContainsFunc(members.Register.Committed().Core.All(), func(s register.Member) bool { return s.ID == seat }) {
 					t.Fatal("the member was dropped: the test tests nothing")
 				}
 				h.until("its own disk has the newest", 3*time.Second, func() bool {
@@ -126,7 +126,7 @@
 
 // tearLog leaves behind a node's log what a loss of power may leave of a write
 // that nobody was told of, and a half-written new file.
-func (h *hive) tearLog(name, file string) {
+func (h *cluster) tearLog(name, file string) {
 	h.t.Helper()
 	path := filepath.Join(h.nodes[name].opts.DataDir, file)
 	raw, err := os.ReadFile(path)
@@ -149,15 +149,15 @@
 func TestAllOffWithTornLogs(t *testing.T) {
 	for seed := uint64(1); seed <= 3; seed++ {
 		synctest.Test(t, func(t *testing.T) {
-			h := newHive(t, seed, 4, 3)
+			h := newCluster(t, seed, 4, 3)
 			defer h.end()
 			h.serving()
 			for ver := 5; ver <= 40; ver += 5 {
 				h.putOK(ver, max(ver-5, 1))
 			}
 			h.mustHandIn("a", 20, 10)
-			h.stopBeat()
-			h.stopBeat = nil
+			h.stopHeartbeat()
+			h.stopHeartbeat = nil
 			for _, n := range h.order {
 				h.kill(n)
 			}
@@ -173,20 +173,20 @@
 				}
 				h.tearLog(n, file)
 				if n == "edge-1" || n == "store-1" {
-					lost[n] = h.nodes[n].node().Seat()
+					lost[n] = h.nodes[n].node().MemberID()
 					h.turnByte(n, file)
 				}
 			}
 			h.startAll()
 			for n, old := range lost {
-				if h.nodes[n].node().Seat() == old {
+				if h.nodes[n].node().MemberID() == old {
 					t.Errorf("%s came back as the old member", n)
 				}
 			}
-			h.beats()
+			h.heartbeats()
 			h.until("every edge is ready with the newest blueprint", 15*time.Second, func() bool {
 				for _, m := range h.nodes {
-					if m.f != nil && (!m.f.Guard.Ready() || m.f.Blueprint().Ver != 40) {
+					if m.f != nil && (!m.f.Ingress.Ready() || m.f.Configuration().Ver != 40) {
 						return false
 					}
 				}
@@ -194,7 +194,7 @@
 			})
 			h.complete("a", 20, 20*time.Second)
 			h.until("settled members, without the old ones", 20*time.Second, func() bool {
-				st := h.edge().Nest.Committed()
+				st := h.edge().Register.Committed()
 				return !st.Core.Joint() && !st.Stores.Joint() && !st.Core.Has(lost["edge-1"]) && !st.Stores.Has(lost["store-1"]) &&
 					h.inStep(&st.Core, len(st.Core.Cur)) && h.inStep(&st.Stores, 3)
 			})
--- a/internal/node/faults_test.go
+++ b/internal/node/faults_test.go
@@ -21,21 +21,21 @@
 // The faults that the deployments list, caused in the meadow; after each, what
 // was acknowledged is there and nothing is there twice (design 12.3).
 
-func (h *hive) addrs(role string) []string {
+func (h *cluster) addrs(role string) []string {
 	var out []string
 	for _, m := range h.nodes {
 		if role == "" || m.role == role {
-			out = append(out, m.opts.PartnerAddr())
+			out = append(out, m.opts.PeerAddr())
 		}
 	}
 	return out
 }
 
 // ownerOf is the store that owns the shard of the tests' host.
-func (h *hive) ownerOf() string {
+func (h *cluster) ownerOf() string {
 	h.t.Helper()
 	for name, m := range h.nodes {
-		if m.c != nil && m.ctx.Err() == nil && m.c.Brood.Owns("shop.example") {
+		if m.c != nil && m.ctx.Err() == nil && m.c.LotStore.Owns("shop.example") {
 			return name
 		}
 	}
@@ -45,23 +45,23 @@
 
 // freeze stops a store's floor for a while: what is asked of it meanwhile waits
 // and is answered by what it knew, or no longer, when it wakes.
-func (h *hive) freeze(name string, d time.Duration) {
+func (h *cluster) freeze(name string, d time.Duration) {
 	h.t.Helper()
 	m := h.nodes[name]
-	if _, err := eventloop.Ask(m.ctx, m.c.Floor, func() bool { time.Sleep(d); return true }); err != nil {
+	if _, err := eventloop.Ask(m.ctx, m.c.Loop, func() bool { time.Sleep(d); return true }); err != nil {
 		h.t.Errorf("freeze %s: %v", name, err)
 	}
 }
 
 // inStep tells whether a roster is settled and each seat is held by a machine
 // that runs with that very disk.
-func (h *hive) inStep(r *register.Roster, seats int) bool {
-	if r.Joint() || len(r.Cur) != seats {
+func (h *cluster) inStep(r *register.Membership, members int) bool {
+	if r.Joint() || len(r.Cur) != members {
 		return false
 	}
 	for _, s := range r.Cur {
 		m := h.nodes[s.Name]
-		if m == nil || m.ctx.Err() != nil || m.node().Seat() != s.ID {
+		if m == nil || m.ctx.Err() != nil || m.node().MemberID() != s.ID {
 			return false
 		}
 	}
@@ -78,18 +78,18 @@
 func TestStoreFaults(t *testing.T) {
 	for _, tc := range []struct {
 		name  string
-		cause func(h *hive, owner string)
-		after func(h *hive, owner string)
+		cause func(h *cluster, owner string)
+		after func(h *cluster, owner string)
 	}{
-		{"the owner is killed and comes back", func(h *hive, o string) { h.kill(o) }, func(h *hive, o string) { h.start(o) }},
-		{"the owner loses its disk", func(h *hive, o string) { h.kill(o); h.wipe(o) }, func(h *hive, o string) { h.start(o) }},
-		{"the owner is cut off", func(h *hive, o string) {
-			h.m.CutOff(h.nodes[o].opts.PartnerAddr(), h.addrs("comb"), true)
-		}, func(h *hive, o string) { h.m.CutOff(h.nodes[o].opts.PartnerAddr(), h.addrs(""), false) }},
-		{"the owner is cut off from all", func(h *hive, o string) {
-			h.m.CutOff(h.nodes[o].opts.PartnerAddr(), h.addrs(""), true)
-		}, func(h *hive, o string) { h.m.CutOff(h.nodes[o].opts.PartnerAddr(), h.addrs(""), false) }},
-		{"the owner is gone and an empty store comes", func(h *hive, o string) { h.kill(o) }, func(h *hive, _ string) {
+		{"the owner is killed and comes back", func(h *cluster, o string) { h.kill(o) }, func(h *cluster, o string) { h.start(o) }},
+		{"the owner loses its disk", func(h *cluster, o string) { h.kill(o); h.wipe(o) }, func(h *cluster, o string) { h.start(o) }},
+		{"the owner is cut off", func(h *cluster, o string) {
+			h.m.CutOff(h.nodes[o].opts.PeerAddr(), h.addrs("comb"), true)
+		}, func(h *cluster, o string) { h.m.CutOff(h.nodes[o].opts.PeerAddr(), h.addrs(""), false) }},
+		{"the owner is cut off from all", func(h *cluster, o string) {
+			h.m.CutOff(h.nodes[o].opts.PeerAddr(), h.addrs(""), true)
+		}, func(h *cluster, o string) { h.m.CutOff(h.nodes[o].opts.PeerAddr(), h.addrs(""), false) }},
+		{"the owner is gone and an empty store comes", func(h *cluster, o string) { h.kill(o) }, func(h *cluster, _ string) {
 			h.add("store-9", "comb", 9, true, false)
 			h.start("store-9")
 		}},
@@ -97,7 +97,7 @@
 		t.Run(tc.name, func(t *testing.T) {
 			for seed := uint64(1); seed <= 4; seed++ {
 				synctest.Test(t, func(t *testing.T) {
-					h := newHive(t, seed, 3, 3)
+					h := newCluster(t, seed, 3, 3)
 					defer h.end()
 					h.m.Lose, h.m.Double = 0.01, 0.02
 					h.serving()
@@ -123,7 +123,7 @@
 					}
 					h.complete("b", 10, 20*time.Second)
 					h.until("the stores are settled", 12*time.Second, func() bool {
-						s := h.edge().Nest.Committed()
+						s := h.edge().Register.Committed()
 						return h.inStep(&s.Stores, 3)
 					})
 					// One more loss is borne, with its disk.
@@ -144,12 +144,12 @@
 // the dead one beside it would bear one loss less (incident inc-2884).
 func TestNewcomerTakesTheDeadOnesPlace(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		h := newHive(t, 16, 4, 3)
+		h := newCluster(t, 16, 4, 3)
 		defer h.end()
 		h.serving()
 		most := 0
 		watch := func() bool {
-			s := h.edge().Nest.Committed()
+			s := h.edge().Register.Committed()
 			most = max(most, len(s.Stores.Cur), len(s.Core.Cur))
 			return h.inStep(&s.Stores, 3) && h.inStep(&s.Core, 3)
 		}
@@ -171,7 +171,7 @@
 // and losing any other one right after loses nothing.
 func TestRetire(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		h := newHive(t, 11, 3, 3)
+		h := newCluster(t, 11, 3, 3)
 		defer h.end()
 		h.serving()
 		if w := h.control(h.edge(), "POST", "/-/retire/nobody", map[string]any{"over_s": 5}); w.Code != 404 {
@@ -184,7 +184,7 @@
 		h.add("store-3", "comb", 3, true, false)
 		h.start("store-3")
 		h.until("four stores", 10*time.Second, func() bool {
-			s := h.edge().Nest.Committed()
+			s := h.edge().Register.Committed()
 			return !s.Stores.Joint() && len(s.Stores.Cur) == 4
 		})
 		gone := h.ownerOf()
@@ -209,7 +209,7 @@
 // The quota holds across all nodes and a change of owner.
 func TestQuota(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		h := newHive(t, 12, 3, 3)
+		h := newCluster(t, 12, 3, 3)
 		defer h.end()
 		h.serving()
 		h.complete("warm-up", 1, 5*time.Second)
@@ -241,7 +241,7 @@
 // An ended lot stays quiet, at any owner; what is listed stays.
 func TestEndedLot(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		h := newHive(t, 13, 3, 3)
+		h := newCluster(t, 13, 3, 3)
 		defer h.end()
 		h.serving()
 		for _, w := range h.workers {
@@ -282,7 +282,7 @@
 // the last event.
 func TestItemsThatFail(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		h := newHive(t, 14, 3, 3)
+		h := newCluster(t, 14, 3, 3)
 		defer h.end()
 		h.serving()
 		for _, w := range h.workers {
@@ -322,13 +322,13 @@
 func TestAllOff(t *testing.T) {
 	for seed := uint64(1); seed <= 4; seed++ {
 		synctest.Test(t, func(t *testing.T) {
-			h := newHive(t, seed, 5, 3)
+			h := newCluster(t, seed, 5, 3)
 			defer h.end()
 			h.serving()
 			h.putOK(4, 1)
 			h.mustHandIn("a", 20, 10)
-			h.stopBeat()
-			h.stopBeat = nil
+			h.stopHeartbeat()
+			h.stopHeartbeat = nil
 			for _, n := range h.order {
 				h.kill(n)
 			}
@@ -343,10 +343,10 @@
 			for n := range h.nodes {
 				h.order = append(h.order, n)
 			}
-			h.beats()
+			h.heartbeats()
 			h.until("every edge is ready with the newest blueprint", 10*time.Second, func() bool {
 				for _, m := range h.nodes {
-					if m.f != nil && (!m.f.Guard.Ready() || m.f.Blueprint().Ver != 4) {
+					if m.f != nil && (!m.f.Ingress.Ready() || m.f.Configuration().Ver != 4) {
 						return false
 					}
 				}
@@ -362,18 +362,18 @@
 func TestCoreFaults(t *testing.T) {
 	for _, tc := range []struct {
 		name  string
-		cause func(h *hive)
-		after func(h *hive)
+		cause func(h *cluster)
+		after func(h *cluster)
 	}{
-		{"a core machine is killed", func(h *hive) { h.kill("edge-1") }, func(h *hive) { h.start("edge-1") }},
-		{"a core machine loses its disk", func(h *hive) { h.kill("edge-1"); h.wipe("edge-1") }, func(h *hive) { h.start("edge-1") }},
-		{"a core machine is cut off", func(h *hive) { h.m.CutOff("10.1.0.2:7000", h.addrs(""), true) }, func(h *hive) { h.m.CutOff("10.1.0.2:7000", h.addrs(""), false) }},
-		{"a core machine is cut one way", func(h *hive) {
+		{"a core machine is killed", func(h *cluster) { h.kill("edge-1") }, func(h *cluster) { h.start("edge-1") }},
+		{"a core machine loses its disk", func(h *cluster) { h.kill("edge-1"); h.wipe("edge-1") }, func(h *cluster) { h.start("edge-1") }},
+		{"a core machine is cut off", func(h *cluster) { h.m.CutOff("10.1.0.2:7000", h.addrs(""), true) }, func(h *cluster) { h.m.CutOff("10.1.0.2:7000", h.addrs(""), false) }},
+		{"a core machine is cut one way", func(h *cluster) {
 			for _, a := range h.addrs("") {
 				h.m.Cut("10.1.0.2:7000", a, true)
 			}
-		}, func(h *hive) { h.m.CutOff("10.1.0.2:7000", h.addrs(""), false) }},
-		{"a core machine is replaced by an empty one", func(h *hive) { h.kill("edge-1") }, func(h *hive) {
+		}, func(h *cluster) { h.m.CutOff("10.1.0.2:7000", h.addrs(""), false) }},
+		{"a core machine is replaced by an empty one", func(h *cluster) { h.kill("edge-1") }, func(h *cluster) {
 			h.add("edge-9", "forager", 9, true, false)
 			h.start("edge-9")
 		}},
@@ -381,7 +381,7 @@
 		t.Run(tc.name, func(t *testing.T) {
 			for seed := uint64(1); seed <= 3; seed++ {
 				synctest.Test(t, func(t *testing.T) {
-					h := newHive(t, seed, 4, 3)
+					h := newCluster(t, seed, 4, 3)
 					defer h.end()
 					h.serving()
 					h.putOK(5, 1)
@@ -391,7 +391,7 @@
 					codes := make(chan int, 2)
 					for i, n := range []string{"edge-0", "edge-2"} {
 						go func() {
-							codes <- h.control(h.nodes[n].f, "PUT", "/-/config", blueprint(12+i), "If-Match", "9").Code
+							codes <- h.control(h.nodes[n].f, "PUT", "/-/config", configuration(12+i), "If-Match", "9").Code
 						}()
 					}
 					a, b := <-codes, <-codes
@@ -400,9 +400,9 @@
 					}
 					tc.after(h)
 					h.until("three seats, settled", 15*time.Second, func() bool {
-						return h.inStep(&h.edge().Nest.Committed().Core, 3)
+						return h.inStep(&h.edge().Register.Committed().Core, 3)
 					})
-					ver := h.edge().Nest.Committed().Ver
+					ver := h.edge().Register.Committed().Ver
 					// Back in step, the next disk may be lost.
 					h.kill("edge-2")
 					h.wipe("edge-2")
@@ -421,13 +421,13 @@
 }
 
 // What an operator may get wrong has its stated answer and is never in force.
-func TestBlueprintAnswers(t *testing.T) {
+func TestConfigurationAnswers(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		h := newHive(t, 15, 3, 3)
+		h := newCluster(t, 15, 3, 3)
 		defer h.end()
 		h.serving()
 		bad := func(change func(map[string]any)) map[string]any {
-			b := blueprint(7)
+			b := configuration(7)
 			change(b)
 			return b
 		}
@@ -438,7 +438,7 @@
 			expect string
 			want   int
 		}{
-			{"the very same again", blueprint(1), "0", 200},
+			{"the very same again", configuration(1), "0", 200},
 			{"cut short", []byte(`{"ver":7,"routes":[`), "1", 400},
 			{"something behind it", []byte(`{"ver":7} x`), "1", 400},
 			{"unknown service", bad(func(b map[string]any) { route(b, 0)["svc"] = "none" }), "1", 400},
@@ -449,12 +449,12 @@
 			}), "1", 400},
 			{"no timeout", bad(func(b map[string]any) { route(b, 0)["limit_ms"] = 0 }), "1", 400},
 			{"old version", bad(func(b map[string]any) { b["ver"] = 1; route(b, 0)["limit_ms"] = 7 }), "1", 400},
-			{"no If-Match", blueprint(7), "", 400},
-			{"stale If-Match", blueprint(7), "3", 412},
+			{"no If-Match", configuration(7), "", 400},
+			{"stale If-Match", configuration(7), "3", 412},
 			{"too large", make([]byte, 5<<20), "1", 413},
-			{"right", blueprint(7), "1", 200},
-			{"sent again after it was taken", blueprint(7), "1", 200},
-			{"another one on the old version", blueprint(8), "1", 412},
+			{"right", configuration(7), "1", 200},
+			{"sent again after it was taken", configuration(7), "1", 200},
+			{"another one on the old version", configuration(8), "1", 412},
 		} {
 			w := h.control(h.edge(), "PUT", "/-/config", tc.doc, "If-Match", tc.expect)
 			if w.Code != tc.want {
@@ -463,7 +463,7 @@
 		}
 		for _, m := range h.nodes {
 			if m.f != nil {
-				h.until("version 7 is in force", 2*time.Second, func() bool { return m.f.Blueprint().Ver == 7 })
+				h.until("version 7 is in force", 2*time.Second, func() bool { return m.f.Configuration().Ver == 7 })
 			}
 		}
 	})
@@ -471,9 +471,9 @@
 
 // A change is followed through all nodes; a silent node and one that lacks it
 // are named (design 14).
-func TestTrail(t *testing.T) {
+func TestTrace(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		h := newHive(t, 17, 4, 3)
+		h := newCluster(t, 17, 4, 3)
 		defer h.end()
 		h.serving()
 		h.mustHandIn("a", 5, 10)
@@ -529,14 +529,14 @@
 func TestWipedAmidAChange(t *testing.T) {
 	for seed := uint64(1); seed <= 3; seed++ {
 		synctest.Test(t, func(t *testing.T) {
-			h := newHive(t, seed, 3, 4)
+			h := newCluster(t, seed, 3, 4)
 			defer h.end()
 			h.serving()
 			h.mustHandIn("a", 20, 10)
 			owner := h.ownerOf() // while the shards are claimed anew there may be none
 			h.add("store-9", "comb", 9, true, false)
 			h.start("store-9")
-			for end := time.Now().Add(5 * time.Second); !h.edge().Nest.Committed().Stores.Joint(); time.Sleep(time.Millisecond) {
+			for end := time.Now().Add(5 * time.Second); !h.edge().Register.Committed().Stores.Joint(); time.Sleep(time.Millisecond) {
 				if time.Now().After(end) {
 					t.Fatal("no change came about")
 				}
@@ -549,7 +549,7 @@
 			h.wipe(victim)
 			h.start(victim)
 			h.until("all five are in, settled", 12*time.Second, func() bool {
-				s := h.edge().Nest.Committed()
+				s := h.edge().Register.Committed()
 				return h.inStep(&s.Stores, 5)
 			})
 			h.complete("a", 20, 20*time.Second)
@@ -561,7 +561,7 @@
 // single attempt brings them all: each goes on where the one before it ended.
 func TestClaimOfManyLots(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		h := newHive(t, 21, 3, 3)
+		h := newCluster(t, 21, 3, 3)
 		defer h.end()
 		h.serving()
 		h.idle()
@@ -575,12 +575,12 @@
 		for i := range lots {
 			h.mustHandIn(fmt.Sprint("m", i), 1, 1)
 		}
-		h.m.CutOff(h.nodes[next].opts.PartnerAddr(), []string{h.nodes[owner].opts.PartnerAddr()}, true)
+		h.m.CutOff(h.nodes[next].opts.PeerAddr(), []string{h.nodes[owner].opts.PeerAddr()}, true)
 		h.kill(owner)
 		h.start(next)
 		h.m.Lose = 0.04
 		h.until("the shard has an owner again", 60*time.Second, func() bool {
-			return h.nodes[next].c.Brood.Owns("shop.example") || h.handIn("after", 1, 1).Code == 202
+			return h.nodes[next].c.LotStore.Owns("shop.example") || h.handIn("after", 1, 1).Code == 202
 		})
 		h.m.Lose = 0
 		h.resume()
@@ -595,7 +595,7 @@
 func TestSlowOwnerHandsOver(t *testing.T) {
 	for seed := uint64(1); seed <= 3; seed++ {
 		synctest.Test(t, func(t *testing.T) {
-			h := newHive(t, seed, 3, 5)
+			h := newCluster(t, seed, 3, 5)
 			defer h.end()
 			h.serving()
 			h.mustHandIn("before", 10, 10)
@@ -605,12 +605,12 @@
 			defer well()
 			go func() {
 				for laming.Err() == nil {
-					_, _ = eventloop.Ask(laming, store.Floor, func() bool { time.Sleep(300 * time.Millisecond); return true })
+					_, _ = eventloop.Ask(laming, store.Loop, func() bool { time.Sleep(300 * time.Millisecond); return true })
 				}
 			}()
 			h.until("another store owns the shard", 8*time.Second, func() bool {
 				for name, m := range h.nodes {
-					if name != slow && m.c != nil && m.c.Brood.Owns("shop.example") {
+					if name != slow && m.c != nil && m.c.LotStore.Owns("shop.example") {
 						return true
 					}
 				}
@@ -622,7 +622,7 @@
 			well()
 			time.Sleep(3 * time.Second)
 			for range 20 {
-				if store.Brood.Owns("shop.example") {
+				if store.LotStore.Owns("shop.example") {
 					t.Fatal("the shard came back at once")
 				}
 				time.Sleep(200 * time.Millisecond)
--- a/internal/node/freeze_test.go
+++ b/internal/node/freeze_test.go
@@ -9,7 +9,7 @@
 )
 
 // version reads the configuration's number at an edge, 0 without an answer.
-func (h *hive) version(f *Forager) int {
+func (h *cluster) version(f *EdgeNode) int {
 	var doc struct {
 		Ver int `json:"ver"`
 	}
@@ -43,9 +43,9 @@
 	}
 }
 
-func (h *hive) orderRace(round int, edge, how string) {
+func (h *cluster) orderRace(round int, edge, how string) {
 	h.t.Helper()
-	addr := h.nodes[edge].opts.PartnerAddr()
+	addr := h.nodes[edge].opts.PeerAddr()
 	hold := func(on bool) {
 		if how == "freeze" {
 			h.m.Freeze(addr, on)
@@ -57,9 +57,9 @@
 	base := h.version(calm)
 	type outcome struct{ code, ver int }
 	done := make(chan outcome, 3)
-	put := func(f *Forager, ver, delayMs int) {
+	put := func(f *EdgeNode, ver, delayMs int) {
 		time.Sleep(time.Duration(h.m.Luck(delayMs)) * time.Millisecond)
-		w := h.control(f, "PUT", "/-/config", blueprint(ver), "If-Match", fmt.Sprint(base))
+		w := h.control(f, "PUT", "/-/config", configuration(ver), "If-Match", fmt.Sprint(base))
 		done <- outcome{w.Code, ver}
 	}
 	go put(shaken, 10*round+1, 20)
@@ -112,17 +112,17 @@
 	synctest.Test(t, func(t *testing.T) {
 		h := edgesServing(t, 8, 5)
 		defer h.end()
-		core := h.edge().Nest.Committed().Core.Cur
+		core := h.edge().Register.Committed().Core.Cur
 		f := h.nodes["edge-4"].f
 		h.m.Stall(core[0].Addr, "nest.", true)
 		from := time.Now()
-		if w := h.control(f, "PUT", "/-/config", blueprint(2), "If-Match", "1"); w.Code != 200 || time.Since(from) > 100*time.Millisecond {
+		if w := h.control(f, "PUT", "/-/config", configuration(2), "If-Match", "1"); w.Code != 200 || time.Since(from) > 100*time.Millisecond {
 			t.Errorf("an order while one disk stalls: %d after %v", w.Code, time.Since(from))
 		}
 		h.m.Stall(core[1].Addr, "nest.", true)
 		for n := range 10 {
 			for _, c := range []controlCall{{method: "GET", path: "/-/config"},
-				{method: "PUT", path: "/-/config", body: blueprint(100 + n), heads: []string{"If-Match", "2"}}} {
+				{method: "PUT", path: "/-/config", body: configuration(100 + n), heads: []string{"If-Match", "2"}}} {
 				if w, took := h.run(f, c); w.Code < 500 || took >= time.Second {
 					t.Errorf("%s while two of three disks stall: %d after %v", c.method, w.Code, took)
 				}
--- a/internal/node/history_test.go
+++ b/internal/node/history_test.go
@@ -83,7 +83,7 @@
 }
 
 func lotHistory(t *testing.T, seed uint64) {
-	h := newHive(t, seed, 4, 3)
+	h := newCluster(t, seed, 4, 3)
 	defer h.end()
 	h.m.Lose, h.m.Double, h.m.DelayUs = 0.01, 0.02, 3000
 	h.serving()
@@ -130,7 +130,7 @@
 		})
 	}
 	luck := rand.New(rand.NewPCG(seed, 5))
-	seats := 3
+	members := 3
 	for fault := range 7 {
 		time.Sleep(time.Duration(200+luck.IntN(900)) * time.Millisecond)
 		name := h.ownerNow(luck)
@@ -147,7 +147,7 @@
 			time.Sleep(time.Duration(luck.IntN(2500)) * time.Millisecond)
 			h.start(name)
 		case 2:
-			addr := h.nodes[name].opts.PartnerAddr()
+			addr := h.nodes[name].opts.PeerAddr()
 			h.m.CutOff(addr, h.addrs(""), true)
 			time.Sleep(time.Duration(500+luck.IntN(3000)) * time.Millisecond)
 			h.m.CutOff(addr, h.addrs(""), false)
@@ -158,23 +158,23 @@
 			h.add(fresh, "comb", 20+fault, true, false)
 			h.start(fresh)
 		case 4:
-			if seats < 5 {
+			if members < 5 {
 				fresh := fmt.Sprint("store-", 20+fault)
 				h.add(fresh, "comb", 20+fault, true, false)
 				h.start(fresh)
-				seats++
+				members++
 			}
 		}
-		h.until(fmt.Sprintf("the stores are in step again after fault %d at %s, %d seats before", fault, name, seats), 40*time.Second, func() bool {
+		h.until(fmt.Sprintf("the stores are in step again after fault %d at %s, %d seats before", fault, name, members), 40*time.Second, func() bool {
 			running := 0
 			for _, m := range h.nodes {
 				if m.c != nil && m.ctx.Err() == nil {
 					running++
 				}
 			}
-			return h.inStep(&h.edge().Nest.Committed().Stores, running)
+			return h.inStep(&h.edge().Register.Committed().Stores, running)
 		})
-		seats = len(h.edge().Nest.Committed().Stores.Cur)
+		members = len(h.edge().Register.Committed().Stores.Cur)
 		time.Sleep(1500 * time.Millisecond) // copies follow the roster
 	}
 	close(stop)
@@ -193,11 +193,11 @@
 }
 
 // ownerNow is the store that owns the lots, or, at times, any that runs.
-func (h *hive) ownerNow(luck *rand.Rand) string {
+func (h *cluster) ownerNow(luck *rand.Rand) string {
 	var running []string
 	for _, n := range h.order {
 		if m := h.nodes[n]; m.c != nil && m.ctx.Err() == nil {
-			if m.c.Brood.Owns("shop.example") && luck.IntN(3) > 0 {
+			if m.c.LotStore.Owns("shop.example") && luck.IntN(3) > 0 {
 				return n
 			}
 			running = append(running, n)
--- a/internal/node/lease_test.go
+++ b/internal/node/lease_test.go
@@ -17,7 +17,7 @@
 // a new owner knows it all.
 
 type hand struct {
-	h    *hive
+	h    *cluster
 	name string
 }
 
@@ -27,13 +27,13 @@
 	var err error
 	d.h.until(kind+" is answered", 10*time.Second, func() bool {
 		for _, m := range d.h.nodes {
-			if m.c == nil || m.ctx.Err() != nil || !m.c.Brood.Owns("shop.example") {
+			if m.c == nil || m.ctx.Err() != nil || !m.c.LotStore.Owns("shop.example") {
 				continue
 			}
 			ctx, cancel := context.WithTimeout(context.Background(), 1500*time.Millisecond)
-			err = d.h.m.MeshOf("10.5.0.1:7000").Call(ctx, m.opts.PartnerAddr(), kind, in, out)
+			err = d.h.m.TransportOf("10.5.0.1:7000").Call(ctx, m.opts.PeerAddr(), kind, in, out)
 			cancel()
-			if err == nil || !fault.Is(err, fault.Unsure) && !fault.Is(err, fault.NotOwner) && !fault.Is(err, fault.Declined) && !fault.Is(err, fault.Unreached) {
+			if err == nil || !fault.Is(err, fault.Unsure) && !fault.Is(err, fault.NotOwner) && !fault.Is(err, fault.Refused) && !fault.Is(err, fault.Unreached) {
 				return true
 			}
 		}
@@ -78,7 +78,7 @@
 
 // idle makes the workers turn everything away, so that the hive's own
 // dispatchers leave the items alone.
-func (h *hive) idle() {
+func (h *cluster) idle() {
 	h.complete("warm-up", 1, 5*time.Second)
 	for _, w := range h.workers {
 		w.SetFull(true)
@@ -88,7 +88,7 @@
 }
 
 // resume undoes idle.
-func (h *hive) resume() {
+func (h *cluster) resume() {
 	h.resting.Store(false)
 	for _, w := range h.workers {
 		w.SetFull(false)
@@ -98,7 +98,7 @@
 func TestLeases(t *testing.T) {
 	for seed := uint64(1); seed <= 3; seed++ {
 		synctest.Test(t, func(t *testing.T) {
-			h := newHive(t, seed, 3, 3)
+			h := newCluster(t, seed, 3, 3)
 			defer h.end()
 			// Calls come twice, but none is lost: a caller would wait for it, and the
 			// leases would rightly end meanwhile.
@@ -201,7 +201,7 @@
 // no longer counts.
 func TestLeaseEnds(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		h := newHive(t, 4, 3, 3)
+		h := newCluster(t, 4, 3, 3)
 		defer h.end()
 		h.serving()
 		h.idle()
@@ -243,7 +243,7 @@
 // follow without a gap (design 8.4).
 func TestOffsetsAndDuplicates(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		h := newHive(t, 5, 3, 3)
+		h := newCluster(t, 5, 3, 3)
 		defer h.end()
 		h.serving()
 		h.idle()
@@ -251,7 +251,7 @@
 			h.mustHandIn(id, 4, 10)
 		}
 		first := func(id string) int64 {
-			c, err := h.nodes[h.ownerOf()].c.Brood.Trace(context.Background(), "shop.example", id)
+			c, err := h.nodes[h.ownerOf()].c.LotStore.Trace(context.Background(), "shop.example", id)
 			if err != nil || c == nil {
 				t.Fatalf("trace of %s: %v", id, err)
 			}
@@ -283,13 +283,13 @@
 	refused := 0
 	for seed := uint64(1); seed <= 10; seed++ {
 		synctest.Test(t, func(t *testing.T) {
-			h := newHive(t, seed, 3, 3)
+			h := newCluster(t, seed, 3, 3)
 			defer h.end()
 			h.serving()
 			h.idle()
 			h.mustHandIn("full", 10, 250) // of a backlog of 5000
 			old := h.ownerOf()
-			h.m.CutOff(h.nodes[old].opts.PartnerAddr(), h.addrs("comb"), true)
+			h.m.CutOff(h.nodes[old].opts.PeerAddr(), h.addrs("comb"), true)
 			codes := map[string]int{}
 			var mu sync.Mutex
 			var wg sync.WaitGroup
@@ -305,7 +305,7 @@
 			}
 			wg.Wait()
 			h.kill(old)
-			h.m.CutOff(h.nodes[old].opts.PartnerAddr(), h.addrs("comb"), false)
+			h.m.CutOff(h.nodes[old].opts.PeerAddr(), h.addrs("comb"), false)
 			h.until("a new owner", 8*time.Second, func() bool { _, code := h.read(h.edge(), "full", 0); return code == 200 })
 			h.start(old)
 			time.Sleep(3 * time.Second)
@@ -346,7 +346,7 @@
 func TestLeasesWhileTheOwnerIsFrozen(t *testing.T) {
 	for seed := uint64(1); seed <= 5; seed++ {
 		synctest.Test(t, func(t *testing.T) {
-			h := newHive(t, seed, 3, 3)
+			h := newCluster(t, seed, 3, 3)
 			defer h.end()
 			h.m.Double = 0.05
 			h.serving()
@@ -363,18 +363,18 @@
 			time.Sleep(100 * time.Millisecond)
 			next := func() string {
 				for name, m := range h.nodes {
-					if m.c != nil && name != old && m.c.Brood.Owns("shop.example") {
+					if m.c != nil && name != old && m.c.LotStore.Owns("shop.example") {
 						return name
 					}
 				}
 				return ""
 			}
 			h.until("another owner", 3900*time.Millisecond, func() bool { return next() != "" })
-			to := h.nodes[next()].opts.PartnerAddr()
+			to := h.nodes[next()].opts.PeerAddr()
 			ask := func(kind string, in, out any) error {
 				ctx, cancel := context.WithTimeout(context.Background(), 1500*time.Millisecond)
 				defer cancel()
-				return h.m.MeshOf("10.5.0.1:7000").Call(ctx, to, kind, in, out)
+				return h.m.TransportOf("10.5.0.1:7000").Call(ctx, to, kind, in, out)
 			}
 			out := &lotstore.TakeAnswer{}
 			if err := ask("brood.take", &lotstore.TakeCall{From: "edge-0", Held: named, WaitUs: 100_000, LeftUs: 1_000_000}, out); err != nil || len(out.Stop) != 0 {
@@ -387,7 +387,7 @@
 				t.Errorf("an ack at the next owner: %v", err)
 			}
 			<-woke
-			to = h.nodes[old].opts.PartnerAddr()
+			to = h.nodes[old].opts.PeerAddr()
 			if err := ask("brood.ack", &lotstore.AckCall{Shard: got[1].Shard, Lot: "a", Item: got[1].Item, Phase: lotstore.PhaseDone, Msg: []byte("y"), Lease: got[1].Lease}, nil); err == nil {
 				t.Error("the one that woke took an ack")
 			}
--- a/internal/node/losses_test.go
+++ b/internal/node/losses_test.go
@@ -15,7 +15,7 @@
 )
 
 // terminate is the SIGTERM of a machine and the end of its process.
-func (h *hive) terminate(name string) {
+func (h *cluster) terminate(name string) {
 	h.t.Helper()
 	m := h.nodes[name]
 	if m.f != nil {
@@ -26,8 +26,8 @@
 	h.kill(name)
 }
 
-func hasName(r *register.Roster, name string) bool {
-	return slices.ContainsFunc(r.All(), func(s register.Seat) bool { return s.Name == name })
+func hasName(r *register.Membership, name string) bool {
+	return slices.ContainsFunc(r.All(), func(s register.Member) bool { return s.Name == name })
 }
 
 // A machine that is replaced as planned no longer counts in any roster when its
@@ -35,7 +35,7 @@
 func TestPlannedReplacement(t *testing.T) {
 	for seed := uint64(1); seed <= 3; seed++ {
 		synctest.Test(t, func(t *testing.T) {
-			h := newHive(t, seed, 4, 3)
+			h := newCluster(t, seed, 4, 3)
 			defer h.end()
 			h.serving()
 			h.mustHandIn("a", 20, 10)
@@ -44,13 +44,13 @@
 			h.add("store-9", "comb", 9, true, false)
 			h.start("store-9")
 			h.until("both newcomers are in", 5*time.Second, func() bool {
-				s := h.edge().Nest.Committed()
+				s := h.edge().Register.Committed()
 				return h.inStep(&s.Core, 4) && h.inStep(&s.Stores, 4)
 			})
 			h.shunned.Store("edge-1")
 			h.terminate("edge-1")
 			h.terminate("store-1")
-			if s := h.nodes["edge-3"].f.Nest.Committed(); hasName(&s.Core, "edge-1") || hasName(&s.Stores, "store-1") {
+			if s := h.nodes["edge-3"].f.Register.Committed(); hasName(&s.Core, "edge-1") || hasName(&s.Stores, "store-1") {
 				t.Errorf("machines that ended still count: %+v %+v", s.Core, s.Stores)
 			}
 			// At once the next ones lose their disks for good.
@@ -59,7 +59,7 @@
 			h.kill("store-2")
 			h.wipe("store-2")
 			h.until("a change is taken", 6*time.Second, func() bool {
-				return h.control(h.nodes["edge-3"].f, "PUT", "/-/config", blueprint(5), "If-Match", "1").Code == 200
+				return h.control(h.nodes["edge-3"].f, "PUT", "/-/config", configuration(5), "If-Match", "1").Code == 200
 			})
 			h.until("a lot is taken", 6*time.Second, func() bool { return h.handIn("b", 5, 10).Code == 202 })
 			h.complete("a", 20, 20*time.Second)
@@ -73,19 +73,19 @@
 func TestNewcomerCutFromAMember(t *testing.T) {
 	for seed := uint64(1); seed <= 2; seed++ {
 		synctest.Test(t, func(t *testing.T) {
-			h := newHive(t, seed, 4, 3)
+			h := newCluster(t, seed, 4, 3)
 			defer h.end()
 			h.serving()
 			h.add("edge-9", "forager", 9, true, false)
 			h.add("store-9", "comb", 9, true, false)
 			for _, cut := range [][2]string{{"edge-9", "edge-1"}, {"store-9", "store-1"}} {
-				a, b := h.nodes[cut[0]].opts.PartnerAddr(), h.nodes[cut[1]].opts.PartnerAddr()
+				a, b := h.nodes[cut[0]].opts.PeerAddr(), h.nodes[cut[1]].opts.PeerAddr()
 				h.m.CutOff(a, []string{b}, true)
 			}
 			h.start("edge-9")
 			h.start("store-9")
 			h.until("both newcomers are in", 12*time.Second, func() bool {
-				s := h.edge().Nest.Committed()
+				s := h.edge().Register.Committed()
 				if !hasName(&s.Core, "edge-1") || !hasName(&s.Stores, "store-1") {
 					t.Fatalf("a member was displaced that only the newcomer cannot reach: %+v %+v", s.Core.Cur, s.Stores.Cur)
 				}
@@ -100,19 +100,19 @@
 func TestWipedStoreTakesItsOwnPlace(t *testing.T) {
 	for seed := uint64(1); seed <= 3; seed++ {
 		synctest.Test(t, func(t *testing.T) {
-			h := newHive(t, seed, 3, 5)
+			h := newCluster(t, seed, 3, 5)
 			defer h.end()
 			h.serving()
-			before := h.edge().Nest.Committed().Stores.Ver
+			before := h.edge().Register.Committed().Stores.Ver
 			h.kill("store-1")
 			h.wipe("store-1")
 			time.Sleep(time.Second)
 			h.start("store-1")
 			h.until("five stores again", 4*time.Second, func() bool {
-				s := h.edge().Nest.Committed()
+				s := h.edge().Register.Committed()
 				return h.inStep(&s.Stores, 5)
 			})
-			if now := h.edge().Nest.Committed().Stores.Ver; now != before+2 {
+			if now := h.edge().Register.Committed().Stores.Ver; now != before+2 {
 				t.Errorf("roster %d became %d: more than one change and its settling", before, now)
 			}
 		})
@@ -123,7 +123,7 @@
 // may hold a copy that the silent one lacks (design 8.6).
 func TestRetireWaitsForASilentReplica(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		h := newHive(t, 11, 3, 4)
+		h := newCluster(t, 11, 3, 4)
 		defer h.end()
 		h.serving()
 		owner := h.ownerOf()
@@ -134,7 +134,7 @@
 			}
 		}
 		retired, silent := others[0], others[1]
-		silentAddr := h.nodes[silent].opts.PartnerAddr()
+		silentAddr := h.nodes[silent].opts.PeerAddr()
 		h.m.CutOff(silentAddr, h.addrs(""), true)
 		time.Sleep(2 * time.Second) // all have noticed
 		h.mustHandIn("a", 20, 10)
@@ -162,7 +162,7 @@
 
 // losses runs sequences of losses against a hive while writers run.
 type losses struct {
-	h      *hive
+	h      *cluster
 	luck   *rand.Rand
 	entry  string // an edge without a disk: it is never struck
 	cores  []string
@@ -178,7 +178,7 @@
 // last repair, nothing acknowledged is gone and majorities form again in time
 // (design 4.4, 8.6).
 func TestLossesOnTopOfChanges(t *testing.T) {
-	for i, size := range []hiveSize{
+	for i, size := range []clusterSize{
 		{core: 3, edges: 1, stores: 3, ft: 1},
 		{core: 4, edges: 1, stores: 4, ft: 1},
 		{core: 5, edges: 1, stores: 5, ft: 2},
@@ -198,8 +198,8 @@
 	rounds   = 6
 )
 
-func lossHistory(t *testing.T, seed uint64, size hiveSize) {
-	h := newHiveOf(t, seed, size)
+func lossHistory(t *testing.T, seed uint64, size clusterSize) {
+	h := newClusterOf(t, seed, size)
 	defer h.end()
 	l := &losses{h: h, luck: rand.New(rand.NewPCG(seed, 77)), entry: fmt.Sprintf("edge-%d", size.core), next: 20, acked: 1}
 	for i := range size.core {
@@ -280,7 +280,7 @@
 // when that was.
 func (l *losses) strike(name, fresh string, kind int, pause time.Duration) time.Time {
 	h := l.h
-	addr := h.nodes[name].opts.PartnerAddr()
+	addr := h.nodes[name].opts.PeerAddr()
 	switch kind {
 	case 0: // power
 		h.kill(name)
@@ -342,7 +342,7 @@
 			return
 		default:
 		}
-		if w := l.h.control(f, "PUT", "/-/config", blueprint(ver), "If-Match", fmt.Sprint(expect)); w.Code == 200 {
+		if w := l.h.control(f, "PUT", "/-/config", configuration(ver), "If-Match", fmt.Sprint(expect)); w.Code == 200 {
 			l.mu.Lock()
 			l.acked = ver
 			l.mu.Unlock()
@@ -383,11 +383,11 @@
 // its turn at the roster's upkeep (design 8.6).
 func TestUpkeepWithTheFirstStoreCutOff(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		h := newHive(t, 5, 3, 4)
+		h := newCluster(t, 5, 3, 4)
 		defer h.end()
 		h.serving()
-		first := h.edge().Nest.Committed().Stores.Cur[0].Name
-		h.m.CutOff(h.nodes[first].opts.PartnerAddr(), h.addrs("forager"), true)
+		first := h.edge().Register.Committed().Stores.Cur[0].Name
+		h.m.CutOff(h.nodes[first].opts.PeerAddr(), h.addrs("forager"), true)
 		retired := "store-3"
 		if first == retired {
 			retired = "store-2"
--- a/internal/node/colony.go
+++ b/internal/node/node.go
@@ -35,11 +35,11 @@
 
 // Env is the world a node lives in: real sockets, or a simulated meadow.
 type Env struct {
-	Mesh   rpc.Mesh
-	Dial   forward.Dial
-	WallUs func() int64
-	Log    *logging.Log
-	Tally  *rpc.Tally // nil: partner calls are not counted
+	Transport rpc.Transport
+	Dial      forward.Dial
+	WallUs    func() int64
+	Log       *logging.Log
+	Counters  *rpc.Counters // nil: partner calls are not counted
 }
 
 // Node is one node's parts that every role has.
@@ -47,32 +47,32 @@
 	opts atomic.Pointer[settings.Options]
 	env  Env
 	role string
-	self gossip.Partner
+	self gossip.Peer
 	// diskDir is the folder of a forager that votes on the register.
 	diskDir string
 
-	Floor *eventloop.Floor
-	Desk  *rpc.Desk
-	Swarm *gossip.Swarm
-	Nest  *register.Nest
-	Trail *trace.Trail
-
-	blueprint atomic.Pointer[config.Blueprint]
-	applied   int64
-	appliedUs atomic.Int64          // time of day
-	applyMore func(*register.State) // what a role applies beside the blueprint
-	caughtUp  atomic.Bool
-	chosen    atomic.Pointer[chosen]
-	fatal     chan error
-	wg        conc.WaitGroup
+	Loop     *eventloop.Loop
+	Mux      *rpc.Mux
+	Gossip   *gossip.Gossip
+	Register *register.Register
+	Trace    *trace.Tracer
+
+	configuration atomic.Pointer[config.Configuration]
+	applied       int64
+	appliedUs     atomic.Int64          // time of day
+	applyMore     func(*register.State) // what a role applies beside the blueprint
+	caughtUp      atomic.Bool
+	chosen        atomic.Pointer[chosen]
+	fatal         chan error
+	wg            conc.WaitGroup
 }
 
 // New makes the partners, the register and the directory of nodes. Nothing
 // runs before Start.
 func New(ctx context.Context, env Env, opts *settings.Options, role string) (*Node, error) {
-	n := &Node{env: env, role: role, fatal: make(chan error, 4), Floor: eventloop.NewFloor(4096), Desk: rpc.NewDesk()}
+	n := &Node{env: env, role: role, fatal: make(chan error, 4), Loop: eventloop.NewLoop(4096), Mux: rpc.NewMux()}
 	n.opts.Store(opts)
-	n.self = gossip.Partner{Name: opts.Node, Addr: opts.PartnerAddr(), Ctl: opts.Listen.Ctl, Az: opts.Az, Role: role,
+	n.self = gossip.Peer{Name: opts.Node, Addr: opts.PeerAddr(), Ctl: opts.Listen.Ctl, Az: opts.Az, Role: role,
 		Cap: int64(opts.Caps.CPUFrac * max(opts.Caps.NCPU, 1) * 1000)}
 	empty := true // nothing on disk, or no disk
 	if opts.DataDir != "" && (role == "comb" || opts.Has("ctl")) {
@@ -101,34 +101,34 @@
 	seeds := opts.SeedAddrs()
 	// Nodes that hold seats listen closely to those of their kind: a shard
 	// waits for its owner, a newcomer must know whom it replaces.
-	var mates map[string]bool
-	matesVer := uint64(0)
+	var replicas map[string]bool
+	replicasVer := uint64(0)
 	near := func(v *gossip.View) []string {
 		if v.Self.Disk == "" {
 			return nil
 		}
 		if role == settings.RoleStore {
 			// A member listens to those it shares a shard with.
-			if st := n.Nest.Committed(); st != nil && st.Stores.Has(v.Self.Seat()) {
-				if matesVer != st.Stores.Ver {
-					mates, matesVer = lotstore.Mates(&st.Stores, v.Self.Seat(), opts.Ft.Nodes), st.Stores.Ver
+			if st := n.Register.Committed(); st != nil && st.Stores.Has(v.Self.MemberID()) {
+				if replicasVer != st.Stores.Ver {
+					replicas, replicasVer = lotstore.Replicas(&st.Stores, v.Self.MemberID(), opts.Ft.Nodes), st.Stores.Ver
 				}
-				return v.Names(func(s *gossip.Sighting) bool { return mates[s.Name] })
+				return v.Names(func(s *gossip.NodeState) bool { return replicas[s.Name] })
 			}
 		}
-		return v.Names(func(s *gossip.Sighting) bool { return s.Role == role && s.Disk != "" })
+		return v.Names(func(s *gossip.NodeState) bool { return s.Role == role && s.Disk != "" })
 	}
-	n.Swarm = gossip.New(ctx, n.Floor, n.Desk, env.Mesh, env.Log, n.self, seeds, near)
-	n.Nest, err = register.New(ctx, register.Config{Floor: n.Floor, Desk: n.Desk, Mesh: env.Mesh, Swarm: n.Swarm, Log: env.Log, Self: n.self,
+	n.Gossip = gossip.New(ctx, n.Loop, n.Mux, env.Transport, env.Log, n.self, seeds, near)
+	n.Register, err = register.New(ctx, register.Config{Loop: n.Loop, Mux: n.Mux, Transport: env.Transport, Gossip: n.Gossip, Log: env.Log, Self: n.self,
 		DiskDir: n.diskDir, Seeds: seeds, Boot: n.self.Boot, Spared: opts.Ft.Nodes, OnState: n.onState,
 		Proposer: n.self.Life()})
 	if err != nil {
 		return nil, err
 	}
-	n.Swarm.OnRev = n.Nest.Hear
-	n.Floor.Every(fewEveryUs, n.tellFew)
-	n.Trail = trace.New(n.Desk, env.Mesh, n.Swarm, n.self)
-	n.Trail.On(trace.Blueprint, n.tellBlueprint)
+	n.Gossip.OnRev = n.Register.Hear
+	n.Loop.Every(fewEveryUs, n.tellFew)
+	n.Trace = trace.New(n.Mux, env.Transport, n.Gossip, n.self)
+	n.Trace.On(trace.Configuration, n.tellConfiguration)
 	env.Log.Info("started", "role", role, "partner", n.self.Addr, "disk", n.self.Disk, "boot", n.self.Boot)
 	return n, nil
 }
@@ -139,30 +139,30 @@
 // tellFew warns where the rosters cannot bear the losses that the options ask
 // for. Only nodes that hold a seat speak.
 func (n *Node) tellFew() {
-	st := n.Nest.Committed()
+	st := n.Register.Committed()
 	need := 2*n.opts.Load().Ft.Nodes + 1
 	if st == nil || n.self.Disk == "" {
 		return
 	}
-	for what, r := range map[string]*register.Roster{"register": &st.Core, "lots": &st.Stores} {
-		if r.Has(n.self.Seat()) && len(r.Cur) < need {
+	for what, r := range map[string]*register.Membership{"register": &st.Core, "lots": &st.Stores} {
+		if r.Has(n.self.MemberID()) && len(r.Cur) < need {
 			n.env.Log.Warn("too_few_seats", "of", what, "seats", len(r.Cur), "need", need, "remedy", "add machines with a disk, or lower ft.nodes")
 		}
 	}
 }
 
 // Start runs the floor, once all that lives on it is there.
-func (n *Node) Start(ctx context.Context) { n.wg.Go(func() { n.Floor.Run(ctx) }) }
+func (n *Node) Start(ctx context.Context) { n.wg.Go(func() { n.Loop.Run(ctx) }) }
 
-// Seat is this node's name together with its disk.
-func (n *Node) Seat() string { return n.self.Seat() }
+// MemberID is this node's name together with its disk.
+func (n *Node) MemberID() string { return n.self.MemberID() }
 
-// Blueprint is the blueprint in force here, nil before the first.
-func (n *Node) Blueprint() *config.Blueprint { return n.blueprint.Load() }
+// Configuration is the blueprint in force here, nil before the first.
+func (n *Node) Configuration() *config.Configuration { return n.configuration.Load() }
 
 // core is the committed roster of the core, nil before this node knows one.
-func (n *Node) core() *register.Roster {
-	if s := n.Nest.Committed(); s != nil {
+func (n *Node) core() *register.Membership {
+	if s := n.Register.Committed(); s != nil {
 		return &s.Core
 	}
 	return nil
@@ -184,17 +184,17 @@
 	}
 	n.applied = s.Ver
 	n.appliedUs.Store(n.env.WallUs())
-	n.blueprint.Store(b)
-	n.env.Log.Info("blueprint_applied", "ver", s.Ver, "rev", s.Rev, "bindings", len(b.Bindings))
+	n.configuration.Store(b)
+	n.env.Log.Info("blueprint_applied", "ver", s.Ver, "rev", s.Rev, "bindings", len(b.Routes))
 }
 
 // inForce is the blueprint that traffic is served by: none until the register
 // was read at a majority in this life of the node (design 4.5).
-func (n *Node) inForce() *config.Blueprint {
+func (n *Node) inForce() *config.Configuration {
 	if !n.caughtUp.Load() {
 		return nil
 	}
-	return n.blueprint.Load()
+	return n.configuration.Load()
 }
 
 // Figures of catching up (design 4.5).
@@ -209,11 +209,11 @@
 func (n *Node) catchUp(ctx context.Context) {
 	for ctx.Err() == nil {
 		readCtx, cancel := context.WithTimeout(ctx, catchUpRead)
-		_, err := n.Nest.Read(readCtx)
+		_, err := n.Register.Read(readCtx)
 		cancel()
 		if err == nil {
-			_, err = eventloop.Ask(ctx, n.Floor, func() bool {
-				n.onState(n.Nest.Committed())
+			_, err = eventloop.Ask(ctx, n.Loop, func() bool {
+				n.onState(n.Register.Committed())
 				n.caughtUp.Store(true)
 				return true
 			})
@@ -225,98 +225,98 @@
 	}
 }
 
-// Comb is a node that keeps lots.
-type Comb struct {
+// StoreNode is a node that keeps lots.
+type StoreNode struct {
 	*Node
-	Brood *lotstore.Brood
+	LotStore *lotstore.Store
 }
 
-// NewComb makes a node of the role comb.
-func NewComb(ctx context.Context, env Env, opts *settings.Options) (*Comb, error) {
+// NewStoreNode makes a node of the role comb.
+func NewStoreNode(ctx context.Context, env Env, opts *settings.Options) (*StoreNode, error) {
 	n, err := New(ctx, env, opts, settings.RoleStore)
 	if err != nil {
 		return nil, err
 	}
-	b, err := lotstore.Open(ctx, lotstore.Config{Floor: n.Floor, Desk: n.Desk, Mesh: env.Mesh, Swarm: n.Swarm, Log: env.Log, Self: n.self,
-		Seat: n.self.Seat(), Dir: opts.DataDir, DiskBytes: opts.Caps.DiskMb << 20, State: n.Nest.Committed, Change: n.Nest.Change,
+	b, err := lotstore.Open(ctx, lotstore.Config{Loop: n.Loop, Mux: n.Mux, Transport: env.Transport, Gossip: n.Gossip, Log: env.Log, Self: n.self,
+		Member: n.self.MemberID(), Dir: opts.DataDir, DiskBytes: opts.Caps.DiskMb << 20, State: n.Register.Committed, Change: n.Register.Change,
 		Fatal: func(err error) { n.fatal <- err }, Options: lotstore.Defaults(), Spared: opts.Ft.Nodes,
-		Lost: n.Nest.Lost, SyncUs: int64(opts.Bounds.SyncS * 1e6)})
+		Lost: n.Register.Lost, SyncUs: int64(opts.Bounds.SyncS * 1e6)})
 	if err != nil {
 		return nil, err
 	}
-	c := &Comb{Node: n, Brood: b}
-	n.Trail.On(trace.Lot, c.tellLot)
+	c := &StoreNode{Node: n, LotStore: b}
+	n.Trace.On(trace.Lot, c.tellLot)
 	return c, nil
 }
 
-// Forager is a node that serves clients, workers and operators.
-type Forager struct {
+// EdgeNode is a node that serves clients, workers and operators.
+type EdgeNode struct {
 	*Node
-	Flora   *discovery.Flora
-	Scout   *balancer.Scout
-	Forage  *forward.Forage
-	Nurse   *dispatch.Nurse
-	Guard   *ingress.Guard
-	Control *ingress.Control
-	Moult   *upgrade.Moult
-	Nectar  *quota.Nectar
-	Gate    *quota.Gate
-	Buzz    *events.Buzz
+	Discovery  *discovery.Discovery
+	Balancer   *balancer.Balancer
+	Forwarder  *forward.Forwarder
+	Dispatcher *dispatch.Dispatcher
+	Ingress    *ingress.Ingress
+	Control    *ingress.Control
+	Upgrades   *upgrade.Manager
+	Quotas     *quota.Quotas
+	Gate       *quota.Gate
+	Emitter    *events.Emitter
 }
 
-// NewForager makes a node of the role forager.
-func NewForager(ctx context.Context, env Env, opts *settings.Options) (*Forager, error) {
+// NewEdgeNode makes a node of the role forager.
+func NewEdgeNode(ctx context.Context, env Env, opts *settings.Options) (*EdgeNode, error) {
 	n, err := New(ctx, env, opts, settings.RoleEdge)
 	if err != nil {
 		return nil, err
 	}
-	f := &Forager{Node: n, Scout: balancer.New(opts.Az), Buzz: events.New(opts.Sink, opts.Node, n.self.Life(), env.Log, nil)}
-	f.Flora, err = discovery.New(ctx, discovery.Config{Floor: n.Floor, Desk: n.Desk, Mesh: env.Mesh, Swarm: n.Swarm, Log: env.Log, Self: n.self,
-		HbUs: opts.HbMs * 1000, Services: n.services, Pressures: f.Scout.Pressures, Hear: f.Scout.Hear, Dir: n.diskDir, Core: n.core,
+	f := &EdgeNode{Node: n, Balancer: balancer.New(opts.Az), Emitter: events.New(opts.Sink, opts.Node, n.self.Life(), env.Log, nil)}
+	f.Discovery, err = discovery.New(ctx, discovery.Config{Loop: n.Loop, Mux: n.Mux, Transport: env.Transport, Gossip: n.Gossip, Log: env.Log, Self: n.self,
+		HbUs: opts.HbMs * 1000, Services: n.services, Loads: f.Balancer.Loads, Hear: f.Balancer.Hear, Dir: n.diskDir, Core: n.core,
 		OnNews: func(w discovery.Worker) {
-			f.Buzz.Emit(events.WorkerChanged, w.ID, map[string]any{"svc": w.Svc, "addr": w.Addr, "phase": w.Phase, "gone": w.Gone})
+			f.Emitter.Emit(events.WorkerChanged, w.ID, map[string]any{"svc": w.Svc, "addr": w.Addr, "phase": w.Phase, "gone": w.Gone})
 		}})
 	if err != nil {
 		return nil, err
 	}
-	sender := &forward.Sender{Dir: f.Flora.Look, Scout: f.Scout, Circuits: forward.NewCircuits(env.Dial), Blueprint: n.inForce,
-		Ways: forward.NewSlab[forward.Way](int(opts.Caps.NoFile / 3))}
+	sender := &forward.Sender{Dir: f.Discovery.Look, Balancer: f.Balancer, Conns: forward.NewConns(env.Dial), Configuration: n.inForce,
+		Attempts: forward.NewRecordTable[forward.Attempt](int(opts.Caps.NoFile / 3))}
 	limits := ingress.LimitsOf(opts)
-	f.Gate = &quota.Gate{Foragers: f.Scout.Foragers, Fleet: f.fleet}
-	f.Nectar = quota.New(ctx, quota.Config{Floor: n.Floor, Desk: n.Desk, Mesh: env.Mesh, Swarm: n.Swarm, Log: env.Log, Self: n.self,
-		State: n.Nest.Committed, Change: n.Nest.Change, Gate: f.Gate})
-	f.Forage = &forward.Forage{Sender: sender, Blueprint: n.inForce, Log: env.Log, BodyBytes: limits.BodyBytes, HbMs: opts.HbMs, Gate: f.Gate}
-	client := lotstore.NewClient(env.Mesh, n.Swarm, n.Nest.Committed, opts.Ft.Nodes)
-	lots := &lotstore.API{Client: client, Blueprint: n.inForce, WallUs: env.WallUs, Decline: forward.Decline, Log: env.Log,
+	f.Gate = &quota.Gate{Edges: f.Balancer.Edges, Fleet: f.fleet}
+	f.Quotas = quota.New(ctx, quota.Config{Loop: n.Loop, Mux: n.Mux, Transport: env.Transport, Gossip: n.Gossip, Log: env.Log, Self: n.self,
+		State: n.Register.Committed, Change: n.Register.Change, Gate: f.Gate})
+	f.Forwarder = &forward.Forwarder{Sender: sender, Configuration: n.inForce, Log: env.Log, BodyBytes: limits.BodyBytes, HbMs: opts.HbMs, Gate: f.Gate}
+	client := lotstore.NewClient(env.Transport, n.Gossip, n.Register.Committed, opts.Ft.Nodes)
+	lots := &lotstore.API{Client: client, Configuration: n.inForce, WallUs: env.WallUs, Refuse: forward.Refuse, Log: env.Log,
 		Admit: semaphore.NewWeighted(limits.BodyBytes), AdmitBytes: limits.BodyBytes}
-	f.Nurse = &dispatch.Nurse{Mesh: env.Mesh, Client: client, Sender: sender, Blueprint: n.inForce, Log: env.Log, Name: n.self.Name, MaxHeld: maxHeld, Gate: f.Gate,
+	f.Dispatcher = &dispatch.Dispatcher{Transport: env.Transport, Client: client, Sender: sender, Configuration: n.inForce, Log: env.Log, Name: n.self.Name, MaxHeld: maxHeld, Gate: f.Gate,
 		Dispatches: func() bool { return slices.Contains(n.dispatchers(), n.self.Name) }}
-	f.Nurse.Start(ctx, n.Desk)
-	f.Guard = &ingress.Guard{Forage: f.Forage, Lots: lots, Blueprint: n.inForce, Log: env.Log, Limits: limits,
-		Ready: func() bool { return n.caughtUp.Load() && n.blueprint.Load() != nil && f.Flora.Synced() }}
-	f.Moult = upgrade.New(ctx, upgrade.Config{Floor: n.Floor, Desk: n.Desk, Mesh: env.Mesh, Swarm: n.Swarm, Log: env.Log, Self: n.self,
-		State: n.Nest.Committed, Change: n.Nest.Change, Known: f.Flora.Known, Scout: f.Scout,
+	f.Dispatcher.Start(ctx, n.Mux)
+	f.Ingress = &ingress.Ingress{Forwarder: f.Forwarder, Lots: lots, Configuration: n.inForce, Log: env.Log, Limits: limits,
+		Ready: func() bool { return n.caughtUp.Load() && n.configuration.Load() != nil && f.Discovery.Synced() }}
+	f.Upgrades = upgrade.New(ctx, upgrade.Config{Loop: n.Loop, Mux: n.Mux, Transport: env.Transport, Gossip: n.Gossip, Log: env.Log, Self: n.self,
+		State: n.Register.Committed, Change: n.Register.Change, Known: f.Discovery.Known, Balancer: f.Balancer,
 		OnMove: func(u *upgrade.Upgrade) {
-			f.Buzz.Emit(events.UpgradeChanged, u.Svc, map[string]any{"act": "moved", "phase": u.Phase, "wave": u.Wave, "why": u.Why})
+			f.Emitter.Emit(events.UpgradeChanged, u.Svc, map[string]any{"act": "moved", "phase": u.Phase, "wave": u.Wave, "why": u.Why})
 		}})
 	n.applyMore = func(s *register.State) {
-		upgrade.Apply(s, f.Scout)
-		f.Nectar.Apply(s)
+		upgrade.Apply(s, f.Balancer)
+		f.Quotas.Apply(s)
 	}
-	f.Control = &ingress.Control{Nest: n.Nest, Flora: f.Flora, Moult: f.Moult, Nectar: f.Nectar, Trail: n.Trail, Log: env.Log, Buzz: f.Buzz, WallUs: env.WallUs}
-	n.Trail.On(trace.Blueprint, f.tellAcked)
-	n.Trail.On(trace.Worker, f.tellWorker)
-	n.Trail.On(trace.Lot, f.tellInHand)
-	n.Floor.Every(300_000, f.upkeep)
+	f.Control = &ingress.Control{Register: n.Register, Discovery: f.Discovery, Upgrades: f.Upgrades, Quotas: f.Quotas, Trace: n.Trace, Log: env.Log, Emitter: f.Emitter, WallUs: env.WallUs}
+	n.Trace.On(trace.Configuration, f.tellAcked)
+	n.Trace.On(trace.Worker, f.tellWorker)
+	n.Trace.On(trace.Lot, f.tellInHand)
+	n.Loop.Every(300_000, f.upkeep)
 	return f, nil
 }
 
 // Start runs the floor and the sweeps of requests.
-func (f *Forager) Start(ctx context.Context) {
+func (f *EdgeNode) Start(ctx context.Context) {
 	f.Node.Start(ctx)
 	f.wg.Go(func() { f.catchUp(ctx) })
-	if f.Buzz != nil {
-		f.wg.Go(func() { f.Buzz.Run(ctx) })
+	if f.Emitter != nil {
+		f.wg.Go(func() { f.Emitter.Run(ctx) })
 	}
 	f.wg.Go(func() {
 		sweep := time.NewTicker(forward.SweepUs * time.Microsecond)
@@ -324,7 +324,7 @@
 		for {
 			select {
 			case <-sweep.C:
-				f.Forage.Sweep()
+				f.Forwarder.Sweep()
 			case <-ctx.Done():
 				return
 			}
@@ -341,7 +341,7 @@
 // dispatchers are the foragers that run items now; worked out anew with each
 // view of the partners.
 func (n *Node) dispatchers() []string {
-	v := n.Swarm.Look()
+	v := n.Gossip.Look()
 	if c := n.chosen.Load(); c != nil && c.view == v {
 		return c.names
 	}
@@ -355,28 +355,28 @@
 	names []string
 }
 
-func (f *Forager) upkeep() {
-	f.Nurse.Tick()
-	foragers := 0
-	for _, p := range f.Swarm.Look().All {
+func (f *EdgeNode) upkeep() {
+	f.Dispatcher.Tick()
+	edges := 0
+	for _, p := range f.Gossip.Look().All {
 		if p.Alive && p.Role == f.role && !p.Leaving {
-			foragers++
+			edges++
 		}
 	}
-	f.Scout.SetForagers(foragers)
-	f.Scout.SetDispatchers(len(f.dispatchers()))
-	f.Scout.Keep(f.Flora.Look())
+	f.Balancer.SetEdges(edges)
+	f.Balancer.SetDispatchers(len(f.dispatchers()))
+	f.Balancer.Keep(f.Discovery.Look())
 }
 
 // fleet is what a service's workers have together: slots as they tell them, cache
 // memory as the blueprint does.
-func (f *Forager) fleet(svc string) quota.Amount {
+func (f *EdgeNode) fleet(svc string) quota.Amount {
 	var kvToks int64
-	if b := f.blueprint.Load(); b != nil && b.Services[svc] != nil && b.Services[svc].Engine != nil {
+	if b := f.configuration.Load(); b != nil && b.Services[svc] != nil && b.Services[svc].Engine != nil {
 		kvToks = b.Services[svc].Engine.KvToks
 	}
 	var out quota.Amount
-	for _, w := range f.Flora.Look().BySvc[svc] {
+	for _, w := range f.Discovery.Look().BySvc[svc] {
 		out.Slots += float64(max(w.Slots, 1))
 		out.Kv += float64(kvToks)
 	}
@@ -385,7 +385,7 @@
 
 // services lists the services of the blueprint in force.
 func (n *Node) services() []string {
-	b := n.blueprint.Load()
+	b := n.configuration.Load()
 	if b == nil {
 		return nil
 	}
@@ -400,7 +400,7 @@
 // leave tells the partners that this node goes, so that they take its duties.
 func (n *Node) leave(ctx context.Context) {
 	n.env.Log.Info("leaving")
-	_ = n.Floor.Do(ctx, func() { n.Swarm.Tell(func(p *gossip.Partner) { p.Leaving = true }) })
+	_ = n.Loop.Do(ctx, func() { n.Gossip.Tell(func(p *gossip.Peer) { p.Leaving = true }) })
 }
 
 // settleLeave is how long a leaving node's word takes to go round.
@@ -408,13 +408,13 @@
 
 // Drain leaves in order (design 11.3): unready at once, connections still
 // taken until the platform has noticed, then everything read gets its answer.
-func (f *Forager) Drain(ctx context.Context, shut func(context.Context)) {
-	f.Guard.Draining.Store(true)
+func (f *EdgeNode) Drain(ctx context.Context, shut func(context.Context)) {
+	f.Ingress.Draining.Store(true)
 	f.leave(ctx)
 	endCtx, cancel := context.WithTimeout(ctx, time.Duration(f.opts.Load().GraceUs()-900_000)*time.Microsecond)
 	defer cancel()
 	var wg conc.WaitGroup
-	wg.Go(func() { f.Nurse.Close(endCtx) })
+	wg.Go(func() { f.Dispatcher.Close(endCtx) })
 	eventloop.Pause(endCtx, 2500*time.Millisecond)
 	wg.Go(func() { shut(endCtx) })
 	wg.Wait()
--- a/internal/node/colony_test.go
+++ b/internal/node/node_test.go
@@ -22,20 +22,20 @@
 	"rowanshunt/internal/simnet"
 )
 
-// hive is a whole system in a meadow: the in-memory test of design 12.2.
-type hive struct {
-	t        *testing.T
-	m        *simnet.Meadow
-	seed     uint64
-	ft       int
-	dir      string
-	nodes    map[string]*member
-	order    []string
-	workers  map[string]*simnet.Worker
-	beatOn   map[string]map[string]any
-	beatMu   sync.Mutex
-	stopBeat func()
-	seq      int
+// cluster is a whole system in a meadow: the in-memory test of design 12.2.
+type cluster struct {
+	t             *testing.T
+	m             *simnet.Network
+	seed          uint64
+	ft            int
+	dir           string
+	nodes         map[string]*member
+	order         []string
+	workers       map[string]*simnet.Worker
+	heartbeatOn   map[string]map[string]any
+	heartbeatMu   sync.Mutex
+	stopHeartbeat func()
+	seq           int
 	// mu guards nodes, order and what start sets of a member, for beats and
 	// clients look for an edge beside the test's own goroutine.
 	mu      sync.Mutex
@@ -48,27 +48,27 @@
 	role   string
 	ctx    context.Context
 	cancel func()
-	f      *Forager
-	c      *Comb
+	f      *EdgeNode
+	c      *StoreNode
 	skewUs atomic.Int64 // of its time of day
 }
 
 var zones = []string{"ash", "birch", "cedar"}
 
-// hiveSize is how many machines a hive starts with, and how many it may lose.
-type hiveSize struct {
+// clusterSize is how many machines a hive starts with, and how many it may lose.
+type clusterSize struct {
 	core, edges, stores int // edges: those without a disk
 	ft                  int
 }
 
-func newHive(t *testing.T, seed uint64, edges, stores int) *hive {
+func newCluster(t *testing.T, seed uint64, edges, stores int) *cluster {
 	t.Helper()
-	return newHiveOf(t, seed, hiveSize{core: min(edges, 3), edges: max(edges-3, 0), stores: stores, ft: 1})
+	return newClusterOf(t, seed, clusterSize{core: min(edges, 3), edges: max(edges-3, 0), stores: stores, ft: 1})
 }
 
-func newHiveOf(t *testing.T, seed uint64, size hiveSize) *hive {
+func newClusterOf(t *testing.T, seed uint64, size clusterSize) *cluster {
 	t.Helper()
-	h := &hive{t: t, ft: size.ft, m: simnet.New(seed), seed: seed, dir: t.TempDir(), nodes: map[string]*member{}, workers: map[string]*simnet.Worker{}, beatOn: map[string]map[string]any{}}
+	h := &cluster{t: t, ft: size.ft, m: simnet.New(seed), seed: seed, dir: t.TempDir(), nodes: map[string]*member{}, workers: map[string]*simnet.Worker{}, heartbeatOn: map[string]map[string]any{}}
 	t.Cleanup(func() {
 		if t.Failed() {
 			t.Logf("seed %d", seed)
@@ -83,7 +83,7 @@
 	return h
 }
 
-func (h *hive) add(name, role string, i int, disk, boot bool) *member {
+func (h *cluster) add(name, role string, i int, disk, boot bool) *member {
 	net := 1
 	if role == "comb" {
 		net = 2
@@ -109,26 +109,26 @@
 
 func wall() int64 { return time.Now().UnixMicro() }
 
-func (h *hive) start(name string) {
+func (h *cluster) start(name string) {
 	m := h.nodes[name]
 	ctx, cancel := context.WithCancel(context.Background())
-	env := Env{Mesh: h.m.MeshOf(m.opts.PartnerAddr()), Dial: h.m.DialFrom(m.opts.PartnerAddr()), WallUs: func() int64 { return wall() + m.skewUs.Load() }, Log: testLog(h.t, name)}
-	var f *Forager
-	var c *Comb
+	env := Env{Transport: h.m.TransportOf(m.opts.PeerAddr()), Dial: h.m.DialFrom(m.opts.PeerAddr()), WallUs: func() int64 { return wall() + m.skewUs.Load() }, Log: testLog(h.t, name)}
+	var f *EdgeNode
+	var c *StoreNode
 	var err error
 	if m.role == "forager" {
-		f, err = NewForager(ctx, env, m.opts)
+		f, err = NewEdgeNode(ctx, env, m.opts)
 		if err == nil {
-			strong := f.Nurse.Dispatches
-			f.Nurse.Dispatches = func() bool { return !h.resting.Load() && strong() }
+			strong := f.Dispatcher.Dispatches
+			f.Dispatcher.Dispatches = func() bool { return !h.resting.Load() && strong() }
 			f.Start(ctx)
-			h.m.Place(ctx, m.opts.PartnerAddr(), f.Desk)
+			h.m.Place(ctx, m.opts.PeerAddr(), f.Mux)
 		}
 	} else {
-		c, err = NewComb(ctx, env, m.opts)
+		c, err = NewStoreNode(ctx, env, m.opts)
 		if err == nil {
 			c.Start(ctx)
-			h.m.Place(ctx, m.opts.PartnerAddr(), c.Desk)
+			h.m.Place(ctx, m.opts.PeerAddr(), c.Mux)
 		}
 	}
 	if err != nil {
@@ -140,23 +140,23 @@
 	m.ctx, m.cancel, m.f, m.c = ctx, cancel, f, c
 }
 
-func (h *hive) startAll() {
+func (h *cluster) startAll() {
 	for _, n := range h.order {
 		h.start(n)
 	}
 }
 
-func (h *hive) kill(name string) { h.nodes[name].cancel() }
+func (h *cluster) kill(name string) { h.nodes[name].cancel() }
 
-func (h *hive) wipe(name string) {
+func (h *cluster) wipe(name string) {
 	m := h.nodes[name]
 	m.opts.DataDir = filepath.Join(h.dir, fmt.Sprintf("%s-%d", name, h.m.Luck(1<<30)))
 }
 
 // end stops everything, so that the bubble can be left.
-func (h *hive) end() {
-	if h.stopBeat != nil {
-		h.stopBeat()
+func (h *cluster) end() {
+	if h.stopHeartbeat != nil {
+		h.stopHeartbeat()
 	}
 	for _, w := range h.workers {
 		w.Close()
@@ -166,7 +166,7 @@
 			m.cancel()
 		}
 		if m.f != nil {
-			m.f.Forage.Sender.Circuits.CloseAll()
+			m.f.Forwarder.Sender.Conns.CloseAll()
 		}
 	}
 	time.Sleep(20 * time.Second) // fake: calls under way run out
@@ -174,7 +174,7 @@
 }
 
 // edge is a living forager.
-func (h *hive) edge() *Forager {
+func (h *cluster) edge() *EdgeNode {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	for _, n := range h.order {
@@ -186,7 +186,7 @@
 	return nil
 }
 
-func (h *hive) control(f *Forager, method, path string, body any, heads ...string) *httptest.ResponseRecorder {
+func (h *cluster) control(f *EdgeNode, method, path string, body any, heads ...string) *httptest.ResponseRecorder {
 	raw, ok := body.([]byte)
 	if !ok && body != nil {
 		raw, _ = json.Marshal(body)
@@ -200,11 +200,11 @@
 	return w
 }
 
-func (h *hive) client(f *Forager, method, target string, body []byte, heads ...string) *httptest.ResponseRecorder {
+func (h *cluster) client(f *EdgeNode, method, target string, body []byte, heads ...string) *httptest.ResponseRecorder {
 	return h.clientAt(f, "shop.example", method, target, body, heads...)
 }
 
-func (h *hive) clientAt(f *Forager, host, method, target string, body []byte, heads ...string) *httptest.ResponseRecorder {
+func (h *cluster) clientAt(f *EdgeNode, host, method, target string, body []byte, heads ...string) *httptest.ResponseRecorder {
 	r := httptest.NewRequest(method, "http://"+host+target, bytes.NewReader(body))
 	r.RequestURI = target
 	for i := 0; i+1 < len(heads); i += 2 {
@@ -220,12 +220,12 @@
 				w.Code = -1 // closed without an answer, or amid one
 			}
 		}()
-		f.Guard.Clients().ServeHTTP(w, r)
+		f.Ingress.Clients().ServeHTTP(w, r)
 	}()
 	return w
 }
 
-func blueprint(ver int) map[string]any {
+func configuration(ver int) map[string]any {
 	return map[string]any{"ver": ver,
 		"routes": []map[string]any{
 			{"name": "chat", "host": "shop.example", "pfx": "/chat/", "type": "stream", "limit_ms": 5000, "goal_ms": 200, "svc": "llm", "tries": 3, "pin": true, "resume": true},
@@ -238,12 +238,12 @@
 		"caps": map[string]any{"hdr_bytes": 16384, "payload_bytes": 1 << 20, "hdr_ms": 3000, "idle_ms": 15000}}
 }
 
-func (h *hive) put(ver, expect int) *httptest.ResponseRecorder {
-	return h.control(h.edge(), "PUT", "/-/config", blueprint(ver), "If-Match", fmt.Sprint(expect))
+func (h *cluster) put(ver, expect int) *httptest.ResponseRecorder {
+	return h.control(h.edge(), "PUT", "/-/config", configuration(ver), "If-Match", fmt.Sprint(expect))
 }
 
 // until waits, in fake time, for something to come about.
-func (h *hive) until(what string, limit time.Duration, ok func() bool) {
+func (h *cluster) until(what string, limit time.Duration, ok func() bool) {
 	h.t.Helper()
 	for end := time.Now().Add(limit); !ok(); time.Sleep(50 * time.Millisecond) {
 		if time.Now().After(end) {
@@ -252,28 +252,28 @@
 	}
 }
 
-func (h *hive) putOK(ver, expect int) {
+func (h *cluster) putOK(ver, expect int) {
 	h.t.Helper()
 	h.until(fmt.Sprintf("blueprint %d taken", ver), 10*time.Second, func() bool { return h.put(ver, expect).Code == 200 })
 }
 
-func (h *hive) worker(id, svc, az string) *simnet.Worker {
+func (h *cluster) worker(id, svc, az string) *simnet.Worker {
 	addr := "10.9.0." + id + ":80"
 	w := simnet.NewWorker(h.m, id, addr)
 	h.workers[id] = w
-	h.beatOn[id] = map[string]any{"svc": svc, "addr": addr, "az": az, "ver": "v1", "slots": w.Slots, "phase": "up"}
+	h.heartbeatOn[id] = map[string]any{"svc": svc, "addr": addr, "az": az, "ver": "v1", "slots": w.Slots, "phase": "up"}
 	return w
 }
 
-// beats keeps all workers beating, each at changing nodes.
-func (h *hive) beats() {
+// heartbeats keeps all workers beating, each at changing nodes.
+func (h *cluster) heartbeats() {
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
-	h.stopBeat = func() { cancel(); <-done }
+	h.stopHeartbeat = func() { cancel(); <-done }
 	go func() {
 		defer close(done)
 		for ctx.Err() == nil {
-			h.beatAll()
+			h.heartbeatAll()
 			t := time.NewTimer(1200 * time.Millisecond)
 			select {
 			case <-t.C:
@@ -284,36 +284,36 @@
 	}()
 }
 
-func (h *hive) beatAll() {
-	h.beatMu.Lock()
+func (h *cluster) heartbeatAll() {
+	h.heartbeatMu.Lock()
 	h.seq++
 	bodies := map[string]map[string]any{}
-	for id, b := range h.beatOn {
+	for id, b := range h.heartbeatOn {
 		body := map[string]any{"seq": h.seq}
 		for k, v := range b {
 			body[k] = v
 		}
 		bodies[id] = body
 	}
-	h.beatMu.Unlock()
+	h.heartbeatMu.Unlock()
 	for id, body := range bodies {
 		h.control(h.edge(), "PUT", "/-/workers/"+id, body)
 	}
 }
 
 // serving brings a hive up to the point where all edges are ready.
-func (h *hive) serving() {
+func (h *cluster) serving() {
 	h.t.Helper()
 	h.startAll()
 	h.worker("21", "llm", "ash")
 	h.worker("22", "llm", "birch")
 	h.worker("23", "app", "cedar")
-	h.until("founded", 8*time.Second, func() bool { return h.edge().Nest.Committed() != nil })
+	h.until("founded", 8*time.Second, func() bool { return h.edge().Register.Committed() != nil })
 	h.putOK(1, 0)
-	h.beats()
+	h.heartbeats()
 	h.until("all edges ready and know the workers", 8*time.Second, func() bool {
 		for _, m := range h.nodes {
-			if m.f != nil && m.ctx.Err() == nil && (!m.f.Guard.Ready() || len(m.f.Flora.Look().ByID) < 3) {
+			if m.f != nil && m.ctx.Err() == nil && (!m.f.Ingress.Ready() || len(m.f.Discovery.Look().ByID) < 3) {
 				return false
 			}
 		}
@@ -336,12 +336,12 @@
 
 func itemID(lot string, i int) string { return fmt.Sprintf("%s-%d", lot, i) }
 
-func (h *hive) handIn(id string, items, toks int) *httptest.ResponseRecorder {
+func (h *cluster) handIn(id string, items, toks int) *httptest.ResponseRecorder {
 	return h.client(h.edge(), "POST", "/lots/"+id, lotBody(id, items, toks), "X-Rowanshunt-Request-Id", id)
 }
 
 // mustHandIn ends the test unless the lot is taken.
-func (h *hive) mustHandIn(id string, items, toks int) {
+func (h *cluster) mustHandIn(id string, items, toks int) {
 	h.t.Helper()
 	if w := h.handIn(id, items, toks); w.Code != 202 {
 		h.t.Fatalf("lot %s: %d %s", id, w.Code, w.Body)
@@ -358,7 +358,7 @@
 	} `json:"out"`
 }
 
-func (h *hive) read(f *Forager, id string, at int) (lotRead, int) {
+func (h *cluster) read(f *EdgeNode, id string, at int) (lotRead, int) {
 	w := h.client(f, "GET", fmt.Sprintf("/-/lots/%s?start_at=%d", id, at), nil)
 	var out lotRead
 	if w.Code == 200 {
@@ -371,7 +371,7 @@
 
 // complete waits for all of a lot and checks positions, texts and that every
 // item is there once.
-func (h *hive) complete(id string, items int, limit time.Duration) lotRead {
+func (h *cluster) complete(id string, items int, limit time.Duration) lotRead {
 	h.t.Helper()
 	var out lotRead
 	h.until("lot "+id+" complete", limit, func() bool {
@@ -408,7 +408,7 @@
 
 func TestWholePath(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		h := newHive(t, 1, 4, 3)
+		h := newCluster(t, 1, 4, 3)
 		defer h.end()
 		h.serving()
 		for name, m := range h.nodes {
@@ -452,7 +452,7 @@
 // one that may not be resumed is broken off towards the client.
 func TestStreamsAfterABreak(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		h := newHive(t, 2, 3, 3)
+		h := newCluster(t, 2, 3, 3)
 		defer h.end()
 		h.serving()
 		for _, w := range h.workers {
@@ -482,7 +482,7 @@
 // be resumed is left to its client's time (inc-ace8).
 func TestStreamsAfterASilence(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		h := newHive(t, 6, 3, 3)
+		h := newCluster(t, 6, 3, 3)
 		defer h.end()
 		h.serving()
 		f := h.edge()
@@ -522,7 +522,7 @@
 // what has not run.
 func TestUnsafeRunsAtMostOnce(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		h := newHive(t, 3, 3, 3)
+		h := newCluster(t, 3, 3, 3)
 		defer h.end()
 		h.serving()
 		app := h.workers["23"]
@@ -548,13 +548,13 @@
 // An acknowledged draining or gone is obeyed by every node.
 func TestDrainedWorkerGetsNothing(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		h := newHive(t, 4, 6, 3)
+		h := newCluster(t, 4, 6, 3)
 		defer h.end()
 		h.serving()
-		h.stopBeat()
-		h.stopBeat = nil
+		h.stopHeartbeat()
+		h.stopHeartbeat = nil
 		body := map[string]any{"seq": 1000}
-		for k, v := range h.beatOn["21"] {
+		for k, v := range h.heartbeatOn["21"] {
 			body[k] = v
 		}
 		body["phase"] = "draining"
@@ -571,7 +571,7 @@
 			if m.f == nil {
 				continue
 			}
-			if d := m.f.Flora.Look(); d.ByID["21"] != nil || d.ByID["22"] != nil {
+			if d := m.f.Discovery.Look(); d.ByID["21"] != nil || d.ByID["22"] != nil {
 				t.Errorf("%s still sends to a worker that left", name)
 			}
 		}
@@ -579,23 +579,23 @@
 }
 
 // A crashed worker's tenure ends.
-func TestSilentWorkerLosesItsTenure(t *testing.T) {
+func TestSilentWorkerLosesItsLease(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		h := newHive(t, 5, 3, 3)
+		h := newCluster(t, 5, 3, 3)
 		defer h.end()
 		h.serving()
-		h.stopBeat()
-		delete(h.beatOn, "21")
-		h.beats()
+		h.stopHeartbeat()
+		delete(h.heartbeatOn, "21")
+		h.heartbeats()
 		h.until("the silent worker is out everywhere", 8*time.Second, func() bool {
 			for _, m := range h.nodes {
-				if m.f != nil && m.f.Flora.Look().ByID["21"] != nil {
+				if m.f != nil && m.f.Discovery.Look().ByID["21"] != nil {
 					return false
 				}
 			}
 			return true
 		})
-		if h.edge().Flora.Look().ByID["22"] == nil {
+		if h.edge().Discovery.Look().ByID["22"] == nil {
 			t.Error("a beating worker lost its place")
 		}
 	})
