--- a/internal/node/quota_test.go
+++ b/internal/node/quota_test.go
@@ -17,10 +17,10 @@
 // Fair shares in whole systems (design 17, docs/quotas.md): a neighbour floods,
 // and what the others are guaranteed stays theirs.
 
-// quotaHive has two tenants' hosts at one service of two workers, sixteen slots
+// quotaCluster has two tenants' hosts at one service of two workers, sixteen slots
 // in all; a run of a stream or an item takes half a second.
-type quotaHive struct {
-	*hive
+type quotaCluster struct {
+	*cluster
 	flood   sync.WaitGroup
 	stop    chan struct{}
 	ended   atomic.Int64 // runs of the flood that ended well
@@ -32,15 +32,15 @@
 	dealers = "feeds.example"
 )
 
-func newQuotaHive(t *testing.T, seed uint64, edges int) *quotaHive {
-	q := &quotaHive{hive: newHive(t, seed, edges, 3), stop: make(chan struct{})}
+func newQuotaCluster(t *testing.T, seed uint64, edges int) *quotaCluster {
+	q := &quotaCluster{cluster: newCluster(t, seed, edges, 3), stop: make(chan struct{})}
 	q.startAll()
 	for id, az := range map[string]string{"21": "ash", "22": "birch"} {
 		q.worker(id, "llm", az).Gap = 100 * time.Millisecond
 	}
 	q.worker("23", "app", "cedar")
-	q.until("founded", 8*time.Second, func() bool { return q.edge().Nest.Committed() != nil })
-	b := blueprint(1)
+	q.until("founded", 8*time.Second, func() bool { return q.edge().Register.Committed() != nil })
+	b := configuration(1)
 	routes := b["routes"].([]map[string]any)
 	for _, r := range slices.Clone(routes) {
 		if r["svc"] == "llm" {
@@ -59,10 +59,10 @@
 	b["svcs"] = []map[string]any{{"name": "llm", "hc": "/healthz", "maxconn": 64, "engine": map[string]any{"slots": 8, "kv_toks": 1000, "stride": 1}},
 		{"name": "app", "hc": "/healthz", "maxconn": 64}}
 	q.until("blueprint taken", 10*time.Second, func() bool { return q.control(q.edge(), "PUT", "/-/config", b, "If-Match", "0").Code == 200 })
-	q.beats()
+	q.heartbeats()
 	q.until("ready", 8*time.Second, func() bool {
 		for _, m := range q.nodes {
-			if m.f != nil && (!m.f.Guard.Ready() || len(m.f.Flora.Look().ByID) < 3) {
+			if m.f != nil && (!m.f.Ingress.Ready() || len(m.f.Discovery.Look().ByID) < 3) {
 				return false
 			}
 		}
@@ -73,14 +73,14 @@
 	return q
 }
 
-func (q *quotaHive) leave() {
+func (q *quotaCluster) leave() {
 	close(q.stop)
 	q.flood.Wait()
 	q.end()
 }
 
 // edges lists the living foragers.
-func (q *quotaHive) edges() (out []*Forager) {
+func (q *quotaCluster) edges() (out []*EdgeNode) {
 	for _, name := range q.order {
 		if m := q.nodes[name]; m.f != nil && m.ctx.Err() == nil {
 			out = append(out, m.f)
@@ -89,18 +89,18 @@
 	return out
 }
 
-func (q *quotaHive) handInAs(host, id string, items int) *httptest.ResponseRecorder {
+func (q *quotaCluster) handInAs(host, id string, items int) *httptest.ResponseRecorder {
 	return q.clientAt(q.edge(), host, "POST", "/lots/"+id, lotBody(id, items, 20), "X-Rowanshunt-Request-Id", id)
 }
 
-func (q *quotaHive) set(doc string, expect int) *httptest.ResponseRecorder {
+func (q *quotaCluster) set(doc string, expect int) *httptest.ResponseRecorder {
 	return q.control(q.edge(), "PUT", "/-/quotas", []byte(doc), "If-Match", fmt.Sprint(expect))
 }
 
 const quotaDoc = `{"ver":%d,"tenants":{"books":{"hosts":["shop.example"]},"dealers":{"hosts":["feeds.example"]}},
 	"shares":{"llm":{"books":{"kv_percent":60,"slots_percent":60},"dealers":{"kv_percent":30,"slots_percent":30}}}}`
 
-func (q *quotaHive) mustSet(ver, expect int) {
+func (q *quotaCluster) mustSet(ver, expect int) {
 	q.t.Helper()
 	if w := q.set(fmt.Sprintf(quotaDoc, ver), expect); w.Code != 200 {
 		q.t.Fatalf("quotas: %d %s", w.Code, w.Body)
@@ -116,7 +116,7 @@
 	})
 }
 
-func (q *quotaHive) explain(tenant string) []quota.Row {
+func (q *quotaCluster) explain(tenant string) []quota.Row {
 	w := q.control(q.edge(), "GET", "/-/quotas/"+tenant, nil)
 	var rows []quota.Row
 	_ = json.Unmarshal(w.Body.Bytes(), &rows)
@@ -125,7 +125,7 @@
 
 // floods has so many clients of a host call all the time, through all nodes or
 // the first alone; one that is declined comes back when it is told to.
-func (q *quotaHive) floods(host string, clients, through int) {
+func (q *quotaCluster) floods(host string, clients, through int) {
 	for c := range clients {
 		q.flood.Go(func() {
 			for n := 0; ; n++ {
@@ -149,11 +149,11 @@
 
 // calls makes a call of books each 100 ms for a while, through changing nodes,
 // and gives the sorted times to an answer; a declined one comes back once.
-func (q *quotaHive) calls(times int, prefix string) (tookMs []int64, failed int) {
+func (q *quotaCluster) calls(times int, prefix string) (tookMs []int64, failed int) {
 	return q.callsEach(100*time.Millisecond, times, prefix)
 }
 
-func (q *quotaHive) callsEach(every time.Duration, times int, prefix string) (tookMs []int64, failed int) {
+func (q *quotaCluster) callsEach(every time.Duration, times int, prefix string) (tookMs []int64, failed int) {
 	var mu sync.Mutex
 	var wg sync.WaitGroup
 	for n := range times {
@@ -194,7 +194,7 @@
 // Without quotas the same flood is felt: what the tests below compare with.
 func TestFloodWithoutQuotas(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		q := newQuotaHive(t, 11, 6)
+		q := newQuotaCluster(t, 11, 6)
 		defer q.leave()
 		q.floods(dealers, 40, 6)
 		time.Sleep(3 * time.Second)
@@ -217,7 +217,7 @@
 func TestFloodOfCalls(t *testing.T) {
 	for _, through := range []int{1, 6} {
 		synctest.Test(t, func(t *testing.T) {
-			q := newQuotaHive(t, 11, 6)
+			q := newQuotaCluster(t, 11, 6)
 			defer q.leave()
 			q.mustSet(1, 0)
 			quiet, failed := q.calls(60, "q")
@@ -253,7 +253,7 @@
 // time, borrowed runs give way, and every item is listed once and done.
 func TestFloodOfLots(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		q := newQuotaHive(t, 12, 6)
+		q := newQuotaCluster(t, 12, 6)
 		defer q.leave()
 		q.mustSet(1, 0)
 		quiet, _ := q.calls(60, "q")
@@ -313,9 +313,9 @@
 
 // Borrowed runs give way to calls that come within their guarantee, with no try
 // charged, and are listed once all the same.
-func TestBorrowedRunsGiveWay(t *testing.T) {
+func TestBorrowedRunsGiveAttempt(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		q := newQuotaHive(t, 13, 4)
+		q := newQuotaCluster(t, 13, 4)
 		defer q.leave()
 		for _, w := range q.workers {
 			w.Gap = time.Second // an item takes five seconds
@@ -362,37 +362,37 @@
 func TestDutyIsLost(t *testing.T) {
 	for _, how := range []string{"killed", "cut off", "frozen"} {
 		synctest.Test(t, func(t *testing.T) {
-			q := newQuotaHive(t, 14, 6)
+			q := newQuotaCluster(t, 14, 6)
 			defer q.leave()
 			q.mustSet(1, 0)
 			q.floods(dealers, 30, 6)
 			time.Sleep(3 * time.Second)
 			f := q.edges()[0]
-			holder := f.Nectar.HolderOf("llm")
+			holder := f.Quotas.HolderOf("llm")
 			m := q.nodes[holder]
 			q.shunned.Store(holder) // workers too call another
 			var others []string
 			for _, o := range q.nodes {
-				others = append(others, o.opts.PartnerAddr())
+				others = append(others, o.opts.PeerAddr())
 			}
 			switch how {
 			case "killed":
 				m.cancel()
 			case "cut off":
-				q.m.CutOff(m.opts.PartnerAddr(), others, true)
+				q.m.CutOff(m.opts.PeerAddr(), others, true)
 			case "frozen":
-				_ = m.f.Floor.Do(m.ctx, func() { time.Sleep(4 * time.Second) })
+				_ = m.f.Loop.Do(m.ctx, func() { time.Sleep(4 * time.Second) })
 			}
 			// The node itself is out of it; calls go through the others.
 			tookMs, failed := q.callsBut(holder, 80)
 			if failed > 2 {
 				t.Errorf("%s: %d of 80 calls failed, 99th percentile %d ms", how, failed, p99(tookMs))
 			}
-			if now := q.otherThan(holder).Nectar.HolderOf("llm"); now == holder && how != "frozen" {
+			if now := q.otherThan(holder).Quotas.HolderOf("llm"); now == holder && how != "frozen" {
 				t.Errorf("%s: the duty did not move", how)
 			}
 			if how == "cut off" {
-				q.m.CutOff(m.opts.PartnerAddr(), others, false)
+				q.m.CutOff(m.opts.PeerAddr(), others, false)
 			}
 			time.Sleep(3 * time.Second)
 			rows := q.otherThan(holder).explained(t, "dealers")
@@ -404,15 +404,15 @@
 	}
 }
 
-func (f *Forager) explained(t *testing.T, tenant string) []quota.Row {
-	rows, err := f.Nectar.Explain(t.Context(), tenant)
+func (f *EdgeNode) explained(t *testing.T, tenant string) []quota.Row {
+	rows, err := f.Quotas.Explain(t.Context(), tenant)
 	if err != nil {
 		t.Error(err)
 	}
 	return rows
 }
 
-func (q *quotaHive) otherThan(name string) *Forager {
+func (q *quotaCluster) otherThan(name string) *EdgeNode {
 	for _, f := range q.edges() {
 		if f.self.Name != name {
 			return f
@@ -423,8 +423,8 @@
 }
 
 // callsBut is calls through all nodes but one.
-func (q *quotaHive) callsBut(name string, times int) (tookMs []int64, failed int) {
-	var es []*Forager
+func (q *quotaCluster) callsBut(name string, times int) (tookMs []int64, failed int) {
+	var es []*EdgeNode
 	for _, f := range q.edges() {
 		if f.self.Name != name {
 			es = append(es, f)
@@ -453,7 +453,7 @@
 // nothing.
 func TestQuotasChange(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		q := newQuotaHive(t, 15, 4)
+		q := newQuotaCluster(t, 15, 4)
 		defer q.leave()
 		if w := q.control(q.edge(), "GET", "/-/quotas", nil); w.Code != 404 {
 			t.Errorf("none are set: %d", w.Code)
@@ -490,9 +490,9 @@
 			rows := q.explain("dealers")
 			return len(rows) == 1 && rows[0].CapPercent == 50 && rows[0].LiveSlots <= 9 && rows[0].FleetSlots == 16
 		})
-		q.beatMu.Lock()
-		delete(q.beatOn, "22")
-		q.beatMu.Unlock()
+		q.heartbeatMu.Lock()
+		delete(q.heartbeatOn, "22")
+		q.heartbeatMu.Unlock()
 		q.control(q.edge(), "DELETE", "/-/workers/22", nil)
 		q.workers["22"].Close()
 		q.until("the fleet is seen to shrink, and the cap with it", 8*time.Second, func() bool {
--- a/internal/node/reload_test.go
+++ b/internal/node/reload_test.go
@@ -45,7 +45,7 @@
 		}
 		m := simnet.New(1)
 		ctx, cancel := context.WithCancel(context.Background())
-		f, err := NewForager(ctx, Env{Mesh: m.MeshOf(opts.PartnerAddr()), Dial: m.DialFrom(opts.PartnerAddr()), WallUs: wall, Log: testLog(t, "edge-1")}, opts)
+		f, err := NewEdgeNode(ctx, Env{Transport: m.TransportOf(opts.PeerAddr()), Dial: m.DialFrom(opts.PeerAddr()), WallUs: wall, Log: testLog(t, "edge-1")}, opts)
 		if err != nil {
 			t.Fatal(err)
 		}
--- a/internal/node/restart_test.go
+++ b/internal/node/restart_test.go
@@ -21,7 +21,7 @@
 					for _, one := range []string{edge, peer} {
 						for _, other := range h.order {
 							if other != edge && other != peer {
-								a, b := h.nodes[one].opts.PartnerAddr(), h.nodes[other].opts.PartnerAddr()
+								a, b := h.nodes[one].opts.PeerAddr(), h.nodes[other].opts.PeerAddr()
 								h.m.Cut(a, b, on)
 								h.m.Cut(b, a, on)
 							}
@@ -42,7 +42,7 @@
 				}
 				for end := time.Now().Add(20 * time.Second); time.Now().Before(end); time.Sleep(250 * time.Millisecond) {
 					f := h.nodes[edge].f
-					if f.Guard.Ready() {
+					if f.Ingress.Ready() {
 						t.Fatal("the restarted node calls itself ready")
 					}
 					if code := ask(edge); code != 503 {
@@ -51,12 +51,12 @@
 					if w := h.client(f, "GET", "/none/", nil, "X-Rowanshunt-Request-Id", "r"); w.Code != 503 || w.Header().Get("Retry-After") == "" {
 						t.Fatalf("an unknown route at the restarted node: %d %v", w.Code, w.Header())
 					}
-					if !h.nodes[peer].f.Guard.Ready() {
+					if !h.nodes[peer].f.Ingress.Ready() {
 						t.Fatal("the node that runs on is not ready any more")
 					}
 				}
 				cut(false)
-				h.until("the restarted node is ready", 4*time.Second, func() bool { return h.nodes[edge].f.Guard.Ready() })
+				h.until("the restarted node is ready", 4*time.Second, func() bool { return h.nodes[edge].f.Ingress.Ready() })
 				if b := h.nodes[edge].f.inForce(); b.Ver != 2 {
 					t.Errorf("version %d is in force", b.Ver)
 				}
--- a/internal/node/run.go
+++ b/internal/node/run.go
@@ -47,37 +47,37 @@
 	signal.Notify(hup, syscall.SIGHUP)
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	tally := rpc.NewTally()
-	env := Env{Mesh: rpc.NewTCP(tally), Tally: tally, Dial: forward.DialTCP(), WallUs: wallUs, Log: logging.NewLog(os.Stderr, logLevel, "node", opts.Node)}
+	counters := rpc.NewCounters()
+	env := Env{Transport: rpc.NewTCP(counters), Counters: counters, Dial: forward.DialTCP(), WallUs: wallUs, Log: logging.NewLog(os.Stderr, logLevel, "node", opts.Node)}
 	for _, d := range opts.Doubts() {
 		env.Log.Warn("options_doubtful", "what", d)
 	}
 	if role == settings.RoleStore {
-		return runComb(ctx, cancel, env, opts, path, term, hup)
+		return runStore(ctx, cancel, env, opts, path, term, hup)
 	}
-	return runForager(ctx, cancel, env, opts, path, term, hup)
+	return runEdge(ctx, cancel, env, opts, path, term, hup)
 }
 
 // listen opens the partner port; calls wait for the floor to run.
 func (n *Node) listen(ctx context.Context) error {
-	ln, err := rpc.Listen(n.self.Addr, n.Desk, n.env.Log, n.env.Tally)
+	ln, err := rpc.Listen(n.self.Addr, n.Mux, n.env.Log, n.env.Counters)
 	if err != nil {
 		return err
 	}
 	n.wg.Go(func() { ln.Run(ctx) })
-	if n.env.Tally != nil {
-		n.wg.Go(func() { n.tellTally(ctx) })
+	if n.env.Counters != nil {
+		n.wg.Go(func() { n.tellCounters(ctx) })
 	}
 	return nil
 }
 
-// tallyEvery is how often a node logs what control cost it.
-const tallyEvery = 10 * time.Second
+// countersEvery is how often a node logs what control cost it.
+const countersEvery = 10 * time.Second
 
-// tellTally logs what this node said to its partners and heard from them, by
+// tellCounters logs what this node said to its partners and heard from them, by
 // kind of call, with the processor time and memory it took in all.
-func (n *Node) tellTally(ctx context.Context) {
-	tick := time.NewTicker(tallyEvery)
+func (n *Node) tellCounters(ctx context.Context) {
+	tick := time.NewTicker(countersEvery)
 	defer tick.Stop()
 	for {
 		select {
@@ -85,20 +85,20 @@
 			return
 		case <-tick.C:
 		}
-		kinds, total := n.env.Tally.Drain()
+		kinds, total := n.env.Counters.Drain()
 		var use syscall.Rusage
 		cpuMs := int64(-1)
 		if syscall.Getrusage(syscall.RUSAGE_SELF, &use) == nil {
 			cpuMs = (use.Utime.Sec+use.Stime.Sec)*1000 + int64(use.Utime.Usec+use.Stime.Usec)/1000
 		}
 		n.env.Log.Info("partner_calls", "calls", total.Calls, "bytes", total.Bytes, "cpu_ms_since_start", cpuMs,
-			"partners", len(n.Swarm.Look().All), "kinds", kinds)
+			"partners", len(n.Gossip.Look().All), "kinds", kinds)
 	}
 }
 
 // tellWritten logs what a store wrote to its disk.
-func (c *Comb) tellWritten(ctx context.Context) {
-	tick := time.NewTicker(tallyEvery)
+func (c *StoreNode) tellWritten(ctx context.Context) {
+	tick := time.NewTicker(countersEvery)
 	defer tick.Stop()
 	var last wal.Written
 	for {
@@ -107,14 +107,14 @@
 			return
 		case <-tick.C:
 		}
-		now := c.Brood.Written()
+		now := c.LotStore.Written()
 		c.env.Log.Info("cell_writes", "cell", "brood", "syncs", now.Syncs-last.Syncs, "bytes", now.Bytes-last.Bytes, "rewrites", now.Rewrites-last.Rewrites)
 		last = now
 	}
 }
 
-func runComb(ctx context.Context, cancel func(), env Env, opts *settings.Options, path string, term, hup <-chan os.Signal) error {
-	c, err := NewComb(ctx, env, opts)
+func runStore(ctx context.Context, cancel func(), env Env, opts *settings.Options, path string, term, hup <-chan os.Signal) error {
+	c, err := NewStoreNode(ctx, env, opts)
 	if err != nil {
 		return err
 	}
@@ -138,14 +138,14 @@
 
 // Leave tells the others that this store goes, and stays until they count on it
 // no more, for as long as the platform lets it (design 8.6).
-func (c *Comb) Leave(ctx context.Context) {
+func (c *StoreNode) Leave(ctx context.Context) {
 	c.leave(ctx)
 	endUs := eventloop.NowUs() + c.opts.Load().GraceUs() - leaveReserveUs
 	eventloop.Pause(ctx, settleLeave)
-	for ctx.Err() == nil && !c.Brood.Departed() && eventloop.NowUs() < endUs {
+	for ctx.Err() == nil && !c.LotStore.Departed() && eventloop.NowUs() < endUs {
 		eventloop.Pause(ctx, leavePause)
 	}
-	c.env.Log.Info("left", "departed", c.Brood.Departed())
+	c.env.Log.Info("left", "departed", c.LotStore.Departed())
 }
 
 // Figures of a store's leaving.
@@ -154,20 +154,20 @@
 	leavePause     = 50 * time.Millisecond
 )
 
-func runForager(ctx context.Context, cancel func(), env Env, opts *settings.Options, path string, term, hup <-chan os.Signal) error {
-	f, err := NewForager(ctx, env, opts)
+func runEdge(ctx context.Context, cancel func(), env Env, opts *settings.Options, path string, term, hup <-chan os.Signal) error {
+	f, err := NewEdgeNode(ctx, env, opts)
 	if err != nil {
 		return err
 	}
 	if err := f.listen(ctx); err != nil {
 		return err
 	}
-	var faults fault.Ledger
+	var faults fault.Collector
 	var servers []*ingress.Server
 	for _, o := range []ingress.Opening{
-		{Addr: opts.Listen.HTTP, Handler: f.Guard.Clients(), Limits: f.Guard.Limits, Waits: f.Guard.Waits},
-		{Addr: opts.Listen.Readyz, Handler: f.Guard.Readyz(), Limits: f.Guard.Limits.Small()},
-		{Addr: opts.Listen.Ctl, Handler: f.Control.Handler(), Limits: f.Guard.Limits.Small()},
+		{Addr: opts.Listen.HTTP, Handler: f.Ingress.Clients(), Limits: f.Ingress.Limits, Waits: f.Ingress.Waits},
+		{Addr: opts.Listen.Readyz, Handler: f.Ingress.Readyz(), Limits: f.Ingress.Limits.Small()},
+		{Addr: opts.Listen.Ctl, Handler: f.Control.Handler(), Limits: f.Ingress.Limits.Small()},
 	} {
 		s, err := ingress.Open(o)
 		faults.Add(err)
@@ -234,6 +234,6 @@
 	}
 	n.opts.Store(opts)
 	seeds := opts.SeedAddrs()
-	_ = n.Floor.Do(ctx, func() { n.Swarm.SetSeeds(seeds) })
+	_ = n.Loop.Do(ctx, func() { n.Gossip.SetSeeds(seeds) })
 	n.env.Log.Info("options_taken", "seeds", strings.Join(opts.Seeds, " "))
 }
--- a/internal/node/tell.go
+++ b/internal/node/tell.go
@@ -10,28 +10,28 @@
 
 // What a node tells a tracer (design 14.2).
 
-func (n *Node) tellBlueprint(_ context.Context, a *trace.Ask) []trace.Fact {
+func (n *Node) tellConfiguration(_ context.Context, a *trace.Ask) []trace.Fact {
 	ver, err := strconv.ParseInt(a.ID, 10, 64)
 	if err != nil {
 		return nil
 	}
 	var out []trace.Fact
-	if held, votes := n.Nest.Held(); votes {
+	if held, votes := n.Register.Held(); votes {
 		out = append(out, trace.Fact{Hop: "held", State: fmt.Sprintf("version %d on disk", held), Behind: held < ver})
 	}
 	now := int64(0)
-	if s := n.Nest.Committed(); s != nil {
+	if s := n.Register.Committed(); s != nil {
 		now = s.Ver
 	}
 	out = append(out, trace.Fact{Hop: "committed", State: fmt.Sprintf("version %d known", now), Behind: now < ver})
 	inForce := int64(0)
-	if b := n.blueprint.Load(); b != nil {
+	if b := n.configuration.Load(); b != nil {
 		inForce = b.Ver
 	}
 	return append(out, trace.Fact{Hop: "in_force", State: fmt.Sprintf("version %d", inForce), AtUs: n.appliedUs.Load(), Behind: inForce < ver})
 }
 
-func (f *Forager) tellAcked(_ context.Context, a *trace.Ask) []trace.Fact {
+func (f *EdgeNode) tellAcked(_ context.Context, a *trace.Ask) []trace.Fact {
 	ver, err := strconv.ParseInt(a.ID, 10, 64)
 	if err != nil {
 		return nil
@@ -42,8 +42,8 @@
 	return nil
 }
 
-func (f *Forager) tellWorker(ctx context.Context, a *trace.Ask) []trace.Fact {
-	w, inUse := f.Flora.Trace(ctx, a.ID)
+func (f *EdgeNode) tellWorker(ctx context.Context, a *trace.Ask) []trace.Fact {
+	w, inUse := f.Discovery.Trace(ctx, a.ID)
 	if w == nil {
 		return []trace.Fact{{Hop: "worker", State: "unknown", Behind: true}}
 	}
@@ -56,23 +56,23 @@
 		state, mark = state+", in use", mark+" in use"
 	}
 	out := []trace.Fact{{Hop: "worker", State: state, Mark: mark}}
-	if f.Flora.HomeOf(w.Svc) == f.self.Name {
+	if f.Discovery.HomeOf(w.Svc) == f.self.Name {
 		out = append(out, trace.Fact{Hop: "home", State: "of " + w.Svc + " in " + f.self.Az})
 	}
 	return out
 }
 
-func (f *Forager) tellInHand(_ context.Context, a *trace.Ask) []trace.Fact {
-	if n := f.Nurse.InHand(a.ID); n > 0 {
+func (f *EdgeNode) tellInHand(_ context.Context, a *trace.Ask) []trace.Fact {
+	if n := f.Dispatcher.InHand(a.ID); n > 0 {
 		return []trace.Fact{{Hop: "in_hand", State: fmt.Sprintf("%d items run here", n)}}
 	}
 	return nil
 }
 
-func (c *Comb) tellLot(ctx context.Context, a *trace.Ask) []trace.Fact {
-	s := c.Nest.Committed()
-	votes := s != nil && c.Brood.Keeps(s, a.Host)
-	l, err := c.Brood.Trace(ctx, a.Host, a.ID)
+func (c *StoreNode) tellLot(ctx context.Context, a *trace.Ask) []trace.Fact {
+	s := c.Register.Committed()
+	votes := s != nil && c.LotStore.Keeps(s, a.Host)
+	l, err := c.LotStore.Trace(ctx, a.Host, a.ID)
 	switch {
 	case err != nil:
 		return []trace.Fact{{Hop: "copy", State: "the store is busy", Behind: true}}
@@ -85,7 +85,7 @@
 	if l.Ended {
 		state += ", ended"
 	}
-	out := []trace.Fact{{Hop: "copy", State: state, Mark: fmt.Sprintf("%d/%d/%d", l.Stamp.Roster, l.Stamp.N, l.Rev)}}
+	out := []trace.Fact{{Hop: "copy", State: state, Mark: fmt.Sprintf("%d/%d/%d", l.Term.Membership, l.Term.N, l.Rev)}}
 	if l.Owner {
 		out = append(out, trace.Fact{Hop: "owner", State: fmt.Sprintf("serves it, %d replicas in step", l.Synced)})
 	}
--- a/internal/node/moult_test.go
+++ b/internal/node/upgrade_test.go
@@ -16,10 +16,10 @@
 	"rowanshunt/internal/upgrade"
 )
 
-// upgradeHive is a system with twelve workers at version 1 and an operator's
+// upgradeCluster is a system with twelve workers at version 1 and an operator's
 // platform that replaces what an upgrade says may be replaced.
-type upgradeHive struct {
-	*hive
+type upgradeCluster struct {
+	*cluster
 	next    int
 	mu      sync.Mutex
 	backVer int // the version replacements come back at, 0: they do not
@@ -27,19 +27,19 @@
 	done    sync.WaitGroup
 }
 
-func newUpgradeHive(t *testing.T, seed uint64) *upgradeHive {
-	u := &upgradeHive{hive: newHive(t, seed, 4, 3), backVer: 2, stop: make(chan struct{}), next: 50}
+func newUpgradeCluster(t *testing.T, seed uint64) *upgradeCluster {
+	u := &upgradeCluster{cluster: newCluster(t, seed, 4, 3), backVer: 2, stop: make(chan struct{}), next: 50}
 	u.startAll()
 	for i := range 12 {
 		u.versioned(fmt.Sprint(30+i), 1, fmt.Sprintf("10.9.1.%d:80", i))
 	}
 	u.worker("23", "app", "cedar")
-	u.until("founded", 8*time.Second, func() bool { return u.edge().Nest.Committed() != nil })
+	u.until("founded", 8*time.Second, func() bool { return u.edge().Register.Committed() != nil })
 	u.putOK(1, 0)
-	u.beats()
+	u.heartbeats()
 	u.until("ready", 8*time.Second, func() bool {
 		for _, m := range u.nodes {
-			if m.f != nil && (!m.f.Guard.Ready() || len(m.f.Flora.Look().ByID) < 13) {
+			if m.f != nil && (!m.f.Ingress.Ready() || len(m.f.Discovery.Look().ByID) < 13) {
 				return false
 			}
 		}
@@ -51,18 +51,18 @@
 	return u
 }
 
-func (u *upgradeHive) versioned(id string, ver int, addr string) {
+func (u *upgradeCluster) versioned(id string, ver int, addr string) {
 	w := simnet.NewWorker(u.m, id, addr)
 	w.Ver, w.ReadPerMs = ver, 100
-	u.beatMu.Lock()
-	defer u.beatMu.Unlock()
+	u.heartbeatMu.Lock()
+	defer u.heartbeatMu.Unlock()
 	u.workers[id] = w
-	u.beatOn[id] = map[string]any{"svc": "llm", "addr": addr, "az": zones[len(id)%3], "ver": "v1", "slots": w.Slots, "phase": "up",
+	u.heartbeatOn[id] = map[string]any{"svc": "llm", "addr": addr, "az": zones[len(id)%3], "ver": "v1", "slots": w.Slots, "phase": "up",
 		"models": []map[string]any{{"name": "m", "ver": ver}}}
 }
 
 // platform is whoever runs the workers: it watches the status and replaces.
-func (u *upgradeHive) platform() {
+func (u *upgradeCluster) platform() {
 	defer u.done.Done()
 	tick := time.NewTicker(300 * time.Millisecond)
 	defer tick.Stop()
@@ -86,38 +86,38 @@
 			if n := u.workers[o.ID].Running(); n > 0 {
 				u.t.Errorf("worker %s is said to be replaceable and runs %d", o.ID, n)
 			}
-			u.beatMu.Lock()
-			delete(u.beatOn, o.ID)
-			u.beatMu.Unlock()
+			u.heartbeatMu.Lock()
+			delete(u.heartbeatOn, o.ID)
+			u.heartbeatMu.Unlock()
 			u.control(u.edge(), "DELETE", "/-/workers/"+o.ID, nil)
 			u.workers[o.ID].Close()
 			u.next++
 			u.versioned(fmt.Sprint(u.next), ver, fmt.Sprintf("10.9.2.%d:80", u.next))
-			u.beatAll()
+			u.heartbeatAll()
 		}
 	}
 }
 
-func (u *upgradeHive) setBack(ver int) {
+func (u *upgradeCluster) setBack(ver int) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	u.backVer = ver
 }
 
-func (u *upgradeHive) leave() {
+func (u *upgradeCluster) leave() {
 	close(u.stop)
 	u.done.Wait()
 	u.end()
 }
 
-func (u *upgradeHive) status() (upgrade.Upgrade, int) {
+func (u *upgradeCluster) status() (upgrade.Upgrade, int) {
 	var st upgrade.Upgrade
 	w := u.control(u.edge(), "GET", "/-/upgrades/llm", nil)
 	_ = json.Unmarshal(w.Body.Bytes(), &st)
 	return st, w.Code
 }
 
-func (u *upgradeHive) begin(rules map[string]any) int {
+func (u *upgradeCluster) begin(rules map[string]any) int {
 	all := map[string]any{"max_share": 0.2, "warm_ms": 500, "wave_ms": 20000, "spread_ms": 15000, "max_late": 0.9}
 	for k, v := range rules {
 		all[k] = v
@@ -125,7 +125,7 @@
 	return u.control(u.edge(), "POST", "/-/upgrades/llm/start", map[string]any{"to": 2, "rules": all}).Code
 }
 
-func (u *upgradeHive) untilPhase(p upgrade.Phase, limit time.Duration) upgrade.Upgrade {
+func (u *upgradeCluster) untilPhase(p upgrade.Phase, limit time.Duration) upgrade.Upgrade {
 	u.t.Helper()
 	var st upgrade.Upgrade
 	u.until("phase "+string(p), limit, func() bool {
@@ -138,7 +138,7 @@
 
 // load asks for streams of several groups all the time, and returns what was
 // measured: how long each took, and how many failed.
-func (u *upgradeHive) load(groups int, stop <-chan struct{}) (*[]took, *atomic.Int64, func()) {
+func (u *upgradeCluster) load(groups int, stop <-chan struct{}) (*[]took, *atomic.Int64, func()) {
 	var mu sync.Mutex
 	var times []took
 	var failed atomic.Int64
@@ -170,7 +170,7 @@
 	return &times, &failed, wg.Wait
 }
 
-func (h *hive) edgeAt(n int) *Forager {
+func (h *cluster) edgeAt(n int) *EdgeNode {
 	if f := h.oneOfFour(n); f != nil {
 		return f
 	}
@@ -178,7 +178,7 @@
 }
 
 // oneOfFour is the first of the four first edges, from the nth on, that is up.
-func (h *hive) oneOfFour(n int) *Forager {
+func (h *cluster) oneOfFour(n int) *EdgeNode {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	for i := range 4 {
@@ -232,7 +232,7 @@
 func TestUpgradeUnderLoad(t *testing.T) {
 	measure := func(upgradeCommand bool) (p98 time.Duration, n, read int) {
 		synctest.Test(t, func(t *testing.T) {
-			u := newUpgradeHive(t, 31)
+			u := newUpgradeCluster(t, 31)
 			defer u.leave()
 			stop := make(chan struct{})
 			times, failed, wait := u.load(8, stop)
@@ -265,7 +265,7 @@
 				if st.Wave < 6 {
 					t.Errorf("done after %d waves of at most 2 of 12", st.Wave)
 				}
-				for id, b := range u.beatOn {
+				for id, b := range u.heartbeatOn {
 					if b["svc"] == "llm" && u.workers[id].Ver != 2 {
 						t.Errorf("worker %s is still at version %d", id, u.workers[id].Ver)
 					}
@@ -297,7 +297,7 @@
 	}
 }
 
-func (u *upgradeHive) completeVersioned(id string, items int) {
+func (u *upgradeCluster) completeVersioned(id string, items int) {
 	u.t.Helper()
 	var out lotRead
 	u.until("lot "+id+" complete", 40*time.Second, func() bool {
@@ -328,7 +328,7 @@
 	for _, how := range []string{"killed", "cut off"} {
 		for at := range int64(4) {
 			synctest.Test(t, func(t *testing.T) {
-				u := newUpgradeHive(t, 40+uint64(at))
+				u := newUpgradeCluster(t, 40+uint64(at))
 				defer u.leave()
 				if code := u.begin(nil); code != 200 {
 					t.Fatalf("start: %d", code)
@@ -343,9 +343,9 @@
 				if how == "killed" {
 					u.kill(name)
 				} else {
-					u.m.CutOff(u.nodes[name].opts.PartnerAddr(), u.addrs(""), true)
+					u.m.CutOff(u.nodes[name].opts.PeerAddr(), u.addrs(""), true)
 				}
-				other := func() *Forager {
+				other := func() *EdgeNode {
 					for _, n := range u.order {
 						if m := u.nodes[n]; m.f != nil && n != name && m.ctx.Err() == nil {
 							return m.f
@@ -366,7 +366,7 @@
 
 func TestUpgradePausesAndGoesBack(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		u := newUpgradeHive(t, 50)
+		u := newUpgradeCluster(t, 50)
 		defer u.leave()
 		u.setBack(0) // nobody replaces
 		if code := u.begin(map[string]any{"wave_ms": 5000}); code != 200 {
@@ -393,7 +393,7 @@
 	})
 	// Undone midway: those that moved go back in waves.
 	synctest.Test(t, func(t *testing.T) {
-		u := newUpgradeHive(t, 51)
+		u := newUpgradeCluster(t, 51)
 		defer u.leave()
 		u.begin(nil)
 		u.until("some moved", 30*time.Second, func() bool { st, _ := u.status(); return st.Wave >= 3 })
@@ -402,7 +402,7 @@
 			t.Fatalf("undo: %d", w.Code)
 		}
 		u.untilPhase(upgrade.Undone, 60*time.Second)
-		for id, b := range u.beatOn {
+		for id, b := range u.heartbeatOn {
 			if b["svc"] == "llm" && u.workers[id].Ver != 1 {
 				t.Errorf("worker %s is at version %d after an undo", id, u.workers[id].Ver)
 			}
@@ -413,7 +413,7 @@
 // A group with one replica is spread before its worker goes.
 func TestUpgradeSpreadsGroups(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		u := newUpgradeHive(t, 60)
+		u := newUpgradeCluster(t, 60)
 		defer u.leave()
 		stop := make(chan struct{})
 		_, failed, wait := u.load(1, stop)
@@ -430,9 +430,9 @@
 	})
 }
 
-func TestUpgradeDeclined(t *testing.T) {
+func TestUpgradeRefused(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		u := newUpgradeHive(t, 70)
+		u := newUpgradeCluster(t, 70)
 		defer u.leave()
 		u.setBack(0)
 		start := func(svc string, to int, rules map[string]any) int {
--- a/internal/quota/bound_test.go
+++ b/internal/quota/bound_test.go
@@ -14,7 +14,7 @@
 	s := &register.State{Ver: 1}
 	s.SetExtra(docKey, []byte(`{"ver":1,"tenants":{"t":{"hosts":["h.example"]}},"shares":{"kept":{"t":{"weight":1}}}}`))
 	put := func(svc string, term uint64) {
-		raw, err := codec.Marshal(&office{Term: term, By: "n/1"})
+		raw, err := codec.Marshal(&dutyRecord{Term: term, By: "n/1"})
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -30,11 +30,11 @@
 			t.Fatalf("%d entries are kept", len(s.Extra))
 		}
 	}
-	if o := officeOf(s, "kept"); o.Term != 7 || o.By != "n/1" {
+	if o := dutyRecordOf(s, "kept"); o.Term != 7 || o.By != "n/1" {
 		t.Errorf("a duty that counts: %+v", o)
 	}
 	for i := range 1000 {
-		if o := officeOf(s, fmt.Sprint("gone-", i)); o.Term < uint64(i%90)+1 {
+		if o := dutyRecordOf(s, fmt.Sprint("gone-", i)); o.Term < uint64(i%90)+1 {
 			t.Fatalf("the duty of gone-%d went back to term %d", i, o.Term)
 		}
 	}
--- a/internal/quota/doc.go
+++ b/internal/quota/doc.go
@@ -60,7 +60,7 @@
 	if err != nil {
 		return nil, fault.New(fault.Invalid, "quotas", err.Error(), "write it as docs/quotas.md shows")
 	}
-	var l fault.Ledger
+	var l fault.Collector
 	for _, k := range meta.Undecoded() {
 		l.Addf(k.String(), "is no field of the document", "take it out, or write it as docs/quotas.md shows")
 	}
@@ -74,7 +74,7 @@
 		return nil, fault.New(fault.TooLarge, "quotas", "are over 4 MiB", "send a smaller document")
 	}
 	d := &Doc{Tenants: map[string]Tenant{}, Shares: map[string]map[string]Share{}}
-	var l fault.Ledger
+	var l fault.Collector
 	unknown := func(place string, dec *jx.Decoder) error {
 		l.Addf(place, "is no field of the document", "take it out, or write it as docs/quotas.md shows")
 		return dec.Skip()
@@ -214,7 +214,7 @@
 }
 
 // check looks at the whole of the document and names every place that is wrong.
-func (d *Doc) check(l *fault.Ledger) {
+func (d *Doc) check(l *fault.Collector) {
 	if d.Ver <= 0 {
 		l.Addf("ver", "is missing or not above 0", "count versions from 1")
 	}
@@ -243,7 +243,7 @@
 	}
 }
 
-func (d *Doc) checkService(l *fault.Ledger, svc string) {
+func (d *Doc) checkService(l *fault.Collector, svc string) {
 	at := "shares." + svc
 	if len(d.Shares[svc]) == 0 {
 		l.Addf(at, "names no tenant", "give at least one its share, or leave the service out")
@@ -298,10 +298,10 @@
 }
 
 // CheckAgainst looks whether a blueprint has what the document names.
-func (d *Doc) CheckAgainst(b *config.Blueprint) error {
-	var l fault.Ledger
+func (d *Doc) CheckAgainst(b *config.Configuration) error {
+	var l fault.Collector
 	hosts := map[string]bool{}
-	for _, r := range b.Bindings {
+	for _, r := range b.Routes {
 		hosts[r.Host] = true
 	}
 	for _, name := range sorted(d.Tenants) {
--- a/internal/quota/doc_test.go
+++ b/internal/quota/doc_test.go
@@ -117,16 +117,16 @@
 
 // A version builds on the one in place, and on a blueprint that has what it names.
 func TestPut(t *testing.T) {
-	blueprint := func(svcs string) []byte {
+	configuration := func(svcs string) []byte {
 		return []byte(`{"ver":1,"routes":[{"name":"a","host":"shop.example","pfx":"/a/","type":"safe","limit_ms":5,"svc":"llm"},` +
 			`{"name":"b","host":"till.example","pfx":"/a/","type":"safe","limit_ms":5,"svc":"llm"},` +
 			`{"name":"c","host":"feeds.example","pfx":"/a/","type":"safe","limit_ms":5,"svc":"llm"}],"svcs":[` + svcs + `],"caps":{}}`)
 	}
 	both := `{"name":"llm","hc":"/h"},{"name":"app","hc":"/h"}`
-	if _, err := config.Parse(blueprint(both)); err != nil {
+	if _, err := config.Parse(configuration(both)); err != nil {
 		t.Fatal(err)
 	}
-	state := &register.State{Ver: 1, Doc: blueprint(both)}
+	state := &register.State{Ver: 1, Doc: configuration(both)}
 	change := func(_ context.Context, c register.Change) (*register.State, error) {
 		now := *state
 		next, err := c(&now)
@@ -169,14 +169,14 @@
 	if err := put(other, 0); !fault.Is(err, fault.Stale) {
 		t.Errorf("another document under a taken number: %v", err)
 	}
-	state.Doc = blueprint(`{"name":"llm","hc":"/h"}`)
+	state.Doc = configuration(`{"name":"llm","hc":"/h"}`)
 	if err := put(doc("3"), 0); err != nil || Load(state).Ver != 5 {
 		t.Errorf("a taken one sent again when its services are gone: %v", err)
 	}
 	if err := put(doc("6"), 5); !fault.Is(err, fault.Invalid) || !strings.Contains(err.Error(), "shares.app") {
 		t.Errorf("no such service: %v", err)
 	}
-	state.Doc = blueprint(both)
+	state.Doc = configuration(both)
 	strange := doc("6")
 	strange.Tenants["dealers"] = Tenant{Hosts: []string{"elsewhere.example"}}
 	if err := put(strange, 5); !fault.Is(err, fault.Invalid) || !strings.Contains(err.Error(), "tenants.dealers.hosts") {
--- a/internal/quota/gate.go
+++ b/internal/quota/gate.go
@@ -43,8 +43,8 @@
 type Gate struct {
 	// Foragers is how many nodes share the fleet, Fleet what a service's workers
 	// have together.
-	Foragers func() int64
-	Fleet    func(svc string) Amount
+	Edges func() int64
+	Fleet func(svc string) Amount
 
 	rules    atomic.Pointer[Rules]
 	mu       sync.Mutex
@@ -223,7 +223,7 @@
 func (g *Gate) part(r *Rules, svc string, s *service, name string) Amount {
 	of, ok := s.parts[name]
 	if !ok {
-		of = 1 / float64(max(g.Foragers(), 1))
+		of = 1 / float64(max(g.Edges(), 1))
 	}
 	fleet, got := g.Fleet(svc), r.Of(svc, name)
 	return Amount{Slots: fleet.Slots * got.Slots * of, Kv: fleet.Kv * got.Kv * of}.notBelow(Amount{Slots: 1, Kv: 1})
@@ -344,13 +344,13 @@
 	for _, l := range grant.Of {
 		s.parts[l.Name] = l.Part
 		if u := s.uses[l.Name]; u != nil && grant.Yield && !l.Free {
-			u.giveWay(l)
+			u.giveAttempt(l)
 		}
 	}
 	return true
 }
 
-func (u *use) giveWay(l Limit) {
+func (u *use) giveAttempt(l Limit) {
 	all := u.live.plus(u.batch)
 	for i := len(u.tickets) - 1; i >= 0 && all.Slots > float64(l.Slots); i-- {
 		t := u.tickets[i]
--- a/internal/quota/gate_test.go
+++ b/internal/quota/gate_test.go
@@ -14,7 +14,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	g := &Gate{Foragers: func() int64 { return 4 }, Fleet: func(string) Amount { return Amount{Slots: 40, Kv: 4000} }}
+	g := &Gate{Edges: func() int64 { return 4 }, Fleet: func(string) Amount { return Amount{Slots: 40, Kv: 4000} }}
 	g.SetRules(d.Ready())
 	return g
 }
@@ -112,7 +112,7 @@
 
 // Borrowed runs give way, the newest first, each told once; live calls never; and
 // a tenant's batch stands back behind its own live calls (design 17.4).
-func TestGateGivesWay(t *testing.T) {
+func TestGateGivesAttempt(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		g := newGate(t)
 		var told []int
--- a/internal/quota/nectar.go
+++ b/internal/quota/quota.go
@@ -34,20 +34,20 @@
 
 const dutyKey = "nectar/duty/"
 
-// office is who holds the duty of a service, in the register.
-type office struct {
+// dutyRecord is who holds the duty of a service, in the register.
+type dutyRecord struct {
 	Term uint64
 	By   string // node/life
 }
 
-func officeOf(s *register.State, svc string) office {
-	var o office
+func dutyRecordOf(s *register.State, svc string) dutyRecord {
+	var o dutyRecord
 	if s == nil {
 		return o
 	}
 	raw := s.Extra[dutyKey+svc]
 	if raw == nil {
-		raw = s.Extra[dutyFloorKey]
+		raw = s.Extra[dutyLoopKey]
 	}
 	if raw != nil {
 		_ = msgpack.Unmarshal(raw, &o)
@@ -55,10 +55,10 @@
 	return o
 }
 
-// dutyFloorKey holds the highest term of the duties that were dropped: a
+// dutyLoopKey holds the highest term of the duties that were dropped: a
 // service without an entry goes on above it, so that no grant of before passes
 // for a newer one.
-const dutyFloorKey = "nectar/duty-floor"
+const dutyLoopKey = "nectar/duty-floor"
 
 // maxDuties is how many duties are kept before those of services that the
 // document no longer names are dropped.
@@ -76,40 +76,40 @@
 	if count <= maxDuties || d == nil {
 		return nil
 	}
-	floor := officeOf(s, "").Term
+	loop := dutyRecordOf(s, "").Term
 	s.DropExtra(func(key string) bool {
 		svc, isDuty := strings.CutPrefix(key, dutyKey)
 		if _, named := d.Shares[svc]; !isDuty || named {
 			return false
 		}
-		floor = max(floor, officeOf(s, svc).Term)
+		loop = max(loop, dutyRecordOf(s, svc).Term)
 		return true
 	})
-	raw, err := codec.Marshal(&office{Term: floor})
+	raw, err := codec.Marshal(&dutyRecord{Term: loop})
 	if err != nil {
 		return err
 	}
-	s.SetExtra(dutyFloorKey, raw)
+	s.SetExtra(dutyLoopKey, raw)
 	return nil
 }
 
 // Config is what a node's part in quotas is made of.
 type Config struct {
-	Floor  *eventloop.Floor
-	Desk   *rpc.Desk
-	Mesh   rpc.Mesh
-	Swarm  *gossip.Swarm
-	Log    *logging.Log
-	Self   gossip.Partner
-	State  func() *register.State
-	Change func(context.Context, register.Change) (*register.State, error)
-	Gate   *Gate
+	Loop      *eventloop.Loop
+	Mux       *rpc.Mux
+	Transport rpc.Transport
+	Gossip    *gossip.Gossip
+	Log       *logging.Log
+	Self      gossip.Peer
+	State     func() *register.State
+	Change    func(context.Context, register.Change) (*register.State, error)
+	Gate      *Gate
 }
 
-// Nectar is one node's part in quotas: it reports what its gate has, takes the
+// Quotas is one node's part in quotas: it reports what its gate has, takes the
 // grants, and holds the duty of the services that fall to it. All runs on the
 // floor.
-type Nectar struct {
+type Quotas struct {
 	cfg    Config
 	ctx    context.Context
 	tables map[string]*table // services whose duty falls to this node
@@ -123,16 +123,16 @@
 }
 
 // New joins the quotas.
-func New(ctx context.Context, cfg Config) *Nectar {
-	n := &Nectar{cfg: cfg, ctx: ctx, tables: map[string]*table{}, asked: map[string]*asking{}}
-	rpc.On(cfg.Desk, "nectar.report", n.onReport)
-	rpc.On(cfg.Desk, "nectar.explain", n.onExplain)
-	cfg.Floor.Every(tickUs, n.tick)
+func New(ctx context.Context, cfg Config) *Quotas {
+	n := &Quotas{cfg: cfg, ctx: ctx, tables: map[string]*table{}, asked: map[string]*asking{}}
+	rpc.On(cfg.Mux, "nectar.report", n.onReport)
+	rpc.On(cfg.Mux, "nectar.explain", n.onExplain)
+	cfg.Loop.Every(tickUs, n.tick)
 	return n
 }
 
 // Apply takes a committed state: the document in force, and who holds the duties.
-func (n *Nectar) Apply(s *register.State) {
+func (n *Quotas) Apply(s *register.State) {
 	if raw := string(s.Extra[docKey]); raw != n.docRaw {
 		n.docRaw = raw
 		d := Load(s)
@@ -145,13 +145,13 @@
 	}
 	if r := n.cfg.Gate.Rules(); r != nil {
 		for _, svc := range r.Services() {
-			n.cfg.Gate.Fence(svc, officeOf(s, svc).Term)
+			n.cfg.Gate.Fence(svc, dutyRecordOf(s, svc).Term)
 		}
 	}
 }
 
 // holder names the node whom a service's duty falls to.
-func (n *Nectar) holder(svc string, v *gossip.View) string {
+func (n *Quotas) holder(svc string, v *gossip.View) string {
 	strong := v.Strong(n.cfg.Self.Role)
 	names := make([]string, len(strong))
 	for i, s := range strong {
@@ -168,13 +168,13 @@
 }
 
 // tick reports where a report is due. Without a document it does nothing.
-func (n *Nectar) tick() {
+func (n *Quotas) tick() {
 	r := n.cfg.Gate.Rules()
 	if r == nil {
 		return
 	}
 	nowUs := eventloop.NowUs()
-	v := n.cfg.Swarm.Look()
+	v := n.cfg.Gossip.Look()
 	for _, svc := range r.Services() {
 		holder := n.holder(svc, v)
 		if holder != n.cfg.Self.Name {
@@ -196,8 +196,8 @@
 			ctx, cancel := context.WithTimeout(n.ctx, callLimit)
 			defer cancel()
 			out := &Grant{}
-			err := n.cfg.Mesh.Call(ctx, p.Addr, "nectar.report", call, out)
-			_ = n.cfg.Floor.Do(n.ctx, func() {
+			err := n.cfg.Transport.Call(ctx, p.Addr, "nectar.report", call, out)
+			_ = n.cfg.Loop.Do(n.ctx, func() {
 				a.busy = false
 				if err != nil {
 					return
@@ -213,12 +213,12 @@
 	}
 }
 
-func (n *Nectar) onReport(ctx context.Context, in *reportCall) (*Grant, error) {
+func (n *Quotas) onReport(ctx context.Context, in *reportCall) (*Grant, error) {
 	type answer struct {
 		g   *Grant
 		err error
 	}
-	got, err := eventloop.Ask(ctx, n.cfg.Floor, func() answer {
+	got, err := eventloop.Ask(ctx, n.cfg.Loop, func() answer {
 		g, err := n.report(in)
 		return answer{g, err}
 	})
@@ -228,9 +228,9 @@
 	return got.g, got.err
 }
 
-func (n *Nectar) report(in *reportCall) (*Grant, error) {
+func (n *Quotas) report(in *reportCall) (*Grant, error) {
 	r := n.cfg.Gate.Rules()
-	v := n.cfg.Swarm.Look()
+	v := n.cfg.Gossip.Look()
 	if holder := n.holder(in.Svc, v); holder != n.cfg.Self.Name {
 		return nil, fault.New(fault.NotOwner, holder, "this node does not hold the duty", "tell its holder")
 	}
@@ -250,18 +250,18 @@
 	}
 	node.uses, node.atUs = in.Uses, nowUs
 	// Whoever took the duty after this node did ends it here (design 17.3).
-	if now := officeOf(n.cfg.State(), in.Svc); t.term == 0 || now.Term > t.term || now.Term == t.term && now.By != n.cfg.Self.Life() {
+	if now := dutyRecordOf(n.cfg.State(), in.Svc); t.term == 0 || now.Term > t.term || now.Term == t.term && now.By != n.cfg.Self.Life() {
 		n.claim(t)
-		return nil, fault.New(fault.Declined, in.Svc, "the duty changes hands", "live on your part until it has")
+		return nil, fault.New(fault.Refused, in.Svc, "the duty changes hands", "live on your part until it has")
 	}
 	if nowUs < t.openUs && !t.heardAll(v, n.cfg.Self.Role, nowUs) {
-		return nil, fault.New(fault.Declined, in.Svc, "grants of before may still hold", "live on your part until they have run out")
+		return nil, fault.New(fault.Refused, in.Svc, "grants of before may still hold", "live on your part until they have run out")
 	}
 	if nowUs-t.madeUs > computeUs {
 		t.divide(r, n.cfg.Gate.Fleet(in.Svc), known(v, n.cfg.Self.Role, nowUs), nowUs)
 	}
 	if !t.quorum {
-		return nil, fault.New(fault.Declined, in.Svc, "too few nodes are in touch", "live on your part until more are")
+		return nil, fault.New(fault.Refused, in.Svc, "too few nodes are in touch", "live on your part until more are")
 	}
 	everyUs := reportEveryUs(len(t.nodes))
 	g := &Grant{Term: t.term, TTLUs: grantTTLUs(everyUs), EveryUs: everyUs, Contended: nowUs < t.busyUs, Yield: t.yield, Of: t.limits[in.From]}
@@ -280,7 +280,7 @@
 
 // claim takes the duty of a service under a higher term; grants are given once
 // all of before have run out.
-func (n *Nectar) claim(t *table) {
+func (n *Quotas) claim(t *table) {
 	if t.claiming {
 		return
 	}
@@ -291,23 +291,23 @@
 		defer cancel()
 		var term uint64
 		_, err := n.cfg.Change(ctx, func(now *register.State) (*register.State, error) {
-			o := officeOf(now, t.svc)
+			o := dutyRecordOf(now, t.svc)
 			term = o.Term + 1
-			raw, err := codec.Marshal(&office{Term: term, By: me})
+			raw, err := codec.Marshal(&dutyRecord{Term: term, By: me})
 			if err != nil {
 				return nil, err
 			}
 			now.SetExtra(dutyKey+t.svc, raw)
 			return now, boundDuties(now)
 		})
-		_ = n.cfg.Floor.Do(n.ctx, func() {
+		_ = n.cfg.Loop.Do(n.ctx, func() {
 			t.claiming = false
 			if err != nil {
 				n.cfg.Log.Debug("quota_duty_waits", "service", t.svc, "err", err)
 				return
 			}
 			// Grants of before hold as long as the most nodes would make them.
-			nodes := max(len(t.nodes), len(n.cfg.Swarm.Look().All))
+			nodes := max(len(t.nodes), len(n.cfg.Gossip.Look().All))
 			t.term, t.openUs = term, eventloop.NowUs()+grantTTLUs(reportEveryUs(nodes))
 			n.cfg.Log.Info("quota_duty_held", "service", t.svc, "term", term)
 		})
@@ -323,8 +323,8 @@
 	Rows []Row
 }
 
-func (n *Nectar) onExplain(ctx context.Context, in *explainCall) (*explainAnswer, error) {
-	out, err := eventloop.Ask(ctx, n.cfg.Floor, func() *explainAnswer {
+func (n *Quotas) onExplain(ctx context.Context, in *explainCall) (*explainAnswer, error) {
+	out, err := eventloop.Ask(ctx, n.cfg.Loop, func() *explainAnswer {
 		t := n.tables[in.Svc]
 		if t == nil {
 			return nil
@@ -344,7 +344,7 @@
 }
 
 // RulesVer is the version of the document in force here, 0 without one.
-func (n *Nectar) RulesVer() int64 {
+func (n *Quotas) RulesVer() int64 {
 	if r := n.cfg.Gate.Rules(); r != nil {
 		return r.Ver
 	}
@@ -353,7 +353,7 @@
 
 // Explain tells how a tenant stands at every service that has shares; any node
 // may be asked.
-func (n *Nectar) Explain(ctx context.Context, tenant string) ([]Row, error) {
+func (n *Quotas) Explain(ctx context.Context, tenant string) ([]Row, error) {
 	r := n.cfg.Gate.Rules()
 	if r == nil {
 		return nil, fault.New(fault.Unknown, "quotas", "none are set", "set some with rowanshunt quota set")
@@ -366,7 +366,7 @@
 	if !known {
 		return nil, fault.New(fault.Unknown, tenant, "is no tenant", "name one of the document, or "+Others)
 	}
-	v := n.cfg.Swarm.Look()
+	v := n.cfg.Gossip.Look()
 	var out []Row
 	var silent []string
 	for _, svc := range services {
@@ -375,7 +375,7 @@
 		}
 		p := v.Get(n.holder(svc, v))
 		got := &explainAnswer{}
-		if p == nil || n.cfg.Mesh.Call(ctx, p.Addr, "nectar.explain", &explainCall{Svc: svc, Tenant: tenant}, got) != nil || len(got.Rows) == 0 {
+		if p == nil || n.cfg.Transport.Call(ctx, p.Addr, "nectar.explain", &explainCall{Svc: svc, Tenant: tenant}, got) != nil || len(got.Rows) == 0 {
 			silent = append(silent, svc)
 			g := r.Of(svc, tenant)
 			out = append(out, Row{Svc: svc, Tenant: tenant, SlotsPercent: 100 * g.Slots, KvPercent: 100 * g.Kv, CapPercent: 100 * g.Cap,
@@ -394,4 +394,4 @@
 }
 
 // HolderOf names the node whom a service's duty falls to, as this node sees it.
-func (n *Nectar) HolderOf(svc string) string { return n.holder(svc, n.cfg.Swarm.Look()) }
+func (n *Quotas) HolderOf(svc string) string { return n.holder(svc, n.cfg.Gossip.Look()) }
--- a/internal/register/acceptor.go
+++ b/internal/register/acceptor.go
@@ -19,23 +19,23 @@
 	State    *State
 }
 
-// keeper stores votes durably.
-type keeper interface {
+// voteStore stores votes durably.
+type voteStore interface {
 	keep(v vote, whole bool) error
 }
 
-// memory keeps nothing: founding seats hold office in their first life only
+// memoryStore keeps nothing: founding seats hold office in their first life only
 // (design 4.3).
-type memory struct{}
+type memoryStore struct{}
 
-func (memory) keep(vote, bool) error { return nil }
+func (memoryStore) keep(vote, bool) error { return nil }
 
 // Acceptor is one seat's vote. Its rules: a promise is never broken, and what
 // is answered is on disk first.
 type Acceptor struct {
 	mu   sync.Mutex // held from a decision until its write is durable
 	core acceptorCore
-	disk keeper
+	disk voteStore
 	// durable is what is on disk, for those who only look: they don't wait for
 	// the lock, since a disk may stall for long.
 	durable atomic.Pointer[vote]
@@ -58,10 +58,10 @@
 	if damage != nil {
 		log.Warn("cell_tail_cut", "cell", "register", "at", damage.AtByte, "bytes", damage.CutBytes, "why", damage.Why)
 	}
-	return newAcceptor(id, last, &cellKeeper{c: c, longBytes: rewriteBytes}), nil
+	return newAcceptor(id, last, &diskStore{c: c, longBytes: rewriteBytes}), nil
 }
 
-func newAcceptor(id string, durable vote, disk keeper) *Acceptor {
+func newAcceptor(id string, durable vote, disk voteStore) *Acceptor {
 	a := &Acceptor{core: acceptorCore{id: id, durable: durable}, disk: disk}
 	a.durable.Store(&durable)
 	return a
@@ -81,14 +81,14 @@
 }
 
 // NewFoundingAcceptor makes the seat that a seed holds in its first life.
-func NewFoundingAcceptor(id string) *Acceptor { return newAcceptor(id, vote{}, memory{}) }
+func NewFoundingAcceptor(id string) *Acceptor { return newAcceptor(id, vote{}, memoryStore{}) }
 
-type cellKeeper struct {
-	c         *wal.Cell
+type diskStore struct {
+	c         *wal.Log
 	longBytes int64
 }
 
-func (k *cellKeeper) keep(v vote, whole bool) error {
+func (k *diskStore) keep(v vote, whole bool) error {
 	if k.c.SizeBytes() > k.longBytes+4*int64(docLen(v.State)) {
 		rec, err := codec.Marshal(&v)
 		if err != nil {
@@ -121,7 +121,7 @@
 
 // Close ends the seat's writing.
 func (a *Acceptor) Close() {
-	if k, ok := a.disk.(*cellKeeper); ok {
+	if k, ok := a.disk.(*diskStore); ok {
 		k.c.Close()
 	}
 }
@@ -135,7 +135,7 @@
 }
 
 type prepareCall struct {
-	Seat   string
+	Member string
 	Ballot Ballot
 	Peek   bool
 }
@@ -148,7 +148,7 @@
 }
 
 type acceptCall struct {
-	Seat   string
+	Member string
 	Ballot Ballot
 	State  *State
 }
@@ -161,7 +161,7 @@
 // Prepare promises not to accept lower ballots; with Peek it only looks, which
 // waits for no write under way.
 func (a *Acceptor) Prepare(_ context.Context, in *prepareCall) (*prepareAnswer, error) {
-	if err := a.core.checkMember(in.Seat); err != nil {
+	if err := a.core.checkMember(in.Member); err != nil {
 		return nil, err
 	}
 	if in.Peek {
@@ -178,7 +178,7 @@
 
 // Accept takes a state unless a higher ballot was promised.
 func (a *Acceptor) Accept(_ context.Context, in *acceptCall) (*acceptAnswer, error) {
-	if err := a.core.checkMember(in.Seat); err != nil {
+	if err := a.core.checkMember(in.Member); err != nil {
 		return nil, err
 	}
 	if in.State == nil {
--- a/internal/register/bounds_test.go
+++ b/internal/register/bounds_test.go
@@ -9,7 +9,7 @@
 // The names of retired stores stay for as long as the store is there, and the
 // newest of those that are gone.
 func TestRetiringIsBounded(t *testing.T) {
-	stores := []Seat{{ID: "here#0"}, {ID: "here#1"}}
+	stores := []Member{{ID: "here#0"}, {ID: "here#1"}}
 	retiring := []string{"here#0"}
 	for i := range 1000 {
 		retiring = boundRetiring(append(slices.Clone(retiring), fmt.Sprint("gone#", i)), stores)
--- a/internal/register/catchup.go
+++ b/internal/register/catchup.go
@@ -41,11 +41,11 @@
 
 // behind tells whether this node's acceptor is a member and lacks the newest
 // committed state that the node knows.
-func (n *Nest) behind(known *State, committed bool) bool {
-	if n.seat == nil || !committed || !known.Core.Has(n.seat.ID()) {
+func (n *Register) behind(known *State, committed bool) bool {
+	if n.member == nil || !committed || !known.Core.Has(n.member.ID()) {
 		return false
 	}
-	return n.seat.acceptedRev() < known.Rev
+	return n.member.acceptedRev() < known.Rev
 }
 
 // fetchMissed takes the newest state that another member accepted, if it is at
@@ -53,17 +53,17 @@
 // ballot, is an accept message that some proposer sent: to take it late is as
 // sound as to take it in time. Not taken: nobody has it, or more was promised
 // here since.
-func (a *Acceptor) fetchMissed(ctx context.Context, mesh rpc.Mesh, addrOf func(Seat) string, known *State) (from string, taken bool, err error) {
+func (a *Acceptor) fetchMissed(ctx context.Context, transport rpc.Transport, addrOf func(Member) string, known *State) (from string, taken bool, err error) {
 	for _, s := range known.Core.All() {
 		if s.ID == a.ID() {
 			continue
 		}
 		missed := &prepareAnswer{}
-		call := &prepareCall{Seat: s.ID, Peek: true}
-		if err := mesh.Call(ctx, addrOf(s), "nest.prepare", call, missed); err != nil || missed.State == nil || missed.State.Rev < known.Rev {
+		call := &prepareCall{Member: s.ID, Peek: true}
+		if err := transport.Call(ctx, addrOf(s), "nest.prepare", call, missed); err != nil || missed.State == nil || missed.State.Rev < known.Rev {
 			continue
 		}
-		out, err := a.Accept(ctx, &acceptCall{Seat: a.ID(), Ballot: missed.Accepted, State: missed.State})
+		out, err := a.Accept(ctx, &acceptCall{Member: a.ID(), Ballot: missed.Accepted, State: missed.State})
 		return s.Name, err == nil && out.OK, err
 	}
 	return "", false, nil
@@ -72,9 +72,9 @@
 // catchUp brings this node's acceptor the state that it missed, so that it
 // counts as holding it without waiting for the next change (design 4.5). Where
 // it can't be taken late, a round of its own commits it anew.
-func (n *Nest) catchUp(ctx context.Context) {
+func (n *Register) catchUp(ctx context.Context) {
 	known, _ := n.Known()
-	from, taken, err := n.seat.fetchMissed(ctx, n.cfg.Mesh, n.addrOf, known)
+	from, taken, err := n.member.fetchMissed(ctx, n.cfg.Transport, n.addrOf, known)
 	if taken {
 		n.cfg.Log.Info("caught_up", "rev", known.Rev, "from", from)
 		return
--- a/internal/register/contact.go
+++ b/internal/register/contact.go
@@ -14,27 +14,27 @@
 // contactCall asks a member with which of these seats it has had no contact for
 // so long.
 type contactCall struct {
-	Seats []Seat
-	ForUs int64
+	Members []Member
+	ForUs   int64
 }
 
 type contactAnswer struct {
 	Lost []string // seats
 }
 
-func (n *Nest) serveContact() {
-	rpc.On(n.cfg.Desk, "nest.contact", func(_ context.Context, in *contactCall) (*contactAnswer, error) {
+func (n *Register) serveContact() {
+	rpc.On(n.cfg.Mux, "nest.contact", func(_ context.Context, in *contactCall) (*contactAnswer, error) {
 		return &contactAnswer{Lost: n.lostHere(in)}, nil
 	})
 }
 
 // lostHere lists the seats that this node itself has lost.
-func (n *Nest) lostHere(in *contactCall) []string {
+func (n *Register) lostHere(in *contactCall) []string {
 	var lost []string
-	view := n.cfg.Swarm.Look()
-	for _, seat := range in.Seats {
-		if Gone(seat, view, in.ForUs, eventloop.NowUs()-n.startUs) {
-			lost = append(lost, seat.ID)
+	view := n.cfg.Gossip.Look()
+	for _, member := range in.Members {
+		if Gone(member, view, in.ForUs, eventloop.NowUs()-n.startUs) {
+			lost = append(lost, member.ID)
 		}
 	}
 	return lost
@@ -43,22 +43,22 @@
 // Lost lists those of the suspects with which a majority of the members, asked
 // now, has had no contact for so long. Who does not answer counts as one that
 // has contact (design 4.4).
-func (n *Nest) Lost(ctx context.Context, members, suspects []Seat, forUs int64) map[string]bool {
+func (n *Register) Lost(ctx context.Context, members, suspects []Member, forUs int64) map[string]bool {
 	if len(suspects) == 0 {
 		return nil
 	}
-	call := &contactCall{Seats: suspects, ForUs: forUs}
+	call := &contactCall{Members: suspects, ForUs: forUs}
 	answers := make(chan []string, len(members))
 	for _, member := range members {
 		go func() {
-			if member.ID == n.cfg.Self.Seat() {
+			if member.ID == n.cfg.Self.MemberID() {
 				answers <- n.lostHere(call)
 				return
 			}
 			callCtx, cancel := context.WithTimeout(ctx, contactTimeout)
 			defer cancel()
 			out := &contactAnswer{}
-			if err := n.cfg.Mesh.Call(callCtx, n.addrOf(member), "nest.contact", call, out); err != nil {
+			if err := n.cfg.Transport.Call(callCtx, n.addrOf(member), "nest.contact", call, out); err != nil {
 				out = &contactAnswer{}
 			}
 			answers <- out.Lost
--- a/internal/register/disk_test.go
+++ b/internal/register/disk_test.go
@@ -79,7 +79,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		disk := a.disk.(*cellKeeper)
+		disk := a.disk.(*diskStore)
 		disk.longBytes = longBytes
 		held := a.durable.Load()
 		if held.Promised.Less(promised) || held.Accepted.Less(accepted) || rev > 0 && (a.State() == nil || a.State().Rev < rev) {
@@ -89,12 +89,12 @@
 			n++
 			b := Ballot{N: n, By: "p/1"}
 			if luck.IntN(2) == 0 {
-				if out, err := a.Prepare(ctx, &prepareCall{Seat: "s", Ballot: b}); err == nil && out.OK {
+				if out, err := a.Prepare(ctx, &prepareCall{Member: "s", Ballot: b}); err == nil && out.OK {
 					promised = b
 				}
 			} else {
 				doc := bytes.Repeat([]byte{byte(n)}, docBytes)
-				if out, err := a.Accept(ctx, &acceptCall{Seat: "s", Ballot: b, State: &State{Rev: n, Doc: doc}}); err == nil && out.OK {
+				if out, err := a.Accept(ctx, &acceptCall{Member: "s", Ballot: b, State: &State{Rev: n, Doc: doc}}); err == nil && out.OK {
 					promised, accepted, rev = b, b, n
 				}
 			}
@@ -113,14 +113,14 @@
 	}
 }
 
-// countingMesh calls acceptors in this process and counts what would be sent.
-type countingMesh struct {
+// countingTransport calls acceptors in this process and counts what would be sent.
+type countingTransport struct {
 	mu        sync.Mutex
 	at        map[string]*Acceptor // nil: down
 	sentBytes int64
 }
 
-func (m *countingMesh) Call(ctx context.Context, addr, kind string, in, out any) error {
+func (m *countingTransport) Call(ctx context.Context, addr, kind string, in, out any) error {
 	raw, err := codec.Marshal(in)
 	if err != nil {
 		return err
@@ -159,9 +159,9 @@
 	return msgpack.Unmarshal(raw, out)
 }
 
-var _ rpc.Mesh = (*countingMesh)(nil)
+var _ rpc.Transport = (*countingTransport)(nil)
 
-func (m *countingMesh) set(addr string, a *Acceptor) {
+func (m *countingTransport) set(addr string, a *Acceptor) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.at[addr] = a
@@ -175,30 +175,30 @@
 	for b.Loop() {
 		ctx := context.Background()
 		root := b.TempDir()
-		mesh := &countingMesh{at: map[string]*Acceptor{}}
-		known := &State{Rev: 1, Core: Roster{Ver: 1}}
+		transport := &countingTransport{at: map[string]*Acceptor{}}
+		known := &State{Rev: 1, Core: Membership{Ver: 1}}
 		start := func(i int) *Acceptor {
 			addr := fmt.Sprint("m", i)
 			a, err := OpenAcceptor(addr, filepath.Join(root, addr), logging.Quiet())
 			if err != nil {
 				b.Fatal(err)
 			}
-			mesh.set(addr, a)
+			transport.set(addr, a)
 			return a
 		}
 		var members []*Acceptor
 		for i := range 3 {
 			addr := fmt.Sprint("m", i)
-			known.Core.Cur = append(known.Core.Cur, Seat{ID: addr, Name: addr, Addr: addr})
+			known.Core.Cur = append(known.Core.Cur, Member{ID: addr, Name: addr, Addr: addr})
 			members = append(members, start(i))
 		}
 		var mu sync.Mutex
-		p := NewProposer("p/1", mesh, func(s Seat) string { return s.Addr }, func() (*State, bool) { mu.Lock(); defer mu.Unlock(); return known, true },
+		p := NewProposer("p/1", transport, func(s Member) string { return s.Addr }, func() (*State, bool) { mu.Lock(); defer mu.Unlock(); return known, true },
 			func(s *State) { mu.Lock(); defer mu.Unlock(); known = s })
 		var largest int64
 		for i := range changes {
 			if i == changes/2 {
-				mesh.set("m2", nil)
+				transport.set("m2", nil)
 				members[2].Close()
 			}
 			doc := bytes.Repeat([]byte{byte(i)}, docBytes)
@@ -206,14 +206,14 @@
 				b.Fatal(err)
 			}
 			for _, a := range members {
-				largest = max(largest, a.disk.(*cellKeeper).c.SizeBytes())
+				largest = max(largest, a.disk.(*diskStore).c.SizeBytes())
 			}
 		}
-		sent := mesh.sentBytes
+		sent := transport.sentBytes
 		began := b.Elapsed()
 		members[2] = start(2)
 		opened := b.Elapsed()
-		if _, taken, err := members[2].fetchMissed(ctx, mesh, func(s Seat) string { return s.Addr }, known); err != nil || !taken {
+		if _, taken, err := members[2].fetchMissed(ctx, transport, func(s Member) string { return s.Addr }, known); err != nil || !taken {
 			b.Fatal("not caught up", err)
 		}
 		if members[2].State().Ver != changes {
@@ -223,7 +223,7 @@
 		b.ReportMetric(float64(sent)/changes/1e3, "kB-sent/change")
 		b.ReportMetric(float64((opened-began).Microseconds())/1e3, "ms-open")
 		b.ReportMetric(float64((b.Elapsed()-opened).Microseconds())/1e3, "ms-catch-up")
-		b.ReportMetric(float64(mesh.sentBytes-sent)/1e3, "kB-catch-up")
+		b.ReportMetric(float64(transport.sentBytes-sent)/1e3, "kB-catch-up")
 		for _, a := range members {
 			a.Close()
 		}
--- a/internal/register/fuzz_test.go
+++ b/internal/register/fuzz_test.go
@@ -21,7 +21,7 @@
 		}
 		return raw
 	}
-	state := &State{Rev: 3, Ver: 7, Doc: []byte("{}"), Core: Roster{Ver: 2, Cur: []Seat{{ID: "a#1", Name: "a", Addr: "x", Az: "z"}}},
+	state := &State{Rev: 3, Ver: 7, Doc: []byte("{}"), Core: Membership{Ver: 2, Cur: []Member{{ID: "a#1", Name: "a", Addr: "x", Az: "z"}}},
 		Retiring: []string{"s#1"}, Extra: map[string][]byte{"k": {1}}}
 	f.Add(pack(vote{Promised: Ballot{N: 2, By: "a/1"}}))
 	f.Add(pack(vote{Promised: Ballot{N: 2, By: "a/1"}, Accepted: Ballot{N: 1, By: "b/1"}, State: state}))
--- a/internal/register/history_test.go
+++ b/internal/register/history_test.go
@@ -222,7 +222,7 @@
 		return acknowledged
 	case fault.Is(err, fault.Stale), fault.Is(err, fault.Invalid):
 		return refused
-	case fault.Is(err, fault.Declined):
+	case fault.Is(err, fault.Refused):
 		return declined
 	}
 	return unsure
@@ -230,7 +230,7 @@
 
 // historyRun plays a script and records what the operators saw.
 type historyRun struct {
-	m     *simnet.Meadow
+	m     *simnet.Network
 	nodes []*historyNode
 	began time.Time
 
@@ -240,11 +240,11 @@
 
 func (h *historyRun) start(n *historyNode, first *State) {
 	n.life++
-	desk := rpc.NewDesk()
-	rpc.On(desk, "nest.prepare", n.acceptor.Prepare)
-	rpc.On(desk, "nest.accept", n.acceptor.Accept)
+	mux := rpc.NewMux()
+	rpc.On(mux, "nest.prepare", n.acceptor.Prepare)
+	rpc.On(mux, "nest.accept", n.acceptor.Accept)
 	ctx, cancel := context.WithCancel(context.Background())
-	h.m.Place(ctx, n.addr, desk)
+	h.m.Place(ctx, n.addr, mux)
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	n.mu.Lock()
@@ -254,7 +254,7 @@
 	}
 	n.mu.Unlock()
 	n.ctx, n.cancel = ctx, cancel
-	n.p = NewProposer(fmt.Sprintf("%s/%d", n.addr, n.life), h.m.MeshOf(n.addr), func(t Seat) string { return t.Addr }, n.Known, n.learn)
+	n.p = NewProposer(fmt.Sprintf("%s/%d", n.addr, n.life), h.m.TransportOf(n.addr), func(t Member) string { return t.Addr }, n.Known, n.learn)
 }
 
 // call runs one call at a node and records it.
@@ -334,23 +334,23 @@
 	m := simnet.New(script.seed)
 	m.DelayUs, m.Lose, m.Double = 30_000, 0.04, 0.1
 	h := &historyRun{m: m, began: time.Now()}
-	first := &State{Rev: 1, Core: Roster{Ver: 1}}
+	first := &State{Rev: 1, Core: Membership{Ver: 1}}
 	for i := range 3 {
-		n := &historyNode{acceptor: newAcceptor(fmt.Sprint("m", i), vote{}, memory{})}
+		n := &historyNode{acceptor: newAcceptor(fmt.Sprint("m", i), vote{}, memoryStore{})}
 		n.m, n.addr = m, fmt.Sprint("n", i)
 		h.nodes = append(h.nodes, n)
-		first.Core.Cur = append(first.Core.Cur, Seat{ID: n.acceptor.ID(), Name: n.addr, Addr: n.addr})
+		first.Core.Cur = append(first.Core.Cur, Member{ID: n.acceptor.ID(), Name: n.addr, Addr: n.addr})
 	}
 	for _, n := range h.nodes {
 		h.start(n, first)
 	}
 	var wg sync.WaitGroup
-	underWay := make(chan struct{}, 8)
+	underAttempt := make(chan struct{}, 8)
 	for i, o := range script.orders {
 		wg.Go(func() {
-			underWay <- struct{}{}
+			underAttempt <- struct{}{}
 			h.order(i, o)
-			<-underWay
+			<-underAttempt
 		})
 	}
 	for _, f := range script.faults {
--- a/internal/register/membership.go
+++ b/internal/register/membership.go
@@ -16,27 +16,27 @@
 
 // found settles the first roster in the founding register of the seeds
 // (design 4.3).
-func (n *Nest) found(ctx context.Context) {
-	var first []Seat
-	for _, p := range n.cfg.Swarm.Look().All {
+func (n *Register) found(ctx context.Context) {
+	var first []Member
+	for _, p := range n.cfg.Gossip.Look().All {
 		if p.Alive && p.Boot && p.Disk != "" && p.Role == n.cfg.Self.Role {
-			first = append(first, SeatOf(&p.Partner))
+			first = append(first, MemberOf(&p.Peer))
 		}
 	}
 	sort.Slice(first, func(i, j int) bool { return first[i].ID < first[j].ID })
-	if len(first) > maxSeats {
-		first = first[:maxSeats]
+	if len(first) > maxMembers {
+		first = first[:maxMembers]
 	}
-	doc, err := codec.Marshal(&State{Rev: 1, Core: Roster{Ver: 1, Cur: first}})
+	doc, err := codec.Marshal(&State{Rev: 1, Core: Membership{Ver: 1, Cur: first}})
 	if err != nil {
 		return
 	}
-	var seeds []Seat
+	var seeds []Member
 	for _, a := range n.cfg.Seeds {
-		seeds = append(seeds, Seat{ID: "founding@" + a, Addr: a})
+		seeds = append(seeds, Member{ID: "founding@" + a, Addr: a})
 	}
-	empty := &State{Core: Roster{Cur: seeds}}
-	p := NewProposer(n.cfg.Proposer, n.cfg.Mesh, func(s Seat) string { return s.Addr }, func() (*State, bool) { return empty, true }, func(*State) {})
+	empty := &State{Core: Membership{Cur: seeds}}
+	p := NewProposer(n.cfg.Proposer, n.cfg.Transport, func(s Member) string { return s.Addr }, func() (*State, bool) { return empty, true }, func(*State) {})
 	p.kinds = [2]string{"nest.found.prepare", "nest.found.accept"}
 	chosen, err := p.Change(ctx, func(now *State) (*State, error) {
 		if len(now.Doc) > 0 {
@@ -59,12 +59,12 @@
 	n.spread(s)
 }
 
-// NextSeats is the roster that takes self in: in the place of an earlier
+// NextMembers is the roster that takes self in: in the place of an earlier
 // incarnation of its disk, of a member that leaves, of one that does not answer
 // self and is in lost, or beside the others; nil while it is too early to tell,
 // or if there is no room. lost holds the seats with which a majority of the
 // members has no contact: what self alone cannot reach may be well (design 4.4).
-func NextSeats(r *Roster, self Seat, v *gossip.View, upUs int64, most int, lost map[string]bool) []Seat {
+func NextMembers(r *Membership, self Member, v *gossip.View, upUs int64, most int, lost map[string]bool) []Member {
 	next := slices.Clone(r.Cur)
 	for i, s := range next {
 		if s.Name == self.Name {
@@ -75,7 +75,7 @@
 	missing := false
 	for i, s := range next {
 		p := v.Get(s.Name)
-		met := p != nil && v.Met(s.Name) && p.Seat() == s.ID
+		met := p != nil && v.Met(s.Name) && p.MemberID() == s.ID
 		if met && !p.Leaving {
 			continue
 		}
@@ -100,10 +100,10 @@
 
 // Unmet lists the members that have not answered this node lately, at most a
 // few: those that a newcomer might displace.
-func Unmet(r *Roster, v *gossip.View) []Seat {
-	var out []Seat
+func Unmet(r *Membership, v *gossip.View) []Member {
+	var out []Member
 	for _, s := range r.Cur {
-		if p := v.Get(s.Name); (p == nil || !v.Met(s.Name) || p.Seat() != s.ID) && len(out) < maxUnmet {
+		if p := v.Get(s.Name); (p == nil || !v.Met(s.Name) || p.MemberID() != s.ID) && len(out) < maxUnmet {
 			out = append(out, s)
 		}
 	}
@@ -115,13 +115,13 @@
 
 // Gone tells whether the seat's holder has been silent for so long, or now has
 // another disk.
-func Gone(s Seat, v *gossip.View, forUs, upUs int64) bool {
+func Gone(s Member, v *gossip.View, forUs, upUs int64) bool {
 	p := v.Get(s.Name)
 	if p == nil {
 		return upUs > neverSeenUs+forUs
 	}
 	if p.Alive {
-		return p.Seat() != s.ID
+		return p.MemberID() != s.ID
 	}
 	return eventloop.NowUs()-p.SinceUs > forUs
 }
@@ -129,14 +129,14 @@
 // membershipNeed is a change of the membership that is due, and since when this
 // node has known it.
 type membershipNeed struct {
-	rosterVer uint64
-	sinceUs   int64
+	membershipVer uint64
+	sinceUs       int64
 }
 
 // keepMembership drives what the roster needs: the end of a change whose driver
 // is gone, the departure of this node, and the removal of members long silent.
 // The living members take turns, for the first may be cut off from the others.
-func (n *Nest) keepMembership(core *Roster, v *gossip.View, nowUs int64) {
+func (n *Register) keepMembership(core *Membership, v *gossip.View, nowUs int64) {
 	spare := len(core.Cur) > 2*n.cfg.Spared+1
 	if v.Self.Leaving && (core.Joint() || spare) {
 		n.once(n.leave)
@@ -146,10 +146,10 @@
 		n.need = membershipNeed{}
 		return
 	}
-	if n.need.sinceUs == 0 || n.need.rosterVer != core.Ver {
-		n.need = membershipNeed{rosterVer: core.Ver, sinceUs: nowUs}
+	if n.need.sinceUs == 0 || n.need.membershipVer != core.Ver {
+		n.need = membershipNeed{membershipVer: core.Ver, sinceUs: nowUs}
 	}
-	delayUs := TurnUs(core.Cur, n.seat.ID(), v)
+	delayUs := TurnUs(core.Cur, n.member.ID(), v)
 	if core.Joint() {
 		delayUs += stableUs // its driver comes first
 	}
@@ -160,13 +160,13 @@
 
 // TurnUs is how long a member waits before it takes a due change up itself: the
 // longer, the more living members stand before it.
-func TurnUs(members []Seat, self string, v *gossip.View) int64 {
+func TurnUs(members []Member, self string, v *gossip.View) int64 {
 	delayUs := int64(0)
 	for _, s := range members {
 		if s.ID == self {
 			break
 		}
-		if p := v.Get(s.Name); p != nil && p.Alive && p.Seat() == s.ID {
+		if p := v.Get(s.Name); p != nil && p.Alive && p.MemberID() == s.ID {
 			delayUs += turnUs
 		}
 	}
@@ -177,7 +177,7 @@
 // set to move to, nil once the roster is as it should be. A joint roster is
 // settled only when all living members of the new set hold it, and the change
 // counts as over when they hold the settled one, too (design 4.4).
-func (n *Nest) changeMembers(ctx context.Context, next func(*Roster) ([]Seat, error)) (*State, error) {
+func (n *Register) changeMembers(ctx context.Context, next func(*Membership) ([]Member, error)) (*State, error) {
 	held := uint64(0) // the roster that all living members are known to hold
 	startUs := eventloop.NowUs()
 	for {
@@ -214,7 +214,7 @@
 		}
 		eventloop.Pause(ctx, heldPause)
 		if ctx.Err() != nil {
-			return state, fault.New(fault.Declined, "core", "a living member does not hold the roster yet", "nothing to do")
+			return state, fault.New(fault.Refused, "core", "a living member does not hold the roster yet", "nothing to do")
 		}
 	}
 }
@@ -231,20 +231,20 @@
 // heldByLiving tells whether ft+1 members of the current set, a majority of it
 // and, if all is set, all that live have a state with this roster, or a later
 // one, on disk.
-func (n *Nest) heldByLiving(ctx context.Context, state *State, all bool) bool {
+func (n *Register) heldByLiving(ctx context.Context, state *State, all bool) bool {
 	members := state.Core.Cur
 	type reply struct {
-		seat Seat
-		out  prepareAnswer
-		err  error
+		member Member
+		out    prepareAnswer
+		err    error
 	}
 	replies := make(chan reply, len(members))
-	for _, seat := range members {
+	for _, member := range members {
 		go func() {
 			callCtx, cancel := context.WithTimeout(ctx, heldTimeout)
 			defer cancel()
-			r := reply{seat: seat}
-			r.err = n.cfg.Mesh.Call(callCtx, n.addrOf(seat), "nest.prepare", &prepareCall{Seat: seat.ID, Peek: true}, &r.out)
+			r := reply{member: member}
+			r.err = n.cfg.Transport.Call(callCtx, n.addrOf(member), "nest.prepare", &prepareCall{Member: member.ID, Peek: true}, &r.out)
 			replies <- r
 		}()
 	}
@@ -253,8 +253,8 @@
 		r := <-replies
 		switch {
 		case r.err != nil:
-			p := n.cfg.Swarm.Look().Get(r.seat.Name)
-			lives := p != nil && p.Alive && p.Seat() == r.seat.ID && n.cfg.Swarm.Look().Met(r.seat.Name)
+			p := n.cfg.Gossip.Look().Get(r.member.Name)
+			lives := p != nil && p.Alive && p.MemberID() == r.member.ID && n.cfg.Gossip.Look().Met(r.member.Name)
 			lacking = lacking || lives
 		case r.out.State == nil || r.out.State.Core.Ver < state.Core.Ver:
 			lacking = true
@@ -268,7 +268,7 @@
 // LongSilent tells whether a roster may drop the seat: silent for
 // GoneForDropUs. One whose machine is back with another disk is left to that
 // machine, which takes its own place in one change instead of two.
-func LongSilent(s Seat, v *gossip.View, upUs int64) bool {
+func LongSilent(s Member, v *gossip.View, upUs int64) bool {
 	if p := v.Get(s.Name); p != nil && p.Alive {
 		return false
 	}
@@ -276,26 +276,26 @@
 }
 
 // join brings this node's seat into the roster.
-func (n *Nest) join(ctx context.Context) {
-	self := SeatOf(&n.cfg.Self)
+func (n *Register) join(ctx context.Context) {
+	self := MemberOf(&n.cfg.Self)
 	known, _ := n.Known()
 	lost := map[string]bool{}
 	if eventloop.NowUs()-n.startUs >= judgeUs {
-		lost = n.Lost(ctx, known.Core.Cur, Unmet(&known.Core, n.cfg.Swarm.Look()), 0)
+		lost = n.Lost(ctx, known.Core.Cur, Unmet(&known.Core, n.cfg.Gossip.Look()), 0)
 	}
-	nextSeats := func(core *Roster) []Seat {
-		return NextSeats(core, self, n.cfg.Swarm.Look(), eventloop.NowUs()-n.startUs, maxSeats, lost)
+	nextMembers := func(core *Membership) []Member {
+		return NextMembers(core, self, n.cfg.Gossip.Look(), eventloop.NowUs()-n.startUs, maxMembers, lost)
 	}
-	if !known.Core.Joint() && nextSeats(&known.Core) == nil {
+	if !known.Core.Joint() && nextMembers(&known.Core) == nil {
 		return // the others need not be troubled
 	}
-	s, err := n.changeMembers(ctx, func(core *Roster) ([]Seat, error) {
+	s, err := n.changeMembers(ctx, func(core *Membership) ([]Member, error) {
 		if core.Has(self.ID) {
 			return nil, nil
 		}
-		next := nextSeats(core)
+		next := nextMembers(core)
 		if next == nil {
-			return nil, fault.New(fault.Declined, "core", "is full, or it is too early to tell who is there", "nothing to do")
+			return nil, fault.New(fault.Refused, "core", "is full, or it is too early to tell who is there", "nothing to do")
 		}
 		return next, nil
 	})
@@ -308,9 +308,9 @@
 
 // leave takes this node's seat out of the roster before it ends, where enough
 // others are left: a machine that is gone for good must not count (design 4.4).
-func (n *Nest) leave(ctx context.Context) {
-	self := SeatOf(&n.cfg.Self)
-	s, err := n.changeMembers(ctx, func(core *Roster) ([]Seat, error) {
+func (n *Register) leave(ctx context.Context) {
+	self := MemberOf(&n.cfg.Self)
+	s, err := n.changeMembers(ctx, func(core *Membership) ([]Member, error) {
 		if !core.Has(self.ID) || len(core.Cur) <= 2*n.cfg.Spared+1 {
 			return nil, nil
 		}
@@ -323,12 +323,12 @@
 	n.cfg.Log.Info("core_left", "seat", self.ID, "roster", s.Core.Ver, "seats", len(s.Core.Cur))
 }
 
-func without(members []Seat, id string) []Seat {
-	return slices.DeleteFunc(slices.Clone(members), func(s Seat) bool { return s.ID == id })
+func without(members []Member, id string) []Member {
+	return slices.DeleteFunc(slices.Clone(members), func(s Member) bool { return s.ID == id })
 }
 
 // outworn is a member long gone that the roster can do without, nil if none.
-func (n *Nest) outworn(members []Seat, v *gossip.View) *Seat {
+func (n *Register) outworn(members []Member, v *gossip.View) *Member {
 	if len(members) <= 2*n.cfg.Spared+1 {
 		return nil
 	}
@@ -342,13 +342,13 @@
 
 // tidy settles a change that its driver left, and drops a member long gone if a
 // majority has lost it, too.
-func (n *Nest) tidy(ctx context.Context) {
+func (n *Register) tidy(ctx context.Context) {
 	known, _ := n.Known()
-	drop := n.outworn(known.Core.Cur, n.cfg.Swarm.Look())
-	if drop != nil && !n.Lost(ctx, known.Core.Cur, []Seat{*drop}, GoneForDropUs-dropSlackUs)[drop.ID] {
+	drop := n.outworn(known.Core.Cur, n.cfg.Gossip.Look())
+	if drop != nil && !n.Lost(ctx, known.Core.Cur, []Member{*drop}, GoneForDropUs-dropSlackUs)[drop.ID] {
 		drop = nil
 	}
-	_, err := n.changeMembers(ctx, func(core *Roster) ([]Seat, error) {
+	_, err := n.changeMembers(ctx, func(core *Membership) ([]Member, error) {
 		if drop == nil || !core.Has(drop.ID) || len(core.Cur) <= 2*n.cfg.Spared+1 {
 			return nil, nil
 		}
--- a/internal/register/model_explore_test.go
+++ b/internal/register/model_explore_test.go
@@ -29,7 +29,7 @@
 	// Planted faults; nil or false in the real machines.
 	prepare         func(*acceptorCore, *prepareCall) (*diskWrite, *prepareAnswer)
 	accept          func(*acceptorCore, *acceptCall) (*diskWrite, *acceptAnswer)
-	quorum          func(*Roster, map[string]bool) bool
+	quorum          func(*Membership, map[string]bool) bool
 	answerFirst     bool // an answer leaves before its write is durable
 	sameLife        bool // a new life signs ballots as the one before
 	alwaysCommitted bool // every roster passes for a committed one
@@ -92,12 +92,12 @@
 
 func (e *explorer) first() *world {
 	s := e.scenario
-	first := &State{Rev: 1, Core: Roster{Ver: 1}}
+	first := &State{Rev: 1, Core: Membership{Ver: 1}}
 	w := &world{crashes: s.crashes, wipes: s.wipes, deaths: s.deaths}
 	for i := range s.members + s.newcomers {
 		w.acceptors = append(w.acceptors, modelAcceptor{core: acceptorCore{id: acceptorID(i)}, alive: i < s.members || s.wipes == 0})
 		if i < s.members {
-			first.Core.Cur = append(first.Core.Cur, Seat{ID: acceptorID(i), Name: acceptorID(i)})
+			first.Core.Cur = append(first.Core.Cur, Member{ID: acceptorID(i), Name: acceptorID(i)})
 		}
 	}
 	first = e.in.intern(first)
@@ -213,10 +213,10 @@
 func (e *explorer) refuses(r *sentRound, a *modelAcceptor) bool {
 	core := a.core
 	if r.state == nil {
-		write, _ := e.prepareOf()(&core, &prepareCall{Seat: core.id, Ballot: r.ballot})
+		write, _ := e.prepareOf()(&core, &prepareCall{Member: core.id, Ballot: r.ballot})
 		return write == nil
 	}
-	write, _ := e.acceptOf()(&core, &acceptCall{Seat: core.id, Ballot: r.ballot, State: r.state})
+	write, _ := e.acceptOf()(&core, &acceptCall{Member: core.id, Ballot: r.ballot, State: r.state})
 	return write == nil
 }
 
@@ -301,7 +301,7 @@
 	w.rounds = append(w.rounds, sentRound{proposer: i, ballot: ballot, members: memberIDs(members)})
 }
 
-func memberIDs(members []Seat) []string {
+func memberIDs(members []Member) []string {
 	ids := make([]string, len(members))
 	for i, m := range members {
 		ids[i] = m.ID
@@ -323,14 +323,14 @@
 		}
 	}
 	if round.state == nil {
-		write, answer := e.prepareOf()(&a.core, &prepareCall{Seat: a.core.id, Ballot: round.ballot})
+		write, answer := e.prepareOf()(&a.core, &prepareCall{Member: a.core.id, Ballot: round.ballot})
 		perform(write)
 		if taken && w.proposerToChange(round.proposer).call.promised(a.core.id, answer) {
 			e.endRound(w, round.proposer)
 		}
 		return
 	}
-	write, answer := e.acceptOf()(&a.core, &acceptCall{Seat: a.core.id, Ballot: round.ballot, State: round.state})
+	write, answer := e.acceptOf()(&a.core, &acceptCall{Member: a.core.id, Ballot: round.ballot, State: round.state})
 	perform(write)
 	if taken && w.proposerToChange(round.proposer).call.accepted(a.core.id, answer) {
 		e.endRound(w, round.proposer)
@@ -392,7 +392,7 @@
 		p.phase = idle
 		return
 	}
-	if fault.Is(p.call.abandoned(), fault.Declined) {
+	if fault.Is(p.call.abandoned(), fault.Refused) {
 		e.endCall(w, i, declined)
 	} else {
 		e.endCall(w, i, unsure)
--- a/internal/register/model_test.go
+++ b/internal/register/model_test.go
@@ -133,7 +133,7 @@
 				next := slices.Clone(now.Core.Cur)
 				for i := range next {
 					if next[i].ID == acceptorID(old) {
-						next[i] = Seat{ID: acceptorID(newcomer), Name: acceptorID(old)}
+						next[i] = Member{ID: acceptorID(newcomer), Name: acceptorID(old)}
 					}
 				}
 				now.Core = now.Core.Begin(next)
@@ -227,11 +227,11 @@
 		}),
 		mine("an answer before its write is durable", race, func(s *scenario) { s.answerFirst, s.crashes = true, 1 }),
 		mine("a quorum of one", race, func(s *scenario) {
-			s.quorum = func(_ *Roster, agreed map[string]bool) bool { return len(agreed) > 0 }
+			s.quorum = func(_ *Membership, agreed map[string]bool) bool { return len(agreed) > 0 }
 		}),
 		mine("a half is a quorum", [][]orderCall{{putCall("x", 4, 0)}, {putCall("y", 5, 0)}}, func(s *scenario) {
 			s.members, s.attempts = 4, 1
-			s.quorum = func(r *Roster, agreed map[string]bool) bool { return 2*len(agreed) >= len(r.Cur) }
+			s.quorum = func(r *Membership, agreed map[string]bool) bool { return 2*len(agreed) >= len(r.Cur) }
 		}),
 		mine("a new life signs as the one before", [][]orderCall{{putCall("x", 4, 0), putCall("z", 6, 0)}, {putCall("y", 5, 0)}}, func(s *scenario) {
 			s.sameLife, s.deaths, s.attempts = true, 1, 1
@@ -239,7 +239,7 @@
 		mine("a wiped disk comes back as the old member", race, func(s *scenario) { s.sameMember, s.wipes, s.attempts = true, 1, 1 }),
 		mine("only the new set's quorum while joint", leftChange, func(s *scenario) {
 			s.newcomers, s.leftChange, s.answered = 1, true, true
-			s.quorum = func(r *Roster, agreed map[string]bool) bool { return majority(r.Cur, agreed) }
+			s.quorum = func(r *Membership, agreed map[string]bool) bool { return majority(r.Cur, agreed) }
 		}),
 		mine("a roster moves on from one that is not committed", leftChangeLong, func(s *scenario) {
 			s.newcomers, s.leftChange, s.answered = 1, true, true
--- a/internal/register/model_world_test.go
+++ b/internal/register/model_world_test.go
@@ -268,9 +268,9 @@
 	if s == nil {
 		return "nothing"
 	}
-	ids := func(seats []Seat) (out string) {
-		for _, seat := range seats {
-			out += seat.ID
+	ids := func(members []Member) (out string) {
+		for _, member := range members {
+			out += member.ID
 		}
 		return out
 	}
--- a/internal/register/orders.go
+++ b/internal/register/orders.go
@@ -50,7 +50,7 @@
 type OrderLog struct {
 	// Floor is the version that the oldest entry of Taken builds on. Nothing
 	// is known of orders at or below it.
-	Floor int64
+	Loop int64
 	// Taken are the orders in the order of taking; each builds on the one
 	// before it.
 	Taken []TakenOrder
@@ -75,7 +75,7 @@
 
 // DecodeMsgpack reads logs of earlier and later versions too.
 func (l *OrderLog) DecodeMsgpack(d *msgpack.Decoder) error {
-	return rpc.Fields(d, &l.Floor, &l.Taken, &l.Refused)
+	return rpc.Fields(d, &l.Loop, &l.Taken, &l.Refused)
 }
 
 // DecodeMsgpack reads entries of later versions too.
@@ -101,7 +101,7 @@
 // document there: if the log does not end with it, a node of an earlier version
 // took an order without logging it, and the log begins anew.
 func (k OrderKind) Load(s *State, inForce int64) (*OrderLog, error) {
-	log := &OrderLog{Floor: inForce}
+	log := &OrderLog{Loop: inForce}
 	raw := s.Extra[string(k)]
 	if raw == nil {
 		return log, nil
@@ -129,13 +129,13 @@
 
 func (l *OrderLog) newest() int64 {
 	if len(l.Taken) == 0 {
-		return l.Floor
+		return l.Loop
 	}
 	return l.Taken[len(l.Taken)-1].Ver
 }
 
 func (l *OrderLog) hasTaken(o Order) bool {
-	base := l.Floor
+	base := l.Loop
 	for _, t := range l.Taken {
 		if t.Ver == o.Ver {
 			return t.Digest == o.Digest && base == o.Base
@@ -158,7 +158,7 @@
 func (l *OrderLog) take(o Order) {
 	l.Taken = append(l.Taken, TakenOrder{Ver: o.Ver, Digest: o.Digest})
 	if over := len(l.Taken) - maxTakenOrders; over > 0 {
-		l.Floor = l.Taken[over-1].Ver
+		l.Loop = l.Taken[over-1].Ver
 		l.Taken = l.Taken[over:]
 	}
 	// What builds on a version below the new one can't be taken any more.
@@ -213,7 +213,7 @@
 	if o.Base < inForce {
 		// An order on a base below the floor was taken, if at all, as a version
 		// that is at most the floor. The one in force is known by its document.
-		if o.Base < log.Floor && o.Ver <= log.Floor && o.Ver != inForce {
+		if o.Base < log.Loop && o.Ver <= log.Loop && o.Ver != inForce {
 			return nil, fault.New(fault.Unsure, "ver", "was sent so long ago that nothing is known of it", "read the current version")
 		}
 		return nil, errStaleBase()
@@ -237,7 +237,7 @@
 
 // Put takes an operator's document on top of the version it expects. The doc
 // must have been checked.
-func (n *Nest) Put(ctx context.Context, doc []byte, ver, expect int64) (*State, error) {
+func (n *Register) Put(ctx context.Context, doc []byte, ver, expect int64) (*State, error) {
 	return n.Change(ctx, PutChange(doc, ver, expect))
 }
 
--- a/internal/register/proposer.go
+++ b/internal/register/proposer.go
@@ -18,20 +18,20 @@
 
 // Proposer runs the two rounds. One may run at a time in a node; others wait.
 type Proposer struct {
-	by      string
-	mesh    rpc.Mesh
-	addrOf  func(Seat) string
-	known   func() (now *State, committed bool)
-	learn   func(*State)
-	turn    chan struct{}
-	highest uint64
-	kinds   [2]string
+	by        string
+	transport rpc.Transport
+	addrOf    func(Member) string
+	known     func() (now *State, committed bool)
+	learn     func(*State)
+	turn      chan struct{}
+	highest   uint64
+	kinds     [2]string
 }
 
 // NewProposer makes the proposer of one life of a node. known gives the newest
 // committed state the node has seen; learn is told of newer ones.
-func NewProposer(by string, mesh rpc.Mesh, addrOf func(Seat) string, known func() (*State, bool), learn func(*State)) *Proposer {
-	p := &Proposer{by: by, mesh: mesh, addrOf: addrOf, known: known, learn: learn, turn: make(chan struct{}, 1), kinds: [2]string{"nest.prepare", "nest.accept"}}
+func NewProposer(by string, transport rpc.Transport, addrOf func(Member) string, known func() (*State, bool), learn func(*State)) *Proposer {
+	p := &Proposer{by: by, transport: transport, addrOf: addrOf, known: known, learn: learn, turn: make(chan struct{}, 1), kinds: [2]string{"nest.prepare", "nest.accept"}}
 	p.turn <- struct{}{}
 	return p
 }
@@ -40,27 +40,27 @@
 
 // callOut is one seat's answer.
 type callOut[T any] struct {
-	seat Seat
-	out  *T
-	err  error
+	member Member
+	out    *T
+	err    error
 }
 
-// askSeats calls all seats at once and feeds the answers to enough until it is
+// askMembers calls all seats at once and feeds the answers to enough until it is
 // satisfied or the round's time is over. The calls it leaves go on.
-func askSeats[T any](ctx context.Context, p *Proposer, seats []Seat, kind string, in func(Seat) any, enough func(callOut[T]) bool) {
-	answers := make(chan callOut[T], len(seats))
-	for _, s := range seats {
+func askMembers[T any](ctx context.Context, p *Proposer, members []Member, kind string, in func(Member) any, enough func(callOut[T]) bool) {
+	answers := make(chan callOut[T], len(members))
+	for _, s := range members {
 		go func() {
 			callCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), roundTimeout)
 			defer cancel()
 			out := new(T)
-			err := p.mesh.Call(callCtx, p.addrOf(s), kind, in(s), out)
+			err := p.transport.Call(callCtx, p.addrOf(s), kind, in(s), out)
 			answers <- callOut[T]{s, out, err}
 		}()
 	}
 	timer := time.NewTimer(roundTimeout)
 	defer timer.Stop()
-	for range seats {
+	for range members {
 		select {
 		case a := <-answers:
 			if enough(a) {
@@ -85,7 +85,7 @@
 	agreed := map[string]bool{}
 	var top *prepareAnswer
 	same := true
-	askSeats(ctx, p, known.Core.All(), p.kinds[0], func(s Seat) any { return &prepareCall{Seat: s.ID, Peek: true} }, func(a callOut[prepareAnswer]) bool {
+	askMembers(ctx, p, known.Core.All(), p.kinds[0], func(s Member) any { return &prepareCall{Member: s.ID, Peek: true} }, func(a callOut[prepareAnswer]) bool {
 		if a.err != nil {
 			return false
 		}
@@ -95,7 +95,7 @@
 		if top == nil || top.Accepted.Less(a.out.Accepted) {
 			top = a.out
 		}
-		agreed[a.seat.ID] = true
+		agreed[a.member.ID] = true
 		return known.Core.Quorum(agreed)
 	})
 	if same && known.Core.Quorum(agreed) {
@@ -118,7 +118,7 @@
 	select {
 	case <-p.turn:
 	case <-ctx.Done():
-		return nil, fault.New(fault.Declined, "register", "no turn in time", "try again")
+		return nil, fault.New(fault.Refused, "register", "no turn in time", "try again")
 	}
 	defer func() { p.turn <- struct{}{} }()
 	call := newProposal(change)
@@ -130,7 +130,7 @@
 			return nil, call.abandoned()
 		}
 		members := p.prepare(ctx, call)
-		if call.known != nil && call.foundNewerRoster() {
+		if call.known != nil && call.foundNewerMembership() {
 			attempt = 0 // again, with the roster that holds now
 		}
 		if len(members) == 0 {
@@ -151,7 +151,7 @@
 // to, none if a new attempt is needed. Both rounds end when a member declines
 // for a higher ballot: the next attempt tops it, while to wait for a silent
 // member would let others top this one again and again.
-func (p *Proposer) prepare(ctx context.Context, call *proposal) []Seat {
+func (p *Proposer) prepare(ctx context.Context, call *proposal) []Member {
 	p.highest++
 	known, committed := p.known()
 	ballot := Ballot{N: p.highest, By: p.by}
@@ -159,17 +159,17 @@
 	if len(members) == 0 {
 		return nil
 	}
-	askSeats(ctx, p, members, p.kinds[0], func(s Seat) any { return &prepareCall{Seat: s.ID, Ballot: ballot} }, func(a callOut[prepareAnswer]) bool {
-		return a.err == nil && (call.promised(a.seat.ID, a.out) || !a.out.OK)
+	askMembers(ctx, p, members, p.kinds[0], func(s Member) any { return &prepareCall{Member: s.ID, Ballot: ballot} }, func(a callOut[prepareAnswer]) bool {
+		return a.err == nil && (call.promised(a.member.ID, a.out) || !a.out.OK)
 	})
 	p.highest = max(p.highest, call.highest)
 	return call.propose()
 }
 
 // accept sends an accept round.
-func (p *Proposer) accept(ctx context.Context, call *proposal, members []Seat) {
-	askSeats(ctx, p, members, p.kinds[1], func(s Seat) any { return &acceptCall{Seat: s.ID, Ballot: call.ballot, State: call.commit} }, func(a callOut[acceptAnswer]) bool {
-		return a.err == nil && (call.accepted(a.seat.ID, a.out) || !a.out.OK)
+func (p *Proposer) accept(ctx context.Context, call *proposal, members []Member) {
+	askMembers(ctx, p, members, p.kinds[1], func(s Member) any { return &acceptCall{Member: s.ID, Ballot: call.ballot, State: call.commit} }, func(a callOut[acceptAnswer]) bool {
+		return a.err == nil && (call.accepted(a.member.ID, a.out) || !a.out.OK)
 	})
 	p.highest = max(p.highest, call.highest)
 }
--- a/internal/register/proposer_core.go
+++ b/internal/register/proposer_core.go
@@ -16,7 +16,7 @@
 type proposal struct {
 	change Change
 	// quorum is (*Roster).Quorum; the model checker's tests plant faults here.
-	quorum func(r *Roster, agreed map[string]bool) bool
+	quorum func(r *Membership, agreed map[string]bool) bool
 
 	known     *State // the state whose roster is asked
 	committed bool   // known is committed
@@ -34,13 +34,13 @@
 }
 
 func newProposal(change Change) *proposal {
-	return &proposal{change: change, quorum: (*Roster).Quorum}
+	return &proposal{change: change, quorum: (*Membership).Quorum}
 }
 
 // prepare begins an attempt with a ballot that no earlier attempt used. known is
 // the newest state the node knows. It gives the members to ask, none if it is
 // not known yet whom to ask.
-func (p *proposal) prepare(known *State, committed bool, ballot Ballot) []Seat {
+func (p *proposal) prepare(known *State, committed bool, ballot Ballot) []Member {
 	if p.basis != nil && (known == nil || p.basis.Core.Ver > known.Core.Ver) {
 		known, committed = p.basis, false
 	}
@@ -68,18 +68,18 @@
 	return p.quorum(&p.known.Core, p.agreed)
 }
 
-// foundNewerRoster tells whether the prepare round found a roster to ask
+// foundNewerMembership tells whether the prepare round found a roster to ask
 // instead. Without a quorum that is a hint and no more: the members known here
 // may be gone, all but one, and what that one accepted tells whom to ask now
 // (design 4.4).
-func (p *proposal) foundNewerRoster() bool {
+func (p *proposal) foundNewerMembership() bool {
 	return p.found != nil && p.found.Core.Ver > p.known.Core.Ver
 }
 
 // propose ends the prepare round. It gives the members to send the accept round
 // to, none if a new attempt is needed.
-func (p *proposal) propose() []Seat {
-	if p.foundNewerRoster() {
+func (p *proposal) propose() []Member {
+	if p.foundNewerMembership() {
 		p.basis = p.found
 		return nil
 	}
@@ -106,7 +106,7 @@
 }
 
 // unionOf lists the members of both, each once.
-func unionOf(members, more []Seat) []Seat {
+func unionOf(members, more []Member) []Member {
 	have := map[string]bool{}
 	for _, m := range members {
 		have[m.ID] = true
@@ -150,7 +150,7 @@
 // abandoned is the answer to a call that ends without a quorum: an Unsure fault
 // if the change may come into force yet, else a Declined one.
 func (p *proposal) abandoned() error {
-	kind := fault.Declined
+	kind := fault.Refused
 	if p.tried {
 		kind = fault.Unsure
 	}
--- a/internal/register/nest.go
+++ b/internal/register/register.go
@@ -29,31 +29,31 @@
 	// GoneForDropUs is how long a member is silent before a roster drops it.
 	GoneForDropUs = 6_000_000
 	neverSeenUs   = 3_000_000
-	maxSeats      = 7
+	maxMembers    = 7
 )
 
 // Config is what a nest is made of.
 type Config struct {
-	Floor    *eventloop.Floor
-	Desk     *rpc.Desk
-	Mesh     rpc.Mesh
-	Swarm    *gossip.Swarm
-	Log      *logging.Log
-	Self     gossip.Partner
-	DiskDir  string // "" for nodes without a vote
-	Seeds    []string
-	Boot     bool
-	Spared   int // machines that may be lost at once
-	OnState  func(*State)
-	Proposer string
+	Loop      *eventloop.Loop
+	Mux       *rpc.Mux
+	Transport rpc.Transport
+	Gossip    *gossip.Gossip
+	Log       *logging.Log
+	Self      gossip.Peer
+	DiskDir   string // "" for nodes without a vote
+	Seeds     []string
+	Boot      bool
+	Spared    int // machines that may be lost at once
+	OnState   func(*State)
+	Proposer  string
 }
 
-// Nest is one node's part in the register: its seat if it has a disk, its
+// Register is one node's part in the register: its seat if it has a disk, its
 // proposer, and the newest committed state it knows.
-type Nest struct {
+type Register struct {
 	cfg      Config
 	ctx      context.Context
-	seat     *Acceptor
+	member   *Acceptor
 	founding *Acceptor
 	proposer *Proposer
 
@@ -71,55 +71,55 @@
 }
 
 // New opens the node's seat and joins the register.
-func New(ctx context.Context, cfg Config) (*Nest, error) {
-	n := &Nest{cfg: cfg, ctx: ctx, startUs: eventloop.NowUs(), pulling: map[string]bool{}}
+func New(ctx context.Context, cfg Config) (*Register, error) {
+	n := &Register{cfg: cfg, ctx: ctx, startUs: eventloop.NowUs(), pulling: map[string]bool{}}
 	if cfg.DiskDir != "" {
-		seat, err := OpenAcceptor(cfg.Self.Seat(), cfg.DiskDir, cfg.Log)
+		member, err := OpenAcceptor(cfg.Self.MemberID(), cfg.DiskDir, cfg.Log)
 		if err != nil {
 			return nil, err
 		}
-		n.seat = seat
-		context.AfterFunc(ctx, seat.Close)
+		n.member = member
+		context.AfterFunc(ctx, member.Close)
 		// What the seat accepted may not be committed, but its roster is the
 		// right one to ask (design 4.4).
-		n.known = seat.State()
+		n.known = member.State()
 	}
-	n.proposer = NewProposer(cfg.Proposer, cfg.Mesh, n.addrOf, n.Known, n.Learn)
+	n.proposer = NewProposer(cfg.Proposer, cfg.Transport, n.addrOf, n.Known, n.Learn)
 	if cfg.Boot && n.known == nil && slices.Contains(cfg.Seeds, cfg.Self.Addr) {
 		n.founding = NewFoundingAcceptor("founding@" + cfg.Self.Addr)
 	}
 	n.serve()
-	cfg.Floor.Every(tickUs, n.tick)
+	cfg.Loop.Every(tickUs, n.tick)
 	return n, nil
 }
 
-func noSeat() error {
+func noMember() error {
 	return fault.New(fault.Unknown, "seat", "this node has no such seat", "read the roster again")
 }
 
-func (n *Nest) serve() {
-	d := n.cfg.Desk
+func (n *Register) serve() {
+	d := n.cfg.Mux
 	rpc.On(d, "nest.prepare", func(ctx context.Context, in *prepareCall) (*prepareAnswer, error) {
-		if n.seat == nil {
-			return nil, noSeat()
+		if n.member == nil {
+			return nil, noMember()
 		}
-		return n.seat.Prepare(ctx, in)
+		return n.member.Prepare(ctx, in)
 	})
 	rpc.On(d, "nest.accept", func(ctx context.Context, in *acceptCall) (*acceptAnswer, error) {
-		if n.seat == nil {
-			return nil, noSeat()
+		if n.member == nil {
+			return nil, noMember()
 		}
-		return n.seat.Accept(ctx, in)
+		return n.member.Accept(ctx, in)
 	})
 	rpc.On(d, "nest.found.prepare", func(ctx context.Context, in *prepareCall) (*prepareAnswer, error) {
 		if n.founding == nil {
-			return nil, noSeat()
+			return nil, noMember()
 		}
 		return n.founding.Prepare(ctx, in)
 	})
 	rpc.On(d, "nest.found.accept", func(ctx context.Context, in *acceptCall) (*acceptAnswer, error) {
 		if n.founding == nil {
-			return nil, noSeat()
+			return nil, noMember()
 		}
 		return n.founding.Accept(ctx, in)
 	})
@@ -137,22 +137,22 @@
 	})
 }
 
-func (n *Nest) addrOf(s Seat) string {
-	if p := n.cfg.Swarm.Look().Get(s.Name); p != nil {
+func (n *Register) addrOf(s Member) string {
+	if p := n.cfg.Gossip.Look().Get(s.Name); p != nil {
 		return p.Addr
 	}
 	return s.Addr
 }
 
 // Known is the newest state this node knows and whether it was committed.
-func (n *Nest) Known() (*State, bool) {
+func (n *Register) Known() (*State, bool) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	return n.known, n.committed
 }
 
 // Committed is the newest committed state known here, nil if none.
-func (n *Nest) Committed() *State {
+func (n *Register) Committed() *State {
 	if s, ok := n.Known(); ok {
 		return s
 	}
@@ -161,7 +161,7 @@
 
 // Learn takes a committed state; older ones are left aside, so a node never
 // goes back (design 4.2).
-func (n *Nest) Learn(s *State) {
+func (n *Register) Learn(s *State) {
 	n.mu.Lock()
 	if s == nil || n.committed && s.Rev <= n.known.Rev {
 		n.mu.Unlock()
@@ -169,8 +169,8 @@
 	}
 	n.known, n.committed = s, true
 	n.mu.Unlock()
-	_ = n.cfg.Floor.Do(n.ctx, func() {
-		n.cfg.Swarm.Tell(func(p *gossip.Partner) { p.Rev = max(p.Rev, s.Rev) })
+	_ = n.cfg.Loop.Do(n.ctx, func() {
+		n.cfg.Gossip.Tell(func(p *gossip.Peer) { p.Rev = max(p.Rev, s.Rev) })
 		if n.cfg.OnState != nil {
 			if now := n.Committed(); now != nil {
 				n.cfg.OnState(now)
@@ -180,10 +180,10 @@
 }
 
 // Read is a linearizable read of the register.
-func (n *Nest) Read(ctx context.Context) (*State, error) { return n.proposer.Read(ctx) }
+func (n *Register) Read(ctx context.Context) (*State, error) { return n.proposer.Read(ctx) }
 
 // Change commits a change and sends the news out.
-func (n *Nest) Change(ctx context.Context, change Change) (*State, error) {
+func (n *Register) Change(ctx context.Context, change Change) (*State, error) {
 	before := n.Committed()
 	s, err := n.proposer.Change(ctx, change)
 	if s != nil && (before == nil || s.Rev > before.Rev) {
@@ -194,21 +194,21 @@
 
 // spread pushes a committed state to every partner in sight; shuffles bring it
 // to the rest.
-func (n *Nest) spread(s *State) {
-	for _, p := range n.cfg.Swarm.Look().All {
+func (n *Register) spread(s *State) {
+	for _, p := range n.cfg.Gossip.Look().All {
 		if p.Name == n.cfg.Self.Name || !p.Alive || p.Rev >= s.Rev {
 			continue
 		}
 		go func() {
 			ctx, cancel := context.WithTimeout(n.ctx, time.Second)
 			defer cancel()
-			_ = n.cfg.Mesh.Call(ctx, p.Addr, "nest.learn", s, nil)
+			_ = n.cfg.Transport.Call(ctx, p.Addr, "nest.learn", s, nil)
 		}()
 	}
 }
 
 // Hear is told of a partner that knows more; the state is pulled from it.
-func (n *Nest) Hear(p gossip.Partner) {
+func (n *Register) Hear(p gossip.Peer) {
 	if n.pulling[p.Name] {
 		return
 	}
@@ -217,15 +217,15 @@
 		ctx, cancel := context.WithTimeout(n.ctx, time.Second)
 		defer cancel()
 		s := &State{}
-		if err := n.cfg.Mesh.Call(ctx, p.Addr, "nest.get", &rpc.Nothing{}, s); err == nil {
+		if err := n.cfg.Transport.Call(ctx, p.Addr, "nest.get", &rpc.Nothing{}, s); err == nil {
 			n.Learn(s)
 		}
-		_ = n.cfg.Floor.Do(n.ctx, func() { delete(n.pulling, p.Name) })
+		_ = n.cfg.Loop.Do(n.ctx, func() { delete(n.pulling, p.Name) })
 	}()
 }
 
 // Once runs fn beside the floor, at most one at a time.
-func (n *Nest) once(fn func(ctx context.Context)) {
+func (n *Register) once(fn func(ctx context.Context)) {
 	if n.busy {
 		return
 	}
@@ -234,14 +234,14 @@
 		ctx, cancel := context.WithTimeout(n.ctx, 4*time.Second)
 		fn(ctx)
 		cancel()
-		_ = n.cfg.Floor.Do(n.ctx, func() { n.busy = false })
+		_ = n.cfg.Loop.Do(n.ctx, func() { n.busy = false })
 	}()
 }
 
-func (n *Nest) tick() {
-	v := n.cfg.Swarm.Look()
+func (n *Register) tick() {
+	v := n.cfg.Gossip.Look()
 	nowUs := eventloop.NowUs()
-	set := strings.Join(v.Names(func(s *gossip.Sighting) bool { return s.Alive && s.Disk != "" }), " ")
+	set := strings.Join(v.Names(func(s *gossip.NodeState) bool { return s.Alive && s.Disk != "" }), " ")
 	if set != n.lastSet {
 		n.lastSet, n.stableAt = set, nowUs
 	}
@@ -252,22 +252,22 @@
 	}
 	switch {
 	case known == nil:
-		if n.cfg.Boot && n.seat != nil && stable {
+		if n.cfg.Boot && n.member != nil && stable {
 			n.once(n.found)
 		}
-	case n.seat != nil && !known.Core.Has(n.seat.ID()):
+	case n.member != nil && !known.Core.Has(n.member.ID()):
 		if nowUs-n.startUs > joinAfterUs && !v.Self.Leaving {
 			n.once(n.join)
 		}
-	case n.seat != nil && committed:
+	case n.member != nil && committed:
 		n.keepMembership(&known.Core, v, nowUs)
 	}
 }
 
 // Retire marks a store to be emptied.
-func (n *Nest) Retire(ctx context.Context, name string) error {
+func (n *Register) Retire(ctx context.Context, name string) error {
 	_, err := n.Change(ctx, func(now *State) (*State, error) {
-		at := slices.IndexFunc(now.Stores.All(), func(s Seat) bool { return s.Name == name })
+		at := slices.IndexFunc(now.Stores.All(), func(s Member) bool { return s.Name == name })
 		retired := slices.ContainsFunc(now.Retiring, func(id string) bool { return strings.HasPrefix(id, name+"#") })
 		if at < 0 {
 			taken, err := tookRetire(now, name)
@@ -299,13 +299,13 @@
 }
 
 // Retired tells whether nothing is left on that store that others lack.
-func (n *Nest) Retired(ctx context.Context, name string) (done bool, err error) {
+func (n *Register) Retired(ctx context.Context, name string) (done bool, err error) {
 	s, err := n.Read(ctx)
 	if err != nil {
 		return false, err
 	}
-	for _, seat := range s.Stores.All() {
-		if seat.Name == name {
+	for _, member := range s.Stores.All() {
+		if member.Name == name {
 			return false, nil
 		}
 	}
@@ -322,13 +322,13 @@
 
 // Held tells what this node's seat accepted: its version, and whether there is
 // a seat that votes.
-func (n *Nest) Held() (ver int64, votes bool) {
-	if n.seat == nil {
+func (n *Register) Held() (ver int64, votes bool) {
+	if n.member == nil {
 		return 0, false
 	}
 	known, _ := n.Known()
-	votes = known != nil && known.Core.Has(n.seat.ID())
-	if s := n.seat.State(); s != nil {
+	votes = known != nil && known.Core.Has(n.member.ID())
+	if s := n.member.State(); s != nil {
 		ver = s.Ver
 	}
 	return ver, votes
--- a/internal/register/register_test.go
+++ b/internal/register/register_test.go
@@ -21,11 +21,11 @@
 // or wiped, and a proposer.
 type site struct {
 	t      *testing.T
-	m      *simnet.Meadow
+	m      *simnet.Network
 	addr   string
 	dir    string
 	life   int
-	seat   *Acceptor
+	member *Acceptor
 	cancel func()
 	p      *Proposer
 
@@ -55,12 +55,12 @@
 	if err != nil {
 		s.t.Fatal(err)
 	}
-	s.seat = a
+	s.member = a
 	ctx, cancel := context.WithCancel(context.Background())
-	desk := rpc.NewDesk()
-	rpc.On(desk, "nest.prepare", a.Prepare)
-	rpc.On(desk, "nest.accept", a.Accept)
-	s.m.Place(ctx, s.addr, desk)
+	mux := rpc.NewMux()
+	rpc.On(mux, "nest.prepare", a.Prepare)
+	rpc.On(mux, "nest.accept", a.Accept)
+	s.m.Place(ctx, s.addr, mux)
 	s.cancel = func() { cancel(); a.Close() }
 	s.mu.Lock()
 	s.known, s.committed = a.State(), false
@@ -68,7 +68,7 @@
 		s.known, s.committed = first, committed
 	}
 	s.mu.Unlock()
-	s.p = NewProposer(fmt.Sprintf("%s/%d", s.addr, s.life), s.m.MeshOf(s.addr), func(t Seat) string { return t.Addr }, s.Known, s.learn)
+	s.p = NewProposer(fmt.Sprintf("%s/%d", s.addr, s.life), s.m.TransportOf(s.addr), func(t Member) string { return t.Addr }, s.Known, s.learn)
 }
 
 // event is what an operator saw: an acknowledged version and the one it was
@@ -100,11 +100,11 @@
 	m.DelayUs, m.Lose, m.Double = 4000, 0.03, 0.05
 	root := t.TempDir()
 	var sites []*site
-	first := &State{Rev: 1, Core: Roster{Ver: 1}}
+	first := &State{Rev: 1, Core: Membership{Ver: 1}}
 	for i := range 3 {
 		s := &site{t: t, m: m, addr: fmt.Sprintf("n%d", i), dir: filepath.Join(root, fmt.Sprint("d", i))}
 		sites = append(sites, s)
-		first.Core.Cur = append(first.Core.Cur, Seat{ID: "seat@" + s.dir, Name: s.addr, Addr: s.addr})
+		first.Core.Cur = append(first.Core.Cur, Member{ID: "seat@" + s.dir, Name: s.addr, Addr: s.addr})
 	}
 	for _, s := range sites {
 		s.start(first, true)
@@ -211,13 +211,13 @@
 
 // A proposer that knows only a roster whose seats are gone, all but one, finds
 // the one that holds now by what that seat accepted (design 4.4).
-func TestOutdatedRosterFindsTheNewest(t *testing.T) {
+func TestOutdatedMembershipFindsTheNewest(t *testing.T) {
 	for _, tc := range []struct {
 		name  string
-		knows func(first *State, joint Roster) *State
+		knows func(first *State, joint Membership) *State
 	}{
-		{"the first roster", func(first *State, _ Roster) *State { return first }},
-		{"a joint one that was settled long ago", func(first *State, joint Roster) *State {
+		{"the first roster", func(first *State, _ Membership) *State { return first }},
+		{"a joint one that was settled long ago", func(first *State, joint Membership) *State {
 			return &State{Rev: first.Rev + 1, Core: joint}
 		}},
 	} {
@@ -226,28 +226,28 @@
 				m := simnet.New(1)
 				root := t.TempDir()
 				place := func(addr, dir string) *site { return &site{t: t, m: m, addr: addr, dir: filepath.Join(root, dir)} }
-				seat := func(s *site) Seat { return Seat{ID: "seat@" + s.dir, Name: s.addr, Addr: s.addr} }
+				member := func(s *site) Member { return Member{ID: "seat@" + s.dir, Name: s.addr, Addr: s.addr} }
 				a, b, c := place("n0", "a"), place("n1", "b"), place("n2", "c")
-				first := &State{Rev: 1, Core: Roster{Ver: 1, Cur: []Seat{seat(a), seat(b), seat(c)}}}
+				first := &State{Rev: 1, Core: Membership{Ver: 1, Cur: []Member{member(a), member(b), member(c)}}}
 				for _, s := range []*site{a, b, c} {
 					s.start(first, true)
 				}
 				// a and b lose their disks in turn; only the newcomers learn of it.
 				a2, b2 := place("n0", "a2"), place("n1", "b2")
-				joint := first.Core.Begin([]Seat{seat(a2), seat(b), seat(c)})
+				joint := first.Core.Begin([]Member{member(a2), member(b), member(c)})
 				known := first
 				for _, p := range [][2]*site{{a, a2}, {b, b2}} {
 					p[0].cancel()
 					p[1].start(known, false)
-					join(t, p[1], seat(p[0]).ID)
+					join(t, p[1], member(p[0]).ID)
 					known, _ = p[1].Known()
 				}
 				// b2 loses its disk too, and with it the only one who knows more.
 				b2.cancel()
 				b3 := place("n1", "b3")
 				b3.start(tc.knows(first, joint), false)
-				join(t, b3, seat(b2).ID)
-				if now, _ := b3.Known(); !now.Core.Has(seat(a2).ID) || !now.Core.Has(seat(b3).ID) || now.Core.Has(seat(b2).ID) {
+				join(t, b3, member(b2).ID)
+				if now, _ := b3.Known(); !now.Core.Has(member(a2).ID) || !now.Core.Has(member(b3).ID) || now.Core.Has(member(b2).ID) {
 					t.Errorf("roster: %+v", now.Core)
 				}
 				for _, s := range []*site{a2, b3, c} {
@@ -261,7 +261,7 @@
 
 // join brings a wiped machine's new seat in, as nest does.
 func join(t *testing.T, s *site, old string) {
-	self := Seat{ID: s.seat.ID(), Name: s.addr, Addr: s.addr}
+	self := Member{ID: s.member.ID(), Name: s.addr, Addr: s.addr}
 	for end := time.Now().Add(20 * time.Second); ; {
 		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 		st, err := s.p.Change(ctx, func(now *State) (*State, error) {
@@ -333,43 +333,43 @@
 	ctx := context.Background()
 	a := open()
 	low, mid, high := Ballot{N: 1, By: "a"}, Ballot{N: 2, By: "a"}, Ballot{N: 3, By: "a"}
-	if _, err := a.Accept(ctx, &acceptCall{Seat: "s", Ballot: low, State: &State{Rev: 1, Ver: 7, Doc: []byte("x")}}); err != nil {
+	if _, err := a.Accept(ctx, &acceptCall{Member: "s", Ballot: low, State: &State{Rev: 1, Ver: 7, Doc: []byte("x")}}); err != nil {
 		t.Fatal(err)
 	}
-	if out, _ := a.Prepare(ctx, &prepareCall{Seat: "s", Ballot: high}); !out.OK || out.State.Ver != 7 {
+	if out, _ := a.Prepare(ctx, &prepareCall{Member: "s", Ballot: high}); !out.OK || out.State.Ver != 7 {
 		t.Errorf("prepare: %+v", out)
 	}
 	a.Close()
 	a = open()
 	defer a.Close()
-	if out, _ := a.Accept(ctx, &acceptCall{Seat: "s", Ballot: mid, State: &State{Rev: 2}}); out.OK || out.Promised != high {
+	if out, _ := a.Accept(ctx, &acceptCall{Member: "s", Ballot: mid, State: &State{Rev: 2}}); out.OK || out.Promised != high {
 		t.Errorf("a promise was broken after a restart: %+v", out)
 	}
-	if out, _ := a.Prepare(ctx, &prepareCall{Seat: "s", Ballot: mid, Peek: true}); out.State == nil || out.State.Ver != 7 || string(out.State.Doc) != "x" {
+	if out, _ := a.Prepare(ctx, &prepareCall{Member: "s", Ballot: mid, Peek: true}); out.State == nil || out.State.Ver != 7 || string(out.State.Doc) != "x" {
 		t.Errorf("what was accepted is gone: %+v", out)
 	}
-	if _, err := a.Prepare(ctx, &prepareCall{Seat: "another", Ballot: high}); !fault.Is(err, fault.Unknown) {
+	if _, err := a.Prepare(ctx, &prepareCall{Member: "another", Ballot: high}); !fault.Is(err, fault.Unknown) {
 		t.Errorf("another's seat: %v", err)
 	}
-	if _, err := a.Accept(ctx, &acceptCall{Seat: "s", Ballot: high}); !fault.Is(err, fault.Invalid) {
+	if _, err := a.Accept(ctx, &acceptCall{Member: "s", Ballot: high}); !fault.Is(err, fault.Invalid) {
 		t.Errorf("no state: %v", err)
 	}
 }
 
 // Majorities of a roster, settled and joint (design 4.4).
 func TestQuorum(t *testing.T) {
-	seats := func(ids ...string) (out []Seat) {
+	members := func(ids ...string) (out []Member) {
 		for _, id := range ids {
-			out = append(out, Seat{ID: id})
+			out = append(out, Member{ID: id})
 		}
 		return out
 	}
-	r := Roster{Ver: 1, Cur: seats("a", "b", "c")}
-	j := r.Begin(seats("a", "b", "d"))
-	four := Roster{Cur: seats("a", "b", "c", "d")}
+	r := Membership{Ver: 1, Cur: members("a", "b", "c")}
+	j := r.Begin(members("a", "b", "d"))
+	four := Membership{Cur: members("a", "b", "c", "d")}
 	for _, tc := range []struct {
 		name string
-		r    Roster
+		r    Membership
 		who  []string
 		want bool
 	}{
@@ -382,7 +382,7 @@
 		{"joint, each by another", j, []string{"a", "c", "d"}, true},
 		{"settled", j.Settle(), []string{"a", "d"}, true},
 		{"strangers", r, []string{"x", "y", "z"}, false},
-		{"nobody to ask", Roster{}, nil, false},
+		{"nobody to ask", Membership{}, nil, false},
 	} {
 		who := map[string]bool{}
 		for _, id := range tc.who {
@@ -403,12 +403,12 @@
 	synctest.Test(t, func(t *testing.T) {
 		m := simnet.New(4)
 		root := t.TempDir()
-		first := &State{Rev: 1, Core: Roster{Ver: 1}}
+		first := &State{Rev: 1, Core: Membership{Ver: 1}}
 		var sites []*site
 		for i := range 3 {
 			s := &site{t: t, m: m, addr: fmt.Sprintf("n%d", i), dir: filepath.Join(root, fmt.Sprint("d", i))}
 			sites = append(sites, s)
-			first.Core.Cur = append(first.Core.Cur, Seat{ID: "seat@" + s.dir, Name: s.addr, Addr: s.addr})
+			first.Core.Cur = append(first.Core.Cur, Member{ID: "seat@" + s.dir, Name: s.addr, Addr: s.addr})
 		}
 		for _, s := range sites {
 			s.start(first, true)
@@ -418,7 +418,7 @@
 		go func() {
 			for n := uint64(1); ctx.Err() == nil; n++ {
 				for _, s := range sites[:2] {
-					_, _ = s.seat.Prepare(ctx, &prepareCall{Seat: s.seat.ID(), Ballot: Ballot{N: 10 * n, By: "other"}})
+					_, _ = s.member.Prepare(ctx, &prepareCall{Member: s.member.ID(), Ballot: Ballot{N: 10 * n, By: "other"}})
 				}
 				time.Sleep(300 * time.Millisecond)
 			}
--- a/internal/register/replicas.go
+++ b/internal/register/replicas.go
@@ -10,21 +10,21 @@
 // rendezvous rank, spread over the zones as evenly as they go. It is a pure
 // function of the roster, so all nodes that know the roster agree on it, and a
 // change of the roster is a joint change of each shard's own (design 8.1).
-func (r *Roster) Replicas(key string, want int) Roster {
-	return Roster{Ver: r.Ver, Cur: spread(r.Cur, key, want), Prev: spread(r.Prev, key, want)}
+func (r *Membership) Replicas(key string, want int) Membership {
+	return Membership{Ver: r.Ver, Cur: spread(r.Cur, key, want), Prev: spread(r.Prev, key, want)}
 }
 
-func spread(seats []Seat, key string, want int) []Seat {
-	if len(seats) <= want {
-		return seats
+func spread(members []Member, key string, want int) []Member {
+	if len(members) <= want {
+		return members
 	}
-	ranked := make([]Seat, len(seats))
-	copy(ranked, seats)
+	ranked := make([]Member, len(members))
+	copy(ranked, members)
 	sort.Slice(ranked, func(i, j int) bool {
 		wi, wj := rendezvous.Weight(key, ranked[i].Name), rendezvous.Weight(key, ranked[j].Name)
 		return wi > wj || wi == wj && ranked[i].Name < ranked[j].Name
 	})
-	out := make([]Seat, 0, want)
+	out := make([]Member, 0, want)
 	taken := make([]bool, len(ranked))
 	perZone := map[string]int{}
 	for round := 1; len(out) < want; round++ {
--- a/internal/register/replicas_test.go
+++ b/internal/register/replicas_test.go
@@ -6,10 +6,10 @@
 	"testing"
 )
 
-func seatsOf(n, zones int) []Seat {
-	var out []Seat
+func membersOf(n, zones int) []Member {
+	var out []Member
 	for i := range n {
-		out = append(out, Seat{ID: fmt.Sprintf("s%d#d", i), Name: fmt.Sprintf("s%d", i), Az: fmt.Sprintf("z%d", i%zones)})
+		out = append(out, Member{ID: fmt.Sprintf("s%d#d", i), Name: fmt.Sprintf("s%d", i), Az: fmt.Sprintf("z%d", i%zones)})
 	}
 	return out
 }
@@ -20,9 +20,9 @@
 	for _, tc := range []struct{ stores, zones, want, most int }{
 		{3, 3, 3, 1}, {4, 4, 3, 1}, {12, 4, 5, 2}, {9, 4, 5, 2}, {36, 4, 5, 2}, {12, 2, 5, 3}, {5, 1, 3, 3}, {2, 2, 5, 1},
 	} {
-		seats := seatsOf(tc.stores, tc.zones)
-		r := Roster{Ver: 7, Cur: seats}
-		shuffled := append([]Seat(nil), seats...)
+		members := membersOf(tc.stores, tc.zones)
+		r := Membership{Ver: 7, Cur: members}
+		shuffled := append([]Member(nil), members...)
 		rand.Shuffle(len(shuffled), func(i, j int) { shuffled[i], shuffled[j] = shuffled[j], shuffled[i] })
 		for n := range 8 {
 			key := fmt.Sprint("k", n)
@@ -37,7 +37,7 @@
 					t.Errorf("%+v: %d replicas in one zone", tc, perZone[s.Az])
 				}
 			}
-			other := Roster{Ver: 7, Cur: shuffled}
+			other := Membership{Ver: 7, Cur: shuffled}
 			same := other.Replicas(key, tc.want)
 			for _, s := range set.Cur {
 				if !same.Has(s.ID) {
@@ -45,7 +45,7 @@
 				}
 			}
 			// One store more: at most one replica of each zone and round moves.
-			more := Roster{Cur: append(append([]Seat(nil), seats...), Seat{ID: "new#d", Name: "new", Az: "z0"})}
+			more := Membership{Cur: append(append([]Member(nil), members...), Member{ID: "new#d", Name: "new", Az: "z0"})}
 			next := more.Replicas(key, tc.want)
 			moved := 0
 			for _, s := range set.Cur {
@@ -63,10 +63,10 @@
 // A wiped store that comes back under its name keeps its shards, and while the
 // change is joint both sets must agree.
 func TestReplicasAcrossAChange(t *testing.T) {
-	seats := seatsOf(12, 4)
-	next := append([]Seat(nil), seats...)
+	members := membersOf(12, 4)
+	next := append([]Member(nil), members...)
 	next[3].ID = "s3#other"
-	r := Roster{Ver: 4, Cur: seats}
+	r := Membership{Ver: 4, Cur: members}
 	joint := r.Begin(next)
 	for n := range 8 {
 		key := fmt.Sprint("k", n)
--- a/internal/register/state.go
+++ b/internal/register/state.go
@@ -23,40 +23,42 @@
 // Less orders ballots.
 func (a Ballot) Less(b Ballot) bool { return a.N < b.N || a.N == b.N && a.By < b.By }
 
-// Seat is one member: a name together with the incarnation of its disk.
-type Seat struct {
+// Member is one member: a name together with the incarnation of its disk.
+type Member struct {
 	ID   string
 	Name string
 	Addr string
 	Az   string
 }
 
-// SeatOf is the seat that a partner holds with its disk.
-func SeatOf(p *gossip.Partner) Seat { return Seat{ID: p.Seat(), Name: p.Name, Addr: p.Addr, Az: p.Az} }
+// MemberOf is the seat that a partner holds with its disk.
+func MemberOf(p *gossip.Peer) Member {
+	return Member{ID: p.MemberID(), Name: p.Name, Addr: p.Addr, Az: p.Az}
+}
 
 // DecodeMsgpack reads seats of earlier versions too.
-func (s *Seat) DecodeMsgpack(d *msgpack.Decoder) error {
+func (s *Member) DecodeMsgpack(d *msgpack.Decoder) error {
 	return rpc.Fields(d, &s.ID, &s.Name, &s.Addr, &s.Az)
 }
 
-// Roster is a set of seats that is changed one seat at a time. While Prev is
+// Membership is a set of seats that is changed one seat at a time. While Prev is
 // not empty a change is under way and both sets must agree (design 4.4).
-type Roster struct {
+type Membership struct {
 	Ver  uint64
-	Cur  []Seat
-	Prev []Seat
+	Cur  []Member
+	Prev []Member
 }
 
 // Joint tells whether a change is under way.
-func (r *Roster) Joint() bool { return len(r.Prev) > 0 }
+func (r *Membership) Joint() bool { return len(r.Prev) > 0 }
 
 // Has tells whether the seat is in the current set.
-func (r *Roster) Has(id string) bool {
-	return slices.ContainsFunc(r.Cur, func(s Seat) bool { return s.ID == id })
+func (r *Membership) Has(id string) bool {
+	return slices.ContainsFunc(r.Cur, func(s Member) bool { return s.ID == id })
 }
 
 // All lists the seats of both sets once.
-func (r *Roster) All() []Seat {
+func (r *Membership) All() []Member {
 	out := slices.Clone(r.Cur)
 	for _, s := range r.Prev {
 		if !r.Has(s.ID) {
@@ -67,35 +69,35 @@
 }
 
 // Quorum tells whether those that agreed are a majority of each set.
-func (r *Roster) Quorum(agreed map[string]bool) bool {
+func (r *Membership) Quorum(agreed map[string]bool) bool {
 	return majority(r.Cur, agreed) && (len(r.Prev) == 0 || majority(r.Prev, agreed))
 }
 
-func majority(seats []Seat, agreed map[string]bool) bool {
+func majority(members []Member, agreed map[string]bool) bool {
 	n := 0
-	for _, s := range seats {
+	for _, s := range members {
 		if agreed[s.ID] {
 			n++
 		}
 	}
-	return 2*n > len(seats)
+	return 2*n > len(members)
 }
 
 // Begin starts a change to next.
-func (r *Roster) Begin(next []Seat) Roster {
-	return Roster{Ver: r.Ver + 1, Cur: next, Prev: r.Cur}
+func (r *Membership) Begin(next []Member) Membership {
+	return Membership{Ver: r.Ver + 1, Cur: next, Prev: r.Cur}
 }
 
 // Settle ends a change.
-func (r *Roster) Settle() Roster { return Roster{Ver: r.Ver + 1, Cur: r.Cur} }
+func (r *Membership) Settle() Membership { return Membership{Ver: r.Ver + 1, Cur: r.Cur} }
 
 // State is the whole value of the register.
 type State struct {
 	Rev      uint64            // grows by one with each change
 	Ver      int64             // version of the blueprint, 0 before the first
 	Doc      []byte            // the blueprint as the operator sent it
-	Core     Roster            // who votes on this register
-	Stores   Roster            // who keeps the lots
+	Core     Membership        // who votes on this register
+	Stores   Membership        // who keeps the lots
 	Retiring []string          // store seats to be emptied
 	Extra    map[string][]byte // state of other aggregates, by key, e.g. upgrades
 }
@@ -121,8 +123,8 @@
 
 // boundRetiring keeps the seats that the stores' roster still has, and the
 // newest of those that are gone.
-func boundRetiring(retiring []string, stores []Seat) []string {
-	isStore := func(id string) bool { return slices.ContainsFunc(stores, func(s Seat) bool { return s.ID == id }) }
+func boundRetiring(retiring []string, stores []Member) []string {
+	isStore := func(id string) bool { return slices.ContainsFunc(stores, func(s Member) bool { return s.ID == id }) }
 	gone := 0
 	for _, id := range retiring {
 		if !isStore(id) {
--- a/internal/rpc/tally.go
+++ b/internal/rpc/counters.go
@@ -7,9 +7,9 @@
 	"sync"
 )
 
-// Tally counts calls and bytes by kind, as this node sent and took them: what
+// Counters counts calls and bytes by kind, as this node sent and took them: what
 // control costs a node can be read off its log (docs/operators.md).
-type Tally struct {
+type Counters struct {
 	mu   sync.Mutex
 	seen map[string]*count
 }
@@ -19,10 +19,10 @@
 	bytesOut, bytesIn int64
 }
 
-// NewTally makes an empty one.
-func NewTally() *Tally { return &Tally{seen: map[string]*count{}} }
+// NewCounters makes an empty one.
+func NewCounters() *Counters { return &Counters{seen: map[string]*count{}} }
 
-func (t *Tally) of(kind string) *count {
+func (t *Counters) of(kind string) *count {
 	c := t.seen[kind]
 	if c == nil {
 		c = &count{}
@@ -33,7 +33,7 @@
 
 // asked counts a call to a partner, answered one taken from a partner; a nil
 // tally counts nothing.
-func (t *Tally) asked(kind string, outBytes, inBytes int) {
+func (t *Counters) asked(kind string, outBytes, inBytes int) {
 	if t == nil {
 		return
 	}
@@ -45,7 +45,7 @@
 	c.bytesIn += int64(inBytes)
 }
 
-func (t *Tally) answered(kind string, inBytes, outBytes int) {
+func (t *Counters) answered(kind string, inBytes, outBytes int) {
 	if t == nil {
 		return
 	}
@@ -62,7 +62,7 @@
 
 // Drain gives what was counted since the last time, as
 // kind:callsOut/callsIn/bytesOut/bytesIn, most bytes first, and its sums.
-func (t *Tally) Drain() (line string, total Total) {
+func (t *Counters) Drain() (line string, total Total) {
 	t.mu.Lock()
 	seen := t.seen
 	t.seen = map[string]*count{}
--- a/internal/rpc/tally_test.go
+++ b/internal/rpc/counters_test.go
@@ -2,11 +2,11 @@
 
 import "testing"
 
-func TestTally(t *testing.T) {
-	var none *Tally
+func TestCounters(t *testing.T) {
+	var none *Counters
 	none.asked("x", 1, 1) // a node without a tally counts nothing
 	none.answered("x", 1, 1)
-	c := NewTally()
+	c := NewCounters()
 	c.asked("a", 10, 20)
 	c.asked("a", 1, 0)
 	c.answered("b", 100, 200)
--- a/internal/rpc/frame_test.go
+++ b/internal/rpc/frame_test.go
@@ -35,7 +35,7 @@
 }
 
 // What a partner must not be able to do (design 2.2).
-func TestFrameDeclined(t *testing.T) {
+func TestFrameRefused(t *testing.T) {
 	good := packed(t, frame{kind: frameCall, id: 3, name: "kind", body: []byte("body")})
 	for cut := range good {
 		if cut == 0 {
--- a/internal/rpc/fuzz_test.go
+++ b/internal/rpc/fuzz_test.go
@@ -31,7 +31,7 @@
 	f.Add(packed(&t, frame{kind: frameCall, id: 3, name: "x"}))
 	f.Add([]byte{0, 0, 0, 11, Version, 2, 0, 0})
 	f.Fuzz(func(t *testing.T, raw []byte) {
-		c := &circuit{conn: &streamConn{in: bytes.NewReader(raw)}, waiting: map[uint64]chan frame{}, nextID: 3}
+		c := &conn{conn: &streamConn{in: bytes.NewReader(raw)}, waiting: map[uint64]chan frame{}, nextID: 3}
 		calls := map[uint64]chan frame{}
 		for id := uint64(1); id <= 3; id++ {
 			ch := make(chan frame, 1)
@@ -70,7 +70,7 @@
 	f.Add(raw)
 	f.Add([]byte{0xdd, 0xff, 0xff, 0xff, 0xff})
 	f.Add([]byte{0xdf, 0xff, 0xff, 0xff, 0xff, 0xc1})
-	d := NewDesk()
+	d := NewMux()
 	On(d, "kind", func(_ context.Context, in *body) (*body, error) { return in, nil })
 	f.Fuzz(func(_ *testing.T, raw []byte) { _, _ = d.Serve(context.Background(), "kind", raw) })
 }
--- a/internal/rpc/hostile_test.go
+++ b/internal/rpc/hostile_test.go
@@ -209,7 +209,7 @@
 func TestNoTimeBeforeSent(t *testing.T) {
 	near, far := net.Pipe()
 	defer far.Close()
-	c := &circuit{conn: near, w: bufio.NewWriter(near), waiting: map[uint64]chan frame{}}
+	c := &conn{conn: near, w: bufio.NewWriter(near), waiting: map[uint64]chan frame{}}
 	c.wmu.Lock()
 	ctx, cancel := context.WithCancel(context.Background())
 	out := make(chan error)
@@ -231,7 +231,7 @@
 	for _, id := range []uint64{0, 9, 1 << 63} {
 		raw := append(packed(t, frame{kind: frameAnswer, id: id}), packed(t, frame{kind: frameAnswer, id: 1})...)
 		ch := make(chan frame, 1)
-		c := &circuit{conn: &streamConn{in: bytes.NewReader(raw)}, waiting: map[uint64]chan frame{1: ch}, nextID: 3}
+		c := &conn{conn: &streamConn{in: bytes.NewReader(raw)}, waiting: map[uint64]chan frame{1: ch}, nextID: 3}
 		c.read()
 		if _, ok := <-ch; ok || !c.dead() {
 			t.Errorf("after an answer under %d, call 1 was answered", id)
--- a/internal/rpc/desk.go
+++ b/internal/rpc/mux.go
@@ -12,8 +12,8 @@
 	"rowanshunt/internal/fault"
 )
 
-// Mesh carries calls to partners. Tests put a simulated network in its place.
-type Mesh interface {
+// Transport carries calls to partners. Tests put a simulated network in its place.
+type Transport interface {
 	// Call sends in to the partner at addr and decodes its answer into out
 	// (nil: not wanted). An Unreached fault promises that the partner never
 	// got the call; an Unsure one promises nothing.
@@ -23,17 +23,17 @@
 // Handler answers one kind of call. body is only valid until it returns.
 type Handler func(ctx context.Context, body []byte) (any, error)
 
-// Desk holds the handlers of a node.
-type Desk struct {
+// Mux holds the handlers of a node.
+type Mux struct {
 	mu    sync.RWMutex
 	kinds map[string]Handler
 }
 
-// NewDesk makes an empty desk.
-func NewDesk() *Desk { return &Desk{kinds: map[string]Handler{}} }
+// NewMux makes an empty desk.
+func NewMux() *Mux { return &Mux{kinds: map[string]Handler{}} }
 
 // On answers calls of a kind with fn.
-func On[In, Out any](d *Desk, kind string, fn func(ctx context.Context, in *In) (*Out, error)) {
+func On[In, Out any](d *Mux, kind string, fn func(ctx context.Context, in *In) (*Out, error)) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.kinds[kind] = func(ctx context.Context, body []byte) (any, error) {
@@ -51,12 +51,12 @@
 
 // Serve runs the handler of a kind and packs its answer. A panic in a handler
 // becomes a fault.
-func (d *Desk) Serve(ctx context.Context, kind string, body []byte) (answer []byte, err error) {
+func (d *Mux) Serve(ctx context.Context, kind string, body []byte) (answer []byte, err error) {
 	d.mu.RLock()
 	h := d.kinds[kind]
 	d.mu.RUnlock()
 	if h == nil {
-		return nil, fault.New(fault.Declined, kind, "no such kind of call here", "run the same version on all nodes")
+		return nil, fault.New(fault.Refused, kind, "no such kind of call here", "run the same version on all nodes")
 	}
 	out, err := h(ctx, body)
 	if err != nil {
--- a/internal/rpc/tcp.go
+++ b/internal/rpc/tcp.go
@@ -40,17 +40,17 @@
 // TCP is the mesh over real sockets.
 type TCP struct {
 	mu       sync.Mutex
-	circuits map[string]*circuit
+	conns    map[string]*conn
 	dialer   *net.Dialer
-	tally    *Tally
+	counters *Counters
 }
 
 // NewTCP makes a mesh without circuits.
-func NewTCP(tally *Tally) *TCP {
-	return &TCP{circuits: map[string]*circuit{}, dialer: Dialer(400 * time.Millisecond), tally: tally}
+func NewTCP(counters *Counters) *TCP {
+	return &TCP{conns: map[string]*conn{}, dialer: Dialer(400 * time.Millisecond), counters: counters}
 }
 
-type circuit struct {
+type conn struct {
 	ready chan struct{}
 	err   error
 	conn  net.Conn
@@ -70,7 +70,7 @@
 	if err != nil {
 		return fault.New(fault.Internal, kind, err.Error(), "report this")
 	}
-	c, err := t.circuit(ctx, addr)
+	c, err := t.conn(ctx, addr)
 	if err != nil {
 		return fault.New(fault.Unreached, addr, err.Error(), "look whether that node runs")
 	}
@@ -79,10 +79,10 @@
 		if c.dead() {
 			t.drop(addr, c)
 		}
-		t.tally.asked(kind, len(body), 0)
+		t.counters.asked(kind, len(body), 0)
 		return err
 	}
-	t.tally.asked(kind, len(body), len(answer.body))
+	t.counters.asked(kind, len(body), len(answer.body))
 	if answer.kind == frameFault {
 		var w faultWire
 		if err := Unmarshal(answer.body, &w); err != nil {
@@ -106,12 +106,12 @@
 	Remedy string
 }
 
-func (t *TCP) circuit(ctx context.Context, addr string) (*circuit, error) {
+func (t *TCP) conn(ctx context.Context, addr string) (*conn, error) {
 	t.mu.Lock()
-	c := t.circuits[addr]
+	c := t.conns[addr]
 	if c == nil {
-		c = &circuit{ready: make(chan struct{}), waiting: map[uint64]chan frame{}}
-		t.circuits[addr] = c
+		c = &conn{ready: make(chan struct{}), waiting: map[uint64]chan frame{}}
+		t.conns[addr] = c
 		go func() {
 			conn, err := t.dialer.Dial("tcp", addr)
 			if err != nil {
@@ -133,10 +133,10 @@
 	}
 }
 
-func (t *TCP) drop(addr string, c *circuit) {
+func (t *TCP) drop(addr string, c *conn) {
 	t.mu.Lock()
-	if t.circuits[addr] == c {
-		delete(t.circuits, addr)
+	if t.conns[addr] == c {
+		delete(t.conns, addr)
 	}
 	t.mu.Unlock()
 }
@@ -145,7 +145,7 @@
 func (t *TCP) Close() {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	for a, c := range t.circuits {
+	for a, c := range t.conns {
 		select {
 		case <-c.ready:
 			if c.conn != nil {
@@ -153,17 +153,17 @@
 			}
 		default:
 		}
-		delete(t.circuits, a)
+		delete(t.conns, a)
 	}
 }
 
-func (c *circuit) dead() bool {
+func (c *conn) dead() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	return c.broken != nil
 }
 
-func (c *circuit) fail(err error) {
+func (c *conn) fail(err error) {
 	c.mu.Lock()
 	if c.broken == nil {
 		c.broken = err
@@ -177,7 +177,7 @@
 	}
 }
 
-func (c *circuit) read() {
+func (c *conn) read() {
 	r := bufio.NewReaderSize(c.conn, 4<<10)
 	for {
 		f, err := readFrame(r)
@@ -203,7 +203,7 @@
 	}
 }
 
-func (c *circuit) call(ctx context.Context, kind string, body []byte) (frame, error) {
+func (c *conn) call(ctx context.Context, kind string, body []byte) (frame, error) {
 	if len(kind) > maxName || len(body) > maxBody {
 		return frame{}, errFrameTooLong(kind) // nothing was sent, and the other calls go on
 	}
@@ -248,7 +248,7 @@
 }
 
 // forget gives a call up; its answer is read over.
-func (c *circuit) forget(id uint64) {
+func (c *conn) forget(id uint64) {
 	c.mu.Lock()
 	delete(c.waiting, id)
 	c.mu.Unlock()
@@ -256,24 +256,24 @@
 
 // Listener serves partners.
 type Listener struct {
-	ln    net.Listener
-	desk  *Desk
-	log   *logging.Log
-	tally *Tally
-	mu    sync.Mutex
-	open  map[net.Conn]struct{}
+	ln       net.Listener
+	mux      *Mux
+	log      *logging.Log
+	counters *Counters
+	mu       sync.Mutex
+	open     map[net.Conn]struct{}
 }
 
 // maxCallsOpen bounds the calls that one partner may have under way.
 const maxCallsOpen = 512
 
 // Listen opens the partner port.
-func Listen(addr string, desk *Desk, log *logging.Log, tally *Tally) (*Listener, error) {
+func Listen(addr string, mux *Mux, log *logging.Log, counters *Counters) (*Listener, error) {
 	ln, err := net.Listen("tcp", addr)
 	if err != nil {
 		return nil, errors.Wrap(err, "partner port")
 	}
-	return &Listener{ln: ln, desk: desk, log: log, tally: tally, open: map[net.Conn]struct{}{}}, nil
+	return &Listener{ln: ln, mux: mux, log: log, counters: counters, open: map[net.Conn]struct{}{}}, nil
 }
 
 // Addr is the bound address.
@@ -344,7 +344,7 @@
 				body, _ = codec.Marshal(wireOf(err))
 			}
 			answer.body = body
-			l.tally.answered(f.name, len(f.body), len(body))
+			l.counters.answered(f.name, len(f.body), len(body))
 			wmu.Lock()
 			defer wmu.Unlock()
 			_ = conn.SetWriteDeadline(time.Now().Add(2 * userTimeoutMs * time.Millisecond))
@@ -362,7 +362,7 @@
 			err = fault.New(fault.Unsure, f.name, "the handler failed", "report this")
 		}
 	}()
-	return l.desk.Serve(ctx, f.name, f.body)
+	return l.mux.Serve(ctx, f.name, f.body)
 }
 
 func wireOf(err error) faultWire {
--- a/internal/rpc/tcp_test.go
+++ b/internal/rpc/tcp_test.go
@@ -13,9 +13,9 @@
 
 type echo struct{ N int }
 
-func listen(t *testing.T) (*Desk, string) {
+func listen(t *testing.T) (*Mux, string) {
 	t.Helper()
-	d := NewDesk()
+	d := NewMux()
 	l, err := Listen("127.0.0.1:0", d, logging.Quiet(), nil)
 	if err != nil {
 		t.Fatal(err)
@@ -54,7 +54,7 @@
 	if err := m.Call(ctx, addr, "panic", &echo{}, nil); !fault.Is(err, fault.Unsure) {
 		t.Errorf("panic: %v", err)
 	}
-	if err := m.Call(ctx, addr, "unknown", &echo{}, nil); !fault.Is(err, fault.Declined) {
+	if err := m.Call(ctx, addr, "unknown", &echo{}, nil); !fault.Is(err, fault.Refused) {
 		t.Errorf("unknown kind: %v", err)
 	}
 	if err := m.Call(ctx, addr, "echo", "not an echo", nil); !fault.Is(err, fault.Invalid) {
@@ -63,7 +63,7 @@
 }
 
 // Whether a call may have been carried out must be told right.
-func TestBrokenCircuits(t *testing.T) {
+func TestBrokenConns(t *testing.T) {
 	m := NewTCP(nil)
 	defer m.Close()
 	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
--- a/internal/settings/options.go
+++ b/internal/settings/options.go
@@ -139,7 +139,7 @@
 
 // Check looks at the whole of the options and names every field that is wrong.
 func (o *Options) Check() error {
-	var l fault.Ledger
+	var l fault.Collector
 	if o.Node == "" {
 		l.Addf("node", "is missing", "give the node's name")
 	}
@@ -185,20 +185,20 @@
 
 // What a process needs at least; below it a start would only end later.
 const (
-	MaxSpared     = 3 // machines that the register's seats can bear the loss of
-	minNoFile     = 256
-	minForagerMb  = 32
-	minCombMb     = 64
-	minCombDiskMb = 32
+	MaxSpared      = 3 // machines that the register's seats can bear the loss of
+	minNoFile      = 256
+	minEdgeMb      = 32
+	minStoreMb     = 64
+	minStoreDiskMb = 32
 )
 
 // floors looks whether the machine has what a role needs at least.
-func (o *Options) floors(l *fault.Ledger, role string) {
-	ramMb := int64(minForagerMb)
+func (o *Options) floors(l *fault.Collector, role string) {
+	ramMb := int64(minEdgeMb)
 	if role == RoleStore {
-		ramMb = minCombMb
-		if o.Caps.DiskMb > 0 && o.Caps.DiskMb < minCombDiskMb {
-			l.Addf("caps.disk_mb", "is below "+strconv.Itoa(minCombDiskMb), "a comb writes its file anew beside the old one: give it a larger disk")
+		ramMb = minStoreMb
+		if o.Caps.DiskMb > 0 && o.Caps.DiskMb < minStoreDiskMb {
+			l.Addf("caps.disk_mb", "is below "+strconv.Itoa(minStoreDiskMb), "a comb writes its file anew beside the old one: give it a larger disk")
 		}
 	}
 	if o.Caps.RAMMb < ramMb {
@@ -241,7 +241,7 @@
 
 // CheckRole looks at what one role needs.
 func (o *Options) CheckRole(role string) error {
-	var l fault.Ledger
+	var l fault.Collector
 	switch role {
 	case RoleEdge:
 		if o.Listen.HTTP == "" {
@@ -262,8 +262,8 @@
 	return l.Err()
 }
 
-// PartnerAddr is where this node listens for its partners.
-func (o *Options) PartnerAddr() string {
+// PeerAddr is where this node listens for its partners.
+func (o *Options) PeerAddr() string {
 	return net.JoinHostPort(o.IPAddr, strconv.Itoa(o.PortRange[0]))
 }
 
--- a/internal/settings/options_test.go
+++ b/internal/settings/options_test.go
@@ -35,8 +35,8 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	if o.PartnerAddr() != "10.1.0.35:7660" || len(o.SeedAddrs()) != 2 || o.SeedAddrs()[1] != "10.2.0.28:7660" {
-		t.Errorf("addresses: %s %v", o.PartnerAddr(), o.SeedAddrs())
+	if o.PeerAddr() != "10.1.0.35:7660" || len(o.SeedAddrs()) != 2 || o.SeedAddrs()[1] != "10.2.0.28:7660" {
+		t.Errorf("addresses: %s %v", o.PeerAddr(), o.SeedAddrs())
 	}
 	if !o.Has("ctl") || o.Has("store") || o.GraceUs() != 8_000_000 || o.Bounds.DrainMs != 2000 || o.HbMs != 1200 {
 		t.Errorf("read wrong: %+v", o)
--- a/internal/simnet/hold.go
+++ b/internal/simnet/hold.go
@@ -20,7 +20,7 @@
 // Freeze stops a machine's partner traffic, both ways, until it thaws. Nothing
 // is lost: calls to it and answers for it arrive then, also those whose callers
 // have left.
-func (m *Meadow) Freeze(addr string, frozen bool) {
+func (m *Network) Freeze(addr string, frozen bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.holds.frozen[addr] = frozen
@@ -28,7 +28,7 @@
 
 // Stall holds the calls of kinds with a prefix that reach an address, as a disk
 // does that does not answer; they are served once it ends.
-func (m *Meadow) Stall(addr, kindPrefix string, stalled bool) {
+func (m *Network) Stall(addr, kindPrefix string, stalled bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	delete(m.holds.stalled, addr)
@@ -37,7 +37,7 @@
 	}
 }
 
-func (m *Meadow) held(addr, kind string) bool {
+func (m *Network) held(addr, kind string) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	prefix, stalled := m.holds.stalled[addr]
@@ -46,7 +46,7 @@
 
 // pass waits while the machine, or the disk behind that kind of call, stands
 // still; false if ctx ended first.
-func (m *Meadow) pass(ctx context.Context, addr, kind string) bool {
+func (m *Network) pass(ctx context.Context, addr, kind string) bool {
 	for m.held(addr, kind) {
 		if !wait(ctx, holdStep) {
 			return false
--- a/internal/simnet/meadow.go
+++ b/internal/simnet/simnet.go
@@ -19,8 +19,8 @@
 	"rowanshunt/internal/rpc"
 )
 
-// Meadow is one network.
-type Meadow struct {
+// Network is one network.
+type Network struct {
 	mu        sync.Mutex
 	rng       *rand.Rand
 	desks     map[string]*site
@@ -35,31 +35,31 @@
 }
 
 type site struct {
-	desk *rpc.Desk
-	ctx  context.Context
+	mux *rpc.Mux
+	ctx context.Context
 }
 
 // New makes a network whose luck follows from the seed.
-func New(seed uint64) *Meadow {
-	return &Meadow{rng: rand.New(rand.NewPCG(seed, 7)), desks: map[string]*site{}, listeners: map[string]*Listener{}, cuts: map[[2]string]bool{}, holds: newHolds(), DelayUs: 1000}
+func New(seed uint64) *Network {
+	return &Network{rng: rand.New(rand.NewPCG(seed, 7)), desks: map[string]*site{}, listeners: map[string]*Listener{}, cuts: map[[2]string]bool{}, holds: newHolds(), DelayUs: 1000}
 }
 
 // Place puts a node's desk at an address until ctx ends.
-func (m *Meadow) Place(ctx context.Context, addr string, desk *rpc.Desk) {
+func (m *Network) Place(ctx context.Context, addr string, mux *rpc.Mux) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.desks[addr] = &site{desk: desk, ctx: ctx}
+	m.desks[addr] = &site{mux: mux, ctx: ctx}
 }
 
 // Cut stops all traffic from one address to another.
-func (m *Meadow) Cut(from, to string, cut bool) {
+func (m *Network) Cut(from, to string, cut bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.cuts[[2]string{from, to}] = cut
 }
 
 // CutOff cuts an address from all others given, both ways.
-func (m *Meadow) CutOff(addr string, others []string, cut bool) {
+func (m *Network) CutOff(addr string, others []string, cut bool) {
 	for _, o := range others {
 		if o != addr {
 			m.Cut(addr, o, cut)
@@ -69,7 +69,7 @@
 }
 
 // Luck draws a number below n.
-func (m *Meadow) Luck(n int) int {
+func (m *Network) Luck(n int) int {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	return m.rng.IntN(n)
@@ -82,7 +82,7 @@
 	double bool
 }
 
-func (m *Meadow) travel(from, to string) trip {
+func (m *Network) travel(from, to string) trip {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	t := trip{site: m.desks[to], delay: time.Duration(100+m.rng.Int64N(max(m.DelayUs, 1))) * time.Microsecond}
@@ -91,11 +91,11 @@
 	return t
 }
 
-// MeshOf is the mesh as the node at an address sees it.
-func (m *Meadow) MeshOf(addr string) rpc.Mesh { return &mesh{m: m, from: addr} }
+// TransportOf is the mesh as the node at an address sees it.
+func (m *Network) TransportOf(addr string) rpc.Transport { return &transport{m: m, from: addr} }
 
-type mesh struct {
-	m    *Meadow
+type transport struct {
+	m    *Network
 	from string
 }
 
@@ -111,7 +111,7 @@
 }
 
 // Call implements pollen.Mesh.
-func (h *mesh) Call(ctx context.Context, addr, kind string, in, out any) error {
+func (h *transport) Call(ctx context.Context, addr, kind string, in, out any) error {
 	body, err := codec.Marshal(in)
 	if err != nil {
 		return fault.New(fault.Internal, kind, err.Error(), "report this")
@@ -139,7 +139,7 @@
 		if !h.m.pass(there.site.ctx, addr, kind) {
 			return
 		}
-		b, err := there.site.desk.Serve(there.site.ctx, kind, body)
+		b, err := there.site.mux.Serve(there.site.ctx, kind, body)
 		got <- answer{b, err}
 	}
 	go serve()
@@ -177,7 +177,7 @@
 
 // Listener takes the circuits dialled to an address.
 type Listener struct {
-	m      *Meadow
+	m      *Network
 	addr   string
 	queue  chan net.Conn
 	closed chan struct{}
@@ -185,7 +185,7 @@
 }
 
 // Listen opens an address for circuits.
-func (m *Meadow) Listen(addr string) *Listener {
+func (m *Network) Listen(addr string) *Listener {
 	l := &Listener{m: m, addr: addr, queue: make(chan net.Conn, 256), closed: make(chan struct{})}
 	m.mu.Lock()
 	m.listeners[addr] = l
@@ -225,7 +225,7 @@
 func (l *Listener) Addr() net.Addr { return addrName(l.addr) }
 
 // DialFrom dials circuits as the node at an address.
-func (m *Meadow) DialFrom(from string) func(context.Context, string) (net.Conn, error) {
+func (m *Network) DialFrom(from string) func(context.Context, string) (net.Conn, error) {
 	return func(ctx context.Context, addr string) (net.Conn, error) {
 		m.mu.Lock()
 		l := m.listeners[addr]
--- a/internal/simnet/worker.go
+++ b/internal/simnet/worker.go
@@ -44,7 +44,7 @@
 }
 
 // NewWorker starts a stand-in at an address of the meadow.
-func NewWorker(m *Meadow, id, addr string) *Worker {
+func NewWorker(m *Network, id, addr string) *Worker {
 	w := NewStandIn(id)
 	w.server = &http.Server{Handler: w}
 	l := m.Listen(addr)
--- a/internal/trace/trail.go
+++ b/internal/trace/trace.go
@@ -16,9 +16,9 @@
 
 // The kinds of changes that can be followed.
 const (
-	Blueprint = "blueprint"
-	Worker    = "worker"
-	Lot       = "lot"
+	Configuration = "blueprint"
+	Worker        = "worker"
+	Lot           = "lot"
 )
 
 // Ask names the change.
@@ -39,8 +39,8 @@
 	Mark string `json:"mark,omitempty"`
 }
 
-// Word is one node's answer.
-type Word struct {
+// NodeAnswer is one node's answer.
+type NodeAnswer struct {
 	Node   string `json:"node"`
 	Role   string `json:"role"`
 	Az     string `json:"az"`
@@ -50,29 +50,29 @@
 
 // Report is what all nodes said.
 type Report struct {
-	Kind     string   `json:"kind"`
-	ID       string   `json:"id"`
-	Complete bool     `json:"complete"`
-	Missing  []string `json:"missing"`
-	Words    []Word   `json:"nodes"`
+	Kind     string       `json:"kind"`
+	ID       string       `json:"id"`
+	Complete bool         `json:"complete"`
+	Missing  []string     `json:"missing"`
+	Words    []NodeAnswer `json:"nodes"`
 }
 
-// Teller says what a node knows of a change.
-type Teller func(ctx context.Context, a *Ask) []Fact
+// Source says what a node knows of a change.
+type Source func(ctx context.Context, a *Ask) []Fact
 
-// Trail is one node's part.
-type Trail struct {
-	mesh    rpc.Mesh
-	swarm   *gossip.Swarm
-	self    gossip.Partner
-	mu      sync.Mutex
-	tellers map[string][]Teller
+// Tracer is one node's part.
+type Tracer struct {
+	transport rpc.Transport
+	gossip    *gossip.Gossip
+	self      gossip.Peer
+	mu        sync.Mutex
+	sources   map[string][]Source
 }
 
 // New joins the desk.
-func New(desk *rpc.Desk, mesh rpc.Mesh, sw *gossip.Swarm, self gossip.Partner) *Trail {
-	t := &Trail{mesh: mesh, swarm: sw, self: self, tellers: map[string][]Teller{}}
-	rpc.On(desk, "trail.tell", func(ctx context.Context, a *Ask) (*Word, error) {
+func New(mux *rpc.Mux, transport rpc.Transport, sw *gossip.Gossip, self gossip.Peer) *Tracer {
+	t := &Tracer{transport: transport, gossip: sw, self: self, sources: map[string][]Source{}}
+	rpc.On(mux, "trail.tell", func(ctx context.Context, a *Ask) (*NodeAnswer, error) {
 		if err := a.Check(); err != nil {
 			return nil, err
 		}
@@ -81,7 +81,7 @@
 	return t
 }
 
-func known(kind string) bool { return kind == Blueprint || kind == Worker || kind == Lot }
+func known(kind string) bool { return kind == Configuration || kind == Worker || kind == Lot }
 
 // Check tells whether that kind of change can be followed.
 func (a *Ask) Check() error {
@@ -92,17 +92,17 @@
 }
 
 // On adds a teller for a kind.
-func (t *Trail) On(kind string, fn Teller) {
+func (t *Tracer) On(kind string, fn Source) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.tellers[kind] = append(t.tellers[kind], fn)
+	t.sources[kind] = append(t.sources[kind], fn)
 }
 
-func (t *Trail) tell(ctx context.Context, a *Ask) *Word {
+func (t *Tracer) tell(ctx context.Context, a *Ask) *NodeAnswer {
 	t.mu.Lock()
-	fns := t.tellers[a.Kind]
+	fns := t.sources[a.Kind]
 	t.mu.Unlock()
-	w := &Word{Node: t.self.Name, Role: t.self.Role, Az: t.self.Az}
+	w := &NodeAnswer{Node: t.self.Name, Role: t.self.Role, Az: t.self.Az}
 	for _, fn := range fns {
 		w.Facts = append(w.Facts, fn(ctx, a)...)
 	}
@@ -112,23 +112,23 @@
 const tellTimeout = 700 * time.Millisecond
 
 // Follow asks every node in view, living or silent.
-func (t *Trail) Follow(ctx context.Context, a *Ask) (*Report, error) {
+func (t *Tracer) Follow(ctx context.Context, a *Ask) (*Report, error) {
 	if err := a.Check(); err != nil {
 		return nil, err
 	}
-	v := t.swarm.Look()
-	out := &Report{Kind: a.Kind, ID: a.ID, Words: make([]Word, len(v.All))}
+	v := t.gossip.Look()
+	out := &Report{Kind: a.Kind, ID: a.ID, Words: make([]NodeAnswer, len(v.All))}
 	var wg sync.WaitGroup
 	for i, p := range v.All {
 		wg.Go(func() {
-			w := &Word{}
+			w := &NodeAnswer{}
 			if p.Name == t.self.Name {
 				w = t.tell(ctx, a)
 			} else {
 				callCtx, cancel := context.WithTimeout(ctx, tellTimeout)
 				defer cancel()
-				if err := t.mesh.Call(callCtx, p.Addr, "trail.tell", a, w); err != nil {
-					w = &Word{Node: p.Name, Role: p.Role, Az: p.Az, Silent: true}
+				if err := t.transport.Call(callCtx, p.Addr, "trail.tell", a, w); err != nil {
+					w = &NodeAnswer{Node: p.Name, Role: p.Role, Az: p.Az, Silent: true}
 				}
 			}
 			out.Words[i] = *w
--- a/internal/upgrade/driver.go
+++ b/internal/upgrade/driver.go
@@ -27,32 +27,32 @@
 
 // Config is what a driver is made of.
 type Config struct {
-	Floor  *eventloop.Floor
-	Desk   *rpc.Desk
-	Mesh   rpc.Mesh
-	Swarm  *gossip.Swarm
-	Log    *logging.Log
-	Self   gossip.Partner
-	State  func() *register.State
-	Change func(context.Context, register.Change) (*register.State, error)
-	Known  func() []discovery.Worker // all registered workers, in use or not
-	Scout  *balancer.Scout
-	OnMove func(*Upgrade)
+	Loop      *eventloop.Loop
+	Mux       *rpc.Mux
+	Transport rpc.Transport
+	Gossip    *gossip.Gossip
+	Log       *logging.Log
+	Self      gossip.Peer
+	State     func() *register.State
+	Change    func(context.Context, register.Change) (*register.State, error)
+	Known     func() []discovery.Worker // all registered workers, in use or not
+	Balancer  *balancer.Balancer
+	OnMove    func(*Upgrade)
 }
 
-// Moult is one node's part in upgrades: it applies them to its own picks, tells
+// Manager is one node's part in upgrades: it applies them to its own picks, tells
 // drivers what it sees, and drives those that fall to it.
-type Moult struct {
+type Manager struct {
 	cfg  Config
 	ctx  context.Context
 	busy bool
 }
 
 // New joins the upgrades.
-func New(ctx context.Context, cfg Config) *Moult {
-	m := &Moult{cfg: cfg, ctx: ctx}
-	rpc.On(cfg.Desk, "moult.tell", func(_ context.Context, in *tellCall) (*tellAnswer, error) { return m.tell(in.Svc), nil })
-	cfg.Floor.Every(stepUs, m.tick)
+func New(ctx context.Context, cfg Config) *Manager {
+	m := &Manager{cfg: cfg, ctx: ctx}
+	rpc.On(cfg.Mux, "moult.tell", func(_ context.Context, in *tellCall) (*tellAnswer, error) { return m.tell(in.Svc), nil })
+	cfg.Loop.Every(stepUs, m.tick)
 	return m
 }
 
@@ -62,15 +62,15 @@
 
 type tellAnswer struct {
 	Groups []Group
-	Vitals Vitals
+	Health Health
 	Busy   []string // workers that something of this node runs at
 }
 
-func (m *Moult) tell(svc string) *tellAnswer {
-	out := &tellAnswer{Busy: m.cfg.Scout.Busy()}
-	a, l, f := m.cfg.Scout.Fared(svc)
-	out.Vitals = Vitals{Answers: a, Late: l, Failed: f}
-	for _, g := range m.cfg.Scout.Groups(svc) {
+func (m *Manager) tell(svc string) *tellAnswer {
+	out := &tellAnswer{Busy: m.cfg.Balancer.Busy()}
+	a, l, f := m.cfg.Balancer.Fared(svc)
+	out.Health = Health{Answers: a, Late: l, Failed: f}
+	for _, g := range m.cfg.Balancer.Groups(svc) {
 		out.Groups = append(out.Groups, Group{ID: g.ID, Lately: g.Lately, Holders: g.Holders})
 	}
 	return out
@@ -78,7 +78,7 @@
 
 // Apply takes the upgrades of a committed state to this node's picks: workers
 // out of use get nothing new, groups are spread, returned workers are warmed.
-func Apply(s *register.State, sc *balancer.Scout) {
+func Apply(s *register.State, sc *balancer.Balancer) {
 	out := map[string]bool{}
 	spread := map[string]int{}
 	warm := map[string]balancer.Warming{}
@@ -97,11 +97,11 @@
 			}
 		}
 	}
-	sc.SetMoult(balancer.Moulting{Out: out, Spread: spread, Warm: warm, Heirs: heirs})
+	sc.SetUpgrades(balancer.Upgrading{Out: out, Spread: spread, Warm: warm, Heirs: heirs})
 }
 
 // tick drives each open upgrade whose key falls to this node.
-func (m *Moult) tick() {
+func (m *Manager) tick() {
 	s := m.cfg.State()
 	if m.busy || s == nil {
 		return
@@ -110,8 +110,8 @@
 	if len(upgrades) == 0 {
 		return
 	}
-	v := m.cfg.Swarm.Look()
-	live := v.Names(func(p *gossip.Sighting) bool { return p.Alive && p.Role == m.cfg.Self.Role && !p.Leaving })
+	v := m.cfg.Gossip.Look()
+	live := v.Names(func(p *gossip.NodeState) bool { return p.Alive && p.Role == m.cfg.Self.Role && !p.Leaving })
 	for _, u := range upgrades {
 		if !u.Open() || rendezvous.Holder(keyPrefix+u.Svc, live) != m.cfg.Self.Name {
 			continue
@@ -124,18 +124,18 @@
 			if err != nil {
 				m.cfg.Log.Debug("upgrade_step_waits", "service", u.Svc, "err", err)
 			}
-			_ = m.cfg.Floor.Do(m.ctx, func() { m.busy = false })
+			_ = m.cfg.Loop.Do(m.ctx, func() { m.busy = false })
 		}()
 		return
 	}
 }
 
-func (m *Moult) me() string { return m.cfg.Self.Life() }
+func (m *Manager) me() string { return m.cfg.Self.Life() }
 
 // drive takes the driver's place if need be and does one step. Both go through
 // the register under the term: a driver that froze or was cut off finds a
 // higher term there and changes nothing.
-func (m *Moult) drive(ctx context.Context, svc string) error {
+func (m *Manager) drive(ctx context.Context, svc string) error {
 	u := Load(m.cfg.State(), svc)
 	if !u.Open() {
 		return nil
@@ -157,13 +157,13 @@
 		m.cfg.Log.Info("upgrade_driven", "service", svc, "term", u.Term, "wave", u.Wave)
 	}
 	term := u.Term
-	seen, groups, vitals, err := m.look(ctx, u)
+	seen, groups, health, err := m.look(ctx, u)
 	if err != nil {
 		return err
 	}
 	trial := *u
 	trial.Out = append([]Out(nil), u.Out...)
-	if !trial.Step(seen, groups, vitals, eventloop.NowUs()) {
+	if !trial.Step(seen, groups, health, eventloop.NowUs()) {
 		return nil
 	}
 	s, err := m.cfg.Change(ctx, func(now *register.State) (*register.State, error) {
@@ -171,7 +171,7 @@
 		if u == nil || u.Term != term || u.Driver != m.me() {
 			return nil, fault.New(fault.Stale, svc, "another node drives", "nothing to do")
 		}
-		if !u.Step(seen, groups, vitals, eventloop.NowUs()) {
+		if !u.Step(seen, groups, health, eventloop.NowUs()) {
 			return nil, nil
 		}
 		return now, u.store(now)
@@ -190,13 +190,13 @@
 
 // look asks every forager in sight; more than half must answer, or nothing is
 // decided.
-func (m *Moult) look(ctx context.Context, u *Upgrade) ([]Seen, []Group, Vitals, error) {
-	v := m.cfg.Swarm.Look()
+func (m *Manager) look(ctx context.Context, u *Upgrade) ([]Seen, []Group, Health, error) {
+	v := m.cfg.Gossip.Look()
 	var mu sync.Mutex
 	var wg sync.WaitGroup
 	busy := map[string]bool{}
 	byGroup := map[string]*Group{}
-	var vitals Vitals
+	var health Health
 	asked, told := 0, 0
 	for i := range v.All {
 		p := &v.All[i]
@@ -211,7 +211,7 @@
 			} else {
 				callCtx, cancel := context.WithTimeout(ctx, askTimeout)
 				defer cancel()
-				if m.cfg.Mesh.Call(callCtx, p.Addr, "moult.tell", &tellCall{Svc: u.Svc}, out) != nil {
+				if m.cfg.Transport.Call(callCtx, p.Addr, "moult.tell", &tellCall{Svc: u.Svc}, out) != nil {
 					return
 				}
 			}
@@ -221,9 +221,9 @@
 			for _, id := range out.Busy {
 				busy[id] = true
 			}
-			vitals.Answers += out.Vitals.Answers
-			vitals.Late += out.Vitals.Late
-			vitals.Failed += out.Vitals.Failed
+			health.Answers += out.Health.Answers
+			health.Late += out.Health.Late
+			health.Failed += out.Health.Failed
 			for _, g := range out.Groups {
 				all := byGroup[g.ID]
 				if all == nil {
@@ -237,7 +237,7 @@
 	}
 	wg.Wait()
 	if 2*told <= asked {
-		return nil, nil, Vitals{}, fault.New(fault.Unsure, u.Svc, "too few foragers answer", "nothing is changed until they do")
+		return nil, nil, Health{}, fault.New(fault.Unsure, u.Svc, "too few foragers answer", "nothing is changed until they do")
 	}
 	var seen []Seen
 	for _, w := range m.cfg.Known() {
@@ -253,7 +253,7 @@
 		groups = append(groups, *g)
 	}
 	sort.Slice(groups, func(i, j int) bool { return groups[i].ID < groups[j].ID })
-	return seen, groups, vitals, nil
+	return seen, groups, health, nil
 }
 
 // version is the highest version of the weights that a worker has.
@@ -269,7 +269,7 @@
 // change, so that a refusal stands on a committed value at a majority. A repeated
 // order is never refused: while its upgrade is open it gets a Conflict, after it
 // ended the upgrade as it stands (design 13.4).
-func (m *Moult) Start(ctx context.Context, svc string, to int64, rules Rules) (*Upgrade, error) {
+func (m *Manager) Start(ctx context.Context, svc string, to int64, rules Rules) (*Upgrade, error) {
 	return m.change(ctx, svc, func(now *register.State, old *Upgrade) (*Upgrade, error) {
 		workers := m.countWorkers(svc, to)
 		switch {
@@ -299,7 +299,7 @@
 	atTarget map[string]string // those at the target version keep their own place
 }
 
-func (m *Moult) countWorkers(svc string, to int64) *workerCount {
+func (m *Manager) countWorkers(svc string, to int64) *workerCount {
 	count := &workerCount{byVer: map[int64]int64{}, atTarget: map[string]string{}}
 	for _, w := range m.cfg.Known() {
 		if w.Svc != svc {
@@ -352,7 +352,7 @@
 }
 
 // change runs a change of one upgrade in the register.
-func (m *Moult) change(ctx context.Context, svc string, fn func(*register.State, *Upgrade) (*Upgrade, error)) (*Upgrade, error) {
+func (m *Manager) change(ctx context.Context, svc string, fn func(*register.State, *Upgrade) (*Upgrade, error)) (*Upgrade, error) {
 	s, err := m.cfg.Change(ctx, func(now *register.State) (*register.State, error) {
 		u, err := fn(now, Load(now, svc))
 		if err != nil || u == nil {
@@ -371,7 +371,7 @@
 }
 
 // Pause stops an upgrade where it is.
-func (m *Moult) Pause(ctx context.Context, svc string) (*Upgrade, error) {
+func (m *Manager) Pause(ctx context.Context, svc string) (*Upgrade, error) {
 	return m.change(ctx, svc, func(_ *register.State, u *Upgrade) (*Upgrade, error) {
 		if u == nil {
 			return nil, unknown(svc)
@@ -385,7 +385,7 @@
 }
 
 // Resume lets a paused upgrade go on, its times anew.
-func (m *Moult) Resume(ctx context.Context, svc string) (*Upgrade, error) {
+func (m *Manager) Resume(ctx context.Context, svc string) (*Upgrade, error) {
 	return m.change(ctx, svc, func(_ *register.State, u *Upgrade) (*Upgrade, error) {
 		if u == nil {
 			return nil, unknown(svc)
@@ -401,7 +401,7 @@
 
 // Undo turns an upgrade round: the workers at the target version go back in
 // waves, under the same rules.
-func (m *Moult) Undo(ctx context.Context, svc string) (*Upgrade, error) {
+func (m *Manager) Undo(ctx context.Context, svc string) (*Upgrade, error) {
 	return m.change(ctx, svc, func(_ *register.State, u *Upgrade) (*Upgrade, error) {
 		if u == nil {
 			return nil, unknown(svc)
--- a/internal/upgrade/orders_test.go
+++ b/internal/upgrade/orders_test.go
@@ -23,7 +23,7 @@
 		{ID: "w1", Svc: "llm", Phase: "up", Models: []discovery.Model{{Name: "m", Ver: 1}}},
 		{ID: "w2", Svc: "llm", Phase: "up", Models: []discovery.Model{{Name: "m", Ver: 1}}},
 	}
-	m := &Moult{cfg: Config{
+	m := &Manager{cfg: Config{
 		Known: func() []discovery.Worker { return workers },
 		Change: func(_ context.Context, change register.Change) (*register.State, error) {
 			now := *state
--- a/internal/upgrade/upgrade.go
+++ b/internal/upgrade/upgrade.go
@@ -190,8 +190,8 @@
 // activeRequests is how many requests lately make a group count.
 const activeRequests = 8
 
-// Vitals is how a service's answers fared lately.
-type Vitals struct {
+// Health is how a service's answers fared lately.
+type Health struct {
 	Answers int64 `msgpack:"Answers"`
 	Late    int64 `msgpack:"Late"`
 	Failed  int64 `msgpack:"Failed"`
@@ -202,7 +202,7 @@
 
 // Check looks at the rules against the workers there are.
 func (r *Rules) Check(workers int64) error {
-	var l fault.Ledger
+	var l fault.Collector
 	if r.MinReplicas < 1 {
 		l.Addf("min_replicas", "is below 1", "keep at least one replica answering")
 	}
@@ -240,7 +240,7 @@
 // Step moves the upgrade on by what is seen now; true if it changed. It is the
 // one place that decides, and touches nothing but the aggregate.
 // nowUs is the driver's steady clock.
-func (u *Upgrade) Step(seen []Seen, groups []Group, v Vitals, nowUs int64) bool {
+func (u *Upgrade) Step(seen []Seen, groups []Group, v Health, nowUs int64) bool {
 	if u.Phase != Running {
 		return u.look(seen)
 	}
--- a/internal/upgrade/upgrade_test.go
+++ b/internal/upgrade/upgrade_test.go
@@ -38,7 +38,7 @@
 	waves := 0
 	for step := 0; u.Phase == Running && step < 1000; step++ {
 		nowUs += 500_000
-		u.Step(ws, nil, Vitals{}, nowUs)
+		u.Step(ws, nil, Health{}, nowUs)
 		if len(u.Out) > 2 {
 			t.Fatalf("%d workers out, 0.2 of 10 allowed", len(u.Out))
 		}
@@ -93,7 +93,7 @@
 	} {
 		u := running(10)
 		u.Rules.MinReplicas = tc.min
-		u.Step(fleet(10, 1), tc.groups, Vitals{}, 1)
+		u.Step(fleet(10, 1), tc.groups, Health{}, 1)
 		if ids(u.Out) != tc.want || u.Spread != tc.spread {
 			t.Errorf("%s: took %q, spread %d", tc.name, ids(u.Out), u.Spread)
 		}
@@ -105,34 +105,34 @@
 	out := func(u *Upgrade) { u.Wave, u.Out, u.WaveUs = 1, []Out{{ID: "w0", Addr: "a0"}}, 1 }
 	for _, tc := range []struct {
 		name  string
-		setup func(u *Upgrade, ws []Seen) ([]Seen, []Group, Vitals, int64)
+		setup func(u *Upgrade, ws []Seen) ([]Seen, []Group, Health, int64)
 		why   string
 	}{
-		{"answers fail", func(_ *Upgrade, ws []Seen) ([]Seen, []Group, Vitals, int64) {
-			return ws, nil, Vitals{Answers: 100, Failed: 6}, 1
+		{"answers fail", func(_ *Upgrade, ws []Seen) ([]Seen, []Group, Health, int64) {
+			return ws, nil, Health{Answers: 100, Failed: 6}, 1
 		}, "failed"},
-		{"answers slow down", func(_ *Upgrade, ws []Seen) ([]Seen, []Group, Vitals, int64) {
-			return ws, nil, Vitals{Answers: 100, Late: 21}, 1
+		{"answers slow down", func(_ *Upgrade, ws []Seen) ([]Seen, []Group, Health, int64) {
+			return ws, nil, Health{Answers: 100, Late: 21}, 1
 		}, "late"},
-		{"too few are well", func(_ *Upgrade, ws []Seen) ([]Seen, []Group, Vitals, int64) {
-			return ws[:5], nil, Vitals{}, 1
+		{"too few are well", func(_ *Upgrade, ws []Seen) ([]Seen, []Group, Health, int64) {
+			return ws[:5], nil, Health{}, 1
 		}, "well"},
-		{"a wave does not return", func(u *Upgrade, ws []Seen) ([]Seen, []Group, Vitals, int64) {
+		{"a wave does not return", func(u *Upgrade, ws []Seen) ([]Seen, []Group, Health, int64) {
 			out(u)
-			return ws[1:], nil, Vitals{}, 2 + u.Rules.WaveMs*1000
+			return ws[1:], nil, Health{}, 2 + u.Rules.WaveMs*1000
 		}, "not back"},
-		{"one comes back at the old version", func(u *Upgrade, ws []Seen) ([]Seen, []Group, Vitals, int64) {
+		{"one comes back at the old version", func(u *Upgrade, ws []Seen) ([]Seen, []Group, Health, int64) {
 			out(u)
 			ws[0] = Seen{ID: "n0", Addr: "a0", Ver: 1, Up: true}
-			return ws, nil, Vitals{}, 2
+			return ws, nil, Health{}, 2
 		}, "came back at version 1"},
-		{"a group cannot be spread", func(u *Upgrade, ws []Seen) ([]Seen, []Group, Vitals, int64) {
+		{"a group cannot be spread", func(u *Upgrade, ws []Seen) ([]Seen, []Group, Health, int64) {
 			u.SpreadUs = 1
 			var gs []Group
 			for _, w := range ws {
 				gs = append(gs, Group{ID: "g" + w.ID, Lately: 20, Holders: []string{w.ID}})
 			}
-			return ws, gs, Vitals{}, 2 + u.Rules.SpreadMs*1000
+			return ws, gs, Health{}, 2 + u.Rules.SpreadMs*1000
 		}, "too few replicas"},
 	} {
 		u := running(10)
@@ -145,7 +145,7 @@
 		}
 	}
 	u := running(10)
-	u.Step(fleet(10, 1), nil, Vitals{Answers: enoughAnswers - 1, Failed: enoughAnswers - 1}, 1)
+	u.Step(fleet(10, 1), nil, Health{Answers: enoughAnswers - 1, Failed: enoughAnswers - 1}, 1)
 	if u.Phase != Running {
 		t.Error("paused on too few answers to judge by")
 	}
@@ -186,11 +186,11 @@
 		u := running(10)
 		ws := fleet(10, 1)
 		waveUs := u.Rules.WaveMs * 1000
-		if !u.Step(ws, nil, Vitals{}, clocks[0]) || len(u.Out) == 0 {
+		if !u.Step(ws, nil, Health{}, clocks[0]) || len(u.Out) == 0 {
 			t.Fatal("no wave begins")
 		}
 		gone := ws[len(u.Out):]
-		u.Step(gone, nil, Vitals{}, clocks[0]+waveUs)
+		u.Step(gone, nil, Health{}, clocks[0]+waveUs)
 		if u.Phase != Running {
 			t.Fatalf("%s: paused within the wave's time: %s", name, u.Why)
 		}
@@ -200,11 +200,11 @@
 		nowUs := clocks[1]
 		for _, stepUs := range []int64{0, waveUs - 1, 1} {
 			nowUs += stepUs
-			if u.Step(gone, nil, Vitals{}, nowUs); u.Phase != Running {
+			if u.Step(gone, nil, Health{}, nowUs); u.Phase != Running {
 				t.Errorf("%s: the new driver paused after %d us: %s", name, nowUs-clocks[1], u.Why)
 			}
 		}
-		if u.Step(gone, nil, Vitals{}, nowUs+1); u.Phase != Paused {
+		if u.Step(gone, nil, Health{}, nowUs+1); u.Phase != Paused {
 			t.Errorf("%s: the new driver waits for longer than the wave's time", name)
 		}
 	}
--- a/internal/upgrade/wire.go
+++ b/internal/upgrade/wire.go
@@ -17,7 +17,7 @@
 }
 
 // EncodeMsgpack writes vitals with their fields' names.
-func (v Vitals) EncodeMsgpack(encoder *msgpack.Encoder) error {
-	type plain Vitals
+func (v Health) EncodeMsgpack(encoder *msgpack.Encoder) error {
+	type plain Health
 	return codec.EncodeWithNames(encoder, plain(v))
 }
--- a/internal/upgrade/wire_test.go
+++ b/internal/upgrade/wire_test.go
@@ -15,7 +15,7 @@
 func TestToldBytes(t *testing.T) {
 	in := tellAnswer{
 		Groups: []Group{{ID: "s4", Lately: 5, Holders: []string{"s7", "s8"}}, {ID: "s10", Lately: 11, Holders: []string{"s13", "s14"}}},
-		Vitals: Vitals{Answers: 16, Late: 17, Failed: 18},
+		Health: Health{Answers: 16, Late: 17, Failed: 18},
 		Busy:   []string{"s20", "s21"},
 	}
 	const want = "939283a24944a27334a64c6174656c79d30000000000000005a7486f6c6465727392a27337a27338" +
--- a/internal/wal/commit.go
+++ b/internal/wal/commit.go
@@ -10,7 +10,7 @@
 // a rewrite in it starts a new file that takes the old one's name once it is
 // whole. A rewrite that fails leaves the old file, which then takes all records
 // of the batch.
-func (c *Cell) commitAll(batch []job) {
+func (c *Log) commitAll(batch []job) {
 	last := lastRewrite(batch)
 	var rewriteErr error
 	if last >= 0 {
@@ -34,7 +34,7 @@
 	}
 }
 
-func (c *Cell) noteDone(batch []job) {
+func (c *Log) noteDone(batch []job) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for i := range batch {
@@ -52,7 +52,7 @@
 }
 
 // attempt does one step at the disk and notes whether the disk refused it.
-func (c *Cell) attempt(step func() error) error {
+func (c *Log) attempt(step func() error) error {
 	err := step()
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -61,7 +61,7 @@
 }
 
 // step does one thing at the disk.
-func (c *Cell) step(which Step, do func() error) error {
+func (c *Log) step(which Step, do func() error) error {
 	if err := c.before(which); err != nil {
 		return err
 	}
@@ -69,7 +69,7 @@
 }
 
 // pause waits before another attempt; false: the cell is closed.
-func (c *Cell) pause(d time.Duration) bool {
+func (c *Log) pause(d time.Duration) bool {
 	timer := time.NewTimer(d)
 	defer timer.Stop()
 	select {
@@ -82,7 +82,7 @@
 
 // rewrite writes the new file and goes on with it. Its folder is synced by the
 // repair that follows, before anything is told.
-func (c *Cell) rewrite(batch []job) error {
+func (c *Log) rewrite(batch []job) error {
 	if err := c.before(StepSnapshot); err != nil {
 		return errors.Wrap(err, "rewrite")
 	}
@@ -121,7 +121,7 @@
 
 // commitRecords appends the records of the batch behind what is known to be
 // synced.
-func (c *Cell) commitRecords(batch []job) error {
+func (c *Log) commitRecords(batch []job) error {
 	if err := c.repair(); err != nil {
 		return err
 	}
@@ -156,7 +156,7 @@
 // synced after a rename, and an unknown tail is cut off, durably, at the length
 // that was synced. Both work on a full disk. Nothing behind that length was
 // acknowledged (design 10.4).
-func (c *Cell) repair() error {
+func (c *Log) repair() error {
 	if c.folderDirty {
 		if err := c.step(StepSyncFolder, func() error { return syncDir(c.dir) }); err != nil {
 			return errors.Wrap(err, "sync folder")
--- a/internal/wal/cell.go
+++ b/internal/wal/wal.go
@@ -22,10 +22,10 @@
 	holdMost  = 500 * time.Millisecond
 )
 
-// Cell is one file. Append and Rewrite may be called by one owner at a time;
+// Log is one file. Append and Rewrite may be called by one owner at a time;
 // the file itself is written by the cell's own goroutine, one batch and one
 // fsync at a time, so that only the last batch can ever be torn.
-type Cell struct {
+type Log struct {
 	dir, name, id string
 	hold          bool
 	before        func(Step) error
@@ -57,7 +57,7 @@
 }
 
 // Written tells what the cell did so far.
-func (c *Cell) Written() Written {
+func (c *Log) Written() Written {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	return c.written
@@ -77,12 +77,12 @@
 }
 
 // Option changes how a cell works.
-type Option func(*Cell)
+type Option func(*Log)
 
 // Hold makes a cell keep a batch that its disk refuses, and try it again until
 // it is written or the cell is closed, instead of handing the error back. It is
 // for owners whose memory runs ahead of the file.
-func Hold() Option { return func(c *Cell) { c.hold = true } }
+func Hold() Option { return func(c *Log) { c.hold = true } }
 
 // Step is one thing that a cell does at its disk.
 type Step int
@@ -98,12 +98,12 @@
 
 // Interpose calls before ahead of each step; an error takes the step's place.
 // Tests make disks with it that stall or refuse.
-func Interpose(before func(Step) error) Option { return func(c *Cell) { c.before = before } }
+func Interpose(before func(Step) error) Option { return func(c *Log) { c.before = before } }
 
 // Open reads the file whole, makes it where there is none, hands each good
 // record to each and cuts a torn tail. A file with Lost damage is a fault: its
 // owner calls Recover first.
-func Open(dir, name string, each func(record []byte) error, options ...Option) (*Cell, *Damage, error) {
+func Open(dir, name string, each func(record []byte) error, options ...Option) (*Log, *Damage, error) {
 	if err := os.MkdirAll(dir, 0o755); err != nil {
 		return nil, nil, errors.Wrap(err, "make folder")
 	}
@@ -118,7 +118,7 @@
 	if err != nil {
 		return nil, nil, errors.Wrap(err, "open cell")
 	}
-	c := &Cell{dir: dir, name: name, file: f, before: func(Step) error { return nil }, wake: make(chan struct{}, 1), closing: make(chan struct{}), done: make(chan struct{})}
+	c := &Log{dir: dir, name: name, file: f, before: func(Step) error { return nil }, wake: make(chan struct{}, 1), closing: make(chan struct{}), done: make(chan struct{})}
 	for _, o := range options {
 		o(c)
 	}
@@ -133,7 +133,7 @@
 
 // OpenDisposable opens a file on which nothing depends: one with Lost damage is
 // made anew.
-func OpenDisposable(dir, name string, each func(record []byte) error) (*Cell, *Damage, error) {
+func OpenDisposable(dir, name string, each func(record []byte) error) (*Log, *Damage, error) {
 	id, err := newID()
 	if err != nil {
 		return nil, nil, err
@@ -148,7 +148,7 @@
 
 // load replays the file and makes what it read durable: what a process that
 // died left in the kernel's hands may be answered from memory soon.
-func (c *Cell) load(each func([]byte) error) (*Damage, error) {
+func (c *Log) load(each func([]byte) error) (*Damage, error) {
 	h, ok, err := readHeader(c.file)
 	if err != nil {
 		return nil, err
@@ -176,12 +176,12 @@
 }
 
 // ID is the identity that the file carries.
-func (c *Cell) ID() string { return c.id }
+func (c *Log) ID() string { return c.id }
 
 // Append writes the records and calls then once they are on disk, or with the
 // error that kept them off it. then runs on the cell's goroutine. With no
 // records it tells when all that was appended before is on disk.
-func (c *Cell) Append(then func(error), records ...[]byte) {
+func (c *Log) Append(then func(error), records ...[]byte) {
 	for _, r := range records {
 		if err := checkRecord(c.name, r); err != nil {
 			then(err)
@@ -195,24 +195,24 @@
 // say all that the earlier appends said. source runs on the cell's goroutine,
 // record by record, so that a long file is never in memory whole. If it fails,
 // then gets the error and the file goes on as it was, with all appends.
-func (c *Cell) Rewrite(then func(error), source Source) { c.push(job{source: source, then: then}) }
+func (c *Log) Rewrite(then func(error), source Source) { c.push(job{source: source, then: then}) }
 
 // Write appends and waits.
-func (c *Cell) Write(records ...[]byte) error {
+func (c *Log) Write(records ...[]byte) error {
 	got := make(chan error, 1)
 	c.Append(func(err error) { got <- err }, records...)
 	return <-got
 }
 
 // SizeBytes is the length of the file, with what is queued left out.
-func (c *Cell) SizeBytes() int64 {
+func (c *Log) SizeBytes() int64 {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	return c.sizeBytes
 }
 
 // WaitingBytes is how much waits for the disk, in memory.
-func (c *Cell) WaitingBytes() int64 {
+func (c *Log) WaitingBytes() int64 {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	return c.waiting
@@ -220,14 +220,14 @@
 
 // Refused is the error with which the disk refused the last attempt, nil once
 // one succeeds.
-func (c *Cell) Refused() error {
+func (c *Log) Refused() error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	return c.refused
 }
 
 // Close writes what is queued and closes the file.
-func (c *Cell) Close() {
+func (c *Log) Close() {
 	c.mu.Lock()
 	if !c.closed {
 		c.closed = true
@@ -237,11 +237,11 @@
 	<-c.done
 }
 
-func (c *Cell) push(j job) {
+func (c *Log) push(j job) {
 	c.mu.Lock()
 	if c.closed {
 		c.mu.Unlock()
-		j.then(fault.New(fault.Declined, c.name, "the cell is closed", "start the node again"))
+		j.then(fault.New(fault.Refused, c.name, "the cell is closed", "start the node again"))
 		return
 	}
 	c.queue = append(c.queue, j)
@@ -253,7 +253,7 @@
 	}
 }
 
-func (c *Cell) takeQueue() (batch []job, closed bool) {
+func (c *Log) takeQueue() (batch []job, closed bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	batch = c.queue
@@ -261,7 +261,7 @@
 	return batch, c.closed
 }
 
-func (c *Cell) work() {
+func (c *Log) work() {
 	defer close(c.done)
 	for {
 		batch, closed := c.takeQueue()
@@ -278,7 +278,7 @@
 }
 
 // rest waits for work; a file that rests gets its synced mark.
-func (c *Cell) rest() {
+func (c *Log) rest() {
 	if c.markedBytes >= c.sizeBytes || c.unknownTail || c.folderDirty {
 		select {
 		case <-c.wake:
@@ -299,7 +299,7 @@
 // mark notes in the header how much is synced, so that damage of the last batch
 // and a file cut short are known for what they are. It needs no sync: it is
 // true whenever it is there.
-func (c *Cell) mark() {
+func (c *Log) mark() {
 	c.markedBytes = c.sizeBytes
 	_, _ = c.file.WriteAt(encodeMark(c.id, c.sizeBytes), identityBytes)
 }
--- a/internal/wal/cell_test.go
+++ b/internal/wal/wal_test.go
@@ -13,7 +13,7 @@
 
 const testName = "x.cell"
 
-func open(t *testing.T, dir string, options ...Option) (*Cell, [][]byte, *Damage) {
+func open(t *testing.T, dir string, options ...Option) (*Log, [][]byte, *Damage) {
 	t.Helper()
 	var got [][]byte
 	c, d, err := Open(dir, testName, func(r []byte) error { got = append(got, bytes.Clone(r)); return nil }, options...)
@@ -256,7 +256,7 @@
 	c.Close()
 }
 
-func TestDeclined(t *testing.T) {
+func TestRefused(t *testing.T) {
 	dir := t.TempDir()
 	write(t, dir, 1)
 	_, _, err := Open(dir, testName, func([]byte) error { return errors.New("of another version") })
@@ -268,7 +268,7 @@
 		t.Errorf("an empty record: %v", err)
 	}
 	c.Close()
-	if err := c.Write([]byte("x")); !fault.Is(err, fault.Declined) {
+	if err := c.Write([]byte("x")); !fault.Is(err, fault.Refused) {
 		t.Errorf("a closed cell: %v", err)
 	}
 }
