--- a/cmd/rowanshunt/main.go
+++ b/cmd/rowanshunt/main.go
@@ -26,10 +26,10 @@
 	level := app.Flag("log-level", "Lowest level logged.").Default("info").Enum("debug", "info", "warn", "error")
 	edge := app.Command("edge", "Run a node that serves clients, workers and operators.").Alias("forager")
 	store := app.Command("store", "Run a node that keeps lots on its disk.").Alias("comb")
-	check := app.Command("check", "Check an options file, and a blueprint if one is named, without starting anything.")
+	check := app.Command("check", "Check an options file, and a configuration if one is named, without starting anything.")
 	checkRole := check.Flag("role", "Check the options for this role, edge or store.").Enum("edge", "store", "forager", "comb")
-	checkDoc := check.Flag("blueprint", "A blueprint (JSON) to check.").String()
-	noOptions := check.Flag("no-options", "Check the blueprint only.").Bool()
+	checkDoc := check.Flag("blueprint", "A configuration (JSON) to check.").String()
+	noOptions := check.Flag("no-options", "Check the configuration only.").Bool()
 	upgrade := newUpgradeCommand(app)
 	quota := newQuotaCommand(app)
 	cmd, code, ended := settings.ParseLine(app, args)
@@ -80,7 +80,7 @@
 		} else if b, err := config.Parse(raw); err != nil {
 			l.Add(err)
 		} else {
-			fmt.Printf("blueprint ok: ver=%d routes=%d svcs=%d\n", b.Ver, len(b.Routes), len(b.Services))
+			fmt.Printf("configuration ok: ver=%d routes=%d svcs=%d\n", b.Ver, len(b.Routes), len(b.Services))
 		}
 	}
 	return l.Err()
--- a/cmd/rowanshunt/quota.go
+++ b/cmd/rowanshunt/quota.go
@@ -120,7 +120,7 @@
 	}
 	var rows []quota.Row
 	if err := json.Unmarshal(raw, &rows); err != nil {
-		return fault.New(fault.Invalid, "answer", err.Error(), "run the same version of hive as the nodes")
+		return fault.New(fault.Invalid, "answer", err.Error(), "run the same version of rowanshunt as the nodes")
 	}
 	w := tabwriter.NewWriter(os.Stdout, 0, 4, 2, ' ', 0)
 	for _, r := range rows {
@@ -162,7 +162,7 @@
 	cmd.Flag("timeout", "How long to wait for one node.").Default("4s").DurationVar(&a.timeout)
 }
 
-// call gives the body of a 200, or a fault that says what a node declined.
+// call gives the body of a 200, or a fault that says what a node refused.
 func (a *asker) call(method, path string, body []byte, heads ...string) ([]byte, error) {
 	var l fault.Collector
 	for _, node := range a.nodes {
--- a/cmd/rowanshunt/upgrade.go
+++ b/cmd/rowanshunt/upgrade.go
@@ -33,7 +33,7 @@
 	u := &upgradeCommand{rules: upgrade.DefaultRules(), acts: map[string]string{}}
 	cmd := app.Command("upgrade", "Move a service's workers to a new model version while they serve.")
 	cmd.Flag("node", "ctl address of a node, host:port; may be given several times, tried in turn.").Required().StringsVar(&u.nodes)
-	cmd.Flag("service", "The service, as the blueprint names it.").Required().StringVar(&u.service)
+	cmd.Flag("service", "The service, as the configuration names it.").Required().StringVar(&u.service)
 	cmd.Flag("json", "Print JSON.").BoolVar(&u.asJSON)
 	cmd.Flag("timeout", "How long to wait for one node.").Default("4s").DurationVar(&u.timeout)
 	start := cmd.Command("start", "Start an upgrade.")
@@ -132,7 +132,7 @@
 	}
 	var now upgrade.Upgrade
 	if err := json.Unmarshal(body, &now); err != nil {
-		return fault.New(fault.Invalid, "answer", err.Error(), "run the same version of hive as the nodes")
+		return fault.New(fault.Invalid, "answer", err.Error(), "run the same version of rowanshunt as the nodes")
 	}
 	w := tabwriter.NewWriter(os.Stdout, 0, 4, 2, ' ', 0)
 	fmt.Fprintf(w, "service\t%s\nfrom\t%d\nto\t%d\nphase\t%s\nwave\t%d\ndriver\t%s\n", now.Svc, now.From, now.To, now.Phase, now.Wave, now.Driver)
--- a/cmd/scalerun/main.go
+++ b/cmd/scalerun/main.go
@@ -1,6 +1,6 @@
 // Command scalerun measures what the system's size costs its nodes (design 16). It
 // runs a few real rowanshunt processes on loopback addresses beside hollow nodes: the
-// project's own foragers, many to a process, that speak the partner protocol and
+// project's own edge nodes, many to a process, that speak the peer protocol and
 // take workers' beats, but carry no traffic. docs/CAPACITY.md is made from it.
 package main
 
@@ -21,14 +21,14 @@
 func main() {
 	app := kingpin.New("scalerun", "Measures what the size of the system costs a node: real rowanshunt processes beside hollow nodes on loopback.")
 	program := app.Flag("program", "The program to measure.").Default("target/rowanshunt").ExistingFile()
-	nodes := app.Flag("nodes", "Foragers in all, a step for each number.").Default("25,50,100").String()
+	nodes := app.Flag("nodes", "Edge nodes in all, a step for each number.").Default("25,50,100").String()
 	workers := app.Flag("workers", "Hollow workers that beat; with several numbers the last of --nodes is kept.").Default("50").String()
-	tenants := app.Flag("routes", "Routes of the blueprint, one host each.").Default("20").Int()
+	tenants := app.Flag("routes", "Routes of the configuration, one host each.").Default("20").Int()
 	zones := app.Flag("zones", "Zones the nodes are spread over.").Default("4").Int()
 	settle := app.Flag("settle", "How long a step runs before it is measured.").Default("12s").Duration()
 	span := app.Flag("for", "How long a step is measured.").Default("10s").Duration()
-	changes := app.Flag("changes", "Changes of the blueprint timed in each step.").Default("3").Int()
-	verbose := app.Flag("verbose", "Pass the real nodes' partner_calls lines on.").Bool()
+	changes := app.Flag("changes", "Changes of the configuration timed in each step.").Default("3").Int()
+	verbose := app.Flag("verbose", "Pass the real nodes' peer_calls lines on.").Bool()
 	kingpin.MustParse(app.Parse(os.Args[1:]))
 
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
--- a/cmd/scalerun/main_test.go
+++ b/cmd/scalerun/main_test.go
@@ -23,10 +23,10 @@
 func TestProcessLog(t *testing.T) {
 	p := &process{}
 	for _, line := range []string{
-		"ts=1 node=a level=info event=partner_calls calls=10 bytes=300 kinds=x:1/2/3/4\n",
+		"ts=1 node=a level=info event=peer_calls calls=10 bytes=300 kinds=x:1/2/3/4\n",
 		"ts=1 node=a level=info event=other calls=99 bytes=99\n",
-		"event=partner_silent partner=x\n",
-		"event=partner_calls calls=5 bytes=7 kinds=\nevent=partner_calls calls=1 bytes=1\n",
+		"event=peer_silent peer=x\n",
+		"event=peer_calls calls=5 bytes=7 kinds=\nevent=peer_calls calls=1 bytes=1\n",
 	} {
 		if n, err := p.Write([]byte(line)); n != len(line) || err != nil {
 			t.Errorf("%d %v", n, err)
--- a/cmd/scalerun/step.go
+++ b/cmd/scalerun/step.go
@@ -42,7 +42,7 @@
 	ver                           int
 }
 
-// How many real processes there are: three foragers with a disk, which are the
+// How many real processes there are: three edge nodes with a disk, which are the
 // seeds and the core, and three stores.
 const (
 	realEdges  = 3
@@ -54,31 +54,31 @@
 	hbMs       = 1200
 )
 
-const header = "nodes workers routes | role: cpu % of a core (least-most), peak MB, KB/s of partner calls, calls/s, partners thought silent | changes in force everywhere: ms (least-most)"
+const header = "nodes workers routes | role: cpu % of a core (least-most), peak MB, KB/s of peer calls, calls/s, peers thought silent | changes in force everywhere: ms (least-most)"
 
-// lineS is how often a node tells its partner calls (docs/operators.md).
+// lineS is how often a node tells its peer calls (docs/operators.md).
 const lineS = 10.0
 
-// process is a real hive with what its log tells.
+// process is a real node with what its log tells.
 type process struct {
 	name, role, ip string
 	cmd            *exec.Cmd
 	mu             sync.Mutex
 	calls, bytes   int64
-	lines          int64 // of partner_calls
-	silent         int64 // partners it thought silent, though none is
-	verbose        bool  // its partner_calls lines are passed on
+	lines          int64 // of peer_calls
+	silent         int64 // peers it thought silent, though none is
+	verbose        bool  // its peer_calls lines are passed on
 }
 
-// Write takes the process's log and adds up its partner_calls lines.
+// Write takes the process's log and adds up its peer_calls lines.
 func (p *process) Write(b []byte) (int, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, line := range strings.Split(string(b), "\n") {
-		if strings.Contains(line, "event=partner_silent") {
+		if strings.Contains(line, "event=peer_silent") {
 			p.silent++
 		}
-		if strings.Contains(line, "event=partner_calls") {
+		if strings.Contains(line, "event=peer_calls") {
 			p.lines++
 			p.calls += field(line, "calls")
 			p.bytes += field(line, "bytes")
@@ -145,7 +145,7 @@
 			return "", err
 		}
 	}
-	if err := s.until("the first blueprint is taken", func() bool { return s.change() == nil }); err != nil {
+	if err := s.until("the first configuration is taken", func() bool { return s.change() == nil }); err != nil {
 		return "", err
 	}
 	for i := range s.Nodes - realEdges {
@@ -158,7 +158,7 @@
 	defer heartbeats.Wait()
 	defer stopHeartbeats()
 	heartbeats.Go(func() { s.heartbeat(heartbeatCtx) })
-	if err := s.until("all hollow nodes know the blueprint", func() bool { return s.behind() == 0 }); err != nil {
+	if err := s.until("all hollow nodes know the configuration", func() bool { return s.behind() == 0 }); err != nil {
 		return "", err
 	}
 	pause(ctx, s.Settle)
@@ -237,7 +237,7 @@
 	return nil
 }
 
-// startHollow starts a forager in this process: all of its control, none of its
+// startHollow starts an edge node in this process: all of its control, none of its
 // listeners for clients.
 func (s *step) startHollow(i int) error {
 	ip := hollowIP(i)
@@ -269,7 +269,7 @@
 	}
 }
 
-// change sends the next version of the blueprint to a core node.
+// change sends the next version of the configuration to a core node.
 func (s *step) change() error {
 	doc := map[string]any{"ver": s.ver + 1, "svcs": []any{map[string]any{"name": "llm", "hc": "/healthz", "maxconn": 4000}},
 		"caps": map[string]any{"hdr_bytes": 16384, "payload_bytes": 1 << 20, "hdr_ms": 3000, "idle_ms": 15000}}
@@ -301,7 +301,7 @@
 	return nil
 }
 
-// behind counts hollow nodes without the newest blueprint.
+// behind counts hollow nodes without the newest configuration.
 func (s *step) behind() int {
 	n := 0
 	for _, f := range s.hollow {
--- a/cmd/scalerun/transport.go
+++ b/cmd/scalerun/transport.go
@@ -11,16 +11,16 @@
 	"rowanshunt/internal/rpc"
 )
 
-// transport is the partner protocol as hollow nodes speak it: with each other within
+// transport is the peer protocol as hollow nodes speak it: with each other within
 // this process, bodies encoded as on the wire, and over sockets with the real
-// ones. A circuit for each pair of hollow nodes would need more descriptors than a
+// ones. A connection for each pair of hollow nodes would need more descriptors than a
 // process has.
 type transport struct {
 	tcp   rpc.Transport
-	desks *sync.Map // by address: *pollen.Desk
+	desks *sync.Map // by address: *rpc.Mux
 }
 
-// Call implements pollen.Mesh.
+// Call implements rpc.Transport.
 func (m *transport) Call(ctx context.Context, addr, kind string, in, out any) error {
 	mux, hollow := m.desks.Load(addr)
 	if !hollow {
--- a/cmd/tracer/main.go
+++ b/cmd/tracer/main.go
@@ -34,7 +34,7 @@
 	nodes := app.Flag("node", "ctl address of a node, host:port; may be given several times, tried in turn.").Required().Strings()
 	asJSON := app.Flag("json", "Print JSON.").Bool()
 	limit := app.Flag("timeout", "How long to wait in all.").Default("5s").Duration()
-	bp := app.Command(trace.Configuration, "Follow a blueprint.")
+	bp := app.Command(trace.Configuration, "Follow a configuration.")
 	ver := bp.Arg("version", "Its version.").Required().Uint64()
 	wk := app.Command(trace.Worker, "Follow a worker.")
 	worker := wk.Arg("id", "Its id.").Required().String()
--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -1,8 +1,7 @@
-// Package balancer picks the worker for a request: by pressure, zone and the
-// prompt parts it is likely to keep (design 7). The field's standard terms:
-// scout = load balancer; pressure = load; affinity = cache-aware routing.
-// Requests call it from their own goroutines, so its one table is guarded by a
-// short critical section in place of a command queue (design 1.5).
+// Package balancer picks the worker for a request: by load, zone and the
+// prompt parts it is likely to keep (design 7). Requests call it from their
+// own goroutines, so its one table is guarded by a short critical section in
+// place of a command queue (design 1.5).
 package balancer
 
 import (
@@ -83,17 +82,17 @@
 	failUs    int64
 	noRoomUs  int64 // told it was full, until then
 	firstUs   int64 // when this node first picked among it
-	atFirst   bool  // the pressure was told to this node itself
+	atFirst   bool  // the load was told to this node itself
 	verdict
 }
 
-// Balancer owns what this node knows of each worker's pressure.
+// Balancer owns what this node knows of each worker's load.
 type Balancer struct {
 	mu      sync.Mutex
 	az      string
 	workers map[string]*state
 	kept    map[keptKey]int64
-	// foragers is how many nodes send to the workers.
+	// edge nodes is how many nodes send to the workers.
 	edges int64
 	// dispatchers is how many of them run items.
 	dispatchers int64
@@ -105,7 +104,7 @@
 
 type keptKey struct{ part, worker string }
 
-// New makes a scout for a node in zone az.
+// New makes a balancer for a node in zone az.
 func New(az string) *Balancer {
 	return &Balancer{az: az, workers: map[string]*state{}, kept: map[keptKey]int64{}, edges: 1, dispatchers: 1, groups: map[groupKey]*group{}, fared: map[string]*fare{}, usualUs: map[string]float64{}}
 }
@@ -386,7 +385,7 @@
 	}
 }
 
-// Heard takes the pressure that a worker's answer told.
+// Heard takes the load that a worker's answer told.
 func (s *Balancer) Heard(id string, running, waiting, slots int64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -401,7 +400,7 @@
 	}
 }
 
-// Loads lists what was heard lately, for partners: what the workers told
+// Loads lists what was heard lately, for peers: what the workers told
 // this node itself, or all it knows.
 func (s *Balancer) Loads(all bool) []discovery.Load {
 	s.mu.Lock()
@@ -422,7 +421,7 @@
 	return out
 }
 
-// Hear takes what a partner heard, where it is newer.
+// Hear takes what a peer heard, where it is newer.
 func (s *Balancer) Hear(from string, ps []discovery.Load) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/balancer/balancer_test.go
+++ b/internal/balancer/balancer_test.go
@@ -138,7 +138,7 @@
 	})
 }
 
-// What partners heard is taken where it is newer; own sends count on.
+// What peers heard is taken where it is newer; own sends count on.
 func TestLoad(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		d, s := directory(2, 10), New("a")
@@ -154,14 +154,14 @@
 		time.Sleep(time.Second)
 		s.Hear("p", []discovery.Load{{ID: "w1", Running: 10, Waiting: 30, Slots: 10}, {ID: "w0", Slots: 10, AgeUs: 100}})
 		if w := s.Pick(d, &Need{Svc: "s"}); w.ID != "w0" {
-			t.Error("what a partner heard was not taken")
+			t.Error("what a peer heard was not taken")
 		}
 		s.Hear("p", []discovery.Load{{ID: "w0", Running: 10, Waiting: 30, Slots: 10, AgeUs: 900_000}})
 		if w := s.Pick(d, &Need{Svc: "s"}); w.ID != "w0" {
 			t.Error("older news replaced newer")
 		}
 		if ps := s.Loads(true); len(ps) != 2 {
-			t.Errorf("told partners of %d workers", len(ps))
+			t.Errorf("told peers of %d workers", len(ps))
 		}
 	})
 }
--- a/internal/balancer/judge.go
+++ b/internal/balancer/judge.go
@@ -25,7 +25,7 @@
 	trialGood    = 3                 // good answers that end a worker's trial
 	trialMs      = 1.5               // what a worker on trial costs more
 	trialUs      = int64(4_000_000)  // how long a trial lasts at most
-	hintUs       = int64(2_500_000)  // how long a partner's word on failures counts
+	hintUs       = int64(2_500_000)  // how long a peer's word on failures counts
 	slowTimes    = 8.0               // times the usual wait for an answer's head
 	minSlowUs    = int64(400_000)
 	maxSlowUs    = int64(2_000_000)
@@ -42,21 +42,21 @@
 	return r.now.good + r.before.good, r.now.bad + r.before.bad
 }
 
-// hint is what one partner saw of a worker.
+// hint is what one peer saw of a worker.
 type hint struct{ good, bad, atUs int64 }
 
 // verdict is what the judgement knows of one worker.
 type verdict struct {
 	svc     string
 	own     record
-	hints   map[string]hint // by partner; "" is the zone's sum
+	hints   map[string]hint // by peer; "" is the zone's sum
 	outUs   int64           // ejected until then
 	backUs  int64           // when it last came back
 	times   int64           // ejections in a row
 	onTrial int64           // good answers it still owes
 }
 
-// told adds up what partners say they saw themselves; the zone's own sum, that
+// told adds up what peers say they saw themselves; the zone's own sum, that
 // a home told, is kept apart, for it must not be told on.
 func (v *verdict) told(nowUs int64) (good, bad int64) {
 	for from, h := range v.hints {
@@ -162,7 +162,7 @@
 }
 
 // blame adds what this node holds against a worker: of its own alone, or with
-// what partners told it.
+// what peers told it.
 func (s *Balancer) blame(p *discovery.Load, st *state, all bool, nowUs int64) {
 	p.Good, p.Bad = st.own.sum(nowUs)
 	if all {
@@ -174,7 +174,7 @@
 	}
 }
 
-// hinted takes what a partner saw fail.
+// hinted takes what a peer saw fail.
 func (s *Balancer) hinted(from string, p *discovery.Load, st *state, nowUs int64) {
 	if p.Bad == 0 {
 		return
--- a/internal/balancer/upgrade.go
+++ b/internal/balancer/upgrade.go
@@ -200,7 +200,7 @@
 	return f.now.answers + f.before.answers, f.now.late + f.before.late, f.now.failed + f.before.failed
 }
 
-// HasVersion tells whether any worker in use, of the services a binding sends
+// HasVersion tells whether any worker in use, of the services a route sends
 // to, has weights of that version.
 func (s *Balancer) HasVersion(d *discovery.Directory, b *config.Route, ver int64) bool {
 	s.mu.Lock()
--- a/internal/config/configuration.go
+++ b/internal/config/configuration.go
@@ -1,7 +1,6 @@
-// Package config is the blueprint aggregate: it reads an operator's
-// document field by field, checks it whole and answers which binding a
-// request takes (design 4.1). The field's standard terms: blueprint =
-// configuration; binding = route; foundation = schema and validation.
+// Package config is the configuration aggregate: it reads an operator's
+// document field by field, checks it whole and answers which route a request
+// takes (design 4.1).
 package config
 
 import (
@@ -14,10 +13,10 @@
 	"rowanshunt/internal/fault"
 )
 
-// Type is what a binding's requests are.
+// Type is what a route's requests are.
 type Type uint8
 
-// The types of bindings.
+// The types of routes.
 const (
 	Safe Type = iota
 	Unsafe
@@ -27,13 +26,13 @@
 
 var typeWords = map[string]Type{"safe": Safe, "unsafe": Unsafe, "stream": Stream, "bulk": Bulk}
 
-// Share is one service's part of a binding.
+// Share is one service's part of a route.
 type Share struct {
 	Svc string
 	Wt  int64
 }
 
-// Route is one route of the blueprint.
+// Route is one route of the configuration.
 type Route struct {
 	Name      string
 	Host      string
@@ -102,7 +101,7 @@
 	byHost map[string][]*Route // longest prefix first
 }
 
-// MaxBytes bounds a document before any cap of a blueprint is known.
+// MaxBytes bounds a document before any cap of a configuration is known.
 const MaxBytes = 4 << 20
 
 // Bounds on a document's lists.
@@ -217,7 +216,7 @@
 		}
 		for _, s := range r.Split {
 			if b.Services[s.Svc] == nil {
-				l.Addf(at+".svc", strconv.Quote(s.Svc)+" is no service of this blueprint", "add it under svcs")
+				l.Addf(at+".svc", strconv.Quote(s.Svc)+" is no service of this configuration", "add it under svcs")
 			}
 			if s.Wt < 0 {
 				l.Addf(at+".wt", "is negative", "give 0 or more")
@@ -237,7 +236,7 @@
 	}
 }
 
-// HostKey brings a Host header to the form bindings are kept under.
+// HostKey brings a Host header to the form routes are kept under.
 func HostKey(host string) string {
 	if i := strings.LastIndexByte(host, ':'); i >= 0 && !strings.Contains(host[i:], "]") {
 		host = host[:i]
@@ -245,7 +244,7 @@
 	return strings.ToLower(host)
 }
 
-// Find gives the binding with the longest prefix that begins the path, nil if
+// Find gives the route with the longest prefix that begins the path, nil if
 // there is none.
 func (b *Configuration) Find(host, path string) *Route {
 	if i := strings.IndexAny(path, "?#"); i >= 0 {
@@ -392,7 +391,7 @@
 	return err
 }
 
-// Takes tells whether the binding may send to that service.
+// Takes tells whether the route may send to that service.
 func (b *Route) Takes(svc string) bool {
 	for _, s := range b.Split {
 		if s.Svc == svc && s.Wt > 0 {
--- a/internal/config/configuration_test.go
+++ b/internal/config/configuration_test.go
@@ -24,10 +24,10 @@
 	}
 	r := b.Routes[0]
 	if !r.Repeatable() || r.WtSum != 100 || r.GapGoalMs != 250 || !r.Takes("s2") || r.Takes("s3") {
-		t.Errorf("binding read wrong: %+v", r)
+		t.Errorf("route read wrong: %+v", r)
 	}
 	if b.Routes[2].RetainS != 40.5 || b.Routes[2].Backlog != 1200000 {
-		t.Errorf("bulk binding read wrong: %+v", b.Routes[2])
+		t.Errorf("bulk route read wrong: %+v", b.Routes[2])
 	}
 }
 
--- a/internal/discovery/ages_test.go
+++ b/internal/discovery/ages_test.go
@@ -35,6 +35,6 @@
 		t.Error("a worker that its home only knows from before a restart was taken as heard")
 	}
 	if !f.workers["young"].Up() || f.LeaseUs() <= fresh+renewUs+hbUs {
-		t.Error("a worker that is told of in the usual time could lose its tenure")
+		t.Error("a worker that is told of in the usual time could lose its lease")
 	}
 }
--- a/internal/discovery/departures.go
+++ b/internal/discovery/departures.go
@@ -120,7 +120,7 @@
 	busy    atomic.Bool // a question round is under way
 }
 
-// coreMembers are the members of the core's roster, nil if it isn't known.
+// coreMembers are the members of the core's membership, nil if it isn't known.
 func (f *Discovery) coreMembers() []register.Member {
 	r := f.coreMembership()
 	if r == nil {
@@ -183,7 +183,7 @@
 	return v.Alive(name) || v.Partial() && v.Get(name) == nil
 }
 
-// addrOf is a core member's address: as membership has it, or else the roster.
+// addrOf is a core member's address: as membership has it, or else the membership.
 func (f *Discovery) addrOf(m register.Member) string {
 	if p := f.cfg.Gossip.Look().Get(m.Name); p != nil {
 		return p.Addr
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -25,7 +25,7 @@
 	maxWorkers   = 20_000
 )
 
-// Config is what a flora is made of.
+// Config is what a discovery is made of.
 type Config struct {
 	Loop      *eventloop.Loop
 	Mux       *rpc.Mux
@@ -34,14 +34,14 @@
 	Log       *logging.Log
 	Self      gossip.Peer
 	HbUs      int64
-	Services  func() []string // of the blueprint in force
-	// Pressures gives what this node heard of workers itself, or with all that
-	// others told it; Hear takes what a partner heard, "" the zone's home.
+	Services  func() []string // of the configuration in force
+	// Loads gives what this node heard of workers itself, or with all that
+	// others told it; Hear takes what a peer heard, "" the zone's home.
 	Loads  func(all bool) []Load
 	Hear   func(from string, ps []Load)
 	OnNews func(Worker)
 	Dir    string // folder for what outlives a restart, "" without a disk
-	// Core gives the roster of the core as last committed, nil if this node
+	// Core gives the membership of the core as last committed, nil if this node
 	// knows none yet. Without the function a node is alone.
 	Core func() *register.Membership
 }
@@ -56,7 +56,7 @@
 	departure uint64 // its newest number in the departure log
 }
 
-// Discovery owns the node's table of workers. All but Look runs on the floor.
+// Discovery owns the node's table of workers. All but Look runs on the event loop.
 type Discovery struct {
 	cfg     Config
 	ctx     context.Context
@@ -78,7 +78,7 @@
 	silentSources map[string]int64
 }
 
-// startJournal reads the diary and goes on with it; where the disk gives or takes
+// startJournal reads the journal and goes on with it; where the disk gives or takes
 // none the node does without.
 func (f *Discovery) startJournal() {
 	d, old, err := openJournal(f.cfg.Dir, f.cfg.Log)
@@ -133,7 +133,7 @@
 // Look gives the newest directory; any goroutine may call it.
 func (f *Discovery) Look() *Directory { return f.dir.Load() }
 
-// Known lists all registered workers, in use or not; it asks the floor.
+// Known lists all registered workers, in use or not; it asks the event loop.
 func (f *Discovery) Known() []Worker {
 	ctx, cancel := context.WithTimeout(f.ctx, time.Second)
 	defer cancel()
@@ -230,7 +230,7 @@
 	return out
 }
 
-// publish renews the directory if it changed. A silent worker's tenure ends
+// publish renews the directory if it changed. A silent worker's lease ends
 // only while news comes in: a node that is cut off keeps what it had.
 func (f *Discovery) publish() {
 	nowUs := eventloop.NowUs()
--- a/internal/discovery/discovery_test.go
+++ b/internal/discovery/discovery_test.go
@@ -16,7 +16,7 @@
 	"rowanshunt/internal/wal"
 )
 
-// alone makes a flora on a node that knows no other.
+// alone makes a discovery on a node that knows no other.
 func alone(t *testing.T, ctx context.Context, dir string) (*Discovery, *eventloop.Loop) {
 	t.Helper()
 	m := simnet.New(1)
@@ -133,7 +133,7 @@
 	}
 }
 
-// A page of the diary counts for the moment after a restart whatever time of day
+// A page of the journal counts for the moment after a restart whatever time of day
 // the version before wrote beside it: the clock may have been stepped since.
 func TestJournalOfAnotherTimeOfDay(t *testing.T) {
 	for _, atUs := range []int64{0, 1, 1 << 60} {
--- a/internal/discovery/journal.go
+++ b/internal/discovery/journal.go
@@ -9,9 +9,9 @@
 	"rowanshunt/internal/wal"
 )
 
-// The diary lets a node that starts again use the workers it knew before, for
+// The journal lets a node that starts again use the workers it knew before, for
 // as long as it is not yet in touch: each must beat anew or be told of by a
-// partner, or it is dropped (design 5.5). Nothing depends on it being whole. How
+// peer, or it is dropped (design 5.5). Nothing depends on it being whole. How
 // long the node was down is not known, for no clock of its own ran meanwhile: a
 // page counts for oldUs whatever its age.
 const (
@@ -48,7 +48,7 @@
 		return nil, nil, err
 	}
 	if damage != nil {
-		log.Warn("cell_tail_cut", "cell", "flora", "at", damage.AtByte, "bytes", damage.CutBytes, "why", damage.Why)
+		log.Warn("wal_tail_cut", "wal", "flora", "at", damage.AtByte, "bytes", damage.CutBytes, "why", damage.Why)
 	}
 	d := &journal{wal: c, log: log}
 	for i := range last.Workers {
@@ -72,7 +72,7 @@
 	}
 	d.busy = true
 	d.mu.Unlock()
-	d.put(raw) // not under the lock: a closed cell answers at once
+	d.put(raw) // not under the lock: a closed log file answers at once
 }
 
 func (d *journal) put(raw []byte) {
@@ -85,7 +85,7 @@
 
 func (d *journal) written(err error) {
 	if err != nil {
-		d.log.Warn("diary_not_written", "err", err)
+		d.log.Warn("journal_not_written", "err", err)
 	}
 	d.mu.Lock()
 	raw := d.next
--- a/internal/discovery/journal_test.go
+++ b/internal/discovery/journal_test.go
@@ -13,7 +13,7 @@
 	"rowanshunt/internal/simnet"
 )
 
-// A diary that can't be read or made doesn't keep a node from starting.
+// A journal that can't be read or made doesn't keep a node from starting.
 func TestStartsWithoutAJournal(t *testing.T) {
 	for name, prepare := range map[string]func(dir string) error{
 		"damaged": func(dir string) error {
--- a/internal/discovery/news.go
+++ b/internal/discovery/news.go
@@ -176,7 +176,7 @@
 }
 
 // spread brings news to the core members given and to the home of every zone,
-// which passes it on; where a home does not answer, to the zone's foragers
+// which passes it on; where a home does not answer, to the zone's edge nodes
 // themselves. It tells who took it in time, this node included.
 func (f *Discovery) spread(ctx context.Context, w Worker, homes map[string]string, core []register.Member) map[string]bool {
 	ctx, cancel := context.WithTimeout(ctx, spreadTimeout)
--- a/internal/discovery/subscriptions.go
+++ b/internal/discovery/subscriptions.go
@@ -136,7 +136,7 @@
 		bySource[source] = append(bySource[source], svc)
 	}
 	if nowUs-f.startUs < oldUs && f.cfg.Dir == "" {
-		// Those with a disk may have a diary: one of them is asked too while
+		// Those with a disk may have a journal: one of them is asked too while
 		// this node knows little (design 5.5).
 		disks := v.Names(func(s *gossip.NodeState) bool {
 			return s.Alive && s.Disk != "" && s.Role == f.cfg.Self.Role && bySource[s.Name] == nil
--- a/internal/discovery/worker.go
+++ b/internal/discovery/worker.go
@@ -1,8 +1,6 @@
-// Package discovery is the directory of workers: beats, tenures, drain, and the
-// news path from each service's home node in a zone to the zone's foragers
-// (design 5). The field's standard terms: flora = service registry; worker =
-// backend, endpoint; tenure = lease; home = owner of a registry partition;
-// pressure = load.
+// Package discovery is the directory of workers: beats, leases, drain, and the
+// news path from each service's home node in a zone to the zone's edge nodes
+// (design 5).
 package discovery
 
 import (
@@ -97,7 +95,7 @@
 	Running int64
 	Waiting int64
 	Slots   int64
-	AgeUs   int64 // of the pressure, below 0: only the blame was told
+	AgeUs   int64 // of the load, below 0: only the blame was told
 	Good    int64 // answers lately, where some failed
 	Bad     int64
 }
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -1,8 +1,6 @@
-// Package dispatch is the dispatcher: it takes prompts from the shards' owners,
-// runs them in the room that live work leaves, goes on with Last-Event-Id
-// after a break, and acks once the result is durable (design 9). The field's
-// standard terms: nurse = dispatcher, consumer; leave = lease on the right to
-// send.
+// Package dispatch is the dispatcher: it takes prompts from the shards'
+// owners, runs them in the room that live work leaves, goes on with
+// Last-Event-Id after a break, and acks once the result is durable (design 9).
 package dispatch
 
 import (
@@ -70,7 +68,7 @@
 	placed bool // a worker was found for it
 }
 
-// Start joins the node's desk.
+// Start joins the node's call mux.
 func (n *Dispatcher) Start(ctx context.Context, mux *rpc.Mux) {
 	n.ctx = ctx
 	n.held = map[item]*inHand{}
--- a/internal/eventloop/loop.go
+++ b/internal/eventloop/loop.go
@@ -1,6 +1,5 @@
-// Package eventloop is the dance floor on which the commands of one owner are
-// run one after the other (design 1.5). The field's standard terms: floor =
-// event loop, actor; command = message.
+// Package eventloop is the event loop on which the commands of one owner are
+// run one after the other (design 1.5).
 package eventloop
 
 import (
@@ -28,7 +27,7 @@
 	}
 }
 
-// Loop owns a table: only functions run on the floor touch what it owns.
+// Loop owns a table: only functions run on the event loop touch what it owns.
 type Loop struct {
 	commands chan func()
 	timers   []timer
@@ -39,7 +38,7 @@
 	fn              func()
 }
 
-// NewLoop makes a floor that holds at most depth waiting commands.
+// NewLoop makes a event loop that holds at most depth waiting commands.
 func NewLoop(depth int) *Loop { return &Loop{commands: make(chan func(), depth)} }
 
 // Every asks for fn to be run each periodUs. To be called before Run.
@@ -47,7 +46,7 @@
 	f.timers = append(f.timers, timer{everyUs: periodUs, fn: fn})
 }
 
-// Try hands a command over, false if the holding is full.
+// Try hands a command over, false if the queue is full.
 func (f *Loop) Try(fn func()) bool {
 	select {
 	case f.commands <- fn:
@@ -67,7 +66,7 @@
 	}
 }
 
-// Ask runs fn on the floor and hands back what it returns.
+// Ask runs fn on the event loop and hands back what it returns.
 func Ask[T any](ctx context.Context, f *Loop, fn func() T) (T, error) {
 	got := make(chan T, 1)
 	var zero T
--- a/internal/eventloop/loop_test.go
+++ b/internal/eventloop/loop_test.go
@@ -43,7 +43,7 @@
 	})
 }
 
-// A full holding declines; an answer that does not come is unsure.
+// A full queue refuses; an answer that does not come is unsure.
 func TestLoopBounds(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := NewLoop(2)
--- a/internal/events/events.go
+++ b/internal/events/events.go
@@ -1,7 +1,6 @@
 // Package events emits CloudEvents for changes, where an option names a sink
 // (design 15). A slow or dead sink delays nothing: events wait in a bounded
-// holding and are dropped when it is full. The field's standard terms: buzz =
-// event emitter; holding = queue.
+// queue and are dropped when it is full.
 package events
 
 import (
@@ -34,7 +33,7 @@
 	ContentType = "application/cloudevents+json"
 )
 
-// Emitter emits a node's events. A nil Buzz emits nothing.
+// Emitter emits a node's events. A nil Event emitter emits nothing.
 type Emitter struct {
 	sink    string
 	source  string
--- a/internal/fault/fault.go
+++ b/internal/fault/fault.go
@@ -1,6 +1,5 @@
 // Package fault holds the typed faults that every other package answers with
-// and the log lines they end in (design 1.3). The field's standard terms:
-// fault = error, remedy = suggested fix.
+// (design 1.3).
 package fault
 
 import (
@@ -12,8 +11,8 @@
 // Kind tells callers what a fault means for what was asked.
 type Kind uint8
 
-// The kinds of faults. They travel between partners as numbers, so the order
-// is part of the partner protocol (design 2.3).
+// The kinds of faults. They travel between peers as numbers, so the order
+// is part of the peer protocol (design 2.3).
 const (
 	Internal  Kind = iota // nothing better is known
 	Invalid               // the input breaks a rule of its format
@@ -22,7 +21,7 @@
 	Refused               // not done and never will be by this call
 	Unsure                // may or may not have been done
 	TooLarge              // over a stated bound
-	Unreached             // the partner never got the call
+	Unreached             // the peer never got the call
 	Damaged               // stored bytes do not check
 	NotOwner              // another node does this; Field may name it
 	Conflict              // clashes with something under way
--- a/internal/forward/answer.go
+++ b/internal/forward/answer.go
@@ -25,7 +25,7 @@
 // Busy notes that it is not the worker that is waited for now.
 func (a *Answer) Busy() { a.attempt.movedUs.Store(math.MaxInt64) }
 
-// End gives the circuit back if the answer was read whole, else closes it.
+// End gives the connection back if the answer was read whole, else closes it.
 func (a *Answer) End(whole bool) {
 	if a.over {
 		return
@@ -42,7 +42,7 @@
 	}
 }
 
-// unused gives the circuit back: nothing was sent on it.
+// unused gives the connection back: nothing was sent on it.
 func (a *Answer) unused() {
 	a.over = true
 	a.s.Attempts.Drop(a.slot)
@@ -53,14 +53,14 @@
 	a.s.Conns.Unused(a.c)
 }
 
-// What is read of a body that nobody wants, so that its circuit can be used
+// What is read of a body that nobody wants, so that its connection can be used
 // again: so much, and for so long.
 const (
 	maxDiscard  = 64 << 10
 	discardTime = 50 * time.Millisecond
 )
 
-// Discard ends an answer whose body is not wanted. The circuit is used again
+// Discard ends an answer whose body is not wanted. The connection is used again
 // only if the end of the body was seen.
 func (a *Answer) Discard() {
 	if a.Resp.ContentLength < 0 || a.Resp.ContentLength > int64(a.c.br.Buffered()) {
--- a/internal/forward/conn.go
+++ b/internal/forward/conn.go
@@ -20,7 +20,7 @@
 	"rowanshunt/internal/rpc"
 )
 
-// Times of circuits (design 6.4).
+// Times of connections (design 6.4).
 const (
 	dialTimeout = 350 * time.Millisecond
 	idleUs      = int64(20_000_000)
@@ -79,7 +79,7 @@
 	open int
 }
 
-// Conns owns this node's circuits to workers.
+// Conns owns this node's connections to workers.
 type Conns struct {
 	mu    sync.Mutex
 	pools map[string]*pool
@@ -101,9 +101,9 @@
 	return &Conns{pools: map[string]*pool{}, dial: dial}
 }
 
-// Get gives a circuit to the worker, an idle one if there is one that was used
-// within youngUs: a worker may forget an idle circuit and say nothing, and what
-// is sent on it next is lost. A circuit whose last request had the same id is not
+// Get gives a connection to the worker, an idle one if there is one that was used
+// within youngUs: a worker may forget an idle connection and say nothing, and what
+// is sent on it next is lost. A connection whose last request had the same id is not
 // used: a surplus answer to that one could not be told from the next (design
 // 6.4). Its faults promise that nothing was sent.
 func (cs *Conns) Get(ctx context.Context, w *discovery.Worker, id string, maxOpen int, youngUs int64) (*Conn, error) {
@@ -125,7 +125,7 @@
 			p.idle = p.idle[1:]
 		} else if p.open >= maxOpen {
 			cs.mu.Unlock()
-			return nil, fault.New(fault.Conflict, w.ID, "this node's share of circuits is in use", "try another worker")
+			return nil, fault.New(fault.Conflict, w.ID, "this node's share of connections is in use", "try another worker")
 		} else {
 			p.open++
 		}
@@ -154,7 +154,7 @@
 	return c, nil
 }
 
-// Put gives a circuit back after a whole answer.
+// Put gives a connection back after a whole answer.
 func (cs *Conns) Put(c *Conn, resp *http.Response) {
 	keepUs := idleUs
 	if s, ok := keepAliveS(resp.Header.Get("Keep-Alive")); ok {
@@ -178,7 +178,7 @@
 	}
 }
 
-// Unused gives a circuit back on which nothing was sent: its rest goes on, as the
+// Unused gives a connection back on which nothing was sent: its rest goes on, as the
 // worker sees it.
 func (cs *Conns) Unused(c *Conn) {
 	_ = c.conn.SetDeadline(time.Time{})
@@ -207,7 +207,7 @@
 	return 0, false
 }
 
-// Drop closes a circuit.
+// Drop closes a connection.
 func (cs *Conns) Drop(c *Conn) {
 	_ = c.conn.Close()
 	cs.mu.Lock()
@@ -217,7 +217,7 @@
 	cs.mu.Unlock()
 }
 
-// Forgot closes the idle circuits of a worker that forgot one of them.
+// Forgot closes the idle connections of a worker that forgot one of them.
 func (cs *Conns) Forgot(worker string) {
 	var old []*Conn
 	cs.mu.Lock()
@@ -232,7 +232,7 @@
 	}
 }
 
-// Sweep closes idle circuits that are past their time or whose worker is gone.
+// Sweep closes idle connections that are past their time or whose worker is gone.
 func (cs *Conns) Sweep(d *discovery.Directory) {
 	nowUs := eventloop.NowUs()
 	var old []*Conn
@@ -258,7 +258,7 @@
 	}
 }
 
-// CloseAll closes every idle circuit.
+// CloseAll closes every idle connection.
 func (cs *Conns) CloseAll() {
 	cs.mu.Lock()
 	defer cs.mu.Unlock()
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -20,7 +20,7 @@
 var answerHeads = []string{"Content-Type", "Content-Length", HeadID, HeadSeal, HeadVersions, "Retry-After", "Cache-Control",
 	"Content-Language", "Content-Encoding", "Content-Disposition", "Etag", "Expires", "Last-Modified", "Location", "Vary"}
 
-// connHeads concern one circuit only and are not passed on to workers. The
+// connHeads concern one connection only and are not passed on to workers. The
 // protocol asks that all others are, so here the rule goes before the house's
 // allow list (design 6.6).
 var connHeads = []string{"Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate", "Proxy-Authorization", "Te", "Trailer",
@@ -56,7 +56,7 @@
 func (f *Forwarder) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	b := f.Configuration()
 	if b == nil {
-		Refuse(w, http.StatusServiceUnavailable, 500, "no blueprint yet")
+		Refuse(w, http.StatusServiceUnavailable, 500, "no configuration yet")
 		return
 	}
 	route := b.Find(r.Host, r.RequestURI)
@@ -153,7 +153,7 @@
 	return out
 }
 
-// Sweep is the upkeep of requests and circuits, to be run every 100 ms.
+// Sweep is the upkeep of requests and connections, to be run every 100 ms.
 func (f *Forwarder) Sweep() {
 	f.Sender.Walk()
 	f.Sender.Conns.Sweep(f.Sender.Dir())
--- a/internal/forward/fuzz_test.go
+++ b/internal/forward/fuzz_test.go
@@ -87,7 +87,7 @@
 	})
 }
 
-// A parcel that passes the check is read by a worker as exactly what it is.
+// A request that passes the check is read by a worker as exactly what it is.
 func FuzzRequest(f *testing.F) {
 	f.Add("GET", "/a?b=c", "h.example", "id-1", "w1", "X-A", "b", []byte("body"))
 	f.Add("POST", "//a/^%zz", "h", "i", "w", "Connection", "close", []byte{})
--- a/internal/forward/request.go
+++ b/internal/forward/request.go
@@ -8,7 +8,7 @@
 	"rowanshunt/internal/fault"
 )
 
-// withheld are the headers of a parcel that are not copied to the worker: those
+// withheld are the headers of a request that are not copied to the worker: those
 // of one connection, and those that the sender writes itself (design 6.6).
 var withheld = func() map[string]bool {
 	out := map[string]bool{"Host": true, HeadID: true}
@@ -18,8 +18,8 @@
 	return out
 }()
 
-// check refuses a parcel whose request line or ids would be read as something
-// else by the worker. Such a parcel is never sent.
+// check refuses a request whose request line or ids would be read as something
+// else by the worker. Such a request is never sent.
 func (p *Request) check(worker string) error {
 	switch {
 	case !printable(p.Method, '!') || !printable(p.Target, '!') || p.Target == "" || p.Method == "":
--- a/internal/forward/response.go
+++ b/internal/forward/response.go
@@ -39,7 +39,7 @@
 	return n, err
 }
 
-// answerTo reads the head of the answer to the parcel. Answers that bear another
+// answerTo reads the head of the answer to the request. Answers that bear another
 // request id are late surplus ones, standing in the place of this one; they are
 // read over (design 6.4).
 func (c *Conn) answerTo(p *Request) (*http.Response, error) {
--- a/internal/forward/send_test.go
+++ b/internal/forward/send_test.go
@@ -161,7 +161,7 @@
 	a.Discard()
 }
 
-// A circuit on which nothing was sent goes on resting from when it was used.
+// A connection on which nothing was sent goes on resting from when it was used.
 func TestUnusedConnRestsOn(t *testing.T) {
 	c, _ := callOf("unsafe-3")
 	n := newScriptedNode(t, 2000, func(_ int, conn *net.TCPConn, br *bufio.Reader) {
@@ -212,7 +212,7 @@
 		ctx := context.Background()
 		if name == "the client left" {
 			leave()
-			// The circuit is there already, so that its dial does not fail first.
+			// The connection is there already, so that its dial does not fail first.
 			if conn, err := n.forwarder.Sender.Conns.Get(context.Background(), worker, "x", 9, 0); err == nil {
 				n.forwarder.Sender.Conns.Unused(conn)
 			}
@@ -228,7 +228,7 @@
 	}
 }
 
-// A body whose end was not seen never goes back with its circuit.
+// A body whose end was not seen never goes back with its connection.
 func TestConnWithRestOfBody(t *testing.T) {
 	c, _ := callOf("safe-3")
 	for name, answer := range map[string]string{"a refusal": refusal(c.id, 503, 100<<10), "a surplus answer": refusal("safe-4", 503, maxForeign+5) + whole(c, 200)} {
@@ -242,12 +242,12 @@
 			a.Discard()
 		}
 		if n.idle() > 0 {
-			t.Errorf("%s: its circuit is used again", name)
+			t.Errorf("%s: its connection is used again", name)
 		}
 	}
 }
 
-// A worker that forgot a circuit may have run what came on it: a refusal of the
+// A worker that forgot a connection may have run what came on it: a refusal of the
 // second send promises nothing for the first.
 func TestRefusedAfterForgotten(t *testing.T) {
 	c, _ := callOf("safe-3")
@@ -269,7 +269,7 @@
 	}
 	a.Discard()
 	if _, err := n.send(c, nil); !fault.Is(err, fault.Unsure) {
-		t.Errorf("refused on a new circuit after it was forgotten: %v", err)
+		t.Errorf("refused on a new connection after it was forgotten: %v", err)
 	}
 }
 
--- a/internal/forward/sender.go
+++ b/internal/forward/sender.go
@@ -48,7 +48,7 @@
 	GapMs int64
 }
 
-// Sender sends parcels to workers and reads the heads of their answers.
+// Sender sends requests to workers and reads the heads of their answers.
 type Sender struct {
 	Dir           func() *discovery.Directory
 	Balancer      *balancer.Balancer
@@ -57,15 +57,15 @@
 	Attempts      *RecordTable[Attempt]
 }
 
-// youngUs is how long a circuit may have been idle before what cannot be
+// youngUs is how long a connection may have been idle before what cannot be
 // repeated goes out on it (design 6.4): the least rest after which workers forget
 // one is 0.3 s, and what is sent takes a while to come there.
 const youngUs = 250_000
 
-// anyAgeUs lets a circuit of any age be used.
+// anyAgeUs lets a connection of any age be used.
 const anyAgeUs = int64(1) << 50
 
-// maxOpen is this node's share of the circuits a worker takes (design 6.4).
+// maxOpen is this node's share of the connections a worker takes (design 6.4).
 func (s *Sender) maxOpen(svc string) int {
 	b := s.Configuration()
 	if b == nil || b.Services[svc] == nil || b.Services[svc].MaxConn <= 0 {
@@ -74,26 +74,26 @@
 	return max(int(b.Services[svc].MaxConn*9/10/s.Balancer.Edges()), 1)
 }
 
-// Send sends the parcel to the worker and reads the head of its answer.
-// Faults: Unreached and Conflict, nothing was sent; Declined, the worker says
+// Send sends the request to the worker and reads the head of its answer.
+// Faults: Unreached and Conflict, nothing was sent; Refused, the worker says
 // that it did not run it; Unsure, it may have run.
 func (s *Sender) Send(ctx context.Context, w *discovery.Worker, p *Request, repeatable bool) (*Answer, error) {
 	a, err := s.send(ctx, w, p, repeatable, anyAgeUs)
 	if err == errForgotten {
-		// Nothing of an answer came on a circuit that was idle: the worker had
+		// Nothing of an answer came on a connection that was idle: the worker had
 		// forgotten it. A new one, the same worker (design 6.4).
 		s.Conns.Forgot(w.ID)
 		a, err = s.send(ctx, w, p, repeatable, 0)
 		if err != nil && !fault.Is(err, fault.Unsure) {
 			// The second send promises nothing for the first.
-			err = fault.New(fault.Unsure, w.ID, "forgot its circuit: "+err.Error(), "")
+			err = fault.New(fault.Unsure, w.ID, "forgot its connection: "+err.Error(), "")
 		}
 	}
 	return a, err
 }
 
 // stopped is the fence at the write: a client that left or has no time left, a
-// worker that left in the meantime, or a claim on the parcel that ended, stops
+// worker that left in the meantime, or a claim on the request that ended, stops
 // it here (design 6.3). Its faults promise that nothing was sent.
 func (s *Sender) stopped(ctx context.Context, w *discovery.Worker, p *Request) error {
 	switch {
@@ -107,8 +107,8 @@
 	return p.check(w.ID)
 }
 
-// errForgotten: a circuit that was idle ended before any byte of an answer, and
-// the parcel may be repeated.
+// errForgotten: a connection that was idle ended before any byte of an answer, and
+// the request may be repeated.
 var errForgotten = fault.New(fault.Unsure, "circuit", "was forgotten by the worker", "send again on a new one")
 
 func (s *Sender) send(ctx context.Context, w *discovery.Worker, p *Request, repeatable bool, ageUs int64) (*Answer, error) {
--- a/internal/forward/table.go
+++ b/internal/forward/table.go
@@ -1,7 +1,6 @@
-// Package forward is a request's way through a node: its record in the slab,
-// its tries at workers, streams and their resumption. No other package sends
-// to workers (design 6). The field's standard terms: forage = request
-// forwarding; circuit = connection; parcel = request; decline = refuse.
+// Package forward is a request's way through a node: its record in the record
+// table, its tries at workers, streams and their resumption. No other package
+// sends to workers (design 6).
 package forward
 
 import "sync"
@@ -16,10 +15,10 @@
 	bound int
 }
 
-// NewRecordTable makes a slab for at most bound records.
+// NewRecordTable makes a record table for at most bound records.
 func NewRecordTable[T any](bound int) *RecordTable[T] { return &RecordTable[T]{bound: bound} }
 
-// Put places a record, false if the slab is full.
+// Put places a record, false if the record table is full.
 func (s *RecordTable[T]) Put(v *T) (slot int, ok bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -55,7 +54,7 @@
 	return s.count
 }
 
-// Each walks over the records; fn must not call the slab.
+// Each walks over the records; fn must not call the record table.
 func (s *RecordTable[T]) Each(fn func(*T)) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/forward/walk.go
+++ b/internal/forward/walk.go
@@ -38,7 +38,7 @@
 	maxMuteUs    = 2_000_000
 )
 
-// muteUs is that time for a binding's pause, 0 if it names none.
+// muteUs is that time for a route's pause, 0 if it names none.
 func muteUs(gapMs int64) int64 {
 	if gapMs <= 0 {
 		return maxMuteUs
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -1,7 +1,5 @@
 // Package gossip is how nodes know each other: partial views that are shuffled
 // between neighbours, and the age of what was last heard of each (design 3).
-// The field's standard terms: swarm = membership (gossip); sighting = member
-// state; view = snapshot; life = incarnation.
 package gossip
 
 import (
@@ -25,7 +23,7 @@
 // Peer is what a node tells of itself.
 type Peer struct {
 	Name    string
-	Addr    string // partner protocol
+	Addr    string // peer protocol
 	Ctl     string // workers and operators, "" if not served
 	Az      string
 	Role    string
@@ -39,12 +37,12 @@
 	Rev       uint64 // newest register revision it knows
 	Ready     bool
 	Cap       int64 // processor, in thousandths of a core
-	Slow      bool  // its own floor runs late (design 8.2)
+	Slow      bool  // its own event loop runs late (design 8.2)
 
 	process string // of this node itself: the random id of its process
 }
 
-// MemberID names the partner together with its disk.
+// MemberID names the peer together with its disk.
 func (p *Peer) MemberID() string { return p.Name + "#" + p.Disk }
 
 func (p *Peer) newer(q *Peer) bool {
@@ -61,11 +59,11 @@
 	metUs      = 800_000
 	forgetUs   = 60_000_000
 	seedRounds = 25
-	// wellNamed is how many partners shuffles name often enough for aliveUs.
+	// wellNamed is how many peers shuffles name often enough for aliveUs.
 	wellNamed = 96
 )
 
-// NodeState is a partner with what this node knows of its life.
+// NodeState is a peer with what this node knows of its life.
 type NodeState struct {
 	Peer
 	Alive   bool
@@ -81,7 +79,7 @@
 	All  []NodeState // by name, this node included
 }
 
-// Get finds a sighting by name.
+// Get finds a node state by name.
 func (v *View) Get(name string) *NodeState {
 	i := sort.Search(len(v.All), func(i int) bool { return v.All[i].Name >= name })
 	if i < len(v.All) && v.All[i].Name == name {
@@ -136,14 +134,14 @@
 // Partial tells whether there may be nodes that the view has no room for.
 func (v *View) Partial() bool { return len(v.All) >= maxView }
 
-// Met tells whether the partner lives and answered this node itself lately:
+// Met tells whether the peer lives and answered this node itself lately:
 // others may still hear of one that is cut off from here.
 func (v *View) Met(name string) bool {
 	s := v.Get(name)
 	return s != nil && s.Alive && (name == v.Self.Name || eventloop.NowUs()-s.MetUs < metUs)
 }
 
-// Slow tells whether the partner says that its floor runs late.
+// Slow tells whether the peer says that its event loop runs late.
 func (v *View) Slow(name string) bool {
 	s := v.Get(name)
 	return s != nil && s.Slow
@@ -160,13 +158,13 @@
 	return out
 }
 
-// Alive tells whether that partner is thought to live.
+// Alive tells whether that peer is thought to live.
 func (v *View) Alive(name string) bool {
 	s := v.Get(name)
 	return s != nil && s.Alive
 }
 
-// Gossip owns this node's table of partners.
+// Gossip owns this node's table of peers.
 type Gossip struct {
 	loop      *eventloop.Loop
 	transport rpc.Transport
@@ -181,7 +179,7 @@
 	stale map[uint64]bool   // keys that newer words replaced: not asked for again
 	view  atomic.Pointer[View]
 	rng   *rand.Rand
-	// OnRev is told of a partner that knows a newer register revision.
+	// OnRev is told of a peer that knows a newer register revision.
 	OnRev func(p Peer)
 	ctx   context.Context
 }
@@ -194,7 +192,7 @@
 	Ping  bool     // only the answer matters
 }
 
-// New makes the swarm of one node. Everything but Look runs on the floor.
+// New makes the gossip of one node. Everything but Look runs on the event loop.
 func New(ctx context.Context, loop *eventloop.Loop, mux *rpc.Mux, transport rpc.Transport, log *logging.Log, self Peer, seeds []string, close func(*View) []string) *Gossip {
 	s := &Gossip{loop: loop, transport: transport, log: log, seeds: seeds, close: close, self: self, table: map[string]*NodeState{}, byKey: map[uint64]string{}, stale: map[uint64]bool{}, ctx: ctx,
 		rng: rand.New(rand.NewPCG(xxh3.HashString(self.Life()), uint64(len(self.Name)+1)))}
@@ -244,7 +242,7 @@
 	return packWords(out)
 }
 
-// lookUp gives the partners of these keys, as far as they are known here.
+// lookUp gives the peers of these keys, as far as they are known here.
 func (s *Gossip) lookUp(keys []uint64) []Peer {
 	var out []Peer
 	for _, k := range keys[:min(len(keys), maxShuffle)] {
@@ -255,7 +253,7 @@
 	return out
 }
 
-// merge takes what a partner told and lists the keys it cannot read.
+// merge takes what a peer told and lists the keys it cannot read.
 func (s *Gossip) merge(in *shuffle) (want []uint64) {
 	s.take(in.From)
 	for _, p := range in.Full[:min(len(in.Full), 4*maxShuffle)] {
@@ -303,7 +301,7 @@
 		t = &NodeState{Peer: p, SinceUs: nowUs, key: p.key()}
 		s.table[p.Name] = t
 		s.byKey[t.key] = p.Name
-		s.log.Debug("partner_found", "partner", p.Name, "addr", p.Addr)
+		s.log.Debug("peer_found", "peer", p.Name, "addr", p.Addr)
 	case p.newer(&t.Peer):
 		t.Peer = p
 		if k := p.key(); k != t.key {
@@ -323,7 +321,7 @@
 	}
 }
 
-// evict forgets the partner unheard of for longest, if it is not alive.
+// evict forgets the peer unheard of for longest, if it is not alive.
 func (s *Gossip) evict() bool {
 	var oldest *NodeState
 	for _, t := range s.table {
@@ -376,7 +374,7 @@
 }
 
 // seedOneIn is in how many rounds one goes to a seed too: the fewer the more
-// partners are known, for the seeds are the same for all nodes and what comes to
+// peers are known, for the seeds are the same for all nodes and what comes to
 // them must not grow with these (design 3.3).
 func seedOneIn(live int) int {
 	if live < 3 {
@@ -385,7 +383,7 @@
 	return max(seedRounds, live)
 }
 
-// tell shuffles with one partner; what one side cannot read of the other's
+// tell shuffles with one peer; what one side cannot read of the other's
 // words is handed over in a second call.
 func (s *Gossip) tell(addr string, msg *shuffle) {
 	if addr == s.self.Addr {
@@ -412,7 +410,7 @@
 	}()
 }
 
-// called notes how a shuffle with a partner went. A port that declines at once
+// called notes how a shuffle with a peer went. A port that refuses at once
 // has no process behind it.
 func (s *Gossip) called(addr string, back *shuffle, err error) (want []uint64) {
 	if err == nil {
@@ -432,8 +430,8 @@
 	return nil
 }
 
-// silentUs is how long a partner's beat may stand still before it is thought
-// silent: where a shuffle names but a part of the partners, news of each takes
+// silentUs is how long a peer's beat may stand still before it is thought
+// silent: where a shuffle names but a part of the peers, news of each takes
 // longer to come round (design 3.3).
 func silentUs(peers int) int64 {
 	return aliveUs * int64(max(peers, wellNamed)) / wellNamed
@@ -448,9 +446,9 @@
 		if alive != t.Alive {
 			t.Alive, t.SinceUs = alive, nowUs
 			if !alive {
-				s.log.Info("partner_silent", "partner", name, "addr", t.Addr)
+				s.log.Info("peer_silent", "peer", name, "addr", t.Addr)
 			} else {
-				s.log.Info("partner_alive", "partner", name, "addr", t.Addr, "role", t.Role)
+				s.log.Info("peer_alive", "peer", name, "addr", t.Addr, "role", t.Role)
 			}
 		}
 		if nowUs-t.SeenUs > forgetUs {
--- a/internal/gossip/gossip_test.go
+++ b/internal/gossip/gossip_test.go
@@ -33,7 +33,7 @@
 func alive(b *testNode) int { return len(b.s.Look().Names(func(s *NodeState) bool { return s.Alive })) }
 
 // All find all from one seed, a silent one is noticed, one that starts again
-// is the same partner in a new life, and parts meet again (design 3).
+// is the same peer in a new life, and parts meet again (design 3).
 func TestGossip(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		m := simnet.New(5)
@@ -91,7 +91,7 @@
 	})
 }
 
-// What a partner must not be able to do to the table.
+// What a peer must not be able to do to the table.
 func TestViewBounds(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		b := startNode(simnet.New(1), 1, nil)
@@ -126,12 +126,12 @@
 func TestSeedsAreAskedBySize(t *testing.T) {
 	for _, tc := range []struct{ live, oneIn int }{{0, 1}, {2, 1}, {3, 25}, {25, 25}, {80, 80}, {390, 390}} {
 		if got := seedOneIn(tc.live); got != tc.oneIn {
-			t.Errorf("with %d partners one round in %d, want %d", tc.live, got, tc.oneIn)
+			t.Errorf("with %d peers one round in %d, want %d", tc.live, got, tc.oneIn)
 		}
 	}
 }
 
-// With many partners each is thought silent later, and a shuffle names first what
+// With many peers each is thought silent later, and a shuffle names first what
 // was heard last (design 3.1, 3.3).
 func TestManyPeers(t *testing.T) {
 	for _, tc := range []struct {
@@ -139,7 +139,7 @@
 		us    int64
 	}{{0, aliveUs}, {wellNamed, aliveUs}, {2 * wellNamed, 2 * aliveUs}, {390, aliveUs * 390 / wellNamed}} {
 		if got := silentUs(tc.peers); got != tc.us {
-			t.Errorf("%d partners: silent after %d us, want %d", tc.peers, got, tc.us)
+			t.Errorf("%d peers: silent after %d us, want %d", tc.peers, got, tc.us)
 		}
 	}
 	s := &Gossip{table: map[string]*NodeState{}, rng: rand.New(rand.NewPCG(1, 1))}
@@ -159,7 +159,7 @@
 	}
 	for _, w := range words {
 		if !fresh[w.key] {
-			t.Errorf("a partner heard of earlier was named before one heard of later")
+			t.Errorf("a peer heard of earlier was named before one heard of later")
 		}
 	}
 }
--- a/internal/gossip/incarnation.go
+++ b/internal/gossip/incarnation.go
@@ -133,13 +133,13 @@
 	return errors.Join(d.Sync(), d.Close())
 }
 
-// SetProcess makes p the partner of a process.
+// SetProcess makes p the peer of a process.
 func (p *Peer) SetProcess(process Process) {
 	p.LifeUs, p.process = process.Incarnation, process.ID
 }
 
-// Life names the partner together with its process: what ballots, stamps and
-// terms are signed with. Only a node's own partner knows the whole of it; of
+// Life names the peer together with its process: what ballots, stamps and
+// terms are signed with. Only a node's own peer knows the whole of it; of
 // others see Signed.
 func (p *Peer) Life() string {
 	if p.process != "" {
@@ -160,7 +160,7 @@
 }
 
 // refute raises this node's incarnation above that of a record of its name that
-// another process left with the partners (design 3.5).
+// another process left with the peers (design 3.5).
 func (s *Gossip) refute(p *Peer) {
 	if !p.newer(&s.self) || p.LifeUs >= maxIncarnation {
 		return
--- a/internal/gossip/incarnation_test.go
+++ b/internal/gossip/incarnation_test.go
@@ -92,7 +92,7 @@
 	}
 	earlier := Peer{Name: "a", LifeUs: 1_764_633_600_000_000}
 	if earlier.LifeUs.counted() || !earlier.Signed("a/1764633600000000") || earlier.Signed("a/1764633600000001") {
-		t.Error("a partner of the version before is not known by its signature")
+		t.Error("a peer of the version before is not known by its signature")
 	}
 	if newIncarnation(0, 0) < earlier.LifeUs {
 		t.Error("the version before outranks a process that starts now")
@@ -112,10 +112,10 @@
 	return b
 }
 
-// A process that starts below what the partners hold of its name is seen alive
+// A process that starts below what the peers hold of its name is seen alive
 // within a gossip round: it is told, and rises above it. So whatever the former
 // incarnation was (a count that was lost with its disk, a number of the version
-// before), and also if only partners call it.
+// before), and also if only peers call it.
 func TestRefutation(t *testing.T) {
 	for name, tc := range map[string]struct {
 		before, after Incarnation
@@ -157,7 +157,7 @@
 			signature := x.s.Look().Self.Life()
 			limit := 2 * shuffleUs * time.Microsecond
 			if !tc.calls {
-				limit = 4 * time.Second // silent partners are tried now and then
+				limit = 4 * time.Second // silent peers are tried now and then
 			}
 			time.Sleep(limit)
 			first := false
--- a/internal/gossip/word.go
+++ b/internal/gossip/word.go
@@ -7,7 +7,7 @@
 	"github.com/zeebo/xxh3"
 )
 
-// word is the short form in which partners tell of each other: what changes
+// word is the short form in which peers tell of each other: what changes
 // with each round, under a key that stands for all that does not. Who does not
 // know the key asks for the whole (design 3.1).
 type word struct {
@@ -16,7 +16,7 @@
 	rev       uint64
 }
 
-// key hashes all that a partner tells of itself except its beat and revision.
+// key hashes all that a peer tells of itself except its beat and revision.
 func (p *Peer) key() uint64 {
 	var h xxh3.Hasher
 	for _, s := range []string{p.Name, p.Addr, p.Ctl, p.Az, p.Role, p.Disk, strconv.FormatInt(int64(p.LifeUs), 36), strconv.FormatInt(p.Cap, 36)} {
--- a/internal/ingress/control.go
+++ b/internal/ingress/control.go
@@ -49,7 +49,7 @@
 	acked []acked
 }
 
-// acked is a blueprint that this node acknowledged, for tracers.
+// acked is a configuration that this node acknowledged, for tracers.
 type acked struct{ ver, atUs int64 }
 
 const maxAcked = 32
@@ -111,14 +111,14 @@
 	return Reply{Status: 200, Body: body}, err
 }
 
-// PutCommand is an operator's new blueprint.
+// PutCommand is an operator's new configuration.
 type PutCommand struct {
 	Doc    []byte
 	Ver    int64
 	Expect int64
 }
 
-// Run commits the blueprint.
+// Run commits the configuration.
 func (p *PutCommand) Run(ctx context.Context, c *Control) (Reply, error) {
 	s, err := c.Register.Put(ctx, p.Doc, p.Ver, p.Expect)
 	if err != nil {
@@ -126,11 +126,11 @@
 	}
 	c.note(p.Ver)
 	c.Emitter.Emit(events.ConfigurationTaken, strconv.FormatInt(p.Ver, 10), map[string]any{"ver": p.Ver, "on": p.Expect})
-	c.Log.Info("blueprint_taken", "ver", s.Ver, "rev", s.Rev)
+	c.Log.Info("configuration_taken", "ver", s.Ver, "rev", s.Rev)
 	return Reply{Status: 200, Body: []byte("{}")}, nil
 }
 
-// GetCommand reads the newest blueprint.
+// GetCommand reads the newest configuration.
 type GetCommand struct{}
 
 // Run reads the register at a majority.
@@ -199,7 +199,7 @@
 	if err != nil {
 		out.Status = statusOf(err)
 		out.Body, _ = json.Marshal(map[string]string{"err": err.Error()})
-		c.Log.Info("control_declined", "method", r.Method, "path", r.URL.Path, "status", out.Status, "err", err)
+		c.Log.Info("control_refused", "method", r.Method, "path", r.URL.Path, "status", out.Status, "err", err)
 		if out.Status == http.StatusServiceUnavailable {
 			w.Header().Set("Retry-After", "0.3")
 		}
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -1,6 +1,5 @@
 // Package ingress is the entrance: listeners, limits, readiness, drain and
-// admission (design 11). The field's standard terms: guard = ingress; decline
-// = load shedding.
+// admission (design 11).
 package ingress
 
 import (
@@ -153,7 +152,7 @@
 }
 
 // Clients is the handler of the clients' address. Only the lots' own calls are
-// routed by httprouter; all other paths go by the blueprint, as they came.
+// routed by httprouter; all other paths go by the configuration, as they came.
 func (g *Ingress) Clients() http.Handler {
 	rt := httprouter.New()
 	rt.RedirectTrailingSlash = false
--- a/internal/ingress/ingress_test.go
+++ b/internal/ingress/ingress_test.go
@@ -49,7 +49,7 @@
 	return b
 }
 
-// The times of the blueprint in force hold, also after they changed while a
+// The times of the configuration in force hold, also after they changed while a
 // connection was open (design 11.5).
 func TestWaits(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/logging/log.go
+++ b/internal/logging/log.go
@@ -1,3 +1,4 @@
+// Package logging writes one key=value line per event (design 1.4).
 package logging
 
 import (
--- a/internal/lotstore/client.go
+++ b/internal/lotstore/client.go
@@ -29,7 +29,7 @@
 	return &Client{transport: transport, gossip: sw, state: state, spared: spared}
 }
 
-// Stores lists the living stores of the roster.
+// Stores lists the living stores of the membership.
 func (c *Client) Stores() []gossip.NodeState {
 	st := c.state()
 	if st == nil {
--- a/internal/lotstore/disk_test.go
+++ b/internal/lotstore/disk_test.go
@@ -32,7 +32,7 @@
 	return b
 }
 
-// A store whose disk refuses writes declines, promises nothing and doesn't end;
+// A store whose disk refuses writes refuses, promises nothing and doesn't end;
 // with room again it goes on, and its file has all that it took (design 10.4).
 func TestStoreRefusesWhileItsDiskRefuses(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
@@ -120,7 +120,7 @@
 	})
 }
 
-// What waits in memory for a disk that stalls is bounded: the store declines
+// What waits in memory for a disk that stalls is bounded: the store refuses
 // from there on, and takes calls again once the disk has caught up.
 func TestWaitingForTheDiskIsBounded(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/lotstore/earlier_test.go
+++ b/internal/lotstore/earlier_test.go
@@ -89,7 +89,7 @@
 	}
 	var member register.Member
 	if err := msgpack.Unmarshal(raw, &member); err != nil || member != (register.Member{ID: "a#1", Name: "a", Addr: "x"}) {
-		t.Errorf("a seat without a zone: %+v, %v", member, err)
+		t.Errorf("a member without a zone: %+v, %v", member, err)
 	}
 }
 
--- a/internal/lotstore/fuzz_test.go
+++ b/internal/lotstore/fuzz_test.go
@@ -43,7 +43,7 @@
 }
 
 // Ops of a peer or of a file never bring the table down, and a lot whose op is
-// declined is as it was.
+// refused is as it was.
 func FuzzApply(f *testing.F) {
 	pack := func(ops ...*op) []byte {
 		raw, err := codec.Marshal(ops)
@@ -107,7 +107,7 @@
 	})
 }
 
-// Any bytes as a record of the log are read or declined, without a panic.
+// Any bytes as a record of the log are read or refused, without a panic.
 func FuzzRecord(f *testing.F) {
 	st := Term{Membership: 1, N: 2, By: "s/1"}
 	for _, r := range []*record{
--- a/internal/lotstore/lot.go
+++ b/internal/lotstore/lot.go
@@ -1,7 +1,5 @@
-// Package lotstore keeps the lots on the stores: queue shards with a fenced owner
-// each, durable prompts, positions and quota (design 8). The field's standard
-// terms: brood = replicated durable queue; lot = batch; prompt = message;
-// holding = queue; stamp = term; feed = replication stream.
+// Package lotstore keeps the lots on the stores: queue shards with a fenced
+// owner each, durable prompts, positions and quota (design 8).
 package lotstore
 
 import (
@@ -14,7 +12,7 @@
 	"rowanshunt/internal/rpc"
 )
 
-// Term orders the owners of a shard: a newer roster first, then the count.
+// Term orders the owners of a shard: a newer membership first, then the count.
 type Term struct {
 	Membership uint64
 	N          uint64
@@ -108,7 +106,7 @@
 	Rows     []Cursor  // by prompt
 	First    int64     // offset of its first prompt in the shard's log; the run is gapless
 	Digest   [2]uint64 // of its items' ids: tells another lot under the same id
-	// Refused are the hand-ins of this id that were declined for good, although
+	// Refused are the hand-ins of this id that were refused for good, although
 	// an attempt of theirs may still be on its way (design 8.4). Such a lot has
 	// no prompts; it is taken if it is handed in anew.
 	Refused []uint64
@@ -157,7 +155,7 @@
 	}
 }
 
-// refused tells whether this is only the record of hand-ins that were declined.
+// refused tells whether this is only the record of hand-ins that were refused.
 func (l *Lot) refused() bool { return len(l.Refused) > 0 }
 
 // openToks are the tokens that count against the quota.
--- a/internal/lotstore/lotstore.go
+++ b/internal/lotstore/lotstore.go
@@ -32,7 +32,7 @@
 	return Options{CacheSize: 2000, BatchSize: 10, PollUs: 100_000, AckWaitUs: 6_000_000, PurgeUs: 180_000_000}
 }
 
-// Config is what a brood is made of.
+// Config is what a lot store is made of.
 type Config struct {
 	Loop      *eventloop.Loop
 	Mux       *rpc.Mux
@@ -55,7 +55,7 @@
 }
 
 // Store is a store's part of the queue. It owns its shards; all runs on the
-// floor.
+// event loop.
 type Store struct {
 	cfg                Config
 	ctx                context.Context
@@ -122,16 +122,16 @@
 	return int(h.Sum32() % Shards)
 }
 
-// maxStores bounds the stores' roster.
+// maxStores bounds the stores' membership.
 const maxStores = 512
 
-// replicasOf is the roster of one shard: 2·ft+1 of the stores bear the loss of
+// replicasOf is the membership of one shard: 2·ft+1 of the stores bear the loss of
 // ft, however many stores there are (design 8.1).
 func replicasOf(r *register.Membership, shardN, spared int) register.Membership {
 	return r.Replicas("replica/"+strconv.Itoa(shardN), 2*spared+1)
 }
 
-// Replicas are the stores that share a shard with a seat: the ones it must know
+// Replicas are the stores that share a shard with a member: the ones it must know
 // closely, however many others there are.
 func Replicas(r *register.Membership, member string, spared int) map[string]bool {
 	out := map[string]bool{}
@@ -146,8 +146,8 @@
 	return out
 }
 
-// sets gives the shards' rosters under the newest state, worked out once for
-// each roster.
+// sets gives the shards' memberships under the newest state, worked out once for
+// each membership.
 func (b *Store) sets(st *register.State) *[Shards]register.Membership {
 	if b.setsOf == nil || b.setsVer != st.Stores.Ver {
 		b.setsOf, b.setsVer = &[Shards]register.Membership{}, st.Stores.Ver
@@ -158,16 +158,16 @@
 	return b.setsOf
 }
 
-// shedMoved lets go of the lots of shards that a settled roster keeps
+// shedMoved lets go of the lots of shards that a settled membership keeps
 // elsewhere: a majority of their own replicas has them, and every later claim
-// goes by this roster or one that follows it.
+// goes by this membership or one that follows it.
 func (b *Store) shedMoved(st *register.State) {
 	if st.Stores.Joint() || len(st.Stores.Cur) == 0 {
 		return
 	}
 	for n, s := range b.shards {
 		if len(s.lots) > 0 && s.owner == nil && !s.claiming && !b.sets(st)[n].Has(b.cfg.Member) {
-			b.cfg.Log.Info("shard_moved", "shard", n, "lots", len(s.lots), "roster", st.Stores.Ver)
+			b.cfg.Log.Info("shard_moved", "shard", n, "lots", len(s.lots), "membership", st.Stores.Ver)
 			// On disk too: an old copy must not come back with a restart.
 			rec := &record{Shard: n}
 			for id := range s.lots {
--- a/internal/lotstore/membership.go
+++ b/internal/lotstore/membership.go
@@ -25,14 +25,14 @@
 	mendPacedShare = 4 // a repair is paced for the first quarter of SyncUs only
 )
 
-// membershipNeed is a change of the roster that is due, and since when this store
+// membershipNeed is a change of the membership that is due, and since when this store
 // has known it.
 type membershipNeed struct {
 	membershipVer uint64
 	sinceUs       int64
 }
 
-// membershipTick brings this store into the roster; the members take turns to
+// membershipTick brings this store into the membership; the members take turns to
 // settle changes, empty what retires or leaves and drop what is long gone
 // (design 8.6).
 func (b *Store) membershipTick() {
@@ -64,7 +64,7 @@
 	}
 }
 
-// foundMembership proposes the first roster.
+// foundMembership proposes the first membership.
 func (b *Store) foundMembership(v *gossip.View) {
 	b.changeMembership("stores_founded", nil, func(now *register.State, _ map[string]bool) (*register.State, error) {
 		if len(now.Stores.Cur) > 0 {
@@ -82,7 +82,7 @@
 	})
 }
 
-// joinMembership proposes the roster that takes this store in.
+// joinMembership proposes the membership that takes this store in.
 func (b *Store) joinMembership(st *register.State, self register.Member, v *gossip.View) {
 	var unmet []register.Member
 	if eventloop.NowUs()-b.startUs >= judgeUs {
@@ -101,7 +101,7 @@
 	})
 }
 
-// keepMembership drives what the roster needs when it is this store's turn.
+// keepMembership drives what the membership needs when it is this store's turn.
 func (b *Store) keepMembership(st *register.State, v *gossip.View, nowUs int64) {
 	leaver, asked := b.leaver(st, v, nowUs-b.startUs)
 	if !st.Stores.Joint() && leaver == "" {
@@ -134,7 +134,7 @@
 	forUs    int64
 }
 
-// leaver is a seat that is to leave, "" if none is. One that retires, or that
+// leaver is a member that is to leave, "" if none is. One that retires, or that
 // says it leaves, needs no confirmation; silence does.
 func (b *Store) leaver(st *register.State, v *gossip.View, upUs int64) (id string, asked *suspicion) {
 	members := st.Stores.Cur
@@ -155,7 +155,7 @@
 	return "", nil
 }
 
-// changeMembership commits a change beside the floor, once it was asked what a
+// changeMembership commits a change beside the event loop, once it was asked what a
 // majority has lost.
 func (b *Store) changeMembership(event string, asked *suspicion, change func(now *register.State, lost map[string]bool) (*register.State, error)) {
 	b.changingMembership = true
@@ -181,7 +181,7 @@
 		if err != nil {
 			b.cfg.Log.Debug(event+"_waits", "err", err)
 		} else if begun {
-			b.cfg.Log.Info(event, "roster", st.Stores.Ver, "seats", len(st.Stores.Cur), "joint", st.Stores.Joint())
+			b.cfg.Log.Info(event, "membership", st.Stores.Ver, "members", len(st.Stores.Cur), "joint", st.Stores.Joint())
 		}
 	}()
 }
@@ -194,8 +194,8 @@
 	Shards []int
 }
 
-// onOwned lists the shards that this store owns under a roster and whose
-// copies are at all seats of its current set that count.
+// onOwned lists the shards that this store owns under a membership and whose
+// copies are at all members of its current set that count.
 func (b *Store) onOwned(ctx context.Context, in *ownedCall) (*ownedAnswer, error) {
 	return eventloop.Ask(ctx, b.cfg.Loop, func() *ownedAnswer {
 		out := &ownedAnswer{}
@@ -213,8 +213,8 @@
 	})
 }
 
-// whole tells whether all seats of the shard's current set that count have all
-// copies. A silent one counts while the change only takes a seat away, until it
+// whole tells whether all members of the shard's current set that count have all
+// copies. A silent one counts while the change only takes a member away, until it
 // has been silent for long: what leaves may hold the copy that the silent one
 // lacks, so it stays until then (design 8.6).
 func (b *Store) whole(o *owner, takesAway bool) bool {
@@ -223,7 +223,7 @@
 		if !o.membership.Has(f.member.ID) || f.synced && !f.cold {
 			continue
 		}
-		// A machine that came back with another disk is not that seat: it joins
+		// A machine that came back with another disk is not that member: it joins
 		// anew once this change is settled.
 		if b.reaches(v, f.member) || takesAway && !register.Gone(f.member, v, register.GoneForDropUs, eventloop.NowUs()-b.startUs) {
 			return false
@@ -238,7 +238,7 @@
 	return r.Joint() && !slices.ContainsFunc(r.Cur, func(t register.Member) bool { return !hasMember(r.Prev, t.ID) })
 }
 
-// reaches tells whether a seat's holder lives and has answered this store within
+// reaches tells whether a member's holder lives and has answered this store within
 // the last while: a store whose link to one other is cut does not hold a change
 // up for ever.
 func (b *Store) reaches(v *gossip.View, member register.Member) bool {
@@ -268,12 +268,12 @@
 			return now, nil
 		})
 		if err == nil {
-			b.cfg.Log.Info("stores_settled", "roster", st.Stores.Ver+1, "seats", len(st.Stores.Cur))
+			b.cfg.Log.Info("stores_settled", "membership", st.Stores.Ver+1, "members", len(st.Stores.Cur))
 		}
 	}()
 }
 
-// allOwned asks the stores which shards they own under this roster, all at once:
+// allOwned asks the stores which shards they own under this membership, all at once:
 // some of them may be silent.
 func (b *Store) allOwned(ctx context.Context, st *register.State) bool {
 	answers := make(chan []int, len(st.Stores.Cur))
@@ -306,7 +306,7 @@
 	return false
 }
 
-// Departed tells whether this store may end: no set of the newest roster counts
+// Departed tells whether this store may end: no set of the newest membership counts
 // on it, or too few would be left for it to be let go.
 func (b *Store) Departed() bool {
 	st := b.cfg.State()
--- a/internal/lotstore/owner.go
+++ b/internal/lotstore/owner.go
@@ -58,7 +58,7 @@
 
 	offers map[string]offer // by lot: room kept for lots that were offered
 
-	heardUs map[string]int64 // by seat: start of the newest call it answered under this stamp
+	heardUs map[string]int64 // by member: start of the newest call it answered under this stamp
 }
 
 // offer is room kept for a lot whose body is on its way.
@@ -75,7 +75,7 @@
 	o.offers[lot] = offer{route, toks, nowUs + offerUs}
 }
 
-// keptRoom sums the room kept for other lots of a binding.
+// keptRoom sums the room kept for other lots of a route.
 func (o *owner) keptRoom(route, lot string, nowUs int64) int64 {
 	var sum int64
 	for id, f := range o.offers {
@@ -149,7 +149,7 @@
 	if st == nil || !st.Stores.Has(b.cfg.Member) {
 		for _, s := range b.shards {
 			if s.owner != nil && st != nil && st.Stores.Ver > s.owner.membership.Ver {
-				b.depose(s, "no longer in the roster")
+				b.depose(s, "no longer in the membership")
 			}
 		}
 		return
@@ -177,7 +177,7 @@
 				names = append(names, member.Name)
 			}
 		}
-		// One whose floor runs late owns nothing while a quicker one can.
+		// One whose event loop runs late owns nothing while a quicker one can.
 		if quick := slices.DeleteFunc(slices.Clone(names), v.Slow); len(quick) > 0 {
 			names = quick
 		}
@@ -217,7 +217,7 @@
 	}
 }
 
-// fenceOf is the roster number that stamps carry. A change and its settling
+// fenceOf is the membership number that stamps carry. A change and its settling
 // share one: the settled set's majorities meet those of the change, so owners
 // need no new claim when a change settles (design 8.6).
 func fenceOf(r *register.Membership) uint64 {
@@ -227,7 +227,7 @@
 	return r.Ver - 1
 }
 
-// settled drops the seats that a change has let go.
+// settled drops the members that a change has let go.
 func (b *Store) settled(s *shard, r register.Membership) {
 	o := s.owner
 	o.membership = r
@@ -262,7 +262,7 @@
 			stays = stays || n == node
 		}
 		if alive && stays {
-			// It lives and knows, or will learn, the roster: leave it to it
+			// It lives and knows, or will learn, the membership: leave it to it
 			// for a while.
 			if s.promised.Membership == fenceOf(&st.Stores) {
 				return false
@@ -280,7 +280,7 @@
 func (b *Store) claim(s *shard, st *register.State) {
 	s.claiming = true
 	if s.owner != nil {
-		b.depose(s, "new roster")
+		b.depose(s, "new membership")
 	}
 	s.seenMax = max(s.seenMax, s.promised.N) + 1
 	term := Term{Membership: fenceOf(&st.Stores), N: s.seenMax, By: b.cfg.Self.Life()}
@@ -509,7 +509,7 @@
 		for _, l := range s.lots {
 			l.taken, l.endSeen, l.seenLen = !l.refused(), l.Ended, len(l.List)
 		}
-		b.cfg.Log.Info("shard_owned", "shard", s.n, "stamp", term.N, "roster", term.Membership, "lots", len(s.lots))
+		b.cfg.Log.Info("shard_owned", "shard", s.n, "stamp", term.N, "membership", term.Membership, "lots", len(s.lots))
 		b.poll()
 	}})
 	o.diskIssued = 1
--- a/internal/lotstore/replica.go
+++ b/internal/lotstore/replica.go
@@ -15,7 +15,7 @@
 )
 
 // Shards is how many queue shards there are; a host's lots are all in one, so
-// that the quota of its bindings is the shard owner's to keep (design 8.1).
+// that the quota of its routes is the shard owner's to keep (design 8.1).
 const Shards = 8
 
 // record is what a store writes to disk.
@@ -93,11 +93,11 @@
 		return err
 	}
 	if damage != nil {
-		b.cfg.Log.Warn("cell_tail_cut", "cell", "brood", "at", damage.AtByte, "bytes", damage.CutBytes, "why", damage.Why)
+		b.cfg.Log.Warn("wal_tail_cut", "wal", "brood", "at", damage.AtByte, "bytes", damage.CutBytes, "why", damage.Why)
 	}
 	if misfits > 0 {
 		// An op that continues no copy: the file lacks what came before it.
-		b.cfg.Log.Warn("cell_misfits", "cell", "brood", "ops", misfits)
+		b.cfg.Log.Warn("wal_misfits", "wal", "brood", "ops", misfits)
 	}
 	b.misfits = misfits
 	b.wal = c
@@ -164,9 +164,9 @@
 	}
 	b.diskRefuses = err != nil
 	if err != nil {
-		b.cfg.Log.Warn("disk_refuses", "cell", "brood", "err", err, "remedy", "make room on the disk, or replace it")
+		b.cfg.Log.Warn("disk_refuses", "wal", "brood", "err", err, "remedy", "make room on the disk, or replace it")
 	} else {
-		b.cfg.Log.Info("disk_takes_writes", "cell", "brood")
+		b.cfg.Log.Info("disk_takes_writes", "wal", "brood")
 	}
 	b.tellSlow()
 }
@@ -178,7 +178,7 @@
 }
 
 // rewrite makes the file anew out of what the shards hold now; the lots are
-// encoded one by one while the floor goes on (design 10.3).
+// encoded one by one while the event loop goes on (design 10.3).
 func (b *Store) rewrite() {
 	type kept struct {
 		shard    int
@@ -201,7 +201,7 @@
 	b.wal.Rewrite(func(err error) {
 		if err != nil {
 			// The file goes on as it is; later, with more room, it is tried again.
-			b.cfg.Log.Warn("cell_rewrite_failed", "cell", "brood", "err", err)
+			b.cfg.Log.Warn("cell_rewrite_failed", "wal", "brood", "err", err)
 		}
 		_ = b.cfg.Loop.Do(b.ctx, func() { b.rewriting, b.longBytes = false, b.nextLong() })
 	}, func(write func([]byte) error) error {
@@ -218,7 +218,7 @@
 		}
 		return nil
 	})
-	b.cfg.Log.Info("cell_rewritten", "cell", "brood", "bytes", total)
+	b.cfg.Log.Info("wal_rewritten", "wal", "brood", "bytes", total)
 }
 
 // nextLong is the length at which the file is rewritten next: twice what it
@@ -285,7 +285,7 @@
 
 func (b *Store) mine(member string, shardN int) (*shard, error) {
 	if member != b.cfg.Member {
-		return nil, fault.New(fault.Unknown, "seat", "this node holds another seat", "read the roster again")
+		return nil, fault.New(fault.Unknown, "seat", "this node holds another member", "read the membership again")
 	}
 	if shardN < 0 || shardN >= Shards {
 		return nil, fault.New(fault.Invalid, "shard", "is out of bounds", "run the same version on all nodes")
@@ -293,7 +293,7 @@
 	return b.shards[shardN], nil
 }
 
-// answered waits for an answer that the floor gives later.
+// answered waits for an answer that the event loop gives later.
 func answered[T any](ctx context.Context, f *eventloop.Loop, run func(reply func(*T, error))) (*T, error) {
 	type both struct {
 		out *T
--- a/internal/lotstore/slow.go
+++ b/internal/lotstore/slow.go
@@ -1,6 +1,6 @@
 package lotstore
 
-// slowness tells a store that its own floor runs late: an owner that does hands
+// slowness tells a store that its own event loop runs late: an owner that does hands
 // its shards over while others are quicker (design 8.2). Nothing but the choice
 // of an owner depends on it.
 type slowness struct {
--- a/internal/node/clock_test.go
+++ b/internal/node/clock_test.go
@@ -28,7 +28,7 @@
 	return w
 }
 
-// retain is retain_s of the lots in blueprint.
+// retain is retain_s of the lots in configuration.
 const retain = 40 * time.Second
 
 // watch reads the lots until all are given up; no item may be given up before
--- a/internal/node/contact_test.go
+++ b/internal/node/contact_test.go
@@ -43,7 +43,7 @@
 }
 
 // A node without a majority of the core answers every control call 5xx, within
-// the second that callers wait, through twenty seconds; what it declined with
+// the second that callers wait, through twenty seconds; what it refused with
 // 503 is not in force afterwards, and all of them are answered again once the
 // cut is over.
 func TestControlOutOfContact(t *testing.T) {
--- a/internal/node/departure_test.go
+++ b/internal/node/departure_test.go
@@ -211,7 +211,7 @@
 					for _, m := range core {
 						inCore[m.Addr] = true
 					}
-					// The teller reaches the core alone; and no two others that
+					// The trace source reaches the core alone; and no two others that
 					// are not core members reach each other, so that homes among
 					// them are silent to their zone.
 					for _, a := range h.addrs("") {
@@ -221,7 +221,7 @@
 							}
 						}
 					}
-					// One core member, a minority, is out of the teller's reach.
+					// One core member, a minority, is out of the trace source's reach.
 					far := core[h.m.Luck(len(core))].Addr
 					h.m.Cut(self, far, true)
 					h.m.Cut(far, self, true)
--- a/internal/node/disk_test.go
+++ b/internal/node/disk_test.go
@@ -184,7 +184,7 @@
 				}
 			}
 			h.heartbeats()
-			h.until("every edge is ready with the newest blueprint", 15*time.Second, func() bool {
+			h.until("every edge is ready with the newest configuration", 15*time.Second, func() bool {
 				for _, m := range h.nodes {
 					if m.f != nil && (!m.f.Ingress.Ready() || m.f.Configuration().Ver != 40) {
 						return false
--- a/internal/node/faults_test.go
+++ b/internal/node/faults_test.go
@@ -18,7 +18,7 @@
 	"rowanshunt/internal/trace"
 )
 
-// The faults that the deployments list, caused in the meadow; after each, what
+// The faults that the deployments list, caused in the simulated network; after each, what
 // was acknowledged is there and nothing is there twice (design 12.3).
 
 func (h *cluster) addrs(role string) []string {
@@ -43,7 +43,7 @@
 	return ""
 }
 
-// freeze stops a store's floor for a while: what is asked of it meanwhile waits
+// freeze stops a store's event loop for a while: what is asked of it meanwhile waits
 // and is answered by what it knew, or no longer, when it wakes.
 func (h *cluster) freeze(name string, d time.Duration) {
 	h.t.Helper()
@@ -53,7 +53,7 @@
 	}
 }
 
-// inStep tells whether a roster is settled and each seat is held by a machine
+// inStep tells whether a membership is settled and each member is held by a machine
 // that runs with that very disk.
 func (h *cluster) inStep(r *register.Membership, members int) bool {
 	if r.Joint() || len(r.Cur) != members {
@@ -140,7 +140,7 @@
 	}
 }
 
-// A newcomer that finds a member dead takes its place at once: a roster with
+// A newcomer that finds a member dead takes its place at once: a membership with
 // the dead one beside it would bear one loss less (incident inc-2884).
 func TestNewcomerTakesTheDeadOnesPlace(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
@@ -162,7 +162,7 @@
 		h.start("edge-9")
 		h.until("both are in", 5*time.Second, watch)
 		if most != 3 {
-			t.Errorf("a roster grew to %d seats", most)
+			t.Errorf("a membership grew to %d members", most)
 		}
 	})
 }
@@ -344,7 +344,7 @@
 				h.order = append(h.order, n)
 			}
 			h.heartbeats()
-			h.until("every edge is ready with the newest blueprint", 10*time.Second, func() bool {
+			h.until("every edge is ready with the newest configuration", 10*time.Second, func() bool {
 				for _, m := range h.nodes {
 					if m.f != nil && (!m.f.Ingress.Ready() || m.f.Configuration().Ver != 4) {
 						return false
@@ -357,7 +357,7 @@
 	}
 }
 
-// Core faults around blueprints: the newest acknowledged one is always read
+// Core faults around configurations: the newest acknowledged one is always read
 // back, and at most one change on a version is acknowledged.
 func TestCoreFaults(t *testing.T) {
 	for _, tc := range []struct {
@@ -399,7 +399,7 @@
 						t.Errorf("two changes on one version were both acknowledged")
 					}
 					tc.after(h)
-					h.until("three seats, settled", 15*time.Second, func() bool {
+					h.until("three members, settled", 15*time.Second, func() bool {
 						return h.inStep(&h.edge().Register.Committed().Core, 3)
 					})
 					ver := h.edge().Register.Committed().Ver
@@ -524,7 +524,7 @@
 	})
 }
 
-// A store that loses its disk while the stores' roster changes, and is back at
+// A store that loses its disk while the stores' membership changes, and is back at
 // once, does not hold the change up for ever: it joins anew after it.
 func TestWipedAmidAChange(t *testing.T) {
 	for seed := uint64(1); seed <= 3; seed++ {
@@ -590,7 +590,7 @@
 	})
 }
 
-// An owner whose floor runs late hands its shard over to a quicker store, and
+// An owner whose event loop runs late hands its shard over to a quicker store, and
 // the shard does not come back as soon as it is well (node_slow).
 func TestSlowOwnerHandsOver(t *testing.T) {
 	for seed := uint64(1); seed <= 3; seed++ {
--- a/internal/node/history_test.go
+++ b/internal/node/history_test.go
@@ -165,7 +165,7 @@
 				members++
 			}
 		}
-		h.until(fmt.Sprintf("the stores are in step again after fault %d at %s, %d seats before", fault, name, members), 40*time.Second, func() bool {
+		h.until(fmt.Sprintf("the stores are in step again after fault %d at %s, %d members before", fault, name, members), 40*time.Second, func() bool {
 			running := 0
 			for _, m := range h.nodes {
 				if m.c != nil && m.ctx.Err() == nil {
@@ -175,7 +175,7 @@
 			return h.inStep(&h.edge().Register.Committed().Stores, running)
 		})
 		members = len(h.edge().Register.Committed().Stores.Cur)
-		time.Sleep(1500 * time.Millisecond) // copies follow the roster
+		time.Sleep(1500 * time.Millisecond) // copies follow the membership
 	}
 	close(stop)
 	wg.Wait()
--- a/internal/node/identity.go
+++ b/internal/node/identity.go
@@ -33,10 +33,10 @@
 		return "", false, errors.Wrap(err, "recover "+name)
 	}
 	if d := found.Damage; d != nil && d.Lost {
-		log.Warn("disk_lost", "cell", name, "at", d.AtByte, "bytes", d.CutBytes, "why", d.Why, "aside", found.Aside,
+		log.Warn("disk_lost", "wal", name, "at", d.AtByte, "bytes", d.CutBytes, "why", d.Why, "aside", found.Aside,
 			"remedy", "none needed: this member joins anew; look at the disk")
 	} else if d != nil {
-		log.Warn("cell_tail_cut", "cell", name, "at", d.AtByte, "bytes", d.CutBytes, "why", d.Why)
+		log.Warn("wal_tail_cut", "wal", name, "at", d.AtByte, "bytes", d.CutBytes, "why", d.Why)
 	}
 	// From here the identity is the log's: an earlier version that is put back
 	// must not vote under the old one with a log that it can't read.
--- a/internal/node/lease_test.go
+++ b/internal/node/lease_test.go
@@ -76,7 +76,7 @@
 	return d.call("brood.give", &lotstore.GiveCall{Shard: g.Shard, Lot: g.Lot, Item: g.Item, Lease: lease, Failed: failed}, nil)
 }
 
-// idle makes the workers turn everything away, so that the hive's own
+// idle makes the workers turn everything away, so that the cluster's own
 // dispatchers leave the items alone.
 func (h *cluster) idle() {
 	h.complete("warm-up", 1, 5*time.Second)
--- a/internal/node/losses_test.go
+++ b/internal/node/losses_test.go
@@ -30,7 +30,7 @@
 	return slices.ContainsFunc(r.All(), func(s register.Member) bool { return s.Name == name })
 }
 
-// A machine that is replaced as planned no longer counts in any roster when its
+// A machine that is replaced as planned no longer counts in any membership when its
 // process ends: the next loss leaves a majority (design 4.4, 8.6).
 func TestPlannedReplacement(t *testing.T) {
 	for seed := uint64(1); seed <= 3; seed++ {
@@ -113,7 +113,7 @@
 				return h.inStep(&s.Stores, 5)
 			})
 			if now := h.edge().Register.Committed().Stores.Ver; now != before+2 {
-				t.Errorf("roster %d became %d: more than one change and its settling", before, now)
+				t.Errorf("membership %d became %d: more than one change and its settling", before, now)
 			}
 		})
 	}
@@ -160,7 +160,7 @@
 	})
 }
 
-// losses runs sequences of losses against a hive while writers run.
+// losses runs sequences of losses against a cluster while writers run.
 type losses struct {
 	h      *cluster
 	luck   *rand.Rand
@@ -379,8 +379,8 @@
 	}
 }
 
-// The first store of the roster may be cut off from the core: another one takes
-// its turn at the roster's upkeep (design 8.6).
+// The first store of the membership may be cut off from the core: another one takes
+// its turn at the membership's upkeep (design 8.6).
 func TestUpkeepWithTheFirstStoreCutOff(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		h := newCluster(t, 5, 3, 4)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -1,6 +1,4 @@
-// Package node puts a node together out of its parts (design 1.1). The
-// field's standard terms: colony = application assembly; forager = edge role;
-// comb = storage role.
+// Package node puts a node together out of its parts (design 1.1).
 package node
 
 import (
@@ -33,13 +31,13 @@
 	"rowanshunt/internal/upgrade"
 )
 
-// Env is the world a node lives in: real sockets, or a simulated meadow.
+// Env is the world a node lives in: real sockets, or a simulated simulated network.
 type Env struct {
 	Transport rpc.Transport
 	Dial      forward.Dial
 	WallUs    func() int64
 	Log       *logging.Log
-	Counters  *rpc.Counters // nil: partner calls are not counted
+	Counters  *rpc.Counters // nil: peer calls are not counted
 }
 
 // Node is one node's parts that every role has.
@@ -48,7 +46,7 @@
 	env  Env
 	role string
 	self gossip.Peer
-	// diskDir is the folder of a forager that votes on the register.
+	// diskDir is the folder of an edge node that votes on the register.
 	diskDir string
 
 	Loop     *eventloop.Loop
@@ -60,14 +58,14 @@
 	configuration atomic.Pointer[config.Configuration]
 	applied       int64
 	appliedUs     atomic.Int64          // time of day
-	applyMore     func(*register.State) // what a role applies beside the blueprint
+	applyMore     func(*register.State) // what a role applies beside the configuration
 	caughtUp      atomic.Bool
 	chosen        atomic.Pointer[chosen]
 	fatal         chan error
 	wg            conc.WaitGroup
 }
 
-// New makes the partners, the register and the directory of nodes. Nothing
+// New makes the peers, the register and the directory of nodes. Nothing
 // runs before Start.
 func New(ctx context.Context, env Env, opts *settings.Options, role string) (*Node, error) {
 	n := &Node{env: env, role: role, fatal: make(chan error, 4), Loop: eventloop.NewLoop(4096), Mux: rpc.NewMux()}
@@ -95,11 +93,11 @@
 		return nil, err
 	}
 	if process.Uncounted != nil {
-		env.Log.Warn("start_not_counted", "err", process.Uncounted, "remedy", "look at the disk; partners are asked instead")
+		env.Log.Warn("start_not_counted", "err", process.Uncounted, "remedy", "look at the disk; peers are asked instead")
 	}
 	n.self.SetProcess(process)
 	seeds := opts.SeedAddrs()
-	// Nodes that hold seats listen closely to those of their kind: a shard
+	// Nodes that hold members listen closely to those of their kind: a shard
 	// waits for its owner, a newcomer must know whom it replaces.
 	var replicas map[string]bool
 	replicasVer := uint64(0)
@@ -129,15 +127,15 @@
 	n.Loop.Every(fewEveryUs, n.tellFew)
 	n.Trace = trace.New(n.Mux, env.Transport, n.Gossip, n.self)
 	n.Trace.On(trace.Configuration, n.tellConfiguration)
-	env.Log.Info("started", "role", role, "partner", n.self.Addr, "disk", n.self.Disk, "boot", n.self.Boot)
+	env.Log.Info("started", "role", role, "peer", n.self.Addr, "disk", n.self.Disk, "boot", n.self.Boot)
 	return n, nil
 }
 
 // fewEveryUs is how often a node looks whether there are machines enough.
 const fewEveryUs = 30_000_000
 
-// tellFew warns where the rosters cannot bear the losses that the options ask
-// for. Only nodes that hold a seat speak.
+// tellFew warns where the memberships cannot bear the losses that the options ask
+// for. Only nodes that hold a member speak.
 func (n *Node) tellFew() {
 	st := n.Register.Committed()
 	need := 2*n.opts.Load().Ft.Nodes + 1
@@ -146,21 +144,21 @@
 	}
 	for what, r := range map[string]*register.Membership{"register": &st.Core, "lots": &st.Stores} {
 		if r.Has(n.self.MemberID()) && len(r.Cur) < need {
-			n.env.Log.Warn("too_few_seats", "of", what, "seats", len(r.Cur), "need", need, "remedy", "add machines with a disk, or lower ft.nodes")
+			n.env.Log.Warn("too_few_members", "of", what, "members", len(r.Cur), "need", need, "remedy", "add machines with a disk, or lower ft.nodes")
 		}
 	}
 }
 
-// Start runs the floor, once all that lives on it is there.
+// Start runs the event loop, once all that lives on it is there.
 func (n *Node) Start(ctx context.Context) { n.wg.Go(func() { n.Loop.Run(ctx) }) }
 
 // MemberID is this node's name together with its disk.
 func (n *Node) MemberID() string { return n.self.MemberID() }
 
-// Configuration is the blueprint in force here, nil before the first.
+// Configuration is the configuration in force here, nil before the first.
 func (n *Node) Configuration() *config.Configuration { return n.configuration.Load() }
 
-// core is the committed roster of the core, nil before this node knows one.
+// core is the committed membership of the core, nil before this node knows one.
 func (n *Node) core() *register.Membership {
 	if s := n.Register.Committed(); s != nil {
 		return &s.Core
@@ -168,7 +166,7 @@
 	return nil
 }
 
-// onState applies a committed state; it runs on the floor, in order, and never
+// onState applies a committed state; it runs on the event loop, in order, and never
 // goes back (design 4.2).
 func (n *Node) onState(s *register.State) {
 	if n.applyMore != nil {
@@ -179,16 +177,16 @@
 	}
 	b, err := config.Parse(s.Doc)
 	if err != nil {
-		n.env.Log.Warn("blueprint_unreadable", "ver", s.Ver, "err", err)
+		n.env.Log.Warn("configuration_unreadable", "ver", s.Ver, "err", err)
 		return
 	}
 	n.applied = s.Ver
 	n.appliedUs.Store(n.env.WallUs())
 	n.configuration.Store(b)
-	n.env.Log.Info("blueprint_applied", "ver", s.Ver, "rev", s.Rev, "bindings", len(b.Routes))
+	n.env.Log.Info("configuration_applied", "ver", s.Ver, "rev", s.Rev, "bindings", len(b.Routes))
 }
 
-// inForce is the blueprint that traffic is served by: none until the register
+// inForce is the configuration that traffic is served by: none until the register
 // was read at a majority in this life of the node (design 4.5).
 func (n *Node) inForce() *config.Configuration {
 	if !n.caughtUp.Load() {
@@ -231,7 +229,7 @@
 	LotStore *lotstore.Store
 }
 
-// NewStoreNode makes a node of the role comb.
+// NewStoreNode makes a node of the role store.
 func NewStoreNode(ctx context.Context, env Env, opts *settings.Options) (*StoreNode, error) {
 	n, err := New(ctx, env, opts, settings.RoleStore)
 	if err != nil {
@@ -264,7 +262,7 @@
 	Emitter    *events.Emitter
 }
 
-// NewEdgeNode makes a node of the role forager.
+// NewEdgeNode makes a node of the role edge node.
 func NewEdgeNode(ctx context.Context, env Env, opts *settings.Options) (*EdgeNode, error) {
 	n, err := New(ctx, env, opts, settings.RoleEdge)
 	if err != nil {
@@ -311,7 +309,7 @@
 	return f, nil
 }
 
-// Start runs the floor and the sweeps of requests.
+// Start runs the event loop and the sweeps of requests.
 func (f *EdgeNode) Start(ctx context.Context) {
 	f.Node.Start(ctx)
 	f.wg.Go(func() { f.catchUp(ctx) })
@@ -338,8 +336,8 @@
 // maxDispatchers bounds the nodes that run items (design 9.1).
 const maxDispatchers = 24
 
-// dispatchers are the foragers that run items now; worked out anew with each
-// view of the partners.
+// dispatchers are the edge nodes that run items now; worked out anew with each
+// view of the peers.
 func (n *Node) dispatchers() []string {
 	v := n.Gossip.Look()
 	if c := n.chosen.Load(); c != nil && c.view == v {
@@ -369,7 +367,7 @@
 }
 
 // fleet is what a service's workers have together: slots as they tell them, cache
-// memory as the blueprint does.
+// memory as the configuration does.
 func (f *EdgeNode) fleet(svc string) quota.Amount {
 	var kvToks int64
 	if b := f.configuration.Load(); b != nil && b.Services[svc] != nil && b.Services[svc].Engine != nil {
@@ -383,7 +381,7 @@
 	return out
 }
 
-// services lists the services of the blueprint in force.
+// services lists the services of the configuration in force.
 func (n *Node) services() []string {
 	b := n.configuration.Load()
 	if b == nil {
@@ -397,7 +395,7 @@
 	return out
 }
 
-// leave tells the partners that this node goes, so that they take its duties.
+// leave tells the peers that this node goes, so that they take its duties.
 func (n *Node) leave(ctx context.Context) {
 	n.env.Log.Info("leaving")
 	_ = n.Loop.Do(ctx, func() { n.Gossip.Tell(func(p *gossip.Peer) { p.Leaving = true }) })
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -22,7 +22,7 @@
 	"rowanshunt/internal/simnet"
 )
 
-// cluster is a whole system in a meadow: the in-memory test of design 12.2.
+// cluster is a whole system in a simulated network: the in-memory test of design 12.2.
 type cluster struct {
 	t             *testing.T
 	m             *simnet.Network
@@ -55,7 +55,7 @@
 
 var zones = []string{"ash", "birch", "cedar"}
 
-// clusterSize is how many machines a hive starts with, and how many it may lose.
+// clusterSize is how many machines a cluster starts with, and how many it may lose.
 type clusterSize struct {
 	core, edges, stores int // edges: those without a disk
 	ft                  int
@@ -173,7 +173,7 @@
 	synctest.Wait()
 }
 
-// edge is a living forager.
+// edge is a living edge node.
 func (h *cluster) edge() *EdgeNode {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -254,7 +254,7 @@
 
 func (h *cluster) putOK(ver, expect int) {
 	h.t.Helper()
-	h.until(fmt.Sprintf("blueprint %d taken", ver), 10*time.Second, func() bool { return h.put(ver, expect).Code == 200 })
+	h.until(fmt.Sprintf("configuration %d taken", ver), 10*time.Second, func() bool { return h.put(ver, expect).Code == 200 })
 }
 
 func (h *cluster) worker(id, svc, az string) *simnet.Worker {
@@ -301,7 +301,7 @@
 	}
 }
 
-// serving brings a hive up to the point where all edges are ready.
+// serving brings a cluster up to the point where all edges are ready.
 func (h *cluster) serving() {
 	h.t.Helper()
 	h.startAll()
@@ -319,7 +319,7 @@
 		}
 		return true
 	})
-	h.until("the stores are a roster and every shard has an owner", 8*time.Second, func() bool {
+	h.until("the stores are a membership and every shard has an owner", 8*time.Second, func() bool {
 		return h.handIn("warm-up", 1, 1).Code == 202
 	})
 }
@@ -578,7 +578,7 @@
 	})
 }
 
-// A crashed worker's tenure ends.
+// A crashed worker's lease ends.
 func TestSilentWorkerLosesItsLease(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		h := newCluster(t, 5, 3, 3)
@@ -603,7 +603,7 @@
 
 // testLog writes nodes' logs where HIVE_TEST_LOG is set.
 func testLog(t *testing.T, name string) *logging.Log {
-	if os.Getenv("HIVE_TEST_LOG") == "" {
+	if os.Getenv("ROWANSHUNT_TEST_LOG") == "" {
 		return logging.Quiet()
 	}
 	return logging.NewLog(t.Output(), "debug", "node", name)
--- a/internal/node/quota_test.go
+++ b/internal/node/quota_test.go
@@ -58,7 +58,7 @@
 	b["routes"] = routes
 	b["svcs"] = []map[string]any{{"name": "llm", "hc": "/healthz", "maxconn": 64, "engine": map[string]any{"slots": 8, "kv_toks": 1000, "stride": 1}},
 		{"name": "app", "hc": "/healthz", "maxconn": 64}}
-	q.until("blueprint taken", 10*time.Second, func() bool { return q.control(q.edge(), "PUT", "/-/config", b, "If-Match", "0").Code == 200 })
+	q.until("configuration taken", 10*time.Second, func() bool { return q.control(q.edge(), "PUT", "/-/config", b, "If-Match", "0").Code == 200 })
 	q.heartbeats()
 	q.until("ready", 8*time.Second, func() bool {
 		for _, m := range q.nodes {
@@ -79,7 +79,7 @@
 	q.end()
 }
 
-// edges lists the living foragers.
+// edges lists the living edge nodes.
 func (q *quotaCluster) edges() (out []*EdgeNode) {
 	for _, name := range q.order {
 		if m := q.nodes[name]; m.f != nil && m.ctx.Err() == nil {
@@ -124,7 +124,7 @@
 }
 
 // floods has so many clients of a host call all the time, through all nodes or
-// the first alone; one that is declined comes back when it is told to.
+// the first alone; one that is refused comes back when it is told to.
 func (q *quotaCluster) floods(host string, clients, through int) {
 	for c := range clients {
 		q.flood.Go(func() {
@@ -148,7 +148,7 @@
 }
 
 // calls makes a call of books each 100 ms for a while, through changing nodes,
-// and gives the sorted times to an answer; a declined one comes back once.
+// and gives the sorted times to an answer; a refused one comes back once.
 func (q *quotaCluster) calls(times int, prefix string) (tookMs []int64, failed int) {
 	return q.callsEach(100*time.Millisecond, times, prefix)
 }
@@ -449,7 +449,7 @@
 	return tookMs, failed
 }
 
-// A document changes under load, the fleet shrinks, and what is declined changes
+// A document changes under load, the fleet shrinks, and what is refused changes
 // nothing.
 func TestQuotasChange(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/node/run.go
+++ b/internal/node/run.go
@@ -58,7 +58,7 @@
 	return runEdge(ctx, cancel, env, opts, path, term, hup)
 }
 
-// listen opens the partner port; calls wait for the floor to run.
+// listen opens the peer port; calls wait for the event loop to run.
 func (n *Node) listen(ctx context.Context) error {
 	ln, err := rpc.Listen(n.self.Addr, n.Mux, n.env.Log, n.env.Counters)
 	if err != nil {
@@ -74,7 +74,7 @@
 // countersEvery is how often a node logs what control cost it.
 const countersEvery = 10 * time.Second
 
-// tellCounters logs what this node said to its partners and heard from them, by
+// tellCounters logs what this node said to its peers and heard from them, by
 // kind of call, with the processor time and memory it took in all.
 func (n *Node) tellCounters(ctx context.Context) {
 	tick := time.NewTicker(countersEvery)
@@ -91,8 +91,8 @@
 		if syscall.Getrusage(syscall.RUSAGE_SELF, &use) == nil {
 			cpuMs = (use.Utime.Sec+use.Stime.Sec)*1000 + int64(use.Utime.Usec+use.Stime.Usec)/1000
 		}
-		n.env.Log.Info("partner_calls", "calls", total.Calls, "bytes", total.Bytes, "cpu_ms_since_start", cpuMs,
-			"partners", len(n.Gossip.Look().All), "kinds", kinds)
+		n.env.Log.Info("peer_calls", "calls", total.Calls, "bytes", total.Bytes, "cpu_ms_since_start", cpuMs,
+			"peers", len(n.Gossip.Look().All), "kinds", kinds)
 	}
 }
 
@@ -108,7 +108,7 @@
 		case <-tick.C:
 		}
 		now := c.LotStore.Written()
-		c.env.Log.Info("cell_writes", "cell", "brood", "syncs", now.Syncs-last.Syncs, "bytes", now.Bytes-last.Bytes, "rewrites", now.Rewrites-last.Rewrites)
+		c.env.Log.Info("wal_writes", "wal", "brood", "syncs", now.Syncs-last.Syncs, "bytes", now.Bytes-last.Bytes, "rewrites", now.Rewrites-last.Rewrites)
 		last = now
 	}
 }
@@ -229,7 +229,7 @@
 		err = opts.CheckRole(n.role)
 	}
 	if err != nil {
-		n.env.Log.Warn("options_declined", "err", err)
+		n.env.Log.Warn("options_refused", "err", err)
 		return
 	}
 	n.opts.Store(opts)
--- a/internal/quota/doc.go
+++ b/internal/quota/doc.go
@@ -2,9 +2,7 @@
 // design 17): a document in the register says what each is guaranteed of a
 // service's cache memory and decode slots, one fenced duty for each service
 // turns what the nodes report into expiring grants, and the nodes admit by
-// these. Without a document nothing of it runs. The field's standard terms:
-// nectar = quota; gate = admission control; grant = lease on capacity; dominant
-// share = largest share of any one resource.
+// these. Without a document nothing of it runs.
 package quota
 
 import (
@@ -297,7 +295,7 @@
 	}
 }
 
-// CheckAgainst looks whether a blueprint has what the document names.
+// CheckAgainst looks whether a configuration has what the document names.
 func (d *Doc) CheckAgainst(b *config.Configuration) error {
 	var l fault.Collector
 	hosts := map[string]bool{}
@@ -313,7 +311,7 @@
 	}
 	for _, svc := range sorted(d.Shares) {
 		if b.Services[svc] == nil {
-			l.Addf("shares."+svc, "is no service of the blueprint", "name a service under svcs")
+			l.Addf("shares."+svc, "is no service of the configuration", "name a service under svcs")
 		}
 	}
 	return l.Err()
@@ -346,7 +344,7 @@
 		}
 		return register.QuotaOrders.ApplyOrder(now, ver, order, func(now *register.State) error {
 			if now.Ver == 0 {
-				return fault.New(fault.Conflict, "quotas", "there is no blueprint to check them against", "put a blueprint first")
+				return fault.New(fault.Conflict, "quotas", "there is no configuration to check them against", "put a configuration first")
 			}
 			b, err := config.Parse(now.Doc)
 			if err != nil {
--- a/internal/quota/doc_test.go
+++ b/internal/quota/doc_test.go
@@ -115,7 +115,7 @@
 	}
 }
 
-// A version builds on the one in place, and on a blueprint that has what it names.
+// A version builds on the one in place, and on a configuration that has what it names.
 func TestPut(t *testing.T) {
 	configuration := func(svcs string) []byte {
 		return []byte(`{"ver":1,"routes":[{"name":"a","host":"shop.example","pfx":"/a/","type":"safe","limit_ms":5,"svc":"llm"},` +
@@ -184,7 +184,7 @@
 	}
 	state = &register.State{}
 	if err := put(doc("1"), 0); !fault.Is(err, fault.Conflict) {
-		t.Errorf("without a blueprint: %v", err)
+		t.Errorf("without a configuration: %v", err)
 	}
 	if Load(state) != nil || Load(nil) != nil {
 		t.Error("what was declined is there")
--- a/internal/quota/gate.go
+++ b/internal/quota/gate.go
@@ -13,7 +13,7 @@
 const liveFirstUs = 500_000
 
 // firstUs is how long nothing is bounded after a duty was first taken up: a new
-// document declines nobody before the first grants are there.
+// document refuses nobody before the first grants are there.
 const firstUs = 2_000_000
 
 // Grant is what the duty of a service tells one node: how far each tenant may go
@@ -41,7 +41,7 @@
 // nobody. Requests call it from their own goroutines, so its table is guarded by
 // short critical sections (design 1.5).
 type Gate struct {
-	// Foragers is how many nodes share the fleet, Fleet what a service's workers
+	// Edge nodes is how many nodes share the fleet, Fleet what a service's workers
 	// have together.
 	Edges func() int64
 	Fleet func(svc string) Amount
--- a/internal/quota/gate_test.go
+++ b/internal/quota/gate_test.go
@@ -19,7 +19,7 @@
 	return g
 }
 
-// fill admits live calls of a host until one is declined, 50 at most.
+// fill admits live calls of a host until one is refused, 50 at most.
 func fill(g *Gate, host string) (n int) {
 	for n < 50 {
 		if _, ok := g.Admit("llm", host, 10); !ok {
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -108,7 +108,7 @@
 
 // Quotas is one node's part in quotas: it reports what its gate has, takes the
 // grants, and holds the duty of the services that fall to it. All runs on the
-// floor.
+// event loop.
 type Quotas struct {
 	cfg    Config
 	ctx    context.Context
--- a/internal/register/acceptor.go
+++ b/internal/register/acceptor.go
@@ -12,7 +12,7 @@
 	"rowanshunt/internal/wal"
 )
 
-// vote is what a seat remembers, on disk before it answers.
+// vote is what a member remembers, on disk before it answers.
 type vote struct {
 	Promised Ballot
 	Accepted Ballot
@@ -24,13 +24,13 @@
 	keep(v vote, whole bool) error
 }
 
-// memoryStore keeps nothing: founding seats hold office in their first life only
+// memoryStore keeps nothing: founding members hold office in their first life only
 // (design 4.3).
 type memoryStore struct{}
 
 func (memoryStore) keep(vote, bool) error { return nil }
 
-// Acceptor is one seat's vote. Its rules: a promise is never broken, and what
+// Acceptor is one member's vote. Its rules: a promise is never broken, and what
 // is answered is on disk first.
 type Acceptor struct {
 	mu   sync.Mutex // held from a decision until its write is durable
@@ -48,7 +48,7 @@
 // written anew.
 const rewriteBytes = 4 << 20
 
-// OpenAcceptor reads the vote that the seat left on disk.
+// OpenAcceptor reads the vote that the member left on disk.
 func OpenAcceptor(id, dir string, log *logging.Log, options ...wal.Option) (*Acceptor, error) {
 	var last vote
 	c, damage, err := wal.Open(dir, LogName, last.replay, options...)
@@ -56,7 +56,7 @@
 		return nil, err
 	}
 	if damage != nil {
-		log.Warn("cell_tail_cut", "cell", "register", "at", damage.AtByte, "bytes", damage.CutBytes, "why", damage.Why)
+		log.Warn("wal_tail_cut", "wal", "register", "at", damage.AtByte, "bytes", damage.CutBytes, "why", damage.Why)
 	}
 	return newAcceptor(id, last, &diskStore{c: c, longBytes: rewriteBytes}), nil
 }
@@ -80,7 +80,7 @@
 	return nil
 }
 
-// NewFoundingAcceptor makes the seat that a seed holds in its first life.
+// NewFoundingAcceptor makes the member that a seed holds in its first life.
 func NewFoundingAcceptor(id string) *Acceptor { return newAcceptor(id, vote{}, memoryStore{}) }
 
 type diskStore struct {
@@ -119,17 +119,17 @@
 	return len(s.Doc)
 }
 
-// Close ends the seat's writing.
+// Close ends the member's writing.
 func (a *Acceptor) Close() {
 	if k, ok := a.disk.(*diskStore); ok {
 		k.c.Close()
 	}
 }
 
-// ID is the seat's identity.
+// ID is the member's identity.
 func (a *Acceptor) ID() string { return a.core.id }
 
-// State is what the seat last accepted, nil if nothing.
+// State is what the member last accepted, nil if nothing.
 func (a *Acceptor) State() *State {
 	return a.durable.Load().State
 }
--- a/internal/register/contact.go
+++ b/internal/register/contact.go
@@ -11,7 +11,7 @@
 // contactTimeout bounds the question whether others still hear a member.
 const contactTimeout = 400 * time.Millisecond
 
-// contactCall asks a member with which of these seats it has had no contact for
+// contactCall asks a member with which of these members it has had no contact for
 // so long.
 type contactCall struct {
 	Members []Member
@@ -19,7 +19,7 @@
 }
 
 type contactAnswer struct {
-	Lost []string // seats
+	Lost []string // members
 }
 
 func (n *Register) serveContact() {
@@ -28,7 +28,7 @@
 	})
 }
 
-// lostHere lists the seats that this node itself has lost.
+// lostHere lists the members that this node itself has lost.
 func (n *Register) lostHere(in *contactCall) []string {
 	var lost []string
 	view := n.cfg.Gossip.Look()
--- a/internal/register/fuzz_test.go
+++ b/internal/register/fuzz_test.go
@@ -11,7 +11,7 @@
 	"rowanshunt/internal/wal"
 )
 
-// Any record that checks is read whole or declined: an acceptor never comes up
+// Any record that checks is read whole or refused: an acceptor never comes up
 // with half of one.
 func FuzzVoteRecord(f *testing.F) {
 	pack := func(v vote) []byte {
--- a/internal/register/membership.go
+++ b/internal/register/membership.go
@@ -14,7 +14,7 @@
 	"rowanshunt/internal/gossip"
 )
 
-// found settles the first roster in the founding register of the seeds
+// found settles the first membership in the founding register of the seeds
 // (design 4.3).
 func (n *Register) found(ctx context.Context) {
 	var first []Member
@@ -54,15 +54,15 @@
 		n.cfg.Log.Warn("founding_unreadable", "err", err)
 		return
 	}
-	n.cfg.Log.Info("founded", "seats", len(s.Core.Cur))
+	n.cfg.Log.Info("founded", "members", len(s.Core.Cur))
 	n.Learn(s)
 	n.spread(s)
 }
 
-// NextMembers is the roster that takes self in: in the place of an earlier
+// NextMembers is the membership that takes self in: in the place of an earlier
 // incarnation of its disk, of a member that leaves, of one that does not answer
 // self and is in lost, or beside the others; nil while it is too early to tell,
-// or if there is no room. lost holds the seats with which a majority of the
+// or if there is no room. lost holds the members with which a majority of the
 // members has no contact: what self alone cannot reach may be well (design 4.4).
 func NextMembers(r *Membership, self Member, v *gossip.View, upUs int64, most int, lost map[string]bool) []Member {
 	next := slices.Clone(r.Cur)
@@ -113,7 +113,7 @@
 // maxUnmet bounds the members that a newcomer asks the others about at a time.
 const maxUnmet = 4
 
-// Gone tells whether the seat's holder has been silent for so long, or now has
+// Gone tells whether the member's holder has been silent for so long, or now has
 // another disk.
 func Gone(s Member, v *gossip.View, forUs, upUs int64) bool {
 	p := v.Get(s.Name)
@@ -133,7 +133,7 @@
 	sinceUs       int64
 }
 
-// keepMembership drives what the roster needs: the end of a change whose driver
+// keepMembership drives what the membership needs: the end of a change whose driver
 // is gone, the departure of this node, and the removal of members long silent.
 // The living members take turns, for the first may be cut off from the others.
 func (n *Register) keepMembership(core *Membership, v *gossip.View, nowUs int64) {
@@ -174,11 +174,11 @@
 }
 
 // changeMembers drives one change of the membership to its end. next gives the
-// set to move to, nil once the roster is as it should be. A joint roster is
+// set to move to, nil once the membership is as it should be. A joint membership is
 // settled only when all living members of the new set hold it, and the change
 // counts as over when they hold the settled one, too (design 4.4).
 func (n *Register) changeMembers(ctx context.Context, next func(*Membership) ([]Member, error)) (*State, error) {
-	held := uint64(0) // the roster that all living members are known to hold
+	held := uint64(0) // the membership that all living members are known to hold
 	startUs := eventloop.NowUs()
 	for {
 		done := false
@@ -214,22 +214,22 @@
 		}
 		eventloop.Pause(ctx, heldPause)
 		if ctx.Err() != nil {
-			return state, fault.New(fault.Refused, "core", "a living member does not hold the roster yet", "nothing to do")
+			return state, fault.New(fault.Refused, "core", "a living member does not hold the membership yet", "nothing to do")
 		}
 	}
 }
 
-// Figures of the look at who holds a roster.
+// Figures of the look at who holds a membership.
 const (
 	// patienceUs bounds how long a member that lives but does not answer, as one
-	// whose disk stalls, holds a change up: a joint roster bears less than either.
+	// whose disk stalls, holds a change up: a joint membership bears less than either.
 	patienceUs  = 1_500_000
 	heldPause   = 20 * time.Millisecond
 	heldTimeout = 400 * time.Millisecond
 )
 
 // heldByLiving tells whether ft+1 members of the current set, a majority of it
-// and, if all is set, all that live have a state with this roster, or a later
+// and, if all is set, all that live have a state with this membership, or a later
 // one, on disk.
 func (n *Register) heldByLiving(ctx context.Context, state *State, all bool) bool {
 	members := state.Core.Cur
@@ -265,7 +265,7 @@
 	return !(all && lacking) && 2*holders > len(members) && holders >= min(len(members), n.cfg.Spared+1)
 }
 
-// LongSilent tells whether a roster may drop the seat: silent for
+// LongSilent tells whether a membership may drop the member: silent for
 // GoneForDropUs. One whose machine is back with another disk is left to that
 // machine, which takes its own place in one change instead of two.
 func LongSilent(s Member, v *gossip.View, upUs int64) bool {
@@ -275,7 +275,7 @@
 	return Gone(s, v, GoneForDropUs, upUs)
 }
 
-// join brings this node's seat into the roster.
+// join brings this node's member into the membership.
 func (n *Register) join(ctx context.Context) {
 	self := MemberOf(&n.cfg.Self)
 	known, _ := n.Known()
@@ -303,10 +303,10 @@
 		n.cfg.Log.Debug("core_join_waits", "err", err)
 		return
 	}
-	n.cfg.Log.Info("core_joined", "seat", self.ID, "roster", s.Core.Ver, "seats", len(s.Core.Cur))
+	n.cfg.Log.Info("core_joined", "member", self.ID, "membership", s.Core.Ver, "members", len(s.Core.Cur))
 }
 
-// leave takes this node's seat out of the roster before it ends, where enough
+// leave takes this node's member out of the membership before it ends, where enough
 // others are left: a machine that is gone for good must not count (design 4.4).
 func (n *Register) leave(ctx context.Context) {
 	self := MemberOf(&n.cfg.Self)
@@ -320,14 +320,14 @@
 		n.cfg.Log.Debug("core_leave_waits", "err", err)
 		return
 	}
-	n.cfg.Log.Info("core_left", "seat", self.ID, "roster", s.Core.Ver, "seats", len(s.Core.Cur))
+	n.cfg.Log.Info("core_left", "member", self.ID, "membership", s.Core.Ver, "members", len(s.Core.Cur))
 }
 
 func without(members []Member, id string) []Member {
 	return slices.DeleteFunc(slices.Clone(members), func(s Member) bool { return s.ID == id })
 }
 
-// outworn is a member long gone that the roster can do without, nil if none.
+// outworn is a member long gone that the membership can do without, nil if none.
 func (n *Register) outworn(members []Member, v *gossip.View) *Member {
 	if len(members) <= 2*n.cfg.Spared+1 {
 		return nil
--- a/internal/register/membership_test.go
+++ b/internal/register/membership_test.go
@@ -49,7 +49,7 @@
 }
 
 // A change settles only when every living member of the new set holds the joint
-// roster, also one that missed the accepts that made it (design 4.4).
+// membership, also one that missed the accepts that made it (design 4.4).
 func TestSettlesOnceAllLivingMembersHoldIt(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		m := simnet.New(3)
@@ -104,7 +104,7 @@
 		time.Sleep(2 * time.Second)
 		for _, n := range append(nests, newcomer) {
 			if !settled(n) {
-				t.Errorf("%s does not hold the settled roster: %+v", n.member.ID(), n.member.State())
+				t.Errorf("%s does not hold the settled membership: %+v", n.member.ID(), n.member.State())
 			}
 		}
 		cancel()
--- a/internal/register/model_explore_test.go
+++ b/internal/register/model_explore_test.go
@@ -13,7 +13,7 @@
 // planted fault replaces one of their functions.
 type scenario struct {
 	name      string
-	members   int // of the first roster
+	members   int // of the first membership
 	newcomers int // members that may take the place of a wiped one
 	calls     [][]orderCall
 	attempts  int  // of one call
@@ -32,7 +32,7 @@
 	quorum          func(*Membership, map[string]bool) bool
 	answerFirst     bool // an answer leaves before its write is durable
 	sameLife        bool // a new life signs ballots as the one before
-	alwaysCommitted bool // every roster passes for a committed one
+	alwaysCommitted bool // every membership passes for a committed one
 	sameMember      bool // a wiped disk comes back as the old member
 }
 
@@ -159,7 +159,7 @@
 		if w.crashes > 0 && a.core.durable != a.disk {
 			out = append(out, action{kind: crashAcceptor, who: uint8(i)})
 		}
-		if w.wipes > 0 && i == 0 { // members of the first roster are alike
+		if w.wipes > 0 && i == 0 { // members of the first membership are alike
 			out = append(out, action{kind: wipeAcceptor, who: uint8(i)})
 		}
 	}
--- a/internal/register/model_test.go
+++ b/internal/register/model_test.go
@@ -153,8 +153,8 @@
 	race       = [][]orderCall{{putCall("x", 4, 0)}, {putCall("y", 5, 0)}}
 	resend     = [][]orderCall{{putCall("x", 4, 0), putCall("x", 4, 0)}, {putCall("y", 9, 4)}}
 	replaceOne = [][]orderCall{{replaceCall(0, 3).within(2)}, {putCall("y", 5, 0)}}
-	// A roster change that was left is found and carried on while another
-	// proposer knows the first roster only.
+	// A membership change that was left is found and carried on while another
+	// proposer knows the first membership only.
 	leftChange     = [][]orderCall{{putCall("x", 4, 0).within(1)}, {replaceCall(0, 3).within(2).once()}}
 	leftChangeLong = [][]orderCall{{putCall("x", 4, 0).within(1)}, {replaceCall(0, 3).within(3).once()}}
 )
@@ -172,12 +172,12 @@
 		{name: "a proposer dies and sends its order again", members: 3, calls: [][]orderCall{{putCall("x", 4, 0), putCall("x", 4, 0)}, {putCall("y", 5, 0)}}, attempts: 1, deaths: 1, crashes: 1},
 		{name: "race, five members", members: 5, calls: race, attempts: 1},
 		{name: "a member is wiped and replaced under an order", members: 3, newcomers: 1, calls: replaceOne, attempts: 1, wipes: 1, answered: true},
-		{name: "a roster change that was left is carried on", members: 3, newcomers: 1, calls: leftChange, leftChange: true, answered: true},
-		{name: "two roster changes at once", members: 3, newcomers: 2, calls: [][]orderCall{{replaceCall(0, 3)}, {replaceCall(1, 4), putCall("y", 5, 0)}}, attempts: 1, wipes: 2},
+		{name: "a membership change that was left is carried on", members: 3, newcomers: 1, calls: leftChange, leftChange: true, answered: true},
+		{name: "two membership changes at once", members: 3, newcomers: 2, calls: [][]orderCall{{replaceCall(0, 3)}, {replaceCall(1, 4), putCall("y", 5, 0)}}, attempts: 1, wipes: 2},
 	}
 	if *modelLong {
 		scenarios = append(scenarios,
-			&scenario{name: "a roster change that was left, three attempts", members: 3, newcomers: 1, calls: leftChangeLong, leftChange: true, answered: true},
+			&scenario{name: "a membership change that was left, three attempts", members: 3, newcomers: 1, calls: leftChangeLong, leftChange: true, answered: true},
 			&scenario{name: "race of two orders, five members, two attempts", members: 5, calls: race, attempts: 2},
 			&scenario{name: "a member is wiped and replaced, two attempts", members: 3, newcomers: 1, calls: replaceOne, attempts: 2, wipes: 1})
 	}
@@ -241,7 +241,7 @@
 			s.newcomers, s.leftChange, s.answered = 1, true, true
 			s.quorum = func(r *Membership, agreed map[string]bool) bool { return majority(r.Cur, agreed) }
 		}),
-		mine("a roster moves on from one that is not committed", leftChangeLong, func(s *scenario) {
+		mine("a membership moves on from one that is not committed", leftChangeLong, func(s *scenario) {
 			s.newcomers, s.leftChange, s.answered = 1, true, true
 			s.alwaysCommitted = true
 		}),
--- a/internal/register/model_world_test.go
+++ b/internal/register/model_world_test.go
@@ -25,7 +25,7 @@
 // orderCall is one call that a proposer makes in a scenario.
 type orderCall struct {
 	name   string
-	order  *Order // nil for reads and roster changes
+	order  *Order // nil for reads and membership changes
 	change Change
 	// again tells from the committed state whether the call is to be made once
 	// more, as a member that joins does.
@@ -274,7 +274,7 @@
 		}
 		return out
 	}
-	text := fmt.Sprintf("revision %d, version %d %q, roster %d of %s", s.Rev, s.Ver, s.Doc, s.Core.Ver, ids(s.Core.Cur))
+	text := fmt.Sprintf("revision %d, version %d %q, membership %d of %s", s.Rev, s.Ver, s.Doc, s.Core.Ver, ids(s.Core.Cur))
 	if s.Core.Joint() {
 		text += " joint with " + ids(s.Core.Prev)
 	}
--- a/internal/register/orders.go
+++ b/internal/register/orders.go
@@ -211,8 +211,8 @@
 		return nil, errStaleBase()
 	}
 	if o.Base < inForce {
-		// An order on a base below the floor was taken, if at all, as a version
-		// that is at most the floor. The one in force is known by its document.
+		// An order on a base below the event loop was taken, if at all, as a version
+		// that is at most the event loop. The one in force is known by its document.
 		if o.Base < log.Loop && o.Ver <= log.Loop && o.Ver != inForce {
 			return nil, fault.New(fault.Unsure, "ver", "was sent so long ago that nothing is known of it", "read the current version")
 		}
--- a/internal/register/proposer.go
+++ b/internal/register/proposer.go
@@ -38,14 +38,14 @@
 
 const roundTimeout = 700 * time.Millisecond
 
-// callOut is one seat's answer.
+// callOut is one member's answer.
 type callOut[T any] struct {
 	member Member
 	out    *T
 	err    error
 }
 
-// askMembers calls all seats at once and feeds the answers to enough until it is
+// askMembers calls all members at once and feeds the answers to enough until it is
 // satisfied or the round's time is over. The calls it leaves go on.
 func askMembers[T any](ctx context.Context, p *Proposer, members []Member, kind string, in func(Member) any, enough func(callOut[T]) bool) {
 	answers := make(chan callOut[T], len(members))
@@ -131,7 +131,7 @@
 		}
 		members := p.prepare(ctx, call)
 		if call.known != nil && call.foundNewerMembership() {
-			attempt = 0 // again, with the roster that holds now
+			attempt = 0 // again, with the membership that holds now
 		}
 		if len(members) == 0 {
 			continue
@@ -148,7 +148,7 @@
 }
 
 // prepare sends a prepare round and gives the members to send the accept round
-// to, none if a new attempt is needed. Both rounds end when a member declines
+// to, none if a new attempt is needed. Both rounds end when a member refuses
 // for a higher ballot: the next attempt tops it, while to wait for a silent
 // member would let others top this one again and again.
 func (p *Proposer) prepare(ctx context.Context, call *proposal) []Member {
--- a/internal/register/proposer_core.go
+++ b/internal/register/proposer_core.go
@@ -11,14 +11,14 @@
 //	conclude -> once enough accepted or the time is over: the end, or a new
 //	            attempt
 //
-// What the quorums must hold, and when a roster may move on, is decided here
+// What the quorums must hold, and when a membership may move on, is decided here
 // (design 4.2, 4.4).
 type proposal struct {
 	change Change
-	// quorum is (*Roster).Quorum; the model checker's tests plant faults here.
+	// quorum is (*Membership).Quorum; the model checker's tests plant faults here.
 	quorum func(r *Membership, agreed map[string]bool) bool
 
-	known     *State // the state whose roster is asked
+	known     *State // the state whose membership is asked
 	committed bool   // known is committed
 	basis     *State // a newer state found in this call, perhaps not committed
 	ballot    Ballot
@@ -68,7 +68,7 @@
 	return p.quorum(&p.known.Core, p.agreed)
 }
 
-// foundNewerMembership tells whether the prepare round found a roster to ask
+// foundNewerMembership tells whether the prepare round found a membership to ask
 // instead. Without a quorum that is a hint and no more: the members known here
 // may be gone, all but one, and what that one accepted tells whom to ask now
 // (design 4.4).
@@ -93,8 +93,8 @@
 	p.next, p.refusal = p.change(now.clone())
 	p.commit = now.clone()
 	if p.next != nil {
-		// A roster only moves on from a committed one: without that rule two
-		// rosters could each find a majority (design 4.4).
+		// A membership only moves on from a committed one: without that rule two
+		// memberships could each find a majority (design 4.4).
 		if p.next.Core.Ver == now.Core.Ver || p.committed {
 			p.commit = p.next
 			p.commit.Rev = now.Rev + 1
@@ -120,7 +120,7 @@
 }
 
 // accepted takes a member's answer to the accept round; true once there is a
-// quorum of the roster asked and of the one proposed.
+// quorum of the membership asked and of the one proposed.
 func (p *proposal) accepted(member string, answer *acceptAnswer) bool {
 	p.highest = max(p.highest, answer.Promised.N)
 	if answer.OK {
@@ -141,14 +141,14 @@
 		return nil, false
 	}
 	if p.next != nil && p.commit != p.next {
-		p.basis = nil // the roster found is committed now; the change comes next
+		p.basis = nil // the membership found is committed now; the change comes next
 		return p.commit, false
 	}
 	return p.commit, true
 }
 
 // abandoned is the answer to a call that ends without a quorum: an Unsure fault
-// if the change may come into force yet, else a Declined one.
+// if the change may come into force yet, else a Refused one.
 func (p *proposal) abandoned() error {
 	kind := fault.Refused
 	if p.tried {
--- a/internal/register/register.go
+++ b/internal/register/register.go
@@ -14,7 +14,7 @@
 	"rowanshunt/internal/rpc"
 )
 
-// Times of the roster's upkeep (design 4.4).
+// Times of the membership's upkeep (design 4.4).
 const (
 	tickUs       = 250_000
 	stableUs     = 900_000
@@ -26,13 +26,13 @@
 	joinAfterUs = 400_000
 	// turnUs is how much later each further member takes a due change up.
 	turnUs = 1_500_000
-	// GoneForDropUs is how long a member is silent before a roster drops it.
+	// GoneForDropUs is how long a member is silent before a membership drops it.
 	GoneForDropUs = 6_000_000
 	neverSeenUs   = 3_000_000
 	maxMembers    = 7
 )
 
-// Config is what a nest is made of.
+// Config is what a register is made of.
 type Config struct {
 	Loop      *eventloop.Loop
 	Mux       *rpc.Mux
@@ -48,7 +48,7 @@
 	Proposer  string
 }
 
-// Register is one node's part in the register: its seat if it has a disk, its
+// Register is one node's part in the register: its member if it has a disk, its
 // proposer, and the newest committed state it knows.
 type Register struct {
 	cfg      Config
@@ -70,7 +70,7 @@
 	need     membershipNeed
 }
 
-// New opens the node's seat and joins the register.
+// New opens the node's member and joins the register.
 func New(ctx context.Context, cfg Config) (*Register, error) {
 	n := &Register{cfg: cfg, ctx: ctx, startUs: eventloop.NowUs(), pulling: map[string]bool{}}
 	if cfg.DiskDir != "" {
@@ -80,7 +80,7 @@
 		}
 		n.member = member
 		context.AfterFunc(ctx, member.Close)
-		// What the seat accepted may not be committed, but its roster is the
+		// What the member accepted may not be committed, but its membership is the
 		// right one to ask (design 4.4).
 		n.known = member.State()
 	}
@@ -94,7 +94,7 @@
 }
 
 func noMember() error {
-	return fault.New(fault.Unknown, "seat", "this node has no such seat", "read the roster again")
+	return fault.New(fault.Unknown, "seat", "this node has no such member", "read the membership again")
 }
 
 func (n *Register) serve() {
@@ -192,7 +192,7 @@
 	return s, err
 }
 
-// spread pushes a committed state to every partner in sight; shuffles bring it
+// spread pushes a committed state to every peer in sight; shuffles bring it
 // to the rest.
 func (n *Register) spread(s *State) {
 	for _, p := range n.cfg.Gossip.Look().All {
@@ -207,7 +207,7 @@
 	}
 }
 
-// Hear is told of a partner that knows more; the state is pulled from it.
+// Hear is told of a peer that knows more; the state is pulled from it.
 func (n *Register) Hear(p gossip.Peer) {
 	if n.pulling[p.Name] {
 		return
@@ -224,7 +224,7 @@
 	}()
 }
 
-// Once runs fn beside the floor, at most one at a time.
+// Once runs fn beside the event loop, at most one at a time.
 func (n *Register) once(fn func(ctx context.Context)) {
 	if n.busy {
 		return
@@ -320,8 +320,8 @@
 	return false, fault.New(fault.Unknown, name, "is no store of this system", "name a store's node")
 }
 
-// Held tells what this node's seat accepted: its version, and whether there is
-// a seat that votes.
+// Held tells what this node's member accepted: its version, and whether there is
+// a member that votes.
 func (n *Register) Held() (ver int64, votes bool) {
 	if n.member == nil {
 		return 0, false
--- a/internal/register/register_test.go
+++ b/internal/register/register_test.go
@@ -17,7 +17,7 @@
 	"rowanshunt/internal/simnet"
 )
 
-// site is one node of the register's test: a seat that can be killed, frozen
+// site is one node of the register's test: a member that can be killed, frozen
 // or wiped, and a proposer.
 type site struct {
 	t      *testing.T
@@ -166,7 +166,7 @@
 		})
 	}
 	// Faults, one machine at a time: killed, cut off, or wiped and taken in
-	// anew as another seat.
+	// anew as another member.
 	for range 8 {
 		time.Sleep(time.Duration(200+rng.IntN(400)) * time.Millisecond)
 		i := rng.IntN(3)
@@ -186,7 +186,7 @@
 			s.cancel()
 			old := "seat@" + s.dir
 			s.dir = filepath.Join(root, fmt.Sprint("w", i, "-", rng.IntN(1<<30)))
-			// What a partner knows shows whom to ask, committed or not.
+			// What a peer knows shows whom to ask, committed or not.
 			known := first
 			for _, other := range sites {
 				if st, _ := other.Known(); other != s && (st.Core.Ver > known.Core.Ver || st.Core.Ver == known.Core.Ver && st.Rev > known.Rev) {
@@ -209,14 +209,14 @@
 	time.Sleep(5 * time.Second)
 }
 
-// A proposer that knows only a roster whose seats are gone, all but one, finds
-// the one that holds now by what that seat accepted (design 4.4).
+// A proposer that knows only a membership whose members are gone, all but one, finds
+// the one that holds now by what that member accepted (design 4.4).
 func TestOutdatedMembershipFindsTheNewest(t *testing.T) {
 	for _, tc := range []struct {
 		name  string
 		knows func(first *State, joint Membership) *State
 	}{
-		{"the first roster", func(first *State, _ Membership) *State { return first }},
+		{"the first membership", func(first *State, _ Membership) *State { return first }},
 		{"a joint one that was settled long ago", func(first *State, joint Membership) *State {
 			return &State{Rev: first.Rev + 1, Core: joint}
 		}},
@@ -248,7 +248,7 @@
 				b3.start(tc.knows(first, joint), false)
 				join(t, b3, member(b2).ID)
 				if now, _ := b3.Known(); !now.Core.Has(member(a2).ID) || !now.Core.Has(member(b3).ID) || now.Core.Has(member(b2).ID) {
-					t.Errorf("roster: %+v", now.Core)
+					t.Errorf("membership: %+v", now.Core)
 				}
 				for _, s := range []*site{a2, b3, c} {
 					s.cancel()
@@ -259,7 +259,7 @@
 	}
 }
 
-// join brings a wiped machine's new seat in, as nest does.
+// join brings a wiped machine's new member in, as register does.
 func join(t *testing.T, s *site, old string) {
 	self := Member{ID: s.member.ID(), Name: s.addr, Addr: s.addr}
 	for end := time.Now().Add(20 * time.Second); ; {
@@ -349,14 +349,14 @@
 		t.Errorf("what was accepted is gone: %+v", out)
 	}
 	if _, err := a.Prepare(ctx, &prepareCall{Member: "another", Ballot: high}); !fault.Is(err, fault.Unknown) {
-		t.Errorf("another's seat: %v", err)
+		t.Errorf("another's member: %v", err)
 	}
 	if _, err := a.Accept(ctx, &acceptCall{Member: "s", Ballot: high}); !fault.Is(err, fault.Invalid) {
 		t.Errorf("no state: %v", err)
 	}
 }
 
-// Majorities of a roster, settled and joint (design 4.4).
+// Majorities of a membership, settled and joint (design 4.4).
 func TestQuorum(t *testing.T) {
 	members := func(ids ...string) (out []Member) {
 		for _, id := range ids {
@@ -393,7 +393,7 @@
 		}
 	}
 	if j.Ver != 2 || j.Settle().Ver != 3 || len(j.All()) != 4 {
-		t.Errorf("roster change: %+v", j)
+		t.Errorf("membership change: %+v", j)
 	}
 }
 
--- a/internal/register/replicas.go
+++ b/internal/register/replicas.go
@@ -6,10 +6,10 @@
 	"rowanshunt/internal/rendezvous"
 )
 
-// Replicas is the roster of one shard: of each set the first want seats of the
+// Replicas is the membership of one shard: of each set the first want members of the
 // rendezvous rank, spread over the zones as evenly as they go. It is a pure
-// function of the roster, so all nodes that know the roster agree on it, and a
-// change of the roster is a joint change of each shard's own (design 8.1).
+// function of the membership, so all nodes that know the membership agree on it, and a
+// change of the membership is a joint change of each shard's own (design 8.1).
 func (r *Membership) Replicas(key string, want int) Membership {
 	return Membership{Ver: r.Ver, Cur: spread(r.Cur, key, want), Prev: spread(r.Prev, key, want)}
 }
--- a/internal/register/replicas_test.go
+++ b/internal/register/replicas_test.go
@@ -14,7 +14,7 @@
 	return out
 }
 
-// A shard's roster follows from the stores' roster alone, is spread over zones,
+// A shard's membership follows from the stores' membership alone, is spread over zones,
 // and moves little when a store comes or goes (design 8.1).
 func TestReplicas(t *testing.T) {
 	for _, tc := range []struct{ stores, zones, want, most int }{
@@ -41,7 +41,7 @@
 			same := other.Replicas(key, tc.want)
 			for _, s := range set.Cur {
 				if !same.Has(s.ID) {
-					t.Errorf("%+v: the set depends on the order of the roster", tc)
+					t.Errorf("%+v: the set depends on the order of the membership", tc)
 				}
 			}
 			// One store more: at most one replica of each zone and round moves.
--- a/internal/register/state.go
+++ b/internal/register/state.go
@@ -1,8 +1,6 @@
-// Package register is the blueprint register: a compare-and-set register that any
-// node changes in two rounds at a majority of the disk-holding edges; no log,
-// no leader (design 4). The field's standard terms: nest = CASPaxos register;
-// seat = acceptor identity; roster = acceptor configuration; joint = joint
-// consensus; ballot = proposal number.
+// Package register is the configuration register: a compare-and-set register
+// that any node changes in two rounds at a majority of the disk-holding edges;
+// no log, no leader (design 4).
 package register
 
 import (
@@ -31,17 +29,17 @@
 	Az   string
 }
 
-// MemberOf is the seat that a partner holds with its disk.
+// MemberOf is the member that a peer holds with its disk.
 func MemberOf(p *gossip.Peer) Member {
 	return Member{ID: p.MemberID(), Name: p.Name, Addr: p.Addr, Az: p.Az}
 }
 
-// DecodeMsgpack reads seats of earlier versions too.
+// DecodeMsgpack reads members of earlier versions too.
 func (s *Member) DecodeMsgpack(d *msgpack.Decoder) error {
 	return rpc.Fields(d, &s.ID, &s.Name, &s.Addr, &s.Az)
 }
 
-// Membership is a set of seats that is changed one seat at a time. While Prev is
+// Membership is a set of members that is changed one member at a time. While Prev is
 // not empty a change is under way and both sets must agree (design 4.4).
 type Membership struct {
 	Ver  uint64
@@ -52,12 +50,12 @@
 // Joint tells whether a change is under way.
 func (r *Membership) Joint() bool { return len(r.Prev) > 0 }
 
-// Has tells whether the seat is in the current set.
+// Has tells whether the member is in the current set.
 func (r *Membership) Has(id string) bool {
 	return slices.ContainsFunc(r.Cur, func(s Member) bool { return s.ID == id })
 }
 
-// All lists the seats of both sets once.
+// All lists the members of both sets once.
 func (r *Membership) All() []Member {
 	out := slices.Clone(r.Cur)
 	for _, s := range r.Prev {
@@ -94,11 +92,11 @@
 // State is the whole value of the register.
 type State struct {
 	Rev      uint64            // grows by one with each change
-	Ver      int64             // version of the blueprint, 0 before the first
-	Doc      []byte            // the blueprint as the operator sent it
+	Ver      int64             // version of the configuration, 0 before the first
+	Doc      []byte            // the configuration as the operator sent it
 	Core     Membership        // who votes on this register
 	Stores   Membership        // who keeps the lots
-	Retiring []string          // store seats to be emptied
+	Retiring []string          // store members to be emptied
 	Extra    map[string][]byte // state of other aggregates, by key, e.g. upgrades
 }
 
@@ -121,7 +119,7 @@
 // maxRetired bounds the names of stores that are retired and gone.
 const maxRetired = 64
 
-// boundRetiring keeps the seats that the stores' roster still has, and the
+// boundRetiring keeps the members that the stores' membership still has, and the
 // newest of those that are gone.
 func boundRetiring(retiring []string, stores []Member) []string {
 	isStore := func(id string) bool { return slices.ContainsFunc(stores, func(s Member) bool { return s.ID == id }) }
--- a/internal/rendezvous/rank.go
+++ b/internal/rendezvous/rank.go
@@ -1,6 +1,4 @@
-// Package rendezvous cuts duties by key over the live nodes (design 8.2). The
-// field's standard terms: rank = rendezvous (highest random weight) hashing;
-// duty = partition ownership.
+// Package rendezvous cuts duties by key over the live nodes (design 8.2).
 package rendezvous
 
 import (
--- a/internal/rpc/counters.go
+++ b/internal/rpc/counters.go
@@ -31,8 +31,8 @@
 	return c
 }
 
-// asked counts a call to a partner, answered one taken from a partner; a nil
-// tally counts nothing.
+// asked counts a call to a peer, answered one taken from a peer; a nil
+// counters counts nothing.
 func (t *Counters) asked(kind string, outBytes, inBytes int) {
 	if t == nil {
 		return
--- a/internal/rpc/counters_test.go
+++ b/internal/rpc/counters_test.go
@@ -4,7 +4,7 @@
 
 func TestCounters(t *testing.T) {
 	var none *Counters
-	none.asked("x", 1, 1) // a node without a tally counts nothing
+	none.asked("x", 1, 1) // a node without a counters counts nothing
 	none.answered("x", 1, 1)
 	c := NewCounters()
 	c.asked("a", 10, 20)
--- a/internal/rpc/frame.go
+++ b/internal/rpc/frame.go
@@ -8,7 +8,7 @@
 	"rowanshunt/internal/fault"
 )
 
-// Version is the version of the partner protocol; frames of another one are
+// Version is the version of the peer protocol; frames of another one are
 // not read (design 2.2).
 const Version = 2
 
@@ -69,18 +69,18 @@
 	}
 	lenBytes := int(binary.BigEndian.Uint32(head[:]))
 	if lenBytes < frameHead-4 || lenBytes > MaxFrame {
-		return frame{}, fault.New(fault.Invalid, "frame", "impossible length", "drop the circuit")
+		return frame{}, fault.New(fault.Invalid, "frame", "impossible length", "drop the connection")
 	}
 	if _, err := io.ReadFull(r, head[4:]); err != nil {
 		return frame{}, noEOF(err)
 	}
 	if head[4] != Version {
-		return frame{}, fault.New(fault.Invalid, "frame", "another version of the partner protocol", "run the same version on all nodes")
+		return frame{}, fault.New(fault.Invalid, "frame", "another version of the peer protocol", "run the same version on all nodes")
 	}
 	nameLen := int(head[14])
 	restLen := lenBytes - (frameHead - 4)
 	if nameLen > restLen {
-		return frame{}, fault.New(fault.Invalid, "frame", "the name is longer than the frame", "drop the circuit")
+		return frame{}, fault.New(fault.Invalid, "frame", "the name is longer than the frame", "drop the connection")
 	}
 	name := make([]byte, nameLen)
 	if _, err := io.ReadFull(r, name); err != nil {
--- a/internal/rpc/frame_test.go
+++ b/internal/rpc/frame_test.go
@@ -34,7 +34,7 @@
 	}
 }
 
-// What a partner must not be able to do (design 2.2).
+// What a peer must not be able to do (design 2.2).
 func TestFrameRefused(t *testing.T) {
 	good := packed(t, frame{kind: frameCall, id: 3, name: "kind", body: []byte("body")})
 	for cut := range good {
--- a/internal/rpc/fuzz_test.go
+++ b/internal/rpc/fuzz_test.go
@@ -22,7 +22,7 @@
 func (c *streamConn) Close() error                     { return nil }
 
 // Whatever a peer sends, each waiting call gets a frame under its own number that
-// is an answer, or learns that the circuit broke; none waits on.
+// is an answer, or learns that the connection broke; none waits on.
 func FuzzAnswers(f *testing.F) {
 	var t testing.T
 	f.Add(packed(&t, frame{kind: frameAnswer, id: 1, body: []byte{0x90}}))
--- a/internal/rpc/hostile_test.go
+++ b/internal/rpc/hostile_test.go
@@ -226,7 +226,7 @@
 }
 
 // A peer that answers a call never made is told nothing more and believed nothing
-// more: what waits on its circuit learns that it broke.
+// more: what waits on its connection learns that it broke.
 func TestAnswerNobodyAsked(t *testing.T) {
 	for _, id := range []uint64{0, 9, 1 << 63} {
 		raw := append(packed(t, frame{kind: frameAnswer, id: id}), packed(t, frame{kind: frameAnswer, id: 1})...)
--- a/internal/rpc/lengths_test.go
+++ b/internal/rpc/lengths_test.go
@@ -39,7 +39,7 @@
 }
 
 // A list that says it has more elements than there are bytes, and one that is
-// nested without end, are declined before anything is made for them.
+// nested without end, are refused before anything is made for them.
 func TestLyingLengths(t *testing.T) {
 	type element struct {
 		Room [32]int64
--- a/internal/rpc/mux.go
+++ b/internal/rpc/mux.go
@@ -1,7 +1,5 @@
-// Package rpc is the partner protocol: calls between the system's own
-// nodes, msgpack in frames with a bounded length (design 2). The field's
-// standard terms: desk = service registry; partner = peer; circuit =
-// connection; call = RPC.
+// Package rpc is the peer protocol: calls between the system's own nodes,
+// msgpack in frames with a bounded length (design 2).
 package rpc
 
 import (
@@ -12,10 +10,10 @@
 	"rowanshunt/internal/fault"
 )
 
-// Transport carries calls to partners. Tests put a simulated network in its place.
+// Transport carries calls to peers. Tests put a simulated network in its place.
 type Transport interface {
-	// Call sends in to the partner at addr and decodes its answer into out
-	// (nil: not wanted). An Unreached fault promises that the partner never
+	// Call sends in to the peer at addr and decodes its answer into out
+	// (nil: not wanted). An Unreached fault promises that the peer never
 	// got the call; an Unsure one promises nothing.
 	Call(ctx context.Context, addr, kind string, in, out any) error
 }
@@ -29,7 +27,7 @@
 	kinds map[string]Handler
 }
 
-// NewMux makes an empty desk.
+// NewMux makes an empty call mux.
 func NewMux() *Mux { return &Mux{kinds: map[string]Handler{}} }
 
 // On answers calls of a kind with fn.
--- a/internal/rpc/tcp.go
+++ b/internal/rpc/tcp.go
@@ -17,10 +17,10 @@
 	"rowanshunt/internal/logging"
 )
 
-// userTimeoutMs is how long sent bytes may stay unacknowledged on any circuit.
+// userTimeoutMs is how long sent bytes may stay unacknowledged on any connection.
 const userTimeoutMs = 1500
 
-// Dialer makes circuits whose silent other end is noticed (design 2.4).
+// Dialer makes connections whose silent other end is noticed (design 2.4).
 func Dialer(timeout time.Duration) *net.Dialer {
 	return &net.Dialer{
 		Timeout:   timeout,
@@ -37,7 +37,7 @@
 	}
 }
 
-// TCP is the mesh over real sockets.
+// TCP is the transport over real sockets.
 type TCP struct {
 	mu       sync.Mutex
 	conns    map[string]*conn
@@ -45,7 +45,7 @@
 	counters *Counters
 }
 
-// NewTCP makes a mesh without circuits.
+// NewTCP makes a transport without connections.
 func NewTCP(counters *Counters) *TCP {
 	return &TCP{conns: map[string]*conn{}, dialer: Dialer(400 * time.Millisecond), counters: counters}
 }
@@ -64,7 +64,7 @@
 	broken  error
 }
 
-// Call implements Mesh.
+// Call implements Transport.
 func (t *TCP) Call(ctx context.Context, addr, kind string, in, out any) error {
 	body, err := codec.Marshal(in)
 	if err != nil {
@@ -141,7 +141,7 @@
 	t.mu.Unlock()
 }
 
-// Close ends all circuits.
+// Close ends all connections.
 func (t *TCP) Close() {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -191,7 +191,7 @@
 		delete(c.waiting, f.id)
 		c.mu.Unlock()
 		if !asked || f.kind != frameAnswer && f.kind != frameFault {
-			c.fail(fault.New(fault.Invalid, "frame", "no answer to a call of this circuit", "drop the circuit"))
+			c.fail(fault.New(fault.Invalid, "frame", "no answer to a call of this connection", "drop the connection"))
 			if ch != nil {
 				close(ch)
 			}
@@ -211,7 +211,7 @@
 	c.mu.Lock()
 	if c.broken != nil {
 		c.mu.Unlock()
-		return frame{}, fault.New(fault.Unreached, kind, "the circuit is broken", "try again")
+		return frame{}, fault.New(fault.Unreached, kind, "the connection is broken", "try again")
 	}
 	c.nextID++
 	id := c.nextID
@@ -238,7 +238,7 @@
 	select {
 	case f, ok := <-ch:
 		if !ok {
-			return frame{}, fault.New(fault.Unsure, kind, "the circuit broke before the answer", "try again")
+			return frame{}, fault.New(fault.Unsure, kind, "the connection broke before the answer", "try again")
 		}
 		return f, nil
 	case <-ctx.Done():
@@ -254,7 +254,7 @@
 	c.mu.Unlock()
 }
 
-// Listener serves partners.
+// Listener serves peers.
 type Listener struct {
 	ln       net.Listener
 	mux      *Mux
@@ -264,14 +264,14 @@
 	open     map[net.Conn]struct{}
 }
 
-// maxCallsOpen bounds the calls that one partner may have under way.
+// maxCallsOpen bounds the calls that one peer may have under way.
 const maxCallsOpen = 512
 
-// Listen opens the partner port.
+// Listen opens the peer port.
 func Listen(addr string, mux *Mux, log *logging.Log, counters *Counters) (*Listener, error) {
 	ln, err := net.Listen("tcp", addr)
 	if err != nil {
-		return nil, errors.Wrap(err, "partner port")
+		return nil, errors.Wrap(err, "peer port")
 	}
 	return &Listener{ln: ln, mux: mux, log: log, counters: counters, open: map[net.Conn]struct{}{}}, nil
 }
@@ -279,7 +279,7 @@
 // Addr is the bound address.
 func (l *Listener) Addr() string { return l.ln.Addr().String() }
 
-// Run accepts partners until ctx ends.
+// Run accepts peers until ctx ends.
 func (l *Listener) Run(ctx context.Context) {
 	stop := context.AfterFunc(ctx, func() {
 		_ = l.ln.Close()
@@ -296,7 +296,7 @@
 			if ctx.Err() != nil {
 				return
 			}
-			l.log.Warn("partner_accept_failed", "err", err)
+			l.log.Warn("peer_accept_failed", "err", err)
 			time.Sleep(20 * time.Millisecond)
 			continue
 		}
@@ -324,7 +324,7 @@
 		f, err := readFrame(r)
 		if err != nil {
 			if fault.KindOf(err) == fault.Invalid {
-				l.log.Warn("partner_frame_declined", "from", conn.RemoteAddr(), "err", err)
+				l.log.Warn("peer_frame_refused", "from", conn.RemoteAddr(), "err", err)
 			}
 			return
 		}
@@ -358,7 +358,7 @@
 func (l *Listener) run(ctx context.Context, f frame) (body []byte, err error) {
 	defer func() {
 		if p := recover(); p != nil {
-			l.log.Warn("partner_call_panicked", "kind", f.name, "panic", p, "stack", string(debug.Stack()))
+			l.log.Warn("peer_call_panicked", "kind", f.name, "panic", p, "stack", string(debug.Stack()))
 			err = fault.New(fault.Unsure, f.name, "the handler failed", "report this")
 		}
 	}()
--- a/internal/settings/options.go
+++ b/internal/settings/options.go
@@ -1,6 +1,5 @@
 // Package settings reads and checks the options a process is started with
-// (design 1.2). The field's standard terms: options = settings, configuration
-// file.
+// (design 1.2).
 package settings
 
 import (
@@ -178,14 +177,14 @@
 		l.Addf("ft.nodes", "is negative", "give 0 or more")
 	}
 	if o.Ft.Nodes > MaxSpared {
-		l.Addf("ft.nodes", "is over "+strconv.Itoa(MaxSpared), "the register has at most "+strconv.Itoa(2*MaxSpared+1)+" seats, which bear the loss of so many: give less")
+		l.Addf("ft.nodes", "is over "+strconv.Itoa(MaxSpared), "the register has at most "+strconv.Itoa(2*MaxSpared+1)+" members, which bear the loss of so many: give less")
 	}
 	return l.Err()
 }
 
 // What a process needs at least; below it a start would only end later.
 const (
-	MaxSpared      = 3 // machines that the register's seats can bear the loss of
+	MaxSpared      = 3 // machines that the register's members can bear the loss of
 	minNoFile      = 256
 	minEdgeMb      = 32
 	minStoreMb     = 64
@@ -198,7 +197,7 @@
 	if role == RoleStore {
 		ramMb = minStoreMb
 		if o.Caps.DiskMb > 0 && o.Caps.DiskMb < minStoreDiskMb {
-			l.Addf("caps.disk_mb", "is below "+strconv.Itoa(minStoreDiskMb), "a comb writes its file anew beside the old one: give it a larger disk")
+			l.Addf("caps.disk_mb", "is below "+strconv.Itoa(minStoreDiskMb), "a store writes its file anew beside the old one: give it a larger disk")
 		}
 	}
 	if o.Caps.RAMMb < ramMb {
@@ -213,7 +212,7 @@
 func (o *Options) Doubts() []string {
 	var out []string
 	if o.Ft.Azs > 0 || o.Ft.Regions > 0 {
-		out = append(out, "ft.azs, ft.regions: shards are spread over zones, the register's seats are not: the loss of a zone is borne only while a majority of the seats is elsewhere (remedy: place the disks so)")
+		out = append(out, "ft.azs, ft.regions: shards are spread over zones, the register's members are not: the loss of a zone is borne only while a majority of the members is elsewhere (remedy: place the disks so)")
 	}
 	if o.Ft.Nodes == 0 {
 		out = append(out, "ft.nodes: is 0: every lot has one copy, and the loss of its disk loses it (remedy: give 1 and three disk machines of each kind)")
@@ -245,29 +244,29 @@
 	switch role {
 	case RoleEdge:
 		if o.Listen.HTTP == "" {
-			l.Addf("listen.http", "is missing", "a forager serves clients: give its address")
+			l.Addf("listen.http", "is missing", "an edge node serves clients: give its address")
 		}
 		if o.Listen.Ctl == "" {
-			l.Addf("listen.ctl", "is missing", "a forager serves workers and operators: give its address")
+			l.Addf("listen.ctl", "is missing", "an edge node serves workers and operators: give its address")
 		}
 		if o.Listen.Readyz == "" {
 			l.Addf("listen.readyz", "is missing", "give the address the platform asks for readiness")
 		}
 	case RoleStore:
 		if o.DataDir == "" {
-			l.Addf("datadir", "is missing", "a comb keeps data: give a folder on its disk")
+			l.Addf("datadir", "is missing", "a store keeps data: give a folder on its disk")
 		}
 	}
 	o.floors(&l, role)
 	return l.Err()
 }
 
-// PeerAddr is where this node listens for its partners.
+// PeerAddr is where this node listens for its peers.
 func (o *Options) PeerAddr() string {
 	return net.JoinHostPort(o.IPAddr, strconv.Itoa(o.PortRange[0]))
 }
 
-// SeedAddrs are the partner addresses of the seeds: all machines use the same
+// SeedAddrs are the peer addresses of the seeds: all machines use the same
 // ports, so only the seeds' hosts count (design 3.1).
 func (o *Options) SeedAddrs() []string {
 	var out []string
--- a/internal/settings/options_test.go
+++ b/internal/settings/options_test.go
@@ -73,14 +73,14 @@
 		t.Fatal(err)
 	}
 	if err := o.CheckRole("forager"); err == nil || !strings.Contains(err.Error(), "listen.ctl") {
-		t.Errorf("a forager without ctl: %v", err)
+		t.Errorf("an edge node without ctl: %v", err)
 	}
 	if err := o.CheckRole("comb"); err == nil || !strings.Contains(err.Error(), "datadir") {
-		t.Errorf("a comb without disk: %v", err)
+		t.Errorf("a store without disk: %v", err)
 	}
 }
 
-// Machines too small for a role are declined, doubtful options are told
+// Machines too small for a role are refused, doubtful options are told
 // (design 1.2).
 func TestFloorsAndDoubts(t *testing.T) {
 	for _, tc := range []struct{ role, old, new, field string }{
--- a/internal/simnet/hold.go
+++ b/internal/simnet/hold.go
@@ -17,7 +17,7 @@
 
 func newHolds() holds { return holds{frozen: map[string]bool{}, stalled: map[string]string{}} }
 
-// Freeze stops a machine's partner traffic, both ways, until it thaws. Nothing
+// Freeze stops a machine's peer traffic, both ways, until it thaws. Nothing
 // is lost: calls to it and answers for it arrive then, also those whose callers
 // have left.
 func (m *Network) Freeze(addr string, frozen bool) {
--- a/internal/simnet/simnet.go
+++ b/internal/simnet/simnet.go
@@ -1,7 +1,7 @@
-// Package simnet is the simulated network that tests put nodes into: partner
-// calls and byte circuits with delay, loss, doubling and cuts, all drawn from
-// one seed (design 12.2). It runs inside a synctest bubble, so that waiting
-// takes no time. The field's standard terms: meadow = network simulator.
+// Package simnet is the simulated network that tests put nodes into: peer
+// calls and byte connections with delay, loss, doubling and cuts, all drawn
+// from one seed (design 12.2). It runs inside a synctest bubble, so that
+// waiting takes no time.
 package simnet
 
 import (
@@ -28,7 +28,7 @@
 	cuts      map[[2]string]bool
 	holds     holds
 	// DelayUs bounds the delay of one way; Lose and Double are shares of
-	// partner calls.
+	// peer calls.
 	DelayUs int64
 	Lose    float64
 	Double  float64
@@ -44,7 +44,7 @@
 	return &Network{rng: rand.New(rand.NewPCG(seed, 7)), desks: map[string]*site{}, listeners: map[string]*Listener{}, cuts: map[[2]string]bool{}, holds: newHolds(), DelayUs: 1000}
 }
 
-// Place puts a node's desk at an address until ctx ends.
+// Place puts a node's call mux at an address until ctx ends.
 func (m *Network) Place(ctx context.Context, addr string, mux *rpc.Mux) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -91,7 +91,7 @@
 	return t
 }
 
-// TransportOf is the mesh as the node at an address sees it.
+// TransportOf is the transport as the node at an address sees it.
 func (m *Network) TransportOf(addr string) rpc.Transport { return &transport{m: m, from: addr} }
 
 type transport struct {
@@ -110,7 +110,7 @@
 	}
 }
 
-// Call implements pollen.Mesh.
+// Call implements rpc.Transport.
 func (h *transport) Call(ctx context.Context, addr, kind string, in, out any) error {
 	body, err := codec.Marshal(in)
 	if err != nil {
@@ -175,7 +175,7 @@
 	return msgpack.Unmarshal(a.body, out)
 }
 
-// Listener takes the circuits dialled to an address.
+// Listener takes the connections dialled to an address.
 type Listener struct {
 	m      *Network
 	addr   string
@@ -184,7 +184,7 @@
 	once   sync.Once
 }
 
-// Listen opens an address for circuits.
+// Listen opens an address for connections.
 func (m *Network) Listen(addr string) *Listener {
 	l := &Listener{m: m, addr: addr, queue: make(chan net.Conn, 256), closed: make(chan struct{})}
 	m.mu.Lock()
@@ -224,7 +224,7 @@
 // Addr implements net.Listener.
 func (l *Listener) Addr() net.Addr { return addrName(l.addr) }
 
-// DialFrom dials circuits as the node at an address.
+// DialFrom dials connections as the node at an address.
 func (m *Network) DialFrom(from string) func(context.Context, string) (net.Conn, error) {
 	return func(ctx context.Context, addr string) (net.Conn, error) {
 		m.mu.Lock()
--- a/internal/simnet/worker.go
+++ b/internal/simnet/worker.go
@@ -31,7 +31,7 @@
 	// BreakAfter cuts the next streams off behind that many events, so often.
 	BreakAfter, Breaks int
 	// MuteAfter makes the next streams fall silent behind that many events, so
-	// often: the circuit stays open.
+	// often: the connection stays open.
 	MuteAfter, Mutes int
 	// FailItems answers 500, NeverItems 422, to the ids named.
 	FailItems, NeverItems map[string]bool
@@ -43,7 +43,7 @@
 	return &Worker{ID: id, Slots: 8, Events: 5, Gap: 5 * time.Millisecond, Runs: map[string]int{}, FailItems: map[string]bool{}, NeverItems: map[string]bool{}}
 }
 
-// NewWorker starts a stand-in at an address of the meadow.
+// NewWorker starts a stand-in at an address of the simulated network.
 func NewWorker(m *Network, id, addr string) *Worker {
 	w := NewStandIn(id)
 	w.server = &http.Server{Handler: w}
--- a/internal/trace/trace.go
+++ b/internal/trace/trace.go
@@ -1,6 +1,5 @@
 // Package trace answers where one change is, by asking every node (design 14).
-// It keeps nothing and does nothing while nobody asks. The field's standard
-// terms: trail = trace; fact = span; teller = trace source.
+// It keeps nothing and does nothing while nobody asks.
 package trace
 
 import (
@@ -69,7 +68,7 @@
 	sources   map[string][]Source
 }
 
-// New joins the desk.
+// New joins the call mux.
 func New(mux *rpc.Mux, transport rpc.Transport, sw *gossip.Gossip, self gossip.Peer) *Tracer {
 	t := &Tracer{transport: transport, gossip: sw, self: self, sources: map[string][]Source{}}
 	rpc.On(mux, "trail.tell", func(ctx context.Context, a *Ask) (*NodeAnswer, error) {
@@ -86,12 +85,12 @@
 // Check tells whether that kind of change can be followed.
 func (a *Ask) Check() error {
 	if !known(a.Kind) {
-		return fault.New(fault.Invalid, "kind", "cannot be followed", "ask for a blueprint, a worker or a lot")
+		return fault.New(fault.Invalid, "kind", "cannot be followed", "ask for a configuration, a worker or a lot")
 	}
 	return nil
 }
 
-// On adds a teller for a kind.
+// On adds a trace source for a kind.
 func (t *Tracer) On(kind string, fn Source) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/internal/upgrade/driver.go
+++ b/internal/upgrade/driver.go
@@ -188,7 +188,7 @@
 	return nil
 }
 
-// look asks every forager in sight; more than half must answer, or nothing is
+// look asks every edge node in sight; more than half must answer, or nothing is
 // decided.
 func (m *Manager) look(ctx context.Context, u *Upgrade) ([]Seen, []Group, Health, error) {
 	v := m.cfg.Gossip.Look()
@@ -237,14 +237,14 @@
 	}
 	wg.Wait()
 	if 2*told <= asked {
-		return nil, nil, Health{}, fault.New(fault.Unsure, u.Svc, "too few foragers answer", "nothing is changed until they do")
+		return nil, nil, Health{}, fault.New(fault.Unsure, u.Svc, "too few edge nodes answer", "nothing is changed until they do")
 	}
 	var seen []Seen
 	for _, w := range m.cfg.Known() {
 		if w.Svc != u.Svc || w.Gone {
 			continue
 		}
-		// A forager that did not answer may have something running.
+		// An edge node that did not answer may have something running.
 		seen = append(seen, Seen{ID: w.ID, Addr: w.Addr, Ver: version(&w), Up: w.Phase == "up", Busy: busy[w.ID] || told < asked})
 	}
 	sort.Slice(seen, func(i, j int) bool { return seen[i].ID < seen[j].ID })
@@ -331,7 +331,7 @@
 func mayStart(now *register.State, svc string, to int64, workers *workerCount, rules Rules) error {
 	switch {
 	case !hasService(now, svc):
-		return fault.New(fault.Unknown, svc, "is no service of the blueprint", "name a service under svcs")
+		return fault.New(fault.Unknown, svc, "is no service of the configuration", "name a service under svcs")
 	case to <= 0:
 		return fault.New(fault.Invalid, "to", "is no version", "give the number of the weights' version, above 0")
 	case workers.total == 0:
--- a/internal/upgrade/upgrade.go
+++ b/internal/upgrade/upgrade.go
@@ -2,8 +2,7 @@
 // serve: a few at a time, so that every group of requests that share an
 // opening prompt keeps its replicas (docs/upgrades.md, design 13). It only
 // takes workers out of use and says which may be replaced; whoever runs the
-// workers replaces them. The field's standard terms: moult = rolling upgrade;
-// wave = batch; driver = orchestrator; term = fencing token.
+// workers replaces them.
 package upgrade
 
 import (
@@ -138,7 +137,7 @@
 }
 
 // maxUpgrades is how many upgrades are kept before those that ended, of
-// services that the blueprint no longer has, are dropped.
+// services that the configuration no longer has, are dropped.
 const maxUpgrades = 256
 
 // boundUpgrades bounds the upgrades in a state that is not shared yet.
@@ -180,7 +179,7 @@
 	Busy bool // something of ours runs there
 }
 
-// Group is what the foragers saw of the requests that share an opening prompt.
+// Group is what the edge nodes saw of the requests that share an opening prompt.
 type Group struct {
 	ID      string   `msgpack:"ID"`
 	Lately  int64    `msgpack:"Lately"`  // requests
--- a/internal/upgrade/wire.go
+++ b/internal/upgrade/wire.go
@@ -6,7 +6,7 @@
 	"rowanshunt/internal/codec"
 )
 
-// Groups and vitals have travelled with the names of their fields since their
+// Groups and health have travelled with the names of their fields since their
 // first version, unlike everything else, and go on so: nodes of the version
 // before read them by name. The names are tags, not to be changed.
 
@@ -16,7 +16,7 @@
 	return codec.EncodeWithNames(encoder, plain(g))
 }
 
-// EncodeMsgpack writes vitals with their fields' names.
+// EncodeMsgpack writes health with their fields' names.
 func (v Health) EncodeMsgpack(encoder *msgpack.Encoder) error {
 	type plain Health
 	return codec.EncodeWithNames(encoder, plain(v))
--- a/internal/upgrade/wire_test.go
+++ b/internal/upgrade/wire_test.go
@@ -11,7 +11,7 @@
 )
 
 // What a node tells a driver has the bytes of the first version, in which groups
-// and vitals carry the names of their fields (design 13).
+// and health carry the names of their fields (design 13).
 func TestToldBytes(t *testing.T) {
 	in := tellAnswer{
 		Groups: []Group{{ID: "s4", Lately: 5, Holders: []string{"s7", "s8"}}, {ID: "s10", Lately: 11, Holders: []string{"s13", "s14"}}},
--- a/internal/wal/commit.go
+++ b/internal/wal/commit.go
@@ -68,7 +68,7 @@
 	return do()
 }
 
-// pause waits before another attempt; false: the cell is closed.
+// pause waits before another attempt; false: the log file is closed.
 func (c *Log) pause(d time.Duration) bool {
 	timer := time.NewTimer(d)
 	defer timer.Stop()
--- a/internal/wal/refusal_test.go
+++ b/internal/wal/refusal_test.go
@@ -27,7 +27,7 @@
 func (d *faultyDisk) set(s Step, refuse bool) { d.refuse[s].Store(refuse) }
 
 // A disk that refuses a step hands the error back; once it takes writes again
-// the cell goes on, and the file holds just what was acknowledged.
+// the log file goes on, and the file holds just what was acknowledged.
 func TestRefusalIsNotForGood(t *testing.T) {
 	for step := StepWrite; step <= StepSyncFolder; step++ {
 		dir := t.TempDir()
@@ -90,7 +90,7 @@
 	checkRecords(t, "after a rewrite without room", got, 2)
 }
 
-// A cell that holds tells nobody of an error: all is written, in order and
+// A log file that holds tells nobody of an error: all is written, in order and
 // once, when the disk takes it, also around rewrites.
 func TestHold(t *testing.T) {
 	for seed := range uint64(20) {
@@ -143,7 +143,7 @@
 	}
 }
 
-// A cell that holds can be closed while the disk refuses.
+// A log file that holds can be closed while the disk refuses.
 func TestHoldEnds(t *testing.T) {
 	disk := &faultyDisk{}
 	c, _, _ := open(t, t.TempDir(), Hold(), Interpose(disk.before))
--- a/internal/wal/wal.go
+++ b/internal/wal/wal.go
@@ -1,6 +1,5 @@
 // Package wal keeps a write-ahead log: an append-only file of checksummed
-// batches that is compacted when it gets long (design 10). The field's standard
-// terms: cell = write-ahead log; rewrite = compaction; batch = group commit.
+// batches that is compacted when it gets long (design 10).
 package wal
 
 import (
@@ -15,22 +14,22 @@
 )
 
 const (
-	// markAfter is how long a cell rests before it writes its synced mark.
+	// markAfter is how long a log file rests before it writes its synced mark.
 	markAfter = 100 * time.Millisecond
-	// Pauses between the attempts of a cell that holds what its disk refuses.
+	// Pauses between the attempts of a log file that holds what its disk refuses.
 	holdFirst = 50 * time.Millisecond
 	holdMost  = 500 * time.Millisecond
 )
 
 // Log is one file. Append and Rewrite may be called by one owner at a time;
-// the file itself is written by the cell's own goroutine, one batch and one
+// the file itself is written by the log file's own goroutine, one batch and one
 // fsync at a time, so that only the last batch can ever be torn.
 type Log struct {
 	dir, name, id string
 	hold          bool
 	before        func(Step) error
 
-	// Of the cell's goroutine alone.
+	// Of the log file's goroutine alone.
 	file        *os.File
 	markedBytes int64
 	unknownTail bool // a write or sync failed: what lies behind sizeBytes is unknown
@@ -49,14 +48,14 @@
 	done    chan struct{}
 }
 
-// Written counts what a cell did since it was opened.
+// Written counts what a log file did since it was opened.
 type Written struct {
 	Syncs    int64 // batches, each one write and one fsync
 	Bytes    int64
 	Rewrites int64
 }
 
-// Written tells what the cell did so far.
+// Written tells what the log file did so far.
 func (c *Log) Written() Written {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -76,15 +75,15 @@
 	return n
 }
 
-// Option changes how a cell works.
+// Option changes how a log file works.
 type Option func(*Log)
 
-// Hold makes a cell keep a batch that its disk refuses, and try it again until
-// it is written or the cell is closed, instead of handing the error back. It is
+// Hold makes a log file keep a batch that its disk refuses, and try it again until
+// it is written or the log file is closed, instead of handing the error back. It is
 // for owners whose memory runs ahead of the file.
 func Hold() Option { return func(c *Log) { c.hold = true } }
 
-// Step is one thing that a cell does at its disk.
+// Step is one thing that a log file does at its disk.
 type Step int
 
 // The steps.
@@ -179,7 +178,7 @@
 func (c *Log) ID() string { return c.id }
 
 // Append writes the records and calls then once they are on disk, or with the
-// error that kept them off it. then runs on the cell's goroutine. With no
+// error that kept them off it. then runs on the log file's goroutine. With no
 // records it tells when all that was appended before is on disk.
 func (c *Log) Append(then func(error), records ...[]byte) {
 	for _, r := range records {
@@ -192,7 +191,7 @@
 }
 
 // Rewrite replaces the whole file by the records that source writes, which must
-// say all that the earlier appends said. source runs on the cell's goroutine,
+// say all that the earlier appends said. source runs on the log file's goroutine,
 // record by record, so that a long file is never in memory whole. If it fails,
 // then gets the error and the file goes on as it was, with all appends.
 func (c *Log) Rewrite(then func(error), source Source) { c.push(job{source: source, then: then}) }
--- a/internal/wal/wal_test.go
+++ b/internal/wal/wal_test.go
@@ -237,7 +237,7 @@
 	}
 }
 
-// A cell counts its batches, its bytes and its rewritings.
+// A log file counts its batches, its bytes and its rewritings.
 func TestWritten(t *testing.T) {
 	c, _, _ := open(t, t.TempDir())
 	for range 3 {
