--- a/internal/scout/scout_test.go
+++ b/internal/balancer/balancer_test.go
@@ -1,4 +1,4 @@
-package scout
+package balancer
 
 import (
 	"fmt"
@@ -6,13 +6,13 @@
 	"testing/synctest"
 	"time"
 
-	"rowanshunt/internal/flora"
+	"rowanshunt/internal/discovery"
 )
 
-func directory(n int, slots int64) *flora.Directory {
-	d := &flora.Directory{BySvc: map[string][]*flora.Worker{}, ByID: map[string]*flora.Worker{}}
+func directory(n int, slots int64) *discovery.Directory {
+	d := &discovery.Directory{BySvc: map[string][]*discovery.Worker{}, ByID: map[string]*discovery.Worker{}}
 	for i := range n {
-		w := &flora.Worker{ID: fmt.Sprintf("w%d", i), Svc: "s", Az: "a", Slots: slots, Phase: "up"}
+		w := &discovery.Worker{ID: fmt.Sprintf("w%d", i), Svc: "s", Az: "a", Slots: slots, Phase: "up"}
 		d.BySvc["s"] = append(d.BySvc["s"], w)
 		d.ByID[w.ID] = w
 	}
@@ -86,19 +86,19 @@
 
 // What an upgrade asks (design 13.2): workers out get nothing, groups get
 // homes, returned workers are let in gently.
-func TestMoult(t *testing.T) {
+func TestUpgrades(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		d, s := directory(6, 48), New("a")
 		need := &Need{Svc: "s", Parts: []Part{{ID: "g", Toks: 13000}, {ID: "own", Toks: 100}}}
 		home := s.Pick(d, need).ID
-		s.SetMoult(Moulting{Out: map[string]bool{home: true}})
+		s.SetUpgrades(Upgrading{Out: map[string]bool{home: true}})
 		for range 20 {
 			if s.Pick(d, need).ID == home {
 				t.Fatal("a worker out of use was picked")
 			}
 		}
 		s = New("a")
-		s.SetMoult(Moulting{Spread: map[string]int{"s": 3}})
+		s.SetUpgrades(Upgrading{Spread: map[string]int{"s": 3}})
 		seen := map[string]bool{}
 		for range 60 {
 			seen[s.Pick(d, need).ID] = true
@@ -116,10 +116,10 @@
 		}
 		s = New("a")
 		for _, w := range d.BySvc["s"] {
-			w.Models = []flora.Model{{Name: "m", Ver: 1}}
+			w.Models = []discovery.Model{{Name: "m", Ver: 1}}
 		}
-		d.BySvc["s"][0].Models = []flora.Model{{Name: "m", Ver: 2}}
-		s.SetMoult(Moulting{Warm: map[string]Warming{"s": {Ver: 2, OverUs: 10_000_000}}})
+		d.BySvc["s"][0].Models = []discovery.Model{{Name: "m", Ver: 2}}
+		s.SetUpgrades(Upgrading{Warm: map[string]Warming{"s": {Ver: 2, OverUs: 10_000_000}}})
 		count := func() (n int) {
 			for range 60 {
 				if s.Pick(d, &Need{Svc: "s"}).ID == "w0" {
@@ -138,8 +138,8 @@
 	})
 }
 
-// What partners heard is taken where it is newer; own sends count on.
-func TestPressure(t *testing.T) {
+// What peers heard is taken where it is newer; own sends count on.
+func TestLoad(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		d, s := directory(2, 10), New("a")
 		s.Pick(d, &Need{Svc: "s"})
@@ -152,16 +152,16 @@
 			}
 		}
 		time.Sleep(time.Second)
-		s.Hear("p", []flora.Pressure{{ID: "w1", Running: 10, Waiting: 30, Slots: 10}, {ID: "w0", Slots: 10, AgeUs: 100}})
+		s.Hear("p", []discovery.Load{{ID: "w1", Running: 10, Waiting: 30, Slots: 10}, {ID: "w0", Slots: 10, AgeUs: 100}})
 		if w := s.Pick(d, &Need{Svc: "s"}); w.ID != "w0" {
-			t.Error("what a partner heard was not taken")
+			t.Error("what a peer heard was not taken")
 		}
-		s.Hear("p", []flora.Pressure{{ID: "w0", Running: 10, Waiting: 30, Slots: 10, AgeUs: 900_000}})
+		s.Hear("p", []discovery.Load{{ID: "w0", Running: 10, Waiting: 30, Slots: 10, AgeUs: 900_000}})
 		if w := s.Pick(d, &Need{Svc: "s"}); w.ID != "w0" {
 			t.Error("older news replaced newer")
 		}
-		if ps := s.Pressures(true); len(ps) != 2 {
-			t.Errorf("told partners of %d workers", len(ps))
+		if ps := s.Loads(true); len(ps) != 2 {
+			t.Errorf("told peers of %d workers", len(ps))
 		}
 	})
 }
@@ -184,12 +184,12 @@
 	heirs := map[string]string{}
 	for i := range 12 {
 		old := d.BySvc["s"][i]
-		w := &flora.Worker{ID: fmt.Sprint("n", i), Svc: "s", Az: "a", Slots: 48, Phase: "up"}
+		w := &discovery.Worker{ID: fmt.Sprint("n", i), Svc: "s", Az: "a", Slots: 48, Phase: "up"}
 		d.BySvc["s"][i] = w
 		d.ByID[w.ID] = w
 		delete(d.ByID, old.ID)
 		heirs[w.ID] = old.ID
-		s.SetMoult(Moulting{Heirs: heirs})
+		s.SetUpgrades(Upgrading{Heirs: heirs})
 		now := homes()
 		for g, h := range now {
 			want := before[g]
--- a/internal/flora/departures.go
+++ b/internal/discovery/departures.go
@@ -1,4 +1,4 @@
-package flora
+package discovery
 
 import (
 	"context"
@@ -9,10 +9,10 @@
 
 	"github.com/vmihailenco/msgpack/v5"
 
-	"rowanshunt/internal/nest"
-	"rowanshunt/internal/pollen"
-	"rowanshunt/internal/swarm"
-	"rowanshunt/internal/waggle"
+	"rowanshunt/internal/eventloop"
+	"rowanshunt/internal/gossip"
+	"rowanshunt/internal/register"
+	"rowanshunt/internal/rpc"
 )
 
 // Figures of the departure log (design 5.4).
@@ -74,7 +74,7 @@
 
 // DecodeMsgpack reads cursors of other versions too.
 func (c *departureCursor) DecodeMsgpack(d *msgpack.Decoder) error {
-	return pollen.Fields(d, &c.Epoch, &c.Seq)
+	return rpc.Fields(d, &c.Epoch, &c.Seq)
 }
 
 // departureAnswer is one page of a departure log.
@@ -86,14 +86,14 @@
 
 // DecodeMsgpack reads answers of other versions too.
 func (a *departureAnswer) DecodeMsgpack(d *msgpack.Decoder) error {
-	return pollen.Fields(d, &a.Next, &a.More, &a.Workers)
+	return rpc.Fields(d, &a.Next, &a.More, &a.Workers)
 }
 
 // onDepartures answers what the asker has not read yet. A cursor of another
 // life starts from the first departure that is kept.
-func (f *Flora) onDepartures(ctx context.Context, in *departureCursor) (*departureAnswer, error) {
-	return waggle.Ask(ctx, f.cfg.Floor, func() *departureAnswer {
-		nowUs := waggle.NowUs()
+func (f *Discovery) onDepartures(ctx context.Context, in *departureCursor) (*departureAnswer, error) {
+	return eventloop.Ask(ctx, f.cfg.Loop, func() *departureAnswer {
+		nowUs := eventloop.NowUs()
 		log := f.departures
 		read := in.Seq
 		if in.Epoch != log.epoch {
@@ -120,16 +120,16 @@
 	busy    atomic.Bool // a question round is under way
 }
 
-// coreMembers are the members of the core's roster, nil if it isn't known.
-func (f *Flora) coreMembers() []nest.Seat {
-	r := f.coreRoster()
+// coreMembers are the members of the core's membership, nil if it isn't known.
+func (f *Discovery) coreMembers() []register.Member {
+	r := f.coreMembership()
 	if r == nil {
 		return nil
 	}
 	return r.All()
 }
 
-func (f *Flora) coreRoster() *nest.Roster {
+func (f *Discovery) coreMembership() *register.Membership {
 	if f.cfg.Core == nil {
 		return nil
 	}
@@ -140,10 +140,10 @@
 // the core (design 5.4): a core member asks all others; a node that answers for
 // others, or whose own source is silent, asks one of them. It runs on the event
 // loop.
-func (f *Flora) readDepartures(serves, sourceSilent bool) {
-	var others, silent []nest.Seat
+func (f *Discovery) readDepartures(serves, sourceSilent bool) {
+	var others, silent []register.Member
 	isMember := false
-	v := f.cfg.Swarm.Look()
+	v := f.cfg.Gossip.Look()
 	for _, m := range f.coreMembers() {
 		switch {
 		case m.Name == f.cfg.Self.Name:
@@ -170,7 +170,7 @@
 }
 
 // rotate brings another member to the front with each turn.
-func rotate(members []nest.Seat, turn int) {
+func rotate(members []register.Member, turn int) {
 	if len(members) > 1 {
 		at := turn % len(members)
 		copy(members, append(slices.Clone(members[at:]), members[:at]...))
@@ -179,20 +179,20 @@
 
 // maybeAlive tells whether a core member is alive in view, or may be although
 // the view has no room for it.
-func maybeAlive(v *swarm.View, name string) bool {
+func maybeAlive(v *gossip.View, name string) bool {
 	return v.Alive(name) || v.Partial() && v.Get(name) == nil
 }
 
-// addrOf is a core member's address: as membership has it, or else the roster.
-func (f *Flora) addrOf(m nest.Seat) string {
-	if p := f.cfg.Swarm.Look().Get(m.Name); p != nil {
+// addrOf is a core member's address: as membership has it, or else the membership.
+func (f *Discovery) addrOf(m register.Member) string {
+	if p := f.cfg.Gossip.Look().Get(m.Name); p != nil {
 		return p.Addr
 	}
 	return m.Addr
 }
 
 // readDeparturesOfOne asks the members in their order until one answers.
-func (f *Flora) readDeparturesOfOne(members []nest.Seat) {
+func (f *Discovery) readDeparturesOfOne(members []register.Member) {
 	if !f.reader.busy.CompareAndSwap(false, true) {
 		return
 	}
@@ -202,26 +202,26 @@
 			if f.readDeparturesOf(m) == nil {
 				return
 			}
-			_ = f.cfg.Floor.Do(f.ctx, func() { f.silentSources[m.Name] = waggle.NowUs() })
+			_ = f.cfg.Loop.Do(f.ctx, func() { f.silentSources[m.Name] = eventloop.NowUs() })
 		}
 	}()
 }
 
 // readDeparturesOf reads what is new in one member's log.
-func (f *Flora) readDeparturesOf(member nest.Seat) error {
+func (f *Discovery) readDeparturesOf(member register.Member) error {
 	for {
-		cursor, err := waggle.Ask(f.ctx, f.cfg.Floor, func() departureCursor { return f.reader.cursors[member.Name] })
+		cursor, err := eventloop.Ask(f.ctx, f.cfg.Loop, func() departureCursor { return f.reader.cursors[member.Name] })
 		if err != nil {
 			return err
 		}
 		page := &departureAnswer{}
 		callCtx, cancel := context.WithTimeout(f.ctx, departureTimeout)
-		err = f.cfg.Mesh.Call(callCtx, f.addrOf(member), "flora.departures", &cursor, page)
+		err = f.cfg.Transport.Call(callCtx, f.addrOf(member), "flora.departures", &cursor, page)
 		cancel()
 		if err != nil {
 			return err
 		}
-		if err := f.cfg.Floor.Do(f.ctx, func() { f.takeDepartures(member.Name, page) }); err != nil {
+		if err := f.cfg.Loop.Do(f.ctx, func() { f.takeDepartures(member.Name, page) }); err != nil {
 			return err
 		}
 		if !page.More {
@@ -231,9 +231,9 @@
 }
 
 // takeDepartures merges one page of a member's log.
-func (f *Flora) takeDepartures(member string, page *departureAnswer) {
+func (f *Discovery) takeDepartures(member string, page *departureAnswer) {
 	f.reader.cursors[member] = page.Next
-	nowUs := waggle.NowUs()
+	nowUs := eventloop.NowUs()
 	news := false
 	for _, w := range page.Workers {
 		news = f.take(w, nowUs) || news
@@ -245,7 +245,7 @@
 
 // holdsMajority tells whether those that took a departure, by name, are a
 // majority of the core.
-func holdsMajority(core *nest.Roster, took map[string]bool) bool {
+func holdsMajority(core *register.Membership, took map[string]bool) bool {
 	if core == nil {
 		return false
 	}
@@ -260,11 +260,11 @@
 
 // inContact tells whether this node sees a majority of the core alive: where it
 // does not, a worker is better off at another node (design 5.2).
-func (f *Flora) inContact(v *swarm.View) bool {
+func (f *Discovery) inContact(v *gossip.View) bool {
 	if f.cfg.Core == nil {
 		return true
 	}
-	core := f.coreRoster()
+	core := f.coreMembership()
 	if core == nil {
 		return true // not founded yet, or not heard of: nobody is sent anything
 	}
--- a/internal/flora/diary.go
+++ b/internal/discovery/journal.go
@@ -1,28 +1,28 @@
-package flora
+package discovery
 
 import (
 	"sync"
 
-	"rowanshunt/internal/cell"
 	"rowanshunt/internal/codec"
-	"rowanshunt/internal/pollen"
-	"rowanshunt/internal/wax"
+	"rowanshunt/internal/logging"
+	"rowanshunt/internal/rpc"
+	"rowanshunt/internal/wal"
 )
 
-// The diary lets a node that starts again use the workers it knew before, for
+// The journal lets a node that starts again use the workers it knew before, for
 // as long as it is not yet in touch: each must beat anew or be told of by a
-// partner, or it is dropped (design 5.5). Nothing depends on it being whole. How
+// peer, or it is dropped (design 5.5). Nothing depends on it being whole. How
 // long the node was down is not known, for no clock of its own ran meanwhile: a
 // page counts for oldUs whatever its age.
 const (
-	diaryUs   = 1_000_000
+	journalUs = 1_000_000
 	oldUs     = 2_400_000
 	longBytes = 256 << 10
 )
 
-type diary struct {
-	cell *cell.Cell
-	log  *wax.Log
+type journal struct {
+	wal *wal.Log
+	log *logging.Log
 
 	mu   sync.Mutex
 	busy bool
@@ -34,11 +34,11 @@
 	Workers []Worker
 }
 
-func openDiary(dir string, log *wax.Log) (*diary, []Worker, error) {
+func openJournal(dir string, log *logging.Log) (*journal, []Worker, error) {
 	var last page
-	c, damage, err := cell.OpenDisposable(dir, "flora.cell", func(raw []byte) error {
+	c, damage, err := wal.OpenDisposable(dir, "flora.cell", func(raw []byte) error {
 		var p page
-		if err := pollen.Unmarshal(raw, &p); err != nil {
+		if err := rpc.Unmarshal(raw, &p); err != nil {
 			return err
 		}
 		last = p
@@ -48,9 +48,9 @@
 		return nil, nil, err
 	}
 	if damage != nil {
-		log.Warn("cell_tail_cut", "cell", "flora", "at", damage.AtByte, "bytes", damage.CutBytes, "why", damage.Why)
+		log.Warn("wal_tail_cut", "wal", "flora", "at", damage.AtByte, "bytes", damage.CutBytes, "why", damage.Why)
 	}
-	d := &diary{cell: c, log: log}
+	d := &journal{wal: c, log: log}
 	for i := range last.Workers {
 		last.Workers[i].Old = true
 		last.Workers[i].AgeUs = 0
@@ -59,7 +59,7 @@
 }
 
 // write adds a page; while one is on its way only the newest one waits.
-func (d *diary) write(ws []Worker) {
+func (d *journal) write(ws []Worker) {
 	raw, err := codec.Marshal(&page{Workers: ws})
 	if err != nil {
 		return
@@ -72,20 +72,20 @@
 	}
 	d.busy = true
 	d.mu.Unlock()
-	d.put(raw) // not under the lock: a closed cell answers at once
+	d.put(raw) // not under the lock: a closed log file answers at once
 }
 
-func (d *diary) put(raw []byte) {
-	if d.cell.SizeBytes() > longBytes {
-		d.cell.Rewrite(d.written, cell.Records(raw))
+func (d *journal) put(raw []byte) {
+	if d.wal.SizeBytes() > longBytes {
+		d.wal.Rewrite(d.written, wal.Records(raw))
 	} else {
-		d.cell.Append(d.written, raw)
+		d.wal.Append(d.written, raw)
 	}
 }
 
-func (d *diary) written(err error) {
+func (d *journal) written(err error) {
 	if err != nil {
-		d.log.Warn("diary_not_written", "err", err)
+		d.log.Warn("journal_not_written", "err", err)
 	}
 	d.mu.Lock()
 	raw := d.next
--- /dev/null
+++ b/internal/discovery/journal_test.go
@@ -0,0 +1,41 @@
+package discovery
+
+import (
+	"context"
+	"os"
+	"path/filepath"
+	"testing"
+
+	"rowanshunt/internal/eventloop"
+	"rowanshunt/internal/gossip"
+	"rowanshunt/internal/logging"
+	"rowanshunt/internal/rpc"
+	"rowanshunt/internal/simnet"
+)
+
+// A journal that can't be read or made doesn't keep a node from starting.
+func TestStartsWithoutAJournal(t *testing.T) {
+	for name, prepare := range map[string]func(dir string) error{
+		"damaged": func(dir string) error {
+			return os.WriteFile(filepath.Join(dir, "flora.cell"), []byte("not a log"), 0o644)
+		},
+		"unreadable": func(dir string) error { return os.Mkdir(filepath.Join(dir, "flora.cell"), 0o755) },
+	} {
+		dir := t.TempDir()
+		if err := prepare(dir); err != nil {
+			t.Fatal(err)
+		}
+		ctx, stop := context.WithCancel(context.Background())
+		loop, mux, m := eventloop.NewLoop(64), rpc.NewMux(), simnet.New(1)
+		self := gossip.Peer{Name: "n", Addr: "10.0.0.1:1", Az: "z", Role: "forager", LifeUs: 1}
+		sw := gossip.New(ctx, loop, mux, m.TransportOf(self.Addr), logging.Quiet(), self, nil, nil)
+		f, err := New(ctx, Config{Loop: loop, Mux: mux, Transport: m.TransportOf(self.Addr), Gossip: sw, Log: logging.Quiet(), Self: self, HbUs: 1_200_000,
+			Services: func() []string { return nil }, Dir: dir})
+		if err != nil {
+			t.Errorf("%s: %v", name, err)
+		} else if f.journal != nil {
+			f.journal.wal.Close()
+		}
+		stop()
+	}
+}
--- a/internal/forage/circuit.go
+++ b/internal/forward/conn.go
@@ -1,4 +1,4 @@
-package forage
+package forward
 
 import (
 	"bufio"
@@ -14,21 +14,21 @@
 
 	"golang.org/x/sys/unix"
 
-	"rowanshunt/internal/flora"
-	"rowanshunt/internal/pollen"
-	"rowanshunt/internal/waggle"
-	"rowanshunt/internal/wax"
+	"rowanshunt/internal/discovery"
+	"rowanshunt/internal/eventloop"
+	"rowanshunt/internal/fault"
+	"rowanshunt/internal/rpc"
 )
 
-// Times of circuits (design 6.4).
+// Times of connections (design 6.4).
 const (
 	dialTimeout = 350 * time.Millisecond
 	idleUs      = int64(20_000_000)
 )
 
-// Circuit is one connection to one life of a worker; it carries one request at
+// Conn is one connection to one life of a worker; it carries one request at
 // a time.
-type Circuit struct {
+type Conn struct {
 	conn    net.Conn
 	br      *bufio.Reader
 	bw      *bufio.Writer
@@ -40,15 +40,15 @@
 	idleUs  int64 // when it was given back
 }
 
-func newCircuit(conn net.Conn, worker string) *Circuit {
+func newConn(conn net.Conn, worker string) *Conn {
 	in := &headReader{conn: conn, left: math.MaxInt}
-	nowUs := waggle.NowUs()
-	return &Circuit{conn: conn, in: in, br: bufio.NewReaderSize(in, 2<<10), bw: bufio.NewWriterSize(conn, 2<<10), worker: worker,
+	nowUs := eventloop.NowUs()
+	return &Conn{conn: conn, in: in, br: bufio.NewReaderSize(in, 2<<10), bw: bufio.NewWriterSize(conn, 2<<10), worker: worker,
 		untilUs: nowUs + idleUs, idleUs: nowUs}
 }
 
 // intact looks whether the other end closed, or sent bytes nobody asked for.
-func (c *Circuit) intact() bool {
+func (c *Conn) intact() bool {
 	if c.br.Buffered() > 0 {
 		return false
 	}
@@ -75,12 +75,12 @@
 }
 
 type pool struct {
-	idle []*Circuit
+	idle []*Conn
 	open int
 }
 
-// Circuits owns this node's circuits to workers.
-type Circuits struct {
+// Conns owns this node's connections to workers.
+type Conns struct {
 	mu    sync.Mutex
 	pools map[string]*pool
 	dial  Dial
@@ -92,22 +92,22 @@
 
 // DialTCP dials real sockets.
 func DialTCP() Dial {
-	d := pollen.Dialer(dialTimeout)
+	d := rpc.Dialer(dialTimeout)
 	return func(ctx context.Context, addr string) (net.Conn, error) { return d.DialContext(ctx, "tcp", addr) }
 }
 
-// NewCircuits makes an empty set.
-func NewCircuits(dial Dial) *Circuits {
-	return &Circuits{pools: map[string]*pool{}, dial: dial}
+// NewConns makes an empty set.
+func NewConns(dial Dial) *Conns {
+	return &Conns{pools: map[string]*pool{}, dial: dial}
 }
 
-// Get gives a circuit to the worker, an idle one if there is one that was used
-// within youngUs: a worker may forget an idle circuit and say nothing, and what
-// is sent on it next is lost. A circuit whose last request had the same id is not
+// Get gives a connection to the worker, an idle one if there is one that was used
+// within youngUs: a worker may forget an idle connection and say nothing, and what
+// is sent on it next is lost. A connection whose last request had the same id is not
 // used: a surplus answer to that one could not be told from the next (design
 // 6.4). Its faults promise that nothing was sent.
-func (cs *Circuits) Get(ctx context.Context, w *flora.Worker, id string, maxOpen int, youngUs int64) (*Circuit, error) {
-	nowUs := waggle.NowUs()
+func (cs *Conns) Get(ctx context.Context, w *discovery.Worker, id string, maxOpen int, youngUs int64) (*Conn, error) {
+	nowUs := eventloop.NowUs()
 	for {
 		cs.mu.Lock()
 		p := cs.pools[w.ID]
@@ -115,8 +115,8 @@
 			p = &pool{}
 			cs.pools[w.ID] = p
 		}
-		var c *Circuit
-		var oldest *Circuit
+		var c *Conn
+		var oldest *Conn
 		if n := len(p.idle); n > 0 && nowUs-p.idle[n-1].idleUs <= youngUs {
 			c = p.idle[n-1]
 			p.idle = p.idle[:n-1]
@@ -125,7 +125,7 @@
 			p.idle = p.idle[1:]
 		} else if p.open >= maxOpen {
 			cs.mu.Unlock()
-			return nil, wax.New(wax.Conflict, w.ID, "this node's share of circuits is in use", "try another worker")
+			return nil, fault.New(fault.Conflict, w.ID, "this node's share of connections is in use", "try another worker")
 		} else {
 			p.open++
 		}
@@ -147,15 +147,15 @@
 		cs.mu.Lock()
 		cs.pools[w.ID].open--
 		cs.mu.Unlock()
-		return nil, wax.New(wax.Unreached, w.ID, err.Error(), "look whether the worker runs")
+		return nil, fault.New(fault.Unreached, w.ID, err.Error(), "look whether the worker runs")
 	}
-	c := newCircuit(conn, w.ID)
+	c := newConn(conn, w.ID)
 	c.lastID = id
 	return c, nil
 }
 
-// Put gives a circuit back after a whole answer.
-func (cs *Circuits) Put(c *Circuit, resp *http.Response) {
+// Put gives a connection back after a whole answer.
+func (cs *Conns) Put(c *Conn, resp *http.Response) {
 	keepUs := idleUs
 	if s, ok := keepAliveS(resp.Header.Get("Keep-Alive")); ok {
 		keepUs = s*1_000_000*7/10 - 100_000
@@ -165,7 +165,7 @@
 		return
 	}
 	_ = c.conn.SetDeadline(time.Time{})
-	c.idleUs = waggle.NowUs()
+	c.idleUs = eventloop.NowUs()
 	c.untilUs = c.idleUs + keepUs
 	cs.mu.Lock()
 	p := cs.pools[c.worker]
@@ -178,9 +178,9 @@
 	}
 }
 
-// Unused gives a circuit back on which nothing was sent: its rest goes on, as the
+// Unused gives a connection back on which nothing was sent: its rest goes on, as the
 // worker sees it.
-func (cs *Circuits) Unused(c *Circuit) {
+func (cs *Conns) Unused(c *Conn) {
 	_ = c.conn.SetDeadline(time.Time{})
 	c.lastID = ""
 	cs.mu.Lock()
@@ -207,8 +207,8 @@
 	return 0, false
 }
 
-// Drop closes a circuit.
-func (cs *Circuits) Drop(c *Circuit) {
+// Drop closes a connection.
+func (cs *Conns) Drop(c *Conn) {
 	_ = c.conn.Close()
 	cs.mu.Lock()
 	if p := cs.pools[c.worker]; p != nil {
@@ -217,9 +217,9 @@
 	cs.mu.Unlock()
 }
 
-// Forgot closes the idle circuits of a worker that forgot one of them.
-func (cs *Circuits) Forgot(worker string) {
-	var old []*Circuit
+// Forgot closes the idle connections of a worker that forgot one of them.
+func (cs *Conns) Forgot(worker string) {
+	var old []*Conn
 	cs.mu.Lock()
 	if p := cs.pools[worker]; p != nil {
 		old = p.idle
@@ -232,10 +232,10 @@
 	}
 }
 
-// Sweep closes idle circuits that are past their time or whose worker is gone.
-func (cs *Circuits) Sweep(d *flora.Directory) {
-	nowUs := waggle.NowUs()
-	var old []*Circuit
+// Sweep closes idle connections that are past their time or whose worker is gone.
+func (cs *Conns) Sweep(d *discovery.Directory) {
+	nowUs := eventloop.NowUs()
+	var old []*Conn
 	cs.mu.Lock()
 	for id, p := range cs.pools {
 		keep := p.idle[:0]
@@ -258,8 +258,8 @@
 	}
 }
 
-// CloseAll closes every idle circuit.
-func (cs *Circuits) CloseAll() {
+// CloseAll closes every idle connection.
+func (cs *Conns) CloseAll() {
 	cs.mu.Lock()
 	defer cs.mu.Unlock()
 	for _, p := range cs.pools {
--- a/internal/swarm/swarm.go
+++ b/internal/gossip/gossip.go
@@ -1,8 +1,6 @@
-// Package swarm is how nodes know each other: partial views that are shuffled
+// Package gossip is how nodes know each other: partial views that are shuffled
 // between neighbours, and the age of what was last heard of each (design 3).
-// The field's standard terms: swarm = membership (gossip); sighting = member
-// state; view = snapshot; life = incarnation.
-package swarm
+package gossip
 
 import (
 	"cmp"
@@ -15,16 +13,17 @@
 
 	"github.com/zeebo/xxh3"
 
-	"rowanshunt/internal/pollen"
-	"rowanshunt/internal/tending"
-	"rowanshunt/internal/waggle"
-	"rowanshunt/internal/wax"
+	"rowanshunt/internal/eventloop"
+	"rowanshunt/internal/fault"
+	"rowanshunt/internal/logging"
+	"rowanshunt/internal/rendezvous"
+	"rowanshunt/internal/rpc"
 )
 
-// Partner is what a node tells of itself.
-type Partner struct {
+// Peer is what a node tells of itself.
+type Peer struct {
 	Name    string
-	Addr    string // partner protocol
+	Addr    string // peer protocol
 	Ctl     string // workers and operators, "" if not served
 	Az      string
 	Role    string
@@ -33,21 +32,21 @@
 	Leaving bool
 	// LifeUs orders the records of one node (design 3.5). Of the version before
 	// it is the time of day at which the process started, in microseconds.
-	LifeUs Incarnation
-	Beat   uint64 // grows as it lives
-	Rev    uint64 // newest register revision it knows
-	Ready  bool
-	Cap    int64 // processor, in thousandths of a core
-	Slow   bool  // its own floor runs late (design 8.2)
+	LifeUs    Incarnation
+	Heartbeat uint64 // grows as it lives
+	Rev       uint64 // newest register revision it knows
+	Ready     bool
+	Cap       int64 // processor, in thousandths of a core
+	Slow      bool  // its own event loop runs late (design 8.2)
 
 	process string // of this node itself: the random id of its process
 }
 
-// Seat names the partner together with its disk.
-func (p *Partner) Seat() string { return p.Name + "#" + p.Disk }
+// MemberID names the peer together with its disk.
+func (p *Peer) MemberID() string { return p.Name + "#" + p.Disk }
 
-func (p *Partner) newer(q *Partner) bool {
-	return p.LifeUs > q.LifeUs || p.LifeUs == q.LifeUs && p.Beat > q.Beat
+func (p *Peer) newer(q *Peer) bool {
+	return p.LifeUs > q.LifeUs || p.LifeUs == q.LifeUs && p.Heartbeat > q.Heartbeat
 }
 
 // Bounds of the view (design 3.2).
@@ -60,13 +59,13 @@
 	metUs      = 800_000
 	forgetUs   = 60_000_000
 	seedRounds = 25
-	// wellNamed is how many partners shuffles name often enough for aliveUs.
+	// wellNamed is how many peers shuffles name often enough for aliveUs.
 	wellNamed = 96
 )
 
-// Sighting is a partner with what this node knows of its life.
-type Sighting struct {
-	Partner
+// NodeState is a peer with what this node knows of its life.
+type NodeState struct {
+	Peer
 	Alive   bool
 	SeenUs  int64 // when it last moved, steady clock of this node
 	MetUs   int64 // when it last answered this node itself
@@ -76,12 +75,12 @@
 
 // View is what a node knows at one moment; it is never changed.
 type View struct {
-	Self Partner
-	All  []Sighting // by name, this node included
+	Self Peer
+	All  []NodeState // by name, this node included
 }
 
-// Get finds a sighting by name.
-func (v *View) Get(name string) *Sighting {
+// Get finds a node state by name.
+func (v *View) Get(name string) *NodeState {
 	i := sort.Search(len(v.All), func(i int) bool { return v.All[i].Name >= name })
 	if i < len(v.All) && v.All[i].Name == name {
 		return &v.All[i]
@@ -96,8 +95,8 @@
 // processor of the largest of them: what grows with the whole system (homes,
 // dispatching) is theirs, so that small machines are left to their own traffic.
 // Where these are few, duties fall to all nodes of the role (design 3.4).
-func (v *View) Strong(role string) []*Sighting {
-	var all []*Sighting
+func (v *View) Strong(role string) []*NodeState {
+	var all []*NodeState
 	most := int64(0)
 	for i := range v.All {
 		if s := &v.All[i]; s.Alive && s.Role == role && !s.Leaving {
@@ -105,7 +104,7 @@
 			most = max(most, s.Cap)
 		}
 	}
-	var strong []*Sighting
+	var strong []*NodeState
 	for _, s := range all {
 		if 2*s.Cap >= most {
 			strong = append(strong, s)
@@ -129,27 +128,27 @@
 	if len(names) <= most {
 		return names
 	}
-	return tending.Rank(duty, names)[:most]
+	return rendezvous.Rank(duty, names)[:most]
 }
 
 // Partial tells whether there may be nodes that the view has no room for.
 func (v *View) Partial() bool { return len(v.All) >= maxView }
 
-// Met tells whether the partner lives and answered this node itself lately:
+// Met tells whether the peer lives and answered this node itself lately:
 // others may still hear of one that is cut off from here.
 func (v *View) Met(name string) bool {
 	s := v.Get(name)
-	return s != nil && s.Alive && (name == v.Self.Name || waggle.NowUs()-s.MetUs < metUs)
+	return s != nil && s.Alive && (name == v.Self.Name || eventloop.NowUs()-s.MetUs < metUs)
 }
 
-// Slow tells whether the partner says that its floor runs late.
+// Slow tells whether the peer says that its event loop runs late.
 func (v *View) Slow(name string) bool {
 	s := v.Get(name)
 	return s != nil && s.Slow
 }
 
 // Names lists those that keep holds.
-func (v *View) Names(keep func(*Sighting) bool) []string {
+func (v *View) Names(keep func(*NodeState) bool) []string {
 	var out []string
 	for i := range v.All {
 		if keep(&v.All[i]) {
@@ -159,47 +158,47 @@
 	return out
 }
 
-// Alive tells whether that partner is thought to live.
+// Alive tells whether that peer is thought to live.
 func (v *View) Alive(name string) bool {
 	s := v.Get(name)
 	return s != nil && s.Alive
 }
 
-// Swarm owns this node's table of partners.
-type Swarm struct {
-	floor *waggle.Floor
-	mesh  pollen.Mesh
-	log   *wax.Log
-	seeds []string
+// Gossip owns this node's table of peers.
+type Gossip struct {
+	loop      *eventloop.Loop
+	transport rpc.Transport
+	log       *logging.Log
+	seeds     []string
 	// close are shuffled with each round, besides a random one.
 	close func(*View) []string
 
-	self  Partner
-	table map[string]*Sighting
+	self  Peer
+	table map[string]*NodeState
 	byKey map[uint64]string // keys of the table
 	stale map[uint64]bool   // keys that newer words replaced: not asked for again
 	view  atomic.Pointer[View]
 	rng   *rand.Rand
-	// OnRev is told of a partner that knows a newer register revision.
-	OnRev func(p Partner)
+	// OnRev is told of a peer that knows a newer register revision.
+	OnRev func(p Peer)
 	ctx   context.Context
 }
 
 type shuffle struct {
-	From  Partner
-	Words []byte    // of some others
-	Want  []uint64  // keys the sender cannot read
-	Full  []Partner // what the other side wanted
-	Ping  bool      // only the answer matters
+	From  Peer
+	Words []byte   // of some others
+	Want  []uint64 // keys the sender cannot read
+	Full  []Peer   // what the other side wanted
+	Ping  bool     // only the answer matters
 }
 
-// New makes the swarm of one node. Everything but Look runs on the floor.
-func New(ctx context.Context, floor *waggle.Floor, desk *pollen.Desk, mesh pollen.Mesh, log *wax.Log, self Partner, seeds []string, close func(*View) []string) *Swarm {
-	s := &Swarm{floor: floor, mesh: mesh, log: log, seeds: seeds, close: close, self: self, table: map[string]*Sighting{}, byKey: map[uint64]string{}, stale: map[uint64]bool{}, ctx: ctx,
+// New makes the gossip of one node. Everything but Look runs on the event loop.
+func New(ctx context.Context, loop *eventloop.Loop, mux *rpc.Mux, transport rpc.Transport, log *logging.Log, self Peer, seeds []string, close func(*View) []string) *Gossip {
+	s := &Gossip{loop: loop, transport: transport, log: log, seeds: seeds, close: close, self: self, table: map[string]*NodeState{}, byKey: map[uint64]string{}, stale: map[uint64]bool{}, ctx: ctx,
 		rng: rand.New(rand.NewPCG(xxh3.HashString(self.Life()), uint64(len(self.Name)+1)))}
 	s.publish()
-	pollen.On(desk, "swarm.shuffle", func(ctx context.Context, in *shuffle) (*shuffle, error) {
-		return waggle.Ask(ctx, floor, func() *shuffle {
+	rpc.On(mux, "swarm.shuffle", func(ctx context.Context, in *shuffle) (*shuffle, error) {
+		return eventloop.Ask(ctx, loop, func() *shuffle {
 			want := s.merge(in)
 			out := &shuffle{From: s.self, Full: append(s.lookUp(in.Want), s.contradict(&in.From)...)}
 			if !in.Ping && len(in.Full) == 0 && len(in.Want) == 0 {
@@ -208,26 +207,26 @@
 			return out
 		})
 	})
-	floor.Every(shuffleUs, s.round)
+	loop.Every(shuffleUs, s.round)
 	return s
 }
 
 // Look gives the newest view; any goroutine may call it.
-func (s *Swarm) Look() *View { return s.view.Load() }
+func (s *Gossip) Look() *View { return s.view.Load() }
 
 // Tell changes what this node says of itself.
-func (s *Swarm) Tell(change func(p *Partner)) {
+func (s *Gossip) Tell(change func(p *Peer)) {
 	change(&s.self)
-	s.self.Beat++
+	s.self.Heartbeat++
 	s.publish()
 }
 
 // SetSeeds takes the seeds of new options.
-func (s *Swarm) SetSeeds(seeds []string) { s.seeds = seeds }
+func (s *Gossip) SetSeeds(seeds []string) { s.seeds = seeds }
 
-func (s *Swarm) sample() []byte {
-	nowUs := waggle.NowUs()
-	var live []*Sighting
+func (s *Gossip) sample() []byte {
+	nowUs := eventloop.NowUs()
+	var live []*NodeState
 	for _, t := range s.table {
 		if nowUs-t.SeenUs < 3*silentUs(len(s.table)) {
 			live = append(live, t)
@@ -235,39 +234,39 @@
 	}
 	// What was heard last goes first, for it is news to most; among equals by lot.
 	s.rng.Shuffle(len(live), func(i, j int) { live[i], live[j] = live[j], live[i] })
-	slices.SortStableFunc(live, func(a, b *Sighting) int { return cmp.Compare(b.SeenUs, a.SeenUs) })
+	slices.SortStableFunc(live, func(a, b *NodeState) int { return cmp.Compare(b.SeenUs, a.SeenUs) })
 	var out []word
 	for _, t := range live[:min(len(live), maxShuffle)] {
-		out = append(out, word{t.key, t.Beat, t.Rev})
+		out = append(out, word{t.key, t.Heartbeat, t.Rev})
 	}
 	return packWords(out)
 }
 
-// lookUp gives the partners of these keys, as far as they are known here.
-func (s *Swarm) lookUp(keys []uint64) []Partner {
-	var out []Partner
+// lookUp gives the peers of these keys, as far as they are known here.
+func (s *Gossip) lookUp(keys []uint64) []Peer {
+	var out []Peer
 	for _, k := range keys[:min(len(keys), maxShuffle)] {
 		if t := s.table[s.byKey[k]]; t != nil {
-			out = append(out, t.Partner)
+			out = append(out, t.Peer)
 		}
 	}
 	return out
 }
 
-// merge takes what a partner told and lists the keys it cannot read.
-func (s *Swarm) merge(in *shuffle) (want []uint64) {
+// merge takes what a peer told and lists the keys it cannot read.
+func (s *Gossip) merge(in *shuffle) (want []uint64) {
 	s.take(in.From)
 	for _, p := range in.Full[:min(len(in.Full), 4*maxShuffle)] {
 		s.take(p)
 	}
-	nowUs, own := waggle.NowUs(), s.self.key()
+	nowUs, own := eventloop.NowUs(), s.self.key()
 	for _, w := range unpackWords(in.Words) {
 		t := s.table[s.byKey[w.key]]
 		switch {
-		case t != nil && w.beat > t.Beat:
-			t.Beat, t.Rev, t.SeenUs = w.beat, max(t.Rev, w.rev), nowUs
+		case t != nil && w.heartbeat > t.Heartbeat:
+			t.Heartbeat, t.Rev, t.SeenUs = w.heartbeat, max(t.Rev, w.rev), nowUs
 			if s.OnRev != nil && t.Rev > s.self.Rev {
-				s.OnRev(t.Partner)
+				s.OnRev(t.Peer)
 			}
 		case t == nil && w.key != own && !s.stale[w.key] && len(want) < maxShuffle:
 			want = append(want, w.key)
@@ -277,14 +276,14 @@
 }
 
 // replaced notes that a key will not be true again.
-func (s *Swarm) replaced(key uint64) {
+func (s *Gossip) replaced(key uint64) {
 	if len(s.stale) >= maxStale {
 		clear(s.stale)
 	}
 	s.stale[key] = true
 }
 
-func (s *Swarm) take(p Partner) {
+func (s *Gossip) take(p Peer) {
 	if p.Name == s.self.Name {
 		s.refute(&p)
 		return
@@ -292,19 +291,19 @@
 	if p.Name == "" || p.Addr == "" || p.LifeUs >= maxIncarnation {
 		return
 	}
-	nowUs := waggle.NowUs()
+	nowUs := eventloop.NowUs()
 	t := s.table[p.Name]
 	switch {
 	case t == nil:
 		if len(s.table) >= maxView && !s.evict() {
 			return
 		}
-		t = &Sighting{Partner: p, SinceUs: nowUs, key: p.key()}
+		t = &NodeState{Peer: p, SinceUs: nowUs, key: p.key()}
 		s.table[p.Name] = t
 		s.byKey[t.key] = p.Name
-		s.log.Debug("partner_found", "partner", p.Name, "addr", p.Addr)
-	case p.newer(&t.Partner):
-		t.Partner = p
+		s.log.Debug("peer_found", "peer", p.Name, "addr", p.Addr)
+	case p.newer(&t.Peer):
+		t.Peer = p
 		if k := p.key(); k != t.key {
 			s.replaced(t.key)
 			delete(s.byKey, t.key)
@@ -322,15 +321,15 @@
 	}
 }
 
-// evict forgets the partner unheard of for longest, if it is not alive.
-func (s *Swarm) evict() bool {
-	var oldest *Sighting
+// evict forgets the peer unheard of for longest, if it is not alive.
+func (s *Gossip) evict() bool {
+	var oldest *NodeState
 	for _, t := range s.table {
 		if oldest == nil || t.SeenUs < oldest.SeenUs {
 			oldest = t
 		}
 	}
-	if oldest == nil || waggle.NowUs()-oldest.SeenUs < aliveUs {
+	if oldest == nil || eventloop.NowUs()-oldest.SeenUs < aliveUs {
 		return false
 	}
 	delete(s.byKey, oldest.key)
@@ -338,12 +337,12 @@
 	return true
 }
 
-func (s *Swarm) round() {
-	s.self.Beat++
+func (s *Gossip) round() {
+	s.self.Heartbeat++
 	s.publish()
 	v := s.Look()
 	targets, pings := map[string]bool{}, map[string]bool{}
-	live := v.Names(func(t *Sighting) bool { return t.Alive && t.Name != s.self.Name })
+	live := v.Names(func(t *NodeState) bool { return t.Alive && t.Name != s.self.Name })
 	if len(live) > 0 {
 		targets[v.Get(live[s.rng.IntN(len(live))]).Addr] = true
 	}
@@ -360,7 +359,7 @@
 		targets[s.seeds[s.rng.IntN(len(s.seeds))]] = true
 	}
 	if s.rng.IntN(10) == 0 {
-		if lost := v.Names(func(t *Sighting) bool { return !t.Alive }); len(lost) > 0 {
+		if lost := v.Names(func(t *NodeState) bool { return !t.Alive }); len(lost) > 0 {
 			targets[v.Get(lost[s.rng.IntN(len(lost))]).Addr] = true
 		}
 	}
@@ -375,7 +374,7 @@
 }
 
 // seedOneIn is in how many rounds one goes to a seed too: the fewer the more
-// partners are known, for the seeds are the same for all nodes and what comes to
+// peers are known, for the seeds are the same for all nodes and what comes to
 // them must not grow with these (design 3.3).
 func seedOneIn(live int) int {
 	if live < 3 {
@@ -384,9 +383,9 @@
 	return max(seedRounds, live)
 }
 
-// tell shuffles with one partner; what one side cannot read of the other's
+// tell shuffles with one peer; what one side cannot read of the other's
 // words is handed over in a second call.
-func (s *Swarm) tell(addr string, msg *shuffle) {
+func (s *Gossip) tell(addr string, msg *shuffle) {
 	if addr == s.self.Addr {
 		return
 	}
@@ -394,8 +393,8 @@
 		ctx, cancel := context.WithTimeout(s.ctx, 600*time.Millisecond)
 		defer cancel()
 		var back shuffle
-		err := s.mesh.Call(ctx, addr, "swarm.shuffle", msg, &back)
-		more, askErr := waggle.Ask(s.ctx, s.floor, func() *shuffle {
+		err := s.transport.Call(ctx, addr, "swarm.shuffle", msg, &back)
+		more, askErr := eventloop.Ask(s.ctx, s.loop, func() *shuffle {
 			want := s.called(addr, &back, err)
 			if len(want) == 0 && len(back.Want) == 0 {
 				return nil
@@ -406,22 +405,22 @@
 			return
 		}
 		var full shuffle
-		err = s.mesh.Call(ctx, addr, "swarm.shuffle", more, &full)
-		_ = s.floor.Do(s.ctx, func() { s.called(addr, &full, err) })
+		err = s.transport.Call(ctx, addr, "swarm.shuffle", more, &full)
+		_ = s.loop.Do(s.ctx, func() { s.called(addr, &full, err) })
 	}()
 }
 
-// called notes how a shuffle with a partner went. A port that declines at once
+// called notes how a shuffle with a peer went. A port that refuses at once
 // has no process behind it.
-func (s *Swarm) called(addr string, back *shuffle, err error) (want []uint64) {
+func (s *Gossip) called(addr string, back *shuffle, err error) (want []uint64) {
 	if err == nil {
 		want = s.merge(back)
 		if t := s.table[back.From.Name]; t != nil {
-			t.MetUs = waggle.NowUs()
+			t.MetUs = eventloop.NowUs()
 		}
 		return want
 	}
-	if wax.Is(err, wax.Unreached) {
+	if fault.Is(err, fault.Unreached) {
 		for _, t := range s.table {
 			if t.Addr == addr {
 				t.MetUs = 0
@@ -431,25 +430,25 @@
 	return nil
 }
 
-// silentUs is how long a partner's beat may stand still before it is thought
-// silent: where a shuffle names but a part of the partners, news of each takes
+// silentUs is how long a peer's beat may stand still before it is thought
+// silent: where a shuffle names but a part of the peers, news of each takes
 // longer to come round (design 3.3).
-func silentUs(partners int) int64 {
-	return aliveUs * int64(max(partners, wellNamed)) / wellNamed
+func silentUs(peers int) int64 {
+	return aliveUs * int64(max(peers, wellNamed)) / wellNamed
 }
 
-func (s *Swarm) publish() {
-	nowUs := waggle.NowUs()
+func (s *Gossip) publish() {
+	nowUs := eventloop.NowUs()
 	limitUs := silentUs(len(s.table))
-	v := &View{Self: s.self, All: make([]Sighting, 0, len(s.table)+1)}
+	v := &View{Self: s.self, All: make([]NodeState, 0, len(s.table)+1)}
 	for name, t := range s.table {
 		alive := nowUs-t.SeenUs < limitUs
 		if alive != t.Alive {
 			t.Alive, t.SinceUs = alive, nowUs
 			if !alive {
-				s.log.Info("partner_silent", "partner", name, "addr", t.Addr)
+				s.log.Info("peer_silent", "peer", name, "addr", t.Addr)
 			} else {
-				s.log.Info("partner_alive", "partner", name, "addr", t.Addr, "role", t.Role)
+				s.log.Info("peer_alive", "peer", name, "addr", t.Addr, "role", t.Role)
 			}
 		}
 		if nowUs-t.SeenUs > forgetUs {
@@ -459,7 +458,7 @@
 		}
 		v.All = append(v.All, *t)
 	}
-	v.All = append(v.All, Sighting{Partner: s.self, Alive: true, SeenUs: nowUs})
+	v.All = append(v.All, NodeState{Peer: s.self, Alive: true, SeenUs: nowUs})
 	sort.Slice(v.All, func(i, j int) bool { return v.All[i].Name < v.All[j].Name })
 	s.view.Store(v)
 }
--- a/internal/guard/control.go
+++ b/internal/ingress/control.go
@@ -1,4 +1,4 @@
-package guard
+package ingress
 
 import (
 	"context"
@@ -11,14 +11,15 @@
 
 	"github.com/julienschmidt/httprouter"
 
-	"rowanshunt/internal/buzz"
-	"rowanshunt/internal/flora"
-	"rowanshunt/internal/foundation"
-	"rowanshunt/internal/moult"
-	"rowanshunt/internal/nectar"
-	"rowanshunt/internal/nest"
-	"rowanshunt/internal/trail"
-	"rowanshunt/internal/wax"
+	"rowanshunt/internal/config"
+	"rowanshunt/internal/discovery"
+	"rowanshunt/internal/events"
+	"rowanshunt/internal/fault"
+	"rowanshunt/internal/logging"
+	"rowanshunt/internal/quota"
+	"rowanshunt/internal/register"
+	"rowanshunt/internal/trace"
+	"rowanshunt/internal/upgrade"
 )
 
 // Reply is what a command answers.
@@ -35,20 +36,20 @@
 
 // Control serves workers and operators.
 type Control struct {
-	Nest   *nest.Nest
-	Flora  *flora.Flora
-	Moult  *moult.Moult
-	Nectar *nectar.Nectar
-	Trail  *trail.Trail
-	Log    *wax.Log
-	Buzz   *buzz.Buzz
-	WallUs func() int64
+	Register  *register.Register
+	Discovery *discovery.Discovery
+	Upgrades  *upgrade.Manager
+	Quotas    *quota.Quotas
+	Trace     *trace.Tracer
+	Log       *logging.Log
+	Emitter   *events.Emitter
+	WallUs    func() int64
 
 	mu    sync.Mutex
 	acked []acked
 }
 
-// acked is a blueprint that this node acknowledged, for tracers.
+// acked is a configuration that this node acknowledged, for tracers.
 type acked struct{ ver, atUs int64 }
 
 const maxAcked = 32
@@ -75,18 +76,18 @@
 	return 0
 }
 
-// TrailCommand follows a change through all nodes.
-type TrailCommand struct{ Ask trail.Ask }
+// TraceCommand follows a change through all nodes.
+type TraceCommand struct{ Ask trace.Ask }
 
 // Run asks all nodes, once a majority of the core has been heard.
-func (t *TrailCommand) Run(ctx context.Context, c *Control) (Reply, error) {
+func (t *TraceCommand) Run(ctx context.Context, c *Control) (Reply, error) {
 	if err := t.Ask.Check(); err != nil {
 		return Reply{}, err
 	}
-	if _, err := c.Nest.Read(ctx); err != nil {
+	if _, err := c.Register.Read(ctx); err != nil {
 		return Reply{}, err
 	}
-	r, err := c.Trail.Follow(ctx, &t.Ask)
+	r, err := c.Trace.Follow(ctx, &t.Ask)
 	if err != nil {
 		return Reply{}, err
 	}
@@ -94,12 +95,12 @@
 	return Reply{Status: 200, Body: body}, err
 }
 
-// BeatCommand is a worker's beat.
-type BeatCommand struct{ Worker flora.Worker }
+// HeartbeatCommand is a worker's beat.
+type HeartbeatCommand struct{ Worker discovery.Worker }
 
 // Run takes the beat and names the home for the next ones.
-func (b *BeatCommand) Run(ctx context.Context, c *Control) (Reply, error) {
-	home, err := c.Flora.Beat(ctx, b.Worker)
+func (b *HeartbeatCommand) Run(ctx context.Context, c *Control) (Reply, error) {
+	home, err := c.Discovery.Heartbeat(ctx, b.Worker)
 	if err != nil {
 		return Reply{}, err
 	}
@@ -110,36 +111,36 @@
 	return Reply{Status: 200, Body: body}, err
 }
 
-// PutCommand is an operator's new blueprint.
+// PutCommand is an operator's new configuration.
 type PutCommand struct {
 	Doc    []byte
 	Ver    int64
 	Expect int64
 }
 
-// Run commits the blueprint.
+// Run commits the configuration.
 func (p *PutCommand) Run(ctx context.Context, c *Control) (Reply, error) {
-	s, err := c.Nest.Put(ctx, p.Doc, p.Ver, p.Expect)
+	s, err := c.Register.Put(ctx, p.Doc, p.Ver, p.Expect)
 	if err != nil {
 		return Reply{}, err
 	}
 	c.note(p.Ver)
-	c.Buzz.Emit(buzz.BlueprintTaken, strconv.FormatInt(p.Ver, 10), map[string]any{"ver": p.Ver, "on": p.Expect})
-	c.Log.Info("blueprint_taken", "ver", s.Ver, "rev", s.Rev)
+	c.Emitter.Emit(events.ConfigurationTaken, strconv.FormatInt(p.Ver, 10), map[string]any{"ver": p.Ver, "on": p.Expect})
+	c.Log.Info("configuration_taken", "ver", s.Ver, "rev", s.Rev)
 	return Reply{Status: 200, Body: []byte("{}")}, nil
 }
 
-// GetCommand reads the newest blueprint.
+// GetCommand reads the newest configuration.
 type GetCommand struct{}
 
 // Run reads the register at a majority.
 func (GetCommand) Run(ctx context.Context, c *Control) (Reply, error) {
-	s, err := c.Nest.Read(ctx)
+	s, err := c.Register.Read(ctx)
 	if err != nil {
 		return Reply{}, err
 	}
 	if s.Ver == 0 {
-		return Reply{}, wax.New(wax.Unknown, "blueprint", "none was put yet", "put one")
+		return Reply{}, fault.New(fault.Unknown, "blueprint", "none was put yet", "put one")
 	}
 	return Reply{Status: 200, Body: s.Doc}, nil
 }
@@ -149,7 +150,7 @@
 
 // Run marks the store in the register.
 func (r *RetireCommand) Run(ctx context.Context, c *Control) (Reply, error) {
-	if err := c.Nest.Retire(ctx, r.Node); err != nil {
+	if err := c.Register.Retire(ctx, r.Node); err != nil {
 		return Reply{}, err
 	}
 	c.Log.Info("retire_taken", "node", r.Node)
@@ -161,7 +162,7 @@
 
 // Run reads the register.
 func (r *RetiredCommand) Run(ctx context.Context, c *Control) (Reply, error) {
-	done, err := c.Nest.Retired(ctx, r.Node)
+	done, err := c.Register.Retired(ctx, r.Node)
 	if err != nil {
 		return Reply{}, err
 	}
@@ -174,31 +175,31 @@
 // statusOf is the status a fault is answered with. A call that may have been
 // carried out is no promise, so it is 502; one that was not gets 503.
 func statusOf(err error) int {
-	switch wax.KindOf(err) {
-	case wax.Invalid:
+	switch fault.KindOf(err) {
+	case fault.Invalid:
 		return http.StatusBadRequest
-	case wax.Unknown:
+	case fault.Unknown:
 		return http.StatusNotFound
-	case wax.Stale:
+	case fault.Stale:
 		return http.StatusPreconditionFailed
-	case wax.Conflict:
+	case fault.Conflict:
 		return http.StatusConflict
-	case wax.TooLarge:
+	case fault.TooLarge:
 		return http.StatusRequestEntityTooLarge
-	case wax.Declined, wax.Unreached:
+	case fault.Refused, fault.Unreached:
 		return http.StatusServiceUnavailable
 	}
 	return http.StatusBadGateway
 }
 
-// maxBeat bounds a worker's beat.
-const maxBeat = 64 << 10
+// maxHeartbeat bounds a worker's beat.
+const maxHeartbeat = 64 << 10
 
 func (c *Control) answer(w http.ResponseWriter, r *http.Request, out Reply, err error) {
 	if err != nil {
 		out.Status = statusOf(err)
 		out.Body, _ = json.Marshal(map[string]string{"err": err.Error()})
-		c.Log.Info("control_declined", "method", r.Method, "path", r.URL.Path, "status", out.Status, "err", err)
+		c.Log.Info("control_refused", "method", r.Method, "path", r.URL.Path, "status", out.Status, "err", err)
 		if out.Status == http.StatusServiceUnavailable {
 			w.Header().Set("Retry-After", "0.3")
 		}
@@ -213,44 +214,44 @@
 	raw, err := io.ReadAll(http.MaxBytesReader(nil, r.Body, maxBytes))
 	var over *http.MaxBytesError
 	if errors.As(err, &over) {
-		return nil, wax.New(wax.TooLarge, "body", "is over "+strconv.FormatInt(maxBytes, 10)+" bytes", "send less")
+		return nil, fault.New(fault.TooLarge, "body", "is over "+strconv.FormatInt(maxBytes, 10)+" bytes", "send less")
 	}
 	if err != nil {
-		return nil, wax.New(wax.Invalid, "body", "cannot be read: "+err.Error(), "send it whole")
+		return nil, fault.New(fault.Invalid, "body", "cannot be read: "+err.Error(), "send it whole")
 	}
 	return raw, nil
 }
 
-func decodeBeat(r *http.Request, ps httprouter.Params) (Command, error) {
-	raw, err := readAll(r, maxBeat)
+func decodeHeartbeat(r *http.Request, ps httprouter.Params) (Command, error) {
+	raw, err := readAll(r, maxHeartbeat)
 	if err != nil {
 		return nil, err
 	}
-	w, err := flora.ParseBeat(ps.ByName("id"), raw)
+	w, err := discovery.ParseHeartbeat(ps.ByName("id"), raw)
 	if err != nil {
 		return nil, err
 	}
-	return &BeatCommand{Worker: *w}, nil
+	return &HeartbeatCommand{Worker: *w}, nil
 }
 
 func decodePut(r *http.Request, _ httprouter.Params) (Command, error) {
-	raw, err := readAll(r, foundation.MaxBytes)
+	raw, err := readAll(r, config.MaxBytes)
 	if err != nil {
 		return nil, err
 	}
-	b, err := foundation.Parse(raw)
+	b, err := config.Parse(raw)
 	if err != nil {
 		return nil, err
 	}
 	expect, err := strconv.ParseInt(r.Header.Get("If-Match"), 10, 64)
 	if err != nil || expect < 0 {
-		return nil, wax.New(wax.Invalid, "If-Match", "holds no version", "give the version it builds on, 0 for the first")
+		return nil, fault.New(fault.Invalid, "If-Match", "holds no version", "give the version it builds on, 0 for the first")
 	}
 	return &PutCommand{Doc: raw, Ver: b.Ver, Expect: expect}, nil
 }
 
 func decodeRetire(r *http.Request, ps httprouter.Params) (Command, error) {
-	raw, err := readAll(r, maxBeat)
+	raw, err := readAll(r, maxHeartbeat)
 	if err != nil {
 		return nil, err
 	}
@@ -259,7 +260,7 @@
 	}
 	if len(raw) > 0 {
 		if err := json.Unmarshal(raw, &doc); err != nil || doc.OverS < 0 {
-			return nil, wax.New(wax.Invalid, "over_s", "cannot be read", "send a JSON object with over_s in seconds")
+			return nil, fault.New(fault.Invalid, "over_s", "cannot be read", "send a JSON object with over_s in seconds")
 		}
 	}
 	return &RetireCommand{Node: ps.ByName("node")}, nil
--- a/internal/wax/log.go
+++ b/internal/logging/log.go
@@ -1,4 +1,5 @@
-package wax
+// Package logging writes one key=value line per event (design 1.4).
+package logging
 
 import (
 	"io"
--- a/internal/brood/client.go
+++ b/internal/lotstore/client.go
@@ -1,4 +1,4 @@
-package brood
+package lotstore
 
 import (
 	"context"
@@ -6,31 +6,31 @@
 	"sync"
 	"time"
 
-	"rowanshunt/internal/nest"
-	"rowanshunt/internal/pollen"
-	"rowanshunt/internal/swarm"
-	"rowanshunt/internal/tending"
-	"rowanshunt/internal/waggle"
-	"rowanshunt/internal/wax"
+	"rowanshunt/internal/eventloop"
+	"rowanshunt/internal/fault"
+	"rowanshunt/internal/gossip"
+	"rowanshunt/internal/register"
+	"rowanshunt/internal/rendezvous"
+	"rowanshunt/internal/rpc"
 )
 
 // Client finds the owners of shards for the nodes that serve clients.
 type Client struct {
-	mesh   pollen.Mesh
-	swarm  *swarm.Swarm
-	state  func() *nest.State
-	spared int
-	mu     sync.Mutex
-	hints  [Shards]string
+	transport rpc.Transport
+	gossip    *gossip.Gossip
+	state     func() *register.State
+	spared    int
+	mu        sync.Mutex
+	hints     [Shards]string
 }
 
 // NewClient makes a client.
-func NewClient(mesh pollen.Mesh, sw *swarm.Swarm, state func() *nest.State, spared int) *Client {
-	return &Client{mesh: mesh, swarm: sw, state: state, spared: spared}
+func NewClient(transport rpc.Transport, sw *gossip.Gossip, state func() *register.State, spared int) *Client {
+	return &Client{transport: transport, gossip: sw, state: state, spared: spared}
 }
 
-// Stores lists the living stores of the roster.
-func (c *Client) Stores() []swarm.Sighting {
+// Stores lists the living stores of the membership.
+func (c *Client) Stores() []gossip.NodeState {
 	st := c.state()
 	if st == nil {
 		return nil
@@ -38,11 +38,11 @@
 	return c.living(&st.Stores)
 }
 
-func (c *Client) living(r *nest.Roster) []swarm.Sighting {
-	v := c.swarm.Look()
-	var out []swarm.Sighting
-	for _, seat := range r.All() {
-		if p := v.Get(seat.Name); p != nil && p.Alive && p.Seat() == seat.ID {
+func (c *Client) living(r *register.Membership) []gossip.NodeState {
+	v := c.gossip.Look()
+	var out []gossip.NodeState
+	for _, member := range r.All() {
+		if p := v.Get(member.Name); p != nil && p.Alive && p.MemberID() == member.ID {
 			out = append(out, *p)
 		}
 	}
@@ -71,7 +71,7 @@
 	if a, ok := byName[hint]; ok && attempt%3 != 2 {
 		return hint, a
 	}
-	rank := tending.Rank("shard/"+strconv.Itoa(shardN), names)
+	rank := rendezvous.Rank("shard/"+strconv.Itoa(shardN), names)
 	name = rank[attempt%len(rank)]
 	return name, byName[name]
 }
@@ -89,29 +89,29 @@
 	for attempt := 0; ; attempt++ {
 		if ctx.Err() != nil {
 			if unsure {
-				return wax.New(wax.Unsure, "shard", "no clear answer in time", "ask again")
+				return fault.New(fault.Unsure, "shard", "no clear answer in time", "ask again")
 			}
-			return wax.New(wax.Declined, "shard", "its owner was not found in time", "ask again")
+			return fault.New(fault.Refused, "shard", "its owner was not found in time", "ask again")
 		}
 		name, addr := c.candidate(shardN, attempt)
 		if name == "" {
-			waggle.Pause(ctx, 100*time.Millisecond)
+			eventloop.Pause(ctx, 100*time.Millisecond)
 			continue
 		}
 		callCtx, cancel := context.WithTimeout(ctx, each)
-		err := c.mesh.Call(callCtx, addr, kind, in, out)
+		err := c.transport.Call(callCtx, addr, kind, in, out)
 		cancel()
 		if err == nil {
 			c.hint(shardN, name)
 			return nil
 		}
-		switch wax.KindOf(err) {
-		case wax.NotOwner:
+		switch fault.KindOf(err) {
+		case fault.NotOwner:
 			c.hint(shardN, fieldOf(err))
-		case wax.Unreached:
+		case fault.Unreached:
 			c.hint(shardN, "")
-		case wax.Declined:
-		case wax.Unsure, wax.Internal:
+		case fault.Refused:
+		case fault.Unsure, fault.Internal:
 			unsure = true
 			if m, ok := in.(interface{ markUnsure() }); ok {
 				m.markUnsure() // the next owner settles what became of it
@@ -120,12 +120,12 @@
 		default:
 			return err
 		}
-		waggle.Pause(ctx, 30*time.Millisecond)
+		eventloop.Pause(ctx, 30*time.Millisecond)
 	}
 }
 
 func fieldOf(err error) string {
-	if f, ok := err.(*wax.Fault); ok {
+	if f, ok := err.(*fault.Fault); ok {
 		return f.Field
 	}
 	return ""
--- a/internal/brood/fuzz_test.go
+++ b/internal/lotstore/fuzz_test.go
@@ -1,11 +1,11 @@
-package brood
+package lotstore
 
 import (
 	"bytes"
 	"testing"
 
 	"rowanshunt/internal/codec"
-	"rowanshunt/internal/pollen"
+	"rowanshunt/internal/rpc"
 )
 
 // A lot is taken whole or not at all, and what is taken can be sent as it is.
@@ -43,7 +43,7 @@
 }
 
 // Ops of a peer or of a file never bring the table down, and a lot whose op is
-// declined is as it was.
+// refused is as it was.
 func FuzzApply(f *testing.F) {
 	pack := func(ops ...*op) []byte {
 		raw, err := codec.Marshal(ops)
@@ -57,10 +57,10 @@
 	f.Add(pack(put))
 	f.Add(pack(put, &op{Kind: opAppend, Lot: "a", Rev: 2, Results: []Result{{Item: 1, Phase: PhaseDone}, {Item: 1, Phase: PhaseDone}, {Item: -5}, {Item: 900}}}))
 	f.Add(pack(put, &op{Kind: opCursor, Lot: "a", Rev: 2, Rows: []CursorAt{{Item: -1}, {Item: 7}, {Item: 0, Row: Cursor{Lease: 4}}}}, &op{Kind: opEnd, Lot: "a", Rev: 3}))
-	f.Add(pack(put, &op{Kind: opCatch, Lot: "a", Rev: 9, From: 1, Listed: 44}, &op{Kind: opStamp, Lot: "a", Rev: 1}, &op{Kind: opDrop, Lot: "a"}))
+	f.Add(pack(put, &op{Kind: opCatch, Lot: "a", Rev: 9, From: 1, Listed: 44}, &op{Kind: opTerm, Lot: "a", Rev: 1}, &op{Kind: opDrop, Lot: "a"}))
 	f.Fuzz(func(t *testing.T, raw []byte) {
 		var ops []*op
-		if pollen.Unmarshal(raw, &ops) != nil || len(ops) > 50 {
+		if rpc.Unmarshal(raw, &ops) != nil || len(ops) > 50 {
 			return
 		}
 		lots := map[string]*Lot{}
@@ -99,7 +99,7 @@
 	f.Add([]byte{0xdd, 0xff, 0xff, 0xff, 0xff})
 	f.Fuzz(func(_ *testing.T, raw []byte) {
 		for _, v := range []any{&handCall{}, &handAnswer{}, &TakeCall{}, &TakeAnswer{}, &AckCall{}, &GiveCall{}, &claimCall{}, &claimAnswer{}, &writeCall{}, &writeAnswer{}, &readAnswer{}} {
-			_ = pollen.Unmarshal(raw, v)
+			_ = rpc.Unmarshal(raw, v)
 		}
 		for _, enc := range []uint8{plain, packed, 9} {
 			_, _ = Unpack(enc, raw, len(raw)*3)
@@ -107,13 +107,13 @@
 	})
 }
 
-// Any bytes as a record of the log are read or declined, without a panic.
+// Any bytes as a record of the log are read or refused, without a panic.
 func FuzzRecord(f *testing.F) {
-	st := Stamp{Roster: 1, N: 2, By: "s/1"}
+	st := Term{Membership: 1, N: 2, By: "s/1"}
 	for _, r := range []*record{
 		{Shard: 1, Promise: &st},
-		{Shard: 7, Ops: []op{{Kind: opPut, Lot: "a", Stamp: st, Rev: 1, Whole: &Lot{ID: "a", Prompts: []Prompt{{ID: "1"}}}}}},
-		{Shard: 2, Ops: []op{{Kind: opAppend, Lot: "a", Stamp: st, Rev: 2, Results: []Result{{Item: 5}}}}},
+		{Shard: 7, Ops: []op{{Kind: opPut, Lot: "a", Term: st, Rev: 1, Whole: &Lot{ID: "a", Prompts: []Prompt{{ID: "1"}}}}}},
+		{Shard: 2, Ops: []op{{Kind: opAppend, Lot: "a", Term: st, Rev: 2, Results: []Result{{Item: 5}}}}},
 		{Shard: -1}, {Shard: Shards},
 	} {
 		raw, err := codec.Marshal(r)
--- a/internal/brood/slow.go
+++ b/internal/lotstore/slow.go
@@ -1,6 +1,6 @@
-package brood
+package lotstore
 
-// slowness tells a store that its own floor runs late: an owner that does hands
+// slowness tells a store that its own event loop runs late: an owner that does hands
 // its shards over while others are quicker (design 8.2). Nothing but the choice
 // of an owner depends on it.
 type slowness struct {
@@ -20,9 +20,9 @@
 	slowForget = 60_000_000
 )
 
-// beat takes the moment of a beat that is due every periodUs; true if the
+// heartbeat takes the moment of a beat that is due every periodUs; true if the
 // judgement changed.
-func (s *slowness) beat(nowUs, periodUs int64) bool {
+func (s *slowness) heartbeat(nowUs, periodUs int64) bool {
 	if s.lastUs == 0 {
 		s.lastUs = nowUs
 		return false
--- a/internal/nest/acceptor.go
+++ b/internal/register/acceptor.go
@@ -1,40 +1,41 @@
-package nest
+package register
 
 import (
 	"context"
 	"sync"
 	"sync/atomic"
 
-	"rowanshunt/internal/cell"
 	"rowanshunt/internal/codec"
-	"rowanshunt/internal/pollen"
-	"rowanshunt/internal/wax"
+	"rowanshunt/internal/fault"
+	"rowanshunt/internal/logging"
+	"rowanshunt/internal/rpc"
+	"rowanshunt/internal/wal"
 )
 
-// vote is what a seat remembers, on disk before it answers.
+// vote is what a member remembers, on disk before it answers.
 type vote struct {
 	Promised Ballot
 	Accepted Ballot
 	State    *State
 }
 
-// keeper stores votes durably.
-type keeper interface {
+// voteStore stores votes durably.
+type voteStore interface {
 	keep(v vote, whole bool) error
 }
 
-// memory keeps nothing: founding seats hold office in their first life only
+// memoryStore keeps nothing: founding members hold office in their first life only
 // (design 4.3).
-type memory struct{}
+type memoryStore struct{}
 
-func (memory) keep(vote, bool) error { return nil }
+func (memoryStore) keep(vote, bool) error { return nil }
 
-// Acceptor is one seat's vote. Its rules: a promise is never broken, and what
+// Acceptor is one member's vote. Its rules: a promise is never broken, and what
 // is answered is on disk first.
 type Acceptor struct {
 	mu   sync.Mutex // held from a decision until its write is durable
 	core acceptorCore
-	disk keeper
+	disk voteStore
 	// durable is what is on disk, for those who only look: they don't wait for
 	// the lock, since a disk may stall for long.
 	durable atomic.Pointer[vote]
@@ -47,20 +48,20 @@
 // written anew.
 const rewriteBytes = 4 << 20
 
-// OpenAcceptor reads the vote that the seat left on disk.
-func OpenAcceptor(id, dir string, log *wax.Log, options ...cell.Option) (*Acceptor, error) {
+// OpenAcceptor reads the vote that the member left on disk.
+func OpenAcceptor(id, dir string, log *logging.Log, options ...wal.Option) (*Acceptor, error) {
 	var last vote
-	c, damage, err := cell.Open(dir, LogName, last.replay, options...)
+	c, damage, err := wal.Open(dir, LogName, last.replay, options...)
 	if err != nil {
 		return nil, err
 	}
 	if damage != nil {
-		log.Warn("cell_tail_cut", "cell", "register", "at", damage.AtByte, "bytes", damage.CutBytes, "why", damage.Why)
+		log.Warn("wal_tail_cut", "wal", "register", "at", damage.AtByte, "bytes", damage.CutBytes, "why", damage.Why)
 	}
-	return newAcceptor(id, last, &cellKeeper{c: c, longBytes: rewriteBytes}), nil
+	return newAcceptor(id, last, &diskStore{c: c, longBytes: rewriteBytes}), nil
 }
 
-func newAcceptor(id string, durable vote, disk keeper) *Acceptor {
+func newAcceptor(id string, durable vote, disk voteStore) *Acceptor {
 	a := &Acceptor{core: acceptorCore{id: id, durable: durable}, disk: disk}
 	a.durable.Store(&durable)
 	return a
@@ -69,7 +70,7 @@
 // replay takes the next record of the file.
 func (v *vote) replay(rec []byte) error {
 	var next vote
-	if err := pollen.Unmarshal(rec, &next); err != nil {
+	if err := rpc.Unmarshal(rec, &next); err != nil {
 		return err
 	}
 	if next.State == nil {
@@ -79,22 +80,22 @@
 	return nil
 }
 
-// NewFoundingAcceptor makes the seat that a seed holds in its first life.
-func NewFoundingAcceptor(id string) *Acceptor { return newAcceptor(id, vote{}, memory{}) }
+// NewFoundingAcceptor makes the member that a seed holds in its first life.
+func NewFoundingAcceptor(id string) *Acceptor { return newAcceptor(id, vote{}, memoryStore{}) }
 
-type cellKeeper struct {
-	c         *cell.Cell
+type diskStore struct {
+	c         *wal.Log
 	longBytes int64
 }
 
-func (k *cellKeeper) keep(v vote, whole bool) error {
+func (k *diskStore) keep(v vote, whole bool) error {
 	if k.c.SizeBytes() > k.longBytes+4*int64(docLen(v.State)) {
 		rec, err := codec.Marshal(&v)
 		if err != nil {
 			return err
 		}
 		got := make(chan error, 1)
-		k.c.Rewrite(func(err error) { got <- err }, cell.Records(rec))
+		k.c.Rewrite(func(err error) { got <- err }, wal.Records(rec))
 		if err := <-got; err == nil {
 			return nil
 		}
@@ -118,23 +119,23 @@
 	return len(s.Doc)
 }
 
-// Close ends the seat's writing.
+// Close ends the member's writing.
 func (a *Acceptor) Close() {
-	if k, ok := a.disk.(*cellKeeper); ok {
+	if k, ok := a.disk.(*diskStore); ok {
 		k.c.Close()
 	}
 }
 
-// ID is the seat's identity.
+// ID is the member's identity.
 func (a *Acceptor) ID() string { return a.core.id }
 
-// State is what the seat last accepted, nil if nothing.
+// State is what the member last accepted, nil if nothing.
 func (a *Acceptor) State() *State {
 	return a.durable.Load().State
 }
 
 type prepareCall struct {
-	Seat   string
+	Member string
 	Ballot Ballot
 	Peek   bool
 }
@@ -147,7 +148,7 @@
 }
 
 type acceptCall struct {
-	Seat   string
+	Member string
 	Ballot Ballot
 	State  *State
 }
@@ -160,7 +161,7 @@
 // Prepare promises not to accept lower ballots; with Peek it only looks, which
 // waits for no write under way.
 func (a *Acceptor) Prepare(_ context.Context, in *prepareCall) (*prepareAnswer, error) {
-	if err := a.core.checkMember(in.Seat); err != nil {
+	if err := a.core.checkMember(in.Member); err != nil {
 		return nil, err
 	}
 	if in.Peek {
@@ -177,11 +178,11 @@
 
 // Accept takes a state unless a higher ballot was promised.
 func (a *Acceptor) Accept(_ context.Context, in *acceptCall) (*acceptAnswer, error) {
-	if err := a.core.checkMember(in.Seat); err != nil {
+	if err := a.core.checkMember(in.Member); err != nil {
 		return nil, err
 	}
 	if in.State == nil {
-		return nil, wax.New(wax.Invalid, "state", "is missing", "run the same version on all nodes")
+		return nil, fault.New(fault.Invalid, "state", "is missing", "run the same version on all nodes")
 	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
--- a/internal/pollen/tcp.go
+++ b/internal/rpc/tcp.go
@@ -1,4 +1,4 @@
-package pollen
+package rpc
 
 import (
 	"bufio"
@@ -13,13 +13,14 @@
 	"golang.org/x/sys/unix"
 
 	"rowanshunt/internal/codec"
-	"rowanshunt/internal/wax"
+	"rowanshunt/internal/fault"
+	"rowanshunt/internal/logging"
 )
 
-// userTimeoutMs is how long sent bytes may stay unacknowledged on any circuit.
+// userTimeoutMs is how long sent bytes may stay unacknowledged on any connection.
 const userTimeoutMs = 1500
 
-// Dialer makes circuits whose silent other end is noticed (design 2.4).
+// Dialer makes connections whose silent other end is noticed (design 2.4).
 func Dialer(timeout time.Duration) *net.Dialer {
 	return &net.Dialer{
 		Timeout:   timeout,
@@ -36,20 +37,20 @@
 	}
 }
 
-// TCP is the mesh over real sockets.
+// TCP is the transport over real sockets.
 type TCP struct {
 	mu       sync.Mutex
-	circuits map[string]*circuit
+	conns    map[string]*conn
 	dialer   *net.Dialer
-	tally    *Tally
+	counters *Counters
 }
 
-// NewTCP makes a mesh without circuits.
-func NewTCP(tally *Tally) *TCP {
-	return &TCP{circuits: map[string]*circuit{}, dialer: Dialer(400 * time.Millisecond), tally: tally}
+// NewTCP makes a transport without connections.
+func NewTCP(counters *Counters) *TCP {
+	return &TCP{conns: map[string]*conn{}, dialer: Dialer(400 * time.Millisecond), counters: counters}
 }
 
-type circuit struct {
+type conn struct {
 	ready chan struct{}
 	err   error
 	conn  net.Conn
@@ -63,54 +64,54 @@
 	broken  error
 }
 
-// Call implements Mesh.
+// Call implements Transport.
 func (t *TCP) Call(ctx context.Context, addr, kind string, in, out any) error {
 	body, err := codec.Marshal(in)
 	if err != nil {
-		return wax.New(wax.Internal, kind, err.Error(), "report this")
+		return fault.New(fault.Internal, kind, err.Error(), "report this")
 	}
-	c, err := t.circuit(ctx, addr)
+	c, err := t.conn(ctx, addr)
 	if err != nil {
-		return wax.New(wax.Unreached, addr, err.Error(), "look whether that node runs")
+		return fault.New(fault.Unreached, addr, err.Error(), "look whether that node runs")
 	}
 	answer, err := c.call(ctx, kind, body)
 	if err != nil {
 		if c.dead() {
 			t.drop(addr, c)
 		}
-		t.tally.asked(kind, len(body), 0)
+		t.counters.asked(kind, len(body), 0)
 		return err
 	}
-	t.tally.asked(kind, len(body), len(answer.body))
+	t.counters.asked(kind, len(body), len(answer.body))
 	if answer.kind == frameFault {
 		var w faultWire
 		if err := Unmarshal(answer.body, &w); err != nil {
-			return wax.New(wax.Unsure, kind, "the fault cannot be read", "run the same version on all nodes")
+			return fault.New(fault.Unsure, kind, "the fault cannot be read", "run the same version on all nodes")
 		}
-		return wax.New(w.Kind, w.Field, w.What, w.Remedy)
+		return fault.New(w.Kind, w.Field, w.What, w.Remedy)
 	}
 	if out == nil {
 		return nil
 	}
 	if err := Unmarshal(answer.body, out); err != nil {
-		return wax.New(wax.Unsure, kind, "the answer cannot be read: "+err.Error(), "run the same version on all nodes")
+		return fault.New(fault.Unsure, kind, "the answer cannot be read: "+err.Error(), "run the same version on all nodes")
 	}
 	return nil
 }
 
 type faultWire struct {
-	Kind   wax.Kind
+	Kind   fault.Kind
 	Field  string
 	What   string
 	Remedy string
 }
 
-func (t *TCP) circuit(ctx context.Context, addr string) (*circuit, error) {
+func (t *TCP) conn(ctx context.Context, addr string) (*conn, error) {
 	t.mu.Lock()
-	c := t.circuits[addr]
+	c := t.conns[addr]
 	if c == nil {
-		c = &circuit{ready: make(chan struct{}), waiting: map[uint64]chan frame{}}
-		t.circuits[addr] = c
+		c = &conn{ready: make(chan struct{}), waiting: map[uint64]chan frame{}}
+		t.conns[addr] = c
 		go func() {
 			conn, err := t.dialer.Dial("tcp", addr)
 			if err != nil {
@@ -132,19 +133,19 @@
 	}
 }
 
-func (t *TCP) drop(addr string, c *circuit) {
+func (t *TCP) drop(addr string, c *conn) {
 	t.mu.Lock()
-	if t.circuits[addr] == c {
-		delete(t.circuits, addr)
+	if t.conns[addr] == c {
+		delete(t.conns, addr)
 	}
 	t.mu.Unlock()
 }
 
-// Close ends all circuits.
+// Close ends all connections.
 func (t *TCP) Close() {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	for a, c := range t.circuits {
+	for a, c := range t.conns {
 		select {
 		case <-c.ready:
 			if c.conn != nil {
@@ -152,17 +153,17 @@
 			}
 		default:
 		}
-		delete(t.circuits, a)
+		delete(t.conns, a)
 	}
 }
 
-func (c *circuit) dead() bool {
+func (c *conn) dead() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	return c.broken != nil
 }
 
-func (c *circuit) fail(err error) {
+func (c *conn) fail(err error) {
 	c.mu.Lock()
 	if c.broken == nil {
 		c.broken = err
@@ -176,7 +177,7 @@
 	}
 }
 
-func (c *circuit) read() {
+func (c *conn) read() {
 	r := bufio.NewReaderSize(c.conn, 4<<10)
 	for {
 		f, err := readFrame(r)
@@ -190,7 +191,7 @@
 		delete(c.waiting, f.id)
 		c.mu.Unlock()
 		if !asked || f.kind != frameAnswer && f.kind != frameFault {
-			c.fail(wax.New(wax.Invalid, "frame", "no answer to a call of this circuit", "drop the circuit"))
+			c.fail(fault.New(fault.Invalid, "frame", "no answer to a call of this connection", "drop the connection"))
 			if ch != nil {
 				close(ch)
 			}
@@ -202,7 +203,7 @@
 	}
 }
 
-func (c *circuit) call(ctx context.Context, kind string, body []byte) (frame, error) {
+func (c *conn) call(ctx context.Context, kind string, body []byte) (frame, error) {
 	if len(kind) > maxName || len(body) > maxBody {
 		return frame{}, errFrameTooLong(kind) // nothing was sent, and the other calls go on
 	}
@@ -210,7 +211,7 @@
 	c.mu.Lock()
 	if c.broken != nil {
 		c.mu.Unlock()
-		return frame{}, wax.New(wax.Unreached, kind, "the circuit is broken", "try again")
+		return frame{}, fault.New(fault.Unreached, kind, "the connection is broken", "try again")
 	}
 	c.nextID++
 	id := c.nextID
@@ -222,7 +223,7 @@
 		// The calls before this one took all of its time.
 		c.wmu.Unlock()
 		c.forget(id)
-		return frame{}, wax.New(wax.Unreached, kind, "no time was left before the call was sent", "try again")
+		return frame{}, fault.New(fault.Unreached, kind, "no time was left before the call was sent", "try again")
 	}
 	_ = c.conn.SetWriteDeadline(time.Now().Add(userTimeoutMs * time.Millisecond))
 	err := writeFrame(c.w, frame{kind: frameCall, id: id, name: kind, body: body})
@@ -232,53 +233,53 @@
 	c.wmu.Unlock()
 	if err != nil {
 		c.fail(err)
-		return frame{}, wax.New(wax.Unsure, kind, err.Error(), "try again")
+		return frame{}, fault.New(fault.Unsure, kind, err.Error(), "try again")
 	}
 	select {
 	case f, ok := <-ch:
 		if !ok {
-			return frame{}, wax.New(wax.Unsure, kind, "the circuit broke before the answer", "try again")
+			return frame{}, fault.New(fault.Unsure, kind, "the connection broke before the answer", "try again")
 		}
 		return f, nil
 	case <-ctx.Done():
 		c.forget(id)
-		return frame{}, wax.New(wax.Unsure, kind, "no answer in time", "try again")
+		return frame{}, fault.New(fault.Unsure, kind, "no answer in time", "try again")
 	}
 }
 
 // forget gives a call up; its answer is read over.
-func (c *circuit) forget(id uint64) {
+func (c *conn) forget(id uint64) {
 	c.mu.Lock()
 	delete(c.waiting, id)
 	c.mu.Unlock()
 }
 
-// Listener serves partners.
+// Listener serves peers.
 type Listener struct {
-	ln    net.Listener
-	desk  *Desk
-	log   *wax.Log
-	tally *Tally
-	mu    sync.Mutex
-	open  map[net.Conn]struct{}
+	ln       net.Listener
+	mux      *Mux
+	log      *logging.Log
+	counters *Counters
+	mu       sync.Mutex
+	open     map[net.Conn]struct{}
 }
 
-// maxCallsOpen bounds the calls that one partner may have under way.
+// maxCallsOpen bounds the calls that one peer may have under way.
 const maxCallsOpen = 512
 
-// Listen opens the partner port.
-func Listen(addr string, desk *Desk, log *wax.Log, tally *Tally) (*Listener, error) {
+// Listen opens the peer port.
+func Listen(addr string, mux *Mux, log *logging.Log, counters *Counters) (*Listener, error) {
 	ln, err := net.Listen("tcp", addr)
 	if err != nil {
-		return nil, errors.Wrap(err, "partner port")
+		return nil, errors.Wrap(err, "peer port")
 	}
-	return &Listener{ln: ln, desk: desk, log: log, tally: tally, open: map[net.Conn]struct{}{}}, nil
+	return &Listener{ln: ln, mux: mux, log: log, counters: counters, open: map[net.Conn]struct{}{}}, nil
 }
 
 // Addr is the bound address.
 func (l *Listener) Addr() string { return l.ln.Addr().String() }
 
-// Run accepts partners until ctx ends.
+// Run accepts peers until ctx ends.
 func (l *Listener) Run(ctx context.Context) {
 	stop := context.AfterFunc(ctx, func() {
 		_ = l.ln.Close()
@@ -295,7 +296,7 @@
 			if ctx.Err() != nil {
 				return
 			}
-			l.log.Warn("partner_accept_failed", "err", err)
+			l.log.Warn("peer_accept_failed", "err", err)
 			time.Sleep(20 * time.Millisecond)
 			continue
 		}
@@ -322,8 +323,8 @@
 	for {
 		f, err := readFrame(r)
 		if err != nil {
-			if wax.KindOf(err) == wax.Invalid {
-				l.log.Warn("partner_frame_declined", "from", conn.RemoteAddr(), "err", err)
+			if fault.KindOf(err) == fault.Invalid {
+				l.log.Warn("peer_frame_refused", "from", conn.RemoteAddr(), "err", err)
 			}
 			return
 		}
@@ -343,7 +344,7 @@
 				body, _ = codec.Marshal(wireOf(err))
 			}
 			answer.body = body
-			l.tally.answered(f.name, len(f.body), len(body))
+			l.counters.answered(f.name, len(f.body), len(body))
 			wmu.Lock()
 			defer wmu.Unlock()
 			_ = conn.SetWriteDeadline(time.Now().Add(2 * userTimeoutMs * time.Millisecond))
@@ -357,17 +358,17 @@
 func (l *Listener) run(ctx context.Context, f frame) (body []byte, err error) {
 	defer func() {
 		if p := recover(); p != nil {
-			l.log.Warn("partner_call_panicked", "kind", f.name, "panic", p, "stack", string(debug.Stack()))
-			err = wax.New(wax.Unsure, f.name, "the handler failed", "report this")
+			l.log.Warn("peer_call_panicked", "kind", f.name, "panic", p, "stack", string(debug.Stack()))
+			err = fault.New(fault.Unsure, f.name, "the handler failed", "report this")
 		}
 	}()
-	return l.desk.Serve(ctx, f.name, f.body)
+	return l.mux.Serve(ctx, f.name, f.body)
 }
 
 func wireOf(err error) faultWire {
-	var f *wax.Fault
+	var f *fault.Fault
 	if errors.As(err, &f) {
 		return faultWire{Kind: f.Kind, Field: f.Field, What: f.What, Remedy: f.Remedy}
 	}
-	return faultWire{Kind: wax.Unsure, What: err.Error()}
+	return faultWire{Kind: fault.Unsure, What: err.Error()}
 }
--- a/internal/skep/options_test.go
+++ b/internal/settings/options_test.go
@@ -1,4 +1,4 @@
-package skep
+package settings
 
 import (
 	"strings"
@@ -35,8 +35,8 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	if o.PartnerAddr() != "10.1.0.35:7660" || len(o.SeedAddrs()) != 2 || o.SeedAddrs()[1] != "10.2.0.28:7660" {
-		t.Errorf("addresses: %s %v", o.PartnerAddr(), o.SeedAddrs())
+	if o.PeerAddr() != "10.1.0.35:7660" || len(o.SeedAddrs()) != 2 || o.SeedAddrs()[1] != "10.2.0.28:7660" {
+		t.Errorf("addresses: %s %v", o.PeerAddr(), o.SeedAddrs())
 	}
 	if !o.Has("ctl") || o.Has("store") || o.GraceUs() != 8_000_000 || o.Bounds.DrainMs != 2000 || o.HbMs != 1200 {
 		t.Errorf("read wrong: %+v", o)
@@ -73,14 +73,14 @@
 		t.Fatal(err)
 	}
 	if err := o.CheckRole("forager"); err == nil || !strings.Contains(err.Error(), "listen.ctl") {
-		t.Errorf("a forager without ctl: %v", err)
+		t.Errorf("an edge node without ctl: %v", err)
 	}
 	if err := o.CheckRole("comb"); err == nil || !strings.Contains(err.Error(), "datadir") {
-		t.Errorf("a comb without disk: %v", err)
+		t.Errorf("a store without disk: %v", err)
 	}
 }
 
-// Machines too small for a role are declined, doubtful options are told
+// Machines too small for a role are refused, doubtful options are told
 // (design 1.2).
 func TestFloorsAndDoubts(t *testing.T) {
 	for _, tc := range []struct{ role, old, new, field string }{
--- a/internal/meadow/meadow.go
+++ b/internal/simnet/simnet.go
@@ -1,8 +1,8 @@
-// Package meadow is the simulated network that tests put nodes into: partner
-// calls and byte circuits with delay, loss, doubling and cuts, all drawn from
-// one seed (design 12.2). It runs inside a synctest bubble, so that waiting
-// takes no time. The field's standard terms: meadow = network simulator.
-package meadow
+// Package simnet is the simulated network that tests put nodes into: peer
+// calls and byte connections with delay, loss, doubling and cuts, all drawn
+// from one seed (design 12.2). It runs inside a synctest bubble, so that
+// waiting takes no time.
+package simnet
 
 import (
 	"context"
@@ -15,12 +15,12 @@
 	"github.com/vmihailenco/msgpack/v5"
 
 	"rowanshunt/internal/codec"
-	"rowanshunt/internal/pollen"
-	"rowanshunt/internal/wax"
+	"rowanshunt/internal/fault"
+	"rowanshunt/internal/rpc"
 )
 
-// Meadow is one network.
-type Meadow struct {
+// Network is one network.
+type Network struct {
 	mu        sync.Mutex
 	rng       *rand.Rand
 	desks     map[string]*site
@@ -28,38 +28,38 @@
 	cuts      map[[2]string]bool
 	holds     holds
 	// DelayUs bounds the delay of one way; Lose and Double are shares of
-	// partner calls.
+	// peer calls.
 	DelayUs int64
 	Lose    float64
 	Double  float64
 }
 
 type site struct {
-	desk *pollen.Desk
-	ctx  context.Context
+	mux *rpc.Mux
+	ctx context.Context
 }
 
 // New makes a network whose luck follows from the seed.
-func New(seed uint64) *Meadow {
-	return &Meadow{rng: rand.New(rand.NewPCG(seed, 7)), desks: map[string]*site{}, listeners: map[string]*Listener{}, cuts: map[[2]string]bool{}, holds: newHolds(), DelayUs: 1000}
+func New(seed uint64) *Network {
+	return &Network{rng: rand.New(rand.NewPCG(seed, 7)), desks: map[string]*site{}, listeners: map[string]*Listener{}, cuts: map[[2]string]bool{}, holds: newHolds(), DelayUs: 1000}
 }
 
-// Place puts a node's desk at an address until ctx ends.
-func (m *Meadow) Place(ctx context.Context, addr string, desk *pollen.Desk) {
+// Place puts a node's call mux at an address until ctx ends.
+func (m *Network) Place(ctx context.Context, addr string, mux *rpc.Mux) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.desks[addr] = &site{desk: desk, ctx: ctx}
+	m.desks[addr] = &site{mux: mux, ctx: ctx}
 }
 
 // Cut stops all traffic from one address to another.
-func (m *Meadow) Cut(from, to string, cut bool) {
+func (m *Network) Cut(from, to string, cut bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.cuts[[2]string{from, to}] = cut
 }
 
 // CutOff cuts an address from all others given, both ways.
-func (m *Meadow) CutOff(addr string, others []string, cut bool) {
+func (m *Network) CutOff(addr string, others []string, cut bool) {
 	for _, o := range others {
 		if o != addr {
 			m.Cut(addr, o, cut)
@@ -69,7 +69,7 @@
 }
 
 // Luck draws a number below n.
-func (m *Meadow) Luck(n int) int {
+func (m *Network) Luck(n int) int {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	return m.rng.IntN(n)
@@ -82,7 +82,7 @@
 	double bool
 }
 
-func (m *Meadow) travel(from, to string) trip {
+func (m *Network) travel(from, to string) trip {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	t := trip{site: m.desks[to], delay: time.Duration(100+m.rng.Int64N(max(m.DelayUs, 1))) * time.Microsecond}
@@ -91,11 +91,11 @@
 	return t
 }
 
-// MeshOf is the mesh as the node at an address sees it.
-func (m *Meadow) MeshOf(addr string) pollen.Mesh { return &mesh{m: m, from: addr} }
+// TransportOf is the transport as the node at an address sees it.
+func (m *Network) TransportOf(addr string) rpc.Transport { return &transport{m: m, from: addr} }
 
-type mesh struct {
-	m    *Meadow
+type transport struct {
+	m    *Network
 	from string
 }
 
@@ -110,25 +110,25 @@
 	}
 }
 
-// Call implements pollen.Mesh.
-func (h *mesh) Call(ctx context.Context, addr, kind string, in, out any) error {
+// Call implements rpc.Transport.
+func (h *transport) Call(ctx context.Context, addr, kind string, in, out any) error {
 	body, err := codec.Marshal(in)
 	if err != nil {
-		return wax.New(wax.Internal, kind, err.Error(), "report this")
+		return fault.New(fault.Internal, kind, err.Error(), "report this")
 	}
 	if !h.m.pass(ctx, h.from, "") {
-		return wax.New(wax.Unsure, kind, "no answer in time", "try again")
+		return fault.New(fault.Unsure, kind, "no answer in time", "try again")
 	}
 	there := h.m.travel(h.from, addr)
 	if there.lost {
 		<-ctx.Done()
-		return wax.New(wax.Unsure, kind, "no answer in time", "try again")
+		return fault.New(fault.Unsure, kind, "no answer in time", "try again")
 	}
 	if !wait(ctx, there.delay) {
-		return wax.New(wax.Unsure, kind, "no answer in time", "try again")
+		return fault.New(fault.Unsure, kind, "no answer in time", "try again")
 	}
 	if there.site == nil || there.site.ctx.Err() != nil {
-		return wax.New(wax.Unreached, addr, "nobody listens", "look whether that node runs")
+		return fault.New(fault.Unreached, addr, "nobody listens", "look whether that node runs")
 	}
 	type answer struct {
 		body []byte
@@ -139,7 +139,7 @@
 		if !h.m.pass(there.site.ctx, addr, kind) {
 			return
 		}
-		b, err := there.site.desk.Serve(there.site.ctx, kind, body)
+		b, err := there.site.mux.Serve(there.site.ctx, kind, body)
 		got <- answer{b, err}
 	}
 	go serve()
@@ -150,24 +150,24 @@
 	select {
 	case a = <-got:
 	case <-ctx.Done():
-		return wax.New(wax.Unsure, kind, "no answer in time", "try again")
+		return fault.New(fault.Unsure, kind, "no answer in time", "try again")
 	}
 	if !h.m.pass(ctx, addr, "") || !h.m.pass(ctx, h.from, "") {
-		return wax.New(wax.Unsure, kind, "no answer in time", "try again")
+		return fault.New(fault.Unsure, kind, "no answer in time", "try again")
 	}
 	back := h.m.travel(addr, h.from)
 	if back.lost || there.site.ctx.Err() != nil {
 		<-ctx.Done()
-		return wax.New(wax.Unsure, kind, "no answer in time", "try again")
+		return fault.New(fault.Unsure, kind, "no answer in time", "try again")
 	}
 	if !wait(ctx, back.delay) {
-		return wax.New(wax.Unsure, kind, "no answer in time", "try again")
+		return fault.New(fault.Unsure, kind, "no answer in time", "try again")
 	}
 	if a.err != nil {
-		if f, ok := a.err.(*wax.Fault); ok {
-			return wax.New(f.Kind, f.Field, f.What, f.Remedy)
+		if f, ok := a.err.(*fault.Fault); ok {
+			return fault.New(f.Kind, f.Field, f.What, f.Remedy)
 		}
-		return wax.New(wax.Unsure, kind, a.err.Error(), "try again")
+		return fault.New(fault.Unsure, kind, a.err.Error(), "try again")
 	}
 	if out == nil {
 		return nil
@@ -175,17 +175,17 @@
 	return msgpack.Unmarshal(a.body, out)
 }
 
-// Listener takes the circuits dialled to an address.
+// Listener takes the connections dialled to an address.
 type Listener struct {
-	m      *Meadow
+	m      *Network
 	addr   string
 	queue  chan net.Conn
 	closed chan struct{}
 	once   sync.Once
 }
 
-// Listen opens an address for circuits.
-func (m *Meadow) Listen(addr string) *Listener {
+// Listen opens an address for connections.
+func (m *Network) Listen(addr string) *Listener {
 	l := &Listener{m: m, addr: addr, queue: make(chan net.Conn, 256), closed: make(chan struct{})}
 	m.mu.Lock()
 	m.listeners[addr] = l
@@ -224,8 +224,8 @@
 // Addr implements net.Listener.
 func (l *Listener) Addr() net.Addr { return addrName(l.addr) }
 
-// DialFrom dials circuits as the node at an address.
-func (m *Meadow) DialFrom(from string) func(context.Context, string) (net.Conn, error) {
+// DialFrom dials connections as the node at an address.
+func (m *Network) DialFrom(from string) func(context.Context, string) (net.Conn, error) {
 	return func(ctx context.Context, addr string) (net.Conn, error) {
 		m.mu.Lock()
 		l := m.listeners[addr]
