--- a/internal/eventloop/wallclock_test.go
+++ b/internal/eventloop/wallclock_test.go
@@ -13,9 +13,9 @@
 // Where the time of day may be read, and what for: logs, events and tracers. All
 // else runs on NowUs (design 1.6).
 var readsTimeOfDay = map[string]string{
-	"internal/events/buzz.go":     "the time of an event",
+	"internal/events/events.go":   "the time of an event",
 	"internal/node/run.go":        "the node's time of day, for tracers",
-	"internal/node/colony.go":     "when a configuration came into force, for tracers; hands the clock on",
+	"internal/node/node.go":       "when a configuration came into force, for tracers; hands the clock on",
 	"internal/ingress/control.go": "when a configuration was acknowledged, for tracers",
 	"internal/lotstore/api.go":    "notes when a lot came, for readers and the version before",
 	"cmd/scalerun/step.go":        "builds nodes for the scale run",
@@ -25,7 +25,7 @@
 // Fields that hold a time of day, and the files that may name them: records that
 // carry them, never a decision.
 var holdsTimeOfDay = map[string][]string{
-	"SentUs":      {"internal/lotstore/lot.go", "internal/lotstore/brood.go"},
+	"SentUs":      {"internal/lotstore/lot.go", "internal/lotstore/lotstore.go"},
 	"ScheduledUs": nil,
 	"NextUs":      nil,
 	"CreatedUs":   nil,
@@ -38,8 +38,8 @@
 // Other uses of those names, by file.
 var otherUses = map[string]string{
 	"internal/forward/walk.go": "Unix",     // a deadline in the past ends a read
-	"internal/node/colony.go":  "ModTime",  // tells whether a file changed
-	"internal/wal/cell.go":     "Truncate", // of a file
+	"internal/node/node.go":    "ModTime",  // tells whether a file changed
+	"internal/wal/wal.go":      "Truncate", // of a file
 	"internal/wal/recover.go":  "Truncate", // of a file
 }
 
