--- a/internal/brood/api.go
+++ b/internal/brood/api.go
@@ -220,6 +220,8 @@
 		http.Error(w, "another lot was taken under this id: give each lot its own", http.StatusConflict)
 	case err == nil && out.Taken:
 		w.WriteHeader(http.StatusAccepted)
+	case err == nil && out.NoRoom:
+		a.Decline(w, http.StatusServiceUnavailable, out.AfterMs, "the stores have no room for more lots")
 	case err == nil:
 		a.Decline(w, http.StatusTooManyRequests, out.AfterMs, "the lot does not fit into the backlog")
 	case wax.Is(err, wax.Declined) || wax.Is(err, wax.Unreached):
--- a/internal/brood/brood.go
+++ b/internal/brood/brood.go
@@ -7,6 +7,8 @@
 	"strconv"
 	"time"
 
+	"github.com/vmihailenco/msgpack/v5"
+
 	"rowanshunt/internal/cell"
 	"rowanshunt/internal/foundation"
 	"rowanshunt/internal/nest"
@@ -41,12 +43,16 @@
 	Self      swarm.Partner
 	Seat      string
 	Dir       string
-	DiskBytes int64
-	State     func() *nest.State // newest committed
-	Change    func(context.Context, nest.Change) (*nest.State, error)
-	Fatal     func(error)
-	Options   Options
-	Spared    int
+	DiskBytes int64 // 0: not known
+	// MemoryBytes is what the process may take, 0 if that is not known.
+	MemoryBytes int64
+	// PollSpanUs is how long after a lot was sent its results may be read.
+	PollSpanUs int64
+	State      func() *nest.State // newest committed
+	Change     func(context.Context, nest.Change) (*nest.State, error)
+	Fatal      func(error)
+	Options    Options
+	Spared     int
 	// Lost asks the members which of the suspects a majority of them has lost.
 	Lost func(ctx context.Context, members, suspects []nest.Seat, forUs int64) map[string]bool
 	// SyncUs is how soon a replica that is back must hold all copies again.
@@ -72,13 +78,16 @@
 	readers      []*reader
 	rostering    bool
 	rewriting    bool
-	misfits      int // ops of the file that continued no copy, when it was read
-	stableUs     int64
-	lastNames    string
-	slowness     slowness
-	diskRefuses  bool
-	cellOptions  []cell.Option
-	need         rosterNeed
+	// rewriteAfterUs: not before, for the last rewrite failed.
+	rewriteAfterUs int64
+	space          spaceUse
+	misfits        int // ops of the file that continued no copy, when it was read
+	stableUs       int64
+	lastNames      string
+	slowness       slowness
+	diskRefuses    bool
+	cellOptions    []cell.Option
+	need           rosterNeed
 }
 
 type cached struct {
@@ -91,10 +100,10 @@
 func Open(ctx context.Context, cfg Config) (*Brood, error) {
 	b := &Brood{cfg: cfg, ctx: ctx, startUs: waggle.NowUs()}
 	b.minLongBytes = max(cfg.DiskBytes/4, 16<<20)
-	b.longBytes = b.minLongBytes
 	if err := b.openReplica(cfg.Dir); err != nil {
 		return nil, err
 	}
+	b.longBytes = b.nextLong()
 	context.AfterFunc(ctx, b.cell.Close)
 	d := cfg.Desk
 	pollen.On(d, "brood.claim", b.onClaim)
@@ -184,6 +193,7 @@
 		b.tellSlow()
 	}
 	b.diskTick()
+	b.spaceTick(waggle.NowUs())
 	if st := b.cfg.State(); st != nil && st.Stores.Ver != b.rosterVer {
 		b.rosterVer, b.rosterUs = st.Stores.Ver, waggle.NowUs()
 	}
@@ -237,6 +247,12 @@
 	First    int64 // offset of its first prompt; a lot that comes again has the one it had
 	Other    bool  // the id is that of another lot
 	Welcome  bool  // to an offer: it fits, and the room is kept for a moment
+	NoRoom   bool  // the stores have no room for more lots (design 10.5)
+}
+
+// DecodeMsgpack reads answers of earlier versions too.
+func (a *handAnswer) DecodeMsgpack(d *msgpack.Decoder) error {
+	return pollen.Fields(d, &a.Taken, &a.AfterMs, &a.First, &a.Other, &a.Welcome, &a.NoRoom)
 }
 
 // onHand accepts a lot: on disk at a majority before the answer (design 8.4).
@@ -277,6 +293,10 @@
 		if old != nil {
 			rev = old.Rev + 1
 		}
+		if !b.hasRoom(s, l) {
+			b.refuse(s, in, old, &handAnswer{NoRoom: true, AfterMs: noRoomAfterMs}, reply)
+			return
+		}
 		nowUs := waggle.NowUs()
 		if in.Backlog > 0 {
 			openToks := s.owner.keptRoom(l.Binding, l.ID, nowUs)
@@ -297,6 +317,7 @@
 			return
 		}
 		delete(s.owner.offers, l.ID)
+		b.space.addedBytes += b.projectedBytes(l)
 		l.First = s.nextOffset
 		s.nextOffset += int64(len(l.Prompts))
 		whole := *l
@@ -406,6 +427,10 @@
 			reply(nil, wax.New(wax.Unknown, in.Lot, "no such lot", "check the id"))
 			return
 		}
+		if l.wasShed() {
+			reply(nil, errShed(in.Lot))
+			return
+		}
 		reply(l.read(in.StartAt, in.MaxBytes), nil)
 	})
 }
@@ -585,7 +610,7 @@
 		if l == nil {
 			return nil
 		}
-		c := &Copy{Stamp: l.Stamp, Rev: l.Rev, Items: len(l.Prompts), Listed: len(l.List), Ended: l.Ended, First: l.First, Owner: s.owner != nil && s.owner.ready}
+		c := &Copy{Stamp: l.Stamp, Rev: l.Rev, Items: l.items(), Listed: len(l.List), Ended: l.Ended, First: l.First, Owner: s.owner != nil && s.owner.ready}
 		if c.Owner {
 			for _, f := range s.owner.feeds {
 				if f.acked == s.owner.seq {
--- a/internal/brood/dispatch.go
+++ b/internal/brood/dispatch.go
@@ -79,6 +79,7 @@
 		dueUs int64 // until its lot is due
 	}
 	var found []due
+	shed := 0
 	for _, s := range b.shards {
 		if s.owner == nil || !s.owner.ready {
 			continue
@@ -89,8 +90,12 @@
 			}
 			ageUs := s.ageUs(l, nowUs)
 			if l.closed() {
-				if ageUs > b.cfg.Options.PurgeUs && ageUs > 2*l.RetainMs*1000 {
+				switch {
+				case ageUs > max(b.cfg.Options.PurgeUs, b.textsUs()) && ageUs > 2*l.RetainMs*1000:
 					b.issue(s, op{Kind: opDrop, Lot: id}, func(error) {})
+				case ageUs > b.textsUs() && len(l.Prompts) > 0 && shed < maxShedPerPoll:
+					shed++
+					b.shedTexts(s, l)
 				}
 				continue
 			}
--- a/internal/brood/earlier_test.go
+++ b/internal/brood/earlier_test.go
@@ -103,10 +103,12 @@
 	res := Result{Item: 1, Phase: "p", Msg: []byte("m"), AckedUs: 2, Lease: 3, Why: "w", Enc: 1, RawBytes: 4}
 	rows := []Cursor{{Lease: 1, Holder: "h", Epoch: 2, Fails: 3, Freed: 4}}
 	lot := Lot{ID: "i", Host: "h", Path: "p", Binding: "b", SentUs: 1, DueMs: 2, RetainMs: 3, Tries: 4, Prompts: []Prompt{{ID: "q", Hdrs: []string{"k", "v"}, Toks: 5}},
-		List: []Result{res}, Ended: true, Stamp: st, Rev: 6, Rows: rows, First: 7, Digest: [2]uint64{8, 9}, Refused: []uint64{10}, BornUs: 11}
+		List: []Result{res}, Ended: true, Stamp: st, Rev: 6, Rows: rows, First: 7, Digest: [2]uint64{8, 9}, Refused: []uint64{10}, BornUs: 11, ShedItems: 13}
 	o := op{Kind: opPut, Lot: "l", Stamp: st, Rev: 1, Src: st, Whole: &lot, Results: []Result{res}, Rows: []CursorAt{{Item: 1, Row: rows[0]}}, From: 2, Listed: 3, Ended: true, ClockUs: 12}
 	seat := nest.Seat{ID: "i", Name: "n", Addr: "a", Az: "z"}
-	for _, v := range []any{&res, &lot, &o, &seat} {
+	written := writeAnswer{OK: true, Promised: st, Misfit: true, Full: true}
+	handed := handAnswer{Taken: true, AfterMs: 1, First: 2, Other: true, Welcome: true, NoRoom: true}
+	for _, v := range []any{&res, &lot, &o, &seat, &written, &handed} {
 		for i := range reflect.ValueOf(v).Elem().NumField() {
 			if f := reflect.TypeOf(v).Elem().Field(i); f.IsExported() && reflect.ValueOf(v).Elem().Field(i).IsZero() {
 				t.Errorf("%T: the test leaves %s empty", v, f.Name)
--- a/internal/brood/lot.go
+++ b/internal/brood/lot.go
@@ -120,20 +120,24 @@
 	// BornUs is the shard's clock when the lot was accepted: its age is read from
 	// it (design 8.12). 0 in what the version before wrote.
 	BornUs int64
-
-	listed  []bool // by prompt
-	src     copyOf // what it was when this node took it over
-	live    *live  // the owner's own, nil elsewhere
-	seenLen int    // entries of List that a majority holds
-	taken   bool   // a majority holds the lot
-	placed  bool   // this owner gave it its place on the clock
-	endSeen bool   // a majority holds its end
+	// ShedItems is how many items the lot had, once they and their results were
+	// let go; 0 before (design 8.10).
+	ShedItems int
+
+	closedBytes int64  // what storedBytes found once the lot was closed
+	listed      []bool // by prompt
+	src         copyOf // what it was when this node took it over
+	live        *live  // the owner's own, nil elsewhere
+	seenLen     int    // entries of List that a majority holds
+	taken       bool   // a majority holds the lot
+	placed      bool   // this owner gave it its place on the clock
+	endSeen     bool   // a majority holds its end
 }
 
 // DecodeMsgpack reads lots of earlier versions too.
 func (l *Lot) DecodeMsgpack(d *msgpack.Decoder) error {
 	return pollen.Fields(d, &l.ID, &l.Host, &l.Path, &l.Binding, &l.SentUs, &l.DueMs, &l.RetainMs, &l.Tries, &l.Prompts, &l.List, &l.Ended,
-		&l.Stamp, &l.Rev, &l.Rows, &l.First, &l.Digest, &l.Refused, &l.BornUs)
+		&l.Stamp, &l.Rev, &l.Rows, &l.First, &l.Digest, &l.Refused, &l.BornUs, &l.ShedItems)
 }
 
 // live is what only the owner knows of a lot's prompts. Times are of its own
@@ -338,6 +342,7 @@
 	for _, r := range results {
 		if r.Item >= 0 && r.Item < len(l.listed) && !l.listed[r.Item] {
 			l.listed[r.Item] = true
+			l.closedBytes = 0
 			l.List = append(l.List, r)
 			l.Rows[r.Item] = Cursor{}
 			l.shed(r.Item)
@@ -354,7 +359,7 @@
 }
 
 func (l *Lot) end() {
-	l.Ended = true
+	l.Ended, l.closedBytes = true, 0
 	for i := range l.Prompts {
 		l.shed(i)
 	}
@@ -383,7 +388,7 @@
 func (l *Lot) since(stamp Stamp, c copyOf) *op {
 	same := c.Stamp == l.Stamp && c.Rev <= l.Rev
 	former := c.Stamp == l.src.Stamp && c.Rev <= l.src.Rev
-	if !same && !former || c.Listed > len(l.List) || l.refused() || l.placed {
+	if !same && !former || c.Listed > len(l.List) || l.refused() || l.placed || l.wasShed() {
 		return nil
 	}
 	o := &op{Kind: opCatch, Lot: l.ID, Stamp: stamp, Rev: l.Rev, Src: c.Stamp, From: c.Rev, Listed: c.Listed, Ended: l.Ended,
--- a/internal/brood/owner.go
+++ b/internal/brood/owner.go
@@ -139,6 +139,7 @@
 	bytes  int
 	tryUs  int64
 	synced bool
+	full   bool // the replica wants no new lots
 }
 
 // claimTick looks which shards this node should own (design 8.2): the one that
@@ -492,7 +493,7 @@
 				l.live.at[i] = promptState{nextUs: nowUs + b.leaseUs(l.Rows[i].Epoch), sentUs: nowUs}
 			}
 		}
-		s.nextOffset = max(s.nextOffset, l.First+int64(len(l.Prompts)))
+		s.nextOffset = max(s.nextOffset, l.First+int64(l.items()))
 	}
 	o.seq = 1
 	s.owner = o
@@ -695,7 +696,7 @@
 			}
 			switch {
 			case err == nil && out.OK:
-				f.acked = max(f.acked, upTo)
+				f.acked, f.full = max(f.acked, upTo), out.Full
 				o.heard(f.seat.ID, startUs)
 				b.advance(s, o)
 				if s.owner == o {
--- a/internal/brood/replica.go
+++ b/internal/brood/replica.go
@@ -102,6 +102,7 @@
 	}
 	b.misfits = misfits
 	b.cell = c
+	b.countSpace(waggle.NowUs())
 	return nil
 }
 
@@ -119,9 +120,7 @@
 		return
 	}
 	b.append(then, raw)
-	if size := b.cell.SizeBytes(); size > b.longBytes && !b.rewriting {
-		b.rewrite()
-	}
+	b.maybeRewrite(waggle.NowUs())
 }
 
 // append writes records; without any it is a barrier behind all earlier ones.
@@ -204,7 +203,12 @@
 			// The file goes on as it is; later, with more room, it is tried again.
 			b.cfg.Log.Warn("cell_rewrite_failed", "cell", "brood", "err", err)
 		}
-		_ = b.cfg.Floor.Do(b.ctx, func() { b.rewriting, b.longBytes = false, b.nextLong() })
+		_ = b.cfg.Floor.Do(b.ctx, func() {
+			b.rewriting, b.longBytes = false, b.nextLong()
+			if err != nil {
+				b.rewriteAfterUs = waggle.NowUs() + rewritePauseUs
+			}
+		})
 	}, func(write func([]byte) error) error {
 		for i := range all {
 			if err := writeRecord(write, &record{Shard: all[i].shard, Promise: &all[i].promised, Ops: []op{{Kind: opNone, Stamp: all[i].clock.Stamp, ClockUs: all[i].clock.Us}}}); err != nil {
@@ -222,13 +226,6 @@
 	b.cfg.Log.Info("cell_rewritten", "cell", "brood", "bytes", total)
 }
 
-// nextLong is the length at which the file is rewritten next: twice what it
-// holds now, but with room for the old and the new one on the disk.
-func (b *Brood) nextLong() int64 {
-	size := b.cell.SizeBytes()
-	return max(min(2*size, b.cfg.DiskBytes*45/100), size*5/4, b.minLongBytes)
-}
-
 func writeRecord(write func([]byte) error, r *record) error {
 	raw, err := msgpack.Marshal(r)
 	if err != nil {
@@ -288,6 +285,12 @@
 	OK       bool
 	Promised Stamp
 	Misfit   bool // a copy here does not fit: compare and mend
+	Full     bool // taken, but this store wants no new lots (design 10.5)
+}
+
+// DecodeMsgpack reads answers of earlier versions too.
+func (a *writeAnswer) DecodeMsgpack(d *msgpack.Decoder) error {
+	return pollen.Fields(d, &a.OK, &a.Promised, &a.Misfit, &a.Full)
 }
 
 func (b *Brood) mine(seat string, shardN int) (*shard, error) {
@@ -394,7 +397,7 @@
 			b.promise(s, in.Stamp)
 			rec.Promise = &in.Stamp
 		}
-		out := &writeAnswer{OK: true, Promised: in.Stamp}
+		out := &writeAnswer{OK: true, Promised: in.Stamp, Full: b.full()}
 		for _, raw := range in.Ops {
 			o := op{}
 			if err := msgpack.Unmarshal(raw, &o); err != nil {
--- /dev/null
+++ b/internal/brood/space_test.go
@@ -0,0 +1,350 @@
+package brood
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"rowanshunt/internal/cell"
+	"rowanshunt/internal/waggle"
+	"rowanshunt/internal/wax"
+)
+
+// spaceStore is a store alone on a small disk, with what its file and a new one
+// beside it took at most.
+type spaceStore struct {
+	*Brood
+	t         *testing.T
+	ctx       context.Context
+	oldBytes  int64
+	peakBytes atomic.Int64
+	refuse    atomic.Bool // rewrites
+	refused   atomic.Int64
+}
+
+func newSpaceStore(t *testing.T, diskBytes int64) *spaceStore {
+	t.Helper()
+	dir := t.TempDir()
+	ctx, stop := context.WithCancel(context.Background())
+	b := &Brood{cfg: Config{Floor: waggle.NewFloor(256), Log: wax.Quiet(), Seat: "s", Dir: dir, DiskBytes: diskBytes, Options: Defaults(),
+		Fatal: func(err error) { t.Errorf("the store would end: %v", err) }}, ctx: ctx}
+	s := &spaceStore{Brood: b, t: t, ctx: ctx}
+	b.minLongBytes = 1 << 20
+	b.cellOptions = []cell.Option{cell.Interpose(s.watch)}
+	if err := b.openReplica(dir); err != nil {
+		t.Fatal(err)
+	}
+	b.longBytes = b.nextLong()
+	go b.cfg.Floor.Run(ctx)
+	t.Cleanup(func() { b.cell.Close(); stop() })
+	s.do(func() { owned(b, 1, clockValue{}) })
+	return s
+}
+
+// watch runs on the log's goroutine.
+func (s *spaceStore) watch(step cell.Step) error {
+	switch step {
+	case cell.StepSnapshot:
+		s.oldBytes = s.cell.SizeBytes()
+		if s.refuse.Load() {
+			s.refused.Add(1)
+			return errors.New("no space left on device")
+		}
+	case cell.StepSyncFolder:
+		s.notePeak(s.oldBytes + s.cell.SizeBytes())
+	case cell.StepSync:
+		s.notePeak(s.cell.SizeBytes())
+	}
+	return nil
+}
+
+func (s *spaceStore) notePeak(bytes int64) {
+	if bytes > s.peakBytes.Load() {
+		s.peakBytes.Store(bytes)
+	}
+}
+
+func (s *spaceStore) do(fn func()) {
+	s.t.Helper()
+	if _, err := waggle.Ask(s.ctx, s.cfg.Floor, func() bool { fn(); return true }); err != nil {
+		s.t.Fatal(err)
+	}
+}
+
+func (s *spaceStore) handIn(id string, items, bodyBytes int) *handAnswer {
+	s.t.Helper()
+	prompts := make([]Prompt, items)
+	for i := range prompts {
+		prompts[i] = Prompt{ID: fmt.Sprint(id, "/", i), Path: "/p", Body: make([]byte, bodyBytes), Toks: 10}
+	}
+	l := &Lot{ID: id, Host: "h", RetainMs: 40_000, Tries: 2, Prompts: prompts, Digest: digestOf(prompts)}
+	out, err := s.onHand(s.ctx, &handCall{Shard: 0, Lot: l, Req: 1})
+	if err != nil {
+		s.t.Fatalf("lot %s: %v", id, err)
+	}
+	return out
+}
+
+func (s *spaceStore) listAll(id string, textBytes int) {
+	s.do(func() {
+		l := s.shards[0].lots[id]
+		for i := range l.Prompts {
+			s.list(s.shards[0], l, Result{Item: i, Phase: PhaseDone, Msg: make([]byte, textBytes), Lease: 7, RawBytes: textBytes}, nil)
+		}
+	})
+}
+
+// pass lets simulated time pass, with the beats of a store.
+func (s *spaceStore) pass(d time.Duration) {
+	for range int(d / (100 * time.Millisecond)) {
+		time.Sleep(100 * time.Millisecond)
+		s.do(func() { s.spaceTick(waggle.NowUs()); s.clockTick(waggle.NowUs()); s.poll() })
+	}
+	synctest.Wait()
+}
+
+// readAll gives how many results of a lot can be read.
+func (s *spaceStore) readAll(id string) (int, error) {
+	at := int64(0)
+	for {
+		out, err := s.onRead(s.ctx, &readCall{Shard: 0, Lot: id, StartAt: at, MaxBytes: 1 << 20})
+		if err != nil || len(out.Out) == 0 {
+			return int(at), err
+		}
+		at = out.Cont
+	}
+}
+
+// A day of many windows of poll_s, with twice the lots that the disk has room
+// for: the old file and a new one never need more than the disk, what lots take
+// stays bounded, every accepted lot is whole until poll_s after it was sent and
+// gone soon after, it is known for as long as it may come again, and lots are
+// accepted all day long.
+func TestLongDayStaysWithinTheDisk(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const diskBytes = 16 << 20
+		const items, textBytes, seconds, pollSeconds = 60, 4000, 300, 30
+		s := newSpaceStore(t, diskBytes)
+		s.cfg.PollSpanUs, s.cfg.Options.PurgeUs = pollSeconds*1_000_000, 45_000_000
+		rng := rand.New(rand.NewPCG(1, 2))
+		type sent struct {
+			id string
+			at int
+		}
+		var open, accepted []sent
+		perWindow := map[int]int{}
+		declined, mostHeld := 0, int64(0)
+		for now := range seconds {
+			id := fmt.Sprint("l", now)
+			switch out := s.handIn(id, items, 1+rng.IntN(3000)); {
+			case out.Taken:
+				perWindow[now/pollSeconds]++
+				open, accepted = append(open, sent{id, now}), append(accepted, sent{id, now})
+			case out.NoRoom && out.AfterMs > 0:
+				declined++
+			default:
+				t.Fatalf("second %d: %+v", now, out)
+			}
+			if len(open) > 0 && now-open[0].at >= 5 {
+				s.listAll(open[0].id, textBytes/2+rng.IntN(textBytes))
+				open = open[1:]
+			}
+			s.pass(time.Second)
+			mostHeld = max(mostHeld, s.space.usedBytes())
+			for _, l := range accepted {
+				age := now - l.at
+				switch {
+				case age == pollSeconds-2:
+					if n, err := s.readAll(l.id); err != nil || n != items {
+						t.Fatalf("lot %s after %d s: %d results, %v", l.id, age, n, err)
+					}
+				case age == pollSeconds+8:
+					if _, err := s.readAll(l.id); !wax.Is(err, wax.Unknown) {
+						t.Fatalf("lot %s after %d s is still there: %v", l.id, age, err)
+					}
+				case age == 75:
+					if out := s.handIn(l.id, items, 1); !out.Taken || out.Other {
+						t.Fatalf("lot %s came again after %d s: %+v", l.id, age, out)
+					}
+				}
+			}
+		}
+		if peak := s.peakBytes.Load(); peak > diskBytes {
+			t.Errorf("%d bytes on a disk of %d", peak, diskBytes)
+		}
+		if most := s.lotBytes(); mostHeld > most+most/20 {
+			t.Errorf("lots took %d bytes, at most %d are allowed", mostHeld, most)
+		}
+		if declined == 0 {
+			t.Error("the day was not too much for the disk")
+		}
+		for window := range seconds / pollSeconds {
+			if perWindow[window] < 5 {
+				t.Errorf("window %d: %d lots accepted", window, perWindow[window])
+			}
+		}
+		if n := s.cell.Written().Rewrites; n < 3 {
+			t.Errorf("%d rewrites", n)
+		}
+		t.Logf("%d lots accepted, %d declined; at most %d MB on disk, %d MB of lots; %d rewrites", len(accepted), declined,
+			s.peakBytes.Load()>>20, mostHeld>>20, s.cell.Written().Rewrites)
+	})
+}
+
+// A rewrite that has no room beside the file is not begun; it is once enough was
+// let go.
+func TestRewriteWaitsForRoom(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const diskBytes = 16 << 20
+		s := newSpaceStore(t, diskBytes)
+		s.do(func() {
+			s.longBytes = diskBytes
+			for i := range 10 {
+				// As lots that an earlier version accepted: more than would be now.
+				l := &Lot{ID: fmt.Sprint("l", i), Prompts: []Prompt{{ID: "a", Body: make([]byte, 1<<20)}}}
+				l.index()
+				s.issue(s.shards[0], op{Kind: opPut, Lot: l.ID, Rev: 1, Whole: l}, func(error) {})
+			}
+			for i := range 2 {
+				s.issue(s.shards[0], op{Kind: opDrop, Lot: fmt.Sprint("l", i)}, func(error) {})
+			}
+		})
+		s.pass(10 * time.Second)
+		if s.cell.SizeBytes() <= s.longBytes {
+			t.Fatalf("no rewrite is due: %d bytes of %d", s.cell.SizeBytes(), s.longBytes)
+		}
+		if n := s.cell.Written().Rewrites; n != 0 || s.oldBytes != 0 {
+			t.Errorf("%d rewrites, begun at %d bytes, without room", n, s.oldBytes)
+		}
+		if out := s.handIn("new", 1, 1); !out.NoRoom {
+			t.Errorf("a lot was handed to a store without room: %+v", out)
+		}
+		s.do(func() {
+			for i := 2; i < 8; i++ {
+				s.issue(s.shards[0], op{Kind: opDrop, Lot: fmt.Sprint("l", i)}, func(error) {})
+			}
+		})
+		s.pass(10 * time.Second)
+		if n, size := s.cell.Written().Rewrites, s.cell.SizeBytes(); n != 1 || size > 3<<20 {
+			t.Errorf("%d rewrites, %d bytes, with room", n, size)
+		}
+		if out := s.handIn("new", 1, 1); !out.Taken {
+			t.Errorf("with room: %+v", out)
+		}
+	})
+}
+
+// A rewrite that fails is not tried again at once, and then is.
+func TestFailedRewriteIsPaused(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSpaceStore(t, 16<<20)
+		s.refuse.Store(true)
+		s.do(func() { s.minLongBytes, s.longBytes = 0, 0 })
+		s.pass(4 * time.Second)
+		if n := s.refused.Load(); n != 1 {
+			t.Errorf("%d attempts within the pause", n)
+		}
+		s.refuse.Store(false)
+		s.pass(4 * time.Second)
+		if s.cell.Written().Rewrites == 0 {
+			t.Error("not tried again after the pause")
+		}
+	})
+}
+
+// What is kept free for the results of items that were accepted counts from the
+// moment that their lot is: a hand-in that would leave too little is declined,
+// although the lots that are here are small.
+func TestAcceptedResultsHaveRoom(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const diskBytes = 16 << 20
+		s := newSpaceStore(t, diskBytes)
+		taken := 0
+		for i := range 40 {
+			if s.handIn(fmt.Sprint("l", i), 100, 1).Taken {
+				taken++
+			}
+		}
+		if most := int(s.lotBytes() / (100 * presetResultBytes)); taken > most || taken < most/2 {
+			t.Errorf("%d lots taken, room for the results of %d", taken, most)
+		}
+		s.pass(2 * time.Second)
+		if out := s.handIn("more", 100, 1); !out.NoRoom {
+			t.Errorf("after the count: %+v", out)
+		}
+		for i := range taken {
+			s.listAll(fmt.Sprint("l", i), presetResultBytes)
+		}
+		s.pass(2 * time.Second)
+		if held := s.space.heldBytes; held > s.lotBytes()*11/10 {
+			t.Errorf("%d bytes held, %d allowed", held, s.lotBytes())
+		}
+	})
+}
+
+// A hand-in of which an earlier attempt got no answer is declined by an op that
+// stands: the lot is never found as taken later.
+func TestDeclinedForRoomStands(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSpaceStore(t, 16<<20)
+		s.do(func() { s.space.addedBytes = s.lotBytes() })
+		prompts := []Prompt{{ID: "a"}}
+		out, err := s.onHand(s.ctx, &handCall{Shard: 0, Lot: &Lot{ID: "l", Prompts: prompts}, Req: 5, Unsure: true})
+		if err != nil || !out.NoRoom || out.Taken {
+			t.Fatalf("%+v, %v", out, err)
+		}
+		if l := s.shards[0].lots["l"]; l == nil || !l.refused() {
+			t.Errorf("no record that the hand-in was declined: %+v", l)
+		}
+	})
+}
+
+// A replica that wants no new lots is heard; one that lags is not waited for.
+func TestOwnerHeedsFullReplicas(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSpaceStore(t, 16<<20)
+		f := &feed{cold: false, full: true}
+		s.do(func() {
+			owner := s.shards[0].owner
+			owner.feeds["r"] = f
+			if s.hasRoom(s.shards[0], &Lot{}) {
+				t.Error("a replica is full and a lot would be taken")
+			}
+			f.cold = true
+			if !s.hasRoom(s.shards[0], &Lot{}) {
+				t.Error("a replica that lags closes the shard")
+			}
+			delete(owner.feeds, "r")
+			s.space.addedBytes = s.lotBytes() + 1
+		})
+		out, err := s.onWrite(s.ctx, &writeCall{Seat: "s", Shard: 1, Stamp: Stamp{Roster: 1, N: 9, By: "o/1"}})
+		if err != nil || !out.OK || !out.Full {
+			t.Errorf("a full replica answers a write with %+v, %v", out, err)
+		}
+	})
+}
+
+// The count is never below what a rewritten file takes, and not far above it.
+func TestCountCoversTheFile(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSpaceStore(t, 256<<20)
+		for i := range 50 {
+			id := fmt.Sprint("l", i)
+			s.handIn(id, 1+i, 40*i)
+			if i%3 > 0 {
+				s.listAll(id, 100*i)
+			}
+		}
+		s.pass(3 * time.Second)
+		s.do(s.rewrite)
+		s.pass(time.Second)
+		if held, size := s.space.heldBytes, s.cell.SizeBytes(); held < size || held > size*3/2 {
+			t.Errorf("%d bytes counted, the file takes %d", held, size)
+		}
+	})
+}
--- a/internal/cell/legacy_test.go
+++ b/internal/cell/legacy_test.go
@@ -5,7 +5,12 @@
 	"encoding/binary"
 	"fmt"
 	"hash/crc32"
+	"os"
+	"path/filepath"
+	"strings"
 	"testing"
+
+	"rowanshunt/internal/wax"
 )
 
 const legacyTestID = "00112233445566778899aabbccddeeff"
@@ -68,3 +73,35 @@
 		}
 	}
 }
+
+// A disk without room for the new file is told as what it is, with a remedy that
+// keeps the file, whether the room ends within the records or behind them.
+func TestLegacyWithoutRoom(t *testing.T) {
+	if _, err := os.Stat("/dev/full"); err != nil {
+		t.Skip("no device that is always full")
+	}
+	for _, records := range []int{4, 5000} {
+		whole := legacyFile(records)
+		dir := folderWith(t, whole)
+		path := filepath.Join(dir, testName)
+		f, err := os.Open(path)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if err := os.Symlink("/dev/full", path+newSuffix); err != nil {
+			t.Fatal(err)
+		}
+		_, err = checkLegacy(f, dir, testName, legacyTestID)
+		_ = f.Close()
+		if !wax.Is(err, wax.Declined) || strings.Contains(err.Error(), "another version") || strings.Contains(err.Error(), "empty") ||
+			!strings.Contains(err.Error(), "keep the file") {
+			t.Errorf("%d records: %v", records, err)
+		}
+		if left, err := os.ReadFile(path); err != nil || !bytes.Equal(left, whole) {
+			t.Errorf("%d records: the file was changed: %v", records, err)
+		}
+		if found := mustRecover(t, dir, legacyTestID); found.ID != legacyTestID || found.Damage != nil {
+			t.Errorf("%d records, with room again: %+v", records, found)
+		}
+	}
+}
--- a/internal/cell/recover.go
+++ b/internal/cell/recover.go
@@ -4,6 +4,8 @@
 	"io"
 	"os"
 	"path/filepath"
+	"strconv"
+	"syscall"
 
 	"github.com/go-faster/errors"
 
@@ -100,14 +102,42 @@
 	if out.Damage != nil && out.Damage.Lost {
 		return out, nil
 	}
+	converted, err := convertLegacy(f, dir, name, legacyID)
+	if err != nil {
+		return out, err
+	}
+	return out, errors.Join(converted.Close(), syncDir(dir))
+}
+
+// convertLegacy writes the file anew in the present version, beside the old one:
+// the disk must have room for both. Without it the old file stays as it is.
+func convertLegacy(f *os.File, dir, name, legacyID string) (*os.File, error) {
+	var writeErr error // apart from the scan, which takes any error of a record for a foreign one
 	converted, _, err := writeSnapshot(dir, name, legacyID, func(write func([]byte) error) error {
-		_, err := scanLegacy(f, write)
+		_, err := scanLegacy(f, func(record []byte) error {
+			writeErr = write(record)
+			return writeErr
+		})
+		if writeErr != nil {
+			return writeErr
+		}
 		return err
 	})
-	if err != nil {
-		return out, errors.Wrap(err, "bring the file to this version")
+	if err == nil {
+		return converted, nil
 	}
-	return out, errors.Join(converted.Close(), syncDir(dir))
+	if errors.Is(err, syscall.ENOSPC) {
+		return nil, noRoomToConvert(f, err)
+	}
+	return nil, errors.Wrap(err, "bring the file to this version")
+}
+
+// noRoomToConvert is the fault of a whole file that the disk has no room to
+// convert. Nothing of it is lost, so the folder must not be emptied.
+func noRoomToConvert(f *os.File, err error) error {
+	need := strconv.FormatInt(fileBytes(f)>>20+1, 10)
+	return wax.New(wax.Declined, f.Name(), "is whole, but the disk has no room to write it in this version's form: "+err.Error(),
+		"make "+need+" MB of room on the disk, or run the version before; keep the file")
 }
 
 func fileBytes(f *os.File) int64 {
--- a/internal/colony/colony.go
+++ b/internal/colony/colony.go
@@ -238,7 +238,8 @@
 		return nil, err
 	}
 	b, err := brood.Open(ctx, brood.Config{Floor: n.Floor, Desk: n.Desk, Mesh: env.Mesh, Swarm: n.Swarm, Log: env.Log, Self: n.self,
-		Seat: n.self.Seat(), Dir: opts.DataDir, DiskBytes: opts.Caps.DiskMb << 20, State: n.Nest.Committed, Change: n.Nest.Change,
+		Seat: n.self.Seat(), Dir: opts.DataDir, DiskBytes: opts.Caps.DiskMb << 20, MemoryBytes: opts.Caps.RAMMb << 20,
+		PollSpanUs: int64(opts.Bounds.PollS * 1e6), State: n.Nest.Committed, Change: n.Nest.Change,
 		Fatal: func(err error) { n.fatal <- err }, Options: brood.Defaults(), Spared: opts.Ft.Nodes,
 		Lost: n.Nest.Lost, SyncUs: int64(opts.Bounds.SyncS * 1e6)})
 	if err != nil {
--- a/internal/skep/options.go
+++ b/internal/skep/options.go
@@ -174,6 +174,9 @@
 	if o.Caps.CPUFrac < 0 || o.Caps.RAMMb < 0 || o.Caps.NoFile < 0 || o.Caps.DiskMb < 0 {
 		l.Addf("caps", "holds a negative number", "give what the machine has")
 	}
+	if !(o.Bounds.PollS > 0 && o.Bounds.PollS <= maxPollS) {
+		l.Addf("bounds.poll_s", "is not above 0, or over a day", "give for how many seconds results stay readable")
+	}
 	if o.Ft.Nodes < 0 {
 		l.Addf("ft.nodes", "is negative", "give 0 or more")
 	}
@@ -185,6 +188,7 @@
 
 // What a process needs at least; below it a start would only end later.
 const (
+	maxPollS      = 86_400
 	MaxSpared     = 3 // machines that the register's seats can bear the loss of
 	minNoFile     = 256
 	minForagerMb  = 32
