--- a/internal/skep/options_test.go
+++ b/internal/skep/options_test.go
@@ -38,7 +38,7 @@
 	if o.PartnerAddr() != "10.1.0.35:7660" || len(o.SeedAddrs()) != 2 || o.SeedAddrs()[1] != "10.2.0.28:7660" {
 		t.Errorf("addresses: %s %v", o.PartnerAddr(), o.SeedAddrs())
 	}
-	if !o.Has("ctl") || o.Has("store") || o.GraceUs() != 8_000_000 || o.Bounds.DrainMs != 2000 || o.HbMs != 1200 {
+	if !o.Has("ctl") || o.Has("store") || o.GraceUs() != 8_000_000 || o.Bounds.DrainMs != 2000 || o.Bounds.PollS != 120 || o.HbMs != 1200 {
 		t.Errorf("read wrong: %+v", o)
 	}
 	if o.CheckRole("forager") != nil || o.CheckRole("comb") != nil {
@@ -60,6 +60,9 @@
 		{`ram_mb = 284`, `ram_mb = -1`, "caps"},
 		{`nodes = 1`, `nodes = -1`, "ft.nodes"},
 		{`nodes = 1`, `nodes = 4`, "ft.nodes"},
+		{`grace_s = 8`, `poll_s = -1.0`, "bounds.poll_s"},
+		{`grace_s = 8`, `poll_s = nan`, "bounds.poll_s"},
+		{`grace_s = 8`, `poll_s = 90000.0`, "bounds.poll_s"},
 		{`az = "north"`, "az = \"north\"\nevents_sink = \"somewhere\"", "events_sink"},
 		{`bootstrap = true`, `bootstrap = "maybe"`, "options"},
 	} {
