--- a/internal/brood/space.go
+++ b/internal/brood/space.go
@@ -94,12 +94,12 @@
 		return
 	}
 	defer b.maybeRewrite(nowUs)
-	wasFull := b.space.usedBytes() > b.lotBytes()
+	wasFull := b.full()
 	b.countSpace(nowUs)
 	if !b.rewriting {
 		b.longBytes = b.nextLong()
 	}
-	if full := b.space.usedBytes() > b.lotBytes(); full != wasFull {
+	if full := b.full(); full != wasFull {
 		b.cfg.Log.Info("store_space", "full", full, "held", b.space.heldBytes, "owed", b.space.owedBytes, "most", b.lotBytes())
 	}
 }
@@ -120,7 +120,8 @@
 }
 
 // hasRoom tells whether a lot may be accepted: it, its results, and all that was
-// accepted before must find room here and at the replicas that told of theirs.
+// accepted before must find room here and at the replicas that told of theirs. A
+// file that can't be rewritten now is left to what was accepted already.
 // An offer has no prompts yet.
 func (b *Brood) hasRoom(s *shard, l *Lot) bool {
 	for _, f := range s.owner.feeds {
@@ -128,7 +129,7 @@
 			return false
 		}
 	}
-	return b.space.usedBytes()+b.projectedBytes(l) <= b.lotBytes()
+	return b.rewriteFits() && b.space.usedBytes()+b.projectedBytes(l) <= b.lotBytes()
 }
 
 // projectedBytes is what a lot takes once all its results are there.
@@ -141,7 +142,7 @@
 }
 
 // full tells whether this store wants no new lots.
-func (b *Brood) full() bool { return b.space.usedBytes() > b.lotBytes() }
+func (b *Brood) full() bool { return b.space.usedBytes() > b.lotBytes() || !b.rewriteFits() }
 
 // nextLong is the length at which the file is rewritten next: twice what its
 // lots take, but no longer than a rewrite fits beside it, and no shorter than one
--- a/internal/brood/space_test.go
+++ b/internal/brood/space_test.go
@@ -215,12 +215,12 @@
 			}
 		})
 		s.pass(10 * time.Second)
-		if s.cell.SizeBytes() <= s.longBytes {
-			t.Fatalf("no rewrite is due: %d bytes of %d", s.cell.SizeBytes(), s.longBytes)
-		}
 		if n := s.cell.Written().Rewrites; n != 0 || s.oldBytes != 0 {
 			t.Errorf("%d rewrites, begun at %d bytes, without room", n, s.oldBytes)
 		}
+		if s.cell.SizeBytes() <= s.longBytes {
+			t.Fatalf("no rewrite is due: %d bytes of %d", s.cell.SizeBytes(), s.longBytes)
+		}
 		if out := s.handIn("new", 1, 1); !out.NoRoom {
 			t.Errorf("a lot was handed to a store without room: %+v", out)
 		}
@@ -239,6 +239,38 @@
 	})
 }
 
+// A file that can't be rewritten is left to what was accepted, however little its
+// lots take.
+func TestLongFileTakesNoLots(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSpaceStore(t, 16<<20)
+		s.do(func() {
+			s.longBytes = 1 << 40
+			for i := range 15 {
+				l := &Lot{ID: fmt.Sprint("l", i), Prompts: []Prompt{{ID: "a", Body: make([]byte, 1<<20)}}}
+				l.index()
+				s.issue(s.shards[0], op{Kind: opPut, Lot: l.ID, Rev: 1, Whole: l}, func(error) {})
+				if i > 0 {
+					s.issue(s.shards[0], op{Kind: opDrop, Lot: l.ID}, func(error) {})
+				}
+			}
+		})
+		time.Sleep(time.Second)
+		s.do(func() { s.countSpace(waggle.NowUs()) })
+		if used := s.space.usedBytes(); used > s.lotBytes()/2 {
+			t.Fatalf("lots take %d bytes", used)
+		}
+		if out := s.handIn("new", 1, 1); !out.NoRoom {
+			t.Errorf("a lot was taken: %+v", out)
+		}
+		s.do(func() {
+			if !s.full() {
+				t.Error("the store does not tell")
+			}
+		})
+	})
+}
+
 // A rewrite that fails is not tried again at once, and then is.
 func TestFailedRewriteIsPaused(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
