--- /dev/null
+++ b/internal/colony/space_test.go
@@ -0,0 +1,60 @@
+package colony
+
+import (
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+)
+
+// A store that has no room for more closes the queue to new lots, whether it owns
+// the shard or is a replica of it: 503 at once, and nothing of the lot runs. What
+// was accepted comes to its end, and then there is room again (design 10.5).
+func TestStoreWithoutRoomDeclines(t *testing.T) {
+	for n := range 3 {
+		synctest.Test(t, func(t *testing.T) {
+			h := newHive(t, 31, 3, 3)
+			defer h.end()
+			h.nodes[fmt.Sprint("store-", n)].opts.Caps.RAMMb = 1
+			h.serving()
+			h.resting.Store(true)
+			const items = 20
+			var accepted []string
+			declined := ""
+			for i := range 12 {
+				id := fmt.Sprint("l", i)
+				began := time.Now()
+				w := h.handIn(id, items, 1)
+				if w.Code == 503 {
+					declined = id
+					if took := time.Since(began); took > time.Second || w.Header().Get("Retry-After") == "" {
+						t.Errorf("declined after %v, heads %v", took, w.Header())
+					}
+					break
+				}
+				if w.Code != 202 {
+					t.Fatalf("lot %s: %d %s", id, w.Code, w.Body)
+				}
+				accepted = append(accepted, id)
+				time.Sleep(2500 * time.Millisecond)
+			}
+			if declined == "" || len(accepted) == 0 {
+				t.Fatalf("%d lots accepted, none declined", len(accepted))
+			}
+			h.resting.Store(false)
+			for _, id := range accepted {
+				h.complete(id, items, 30*time.Second)
+			}
+			if _, code := h.read(h.edge(), declined, 0); code != 404 {
+				t.Errorf("the declined lot is read with %d", code)
+			}
+			for _, w := range h.workers {
+				if ran := w.Ran(itemID(declined, 0)); ran != 0 {
+					t.Errorf("an item of the declined lot ran %d times", ran)
+				}
+			}
+			time.Sleep(3 * time.Second)
+			h.mustHandIn("after", 1, 1)
+		})
+	}
+}
