--- a/internal/brood/space_test.go
+++ b/internal/brood/space_test.go
@@ -380,3 +380,40 @@
 		}
 	})
 }
+
+// The run of offsets of a lot that shed its items is not given to another by an
+// owner that has only the rows to go by.
+func TestShedLotKeepsItsOffsets(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSpaceStore(t, 64<<20)
+		s.cfg.PollSpanUs = 10_000_000
+		const items = 5
+		s.handIn("l", items, 1)
+		s.listAll("l", 10)
+		s.pass(17 * time.Second)
+		s.do(func() {
+			sh := s.shards[0]
+			if l := sh.lots["l"]; l == nil || !l.wasShed() || l.items() != items || len(l.Prompts)+len(l.List) > 0 {
+				t.Errorf("not shed: %+v", l)
+			}
+			// A replica that has the lot as it was accepted is sent the bare one.
+			sent := differences(sh, sh.owner.stamp, []copyOf{{Lot: "l", Stamp: sh.owner.stamp, Rev: 1}})
+			if len(sent) != 1 || len(sent[0]) != 1 || sent[0][0].Kind != opPut || sent[0][0].Whole.ShedItems != items {
+				t.Errorf("a replica that lags is sent %+v", sent)
+			}
+			s.depose(sh, "test")
+			sh.nextOffset = 0
+			owned(s.Brood, 2, clockValue{})
+		})
+		synctest.Wait()
+		if out := s.handIn("next", 1, 1); !out.Taken || out.First != items {
+			t.Errorf("the next lot: %+v", out)
+		}
+		if again := s.handIn("l", items, 1); !again.Taken || again.First != 0 || again.Other {
+			t.Errorf("the lot again: %+v", again)
+		}
+		if other := s.handIn("l", items+1, 1); !other.Other {
+			t.Errorf("another lot under its id: %+v", other)
+		}
+	})
+}
--- a/internal/colony/space_test.go
+++ b/internal/colony/space_test.go
@@ -58,3 +58,53 @@
 		})
 	}
 }
+
+// Results are kept for poll_s from the hand-in on, and not much longer; the lot
+// that comes again later is known, through a restart of all stores too, and
+// nothing of it runs anew (design 8.4, 8.10).
+func TestResultsAreKeptForPollS(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newHive(t, 32, 3, 3)
+		defer h.end()
+		stores := []string{"store-0", "store-1", "store-2"}
+		for _, name := range stores {
+			h.nodes[name].opts.Bounds.PollS = 20
+		}
+		h.serving()
+		const items = 10
+		began := time.Now()
+		h.mustHandIn("l", items, 1)
+		h.complete("l", items, 10*time.Second)
+		ran := func() (n int) {
+			for _, w := range h.workers {
+				for i := range items {
+					n += w.Ran(itemID("l", i))
+				}
+			}
+			return n
+		}
+		before := ran()
+		time.Sleep(time.Until(began.Add(19 * time.Second)))
+		h.complete("l", items, 500*time.Millisecond)
+		time.Sleep(time.Until(began.Add(28 * time.Second)))
+		if _, code := h.read(h.edge(), "l", 0); code != 404 {
+			t.Errorf("read after poll_s and more: %d", code)
+		}
+		h.mustHandIn("l", items, 1)
+		for _, name := range stores {
+			h.kill(name)
+		}
+		time.Sleep(time.Second)
+		for _, name := range stores {
+			h.start(name)
+		}
+		h.until("the lot is known", 20*time.Second, func() bool { return h.handIn("l", items, 1).Code == 202 })
+		time.Sleep(10 * time.Second)
+		if n := ran(); n != before {
+			t.Errorf("%d runs, %d before the lot came again", n, before)
+		}
+		if _, code := h.read(h.edge(), "l", 0); code != 404 {
+			t.Errorf("read after the restart: %d", code)
+		}
+	})
+}
