--- /dev/null
+++ b/internal/brood/space_bench_test.go
@@ -0,0 +1,25 @@
+package brood
+
+import (
+	"fmt"
+	"testing"
+)
+
+// What the count costs, once a second: 500 lots of 50 items each, all listed.
+func BenchmarkCountSpace(b *testing.B) {
+	store := &Brood{}
+	for n := range store.shards {
+		store.shards[n] = &shard{n: n, lots: map[string]*Lot{}}
+	}
+	for i := range 500 {
+		l := &Lot{ID: fmt.Sprint("l", i), Prompts: make([]Prompt, 50)}
+		for item := range l.Prompts {
+			l.List = append(l.List, Result{Item: item, Msg: make([]byte, 2700)})
+		}
+		l.index()
+		store.shards[0].lots[l.ID] = l
+	}
+	for b.Loop() {
+		store.countSpace(1)
+	}
+}
