--- a/internal/nurse/nurse.go
+++ b/internal/dispatch/dispatch.go
@@ -1,9 +1,7 @@
-// Package nurse is the dispatcher: it takes prompts from the shards' owners,
-// runs them in the room that live work leaves, goes on with Last-Event-Id
-// after a break, and acks once the result is durable (design 9). The field's
-// standard terms: nurse = dispatcher, consumer; leave = lease on the right to
-// send.
-package nurse
+// Package dispatch is the dispatcher: it takes prompts from the shards'
+// owners, runs them in the room that live work leaves, goes on with
+// Last-Event-Id after a break, and acks once the result is durable (design 9).
+package dispatch
 
 import (
 	"context"
@@ -12,15 +10,16 @@
 	"sync"
 	"time"
 
-	"rowanshunt/internal/brood"
-	"rowanshunt/internal/flora"
-	"rowanshunt/internal/forage"
-	"rowanshunt/internal/foundation"
-	"rowanshunt/internal/nectar"
-	"rowanshunt/internal/pollen"
-	"rowanshunt/internal/scout"
-	"rowanshunt/internal/waggle"
-	"rowanshunt/internal/wax"
+	"rowanshunt/internal/balancer"
+	"rowanshunt/internal/config"
+	"rowanshunt/internal/discovery"
+	"rowanshunt/internal/eventloop"
+	"rowanshunt/internal/fault"
+	"rowanshunt/internal/forward"
+	"rowanshunt/internal/logging"
+	"rowanshunt/internal/lotstore"
+	"rowanshunt/internal/quota"
+	"rowanshunt/internal/rpc"
 )
 
 // Times of the dispatcher (design 9.2).
@@ -33,23 +32,23 @@
 	maxBreaks  = 8
 )
 
-// Nurse runs items on one node.
-type Nurse struct {
-	Mesh      pollen.Mesh
-	Client    *brood.Client
-	Sender    *forage.Sender
-	Blueprint func() *foundation.Blueprint
-	Log       *wax.Log
-	Name      string
-	MaxHeld   int
+// Dispatcher runs items on one node.
+type Dispatcher struct {
+	Transport     rpc.Transport
+	Client        *lotstore.Client
+	Sender        *forward.Sender
+	Configuration func() *config.Configuration
+	Log           *logging.Log
+	Name          string
+	MaxHeld       int
 	// Dispatches tells whether this node takes items now (design 9.1).
 	Dispatches func() bool
 	// Gate keeps items to their tenants' fair shares (design 17.4).
-	Gate *nectar.Gate
+	Gate *quota.Gate
 
 	mu      sync.Mutex
 	held    map[item]*inHand
-	leave   [brood.Shards]int64 // until when items of a shard may be sent
+	leave   [lotstore.Shards]int64 // until when items of a shard may be sent
 	stores  map[string]bool
 	closing bool
 	ctx     context.Context
@@ -69,18 +68,18 @@
 	placed bool // a worker was found for it
 }
 
-// Start joins the node's desk.
-func (n *Nurse) Start(ctx context.Context, desk *pollen.Desk) {
+// Start joins the node's call mux.
+func (n *Dispatcher) Start(ctx context.Context, mux *rpc.Mux) {
 	n.ctx = ctx
 	n.held = map[item]*inHand{}
 	n.stores = map[string]bool{}
-	pollen.On(desk, "nurse.stop", func(_ context.Context, in *brood.StopCall) (*pollen.Nothing, error) {
+	rpc.On(mux, "nurse.stop", func(_ context.Context, in *lotstore.StopCall) (*rpc.Nothing, error) {
 		n.stopLot(in.Lot)
-		return &pollen.Nothing{}, nil
+		return &rpc.Nothing{}, nil
 	})
 }
 
-func (n *Nurse) stopLot(lot string) {
+func (n *Dispatcher) stopLot(lot string) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	for k, h := range n.held {
@@ -91,7 +90,7 @@
 }
 
 // Tick starts a taker for every store in sight; to be run every 300 ms.
-func (n *Nurse) Tick() {
+func (n *Dispatcher) Tick() {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if n.closing || !n.Dispatches() && len(n.held) == 0 {
@@ -107,7 +106,7 @@
 
 // Close stops taking and waits for what is in hand until ctx ends; the rest is
 // given back.
-func (n *Nurse) Close(ctx context.Context) {
+func (n *Dispatcher) Close(ctx context.Context) {
 	n.mu.Lock()
 	n.closing = true
 	n.mu.Unlock()
@@ -126,15 +125,15 @@
 }
 
 // room is how many more items this node could run now.
-func (n *Nurse) room() int {
-	bp := n.Blueprint()
+func (n *Dispatcher) room() int {
+	bp := n.Configuration()
 	if bp == nil {
 		return 0
 	}
 	dir := n.Sender.Dir()
 	svcs := map[string]bool{}
-	for _, b := range bp.Bindings {
-		if b.Type == foundation.Bulk {
+	for _, b := range bp.Routes {
+		if b.Type == config.Bulk {
 			for _, s := range b.Split {
 				if s.Wt > 0 {
 					svcs[s.Svc] = true
@@ -144,7 +143,7 @@
 	}
 	room := 0
 	for svc := range svcs {
-		room += n.Sender.Scout.ItemRoom(dir, svc)
+		room += n.Sender.Balancer.ItemRoom(dir, svc)
 	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -159,14 +158,14 @@
 
 // full lists the hosts whose items would not be admitted now; empty without
 // quotas.
-func (n *Nurse) full() []string {
-	bp := n.Blueprint()
+func (n *Dispatcher) full() []string {
+	bp := n.Configuration()
 	if bp == nil || n.Gate.Rules() == nil {
 		return nil
 	}
 	bySvc := map[string][]string{}
-	for _, b := range bp.Bindings {
-		if b.Type == foundation.Bulk {
+	for _, b := range bp.Routes {
+		if b.Type == config.Bulk {
 			for _, s := range b.Split {
 				if s.Wt > 0 {
 					bySvc[s.Svc] = append(bySvc[s.Svc], b.Host)
@@ -181,7 +180,7 @@
 	return out
 }
 
-func (n *Nurse) takeFrom(store string) {
+func (n *Dispatcher) takeFrom(store string) {
 	defer func() {
 		n.mu.Lock()
 		delete(n.stores, store)
@@ -206,37 +205,37 @@
 	}
 }
 
-func (n *Nurse) takeOnce(addr string) bool {
+func (n *Dispatcher) takeOnce(addr string) bool {
 	room := n.room()
 	n.mu.Lock()
 	if n.closing || !n.Dispatches() {
 		room = 0
 	}
-	held := make([]brood.Held, 0, len(n.held))
+	held := make([]lotstore.Held, 0, len(n.held))
 	for k, h := range n.held {
-		held = append(held, brood.Held{Shard: k.shard, Lot: k.lot, Item: k.item, Lease: h.lease})
+		held = append(held, lotstore.Held{Shard: k.shard, Lot: k.lot, Item: k.item, Lease: h.lease})
 	}
 	n.mu.Unlock()
 	if room < 0 {
 		room = 0
 	}
-	startUs := waggle.NowUs()
+	startUs := eventloop.NowUs()
 	ctx, cancel := context.WithTimeout(n.ctx, (takeUs+takeOverUs)*time.Microsecond)
 	defer cancel()
-	out := &brood.TakeAnswer{}
-	call := &brood.TakeCall{From: n.Name, Room: room, Held: held, WaitUs: takeUs, LeftUs: takeUs + takeOverUs, Full: n.full()}
+	out := &lotstore.TakeAnswer{}
+	call := &lotstore.TakeCall{From: n.Name, Room: room, Held: held, WaitUs: takeUs, LeftUs: takeUs + takeOverUs, Full: n.full()}
 	if len(call.Full) > 0 {
 		call.WaitUs = takeUs / 4 // what is full now may have room soon
 	}
 	if len(held) > 0 {
 		call.WaitUs = takeUs / 2
 	}
-	if err := n.Mesh.Call(ctx, addr, "brood.take", call, out); err != nil {
+	if err := n.Transport.Call(ctx, addr, "brood.take", call, out); err != nil {
 		return false
 	}
 	n.mu.Lock()
 	for _, s := range out.Shards {
-		if s >= 0 && s < brood.Shards {
+		if s >= 0 && s < lotstore.Shards {
 			n.leave[s] = max(n.leave[s], startUs+leaveUs)
 		}
 	}
@@ -247,7 +246,7 @@
 	}
 	for _, g := range out.Given {
 		k := item{g.Shard, g.Lot, g.Item}
-		if g.Shard < 0 || g.Shard >= brood.Shards {
+		if g.Shard < 0 || g.Shard >= lotstore.Shards {
 			continue
 		}
 		if h := n.held[k]; h != nil {
@@ -263,14 +262,14 @@
 	return room > 0
 }
 
-func (n *Nurse) mayStart(k item) bool {
+func (n *Dispatcher) mayStart(k item) bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	return n.held[k] != nil && waggle.NowUs() < n.leave[k.shard]
+	return n.held[k] != nil && eventloop.NowUs() < n.leave[k.shard]
 }
 
 // run brings one item to its end here.
-func (n *Nurse) run(ctx context.Context, k item, g brood.Given, takenUs int64) {
+func (n *Dispatcher) run(ctx context.Context, k item, g lotstore.Given, takenUs int64) {
 	defer n.all.Done()
 	defer func() {
 		n.mu.Lock()
@@ -281,7 +280,7 @@
 		n.mu.Unlock()
 	}()
 	endUs := takenUs + g.EndUs
-	text := &forage.Text{}
+	text := &forward.Text{}
 	phase, failed, gaveBack := n.tryWorkers(ctx, k, &g, endUs, text)
 	if ctx.Err() != nil && phase == "" {
 		// Stopped, or the node leaves: the owner may give it to another.
@@ -289,45 +288,45 @@
 	}
 	if phase == "" {
 		if gaveBack || failed {
-			n.settle(waggle.NowUs()+settleUs, g.Shard, "brood.give", func() any {
-				return &brood.GiveCall{Shard: g.Shard, Lot: g.Lot, Item: g.Item, Lease: n.leaseOf(k), Failed: failed, AfterUs: 150_000}
+			n.settle(eventloop.NowUs()+settleUs, g.Shard, "brood.give", func() any {
+				return &lotstore.GiveCall{Shard: g.Shard, Lot: g.Lot, Item: g.Item, Lease: n.leaseOf(k), Failed: failed, AfterUs: 150_000}
 			})
 		}
 		return
 	}
 	// The result stays in hand until it is durable, whoever owns the shard.
-	enc, msg := brood.Pack(text.Msg)
+	enc, msg := lotstore.Pack(text.Msg)
 	n.settle(endUs+settleUs, g.Shard, "brood.ack", func() any {
-		return &brood.AckCall{Shard: g.Shard, Lot: g.Lot, Item: g.Item, Phase: phase, Msg: msg, Enc: enc, RawBytes: len(text.Msg), Lease: n.leaseOf(k)}
+		return &lotstore.AckCall{Shard: g.Shard, Lot: g.Lot, Item: g.Item, Phase: phase, Msg: msg, Enc: enc, RawBytes: len(text.Msg), Lease: n.leaseOf(k)}
 	})
 }
 
 // settle sends an ack or a nack until its outcome is known: sent again under
 // the same lease it gets the first answer, from a new owner too, so no outcome
 // stays unknown (design 9.3).
-func (n *Nurse) settle(untilUs int64, shardN int, kind string, call func() any) {
-	for n.ctx.Err() == nil && waggle.NowUs() < untilUs {
+func (n *Dispatcher) settle(untilUs int64, shardN int, kind string, call func() any) {
+	for n.ctx.Err() == nil && eventloop.NowUs() < untilUs {
 		callCtx, cancel := context.WithTimeout(n.ctx, 5*time.Second)
 		err := n.Client.Call(callCtx, shardN, kind, call(), nil, 1500*time.Millisecond)
 		cancel()
-		if err == nil || wax.Is(err, wax.Unknown) || wax.Is(err, wax.Invalid) || wax.Is(err, wax.Stale) {
+		if err == nil || fault.Is(err, fault.Unknown) || fault.Is(err, fault.Invalid) || fault.Is(err, fault.Stale) {
 			return
 		}
 	}
 }
 
-func (n *Nurse) tryWorkers(ctx context.Context, k item, g *brood.Given, endUs int64, text *forage.Text) (phase string, failed, gaveBack bool) {
+func (n *Dispatcher) tryWorkers(ctx context.Context, k item, g *lotstore.Given, endUs int64, text *forward.Text) (phase string, failed, gaveBack bool) {
 	var exclude []string
 	breaks := 0
-	startUs := waggle.NowUs()
+	startUs := eventloop.NowUs()
 	header := http.Header{}
 	for i := 0; i+1 < len(g.Prompt.Hdrs); i += 2 {
 		header.Set(g.Prompt.Hdrs[i], g.Prompt.Hdrs[i+1])
 	}
-	parts := scout.ParseParts(header.Get(forage.HeadPrefix))
-	for ctx.Err() == nil && waggle.NowUs() < endUs {
-		bp := n.Blueprint()
-		var b *foundation.Binding
+	parts := balancer.ParseParts(header.Get(forward.HeadPrefix))
+	for ctx.Err() == nil && eventloop.NowUs() < endUs {
+		bp := n.Configuration()
+		var b *config.Route
 		if bp != nil {
 			b = bp.Find(g.Host, g.Prompt.Path)
 		}
@@ -336,51 +335,51 @@
 		}
 		dir := n.Sender.Dir()
 		svc := b.Pick(rand.Uint64())
-		ticket, admitted := n.Gate.AdmitItem(svc, g.Host, g.Prompt.Toks, func() { n.giveWay(k) })
+		ticket, admitted := n.Gate.AdmitItem(svc, g.Host, g.Prompt.Toks, func() { n.giveAttempt(k) })
 		if !admitted {
 			return "", false, true
 		}
-		w := n.Sender.Scout.Pick(dir, &scout.Need{Svc: svc, Parts: parts, Exclude: exclude, Item: true, Version: text.Version})
+		w := n.Sender.Balancer.Pick(dir, &balancer.Need{Svc: svc, Parts: parts, Exclude: exclude, Item: true, Version: text.Version})
 		if w == nil {
 			ticket.Release()
 			exclude = nil
-			if text.Any && text.Version > 0 && !n.Sender.Scout.HasVersion(dir, b, text.Version) {
+			if text.Any && text.Version > 0 && !n.Sender.Balancer.HasVersion(dir, b, text.Version) {
 				// No worker has the weights it began with: from the start,
 				// for a text is of one version (design 13.5).
 				text.Restart()
 				continue
 			}
-			if !text.Any && waggle.NowUs()-startUs > placeUs {
+			if !text.Any && eventloop.NowUs()-startUs > placeUs {
 				return "", false, true
 			}
-			waggle.Pause(ctx, 60*time.Millisecond)
+			eventloop.Pause(ctx, 60*time.Millisecond)
 			continue
 		}
 		n.placed(k)
 		outcome := n.runAt(ctx, k, g, w, bp, header, endUs, text)
 		ticket.Release()
 		switch outcome {
-		case forage.Whole:
-			return brood.PhaseDone, false, false
-		case forage.Never:
+		case forward.Whole:
+			return lotstore.PhaseDone, false, false
+		case forward.Never:
 			text.Msg = nil
-			return brood.PhaseGaveUp, false, false
-		case forage.Failed:
+			return lotstore.PhaseGaveUp, false, false
+		case forward.Failed:
 			return "", true, false
-		case forage.Broken:
+		case forward.Broken:
 			breaks++
 			if breaks >= maxBreaks {
 				return "", false, true
 			}
-			waggle.Pause(ctx, 20*time.Millisecond)
-		case forage.NotSent:
+			eventloop.Pause(ctx, 20*time.Millisecond)
+		case forward.NotSent:
 			if !n.mayStart(k) {
 				if !text.Any {
 					return "", false, true
 				}
-				waggle.Pause(ctx, 100*time.Millisecond) // a take renews the leave
+				eventloop.Pause(ctx, 100*time.Millisecond) // a take renews the leave
 			} else {
-				waggle.Pause(ctx, 15*time.Millisecond)
+				eventloop.Pause(ctx, 15*time.Millisecond)
 			}
 		}
 		exclude = append(exclude, w.ID)
@@ -388,14 +387,14 @@
 	return "", false, true
 }
 
-func (n *Nurse) runAt(ctx context.Context, k item, g *brood.Given, w *flora.Worker, bp *foundation.Blueprint, header http.Header, endUs int64, text *forage.Text) forage.Outcome {
-	defer n.Sender.Scout.Done(w.ID, true)
-	leftMs := func() int64 { return (endUs - waggle.NowUs()) / 1000 }
-	p := &forage.Parcel{Method: http.MethodPost, Target: g.Prompt.Path, Host: g.Host, Header: header.Clone(), Body: g.Prompt.Body, ID: g.Prompt.ID, Repeatable: true,
+func (n *Dispatcher) runAt(ctx context.Context, k item, g *lotstore.Given, w *discovery.Worker, bp *config.Configuration, header http.Header, endUs int64, text *forward.Text) forward.Outcome {
+	defer n.Sender.Balancer.Done(w.ID, true)
+	leftMs := func() int64 { return (endUs - eventloop.NowUs()) / 1000 }
+	p := &forward.Request{Method: http.MethodPost, Target: g.Prompt.Path, Host: g.Host, Header: header.Clone(), Body: g.Prompt.Body, ID: g.Prompt.ID, Repeatable: true,
 		LeftMs: leftMs, Until: time.Now().Add(time.Duration(leftMs()) * time.Millisecond),
 		Fence: func() bool {
 			// The route may have moved since the worker was picked.
-			now := n.Blueprint()
+			now := n.Configuration()
 			return n.mayStart(k) && (now == bp || now.Find(g.Host, g.Prompt.Path) != nil && now.Find(g.Host, g.Prompt.Path).Takes(w.Svc))
 		}}
 	outcome, err := n.Sender.RunItem(ctx, w, p, text)
@@ -405,9 +404,9 @@
 	return outcome
 }
 
-// giveWay ends a run whose tenant borrowed the room: the item goes back under its
+// giveAttempt ends a run whose tenant borrowed the room: the item goes back under its
 // lease and no try is charged (design 17.4).
-func (n *Nurse) giveWay(k item) {
+func (n *Dispatcher) giveAttempt(k item) {
 	go func() {
 		n.mu.Lock()
 		defer n.mu.Unlock()
@@ -417,7 +416,7 @@
 	}()
 }
 
-func (n *Nurse) leaseOf(k item) uint64 {
+func (n *Dispatcher) leaseOf(k item) uint64 {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if h := n.held[k]; h != nil {
@@ -426,7 +425,7 @@
 	return 0
 }
 
-func (n *Nurse) placed(k item) {
+func (n *Dispatcher) placed(k item) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if h := n.held[k]; h != nil {
@@ -435,7 +434,7 @@
 }
 
 // InHand counts the items of a lot that this node has in hand.
-func (n *Nurse) InHand(lot string) int {
+func (n *Dispatcher) InHand(lot string) int {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	count := 0
--- a/internal/forage/response.go
+++ b/internal/forward/response.go
@@ -1,4 +1,4 @@
-package forage
+package forward
 
 import (
 	"math"
@@ -39,10 +39,10 @@
 	return n, err
 }
 
-// answerTo reads the head of the answer to the parcel. Answers that bear another
+// answerTo reads the head of the answer to the request. Answers that bear another
 // request id are late surplus ones, standing in the place of this one; they are
 // read over (design 6.4).
-func (c *Circuit) answerTo(p *Parcel) (*http.Response, error) {
+func (c *Conn) answerTo(p *Request) (*http.Response, error) {
 	asked := &http.Request{Method: p.Method}
 	interim, surplus := 0, 0
 	for {
--- a/internal/guard/guard.go
+++ b/internal/ingress/ingress.go
@@ -1,7 +1,6 @@
-// Package guard is the entrance: listeners, limits, readiness, drain and
-// admission (design 11). The field's standard terms: guard = ingress; decline
-// = load shedding.
-package guard
+// Package ingress is the entrance: listeners, limits, readiness, drain and
+// admission (design 11).
+package ingress
 
 import (
 	"context"
@@ -15,11 +14,11 @@
 	"github.com/go-faster/errors"
 	"github.com/julienschmidt/httprouter"
 
-	"rowanshunt/internal/brood"
-	"rowanshunt/internal/forage"
-	"rowanshunt/internal/foundation"
-	"rowanshunt/internal/skep"
-	"rowanshunt/internal/wax"
+	"rowanshunt/internal/config"
+	"rowanshunt/internal/forward"
+	"rowanshunt/internal/logging"
+	"rowanshunt/internal/lotstore"
+	"rowanshunt/internal/settings"
 )
 
 // Limits follow from what the machine gives (design 11.2).
@@ -32,7 +31,7 @@
 }
 
 // LimitsOf takes the limits from the options.
-func LimitsOf(o *skep.Options) Limits {
+func LimitsOf(o *settings.Options) Limits {
 	return Limits{MaxConns: int(o.Caps.NoFile / 2), HdrBytes: 64 << 10, HdrMs: 5000, IdleMs: 60_000, BodyBytes: o.Caps.RAMMb << 20 / 6}
 }
 
@@ -42,15 +41,15 @@
 	return l
 }
 
-// Guard is one node's entrance.
-type Guard struct {
-	Forage    *forage.Forage
-	Lots      *brood.API
-	Blueprint func() *foundation.Blueprint
-	Log       *wax.Log
-	Limits    Limits
-	Ready     func() bool
-	Draining  atomic.Bool
+// Ingress is one node's entrance.
+type Ingress struct {
+	Forwarder     *forward.Forwarder
+	Lots          *lotstore.API
+	Configuration func() *config.Configuration
+	Log           *logging.Log
+	Limits        Limits
+	Ready         func() bool
+	Draining      atomic.Bool
 }
 
 // Middleware wraps a handler; they are closures, applied from the inside out.
@@ -64,9 +63,9 @@
 	return h
 }
 
-// lastCircuit tells clients of a node that leaves not to come back on the same
+// lastConn tells clients of a node that leaves not to come back on the same
 // connection.
-func (g *Guard) lastCircuit() Middleware {
+func (g *Ingress) lastConn() Middleware {
 	return func(next http.Handler) http.Handler {
 		return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 			if g.Draining.Load() {
@@ -79,7 +78,7 @@
 
 // noPanic turns a panic other than a wanted abort into a closed connection and
 // one log line.
-func (g *Guard) noPanic() Middleware {
+func (g *Ingress) noPanic() Middleware {
 	return func(next http.Handler) http.Handler {
 		return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 			defer func() {
@@ -97,10 +96,10 @@
 
 // capped applies the operator's caps on heads, and tells clients how long a
 // connection may be idle.
-func (g *Guard) capped() Middleware {
+func (g *Ingress) capped() Middleware {
 	return func(next http.Handler) http.Handler {
 		return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-			if b := g.Blueprint(); b != nil {
+			if b := g.Configuration(); b != nil {
 				if headBytes(r) > b.Caps.HdrBytes {
 					w.Header().Set("Connection", "close")
 					http.Error(w, "the head is too large", http.StatusRequestHeaderFieldsTooLarge)
@@ -139,9 +138,9 @@
 }
 
 // Waits gives the times in force for reading a head and staying idle.
-func (g *Guard) Waits() (hdr, idle time.Duration) {
+func (g *Ingress) Waits() (hdr, idle time.Duration) {
 	hdrMs, idleMs := g.Limits.HdrMs, g.Limits.IdleMs
-	if b := g.Blueprint(); b != nil {
+	if b := g.Configuration(); b != nil {
 		if b.Caps.HdrMs > 0 {
 			hdrMs = b.Caps.HdrMs
 		}
@@ -153,8 +152,8 @@
 }
 
 // Clients is the handler of the clients' address. Only the lots' own calls are
-// routed by httprouter; all other paths go by the blueprint, as they came.
-func (g *Guard) Clients() http.Handler {
+// routed by httprouter; all other paths go by the configuration, as they came.
+func (g *Ingress) Clients() http.Handler {
 	rt := httprouter.New()
 	rt.RedirectTrailingSlash = false
 	rt.RedirectFixedPath = false
@@ -163,46 +162,46 @@
 	rt.DELETE("/-/lots/:id", g.Lots.End)
 	rt.GET("/-/items/:id", g.Lots.Body)
 	rt.NotFound = http.HandlerFunc(g.request)
-	return Chain(rt, g.lastCircuit(), g.noPanic(), g.capped())
+	return Chain(rt, g.lastConn(), g.noPanic(), g.capped())
 }
 
 // request tells lots from other requests.
-func (g *Guard) request(w http.ResponseWriter, r *http.Request) {
-	b := g.Blueprint()
+func (g *Ingress) request(w http.ResponseWriter, r *http.Request) {
+	b := g.Configuration()
 	if b != nil {
-		if binding := b.Find(r.Host, r.RequestURI); binding != nil && binding.Type == foundation.Bulk {
-			g.hand(w, r, b, binding)
+		if route := b.Find(r.Host, r.RequestURI); route != nil && route.Type == config.Bulk {
+			g.hand(w, r, b, route)
 			return
 		}
 	}
-	g.Forage.ServeHTTP(w, r)
+	g.Forwarder.ServeHTTP(w, r)
 }
 
-func (g *Guard) hand(w http.ResponseWriter, r *http.Request, b *foundation.Blueprint, binding *foundation.Binding) {
+func (g *Ingress) hand(w http.ResponseWriter, r *http.Request, b *config.Configuration, route *config.Route) {
 	if r.Method != http.MethodPost {
 		w.Header().Set("Allow", http.MethodPost)
 		http.Error(w, "lots are handed in by POST", http.StatusMethodNotAllowed)
 		return
 	}
-	id := r.Header.Get(forage.HeadID)
+	id := r.Header.Get(forward.HeadID)
 	if id == "" || len(id) > 256 {
-		http.Error(w, forage.HeadID+" is missing", http.StatusBadRequest)
+		http.Error(w, forward.HeadID+" is missing", http.StatusBadRequest)
 		return
 	}
 	leftMs := int64(2500)
-	if s := r.Header.Get(forage.HeadTimeLeft); s != "" {
+	if s := r.Header.Get(forward.HeadTimeLeft); s != "" {
 		n, err := strconv.ParseInt(s, 10, 64)
 		if err != nil || n < 0 {
-			http.Error(w, forage.HeadTimeLeft+" is no number of milliseconds", http.StatusBadRequest)
+			http.Error(w, forward.HeadTimeLeft+" is no number of milliseconds", http.StatusBadRequest)
 			return
 		}
 		leftMs = n
 	}
-	g.Lots.Hand(w, r, binding, id, b.Caps.PayloadBytes, leftMs)
+	g.Lots.Hand(w, r, route, id, b.Caps.PayloadBytes, leftMs)
 }
 
 // Readyz answers the platform.
-func (g *Guard) Readyz() http.Handler {
+func (g *Ingress) Readyz() http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if r.URL.Path != "/-/readyz" {
 			http.NotFound(w, r)
--- a/internal/guard/upgrade.go
+++ b/internal/ingress/upgrade.go
@@ -1,4 +1,4 @@
-package guard
+package ingress
 
 import (
 	"context"
@@ -7,9 +7,9 @@
 
 	"github.com/julienschmidt/httprouter"
 
-	"rowanshunt/internal/buzz"
-	"rowanshunt/internal/moult"
-	"rowanshunt/internal/wax"
+	"rowanshunt/internal/events"
+	"rowanshunt/internal/fault"
+	"rowanshunt/internal/upgrade"
 )
 
 // UpgradeCommand is an operator's call about a model upgrade (design 13.4).
@@ -17,24 +17,24 @@
 	Svc   string
 	Act   string // start, pause, resume, undo
 	To    int64
-	Rules moult.Rules
+	Rules upgrade.Rules
 }
 
 // Run carries the call out and answers the upgrade as it stands.
 func (u *UpgradeCommand) Run(ctx context.Context, c *Control) (Reply, error) {
-	var now *moult.Upgrade
+	var now *upgrade.Upgrade
 	var err error
 	switch u.Act {
 	case "start":
-		now, err = c.Moult.Start(ctx, u.Svc, u.To, u.Rules)
+		now, err = c.Upgrades.Start(ctx, u.Svc, u.To, u.Rules)
 	case "pause":
-		now, err = c.Moult.Pause(ctx, u.Svc)
+		now, err = c.Upgrades.Pause(ctx, u.Svc)
 	case "resume":
-		now, err = c.Moult.Resume(ctx, u.Svc)
+		now, err = c.Upgrades.Resume(ctx, u.Svc)
 	case "undo":
-		now, err = c.Moult.Undo(ctx, u.Svc)
+		now, err = c.Upgrades.Undo(ctx, u.Svc)
 	default:
-		err = wax.New(wax.Unknown, u.Act, "is nothing an upgrade can do", "use start, pause, resume or undo")
+		err = fault.New(fault.Unknown, u.Act, "is nothing an upgrade can do", "use start, pause, resume or undo")
 	}
 	if err != nil {
 		return Reply{}, err
@@ -43,7 +43,7 @@
 	if err != nil {
 		return Reply{}, err
 	}
-	c.Buzz.Emit(buzz.UpgradeChanged, u.Svc, map[string]any{"act": u.Act, "phase": now.Phase, "to": now.To})
+	c.Emitter.Emit(events.UpgradeChanged, u.Svc, map[string]any{"act": u.Act, "phase": now.Phase, "to": now.To})
 	c.Log.Info("upgrade_told", "service", u.Svc, "act", u.Act, "phase", now.Phase)
 	return Reply{Status: http.StatusOK, Body: body}, nil
 }
@@ -53,11 +53,11 @@
 
 // Run reads the register at a majority.
 func (u *UpgradeStatusCommand) Run(ctx context.Context, c *Control) (Reply, error) {
-	s, err := c.Nest.Read(ctx)
+	s, err := c.Register.Read(ctx)
 	if err != nil {
 		return Reply{}, err
 	}
-	now, err := moult.Status(s, u.Svc)
+	now, err := upgrade.Status(s, u.Svc)
 	if err != nil {
 		return Reply{}, err
 	}
@@ -66,8 +66,8 @@
 }
 
 func decodeUpgrade(r *http.Request, ps httprouter.Params) (Command, error) {
-	u := &UpgradeCommand{Svc: ps.ByName("svc"), Act: ps.ByName("act"), Rules: moult.DefaultRules()}
-	raw, err := readAll(r, maxBeat)
+	u := &UpgradeCommand{Svc: ps.ByName("svc"), Act: ps.ByName("act"), Rules: upgrade.DefaultRules()}
+	raw, err := readAll(r, maxHeartbeat)
 	if err != nil {
 		return nil, err
 	}
@@ -75,11 +75,11 @@
 		return u, nil
 	}
 	doc := struct {
-		To    int64        `json:"to"`
-		Rules *moult.Rules `json:"rules"`
+		To    int64          `json:"to"`
+		Rules *upgrade.Rules `json:"rules"`
 	}{Rules: &u.Rules}
 	if err := json.Unmarshal(raw, &doc); err != nil {
-		return nil, wax.New(wax.Invalid, "upgrade", err.Error(), "send a JSON object with to and rules")
+		return nil, fault.New(fault.Invalid, "upgrade", err.Error(), "send a JSON object with to and rules")
 	}
 	u.To = doc.To
 	return u, nil
--- a/internal/brood/api.go
+++ b/internal/lotstore/api.go
@@ -1,4 +1,4 @@
-package brood
+package lotstore
 
 import (
 	"context"
@@ -17,8 +17,9 @@
 	"github.com/zeebo/xxh3"
 	"golang.org/x/sync/semaphore"
 
-	"rowanshunt/internal/foundation"
-	"rowanshunt/internal/wax"
+	"rowanshunt/internal/config"
+	"rowanshunt/internal/fault"
+	"rowanshunt/internal/logging"
 )
 
 // admitMs is how long a hand-in may wait for permits.
@@ -43,14 +44,14 @@
 
 // API is the lots' side of a node that serves clients.
 type API struct {
-	Client    *Client
-	Blueprint func() *foundation.Blueprint
-	WallUs    func() int64 // notes when a lot came: nothing is decided by it
-	Decline   func(w http.ResponseWriter, status int, afterMs int64, why string)
+	Client        *Client
+	Configuration func() *config.Configuration
+	WallUs        func() int64 // notes when a lot came: nothing is decided by it
+	Refuse        func(w http.ResponseWriter, status int, afterMs int64, why string)
 	// Admit are the bytes of bodies that may be in hand at a time.
 	Admit      *semaphore.Weighted
 	AdmitBytes int64
-	Log        *wax.Log
+	Log        *logging.Log
 }
 
 type lotDoc struct {
@@ -70,15 +71,15 @@
 func ParseLot(raw []byte, wallUs int64) ([]Prompt, error) {
 	var doc lotDoc
 	if err := json.Unmarshal(raw, &doc); err != nil {
-		return nil, wax.New(wax.Invalid, "lot", err.Error(), "send one JSON object with reqs")
+		return nil, fault.New(fault.Invalid, "lot", err.Error(), "send one JSON object with reqs")
 	}
 	if len(doc.Reqs) == 0 {
-		return nil, wax.New(wax.Invalid, "reqs", "is missing or empty", "hand in at least one item")
+		return nil, fault.New(fault.Invalid, "reqs", "is missing or empty", "hand in at least one item")
 	}
 	if len(doc.Reqs) > MaxItems {
-		return nil, wax.New(wax.Invalid, "reqs", "holds more than 200 items", "hand in several lots")
+		return nil, fault.New(fault.Invalid, "reqs", "holds more than 200 items", "hand in several lots")
 	}
-	var l wax.Ledger
+	var l fault.Collector
 	seen := map[string]bool{}
 	out := make([]Prompt, 0, len(doc.Reqs))
 	for i, q := range doc.Reqs {
@@ -153,7 +154,7 @@
 }
 
 // Hand takes a lot in.
-func (a *API) Hand(w http.ResponseWriter, r *http.Request, binding *foundation.Binding, id string, maxBytes int64, leftMs int64) {
+func (a *API) Hand(w http.ResponseWriter, r *http.Request, route *config.Route, id string, maxBytes int64, leftMs int64) {
 	if r.ContentLength > maxBytes {
 		http.Error(w, "the lot is too large", http.StatusRequestEntityTooLarge)
 		return
@@ -170,7 +171,7 @@
 		err := a.Admit.Acquire(waitCtx, permits)
 		stopWait()
 		if err != nil {
-			a.Decline(w, http.StatusTooManyRequests, 1000, "too many lots are being handed in")
+			a.Refuse(w, http.StatusTooManyRequests, 1000, "too many lots are being handed in")
 			return
 		}
 		defer a.Admit.Release(permits)
@@ -191,16 +192,16 @@
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
-	lot := &Lot{ID: id, Host: foundation.HostKey(r.Host), Path: r.URL.Path, Binding: binding.Name, SentUs: wallUs, DueMs: binding.DueMs,
-		RetainMs: int64(binding.RetainS * 1000), Tries: binding.Tries, Prompts: prompts, Digest: digestOf(prompts)}
+	lot := &Lot{ID: id, Host: config.HostKey(r.Host), Path: r.URL.Path, Route: route.Name, SentUs: wallUs, DueMs: route.DueMs,
+		RetainMs: int64(route.RetainS * 1000), Tries: route.Tries, Prompts: prompts, Digest: digestOf(prompts)}
 	if lot.RetainMs <= 0 {
-		lot.RetainMs = max(10*binding.DueMs, 60_000)
+		lot.RetainMs = max(10*route.DueMs, 60_000)
 	}
 	ctx, cancel := context.WithTimeout(r.Context(), time.Duration(min(leftMs, 2500))*time.Millisecond)
 	defer cancel()
 	shardN := ShardOf(r.Host)
 	out := &handAnswer{}
-	call := &handCall{Shard: shardN, Lot: lot, Backlog: binding.Backlog, LeftUs: min(leftMs, 2500) * 1000, Req: rand.Uint64()}
+	call := &handCall{Shard: shardN, Lot: lot, Backlog: route.Backlog, LeftUs: min(leftMs, 2500) * 1000, Req: rand.Uint64()}
 	for i := range prompts {
 		call.Toks += prompts[i].Toks
 	}
@@ -221,12 +222,12 @@
 	case err == nil && out.Taken:
 		w.WriteHeader(http.StatusAccepted)
 	case err == nil && out.NoRoom:
-		a.Decline(w, http.StatusServiceUnavailable, out.AfterMs, "the stores have no room for more lots")
+		a.Refuse(w, http.StatusServiceUnavailable, out.AfterMs, "the stores have no room for more lots")
 	case err == nil:
-		a.Decline(w, http.StatusTooManyRequests, out.AfterMs, "the lot does not fit into the backlog")
-	case wax.Is(err, wax.Declined) || wax.Is(err, wax.Unreached):
-		a.Decline(w, http.StatusServiceUnavailable, 300, err.Error())
-	case wax.Is(err, wax.Invalid):
+		a.Refuse(w, http.StatusTooManyRequests, out.AfterMs, "the lot does not fit into the backlog")
+	case fault.Is(err, fault.Refused) || fault.Is(err, fault.Unreached):
+		a.Refuse(w, http.StatusServiceUnavailable, 300, err.Error())
+	case fault.Is(err, fault.Invalid):
 		http.Error(w, err.Error(), http.StatusBadRequest)
 	default:
 		http.Error(w, err.Error(), http.StatusGatewayTimeout)
@@ -287,10 +288,10 @@
 	switch {
 	case err == nil:
 		return false
-	case wax.Is(err, wax.Unknown):
+	case fault.Is(err, fault.Unknown):
 		http.Error(w, err.Error(), http.StatusNotFound)
 	default:
-		a.Decline(w, http.StatusServiceUnavailable, 200, err.Error())
+		a.Refuse(w, http.StatusServiceUnavailable, 200, err.Error())
 	}
 	return true
 }
@@ -316,7 +317,7 @@
 	defer cancel()
 	shardN := ShardOf(r.Host)
 	err := a.Client.Call(ctx, shardN, "brood.end", &endCall{Shard: shardN, Lot: ps.ByName("id")}, nil, 700*time.Millisecond)
-	if wax.Is(err, wax.Unsure) {
+	if fault.Is(err, fault.Unsure) {
 		// It may have been ended: 503 would promise that it was not.
 		http.Error(w, err.Error(), http.StatusGatewayTimeout)
 		return
--- a/internal/brood/dispatch.go
+++ b/internal/lotstore/dispatch.go
@@ -1,12 +1,12 @@
-package brood
+package lotstore
 
 import (
 	"context"
 	"slices"
 	"sort"
 
-	"rowanshunt/internal/waggle"
-	"rowanshunt/internal/wax"
+	"rowanshunt/internal/eventloop"
+	"rowanshunt/internal/fault"
 )
 
 // The dispatcher's side of the queue, after the paper: a poller moves due
@@ -68,8 +68,8 @@
 
 // poll moves due prompts into the send cache, the lots due first first, and
 // gives up what is past its time.
-func (b *Brood) poll() {
-	nowUs := waggle.NowUs()
+func (b *Store) poll() {
+	nowUs := eventloop.NowUs()
 	type due struct {
 		c     cached
 		dueUs int64 // until its lot is due
@@ -157,10 +157,10 @@
 	return l, p
 }
 
-func (b *Brood) serveTakers() {
+func (b *Store) serveTakers() {
 	for i := 0; i < len(b.takers) && len(b.cache) > 0; {
 		t := b.takers[i]
-		if waggle.NowUs() >= t.untilUs {
+		if eventloop.NowUs() >= t.untilUs {
 			return // answered empty by the next tick
 		}
 		if !b.claimTo(i) {
@@ -174,9 +174,9 @@
 
 // leads tells whether the shard's owner may serve pops: a majority was heard
 // within 400 ms. Else it is asked, and the takers are served when it answers.
-func (b *Brood) leads(s *shard) bool {
+func (b *Store) leads(s *shard) bool {
 	o := s.owner
-	if waggle.NowUs()-o.quorumUs(b.cfg.Seat) <= leadUs {
+	if eventloop.NowUs()-o.quorumUs(b.cfg.Member) <= leadUs {
 		return true
 	}
 	if !o.confirming {
@@ -193,9 +193,9 @@
 
 // claimTo leases cached prompts, the oldest first, to an asker; it is answered
 // once the checkpoint with the leases is on disk at a majority (design 8.7).
-func (b *Brood) claimTo(at int) bool {
+func (b *Store) claimTo(at int) bool {
 	t := b.takers[at]
-	nowUs := waggle.NowUs()
+	nowUs := eventloop.NowUs()
 	var out []Given
 	type lotRows struct {
 		s    *shard
@@ -231,7 +231,7 @@
 			lr = &lotRows{s: c.s, l: l}
 			changed = append(changed, lr)
 		}
-		row := Cursor{Lease: leaseID(c.s.owner.stamp, l.Rev+1), Holder: t.call.From, Epoch: l.Rows[c.item].Epoch + 1, Fails: l.Rows[c.item].Fails}
+		row := Cursor{Lease: leaseID(c.s.owner.term, l.Rev+1), Holder: t.call.From, Epoch: l.Rows[c.item].Epoch + 1, Fails: l.Rows[c.item].Fails}
 		lr.rows = append(lr.rows, CursorAt{Item: c.item, Row: row})
 		p.sentUs, p.nextUs = nowUs, nowUs+b.leaseUs(row.Epoch)
 		bytes += len(l.Prompts[c.item].Body)
@@ -276,9 +276,9 @@
 // onTake gives prompts, or waits for some. It also renews the leases that the
 // caller names; one that the rows say it holds and that it does not name was lost
 // on the way and ends (design 8.7).
-func (b *Brood) onTake(ctx context.Context, in *TakeCall) (*TakeAnswer, error) {
-	return answered(ctx, b.cfg.Floor, func(reply func(*TakeAnswer, error)) {
-		nowUs := waggle.NowUs()
+func (b *Store) onTake(ctx context.Context, in *TakeCall) (*TakeAnswer, error) {
+	return answered(ctx, b.cfg.Loop, func(reply func(*TakeAnswer, error)) {
+		nowUs := eventloop.NowUs()
 		t := &taker{call: in, stop: b.reclaim(in.From, in.Held), untilUs: nowUs + in.WaitUs, reply: reply}
 		if in.LeftUs > 0 {
 			t.untilUs = min(t.untilUs, nowUs+in.LeftUs-min(claimLeadUs, in.LeftUs/4))
@@ -294,7 +294,7 @@
 
 // answerTaker answers once the fence of every shard it speaks for is
 // confirmed: the dispatcher's leave to send follows from it (design 9.2).
-func (b *Brood) answerTaker(t *taker, given []Given) {
+func (b *Store) answerTaker(t *taker, given []Given) {
 	out := &TakeAnswer{Given: given, Stop: t.stop}
 	speak := map[int]bool{}
 	for _, g := range given {
@@ -318,7 +318,7 @@
 	})
 	for _, n := range out.Shards {
 		if b.shards[n].owner == nil {
-			confirmed(wax.New(wax.Unsure, "shard", "changed hands meanwhile", "ask again"))
+			confirmed(fault.New(fault.Unsure, "shard", "changed hands meanwhile", "ask again"))
 			continue
 		}
 		b.confirm(b.shards[n], leadUs, confirmed)
@@ -328,8 +328,8 @@
 
 // expireWaiting answers takers and readers whose wait is over, and takes
 // prompts back from dispatchers that are gone.
-func (b *Brood) expireWaiting() {
-	nowUs := waggle.NowUs()
+func (b *Store) expireWaiting() {
+	nowUs := eventloop.NowUs()
 	var due []*taker
 	keep := b.takers[:0]
 	for _, t := range b.takers {
@@ -345,7 +345,7 @@
 		b.answerTaker(t, nil)
 	}
 	b.wakeReaders(nowUs)
-	v := b.cfg.Swarm.Look()
+	v := b.cfg.Gossip.Look()
 	b.eachHeld(nowUs, func(_ *shard, l *Lot, i int, p *promptState) {
 		if nowUs-p.sentUs < lostHoldUs {
 			return
@@ -357,7 +357,7 @@
 }
 
 // flushTakers empties the cache when a shard leaves; the next poll fills it.
-func (b *Brood) flushTakers() {
+func (b *Store) flushTakers() {
 	b.cache = nil
 	for _, s := range b.shards {
 		if s.owner == nil {
--- a/internal/brood/lot.go
+++ b/internal/lotstore/lot.go
@@ -1,8 +1,6 @@
-// Package brood keeps the lots on the stores: queue shards with a fenced owner
-// each, durable prompts, positions and quota (design 8). The field's standard
-// terms: brood = replicated durable queue; lot = batch; prompt = message;
-// holding = queue; stamp = term; feed = replication stream.
-package brood
+// Package lotstore keeps the lots on the stores: queue shards with a fenced
+// owner each, durable prompts, positions and quota (design 8).
+package lotstore
 
 import (
 	"slices"
@@ -10,23 +8,23 @@
 	"github.com/vmihailenco/msgpack/v5"
 
 	"rowanshunt/internal/codec"
-	"rowanshunt/internal/nest"
-	"rowanshunt/internal/pollen"
+	"rowanshunt/internal/register"
+	"rowanshunt/internal/rpc"
 )
 
-// Stamp orders the owners of a shard: a newer roster first, then the count.
-type Stamp struct {
-	Roster uint64
-	N      uint64
-	By     string // node and life of the owner
+// Term orders the owners of a shard: a newer membership first, then the count.
+type Term struct {
+	Membership uint64
+	N          uint64
+	By         string // node and life of the owner
 }
 
 // Less orders stamps.
-func (a Stamp) Less(b Stamp) bool {
-	if a.Roster != b.Roster {
-		return a.Roster < b.Roster
+func (a Term) Less(b Term) bool {
+	if a.Membership != b.Membership {
+		return a.Membership < b.Membership
 	}
-	return nest.Ballot{N: a.N, By: a.By}.Less(nest.Ballot{N: b.N, By: b.By})
+	return register.Ballot{N: a.N, By: a.By}.Less(register.Ballot{N: b.N, By: b.By})
 }
 
 // Prompt is the durable record of one item (design 8.4). Its times are of the
@@ -70,7 +68,7 @@
 
 // DecodeMsgpack reads results of earlier versions too.
 func (r *Result) DecodeMsgpack(d *msgpack.Decoder) error {
-	return pollen.Fields(d, &r.Item, &r.Phase, &r.Msg, &r.AckedUs, &r.Lease, &r.Why, &r.Enc, &r.RawBytes)
+	return rpc.Fields(d, &r.Item, &r.Phase, &r.Msg, &r.AckedUs, &r.Lease, &r.Why, &r.Enc, &r.RawBytes)
 }
 
 // Cursor is the cursor row of one prompt: who has it under which lease. It is
@@ -95,7 +93,7 @@
 	ID       string
 	Host     string
 	Path     string
-	Binding  string
+	Route    string
 	SentUs   int64 // time of day of the hand-in: for readers, and for the version before
 	DueMs    int64
 	RetainMs int64
@@ -103,12 +101,12 @@
 	Prompts  []Prompt
 	List     []Result
 	Ended    bool
-	Stamp    Stamp
+	Term     Term
 	Rev      uint64
 	Rows     []Cursor  // by prompt
 	First    int64     // offset of its first prompt in the shard's log; the run is gapless
 	Digest   [2]uint64 // of its items' ids: tells another lot under the same id
-	// Refused are the hand-ins of this id that were declined for good, although
+	// Refused are the hand-ins of this id that were refused for good, although
 	// an attempt of theirs may still be on its way (design 8.4). Such a lot has
 	// no prompts; it is taken if it is handed in anew.
 	Refused []uint64
@@ -131,8 +129,8 @@
 
 // DecodeMsgpack reads lots of earlier versions too.
 func (l *Lot) DecodeMsgpack(d *msgpack.Decoder) error {
-	return pollen.Fields(d, &l.ID, &l.Host, &l.Path, &l.Binding, &l.SentUs, &l.DueMs, &l.RetainMs, &l.Tries, &l.Prompts, &l.List, &l.Ended,
-		&l.Stamp, &l.Rev, &l.Rows, &l.First, &l.Digest, &l.Refused, &l.BornUs, &l.ShedItems)
+	return rpc.Fields(d, &l.ID, &l.Host, &l.Path, &l.Route, &l.SentUs, &l.DueMs, &l.RetainMs, &l.Tries, &l.Prompts, &l.List, &l.Ended,
+		&l.Term, &l.Rev, &l.Rows, &l.First, &l.Digest, &l.Refused, &l.BornUs, &l.ShedItems)
 }
 
 // live is what only the owner knows of a lot's prompts. Times are of its own
@@ -161,7 +159,7 @@
 	}
 }
 
-// refused tells whether this is only the record of hand-ins that were declined.
+// refused tells whether this is only the record of hand-ins that were refused.
 func (l *Lot) refused() bool { return len(l.Refused) > 0 }
 
 // openToks are the tokens that count against the quota.
@@ -197,7 +195,7 @@
 	opPut    opKind = iota + 1 // the whole lot
 	opAppend                   // results at the end of the list
 	opEnd                      // the client ended it
-	opStamp                    // the copy at Src is this owner's now
+	opTerm                     // the copy at Src is this owner's now
 	opDrop                     // purged
 	opNone                     // nothing: a confirmation
 	opCursor                   // cursor rows changed: a part of a checkpoint
@@ -208,9 +206,9 @@
 type op struct {
 	Kind    opKind
 	Lot     string
-	Stamp   Stamp
+	Term    Term
 	Rev     uint64 // after the op
-	Src     Stamp
+	Src     Term
 	Whole   *Lot
 	Results []Result
 	Rows    []CursorAt
@@ -224,7 +222,7 @@
 
 // DecodeMsgpack reads ops of earlier versions too.
 func (o *op) DecodeMsgpack(d *msgpack.Decoder) error {
-	return pollen.Fields(d, &o.Kind, &o.Lot, &o.Stamp, &o.Rev, &o.Src, &o.Whole, &o.Results, &o.Rows, &o.From, &o.Listed, &o.Ended, &o.ClockUs)
+	return rpc.Fields(d, &o.Kind, &o.Lot, &o.Term, &o.Rev, &o.Src, &o.Whole, &o.Results, &o.Rows, &o.From, &o.Listed, &o.Ended, &o.ClockUs)
 }
 
 // encoded is the op as it goes to disk and to every replica: made once.
@@ -278,11 +276,11 @@
 		if o.Whole == nil {
 			return false
 		}
-		if l != nil && !l.before(o.Stamp, o.Rev) {
+		if l != nil && !l.before(o.Term, o.Rev) {
 			return true
 		}
 		w := *o.Whole.share()
-		w.Stamp, w.Rev = o.Stamp, o.Rev
+		w.Term, w.Rev = o.Term, o.Rev
 		w.index()
 		if l != nil {
 			w.seenLen, w.taken, w.endSeen, w.live = min(l.seenLen, len(w.List)), l.taken, l.endSeen, l.live
@@ -290,7 +288,7 @@
 		lots[o.Lot] = &w
 		return true
 	case opDrop:
-		if l != nil && !o.Stamp.Less(l.Stamp) {
+		if l != nil && !o.Term.Less(l.Term) {
 			delete(lots, o.Lot)
 		}
 		return true
@@ -298,20 +296,20 @@
 	if l == nil {
 		return false
 	}
-	if o.Kind == opStamp {
-		if l.Stamp == o.Stamp && l.Rev >= o.Rev {
+	if o.Kind == opTerm {
+		if l.Term == o.Term && l.Rev >= o.Rev {
 			return true
 		}
-		if l.Stamp != o.Src || l.Rev != o.Rev {
+		if l.Term != o.Src || l.Rev != o.Rev {
 			return false
 		}
-		l.Stamp = o.Stamp
+		l.Term = o.Term
 		return true
 	}
 	if o.Kind == opCatch {
 		return l.catchUp(o)
 	}
-	if l.Stamp != o.Stamp {
+	if l.Term != o.Term {
 		return false
 	}
 	if l.Rev >= o.Rev {
@@ -363,10 +361,10 @@
 // ops under one stamp follow each other, so a copy at (Src, From) is a beginning
 // of the owner's.
 func (l *Lot) catchUp(o *op) bool {
-	if l.Stamp == o.Stamp && l.Rev >= o.Rev {
+	if l.Term == o.Term && l.Rev >= o.Rev {
 		return true
 	}
-	if l.Stamp != o.Src || l.Rev != o.From || len(l.List) != o.Listed {
+	if l.Term != o.Src || l.Rev != o.From || len(l.List) != o.Listed {
 		return false
 	}
 	l.append(o.Results)
@@ -374,18 +372,18 @@
 	if o.Ended && !l.Ended {
 		l.end()
 	}
-	l.Stamp, l.Rev = o.Stamp, o.Rev
+	l.Term, l.Rev = o.Term, o.Rev
 	return true
 }
 
 // since is what a copy lacks, nil if it is no beginning of this one.
-func (l *Lot) since(stamp Stamp, c copyOf) *op {
-	same := c.Stamp == l.Stamp && c.Rev <= l.Rev
-	former := c.Stamp == l.src.Stamp && c.Rev <= l.src.Rev
+func (l *Lot) since(term Term, c copyOf) *op {
+	same := c.Term == l.Term && c.Rev <= l.Rev
+	former := c.Term == l.src.Term && c.Rev <= l.src.Rev
 	if !same && !former || c.Listed > len(l.List) || l.refused() || l.placed || l.wasShed() {
 		return nil
 	}
-	o := &op{Kind: opCatch, Lot: l.ID, Stamp: stamp, Rev: l.Rev, Src: c.Stamp, From: c.Rev, Listed: c.Listed, Ended: l.Ended,
+	o := &op{Kind: opCatch, Lot: l.ID, Term: term, Rev: l.Rev, Src: c.Term, From: c.Rev, Listed: c.Listed, Ended: l.Ended,
 		Results: slices.Clip(l.List[c.Listed:])}
 	for i := range l.Rows {
 		if !l.listed[i] {
@@ -409,6 +407,6 @@
 }
 
 // before tells whether the copy is older than one at (stamp, rev).
-func (l *Lot) before(stamp Stamp, rev uint64) bool {
-	return l.Stamp.Less(stamp) || l.Stamp == stamp && l.Rev < rev
+func (l *Lot) before(term Term, rev uint64) bool {
+	return l.Term.Less(term) || l.Term == term && l.Rev < rev
 }
--- a/internal/brood/replica.go
+++ b/internal/lotstore/replica.go
@@ -1,4 +1,4 @@
-package brood
+package lotstore
 
 import (
 	"context"
@@ -6,22 +6,22 @@
 
 	"github.com/vmihailenco/msgpack/v5"
 
-	"rowanshunt/internal/cell"
 	"rowanshunt/internal/codec"
-	"rowanshunt/internal/pollen"
-	"rowanshunt/internal/swarm"
-	"rowanshunt/internal/waggle"
-	"rowanshunt/internal/wax"
+	"rowanshunt/internal/eventloop"
+	"rowanshunt/internal/fault"
+	"rowanshunt/internal/gossip"
+	"rowanshunt/internal/rpc"
+	"rowanshunt/internal/wal"
 )
 
 // Shards is how many queue shards there are; a host's lots are all in one, so
-// that the quota of its bindings is the shard owner's to keep (design 8.1).
+// that the quota of its routes is the shard owner's to keep (design 8.1).
 const Shards = 8
 
 // record is what a store writes to disk.
 type record struct {
 	Shard   int
-	Promise *Stamp
+	Promise *Term
 	Ops     []op
 }
 
@@ -29,14 +29,14 @@
 // same bytes.
 type rawRecord struct {
 	Shard   int
-	Promise *Stamp
+	Promise *Term
 	Ops     []msgpack.RawMessage
 }
 
 // shard is one shard's copy here, and the owner's part if this node has it.
 type shard struct {
 	n        int
-	promised Stamp
+	promised Term
 	lots     map[string]*Lot
 	owner    *owner
 	claiming bool
@@ -53,22 +53,22 @@
 
 func decodeRecord(raw []byte) (*record, error) {
 	r := &record{}
-	if err := pollen.Unmarshal(raw, r); err != nil {
+	if err := rpc.Unmarshal(raw, r); err != nil {
 		return nil, err
 	}
 	if r.Shard < 0 || r.Shard >= Shards {
-		return nil, wax.New(wax.Damaged, "shard", "is out of bounds", "")
+		return nil, fault.New(fault.Damaged, "shard", "is out of bounds", "")
 	}
 	return r, nil
 }
 
 // openReplica reads all shards from disk.
-func (b *Brood) openReplica(dir string) error {
+func (b *Store) openReplica(dir string) error {
 	for n := range b.shards {
 		b.shards[n] = &shard{n: n, lots: map[string]*Lot{}}
 	}
 	misfits := 0
-	c, damage, err := cell.Open(dir, LogName, func(raw []byte) error {
+	c, damage, err := wal.Open(dir, LogName, func(raw []byte) error {
 		r, err := decodeRecord(raw)
 		if err != nil {
 			return err
@@ -81,34 +81,34 @@
 			if !apply(s.lots, &r.Ops[i]) {
 				misfits++
 			}
-			if s.promised.Less(r.Ops[i].Stamp) {
-				s.promised = r.Ops[i].Stamp
+			if s.promised.Less(r.Ops[i].Term) {
+				s.promised = r.Ops[i].Term
 			}
-			s.clock.record(r.Ops[i].Stamp, r.Ops[i].ClockUs)
+			s.clock.record(r.Ops[i].Term, r.Ops[i].ClockUs)
 			s.clock.saved(r.Ops[i].ClockUs)
 		}
 		return nil
-	}, append([]cell.Option{cell.Hold()}, b.cellOptions...)...)
+	}, append([]wal.Option{wal.Hold()}, b.walOptions...)...)
 	if err != nil {
 		return err
 	}
 	if damage != nil {
-		b.cfg.Log.Warn("cell_tail_cut", "cell", "brood", "at", damage.AtByte, "bytes", damage.CutBytes, "why", damage.Why)
+		b.cfg.Log.Warn("wal_tail_cut", "wal", "brood", "at", damage.AtByte, "bytes", damage.CutBytes, "why", damage.Why)
 	}
 	if misfits > 0 {
 		// An op that continues no copy: the file lacks what came before it.
-		b.cfg.Log.Warn("cell_misfits", "cell", "brood", "ops", misfits)
+		b.cfg.Log.Warn("wal_misfits", "wal", "brood", "ops", misfits)
 	}
 	b.misfits = misfits
-	b.cell = c
-	b.countSpace(waggle.NowUs())
+	b.wal = c
+	b.countSpace(eventloop.NowUs())
 	return nil
 }
 
 // persist writes a record and then answers. Memory runs ahead of the file here,
 // so a record that the disk refuses is held and tried again in its turn; until
 // it is written nothing that follows is answered (design 10.4).
-func (b *Brood) persist(r *record, then func()) {
+func (b *Store) persist(r *record, then func()) {
 	wire := rawRecord{Shard: r.Shard, Promise: r.Promise}
 	for i := range r.Ops {
 		wire.Ops = append(wire.Ops, r.Ops[i].encoded())
@@ -119,12 +119,12 @@
 		return
 	}
 	b.append(then, raw)
-	b.maybeRewrite(waggle.NowUs())
+	b.maybeRewrite(eventloop.NowUs())
 }
 
 // append writes records; without any it is a barrier behind all earlier ones.
-func (b *Brood) append(then func(), raw ...[]byte) {
-	b.cell.Append(func(err error) {
+func (b *Store) append(then func(), raw ...[]byte) {
+	b.wal.Append(func(err error) {
 		if err != nil && b.ctx.Err() != nil {
 			return // closed: whoever waits is told by the end of its call
 		}
@@ -140,55 +140,55 @@
 const maxWaitingBytes = 16 << 20
 
 // refused is the fault of a store whose disk takes nothing: nothing is promised.
-func (b *Brood) refused() error {
-	if err := b.cell.Refused(); err != nil {
-		return wax.New(wax.Declined, "disk", err.Error(), "ask another store; make room on the disk")
+func (b *Store) refused() error {
+	if err := b.wal.Refused(); err != nil {
+		return fault.New(fault.Refused, "disk", err.Error(), "ask another store; make room on the disk")
 	}
 	return b.behind()
 }
 
 // behind is the fault of a store that holds too much for its disk to write.
-func (b *Brood) behind() error {
-	if b.cell.WaitingBytes() > maxWaitingBytes {
-		return wax.New(wax.Declined, "disk", "is far behind", "ask again later")
+func (b *Store) behind() error {
+	if b.wal.WaitingBytes() > maxWaitingBytes {
+		return fault.New(fault.Refused, "disk", "is far behind", "ask again later")
 	}
 	return nil
 }
 
 // diskTick warns when the disk begins or ends to refuse writes.
-func (b *Brood) diskTick() {
-	err := b.cell.Refused()
+func (b *Store) diskTick() {
+	err := b.wal.Refused()
 	if (err != nil) == b.diskRefuses {
 		return
 	}
 	b.diskRefuses = err != nil
 	if err != nil {
-		b.cfg.Log.Warn("disk_refuses", "cell", "brood", "err", err, "remedy", "make room on the disk, or replace it")
+		b.cfg.Log.Warn("disk_refuses", "wal", "brood", "err", err, "remedy", "make room on the disk, or replace it")
 	} else {
-		b.cfg.Log.Info("disk_takes_writes", "cell", "brood")
+		b.cfg.Log.Info("disk_takes_writes", "wal", "brood")
 	}
 	b.tellSlow()
 }
 
 // tellSlow tells the others whether this store should own shards.
-func (b *Brood) tellSlow() {
+func (b *Store) tellSlow() {
 	slow := b.slowness.slow || b.diskRefuses
-	b.cfg.Swarm.Tell(func(p *swarm.Partner) { p.Slow = slow })
+	b.cfg.Gossip.Tell(func(p *gossip.Peer) { p.Slow = slow })
 }
 
 // rewrite makes the file anew out of what the shards hold now; the lots are
-// encoded one by one while the floor goes on (design 10.3).
-func (b *Brood) rewrite() {
+// encoded one by one while the event loop goes on (design 10.3).
+func (b *Store) rewrite() {
 	type kept struct {
 		shard    int
-		promised Stamp
+		promised Term
 		clock    clockValue
 		lots     []*Lot
 	}
 	var all []kept
 	var total int64
 	for _, s := range b.shards {
-		k := kept{shard: s.n, promised: s.promised, clock: s.clock.value(waggle.NowUs())}
+		k := kept{shard: s.n, promised: s.promised, clock: s.clock.value(eventloop.NowUs())}
 		s.clock.saved(k.clock.Us)
 		for _, l := range s.lots {
 			k.lots = append(k.lots, l.share())
@@ -197,32 +197,32 @@
 		all = append(all, k)
 	}
 	b.rewriting = true
-	b.cell.Rewrite(func(err error) {
+	b.wal.Rewrite(func(err error) {
 		if err != nil {
 			// The file goes on as it is; later, with more room, it is tried again.
-			b.cfg.Log.Warn("cell_rewrite_failed", "cell", "brood", "err", err)
+			b.cfg.Log.Warn("cell_rewrite_failed", "wal", "brood", "err", err)
 		}
-		_ = b.cfg.Floor.Do(b.ctx, func() {
+		_ = b.cfg.Loop.Do(b.ctx, func() {
 			b.rewriting, b.longBytes = false, b.nextLong()
 			if err != nil {
-				b.rewriteAfterUs = waggle.NowUs() + rewritePauseUs
+				b.rewriteAfterUs = eventloop.NowUs() + rewritePauseUs
 			}
 		})
 	}, func(write func([]byte) error) error {
 		for i := range all {
-			if err := writeRecord(write, &record{Shard: all[i].shard, Promise: &all[i].promised, Ops: []op{{Kind: opNone, Stamp: all[i].clock.Stamp, ClockUs: all[i].clock.Us}}}); err != nil {
+			if err := writeRecord(write, &record{Shard: all[i].shard, Promise: &all[i].promised, Ops: []op{{Kind: opNone, Term: all[i].clock.Term, ClockUs: all[i].clock.Us}}}); err != nil {
 				return err
 			}
 			for at, l := range all[i].lots {
 				all[i].lots[at] = nil
-				if err := writeRecord(write, &record{Shard: all[i].shard, Ops: []op{{Kind: opPut, Lot: l.ID, Stamp: l.Stamp, Rev: l.Rev, Whole: l}}}); err != nil {
+				if err := writeRecord(write, &record{Shard: all[i].shard, Ops: []op{{Kind: opPut, Lot: l.ID, Term: l.Term, Rev: l.Rev, Whole: l}}}); err != nil {
 					return err
 				}
 			}
 		}
 		return nil
 	})
-	b.cfg.Log.Info("cell_rewritten", "cell", "brood", "bytes", total)
+	b.cfg.Log.Info("wal_rewritten", "wal", "brood", "bytes", total)
 }
 
 func writeRecord(write func([]byte) error, r *record) error {
@@ -234,36 +234,36 @@
 }
 
 type claimCall struct {
-	Seat  string
-	Shard int
-	Stamp Stamp
-	Look  bool // do not promise anew: tell what is there for this owner
+	Member string
+	Shard  int
+	Term   Term
+	Look   bool // do not promise anew: tell what is there for this owner
 }
 
 type copyOf struct {
 	Lot    string
-	Stamp  Stamp
+	Term   Term
 	Rev    uint64
 	Listed int
 }
 
 type claimAnswer struct {
 	OK       bool
-	Promised Stamp
+	Promised Term
 	Copies   []copyOf
 }
 
 type fetchCall struct {
-	Seat  string
-	Shard int
-	Lot   string
+	Member string
+	Shard  int
+	Lot    string
 }
 
 type writeCall struct {
-	Seat  string
-	Shard int
-	Stamp Stamp
-	Ops   []msgpack.RawMessage // of op: written to disk as they came
+	Member string
+	Shard  int
+	Term   Term
+	Ops    []msgpack.RawMessage // of op: written to disk as they came
 }
 
 func rawOps(ops []op) []msgpack.RawMessage {
@@ -276,28 +276,28 @@
 
 type writeAnswer struct {
 	OK       bool
-	Promised Stamp
+	Promised Term
 	Misfit   bool // a copy here does not fit: compare and mend
 	Full     bool // taken, but this store wants no new lots (design 10.5)
 }
 
 // DecodeMsgpack reads answers of earlier versions too.
 func (a *writeAnswer) DecodeMsgpack(d *msgpack.Decoder) error {
-	return pollen.Fields(d, &a.OK, &a.Promised, &a.Misfit, &a.Full)
+	return rpc.Fields(d, &a.OK, &a.Promised, &a.Misfit, &a.Full)
 }
 
-func (b *Brood) mine(seat string, shardN int) (*shard, error) {
-	if seat != b.cfg.Seat {
-		return nil, wax.New(wax.Unknown, "seat", "this node holds another seat", "read the roster again")
+func (b *Store) mine(member string, shardN int) (*shard, error) {
+	if member != b.cfg.Member {
+		return nil, fault.New(fault.Unknown, "seat", "this node holds another member", "read the membership again")
 	}
 	if shardN < 0 || shardN >= Shards {
-		return nil, wax.New(wax.Invalid, "shard", "is out of bounds", "run the same version on all nodes")
+		return nil, fault.New(fault.Invalid, "shard", "is out of bounds", "run the same version on all nodes")
 	}
 	return b.shards[shardN], nil
 }
 
-// answered waits for an answer that the floor gives later.
-func answered[T any](ctx context.Context, f *waggle.Floor, run func(reply func(*T, error))) (*T, error) {
+// answered waits for an answer that the event loop gives later.
+func answered[T any](ctx context.Context, f *eventloop.Loop, run func(reply func(*T, error))) (*T, error) {
 	type both struct {
 		out *T
 		err error
@@ -310,14 +310,14 @@
 	case v := <-got:
 		return v.out, v.err
 	case <-ctx.Done():
-		return nil, wax.New(wax.Unsure, "", "no answer in time", "try again")
+		return nil, fault.New(fault.Unsure, "", "no answer in time", "try again")
 	}
 }
 
 // onClaim promises a shard to a new owner and tells what copies are here.
-func (b *Brood) onClaim(ctx context.Context, in *claimCall) (*claimAnswer, error) {
-	return answered(ctx, b.cfg.Floor, func(reply func(*claimAnswer, error)) {
-		s, err := b.mine(in.Seat, in.Shard)
+func (b *Store) onClaim(ctx context.Context, in *claimCall) (*claimAnswer, error) {
+	return answered(ctx, b.cfg.Loop, func(reply func(*claimAnswer, error)) {
+		s, err := b.mine(in.Member, in.Shard)
 		if err != nil {
 			reply(nil, err)
 			return
@@ -326,43 +326,43 @@
 			reply(nil, err)
 			return
 		}
-		if in.Stamp.Less(s.promised) || in.Look && in.Stamp != s.promised {
+		if in.Term.Less(s.promised) || in.Look && in.Term != s.promised {
 			reply(&claimAnswer{Promised: s.promised}, nil)
 			return
 		}
-		out := &claimAnswer{OK: true, Promised: in.Stamp}
+		out := &claimAnswer{OK: true, Promised: in.Term}
 		for _, l := range s.lots {
-			out.Copies = append(out.Copies, copyOf{Lot: l.ID, Stamp: l.Stamp, Rev: l.Rev, Listed: len(l.List)})
+			out.Copies = append(out.Copies, copyOf{Lot: l.ID, Term: l.Term, Rev: l.Rev, Listed: len(l.List)})
 		}
-		if s.promised == in.Stamp {
+		if s.promised == in.Term {
 			// The promise and the copies may be on their way to the disk still.
 			b.append(func() { reply(out, nil) })
 			return
 		}
-		b.promise(s, in.Stamp)
-		b.persist(&record{Shard: s.n, Promise: &in.Stamp}, func() { reply(out, nil) })
+		b.promise(s, in.Term)
+		b.persist(&record{Shard: s.n, Promise: &in.Term}, func() { reply(out, nil) })
 	})
 }
 
 // promise raises the fence; an owner here under a lower one is out.
-func (b *Brood) promise(s *shard, st Stamp) {
+func (b *Store) promise(s *shard, st Term) {
 	s.promised = st
 	s.seenMax = max(s.seenMax, st.N)
-	if s.owner != nil && s.owner.stamp != st {
+	if s.owner != nil && s.owner.term != st {
 		b.depose(s, "fenced by "+st.By)
 	}
 }
 
-func (b *Brood) onFetch(ctx context.Context, in *fetchCall) (*Lot, error) {
-	return answered(ctx, b.cfg.Floor, func(reply func(*Lot, error)) {
-		s, err := b.mine(in.Seat, in.Shard)
+func (b *Store) onFetch(ctx context.Context, in *fetchCall) (*Lot, error) {
+	return answered(ctx, b.cfg.Loop, func(reply func(*Lot, error)) {
+		s, err := b.mine(in.Member, in.Shard)
 		if err != nil {
 			reply(nil, err)
 			return
 		}
 		l := s.lots[in.Lot]
 		if l == nil {
-			reply(nil, wax.New(wax.Unknown, in.Lot, "no copy here", "ask another replica"))
+			reply(nil, fault.New(fault.Unknown, in.Lot, "no copy here", "ask another replica"))
 			return
 		}
 		reply(l.share(), nil)
@@ -370,14 +370,14 @@
 }
 
 // onWrite takes an owner's ops, on disk before the answer.
-func (b *Brood) onWrite(ctx context.Context, in *writeCall) (*writeAnswer, error) {
-	return answered(ctx, b.cfg.Floor, func(reply func(*writeAnswer, error)) {
-		s, err := b.mine(in.Seat, in.Shard)
+func (b *Store) onWrite(ctx context.Context, in *writeCall) (*writeAnswer, error) {
+	return answered(ctx, b.cfg.Loop, func(reply func(*writeAnswer, error)) {
+		s, err := b.mine(in.Member, in.Shard)
 		if err != nil {
 			reply(nil, err)
 			return
 		}
-		if in.Stamp.Less(s.promised) {
+		if in.Term.Less(s.promised) {
 			reply(&writeAnswer{Promised: s.promised}, nil)
 			return
 		}
@@ -386,19 +386,19 @@
 			return
 		}
 		rec := &record{Shard: s.n}
-		if s.promised.Less(in.Stamp) {
-			b.promise(s, in.Stamp)
-			rec.Promise = &in.Stamp
+		if s.promised.Less(in.Term) {
+			b.promise(s, in.Term)
+			rec.Promise = &in.Term
 		}
-		out := &writeAnswer{OK: true, Promised: in.Stamp, Full: b.full()}
+		out := &writeAnswer{OK: true, Promised: in.Term, Full: b.full()}
 		for _, raw := range in.Ops {
 			o := op{}
 			if err := msgpack.Unmarshal(raw, &o); err != nil {
-				reply(nil, wax.New(wax.Invalid, "ops", err.Error(), "run the same version on all nodes"))
+				reply(nil, fault.New(fault.Invalid, "ops", err.Error(), "run the same version on all nodes"))
 				return
 			}
 			o.raw = raw
-			s.clock.record(o.Stamp, o.ClockUs)
+			s.clock.record(o.Term, o.ClockUs)
 			if !apply(s.lots, &o) {
 				out.OK, out.Misfit = false, true
 				break
@@ -407,7 +407,7 @@
 				rec.Ops = append(rec.Ops, op{raw: raw})
 				s.clock.saved(o.ClockUs)
 			} else {
-				b.saveClock(s, o.Stamp, o.ClockUs)
+				b.saveClock(s, o.Term, o.ClockUs)
 			}
 		}
 		if len(rec.Ops) == 0 && rec.Promise == nil {
--- a/internal/brood/space.go
+++ b/internal/lotstore/space.go
@@ -1,7 +1,7 @@
-package brood
+package lotstore
 
 import (
-	"rowanshunt/internal/wax"
+	"rowanshunt/internal/fault"
 )
 
 // What lots may take of a store's disk and memory (design 10.5). The figures are
@@ -50,7 +50,7 @@
 	if l.closedBytes > 0 {
 		return l.closedBytes
 	}
-	n := int64(l.cost()) + int64(len(l.ID)+len(l.Host)+len(l.Path)+len(l.Binding)) + storedItemBytes*int64(len(l.Prompts))
+	n := int64(l.cost()) + int64(len(l.ID)+len(l.Host)+len(l.Path)+len(l.Route)) + storedItemBytes*int64(len(l.Prompts))
 	for i := range l.Prompts {
 		n += int64(len(l.Prompts[i].ID))
 	}
@@ -69,7 +69,7 @@
 }
 
 // countSpace counts what all lots here take.
-func (b *Brood) countSpace(nowUs int64) {
+func (b *Store) countSpace(nowUs int64) {
 	var held, open, results, resultBytes int64
 	for _, s := range b.shards {
 		for _, l := range s.lots {
@@ -89,7 +89,7 @@
 }
 
 // spaceTick counts anew and rewrites the file where that is due and fits.
-func (b *Brood) spaceTick(nowUs int64) {
+func (b *Store) spaceTick(nowUs int64) {
 	if nowUs-b.space.countedUs < countEveryUs {
 		return
 	}
@@ -105,10 +105,10 @@
 }
 
 // reserveBytes is the part of the disk that lots leave free.
-func (b *Brood) reserveBytes() int64 { return max(b.cfg.DiskBytes/reserveShare, minReserveBytes) }
+func (b *Store) reserveBytes() int64 { return max(b.cfg.DiskBytes/reserveShare, minReserveBytes) }
 
 // lotBytes is the most that lots may take here. A bound that is not known is none.
-func (b *Brood) lotBytes() int64 {
+func (b *Store) lotBytes() int64 {
 	most := int64(1) << 62
 	if b.cfg.DiskBytes > 0 {
 		most = (b.cfg.DiskBytes - b.reserveBytes()) * diskPercent / 100
@@ -123,7 +123,7 @@
 // accepted before must find room here and at the replicas that told of theirs. A
 // file that can't be rewritten now is left to what was accepted already.
 // An offer has no prompts yet.
-func (b *Brood) hasRoom(s *shard, l *Lot) bool {
+func (b *Store) hasRoom(s *shard, l *Lot) bool {
 	for _, f := range s.owner.feeds {
 		if f.full && !f.cold {
 			return false
@@ -133,7 +133,7 @@
 }
 
 // projectedBytes is what a lot takes once all its results are there.
-func (b *Brood) projectedBytes(l *Lot) int64 {
+func (b *Store) projectedBytes(l *Lot) int64 {
 	one := b.space.resultBytes
 	if one == 0 {
 		one = presetResultBytes
@@ -142,12 +142,12 @@
 }
 
 // full tells whether this store wants no new lots.
-func (b *Brood) full() bool { return b.space.usedBytes() > b.lotBytes() || !b.rewriteFits() }
+func (b *Store) full() bool { return b.space.usedBytes() > b.lotBytes() || !b.rewriteFits() }
 
 // nextLong is the length at which the file is rewritten next: twice what its
 // lots take, but no longer than a rewrite fits beside it, and no shorter than one
 // saves something.
-func (b *Brood) nextLong() int64 {
+func (b *Store) nextLong() int64 {
 	held := b.space.heldBytes
 	long := max(2*held, b.minLongBytes)
 	if b.cfg.DiskBytes > 0 {
@@ -159,17 +159,17 @@
 // rewriteFits tells whether the old file and the new one have room side by side,
 // with half of the reserve left. One that doesn't fit is not begun: it would fill
 // the disk and fail.
-func (b *Brood) rewriteFits() bool {
+func (b *Store) rewriteFits() bool {
 	if b.cfg.DiskBytes <= 0 {
 		return true
 	}
-	there := b.cell.SizeBytes() + b.cell.WaitingBytes()
+	there := b.wal.SizeBytes() + b.wal.WaitingBytes()
 	return there+b.space.heldBytes+b.space.addedBytes+b.reserveBytes()/2 <= b.cfg.DiskBytes
 }
 
 // maybeRewrite begins a rewrite that is due and fits.
-func (b *Brood) maybeRewrite(nowUs int64) {
-	if !b.rewriting && b.cell.SizeBytes() > b.longBytes && nowUs >= b.rewriteAfterUs && b.rewriteFits() {
+func (b *Store) maybeRewrite(nowUs int64) {
+	if !b.rewriting && b.wal.SizeBytes() > b.longBytes && nowUs >= b.rewriteAfterUs && b.rewriteFits() {
 		b.rewrite()
 	}
 }
@@ -184,7 +184,7 @@
 // textsUs is the age to which a lot's results are kept: poll_s, for which they are
 // owed from the time at which the lot was sent, and a margin for calls under way.
 // Ages run late, never early (design 8.12).
-func (b *Brood) textsUs() int64 {
+func (b *Store) textsUs() int64 {
 	if b.cfg.PollSpanUs > 0 {
 		return b.cfg.PollSpanUs + textsMarginUs
 	}
@@ -193,8 +193,8 @@
 
 // shedTexts lets go of what a closed lot brought; what tells that its id was
 // taken, and by which items, stays (design 8.4).
-func (b *Brood) shedTexts(s *shard, l *Lot) {
-	bare := &Lot{ID: l.ID, Host: l.Host, Path: l.Path, Binding: l.Binding, SentUs: l.SentUs, DueMs: l.DueMs, RetainMs: l.RetainMs, Tries: l.Tries,
+func (b *Store) shedTexts(s *shard, l *Lot) {
+	bare := &Lot{ID: l.ID, Host: l.Host, Path: l.Path, Route: l.Route, SentUs: l.SentUs, DueMs: l.DueMs, RetainMs: l.RetainMs, Tries: l.Tries,
 		Ended: true, First: l.First, Digest: l.Digest, BornUs: l.BornUs, ShedItems: len(l.Prompts)}
 	b.issue(s, op{Kind: opPut, Lot: l.ID, Rev: l.Rev + 1, Whole: bare}, func(error) {})
 	if got := s.lots[l.ID]; got != nil && got.live != nil {
@@ -210,5 +210,5 @@
 
 // errShed is the answer to readers of a lot whose results are owed no more.
 func errShed(lot string) error {
-	return wax.New(wax.Unknown, lot, "its results are kept no longer", "read a lot within poll_s")
+	return fault.New(fault.Unknown, lot, "its results are kept no longer", "read a lot within poll_s")
 }
--- a/internal/brood/space_bench_test.go
+++ b/internal/lotstore/space_bench_test.go
@@ -1,4 +1,4 @@
-package brood
+package lotstore
 
 import (
 	"fmt"
@@ -7,7 +7,7 @@
 
 // What the count costs, once a second: 500 lots of 50 items each, all listed.
 func BenchmarkCountSpace(b *testing.B) {
-	store := &Brood{}
+	store := &Store{}
 	for n := range store.shards {
 		store.shards[n] = &shard{n: n, lots: map[string]*Lot{}}
 	}
--- a/internal/nest/acceptor_test.go
+++ b/internal/register/acceptor_test.go
@@ -1,4 +1,4 @@
-package nest
+package register
 
 import (
 	"context"
@@ -24,14 +24,14 @@
 		ctx := context.Background()
 		accepted := make(chan error, 1)
 		go func() {
-			_, err := a.Accept(ctx, &acceptCall{Seat: "m", Ballot: Ballot{N: 2, By: "a"}, State: &State{Rev: 2, Ver: 9}})
+			_, err := a.Accept(ctx, &acceptCall{Member: "m", Ballot: Ballot{N: 2, By: "a"}, State: &State{Rev: 2, Ver: 9}})
 			accepted <- err
 		}()
 		synctest.Wait()
 		peek := func() (ver int64) {
 			answers := make(chan *prepareAnswer, 1)
 			go func() {
-				answer, _ := a.Prepare(ctx, &prepareCall{Seat: "m", Peek: true})
+				answer, _ := a.Prepare(ctx, &prepareCall{Member: "m", Peek: true})
 				answers <- answer
 			}()
 			select {
--- a/internal/nest/model_test.go
+++ b/internal/register/model_test.go
@@ -1,4 +1,4 @@
-package nest
+package register
 
 import (
 	"flag"
@@ -11,7 +11,7 @@
 // The model checker explores all interleavings of a scenario within its bounds.
 // It runs longer with, for instance,
 //
-//	go test ./internal/nest -run 'TestModel$' -timeout 2h -model.long -model.states 100000000 -v
+//	go test ./internal/register -run 'TestModel$' -timeout 2h -model.long -model.states 100000000 -v
 var (
 	modelAttempts = flag.Int("model.attempts", 0, "attempts of each call, 0 for the scenario's own")
 	modelLong     = flag.Bool("model.long", false, "explore the scenarios that take minutes too")
@@ -133,7 +133,7 @@
 				next := slices.Clone(now.Core.Cur)
 				for i := range next {
 					if next[i].ID == acceptorID(old) {
-						next[i] = Seat{ID: acceptorID(newcomer), Name: acceptorID(old)}
+						next[i] = Member{ID: acceptorID(newcomer), Name: acceptorID(old)}
 					}
 				}
 				now.Core = now.Core.Begin(next)
@@ -153,8 +153,8 @@
 	race       = [][]orderCall{{putCall("x", 4, 0)}, {putCall("y", 5, 0)}}
 	resend     = [][]orderCall{{putCall("x", 4, 0), putCall("x", 4, 0)}, {putCall("y", 9, 4)}}
 	replaceOne = [][]orderCall{{replaceCall(0, 3).within(2)}, {putCall("y", 5, 0)}}
-	// A roster change that was left is found and carried on while another
-	// proposer knows the first roster only.
+	// A membership change that was left is found and carried on while another
+	// proposer knows the first membership only.
 	leftChange     = [][]orderCall{{putCall("x", 4, 0).within(1)}, {replaceCall(0, 3).within(2).once()}}
 	leftChangeLong = [][]orderCall{{putCall("x", 4, 0).within(1)}, {replaceCall(0, 3).within(3).once()}}
 )
@@ -172,12 +172,12 @@
 		{name: "a proposer dies and sends its order again", members: 3, calls: [][]orderCall{{putCall("x", 4, 0), putCall("x", 4, 0)}, {putCall("y", 5, 0)}}, attempts: 1, deaths: 1, crashes: 1},
 		{name: "race, five members", members: 5, calls: race, attempts: 1},
 		{name: "a member is wiped and replaced under an order", members: 3, newcomers: 1, calls: replaceOne, attempts: 1, wipes: 1, answered: true},
-		{name: "a roster change that was left is carried on", members: 3, newcomers: 1, calls: leftChange, leftChange: true, answered: true},
-		{name: "two roster changes at once", members: 3, newcomers: 2, calls: [][]orderCall{{replaceCall(0, 3)}, {replaceCall(1, 4), putCall("y", 5, 0)}}, attempts: 1, wipes: 2},
+		{name: "a membership change that was left is carried on", members: 3, newcomers: 1, calls: leftChange, leftChange: true, answered: true},
+		{name: "two membership changes at once", members: 3, newcomers: 2, calls: [][]orderCall{{replaceCall(0, 3)}, {replaceCall(1, 4), putCall("y", 5, 0)}}, attempts: 1, wipes: 2},
 	}
 	if *modelLong {
 		scenarios = append(scenarios,
-			&scenario{name: "a roster change that was left, three attempts", members: 3, newcomers: 1, calls: leftChangeLong, leftChange: true, answered: true},
+			&scenario{name: "a membership change that was left, three attempts", members: 3, newcomers: 1, calls: leftChangeLong, leftChange: true, answered: true},
 			&scenario{name: "race of two orders, five members, two attempts", members: 5, calls: race, attempts: 2},
 			&scenario{name: "a member is wiped and replaced, two attempts", members: 3, newcomers: 1, calls: replaceOne, attempts: 2, wipes: 1})
 	}
@@ -227,11 +227,11 @@
 		}),
 		mine("an answer before its write is durable", race, func(s *scenario) { s.answerFirst, s.crashes = true, 1 }),
 		mine("a quorum of one", race, func(s *scenario) {
-			s.quorum = func(_ *Roster, agreed map[string]bool) bool { return len(agreed) > 0 }
+			s.quorum = func(_ *Membership, agreed map[string]bool) bool { return len(agreed) > 0 }
 		}),
 		mine("a half is a quorum", [][]orderCall{{putCall("x", 4, 0)}, {putCall("y", 5, 0)}}, func(s *scenario) {
 			s.members, s.attempts = 4, 1
-			s.quorum = func(r *Roster, agreed map[string]bool) bool { return 2*len(agreed) >= len(r.Cur) }
+			s.quorum = func(r *Membership, agreed map[string]bool) bool { return 2*len(agreed) >= len(r.Cur) }
 		}),
 		mine("a new life signs as the one before", [][]orderCall{{putCall("x", 4, 0), putCall("z", 6, 0)}, {putCall("y", 5, 0)}}, func(s *scenario) {
 			s.sameLife, s.deaths, s.attempts = true, 1, 1
@@ -239,9 +239,9 @@
 		mine("a wiped disk comes back as the old member", race, func(s *scenario) { s.sameMember, s.wipes, s.attempts = true, 1, 1 }),
 		mine("only the new set's quorum while joint", leftChange, func(s *scenario) {
 			s.newcomers, s.leftChange, s.answered = 1, true, true
-			s.quorum = func(r *Roster, agreed map[string]bool) bool { return majority(r.Cur, agreed) }
+			s.quorum = func(r *Membership, agreed map[string]bool) bool { return majority(r.Cur, agreed) }
 		}),
-		mine("a roster moves on from one that is not committed", leftChangeLong, func(s *scenario) {
+		mine("a membership moves on from one that is not committed", leftChangeLong, func(s *scenario) {
 			s.newcomers, s.leftChange, s.answered = 1, true, true
 			s.alwaysCommitted = true
 		}),
--- a/internal/nest/model_world_test.go
+++ b/internal/register/model_world_test.go
@@ -1,4 +1,4 @@
-package nest
+package register
 
 import (
 	"fmt"
@@ -6,7 +6,7 @@
 	"slices"
 
 	"rowanshunt/internal/codec"
-	"rowanshunt/internal/wax"
+	"rowanshunt/internal/fault"
 )
 
 // The model checker's world: the real acceptor and proposer state machines, a
@@ -25,7 +25,7 @@
 // orderCall is one call that a proposer makes in a scenario.
 type orderCall struct {
 	name   string
-	order  *Order // nil for reads and roster changes
+	order  *Order // nil for reads and membership changes
 	change Change
 	// again tells from the committed state whether the call is to be made once
 	// more, as a member that joins does.
@@ -207,7 +207,7 @@
 	}
 	k.state(p.call.commit)
 	k.flag(p.call.next != nil && p.call.next != p.call.commit)
-	k.byte(int(wax.KindOf(p.call.refusal)))
+	k.byte(int(fault.KindOf(p.call.refusal)))
 	k.flag(p.call.refusal != nil)
 }
 
@@ -268,13 +268,13 @@
 	if s == nil {
 		return "nothing"
 	}
-	ids := func(seats []Seat) (out string) {
-		for _, seat := range seats {
-			out += seat.ID
+	ids := func(members []Member) (out string) {
+		for _, member := range members {
+			out += member.ID
 		}
 		return out
 	}
-	text := fmt.Sprintf("revision %d, version %d %q, roster %d of %s", s.Rev, s.Ver, s.Doc, s.Core.Ver, ids(s.Core.Cur))
+	text := fmt.Sprintf("revision %d, version %d %q, membership %d of %s", s.Rev, s.Ver, s.Doc, s.Core.Ver, ids(s.Core.Cur))
 	if s.Core.Joint() {
 		text += " joint with " + ids(s.Core.Prev)
 	}
--- a/internal/pollen/hostile_test.go
+++ b/internal/rpc/hostile_test.go
@@ -1,4 +1,4 @@
-package pollen
+package rpc
 
 import (
 	"bufio"
@@ -16,7 +16,7 @@
 	"github.com/vmihailenco/msgpack/v5"
 
 	"rowanshunt/internal/codec"
-	"rowanshunt/internal/wax"
+	"rowanshunt/internal/fault"
 )
 
 // numbered is a call whose answer tells which call it belongs to.
@@ -147,10 +147,10 @@
 					mixed.Add(1)
 				case err == nil:
 					answered.Add(1)
-				case wax.Is(err, wax.Unreached):
+				case fault.Is(err, fault.Unreached):
 					unreached.Add(1)
 					notSent.Store(n, true)
-				case wax.Is(err, wax.Unsure):
+				case fault.Is(err, fault.Unsure):
 					unsure.Add(1)
 				default:
 					t.Errorf("call %d: %v", n, err)
@@ -192,10 +192,10 @@
 	defer cancel()
 	waits := make(chan error)
 	go func() { waits <- m.Call(ctx, addr, "wait", &raw{}, nil) }()
-	if err := m.Call(ctx, addr, "large", &raw{make([]byte, MaxFrame)}, nil); !wax.Is(err, wax.TooLarge) {
+	if err := m.Call(ctx, addr, "large", &raw{make([]byte, MaxFrame)}, nil); !fault.Is(err, fault.TooLarge) {
 		t.Errorf("a call over the bound: %v", err)
 	}
-	if err := m.Call(ctx, addr, "large", &raw{}, nil); !wax.Is(err, wax.TooLarge) {
+	if err := m.Call(ctx, addr, "large", &raw{}, nil); !fault.Is(err, fault.TooLarge) {
 		t.Errorf("an answer over the bound: %v", err)
 	}
 	close(release)
@@ -209,14 +209,14 @@
 func TestNoTimeBeforeSent(t *testing.T) {
 	near, far := net.Pipe()
 	defer far.Close()
-	c := &circuit{conn: near, w: bufio.NewWriter(near), waiting: map[uint64]chan frame{}}
+	c := &conn{conn: near, w: bufio.NewWriter(near), waiting: map[uint64]chan frame{}}
 	c.wmu.Lock()
 	ctx, cancel := context.WithCancel(context.Background())
 	out := make(chan error)
 	go func() { _, err := c.call(ctx, "late", nil); out <- err }()
 	cancel()
 	c.wmu.Unlock()
-	if err := <-out; !wax.Is(err, wax.Unreached) {
+	if err := <-out; !fault.Is(err, fault.Unreached) {
 		t.Errorf("not sent: %v", err)
 	}
 	_ = far.SetReadDeadline(time.Now().Add(50 * time.Millisecond))
@@ -226,12 +226,12 @@
 }
 
 // A peer that answers a call never made is told nothing more and believed nothing
-// more: what waits on its circuit learns that it broke.
+// more: what waits on its connection learns that it broke.
 func TestAnswerNobodyAsked(t *testing.T) {
 	for _, id := range []uint64{0, 9, 1 << 63} {
 		raw := append(packed(t, frame{kind: frameAnswer, id: id}), packed(t, frame{kind: frameAnswer, id: 1})...)
 		ch := make(chan frame, 1)
-		c := &circuit{conn: &streamConn{in: bytes.NewReader(raw)}, waiting: map[uint64]chan frame{1: ch}, nextID: 3}
+		c := &conn{conn: &streamConn{in: bytes.NewReader(raw)}, waiting: map[uint64]chan frame{1: ch}, nextID: 3}
 		c.read()
 		if _, ok := <-ch; ok || !c.dead() {
 			t.Errorf("after an answer under %d, call 1 was answered", id)
--- a/internal/moult/driver.go
+++ b/internal/upgrade/driver.go
@@ -1,4 +1,4 @@
-package moult
+package upgrade
 
 import (
 	"context"
@@ -6,15 +6,16 @@
 	"sync"
 	"time"
 
-	"rowanshunt/internal/flora"
-	"rowanshunt/internal/foundation"
-	"rowanshunt/internal/nest"
-	"rowanshunt/internal/pollen"
-	"rowanshunt/internal/scout"
-	"rowanshunt/internal/swarm"
-	"rowanshunt/internal/tending"
-	"rowanshunt/internal/waggle"
-	"rowanshunt/internal/wax"
+	"rowanshunt/internal/balancer"
+	"rowanshunt/internal/config"
+	"rowanshunt/internal/discovery"
+	"rowanshunt/internal/eventloop"
+	"rowanshunt/internal/fault"
+	"rowanshunt/internal/gossip"
+	"rowanshunt/internal/logging"
+	"rowanshunt/internal/register"
+	"rowanshunt/internal/rendezvous"
+	"rowanshunt/internal/rpc"
 )
 
 // Times of the driver (design 13.3).
@@ -26,32 +27,32 @@
 
 // Config is what a driver is made of.
 type Config struct {
-	Floor  *waggle.Floor
-	Desk   *pollen.Desk
-	Mesh   pollen.Mesh
-	Swarm  *swarm.Swarm
-	Log    *wax.Log
-	Self   swarm.Partner
-	State  func() *nest.State
-	Change func(context.Context, nest.Change) (*nest.State, error)
-	Known  func() []flora.Worker // all registered workers, in use or not
-	Scout  *scout.Scout
-	OnMove func(*Upgrade)
+	Loop      *eventloop.Loop
+	Mux       *rpc.Mux
+	Transport rpc.Transport
+	Gossip    *gossip.Gossip
+	Log       *logging.Log
+	Self      gossip.Peer
+	State     func() *register.State
+	Change    func(context.Context, register.Change) (*register.State, error)
+	Known     func() []discovery.Worker // all registered workers, in use or not
+	Balancer  *balancer.Balancer
+	OnMove    func(*Upgrade)
 }
 
-// Moult is one node's part in upgrades: it applies them to its own picks, tells
+// Manager is one node's part in upgrades: it applies them to its own picks, tells
 // drivers what it sees, and drives those that fall to it.
-type Moult struct {
+type Manager struct {
 	cfg  Config
 	ctx  context.Context
 	busy bool
 }
 
 // New joins the upgrades.
-func New(ctx context.Context, cfg Config) *Moult {
-	m := &Moult{cfg: cfg, ctx: ctx}
-	pollen.On(cfg.Desk, "moult.tell", func(_ context.Context, in *tellCall) (*tellAnswer, error) { return m.tell(in.Svc), nil })
-	cfg.Floor.Every(stepUs, m.tick)
+func New(ctx context.Context, cfg Config) *Manager {
+	m := &Manager{cfg: cfg, ctx: ctx}
+	rpc.On(cfg.Mux, "moult.tell", func(_ context.Context, in *tellCall) (*tellAnswer, error) { return m.tell(in.Svc), nil })
+	cfg.Loop.Every(stepUs, m.tick)
 	return m
 }
 
@@ -61,15 +62,15 @@
 
 type tellAnswer struct {
 	Groups []Group
-	Vitals Vitals
+	Health Health
 	Busy   []string // workers that something of this node runs at
 }
 
-func (m *Moult) tell(svc string) *tellAnswer {
-	out := &tellAnswer{Busy: m.cfg.Scout.Busy()}
-	a, l, f := m.cfg.Scout.Fared(svc)
-	out.Vitals = Vitals{Answers: a, Late: l, Failed: f}
-	for _, g := range m.cfg.Scout.Groups(svc) {
+func (m *Manager) tell(svc string) *tellAnswer {
+	out := &tellAnswer{Busy: m.cfg.Balancer.Busy()}
+	a, l, f := m.cfg.Balancer.Fared(svc)
+	out.Health = Health{Answers: a, Late: l, Failed: f}
+	for _, g := range m.cfg.Balancer.Groups(svc) {
 		out.Groups = append(out.Groups, Group{ID: g.ID, Lately: g.Lately, Holders: g.Holders})
 	}
 	return out
@@ -77,10 +78,10 @@
 
 // Apply takes the upgrades of a committed state to this node's picks: workers
 // out of use get nothing new, groups are spread, returned workers are warmed.
-func Apply(s *nest.State, sc *scout.Scout) {
+func Apply(s *register.State, sc *balancer.Balancer) {
 	out := map[string]bool{}
 	spread := map[string]int{}
-	warm := map[string]scout.Warming{}
+	warm := map[string]balancer.Warming{}
 	heirs := map[string]string{}
 	for _, u := range All(s) {
 		for id, name := range u.Heirs {
@@ -90,17 +91,17 @@
 			out[o.ID] = true
 		}
 		if u.Open() {
-			warm[u.Svc] = scout.Warming{Ver: u.To, OverUs: u.Rules.WarmMs * 1000}
+			warm[u.Svc] = balancer.Warming{Ver: u.To, OverUs: u.Rules.WarmMs * 1000}
 			if u.Spread > 1 {
 				spread[u.Svc] = int(u.Spread)
 			}
 		}
 	}
-	sc.SetMoult(scout.Moulting{Out: out, Spread: spread, Warm: warm, Heirs: heirs})
+	sc.SetUpgrades(balancer.Upgrading{Out: out, Spread: spread, Warm: warm, Heirs: heirs})
 }
 
 // tick drives each open upgrade whose key falls to this node.
-func (m *Moult) tick() {
+func (m *Manager) tick() {
 	s := m.cfg.State()
 	if m.busy || s == nil {
 		return
@@ -109,10 +110,10 @@
 	if len(upgrades) == 0 {
 		return
 	}
-	v := m.cfg.Swarm.Look()
-	live := v.Names(func(p *swarm.Sighting) bool { return p.Alive && p.Role == m.cfg.Self.Role && !p.Leaving })
+	v := m.cfg.Gossip.Look()
+	live := v.Names(func(p *gossip.NodeState) bool { return p.Alive && p.Role == m.cfg.Self.Role && !p.Leaving })
 	for _, u := range upgrades {
-		if !u.Open() || tending.Holder(keyPrefix+u.Svc, live) != m.cfg.Self.Name {
+		if !u.Open() || rendezvous.Holder(keyPrefix+u.Svc, live) != m.cfg.Self.Name {
 			continue
 		}
 		m.busy = true
@@ -123,28 +124,28 @@
 			if err != nil {
 				m.cfg.Log.Debug("upgrade_step_waits", "service", u.Svc, "err", err)
 			}
-			_ = m.cfg.Floor.Do(m.ctx, func() { m.busy = false })
+			_ = m.cfg.Loop.Do(m.ctx, func() { m.busy = false })
 		}()
 		return
 	}
 }
 
-func (m *Moult) me() string { return m.cfg.Self.Life() }
+func (m *Manager) me() string { return m.cfg.Self.Life() }
 
 // drive takes the driver's place if need be and does one step. Both go through
 // the register under the term: a driver that froze or was cut off finds a
 // higher term there and changes nothing.
-func (m *Moult) drive(ctx context.Context, svc string) error {
+func (m *Manager) drive(ctx context.Context, svc string) error {
 	u := Load(m.cfg.State(), svc)
 	if !u.Open() {
 		return nil
 	}
 	if u.Driver != m.me() {
 		from := u.Term
-		s, err := m.cfg.Change(ctx, func(now *nest.State) (*nest.State, error) {
+		s, err := m.cfg.Change(ctx, func(now *register.State) (*register.State, error) {
 			u := Load(now, svc)
 			if !u.Open() || u.Term != from {
-				return nil, wax.New(wax.Stale, svc, "another node drives", "nothing to do")
+				return nil, fault.New(fault.Stale, svc, "another node drives", "nothing to do")
 			}
 			u.takeOver(m.me())
 			return now, u.store(now)
@@ -156,21 +157,21 @@
 		m.cfg.Log.Info("upgrade_driven", "service", svc, "term", u.Term, "wave", u.Wave)
 	}
 	term := u.Term
-	seen, groups, vitals, err := m.look(ctx, u)
+	seen, groups, health, err := m.look(ctx, u)
 	if err != nil {
 		return err
 	}
 	trial := *u
 	trial.Out = append([]Out(nil), u.Out...)
-	if !trial.Step(seen, groups, vitals, waggle.NowUs()) {
+	if !trial.Step(seen, groups, health, eventloop.NowUs()) {
 		return nil
 	}
-	s, err := m.cfg.Change(ctx, func(now *nest.State) (*nest.State, error) {
+	s, err := m.cfg.Change(ctx, func(now *register.State) (*register.State, error) {
 		u := Load(now, svc)
 		if u == nil || u.Term != term || u.Driver != m.me() {
-			return nil, wax.New(wax.Stale, svc, "another node drives", "nothing to do")
+			return nil, fault.New(fault.Stale, svc, "another node drives", "nothing to do")
 		}
-		if !u.Step(seen, groups, vitals, waggle.NowUs()) {
+		if !u.Step(seen, groups, health, eventloop.NowUs()) {
 			return nil, nil
 		}
 		return now, u.store(now)
@@ -187,15 +188,15 @@
 	return nil
 }
 
-// look asks every forager in sight; more than half must answer, or nothing is
+// look asks every edge node in sight; more than half must answer, or nothing is
 // decided.
-func (m *Moult) look(ctx context.Context, u *Upgrade) ([]Seen, []Group, Vitals, error) {
-	v := m.cfg.Swarm.Look()
+func (m *Manager) look(ctx context.Context, u *Upgrade) ([]Seen, []Group, Health, error) {
+	v := m.cfg.Gossip.Look()
 	var mu sync.Mutex
 	var wg sync.WaitGroup
 	busy := map[string]bool{}
 	byGroup := map[string]*Group{}
-	var vitals Vitals
+	var health Health
 	asked, told := 0, 0
 	for i := range v.All {
 		p := &v.All[i]
@@ -210,7 +211,7 @@
 			} else {
 				callCtx, cancel := context.WithTimeout(ctx, askTimeout)
 				defer cancel()
-				if m.cfg.Mesh.Call(callCtx, p.Addr, "moult.tell", &tellCall{Svc: u.Svc}, out) != nil {
+				if m.cfg.Transport.Call(callCtx, p.Addr, "moult.tell", &tellCall{Svc: u.Svc}, out) != nil {
 					return
 				}
 			}
@@ -220,9 +221,9 @@
 			for _, id := range out.Busy {
 				busy[id] = true
 			}
-			vitals.Answers += out.Vitals.Answers
-			vitals.Late += out.Vitals.Late
-			vitals.Failed += out.Vitals.Failed
+			health.Answers += out.Health.Answers
+			health.Late += out.Health.Late
+			health.Failed += out.Health.Failed
 			for _, g := range out.Groups {
 				all := byGroup[g.ID]
 				if all == nil {
@@ -236,14 +237,14 @@
 	}
 	wg.Wait()
 	if 2*told <= asked {
-		return nil, nil, Vitals{}, wax.New(wax.Unsure, u.Svc, "too few foragers answer", "nothing is changed until they do")
+		return nil, nil, Health{}, fault.New(fault.Unsure, u.Svc, "too few edge nodes answer", "nothing is changed until they do")
 	}
 	var seen []Seen
 	for _, w := range m.cfg.Known() {
 		if w.Svc != u.Svc || w.Gone {
 			continue
 		}
-		// A forager that did not answer may have something running.
+		// An edge node that did not answer may have something running.
 		seen = append(seen, Seen{ID: w.ID, Addr: w.Addr, Ver: version(&w), Up: w.Phase == "up", Busy: busy[w.ID] || told < asked})
 	}
 	sort.Slice(seen, func(i, j int) bool { return seen[i].ID < seen[j].ID })
@@ -252,11 +253,11 @@
 		groups = append(groups, *g)
 	}
 	sort.Slice(groups, func(i, j int) bool { return groups[i].ID < groups[j].ID })
-	return seen, groups, vitals, nil
+	return seen, groups, health, nil
 }
 
 // version is the highest version of the weights that a worker has.
-func version(w *flora.Worker) int64 {
+func version(w *discovery.Worker) int64 {
 	var ver int64
 	for _, m := range w.Models {
 		ver = max(ver, m.Ver)
@@ -268,12 +269,12 @@
 // change, so that a refusal stands on a committed value at a majority. A repeated
 // order is never refused: while its upgrade is open it gets a Conflict, after it
 // ended the upgrade as it stands (design 13.4).
-func (m *Moult) Start(ctx context.Context, svc string, to int64, rules Rules) (*Upgrade, error) {
-	return m.change(ctx, svc, func(now *nest.State, old *Upgrade) (*Upgrade, error) {
+func (m *Manager) Start(ctx context.Context, svc string, to int64, rules Rules) (*Upgrade, error) {
+	return m.change(ctx, svc, func(now *register.State, old *Upgrade) (*Upgrade, error) {
 		workers := m.countWorkers(svc, to)
 		switch {
 		case old.Open():
-			return nil, wax.New(wax.Conflict, svc, "an upgrade of it is under way", "wait for it, or undo it")
+			return nil, fault.New(fault.Conflict, svc, "an upgrade of it is under way", "wait for it, or undo it")
 		case old.endedAs(to, rules) && (workers.total == 0 || workers.byVer[to] == workers.total):
 			return nil, nil
 		}
@@ -298,7 +299,7 @@
 	atTarget map[string]string // those at the target version keep their own place
 }
 
-func (m *Moult) countWorkers(svc string, to int64) *workerCount {
+func (m *Manager) countWorkers(svc string, to int64) *workerCount {
 	count := &workerCount{byVer: map[int64]int64{}, atTarget: map[string]string{}}
 	for _, w := range m.cfg.Known() {
 		if w.Svc != svc {
@@ -327,32 +328,32 @@
 	return from
 }
 
-func mayStart(now *nest.State, svc string, to int64, workers *workerCount, rules Rules) error {
+func mayStart(now *register.State, svc string, to int64, workers *workerCount, rules Rules) error {
 	switch {
 	case !hasService(now, svc):
-		return wax.New(wax.Unknown, svc, "is no service of the blueprint", "name a service under svcs")
+		return fault.New(fault.Unknown, svc, "is no service of the configuration", "name a service under svcs")
 	case to <= 0:
-		return wax.New(wax.Invalid, "to", "is no version", "give the number of the weights' version, above 0")
+		return fault.New(fault.Invalid, "to", "is no version", "give the number of the weights' version, above 0")
 	case workers.total == 0:
-		return wax.New(wax.Conflict, svc, "no worker of it is up", "start its workers first")
+		return fault.New(fault.Conflict, svc, "no worker of it is up", "start its workers first")
 	case workers.byVer[to] == workers.total:
-		return wax.New(wax.Conflict, "to", "all workers are at that version", "nothing to do")
+		return fault.New(fault.Conflict, "to", "all workers are at that version", "nothing to do")
 	}
 	return rules.Check(workers.total)
 }
 
 // hasService tells whether the configuration in a value names the service.
-func hasService(now *nest.State, svc string) bool {
+func hasService(now *register.State, svc string) bool {
 	if now.Ver == 0 {
 		return false
 	}
-	configuration, err := foundation.Parse(now.Doc)
+	configuration, err := config.Parse(now.Doc)
 	return err == nil && configuration.Services[svc] != nil
 }
 
 // change runs a change of one upgrade in the register.
-func (m *Moult) change(ctx context.Context, svc string, fn func(*nest.State, *Upgrade) (*Upgrade, error)) (*Upgrade, error) {
-	s, err := m.cfg.Change(ctx, func(now *nest.State) (*nest.State, error) {
+func (m *Manager) change(ctx context.Context, svc string, fn func(*register.State, *Upgrade) (*Upgrade, error)) (*Upgrade, error) {
+	s, err := m.cfg.Change(ctx, func(now *register.State) (*register.State, error) {
 		u, err := fn(now, Load(now, svc))
 		if err != nil || u == nil {
 			return nil, err
@@ -366,12 +367,12 @@
 }
 
 func unknown(svc string) error {
-	return wax.New(wax.Unknown, svc, "has no upgrade", "start one")
+	return fault.New(fault.Unknown, svc, "has no upgrade", "start one")
 }
 
 // Pause stops an upgrade where it is.
-func (m *Moult) Pause(ctx context.Context, svc string) (*Upgrade, error) {
-	return m.change(ctx, svc, func(_ *nest.State, u *Upgrade) (*Upgrade, error) {
+func (m *Manager) Pause(ctx context.Context, svc string) (*Upgrade, error) {
+	return m.change(ctx, svc, func(_ *register.State, u *Upgrade) (*Upgrade, error) {
 		if u == nil {
 			return nil, unknown(svc)
 		}
@@ -384,8 +385,8 @@
 }
 
 // Resume lets a paused upgrade go on, its times anew.
-func (m *Moult) Resume(ctx context.Context, svc string) (*Upgrade, error) {
-	return m.change(ctx, svc, func(_ *nest.State, u *Upgrade) (*Upgrade, error) {
+func (m *Manager) Resume(ctx context.Context, svc string) (*Upgrade, error) {
+	return m.change(ctx, svc, func(_ *register.State, u *Upgrade) (*Upgrade, error) {
 		if u == nil {
 			return nil, unknown(svc)
 		}
@@ -400,8 +401,8 @@
 
 // Undo turns an upgrade round: the workers at the target version go back in
 // waves, under the same rules.
-func (m *Moult) Undo(ctx context.Context, svc string) (*Upgrade, error) {
-	return m.change(ctx, svc, func(_ *nest.State, u *Upgrade) (*Upgrade, error) {
+func (m *Manager) Undo(ctx context.Context, svc string) (*Upgrade, error) {
+	return m.change(ctx, svc, func(_ *register.State, u *Upgrade) (*Upgrade, error) {
 		if u == nil {
 			return nil, unknown(svc)
 		}
@@ -409,7 +410,7 @@
 			return nil, nil // perhaps an order sent again
 		}
 		if u.Undoing && u.Open() {
-			return nil, wax.New(wax.Conflict, svc, "is being undone already", "wait for it")
+			return nil, fault.New(fault.Conflict, svc, "is being undone already", "wait for it")
 		}
 		u.From, u.To = u.To, u.From
 		u.Undoing, u.Phase, u.Why, u.Remedy = true, Running, "", ""
@@ -421,7 +422,7 @@
 }
 
 // Status is an upgrade as it stands in a state of the register.
-func Status(s *nest.State, svc string) (*Upgrade, error) {
+func Status(s *register.State, svc string) (*Upgrade, error) {
 	u := Load(s, svc)
 	if u == nil {
 		return nil, unknown(svc)
--- a/internal/cell/legacy_test.go
+++ b/internal/wal/legacy_test.go
@@ -1,4 +1,4 @@
-package cell
+package wal
 
 import (
 	"bytes"
@@ -10,7 +10,7 @@
 	"strings"
 	"testing"
 
-	"rowanshunt/internal/wax"
+	"rowanshunt/internal/fault"
 )
 
 const legacyTestID = "00112233445566778899aabbccddeeff"
@@ -93,7 +93,7 @@
 		}
 		_, err = checkLegacy(f, dir, testName, legacyTestID)
 		_ = f.Close()
-		if !wax.Is(err, wax.Declined) || strings.Contains(err.Error(), "another version") || strings.Contains(err.Error(), "empty") ||
+		if !fault.Is(err, fault.Refused) || strings.Contains(err.Error(), "another version") || strings.Contains(err.Error(), "empty") ||
 			!strings.Contains(err.Error(), "keep the file") {
 			t.Errorf("%d records: %v", records, err)
 		}
