--- a/internal/lotstore/api.go
+++ b/internal/lotstore/api.go
@@ -221,6 +221,8 @@
 		http.Error(w, "another lot was taken under this id: give each lot its own", http.StatusConflict)
 	case err == nil && out.Taken:
 		w.WriteHeader(http.StatusAccepted)
+	case err == nil && out.NoRoom:
+		a.Refuse(w, http.StatusServiceUnavailable, out.AfterMs, "the stores have no room for more lots")
 	case err == nil:
 		a.Refuse(w, http.StatusTooManyRequests, out.AfterMs, "the lot does not fit into the backlog")
 	case fault.Is(err, fault.Refused) || fault.Is(err, fault.Unreached):
--- a/internal/lotstore/lotstore.go
+++ b/internal/lotstore/lotstore.go
@@ -7,6 +7,8 @@
 	"strconv"
 	"time"
 
+	"github.com/vmihailenco/msgpack/v5"
+
 	"rowanshunt/internal/config"
 	"rowanshunt/internal/eventloop"
 	"rowanshunt/internal/fault"
@@ -42,12 +44,16 @@
 	Self      gossip.Peer
 	Member    string
 	Dir       string
-	DiskBytes int64
-	State     func() *register.State // newest committed
-	Change    func(context.Context, register.Change) (*register.State, error)
-	Fatal     func(error)
-	Options   Options
-	Spared    int
+	DiskBytes int64 // 0: not known
+	// MemoryBytes is what the process may take, 0 if that is not known.
+	MemoryBytes int64
+	// PollSpanUs is how long after a lot was sent its results may be read.
+	PollSpanUs int64
+	State      func() *register.State // newest committed
+	Change     func(context.Context, register.Change) (*register.State, error)
+	Fatal      func(error)
+	Options    Options
+	Spared     int
 	// Lost asks the members which of the suspects a majority of them has lost.
 	Lost func(ctx context.Context, members, suspects []register.Member, forUs int64) map[string]bool
 	// SyncUs is how soon a replica that is back must hold all copies again.
@@ -73,13 +79,16 @@
 	readers            []*reader
 	changingMembership bool
 	rewriting          bool
-	misfits            int // ops of the file that continued no copy, when it was read
-	stableUs           int64
-	lastNames          string
-	slowness           slowness
-	need               membershipNeed
-	diskRefuses        bool
-	walOptions         []wal.Option
+	// rewriteAfterUs: not before, for the last rewrite failed.
+	rewriteAfterUs int64
+	space          spaceUse
+	misfits        int // ops of the file that continued no copy, when it was read
+	stableUs       int64
+	lastNames      string
+	slowness       slowness
+	diskRefuses    bool
+	walOptions     []wal.Option
+	need           membershipNeed
 }
 
 type cached struct {
@@ -92,10 +101,10 @@
 func Open(ctx context.Context, cfg Config) (*Store, error) {
 	b := &Store{cfg: cfg, ctx: ctx, startUs: eventloop.NowUs()}
 	b.minLongBytes = max(cfg.DiskBytes/4, 16<<20)
-	b.longBytes = b.minLongBytes
 	if err := b.openReplica(cfg.Dir); err != nil {
 		return nil, err
 	}
+	b.longBytes = b.nextLong()
 	context.AfterFunc(ctx, b.wal.Close)
 	d := cfg.Mux
 	rpc.On(d, "brood.claim", b.onClaim)
@@ -185,6 +194,7 @@
 		b.tellSlow()
 	}
 	b.diskTick()
+	b.spaceTick(eventloop.NowUs())
 	if st := b.cfg.State(); st != nil && st.Stores.Ver != b.membershipVer {
 		b.membershipVer, b.membershipUs = st.Stores.Ver, eventloop.NowUs()
 	}
@@ -236,6 +246,12 @@
 	First   int64 // offset of its first prompt; a lot that comes again has the one it had
 	Other   bool  // the id is that of another lot
 	Welcome bool  // to an offer: it fits, and the room is kept for a moment
+	NoRoom  bool  // the stores have no room for more lots (design 10.5)
+}
+
+// DecodeMsgpack reads answers of earlier versions too.
+func (a *handAnswer) DecodeMsgpack(d *msgpack.Decoder) error {
+	return rpc.Fields(d, &a.Taken, &a.AfterMs, &a.First, &a.Other, &a.Welcome, &a.NoRoom)
 }
 
 // onHand accepts a lot: on disk at a majority before the answer (design 8.4).
@@ -276,6 +292,10 @@
 		if old != nil {
 			rev = old.Rev + 1
 		}
+		if !b.hasRoom(s, l) {
+			b.refuse(s, in, old, &handAnswer{NoRoom: true, AfterMs: noRoomAfterMs}, reply)
+			return
+		}
 		nowUs := eventloop.NowUs()
 		if in.Backlog > 0 {
 			openToks := s.owner.keptRoom(l.Route, l.ID, nowUs)
@@ -296,6 +316,7 @@
 			return
 		}
 		delete(s.owner.offers, l.ID)
+		b.space.addedBytes += b.projectedBytes(l)
 		l.First = s.nextOffset
 		s.nextOffset += int64(len(l.Prompts))
 		whole := *l
@@ -402,6 +423,10 @@
 			reply(nil, fault.New(fault.Unknown, in.Lot, "no such lot", "check the id"))
 			return
 		}
+		if l.wasShed() {
+			reply(nil, errShed(in.Lot))
+			return
+		}
 		reply(l.read(in.StartAt, in.MaxBytes), nil)
 	})
 }
@@ -577,7 +602,7 @@
 		if l == nil {
 			return nil
 		}
-		c := &Copy{Term: l.Term, Rev: l.Rev, Items: len(l.Prompts), Listed: len(l.List), Ended: l.Ended, First: l.First, Owner: s.owner != nil && s.owner.ready}
+		c := &Copy{Term: l.Term, Rev: l.Rev, Items: l.items(), Listed: len(l.List), Ended: l.Ended, First: l.First, Owner: s.owner != nil && s.owner.ready}
 		if c.Owner {
 			for _, f := range s.owner.feeds {
 				if f.acked == s.owner.seq {
--- a/internal/lotstore/replica.go
+++ b/internal/lotstore/replica.go
@@ -101,6 +101,7 @@
 	}
 	b.misfits = misfits
 	b.wal = c
+	b.countSpace(eventloop.NowUs())
 	return nil
 }
 
@@ -118,9 +119,7 @@
 		return
 	}
 	b.append(then, raw)
-	if size := b.wal.SizeBytes(); size > b.longBytes && !b.rewriting {
-		b.rewrite()
-	}
+	b.maybeRewrite(eventloop.NowUs())
 }
 
 // append writes records; without any it is a barrier behind all earlier ones.
@@ -203,7 +202,12 @@
 			// The file goes on as it is; later, with more room, it is tried again.
 			b.cfg.Log.Warn("cell_rewrite_failed", "wal", "brood", "err", err)
 		}
-		_ = b.cfg.Loop.Do(b.ctx, func() { b.rewriting, b.longBytes = false, b.nextLong() })
+		_ = b.cfg.Loop.Do(b.ctx, func() {
+			b.rewriting, b.longBytes = false, b.nextLong()
+			if err != nil {
+				b.rewriteAfterUs = eventloop.NowUs() + rewritePauseUs
+			}
+		})
 	}, func(write func([]byte) error) error {
 		for i := range all {
 			if err := writeRecord(write, &record{Shard: all[i].shard, Promise: &all[i].promised, Ops: []op{{Kind: opNone, Term: all[i].clock.Term, ClockUs: all[i].clock.Us}}}); err != nil {
@@ -221,13 +225,6 @@
 	b.cfg.Log.Info("wal_rewritten", "wal", "brood", "bytes", total)
 }
 
-// nextLong is the length at which the file is rewritten next: twice what it
-// holds now, but with room for the old and the new one on the disk.
-func (b *Store) nextLong() int64 {
-	size := b.wal.SizeBytes()
-	return max(min(2*size, b.cfg.DiskBytes*45/100), size*5/4, b.minLongBytes)
-}
-
 func writeRecord(write func([]byte) error, r *record) error {
 	raw, err := codec.Marshal(r)
 	if err != nil {
@@ -281,6 +278,12 @@
 	OK       bool
 	Promised Term
 	Misfit   bool // a copy here does not fit: compare and mend
+	Full     bool // taken, but this store wants no new lots (design 10.5)
+}
+
+// DecodeMsgpack reads answers of earlier versions too.
+func (a *writeAnswer) DecodeMsgpack(d *msgpack.Decoder) error {
+	return rpc.Fields(d, &a.OK, &a.Promised, &a.Misfit, &a.Full)
 }
 
 func (b *Store) mine(member string, shardN int) (*shard, error) {
@@ -387,7 +390,7 @@
 			b.promise(s, in.Term)
 			rec.Promise = &in.Term
 		}
-		out := &writeAnswer{OK: true, Promised: in.Term}
+		out := &writeAnswer{OK: true, Promised: in.Term, Full: b.full()}
 		for _, raw := range in.Ops {
 			o := op{}
 			if err := msgpack.Unmarshal(raw, &o); err != nil {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -236,7 +236,8 @@
 		return nil, err
 	}
 	b, err := lotstore.Open(ctx, lotstore.Config{Loop: n.Loop, Mux: n.Mux, Transport: env.Transport, Gossip: n.Gossip, Log: env.Log, Self: n.self,
-		Member: n.self.MemberID(), Dir: opts.DataDir, DiskBytes: opts.Caps.DiskMb << 20, State: n.Register.Committed, Change: n.Register.Change,
+		Member: n.self.MemberID(), Dir: opts.DataDir, DiskBytes: opts.Caps.DiskMb << 20, MemoryBytes: opts.Caps.RAMMb << 20,
+		PollSpanUs: int64(opts.Bounds.PollS * 1e6), State: n.Register.Committed, Change: n.Register.Change,
 		Fatal: func(err error) { n.fatal <- err }, Options: lotstore.Defaults(), Spared: opts.Ft.Nodes,
 		Lost: n.Register.Lost, SyncUs: int64(opts.Bounds.SyncS * 1e6)})
 	if err != nil {
--- /dev/null
+++ b/internal/node/space_test.go
@@ -0,0 +1,110 @@
+package node
+
+import (
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+)
+
+// A store that has no room for more closes the queue to new lots, whether it owns
+// the shard or is a replica of it: 503 at once, and nothing of the lot runs. What
+// was accepted comes to its end, and then there is room again (design 10.5).
+func TestStoreWithoutRoomRefuses(t *testing.T) {
+	for n := range 3 {
+		synctest.Test(t, func(t *testing.T) {
+			h := newCluster(t, 31, 3, 3)
+			defer h.end()
+			h.nodes[fmt.Sprint("store-", n)].opts.Caps.RAMMb = 1
+			h.serving()
+			h.resting.Store(true)
+			const items = 20
+			var accepted []string
+			refused := ""
+			for i := range 12 {
+				id := fmt.Sprint("l", i)
+				began := time.Now()
+				w := h.handIn(id, items, 1)
+				if w.Code == 503 {
+					refused = id
+					if took := time.Since(began); took > time.Second || w.Header().Get("Retry-After") == "" {
+						t.Errorf("declined after %v, heads %v", took, w.Header())
+					}
+					break
+				}
+				if w.Code != 202 {
+					t.Fatalf("lot %s: %d %s", id, w.Code, w.Body)
+				}
+				accepted = append(accepted, id)
+				time.Sleep(2500 * time.Millisecond)
+			}
+			if refused == "" || len(accepted) == 0 {
+				t.Fatalf("%d lots accepted, none declined", len(accepted))
+			}
+			h.resting.Store(false)
+			for _, id := range accepted {
+				h.complete(id, items, 30*time.Second)
+			}
+			if _, code := h.read(h.edge(), refused, 0); code != 404 {
+				t.Errorf("the declined lot is read with %d", code)
+			}
+			for _, w := range h.workers {
+				if ran := w.Ran(itemID(refused, 0)); ran != 0 {
+					t.Errorf("an item of the declined lot ran %d times", ran)
+				}
+			}
+			time.Sleep(3 * time.Second)
+			h.mustHandIn("after", 1, 1)
+		})
+	}
+}
+
+// Results are kept for poll_s from the hand-in on, and not much longer; the lot
+// that comes again later is known, through a restart of all stores too, and
+// nothing of it runs anew (design 8.4, 8.10).
+func TestResultsAreKeptForPollS(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newCluster(t, 32, 3, 3)
+		defer h.end()
+		stores := []string{"store-0", "store-1", "store-2"}
+		for _, name := range stores {
+			h.nodes[name].opts.Bounds.PollS = 20
+		}
+		h.serving()
+		const items = 10
+		began := time.Now()
+		h.mustHandIn("l", items, 1)
+		h.complete("l", items, 10*time.Second)
+		ran := func() (n int) {
+			for _, w := range h.workers {
+				for i := range items {
+					n += w.Ran(itemID("l", i))
+				}
+			}
+			return n
+		}
+		before := ran()
+		time.Sleep(time.Until(began.Add(19 * time.Second)))
+		h.complete("l", items, 500*time.Millisecond)
+		time.Sleep(time.Until(began.Add(28 * time.Second)))
+		if _, code := h.read(h.edge(), "l", 0); code != 404 {
+			t.Errorf("read after poll_s and more: %d", code)
+		}
+		h.mustHandIn("l", items, 1)
+		for _, name := range stores {
+			h.kill(name)
+		}
+		time.Sleep(time.Second)
+		for _, name := range stores {
+			h.start(name)
+		}
+		h.until("the lot is known", 20*time.Second, func() bool { return h.handIn("l", items, 1).Code == 202 })
+		time.Sleep(10 * time.Second)
+		if n := ran(); n != before {
+			t.Errorf("%d runs, %d before the lot came again", n, before)
+		}
+		if _, code := h.read(h.edge(), "l", 0); code != 404 {
+			t.Errorf("read after the restart: %d", code)
+		}
+	})
+}
