A change whose proposer ended right after its acknowledgement is told by the members

The members held the accepted state but nobody knew that it is committed, so that all nodes served the version before for 3.1 s, until the next read. Ruled out: the push to a single node being lost (shuffles mend that in 0.2 s).

Change: a member whose acceptor holds a state newer than the newest committed one it knows, for 0.3 s and 0.25 s for each member before it, reads the register at a majority and tells everybody. Test: TestChangeWhoseProposerEndedIsTold; it fails without the turn (mutation tried).

--- /dev/null
+++ b/internal/node/untold_test.go
@@ -0,0 +1,43 @@
+package node
+
+import (
+	"context"
+	"encoding/json"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"rowanshunt/internal/register"
+)
+
+// A proposer that ends between the acknowledgement of a change and the first word
+// of it to others: the members hold the change, find out that it is committed and
+// tell everybody well inside apply_ms (design 4.5).
+func TestChangeWhoseProposerEndedIsTold(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newCluster(t, 31, 5, 3)
+		defer h.end()
+		h.serving()
+		doc, err := json.Marshal(configuration(2))
+		if err != nil {
+			t.Fatal(err)
+		}
+		known := h.edge().Register.Known
+		tellNobody := func(*register.State) {}
+		addrOf := func(m register.Member) string { return m.Addr }
+		lost := register.NewProposer("lost/1", h.m.TransportOf("10.9.9.9:7700"), addrOf, known, tellNobody)
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		if _, err := lost.Change(ctx, register.PutChange(doc, 2, 1)); err != nil {
+			t.Fatal(err)
+		}
+		h.until("the change is in force everywhere", 1500*time.Millisecond, func() bool {
+			for _, m := range h.nodes {
+				if m.f != nil && m.f.Configuration().Ver != 2 {
+					return false
+				}
+			}
+			return true
+		})
+	})
+}
--- a/internal/register/catchup.go
+++ b/internal/register/catchup.go
@@ -2,28 +2,35 @@
 
 import (
 	"context"
+	"slices"
 
 	"rowanshunt/internal/rpc"
 )
 
-// catchUpAfterUs is how long an acceptor lies behind the newest committed state
-// before it fetches what it missed: the accept of a change under way comes of
-// itself.
-const catchUpAfterUs = 600_000
+// How long a lag is waited out before something is done about it: what is under
+// way comes of itself.
+const (
+	// catchUpAfterUs: the acceptor lies behind the newest committed state.
+	catchUpAfterUs = 600_000
+	// confirmAfterUs: the acceptor holds a state that nobody has called committed.
+	// The members take turns, confirmTurnUs apart.
+	confirmAfterUs = 300_000
+	confirmTurnUs  = 250_000
+)
 
-// lag is since when this node's acceptor lies behind.
+// lag is since when something lies behind.
 type lag struct {
 	sinceUs int64
 }
 
-// due tells whether an acceptor that lies behind, or not, is to catch up now.
-func (l *lag) due(behind bool, nowUs int64) bool {
+// due tells whether something that lies behind, or not, is to be mended now.
+func (l *lag) due(behind bool, afterUs, nowUs int64) bool {
 	switch {
 	case !behind:
 		l.sinceUs = 0
 	case l.sinceUs == 0:
 		l.sinceUs = nowUs
-	case nowUs-l.sinceUs > catchUpAfterUs:
+	case nowUs-l.sinceUs > afterUs:
 		l.sinceUs = nowUs // once more later, if it fails
 		return true
 	}
@@ -86,3 +93,32 @@
 		n.cfg.Log.Debug("catch_up_waits", "err", err)
 	}
 }
+
+// unconfirmed tells whether this node's acceptor holds a state newer than the
+// newest committed one that the node knows. Its proposer may have acknowledged it
+// and ended before it told anybody.
+func (n *Register) unconfirmed(known *State, committed bool) bool {
+	return n.member != nil && committed && n.member.acceptedRev() > known.Rev
+}
+
+// confirmAfter is how long this member waits before it confirms: each has a turn
+// of its own, so that one does it for all.
+func (n *Register) confirmAfter(known *State) int64 {
+	if n.member == nil || known == nil {
+		return confirmAfterUs
+	}
+	turn := slices.IndexFunc(known.Core.Cur, func(s Member) bool { return s.ID == n.member.ID() })
+	return confirmAfterUs + int64(max(turn, 0))*confirmTurnUs
+}
+
+// confirm finds out at a majority what is committed and tells everybody
+// (design 4.5).
+func (n *Register) confirm(ctx context.Context) {
+	s, err := n.Read(ctx)
+	if err != nil {
+		n.cfg.Log.Debug("confirm_waits", "err", err)
+		return
+	}
+	n.cfg.Log.Info("confirmed", "rev", s.Rev)
+	n.spread(s)
+}
--- a/internal/register/register.go
+++ b/internal/register/register.go
@@ -65,7 +65,8 @@
 	stableAt int64
 	lastSet  string
 	busy     bool
-	lag      lag
+	lag      lag // of the acceptor behind what is committed
+	untold   lag // of what is committed behind the acceptor
 	pulling  map[string]bool
 	need     membershipNeed
 }
@@ -247,9 +248,12 @@
 	}
 	stable := nowUs-n.stableAt > stableUs && nowUs-n.startUs > foundAfterUs
 	known, committed := n.Known()
-	if n.lag.due(n.behind(known, committed), nowUs) {
+	if n.lag.due(n.behind(known, committed), catchUpAfterUs, nowUs) {
 		n.once(n.catchUp)
 	}
+	if unconfirmed := n.unconfirmed(known, committed); n.untold.due(unconfirmed, n.confirmAfter(known), nowUs) {
+		n.once(n.confirm)
+	}
 	switch {
 	case known == nil:
 		if n.cfg.Boot && n.member != nil && stable {
