--- a/internal/brood/lot.go
+++ b/internal/brood/lot.go
@@ -414,6 +414,13 @@
 	l.Prompts[item].Body, l.Prompts[item].Hdrs, l.Prompts[item].Path = nil, nil, ""
 }
 
+// bare is a closed lot without its items and results: what tells that its id was
+// taken, and by which items (design 8.10).
+func (l *Lot) bare() *Lot {
+	return &Lot{ID: l.ID, Host: l.Host, Path: l.Path, Binding: l.Binding, SentUs: l.SentUs, DueMs: l.DueMs, RetainMs: l.RetainMs, Tries: l.Tries,
+		Ended: true, First: l.First, Digest: l.Digest, BornUs: l.BornUs, ShedItems: len(l.Prompts)}
+}
+
 // before tells whether the copy is older than one at (stamp, rev).
 func (l *Lot) before(stamp Stamp, rev uint64) bool {
 	return l.Stamp.Less(stamp) || l.Stamp == stamp && l.Rev < rev
--- a/internal/brood/space.go
+++ b/internal/brood/space.go
@@ -194,9 +194,7 @@
 // shedTexts lets go of what a closed lot brought; what tells that its id was
 // taken, and by which items, stays (design 8.4).
 func (b *Brood) shedTexts(s *shard, l *Lot) {
-	bare := &Lot{ID: l.ID, Host: l.Host, Path: l.Path, Binding: l.Binding, SentUs: l.SentUs, DueMs: l.DueMs, RetainMs: l.RetainMs, Tries: l.Tries,
-		Ended: true, First: l.First, Digest: l.Digest, BornUs: l.BornUs, ShedItems: len(l.Prompts)}
-	b.issue(s, op{Kind: opPut, Lot: l.ID, Rev: l.Rev + 1, Whole: bare}, func(error) {})
+	b.issue(s, op{Kind: opPut, Lot: l.ID, Rev: l.Rev + 1, Whole: l.bare()}, func(error) {})
 	if got := s.lots[l.ID]; got != nil && got.live != nil {
 		got.live = &live{}
 	}
