--- a/internal/brood/space.go
+++ b/internal/brood/space.go
@@ -31,6 +31,9 @@
 
 	storedItemBytes = 32 // of an item beside what Lot.cost counts: its row
 	noRoomAfterMs   = maxAfterMs
+
+	appendedItemBytes = 256 // cursor rows of an item's runs, before its result
+	appendedLotBytes  = 512 // the end of a lot, its shedding and its drop
 )
 
 // spaceUse is what the lots of this store take, as of the last count.
@@ -39,6 +42,7 @@
 	heldBytes   int64 // of a file that is rewritten now, at most
 	owedBytes   int64 // of the results of items that were accepted and have none
 	addedBytes  int64 // of lots that were accepted since the count, with their results
+	appendBytes int64 // what the lots here may still append to the file
 	resultBytes int64 // kept free for one result
 }
 
@@ -70,10 +74,11 @@
 
 // countSpace counts what all lots here take.
 func (b *Brood) countSpace(nowUs int64) {
-	var held, open, results, resultBytes int64
+	var held, open, results, resultBytes, lots int64
 	for _, s := range b.shards {
 		for _, l := range s.lots {
 			held += l.storedBytes()
+			lots++
 			open += l.openItems()
 			for i := range l.List {
 				resultBytes += int64(len(l.List[i].Msg))
@@ -85,7 +90,8 @@
 	if results >= minResults {
 		one = max(resultBytes/results*5/4, minResultBytes)
 	}
-	b.space = spaceUse{countedUs: nowUs, heldBytes: held, owedBytes: open * one, resultBytes: one}
+	b.space = spaceUse{countedUs: nowUs, heldBytes: held, owedBytes: open * one, resultBytes: one,
+		appendBytes: open*(one+appendedItemBytes) + lots*appendedLotBytes}
 }
 
 // spaceTick counts anew and rewrites the file where that is due and fits.
@@ -100,14 +106,15 @@
 		b.longBytes = b.nextLong()
 	}
 	if full := b.full(); full != wasFull {
-		b.cfg.Log.Info("store_space", "full", full, "held", b.space.heldBytes, "owed", b.space.owedBytes, "most", b.lotBytes())
+		b.cfg.Log.Info("store_space", "full", full, "held", b.space.heldBytes, "owed", b.space.owedBytes, "file", b.cell.SizeBytes())
 	}
 }
 
 // reserveBytes is the part of the disk that lots leave free.
 func (b *Brood) reserveBytes() int64 { return max(b.cfg.DiskBytes/reserveShare, minReserveBytes) }
 
-// lotBytes is the most that lots may take here. A bound that is not known is none.
+// lotBytes is the most that lots may take if rewrites are to go on for ever. A
+// bound that is not known is none.
 func (b *Brood) lotBytes() int64 {
 	most := int64(1) << 62
 	if b.cfg.DiskBytes > 0 {
@@ -129,7 +136,7 @@
 			return false
 		}
 	}
-	return b.rewriteFits() && b.space.usedBytes()+b.projectedBytes(l) <= b.lotBytes()
+	return b.findsRoom(b.projectedBytes(l))
 }
 
 // projectedBytes is what a lot takes once all its results are there.
@@ -142,7 +149,24 @@
 }
 
 // full tells whether this store wants no new lots.
-func (b *Brood) full() bool { return b.space.usedBytes() > b.lotBytes() || !b.rewriteFits() }
+func (b *Brood) full() bool { return !b.findsRoom(0) }
+
+// findsRoom tells whether so much more fits, with all that was accepted: into the
+// memory, and on the disk either by rewrites for as long as need be, or without
+// any, at the end of the file that is there. A file that grows so far that it can't
+// be rewritten takes no lots until its lots have shed their texts; the reserve then
+// has room for what is left of them.
+func (b *Brood) findsRoom(moreBytes int64) bool {
+	used := b.space.usedBytes() + moreBytes
+	if b.cfg.MemoryBytes > 0 && used > b.cfg.MemoryBytes*memoryPercent/100 {
+		return false
+	}
+	if b.cfg.DiskBytes <= 0 || used <= b.lotBytes() && b.rewriteFits() {
+		return true
+	}
+	appended := b.cell.SizeBytes() + b.cell.WaitingBytes() + b.space.appendBytes + b.space.addedBytes + moreBytes
+	return appended <= b.cfg.DiskBytes-b.reserveBytes()
+}
 
 // nextLong is the length at which the file is rewritten next: twice what its
 // lots take, but no longer than a rewrite fits beside it, and no shorter than one
