--- a/cmd/drone/step.go
+++ b/cmd/scalerun/step.go
@@ -18,17 +18,18 @@
 	"sync"
 	"time"
 
-	"rowanshunt/internal/colony"
-	"rowanshunt/internal/flora"
-	"rowanshunt/internal/forage"
-	"rowanshunt/internal/pollen"
-	"rowanshunt/internal/skep"
-	"rowanshunt/internal/wax"
+	"rowanshunt/internal/discovery"
+	"rowanshunt/internal/fault"
+	"rowanshunt/internal/forward"
+	"rowanshunt/internal/logging"
+	"rowanshunt/internal/node"
+	"rowanshunt/internal/rpc"
+	"rowanshunt/internal/settings"
 )
 
 // step is one size of the system.
 type step struct {
-	Hive                          string
+	Cluster                       string
 	Nodes, Workers, Routes, Zones int
 	Settle, Span                  time.Duration
 	Changes                       int
@@ -36,48 +37,48 @@
 	dir                           string
 	real                          []*process
 	desks                         sync.Map // of the hollow nodes, by address
-	hollow                        []*colony.Forager
+	hollow                        []*node.EdgeNode
 	running                       context.Context
 	ver                           int
 }
 
-// How many real processes there are: three foragers with a disk, which are the
+// How many real processes there are: three edge nodes with a disk, which are the
 // seeds and the core, and three stores.
 const (
-	realForagers = 3
-	realCombs    = 3
-	partnerPort  = 7100
-	ctlPort      = 7101
-	httpPort     = 7102
-	readyPort    = 7103
-	hbMs         = 1200
+	realEdges  = 3
+	realStores = 3
+	peerPort   = 7100
+	ctlPort    = 7101
+	httpPort   = 7102
+	readyPort  = 7103
+	hbMs       = 1200
 )
 
-const header = "nodes workers routes | role: cpu % of a core (least-most), peak MB, KB/s of partner calls, calls/s, partners thought silent | changes in force everywhere: ms (least-most)"
+const header = "nodes workers routes | role: cpu % of a core (least-most), peak MB, KB/s of peer calls, calls/s, peers thought silent | changes in force everywhere: ms (least-most)"
 
-// lineS is how often a node tells its partner calls (docs/operators.md).
+// lineS is how often a node tells its peer calls (docs/operators.md).
 const lineS = 10.0
 
-// process is a real hive with what its log tells.
+// process is a real node with what its log tells.
 type process struct {
 	name, role, ip string
 	cmd            *exec.Cmd
 	mu             sync.Mutex
 	calls, bytes   int64
-	lines          int64 // of partner_calls
-	silent         int64 // partners it thought silent, though none is
-	verbose        bool  // its partner_calls lines are passed on
+	lines          int64 // of peer_calls
+	silent         int64 // peers it thought silent, though none is
+	verbose        bool  // its peer_calls lines are passed on
 }
 
-// Write takes the process's log and adds up its partner_calls lines.
+// Write takes the process's log and adds up its peer_calls lines.
 func (p *process) Write(b []byte) (int, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, line := range strings.Split(string(b), "\n") {
-		if strings.Contains(line, "event=partner_silent") {
+		if strings.Contains(line, "event=peer_silent") {
 			p.silent++
 		}
-		if strings.Contains(line, "event=partner_calls") {
+		if strings.Contains(line, "event=peer_calls") {
 			p.lines++
 			p.calls += field(line, "calls")
 			p.bytes += field(line, "bytes")
@@ -120,7 +121,7 @@
 		}
 	}
 	if peakKB == 0 {
-		return 0, 0, wax.New(wax.Damaged, p.name, "has ended, or cannot be read", "look whether another run uses the same addresses, or the descriptors have run out")
+		return 0, 0, fault.New(fault.Damaged, p.name, "has ended, or cannot be read", "look whether another run uses the same addresses, or the descriptors have run out")
 	}
 	return cpuMs, peakKB, nil
 }
@@ -132,32 +133,32 @@
 	ctx, cancel := context.WithTimeout(ctx, 90*time.Second+s.Settle+s.Span)
 	defer cancel()
 	s.running = ctx
-	dir, err := os.MkdirTemp("", "drone")
+	dir, err := os.MkdirTemp("", "scalerun")
 	if err != nil {
 		return "", err
 	}
 	s.dir = dir
 	defer func() { _ = os.RemoveAll(dir) }()
 	defer s.stop()
-	for i := range realForagers + realCombs {
+	for i := range realEdges + realStores {
 		if err := s.startReal(i); err != nil {
 			return "", err
 		}
 	}
-	if err := s.until("the first blueprint is taken", func() bool { return s.change() == nil }); err != nil {
+	if err := s.until("the first configuration is taken", func() bool { return s.change() == nil }); err != nil {
 		return "", err
 	}
-	for i := range s.Nodes - realForagers {
+	for i := range s.Nodes - realEdges {
 		if err := s.startHollow(i); err != nil {
 			return "", err
 		}
 	}
-	var beats sync.WaitGroup
-	beatCtx, stopBeats := context.WithCancel(ctx)
-	defer beats.Wait()
-	defer stopBeats()
-	beats.Go(func() { s.beat(beatCtx) })
-	if err := s.until("all hollow nodes know the blueprint", func() bool { return s.behind() == 0 }); err != nil {
+	var heartbeats sync.WaitGroup
+	heartbeatCtx, stopHeartbeats := context.WithCancel(ctx)
+	defer heartbeats.Wait()
+	defer stopHeartbeats()
+	heartbeats.Go(func() { s.heartbeat(heartbeatCtx) })
+	if err := s.until("all hollow nodes know the configuration", func() bool { return s.behind() == 0 }); err != nil {
 		return "", err
 	}
 	pause(ctx, s.Settle)
@@ -184,23 +185,23 @@
 
 func (s *step) options(name, ip, role string, i int) string {
 	serves, listen, data := `["edge","ctl"]`, fmt.Sprintf("[listen]\nhttp = %q\nreadyz = %q\nctl = %q\n", addr(ip, httpPort), addr(ip, readyPort), addr(ip, ctlPort)), ""
-	if role == skep.RoleStore {
+	if role == settings.RoleStore {
 		serves, listen = `["store"]`, "[listen]\n"
 	}
-	if i < realForagers+realCombs {
+	if i < realEdges+realStores {
 		data = filepath.Join(s.dir, name)
 	}
 	var seeds []string
-	for k := range realForagers {
+	for k := range realEdges {
 		seeds = append(seeds, strconv.Quote(addr(realIP(k), ctlPort)))
 	}
 	return fmt.Sprintf("node = %q\nrole = %q\nserves = %s\nipaddr = %q\naz = %q\nregion = \"r\"\nport_range = [%d,%d]\nseeds = [%s]\nbootstrap = true\nquorum = true\ndatadir = %q\nhb_ms = %d\n%s[caps]\ncpu_frac = 1.0\nncpu = 1\nram_mb = 256\nnofile = 8000\nnet_mbps = 1000.0\ndisk_mb = 200\n[ft]\nnodes = 1\n[bounds]\ngrace_s = 8\n",
-		name, role, serves, ip, s.zone(i), partnerPort, partnerPort+10, strings.Join(seeds, ","), data, hbMs, listen)
+		name, role, serves, ip, s.zone(i), peerPort, peerPort+10, strings.Join(seeds, ","), data, hbMs, listen)
 }
 
 // parse checks options as the program itself does.
-func parse(text, role string) (*skep.Options, error) {
-	opts, err := skep.Parse([]byte(text))
+func parse(text, role string) (*settings.Options, error) {
+	opts, err := settings.Parse([]byte(text))
 	if err != nil {
 		return nil, err
 	}
@@ -218,16 +219,16 @@
 func hollowIP(i int) string { return fmt.Sprintf("127.%d.%d.%d", 80+block, i/200, i%200+1) }
 
 func (s *step) startReal(i int) error {
-	role := skep.RoleEdge
-	if i >= realForagers {
-		role = skep.RoleStore
+	role := settings.RoleEdge
+	if i >= realEdges {
+		role = settings.RoleStore
 	}
 	p := &process{name: "real-" + strconv.Itoa(i), role: role, ip: realIP(i), verbose: s.Verbose}
 	path := filepath.Join(s.dir, p.name+".toml")
 	if err := os.WriteFile(path, []byte(s.options(p.name, p.ip, role, i)), 0o644); err != nil {
 		return err
 	}
-	p.cmd = exec.Command(s.Hive, role, "--file", path)
+	p.cmd = exec.Command(s.Cluster, role, "--file", path)
 	p.cmd.Stderr = p
 	if err := p.cmd.Start(); err != nil {
 		return err
@@ -236,27 +237,27 @@
 	return nil
 }
 
-// startHollow starts a forager in this process: all of its control, none of its
+// startHollow starts an edge node in this process: all of its control, none of its
 // listeners for clients.
 func (s *step) startHollow(i int) error {
 	ip := hollowIP(i)
-	opts, err := parse(s.options("hollow-"+strconv.Itoa(i), ip, skep.RoleEdge, i+realForagers+realCombs), skep.RoleEdge)
+	opts, err := parse(s.options("hollow-"+strconv.Itoa(i), ip, settings.RoleEdge, i+realEdges+realStores), settings.RoleEdge)
 	if err != nil {
 		return err
 	}
 	opts.Bootstrap, opts.DataDir = false, ""
-	env := colony.Env{Mesh: &mesh{tcp: pollen.NewTCP(nil), desks: &s.desks}, Dial: forage.DialTCP(), WallUs: func() int64 { return time.Now().UnixMicro() }, Log: wax.Quiet()}
-	f, err := colony.NewForager(s.running, env, opts)
+	env := node.Env{Transport: &transport{tcp: rpc.NewTCP(nil), desks: &s.desks}, Dial: forward.DialTCP(), WallUs: func() int64 { return time.Now().UnixMicro() }, Log: logging.Quiet()}
+	f, err := node.NewEdgeNode(s.running, env, opts)
 	if err != nil {
 		return err
 	}
-	ln, err := pollen.Listen(opts.PartnerAddr(), f.Desk, env.Log, nil)
+	ln, err := rpc.Listen(opts.PeerAddr(), f.Mux, env.Log, nil)
 	if err != nil {
 		return err
 	}
 	go ln.Run(s.running)
 	f.Start(s.running)
-	s.desks.Store(opts.PartnerAddr(), f.Desk)
+	s.desks.Store(opts.PeerAddr(), f.Mux)
 	s.hollow = append(s.hollow, f)
 	return nil
 }
@@ -268,7 +269,7 @@
 	}
 }
 
-// change sends the next version of the blueprint to a core node.
+// change sends the next version of the configuration to a core node.
 func (s *step) change() error {
 	doc := map[string]any{"ver": s.ver + 1, "svcs": []any{map[string]any{"name": "llm", "hc": "/healthz", "maxconn": 4000}},
 		"caps": map[string]any{"hdr_bytes": 16384, "payload_bytes": 1 << 20, "hdr_ms": 3000, "idle_ms": 15000}}
@@ -300,19 +301,19 @@
 	return nil
 }
 
-// behind counts hollow nodes without the newest blueprint.
+// behind counts hollow nodes without the newest configuration.
 func (s *step) behind() int {
 	n := 0
 	for _, f := range s.hollow {
-		if b := f.Blueprint(); b == nil || b.Ver != int64(s.ver) {
+		if b := f.Configuration(); b == nil || b.Ver != int64(s.ver) {
 			n++
 		}
 	}
 	return n
 }
 
-// beat lets every hollow worker beat at a node of its zone, each in its turn.
-func (s *step) beat(ctx context.Context) {
+// heartbeat lets every hollow worker beat at a node of its zone, each in its turn.
+func (s *step) heartbeat(ctx context.Context) {
 	every := hbMs * time.Millisecond / time.Duration(s.Workers)
 	tick := time.NewTicker(max(every, time.Millisecond))
 	defer tick.Stop()
@@ -328,10 +329,10 @@
 			id := at % s.Workers
 			at++
 			seq++
-			w := flora.Worker{ID: fmt.Sprint("w", id), Svc: "llm", Addr: fmt.Sprintf("127.79.%d.%d:80", id/200, id%200+1), Az: s.zone(id), Ver: "1", Slots: 16, Phase: "up", Seq: seq}
+			w := discovery.Worker{ID: fmt.Sprint("w", id), Svc: "llm", Addr: fmt.Sprintf("127.79.%d.%d:80", id/200, id%200+1), Az: s.zone(id), Ver: "1", Slots: 16, Phase: "up", Seq: seq}
 			if len(s.hollow) > 0 {
 				f := s.hollow[rand.IntN(len(s.hollow))]
-				go func() { _, _ = f.Flora.Beat(ctx, w) }()
+				go func() { _, _ = f.Discovery.Heartbeat(ctx, w) }()
 			}
 		}
 	}
@@ -341,7 +342,7 @@
 // A node's lines come each lineS, so a span below that may see none of them.
 func (s *step) measure(ctx context.Context) (string, error) {
 	type reading struct{ cpuMs, peakKB, calls, bytes, lines, silent int64 }
-	var faults wax.Ledger
+	var faults fault.Collector
 	read := func(p *process) reading {
 		cpuMs, peakKB, err := p.spent()
 		faults.Add(err)
@@ -382,7 +383,7 @@
 		times = append(times, float64(time.Since(at).Milliseconds()))
 	}
 	row := fmt.Sprintf("%d %d %d", s.Nodes, s.Workers, s.Routes)
-	for _, role := range []string{skep.RoleEdge, skep.RoleStore} {
+	for _, role := range []string{settings.RoleEdge, settings.RoleStore} {
 		row += fmt.Sprintf(" | %s: %s, %s MB, %s KB/s, %s calls/s, %s thought silent", role, spread(cpu[role]), spread(peak[role]), spread(kb[role]), spread(calls[role]), spread(silent[role]))
 	}
 	return row + fmt.Sprintf(" | changes: %s", spread(times)), nil
--- a/internal/scout/judge.go
+++ b/internal/balancer/judge.go
@@ -1,10 +1,10 @@
-package scout
+package balancer
 
 import (
 	"math"
 
-	"rowanshunt/internal/flora"
-	"rowanshunt/internal/waggle"
+	"rowanshunt/internal/discovery"
+	"rowanshunt/internal/eventloop"
 )
 
 // Workers are judged by their answers (design 7.4): health answers may be false
@@ -25,7 +25,7 @@
 	trialGood    = 3                 // good answers that end a worker's trial
 	trialMs      = 1.5               // what a worker on trial costs more
 	trialUs      = int64(4_000_000)  // how long a trial lasts at most
-	hintUs       = int64(2_500_000)  // how long a partner's word on failures counts
+	hintUs       = int64(2_500_000)  // how long a peer's word on failures counts
 	slowTimes    = 8.0               // times the usual wait for an answer's head
 	minSlowUs    = int64(400_000)
 	maxSlowUs    = int64(2_000_000)
@@ -42,21 +42,21 @@
 	return r.now.good + r.before.good, r.now.bad + r.before.bad
 }
 
-// hint is what one partner saw of a worker.
+// hint is what one peer saw of a worker.
 type hint struct{ good, bad, atUs int64 }
 
 // verdict is what the judgement knows of one worker.
 type verdict struct {
 	svc     string
 	own     record
-	hints   map[string]hint // by partner; "" is the zone's sum
+	hints   map[string]hint // by peer; "" is the zone's sum
 	outUs   int64           // ejected until then
 	backUs  int64           // when it last came back
 	times   int64           // ejections in a row
 	onTrial int64           // good answers it still owes
 }
 
-// told adds up what partners say they saw themselves; the zone's own sum, that
+// told adds up what peers say they saw themselves; the zone's own sum, that
 // a home told, is kept apart, for it must not be told on.
 func (v *verdict) told(nowUs int64) (good, bad int64) {
 	for from, h := range v.hints {
@@ -75,14 +75,14 @@
 
 // Outcome notes how an answer of a worker ended: whole, or failed, broken off,
 // or much later than usual.
-func (s *Scout) Outcome(id string, good bool) {
+func (s *Balancer) Outcome(id string, good bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	st := s.workers[id]
 	if st == nil {
 		return
 	}
-	nowUs := waggle.NowUs()
+	nowUs := eventloop.NowUs()
 	st.own.turn(nowUs, recordUs)
 	if good {
 		st.own.now.good++
@@ -96,7 +96,7 @@
 }
 
 // judge ejects a worker whose answers fail far more than they should.
-func (s *Scout) judge(id string, st *state, nowUs int64) {
+func (s *Balancer) judge(id string, st *state, nowUs int64) {
 	if nowUs < st.outUs || st.svc == "" {
 		return
 	}
@@ -140,7 +140,7 @@
 }
 
 // Heads notes how long a service's worker took to the head of an answer.
-func (s *Scout) Heads(svc string, tookUs int64) {
+func (s *Balancer) Heads(svc string, tookUs int64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	old, ok := s.usualUs[svc]
@@ -155,15 +155,15 @@
 
 // SlowUs is how long a worker of a service may take to the head of an answer
 // before that counts against it.
-func (s *Scout) SlowUs(svc string) int64 {
+func (s *Balancer) SlowUs(svc string) int64 {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return min(max(int64(slowTimes*s.usualUs[svc]), minSlowUs), maxSlowUs)
 }
 
 // blame adds what this node holds against a worker: of its own alone, or with
-// what partners told it.
-func (s *Scout) blame(p *flora.Pressure, st *state, all bool, nowUs int64) {
+// what peers told it.
+func (s *Balancer) blame(p *discovery.Load, st *state, all bool, nowUs int64) {
 	p.Good, p.Bad = st.own.sum(nowUs)
 	if all {
 		g, b := st.told(nowUs)
@@ -174,8 +174,8 @@
 	}
 }
 
-// hinted takes what a partner saw fail.
-func (s *Scout) hinted(from string, p *flora.Pressure, st *state, nowUs int64) {
+// hinted takes what a peer saw fail.
+func (s *Balancer) hinted(from string, p *discovery.Load, st *state, nowUs int64) {
 	if p.Bad == 0 {
 		return
 	}
@@ -190,10 +190,10 @@
 
 // AtLeisure tells whether the worker said lately that nothing waits there and
 // that it has places left: its load is no reason to be late.
-func (s *Scout) AtLeisure(id string) bool {
+func (s *Balancer) AtLeisure(id string) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	st := s.workers[id]
-	nowUs := waggle.NowUs()
+	nowUs := eventloop.NowUs()
 	return st != nil && nowUs-st.heardUs < freshUs && st.waiting == 0 && st.est(nowUs) < float64(st.slots)
 }
--- a/internal/foundation/blueprint.go
+++ b/internal/config/configuration.go
@@ -1,8 +1,7 @@
-// Package foundation is the blueprint aggregate: it reads an operator's
-// document field by field, checks it whole and answers which binding a
-// request takes (design 4.1). The field's standard terms: blueprint =
-// configuration; binding = route; foundation = schema and validation.
-package foundation
+// Package config is the configuration aggregate: it reads an operator's
+// document field by field, checks it whole and answers which route a request
+// takes (design 4.1).
+package config
 
 import (
 	"sort"
@@ -11,13 +10,13 @@
 
 	"github.com/go-faster/jx"
 
-	"rowanshunt/internal/wax"
+	"rowanshunt/internal/fault"
 )
 
-// Type is what a binding's requests are.
+// Type is what a route's requests are.
 type Type uint8
 
-// The types of bindings.
+// The types of routes.
 const (
 	Safe Type = iota
 	Unsafe
@@ -27,14 +26,14 @@
 
 var typeWords = map[string]Type{"safe": Safe, "unsafe": Unsafe, "stream": Stream, "bulk": Bulk}
 
-// Share is one service's part of a binding.
+// Share is one service's part of a route.
 type Share struct {
 	Svc string
 	Wt  int64
 }
 
-// Binding is one route of the blueprint.
-type Binding struct {
+// Route is one route of the configuration.
+type Route struct {
 	Name      string
 	Host      string
 	Pfx       string
@@ -54,10 +53,10 @@
 }
 
 // Repeatable tells whether a request may run more than once.
-func (b *Binding) Repeatable() bool { return b.Type == Safe || b.Type == Stream && b.Resume }
+func (b *Route) Repeatable() bool { return b.Type == Safe || b.Type == Stream && b.Resume }
 
 // Pick chooses a service by weight; draw is any number.
-func (b *Binding) Pick(draw uint64) string {
+func (b *Route) Pick(draw uint64) string {
 	at := int64(draw % uint64(b.WtSum))
 	for _, s := range b.Split {
 		if at < s.Wt {
@@ -91,35 +90,35 @@
 	IdleMs       int64
 }
 
-// Blueprint is one version of the operator's configuration, checked and ready
+// Configuration is one version of the operator's configuration, checked and ready
 // for look-ups. It is never changed after Parse.
-type Blueprint struct {
+type Configuration struct {
 	Ver      int64
-	Bindings []*Binding
+	Routes   []*Route
 	Services map[string]*Service
 	Caps     Caps
 
-	byHost map[string][]*Binding // longest prefix first
+	byHost map[string][]*Route // longest prefix first
 }
 
-// MaxBytes bounds a document before any cap of a blueprint is known.
+// MaxBytes bounds a document before any cap of a configuration is known.
 const MaxBytes = 4 << 20
 
 // Bounds on a document's lists.
 const (
-	maxBindings = 20_000
+	maxRoutes   = 20_000
 	maxServices = 2_000
 	maxSplit    = 64
 )
 
 // Parse reads a document and checks all of it.
-func Parse(raw []byte) (*Blueprint, error) {
+func Parse(raw []byte) (*Configuration, error) {
 	if len(raw) > MaxBytes {
-		return nil, wax.New(wax.TooLarge, "blueprint", "is over 4 MiB", "send a smaller one")
+		return nil, fault.New(fault.TooLarge, "blueprint", "is over 4 MiB", "send a smaller one")
 	}
-	b := &Blueprint{Services: map[string]*Service{}, Caps: Caps{HdrBytes: 16 << 10, PayloadBytes: 4 << 20, HdrMs: 3000, IdleMs: 15000}}
+	b := &Configuration{Services: map[string]*Service{}, Caps: Caps{HdrBytes: 16 << 10, PayloadBytes: 4 << 20, HdrMs: 3000, IdleMs: 15000}}
 	d := jx.DecodeBytes(raw)
-	var l wax.Ledger
+	var l fault.Collector
 	sawVer, sawRoutes, sawSvcs := false, false, false
 	err := d.Obj(func(d *jx.Decoder, key string) error {
 		switch key {
@@ -129,11 +128,11 @@
 		case "routes":
 			sawRoutes = true
 			return d.Arr(func(d *jx.Decoder) error {
-				if len(b.Bindings) >= maxBindings {
-					return wax.New(wax.TooLarge, "routes", "are too many", "send fewer")
+				if len(b.Routes) >= maxRoutes {
+					return fault.New(fault.TooLarge, "routes", "are too many", "send fewer")
 				}
-				r, err := readBinding(d)
-				b.Bindings = append(b.Bindings, r)
+				r, err := readRoute(d)
+				b.Routes = append(b.Routes, r)
 				return err
 			})
 		case "svcs":
@@ -144,7 +143,7 @@
 					return err
 				}
 				if len(b.Services) >= maxServices {
-					return wax.New(wax.TooLarge, "svcs", "are too many", "send fewer")
+					return fault.New(fault.TooLarge, "svcs", "are too many", "send fewer")
 				}
 				if s.Name == "" {
 					l.Addf("svcs", "one has no name", "name it")
@@ -172,10 +171,10 @@
 		return d.Skip()
 	})
 	if err == nil && !jx.Valid(raw) {
-		err = wax.New(wax.Invalid, "", "something follows the object", "send one JSON object")
+		err = fault.New(fault.Invalid, "", "something follows the object", "send one JSON object")
 	}
 	if err != nil {
-		return nil, wax.New(wax.Invalid, "blueprint", "cannot be read whole: "+err.Error(), "send one JSON object with ver, routes, svcs and caps")
+		return nil, fault.New(fault.Invalid, "blueprint", "cannot be read whole: "+err.Error(), "send one JSON object with ver, routes, svcs and caps")
 	}
 	if !sawVer || b.Ver <= 0 {
 		l.Addf("ver", "is missing or not above 0", "count versions from 1")
@@ -190,10 +189,10 @@
 	return b, nil
 }
 
-func (b *Blueprint) check(l *wax.Ledger) {
-	b.byHost = map[string][]*Binding{}
+func (b *Configuration) check(l *fault.Collector) {
+	b.byHost = map[string][]*Route{}
 	seen := map[string]bool{}
-	for i, r := range b.Bindings {
+	for i, r := range b.Routes {
 		at := "routes." + strconv.Itoa(i)
 		if r.Name != "" {
 			at = "routes." + r.Name
@@ -217,7 +216,7 @@
 		}
 		for _, s := range r.Split {
 			if b.Services[s.Svc] == nil {
-				l.Addf(at+".svc", strconv.Quote(s.Svc)+" is no service of this blueprint", "add it under svcs")
+				l.Addf(at+".svc", strconv.Quote(s.Svc)+" is no service of this configuration", "add it under svcs")
 			}
 			if s.Wt < 0 {
 				l.Addf(at+".wt", "is negative", "give 0 or more")
@@ -237,7 +236,7 @@
 	}
 }
 
-// HostKey brings a Host header to the form bindings are kept under.
+// HostKey brings a Host header to the form routes are kept under.
 func HostKey(host string) string {
 	if i := strings.LastIndexByte(host, ':'); i >= 0 && !strings.Contains(host[i:], "]") {
 		host = host[:i]
@@ -245,9 +244,9 @@
 	return strings.ToLower(host)
 }
 
-// Find gives the binding with the longest prefix that begins the path, nil if
+// Find gives the route with the longest prefix that begins the path, nil if
 // there is none.
-func (b *Blueprint) Find(host, path string) *Binding {
+func (b *Configuration) Find(host, path string) *Route {
 	if i := strings.IndexAny(path, "?#"); i >= 0 {
 		path = path[:i]
 	}
@@ -259,8 +258,8 @@
 	return nil
 }
 
-func readBinding(d *jx.Decoder) (*Binding, error) {
-	r := &Binding{}
+func readRoute(d *jx.Decoder) (*Route, error) {
+	r := &Route{}
 	typeWord := ""
 	err := d.Obj(func(d *jx.Decoder, key string) error {
 		switch key {
@@ -304,7 +303,7 @@
 		case "split":
 			return d.Arr(func(d *jx.Decoder) error {
 				if len(r.Split) >= maxSplit {
-					return wax.New(wax.TooLarge, "split", "has too many parts", "send fewer")
+					return fault.New(fault.TooLarge, "split", "has too many parts", "send fewer")
 				}
 				var s Share
 				err := d.Obj(func(d *jx.Decoder, key string) error {
@@ -327,7 +326,7 @@
 	}
 	t, ok := typeWords[typeWord]
 	if !ok {
-		return r, wax.New(wax.Invalid, "type", strconv.Quote(typeWord)+" is no type of route", "use safe, unsafe, stream or bulk")
+		return r, fault.New(fault.Invalid, "type", strconv.Quote(typeWord)+" is no type of route", "use safe, unsafe, stream or bulk")
 	}
 	r.Type = t
 	return r, nil
@@ -392,8 +391,8 @@
 	return err
 }
 
-// Takes tells whether the binding may send to that service.
-func (b *Binding) Takes(svc string) bool {
+// Takes tells whether the route may send to that service.
+func (b *Route) Takes(svc string) bool {
 	for _, s := range b.Split {
 		if s.Svc == svc && s.Wt > 0 {
 			return true
--- a/internal/flora/worker.go
+++ b/internal/discovery/worker.go
@@ -1,16 +1,14 @@
-// Package flora is the directory of workers: beats, tenures, drain, and the
-// news path from each service's home node in a zone to the zone's foragers
-// (design 5). The field's standard terms: flora = service registry; worker =
-// backend, endpoint; tenure = lease; home = owner of a registry partition;
-// pressure = load.
-package flora
+// Package discovery is the directory of workers: beats, leases, drain, and the
+// news path from each service's home node in a zone to the zone's edge nodes
+// (design 5).
+package discovery
 
 import (
 	"encoding/json"
 	"hash/fnv"
 	"strings"
 
-	"rowanshunt/internal/wax"
+	"rowanshunt/internal/fault"
 )
 
 // Model is a model a worker serves, with the version of its weights.
@@ -40,14 +38,14 @@
 // Up tells whether requests may be sent to it.
 func (w *Worker) Up() bool { return !w.Gone && w.Phase == "up" }
 
-// ParseBeat reads the body of a worker's beat.
-func ParseBeat(id string, body []byte) (*Worker, error) {
+// ParseHeartbeat reads the body of a worker's beat.
+func ParseHeartbeat(id string, body []byte) (*Worker, error) {
 	w := &Worker{}
 	if err := json.Unmarshal(body, w); err != nil {
-		return nil, wax.New(wax.Invalid, "beat", err.Error(), "send the JSON object of the protocol page")
+		return nil, fault.New(fault.Invalid, "beat", err.Error(), "send the JSON object of the protocol page")
 	}
 	w.ID = id
-	var l wax.Ledger
+	var l fault.Collector
 	if id == "" || len(id) > 256 {
 		l.Addf("id", "is missing or too long", "put it into the path")
 	}
@@ -91,13 +89,13 @@
 	return h.Sum64()
 }
 
-// Pressure is how full a worker said it was.
-type Pressure struct {
+// Load is how full a worker said it was.
+type Load struct {
 	ID      string
 	Running int64
 	Waiting int64
 	Slots   int64
-	AgeUs   int64 // of the pressure, below 0: only the blame was told
+	AgeUs   int64 // of the load, below 0: only the blame was told
 	Good    int64 // answers lately, where some failed
 	Bad     int64
 }
--- a/internal/buzz/buzz_test.go
+++ b/internal/events/events_test.go
@@ -1,4 +1,4 @@
-package buzz
+package events
 
 import (
 	"context"
@@ -13,7 +13,7 @@
 
 	"github.com/cloudevents/sdk-go/v2/event"
 
-	"rowanshunt/internal/wax"
+	"rowanshunt/internal/logging"
 )
 
 // sink is a transport that stands in for the operator's sink.
@@ -29,7 +29,7 @@
 func TestEvents(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		var got []event.Event
-		b := New("http://10.0.0.9/sink", "edge-1", "edge-1/77", wax.Quiet(), sink(func(r *http.Request) (*http.Response, error) {
+		b := New("http://10.0.0.9/sink", "edge-1", "edge-1/77", logging.Quiet(), sink(func(r *http.Request) (*http.Response, error) {
 			raw, _ := io.ReadAll(r.Body)
 			e := event.New()
 			if err := e.UnmarshalJSON(raw); err != nil || e.Validate() != nil || r.Header.Get("Content-Type") != ContentType {
@@ -40,11 +40,11 @@
 		}))
 		ctx, cancel := context.WithCancel(context.Background())
 		go b.Run(ctx)
-		b.Emit(BlueprintTaken, "7", map[string]any{"ver": 7})
+		b.Emit(ConfigurationTaken, "7", map[string]any{"ver": 7})
 		b.Emit(WorkerChanged, "i-1", map[string]any{"phase": "draining"})
 		synctest.Wait()
 		cancel()
-		if len(got) != 2 || got[0].Type() != BlueprintTaken || got[0].Subject() != "7" || got[1].Type() != WorkerChanged || got[0].ID() == got[1].ID() ||
+		if len(got) != 2 || got[0].Type() != ConfigurationTaken || got[0].Subject() != "7" || got[1].Type() != WorkerChanged || got[0].ID() == got[1].ID() ||
 			got[0].Source() != "/rowanshunt/nodes/edge-1" || string(got[0].Data()) != `{"ver":7}` {
 			t.Errorf("%v", got)
 		}
@@ -58,7 +58,7 @@
 		var down atomic.Bool
 		var got atomic.Int64
 		down.Store(true)
-		b := New("http://10.0.0.9/sink", "edge-1", "edge-1/1", wax.Quiet(), sink(func(r *http.Request) (*http.Response, error) {
+		b := New("http://10.0.0.9/sink", "edge-1", "edge-1/1", logging.Quiet(), sink(func(r *http.Request) (*http.Response, error) {
 			if down.Load() {
 				<-r.Context().Done()
 				return nil, errors.New("gone")
@@ -87,9 +87,9 @@
 		cancel()
 		synctest.Wait()
 	})
-	var none *Buzz
+	var none *Emitter
 	none.Emit(WorkerChanged, "x", nil) // off: nothing happens
-	if New("", "n", "edge-1/1", wax.Quiet(), nil) != nil {
+	if New("", "n", "edge-1/1", logging.Quiet(), nil) != nil {
 		t.Error("an emitter without a sink")
 	}
 }
--- a/internal/brood/space_test.go
+++ b/internal/lotstore/space_test.go
@@ -1,4 +1,4 @@
-package brood
+package lotstore
 
 import (
 	"context"
@@ -10,15 +10,16 @@
 	"testing/synctest"
 	"time"
 
-	"rowanshunt/internal/cell"
-	"rowanshunt/internal/waggle"
-	"rowanshunt/internal/wax"
+	"rowanshunt/internal/eventloop"
+	"rowanshunt/internal/fault"
+	"rowanshunt/internal/logging"
+	"rowanshunt/internal/wal"
 )
 
 // spaceStore is a store alone on a small disk, with what its file and a new one
 // beside it took at most.
 type spaceStore struct {
-	*Brood
+	*Store
 	t         *testing.T
 	ctx       context.Context
 	oldBytes  int64
@@ -31,34 +32,34 @@
 	t.Helper()
 	dir := t.TempDir()
 	ctx, stop := context.WithCancel(context.Background())
-	b := &Brood{cfg: Config{Floor: waggle.NewFloor(256), Log: wax.Quiet(), Seat: "s", Dir: dir, DiskBytes: diskBytes, Options: Defaults(),
+	b := &Store{cfg: Config{Loop: eventloop.NewLoop(256), Log: logging.Quiet(), Member: "s", Dir: dir, DiskBytes: diskBytes, Options: Defaults(),
 		Fatal: func(err error) { t.Errorf("the store would end: %v", err) }}, ctx: ctx}
-	s := &spaceStore{Brood: b, t: t, ctx: ctx}
+	s := &spaceStore{Store: b, t: t, ctx: ctx}
 	b.minLongBytes = 1 << 20
-	b.cellOptions = []cell.Option{cell.Interpose(s.watch)}
+	b.walOptions = []wal.Option{wal.Interpose(s.watch)}
 	if err := b.openReplica(dir); err != nil {
 		t.Fatal(err)
 	}
 	b.longBytes = b.nextLong()
-	go b.cfg.Floor.Run(ctx)
-	t.Cleanup(func() { b.cell.Close(); stop() })
+	go b.cfg.Loop.Run(ctx)
+	t.Cleanup(func() { b.wal.Close(); stop() })
 	s.do(func() { owned(b, 1, clockValue{}) })
 	return s
 }
 
 // watch runs on the log's goroutine.
-func (s *spaceStore) watch(step cell.Step) error {
+func (s *spaceStore) watch(step wal.Step) error {
 	switch step {
-	case cell.StepSnapshot:
-		s.oldBytes = s.cell.SizeBytes()
+	case wal.StepSnapshot:
+		s.oldBytes = s.wal.SizeBytes()
 		if s.refuse.Load() {
 			s.refused.Add(1)
 			return errors.New("no space left on device")
 		}
-	case cell.StepSyncFolder:
-		s.notePeak(s.oldBytes + s.cell.SizeBytes())
-	case cell.StepSync:
-		s.notePeak(s.cell.SizeBytes())
+	case wal.StepSyncFolder:
+		s.notePeak(s.oldBytes + s.wal.SizeBytes())
+	case wal.StepSync:
+		s.notePeak(s.wal.SizeBytes())
 	}
 	return nil
 }
@@ -71,7 +72,7 @@
 
 func (s *spaceStore) do(fn func()) {
 	s.t.Helper()
-	if _, err := waggle.Ask(s.ctx, s.cfg.Floor, func() bool { fn(); return true }); err != nil {
+	if _, err := eventloop.Ask(s.ctx, s.cfg.Loop, func() bool { fn(); return true }); err != nil {
 		s.t.Fatal(err)
 	}
 }
@@ -103,7 +104,7 @@
 func (s *spaceStore) pass(d time.Duration) {
 	for range int(d / (100 * time.Millisecond)) {
 		time.Sleep(100 * time.Millisecond)
-		s.do(func() { s.spaceTick(waggle.NowUs()); s.clockTick(waggle.NowUs()); s.poll() })
+		s.do(func() { s.spaceTick(eventloop.NowUs()); s.clockTick(eventloop.NowUs()); s.poll() })
 	}
 	synctest.Wait()
 }
@@ -138,7 +139,7 @@
 		}
 		var open, accepted []sent
 		perWindow := map[int]int{}
-		declined, mostHeld := 0, int64(0)
+		refused, mostHeld := 0, int64(0)
 		for now := range seconds {
 			id := fmt.Sprint("l", now)
 			switch out := s.handIn(id, items, 1+rng.IntN(3000)); {
@@ -146,7 +147,7 @@
 				perWindow[now/pollSeconds]++
 				open, accepted = append(open, sent{id, now}), append(accepted, sent{id, now})
 			case out.NoRoom && out.AfterMs > 0:
-				declined++
+				refused++
 			default:
 				t.Fatalf("second %d: %+v", now, out)
 			}
@@ -164,7 +165,7 @@
 						t.Fatalf("lot %s after %d s: %d results, %v", l.id, age, n, err)
 					}
 				case age == pollSeconds+8:
-					if _, err := s.readAll(l.id); !wax.Is(err, wax.Unknown) {
+					if _, err := s.readAll(l.id); !fault.Is(err, fault.Unknown) {
 						t.Fatalf("lot %s after %d s is still there: %v", l.id, age, err)
 					}
 				case age == 75:
@@ -180,7 +181,7 @@
 		if most := s.cfg.DiskBytes - s.reserveBytes(); mostHeld > most {
 			t.Errorf("lots took %d bytes, at most %d are allowed", mostHeld, most)
 		}
-		if declined == 0 {
+		if refused == 0 {
 			t.Error("the day was not too much for the disk")
 		}
 		for window := range seconds/pollSeconds - 2 {
@@ -188,11 +189,11 @@
 				t.Errorf("from window %d on: %d lots accepted in three", window, n)
 			}
 		}
-		if n := s.cell.Written().Rewrites; n < 3 {
+		if n := s.wal.Written().Rewrites; n < 3 {
 			t.Errorf("%d rewrites", n)
 		}
-		t.Logf("%d lots accepted, %d declined; at most %d MB on disk, %d MB of lots; %d rewrites", len(accepted), declined,
-			s.peakBytes.Load()>>20, mostHeld>>20, s.cell.Written().Rewrites)
+		t.Logf("%d lots accepted, %d declined; at most %d MB on disk, %d MB of lots; %d rewrites", len(accepted), refused,
+			s.peakBytes.Load()>>20, mostHeld>>20, s.wal.Written().Rewrites)
 	})
 }
 
@@ -215,11 +216,11 @@
 			}
 		})
 		s.pass(10 * time.Second)
-		if n := s.cell.Written().Rewrites; n != 0 || s.oldBytes != 0 {
+		if n := s.wal.Written().Rewrites; n != 0 || s.oldBytes != 0 {
 			t.Errorf("%d rewrites, begun at %d bytes, without room", n, s.oldBytes)
 		}
-		if s.cell.SizeBytes() <= s.longBytes {
-			t.Fatalf("no rewrite is due: %d bytes of %d", s.cell.SizeBytes(), s.longBytes)
+		if s.wal.SizeBytes() <= s.longBytes {
+			t.Fatalf("no rewrite is due: %d bytes of %d", s.wal.SizeBytes(), s.longBytes)
 		}
 		s.do(func() {
 			for i := 2; i < 8; i++ {
@@ -227,7 +228,7 @@
 			}
 		})
 		s.pass(10 * time.Second)
-		if n, size := s.cell.Written().Rewrites, s.cell.SizeBytes(); n != 1 || size > 3<<20 {
+		if n, size := s.wal.Written().Rewrites, s.wal.SizeBytes(); n != 1 || size > 3<<20 {
 			t.Errorf("%d rewrites, %d bytes, with room", n, size)
 		}
 		if out := s.handIn("new", 1, 1); !out.Taken {
@@ -253,7 +254,7 @@
 			}
 		})
 		time.Sleep(time.Second)
-		s.do(func() { s.countSpace(waggle.NowUs()) })
+		s.do(func() { s.countSpace(eventloop.NowUs()) })
 		if used := s.space.usedBytes(); used > s.lotBytes()/2 {
 			t.Fatalf("lots take %d bytes", used)
 		}
@@ -280,14 +281,14 @@
 		}
 		s.refuse.Store(false)
 		s.pass(4 * time.Second)
-		if s.cell.Written().Rewrites == 0 {
+		if s.wal.Written().Rewrites == 0 {
 			t.Error("not tried again after the pause")
 		}
 	})
 }
 
 // What is kept free for the results of items that were accepted counts from the
-// moment that their lot is: a hand-in that would leave too little is declined,
+// moment that their lot is: a hand-in that would leave too little is refused,
 // although the lots that are here are small.
 func TestAcceptedResultsHaveRoom(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
@@ -316,9 +317,9 @@
 	})
 }
 
-// A hand-in of which an earlier attempt got no answer is declined by an op that
+// A hand-in of which an earlier attempt got no answer is refused by an op that
 // stands: the lot is never found as taken later.
-func TestDeclinedForRoomStands(t *testing.T) {
+func TestRefusedForRoomStands(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s := newSpaceStore(t, 16<<20)
 		s.do(func() { s.space.addedBytes = s.cfg.DiskBytes })
@@ -351,7 +352,7 @@
 			delete(owner.feeds, "r")
 			s.space.addedBytes = s.cfg.DiskBytes
 		})
-		out, err := s.onWrite(s.ctx, &writeCall{Seat: "s", Shard: 1, Stamp: Stamp{Roster: 1, N: 9, By: "o/1"}})
+		out, err := s.onWrite(s.ctx, &writeCall{Member: "s", Shard: 1, Term: Term{Membership: 1, N: 9, By: "o/1"}})
 		if err != nil || !out.OK || !out.Full {
 			t.Errorf("a full replica answers a write with %+v, %v", out, err)
 		}
@@ -372,7 +373,7 @@
 		s.pass(3 * time.Second)
 		s.do(s.rewrite)
 		s.pass(time.Second)
-		if held, size := s.space.heldBytes, s.cell.SizeBytes(); held < size || held > size*3/2 {
+		if held, size := s.space.heldBytes, s.wal.SizeBytes(); held < size || held > size*3/2 {
 			t.Errorf("%d bytes counted, the file takes %d", held, size)
 		}
 	})
@@ -394,13 +395,13 @@
 				t.Errorf("not shed: %+v", l)
 			}
 			// A replica that has the lot as it was accepted is sent the bare one.
-			sent := differences(sh, sh.owner.stamp, []copyOf{{Lot: "l", Stamp: sh.owner.stamp, Rev: 1}})
+			sent := differences(sh, sh.owner.term, []copyOf{{Lot: "l", Term: sh.owner.term, Rev: 1}})
 			if len(sent) != 1 || len(sent[0]) != 1 || sent[0][0].Kind != opPut || sent[0][0].Whole.ShedItems != items {
 				t.Errorf("a replica that lags is sent %+v", sent)
 			}
 			s.depose(sh, "test")
 			sh.nextOffset = 0
-			owned(s.Brood, 2, clockValue{})
+			owned(s.Store, 2, clockValue{})
 		})
 		synctest.Wait()
 		if out := s.handIn("next", 1, 1); !out.Taken || out.First != items {
--- a/internal/colony/contact_test.go
+++ b/internal/node/contact_test.go
@@ -1,4 +1,4 @@
-package colony
+package node
 
 import (
 	"encoding/json"
@@ -9,7 +9,7 @@
 	"testing/synctest"
 	"time"
 
-	"rowanshunt/internal/guard"
+	"rowanshunt/internal/ingress"
 )
 
 // controlCall is one proper call of a route of the control table.
@@ -20,14 +20,14 @@
 }
 
 // callOf makes a proper call of a route; n makes each one different.
-func callOf(r *guard.Route, n int) controlCall {
+func callOf(r *ingress.Route, n int) controlCall {
 	path := strings.NewReplacer(":id", fmt.Sprint("w", n), ":svc", "app", ":act", "pause", ":kind", "worker", ":tenant", "books", ":node", "store-0").Replace(r.Path)
 	c := controlCall{method: r.Method, path: path}
 	switch r.Method + " " + r.Path {
 	case "PUT /-/workers/:id":
 		c.body = map[string]any{"svc": "app", "addr": "10.9.9.9:80", "az": "ash", "ver": "v1", "slots": 4, "phase": "up", "seq": n}
 	case "PUT /-/config":
-		c.body, c.heads = blueprint(100+n), []string{"If-Match", "1"}
+		c.body, c.heads = configuration(100+n), []string{"If-Match", "1"}
 	case "PUT /-/quotas":
 		c.body, c.heads = map[string]any{"ver": 1 + n, "tenants": map[string]any{}, "shares": map[string]any{}}, []string{"If-Match", "0"}
 	case "POST /-/retire/:node":
@@ -36,22 +36,22 @@
 	return c
 }
 
-func (h *hive) run(f *Forager, c controlCall) (*httptest.ResponseRecorder, time.Duration) {
+func (h *cluster) run(f *EdgeNode, c controlCall) (*httptest.ResponseRecorder, time.Duration) {
 	from := time.Now()
 	w := h.control(f, c.method, c.path, c.body, c.heads...)
 	return w, time.Since(from)
 }
 
 // A node without a majority of the core answers every control call 5xx, within
-// the second that callers wait, through twenty seconds; what it declined with
+// the second that callers wait, through twenty seconds; what it refused with
 // 503 is not in force afterwards, and all of them are answered again once the
 // cut is over.
 func TestControlOutOfContact(t *testing.T) {
-	for kind, cut := range map[string]func(h *hive, edge string, cut bool){
-		"from all":  func(h *hive, e string, cut bool) { h.m.CutOff(h.nodes[e].opts.PartnerAddr(), h.addrs(""), cut) },
-		"sends":     func(h *hive, e string, cut bool) { h.cutOneWay(e, true, cut) },
-		"hears":     func(h *hive, e string, cut bool) { h.cutOneWay(e, false, cut) },
-		"from core": func(h *hive, e string, cut bool) { h.cutFromCore(e, cut) },
+	for kind, cut := range map[string]func(h *cluster, edge string, cut bool){
+		"from all":  func(h *cluster, e string, cut bool) { h.m.CutOff(h.nodes[e].opts.PeerAddr(), h.addrs(""), cut) },
+		"sends":     func(h *cluster, e string, cut bool) { h.cutOneAttempt(e, true, cut) },
+		"hears":     func(h *cluster, e string, cut bool) { h.cutOneAttempt(e, false, cut) },
+		"from core": func(h *cluster, e string, cut bool) { h.cutFromCore(e, cut) },
 	} {
 		for _, edge := range []string{"edge-0", "edge-4"} {
 			t.Run(kind+" "+edge, func(t *testing.T) {
@@ -64,7 +64,7 @@
 					unsure := false
 					n := 0
 					for end := time.Now().Add(20 * time.Second); time.Now().Before(end); {
-						for _, r := range guard.Routes() {
+						for _, r := range ingress.Routes() {
 							n++
 							if r.Path == "/-/workers/:id" && r.Method == "PUT" {
 								continue // of beats, those of leaving workers alone promise something
@@ -92,7 +92,7 @@
 					if got.Ver != 2 && !unsure {
 						t.Errorf("version %d is read, 2 was acknowledged last", got.Ver)
 					}
-					for _, r := range guard.Routes() {
+					for _, r := range ingress.Routes() {
 						h.until("after the cut: "+r.Method+" "+r.Path, 4*time.Second, func() bool {
 							n++
 							w, _ := h.run(f, callOf(&r, n))
--- a/internal/nectar/gate.go
+++ b/internal/quota/gate.go
@@ -1,11 +1,11 @@
-package nectar
+package quota
 
 import (
 	"slices"
 	"sync"
 	"sync/atomic"
 
-	"rowanshunt/internal/waggle"
+	"rowanshunt/internal/eventloop"
 )
 
 // liveFirstUs is how long a tenant's batch stands back after one of its own live
@@ -13,7 +13,7 @@
 const liveFirstUs = 500_000
 
 // firstUs is how long nothing is bounded after a duty was first taken up: a new
-// document declines nobody before the first grants are there.
+// document refuses nobody before the first grants are there.
 const firstUs = 2_000_000
 
 // Grant is what the duty of a service tells one node: how far each tenant may go
@@ -41,10 +41,10 @@
 // nobody. Requests call it from their own goroutines, so its table is guarded by
 // short critical sections (design 1.5).
 type Gate struct {
-	// Foragers is how many nodes share the fleet, Fleet what a service's workers
+	// Edge nodes is how many nodes share the fleet, Fleet what a service's workers
 	// have together.
-	Foragers func() int64
-	Fleet    func(svc string) Amount
+	Edges func() int64
+	Fleet func(svc string) Amount
 
 	rules    atomic.Pointer[Rules]
 	mu       sync.Mutex
@@ -160,7 +160,7 @@
 func (g *Gate) admit(svc, host string, kv int64, yield func()) (*Ticket, bool) {
 	r := g.Rules()
 	name := r.Tenant(svc, host)
-	nowUs := waggle.NowUs()
+	nowUs := eventloop.NowUs()
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	s := g.of(svc)
@@ -223,7 +223,7 @@
 func (g *Gate) part(r *Rules, svc string, s *service, name string) Amount {
 	of, ok := s.parts[name]
 	if !ok {
-		of = 1 / float64(max(g.Foragers(), 1))
+		of = 1 / float64(max(g.Edges(), 1))
 	}
 	fleet, got := g.Fleet(svc), r.Of(svc, name)
 	return Amount{Slots: fleet.Slots * got.Slots * of, Kv: fleet.Kv * got.Kv * of}.notBelow(Amount{Slots: 1, Kv: 1})
@@ -240,7 +240,7 @@
 	defer g.mu.Unlock()
 	u := g.of(svc).of(name)
 	u.short++
-	u.shortUs = waggle.NowUs()
+	u.shortUs = eventloop.NowUs()
 }
 
 // Entitled tells whether a host's tenant is known to be within its guarantee: what
@@ -253,7 +253,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	s := g.of(svc)
-	if waggle.NowUs() >= s.untilUs {
+	if eventloop.NowUs() >= s.untilUs {
 		return false
 	}
 	lim, _ := s.limit(name)
@@ -266,7 +266,7 @@
 		return nil
 	}
 	r := g.Rules()
-	nowUs := waggle.NowUs()
+	nowUs := eventloop.NowUs()
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	s := g.of(svc)
@@ -295,7 +295,7 @@
 // Report drains what this node has to tell of a service: tenants with nothing
 // are left out, so that it follows the node's own traffic.
 func (g *Gate) Report(svc string) []Use {
-	nowUs := waggle.NowUs()
+	nowUs := eventloop.NowUs()
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	s := g.of(svc)
@@ -321,9 +321,9 @@
 	s := g.of(svc)
 	if term > s.term {
 		if s.term == 0 {
-			s.beganUs = waggle.NowUs()
+			s.beganUs = eventloop.NowUs()
 		}
-		s.term, s.untilUs = term, min(s.untilUs, waggle.NowUs()+ttlUs)
+		s.term, s.untilUs = term, min(s.untilUs, eventloop.NowUs()+ttlUs)
 	}
 }
 
@@ -344,13 +344,13 @@
 	for _, l := range grant.Of {
 		s.parts[l.Name] = l.Part
 		if u := s.uses[l.Name]; u != nil && grant.Yield && !l.Free {
-			u.giveWay(l)
+			u.giveAttempt(l)
 		}
 	}
 	return true
 }
 
-func (u *use) giveWay(l Limit) {
+func (u *use) giveAttempt(l Limit) {
 	all := u.live.plus(u.batch)
 	for i := len(u.tickets) - 1; i >= 0 && all.Slots > float64(l.Slots); i-- {
 		t := u.tickets[i]
--- a/internal/skep/options.go
+++ b/internal/settings/options.go
@@ -1,7 +1,6 @@
-// Package skep reads and checks the options a process is started with
-// (design 1.2). The field's standard terms: options = settings, configuration
-// file.
-package skep
+// Package settings reads and checks the options a process is started with
+// (design 1.2).
+package settings
 
 import (
 	"net"
@@ -12,7 +11,7 @@
 
 	"github.com/BurntSushi/toml"
 
-	"rowanshunt/internal/wax"
+	"rowanshunt/internal/fault"
 )
 
 // EnvFile is the variable that holds the path of the options file.
@@ -97,7 +96,7 @@
 func Load(path string) (*Options, error) {
 	raw, err := os.ReadFile(path)
 	if err != nil {
-		return nil, wax.New(wax.Invalid, path, err.Error(), "name a readable options file with --file or "+EnvFile)
+		return nil, fault.New(fault.Invalid, path, err.Error(), "name a readable options file with --file or "+EnvFile)
 	}
 	return Parse(raw)
 }
@@ -106,7 +105,7 @@
 func Parse(raw []byte) (*Options, error) {
 	o := &Options{}
 	if err := toml.Unmarshal(raw, o); err != nil {
-		return nil, wax.New(wax.Invalid, "options", err.Error(), "write the file as TOML with the fields of docs/operators.md")
+		return nil, fault.New(fault.Invalid, "options", err.Error(), "write the file as TOML with the fields of docs/operators.md")
 	}
 	if o.HbMs == 0 {
 		o.HbMs = 1200
@@ -139,7 +138,7 @@
 
 // Check looks at the whole of the options and names every field that is wrong.
 func (o *Options) Check() error {
-	var l wax.Ledger
+	var l fault.Collector
 	if o.Node == "" {
 		l.Addf("node", "is missing", "give the node's name")
 	}
@@ -181,28 +180,28 @@
 		l.Addf("ft.nodes", "is negative", "give 0 or more")
 	}
 	if o.Ft.Nodes > MaxSpared {
-		l.Addf("ft.nodes", "is over "+strconv.Itoa(MaxSpared), "the register has at most "+strconv.Itoa(2*MaxSpared+1)+" seats, which bear the loss of so many: give less")
+		l.Addf("ft.nodes", "is over "+strconv.Itoa(MaxSpared), "the register has at most "+strconv.Itoa(2*MaxSpared+1)+" members, which bear the loss of so many: give less")
 	}
 	return l.Err()
 }
 
 // What a process needs at least; below it a start would only end later.
 const (
-	maxPollS      = 86_400
-	MaxSpared     = 3 // machines that the register's seats can bear the loss of
-	minNoFile     = 256
-	minForagerMb  = 32
-	minCombMb     = 64
-	minCombDiskMb = 32
+	maxPollS       = 86_400
+	MaxSpared      = 3 // machines that the register's members can bear the loss of
+	minNoFile      = 256
+	minEdgeMb      = 32
+	minStoreMb     = 64
+	minStoreDiskMb = 32
 )
 
 // floors looks whether the machine has what a role needs at least.
-func (o *Options) floors(l *wax.Ledger, role string) {
-	ramMb := int64(minForagerMb)
+func (o *Options) floors(l *fault.Collector, role string) {
+	ramMb := int64(minEdgeMb)
 	if role == RoleStore {
-		ramMb = minCombMb
-		if o.Caps.DiskMb > 0 && o.Caps.DiskMb < minCombDiskMb {
-			l.Addf("caps.disk_mb", "is below "+strconv.Itoa(minCombDiskMb), "a comb writes its file anew beside the old one: give it a larger disk")
+		ramMb = minStoreMb
+		if o.Caps.DiskMb > 0 && o.Caps.DiskMb < minStoreDiskMb {
+			l.Addf("caps.disk_mb", "is below "+strconv.Itoa(minStoreDiskMb), "a store writes its file anew beside the old one: give it a larger disk")
 		}
 	}
 	if o.Caps.RAMMb < ramMb {
@@ -217,7 +216,7 @@
 func (o *Options) Doubts() []string {
 	var out []string
 	if o.Ft.Azs > 0 || o.Ft.Regions > 0 {
-		out = append(out, "ft.azs, ft.regions: shards are spread over zones, the register's seats are not: the loss of a zone is borne only while a majority of the seats is elsewhere (remedy: place the disks so)")
+		out = append(out, "ft.azs, ft.regions: shards are spread over zones, the register's members are not: the loss of a zone is borne only while a majority of the members is elsewhere (remedy: place the disks so)")
 	}
 	if o.Ft.Nodes == 0 {
 		out = append(out, "ft.nodes: is 0: every lot has one copy, and the loss of its disk loses it (remedy: give 1 and three disk machines of each kind)")
@@ -245,33 +244,33 @@
 
 // CheckRole looks at what one role needs.
 func (o *Options) CheckRole(role string) error {
-	var l wax.Ledger
+	var l fault.Collector
 	switch role {
 	case RoleEdge:
 		if o.Listen.HTTP == "" {
-			l.Addf("listen.http", "is missing", "a forager serves clients: give its address")
+			l.Addf("listen.http", "is missing", "an edge node serves clients: give its address")
 		}
 		if o.Listen.Ctl == "" {
-			l.Addf("listen.ctl", "is missing", "a forager serves workers and operators: give its address")
+			l.Addf("listen.ctl", "is missing", "an edge node serves workers and operators: give its address")
 		}
 		if o.Listen.Readyz == "" {
 			l.Addf("listen.readyz", "is missing", "give the address the platform asks for readiness")
 		}
 	case RoleStore:
 		if o.DataDir == "" {
-			l.Addf("datadir", "is missing", "a comb keeps data: give a folder on its disk")
+			l.Addf("datadir", "is missing", "a store keeps data: give a folder on its disk")
 		}
 	}
 	o.floors(&l, role)
 	return l.Err()
 }
 
-// PartnerAddr is where this node listens for its partners.
-func (o *Options) PartnerAddr() string {
+// PeerAddr is where this node listens for its peers.
+func (o *Options) PeerAddr() string {
 	return net.JoinHostPort(o.IPAddr, strconv.Itoa(o.PortRange[0]))
 }
 
-// SeedAddrs are the partner addresses of the seeds: all machines use the same
+// SeedAddrs are the peer addresses of the seeds: all machines use the same
 // ports, so only the seeds' hosts count (design 3.1).
 func (o *Options) SeedAddrs() []string {
 	var out []string
--- a/internal/cell/recover.go
+++ b/internal/wal/recover.go
@@ -1,4 +1,4 @@
-package cell
+package wal
 
 import (
 	"io"
@@ -9,7 +9,7 @@
 
 	"github.com/go-faster/errors"
 
-	"rowanshunt/internal/wax"
+	"rowanshunt/internal/fault"
 )
 
 const (
@@ -136,7 +136,7 @@
 // convert. Nothing of it is lost, so the folder must not be emptied.
 func noRoomToConvert(f *os.File, err error) error {
 	need := strconv.FormatInt(fileBytes(f)>>20+1, 10)
-	return wax.New(wax.Declined, f.Name(), "is whole, but the disk has no room to write it in this version's form: "+err.Error(),
+	return fault.New(fault.Refused, f.Name(), "is whole, but the disk has no room to write it in this version's form: "+err.Error(),
 		"make "+need+" MB of room on the disk, or run the version before; keep the file")
 }
 
@@ -208,7 +208,7 @@
 }
 
 func foreignRecord(file string, err error) error {
-	return wax.New(wax.Damaged, file, err.Error(), "the file holds a record of another version: run that version or empty the folder so that the node joins anew")
+	return fault.New(fault.Damaged, file, err.Error(), "the file holds a record of another version: run that version or empty the folder so that the node joins anew")
 }
 
 // wrapped says what failed, and is nil where nothing did.
