--- /dev/null
+++ b/internal/node/seeds_test.go
@@ -0,0 +1,75 @@
+package node
+
+import (
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+)
+
+// Two of the three seeds are cut off from everything for twenty seconds, as many
+// machines as may be lost, and others restart meanwhile, a member of the core and a
+// node without a disk. These find the system by the seed that is left, and serve;
+// orders go on; the seeds that are cut off answer no order and no read, and have the
+// newest configuration soon after (hardening 1).
+func TestSeedsCutOff(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newClusterOf(t, 41, clusterSize{core: 5, edges: 1, stores: 5, ft: 2})
+		defer h.end()
+		h.serving()
+		cutSeeds := []string{"edge-0", "edge-1"}
+		cut := func(on bool) {
+			for _, seed := range cutSeeds {
+				var others []string
+				for _, name := range h.order {
+					if name != seed {
+						others = append(others, h.nodes[name].opts.PeerAddr())
+					}
+				}
+				h.m.CutOff(h.nodes[seed].opts.PeerAddr(), others, on)
+			}
+		}
+		ver := 1
+		order := func(name string) int {
+			code := h.control(h.nodes[name].f, "PUT", "/-/config", configuration(ver+1), "If-Match", fmt.Sprint(ver)).Code
+			if code == 200 {
+				ver++
+			}
+			return code
+		}
+		cut(true)
+		healAt := time.Now().Add(20 * time.Second)
+		for _, name := range []string{"edge-4", "edge-5"} {
+			h.kill(name)
+			time.Sleep(300 * time.Millisecond)
+			h.start(name)
+			h.until(name+" serves again by the one seed that is left", 5*time.Second, func() bool { return h.nodes[name].f.Ingress.Ready() })
+		}
+		taken := 0
+		for n := 0; time.Now().Before(healAt); n++ {
+			for _, seed := range cutSeeds {
+				if code := h.control(h.nodes[seed].f, "GET", "/-/config", nil).Code; code < 500 {
+					t.Fatalf("a read at %s, cut off: %d", seed, code)
+				}
+				if code := order(seed); code < 500 {
+					t.Fatalf("an order at %s, cut off: %d", seed, code)
+				}
+			}
+			if order([]string{"edge-2", "edge-4", "edge-5"}[n%3]) == 200 {
+				taken++
+			}
+		}
+		if taken < 3 {
+			t.Errorf("%d orders were taken in 20 s by the side with the majority", taken)
+		}
+		cut(false)
+		h.until("all serve by the newest version", 5*time.Second, func() bool {
+			for _, m := range h.nodes {
+				if m.f != nil && (m.f.inForce() == nil || m.f.inForce().Ver != int64(ver)) {
+					return false
+				}
+			}
+			return true
+		})
+	})
+}
