--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -335,7 +335,7 @@
 		}
 		dir := n.Sender.Dir()
 		svc := b.Pick(rand.Uint64())
-		ticket, admitted := n.Gate.AdmitItem(svc, g.Host, g.Prompt.Toks, func() { n.giveAttempt(k) })
+		ticket, admitted := n.Gate.AdmitItem(svc, g.Host, g.Prompt.Toks, func() { n.preempt(k) })
 		if !admitted {
 			return "", false, true
 		}
@@ -404,9 +404,9 @@
 	return outcome
 }
 
-// giveAttempt ends a run whose tenant borrowed the room: the item goes back under its
+// preempt ends a run whose tenant borrowed the room: the item goes back under its
 // lease and no try is charged (design 17.4).
-func (n *Dispatcher) giveAttempt(k item) {
+func (n *Dispatcher) preempt(k item) {
 	go func() {
 		n.mu.Lock()
 		defer n.mu.Unlock()
--- /dev/null
+++ b/internal/node/cluster_test.go
@@ -0,0 +1,421 @@
+package node
+
+import (
+	"bytes"
+	"context"
+	"encoding/base64"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"rowanshunt/internal/logging"
+	"rowanshunt/internal/settings"
+	"rowanshunt/internal/simnet"
+)
+
+// cluster is a whole system in a simulated network: the in-memory test of design 12.2.
+type cluster struct {
+	t             *testing.T
+	m             *simnet.Network
+	seed          uint64
+	ft            int
+	dir           string
+	nodes         map[string]*member
+	order         []string
+	workers       map[string]*simnet.Worker
+	heartbeatOn   map[string]map[string]any
+	heartbeatMu   sync.Mutex
+	stopHeartbeat func()
+	seq           int
+	// mu guards nodes, order and what start sets of a member, for beats and
+	// clients look for an edge beside the test's own goroutine.
+	mu      sync.Mutex
+	resting atomic.Bool  // the dispatchers take nothing
+	shunned atomic.Value // the node that the test's own calls leave out, if any
+}
+
+type member struct {
+	opts   *settings.Options
+	role   string
+	ctx    context.Context
+	cancel func()
+	f      *EdgeNode
+	c      *StoreNode
+	skewUs atomic.Int64 // of its time of day
+}
+
+var zones = []string{"ash", "birch", "cedar"}
+
+// clusterSize is how many machines a cluster starts with, and how many it may lose.
+type clusterSize struct {
+	core, edges, stores int // edges: those without a disk
+	ft                  int
+}
+
+func newCluster(t *testing.T, seed uint64, edges, stores int) *cluster {
+	t.Helper()
+	return newClusterOf(t, seed, clusterSize{core: min(edges, 3), edges: max(edges-3, 0), stores: stores, ft: 1})
+}
+
+func newClusterOf(t *testing.T, seed uint64, size clusterSize) *cluster {
+	t.Helper()
+	h := &cluster{t: t, ft: size.ft, m: simnet.New(seed), seed: seed, dir: t.TempDir(), nodes: map[string]*member{}, workers: map[string]*simnet.Worker{}, heartbeatOn: map[string]map[string]any{}}
+	t.Cleanup(func() {
+		if t.Failed() {
+			t.Logf("seed %d", seed)
+		}
+	})
+	for i := range size.core + size.edges {
+		h.add(fmt.Sprintf("edge-%d", i), "forager", i, i < size.core, true)
+	}
+	for i := range size.stores {
+		h.add(fmt.Sprintf("store-%d", i), "comb", i, true, true)
+	}
+	return h
+}
+
+func (h *cluster) add(name, role string, i int, disk, boot bool) *member {
+	net := 1
+	if role == "comb" {
+		net = 2
+	}
+	ip := fmt.Sprintf("10.%d.0.%d", net, i+1)
+	o := &settings.Options{Node: name, IPAddr: ip, Az: zones[i%len(zones)], PortRange: []int{7000, 7010}, Bootstrap: boot, HbMs: 1200,
+		Seeds: []string{"10.1.0.1:8000", "10.1.0.2:8000", "10.1.0.3:8000"}, Caps: settings.Caps{RAMMb: 256, NoFile: 4096, CPUFrac: 1, DiskMb: 64}, Ft: settings.Ft{Nodes: h.ft}}
+	o.Bounds.GraceS, o.Bounds.SyncS = 8, 5
+	if role == "forager" {
+		o.Serves = []string{"edge", "ctl"}
+		o.Listen = settings.Listen{HTTP: ip + ":8001", Readyz: ip + ":8002", Ctl: ip + ":8000"}
+	}
+	if disk {
+		o.DataDir = filepath.Join(h.dir, name)
+	}
+	m := &member{opts: o, role: role}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.nodes[name] = m
+	h.order = append(h.order, name)
+	return m
+}
+
+func wall() int64 { return time.Now().UnixMicro() }
+
+func (h *cluster) member(name string) *member {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.nodes[name]
+}
+
+func (h *cluster) start(name string) {
+	m := h.member(name)
+	ctx, cancel := context.WithCancel(context.Background())
+	env := Env{Transport: h.m.TransportOf(m.opts.PeerAddr()), Dial: h.m.DialFrom(m.opts.PeerAddr()), WallUs: func() int64 { return wall() + m.skewUs.Load() }, Log: testLog(h.t, name)}
+	var f *EdgeNode
+	var c *StoreNode
+	var err error
+	if m.role == "forager" {
+		f, err = NewEdgeNode(ctx, env, m.opts)
+		if err == nil {
+			strong := f.Dispatcher.Dispatches
+			f.Dispatcher.Dispatches = func() bool { return !h.resting.Load() && strong() }
+			f.Start(ctx)
+			h.m.Place(ctx, m.opts.PeerAddr(), f.Mux)
+		}
+	} else {
+		c, err = NewStoreNode(ctx, env, m.opts)
+		if err == nil {
+			c.Start(ctx)
+			h.m.Place(ctx, m.opts.PeerAddr(), c.Mux)
+		}
+	}
+	if err != nil {
+		h.t.Fatalf("start %s: %v", name, err)
+	}
+	m.opts.Bootstrap = false // later starts are not the first
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	m.ctx, m.cancel, m.f, m.c = ctx, cancel, f, c
+}
+
+func (h *cluster) startAll() {
+	for _, n := range h.order {
+		h.start(n)
+	}
+}
+
+func (h *cluster) kill(name string) { h.member(name).cancel() }
+
+func (h *cluster) wipe(name string) {
+	m := h.member(name)
+	m.opts.DataDir = filepath.Join(h.dir, fmt.Sprintf("%s-%d", name, h.m.Luck(1<<30)))
+}
+
+// end stops everything, so that the bubble can be left.
+func (h *cluster) end() {
+	if h.stopHeartbeat != nil {
+		h.stopHeartbeat()
+	}
+	for _, w := range h.workers {
+		w.Close()
+	}
+	for _, m := range h.nodes {
+		if m.cancel != nil {
+			m.cancel()
+		}
+		if m.f != nil {
+			m.f.Forwarder.Sender.Conns.CloseAll()
+		}
+	}
+	time.Sleep(20 * time.Second) // fake: calls under way run out
+	synctest.Wait()
+}
+
+// edge is a living edge node.
+func (h *cluster) edge() *EdgeNode {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for _, n := range h.order {
+		if m := h.nodes[n]; m.role == "forager" && m.f != nil && m.ctx.Err() == nil && h.shunned.Load() != n {
+			return m.f
+		}
+	}
+	h.t.Fatal("no edge is up")
+	return nil
+}
+
+func (h *cluster) control(f *EdgeNode, method, path string, body any, heads ...string) *httptest.ResponseRecorder {
+	raw, ok := body.([]byte)
+	if !ok && body != nil {
+		raw, _ = json.Marshal(body)
+	}
+	r := httptest.NewRequest(method, path, bytes.NewReader(raw))
+	for i := 0; i+1 < len(heads); i += 2 {
+		r.Header.Set(heads[i], heads[i+1])
+	}
+	w := httptest.NewRecorder()
+	f.Control.Handler().ServeHTTP(w, r)
+	return w
+}
+
+func (h *cluster) client(f *EdgeNode, method, target string, body []byte, heads ...string) *httptest.ResponseRecorder {
+	return h.clientAt(f, "shop.example", method, target, body, heads...)
+}
+
+func (h *cluster) clientAt(f *EdgeNode, host, method, target string, body []byte, heads ...string) *httptest.ResponseRecorder {
+	r := httptest.NewRequest(method, "http://"+host+target, bytes.NewReader(body))
+	r.RequestURI = target
+	for i := 0; i+1 < len(heads); i += 2 {
+		r.Header.Set(heads[i], heads[i+1])
+	}
+	w := httptest.NewRecorder()
+	w.Code = 0 // an answer that never came is not a 200
+	func() {
+		defer func() {
+			if p := recover(); p != nil && p != http.ErrAbortHandler {
+				panic(p)
+			} else if p != nil {
+				w.Code = -1 // closed without an answer, or amid one
+			}
+		}()
+		f.Ingress.Clients().ServeHTTP(w, r)
+	}()
+	return w
+}
+
+func configuration(ver int) map[string]any {
+	return map[string]any{"ver": ver,
+		"routes": []map[string]any{
+			{"name": "chat", "host": "shop.example", "pfx": "/chat/", "type": "stream", "limit_ms": 5000, "goal_ms": 200, "svc": "llm", "tries": 3, "pin": true, "resume": true},
+			{"name": "draft", "host": "shop.example", "pfx": "/draft/", "type": "stream", "limit_ms": 5000, "goal_ms": 200, "svc": "llm", "tries": 1, "pin": true, "resume": false},
+			{"name": "lots", "host": "shop.example", "pfx": "/lots/", "type": "bulk", "limit_ms": 8000, "goal_ms": 500, "due_ms": 8000, "retain_s": 40, "backlog": 5000, "svc": "llm", "tries": 3},
+			{"name": "till", "host": "shop.example", "pfx": "/till/", "type": "safe", "limit_ms": 1000, "goal_ms": 100, "svc": "app", "tries": 2},
+			{"name": "pay", "host": "shop.example", "pfx": "/pay/", "type": "unsafe", "limit_ms": 1000, "goal_ms": 100, "svc": "app", "tries": 2},
+		},
+		"svcs": []map[string]any{{"name": "llm", "hc": "/healthz", "maxconn": 64}, {"name": "app", "hc": "/healthz", "maxconn": 64}},
+		"caps": map[string]any{"hdr_bytes": 16384, "payload_bytes": 1 << 20, "hdr_ms": 3000, "idle_ms": 15000}}
+}
+
+func (h *cluster) put(ver, expect int) *httptest.ResponseRecorder {
+	return h.control(h.edge(), "PUT", "/-/config", configuration(ver), "If-Match", fmt.Sprint(expect))
+}
+
+// until waits, in fake time, for something to come about.
+func (h *cluster) until(what string, limit time.Duration, ok func() bool) {
+	h.t.Helper()
+	for end := time.Now().Add(limit); !ok(); time.Sleep(50 * time.Millisecond) {
+		if time.Now().After(end) {
+			h.t.Fatalf("not within %v: %s", limit, what)
+		}
+	}
+}
+
+func (h *cluster) putOK(ver, expect int) {
+	h.t.Helper()
+	h.until(fmt.Sprintf("configuration %d taken", ver), 10*time.Second, func() bool { return h.put(ver, expect).Code == 200 })
+}
+
+func (h *cluster) worker(id, svc, az string) *simnet.Worker {
+	addr := "10.9.0." + id + ":80"
+	w := simnet.NewWorker(h.m, id, addr)
+	h.workers[id] = w
+	h.heartbeatOn[id] = map[string]any{"svc": svc, "addr": addr, "az": az, "ver": "v1", "slots": w.Slots, "phase": "up"}
+	return w
+}
+
+// heartbeats keeps all workers beating, each at changing nodes.
+func (h *cluster) heartbeats() {
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	h.stopHeartbeat = func() { cancel(); <-done }
+	go func() {
+		defer close(done)
+		for ctx.Err() == nil {
+			h.heartbeatAll()
+			t := time.NewTimer(1200 * time.Millisecond)
+			select {
+			case <-t.C:
+			case <-ctx.Done():
+				t.Stop()
+			}
+		}
+	}()
+}
+
+func (h *cluster) heartbeatAll() {
+	h.heartbeatMu.Lock()
+	h.seq++
+	bodies := map[string]map[string]any{}
+	for id, b := range h.heartbeatOn {
+		body := map[string]any{"seq": h.seq}
+		for k, v := range b {
+			body[k] = v
+		}
+		bodies[id] = body
+	}
+	h.heartbeatMu.Unlock()
+	for id, body := range bodies {
+		h.control(h.edge(), "PUT", "/-/workers/"+id, body)
+	}
+}
+
+// serving brings a cluster up to the point where all edges are ready.
+func (h *cluster) serving() {
+	h.t.Helper()
+	h.startAll()
+	h.worker("21", "llm", "ash")
+	h.worker("22", "llm", "birch")
+	h.worker("23", "app", "cedar")
+	h.until("founded", 8*time.Second, func() bool { return h.edge().Register.Committed() != nil })
+	h.putOK(1, 0)
+	h.heartbeats()
+	h.until("all edges ready and know the workers", 8*time.Second, func() bool {
+		for _, m := range h.nodes {
+			if m.f != nil && m.ctx.Err() == nil && (!m.f.Ingress.Ready() || len(m.f.Discovery.Look().ByID) < 3) {
+				return false
+			}
+		}
+		return true
+	})
+	h.until("the stores are a membership and every shard has an owner", 8*time.Second, func() bool {
+		return h.handIn("warm-up", 1, 1).Code == 202
+	})
+}
+
+func lotBody(id string, items, toks int) []byte {
+	var reqs []map[string]any
+	for i := range items {
+		reqs = append(reqs, map[string]any{"id": itemID(id, i), "path": fmt.Sprintf("/lots/%s/%d", id, i), "hdrs": map[string]string{"X-Rowanshunt-Tokens": "10,10"},
+			"body": base64.StdEncoding.EncodeToString([]byte(id)), "toks": toks})
+	}
+	raw, _ := json.Marshal(map[string]any{"reqs": reqs})
+	return raw
+}
+
+func itemID(lot string, i int) string { return fmt.Sprintf("%s-%d", lot, i) }
+
+func (h *cluster) handIn(id string, items, toks int) *httptest.ResponseRecorder {
+	return h.client(h.edge(), "POST", "/lots/"+id, lotBody(id, items, toks), "X-Rowanshunt-Request-Id", id)
+}
+
+// mustHandIn ends the test unless the lot is taken.
+func (h *cluster) mustHandIn(id string, items, toks int) {
+	h.t.Helper()
+	if w := h.handIn(id, items, toks); w.Code != 202 {
+		h.t.Fatalf("lot %s: %d %s", id, w.Code, w.Body)
+	}
+}
+
+type lotRead struct {
+	Sum  int `json:"sum"`
+	Cont int `json:"cont"`
+	Out  []struct {
+		ID    string `json:"id"`
+		Phase string `json:"phase"`
+		Msg   string `json:"msg"`
+	} `json:"out"`
+}
+
+func (h *cluster) read(f *EdgeNode, id string, at int) (lotRead, int) {
+	w := h.client(f, "GET", fmt.Sprintf("/-/lots/%s?start_at=%d", id, at), nil)
+	var out lotRead
+	if w.Code == 200 {
+		if err := json.Unmarshal(w.Body.Bytes(), &out); err != nil {
+			h.t.Fatalf("read: %v", err)
+		}
+	}
+	return out, w.Code
+}
+
+// complete waits for all of a lot and checks positions, texts and that every
+// item is there once.
+func (h *cluster) complete(id string, items int, limit time.Duration) lotRead {
+	h.t.Helper()
+	var out lotRead
+	h.until("lot "+id+" complete", limit, func() bool {
+		got, code := h.read(h.edge(), id, 0)
+		if code == 404 {
+			h.t.Fatalf("lot %s was accepted and is not found", id)
+		}
+		out = got
+		return code == 200 && got.Cont == items
+	})
+	seen := map[string]bool{}
+	for _, r := range out.Out {
+		if seen[r.ID] {
+			h.t.Errorf("item %s is listed twice", r.ID)
+		}
+		seen[r.ID] = true
+		if r.Phase == "done" && r.Msg != wholeText(r.ID, 5) {
+			h.t.Errorf("item %s has text %q", r.ID, r.Msg)
+		}
+	}
+	if len(seen) != items || out.Sum != items {
+		h.t.Errorf("lot %s lists %d of %d items, sum %d", id, len(seen), items, out.Sum)
+	}
+	return out
+}
+
+func wholeText(id string, n int) string {
+	var parts []string
+	for i := 1; i <= n; i++ {
+		parts = append(parts, simnet.EventData(id, i))
+	}
+	return strings.Join(parts, "\n")
+}
+
+// testLog writes nodes' logs where HIVE_TEST_LOG is set.
+func testLog(t *testing.T, name string) *logging.Log {
+	if os.Getenv("ROWANSHUNT_TEST_LOG") == "" {
+		return logging.Quiet()
+	}
+	return logging.NewLog(t.Output(), "debug", "node", name)
+}
--- a/internal/node/faults_test.go
+++ b/internal/node/faults_test.go
@@ -2,20 +2,14 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
-	"slices"
-	"strconv"
 	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"rowanshunt/internal/eventloop"
-	"rowanshunt/internal/lotstore"
 	"rowanshunt/internal/register"
-	"rowanshunt/internal/rendezvous"
-	"rowanshunt/internal/trace"
 )
 
 // The faults that the deployments list, caused in the simulated network; after each, what
@@ -208,117 +202,6 @@
 	})
 }
 
-// The quota holds across all nodes and a change of owner.
-func TestQuota(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		h := newCluster(t, 12, 3, 3)
-		defer h.end()
-		h.serving()
-		h.complete("warm-up", 1, 5*time.Second)
-		for _, w := range h.workers {
-			w.SetFull(true) // nothing gets done
-		}
-		taken := 0
-		for i := range 8 {
-			if i == 4 {
-				h.kill(h.ownerOf())
-				time.Sleep(3 * time.Second)
-			}
-			f := h.nodes[fmt.Sprintf("edge-%d", i%3)].f
-			id := fmt.Sprintf("q%d", i)
-			h.until("a clear answer", 8*time.Second, func() bool {
-				w := h.client(f, "POST", "/lots/"+id, lotBody(id, 10, 100), "X-Rowanshunt-Request-Id", id)
-				if w.Code == 202 {
-					taken++
-				}
-				return w.Code == 202 || w.Code == 429
-			})
-		}
-		if taken != 5 {
-			t.Errorf("%d lots of 1000 tokens were taken into a backlog of 5000", taken)
-		}
-	})
-}
-
-// An ended lot stays quiet, at any owner; what is listed stays.
-func TestEndedLot(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		h := newCluster(t, 13, 3, 3)
-		defer h.end()
-		h.serving()
-		for _, w := range h.workers {
-			w.Gap = 50 * time.Millisecond
-		}
-		h.mustHandIn("e", 40, 10)
-		time.Sleep(400 * time.Millisecond)
-		for range 2 {
-			if w := h.client(h.edge(), "DELETE", "/-/lots/e", nil); w.Code != 200 {
-				t.Fatalf("end: %d", w.Code)
-			}
-		}
-		listed, _ := h.read(h.edge(), "e", 0)
-		time.Sleep(3 * time.Second)
-		ran := func() (n int) {
-			for i := range 40 {
-				n += h.workers["21"].Ran(itemID("e", i)) + h.workers["22"].Ran(itemID("e", i))
-			}
-			return n
-		}
-		quiet := ran()
-		h.kill(h.ownerOf())
-		time.Sleep(10 * time.Second)
-		if ran() != quiet {
-			t.Errorf("items of an ended lot ran later: %d, then %d", quiet, ran())
-		}
-		again, code := h.read(h.edge(), "e", 0)
-		if code != 200 || len(again.Out) < len(listed.Out) {
-			t.Errorf("what was listed is gone: %d, %d of %d", code, len(again.Out), len(listed.Out))
-		}
-		if w := h.client(h.edge(), "GET", "/-/items/e?id="+itemID("e", 39), nil); w.Code != 404 {
-			t.Errorf("the body of an item of an ended lot: %d", w.Code)
-		}
-	})
-}
-
-// 422 gives up at once, 500 after the route's tries, a break goes on behind
-// the last event.
-func TestItemsThatFail(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		h := newCluster(t, 14, 3, 3)
-		defer h.end()
-		h.serving()
-		for _, w := range h.workers {
-			w.NeverItems[itemID("f", 0)] = true
-			w.FailItems[itemID("f", 1)] = true
-			w.Break(3, 2)
-		}
-		h.mustHandIn("f", 6, 10)
-		body := h.client(h.edge(), "GET", "/-/items/f?id="+itemID("f", 5), nil)
-		if body.Code != 200 || body.Body.String() != "f" {
-			t.Errorf("body of an open item: %d %q", body.Code, body.Body)
-		}
-		h.until("a listed item's body is no longer given", 10*time.Second, func() bool {
-			return h.client(h.edge(), "GET", "/-/items/f?id="+itemID("f", 5), nil).Code == 404
-		})
-		phases := map[string]string{}
-		for _, r := range h.complete("f", 6, 30*time.Second).Out {
-			phases[r.ID] = r.Phase
-		}
-		for i := range 6 {
-			want := "done"
-			if i < 2 {
-				want = "gave_up"
-			}
-			if phases[itemID("f", i)] != want {
-				t.Errorf("item %d: %s, want %s", i, phases[itemID("f", i)], want)
-			}
-		}
-		if n := h.workers["21"].Ran(itemID("f", 1)) + h.workers["22"].Ran(itemID("f", 1)); n != 3 {
-			t.Errorf("an item that fails was tried %d times, the route says 3", n)
-		}
-	})
-}
-
 // From all machines off, in any order of restart, what was acknowledged comes
 // back.
 func TestAllOff(t *testing.T) {
@@ -422,110 +305,6 @@
 	}
 }
 
-// What an operator may get wrong has its stated answer and is never in force.
-func TestConfigurationAnswers(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		h := newCluster(t, 15, 3, 3)
-		defer h.end()
-		h.serving()
-		bad := func(change func(map[string]any)) map[string]any {
-			b := configuration(7)
-			change(b)
-			return b
-		}
-		route := func(b map[string]any, i int) map[string]any { return b["routes"].([]map[string]any)[i] }
-		for _, tc := range []struct {
-			name   string
-			doc    any
-			expect string
-			want   int
-		}{
-			{"the very same again", configuration(1), "0", 200},
-			{"cut short", []byte(`{"ver":7,"routes":[`), "1", 400},
-			{"something behind it", []byte(`{"ver":7} x`), "1", 400},
-			{"unknown service", bad(func(b map[string]any) { route(b, 0)["svc"] = "none" }), "1", 400},
-			{"same place", bad(func(b map[string]any) { route(b, 0)["pfx"] = "/till/" }), "1", 400},
-			{"no weight", bad(func(b map[string]any) {
-				delete(route(b, 0), "svc")
-				route(b, 0)["split"] = []map[string]any{{"svc": "llm", "wt": 0}}
-			}), "1", 400},
-			{"no timeout", bad(func(b map[string]any) { route(b, 0)["limit_ms"] = 0 }), "1", 400},
-			{"old version", bad(func(b map[string]any) { b["ver"] = 1; route(b, 0)["limit_ms"] = 7 }), "1", 400},
-			{"no If-Match", configuration(7), "", 400},
-			{"stale If-Match", configuration(7), "3", 412},
-			{"too large", make([]byte, 5<<20), "1", 413},
-			{"right", configuration(7), "1", 200},
-			{"sent again after it was taken", configuration(7), "1", 200},
-			{"another one on the old version", configuration(8), "1", 412},
-		} {
-			w := h.control(h.edge(), "PUT", "/-/config", tc.doc, "If-Match", tc.expect)
-			if w.Code != tc.want {
-				t.Errorf("%s: %d %s, want %d", tc.name, w.Code, w.Body, tc.want)
-			}
-		}
-		for _, m := range h.nodes {
-			if m.f != nil {
-				h.until("version 7 is in force", 2*time.Second, func() bool { return m.f.Configuration().Ver == 7 })
-			}
-		}
-	})
-}
-
-// A change is followed through all nodes; a silent node and one that lacks it
-// are named (design 14).
-func TestTrace(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		h := newCluster(t, 17, 4, 3)
-		defer h.end()
-		h.serving()
-		h.mustHandIn("a", 5, 10)
-		h.complete("a", 5, 10*time.Second)
-		time.Sleep(time.Second)
-		follow := func(path string) (trace.Report, int) {
-			w := h.control(h.edge(), "GET", "/-/trail/"+path, nil)
-			var r trace.Report
-			_ = json.Unmarshal(w.Body.Bytes(), &r)
-			return r, w.Code
-		}
-		hops := func(r trace.Report) string {
-			n := map[string]int{}
-			for _, w := range r.Words {
-				for _, f := range w.Facts {
-					n[f.Hop]++
-				}
-			}
-			return fmt.Sprint(n)
-		}
-		for path, want := range map[string]string{
-			"blueprint/1":             "map[acknowledged:1 committed:7 held:3 in_force:7]",
-			"worker/21":               "map[home:3 worker:4]",
-			"lot/a?host=shop.example": "map[copy:3 owner:1]",
-		} {
-			r, code := follow(path)
-			if code != 200 || !r.Complete || hops(r) != want {
-				t.Errorf("%s: %d, complete %v, %s, missing %v", path, code, r.Complete, hops(r), r.Missing)
-			}
-		}
-		if r, _ := follow("blueprint/2"); r.Complete || len(r.Missing) < 7 {
-			t.Errorf("a version nobody has: %+v", r)
-		}
-		if r, _ := follow("lot/none?host=shop.example"); r.Complete || len(r.Missing) != 3 {
-			t.Errorf("a lot nobody has: %+v", r)
-		}
-		if r, _ := follow("worker/nobody"); r.Complete || len(r.Missing) != 4 {
-			t.Errorf("a worker nobody knows: %+v", r)
-		}
-		if _, code := follow("song/1"); code != 400 {
-			t.Errorf("a kind that cannot be followed: %d", code)
-		}
-		h.kill("store-1")
-		r, _ := follow("lot/a?host=shop.example")
-		if r.Complete || !strings.Contains(strings.Join(r.Missing, ";"), "store-1: silent") {
-			t.Errorf("a silent store: %+v", r.Missing)
-		}
-	})
-}
-
 // A store that loses its disk while the stores' membership changes, and is back at
 // once, does not hold the change up for ever: it joins anew after it.
 func TestWipedAmidAChange(t *testing.T) {
@@ -559,39 +338,6 @@
 	}
 }
 
-// A store that must fetch many lots to take a shard over gets there, though no
-// single attempt brings them all: each goes on where the one before it ended.
-func TestClaimOfManyLots(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		h := newCluster(t, 21, 3, 3)
-		defer h.end()
-		h.serving()
-		h.idle()
-		names := []string{"store-0", "store-1", "store-2"}
-		owner := h.ownerOf()
-		others := slices.DeleteFunc(names, func(n string) bool { return n == owner })
-		next := rendezvous.Holder("shard/"+strconv.Itoa(lotstore.ShardOf("shop.example")), others)
-		h.kill(next)
-		time.Sleep(2 * time.Second)
-		const lots = 120
-		for i := range lots {
-			h.mustHandIn(fmt.Sprint("m", i), 1, 1)
-		}
-		h.m.CutOff(h.nodes[next].opts.PeerAddr(), []string{h.nodes[owner].opts.PeerAddr()}, true)
-		h.kill(owner)
-		h.start(next)
-		h.m.Lose = 0.04
-		h.until("the shard has an owner again", 60*time.Second, func() bool {
-			return h.nodes[next].c.LotStore.Owns("shop.example") || h.handIn("after", 1, 1).Code == 202
-		})
-		h.m.Lose = 0
-		h.resume()
-		for i := range lots {
-			h.complete(fmt.Sprint("m", i), 1, 20*time.Second)
-		}
-	})
-}
-
 // An owner whose event loop runs late hands its shard over to a quicker store, and
 // the shard does not come back as soon as it is well (node_slow).
 func TestSlowOwnerHandsOver(t *testing.T) {
--- /dev/null
+++ b/internal/node/lots_test.go
@@ -0,0 +1,160 @@
+package node
+
+import (
+	"fmt"
+	"slices"
+	"strconv"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"rowanshunt/internal/lotstore"
+	"rowanshunt/internal/rendezvous"
+)
+
+// The faults that the deployments list, caused in the simulated network; after each, what
+// was acknowledged is there and nothing is there twice (design 12.3).
+
+// The quota holds across all nodes and a change of owner.
+func TestQuota(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newCluster(t, 12, 3, 3)
+		defer h.end()
+		h.serving()
+		h.complete("warm-up", 1, 5*time.Second)
+		for _, w := range h.workers {
+			w.SetFull(true) // nothing gets done
+		}
+		taken := 0
+		for i := range 8 {
+			if i == 4 {
+				h.kill(h.ownerOf())
+				time.Sleep(3 * time.Second)
+			}
+			f := h.nodes[fmt.Sprintf("edge-%d", i%3)].f
+			id := fmt.Sprintf("q%d", i)
+			h.until("a clear answer", 8*time.Second, func() bool {
+				w := h.client(f, "POST", "/lots/"+id, lotBody(id, 10, 100), "X-Rowanshunt-Request-Id", id)
+				if w.Code == 202 {
+					taken++
+				}
+				return w.Code == 202 || w.Code == 429
+			})
+		}
+		if taken != 5 {
+			t.Errorf("%d lots of 1000 tokens were taken into a backlog of 5000", taken)
+		}
+	})
+}
+
+// An ended lot stays quiet, at any owner; what is listed stays.
+func TestEndedLot(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newCluster(t, 13, 3, 3)
+		defer h.end()
+		h.serving()
+		for _, w := range h.workers {
+			w.Gap = 50 * time.Millisecond
+		}
+		h.mustHandIn("e", 40, 10)
+		time.Sleep(400 * time.Millisecond)
+		for range 2 {
+			if w := h.client(h.edge(), "DELETE", "/-/lots/e", nil); w.Code != 200 {
+				t.Fatalf("end: %d", w.Code)
+			}
+		}
+		listed, _ := h.read(h.edge(), "e", 0)
+		time.Sleep(3 * time.Second)
+		ran := func() (n int) {
+			for i := range 40 {
+				n += h.workers["21"].Ran(itemID("e", i)) + h.workers["22"].Ran(itemID("e", i))
+			}
+			return n
+		}
+		quiet := ran()
+		h.kill(h.ownerOf())
+		time.Sleep(10 * time.Second)
+		if ran() != quiet {
+			t.Errorf("items of an ended lot ran later: %d, then %d", quiet, ran())
+		}
+		again, code := h.read(h.edge(), "e", 0)
+		if code != 200 || len(again.Out) < len(listed.Out) {
+			t.Errorf("what was listed is gone: %d, %d of %d", code, len(again.Out), len(listed.Out))
+		}
+		if w := h.client(h.edge(), "GET", "/-/items/e?id="+itemID("e", 39), nil); w.Code != 404 {
+			t.Errorf("the body of an item of an ended lot: %d", w.Code)
+		}
+	})
+}
+
+// 422 gives up at once, 500 after the route's tries, a break goes on behind
+// the last event.
+func TestItemsThatFail(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newCluster(t, 14, 3, 3)
+		defer h.end()
+		h.serving()
+		for _, w := range h.workers {
+			w.NeverItems[itemID("f", 0)] = true
+			w.FailItems[itemID("f", 1)] = true
+			w.Break(3, 2)
+		}
+		h.mustHandIn("f", 6, 10)
+		body := h.client(h.edge(), "GET", "/-/items/f?id="+itemID("f", 5), nil)
+		if body.Code != 200 || body.Body.String() != "f" {
+			t.Errorf("body of an open item: %d %q", body.Code, body.Body)
+		}
+		h.until("a listed item's body is no longer given", 10*time.Second, func() bool {
+			return h.client(h.edge(), "GET", "/-/items/f?id="+itemID("f", 5), nil).Code == 404
+		})
+		phases := map[string]string{}
+		for _, r := range h.complete("f", 6, 30*time.Second).Out {
+			phases[r.ID] = r.Phase
+		}
+		for i := range 6 {
+			want := "done"
+			if i < 2 {
+				want = "gave_up"
+			}
+			if phases[itemID("f", i)] != want {
+				t.Errorf("item %d: %s, want %s", i, phases[itemID("f", i)], want)
+			}
+		}
+		if n := h.workers["21"].Ran(itemID("f", 1)) + h.workers["22"].Ran(itemID("f", 1)); n != 3 {
+			t.Errorf("an item that fails was tried %d times, the route says 3", n)
+		}
+	})
+}
+
+// A store that must fetch many lots to take a shard over gets there, though no
+// single attempt brings them all: each goes on where the one before it ended.
+func TestClaimOfManyLots(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newCluster(t, 21, 3, 3)
+		defer h.end()
+		h.serving()
+		h.idle()
+		names := []string{"store-0", "store-1", "store-2"}
+		owner := h.ownerOf()
+		others := slices.DeleteFunc(names, func(n string) bool { return n == owner })
+		next := rendezvous.Holder("shard/"+strconv.Itoa(lotstore.ShardOf("shop.example")), others)
+		h.kill(next)
+		time.Sleep(2 * time.Second)
+		const lots = 120
+		for i := range lots {
+			h.mustHandIn(fmt.Sprint("m", i), 1, 1)
+		}
+		h.m.CutOff(h.nodes[next].opts.PeerAddr(), []string{h.nodes[owner].opts.PeerAddr()}, true)
+		h.kill(owner)
+		h.start(next)
+		h.m.Lose = 0.04
+		h.until("the shard has an owner again", 60*time.Second, func() bool {
+			return h.nodes[next].c.LotStore.Owns("shop.example") || h.handIn("after", 1, 1).Code == 202
+		})
+		h.m.Lose = 0
+		h.resume()
+		for i := range lots {
+			h.complete(fmt.Sprint("m", i), 1, 20*time.Second)
+		}
+	})
+}
--- a/internal/node/quota_test.go
+++ b/internal/node/quota_test.go
@@ -313,7 +313,7 @@
 
 // Borrowed runs give way to calls that come within their guarantee, with no try
 // charged, and are listed once all the same.
-func TestBorrowedRunsGiveAttempt(t *testing.T) {
+func TestBorrowedRunsGiveWay(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		q := newQuotaCluster(t, 13, 4)
 		defer q.leave()
--- a/internal/quota/gate.go
+++ b/internal/quota/gate.go
@@ -344,13 +344,13 @@
 	for _, l := range grant.Of {
 		s.parts[l.Name] = l.Part
 		if u := s.uses[l.Name]; u != nil && grant.Yield && !l.Free {
-			u.giveAttempt(l)
+			u.preempt(l)
 		}
 	}
 	return true
 }
 
-func (u *use) giveAttempt(l Limit) {
+func (u *use) preempt(l Limit) {
 	all := u.live.plus(u.batch)
 	for i := len(u.tickets) - 1; i >= 0 && all.Slots > float64(l.Slots); i-- {
 		t := u.tickets[i]
