Two tests' own races: the network's luck and a node's life change under their locks

go test -race of the whole packages node and register (7 minutes on a crowded machine) found two races, both in the tests' set-up: TestClaimOfManyLots changed the share of lost calls while the network carried some, TestOrderHistories started a node twice at once. No race in the programs' own code was found. With both mended, the tests named and TestStoreFaults, TestLeases, TestLotHistories pass under the detector.

--- a/internal/node/faults_test.go
+++ b/internal/node/faults_test.go
@@ -95,7 +95,7 @@
 				synctest.Test(t, func(t *testing.T) {
 					h := newCluster(t, seed, 3, 3)
 					defer h.end()
-					h.m.Lose, h.m.Double = 0.01, 0.02
+					h.m.Disturb(0.01, 0.02)
 					h.serving()
 					// Calls are lost here: a 504 promises nothing, and the client
 					// sends the same lot again.
--- a/internal/node/history_test.go
+++ b/internal/node/history_test.go
@@ -85,7 +85,8 @@
 func lotHistory(t *testing.T, seed uint64) {
 	h := newCluster(t, seed, 4, 3)
 	defer h.end()
-	h.m.Lose, h.m.Double, h.m.DelayUs = 0.01, 0.02, 3000
+	h.m.Disturb(0.01, 0.02)
+	h.m.Slow(3000)
 	h.serving()
 	model := &lotModel{t: t, lots: map[string]*lotSeen{}}
 	stop := make(chan struct{})
--- a/internal/node/lease_test.go
+++ b/internal/node/lease_test.go
@@ -102,7 +102,7 @@
 			defer h.end()
 			// Calls come twice, but none is lost: a caller would wait for it, and the
 			// leases would rightly end meanwhile.
-			h.m.Double = 0.05
+			h.m.Disturb(0, 0.05)
 			h.serving()
 			h.idle()
 			h.mustHandIn("a", 6, 10)
@@ -348,7 +348,7 @@
 		synctest.Test(t, func(t *testing.T) {
 			h := newCluster(t, seed, 3, 3)
 			defer h.end()
-			h.m.Double = 0.05
+			h.m.Disturb(0, 0.05)
 			h.serving()
 			h.idle()
 			h.mustHandIn("a", 4, 10)
--- a/internal/node/lots_test.go
+++ b/internal/node/lots_test.go
@@ -147,11 +147,11 @@
 		h.m.CutOff(h.nodes[next].opts.PeerAddr(), []string{h.nodes[owner].opts.PeerAddr()}, true)
 		h.kill(owner)
 		h.start(next)
-		h.m.Lose = 0.04
+		h.m.Disturb(0.04, 0)
 		h.until("the shard has an owner again", 60*time.Second, func() bool {
 			return h.nodes[next].c.LotStore.Owns("shop.example") || h.handIn("after", 1, 1).Code == 202
 		})
-		h.m.Lose = 0
+		h.m.Disturb(0, 0)
 		h.resume()
 		for i := range lots {
 			h.complete(fmt.Sprint("m", i), 1, 20*time.Second)
--- a/internal/register/history_test.go
+++ b/internal/register/history_test.go
@@ -239,7 +239,6 @@
 }
 
 func (h *historyRun) start(n *historyNode, first *State) {
-	n.life++
 	mux := rpc.NewMux()
 	rpc.On(mux, "nest.prepare", n.acceptor.Prepare)
 	rpc.On(mux, "nest.accept", n.acceptor.Accept)
@@ -247,6 +246,7 @@
 	h.m.Place(ctx, n.addr, mux)
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	n.life++
 	n.mu.Lock()
 	n.known, n.committed = first, false
 	if s := n.acceptor.State(); s != nil {
@@ -319,7 +319,10 @@
 	time.Sleep(time.Duration(f.atMs) * time.Millisecond)
 	n := h.nodes[f.node]
 	if f.kill {
-		n.cancel() // its calls die between the rounds
+		h.mu.Lock()
+		cancel := n.cancel
+		h.mu.Unlock()
+		cancel() // its calls die between the rounds
 		time.Sleep(time.Duration(f.forMs) * time.Millisecond)
 		h.start(n, first)
 		return
@@ -345,12 +348,12 @@
 		h.start(n, first)
 	}
 	var wg sync.WaitGroup
-	underAttempt := make(chan struct{}, 8)
+	underWay := make(chan struct{}, 8)
 	for i, o := range script.orders {
 		wg.Go(func() {
-			underAttempt <- struct{}{}
+			underWay <- struct{}{}
 			h.order(i, o)
-			<-underAttempt
+			<-underWay
 		})
 	}
 	for _, f := range script.faults {
--- a/internal/simnet/simnet.go
+++ b/internal/simnet/simnet.go
@@ -28,7 +28,8 @@
 	cuts      map[[2]string]bool
 	holds     holds
 	// DelayUs bounds the delay of one way; Lose and Double are shares of
-	// peer calls.
+	// peer calls. Set them before the network carries anything, and by Slow and
+	// Disturb while it does.
 	DelayUs int64
 	Lose    float64
 	Double  float64
@@ -68,6 +69,20 @@
 	}
 }
 
+// Disturb sets how many peer calls are lost and doubled from now on, as shares.
+func (m *Network) Disturb(lose, double float64) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.Lose, m.Double = lose, double
+}
+
+// Slow sets the bound of the delay of one way from now on.
+func (m *Network) Slow(delayUs int64) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.DelayUs = delayUs
+}
+
 // Luck draws a number below n.
 func (m *Network) Luck(n int) int {
 	m.mu.Lock()
