balancer: balancer.go cut along its jobs

Moves only: the table (balancer.go), the choice, the room for items, what is heard of loads, the parts of a prompt; judge.go and upgrade.go were apart already. The constants stand with the code that they are for.

--- /dev/null
+++ b/internal/balancer/items.go
@@ -0,0 +1,50 @@
+package balancer
+
+import (
+	"math"
+
+	"rowanshunt/internal/discovery"
+	"rowanshunt/internal/eventloop"
+)
+
+// The room that live work leaves to the items of lots.
+
+// itemSpare is how many times the root of a worker's slots is left to live work.
+const itemSpare = 1.2
+
+// itemSlots is how far items may fill a worker: live requests come by chance,
+// so the room they need beside their mean grows with the root of its size.
+func (st *state) itemSlots() float64 {
+	slots := float64(st.slots)
+	return max(slots-itemSpare*math.Sqrt(slots), slots/2)
+}
+
+func (s *Balancer) itemRoom(st *state, nowUs int64) bool {
+	room := st.itemSlots()
+	if st.est(nowUs)+1 > room {
+		return false
+	}
+	if nowUs-st.heardUs < freshUs && st.waiting > 0 {
+		return false
+	}
+	share := int64(room)/s.dispatchers + 1
+	return st.items < share
+}
+
+// ItemRoom is how many more items this node may send to a service's workers.
+func (s *Balancer) ItemRoom(d *discovery.Directory, svc string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	nowUs := eventloop.NowUs()
+	room := 0
+	for _, w := range d.BySvc[svc] {
+		st := s.of(w)
+		if s.upgrades.Out[w.ID] || nowUs < st.ejectedUs || nowUs < st.outUs || st.trial(nowUs) || nowUs < st.noRoomUs || !s.itemRoom(st, nowUs) {
+			continue
+		}
+		free := st.itemSlots() - st.est(nowUs)
+		share := int64(st.itemSlots())/s.dispatchers + 1 - st.items
+		room += int(min(int64(free), share))
+	}
+	return room
+}
