--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -94,6 +94,10 @@
 	return st
 }
 
+// ejected tells whether the worker is left out for its failures.
+func (st *state) ejected(nowUs int64) bool { return nowUs < st.ejectedUs || nowUs < st.outUs }
+
+// est estimates what runs and waits at the worker now.
 func (st *state) est(nowUs int64) float64 {
 	if nowUs-st.heardUs > freshUs {
 		return float64(st.inflight)
--- a/internal/balancer/choice.go
+++ b/internal/balancer/choice.go
@@ -13,6 +13,7 @@
 const (
 	readToksPerMs = 100.0     // assumed speed of reading prompts
 	keptUs        = 8_000_000 // how long a part sent is thought kept
+	minKeptToks   = 32        // shorter parts are not remembered
 	maxKept       = 8192
 	farZoneMs     = 0.6
 	fullMs        = 40.0
@@ -30,6 +31,24 @@
 	Version int64    // weights it must have, 0 for any
 }
 
+// choice is one choice under way: what is asked, and where the prompt's shared
+// parts have their homes.
+type choice struct {
+	need          *Need
+	nowUs         int64
+	sharedToks    int64
+	first, second string   // in the rank of homes of the shared parts
+	homes         []string // while an upgrade spreads groups: as many as it asks
+}
+
+// The passes of a choice, each less strict than the one before.
+const (
+	passStrict  = iota // those drawn, as far as they have warmed up
+	passAll            // all of the service that are in use
+	passEjected        // the ejected too
+	passes
+)
+
 // Pick chooses a worker and counts the request there; nil if none will do.
 // Done must be called for each worker picked.
 func (s *Balancer) Pick(d *discovery.Directory, n *Need) *discovery.Worker {
@@ -39,86 +58,114 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	nowUs := eventloop.NowUs()
-	var sharedToks int64
-	key := ""
-	if len(n.Parts) > 1 {
-		for _, p := range n.Parts[:len(n.Parts)-1] {
-			sharedToks += p.Toks
-		}
-		key = n.Parts[0].ID
-		if sharedToks >= bigSharedToks {
-			key = n.Parts[len(n.Parts)-2].ID
-		}
+	c := choice{need: n, nowUs: eventloop.NowUs()}
+	s.rankHomes(&c, ws)
+	best := s.cheapest(&c, ws)
+	if best != nil {
+		s.count(&c, best)
 	}
-	first, second := "", ""
-	var homes []string // while an upgrade spreads groups: as many as it asks
-	if key != "" {
-		var w1, w2 uint64
-		for _, w := range ws {
-			if s.upgrades.Out[w.ID] {
-				continue
-			}
-			switch x := s.weight(key, w); {
-			case first == "" || x > w1:
-				first, w1, second, w2 = w.ID, x, first, w1
-			case second == "" || x > w2:
-				second, w2 = w.ID, x
-			}
+	return best
+}
+
+// rankHomes finds the workers that the prompt's shared parts are kept at.
+func (s *Balancer) rankHomes(c *choice, ws []*discovery.Worker) {
+	var key string
+	key, c.sharedToks = sharedKey(c.need.Parts)
+	if key == "" {
+		return
+	}
+	var w1, w2 uint64
+	for _, w := range ws {
+		if s.upgrades.Out[w.ID] {
+			continue
 		}
-		if n := s.upgrades.Spread[n.Svc]; n > 1 {
-			homes = s.homes(key, ws, n)
+		switch x := s.weight(key, w); {
+		case c.first == "" || x > w1:
+			c.first, w1, c.second, w2 = w.ID, x, c.first, w1
+		case c.second == "" || x > w2:
+			c.second, w2 = w.ID, x
 		}
 	}
+	if n := s.upgrades.Spread[c.need.Svc]; n > 1 {
+		c.homes = s.homes(key, ws, n)
+	}
+}
+
+// sharedKey is the part by which a prompt's homes are ranked, "" if it shares
+// none, and the tokens of all shared parts.
+func sharedKey(parts []Part) (key string, toks int64) {
+	if len(parts) < 2 {
+		return "", 0
+	}
+	for _, p := range parts[:len(parts)-1] {
+		toks += p.Toks
+	}
+	if toks >= bigSharedToks {
+		return parts[len(parts)-2].ID, toks
+	}
+	return parts[0].ID, toks
+}
+
+// cheapest is the worker of the least cost, nil if none will do.
+func (s *Balancer) cheapest(c *choice, ws []*discovery.Worker) *discovery.Worker {
 	var best *discovery.Worker
 	var bestCost float64
-	sampled := s.sample(ws, first, second, homes)
-	for pass := 0; pass < 3 && best == nil; pass++ {
-		among := sampled
-		if pass > 0 {
+	among := s.sample(c, ws)
+	for pass := passStrict; pass < passes && best == nil; pass++ {
+		if pass > passStrict {
 			among = ws // none of those drawn will do
 		}
 		for _, w := range among {
-			if contains(n.Exclude, w.ID) || s.upgrades.Out[w.ID] {
-				continue
-			}
-			if n.Version > 0 && !hasVersion(w, n.Version) {
+			if !s.mayServe(c, w) {
 				continue
 			}
 			st := s.of(w)
-			if (nowUs < st.ejectedUs || nowUs < st.outUs) && pass < 2 {
-				continue
-			}
-			if n.Item && (nowUs < st.ejectedUs || nowUs < st.outUs || st.trial(nowUs) || nowUs < st.noRoomUs || !s.itemRoom(st, nowUs)) {
+			if !s.eligible(c, w, st, pass) {
 				continue
 			}
-			if pass == 0 && w.ID != first && s.warming(w, st, nowUs) {
-				continue
-			}
-			c := s.cost(w, st, n, nowUs, sharedToks, first, second, homes)
-			if best == nil || c < bestCost {
-				best, bestCost = w, c
+			if cost := s.cost(c, w, st); best == nil || cost < bestCost {
+				best, bestCost = w, cost
 			}
 		}
 	}
-	if best == nil {
-		return nil
+	return best
+}
+
+// mayServe tells whether the request may go to the worker at all.
+func (s *Balancer) mayServe(c *choice, w *discovery.Worker) bool {
+	if contains(c.need.Exclude, w.ID) || s.upgrades.Out[w.ID] {
+		return false
+	}
+	return c.need.Version <= 0 || hasVersion(w, c.need.Version)
+}
+
+// eligible tells whether a pass of the choice takes the worker.
+func (s *Balancer) eligible(c *choice, w *discovery.Worker, st *state, pass int) bool {
+	if st.ejected(c.nowUs) && pass < passEjected {
+		return false
 	}
-	st := s.of(best)
+	if c.need.Item && !s.takesItems(st, c.nowUs) {
+		return false
+	}
+	return pass > passStrict || w.ID == c.first || !s.warming(w, st, c.nowUs)
+}
+
+// count notes the request at the worker chosen.
+func (s *Balancer) count(c *choice, w *discovery.Worker) {
+	st, n := s.of(w), c.need
 	st.inflight++
 	st.since++
 	if n.Item {
 		st.items++
 	}
 	if len(n.Parts) > 0 {
-		s.noteGroup(n.Svc, n.Parts[0].ID, best.ID, nowUs)
+		s.noteGroup(n.Svc, n.Parts[0].ID, w.ID, c.nowUs)
 	}
 	for _, p := range n.Parts {
-		if p.Toks >= 32 {
-			s.remember(keptKey{p.ID, best.ID}, nowUs)
+		if p.Toks >= minKeptToks {
+			s.remember(keptKey{p.ID, w.ID}, c.nowUs)
 		}
 	}
-	return best
 }
 
 // sample draws the workers that a choice looks at. What a node knows of a
@@ -127,14 +174,14 @@
 // With few nodes, a node sees most of it itself and looks at all; with many, at
 // a few drawn by lot and at those that keep the prompt's shared parts
 // (design 7.2).
-func (s *Balancer) sample(ws []*discovery.Worker, first, second string, homes []string) []*discovery.Worker {
+func (s *Balancer) sample(c *choice, ws []*discovery.Worker) []*discovery.Worker {
 	if s.edges <= fewEdges || len(ws) <= choices {
 		return ws
 	}
-	out := make([]*discovery.Worker, 0, choices+2+len(homes))
-	if first != "" {
+	out := make([]*discovery.Worker, 0, choices+2+len(c.homes))
+	if c.first != "" {
 		for _, w := range ws {
-			if w.ID == first || w.ID == second || contains(homes, w.ID) {
+			if w.ID == c.first || w.ID == c.second || contains(c.homes, w.ID) {
 				out = append(out, w)
 			}
 		}
@@ -145,43 +192,47 @@
 	return out
 }
 
-func (s *Balancer) cost(w *discovery.Worker, st *state, n *Need, nowUs, sharedToks int64, first, second string, homes []string) float64 {
-	est, slots := st.est(nowUs), float64(st.slots)
-	c := 4*est/slots + rand.Float64()*0.3
+// cost is what a request costs at a worker, in milliseconds of waiting.
+func (s *Balancer) cost(c *choice, w *discovery.Worker, st *state) float64 {
+	est, slots := st.est(c.nowUs), float64(st.slots)
+	cost := 4*est/slots + rand.Float64()*0.3
 	if est >= slots {
-		c += fullMs * (est - slots + 1) / slots * 4
+		cost += fullMs * (est - slots + 1) / slots * 4
 	}
-	if nowUs-st.heardUs < freshUs {
-		c += fullMs * float64(st.waiting) / slots
+	if c.nowUs-st.heardUs < freshUs {
+		cost += fullMs * float64(st.waiting) / slots
 	}
-	if nowUs < st.noRoomUs {
-		c += fullMs
+	if c.nowUs < st.noRoomUs {
+		cost += fullMs
 	}
-	if st.trial(nowUs) {
-		c += trialMs
+	if st.trial(c.nowUs) {
+		cost += trialMs
 	}
 	if w.Az != s.az {
-		c += farZoneMs
+		cost += farZoneMs
 	}
 	if w.WarmLeftMs > 0 {
-		c += 5
-	}
-	c += float64(st.reading) / readToksPerMs
-	if sharedToks > 0 {
-		miss := 0.0
-		if w.ID != first && !contains(homes, w.ID) {
-			for _, p := range n.Parts[:len(n.Parts)-1] {
-				if at, ok := s.kept[keptKey{p.ID, w.ID}]; !ok || nowUs-at > keptUs {
-					miss += float64(p.Toks)
-				}
-			}
-			if w.ID == second {
-				miss /= 2
-			}
+		cost += 5
+	}
+	cost += float64(st.reading) / readToksPerMs
+	return cost + s.missing(c, w)/readToksPerMs
+}
+
+// missing counts the tokens of shared parts that the worker probably does not keep.
+func (s *Balancer) missing(c *choice, w *discovery.Worker) float64 {
+	if c.sharedToks == 0 || w.ID == c.first || contains(c.homes, w.ID) {
+		return 0
+	}
+	miss := 0.0
+	for _, p := range c.need.Parts[:len(c.need.Parts)-1] {
+		if at, ok := s.kept[keptKey{p.ID, w.ID}]; !ok || c.nowUs-at > keptUs {
+			miss += float64(p.Toks)
 		}
-		c += miss / readToksPerMs
 	}
-	return c
+	if w.ID == c.second {
+		return miss / 2
+	}
+	return miss
 }
 
 func (s *Balancer) remember(k keptKey, nowUs int64) {
--- a/internal/balancer/items.go
+++ b/internal/balancer/items.go
@@ -19,6 +19,11 @@
 	return max(slots-itemSpare*math.Sqrt(slots), slots/2)
 }
 
+// takesItems tells whether a worker is well and has room for an item.
+func (s *Balancer) takesItems(st *state, nowUs int64) bool {
+	return !st.ejected(nowUs) && !st.trial(nowUs) && nowUs >= st.noRoomUs && s.itemRoom(st, nowUs)
+}
+
 func (s *Balancer) itemRoom(st *state, nowUs int64) bool {
 	room := st.itemSlots()
 	if st.est(nowUs)+1 > room {
@@ -39,7 +44,7 @@
 	room := 0
 	for _, w := range d.BySvc[svc] {
 		st := s.of(w)
-		if s.upgrades.Out[w.ID] || nowUs < st.ejectedUs || nowUs < st.outUs || st.trial(nowUs) || nowUs < st.noRoomUs || !s.itemRoom(st, nowUs) {
+		if s.upgrades.Out[w.ID] || !s.takesItems(st, nowUs) {
 			continue
 		}
 		free := st.itemSlots() - st.est(nowUs)
