shared: the parts' settings embed one Runtime

Six fields (event loop, calls in, calls out, view of the peers, log, the node itself) stood in the Config of five parts, and internal/node listed them five times. They stand once, in shared.Runtime, and are built once.

--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -8,10 +8,10 @@
 
 	"rowanshunt/internal/eventloop"
 	"rowanshunt/internal/gossip"
-	"rowanshunt/internal/logging"
 	"rowanshunt/internal/register"
 	"rowanshunt/internal/rendezvous"
 	"rowanshunt/internal/rpc"
+	"rowanshunt/internal/shared"
 )
 
 // Times of the news path (design 5.2, 5.3).
@@ -27,14 +27,9 @@
 
 // Config is what a discovery is made of.
 type Config struct {
-	Loop      *eventloop.Loop
-	Mux       *rpc.Mux
-	Transport rpc.Transport
-	Gossip    *gossip.Gossip
-	Log       *logging.Log
-	Self      gossip.Peer
-	HbUs      int64
-	Services  func() []string // of the configuration in force
+	shared.Runtime
+	HbUs     int64
+	Services func() []string // of the configuration in force
 	// Loads gives what this node heard of workers itself, or with all that
 	// others told it; Hear takes what a peer heard, "" the zone's home.
 	Loads  func(all bool) []Load
--- a/internal/lotstore/disk_test.go
+++ b/internal/lotstore/disk_test.go
@@ -11,13 +11,14 @@
 	"rowanshunt/internal/eventloop"
 	"rowanshunt/internal/fault"
 	"rowanshunt/internal/logging"
+	"rowanshunt/internal/shared"
 	"rowanshunt/internal/wal"
 )
 
 // storeWithDisk is a store whose disk's syncs are up to the test.
 func storeWithDisk(t *testing.T, dir string, sync func() error) *Store {
 	t.Helper()
-	b := &Store{cfg: Config{Loop: eventloop.NewLoop(256), Log: logging.Quiet(), Member: "s", Dir: dir, DiskBytes: 64 << 20, Options: Defaults(),
+	b := &Store{cfg: Config{Runtime: shared.Runtime{Loop: eventloop.NewLoop(256), Log: logging.Quiet()}, Member: "s", Dir: dir, DiskBytes: 64 << 20, Options: Defaults(),
 		Fatal: func(err error) { t.Errorf("the store would end: %v", err) }}, ctx: t.Context()}
 	b.minLongBytes, b.longBytes = 1<<20, 1<<20
 	b.walOptions = []wal.Option{wal.Interpose(func(s wal.Step) error {
--- a/internal/lotstore/lotstore.go
+++ b/internal/lotstore/lotstore.go
@@ -12,10 +12,9 @@
 	"rowanshunt/internal/config"
 	"rowanshunt/internal/eventloop"
 	"rowanshunt/internal/fault"
-	"rowanshunt/internal/gossip"
-	"rowanshunt/internal/logging"
 	"rowanshunt/internal/register"
 	"rowanshunt/internal/rpc"
+	"rowanshunt/internal/shared"
 	"rowanshunt/internal/wal"
 )
 
@@ -36,12 +35,7 @@
 
 // Config is what a lot store is made of.
 type Config struct {
-	Loop      *eventloop.Loop
-	Mux       *rpc.Mux
-	Transport rpc.Transport
-	Gossip    *gossip.Gossip
-	Log       *logging.Log
-	Self      gossip.Peer
+	shared.Runtime
 	Member    string
 	Dir       string
 	DiskBytes int64 // 0: not known
--- a/internal/lotstore/owner_test.go
+++ b/internal/lotstore/owner_test.go
@@ -11,11 +11,12 @@
 	"rowanshunt/internal/eventloop"
 	"rowanshunt/internal/logging"
 	"rowanshunt/internal/register"
+	"rowanshunt/internal/shared"
 )
 
 // holderOf is a store alone: its own majority.
 func holderOf(t *testing.T, dir string) *Store {
-	b := &Store{cfg: Config{Loop: eventloop.NewLoop(256), Log: logging.Quiet(), Member: "s", Dir: dir, DiskBytes: 64 << 20, Options: Defaults(),
+	b := &Store{cfg: Config{Runtime: shared.Runtime{Loop: eventloop.NewLoop(256), Log: logging.Quiet()}, Member: "s", Dir: dir, DiskBytes: 64 << 20, Options: Defaults(),
 		Fatal: func(err error) { t.Errorf("fatal: %v", err) }}, ctx: t.Context()}
 	b.minLongBytes = 1 << 12
 	b.longBytes = b.minLongBytes
--- a/internal/lotstore/space_test.go
+++ b/internal/lotstore/space_test.go
@@ -13,6 +13,7 @@
 	"rowanshunt/internal/eventloop"
 	"rowanshunt/internal/fault"
 	"rowanshunt/internal/logging"
+	"rowanshunt/internal/shared"
 	"rowanshunt/internal/wal"
 )
 
@@ -32,7 +33,7 @@
 	t.Helper()
 	dir := t.TempDir()
 	ctx, stop := context.WithCancel(context.Background())
-	b := &Store{cfg: Config{Loop: eventloop.NewLoop(256), Log: logging.Quiet(), Member: "s", Dir: dir, DiskBytes: diskBytes, Options: Defaults(),
+	b := &Store{cfg: Config{Runtime: shared.Runtime{Loop: eventloop.NewLoop(256), Log: logging.Quiet()}, Member: "s", Dir: dir, DiskBytes: diskBytes, Options: Defaults(),
 		Fatal: func(err error) { t.Errorf("the store would end: %v", err) }}, ctx: ctx}
 	s := &spaceStore{Store: b, t: t, ctx: ctx}
 	b.minLongBytes = 1 << 20
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -28,6 +28,7 @@
 	"rowanshunt/internal/register"
 	"rowanshunt/internal/rpc"
 	"rowanshunt/internal/settings"
+	"rowanshunt/internal/shared"
 	"rowanshunt/internal/trace"
 	"rowanshunt/internal/upgrade"
 )
@@ -50,6 +51,7 @@
 	// diskDir is the folder of an edge node that votes on the register.
 	diskDir string
 
+	shared   shared.Runtime // what the parts use together
 	Loop     *eventloop.Loop
 	Mux      *rpc.Mux
 	Gossip   *gossip.Gossip
@@ -118,7 +120,8 @@
 		return v.Names(func(s *gossip.NodeState) bool { return s.Role == role && s.Disk != "" })
 	}
 	n.Gossip = gossip.New(ctx, n.Loop, n.Mux, env.Transport, env.Log, n.self, seeds, near)
-	n.Register, err = register.New(ctx, register.Config{Loop: n.Loop, Mux: n.Mux, Transport: env.Transport, Gossip: n.Gossip, Log: env.Log, Self: n.self,
+	n.shared = shared.Runtime{Loop: n.Loop, Mux: n.Mux, Transport: env.Transport, Gossip: n.Gossip, Log: env.Log, Self: n.self}
+	n.Register, err = register.New(ctx, register.Config{Runtime: n.shared,
 		DiskDir: n.diskDir, Seeds: seeds, Boot: n.self.Boot, Spared: opts.Ft.Nodes, OnState: n.onState,
 		Proposer: n.self.Life()})
 	if err != nil {
@@ -248,7 +251,7 @@
 	if err != nil {
 		return nil, err
 	}
-	b, err := lotstore.Open(ctx, lotstore.Config{Loop: n.Loop, Mux: n.Mux, Transport: env.Transport, Gossip: n.Gossip, Log: env.Log, Self: n.self,
+	b, err := lotstore.Open(ctx, lotstore.Config{Runtime: n.shared,
 		Member: n.self.MemberID(), Dir: opts.DataDir, DiskBytes: opts.Caps.DiskMb << 20, MemoryBytes: opts.Caps.RAMMb << 20,
 		PollSpanUs: int64(opts.Bounds.PollS * 1e6), State: n.Register.Committed, Change: n.Register.Change,
 		Fatal: func(err error) { n.fatal <- err }, Options: lotstore.Defaults(), Spared: opts.Ft.Nodes,
@@ -283,7 +286,7 @@
 		return nil, err
 	}
 	f := &EdgeNode{Node: n, Balancer: balancer.New(opts.Az), Emitter: events.New(opts.Sink, opts.Node, n.self.Life(), env.Log, nil)}
-	f.Discovery, err = discovery.New(ctx, discovery.Config{Loop: n.Loop, Mux: n.Mux, Transport: env.Transport, Gossip: n.Gossip, Log: env.Log, Self: n.self,
+	f.Discovery, err = discovery.New(ctx, discovery.Config{Runtime: n.shared,
 		HbUs: opts.HbMs * 1000, Services: n.services, Loads: f.Balancer.Loads, Hear: f.Balancer.Hear, Dir: n.diskDir, Core: n.core,
 		OnNews: func(w discovery.Worker) {
 			f.Emitter.Emit(events.WorkerChanged, w.ID, map[string]any{"svc": w.Svc, "addr": w.Addr, "phase": w.Phase, "gone": w.Gone})
@@ -295,7 +298,7 @@
 		Attempts: forward.NewRecordTable[forward.Attempt](int(opts.Caps.NoFile / 3))}
 	limits := ingress.LimitsOf(opts)
 	f.Gate = &quota.Gate{Edges: f.Balancer.Edges, Fleet: f.fleet}
-	f.Quotas = quota.New(ctx, quota.Config{Loop: n.Loop, Mux: n.Mux, Transport: env.Transport, Gossip: n.Gossip, Log: env.Log, Self: n.self,
+	f.Quotas = quota.New(ctx, quota.Config{Runtime: n.shared,
 		State: n.Register.Committed, Change: n.Register.Change, Gate: f.Gate})
 	f.Forwarder = &forward.Forwarder{Sender: sender, Configuration: n.inForce, Log: env.Log, BodyBytes: limits.BodyBytes, HbMs: opts.HbMs, Gate: f.Gate}
 	client := lotstore.NewClient(env.Transport, n.Gossip, n.Register.Committed, opts.Ft.Nodes)
@@ -306,7 +309,7 @@
 	f.Dispatcher.Start(ctx, n.Mux)
 	f.Ingress = &ingress.Ingress{Forwarder: f.Forwarder, Lots: lots, Configuration: n.inForce, Log: env.Log, Limits: limits,
 		Ready: func() bool { return n.caughtUp.Load() && n.configuration.Load() != nil && f.Discovery.Synced() }}
-	f.Upgrades = upgrade.New(ctx, upgrade.Config{Loop: n.Loop, Mux: n.Mux, Transport: env.Transport, Gossip: n.Gossip, Log: env.Log, Self: n.self,
+	f.Upgrades = upgrade.New(ctx, upgrade.Config{Runtime: n.shared,
 		State: n.Register.Committed, Change: n.Register.Change, Known: f.Discovery.Known, Balancer: f.Balancer,
 		OnMove: func(u *upgrade.Upgrade) {
 			f.Emitter.Emit(events.UpgradeChanged, u.Svc, map[string]any{"act": "moved", "phase": u.Phase, "wave": u.Wave, "why": u.Why})
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -12,10 +12,10 @@
 	"rowanshunt/internal/eventloop"
 	"rowanshunt/internal/fault"
 	"rowanshunt/internal/gossip"
-	"rowanshunt/internal/logging"
 	"rowanshunt/internal/register"
 	"rowanshunt/internal/rendezvous"
 	"rowanshunt/internal/rpc"
+	"rowanshunt/internal/shared"
 )
 
 // Times of the duty (design 17.3).
@@ -95,15 +95,10 @@
 
 // Config is what a node's part in quotas is made of.
 type Config struct {
-	Loop      *eventloop.Loop
-	Mux       *rpc.Mux
-	Transport rpc.Transport
-	Gossip    *gossip.Gossip
-	Log       *logging.Log
-	Self      gossip.Peer
-	State     func() *register.State
-	Change    func(context.Context, register.Change) (*register.State, error)
-	Gate      *Gate
+	shared.Runtime
+	State  func() *register.State
+	Change func(context.Context, register.Change) (*register.State, error)
+	Gate   *Gate
 }
 
 // Quotas is one node's part in quotas: it reports what its gate has, takes the
--- a/internal/register/membership_test.go
+++ b/internal/register/membership_test.go
@@ -14,6 +14,7 @@
 	"rowanshunt/internal/gossip"
 	"rowanshunt/internal/logging"
 	"rowanshunt/internal/rpc"
+	"rowanshunt/internal/shared"
 	"rowanshunt/internal/simnet"
 )
 
@@ -37,7 +38,7 @@
 	loop, mux := eventloop.NewLoop(256), rpc.NewMux()
 	near := func(v *gossip.View) []string { return v.Names(func(*gossip.NodeState) bool { return true }) }
 	members := gossip.New(ctx, loop, mux, transport, logging.Quiet(), self, seeds, near)
-	n, err := New(ctx, Config{Loop: loop, Mux: mux, Transport: transport, Gossip: members, Log: logging.Quiet(), Self: self, DiskDir: dir,
+	n, err := New(ctx, Config{Runtime: shared.Runtime{Loop: loop, Mux: mux, Transport: transport, Gossip: members, Log: logging.Quiet(), Self: self}, DiskDir: dir,
 		Seeds: seeds, Spared: 1, Proposer: self.Life()})
 	if err != nil {
 		t.Fatal(err)
--- a/internal/register/register.go
+++ b/internal/register/register.go
@@ -10,8 +10,8 @@
 	"rowanshunt/internal/eventloop"
 	"rowanshunt/internal/fault"
 	"rowanshunt/internal/gossip"
-	"rowanshunt/internal/logging"
 	"rowanshunt/internal/rpc"
+	"rowanshunt/internal/shared"
 )
 
 // Times of the membership's upkeep (design 4.4).
@@ -34,18 +34,13 @@
 
 // Config is what a register is made of.
 type Config struct {
-	Loop      *eventloop.Loop
-	Mux       *rpc.Mux
-	Transport rpc.Transport
-	Gossip    *gossip.Gossip
-	Log       *logging.Log
-	Self      gossip.Peer
-	DiskDir   string // "" for nodes without a vote
-	Seeds     []string
-	Boot      bool
-	Spared    int // machines that may be lost at once
-	OnState   func(*State)
-	Proposer  string
+	shared.Runtime
+	DiskDir  string // "" for nodes without a vote
+	Seeds    []string
+	Boot     bool
+	Spared   int // machines that may be lost at once
+	OnState  func(*State)
+	Proposer string
 }
 
 // Register is one node's part in the register: its member if it has a disk, its
--- a/internal/upgrade/driver.go
+++ b/internal/upgrade/driver.go
@@ -12,10 +12,10 @@
 	"rowanshunt/internal/eventloop"
 	"rowanshunt/internal/fault"
 	"rowanshunt/internal/gossip"
-	"rowanshunt/internal/logging"
 	"rowanshunt/internal/register"
 	"rowanshunt/internal/rendezvous"
 	"rowanshunt/internal/rpc"
+	"rowanshunt/internal/shared"
 )
 
 // Times of the driver (design 13.3).
@@ -27,17 +27,12 @@
 
 // Config is what a driver is made of.
 type Config struct {
-	Loop      *eventloop.Loop
-	Mux       *rpc.Mux
-	Transport rpc.Transport
-	Gossip    *gossip.Gossip
-	Log       *logging.Log
-	Self      gossip.Peer
-	State     func() *register.State
-	Change    func(context.Context, register.Change) (*register.State, error)
-	Known     func() []discovery.Worker // all registered workers, in use or not
-	Balancer  *balancer.Balancer
-	OnMove    func(*Upgrade)
+	shared.Runtime
+	State    func() *register.State
+	Change   func(context.Context, register.Change) (*register.State, error)
+	Known    func() []discovery.Worker // all registered workers, in use or not
+	Balancer *balancer.Balancer
+	OnMove   func(*Upgrade)
 }
 
 // Manager is one node's part in upgrades: it applies them to its own picks, tells
