--- a/internal/register/catchup.go
+++ b/internal/register/catchup.go
@@ -104,7 +104,7 @@
 // confirmAfter is how long this member waits before it confirms: each has a turn
 // of its own, so that one does it for all.
 func (n *Register) confirmAfter(known *State) int64 {
-	if n.member == nil || known == nil {
+	if n.member == nil {
 		return confirmAfterUs
 	}
 	turn := slices.IndexFunc(known.Core.Cur, func(s Member) bool { return s.ID == n.member.ID() })
--- a/internal/register/register.go
+++ b/internal/register/register.go
@@ -62,13 +62,16 @@
 	busy     bool
 	lag      lag // of the acceptor behind what is committed
 	untold   lag // of what is committed behind the acceptor
-	pulling  map[string]bool
-	need     membershipNeed
+	// confirmAfterUs is how long this member lets an untold state wait; it changes
+	// with the membership only.
+	confirmAfterUs int64
+	pulling        map[string]bool
+	need           membershipNeed
 }
 
 // New opens the node's member and joins the register.
 func New(ctx context.Context, cfg Config) (*Register, error) {
-	n := &Register{cfg: cfg, ctx: ctx, startUs: eventloop.NowUs(), pulling: map[string]bool{}}
+	n := &Register{cfg: cfg, ctx: ctx, startUs: eventloop.NowUs(), pulling: map[string]bool{}, confirmAfterUs: confirmAfterUs}
 	if cfg.DiskDir != "" {
 		member, err := OpenAcceptor(cfg.Self.MemberID(), cfg.DiskDir, cfg.Log)
 		if err != nil {
@@ -167,10 +170,10 @@
 	n.mu.Unlock()
 	_ = n.cfg.Loop.Do(n.ctx, func() {
 		n.cfg.Gossip.Tell(func(p *gossip.Peer) { p.Rev = max(p.Rev, s.Rev) })
+		now := n.Committed()
+		n.confirmAfterUs = n.confirmAfter(now)
 		if n.cfg.OnState != nil {
-			if now := n.Committed(); now != nil {
-				n.cfg.OnState(now)
-			}
+			n.cfg.OnState(now)
 		}
 	})
 }
@@ -249,7 +252,7 @@
 	if n.lag.due(n.behind(known, committed), catchUpAfterUs, nowUs) {
 		n.once(n.catchUp)
 	}
-	if unconfirmed := n.unconfirmed(known, committed); n.untold.due(unconfirmed, n.confirmAfter(known), nowUs) {
+	if unconfirmed := n.unconfirmed(known, committed); n.untold.due(unconfirmed, n.confirmAfterUs, nowUs) {
 		n.once(n.confirm)
 	}
 	switch {
