eventloop: Each, one loop for what is done in turns

Reading the options again stays apart: it also listens to a signal. TestEach fails with 0 runs when the call is taken out. Words of the earlier style in the package go.

--- a/cmd/scalerun/step.go
+++ b/cmd/scalerun/step.go
@@ -19,6 +19,7 @@
 	"time"
 
 	"rowanshunt/internal/discovery"
+	"rowanshunt/internal/eventloop"
 	"rowanshunt/internal/fault"
 	"rowanshunt/internal/forward"
 	"rowanshunt/internal/logging"
@@ -315,16 +316,10 @@
 // heartbeat lets every hollow worker beat at a node of its zone, each in its turn.
 func (s *step) heartbeat(ctx context.Context) {
 	every := hbMs * time.Millisecond / time.Duration(s.Workers)
-	tick := time.NewTicker(max(every, time.Millisecond))
-	defer tick.Stop()
 	perTick := max(1, int(time.Millisecond/max(every, 1)))
 	seq := uint64(0)
-	for at := 0; ; {
-		select {
-		case <-ctx.Done():
-			return
-		case <-tick.C:
-		}
+	at := 0
+	eventloop.Each(ctx, max(every, time.Millisecond), func() {
 		for range perTick {
 			id := at % s.Workers
 			at++
@@ -335,7 +330,7 @@
 				go func() { _, _ = f.Discovery.Heartbeat(ctx, w) }()
 			}
 		}
-	}
+	})
 }
 
 // measure reads the counters around the span, then times changes.
--- a/internal/eventloop/loop.go
+++ b/internal/eventloop/loop.go
@@ -27,6 +27,20 @@
 	}
 }
 
+// Each runs fn each period, in the caller's goroutine, until ctx ends.
+func Each(ctx context.Context, period time.Duration, fn func()) {
+	tick := time.NewTicker(period)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+			fn()
+		}
+	}
+}
+
 // Loop owns a table: only functions run on the event loop touch what it owns.
 type Loop struct {
 	commands chan func()
@@ -38,7 +52,7 @@
 	fn              func()
 }
 
-// NewLoop makes a event loop that holds at most depth waiting commands.
+// NewLoop makes an event loop that holds at most depth waiting commands.
 func NewLoop(depth int) *Loop { return &Loop{commands: make(chan func(), depth)} }
 
 // Every asks for fn to be run each periodUs. To be called before Run.
@@ -62,7 +76,7 @@
 	case f.commands <- fn:
 		return nil
 	case <-ctx.Done():
-		return fault.New(fault.Refused, "", "the command holding is full or closed", "try again later")
+		return fault.New(fault.Refused, "", "the queue of commands is full or closed", "try again later")
 	}
 }
 
@@ -81,7 +95,7 @@
 	}
 }
 
-// Run works through commands and beats until ctx ends. It is the one select
+// Run works through commands and timers until ctx ends. It is the one select
 // loop of all owners.
 func (f *Loop) Run(ctx context.Context) {
 	timer := time.NewTimer(0)
@@ -96,12 +110,12 @@
 			nowUs := NowUs()
 			nextUs := nowUs + 1_000_000
 			for i := range f.timers {
-				b := &f.timers[i]
-				if nowUs >= b.nextUs {
-					b.fn()
-					b.nextUs = nowUs + b.everyUs
+				t := &f.timers[i]
+				if nowUs >= t.nextUs {
+					t.fn()
+					t.nextUs = nowUs + t.everyUs
 				}
-				nextUs = min(nextUs, b.nextUs)
+				nextUs = min(nextUs, t.nextUs)
 			}
 			timer.Reset(time.Duration(max(nextUs-NowUs(), 1000)) * time.Microsecond)
 		}
--- a/internal/eventloop/loop_test.go
+++ b/internal/eventloop/loop_test.go
@@ -9,7 +9,7 @@
 	"rowanshunt/internal/fault"
 )
 
-// Commands run one after the other and in order; beats keep their period.
+// Commands run one after the other and in order; timers keep their period.
 func TestLoop(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(context.Background())
@@ -36,26 +36,39 @@
 		time.Sleep(time.Second + 50*time.Millisecond)
 		synctest.Wait()
 		if n, _ := Ask(ctx, f, func() int { return timers }); n < 10 || n > 12 {
-			t.Errorf("%d beats of 100 ms in a second", n)
+			t.Errorf("%d runs each 100 ms in a second", n)
 		}
 		cancel()
 		synctest.Wait()
 	})
 }
 
+// Each keeps its period, and ends with its context.
+func TestEach(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithTimeout(t.Context(), 1050*time.Millisecond)
+		defer cancel()
+		runs := 0
+		Each(ctx, 100*time.Millisecond, func() { runs++ })
+		if runs != 10 || ctx.Err() == nil {
+			t.Errorf("%d runs each 100 ms in 1.05 s, ended: %v", runs, ctx.Err())
+		}
+	})
+}
+
 // A full queue refuses; an answer that does not come is unsure.
 func TestLoopBounds(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := NewLoop(2)
 		for i, want := range []bool{true, true, false} {
 			if got := f.Try(func() {}); got != want {
-				t.Errorf("try %d at a floor of two: taken %v, want %v", i+1, got, want)
+				t.Errorf("try %d at a queue of two: taken %v, want %v", i+1, got, want)
 			}
 		}
 		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 		defer cancel()
 		if err := f.Do(ctx, func() {}); !fault.Is(err, fault.Refused) {
-			t.Errorf("a full holding: %v", err)
+			t.Errorf("a full queue: %v", err)
 		}
 		g := NewLoop(2)
 		ctx2, cancel2 := context.WithTimeout(context.Background(), time.Second)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -333,18 +333,7 @@
 	if f.Emitter != nil {
 		f.wg.Go(func() { f.Emitter.Run(ctx) })
 	}
-	f.wg.Go(func() {
-		sweep := time.NewTicker(forward.SweepUs * time.Microsecond)
-		defer sweep.Stop()
-		for {
-			select {
-			case <-sweep.C:
-				f.Forwarder.Sweep()
-			case <-ctx.Done():
-				return
-			}
-		}
-	})
+	f.wg.Go(func() { eventloop.Each(ctx, forward.SweepUs*time.Microsecond, f.Forwarder.Sweep) })
 }
 
 // maxHeld bounds the items that one dispatcher has in hand.
--- a/internal/node/run.go
+++ b/internal/node/run.go
@@ -77,14 +77,7 @@
 // tellCounters logs what this node said to its peers and heard from them, by
 // kind of call, with the processor time and memory it took in all.
 func (n *Node) tellCounters(ctx context.Context) {
-	tick := time.NewTicker(countersEvery)
-	defer tick.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-tick.C:
-		}
+	eventloop.Each(ctx, countersEvery, func() {
 		kinds, total := n.env.Counters.Drain()
 		var use syscall.Rusage
 		cpuMs := int64(-1)
@@ -93,24 +86,17 @@
 		}
 		n.env.Log.Info("peer_calls", "calls", total.Calls, "bytes", total.Bytes, "cpu_ms_since_start", cpuMs,
 			"peers", len(n.Gossip.Look().All), "kinds", kinds)
-	}
+	})
 }
 
 // tellWritten logs what a store wrote to its disk.
 func (c *StoreNode) tellWritten(ctx context.Context) {
-	tick := time.NewTicker(countersEvery)
-	defer tick.Stop()
 	var last wal.Written
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-tick.C:
-		}
+	eventloop.Each(ctx, countersEvery, func() {
 		now := c.LotStore.Written()
 		c.env.Log.Info("wal_writes", "wal", "brood", "syncs", now.Syncs-last.Syncs, "bytes", now.Bytes-last.Bytes, "rewrites", now.Rewrites-last.Rewrites)
 		last = now
-	}
+	})
 }
 
 func runStore(ctx context.Context, cancel func(), env Env, opts *settings.Options, path string, term, hup <-chan os.Signal) error {
