--- a/cmd/scalerun/main_test.go
+++ b/cmd/scalerun/main_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"rowanshunt/internal/fault"
+	"rowanshunt/internal/settings"
 )
 
 func TestNumbers(t *testing.T) {
@@ -67,7 +68,7 @@
 // Every node's options must pass the program's own check.
 func TestOptions(t *testing.T) {
 	s := step{Zones: 3, dir: t.TempDir(), Settle: time.Second}
-	for i, role := range []string{"forager", "forager", "forager", "comb"} {
+	for i, role := range []string{settings.RoleEdge, settings.RoleEdge, settings.RoleEdge, settings.RoleStore} {
 		if _, err := parse(s.options("n", realIP(i), role, i), role); err != nil {
 			t.Errorf("%s: %v", role, err)
 		}
--- a/internal/discovery/discovery_test.go
+++ b/internal/discovery/discovery_test.go
@@ -12,6 +12,7 @@
 	"rowanshunt/internal/gossip"
 	"rowanshunt/internal/logging"
 	"rowanshunt/internal/rpc"
+	"rowanshunt/internal/settings"
 	"rowanshunt/internal/shared"
 	"rowanshunt/internal/simnet"
 	"rowanshunt/internal/wal"
@@ -22,7 +23,7 @@
 	t.Helper()
 	m := simnet.New(1)
 	loop, mux := eventloop.NewLoop(64), rpc.NewMux()
-	self := gossip.Peer{Name: "n", Addr: "10.0.0.1:1", Az: "z", Role: "forager", LifeUs: 1}
+	self := gossip.Peer{Name: "n", Addr: "10.0.0.1:1", Az: "z", Role: settings.RoleEdge, LifeUs: 1}
 	sw := gossip.New(ctx, loop, mux, m.TransportOf(self.Addr), logging.Quiet(), self, nil, nil)
 	f, err := New(ctx, Config{Runtime: shared.Runtime{Loop: loop, Mux: mux, Transport: m.TransportOf(self.Addr), Gossip: sw, Log: logging.Quiet(), Self: self}, HbUs: 1_200_000,
 		Services: func() []string { return []string{"s"} }, Dir: dir})
--- a/internal/gossip/gossip_test.go
+++ b/internal/gossip/gossip_test.go
@@ -11,6 +11,7 @@
 	"rowanshunt/internal/eventloop"
 	"rowanshunt/internal/logging"
 	"rowanshunt/internal/rpc"
+	"rowanshunt/internal/settings"
 	"rowanshunt/internal/simnet"
 )
 
@@ -24,7 +25,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	b := &testNode{addr: fmt.Sprintf("10.0.0.%d:1", i), cancel: cancel}
 	loop, mux := eventloop.NewLoop(256), rpc.NewMux()
-	b.s = New(ctx, loop, mux, m.TransportOf(b.addr), logging.Quiet(), Peer{Name: fmt.Sprint("n", i), Addr: b.addr, Role: "forager", LifeUs: 1}, seeds, nil)
+	b.s = New(ctx, loop, mux, m.TransportOf(b.addr), logging.Quiet(), Peer{Name: fmt.Sprint("n", i), Addr: b.addr, Role: settings.RoleEdge, LifeUs: 1}, seeds, nil)
 	m.Place(ctx, b.addr, mux)
 	go loop.Run(ctx)
 	return b
--- a/internal/gossip/incarnation_test.go
+++ b/internal/gossip/incarnation_test.go
@@ -16,6 +16,7 @@
 	"rowanshunt/internal/eventloop"
 	"rowanshunt/internal/logging"
 	"rowanshunt/internal/rpc"
+	"rowanshunt/internal/settings"
 	"rowanshunt/internal/simnet"
 )
 
@@ -104,7 +105,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	b := &testNode{addr: addr, cancel: cancel}
 	loop, mux := eventloop.NewLoop(256), rpc.NewMux()
-	self := Peer{Name: name, Addr: addr, Role: "forager"}
+	self := Peer{Name: name, Addr: addr, Role: settings.RoleEdge}
 	self.SetProcess(Process{Incarnation: incarnation, ID: fmt.Sprintf("%05x%s", int64(incarnation.tag()), strings.Repeat("0", 2*idBytes))})
 	b.s = New(ctx, loop, mux, m.TransportOf(addr), logging.Quiet(), self, seeds, nil)
 	m.Place(ctx, addr, mux)
--- a/internal/node/cluster_test.go
+++ b/internal/node/cluster_test.go
@@ -75,24 +75,24 @@
 		}
 	})
 	for i := range size.core + size.edges {
-		h.add(fmt.Sprintf("edge-%d", i), "forager", i, i < size.core, true)
+		h.add(fmt.Sprintf("edge-%d", i), settings.RoleEdge, i, i < size.core, true)
 	}
 	for i := range size.stores {
-		h.add(fmt.Sprintf("store-%d", i), "comb", i, true, true)
+		h.add(fmt.Sprintf("store-%d", i), settings.RoleStore, i, true, true)
 	}
 	return h
 }
 
 func (h *cluster) add(name, role string, i int, disk, boot bool) *member {
 	net := 1
-	if role == "comb" {
+	if role == settings.RoleStore {
 		net = 2
 	}
 	ip := fmt.Sprintf("10.%d.0.%d", net, i+1)
 	o := &settings.Options{Node: name, IPAddr: ip, Az: zones[i%len(zones)], PortRange: []int{7000, 7010}, Bootstrap: boot, HbMs: 1200,
 		Seeds: []string{"10.1.0.1:8000", "10.1.0.2:8000", "10.1.0.3:8000"}, Caps: settings.Caps{RAMMb: 256, NoFile: 4096, CPUFrac: 1, DiskMb: 64}, Ft: settings.Ft{Nodes: h.ft}}
 	o.Bounds.GraceS, o.Bounds.SyncS = 8, 5
-	if role == "forager" {
+	if role == settings.RoleEdge {
 		o.Serves = []string{"edge", "ctl"}
 		o.Listen = settings.Listen{HTTP: ip + ":8001", Readyz: ip + ":8002", Ctl: ip + ":8000"}
 	}
@@ -122,7 +122,7 @@
 	var f *EdgeNode
 	var c *StoreNode
 	var err error
-	if m.role == "forager" {
+	if m.role == settings.RoleEdge {
 		f, err = NewEdgeNode(ctx, env, m.opts)
 		if err == nil {
 			strong := f.Dispatcher.Dispatches
@@ -184,7 +184,7 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	for _, n := range h.order {
-		if m := h.nodes[n]; m.role == "forager" && m.f != nil && m.ctx.Err() == nil && h.shunned.Load() != n {
+		if m := h.nodes[n]; m.role == settings.RoleEdge && m.f != nil && m.ctx.Err() == nil && h.shunned.Load() != n {
 			return m.f
 		}
 	}
--- a/internal/node/disk_test.go
+++ b/internal/node/disk_test.go
@@ -11,6 +11,7 @@
 
 	"rowanshunt/internal/lotstore"
 	"rowanshunt/internal/register"
+	"rowanshunt/internal/settings"
 )
 
 // turnByte turns a byte near the front of a node's log, in what was synced.
@@ -168,7 +169,7 @@
 					continue
 				}
 				file := register.LogName
-				if h.nodes[n].role == "comb" {
+				if h.nodes[n].role == settings.RoleStore {
 					file = lotstore.LogName
 				}
 				h.tearLog(n, file)
--- a/internal/node/faults_test.go
+++ b/internal/node/faults_test.go
@@ -10,6 +10,7 @@
 
 	"rowanshunt/internal/eventloop"
 	"rowanshunt/internal/register"
+	"rowanshunt/internal/settings"
 )
 
 // The faults that the deployments list, caused in the simulated network; after each, what
@@ -80,13 +81,13 @@
 		{"the owner is killed and comes back", func(h *cluster, o string) { h.kill(o) }, func(h *cluster, o string) { h.start(o) }},
 		{"the owner loses its disk", func(h *cluster, o string) { h.kill(o); h.wipe(o) }, func(h *cluster, o string) { h.start(o) }},
 		{"the owner is cut off", func(h *cluster, o string) {
-			h.m.CutOff(h.nodes[o].opts.PeerAddr(), h.addrs("comb"), true)
+			h.m.CutOff(h.nodes[o].opts.PeerAddr(), h.addrs(settings.RoleStore), true)
 		}, func(h *cluster, o string) { h.m.CutOff(h.nodes[o].opts.PeerAddr(), h.addrs(""), false) }},
 		{"the owner is cut off from all", func(h *cluster, o string) {
 			h.m.CutOff(h.nodes[o].opts.PeerAddr(), h.addrs(""), true)
 		}, func(h *cluster, o string) { h.m.CutOff(h.nodes[o].opts.PeerAddr(), h.addrs(""), false) }},
 		{"the owner is gone and an empty store comes", func(h *cluster, o string) { h.kill(o) }, func(h *cluster, _ string) {
-			h.add("store-9", "comb", 9, true, false)
+			h.add("store-9", settings.RoleStore, 9, true, false)
 			h.start("store-9")
 		}},
 	} {
@@ -152,8 +153,8 @@
 		h.kill("store-1")
 		h.kill("edge-1")
 		time.Sleep(300 * time.Millisecond) // the others still tell of them
-		h.add("store-9", "comb", 9, true, false)
-		h.add("edge-9", "forager", 9, true, false)
+		h.add("store-9", settings.RoleStore, 9, true, false)
+		h.add("edge-9", settings.RoleEdge, 9, true, false)
 		h.start("store-9")
 		h.start("edge-9")
 		h.until("both are in", 5*time.Second, watch)
@@ -177,7 +178,7 @@
 			t.Errorf("too few left: %d %s", w.Code, w.Body)
 		}
 		h.mustHandIn("a", 20, 10)
-		h.add("store-3", "comb", 3, true, false)
+		h.add("store-3", settings.RoleStore, 3, true, false)
 		h.start("store-3")
 		h.until("four stores", 10*time.Second, func() bool {
 			s := h.edge().Register.Committed()
@@ -259,7 +260,7 @@
 			}
 		}, func(h *cluster) { h.m.CutOff("10.1.0.2:7000", h.addrs(""), false) }},
 		{"a core machine is replaced by an empty one", func(h *cluster) { h.kill("edge-1") }, func(h *cluster) {
-			h.add("edge-9", "forager", 9, true, false)
+			h.add("edge-9", settings.RoleEdge, 9, true, false)
 			h.start("edge-9")
 		}},
 	} {
@@ -315,7 +316,7 @@
 			h.serving()
 			h.mustHandIn("a", 20, 10)
 			owner := h.ownerOf() // while the shards are claimed anew there may be none
-			h.add("store-9", "comb", 9, true, false)
+			h.add("store-9", settings.RoleStore, 9, true, false)
 			h.start("store-9")
 			for end := time.Now().Add(5 * time.Second); !h.edge().Register.Committed().Stores.Joint(); time.Sleep(time.Millisecond) {
 				if time.Now().After(end) {
--- a/internal/node/history_test.go
+++ b/internal/node/history_test.go
@@ -7,6 +7,8 @@
 	"testing"
 	"testing/synctest"
 	"time"
+
+	"rowanshunt/internal/settings"
 )
 
 // lotModel is what a lot must look like to its clients: once accepted it is
@@ -156,12 +158,12 @@
 			h.kill(name)
 			time.Sleep(time.Duration(luck.IntN(2500)) * time.Millisecond)
 			fresh := fmt.Sprint("store-", 20+fault)
-			h.add(fresh, "comb", 20+fault, true, false)
+			h.add(fresh, settings.RoleStore, 20+fault, true, false)
 			h.start(fresh)
 		case 4:
 			if members < 5 {
 				fresh := fmt.Sprint("store-", 20+fault)
-				h.add(fresh, "comb", 20+fault, true, false)
+				h.add(fresh, settings.RoleStore, 20+fault, true, false)
 				h.start(fresh)
 				members++
 			}
--- a/internal/node/identity.go
+++ b/internal/node/identity.go
@@ -9,6 +9,7 @@
 	"rowanshunt/internal/logging"
 	"rowanshunt/internal/lotstore"
 	"rowanshunt/internal/register"
+	"rowanshunt/internal/settings"
 	"rowanshunt/internal/wal"
 )
 
@@ -20,7 +21,7 @@
 // 10.2). fresh: the disk was never used.
 func openIdentity(dir, role string, log *logging.Log) (id string, fresh bool, err error) {
 	name := register.LogName
-	if role == "comb" {
+	if role == settings.RoleStore {
 		name = lotstore.LogName
 	}
 	legacyPath := filepath.Join(dir, legacyIdentity)
--- a/internal/node/lease_test.go
+++ b/internal/node/lease_test.go
@@ -10,6 +10,7 @@
 
 	"rowanshunt/internal/fault"
 	"rowanshunt/internal/lotstore"
+	"rowanshunt/internal/settings"
 )
 
 // The queue's conformance to "Life of a step" (design 8.7), seen from a
@@ -289,7 +290,7 @@
 			h.idle()
 			h.mustHandIn("full", 10, 250) // of a backlog of 5000
 			old := h.ownerOf()
-			h.m.CutOff(h.nodes[old].opts.PeerAddr(), h.addrs("comb"), true)
+			h.m.CutOff(h.nodes[old].opts.PeerAddr(), h.addrs(settings.RoleStore), true)
 			codes := map[string]int{}
 			var mu sync.Mutex
 			var wg sync.WaitGroup
@@ -305,7 +306,7 @@
 			}
 			wg.Wait()
 			h.kill(old)
-			h.m.CutOff(h.nodes[old].opts.PeerAddr(), h.addrs("comb"), false)
+			h.m.CutOff(h.nodes[old].opts.PeerAddr(), h.addrs(settings.RoleStore), false)
 			h.until("a new owner", 8*time.Second, func() bool { _, code := h.read(h.edge(), "full", 0); return code == 200 })
 			h.start(old)
 			time.Sleep(3 * time.Second)
--- a/internal/node/losses_test.go
+++ b/internal/node/losses_test.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"rowanshunt/internal/register"
+	"rowanshunt/internal/settings"
 )
 
 // terminate is the SIGTERM of a machine and the end of its process.
@@ -39,9 +40,9 @@
 			defer h.end()
 			h.serving()
 			h.mustHandIn("a", 20, 10)
-			h.add("edge-9", "forager", 9, true, false)
+			h.add("edge-9", settings.RoleEdge, 9, true, false)
 			h.start("edge-9")
-			h.add("store-9", "comb", 9, true, false)
+			h.add("store-9", settings.RoleStore, 9, true, false)
 			h.start("store-9")
 			h.until("both newcomers are in", 5*time.Second, func() bool {
 				s := h.edge().Register.Committed()
@@ -76,8 +77,8 @@
 			h := newCluster(t, seed, 4, 3)
 			defer h.end()
 			h.serving()
-			h.add("edge-9", "forager", 9, true, false)
-			h.add("store-9", "comb", 9, true, false)
+			h.add("edge-9", settings.RoleEdge, 9, true, false)
+			h.add("store-9", settings.RoleStore, 9, true, false)
 			for _, cut := range [][2]string{{"edge-9", "edge-1"}, {"store-9", "store-1"}} {
 				a, b := h.nodes[cut[0]].opts.PeerAddr(), h.nodes[cut[1]].opts.PeerAddr()
 				h.m.CutOff(a, []string{b}, true)
@@ -268,9 +269,9 @@
 // fresh adds a machine of the same kind at another address.
 func (l *losses) fresh(old string) string {
 	l.next++
-	name, role := fmt.Sprintf("edge-%d", l.next), "forager"
+	name, role := fmt.Sprintf("edge-%d", l.next), settings.RoleEdge
 	if l.h.member(old).c != nil {
-		name, role = fmt.Sprintf("store-%d", l.next), "comb"
+		name, role = fmt.Sprintf("store-%d", l.next), settings.RoleStore
 	}
 	l.h.add(name, role, l.next, true, false)
 	return name
@@ -387,7 +388,7 @@
 		defer h.end()
 		h.serving()
 		first := h.edge().Register.Committed().Stores.Cur[0].Name
-		h.m.CutOff(h.nodes[first].opts.PeerAddr(), h.addrs("forager"), true)
+		h.m.CutOff(h.nodes[first].opts.PeerAddr(), h.addrs(settings.RoleEdge), true)
 		retired := "store-3"
 		if first == retired {
 			retired = "store-2"
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -76,7 +76,7 @@
 	n.self = gossip.Peer{Name: opts.Node, Addr: opts.PeerAddr(), Ctl: opts.Listen.Ctl, Az: opts.Az, Role: role,
 		Cap: int64(opts.Caps.CPUFrac * max(opts.Caps.NCPU, 1) * 1000)}
 	empty := true // nothing on disk, or no disk
-	if opts.DataDir != "" && (role == "comb" || opts.Has("ctl")) {
+	if opts.DataDir != "" && (role == settings.RoleStore || opts.Has("ctl")) {
 		id, fresh, err := openIdentity(opts.DataDir, role, env.Log)
 		if err != nil {
 			return nil, err
--- a/internal/settings/options_test.go
+++ b/internal/settings/options_test.go
@@ -75,10 +75,10 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	if err := o.CheckRole("forager"); err == nil || !strings.Contains(err.Error(), "listen.ctl") {
+	if err := o.CheckRole(RoleEdge); err == nil || !strings.Contains(err.Error(), "listen.ctl") {
 		t.Errorf("an edge node without ctl: %v", err)
 	}
-	if err := o.CheckRole("comb"); err == nil || !strings.Contains(err.Error(), "datadir") {
+	if err := o.CheckRole(RoleStore); err == nil || !strings.Contains(err.Error(), "datadir") {
 		t.Errorf("a store without disk: %v", err)
 	}
 }
@@ -87,12 +87,12 @@
 // (design 1.2).
 func TestFloorsAndDoubts(t *testing.T) {
 	for _, tc := range []struct{ role, old, new, field string }{
-		{"forager", "ram_mb = 284", "ram_mb = 31", "caps.ram_mb"},
-		{"comb", "ram_mb = 284", "ram_mb = 63", "caps.ram_mb"},
-		{"comb", "ram_mb = 284", "ram_mb = 284\ndisk_mb = 16", "caps.disk_mb"},
-		{"forager", "nofile = 4100", "nofile = 100", "caps.nofile"},
-		{"forager", "ram_mb = 284", "ram_mb = 32", ""},
-		{"comb", "ram_mb = 284", "ram_mb = 64\ndisk_mb = 32", ""},
+		{RoleEdge, "ram_mb = 284", "ram_mb = 31", "caps.ram_mb"},
+		{RoleStore, "ram_mb = 284", "ram_mb = 63", "caps.ram_mb"},
+		{RoleStore, "ram_mb = 284", "ram_mb = 284\ndisk_mb = 16", "caps.disk_mb"},
+		{RoleEdge, "nofile = 4100", "nofile = 100", "caps.nofile"},
+		{RoleEdge, "ram_mb = 284", "ram_mb = 32", ""},
+		{RoleStore, "ram_mb = 284", "ram_mb = 64\ndisk_mb = 32", ""},
 	} {
 		o, err := Parse([]byte(strings.Replace(good, tc.old, tc.new, 1)))
 		if err != nil {
