--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -78,7 +78,7 @@
 func (f *Discovery) startJournal() {
 	d, old, err := openJournal(f.cfg.Dir, f.cfg.Log)
 	if err != nil {
-		f.cfg.Log.Warn("diary_unavailable", "err", err)
+		f.cfg.Log.Warn("journal_unavailable", "err", err)
 		return
 	}
 	f.journal = d
--- a/internal/discovery/journal.go
+++ b/internal/discovery/journal.go
@@ -48,7 +48,7 @@
 		return nil, nil, err
 	}
 	if damage != nil {
-		log.Warn("wal_tail_cut", "wal", "flora", "at", damage.AtByte, "bytes", damage.CutBytes, "why", damage.Why)
+		log.Warn("wal_tail_cut", "wal", "workers", "at", damage.AtByte, "bytes", damage.CutBytes, "why", damage.Why)
 	}
 	d := &journal{wal: c, log: log}
 	for i := range last.Workers {
--- a/internal/lotstore/replica.go
+++ b/internal/lotstore/replica.go
@@ -93,11 +93,11 @@
 		return err
 	}
 	if damage != nil {
-		b.cfg.Log.Warn("wal_tail_cut", "wal", "brood", "at", damage.AtByte, "bytes", damage.CutBytes, "why", damage.Why)
+		b.cfg.Log.Warn("wal_tail_cut", "wal", "lots", "at", damage.AtByte, "bytes", damage.CutBytes, "why", damage.Why)
 	}
 	if misfits > 0 {
 		// An op that continues no copy: the file lacks what came before it.
-		b.cfg.Log.Warn("wal_misfits", "wal", "brood", "ops", misfits)
+		b.cfg.Log.Warn("wal_misfits", "wal", "lots", "ops", misfits)
 	}
 	b.misfits = misfits
 	b.wal = c
@@ -163,9 +163,9 @@
 	}
 	b.diskRefuses = err != nil
 	if err != nil {
-		b.cfg.Log.Warn("disk_refuses", "wal", "brood", "err", err, "remedy", "make room on the disk, or replace it")
+		b.cfg.Log.Warn("disk_refuses", "wal", "lots", "err", err, "remedy", "make room on the disk, or replace it")
 	} else {
-		b.cfg.Log.Info("disk_takes_writes", "wal", "brood")
+		b.cfg.Log.Info("disk_takes_writes", "wal", "lots")
 	}
 	b.tellSlow()
 }
@@ -200,7 +200,7 @@
 	b.wal.Rewrite(func(err error) {
 		if err != nil {
 			// The file goes on as it is; later, with more room, it is tried again.
-			b.cfg.Log.Warn("cell_rewrite_failed", "wal", "brood", "err", err)
+			b.cfg.Log.Warn("wal_rewrite_failed", "wal", "lots", "err", err)
 		}
 		_ = b.cfg.Loop.Do(b.ctx, func() {
 			b.rewriting, b.longBytes = false, b.nextLong()
@@ -222,7 +222,7 @@
 		}
 		return nil
 	})
-	b.cfg.Log.Info("wal_rewritten", "wal", "brood", "bytes", total)
+	b.cfg.Log.Info("wal_rewritten", "wal", "lots", "bytes", total)
 }
 
 func writeRecord(write func([]byte) error, r *record) error {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -187,7 +187,7 @@
 	n.applied = s.Ver
 	n.appliedUs.Store(n.env.WallUs())
 	n.configuration.Store(b)
-	n.env.Log.Info("configuration_applied", "ver", s.Ver, "rev", s.Rev, "bindings", len(b.Routes))
+	n.env.Log.Info("configuration_applied", "ver", s.Ver, "rev", s.Rev, "routes", len(b.Routes))
 }
 
 // inForce is the configuration that traffic is served by: none until the register
--- a/internal/node/run.go
+++ b/internal/node/run.go
@@ -94,7 +94,7 @@
 	var last wal.Written
 	eventloop.Each(ctx, countersEvery, func() {
 		now := c.LotStore.Written()
-		c.env.Log.Info("wal_writes", "wal", "brood", "syncs", now.Syncs-last.Syncs, "bytes", now.Bytes-last.Bytes, "rewrites", now.Rewrites-last.Rewrites)
+		c.env.Log.Info("wal_writes", "wal", "lots", "syncs", now.Syncs-last.Syncs, "bytes", now.Bytes-last.Bytes, "rewrites", now.Rewrites-last.Rewrites)
 		last = now
 	})
 }
