Faults name what they are about by today's words

The fields blueprint, seat, circuit and beat were the last of the earlier style in the texts that operators see; the tests of the configuration's faults name the new field. Kinds and codes stay.

--- a/cmd/rowanshunt/main_test.go
+++ b/cmd/rowanshunt/main_test.go
@@ -66,7 +66,7 @@
 	})
 	mux.HandleFunc("/", func(w http.ResponseWriter, _ *http.Request) {
 		w.WriteHeader(http.StatusNotFound)
-		fmt.Fprint(w, `{"err":"unknown: other: is no service of the blueprint (remedy: name a service under svcs)"}`)
+		fmt.Fprint(w, `{"err":"unknown: other: is no service of the configuration (remedy: name a service under svcs)"}`)
 	})
 	return mux
 }
--- a/internal/config/configuration.go
+++ b/internal/config/configuration.go
@@ -114,7 +114,7 @@
 // Parse reads a document and checks all of it.
 func Parse(raw []byte) (*Configuration, error) {
 	if len(raw) > MaxBytes {
-		return nil, fault.New(fault.TooLarge, "blueprint", "is over 4 MiB", "send a smaller one")
+		return nil, fault.New(fault.TooLarge, "configuration", "is over 4 MiB", "send a smaller one")
 	}
 	b := &Configuration{Services: map[string]*Service{}, Caps: Caps{HdrBytes: 16 << 10, PayloadBytes: 4 << 20, HdrMs: 3000, IdleMs: 15000}}
 	d := jx.DecodeBytes(raw)
@@ -174,7 +174,7 @@
 		err = fault.New(fault.Invalid, "", "something follows the object", "send one JSON object")
 	}
 	if err != nil {
-		return nil, fault.New(fault.Invalid, "blueprint", "cannot be read whole: "+err.Error(), "send one JSON object with ver, routes, svcs and caps")
+		return nil, fault.New(fault.Invalid, "configuration", "cannot be read whole: "+err.Error(), "send one JSON object with ver, routes, svcs and caps")
 	}
 	if !sawVer || b.Ver <= 0 {
 		l.Addf("ver", "is missing or not above 0", "count versions from 1")
--- a/internal/config/configuration_test.go
+++ b/internal/config/configuration_test.go
@@ -64,14 +64,14 @@
 		return strings.Replace(good, old, new, 1)
 	}
 	for _, tc := range []struct{ name, doc, field string }{
-		{"cut short", good[:len(good)/2], "blueprint"},
-		{"empty", "", "blueprint"},
-		{"no object", "[]", "blueprint"},
-		{"something behind it", good + "x", "blueprint"},
-		{"a second object", good + "{}", "blueprint"},
+		{"cut short", good[:len(good)/2], "configuration"},
+		{"empty", "", "configuration"},
+		{"no object", "[]", "configuration"},
+		{"something behind it", good + "x", "configuration"},
+		{"a second object", good + "{}", "configuration"},
 		{"no version", swap(`"ver":7,`, ``), "ver"},
 		{"version 0", swap(`"ver":7`, `"ver":0`), "ver"},
-		{"a word for a number", swap(`"ver":7`, `"ver":"7x"`), "blueprint"},
+		{"a word for a number", swap(`"ver":7`, `"ver":"7x"`), "configuration"},
 		{"no routes", `{"ver":1,"svcs":[]}`, "routes"},
 		{"unknown service", swap(`"svc":"s2","due`, `"svc":"s9","due`), "routes.r3.svc"},
 		{"same place", swap(`"pfx":"/x/y/"`, `"pfx":"/x/"`), "routes.r2"},
@@ -81,7 +81,7 @@
 		{"no time", swap(`"limit_ms":6000`, `"limit_ms":0`), "routes.r1.limit_ms"},
 		{"a bulk route without time", swap(`"type":"bulk","limit_ms":4000`, `"type":"bulk","limit_ms":0`), "routes.r3.limit_ms"},
 		{"a prefix without slash", swap(`"pfx":"/x/y/"`, `"pfx":"/x/y"`), "routes.r2.pfx"},
-		{"unknown type", swap(`"type":"safe"`, `"type":"magic"`), "blueprint"},
+		{"unknown type", swap(`"type":"safe"`, `"type":"magic"`), "configuration"},
 		{"a service twice", swap(`{"name":"s2","maxconn`, `{"name":"s1","maxconn`), "svcs.s1"},
 		{"no service at all", swap(`"svc":"s1","tries":1`, `"tries":1`), "routes.r2.svc"},
 	} {
--- a/internal/discovery/news.go
+++ b/internal/discovery/news.go
@@ -65,7 +65,7 @@
 }
 
 func outOfContact() error {
-	return fault.New(fault.Refused, "beat", "this node sees no majority of the core", "beat at another node")
+	return fault.New(fault.Refused, "heartbeat", "this node sees no majority of the core", "beat at another node")
 }
 
 // planHeartbeat merges a beat; it runs on the event loop.
@@ -91,7 +91,7 @@
 	core := f.coreMembership()
 	took := f.spread(ctx, p.worker, p.homes, f.coreMembers())
 	if f.cfg.Core != nil && !holdsMajority(core, took) {
-		return fault.New(fault.Refused, "beat", "no majority of the core heard that the worker leaves", "tell another node")
+		return fault.New(fault.Refused, "heartbeat", "no majority of the core heard that the worker leaves", "tell another node")
 	}
 	_ = f.cfg.Loop.Do(f.ctx, func() {
 		if e := f.workers[p.worker.ID]; e != nil && !e.Up() && e.Gone == p.worker.Gone {
--- a/internal/discovery/worker.go
+++ b/internal/discovery/worker.go
@@ -42,7 +42,7 @@
 func ParseHeartbeat(id string, body []byte) (*Worker, error) {
 	w := &Worker{}
 	if err := json.Unmarshal(body, w); err != nil {
-		return nil, fault.New(fault.Invalid, "beat", err.Error(), "send the JSON object of the protocol page")
+		return nil, fault.New(fault.Invalid, "heartbeat", err.Error(), "send the JSON object of the protocol page")
 	}
 	w.ID = id
 	var l fault.Collector
--- a/internal/forward/sender.go
+++ b/internal/forward/sender.go
@@ -109,7 +109,7 @@
 
 // errForgotten: a connection that was idle ended before any byte of an answer, and
 // the request may be repeated.
-var errForgotten = fault.New(fault.Unsure, "circuit", "was forgotten by the worker", "send again on a new one")
+var errForgotten = fault.New(fault.Unsure, "connection", "was forgotten by the worker", "send again on a new one")
 
 func (s *Sender) send(ctx context.Context, w *discovery.Worker, p *Request, repeatable bool, ageUs int64) (*Answer, error) {
 	if !p.Repeatable {
--- a/internal/ingress/control.go
+++ b/internal/ingress/control.go
@@ -140,7 +140,7 @@
 		return Reply{}, err
 	}
 	if s.Ver == 0 {
-		return Reply{}, fault.New(fault.Unknown, "blueprint", "none was put yet", "put one")
+		return Reply{}, fault.New(fault.Unknown, "configuration", "none was put yet", "put one")
 	}
 	return Reply{Status: 200, Body: s.Doc}, nil
 }
--- a/internal/lotstore/replica.go
+++ b/internal/lotstore/replica.go
@@ -288,7 +288,7 @@
 
 func (b *Store) mine(member string, shardN int) (*shard, error) {
 	if member != b.cfg.Member {
-		return nil, fault.New(fault.Unknown, "seat", "this node holds another member", "read the membership again")
+		return nil, fault.New(fault.Unknown, "member", "this node holds another member", "read the membership again")
 	}
 	if shardN < 0 || shardN >= Shards {
 		return nil, fault.New(fault.Invalid, "shard", "is out of bounds", "run the same version on all nodes")
--- a/internal/register/acceptor_core.go
+++ b/internal/register/acceptor_core.go
@@ -22,7 +22,7 @@
 // checkMember refuses calls meant for another member.
 func (c *acceptorCore) checkMember(id string) error {
 	if id != c.id {
-		return fault.New(fault.Unknown, "seat", "this node holds another member", "read the membership again")
+		return fault.New(fault.Unknown, "member", "this node holds another member", "read the membership again")
 	}
 	return nil
 }
--- a/internal/register/register.go
+++ b/internal/register/register.go
@@ -93,7 +93,7 @@
 }
 
 func noMember() error {
-	return fault.New(fault.Unknown, "seat", "this node has no such member", "read the membership again")
+	return fault.New(fault.Unknown, "member", "this node has no such member", "read the membership again")
 }
 
 func (n *Register) serve() {
--- a/internal/wal/recover.go
+++ b/internal/wal/recover.go
@@ -49,7 +49,7 @@
 		return Recovered{ID: id, Fresh: legacyID == "" && aside != nil}, err
 	}
 	if err != nil {
-		return Recovered{}, errors.Wrap(err, "open cell")
+		return Recovered{}, errors.Wrap(err, "open log")
 	}
 	defer func() { _ = f.Close() }()
 	out, err := check(f, dir, name, legacyID)
@@ -167,7 +167,7 @@
 	}
 	f, _, err := writeSnapshot(dir, name, id, Records())
 	if err != nil {
-		return "", errors.Wrap(err, "make cell")
+		return "", errors.Wrap(err, "make log")
 	}
 	return id, f.Close()
 }
--- a/internal/wal/wal.go
+++ b/internal/wal/wal.go
@@ -115,7 +115,7 @@
 	}
 	f, err := os.OpenFile(path, os.O_RDWR, 0)
 	if err != nil {
-		return nil, nil, errors.Wrap(err, "open cell")
+		return nil, nil, errors.Wrap(err, "open log")
 	}
 	c := &Log{dir: dir, name: name, file: f, before: func(Step) error { return nil }, wake: make(chan struct{}, 1), closing: make(chan struct{}), done: make(chan struct{})}
 	for _, o := range options {
@@ -240,7 +240,7 @@
 	c.mu.Lock()
 	if c.closed {
 		c.mu.Unlock()
-		j.then(fault.New(fault.Refused, c.name, "the cell is closed", "start the node again"))
+		j.then(fault.New(fault.Refused, c.name, "the log is closed", "start the node again"))
 		return
 	}
 	c.queue = append(c.queue, j)
