--- a/internal/fault/fault_test.go
+++ b/internal/fault/fault_test.go
@@ -22,7 +22,7 @@
 	}
 	var l Collector
 	if l.Err() != nil {
-		t.Error("an empty ledger holds an error")
+		t.Error("an empty collector holds an error")
 	}
 	l.Add(nil)
 	l.Addf("a", "is wrong", "mend it")
--- a/internal/gossip/gossip_test.go
+++ b/internal/gossip/gossip_test.go
@@ -41,50 +41,50 @@
 		m.Lose = 0.05
 		const n = 20
 		seeds := []string{"10.0.0.0:1"}
-		var bees []*testNode
+		var nodes []*testNode
 		var addrs []string
 		for i := range n {
-			bees = append(bees, startNode(m, i, seeds))
-			addrs = append(addrs, bees[i].addr)
+			nodes = append(nodes, startNode(m, i, seeds))
+			addrs = append(addrs, nodes[i].addr)
 		}
 		defer func() {
-			for _, b := range bees {
+			for _, b := range nodes {
 				b.cancel()
 			}
 			time.Sleep(5 * time.Second)
 		}()
 		time.Sleep(4 * time.Second)
-		for i, b := range bees {
+		for i, b := range nodes {
 			if alive(b) != n {
 				t.Errorf("n%d sees %d of %d", i, alive(b), n)
 			}
 		}
-		bees[7].cancel()
+		nodes[7].cancel()
 		time.Sleep(4 * time.Second)
-		for i, b := range bees {
+		for i, b := range nodes {
 			if i != 7 && b.s.Look().Alive("n7") {
 				t.Errorf("n%d thinks that n7 lives", i)
 			}
 		}
-		bees[7] = startNode(m, 7, seeds)
+		nodes[7] = startNode(m, 7, seeds)
 		time.Sleep(3 * time.Second)
-		for i, b := range bees {
+		for i, b := range nodes {
 			if !b.s.Look().Alive("n7") {
 				t.Errorf("n%d does not see n7 again", i)
 			}
 		}
-		for _, b := range bees[:10] {
+		for _, b := range nodes[:10] {
 			m.CutOff(b.addr, addrs[10:], true)
 		}
 		time.Sleep(5 * time.Second)
-		if got := alive(bees[0]); got != 10 {
+		if got := alive(nodes[0]); got != 10 {
 			t.Errorf("amid a cut n0 sees %d of its 10", got)
 		}
-		for _, b := range bees[:10] {
+		for _, b := range nodes[:10] {
 			m.CutOff(b.addr, addrs[10:], false)
 		}
 		time.Sleep(10 * time.Second)
-		for i, b := range bees {
+		for i, b := range nodes {
 			if alive(b) != n {
 				t.Errorf("after the cut n%d sees %d of %d", i, alive(b), n)
 			}
--- a/internal/node/cluster_test.go
+++ b/internal/node/cluster_test.go
@@ -412,7 +412,7 @@
 	return strings.Join(parts, "\n")
 }
 
-// testLog writes nodes' logs where HIVE_TEST_LOG is set.
+// testLog writes nodes' logs where ROWANSHUNT_TEST_LOG is set.
 func testLog(t *testing.T, name string) *logging.Log {
 	if os.Getenv("ROWANSHUNT_TEST_LOG") == "" {
 		return logging.Quiet()
--- a/internal/node/disk_test.go
+++ b/internal/node/disk_test.go
@@ -112,8 +112,8 @@
 					cut(false)
 				}
 				member := h.nodes["edge-1"].f.Register
-				seat := h.nodes["edge-1"].node().MemberID()
-				if !slices.ContainsFunc(members.Register.Committed().Core.All(), func(s register.Member) bool { return s.ID == seat }) {
+				votingID := h.nodes["edge-1"].node().MemberID()
+				if !slices.ContainsFunc(members.Register.Committed().Core.All(), func(s register.Member) bool { return s.ID == votingID }) {
 					t.Fatal("the member was dropped: the test tests nothing")
 				}
 				h.until("its own disk has the newest", 3*time.Second, func() bool {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -33,7 +33,7 @@
 	"rowanshunt/internal/upgrade"
 )
 
-// Env is the world a node lives in: real sockets, or a simulated simulated network.
+// Env is the world a node lives in: real sockets, or a simulated network.
 type Env struct {
 	Transport rpc.Transport
 	Dial      forward.Dial
--- a/internal/register/register_test.go
+++ b/internal/register/register_test.go
@@ -50,7 +50,7 @@
 
 func (s *site) start(first *State, committed bool) {
 	s.life++
-	id := "seat@" + s.dir
+	id := "member@" + s.dir
 	a, err := OpenAcceptor(id, s.dir, logging.Quiet())
 	if err != nil {
 		s.t.Fatal(err)
@@ -104,7 +104,7 @@
 	for i := range 3 {
 		s := &site{t: t, m: m, addr: fmt.Sprintf("n%d", i), dir: filepath.Join(root, fmt.Sprint("d", i))}
 		sites = append(sites, s)
-		first.Core.Cur = append(first.Core.Cur, Member{ID: "seat@" + s.dir, Name: s.addr, Addr: s.addr})
+		first.Core.Cur = append(first.Core.Cur, Member{ID: "member@" + s.dir, Name: s.addr, Addr: s.addr})
 	}
 	for _, s := range sites {
 		s.start(first, true)
@@ -184,7 +184,7 @@
 			m.CutOff(s.addr, []string{"n0", "n1", "n2"}, false)
 		case 2:
 			s.cancel()
-			old := "seat@" + s.dir
+			old := "member@" + s.dir
 			s.dir = filepath.Join(root, fmt.Sprint("w", i, "-", rng.IntN(1<<30)))
 			// What a peer knows shows whom to ask, committed or not.
 			known := first
@@ -226,7 +226,7 @@
 				m := simnet.New(1)
 				root := t.TempDir()
 				place := func(addr, dir string) *site { return &site{t: t, m: m, addr: addr, dir: filepath.Join(root, dir)} }
-				member := func(s *site) Member { return Member{ID: "seat@" + s.dir, Name: s.addr, Addr: s.addr} }
+				member := func(s *site) Member { return Member{ID: "member@" + s.dir, Name: s.addr, Addr: s.addr} }
 				a, b, c := place("n0", "a"), place("n1", "b"), place("n2", "c")
 				first := &State{Rev: 1, Core: Membership{Ver: 1, Cur: []Member{member(a), member(b), member(c)}}}
 				for _, s := range []*site{a, b, c} {
@@ -408,7 +408,7 @@
 		for i := range 3 {
 			s := &site{t: t, m: m, addr: fmt.Sprintf("n%d", i), dir: filepath.Join(root, fmt.Sprint("d", i))}
 			sites = append(sites, s)
-			first.Core.Cur = append(first.Core.Cur, Member{ID: "seat@" + s.dir, Name: s.addr, Addr: s.addr})
+			first.Core.Cur = append(first.Core.Cur, Member{ID: "member@" + s.dir, Name: s.addr, Addr: s.addr})
 		}
 		for _, s := range sites {
 			s.start(first, true)
