--- a/examples/first-run.sh
+++ b/examples/first-run.sh
@@ -77,8 +77,8 @@
 
 # 503 until the system is founded; 412 where a run before has set it.
 until_ok "setting the configuration" '^(200|204|412)$' \
-  code -X PUT -H 'If-Match: 0' --data @examples/blueprint.json http://127.0.0.1:8146/-/config
-echo "configuration set: examples/blueprint.json"
+  code -X PUT -H 'If-Match: 0' --data @examples/configuration.json http://127.0.0.1:8146/-/config
+echo "configuration set: examples/configuration.json"
 
 ask=(-H 'Host: shop.example' -H 'X-Rowanshunt-Tokens: 5,5' -d hello)
 until_ok "a first answer" '^200$' code "${ask[@]}" -H 'X-Rowanshunt-Request-Id: warm-up' http://127.0.0.3:8144/chat/1
