Traces are asked for at /-/traces/, a configuration's under that name

/-/trail/ and the kind blueprint are still taken; the answer names the kind as it was asked for. The tracer asks at the new path, so it needs nodes of this version. What goes between nodes (trail.tell, the kind's value) stays.

--- a/cmd/tracer/main.go
+++ b/cmd/tracer/main.go
@@ -34,8 +34,8 @@
 	nodes := app.Flag("node", "ctl address of a node, host:port; may be given several times, tried in turn.").Required().Strings()
 	asJSON := app.Flag("json", "Print JSON.").Bool()
 	limit := app.Flag("timeout", "How long to wait in all.").Default("5s").Duration()
-	bp := app.Command(trace.Configuration, "Follow a configuration.")
-	ver := bp.Arg("version", "Its version.").Required().Uint64()
+	cf := app.Command(trace.ConfigurationName, "Follow a configuration.").Alias(trace.Configuration)
+	ver := cf.Arg("version", "Its version.").Required().Uint64()
 	wk := app.Command(trace.Worker, "Follow a worker.")
 	worker := wk.Arg("id", "Its id.").Required().String()
 	lt := app.Command(trace.Lot, "Follow a lot.")
@@ -45,7 +45,7 @@
 	if ended {
 		return code
 	}
-	id := map[string]string{trace.Configuration: fmt.Sprint(*ver), trace.Worker: *worker, trace.Lot: *lot}[cmd]
+	id := map[string]string{trace.ConfigurationName: fmt.Sprint(*ver), trace.Worker: *worker, trace.Lot: *lot}[cmd]
 	report, err := ask(*nodes, *limit, cmd, id, *host)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, "tracer:", err)
@@ -84,7 +84,7 @@
 }
 
 func askOne(client *http.Client, node, kind, id, host string) (*trace.Report, error) {
-	resp, err := client.Get("http://" + node + "/-/trail/" + kind + "/" + url.PathEscape(id) + "?host=" + url.QueryEscape(host))
+	resp, err := client.Get("http://" + node + "/-/traces/" + kind + "/" + url.PathEscape(id) + "?host=" + url.QueryEscape(host))
 	if err != nil {
 		return nil, err
 	}
--- a/cmd/tracer/main_test.go
+++ b/cmd/tracer/main_test.go
@@ -29,9 +29,9 @@
 // standIn answers as a node does.
 func standIn(w http.ResponseWriter, r *http.Request) {
 	switch r.URL.Path {
-	case "/-/trail/blueprint/7":
-		_, _ = w.Write([]byte(`{"kind":"blueprint","id":"7","complete":true,"missing":null,"nodes":[{"node":"edge-1","role":"forager","az":"a","facts":[{"hop":"in_force","state":"version 7","at_us":1764633600000000}]}]}`))
-	case "/-/trail/lot/l%2F1", "/-/trail/lot/l/1":
+	case "/-/traces/configuration/7":
+		_, _ = w.Write([]byte(`{"kind":"configuration","id":"7","complete":true,"missing":null,"nodes":[{"node":"edge-1","role":"forager","az":"a","facts":[{"hop":"in_force","state":"version 7","at_us":1764633600000000}]}]}`))
+	case "/-/traces/lot/l%2F1", "/-/traces/lot/l/1":
 		if r.URL.Query().Get("host") != "a.example" {
 			http.Error(w, "no host", http.StatusBadRequest)
 			return
--- a/internal/ingress/control.go
+++ b/internal/ingress/control.go
@@ -77,7 +77,10 @@
 }
 
 // TraceCommand follows a change through all nodes.
-type TraceCommand struct{ Ask trace.Ask }
+type TraceCommand struct {
+	Ask  trace.Ask
+	Name string // of the kind, as the call has it
+}
 
 // Run asks all nodes, once a majority of the core has been heard.
 func (t *TraceCommand) Run(ctx context.Context, c *Control) (Reply, error) {
@@ -91,6 +94,7 @@
 	if err != nil {
 		return Reply{}, err
 	}
+	r.Kind = t.Name
 	body, err := json.Marshal(r)
 	return Reply{Status: 200, Body: body}, err
 }
--- a/internal/ingress/routes.go
+++ b/internal/ingress/routes.go
@@ -64,9 +64,8 @@
 		{http.MethodGet, "/-/upgrades/:svc", ContactRead, func(_ *http.Request, ps httprouter.Params) (Command, error) {
 			return &UpgradeStatusCommand{Svc: ps.ByName("svc")}, nil
 		}},
-		{http.MethodGet, "/-/trail/:kind/:id", ContactConfirmed, func(r *http.Request, ps httprouter.Params) (Command, error) {
-			return &TraceCommand{Ask: trace.Ask{Kind: ps.ByName("kind"), ID: ps.ByName("id"), Host: r.URL.Query().Get("host")}}, nil
-		}},
+		{http.MethodGet, "/-/traces/:kind/:id", ContactConfirmed, decodeTrace},
+		{http.MethodGet, "/-/trail/:kind/:id", ContactConfirmed, decodeTrace}, // its earlier name
 		{http.MethodPut, "/-/quotas", ContactWrite, decodeQuotas},
 		{http.MethodGet, "/-/quotas", ContactRead, func(*http.Request, httprouter.Params) (Command, error) { return QuotasCommand{}, nil }},
 		{http.MethodGet, "/-/quotas/:tenant", ContactConfirmed, func(_ *http.Request, ps httprouter.Params) (Command, error) {
@@ -79,6 +78,12 @@
 	}
 }
 
+func decodeTrace(r *http.Request, ps httprouter.Params) (Command, error) {
+	name := ps.ByName("kind")
+	ask := trace.Ask{Kind: trace.KindOf(name), ID: ps.ByName("id"), Host: r.URL.Query().Get("host")}
+	return &TraceCommand{Ask: ask, Name: name}, nil
+}
+
 func decodeGone(_ *http.Request, ps httprouter.Params) (Command, error) {
 	return &HeartbeatCommand{Worker: discovery.Worker{ID: ps.ByName("id"), Gone: true}}, nil
 }
--- a/internal/node/answers_test.go
+++ b/internal/node/answers_test.go
@@ -74,7 +74,7 @@
 		h.complete("a", 5, 10*time.Second)
 		time.Sleep(time.Second)
 		follow := func(path string) (trace.Report, int) {
-			w := h.control(h.edge(), "GET", "/-/trail/"+path, nil)
+			w := h.control(h.edge(), "GET", "/-/"+path, nil)
 			var r trace.Report
 			_ = json.Unmarshal(w.Body.Bytes(), &r)
 			return r, w.Code
@@ -89,29 +89,30 @@
 			return fmt.Sprint(n)
 		}
 		for path, want := range map[string]string{
-			"blueprint/1":             "map[acknowledged:1 committed:7 held:3 in_force:7]",
-			"worker/21":               "map[home:3 worker:4]",
-			"lot/a?host=shop.example": "map[copy:3 owner:1]",
+			"traces/configuration/1":         "map[acknowledged:1 committed:7 held:3 in_force:7]",
+			"trail/blueprint/1":              "map[acknowledged:1 committed:7 held:3 in_force:7]", // its earlier name
+			"traces/worker/21":               "map[home:3 worker:4]",
+			"traces/lot/a?host=shop.example": "map[copy:3 owner:1]",
 		} {
 			r, code := follow(path)
-			if code != 200 || !r.Complete || hops(r) != want {
+			if code != 200 || !r.Complete || hops(r) != want || !strings.Contains(path, "/"+r.Kind+"/") {
 				t.Errorf("%s: %d, complete %v, %s, missing %v", path, code, r.Complete, hops(r), r.Missing)
 			}
 		}
-		if r, _ := follow("blueprint/2"); r.Complete || len(r.Missing) < 7 {
+		if r, _ := follow("traces/configuration/2"); r.Complete || len(r.Missing) < 7 {
 			t.Errorf("a version nobody has: %+v", r)
 		}
-		if r, _ := follow("lot/none?host=shop.example"); r.Complete || len(r.Missing) != 3 {
+		if r, _ := follow("traces/lot/none?host=shop.example"); r.Complete || len(r.Missing) != 3 {
 			t.Errorf("a lot nobody has: %+v", r)
 		}
-		if r, _ := follow("worker/nobody"); r.Complete || len(r.Missing) != 4 {
+		if r, _ := follow("traces/worker/nobody"); r.Complete || len(r.Missing) != 4 {
 			t.Errorf("a worker nobody knows: %+v", r)
 		}
-		if _, code := follow("song/1"); code != 400 {
+		if _, code := follow("traces/song/1"); code != 400 {
 			t.Errorf("a kind that cannot be followed: %d", code)
 		}
 		h.kill("store-1")
-		r, _ := follow("lot/a?host=shop.example")
+		r, _ := follow("traces/lot/a?host=shop.example")
 		if r.Complete || !strings.Contains(strings.Join(r.Missing, ";"), "store-1: silent") {
 			t.Errorf("a silent store: %+v", r.Missing)
 		}
--- a/internal/trace/trace.go
+++ b/internal/trace/trace.go
@@ -13,13 +13,25 @@
 	"rowanshunt/internal/rpc"
 )
 
-// The kinds of changes that can be followed.
+// The kinds of changes that can be followed. The values travel between nodes, so
+// they stay as the first version had them.
 const (
 	Configuration = "blueprint"
 	Worker        = "worker"
 	Lot           = "lot"
 )
 
+// ConfigurationName is what calls and command lines call a configuration.
+const ConfigurationName = "configuration"
+
+// KindOf gives the kind that a call or a command line names.
+func KindOf(name string) string {
+	if name == ConfigurationName {
+		return Configuration
+	}
+	return name
+}
+
 // Ask names the change.
 type Ask struct {
 	Kind string
