--- a/internal/ingress/control.go
+++ b/internal/ingress/control.go
@@ -247,13 +247,22 @@
 	if err != nil {
 		return nil, err
 	}
-	expect, err := strconv.ParseInt(r.Header.Get("If-Match"), 10, 64)
-	if err != nil || expect < 0 {
-		return nil, fault.New(fault.Invalid, "If-Match", "holds no version", "give the version it builds on, 0 for the first")
+	expect, err := baseOf(r)
+	if err != nil {
+		return nil, err
 	}
 	return &PutCommand{Doc: raw, Ver: b.Ver, Expect: expect}, nil
 }
 
+// baseOf gives the version that a document builds on.
+func baseOf(r *http.Request) (int64, error) {
+	base, err := strconv.ParseInt(r.Header.Get("If-Match"), 10, 64)
+	if err != nil || base < 0 {
+		return 0, fault.New(fault.Invalid, "If-Match", "holds no version", "give the version it builds on, 0 for the first")
+	}
+	return base, nil
+}
+
 func decodeRetire(r *http.Request, ps httprouter.Params) (Command, error) {
 	raw, err := readAll(r, maxHeartbeat)
 	if err != nil {
--- a/internal/ingress/quota.go
+++ b/internal/ingress/quota.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/json"
 	"net/http"
-	"strconv"
 
 	"github.com/julienschmidt/httprouter"
 
@@ -72,9 +71,9 @@
 	if err != nil {
 		return nil, err
 	}
-	expect, err := strconv.ParseInt(r.Header.Get("If-Match"), 10, 64)
-	if err != nil || expect < 0 {
-		return nil, fault.New(fault.Invalid, "If-Match", "holds no version", "give the version it builds on, 0 for the first")
+	expect, err := baseOf(r)
+	if err != nil {
+		return nil, err
 	}
 	return &PutQuotasCommand{Doc: d, Expect: expect}, nil
 }
