--- a/internal/rpc/counters.go
+++ b/internal/rpc/counters.go
@@ -22,39 +22,31 @@
 // NewCounters makes an empty one.
 func NewCounters() *Counters { return &Counters{seen: map[string]*count{}} }
 
-func (t *Counters) of(kind string) *count {
+func (t *Counters) add(kind string, more count) {
+	if t == nil {
+		return
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
 	c := t.seen[kind]
 	if c == nil {
 		c = &count{}
 		t.seen[kind] = c
 	}
-	return c
+	c.callsOut += more.callsOut
+	c.callsIn += more.callsIn
+	c.bytesOut += more.bytesOut
+	c.bytesIn += more.bytesIn
 }
 
 // asked counts a call to a peer, answered one taken from a peer; a nil
 // counters counts nothing.
 func (t *Counters) asked(kind string, outBytes, inBytes int) {
-	if t == nil {
-		return
-	}
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	c := t.of(kind)
-	c.callsOut++
-	c.bytesOut += int64(outBytes)
-	c.bytesIn += int64(inBytes)
+	t.add(kind, count{callsOut: 1, bytesOut: int64(outBytes), bytesIn: int64(inBytes)})
 }
 
 func (t *Counters) answered(kind string, inBytes, outBytes int) {
-	if t == nil {
-		return
-	}
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	c := t.of(kind)
-	c.callsIn++
-	c.bytesIn += int64(inBytes)
-	c.bytesOut += int64(outBytes)
+	t.add(kind, count{callsIn: 1, bytesOut: int64(outBytes), bytesIn: int64(inBytes)})
 }
 
 // Total is a sum over all kinds.
