--- a/internal/register/register.go
+++ b/internal/register/register.go
@@ -96,32 +96,26 @@
 	return fault.New(fault.Unknown, "member", "this node has no such member", "read the membership again")
 }
 
-func (n *Register) serve() {
-	d := n.cfg.Mux
-	rpc.On(d, "nest.prepare", func(ctx context.Context, in *prepareCall) (*prepareAnswer, error) {
-		if n.member == nil {
-			return nil, noMember()
-		}
-		return n.member.Prepare(ctx, in)
-	})
-	rpc.On(d, "nest.accept", func(ctx context.Context, in *acceptCall) (*acceptAnswer, error) {
-		if n.member == nil {
-			return nil, noMember()
-		}
-		return n.member.Accept(ctx, in)
-	})
-	rpc.On(d, "nest.found.prepare", func(ctx context.Context, in *prepareCall) (*prepareAnswer, error) {
-		if n.founding == nil {
+// serveAcceptor answers the two rounds of a register; there may be no acceptor here.
+func serveAcceptor(mux *rpc.Mux, a *Acceptor, prepare, accept string) {
+	rpc.On(mux, prepare, func(ctx context.Context, in *prepareCall) (*prepareAnswer, error) {
+		if a == nil {
 			return nil, noMember()
 		}
-		return n.founding.Prepare(ctx, in)
+		return a.Prepare(ctx, in)
 	})
-	rpc.On(d, "nest.found.accept", func(ctx context.Context, in *acceptCall) (*acceptAnswer, error) {
-		if n.founding == nil {
+	rpc.On(mux, accept, func(ctx context.Context, in *acceptCall) (*acceptAnswer, error) {
+		if a == nil {
 			return nil, noMember()
 		}
-		return n.founding.Accept(ctx, in)
+		return a.Accept(ctx, in)
 	})
+}
+
+func (n *Register) serve() {
+	d := n.cfg.Mux
+	serveAcceptor(d, n.member, "nest.prepare", "nest.accept")
+	serveAcceptor(d, n.founding, "nest.found.prepare", "nest.found.accept")
 	rpc.On(d, "nest.learn", func(_ context.Context, in *State) (*rpc.Nothing, error) {
 		n.Learn(in)
 		return &rpc.Nothing{}, nil
