--- a/internal/lotstore/dispatch.go
+++ b/internal/lotstore/dispatch.go
@@ -331,16 +331,7 @@
 func (b *Store) expireWaiting() {
 	nowUs := eventloop.NowUs()
 	var due []*taker
-	keep := b.takers[:0]
-	for _, t := range b.takers {
-		if nowUs >= t.untilUs {
-			due = append(due, t)
-		} else {
-			keep = append(keep, t)
-		}
-	}
-	clear(b.takers[len(keep):])
-	b.takers = keep
+	b.takers, due = split(b.takers, func(t *taker) bool { return nowUs >= t.untilUs })
 	for _, t := range due {
 		b.answerTaker(t, nil)
 	}
--- a/internal/lotstore/read.go
+++ b/internal/lotstore/read.go
@@ -100,23 +100,30 @@
 
 // wakeReaders answers readers whose lot has something new, or whose time is up.
 func (b *Store) wakeReaders(nowUs int64) {
-	keep := b.readers[:0]
 	var due []*reader
-	for _, r := range b.readers {
+	b.readers, due = split(b.readers, func(r *reader) bool {
 		l := r.s.lots[r.in.Lot]
-		if nowUs >= r.untilUs || r.s.owner == nil || l == nil || r.in.StartAt < int64(l.seenLen) || l.endSeen {
-			due = append(due, r)
-		} else {
-			keep = append(keep, r)
-		}
-	}
-	clear(b.readers[len(keep):])
-	b.readers = keep
+		return nowUs >= r.untilUs || r.s.owner == nil || l == nil || r.in.StartAt < int64(l.seenLen) || l.endSeen
+	})
 	for _, r := range due {
 		b.confirmRead(r.s, r.in, r.reply)
 	}
 }
 
+// split takes those that are due out of a list, in place.
+func split[T any](list []*T, isDue func(*T) bool) (keep, due []*T) {
+	keep = list[:0]
+	for _, x := range list {
+		if isDue(x) {
+			due = append(due, x)
+		} else {
+			keep = append(keep, x)
+		}
+	}
+	clear(list[len(keep):])
+	return keep, due
+}
+
 type bodyCall struct {
 	Shard int
 	Lot   string
