--- a/cmd/scalerun/step.go
+++ b/cmd/scalerun/step.go
@@ -162,21 +162,12 @@
 	if err := s.until("all hollow nodes know the configuration", func() bool { return s.behind() == 0 }); err != nil {
 		return "", err
 	}
-	pause(ctx, s.Settle)
+	eventloop.Pause(ctx, s.Settle)
 	return s.measure(ctx)
 }
 
-func pause(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
-
 func (s *step) until(what string, ok func() bool) error {
-	for end := time.Now().Add(30 * time.Second); !ok(); pause(s.running, 20*time.Millisecond) {
+	for end := time.Now().Add(30 * time.Second); !ok(); eventloop.Pause(s.running, 20*time.Millisecond) {
 		if time.Now().After(end) || s.running.Err() != nil {
 			return errors.New("not within 30 s: " + what)
 		}
@@ -350,7 +341,7 @@
 		before[i] = read(p)
 	}
 	began := time.Now()
-	pause(ctx, s.Span)
+	eventloop.Pause(ctx, s.Span)
 	took := time.Since(began).Seconds()
 	cpu, kb, calls, peak, silent := map[string][]float64{}, map[string][]float64{}, map[string][]float64{}, map[string][]float64{}, map[string][]float64{}
 	for i, p := range s.real {
