Founding uses no ballot twice; founding and resent refusals in the model checker

Cause: each call of found() made a new proposer, which counted its ballots from 1 again under the same life. A first call that came to nothing may have an accept round under way still; the next call, with another view, proposed another set under the very ballot, so that two first memberships could each be chosen.

Change: a life has one proposer of the founding register. The founding register is a scenario of TestModel (two founders, one calls again with another value, one dies, a seed is lost); so is an order sent again after its refusal. A late answer to an accept round counts in the checker only for the state it was sent with.

With a proposer per call TestFoundersBallotsAreNeverUsedAgain fails, and the planted form is found; a seed that takes its office up again is found; with hasRefused false TestModel fails in the new scenario.

--- /dev/null
+++ b/internal/register/founding_test.go
@@ -0,0 +1,58 @@
+package register
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"rowanshunt/internal/gossip"
+	"rowanshunt/internal/rpc"
+	"rowanshunt/internal/simnet"
+)
+
+// ballotRecorder notes the ballots of the founding register's prepare rounds.
+type ballotRecorder struct {
+	rpc.Transport
+	seed string
+
+	mu      sync.Mutex
+	ballots []Ballot
+}
+
+func (r *ballotRecorder) Call(ctx context.Context, addr, kind string, in, out any) error {
+	if addr == r.seed && kind == "nest.found.prepare" {
+		r.mu.Lock()
+		r.ballots = append(r.ballots, in.(*prepareCall).Ballot)
+		r.mu.Unlock()
+	}
+	return r.Transport.Call(ctx, addr, kind, in, out)
+}
+
+// Each attempt to found has a ballot of its own, also in a later call: what was
+// sent under an earlier one may come late, with another value (design 4.3).
+func TestFoundersBallotsAreNeverUsedAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(context.Background())
+		network := simnet.New(1)
+		seeds := []string{"n0", "n1", "n2"} // only the first runs: no quorum
+		transport := &ballotRecorder{Transport: network.TransportOf("n0"), seed: "n1"}
+		register := startRegister(t, ctx, network, transport, gossip.Peer{Name: "n0", Addr: "n0", Disk: "d0"}, t.TempDir(), seeds)
+		for range 2 {
+			call, end := context.WithTimeout(ctx, 2*time.Second)
+			register.found(call)
+			end()
+		}
+		cancel()
+		synctest.Wait()
+		if len(transport.ballots) < 4 {
+			t.Fatalf("too few attempts: %v", transport.ballots)
+		}
+		for i, ballot := range transport.ballots[1:] {
+			if !transport.ballots[i].Less(ballot) {
+				t.Fatalf("a ballot was used again: %v", transport.ballots)
+			}
+		}
+	})
+}
--- a/internal/register/membership.go
+++ b/internal/register/membership.go
@@ -31,20 +31,7 @@
 	if err != nil {
 		return
 	}
-	var seeds []Member
-	for _, a := range n.cfg.Seeds {
-		seeds = append(seeds, Member{ID: "founding@" + a, Addr: a})
-	}
-	empty := &State{Core: Membership{Cur: seeds}}
-	p := NewProposer(n.cfg.Proposer, n.cfg.Transport, func(s Member) string { return s.Addr }, func() (*State, bool) { return empty, true }, func(*State) {})
-	p.kinds = [2]string{"nest.found.prepare", "nest.found.accept"}
-	chosen, err := p.Change(ctx, func(now *State) (*State, error) {
-		if len(now.Doc) > 0 {
-			return nil, nil
-		}
-		now.Doc = doc
-		return now, nil
-	})
+	chosen, err := n.founder.Change(ctx, foundingChange(doc))
 	if err != nil {
 		n.cfg.Log.Warn("founding_unsettled", "err", err)
 		return
@@ -59,6 +46,32 @@
 	n.spread(s)
 }
 
+// newFounder makes the proposer of the founding register. A life has one: a
+// second one would use the ballots of the first again, perhaps with another
+// value (design 4.3).
+func newFounder(cfg *Config) *Proposer {
+	var seeds []Member
+	for _, a := range cfg.Seeds {
+		seeds = append(seeds, Member{ID: "founding@" + a, Addr: a})
+	}
+	empty := &State{Core: Membership{Cur: seeds}}
+	p := NewProposer(cfg.Proposer, cfg.Transport, func(s Member) string { return s.Addr }, func() (*State, bool) { return empty, true }, func(*State) {})
+	p.kinds = [2]string{"nest.found.prepare", "nest.found.accept"}
+	return p
+}
+
+// foundingChange is the change that puts a first value into the founding
+// register. One that is there already stays.
+func foundingChange(doc []byte) Change {
+	return func(now *State) (*State, error) {
+		if len(now.Doc) > 0 {
+			return nil, nil
+		}
+		now.Doc = doc
+		return now, nil
+	}
+}
+
 // NextMembers is the membership that takes self in: in the place of an earlier
 // incarnation of its disk, of a member that leaves, of one that does not answer
 // self and is in lost, or beside the others; nil while it is too early to tell,
--- a/internal/register/model_explore_test.go
+++ b/internal/register/model_explore_test.go
@@ -25,6 +25,10 @@
 	// leftChange tells that a proposer began replaceCall(0, 3) and died, and that
 	// proposer 1 knows of it from what the acceptor of its own node accepted.
 	leftChange bool
+	// founding makes it the founding register: the members are the seeds, which
+	// keep nothing on disk, so that one that is wiped is gone; the founders learn
+	// nothing between their calls (design 4.3).
+	founding bool
 
 	// Planted faults; nil or false in the real machines.
 	prepare         func(*acceptorCore, *prepareCall) (*diskWrite, *prepareAnswer)
@@ -34,6 +38,7 @@
 	sameLife        bool // a new life signs ballots as the one before
 	alwaysCommitted bool // every membership passes for a committed one
 	sameMember      bool // a wiped disk comes back as the old member
+	sameBallots     bool // a proposer's next call counts its ballots anew
 }
 
 type actionKind uint8
@@ -59,6 +64,7 @@
 // explorer runs a breadth-first search with a visited set.
 type explorer struct {
 	scenario *scenario
+	initial  *State
 	in       *interner
 	key      keyWriter
 	fault    string // found in the step just made
@@ -93,6 +99,9 @@
 func (e *explorer) first() *world {
 	s := e.scenario
 	first := &State{Rev: 1, Core: Membership{Ver: 1}}
+	if s.founding {
+		first = &State{}
+	}
 	w := &world{crashes: s.crashes, wipes: s.wipes, deaths: s.deaths}
 	for i := range s.members + s.newcomers {
 		w.acceptors = append(w.acceptors, modelAcceptor{core: acceptorCore{id: acceptorID(i)}, alive: i < s.members || s.wipes == 0})
@@ -101,6 +110,7 @@
 		}
 	}
 	first = e.in.intern(first)
+	e.initial = first
 	if s.leftChange {
 		// A majority (a, c) promised; c alone accepted.
 		joint, _ := replaceCall(0, 3).change(first.clone())
@@ -110,7 +120,8 @@
 			w.acceptors[i].disk, w.acceptors[i].core.durable = v, v
 		}
 	}
-	w.committed = []*State{nil, first}
+	w.committed = make([]*State, first.Rev, first.Rev+1)
+	w.committed = append(w.committed, first)
 	for _, calls := range s.calls {
 		w.proposers = append(w.proposers, modelProposer{known: first, committed: true, outcomes: make([]outcome, len(calls))})
 	}
@@ -169,7 +180,7 @@
 // waits tells whether the round's proposer still takes answers to it.
 func waits(w *world, r *sentRound) bool {
 	p := &w.proposers[r.proposer]
-	return p.call != nil && p.call.ballot == r.ballot && (p.phase == preparing && r.state == nil || p.phase == accepting && r.state != nil)
+	return p.call != nil && p.call.ballot == r.ballot && (p.phase == preparing && r.state == nil || p.phase == accepting && r.state == p.call.commit)
 }
 
 // ballotCounts lists the counts that a new attempt may have: the next one, or
@@ -272,7 +283,7 @@
 		w.deaths--
 		e.endCall(w, int(act.who), unsure)
 		p := &w.proposers[act.who]
-		p.known, p.committed, p.highest = w.committed[1], false, 0
+		p.known, p.committed, p.highest = e.initial, e.scenario.founding, 0
 		if !e.scenario.sameLife {
 			p.life++
 		}
@@ -404,6 +415,9 @@
 	p.outcomes[p.at] = how
 	p.at++
 	p.attempts, p.phase, p.call = 0, idle, nil
+	if e.scenario.sameBallots {
+		p.highest = 0
+	}
 	e.checkOutcomes(w)
 }
 
--- a/internal/register/model_test.go
+++ b/internal/register/model_test.go
@@ -24,7 +24,10 @@
 // commit takes what proposer i learned to be committed.
 func (e *explorer) commit(w *world, i int, s *State) {
 	p := &w.proposers[i]
-	if !p.committed || s.Rev > p.known.Rev {
+	if e.scenario.founding && s.Rev > 1 {
+		e.faulty("the founding value was changed to %s", describeState(s))
+	}
+	if !e.scenario.founding && (!p.committed || s.Rev > p.known.Rev) {
 		p.known, p.committed = s, true
 	}
 	for uint64(len(w.committed)) <= s.Rev {
@@ -116,6 +119,11 @@
 	return orderCall{name: fmt.Sprintf("%s: %d on %d", name, ver, base), order: &order, change: PutChange(doc, ver, base)}
 }
 
+// foundCall founds the system with a value of its own, unless there is one.
+func foundCall(value string) orderCall {
+	return orderCall{name: "found " + value, change: foundingChange([]byte(value))}
+}
+
 // replaceCall brings a newcomer in, in the place of a member, as a node does
 // that joins.
 func replaceCall(old, newcomer int) orderCall {
@@ -150,8 +158,12 @@
 }
 
 var (
-	race       = [][]orderCall{{putCall("x", 4, 0)}, {putCall("y", 5, 0)}}
-	resend     = [][]orderCall{{putCall("x", 4, 0), putCall("x", 4, 0)}, {putCall("y", 9, 4)}}
+	race   = [][]orderCall{{putCall("x", 4, 0)}, {putCall("y", 5, 0)}}
+	resend = [][]orderCall{{putCall("x", 4, 0), putCall("x", 4, 0)}, {putCall("y", 9, 4)}}
+	// y is refused while x is not in force, and again once it is.
+	refusedAgain = [][]orderCall{{putCall("y", 9, 4), putCall("y", 9, 4)}, {putCall("x", 4, 0)}}
+	// A founder whose first call came to nothing has another view by the next.
+	founders   = [][]orderCall{{foundCall("P"), foundCall("Q")}, {foundCall("R")}}
 	replaceOne = [][]orderCall{{replaceCall(0, 3).within(2)}, {putCall("y", 5, 0)}}
 	// A membership change that was left is found and carried on while another
 	// proposer knows the first membership only.
@@ -169,6 +181,8 @@
 	scenarios := []*scenario{
 		{name: "race of two orders, three members", members: 3, calls: race, attempts: 2},
 		{name: "an order sent again and built upon", members: 3, calls: resend, attempts: 1},
+		{name: "a refused order is sent again", members: 3, calls: refusedAgain, attempts: 1},
+		{name: "two founders, one dies, a seed is lost", members: 3, calls: founders, attempts: 1, deaths: 1, wipes: 1, founding: true},
 		{name: "a proposer dies and sends its order again", members: 3, calls: [][]orderCall{{putCall("x", 4, 0), putCall("x", 4, 0)}, {putCall("y", 5, 0)}}, attempts: 1, deaths: 1, crashes: 1},
 		{name: "race, five members", members: 5, calls: race, attempts: 1},
 		{name: "a member is wiped and replaced under an order", members: 3, newcomers: 1, calls: replaceOne, attempts: 1, wipes: 1, answered: true},
@@ -237,6 +251,10 @@
 			s.sameLife, s.deaths, s.attempts = true, 1, 1
 		}),
 		mine("a wiped disk comes back as the old member", race, func(s *scenario) { s.sameMember, s.wipes, s.attempts = true, 1, 1 }),
+		mine("a founder's next call counts its ballots anew", founders, func(s *scenario) { s.founding, s.sameBallots, s.attempts = true, true, 1 }),
+		mine("a seed that starts again is a founding member again", founders, func(s *scenario) {
+			s.founding, s.sameMember, s.wipes, s.attempts = true, true, 1, 1
+		}),
 		mine("only the new set's quorum while joint", leftChange, func(s *scenario) {
 			s.newcomers, s.leftChange, s.answered = 1, true, true
 			s.quorum = func(r *Membership, agreed map[string]bool) bool { return majority(r.Cur, agreed) }
--- a/internal/register/register.go
+++ b/internal/register/register.go
@@ -56,6 +56,7 @@
 	member   *Acceptor
 	founding *Acceptor
 	proposer *Proposer
+	founder  *Proposer // of the founding register
 
 	mu        sync.Mutex
 	known     *State
@@ -86,6 +87,7 @@
 		n.known = member.State()
 	}
 	n.proposer = NewProposer(cfg.Proposer, cfg.Transport, n.addrOf, n.Known, n.Learn)
+	n.founder = newFounder(&n.cfg)
 	if cfg.Boot && n.known == nil && slices.Contains(cfg.Seeds, cfg.Self.Addr) {
 		n.founding = NewFoundingAcceptor("founding@" + cfg.Self.Addr)
 	}
