The claim of a shard decides in a state machine of its own

Change: claimCore, shard.takeOver, answerClaim, fences, raise, takeOp and owner.held (claim_core.go) decide with neither goroutine, clock, lock nor socket; Store does the calls, the timing and the disk. Calls, answers, records and the order of steps are as before. Two tests call install with its new argument.

Measured: the tests of lotstore pass, also under the race detector.

--- a/internal/lotstore/claim.go
+++ b/internal/lotstore/claim.go
@@ -154,8 +154,7 @@
 	if s.owner != nil {
 		b.depose(s, "new membership")
 	}
-	s.seenMax = max(s.seenMax, s.promised.N) + 1
-	term := Term{Membership: fenceOf(&st.Stores), N: s.seenMax, By: b.cfg.Self.Life()}
+	term := s.nextTerm(fenceOf(&st.Stores), b.cfg.Self.Life())
 	membership := b.sets(st)[s.n]
 	go func() {
 		ctx, cancel := context.WithTimeout(b.ctx, fetchTimeout)
@@ -170,21 +169,55 @@
 	}()
 }
 
+// runClaim drives a claimCore, which decides.
 func (b *Store) runClaim(ctx context.Context, s *shard, term Term, membership register.Membership) error {
-	members := membership.All()
+	claim := newClaim(b.cfg.Member, term, membership)
+	b.askPromises(s.n, claim)
+	if claim.higher != (Term{}) {
+		b.noteHigher(ctx, s, claim.higher)
+	}
+	if !claim.granted() {
+		return fault.New(fault.Refused, "shard", "no majority promised", "look which stores run")
+	}
+	// What an attempt before this one fetched counts, if it is still the best.
+	if _, err := eventloop.Ask(ctx, b.cfg.Loop, func() bool {
+		claim.reuse(s.fetched)
+		return true
+	}); err != nil {
+		return err
+	}
+	if err := b.fetchCopies(ctx, s.n, claim); err != nil {
+		_ = b.cfg.Loop.Do(b.ctx, func() { s.fetched = claim.fetched })
+		return err
+	}
+	_, err := eventloop.Ask(ctx, b.cfg.Loop, func() bool {
+		s.fetched = nil
+		if s.promised != term {
+			return false
+		}
+		b.install(s, claim)
+		return true
+	})
+	return err
+}
+
+// askPromises sends the claim to all members until enough have promised or all
+// have answered.
+func (b *Store) askPromises(shardN int, claim *claimCore) {
 	type reply struct {
 		member register.Member
 		out    *claimAnswer
 		err    error
 		clock  clockValue // of the shard at that replica, after its promise
 	}
+	members := claim.membership.All()
 	replies := make(chan reply, len(members))
 	for _, member := range members {
 		go func() {
 			callCtx, cancel := context.WithTimeout(b.ctx, claimTimeout)
 			defer cancel()
 			out := &claimAnswer{}
-			call := &claimCall{Member: member.ID, Shard: s.n, Term: term}
+			call := &claimCall{Member: member.ID, Shard: shardN, Term: claim.term}
 			var err error
 			if member.ID == b.cfg.Member {
 				out, err = b.onClaim(callCtx, call)
@@ -193,129 +226,58 @@
 			}
 			clock := clockValue{}
 			if err == nil && out.OK {
-				clock, err = b.askClock(callCtx, b.addrOf(member), &clockCall{Member: member.ID, Shard: s.n})
+				clock, err = b.askClock(callCtx, b.addrOf(member), &clockCall{Member: member.ID, Shard: shardN})
 			}
 			replies <- reply{member, out, err, clock}
 		}()
 	}
-	agreed := map[string]bool{}
-	best := map[string]copyOf{}
-	holders := map[string]register.Member{}
-	var higher *Term
-	clock := clockValue{}
 	for range members {
 		r := <-replies
-		if r.err != nil {
-			continue
-		}
-		if !r.out.OK {
-			if higher == nil || higher.Less(r.out.Promised) {
-				p := r.out.Promised
-				higher = &p
-			}
-			continue
-		}
-		agreed[r.member.ID] = true
-		clock = clock.newer(r.clock)
-		for _, c := range r.out.Copies {
-			old, have := best[c.Lot]
-			if !have || old.Term.Less(c.Term) || old.Term == c.Term && old.Rev < c.Rev {
-				best[c.Lot], holders[c.Lot] = c, r.member
-			} else if old.Term == c.Term && old.Rev == c.Rev && r.member.ID == b.cfg.Member {
-				holders[c.Lot] = r.member
-			}
-		}
-		if agreed[b.cfg.Member] && membership.Quorum(agreed) {
-			break
-		}
-	}
-	if higher != nil {
-		_ = b.cfg.Loop.Do(ctx, func() {
-			s.seenMax = max(s.seenMax, higher.N)
-			if s.promised.Less(*higher) {
-				// Remembered so that its holder is left alone; the promise
-				// itself is not ours to make.
-				s.tryUs = eventloop.NowUs() + claimPauseUs
-			}
-		})
-	}
-	if !agreed[b.cfg.Member] || !membership.Quorum(agreed) {
-		return fault.New(fault.Refused, "shard", "no majority promised", "look which stores run")
-	}
-	// What an attempt before this one fetched counts, if it is still the best.
-	fetched := map[string]*Lot{}
-	if _, err := eventloop.Ask(ctx, b.cfg.Loop, func() bool {
-		for id, l := range s.fetched {
-			if c, ok := best[id]; ok && l.Term == c.Term && l.Rev == c.Rev {
-				fetched[id] = l
-			}
+		if r.err == nil && claim.answered(r.member, r.out, r.clock) {
+			return
 		}
-		return true
-	}); err != nil {
-		return err
-	}
-	missing := missingCopies(best, holders, fetched, b.cfg.Member)
-	failed := b.fetchCopies(ctx, s.n, missing, fetched)
-	if failed != nil {
-		_ = b.cfg.Loop.Do(b.ctx, func() { s.fetched = fetched })
-		return failed
 	}
-	_, err := eventloop.Ask(ctx, b.cfg.Loop, func() bool {
-		s.fetched = nil
-		if s.promised != term {
-			return false
-		}
-		b.install(s, term, membership, fetched, clock)
-		return true
-	})
-	return err
 }
 
-// remoteCopy is the best copy of a lot where another replica has it.
-type remoteCopy struct {
-	copy   copyOf
-	holder register.Member
-}
-
-// missingCopies lists the best copies that are neither here nor fetched yet. It
-// is complete before the first fetch starts, for fetches write to the map that
-// it reads.
-func missingCopies(best map[string]copyOf, holders map[string]register.Member, fetched map[string]*Lot, self string) []remoteCopy {
-	var missing []remoteCopy
-	for id, c := range best {
-		if holders[id].ID != self && fetched[id] == nil {
-			missing = append(missing, remoteCopy{c, holders[id]})
+// noteHigher remembers a promise that refused a claim.
+func (b *Store) noteHigher(ctx context.Context, s *shard, higher Term) {
+	_ = b.cfg.Loop.Do(ctx, func() {
+		s.seenMax = max(s.seenMax, higher.N)
+		if s.promised.Less(higher) {
+			// Remembered so that its holder is left alone; the promise
+			// itself is not ours to make.
+			s.tryUs = eventloop.NowUs() + claimPauseUs
 		}
-	}
-	return missing
+	})
 }
 
-// fetchCopies fetches copies, a few at a time, into the map; on an error what
-// came before it, and beside it, is there.
-func (b *Store) fetchCopies(ctx context.Context, shardN int, missing []remoteCopy, fetched map[string]*Lot) error {
+// fetchCopies fetches the copies that the claim misses, a few at a time; on an
+// error what came before it, and beside it, is kept in the claim.
+func (b *Store) fetchCopies(ctx context.Context, shardN int, claim *claimCore) error {
 	var mu sync.Mutex
 	var wg sync.WaitGroup
 	var failed error
 	room := make(chan struct{}, fetchesAtOnce)
-	for _, m := range missing {
+	for _, m := range claim.missing() {
 		wg.Go(func() {
 			room <- struct{}{}
 			defer func() { <-room }()
 			lot, err := b.fetchCopy(ctx, shardN, m)
 			mu.Lock()
 			defer mu.Unlock()
+			if err == nil {
+				err = claim.took(m, lot)
+			}
 			if err != nil {
 				failed = err
-				return
 			}
-			fetched[m.copy.Lot] = lot
 		})
 	}
 	wg.Wait()
 	return failed
 }
 
-// fetchCopy fetches one copy; it must still be the one that was promised.
+// fetchCopy fetches one copy.
 func (b *Store) fetchCopy(ctx context.Context, shardN int, m remoteCopy) (*Lot, error) {
 	oneCtx, cancel := context.WithTimeout(ctx, oneTimeout)
 	defer cancel()
@@ -324,39 +286,17 @@
 	if err := b.cfg.Transport.Call(oneCtx, b.addrOf(m.holder), "brood.fetch", call, lot); err != nil {
 		return nil, err
 	}
-	if lot.Term != m.copy.Term || lot.Rev != m.copy.Rev {
-		return nil, fault.New(fault.Stale, m.copy.Lot, "the copy changed meanwhile", "claim again")
-	}
 	return lot, nil
 }
 
 // install makes this node the owner of what the claim found, the shard's clock
 // among it.
-func (b *Store) install(s *shard, term Term, membership register.Membership, fetched map[string]*Lot, clock clockValue) {
-	o := &owner{term: term, membership: membership, feeds: map[string]*feed{}}
-	rec := &record{Shard: s.n}
+func (b *Store) install(s *shard, claim *claimCore) {
+	term := claim.term
 	nowUs := eventloop.NowUs()
-	s.clock.start(term, nowUs, clock)
-	for id, l := range fetched {
-		placed := s.placeOnClock(l, nowUs)
-		src := copyOf{Lot: id, Term: l.Term, Rev: l.Rev}
-		whole := *l
-		put := op{Kind: opPut, Lot: id, Term: term, Rev: l.Rev, Whole: &whole}
-		apply(s.lots, &put)
-		s.lots[id].src, s.lots[id].placed = src, placed
-		rec.Ops = append(rec.Ops, put)
-	}
-	for id, l := range s.lots {
-		if fetched[id] == nil {
-			l.src = copyOf{Lot: id, Term: l.Term, Rev: l.Rev}
-			st := op{Kind: opTerm, Lot: id, Term: term, Rev: l.Rev, Src: l.Term}
-			apply(s.lots, &st)
-			if l.placed = s.placeOnClock(l, nowUs); l.placed {
-				st = op{Kind: opPut, Lot: id, Term: term, Rev: l.Rev, Whole: l.share()}
-			}
-			rec.Ops = append(rec.Ops, st)
-		}
-		l = s.lots[id]
+	s.clock.start(term, nowUs, claim.clock)
+	rec := &record{Shard: s.n, Ops: s.takeOver(term, claim.fetched, nowUs)}
+	for _, l := range s.lots {
 		l.taken, l.endSeen, l.seenLen = false, false, 0
 		l.live = &live{at: make([]promptState, len(l.Prompts))}
 		for i := range l.Rows {
@@ -366,13 +306,8 @@
 		}
 		s.nextOffset = max(s.nextOffset, l.First+int64(l.items()))
 	}
-	o.seq = 1
+	o := newOwner(term, claim.membership, b.cfg.Member)
 	s.owner = o
-	for _, member := range membership.All() {
-		if member.ID != b.cfg.Member {
-			o.feeds[member.ID] = &feed{member: member, cold: true}
-		}
-	}
 	o.waits = append(o.waits, wait{1, eventloop.NowUs(), func(err error) {
 		if err != nil {
 			return
@@ -384,7 +319,6 @@
 		b.cfg.Log.Info("shard_owned", "shard", s.n, "stamp", term.N, "membership", term.Membership, "lots", len(s.lots))
 		b.poll()
 	}})
-	o.diskIssued = 1
 	if n := len(rec.Ops); n > 0 {
 		rec.Ops[n-1].ClockUs = s.clock.now(nowUs)
 		s.clock.saved(rec.Ops[n-1].ClockUs)
--- a/internal/lotstore/clock_test.go
+++ b/internal/lotstore/clock_test.go
@@ -85,7 +85,9 @@
 	term := Term{Membership: 1, N: n, By: "s/1"}
 	s.promised = term
 	b.persist(&record{Shard: 0, Promise: &term}, func() {})
-	b.install(s, term, register.Membership{Ver: 1, Cur: []register.Member{{ID: "s", Name: "s"}}}, nil, clock)
+	claim := newClaim("s", term, register.Membership{Ver: 1, Cur: []register.Member{{ID: "s", Name: "s"}}})
+	claim.clock = clock
+	b.install(s, claim)
 	return s
 }
 
--- a/internal/lotstore/owner.go
+++ b/internal/lotstore/owner.go
@@ -225,16 +225,7 @@
 func (b *Store) advance(s *shard, o *owner) {
 	for s.owner == o && len(o.waits) > 0 {
 		w := o.waits[0]
-		agreed := map[string]bool{}
-		if o.selfAcked() >= w.seq {
-			agreed[b.cfg.Member] = true
-		}
-		for id, f := range o.feeds {
-			if f.acked >= w.seq {
-				agreed[id] = true
-			}
-		}
-		if !o.membership.Quorum(agreed) {
+		if !o.held(b.cfg.Member, w.seq) {
 			return
 		}
 		o.waits = o.waits[1:]
--- a/internal/lotstore/owner_test.go
+++ b/internal/lotstore/owner_test.go
@@ -52,7 +52,7 @@
 				st := Term{Membership: 1, N: n, By: "s/1"}
 				s.promised = st
 				b.persist(&record{Shard: 0, Promise: &st}, func() {})
-				b.install(s, st, register.Membership{Ver: 1, Cur: []register.Member{member}}, nil, clockValue{})
+				b.install(s, newClaim("s", st, register.Membership{Ver: 1, Cur: []register.Member{member}}))
 			}
 			do(own)
 			for i := range 200 {
--- a/internal/lotstore/replica.go
+++ b/internal/lotstore/replica.go
@@ -326,29 +326,22 @@
 			reply(nil, err)
 			return
 		}
-		if in.Term.Less(s.promised) || in.Look && in.Term != s.promised {
-			reply(&claimAnswer{Promised: s.promised}, nil)
-			return
-		}
-		out := &claimAnswer{OK: true, Promised: in.Term}
-		for _, l := range s.lots {
-			out.Copies = append(out.Copies, copyOf{Lot: l.ID, Term: l.Term, Rev: l.Rev, Listed: len(l.List)})
-		}
-		if s.promised == in.Term {
-			// The promise and the copies may be on their way to the disk still.
+		out, step := s.answerClaim(in)
+		switch step {
+		case nothingToWrite:
+			reply(out, nil)
+		case writesUnderWay:
 			b.append(func() { reply(out, nil) })
-			return
+		case newPromise:
+			b.promise(s, in.Term)
+			b.persist(&record{Shard: s.n, Promise: &in.Term}, func() { reply(out, nil) })
 		}
-		b.promise(s, in.Term)
-		b.persist(&record{Shard: s.n, Promise: &in.Term}, func() { reply(out, nil) })
 	})
 }
 
 // promise raises the fence; an owner here under a lower one is out.
 func (b *Store) promise(s *shard, st Term) {
-	s.promised = st
-	s.seenMax = max(s.seenMax, st.N)
-	if s.owner != nil && s.owner.term != st {
+	if s.raise(st) {
 		b.depose(s, "fenced by "+st.By)
 	}
 }
@@ -377,7 +370,7 @@
 			reply(nil, err)
 			return
 		}
-		if in.Term.Less(s.promised) {
+		if s.fences(in.Term) {
 			reply(&writeAnswer{Promised: s.promised}, nil)
 			return
 		}
@@ -398,8 +391,7 @@
 				return
 			}
 			o.raw = raw
-			s.clock.record(o.Term, o.ClockUs)
-			if !apply(s.lots, &o) {
+			if !s.takeOp(&o) {
 				out.OK, out.Misfit = false, true
 				break
 			}
