The register's model checker searches with a package of its own

Cause: the claim of a shard is to be searched in the same way.

Change: internal/modelcheck holds the breadth-first search, used by tests only; the register's checker gives it the world.

--- a/internal/register/model_explore_test.go
+++ b/internal/register/model_explore_test.go
@@ -4,9 +4,8 @@
 	"fmt"
 	"slices"
 
-	"github.com/zeebo/xxh3"
-
 	"rowanshunt/internal/fault"
+	"rowanshunt/internal/modelcheck"
 )
 
 // scenario bounds what the model checker explores, and holds the machines: a
@@ -61,7 +60,7 @@
 	what uint8 // round
 }
 
-// explorer runs a breadth-first search with a visited set.
+// explorer is the model that modelcheck searches.
 type explorer struct {
 	scenario *scenario
 	initial  *State
@@ -437,55 +436,26 @@
 	}
 }
 
+// First, Actions, Step and Key make the explorer a modelcheck.Model.
+func (e *explorer) First() *world { return e.first() }
+
+func (e *explorer) Actions(w *world) []action { return e.actions(w) }
+
+func (e *explorer) Step(from *world, act action) (*world, string) {
+	return e.step(from, act), e.fault
+}
+
+func (e *explorer) Key(w *world) []byte { return e.key.world(w) }
+
 // run explores until there is nothing new, a fault, or too many states.
 func (e *explorer) run(mostStates int) verdict {
-	type origin struct {
-		parent int32
-		act    action
-	}
-	first := e.first()
-	visited := map[xxh3.Uint128]struct{}{xxh3.Hash128(e.key.world(first)): {}}
-	origins := []origin{{parent: -1}}
-	type node struct {
-		w  *world
-		id int32
-	}
-	frontier := []node{{first, 0}}
-	v := verdict{states: 1}
-	for ; len(frontier) > 0; v.depth++ {
-		var next []node
-		for _, from := range frontier {
-			for _, act := range e.actions(from.w) {
-				w := e.step(from.w, act)
-				v.transitions++
-				hash := xxh3.Hash128(e.key.world(w))
-				if _, seen := visited[hash]; seen && e.fault == "" {
-					continue
-				}
-				visited[hash] = struct{}{}
-				id := int32(len(origins))
-				origins = append(origins, origin{from.id, act})
-				v.states++
-				if e.fault != "" {
-					v.fault = e.fault
-					var path []action
-					for at := id; at > 0; at = origins[at].parent {
-						path = append(path, origins[at].act)
-					}
-					slices.Reverse(path)
-					v.trace = e.describe(path)
-					return v
-				}
-				next = append(next, node{w, id})
-				v.count(from.w, w)
-			}
-		}
-		if v.states > mostStates {
-			return v
-		}
-		frontier = next
+	v := verdict{}
+	found := modelcheck.Search(e, mostStates, v.count)
+	v.states, v.transitions, v.depth = found.States, found.Transitions, found.Depth
+	v.complete, v.fault = found.Complete, found.Fault
+	if v.fault != "" {
+		v.trace = e.describe(found.Path)
 	}
-	v.complete = true
 	return v
 }
 
