Leases in a part that is cut off: homes say it, and answers count as beats

A home that no longer hears the core went on telling its zone the ages of workers. Nodes of the zone that reach the core themselves dropped all workers that beat elsewhere after one lease, and did not learn that a worker leaves, since their source was not silent: a request may then go to it beyond drain_ms from a machine in touch. Inside the part that is cut off, workers that went on answering were dropped as well.

A node that hears neither the core nor such a home takes an answer of a worker for a beat, unless it closes the connection. The forms on the wire of the version before are kept.

--- a/internal/discovery/departures.go
+++ b/internal/discovery/departures.go
@@ -82,11 +82,13 @@
 	Next    departureCursor
 	More    bool
 	Workers []Worker
+	// CutOff: the member that answers hears no majority of the core itself.
+	CutOff bool
 }
 
 // DecodeMsgpack reads answers of other versions too.
 func (a *departureAnswer) DecodeMsgpack(d *msgpack.Decoder) error {
-	return rpc.Fields(d, &a.Next, &a.More, &a.Workers)
+	return rpc.Fields(d, &a.Next, &a.More, &a.Workers, &a.CutOff)
 }
 
 // onDepartures answers what the asker has not read yet. A cursor of another
@@ -99,7 +101,7 @@
 		if in.Epoch != log.epoch {
 			read = 0
 		}
-		out := &departureAnswer{Next: departureCursor{Epoch: log.epoch, Seq: read}}
+		out := &departureAnswer{Next: departureCursor{Epoch: log.epoch, Seq: read}, CutOff: !f.hearsCore(nowUs)}
 		for _, d := range log.after(read) {
 			out.Next.Seq = d.seq
 			if e := f.workers[d.workerID]; e != nil && !e.Up() && e.departure == d.seq {
@@ -191,7 +193,8 @@
 	return m.Addr
 }
 
-// readDeparturesOfOne asks the members in their order until one answers.
+// readDeparturesOfOne asks the members in their order until one answers that hears a
+// majority of the core.
 func (f *Discovery) readDeparturesOfOne(members []register.Member) {
 	if !f.reader.busy.CompareAndSwap(false, true) {
 		return
@@ -215,16 +218,24 @@
 			return err
 		}
 		page := &departureAnswer{}
+		startUs := eventloop.NowUs()
 		callCtx, cancel := context.WithTimeout(f.ctx, departureTimeout)
 		err = f.cfg.Transport.Call(callCtx, f.addrOf(member), "flora.departures", &cursor, page)
 		cancel()
 		if err != nil {
 			return err
 		}
-		if err := f.cfg.Loop.Do(f.ctx, func() { f.takeDepartures(member.Name, page) }); err != nil {
+		err = f.cfg.Loop.Do(f.ctx, func() {
+			f.noteDepartureLog(member.Name, page, startUs)
+			f.takeDepartures(member.Name, page)
+		})
+		switch {
+		case err != nil:
 			return err
-		}
-		if !page.More {
+		case page.More:
+		case page.CutOff:
+			return errCutOff
+		default:
 			return nil
 		}
 	}
@@ -242,35 +253,3 @@
 		f.publish()
 	}
 }
-
-// holdsMajority tells whether those that took a departure, by name, are a
-// majority of the core.
-func holdsMajority(core *register.Membership, took map[string]bool) bool {
-	if core == nil {
-		return false
-	}
-	agreed := map[string]bool{}
-	for _, m := range core.All() {
-		if took[m.Name] {
-			agreed[m.ID] = true
-		}
-	}
-	return core.Quorum(agreed)
-}
-
-// inContact tells whether this node sees a majority of the core alive: where it
-// does not, a worker is better off at another node (design 5.2).
-func (f *Discovery) inContact(v *gossip.View) bool {
-	if f.cfg.Core == nil {
-		return true
-	}
-	core := f.coreMembership()
-	if core == nil {
-		return true // not founded yet, or not heard of: nobody is sent anything
-	}
-	alive := map[string]bool{}
-	for _, m := range core.All() {
-		alive[m.Name] = maybeAlive(v, m.Name)
-	}
-	return holdsMajority(core, alive)
-}
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -40,7 +40,10 @@
 	Loads  func(all bool) []Load
 	Hear   func(from string, ps []Load)
 	OnNews func(Worker)
-	Dir    string // folder for what outlives a restart, "" without a disk
+	// Answered tells when a worker last answered a request of this node without
+	// saying that it leaves, 0 if it is not known. Any goroutine may call it.
+	Answered func(id string) int64
+	Dir      string // folder for what outlives a restart, "" without a disk
 	// Core gives the membership of the core as last committed, nil if this node
 	// knows none yet. Without the function a node is alone.
 	Core func() *register.Membership
@@ -75,7 +78,9 @@
 
 	departures    *departureLog
 	reader        departureReader
-	silentSources map[string]int64
+	contact       coreContact
+	cutOff        bool             // neither the core nor a home that hears it is heard
+	silentSources map[string]int64 // sources that did not answer, or hear no core
 }
 
 // startJournal reads the journal and goes on with it; where the disk gives or takes
@@ -97,7 +102,8 @@
 // New joins the news path.
 func New(ctx context.Context, cfg Config) (*Discovery, error) {
 	f := &Discovery{cfg: cfg, ctx: ctx, workers: map[string]*entry{}, subs: map[string]*subscriber{}, pending: map[string]bool{}, startUs: eventloop.NowUs(),
-		departures: newDepartureLog(), reader: departureReader{cursors: map[string]departureCursor{}}, silentSources: map[string]int64{}}
+		departures: newDepartureLog(), reader: departureReader{cursors: map[string]departureCursor{}},
+		contact: coreContact{memberUs: map[string]int64{}}, silentSources: map[string]int64{}}
 	f.dir.Store(&Directory{BySvc: map[string][]*Worker{}, ByID: map[string]*Worker{}})
 	if cfg.Dir != "" {
 		f.startJournal()
@@ -234,6 +240,7 @@
 // only while news comes in: a node that is cut off keeps what it had.
 func (f *Discovery) publish() {
 	nowUs := eventloop.NowUs()
+	f.noteContact(nowUs)
 	var sum uint64
 	for id, e := range f.workers {
 		if e.Old && nowUs-f.startUs > oldUs {
@@ -270,7 +277,7 @@
 }
 
 func (f *Discovery) usable(e *entry) bool {
-	return e.Up() && f.syncUs-e.seenUs < f.LeaseUs()
+	return e.Up() && f.syncUs-f.lastSignUs(e) < f.LeaseUs()
 }
 
 // Trace tells what this node knows of a worker, nil if nothing, and whether it
--- a/internal/discovery/subscriptions.go
+++ b/internal/discovery/subscriptions.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sort"
 	"time"
 
@@ -47,6 +48,13 @@
 	Loads   []Load
 }
 
+// cutOffMark stands among the services of an answer, as no service is called so, when
+// the home does not hear the core: what it has not heard is no sign that a worker is
+// gone (design 5.3). Versions before take no answer with one more field.
+const cutOffMark = ""
+
+func (a *subAnswer) cutOff() bool { return slices.Contains(a.Same, cutOffMark) }
+
 func (f *Discovery) digest(svc string) uint64 {
 	var sum uint64
 	for _, e := range f.workers {
@@ -68,6 +76,9 @@
 		nowUs := eventloop.NowUs()
 		f.subs[in.From] = &subscriber{addr: in.Addr, untilUs: nowUs + subscribedUs}
 		out := &subAnswer{FreshUs: f.freshUs()}
+		if !f.hearsCore(nowUs) {
+			out.Same = append(out.Same, cutOffMark)
+		}
 		if f.cfg.Loads != nil {
 			out.Loads = f.cfg.Loads(true)
 		}
@@ -121,7 +132,7 @@
 		if source == f.cfg.Self.Name || source == "" || f.isSilent(source) {
 			// A silent home is asked again after a while; meanwhile the next
 			// zone's knows as much.
-			if other := next(homes, f.cfg.Self.Az); other != "" || source == f.cfg.Self.Name {
+			if other := f.next(homes); other != "" || source == f.cfg.Self.Name {
 				source = other
 			}
 		}
@@ -159,6 +170,7 @@
 			ctx, cancel := context.WithTimeout(f.ctx, 450*time.Millisecond)
 			defer cancel()
 			out := &subAnswer{}
+			startUs := eventloop.NowUs()
 			if err := f.cfg.Transport.Call(ctx, p.Addr, "flora.sub", call, out); err != nil {
 				_ = f.cfg.Loop.Do(f.ctx, func() { f.sourceFailed(source) })
 				return
@@ -166,7 +178,14 @@
 			if f.cfg.Hear != nil {
 				f.cfg.Hear("", out.Loads)
 			}
-			_ = f.cfg.Loop.Do(ctx, func() { f.refresh(out) })
+			_ = f.cfg.Loop.Do(ctx, func() {
+				f.refresh(out)
+				if out.cutOff() {
+					f.sourceFailed(source)
+				} else {
+					f.contact.homeUs = startUs
+				}
+			})
 		}()
 	}
 	f.readDepartures(serves, false)
@@ -180,8 +199,8 @@
 	return failed && eventloop.NowUs()-atUs < silentSourceUs
 }
 
-// sourceFailed notes a source that did not answer, and asks the core at once
-// for what it would have told of workers that leave (design 5.4).
+// sourceFailed notes a source that did not answer, or does not hear the core, and
+// asks the core at once for what it would have told of workers that leave (design 5.4).
 func (f *Discovery) sourceFailed(source string) {
 	for name := range f.silentSources {
 		if !f.isSilent(name) {
@@ -192,19 +211,25 @@
 	f.readDepartures(false, true)
 }
 
-// next is the home of the zone after az, in the zones' order.
-func next(homes map[string]string, az string) string {
+// next is the home of the next zone in the zones' order, a silent one only if all
+// are.
+func (f *Discovery) next(homes map[string]string) string {
 	var azs []string
-	for a := range homes {
-		if a != az {
-			azs = append(azs, a)
+	for az := range homes {
+		if az != f.cfg.Self.Az {
+			azs = append(azs, az)
 		}
 	}
 	if len(azs) == 0 {
 		return ""
 	}
 	sort.Strings(azs)
-	at := sort.SearchStrings(azs, az)
+	at := sort.SearchStrings(azs, f.cfg.Self.Az)
+	for i := range azs {
+		if name := homes[azs[(at+i)%len(azs)]]; !f.isSilent(name) {
+			return name
+		}
+	}
 	return homes[azs[at%len(azs)]]
 }
 
--- a/internal/node/departure_test.go
+++ b/internal/node/departure_test.go
@@ -24,6 +24,13 @@
 func edgesServingOf(t *testing.T, seed uint64, edges int, svc string) *cluster {
 	t.Helper()
 	h := newCluster(t, seed, edges, 0)
+	h.startServing(svc)
+	return h
+}
+
+// startServing starts a system of edges alone, with three workers of one service.
+func (h *cluster) startServing(svc string) {
+	h.t.Helper()
 	h.startAll()
 	for i, zone := range zones {
 		h.worker(fmt.Sprint(21+i), svc, zone)
@@ -39,7 +46,6 @@
 		}
 		return true
 	})
-	return h
 }
 
 // leave sends one word of a leaving worker to an edge and tells the answer and
--- /dev/null
+++ b/internal/node/island_test.go
@@ -0,0 +1,114 @@
+package node
+
+import (
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+)
+
+// cutBetween cuts all traffic between two groups of nodes.
+func (h *cluster) cutBetween(some, others []string) {
+	for _, a := range some {
+		h.m.CutOff(h.nodes[a].opts.PeerAddr(), h.addrsOf(others), true)
+	}
+}
+
+func (h *cluster) addrsOf(names []string) []string {
+	var out []string
+	for _, name := range names {
+		out = append(out, h.nodes[name].opts.PeerAddr())
+	}
+	return out
+}
+
+// homeCutOff brings up a system in which edge-0 is the home of its zone and reaches
+// edge-3 of that zone alone. Workers beat at the others, which edge-3 reaches but for
+// edge-5.
+func homeCutOff(t *testing.T) *cluster {
+	t.Helper()
+	h := newCluster(t, 21, 4, 0)
+	h.add("edge-5", "forager", 5, false, true)
+	h.startServing("app")
+	if home := h.nodes["edge-3"].f.Discovery.HomeOf("app"); home != "edge-0" {
+		t.Fatalf("the home is %s: choose other numbers", home)
+	}
+	h.shunned.Store("edge-0")
+	time.Sleep(5 * time.Second) // subscriptions of the start run out
+	h.cutBetween([]string{"edge-0"}, []string{"edge-1", "edge-2", "edge-5"})
+	h.cutBetween([]string{"edge-3"}, []string{"edge-5"})
+	return h
+}
+
+// A home that does not hear the core ends no leases of workers that beat elsewhere at
+// nodes of its zone that do hear it (hardening 1).
+func TestHomeCutOffEndsNoLeases(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := homeCutOff(t)
+		defer h.end()
+		for range 40 {
+			time.Sleep(500 * time.Millisecond)
+			if got := len(h.nodes["edge-3"].f.Discovery.Look().ByID); got != 3 {
+				t.Fatalf("edge-3 uses %d of 3 workers", got)
+			}
+		}
+	})
+}
+
+// An acknowledged departure reaches a node in contact with the core in time, although
+// its home answers and does not hear of it (K3).
+func TestDepartureBesideAHomeCutOff(t *testing.T) {
+	for _, after := range []time.Duration{0, 500 * time.Millisecond} {
+		synctest.Test(t, func(t *testing.T) {
+			h := homeCutOff(t)
+			defer h.end()
+			time.Sleep(after)
+			h.stopHeartbeat()
+			h.stopHeartbeat = nil
+			if code, took := h.leave("edge-5", "21", "draining"); code != 200 {
+				t.Fatalf("%d after %v", code, took)
+			}
+			time.Sleep(drainBound)
+			if h.nodes["edge-3"].f.Discovery.Look().ByID["21"] != nil {
+				t.Errorf("%v into the cut: edge-3 still uses the worker %v after the acknowledgement", after, drainBound)
+			}
+		})
+	}
+}
+
+// In a part that is cut off with its home, workers that beat elsewhere stay in use for
+// as long as they answer; those that say that they leave, or answer nothing, are out
+// after one lease (design 5.3).
+func TestAnswersCountInAnIsland(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := edgesServing(t, 22, 5) // workers beat at edge-0
+		defer h.end()
+		f := h.nodes["edge-4"].f
+		inUse := func(id string) bool { return f.Discovery.Look().ByID[id] != nil }
+		h.cutBetween([]string{"edge-1", "edge-4"}, []string{"edge-0", "edge-2", "edge-3"})
+		h.workers["22"].Close()
+		lease := time.Duration(f.Discovery.LeaseUs()) * time.Microsecond
+		from, left := time.Now(), false
+		for n := 0; time.Since(from) < 20*time.Second; n++ {
+			w := h.client(f, "GET", "/till/x", nil, "X-Rowanshunt-Request-Id", fmt.Sprint("r", n))
+			since := time.Since(from)
+			if w.Code != 200 && since > lease {
+				t.Errorf("%v into the cut: %d %s", since, w.Code, w.Body)
+			}
+			if inUse("22") && since > lease+time.Second {
+				t.Errorf("%v into the cut the worker that crashed is in use", since)
+			}
+			if !left && since > 10*time.Second {
+				left = true
+				h.workers["23"].SetLeaving(true)
+			}
+			if got := inUse("23"); !got && since < 10*time.Second || got && since > 10*time.Second+lease+time.Second {
+				t.Errorf("%v into the cut: worker 23 in use: %v", since, got)
+			}
+			time.Sleep(200 * time.Millisecond)
+		}
+		if !inUse("21") {
+			t.Error("the worker that answers is not in use")
+		}
+	})
+}
