A process of the simulated network can be suspended as a whole

The network held a machine's traffic; what a process does between waking and its next look at the clock was not tested. Suspend stops the event loop, calls both ways and connections, at a call that the test names; an answer that came meanwhile is returned after the wake-up, past the call's limit too.

Two tests: the driver of an upgrade suspended amid a step for 2.4 and 20 s, and a dispatcher that is given items, or opens a connection for one, for 20 s.

--- a/internal/node/cluster_test.go
+++ b/internal/node/cluster_test.go
@@ -39,8 +39,9 @@
 	// mu guards nodes, order and what start sets of a member, for beats and
 	// clients look for an edge beside the test's own goroutine.
 	mu      sync.Mutex
-	resting atomic.Bool  // the dispatchers take nothing
-	shunned atomic.Value // the node that the test's own calls leave out, if any
+	resting atomic.Bool               // the dispatchers take nothing
+	shunned atomic.Value              // the node that the test's own calls leave out, if any
+	watched atomic.Pointer[proposals] // told of the committed values, if set
 }
 
 type member struct {
@@ -127,6 +128,7 @@
 		if err == nil {
 			strong := f.Dispatcher.Dispatches
 			f.Dispatcher.Dispatches = func() bool { return !h.resting.Load() && strong() }
+			h.hold(m, f)
 			f.Start(ctx)
 			h.m.Place(ctx, m.opts.PeerAddr(), f.Mux)
 		}
@@ -161,6 +163,9 @@
 
 // end stops everything, so that the bubble can be left.
 func (h *cluster) end() {
+	for _, m := range h.nodes {
+		h.m.Resume(m.opts.PeerAddr())
+	}
 	if h.stopHeartbeat != nil {
 		h.stopHeartbeat()
 	}
--- /dev/null
+++ b/internal/node/suspend_test.go
@@ -0,0 +1,229 @@
+package node
+
+import (
+	"bytes"
+	"fmt"
+	"reflect"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"rowanshunt/internal/config"
+	"rowanshunt/internal/discovery"
+	"rowanshunt/internal/register"
+	"rowanshunt/internal/simnet"
+	"rowanshunt/internal/upgrade"
+)
+
+// A process stands still as a whole: its event loop, its calls and connections, and
+// the places where its goroutines would go on by time alone (design 12.2).
+
+// hold lets a suspended edge node go on nowhere that the network does not see.
+func (h *cluster) hold(m *member, f *EdgeNode) {
+	addr := m.opts.PeerAddr()
+	takes, inForce, look, more := f.Dispatcher.Dispatches, f.Dispatcher.Configuration, f.Forwarder.Sender.Dir, f.applyMore
+	f.Dispatcher.Dispatches = func() bool {
+		h.m.AwaitRunning(addr)
+		return takes()
+	}
+	f.Dispatcher.Configuration = func() *config.Configuration {
+		h.m.AwaitRunning(addr)
+		return inForce()
+	}
+	f.Forwarder.Sender.Dir = func() *discovery.Directory {
+		h.m.AwaitRunning(addr)
+		return look()
+	}
+	f.applyMore = func(s *register.State) {
+		if p := h.watched.Load(); p != nil {
+			p.onState(s)
+		}
+		more(s)
+	}
+}
+
+// suspend stops a node's process until resume.
+func (h *cluster) suspend(name string) {
+	m := h.member(name)
+	addr := m.opts.PeerAddr()
+	h.m.Suspend(addr)
+	m.node().Loop.Try(func() { h.m.AwaitRunning(addr) })
+}
+
+// suspendAt stops a node's process as it is about to make its nth call of a kind, or
+// once that is under way, and tells when.
+func (h *cluster) suspendAt(name string, nth int, sent bool, is func(simnet.Call) bool) <-chan struct{} {
+	suspended := make(chan struct{})
+	addr := h.member(name).opts.PeerAddr()
+	var made atomic.Int64
+	stop := func() {
+		h.suspend(name)
+		close(suspended)
+	}
+	h.m.OnCall(func(c simnet.Call) {
+		switch {
+		case !is(c) || c.From != addr || made.Add(1) != int64(nth):
+		case sent:
+			time.AfterFunc(2*time.Millisecond, stop)
+		default:
+			stop()
+		}
+	})
+	return suspended
+}
+
+func (h *cluster) wake(name string) { h.m.Resume(h.member(name).opts.PeerAddr()) }
+
+// proposals notes who first proposed each value of the register, and which values
+// were committed.
+type proposals struct {
+	mu        sync.Mutex
+	authors   map[string]string // by value
+	committed map[uint64]*register.State
+}
+
+func keyOf(s *register.State) string {
+	return fmt.Sprintf("%d %x", s.Rev, s.Extra["moult/llm"])
+}
+
+func (p *proposals) onCall(c simnet.Call) {
+	if c.Kind != "nest.accept" {
+		return
+	}
+	s := reflect.ValueOf(c.Body).Elem().FieldByName("State").Interface().(*register.State)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if key := keyOf(s); p.authors[key] == "" {
+		p.authors[key] = c.From
+	}
+}
+
+func (p *proposals) onState(s *register.State) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.committed[s.Rev] = s
+}
+
+// check looks at all changes of the upgrade: each is its driver's own, terms rise by
+// one with each driver, waves by one, and no worker goes out twice.
+func (p *proposals) check(u *upgradeCluster) (changes int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var last uint64
+	for rev := range p.committed {
+		last = max(last, rev)
+	}
+	wentOut := map[string]int64{}
+	for rev := uint64(1); rev <= last; rev++ {
+		s, before := p.committed[rev], p.committed[rev-1]
+		now, was := upgrade.Load(s, "llm"), upgrade.Load(before, "llm")
+		if now == nil || was == nil || bytes.Equal(s.Extra["moult/llm"], before.Extra["moult/llm"]) {
+			continue
+		}
+		changes++
+		name, _, _ := strings.Cut(now.Driver, "/")
+		if author := p.authors[keyOf(s)]; author != u.nodes[name].opts.PeerAddr() {
+			u.t.Errorf("revision %d is by %s, the driver is %s", rev, author, now.Driver)
+		}
+		if now.Term < was.Term || now.Term > was.Term+1 || (now.Term == was.Term) != (now.Driver == was.Driver) {
+			u.t.Errorf("revision %d: term %d of %s after term %d of %s", rev, now.Term, now.Driver, was.Term, was.Driver)
+		}
+		if now.Wave > was.Wave+1 || now.Wave < was.Wave {
+			u.t.Errorf("revision %d: wave %d after %d", rev, now.Wave, was.Wave)
+		}
+		for _, o := range now.Out {
+			if wave, out := wentOut[o.ID]; out && wave != now.Wave && o.ID != "" {
+				u.t.Errorf("worker %s goes out in wave %d and in %d", o.ID, wave, now.Wave)
+			}
+			wentOut[o.ID] = now.Wave
+		}
+	}
+	return changes
+}
+
+// A driver stands still in the middle of a step, with its proposal not yet sent, and
+// wakes before its time for the step is over or when all is done; another one took its
+// place. It changes nothing under its old term.
+func TestUpgradeDriverSuspended(t *testing.T) {
+	for _, tc := range []struct {
+		span time.Duration
+		kind string
+		nth  int
+	}{{2400 * time.Millisecond, "nest.prepare", 1}, {20 * time.Second, "nest.accept", 2}} {
+		synctest.Test(t, func(t *testing.T) {
+			u := newUpgradeCluster(t, 70)
+			defer u.leave()
+			p := &proposals{authors: map[string]string{}, committed: map[uint64]*register.State{}}
+			u.watched.Store(p)
+			u.m.OnCall(p.onCall)
+			if code := u.begin(nil); code != 200 {
+				t.Fatalf("start: %d", code)
+			}
+			var first upgrade.Upgrade
+			u.until("a driver", 10*time.Second, func() bool {
+				first, _ = u.status()
+				return first.Driver != ""
+			})
+			driver, _, _ := strings.Cut(first.Driver, "/")
+			u.shunned.Store(driver)
+			time.Sleep(time.Second)
+			<-u.suspendAt(driver, tc.nth, false, func(c simnet.Call) bool {
+				p.onCall(c)
+				return c.Kind == tc.kind
+			})
+			time.Sleep(tc.span)
+			u.wake(driver)
+			done := u.untilPhase(upgrade.Done, 60*time.Second)
+			if changes := p.check(u); changes < 12 || done.Term == first.Term {
+				t.Errorf("%v: %d changes seen, term %d after %d", tc, changes, done.Term, first.Term)
+			}
+		})
+	}
+}
+
+// A dispatcher stands still with an ask under way, to which it is given items, or as it
+// opens a connection for an item's first worker, until its leave is over; the items run
+// elsewhere meanwhile. When it wakes it starts none of them (design 9.2).
+func TestDispatcherSuspended(t *testing.T) {
+	for _, dialling := range []bool{false, true} {
+		synctest.Test(t, func(t *testing.T) {
+			h := newCluster(t, 80, 3, 3)
+			defer h.end()
+			h.serving()
+			h.complete("warm-up", 1, 5*time.Second)
+			const name = "edge-1"
+			f := h.nodes[name].f
+			owner := h.nodes[h.ownerOf()].opts.PeerAddr()
+			f.Forwarder.Sender.Conns.CloseAll()
+			time.Sleep(2 * time.Second)
+			suspended := h.suspendAt(name, 1, !dialling, func(c simnet.Call) bool {
+				return dialling && c.Kind == simnet.Dial || !dialling && c.Kind == "brood.take" && c.To == owner
+			})
+			if !dialling {
+				<-suspended
+			}
+			h.mustHandIn("a", 30, 10)
+			<-suspended
+			time.Sleep(20 * time.Second)
+			h.complete("a", 30, time.Second)
+			h.wake(name)
+			time.Sleep(time.Millisecond)
+			if f.Dispatcher.InHand("a") == 0 {
+				t.Errorf("dialling %v: the dispatcher was given nothing: the test tests nothing", dialling)
+			}
+			time.Sleep(3 * time.Second)
+			for i := range 30 {
+				runs := 0
+				for _, w := range h.workers {
+					runs += w.Ran(itemID("a", i))
+				}
+				if runs != 1 {
+					t.Errorf("dialling %v: item %d ran %d times", dialling, i, runs)
+				}
+			}
+		})
+	}
+}
--- a/internal/simnet/simnet.go
+++ b/internal/simnet/simnet.go
@@ -27,6 +27,7 @@
 	listeners map[string]*Listener
 	cuts      map[[2]string]bool
 	holds     holds
+	suspended suspensions
 	// DelayUs bounds the delay of one way; Lose and Double are shares of
 	// peer calls. Set them before the network carries anything, and by Slow and
 	// Disturb while it does.
@@ -42,7 +43,7 @@
 
 // New makes a network whose luck follows from the seed.
 func New(seed uint64) *Network {
-	return &Network{rng: rand.New(rand.NewPCG(seed, 7)), desks: map[string]*site{}, listeners: map[string]*Listener{}, cuts: map[[2]string]bool{}, holds: newHolds(), DelayUs: 1000}
+	return &Network{rng: rand.New(rand.NewPCG(seed, 7)), desks: map[string]*site{}, listeners: map[string]*Listener{}, cuts: map[[2]string]bool{}, holds: newHolds(), suspended: suspensions{resumed: map[string]chan struct{}{}}, DelayUs: 1000}
 }
 
 // Place puts a node's call mux at an address until ctx ends.
@@ -127,6 +128,15 @@
 
 // Call implements rpc.Transport.
 func (h *transport) Call(ctx context.Context, addr, kind string, in, out any) error {
+	h.m.beforeCall(Call{From: h.from, To: addr, Kind: kind, Body: in})
+	running, stop := h.m.whileRunning(ctx, h.from)
+	defer stop()
+	err := h.call(running, addr, kind, in, out)
+	h.m.AwaitRunning(h.from)
+	return err
+}
+
+func (h *transport) call(ctx context.Context, addr, kind string, in, out any) error {
 	body, err := codec.Marshal(in)
 	if err != nil {
 		return fault.New(fault.Internal, kind, err.Error(), "report this")
@@ -154,7 +164,9 @@
 		if !h.m.pass(there.site.ctx, addr, kind) {
 			return
 		}
+		h.m.AwaitRunning(addr)
 		b, err := there.site.mux.Serve(there.site.ctx, kind, body)
+		h.m.AwaitRunning(addr)
 		got <- answer{b, err}
 	}
 	go serve()
@@ -242,25 +254,32 @@
 // DialFrom dials connections as the node at an address.
 func (m *Network) DialFrom(from string) func(context.Context, string) (net.Conn, error) {
 	return func(ctx context.Context, addr string) (net.Conn, error) {
-		m.mu.Lock()
-		l := m.listeners[addr]
-		cut := m.cuts[[2]string{from, addr}]
-		m.mu.Unlock()
-		if cut {
-			wait(ctx, 350*time.Millisecond)
-			return nil, &net.OpError{Op: "dial", Net: "meadow", Err: syscall.ETIMEDOUT}
-		}
-		if l == nil {
-			return nil, &net.OpError{Op: "dial", Net: "meadow", Err: syscall.ECONNREFUSED}
-		}
-		near, far := net.Pipe()
-		select {
-		case l.queue <- far:
-			return near, nil
-		case <-l.closed:
-		case <-ctx.Done():
-		}
-		_ = near.Close()
+		m.beforeCall(Call{From: from, To: addr, Kind: Dial})
+		conn, err := m.dial(ctx, from, addr)
+		m.AwaitRunning(from)
+		return conn, err
+	}
+}
+
+func (m *Network) dial(ctx context.Context, from, addr string) (net.Conn, error) {
+	m.mu.Lock()
+	l := m.listeners[addr]
+	cut := m.cuts[[2]string{from, addr}]
+	m.mu.Unlock()
+	if cut {
+		wait(ctx, 350*time.Millisecond)
+		return nil, &net.OpError{Op: "dial", Net: "meadow", Err: syscall.ETIMEDOUT}
+	}
+	if l == nil {
 		return nil, &net.OpError{Op: "dial", Net: "meadow", Err: syscall.ECONNREFUSED}
 	}
+	near, far := net.Pipe()
+	select {
+	case l.queue <- far:
+		return &processConn{Conn: near, m: m, addr: from}, nil
+	case <-l.closed:
+	case <-ctx.Done():
+	}
+	_ = near.Close()
+	return nil, &net.OpError{Op: "dial", Net: "meadow", Err: syscall.ECONNREFUSED}
 }
