--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -287,7 +287,7 @@
 	}
 	f := &EdgeNode{Node: n, Balancer: balancer.New(opts.Az), Emitter: events.New(opts.Sink, opts.Node, n.self.Life(), env.Log, nil)}
 	f.Discovery, err = discovery.New(ctx, discovery.Config{Runtime: n.shared,
-		HbUs: opts.HbMs * 1000, Services: n.services, Loads: f.Balancer.Loads, Hear: f.Balancer.Hear, Dir: n.diskDir, Core: n.core,
+		HbUs: opts.HbMs * 1000, Services: n.services, Loads: f.Balancer.Loads, Hear: f.Balancer.Hear, Dir: n.diskDir, Core: n.core, Answered: f.Balancer.AnsweredUs,
 		OnNews: func(w discovery.Worker) {
 			f.Emitter.Emit(events.WorkerChanged, w.ID, map[string]any{"svc": w.Svc, "addr": w.Addr, "phase": w.Phase, "gone": w.Gone})
 		}})
