--- a/internal/register/orders.go
+++ b/internal/register/orders.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"context"
-	"slices"
 
 	"github.com/vmihailenco/msgpack/v5"
 	"github.com/zeebo/xxh3"
@@ -50,7 +49,7 @@
 type OrderLog struct {
 	// Floor is the version that the oldest entry of Taken builds on. Nothing
 	// is known of orders at or below it.
-	Loop int64
+	Floor int64
 	// Taken are the orders in the order of taking; each builds on the one
 	// before it.
 	Taken []TakenOrder
@@ -75,7 +74,7 @@
 
 // DecodeMsgpack reads logs of earlier and later versions too.
 func (l *OrderLog) DecodeMsgpack(d *msgpack.Decoder) error {
-	return rpc.Fields(d, &l.Loop, &l.Taken, &l.Refused)
+	return rpc.Fields(d, &l.Floor, &l.Taken, &l.Refused)
 }
 
 // DecodeMsgpack reads entries of later versions too.
@@ -101,7 +100,7 @@
 // document there: if the log does not end with it, a node of an earlier version
 // took an order without logging it, and the log begins anew.
 func (k OrderKind) Load(s *State, inForce int64) (*OrderLog, error) {
-	log := &OrderLog{Loop: inForce}
+	log := &OrderLog{Floor: inForce}
 	raw := s.Extra[string(k)]
 	if raw == nil {
 		return log, nil
@@ -129,13 +128,13 @@
 
 func (l *OrderLog) newest() int64 {
 	if len(l.Taken) == 0 {
-		return l.Loop
+		return l.Floor
 	}
 	return l.Taken[len(l.Taken)-1].Ver
 }
 
 func (l *OrderLog) hasTaken(o Order) bool {
-	base := l.Loop
+	base := l.Floor
 	for _, t := range l.Taken {
 		if t.Ver == o.Ver {
 			return t.Digest == o.Digest && base == o.Base
@@ -158,7 +157,7 @@
 func (l *OrderLog) take(o Order) {
 	l.Taken = append(l.Taken, TakenOrder{Ver: o.Ver, Digest: o.Digest})
 	if over := len(l.Taken) - maxTakenOrders; over > 0 {
-		l.Loop = l.Taken[over-1].Ver
+		l.Floor = l.Taken[over-1].Ver
 		l.Taken = l.Taken[over:]
 	}
 	// What builds on a version below the new one can't be taken any more.
@@ -211,9 +210,9 @@
 		return nil, errStaleBase()
 	}
 	if o.Base < inForce {
-		// An order on a base below the event loop was taken, if at all, as a version
-		// that is at most the event loop. The one in force is known by its document.
-		if o.Base < log.Loop && o.Ver <= log.Loop && o.Ver != inForce {
+		// An order on a base below the floor was taken, if at all, as a version that
+		// is at most the floor. The one in force is known by its document.
+		if o.Base < log.Floor && o.Ver <= log.Floor && o.Ver != inForce {
 			return nil, fault.New(fault.Unsure, "ver", "was sent so long ago that nothing is known of it", "read the current version")
 		}
 		return nil, errStaleBase()
@@ -254,46 +253,3 @@
 		})
 	}
 }
-
-// retireOrders is the key of the names that were taken by retire orders, the
-// oldest first, so that an order for a store that has left since is known.
-const (
-	retireOrders    = "orders/retire"
-	maxRetireOrders = 64
-)
-
-func loadRetired(s *State) ([]string, error) {
-	raw := s.Extra[retireOrders]
-	if raw == nil {
-		return nil, nil
-	}
-	var names []string
-	if err := msgpack.Unmarshal(raw, &names); err != nil {
-		return nil, fault.New(fault.Damaged, retireOrders, err.Error(), "run the same version on all nodes")
-	}
-	return names, nil
-}
-
-// tookRetire tells whether a retire order for that name was taken lately.
-func tookRetire(s *State, name string) (bool, error) {
-	names, err := loadRetired(s)
-	return slices.Contains(names, name), err
-}
-
-// logRetire adds a name to the retire orders in a value that is not shared yet.
-func logRetire(s *State, name string) error {
-	names, err := loadRetired(s)
-	if err != nil {
-		return err
-	}
-	names = append(slices.DeleteFunc(names, func(n string) bool { return n == name }), name)
-	if over := len(names) - maxRetireOrders; over > 0 {
-		names = names[over:]
-	}
-	raw, err := codec.Marshal(names)
-	if err != nil {
-		return err
-	}
-	s.SetExtra(retireOrders, raw)
-	return nil
-}
--- a/internal/register/orders_test.go
+++ b/internal/register/orders_test.go
@@ -137,7 +137,7 @@
 		t.Fatal(err)
 	}
 	log, err := ConfigOrders.Load(&State{Extra: map[string][]byte{string(ConfigOrders): raw}}, 5)
-	if err != nil || log.Loop != 3 || !log.hasTaken(Order{Ver: 5, Base: 3, Digest: Digest{Hi: 1, Lo: 2}}) {
+	if err != nil || log.Floor != 3 || !log.hasTaken(Order{Ver: 5, Base: 3, Digest: Digest{Hi: 1, Lo: 2}}) {
 		t.Errorf("%+v, %v", log, err)
 	}
 }
--- a/internal/register/register.go
+++ b/internal/register/register.go
@@ -271,62 +271,6 @@
 	}
 }
 
-// Retire marks a store to be emptied.
-func (n *Register) Retire(ctx context.Context, name string) error {
-	_, err := n.Change(ctx, func(now *State) (*State, error) {
-		at := slices.IndexFunc(now.Stores.All(), func(s Member) bool { return s.Name == name })
-		retired := slices.ContainsFunc(now.Retiring, func(id string) bool { return strings.HasPrefix(id, name+"#") })
-		if at < 0 {
-			taken, err := tookRetire(now, name)
-			if retired || taken || err != nil {
-				return nil, err
-			}
-			return nil, fault.New(fault.Unknown, name, "is no store of this system", "name a store's node")
-		}
-		id := now.Stores.All()[at].ID
-		if slices.Contains(now.Retiring, id) {
-			return nil, nil
-		}
-		left := 0
-		for _, s := range now.Stores.Cur {
-			if s.ID != id && !slices.Contains(now.Retiring, s.ID) {
-				left++
-			}
-		}
-		if left < 2*n.cfg.Spared+1 {
-			return nil, fault.New(fault.Conflict, name, "too few stores would be left", "add a store first")
-		}
-		now.Retiring = boundRetiring(append(slices.Clone(now.Retiring), id), now.Stores.All())
-		if err := logRetire(now, name); err != nil {
-			return nil, err
-		}
-		return now, nil
-	})
-	return err
-}
-
-// Retired tells whether nothing is left on that store that others lack.
-func (n *Register) Retired(ctx context.Context, name string) (done bool, err error) {
-	s, err := n.Read(ctx)
-	if err != nil {
-		return false, err
-	}
-	for _, member := range s.Stores.All() {
-		if member.Name == name {
-			return false, nil
-		}
-	}
-	for _, id := range s.Retiring {
-		if strings.HasPrefix(id, name+"#") {
-			return true, nil
-		}
-	}
-	if taken, err := tookRetire(s, name); taken || err != nil {
-		return taken, err
-	}
-	return false, fault.New(fault.Unknown, name, "is no store of this system", "name a store's node")
-}
-
 // Held tells what this node's member accepted: its version, and whether there is
 // a member that votes.
 func (n *Register) Held() (ver int64, votes bool) {
