Orders without a version: one that comes again is told from a new one

Cause, two faults of one kind. A start or undo whose first attempt at the register was carried through by another proposer found its own upgrade in the next attempt of the same call, and was answered 409 although it was taken; a pause could pause twice. And a retire or upgrade order that was sent again after a contrary one, or came late from a frozen node, was a new order.

OrderID is the identity of such an order: of the call, or, with the optional header Idempotency-Key, of key, path and body. Calls without a key are answered as before and log only what they change.

TestOrdersSentAgain passes an identity, else as it was.

--- a/cmd/rowanshunt/main_test.go
+++ b/cmd/rowanshunt/main_test.go
@@ -41,6 +41,24 @@
 		}
 		fmt.Fprintf(w, now, "running", "", "")
 	})
+	// An undo is taken, but its first answer is lost: only its resend, known by
+	// its key, is acknowledged.
+	lost := ""
+	mux.HandleFunc("POST /-/upgrades/llm/undo", func(w http.ResponseWriter, r *http.Request) {
+		key := r.Header.Get("Idempotency-Key")
+		switch {
+		case key == "":
+			http.Error(w, "no key", http.StatusBadRequest)
+		case lost == "":
+			lost = key
+			http.Error(w, `{"err":"unsure: no majority in time"}`, http.StatusBadGateway)
+		case key != lost:
+			w.WriteHeader(http.StatusConflict)
+			fmt.Fprint(w, `{"err":"conflict: llm: is being undone already"}`)
+		default:
+			fmt.Fprintf(w, now, "running", "", "")
+		}
+	})
 	mux.HandleFunc("GET /-/upgrades/llm", func(w http.ResponseWriter, _ *http.Request) {
 		fmt.Fprintf(w, now, "paused", "wave 3 is not back", "replace the workers")
 	})
--- a/cmd/rowanshunt/upgrade.go
+++ b/cmd/rowanshunt/upgrade.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"crypto/rand"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -26,11 +27,12 @@
 	rules   upgrade.Rules
 	asJSON  bool
 	timeout time.Duration
+	key     string            // tells a resend from a new order
 	acts    map[string]string // full command to act
 }
 
 func newUpgradeCommand(app *kingpin.Application) *upgradeCommand {
-	u := &upgradeCommand{rules: upgrade.DefaultRules(), acts: map[string]string{}}
+	u := &upgradeCommand{rules: upgrade.DefaultRules(), key: rand.Text(), acts: map[string]string{}}
 	cmd := app.Command("upgrade", "Move a service's workers to a new model version while they serve.")
 	cmd.Flag("node", "ctl address of a node, host:port; may be given several times, tried in turn.").Required().StringsVar(&u.nodes)
 	cmd.Flag("service", "The service, as the configuration names it.").Required().StringVar(&u.service)
@@ -93,7 +95,7 @@
 			return 0, nil, err
 		}
 	}
-	return request(u.timeout, node, method, path, body)
+	return request(u.timeout, node, method, path, body, "Idempotency-Key", u.key)
 }
 
 // request calls one node's control address.
--- a/internal/ingress/control.go
+++ b/internal/ingress/control.go
@@ -146,11 +146,14 @@
 }
 
 // RetireCommand asks for a store to be emptied.
-type RetireCommand struct{ Node string }
+type RetireCommand struct {
+	Order register.OrderID
+	Node  string
+}
 
 // Run marks the store in the register.
 func (r *RetireCommand) Run(ctx context.Context, c *Control) (Reply, error) {
-	if err := c.Register.Retire(ctx, r.Node); err != nil {
+	if err := c.Register.Retire(ctx, r.Order, r.Node); err != nil {
 		return Reply{}, err
 	}
 	c.Log.Info("retire_taken", "node", r.Node)
@@ -222,6 +225,22 @@
 	return raw, nil
 }
 
+// maxIdempotencyKey bounds the key that an operator gives an order.
+const maxIdempotencyKey = 64
+
+// orderID is the identity of an order that carries no version: from its
+// Idempotency-Key, else one for this call alone.
+func orderID(r *http.Request, body []byte) (register.OrderID, error) {
+	keys := r.Header.Values("Idempotency-Key")
+	if len(keys) == 0 {
+		return register.NewOrderID(), nil
+	}
+	if len(keys) > 1 || keys[0] == "" || len(keys[0]) > maxIdempotencyKey {
+		return register.OrderID{}, fault.New(fault.Invalid, "Idempotency-Key", "is not one key of 1 to 64 characters", "send a new random one with each order, and the same with its resends")
+	}
+	return register.KeyedOrderID(keys[0], r.URL.Path, body), nil
+}
+
 func decodeHeartbeat(r *http.Request, ps httprouter.Params) (Command, error) {
 	raw, err := readAll(r, maxHeartbeat)
 	if err != nil {
@@ -263,5 +282,9 @@
 			return nil, fault.New(fault.Invalid, "over_s", "cannot be read", "send a JSON object with over_s in seconds")
 		}
 	}
-	return &RetireCommand{Node: ps.ByName("node")}, nil
+	order, err := orderID(r, raw)
+	if err != nil {
+		return nil, err
+	}
+	return &RetireCommand{Order: order, Node: ps.ByName("node")}, nil
 }
--- a/internal/ingress/upgrade.go
+++ b/internal/ingress/upgrade.go
@@ -9,11 +9,13 @@
 
 	"rowanshunt/internal/events"
 	"rowanshunt/internal/fault"
+	"rowanshunt/internal/register"
 	"rowanshunt/internal/upgrade"
 )
 
 // UpgradeCommand is an operator's call about a model upgrade (design 13.4).
 type UpgradeCommand struct {
+	Order register.OrderID
 	Svc   string
 	Act   string // start, pause, resume, undo
 	To    int64
@@ -26,13 +28,13 @@
 	var err error
 	switch u.Act {
 	case "start":
-		now, err = c.Upgrades.Start(ctx, u.Svc, u.To, u.Rules)
+		now, err = c.Upgrades.Start(ctx, u.Order, u.Svc, u.To, u.Rules)
 	case "pause":
-		now, err = c.Upgrades.Pause(ctx, u.Svc)
+		now, err = c.Upgrades.Pause(ctx, u.Order, u.Svc)
 	case "resume":
-		now, err = c.Upgrades.Resume(ctx, u.Svc)
+		now, err = c.Upgrades.Resume(ctx, u.Order, u.Svc)
 	case "undo":
-		now, err = c.Upgrades.Undo(ctx, u.Svc)
+		now, err = c.Upgrades.Undo(ctx, u.Order, u.Svc)
 	default:
 		err = fault.New(fault.Unknown, u.Act, "is nothing an upgrade can do", "use start, pause, resume or undo")
 	}
@@ -71,6 +73,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if u.Order, err = orderID(r, raw); err != nil {
+		return nil, err
+	}
 	if u.Act != "start" {
 		return u, nil
 	}
--- a/internal/register/retire.go
+++ b/internal/register/retire.go
@@ -12,8 +12,8 @@
 )
 
 // Retire marks a store to be emptied.
-func (n *Register) Retire(ctx context.Context, name string) error {
-	_, err := n.Change(ctx, RetireChange(name, n.cfg.Spared))
+func (n *Register) Retire(ctx context.Context, order OrderID, name string) error {
+	_, err := n.Change(ctx, order.Once(RetireChange(name, n.cfg.Spared)))
 	return err
 }
 
--- a/internal/upgrade/driver.go
+++ b/internal/upgrade/driver.go
@@ -269,8 +269,8 @@
 // change, so that a refusal stands on a committed value at a majority. A repeated
 // order is never refused: while its upgrade is open it gets a Conflict, after it
 // ended the upgrade as it stands (design 13.4).
-func (m *Manager) Start(ctx context.Context, svc string, to int64, rules Rules) (*Upgrade, error) {
-	return m.change(ctx, svc, func(now *register.State, old *Upgrade) (*Upgrade, error) {
+func (m *Manager) Start(ctx context.Context, order register.OrderID, svc string, to int64, rules Rules) (*Upgrade, error) {
+	return m.change(ctx, order, svc, func(now *register.State, old *Upgrade) (*Upgrade, error) {
 		workers := m.countWorkers(svc, to)
 		switch {
 		case old.Open():
@@ -351,15 +351,15 @@
 	return err == nil && configuration.Services[svc] != nil
 }
 
-// change runs a change of one upgrade in the register.
-func (m *Manager) change(ctx context.Context, svc string, fn func(*register.State, *Upgrade) (*Upgrade, error)) (*Upgrade, error) {
-	s, err := m.cfg.Change(ctx, func(now *register.State) (*register.State, error) {
+// change carries an order about one upgrade out in the register, once.
+func (m *Manager) change(ctx context.Context, order register.OrderID, svc string, fn func(*register.State, *Upgrade) (*Upgrade, error)) (*Upgrade, error) {
+	s, err := m.cfg.Change(ctx, order.Once(func(now *register.State) (*register.State, error) {
 		u, err := fn(now, Load(now, svc))
 		if err != nil || u == nil {
 			return nil, err
 		}
 		return now, u.store(now)
-	})
+	}))
 	if err != nil {
 		return nil, err
 	}
@@ -371,8 +371,8 @@
 }
 
 // Pause stops an upgrade where it is.
-func (m *Manager) Pause(ctx context.Context, svc string) (*Upgrade, error) {
-	return m.change(ctx, svc, func(_ *register.State, u *Upgrade) (*Upgrade, error) {
+func (m *Manager) Pause(ctx context.Context, order register.OrderID, svc string) (*Upgrade, error) {
+	return m.change(ctx, order, svc, func(_ *register.State, u *Upgrade) (*Upgrade, error) {
 		if u == nil {
 			return nil, unknown(svc)
 		}
@@ -385,8 +385,8 @@
 }
 
 // Resume lets a paused upgrade go on, its times anew.
-func (m *Manager) Resume(ctx context.Context, svc string) (*Upgrade, error) {
-	return m.change(ctx, svc, func(_ *register.State, u *Upgrade) (*Upgrade, error) {
+func (m *Manager) Resume(ctx context.Context, order register.OrderID, svc string) (*Upgrade, error) {
+	return m.change(ctx, order, svc, func(_ *register.State, u *Upgrade) (*Upgrade, error) {
 		if u == nil {
 			return nil, unknown(svc)
 		}
@@ -401,8 +401,8 @@
 
 // Undo turns an upgrade round: the workers at the target version go back in
 // waves, under the same rules.
-func (m *Manager) Undo(ctx context.Context, svc string) (*Upgrade, error) {
-	return m.change(ctx, svc, func(_ *register.State, u *Upgrade) (*Upgrade, error) {
+func (m *Manager) Undo(ctx context.Context, order register.OrderID, svc string) (*Upgrade, error) {
+	return m.change(ctx, order, svc, func(_ *register.State, u *Upgrade) (*Upgrade, error) {
 		if u == nil {
 			return nil, unknown(svc)
 		}
--- a/internal/upgrade/orders_test.go
+++ b/internal/upgrade/orders_test.go
@@ -35,10 +35,10 @@
 		},
 	}}
 	ctx := t.Context()
-	start := func() (*Upgrade, error) { return m.Start(ctx, "llm", 2, DefaultRules()) }
-	pause := func() (*Upgrade, error) { return m.Pause(ctx, "llm") }
-	resume := func() (*Upgrade, error) { return m.Resume(ctx, "llm") }
-	undo := func() (*Upgrade, error) { return m.Undo(ctx, "llm") }
+	start := func() (*Upgrade, error) { return m.Start(ctx, register.NewOrderID(), "llm", 2, DefaultRules()) }
+	pause := func() (*Upgrade, error) { return m.Pause(ctx, register.NewOrderID(), "llm") }
+	resume := func() (*Upgrade, error) { return m.Resume(ctx, register.NewOrderID(), "llm") }
+	undo := func() (*Upgrade, error) { return m.Undo(ctx, register.NewOrderID(), "llm") }
 	end := func(phase Phase, ver int64) func() (*Upgrade, error) {
 		return func() (*Upgrade, error) {
 			for i := range workers {
@@ -84,3 +84,33 @@
 		}
 	}
 }
+
+// A call at the register may find that an earlier attempt of its own was carried
+// through: it is answered as taken, not as in its own way (design 4.2).
+func TestOrderFindsItsOwnAttempt(t *testing.T) {
+	state := &register.State{Ver: 1, Doc: []byte(ordersConfiguration)}
+	m := &Manager{cfg: Config{
+		Known: func() []discovery.Worker {
+			return []discovery.Worker{{ID: "w1", Svc: "llm", Phase: "up"}, {ID: "w2", Svc: "llm", Phase: "up"}}
+		},
+		Change: func(_ context.Context, change register.Change) (*register.State, error) {
+			for range 2 {
+				now := *state
+				next, err := change(&now)
+				if err != nil {
+					return state, err
+				}
+				if next != nil {
+					state = next
+				}
+			}
+			return state, nil
+		},
+	}}
+	if u, err := m.Start(t.Context(), register.NewOrderID(), "llm", 2, DefaultRules()); err != nil || u.Phase != Running {
+		t.Errorf("start: %v", err)
+	}
+	if u, err := m.Undo(t.Context(), register.NewOrderID(), "llm"); err != nil || !u.Undoing {
+		t.Errorf("undo: %v", err)
+	}
+}
