Simulation: what tests change on a running network or worker has setters

TestBorrowedRunsGiveWay set a stand-in worker's Gap while it served: a data race. Other public fields of simnet.Worker and Network could be used the same way.

The fields that tests change are private and set under the lock: SetGap, SetWeights, Fail and Refuse beside Break, Mute and SetFull; of the network Slow and Disturb, which were there. What stays public of a Worker never changes. No assertion changed.

--- a/examples/worker/main.go
+++ b/examples/worker/main.go
@@ -34,7 +34,7 @@
 		return err
 	}
 	w := simnet.NewStandIn(id)
-	w.Ver = ver
+	w.SetWeights(ver, 0)
 	failed := make(chan error, 1)
 	go func() { failed <- http.Serve(ln, w) }()
 	heartbeat := "http://" + node + "/-/workers/" + id
--- a/internal/gossip/gossip_test.go
+++ b/internal/gossip/gossip_test.go
@@ -37,7 +37,7 @@
 func TestGossip(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		m := simnet.New(5)
-		m.Lose = 0.05
+		m.Disturb(0.05, 0)
 		const n = 20
 		seeds := []string{"10.0.0.0:1"}
 		var bees []*testNode
--- a/internal/node/lots_test.go
+++ b/internal/node/lots_test.go
@@ -54,7 +54,7 @@
 		defer h.end()
 		h.serving()
 		for _, w := range h.workers {
-			w.Gap = 50 * time.Millisecond
+			w.SetGap(50 * time.Millisecond)
 		}
 		h.mustHandIn("e", 40, 10)
 		time.Sleep(400 * time.Millisecond)
@@ -95,8 +95,8 @@
 		defer h.end()
 		h.serving()
 		for _, w := range h.workers {
-			w.NeverItems[itemID("f", 0)] = true
-			w.FailItems[itemID("f", 1)] = true
+			w.Refuse(itemID("f", 0))
+			w.Fail(itemID("f", 1))
 			w.Break(3, 2)
 		}
 		h.mustHandIn("f", 6, 10)
--- a/internal/node/quota_test.go
+++ b/internal/node/quota_test.go
@@ -36,7 +36,7 @@
 	q := &quotaCluster{cluster: newCluster(t, seed, edges, 3), stop: make(chan struct{})}
 	q.startAll()
 	for id, az := range map[string]string{"21": "ash", "22": "birch"} {
-		q.worker(id, "llm", az).Gap = 100 * time.Millisecond
+		q.worker(id, "llm", az).SetGap(100 * time.Millisecond)
 	}
 	q.worker("23", "app", "cedar")
 	q.until("founded", 8*time.Second, func() bool { return q.edge().Register.Committed() != nil })
@@ -318,7 +318,7 @@
 		q := newQuotaCluster(t, 13, 4)
 		defer q.leave()
 		for _, w := range q.workers {
-			w.Gap = time.Second // an item takes five seconds
+			w.SetGap(time.Second) // an item takes five seconds
 		}
 		q.mustSet(1, 0)
 		if w := q.handInAs(dealers, "long", 40); w.Code != 202 {
@@ -334,7 +334,7 @@
 			return len(rows) == 1 && rows[0].BatchSlots <= 7
 		})
 		for _, w := range q.workers {
-			w.Gap = 20 * time.Millisecond
+			w.SetGap(20 * time.Millisecond)
 		}
 		var out lotRead
 		q.until("it is complete", 100*time.Second, func() bool {
--- a/internal/node/upgrade_test.go
+++ b/internal/node/upgrade_test.go
@@ -53,7 +53,7 @@
 
 func (u *upgradeCluster) versioned(id string, ver int, addr string) {
 	w := simnet.NewWorker(u.m, id, addr)
-	w.Ver, w.ReadPerMs = ver, 100
+	w.SetWeights(ver, 100)
 	u.heartbeatMu.Lock()
 	defer u.heartbeatMu.Unlock()
 	u.workers[id] = w
@@ -266,8 +266,8 @@
 					t.Errorf("done after %d waves of at most 2 of 12", st.Wave)
 				}
 				for id, b := range u.heartbeatOn {
-					if b["svc"] == "llm" && u.workers[id].Ver != 2 {
-						t.Errorf("worker %s is still at version %d", id, u.workers[id].Ver)
+					if b["svc"] == "llm" && u.workers[id].Version() != 2 {
+						t.Errorf("worker %s is still at version %d", id, u.workers[id].Version())
 					}
 				}
 			}
@@ -403,8 +403,8 @@
 		}
 		u.untilPhase(upgrade.Undone, 60*time.Second)
 		for id, b := range u.heartbeatOn {
-			if b["svc"] == "llm" && u.workers[id].Ver != 1 {
-				t.Errorf("worker %s is at version %d after an undo", id, u.workers[id].Ver)
+			if b["svc"] == "llm" && u.workers[id].Version() != 1 {
+				t.Errorf("worker %s is at version %d after an undo", id, u.workers[id].Version())
 			}
 		}
 	})
--- a/internal/register/history_test.go
+++ b/internal/register/history_test.go
@@ -335,7 +335,8 @@
 
 func playHistory(script *historyScript) []porcupine.Operation {
 	m := simnet.New(script.seed)
-	m.DelayUs, m.Lose, m.Double = 30_000, 0.04, 0.1
+	m.Slow(30_000)
+	m.Disturb(0.04, 0.1)
 	h := &historyRun{m: m, began: time.Now()}
 	first := &State{Rev: 1, Core: Membership{Ver: 1}}
 	for i := range 3 {
--- a/internal/register/register_test.go
+++ b/internal/register/register_test.go
@@ -97,7 +97,8 @@
 	}()
 	rng := rand.New(rand.NewPCG(seed, 1))
 	m := simnet.New(seed)
-	m.DelayUs, m.Lose, m.Double = 4000, 0.03, 0.05
+	m.Slow(4000)
+	m.Disturb(0.03, 0.05)
 	root := t.TempDir()
 	var sites []*site
 	first := &State{Rev: 1, Core: Membership{Ver: 1}}
--- a/internal/simnet/simnet.go
+++ b/internal/simnet/simnet.go
@@ -27,12 +27,10 @@
 	listeners map[string]*Listener
 	cuts      map[[2]string]bool
 	holds     holds
-	// DelayUs bounds the delay of one way; Lose and Double are shares of
-	// peer calls. Set them before the network carries anything, and by Slow and
-	// Disturb while it does.
-	DelayUs int64
-	Lose    float64
-	Double  float64
+	// delayUs bounds the delay of one way; lose and double are shares of peer calls.
+	delayUs int64
+	lose    float64
+	double  float64
 }
 
 type site struct {
@@ -42,7 +40,7 @@
 
 // New makes a network whose luck follows from the seed.
 func New(seed uint64) *Network {
-	return &Network{rng: rand.New(rand.NewPCG(seed, 7)), desks: map[string]*site{}, listeners: map[string]*Listener{}, cuts: map[[2]string]bool{}, holds: newHolds(), DelayUs: 1000}
+	return &Network{rng: rand.New(rand.NewPCG(seed, 7)), desks: map[string]*site{}, listeners: map[string]*Listener{}, cuts: map[[2]string]bool{}, holds: newHolds(), delayUs: 1000}
 }
 
 // Place puts a node's call mux at an address until ctx ends.
@@ -73,14 +71,14 @@
 func (m *Network) Disturb(lose, double float64) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.Lose, m.Double = lose, double
+	m.lose, m.double = lose, double
 }
 
 // Slow sets the bound of the delay of one way from now on.
 func (m *Network) Slow(delayUs int64) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.DelayUs = delayUs
+	m.delayUs = delayUs
 }
 
 // Luck draws a number below n.
@@ -100,9 +98,9 @@
 func (m *Network) travel(from, to string) trip {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	t := trip{site: m.desks[to], delay: time.Duration(100+m.rng.Int64N(max(m.DelayUs, 1))) * time.Microsecond}
-	t.lost = m.cuts[[2]string{from, to}] || m.rng.Float64() < m.Lose
-	t.double = m.rng.Float64() < m.Double
+	t := trip{site: m.desks[to], delay: time.Duration(100+m.rng.Int64N(max(m.delayUs, 1))) * time.Microsecond}
+	t.lost = m.cuts[[2]string{from, to}] || m.rng.Float64() < m.lose
+	t.double = m.rng.Float64() < m.double
 	return t
 }
 
--- a/internal/simnet/worker.go
+++ b/internal/simnet/worker.go
@@ -11,36 +11,38 @@
 )
 
 // Worker is a stand-in for a worker, by the protocol page: it answers plain
-// requests whole and prompts as a stream of events.
+// requests whole and prompts as a stream of events. Its exported fields never
+// change; its methods may be called while it serves.
 type Worker struct {
 	ID     string
 	Slots  int
-	Events int           // of a stream
-	Gap    time.Duration // between events
-	Ver    int           // of its weights, 0: not told
-	// ReadPerMs is how many prompt tokens it reads a millisecond, 0: no time.
-	// Parts it read before are kept.
-	ReadPerMs int
-	kept      map[string]bool
+	Events int // of a stream
+
+	server *http.Server
 
 	mu      sync.Mutex
-	server  *http.Server
-	running int
-	// Runs counts how often each request id ran here, from its first event.
-	Runs map[string]int
-	// BreakAfter cuts the next streams off behind that many events, so often.
-	BreakAfter, Breaks int
-	// MuteAfter makes the next streams fall silent behind that many events, so
+	gap     time.Duration // between events
+	version int           // of its weights, 0: not told
+	// readPerMs is how many prompt tokens it reads a millisecond, 0: no time.
+	// Parts it read before are kept.
+	readPerMs int
+	kept      map[string]bool
+	running   int
+	// runs counts how often each request id ran here, from its first event.
+	runs map[string]int
+	// breakAfter cuts the next streams off behind that many events, so often.
+	breakAfter, breaks int
+	// muteAfter makes the next streams fall silent behind that many events, so
 	// often: the connection stays open.
-	MuteAfter, Mutes int
-	// FailItems answers 500, NeverItems 422, to the ids named.
-	FailItems, NeverItems map[string]bool
-	full                  bool
+	muteAfter, mutes int
+	// failing answer 500, refused 422: request ids.
+	failing, refused map[string]bool
+	full             bool
 }
 
 // NewStandIn makes a stand-in that is not yet served anywhere.
 func NewStandIn(id string) *Worker {
-	return &Worker{ID: id, Slots: 8, Events: 5, Gap: 5 * time.Millisecond, Runs: map[string]int{}, FailItems: map[string]bool{}, NeverItems: map[string]bool{}}
+	return &Worker{ID: id, Slots: 8, Events: 5, gap: 5 * time.Millisecond, kept: map[string]bool{}, runs: map[string]int{}, failing: map[string]bool{}, refused: map[string]bool{}}
 }
 
 // NewWorker starts a stand-in at an address of the simulated network.
@@ -62,25 +64,67 @@
 	w.full = full
 }
 
+// SetGap sets the time between the events of a stream, of those under way too.
+func (w *Worker) SetGap(gap time.Duration) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.gap = gap
+}
+
+func (w *Worker) currentGap() time.Duration {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.gap
+}
+
+// SetWeights sets the version of its weights, and how many prompt tokens it reads
+// a millisecond.
+func (w *Worker) SetWeights(version, readPerMs int) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.version, w.readPerMs = version, readPerMs
+}
+
+// Version is the version of its weights, 0 if it does not tell.
+func (w *Worker) Version() int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.version
+}
+
+// Fail makes it answer 500 to a request id.
+func (w *Worker) Fail(id string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.failing[id] = true
+}
+
+// Refuse makes it answer 422 to a request id.
+func (w *Worker) Refuse(id string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.refused[id] = true
+}
+
 // Break makes the next streams break off.
 func (w *Worker) Break(after, times int) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.BreakAfter, w.Breaks = after, times
+	w.breakAfter, w.breaks = after, times
 }
 
 // Mute makes the next streams fall silent.
 func (w *Worker) Mute(after, times int) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.MuteAfter, w.Mutes = after, times
+	w.muteAfter, w.mutes = after, times
 }
 
 // Ran tells how often a request ran here.
 func (w *Worker) Ran(id string) int {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return w.Runs[id]
+	return w.runs[id]
 }
 
 // EventData is the data of event n of a request, the same at every worker.
@@ -91,13 +135,12 @@
 
 // read spends the time that the parts of the prompt not kept yet take.
 func (w *Worker) read(r *http.Request) bool {
-	if w.ReadPerMs <= 0 {
-		return true
-	}
 	toks := 0
 	w.mu.Lock()
-	if w.kept == nil {
-		w.kept = map[string]bool{}
+	perMs := w.readPerMs
+	if perMs <= 0 {
+		w.mu.Unlock()
+		return true
 	}
 	for _, part := range strings.Split(r.Header.Get("X-Rowanshunt-Prompt-Prefix"), ",") {
 		id, n, ok := strings.Cut(part, ":")
@@ -107,7 +150,7 @@
 		}
 	}
 	w.mu.Unlock()
-	t := time.NewTimer(time.Duration(toks) * time.Millisecond / time.Duration(w.ReadPerMs))
+	t := time.NewTimer(time.Duration(toks) * time.Millisecond / time.Duration(perMs))
 	defer t.Stop()
 	select {
 	case <-t.C:
@@ -138,7 +181,7 @@
 		h.Set("X-Rowanshunt-Worker", w.ID)
 		rw.WriteHeader(http.StatusMisdirectedRequest)
 		return
-	case w.Ver > 0 && r.Header.Get("X-Rowanshunt-Want-Version") != "" && r.Header.Get("X-Rowanshunt-Want-Version") != strconv.Itoa(w.Ver):
+	case w.version > 0 && r.Header.Get("X-Rowanshunt-Want-Version") != "" && r.Header.Get("X-Rowanshunt-Want-Version") != strconv.Itoa(w.version):
 		w.mu.Unlock()
 		rw.WriteHeader(http.StatusMisdirectedRequest)
 		return
@@ -148,18 +191,18 @@
 		rw.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
-	w.Runs[id]++
+	w.runs[id]++
 	w.running++
-	fail, never := w.FailItems[id], w.NeverItems[id]
+	version, fail, refuse := w.version, w.failing[id], w.refused[id]
 	breakAfter := -1
-	if w.Breaks > 0 {
-		w.Breaks--
-		breakAfter = w.BreakAfter
+	if w.breaks > 0 {
+		w.breaks--
+		breakAfter = w.breakAfter
 	}
 	muteAfter := -1
-	if w.Mutes > 0 {
-		w.Mutes--
-		muteAfter = w.MuteAfter
+	if w.mutes > 0 {
+		w.mutes--
+		muteAfter = w.muteAfter
 	}
 	w.mu.Unlock()
 	defer func() {
@@ -171,13 +214,13 @@
 	case fail:
 		rw.WriteHeader(http.StatusInternalServerError)
 		return
-	case never:
+	case refuse:
 		rw.WriteHeader(http.StatusUnprocessableEntity)
 		return
 	}
 	h.Set("X-Rowanshunt-Seal", "seal."+id)
-	if w.Ver > 0 {
-		h.Set("X-Rowanshunt-Weight-Versions", strconv.Itoa(w.Ver))
+	if version > 0 {
+		h.Set("X-Rowanshunt-Weight-Versions", strconv.Itoa(version))
 	}
 	if r.Header.Get("X-Rowanshunt-Tokens") == "" {
 		if breakAfter >= 0 {
@@ -203,7 +246,7 @@
 			<-r.Context().Done()
 			return
 		}
-		t := time.NewTimer(w.Gap)
+		t := time.NewTimer(w.currentGap())
 		select {
 		case <-t.C:
 		case <-r.Context().Done():
@@ -211,8 +254,8 @@
 			return
 		}
 		data := EventData(id, n)
-		if w.Ver > 0 {
-			data = VersionedData(id, n, w.Ver)
+		if version > 0 {
+			data = VersionedData(id, n, version)
 		}
 		if _, err := fmt.Fprintf(rw, "id: %d\ndata: %s\n\n", n, data); err != nil {
 			return
