Register: a late call of an accept round keeps its own ballot and state

askMembers made what each call sends in the call's goroutine, out of the proposal. The round ends at the first refusal or quorum, and its other calls go on: one whose goroutine got to run after that read the ballot, and the state or none, of the next attempt. A member could so be sent a state under a ballot for which nobody had prepared it, and Peek, which compares ballots, could take two states for one. The detector calls it a data race; no test made it happen.

What a call sends is made before its goroutine starts.

--- a/internal/register/proposer.go
+++ b/internal/register/proposer.go
@@ -46,15 +46,17 @@
 }
 
 // askMembers calls all members at once and feeds the answers to enough until it is
-// satisfied or the round's time is over. The calls it leaves go on.
+// satisfied or the round's time is over. The calls it leaves go on, so each is given
+// what it sends before it starts: the caller may be at its next round by then.
 func askMembers[T any](ctx context.Context, p *Proposer, members []Member, kind string, in func(Member) any, enough func(callOut[T]) bool) {
 	answers := make(chan callOut[T], len(members))
 	for _, s := range members {
+		call := in(s)
 		go func() {
 			callCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), roundTimeout)
 			defer cancel()
 			out := new(T)
-			err := p.transport.Call(callCtx, p.addrOf(s), kind, in(s), out)
+			err := p.transport.Call(callCtx, p.addrOf(s), kind, call, out)
 			answers <- callOut[T]{s, out, err}
 		}()
 	}
