Dispatcher: Close waits for the takes under way too

Close waited for the items in hand by a WaitGroup to which takers, that it did not count, added: Add beside Wait. A take whose answer came after Close had returned started its item all the same; the node then ended with it, and its lease ran out at the owner (6 s) instead of being given back.

Takers are counted, so an item is added while the count is above zero. A take ends within 1.5 s, below the 2.5 s for which a leaving node serves on.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -52,7 +52,9 @@
 	stores  map[string]bool
 	closing bool
 	ctx     context.Context
-	all     sync.WaitGroup
+	// all counts the takers and the items in hand. A taker adds the items that it is
+	// given while it counts itself, so Close misses none.
+	all sync.WaitGroup
 }
 
 // item names what is in hand, whatever its lease.
@@ -99,13 +101,13 @@
 	for _, s := range n.Client.Stores() {
 		if !n.stores[s.Name] {
 			n.stores[s.Name] = true
-			go n.takeFrom(s.Name)
+			n.all.Go(func() { n.takeFrom(s.Name) })
 		}
 	}
 }
 
-// Close stops taking and waits for what is in hand until ctx ends; the rest is
-// given back.
+// Close stops taking and waits, until ctx ends, for the takes under way and for what
+// is in hand; the rest is given back.
 func (n *Dispatcher) Close(ctx context.Context) {
 	n.mu.Lock()
 	n.closing = true
--- /dev/null
+++ b/internal/dispatch/dispatch_test.go
@@ -0,0 +1,74 @@
+package dispatch
+
+import (
+	"context"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"rowanshunt/internal/config"
+	"rowanshunt/internal/eventloop"
+	"rowanshunt/internal/gossip"
+	"rowanshunt/internal/logging"
+	"rowanshunt/internal/lotstore"
+	"rowanshunt/internal/register"
+	"rowanshunt/internal/rpc"
+)
+
+// slowStore gives one item with an answer that is under way for a while, and counts
+// what comes back.
+type slowStore struct {
+	takes, back atomic.Int64
+	answer      chan struct{}
+}
+
+func (s *slowStore) Call(ctx context.Context, _, kind string, _, out any) error {
+	switch kind {
+	case "brood.take":
+		if s.takes.Add(1) > 1 {
+			return nil
+		}
+		<-s.answer
+		out.(*lotstore.TakeAnswer).Given = []lotstore.Given{{Lot: "a", Lease: 1, EndUs: 60_000_000}}
+	case "brood.give":
+		eventloop.Pause(ctx, 200*time.Millisecond)
+		s.back.Add(1)
+	}
+	return nil
+}
+
+func dispatcherOf(ctx context.Context, s *slowStore) *Dispatcher {
+	self := gossip.Peer{Name: "store-1", Addr: "store-1:1", Disk: "d"}
+	mux := rpc.NewMux()
+	view := gossip.New(ctx, eventloop.NewLoop(1), mux, s, logging.Quiet(), self, nil, nil)
+	state := &register.State{Stores: register.Membership{Ver: 1, Cur: []register.Member{register.MemberOf(&self)}}}
+	n := &Dispatcher{Transport: s, Client: lotstore.NewClient(s, view, func() *register.State { return state }, 0), Log: logging.Quiet(), Name: "edge-1",
+		Configuration: func() *config.Configuration { return nil }, Dispatches: func() bool { return true }}
+	n.Start(ctx, mux)
+	return n
+}
+
+// An item that a store gives while the dispatcher closes is given back before it has
+// closed: no lease is left behind to run out (design 9.3, 11.3).
+func TestCloseWaitsForTakes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		s := &slowStore{answer: make(chan struct{})}
+		n := dispatcherOf(ctx, s)
+		n.Tick()
+		synctest.Wait()
+		closed := make(chan struct{})
+		go func() {
+			n.Close(ctx)
+			close(closed)
+		}()
+		synctest.Wait()
+		close(s.answer)
+		<-closed
+		if s.takes.Load() == 0 || s.back.Load() != 1 {
+			t.Errorf("closed after %d takes with %d of 1 items given back", s.takes.Load(), s.back.Load())
+		}
+	})
+}
