Lot store: a replica whose mending was given up stays to be mended

mend asks the event loop what the replica lacks, for as long as its time lasts (60 s in all). Where the loop answered after that, the command had marked the replica as mended and nobody sent what it lacked: the next op that fitted would have counted for all before it.

The task that gives up says so to the loop after that command.

TestMendGivenUp fails on the code before (not cold).

--- a/internal/lotstore/feed.go
+++ b/internal/lotstore/feed.go
@@ -116,7 +116,9 @@
 			return true
 		})
 		if err != nil || !ok {
-			_ = b.cfg.Loop.Do(b.ctx, func() { f.busy = false })
+			// The event loop may have answered after this task left: nothing of what it
+			// listed was sent.
+			_ = b.cfg.Loop.Do(b.ctx, func() { f.busy, f.cold, f.queue, f.bytes = false, true, nil, 0 })
 			return
 		}
 		for i, batch := range batches {
