--- a/internal/node/quota_cluster_test.go
+++ b/internal/node/quota_cluster_test.go
@@ -34,7 +34,7 @@
 	q := &quotaCluster{cluster: newCluster(t, seed, edges, 3), stop: make(chan struct{})}
 	q.startAll()
 	for id, az := range map[string]string{"21": "ash", "22": "birch"} {
-		q.worker(id, "llm", az).Gap = 100 * time.Millisecond
+		q.worker(id, "llm", az).SetGap(100 * time.Millisecond)
 	}
 	q.worker("23", "app", "cedar")
 	q.until("founded", 8*time.Second, func() bool { return q.edge().Register.Committed() != nil })
--- a/internal/node/quota_test.go
+++ b/internal/node/quota_test.go
@@ -138,7 +138,7 @@
 		q := newQuotaCluster(t, 13, 4)
 		defer q.leave()
 		for _, w := range q.workers {
-			w.Gap = time.Second // an item takes five seconds
+			w.SetGap(time.Second) // an item takes five seconds
 		}
 		q.mustSet(1, 0)
 		if w := q.handInAs(dealers, "long", 40); w.Code != 202 {
@@ -154,7 +154,7 @@
 			return len(rows) == 1 && rows[0].BatchSlots <= 7
 		})
 		for _, w := range q.workers {
-			w.Gap = 20 * time.Millisecond
+			w.SetGap(20 * time.Millisecond)
 		}
 		var out lotRead
 		q.until("it is complete", 100*time.Second, func() bool {
--- a/internal/register/history_kit_test.go
+++ b/internal/register/history_kit_test.go
@@ -235,7 +235,8 @@
 // play plays a script on three nodes, from a first state.
 func (script *HistoryScript) play(first *State) []porcupine.Operation {
 	m := simnet.New(script.seed)
-	m.DelayUs, m.Lose, m.Double = 30_000, 0.04, 0.1
+	m.Slow(30_000)
+	m.Disturb(0.04, 0.1)
 	first = first.clone()
 	first.Rev, first.Core = 1, Membership{Ver: 1}
 	h := &historyRun{m: m, first: first, began: time.Now()}
--- a/internal/register/upgrade_history_test.go
+++ b/internal/register/upgrade_history_test.go
@@ -14,6 +14,7 @@
 	"rowanshunt/internal/fault"
 	"rowanshunt/internal/register"
 	"rowanshunt/internal/rpc"
+	"rowanshunt/internal/shared"
 	"rowanshunt/internal/upgrade"
 )
 
@@ -67,9 +68,9 @@
 func (o upgradeOrder) Run(ctx context.Context, p *register.Proposer) (any, error) {
 	var workers []discovery.Worker
 	m := upgrade.New(ctx, upgrade.Config{
-		Loop:  eventloop.NewLoop(1), // not run: what a driver does is drawn too
-		Mux:   rpc.NewMux(),
-		Known: func() []discovery.Worker { return workers },
+		// The event loop does not run: what a driver does is drawn too.
+		Runtime: shared.Runtime{Loop: eventloop.NewLoop(1), Mux: rpc.NewMux()},
+		Known:   func() []discovery.Worker { return workers },
 		Change: func(ctx context.Context, change register.Change) (*register.State, error) {
 			return p.Change(ctx, func(now *register.State) (*register.State, error) {
 				workers = workersOf(now, o.svc)
