--- a/internal/node/cluster_test.go
+++ b/internal/node/cluster_test.go
@@ -20,6 +20,7 @@
 	"rowanshunt/internal/logging"
 	"rowanshunt/internal/settings"
 	"rowanshunt/internal/simnet"
+	"rowanshunt/internal/wal"
 )
 
 // cluster is a whole system in a simulated network: the in-memory test of design 12.2.
@@ -51,6 +52,7 @@
 	f      *EdgeNode
 	c      *StoreNode
 	skewUs atomic.Int64 // of its time of day
+	disk   []wal.Option // of its register's log
 }
 
 var zones = []string{"ash", "birch", "cedar"}
@@ -118,7 +120,7 @@
 func (h *cluster) start(name string) {
 	m := h.member(name)
 	ctx, cancel := context.WithCancel(context.Background())
-	env := Env{Transport: h.m.TransportOf(m.opts.PeerAddr()), Dial: h.m.DialFrom(m.opts.PeerAddr()), WallUs: func() int64 { return wall() + m.skewUs.Load() }, Log: testLog(h.t, name)}
+	env := Env{Transport: h.m.TransportOf(m.opts.PeerAddr()), Dial: h.m.DialFrom(m.opts.PeerAddr()), WallUs: func() int64 { return wall() + m.skewUs.Load() }, Log: testLog(h.t, name), Disk: m.disk}
 	var f *EdgeNode
 	var c *StoreNode
 	var err error
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -30,6 +30,7 @@
 	"rowanshunt/internal/settings"
 	"rowanshunt/internal/trace"
 	"rowanshunt/internal/upgrade"
+	"rowanshunt/internal/wal"
 )
 
 // Env is the world a node lives in: real sockets, or a simulated simulated network.
@@ -39,6 +40,7 @@
 	WallUs    func() int64
 	Log       *logging.Log
 	Counters  *rpc.Counters // nil: peer calls are not counted
+	Disk      []wal.Option  // of the register's log; tests make faulty disks with it
 }
 
 // Node is one node's parts that every role has.
@@ -119,7 +121,7 @@
 	}
 	n.Gossip = gossip.New(ctx, n.Loop, n.Mux, env.Transport, env.Log, n.self, seeds, near)
 	n.Register, err = register.New(ctx, register.Config{Loop: n.Loop, Mux: n.Mux, Transport: env.Transport, Gossip: n.Gossip, Log: env.Log, Self: n.self,
-		DiskDir: n.diskDir, Seeds: seeds, Boot: n.self.Boot, Spared: opts.Ft.Nodes, OnState: n.onState,
+		DiskDir: n.diskDir, Disk: env.Disk, Seeds: seeds, Boot: n.self.Boot, Spared: opts.Ft.Nodes, OnState: n.onState,
 		Proposer: n.self.Life()})
 	if err != nil {
 		return nil, err
--- a/internal/register/register.go
+++ b/internal/register/register.go
@@ -12,6 +12,7 @@
 	"rowanshunt/internal/gossip"
 	"rowanshunt/internal/logging"
 	"rowanshunt/internal/rpc"
+	"rowanshunt/internal/wal"
 )
 
 // Times of the membership's upkeep (design 4.4).
@@ -41,6 +42,7 @@
 	Log       *logging.Log
 	Self      gossip.Peer
 	DiskDir   string // "" for nodes without a vote
+	Disk      []wal.Option
 	Seeds     []string
 	Boot      bool
 	Spared    int // machines that may be lost at once
@@ -75,7 +77,7 @@
 func New(ctx context.Context, cfg Config) (*Register, error) {
 	n := &Register{cfg: cfg, ctx: ctx, startUs: eventloop.NowUs(), pulling: map[string]bool{}}
 	if cfg.DiskDir != "" {
-		member, err := OpenAcceptor(cfg.Self.MemberID(), cfg.DiskDir, cfg.Log)
+		member, err := OpenAcceptor(cfg.Self.MemberID(), cfg.DiskDir, cfg.Log, cfg.Disk...)
 		if err != nil {
 			return nil, err
 		}
--- a/internal/simnet/simnet.go
+++ b/internal/simnet/simnet.go
@@ -8,6 +8,7 @@
 	"context"
 	"math/rand/v2"
 	"net"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -27,6 +28,7 @@
 	listeners map[string]*Listener
 	cuts      map[[2]string]bool
 	holds     holds
+	sent      map[string]int64 // bytes of calls and answers, by kind of call
 	// DelayUs bounds the delay of one way; Lose and Double are shares of
 	// peer calls. Set them before the network carries anything, and by Slow and
 	// Disturb while it does.
@@ -42,7 +44,7 @@
 
 // New makes a network whose luck follows from the seed.
 func New(seed uint64) *Network {
-	return &Network{rng: rand.New(rand.NewPCG(seed, 7)), desks: map[string]*site{}, listeners: map[string]*Listener{}, cuts: map[[2]string]bool{}, holds: newHolds(), DelayUs: 1000}
+	return &Network{rng: rand.New(rand.NewPCG(seed, 7)), desks: map[string]*site{}, listeners: map[string]*Listener{}, cuts: map[[2]string]bool{}, holds: newHolds(), sent: map[string]int64{}, DelayUs: 1000}
 }
 
 // Place puts a node's call mux at an address until ctx ends.
@@ -90,6 +92,25 @@
 	return m.rng.IntN(n)
 }
 
+// Sent counts the bytes of calls and answers of kinds with a prefix that were sent
+// so far, those that were lost included.
+func (m *Network) Sent(kindPrefix string) (n int64) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for kind, sent := range m.sent {
+		if strings.HasPrefix(kind, kindPrefix) {
+			n += sent
+		}
+	}
+	return n
+}
+
+func (m *Network) count(kind string, body []byte) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.sent[kind] += int64(len(body))
+}
+
 type trip struct {
 	site   *site
 	delay  time.Duration
@@ -134,6 +155,7 @@
 	if !h.m.pass(ctx, h.from, "") {
 		return fault.New(fault.Unsure, kind, "no answer in time", "try again")
 	}
+	h.m.count(kind, body)
 	there := h.m.travel(h.from, addr)
 	if there.lost {
 		<-ctx.Done()
@@ -155,6 +177,7 @@
 			return
 		}
 		b, err := there.site.mux.Serve(there.site.ctx, kind, body)
+		h.m.count(kind, b)
 		got <- answer{b, err}
 	}
 	go serve()
