--- a/internal/register/register.go
+++ b/internal/register/register.go
@@ -12,6 +12,7 @@
 	"rowanshunt/internal/gossip"
 	"rowanshunt/internal/rpc"
 	"rowanshunt/internal/shared"
+	"rowanshunt/internal/wal"
 )
 
 // Times of the membership's upkeep (design 4.4).
@@ -36,6 +37,7 @@
 type Config struct {
 	shared.Runtime
 	DiskDir  string // "" for nodes without a vote
+	Disk     []wal.Option
 	Seeds    []string
 	Boot     bool
 	Spared   int // machines that may be lost at once
@@ -74,7 +76,7 @@
 func New(ctx context.Context, cfg Config) (*Register, error) {
 	n := &Register{cfg: cfg, ctx: ctx, startUs: eventloop.NowUs(), pulling: map[string]bool{}, confirmAfterUs: confirmAfterUs}
 	if cfg.DiskDir != "" {
-		member, err := OpenAcceptor(cfg.Self.MemberID(), cfg.DiskDir, cfg.Log)
+		member, err := OpenAcceptor(cfg.Self.MemberID(), cfg.DiskDir, cfg.Log, cfg.Disk...)
 		if err != nil {
 			return nil, err
 		}
--- a/internal/simnet/simnet.go
+++ b/internal/simnet/simnet.go
@@ -8,6 +8,7 @@
 	"context"
 	"math/rand/v2"
 	"net"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -28,6 +29,7 @@
 	cuts      map[[2]string]bool
 	holds     holds
 	suspended suspensions
+	sent      map[string]int64 // bytes of calls and answers, by kind of call
 	// delayUs bounds the delay of one way; lose and double are shares of peer calls.
 	delayUs int64
 	lose    float64
@@ -41,7 +43,7 @@
 
 // New makes a network whose luck follows from the seed.
 func New(seed uint64) *Network {
-	return &Network{rng: rand.New(rand.NewPCG(seed, 7)), desks: map[string]*site{}, listeners: map[string]*Listener{}, cuts: map[[2]string]bool{}, holds: newHolds(), suspended: suspensions{resumed: map[string]chan struct{}{}}, delayUs: 1000}
+	return &Network{rng: rand.New(rand.NewPCG(seed, 7)), desks: map[string]*site{}, listeners: map[string]*Listener{}, cuts: map[[2]string]bool{}, holds: newHolds(), sent: map[string]int64{}, suspended: suspensions{resumed: map[string]chan struct{}{}}, delayUs: 1000}
 }
 
 // Place puts a node's call mux at an address until ctx ends.
@@ -89,6 +91,25 @@
 	return m.rng.IntN(n)
 }
 
+// Sent counts the bytes of calls and answers of kinds with a prefix that were sent
+// so far, those that were lost included.
+func (m *Network) Sent(kindPrefix string) (n int64) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for kind, sent := range m.sent {
+		if strings.HasPrefix(kind, kindPrefix) {
+			n += sent
+		}
+	}
+	return n
+}
+
+func (m *Network) count(kind string, body []byte) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.sent[kind] += int64(len(body))
+}
+
 type trip struct {
 	site   *site
 	delay  time.Duration
@@ -142,6 +163,7 @@
 	if !h.m.pass(ctx, h.from, "") {
 		return fault.New(fault.Unsure, kind, "no answer in time", "try again")
 	}
+	h.m.count(kind, body)
 	there := h.m.travel(h.from, addr)
 	if there.lost {
 		<-ctx.Done()
@@ -165,6 +187,7 @@
 		h.m.AwaitRunning(addr)
 		b, err := there.site.mux.Serve(there.site.ctx, kind, body)
 		h.m.AwaitRunning(addr)
+		h.m.count(kind, b)
 		got <- answer{b, err}
 	}
 	go serve()
