--- a/internal/node/cluster_test.go
+++ b/internal/node/cluster_test.go
@@ -258,6 +258,19 @@
 	}
 }
 
+// untilEveryEdge waits until something holds at every edge node.
+func (h *cluster) untilEveryEdge(what string, limit time.Duration, holds func(*EdgeNode) bool) {
+	h.t.Helper()
+	h.until(what, limit, func() bool {
+		for _, m := range h.nodes {
+			if m.f != nil && !holds(m.f) {
+				return false
+			}
+		}
+		return true
+	})
+}
+
 func (h *cluster) putOK(ver, expect int) {
 	h.t.Helper()
 	h.until(fmt.Sprintf("configuration %d taken", ver), 10*time.Second, func() bool { return h.put(ver, expect).Code == 200 })
--- a/internal/node/disk_test.go
+++ b/internal/node/disk_test.go
@@ -184,13 +184,8 @@
 				}
 			}
 			h.heartbeats()
-			h.until("every edge is ready with the newest configuration", 15*time.Second, func() bool {
-				for _, m := range h.nodes {
-					if m.f != nil && (!m.f.Ingress.Ready() || m.f.Configuration().Ver != 40) {
-						return false
-					}
-				}
-				return true
+			h.untilEveryEdge("every edge is ready with the newest configuration", 15*time.Second, func(f *EdgeNode) bool {
+				return f.Ingress.Ready() && f.Configuration().Ver == 40
 			})
 			h.complete("a", 20, 20*time.Second)
 			h.until("settled members, without the old ones", 20*time.Second, func() bool {
--- a/internal/node/faults_test.go
+++ b/internal/node/faults_test.go
@@ -229,13 +229,8 @@
 				h.order = append(h.order, n)
 			}
 			h.heartbeats()
-			h.until("every edge is ready with the newest configuration", 10*time.Second, func() bool {
-				for _, m := range h.nodes {
-					if m.f != nil && (!m.f.Ingress.Ready() || m.f.Configuration().Ver != 4) {
-						return false
-					}
-				}
-				return true
+			h.untilEveryEdge("every edge is ready with the newest configuration", 10*time.Second, func(f *EdgeNode) bool {
+				return f.Ingress.Ready() && f.Configuration().Ver == 4
 			})
 			h.complete("a", 20, 15*time.Second)
 		})
--- a/internal/node/lease_test.go
+++ b/internal/node/lease_test.go
@@ -95,19 +95,26 @@
 	}
 }
 
+// openLeases starts the system and has the dispatcher of edge-0 take all items of a
+// lot, and that of edge-1 none. Calls come twice, but none is lost: a caller would wait
+// for it, and the leases would rightly end meanwhile.
+func (h *cluster) openLeases(items int) (one, two hand, got []lotstore.Given, named []lotstore.Held) {
+	h.t.Helper()
+	h.m.Disturb(0, 0.05)
+	h.serving()
+	h.idle()
+	h.mustHandIn("a", items, 10)
+	one, two = hand{h, "edge-0"}, hand{h, "edge-1"}
+	got, named = one.takeAll(items)
+	return one, two, got, named
+}
+
 func TestLeases(t *testing.T) {
 	for seed := uint64(1); seed <= 3; seed++ {
 		synctest.Test(t, func(t *testing.T) {
 			h := newCluster(t, seed, 3, 3)
 			defer h.end()
-			// Calls come twice, but none is lost: a caller would wait for it, and the
-			// leases would rightly end meanwhile.
-			h.m.Disturb(0, 0.05)
-			h.serving()
-			h.idle()
-			h.mustHandIn("a", 6, 10)
-			one, two := hand{h, "edge-0"}, hand{h, "edge-1"}
-			got, named := one.takeAll(6)
+			one, two, got, named := h.openLeases(6)
 			seen := map[uint64]bool{}
 			for _, g := range got {
 				if g.Lease == 0 {
@@ -348,12 +355,7 @@
 		synctest.Test(t, func(t *testing.T) {
 			h := newCluster(t, seed, 3, 3)
 			defer h.end()
-			h.m.Disturb(0, 0.05)
-			h.serving()
-			h.idle()
-			h.mustHandIn("a", 4, 10)
-			one, two := hand{h, "edge-0"}, hand{h, "edge-1"}
-			got, named := one.takeAll(4)
+			one, two, got, named := h.openLeases(4)
 			old := h.ownerOf()
 			woke := make(chan struct{})
 			go func() {
--- a/internal/node/seeds_test.go
+++ b/internal/node/seeds_test.go
@@ -63,13 +63,8 @@
 			t.Errorf("%d orders were taken in 20 s by the side with the majority", taken)
 		}
 		cut(false)
-		h.until("all serve by the newest version", 5*time.Second, func() bool {
-			for _, m := range h.nodes {
-				if m.f != nil && (m.f.inForce() == nil || m.f.inForce().Ver != int64(ver)) {
-					return false
-				}
-			}
-			return true
+		h.untilEveryEdge("all serve by the newest version", 5*time.Second, func(f *EdgeNode) bool {
+			return f.inForce() != nil && f.inForce().Ver == int64(ver)
 		})
 	})
 }
--- a/internal/node/untold_test.go
+++ b/internal/node/untold_test.go
@@ -31,13 +31,8 @@
 		if _, err := lost.Change(ctx, register.PutChange(doc, 2, 1)); err != nil {
 			t.Fatal(err)
 		}
-		h.until("the change is in force everywhere", 1500*time.Millisecond, func() bool {
-			for _, m := range h.nodes {
-				if m.f != nil && m.f.Configuration().Ver != 2 {
-					return false
-				}
-			}
-			return true
+		h.untilEveryEdge("the change is in force everywhere", 1500*time.Millisecond, func(f *EdgeNode) bool {
+			return f.Configuration().Ver == 2
 		})
 	})
 }
