--- a/internal/gossip/incarnation.go
+++ b/internal/gossip/incarnation.go
@@ -9,6 +9,8 @@
 	"path/filepath"
 
 	"github.com/go-faster/errors"
+
+	"rowanshunt/internal/wal"
 )
 
 // Incarnation orders the records that a node gives of itself: the higher one is
@@ -100,39 +102,12 @@
 			tag = (tag + 1) & tagMask
 		}
 	}
-	if err := replaceFile(dir, startsFile, fmt.Sprintf("%d %d\n", starts, tag)); err != nil {
+	if err := wal.ReplaceFile(dir, startsFile, fmt.Appendf(nil, "%d %d\n", starts, tag)); err != nil {
 		return starts, tag, errors.Wrap(err, "count this start")
 	}
 	return starts, tag, nil
 }
 
-// replaceFile puts a file in place whole: synced, renamed, the folder synced.
-func replaceFile(dir, name, content string) error {
-	path := filepath.Join(dir, name)
-	f, err := os.OpenFile(path+".new", os.O_CREATE|os.O_TRUNC|os.O_WRONLY, 0o644)
-	if err != nil {
-		return err
-	}
-	_, err = f.WriteString(content)
-	if err == nil {
-		err = f.Sync()
-	}
-	if closeErr := f.Close(); err == nil {
-		err = closeErr
-	}
-	if err != nil {
-		return err
-	}
-	if err := os.Rename(path+".new", path); err != nil {
-		return err
-	}
-	d, err := os.Open(dir)
-	if err != nil {
-		return err
-	}
-	return errors.Join(d.Sync(), d.Close())
-}
-
 // SetProcess makes p the peer of a process.
 func (p *Peer) SetProcess(process Process) {
 	p.LifeUs, p.process = process.Incarnation, process.ID
--- a/internal/wal/snapshot.go
+++ b/internal/wal/snapshot.go
@@ -76,24 +76,13 @@
 }
 
 // writeSnapshot writes a whole file under another name, syncs it and gives it
-// its name; the folder is not synced yet. Until the rename nothing that was
-// there is touched, and what was written is removed again after a failure.
+// its name; the folder is not synced yet.
 func writeSnapshot(dir, name, id string, source Source) (f *os.File, sizeBytes int64, err error) {
-	path := filepath.Join(dir, name)
-	f, err = os.OpenFile(path+newSuffix, os.O_RDWR|os.O_CREATE|os.O_TRUNC, 0o644)
-	if err != nil {
-		return nil, 0, errors.Wrap(err, "open new")
-	}
-	sizeBytes, err = fillSnapshot(f, name, id, source)
-	if err == nil {
-		err = wrapped(os.Rename(path+newSuffix, path), "rename")
-	}
-	if err != nil {
-		_ = f.Close()
-		_ = os.Remove(path + newSuffix)
-		return nil, 0, err
-	}
-	return f, sizeBytes, nil
+	f, err = replaceFile(filepath.Join(dir, name), func(f *os.File) (err error) {
+		sizeBytes, err = fillSnapshot(f, name, id, source)
+		return err
+	})
+	return f, sizeBytes, err
 }
 
 // fillSnapshot writes the records, then the header that vouches for them, and
