A change waits for a lagging member from when it is committed, not from its start

Cause: the 1.5 s that a living member may hold a change of the core up were counted from the start of the driver. Where others outbid it for that long, its joint membership settled at once although a living member lacked it. Found by the aimed losses of TestLossesOnTopOfChanges, with a reader that bid 100 times a second.

Change: they are counted from the driver's first commit.

Measured: TestSettlesOnceAllLivingMembersHoldIt fails in its new case without the change. TestNewcomerAsksBeforeItBids is new: it fails when a newcomer bids without looking whether there is a place for it.

--- a/internal/register/membership.go
+++ b/internal/register/membership.go
@@ -178,8 +178,8 @@
 // settled only when all living members of the new set hold it, and the change
 // counts as over when they hold the settled one, too (design 4.4).
 func (n *Register) changeMembers(ctx context.Context, next func(*Membership) ([]Member, error)) (*State, error) {
-	held := uint64(0) // the membership that all living members are known to hold
-	startUs := eventloop.NowUs()
+	held := uint64(0)   // the membership that all living members are known to hold
+	firstUs := int64(0) // when this driver first committed a membership
 	for {
 		done := false
 		state, err := n.Change(ctx, func(now *State) (*State, error) {
@@ -205,7 +205,10 @@
 		if err != nil {
 			return state, err
 		}
-		if n.heldByLiving(ctx, state, eventloop.NowUs()-startUs < patienceUs) {
+		if firstUs == 0 {
+			firstUs = eventloop.NowUs()
+		}
+		if n.heldByLiving(ctx, state, eventloop.NowUs()-firstUs < patienceUs) {
 			held = state.Core.Ver
 			if done {
 				return state, nil
@@ -222,7 +225,8 @@
 // Figures of the look at who holds a membership.
 const (
 	// patienceUs bounds how long a member that lives but does not answer, as one
-	// whose disk stalls, holds a change up: a joint membership bears less than either.
+	// whose disk stalls, holds a change up once it has been committed: a joint
+	// membership bears less than either of its sets.
 	patienceUs  = 1_500_000
 	heldPause   = 20 * time.Millisecond
 	heldTimeout = 400 * time.Millisecond
--- a/internal/register/membership_test.go
+++ b/internal/register/membership_test.go
@@ -17,15 +17,21 @@
 	"rowanshunt/internal/simnet"
 )
 
-// lossyTransport loses the first accepts that go to one address.
+// lossyTransport loses all accepts until a time, and then the first that go to one
+// address. It counts the prepare calls that ask for a promise.
 type lossyTransport struct {
 	rpc.Transport
-	to   string
-	left atomic.Int64
+	until time.Time
+	to    string
+	left  atomic.Int64
+	bids  atomic.Int64
 }
 
 func (m *lossyTransport) Call(ctx context.Context, addr, kind string, in, out any) error {
-	if addr == m.to && kind == "nest.accept" && m.left.Add(-1) >= 0 {
+	if call, ok := in.(*prepareCall); ok && !call.Peek {
+		m.bids.Add(1)
+	}
+	if kind == "nest.accept" && (time.Now().Before(m.until) || addr == m.to && m.left.Add(-1) >= 0) {
 		return fault.New(fault.Unsure, kind, "lost", "try again")
 	}
 	return m.Transport.Call(ctx, addr, kind, in, out)
@@ -48,67 +54,103 @@
 	return n
 }
 
-// A change settles only when every living member of the new set holds the joint
-// membership, also one that missed the accepts that made it (design 4.4).
-func TestSettlesOnceAllLivingMembersHoldIt(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		m := simnet.New(3)
-		ctx, cancel := context.WithCancel(context.Background())
-		root := t.TempDir()
-		var selves []gossip.Peer
-		first := &State{Rev: 1, Core: Membership{Ver: 1}}
-		for i := range 4 {
-			name := fmt.Sprint("n", i)
-			selves = append(selves, gossip.Peer{Name: name, Addr: name, Role: "core", Disk: "d", LifeUs: 1})
-			if i < 3 {
-				first.Core.Cur = append(first.Core.Cur, MemberOf(&selves[i]))
-			}
-		}
-		var nests []*Register
-		seeds := []string{"n0", "n1"}
-		for i := range 3 {
-			dir := filepath.Join(root, selves[i].Name)
-			a, err := OpenAcceptor(selves[i].MemberID(), dir, logging.Quiet())
-			if err != nil {
-				t.Fatal(err)
-			}
-			if _, err := a.Accept(ctx, &acceptCall{Member: a.ID(), Ballot: Ballot{N: 1, By: "first"}, State: first}); err != nil {
-				t.Fatal(err)
-			}
-			a.Close()
-			nests = append(nests, startRegister(t, ctx, m, m.TransportOf(selves[i].Addr), selves[i], dir, seeds))
+// coreOfThree starts three members of a founded core, n0 to n2, and gives a fourth
+// node that is not started yet. end stops all.
+func coreOfThree(t *testing.T) (m *simnet.Network, nests []*Register, start func(rpc.Transport) *Register, end func()) {
+	t.Helper()
+	m = simnet.New(3)
+	ctx, cancel := context.WithCancel(context.Background())
+	root := t.TempDir()
+	var selves []gossip.Peer
+	first := &State{Rev: 1, Core: Membership{Ver: 1}}
+	for i := range 4 {
+		name := fmt.Sprint("n", i)
+		selves = append(selves, gossip.Peer{Name: name, Addr: name, Role: "core", Disk: "d", LifeUs: 1})
+		if i < 3 {
+			first.Core.Cur = append(first.Core.Cur, MemberOf(&selves[i]))
 		}
-		time.Sleep(time.Second)
-		if _, err := nests[0].Change(ctx, func(*State) (*State, error) { return nil, nil }); err != nil {
+	}
+	seeds := []string{"n0", "n1"}
+	for i := range 3 {
+		dir := filepath.Join(root, selves[i].Name)
+		a, err := OpenAcceptor(selves[i].MemberID(), dir, logging.Quiet())
+		if err != nil {
 			t.Fatal(err)
 		}
-		lossy := &lossyTransport{Transport: m.TransportOf("n3"), to: "n2"}
-		lossy.left.Store(6)
-		newcomer := startRegister(t, ctx, m, lossy, selves[3], filepath.Join(root, "n3"), seeds)
-		settled := func(n *Register) bool {
-			s := n.member.State()
-			return s != nil && s.Core.Has(selves[3].MemberID()) && !s.Core.Joint()
-		}
-		end := time.Now().Add(8 * time.Second)
-		for !settled(nests[0]) && !settled(nests[1]) && !settled(newcomer) {
-			if time.Now().After(end) {
-				t.Fatal("the newcomer did not get in")
-			}
-			time.Sleep(100 * time.Microsecond)
+		if _, err := a.Accept(ctx, &acceptCall{Member: a.ID(), Ballot: Ballot{N: 1, By: "first"}, State: first}); err != nil {
+			t.Fatal(err)
 		}
-		for _, n := range append(nests, newcomer) {
-			if s := n.member.State(); s == nil || s.Core.Ver < 2 {
-				t.Errorf("the change settles and %s does not hold it: %+v", n.member.ID(), s)
-			}
+		a.Close()
+		nests = append(nests, startRegister(t, ctx, m, m.TransportOf(selves[i].Addr), selves[i], dir, seeds))
+	}
+	time.Sleep(time.Second)
+	if _, err := nests[0].Change(ctx, func(*State) (*State, error) { return nil, nil }); err != nil {
+		t.Fatal(err)
+	}
+	start = func(transport rpc.Transport) *Register {
+		return startRegister(t, ctx, m, transport, selves[3], filepath.Join(root, "n3"), seeds)
+	}
+	return m, nests, start, func() { cancel(); time.Sleep(5 * time.Second) }
+}
+
+// settledWith tells whether a node's member holds a settled membership with n3.
+func settledWith(n *Register) bool {
+	s := n.member.State()
+	return s != nil && s.Core.Has("n3#d") && !s.Core.Joint()
+}
+
+// A change settles only when every living member of the new set holds the joint
+// membership, also one that missed the accepts that made it, and also if it took
+// long to commit it (design 4.4).
+func TestSettlesOnceAllLivingMembersHoldIt(t *testing.T) {
+	for _, late := range []time.Duration{0, 2500 * time.Millisecond} {
+		t.Run(fmt.Sprint("committed after ", late), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				m, nests, start, end := coreOfThree(t)
+				defer end()
+				lossy := &lossyTransport{Transport: m.TransportOf("n3"), until: time.Now().Add(late), to: "n2"}
+				lossy.left.Store(6)
+				newcomer := start(lossy)
+				limit := time.Now().Add(8 * time.Second)
+				for !settledWith(nests[0]) && !settledWith(nests[1]) && !settledWith(newcomer) {
+					if time.Now().After(limit) {
+						t.Fatal("the newcomer did not get in")
+					}
+					time.Sleep(100 * time.Microsecond)
+				}
+				for _, n := range append(nests, newcomer) {
+					if s := n.member.State(); s == nil || s.Core.Ver < 2 {
+						t.Errorf("the change settles and %s does not hold it: %+v", n.member.ID(), s)
+					}
+				}
+				time.Sleep(2 * time.Second)
+				for _, n := range append(nests, newcomer) {
+					if !settledWith(n) {
+						t.Errorf("%s does not hold the settled membership: %+v", n.member.ID(), n.member.State())
+					}
+				}
+			})
+		})
+	}
+}
+
+// A newcomer that cannot get in yet bids against nobody: while it misses a member
+// that the others hear it only asks them, and only then it joins beside (design 4.4).
+func TestNewcomerAsksBeforeItBids(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m, nests, start, end := coreOfThree(t)
+		defer end()
+		m.CutOff("n3", []string{"n2"}, true)
+		counted := &lossyTransport{Transport: m.TransportOf("n3")}
+		start(counted)
+		time.Sleep(besideUs*time.Microsecond - 100*time.Millisecond)
+		if bids := counted.bids.Load(); bids > 0 {
+			t.Errorf("%d bids while there is no place for it", bids)
 		}
 		time.Sleep(2 * time.Second)
-		for _, n := range append(nests, newcomer) {
-			if !settled(n) {
-				t.Errorf("%s does not hold the settled membership: %+v", n.member.ID(), n.member.State())
-			}
+		if !settledWith(nests[0]) || !nests[0].member.State().Core.Has("n2#d") {
+			t.Errorf("it is not in beside the others: %+v", nests[0].member.State().Core)
 		}
-		cancel()
-		time.Sleep(5 * time.Second)
 	})
 }
 
