The synced mark of a log is synced after a second of rest

A log that rests writes how much of it is synced into its header, without a sync of its own. A loss of power could take that mark, and then damage of the last batch passed for a torn tail for as long as nothing was written after.

After a second of rest the mark is synced, once. Nobody waits for it, a failure changes nothing, and a log that is written to more often pays nothing.

TestRestedFileKeepsItsMark fails without the sync, and with one that is repeated; TestMarkThatIsNotSynced if its failure counts as a disk that refuses.

--- a/internal/wal/commit.go
+++ b/internal/wal/commit.go
@@ -97,7 +97,7 @@
 	}
 	_ = c.file.Close()
 	c.file = f
-	c.unknownTail, c.folderDirty = false, true
+	c.unknownTail, c.folderDirty, c.markDirty = false, true, false
 	c.markedBytes = sizeBytes
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/wal/format.go
+++ b/internal/wal/format.go
@@ -18,8 +18,8 @@
 //	payload: (recordBytes[4] record)...
 //
 // The first part of the header is written once, before the file takes its
-// name. Its second part is the synced mark: overwritten in place after a sync,
-// without one of its own; a torn mark is ignored.
+// name. Its second part is the synced mark: overwritten in place once the file
+// rests; a torn mark is ignored.
 const (
 	magic           = "RHWAL\x00\x02\n"
 	idLen           = 32
--- a/internal/wal/powerloss_test.go
+++ b/internal/wal/powerloss_test.go
@@ -5,7 +5,10 @@
 	"math/rand/v2"
 	"os"
 	"path/filepath"
+	"sync/atomic"
 	"testing"
+	"testing/synctest"
+	"time"
 )
 
 // unsyncedTail is a file whose first records are synced, with one write of
@@ -205,3 +208,72 @@
 		t.Errorf("%d files", len(names))
 	}
 }
+
+// A loss of power may leave of a file just what was there at its last sync. Once the
+// file has rested that holds the mark, so that damage of its last batch is known for
+// what it is; and it rests with one sync more, however long (design 10.2).
+func TestRestedFileKeepsItsMark(t *testing.T) {
+	var durable atomic.Pointer[[]byte]
+	var syncs atomic.Int64
+	noSync := syncFile
+	defer func() { syncFile = noSync }()
+	syncFile = func(f *os.File) error {
+		if raw, err := os.ReadFile(f.Name()); err == nil { // not a folder
+			durable.Store(&raw)
+			syncs.Add(1)
+		}
+		return nil
+	}
+	synctest.Test(t, func(t *testing.T) {
+		c, _, _ := open(t, t.TempDir())
+		defer c.Close()
+		for i := range 3 {
+			if err := c.Write(testRecord(i)); err != nil {
+				t.Fatal(err)
+			}
+		}
+		id, working := c.ID(), syncs.Load()
+		time.Sleep(20 * (markAfter + keepMarkAfter))
+		synctest.Wait()
+		if more := syncs.Load() - working; more != 1 {
+			t.Errorf("%d syncs while the file rested, want 1", more)
+		}
+		whole := *durable.Load()
+		for at := headerBytes + 2*oneBatch; at < len(whole); at++ {
+			bad := bytes.Clone(whole)
+			bad[at] ^= 0x55
+			if found := mustRecover(t, folderWith(t, bad), ""); found.ID == id || found.Damage == nil || !found.Damage.Lost {
+				t.Fatalf("byte %d of %d turned: %+v", at, len(whole), found)
+			}
+		}
+	})
+}
+
+// A sync of the mark that fails changes nothing: the file goes on, and the next
+// batch says what the mark would have.
+func TestMarkThatIsNotSynced(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		dir, disk := t.TempDir(), &faultyDisk{}
+		c, _, _ := open(t, dir, Interpose(disk.before))
+		if err := c.Write(testRecord(0)); err != nil {
+			t.Fatal(err)
+		}
+		disk.set(StepSync, true)
+		time.Sleep(2 * (markAfter + keepMarkAfter))
+		synctest.Wait()
+		if err := c.Refused(); err != nil {
+			t.Errorf("the disk counts as one that refuses: %v", err)
+		}
+		disk.set(StepSync, false)
+		if err := c.Write(testRecord(1)); err != nil {
+			t.Fatal(err)
+		}
+		c.Close()
+		c, got, damage := open(t, dir)
+		c.Close()
+		if damage != nil {
+			t.Error(damage)
+		}
+		checkRecords(t, "after a mark that was not synced", got, 2)
+	})
+}
--- a/internal/wal/wal.go
+++ b/internal/wal/wal.go
@@ -14,8 +14,11 @@
 )
 
 const (
-	// markAfter is how long a log file rests before it writes its synced mark.
-	markAfter = 100 * time.Millisecond
+	// markAfter is how long a log file rests before it writes its synced mark, and
+	// keepMarkAfter how long it rests from then before it syncs the mark: one that is
+	// written to all the time pays no sync for it.
+	markAfter     = 100 * time.Millisecond
+	keepMarkAfter = 900 * time.Millisecond
 	// Pauses between the attempts of a log file that holds what its disk refuses.
 	holdFirst = 50 * time.Millisecond
 	holdMost  = 500 * time.Millisecond
@@ -32,6 +35,7 @@
 	// Of the log file's goroutine alone.
 	file        *os.File
 	markedBytes int64
+	markDirty   bool // the mark is written and not synced yet
 	unknownTail bool // a write or sync failed: what lies behind sizeBytes is unknown
 	folderDirty bool // renamed, and the folder is not synced yet
 
@@ -278,27 +282,49 @@
 
 // rest waits for work; a file that rests gets its synced mark.
 func (c *Log) rest() {
-	if c.markedBytes >= c.sizeBytes || c.unknownTail || c.folderDirty {
+	after, do := c.atRest()
+	if do == nil {
 		select {
 		case <-c.wake:
 		case <-c.closing:
 		}
 		return
 	}
-	timer := time.NewTimer(markAfter)
+	timer := time.NewTimer(after)
 	defer timer.Stop()
 	select {
 	case <-c.wake:
 	case <-c.closing:
 	case <-timer.C:
-		c.mark()
+		do()
 	}
 }
 
+// atRest is what a file that rests does next, and after how long; nil: nothing.
+func (c *Log) atRest() (after time.Duration, do func()) {
+	switch {
+	case c.unknownTail || c.folderDirty:
+		return 0, nil
+	case c.markedBytes < c.sizeBytes:
+		return markAfter, c.mark
+	case c.markDirty:
+		return keepMarkAfter, c.keepMark
+	}
+	return 0, nil
+}
+
 // mark notes in the header how much is synced, so that damage of the last batch
-// and a file cut short are known for what they are. It needs no sync: it is
-// true whenever it is there.
+// and a file cut short are known for what they are. It is true whenever it is
+// there, synced or not.
 func (c *Log) mark() {
 	c.markedBytes = c.sizeBytes
-	_, _ = c.file.WriteAt(encodeMark(c.id, c.sizeBytes), identityBytes)
+	_, err := c.file.WriteAt(encodeMark(c.id, c.sizeBytes), identityBytes)
+	c.markDirty = err == nil
+}
+
+// keepMark syncs the mark, so that a loss of power does not take it. Nobody waits for
+// that; where it fails, the file is as good as without.
+func (c *Log) keepMark() {
+	c.markDirty = false
+	_ = c.step(StepSync, func() error { return syncFile(c.file) })
 }
