A member that starts again holds what it held: checked amid a thousand changes

Now all core machines lose power amid the accepts of one change and amid the promises of another, and each member that starts again is compared with what its last life held.

--- a/internal/node/manychanges_test.go
+++ b/internal/node/manychanges_test.go
@@ -181,10 +181,18 @@
 	}
 }
 
-// up starts a core machine again.
+// up starts a core machine again: the same member holds what it held.
 func (r *changeRun) up(name string) {
+	r.t.Helper()
+	last := r.nodes[name].f
 	r.newDisk(name)
 	r.start(name)
+	now := r.nodes[name].f
+	held, _ := last.Register.Held()
+	holds, _ := now.Register.Held()
+	if now.MemberID() == last.MemberID() && holds < held {
+		r.t.Fatalf("%s holds version %d after its restart, and held %d", name, holds, held)
+	}
 }
 
 // down takes a machine's power, amid whatever its disk does.
@@ -347,12 +355,18 @@
 	r.dearest[f.name] = max(r.dearest[f.name], sent/1000)
 }
 
+// Of a change's two syncs at each member, the one that the power fails at.
+const (
+	atPromise = 1
+	atAccept  = 2
+)
+
 // allOff takes the power of all core machines amid a change.
-func (r *changeRun) allOff() {
+func (r *changeRun) allOff(atSync int) {
 	r.t.Helper()
 	core := r.core()
 	for _, name := range core {
-		r.disks[name].failPower(wal.StepSync, 1+r.luck.IntN(2))
+		r.disks[name].failPower(wal.StepSync, atSync)
 	}
 	doc := largeConfiguration(r.ver + 1)
 	if r.control(r.nodes[islander].f, "PUT", "/-/config", doc, "If-Match", strconv.Itoa(r.ver)).Code == 200 {
@@ -404,10 +418,10 @@
 		for turn := 0; r.ver < manyChanges; turn++ {
 			r.play(changeFaults[turn%len(changeFaults)], core[(turn+turn/len(changeFaults))%len(core)])
 			if turn == len(changeFaults) {
-				r.allOff()
+				r.allOff(atAccept)
 			}
 		}
-		r.allOff()
+		r.allOff(atPromise)
 		value, err := codec.Marshal(h.edge().Register.Committed())
 		if err != nil || len(value) > r.doc+mostBeside {
 			t.Errorf("the value has %d bytes, its document %d: %v", len(value), r.doc, err)
