Register: the search of histories compares states by their text

A retire history with 13 orders left unsure was undecided after the 20 s of a search (a trial of 3,000): the search compared states deeply, and few reads told it early that it was wrong. States carry their text now, each order of stores is followed by a read of the whole, and questions how far a retirement is are drawn as calls of their own.

--- a/internal/register/history_kit_test.go
+++ b/internal/register/history_kit_test.go
@@ -5,7 +5,6 @@
 	"flag"
 	"fmt"
 	"maps"
-	"reflect"
 	"slices"
 	"sync"
 	"testing"
@@ -273,29 +272,31 @@
 	return h.history
 }
 
+// keyedState is a state of a model with its text, since the search compares each
+// state with many others.
+type keyedState[S any] struct {
+	state S
+	key   string
+}
+
+func newKeyedState[S any](state S) keyedState[S] { return keyedState[S]{state, fmt.Sprint(state)} }
+
 // SequentialModel is a model whose next state and answer follow from the state
 // and the operation. parts is how many objects there are, each on its own, and
 // partOf the one of an operation.
 func SequentialModel[S any](first S, apply func(S, HistoryOp) (S, HistoryAnswer), parts int, partOf func(HistoryOp) int) porcupine.Model {
 	return porcupine.Model{
 		Partition: PartitionBy(parts, partOf),
-		Init:      func() any { return first },
+		Init:      func() any { return newKeyedState(first) },
 		Step: func(state, in, out any) (bool, any) {
 			answer := out.(HistoryAnswer)
-			next, want := apply(state.(S), in.(HistoryOp))
-			switch answer.outcome {
-			case unsure:
-				return true, next
-			case declined:
-				// Nothing came into force; a refusal may have been logged.
-				if want.outcome != refused {
-					next = state.(S)
-				}
-				return true, next
+			next, want := apply(state.(keyedState[S]).state, in.(HistoryOp))
+			if answer.outcome == declined && want.outcome != refused {
+				return true, state // nothing came into force; a refusal may have been logged
 			}
-			return answer == want, next
+			return answer.outcome == declined || answer.outcome == unsure || answer == want, newKeyedState(next)
 		},
-		Equal:             reflect.DeepEqual,
+		Equal:             func(a, b any) bool { return a.(keyedState[S]).key == b.(keyedState[S]).key },
 		DescribeOperation: func(in, out any) string { return fmt.Sprintf("%+v -> %+v", in, out) },
 	}
 }
--- a/internal/register/retire_history_test.go
+++ b/internal/register/retire_history_test.go
@@ -190,7 +190,7 @@
 // drawStoreCall draws a retire order, or a change of the stores' own.
 func drawStoreCall(t *rapid.T, call *HistoryCall) {
 	name := fmt.Sprint("s", rapid.IntRange(0, 5).Draw(t, "store"))
-	act := rapid.SampledFrom([]string{"retire", "retire", "retire", "join", "leave", "settle"}).Draw(t, "act")
+	act := rapid.SampledFrom([]string{"retire", "retire", "retire", "state", "join", "leave", "settle"}).Draw(t, "act")
 	id := fmt.Sprint(name, "#", rapid.IntRange(1, 3).Draw(t, "disk"))
 	order := retireOrder{DrawOrderID(t, name), name}
 	call.Op = func(*State) HistoryOp {
@@ -201,14 +201,13 @@
 			return storeLeaves{}
 		case "settle":
 			return storesSettle{}
+		case "state":
+			return readRetired{name}
 		}
 		return order
 	}
 	call.Once = act != "retire"
-	call.Check = readRetired{name}
-	if call.Once {
-		call.Check = readStores{}
-	}
+	call.Check = readStores{}
 }
 
 // Histories of retire orders, while stores come and go, are linearizable: one
