--- a/internal/balancer/judge.go
+++ b/internal/balancer/judge.go
@@ -54,8 +54,6 @@
 	backUs  int64           // when it last came back
 	times   int64           // ejections in a row
 	onTrial int64           // good answers it still owes
-	// answeredUs is when it last answered this node without saying that it leaves.
-	answeredUs int64
 }
 
 // told adds up what peers say they saw themselves; the zone's own sum, that
@@ -97,26 +95,6 @@
 	s.judge(id, st, nowUs)
 }
 
-// Answered notes that a worker answered, whatever the answer was, and did not say
-// that it leaves.
-func (s *Balancer) Answered(id string) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if st := s.workers[id]; st != nil {
-		st.answeredUs = eventloop.NowUs()
-	}
-}
-
-// AnsweredUs is when Answered was last called for a worker, 0 if it is not known.
-func (s *Balancer) AnsweredUs(id string) int64 {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if st := s.workers[id]; st != nil {
-		return st.answeredUs
-	}
-	return 0
-}
-
 // judge ejects a worker whose answers fail far more than they should.
 func (s *Balancer) judge(id string, st *state, nowUs int64) {
 	if nowUs < st.outUs || st.svc == "" {
--- a/internal/discovery/contact.go
+++ b/internal/discovery/contact.go
@@ -16,7 +16,6 @@
 type coreContact struct {
 	memberUs map[string]int64 // by core member: when its departure log was read
 	readUs   int64            // when that of a member which hears a majority was read
-	homeUs   int64            // when a home that hears the core answered
 }
 
 // errCutOff is given for a core member that answers and hears no majority itself.
@@ -49,20 +48,6 @@
 	return nowUs-f.contact.readUs < contactUs
 }
 
-// noteContact works out whether workers may beat where this node does not hear of it.
-func (f *Discovery) noteContact(nowUs int64) {
-	f.cutOff = !f.hearsCore(nowUs) && nowUs-f.contact.homeUs >= contactUs
-}
-
-// lastSignUs is when a worker last showed that it lives. Where its beats may not be
-// heard, an answer that it gave this node counts as one (design 5.3).
-func (f *Discovery) lastSignUs(e *entry) int64 {
-	if !f.cutOff || f.cfg.Answered == nil {
-		return e.seenUs
-	}
-	return max(e.seenUs, f.cfg.Answered(e.ID))
-}
-
 // holdsMajority tells whether those that took a departure, by name, are a
 // majority of the core.
 func holdsMajority(core *register.Membership, took map[string]bool) bool {
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -40,10 +40,7 @@
 	Loads  func(all bool) []Load
 	Hear   func(from string, ps []Load)
 	OnNews func(Worker)
-	// Answered tells when a worker last answered a request of this node without
-	// saying that it leaves, 0 if it is not known. Any goroutine may call it.
-	Answered func(id string) int64
-	Dir      string // folder for what outlives a restart, "" without a disk
+	Dir    string // folder for what outlives a restart, "" without a disk
 	// Core gives the membership of the core as last committed, nil if this node
 	// knows none yet. Without the function a node is alone.
 	Core func() *register.Membership
@@ -79,7 +76,6 @@
 	departures    *departureLog
 	reader        departureReader
 	contact       coreContact
-	cutOff        bool             // neither the core nor a home that hears it is heard
 	silentSources map[string]int64 // sources that did not answer, or hear no core
 }
 
@@ -240,7 +236,6 @@
 // only while news comes in: a node that is cut off keeps what it had.
 func (f *Discovery) publish() {
 	nowUs := eventloop.NowUs()
-	f.noteContact(nowUs)
 	var sum uint64
 	for id, e := range f.workers {
 		if e.Old && nowUs-f.startUs > oldUs {
@@ -277,7 +272,7 @@
 }
 
 func (f *Discovery) usable(e *entry) bool {
-	return e.Up() && f.syncUs-f.lastSignUs(e) < f.LeaseUs()
+	return e.Up() && f.syncUs-e.seenUs < f.LeaseUs()
 }
 
 // Trace tells what this node knows of a worker, nil if nothing, and whether it
--- a/internal/discovery/subscriptions.go
+++ b/internal/discovery/subscriptions.go
@@ -170,7 +170,6 @@
 			ctx, cancel := context.WithTimeout(f.ctx, 450*time.Millisecond)
 			defer cancel()
 			out := &subAnswer{}
-			startUs := eventloop.NowUs()
 			if err := f.cfg.Transport.Call(ctx, p.Addr, "flora.sub", call, out); err != nil {
 				_ = f.cfg.Loop.Do(f.ctx, func() { f.sourceFailed(source) })
 				return
@@ -182,8 +181,6 @@
 				f.refresh(out)
 				if out.cutOff() {
 					f.sourceFailed(source)
-				} else {
-					f.contact.homeUs = startUs
 				}
 			})
 		}()
--- a/internal/forward/sender.go
+++ b/internal/forward/sender.go
@@ -160,9 +160,6 @@
 	a.Moved()
 	attempt.headed.Store(true)
 	s.heard(w.ID, a.Resp.Header)
-	if !a.Resp.Close && a.Resp.StatusCode != http.StatusMisdirectedRequest {
-		s.Balancer.Answered(w.ID) // one that leaves says that it closes the connection
-	}
 	if a.Resp.Header.Get(HeadNotRun) != "" || a.Resp.StatusCode == http.StatusMisdirectedRequest {
 		status := a.Resp.StatusCode
 		a.Discard()
--- a/internal/node/island_test.go
+++ b/internal/node/island_test.go
@@ -1,7 +1,6 @@
 package node
 
 import (
-	"fmt"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -75,40 +74,3 @@
 		})
 	}
 }
-
-// In a part that is cut off with its home, workers that beat elsewhere stay in use for
-// as long as they answer; those that say that they leave, or answer nothing, are out
-// after one lease (design 5.3).
-func TestAnswersCountInAnIsland(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		h := edgesServing(t, 22, 5) // workers beat at edge-0
-		defer h.end()
-		f := h.nodes["edge-4"].f
-		inUse := func(id string) bool { return f.Discovery.Look().ByID[id] != nil }
-		h.cutBetween([]string{"edge-1", "edge-4"}, []string{"edge-0", "edge-2", "edge-3"})
-		h.workers["22"].Close()
-		lease := time.Duration(f.Discovery.LeaseUs()) * time.Microsecond
-		from, left := time.Now(), false
-		for n := 0; time.Since(from) < 20*time.Second; n++ {
-			w := h.client(f, "GET", "/till/x", nil, "X-Rowanshunt-Request-Id", fmt.Sprint("r", n))
-			since := time.Since(from)
-			if w.Code != 200 && since > lease {
-				t.Errorf("%v into the cut: %d %s", since, w.Code, w.Body)
-			}
-			if inUse("22") && since > lease+time.Second {
-				t.Errorf("%v into the cut the worker that crashed is in use", since)
-			}
-			if !left && since > 10*time.Second {
-				left = true
-				h.workers["23"].SetLeaving(true)
-			}
-			if got := inUse("23"); !got && since < 10*time.Second || got && since > 10*time.Second+lease+time.Second {
-				t.Errorf("%v into the cut: worker 23 in use: %v", since, got)
-			}
-			time.Sleep(200 * time.Millisecond)
-		}
-		if !inUse("21") {
-			t.Error("the worker that answers is not in use")
-		}
-	})
-}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -284,7 +284,7 @@
 	}
 	f := &EdgeNode{Node: n, Balancer: balancer.New(opts.Az), Emitter: events.New(opts.Sink, opts.Node, n.self.Life(), env.Log, nil)}
 	f.Discovery, err = discovery.New(ctx, discovery.Config{Loop: n.Loop, Mux: n.Mux, Transport: env.Transport, Gossip: n.Gossip, Log: env.Log, Self: n.self,
-		HbUs: opts.HbMs * 1000, Services: n.services, Loads: f.Balancer.Loads, Hear: f.Balancer.Hear, Dir: n.diskDir, Core: n.core, Answered: f.Balancer.AnsweredUs,
+		HbUs: opts.HbMs * 1000, Services: n.services, Loads: f.Balancer.Loads, Hear: f.Balancer.Hear, Dir: n.diskDir, Core: n.core,
 		OnNews: func(w discovery.Worker) {
 			f.Emitter.Emit(events.WorkerChanged, w.ID, map[string]any{"svc": w.Svc, "addr": w.Addr, "phase": w.Phase, "gone": w.Gone})
 		}})
--- a/internal/node/suspend_test.go
+++ b/internal/node/suspend_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"fmt"
 	"reflect"
 	"strings"
@@ -13,6 +14,8 @@
 
 	"rowanshunt/internal/config"
 	"rowanshunt/internal/discovery"
+	"rowanshunt/internal/fault"
+	"rowanshunt/internal/lotstore"
 	"rowanshunt/internal/register"
 	"rowanshunt/internal/simnet"
 	"rowanshunt/internal/upgrade"
@@ -53,9 +56,9 @@
 	m.node().Loop.Try(func() { h.m.AwaitRunning(addr) })
 }
 
-// suspendAt stops a node's process as it is about to make its nth call of a kind, or
-// once that is under way, and tells when.
-func (h *cluster) suspendAt(name string, nth int, sent bool, is func(simnet.Call) bool) <-chan struct{} {
+// suspendAt stops a node's process as it is about to make its nth call of a kind, or so
+// long after, and tells when.
+func (h *cluster) suspendAt(name string, nth int, after time.Duration, is func(simnet.Call) bool) <-chan struct{} {
 	suspended := make(chan struct{})
 	addr := h.member(name).opts.PeerAddr()
 	var made atomic.Int64
@@ -66,8 +69,8 @@
 	h.m.OnCall(func(c simnet.Call) {
 		switch {
 		case !is(c) || c.From != addr || made.Add(1) != int64(nth):
-		case sent:
-			time.AfterFunc(2*time.Millisecond, stop)
+		case after > 0:
+			time.AfterFunc(after, stop)
 		default:
 			stop()
 		}
@@ -170,7 +173,7 @@
 			driver, _, _ := strings.Cut(first.Driver, "/")
 			u.shunned.Store(driver)
 			time.Sleep(time.Second)
-			<-u.suspendAt(driver, tc.nth, false, func(c simnet.Call) bool {
+			<-u.suspendAt(driver, tc.nth, 0, func(c simnet.Call) bool {
 				p.onCall(c)
 				return c.Kind == tc.kind
 			})
@@ -199,7 +202,11 @@
 			owner := h.nodes[h.ownerOf()].opts.PeerAddr()
 			f.Forwarder.Sender.Conns.CloseAll()
 			time.Sleep(2 * time.Second)
-			suspended := h.suspendAt(name, 1, !dialling, func(c simnet.Call) bool {
+			after := time.Duration(0)
+			if !dialling {
+				after = 2 * time.Millisecond
+			}
+			suspended := h.suspendAt(name, 1, after, func(c simnet.Call) bool {
 				return dialling && c.Kind == simnet.Dial || !dialling && c.Kind == "brood.take" && c.To == owner
 			})
 			if !dialling {
@@ -227,3 +234,79 @@
 		})
 	}
 }
+
+// readCall is the call of a read, as lotstore sends it.
+type readCall struct {
+	Shard    int
+	Lot      string
+	StartAt  int64
+	WaitUs   int64
+	MaxBytes int64
+}
+
+type readAnswer struct {
+	Sum  int64
+	Cont int64
+	Out  []lotstore.ReadResult
+}
+
+// The owner of a shard stands still. Another store takes over, lists what was accepted
+// and accepts more. When the former one wakes, cut off from the others, it neither reads
+// out what it knew, nor calls a lot unknown, nor renews a dispatcher's leave (design 8.8,
+// 9.2).
+func TestOwnerSuspended(t *testing.T) {
+	for nth := 1; nth <= 2; nth++ {
+		synctest.Test(t, func(t *testing.T) {
+			h := newCluster(t, 90, 3, 3)
+			defer h.end()
+			h.serving()
+			h.idle()
+			h.mustHandIn("a", 4, 10)
+			old := h.ownerOf()
+			<-h.suspendAt(old, nth, 2*time.Millisecond, func(c simnet.Call) bool { return c.Kind == "brood.write" })
+			h.m.CutOff(h.nodes[old].opts.PeerAddr(), h.addrs(""), true)
+			one := hand{h, "edge-0"}
+			got, named := one.takeAll(4)
+			for _, g := range got {
+				if err := one.ack(g, g.Lease, "x"); err != nil {
+					t.Errorf("ack: %v", err)
+				}
+			}
+			h.mustHandIn("b", 1, 10)
+			var wg sync.WaitGroup
+			ask := func(kind string, in, out any) error {
+				ctx, cancel := context.WithTimeout(context.Background(), 30*time.Second)
+				defer cancel()
+				return h.m.TransportOf("10.5.0.1:7000").Call(ctx, h.nodes[old].opts.PeerAddr(), kind, in, out)
+			}
+			read := func(lot string, items int) {
+				out := &readAnswer{}
+				err := ask("brood.read", &readCall{Shard: got[0].Shard, Lot: lot, MaxBytes: 1 << 20}, out)
+				if err == nil && len(out.Out) != items || fault.Is(err, fault.Unknown) {
+					t.Errorf("lot %s: %d of %d items listed by the former owner, %v", lot, len(out.Out), items, err)
+				}
+			}
+			time.Sleep(16 * time.Second)
+			for i := range 40 {
+				wg.Go(func() {
+					time.Sleep(time.Duration(i) * 100 * time.Microsecond)
+					read("a", 4)
+				})
+				wg.Go(func() {
+					time.Sleep(time.Duration(i) * 100 * time.Microsecond)
+					read("b", 0)
+				})
+				wg.Go(func() {
+					time.Sleep(time.Duration(i) * 100 * time.Microsecond)
+					out := &lotstore.TakeAnswer{}
+					if err := ask("brood.take", &lotstore.TakeCall{From: "edge-0", Held: named, LeftUs: 1_000_000}, out); err == nil && len(out.Shards) > 0 {
+						t.Errorf("the former owner renews a leave")
+					}
+				})
+			}
+			time.Sleep(2 * time.Millisecond)
+			h.wake(old)
+			wg.Wait()
+		})
+	}
+}
--- a/internal/simnet/worker.go
+++ b/internal/simnet/worker.go
@@ -35,7 +35,7 @@
 	MuteAfter, Mutes int
 	// FailItems answers 500, NeverItems 422, to the ids named.
 	FailItems, NeverItems map[string]bool
-	full, leaving         bool
+	full                  bool
 }
 
 // NewStandIn makes a stand-in that is not yet served anywhere.
@@ -62,14 +62,6 @@
 	w.full = full
 }
 
-// SetLeaving makes its answers say, as those of a leaving worker do, that it closes
-// the connection.
-func (w *Worker) SetLeaving(leaving bool) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	w.leaving = leaving
-}
-
 // Break makes the next streams break off.
 func (w *Worker) Break(after, times int) {
 	w.mu.Lock()
@@ -139,9 +131,6 @@
 	h := rw.Header()
 	h.Set("X-Rowanshunt-Request-Id", id)
 	w.mu.Lock()
-	if w.leaving {
-		h.Set("Connection", "close")
-	}
 	h.Set("X-Rowanshunt-Worker-Load", fmt.Sprintf("%d,0,%d", w.running, w.Slots))
 	switch {
 	case r.Header.Get("X-Rowanshunt-Want-Worker") != w.ID:
