Losses aimed at members right after changes; tests of the drop's vote, the pace and the look ahead

Cause: TestLossesOnTopOfChanges also passed with the leaving of members taken out: few of its draws took a member's disk of the same membership right after a planned replacement, and machines that came back within 2.5 s gave the majority back. The majority's vote on a drop, the repair pace and the look of a newcomer before it asks had no test.

Change: aimed histories beside the drawn ones, for ft 1 with 3 members and ft 2 with 5: newcomers cut from a member, members that lag or are silent through a change, what members hold checked in the moment the change is over, and exactly ft of them lost for good then, or sync_s + 1 s after the last repair. The drawn histories are as they were; all run in parallel, and the writers are stopped when one fails, for they kept the test from ending. TestDropNeedsAMajority, TestRepairPace and TestNewcomerLooksBeforeItAsks are new.

--- /dev/null
+++ b/internal/lotstore/membership_test.go
@@ -0,0 +1,141 @@
+package lotstore
+
+import (
+	"context"
+	"fmt"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"rowanshunt/internal/eventloop"
+	"rowanshunt/internal/gossip"
+	"rowanshunt/internal/logging"
+	"rowanshunt/internal/register"
+	"rowanshunt/internal/rpc"
+)
+
+// linkTransport stands for one replica behind a slow link, which carries a batch in
+// batchTime. It notes when each batch was taken.
+type linkTransport struct {
+	batchTime time.Duration
+	taken     []time.Time
+}
+
+func (l *linkTransport) Call(_ context.Context, _, kind string, _, out any) error {
+	switch kind {
+	case "brood.claim":
+		out.(*claimAnswer).OK = true
+	case "brood.write":
+		time.Sleep(l.batchTime)
+		l.taken = append(l.taken, time.Now())
+		out.(*writeAnswer).OK = true
+	}
+	return nil
+}
+
+// takenIn counts the batches taken within a time.
+func (l *linkTransport) takenIn(from time.Time, d time.Duration) int {
+	n := 0
+	for _, at := range l.taken {
+		if at.Sub(from) <= d {
+			n++
+		}
+	}
+	return n
+}
+
+// A replica that lost its disk is brought its copies at half of the link's rate for
+// a quarter of sync_s, and from then on at all of it, so that it holds what the link
+// can carry in three quarters of sync_s within sync_s (design 8.6).
+func TestRepairPace(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const syncTime, batchTime, lots = 4 * time.Second, 100 * time.Millisecond, 30
+		b := holderOf(t, t.TempDir())
+		defer b.wal.Close()
+		ctx, stop := context.WithCancel(t.Context())
+		defer stop()
+		link := &linkTransport{batchTime: batchTime}
+		self := gossip.Peer{Name: "s", Disk: "d", LifeUs: 1}
+		b.cfg.SyncUs, b.cfg.Transport = syncTime.Microseconds(), link
+		b.cfg.Gossip = gossip.New(ctx, b.cfg.Loop, rpc.NewMux(), link, logging.Quiet(), self, nil, func(*gossip.View) []string { return nil })
+		go b.cfg.Loop.Run(ctx)
+		do := func(fn func()) {
+			t.Helper()
+			if _, err := eventloop.Ask(ctx, b.cfg.Loop, func() bool { fn(); return true }); err != nil {
+				t.Fatal(err)
+			}
+		}
+		var s *shard
+		var replica *feed
+		do(func() {
+			s = owned(b, 1, clockValue{})
+			for i := range lots {
+				l := &Lot{ID: fmt.Sprint("l", i), Prompts: []Prompt{{ID: "i", Body: make([]byte, feedBatch)}}}
+				l.index()
+				b.issue(s, op{Kind: opPut, Lot: l.ID, Rev: 1, Whole: l}, func(error) {})
+			}
+		})
+		var from time.Time
+		do(func() {
+			b.depose(s, "the membership changes")
+			term := Term{Membership: 2, N: 2, By: "s/1"}
+			s.promised = term
+			from = time.Now()
+			b.install(s, term, register.Membership{Ver: 2, Cur: []register.Member{{ID: "s", Name: "s"}, {ID: "r", Name: "r"}}}, nil, clockValue{})
+			replica = s.owner.feeds["r"]
+		})
+		time.Sleep(syncTime)
+		do(func() {
+			if !replica.synced {
+				t.Errorf("the replica has %d of %d batches after sync_s", len(link.taken), lots)
+			}
+		})
+		paced := syncTime / mendPacedShare
+		if got, most := link.takenIn(from, paced), int(paced/batchTime)/2; got > most || got < most-1 {
+			t.Errorf("%d batches in the first %v, %d are half of the link", got, paced, most)
+		}
+		time.Sleep(10 * time.Second) // what is under way ends
+	})
+}
+
+// A newcomer asks nothing of the core while there is no place for it, and takes a
+// member's place once a majority has lost that one (design 8.6).
+func TestNewcomerLooksBeforeItAsks(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, stop := context.WithCancel(t.Context())
+		defer stop()
+		loop := eventloop.NewLoop(256)
+		self := gossip.Peer{Name: "n", Disk: "d", LifeUs: 1}
+		state := &register.State{Stores: register.Membership{Ver: 1, Cur: []register.Member{{ID: "a#d", Name: "a"}, {ID: "b#d", Name: "b"}, {ID: "c#d", Name: "c"}}}}
+		lost := map[string]bool{}
+		var asked atomic.Int64
+		b := &Store{ctx: ctx, startUs: eventloop.NowUs(), cfg: Config{Loop: loop, Log: logging.Quiet(), Self: self, Spared: 1,
+			State: func() *register.State { return state },
+			Lost:  func(context.Context, []register.Member, []register.Member, int64) map[string]bool { return lost },
+			Change: func(_ context.Context, change register.Change) (*register.State, error) {
+				asked.Add(1)
+				now := *state
+				return change(&now)
+			}}}
+		b.cfg.Gossip = gossip.New(ctx, loop, rpc.NewMux(), &linkTransport{}, logging.Quiet(), self, nil, func(*gossip.View) []string { return nil })
+		go loop.Run(ctx)
+		join := func() {
+			_ = loop.Do(ctx, func() { b.joinMembership(state, register.MemberOf(&self), b.cfg.Gossip.Look()) })
+			time.Sleep(100 * time.Millisecond)
+		}
+		for range 10 {
+			join()
+		}
+		time.Sleep(judgeUs * time.Microsecond)
+		join()
+		if n := asked.Load(); n > 0 {
+			t.Errorf("the core was asked %d times for no change", n)
+		}
+		lost["b#d"] = true
+		join()
+		if n := asked.Load(); n != 1 {
+			t.Errorf("the core was asked %d times for a place that is free", n)
+		}
+	})
+}
--- a/internal/node/cluster_test.go
+++ b/internal/node/cluster_test.go
@@ -40,6 +40,7 @@
 	// clients look for an edge beside the test's own goroutine.
 	mu      sync.Mutex
 	resting atomic.Bool  // the dispatchers take nothing
+	deaf    sync.Map     // addresses of the nodes that hear no gossip
 	shunned atomic.Value // the node that the test's own calls leave out, if any
 }
 
@@ -118,7 +119,7 @@
 func (h *cluster) start(name string) {
 	m := h.member(name)
 	ctx, cancel := context.WithCancel(context.Background())
-	env := Env{Transport: h.m.TransportOf(m.opts.PeerAddr()), Dial: h.m.DialFrom(m.opts.PeerAddr()), WallUs: func() int64 { return wall() + m.skewUs.Load() }, Log: testLog(h.t, name)}
+	env := Env{Transport: h.transportOf(name), Dial: h.m.DialFrom(m.opts.PeerAddr()), WallUs: func() int64 { return wall() + m.skewUs.Load() }, Log: testLog(h.t, name)}
 	var f *EdgeNode
 	var c *StoreNode
 	var err error
--- /dev/null
+++ b/internal/node/drop_test.go
@@ -0,0 +1,68 @@
+package node
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"rowanshunt/internal/fault"
+	"rowanshunt/internal/rpc"
+)
+
+// hearing is a node's transport. A deaf node hears no gossip, neither what it is told
+// nor what it is answered, while the others hear it.
+type hearing struct {
+	rpc.Transport
+	h    *cluster
+	self string // address
+}
+
+func (t hearing) Call(ctx context.Context, addr, kind string, in, out any) error {
+	const gossipKind = "swarm.shuffle"
+	if _, deaf := t.h.deaf.Load(addr); deaf && kind == gossipKind {
+		<-ctx.Done()
+		return fault.New(fault.Unsure, kind, "not heard", "try again")
+	}
+	if _, deaf := t.h.deaf.Load(t.self); deaf && kind == gossipKind {
+		_ = t.Transport.Call(ctx, addr, kind, in, nil)
+		return fault.New(fault.Unsure, kind, "the answer is not heard", "try again")
+	}
+	return t.Transport.Call(ctx, addr, kind, in, out)
+}
+
+func (h *cluster) transportOf(name string) rpc.Transport {
+	addr := h.member(name).opts.PeerAddr()
+	return hearing{h.m.TransportOf(addr), h, addr}
+}
+
+// A member that hears no heartbeat for long, but can call the others, drops none of
+// them: a majority hears them. What a majority has lost is dropped (design 4.4, 8.6).
+func TestDropNeedsAMajority(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newClusterOf(t, 6, clusterSize{core: 4, edges: 1, stores: 4, ft: 1})
+		defer h.end()
+		h.serving()
+		before := h.member("edge-4").f.Register.Committed()
+		deaf := []string{before.Core.Cur[0].Addr, before.Stores.Cur[0].Addr}
+		for _, addr := range deaf {
+			h.deaf.Store(addr, true)
+		}
+		for end := time.Now().Add(12 * time.Second); time.Now().Before(end); time.Sleep(100 * time.Millisecond) {
+			if now := h.member("edge-4").f.Register.Committed(); now.Core.Ver != before.Core.Ver || now.Stores.Ver != before.Stores.Ver {
+				t.Fatalf("a member was dropped that a majority hears: core %+v, stores %+v", now.Core.Cur, now.Stores.Cur)
+			}
+		}
+		for _, addr := range deaf {
+			h.deaf.Delete(addr)
+		}
+		time.Sleep(2 * time.Second) // it hears all again
+		core, store := before.Core.Cur[2].Name, before.Stores.Cur[2].Name
+		h.kill(core)
+		h.kill(store)
+		h.until("both are dropped", 15*time.Second, func() bool {
+			now := h.member("edge-4").f.Register.Committed()
+			return !hasName(&now.Core, core) && !hasName(&now.Stores, store)
+		})
+	})
+}
--- a/internal/node/losses_test.go
+++ b/internal/node/losses_test.go
@@ -185,9 +185,19 @@
 		{core: 7, edges: 1, stores: 9, ft: 2},
 	} {
 		t.Run(fmt.Sprintf("%d core machines, %d stores, ft %d", size.core, size.stores, size.ft), func(t *testing.T) {
+			t.Parallel()
 			synctest.Test(t, func(t *testing.T) { lossHistory(t, uint64(10*i+1), size) })
 		})
 	}
+	for i, size := range []clusterSize{
+		{core: 3, edges: 1, stores: 3, ft: 1},
+		{core: 5, edges: 1, stores: 5, ft: 2},
+	} {
+		t.Run(fmt.Sprintf("aimed, ft %d", size.ft), func(t *testing.T) {
+			t.Parallel()
+			synctest.Test(t, func(t *testing.T) { aimedHistory(t, uint64(10*i+1), size) })
+		})
+	}
 }
 
 // Times of the loss histories: a machine is repaired within syncTime of its
@@ -209,20 +219,34 @@
 		l.stores = append(l.stores, fmt.Sprintf("store-%d", i))
 	}
 	h.serving()
-	stop := make(chan struct{})
-	var wg sync.WaitGroup
-	wg.Go(func() { l.putConfigs(stop) })
-	wg.Go(func() { l.handInLots(stop) })
+	stopWriters := l.startWriters()
+	defer stopWriters()
 	for range rounds {
 		l.round(size.ft)
 	}
-	close(stop)
-	wg.Wait()
+	stopWriters()
+	l.checkWritten()
+}
+
+// startWriters writes configurations and lots until it is told to stop.
+func (l *losses) startWriters() (stop func()) {
+	end := make(chan struct{})
+	var wg sync.WaitGroup
+	wg.Go(func() { l.putConfigs(end) })
+	wg.Go(func() { l.handInLots(end) })
+	return sync.OnceFunc(func() {
+		close(end)
+		wg.Wait()
+	})
+}
+
+// checkWritten checks that all that was acknowledged is there.
+func (l *losses) checkWritten() {
 	for _, id := range l.lots {
-		h.complete(id, 3, 60*time.Second)
+		l.h.complete(id, 3, 60*time.Second)
 	}
 	if l.acked < 10 || len(l.lots) < 10 {
-		t.Errorf("only %d versions and %d lots were acknowledged: the test tests little", l.acked, len(l.lots))
+		l.h.t.Errorf("only %d versions and %d lots were acknowledged: the test tests little", l.acked, len(l.lots))
 	}
 }
 
