--- a/internal/lotstore/model_test.go
+++ b/internal/lotstore/model_test.go
@@ -168,7 +168,7 @@
 	if *modelLong {
 		scenarios = append(scenarios,
 			&claimScenario{name: "a lot left at one replica, two claim at once", claims: [3]int{0, 1, 1}, ops: 2, begun: true},
-			&claimScenario{name: "three claimants, crashes and a write given up", claims: [3]int{0, 1, 1}, ops: 2, settled: 1, losses: 1, crashes: [3]int{1, 1, 0}})
+			&claimScenario{name: "two claim at once, crashes and a write given up", claims: [3]int{0, 1, 1}, ops: 2, settled: 1, losses: 1, crashes: [3]int{1, 1, 0}})
 	}
 	return scenarios
 }
