Register: one pair of functions reads and writes what a value holds under a key

The orders by version, the retired names and the orders that have their outcome each decoded their entry of Extra, with the same fault, and encoded it again. loadExtra and storeExtra do it for all three; behaviour, faults and bytes stay.

--- a/internal/register/order_ids.go
+++ b/internal/register/order_ids.go
@@ -7,7 +7,6 @@
 	"github.com/vmihailenco/msgpack/v5"
 	"github.com/zeebo/xxh3"
 
-	"rowanshunt/internal/codec"
 	"rowanshunt/internal/fault"
 	"rowanshunt/internal/rpc"
 )
@@ -63,15 +62,8 @@
 }
 
 func loadEnded(s *State) ([]endedOrder, error) {
-	raw := s.Extra[endedOrders]
-	if raw == nil {
-		return nil, nil
-	}
-	var ended []endedOrder
-	if err := msgpack.Unmarshal(raw, &ended); err != nil {
-		return nil, fault.New(fault.Damaged, endedOrders, err.Error(), "run the same version on all nodes")
-	}
-	return ended, nil
+	ended, _, err := loadExtra[[]endedOrder](s, endedOrders)
+	return ended, err
 }
 
 // logEnded adds an order to those that have their outcome, in a value that is not
@@ -79,12 +71,7 @@
 func logEnded(s *State, ended []endedOrder, e endedOrder) error {
 	ended = append(ended, e)
 	ended = ended[max(len(ended)-maxEndedOrders, 0):]
-	raw, err := codec.Marshal(ended)
-	if err != nil {
-		return err
-	}
-	s.SetExtra(endedOrders, raw)
-	return nil
+	return storeExtra(s, endedOrders, ended)
 }
 
 // Once is the change that carries an order out at most once. An order that was
--- a/internal/register/orders.go
+++ b/internal/register/orders.go
@@ -7,7 +7,6 @@
 	"github.com/vmihailenco/msgpack/v5"
 	"github.com/zeebo/xxh3"
 
-	"rowanshunt/internal/codec"
 	"rowanshunt/internal/fault"
 	"rowanshunt/internal/rpc"
 )
@@ -101,29 +100,23 @@
 // took an order without logging it, and the log begins anew.
 func (k OrderKind) Load(s *State, inForce int64) (*OrderLog, error) {
 	log := &OrderLog{Floor: inForce}
-	raw := s.Extra[string(k)]
-	if raw == nil {
-		return log, nil
+	stored, found, err := loadExtra[OrderLog](s, string(k))
+	if err != nil {
+		return nil, err
 	}
-	stored := &OrderLog{}
-	if err := msgpack.Unmarshal(raw, stored); err != nil {
-		return nil, fault.New(fault.Damaged, string(k), err.Error(), "run the same version on all nodes")
+	if !found {
+		return log, nil
 	}
 	if stored.newest() != inForce {
 		log.Refused = stored.Refused
 		return log, nil
 	}
-	return stored, nil
+	return &stored, nil
 }
 
 // store puts the log into a value that is not shared yet.
 func (l *OrderLog) store(s *State, k OrderKind) error {
-	raw, err := codec.Marshal(l)
-	if err != nil {
-		return err
-	}
-	s.SetExtra(string(k), raw)
-	return nil
+	return storeExtra(s, string(k), l)
 }
 
 func (l *OrderLog) newest() int64 {
--- a/internal/register/retire.go
+++ b/internal/register/retire.go
@@ -5,9 +5,6 @@
 	"slices"
 	"strings"
 
-	"github.com/vmihailenco/msgpack/v5"
-
-	"rowanshunt/internal/codec"
 	"rowanshunt/internal/fault"
 )
 
@@ -91,15 +88,8 @@
 )
 
 func loadRetired(s *State) ([]string, error) {
-	raw := s.Extra[retireOrders]
-	if raw == nil {
-		return nil, nil
-	}
-	var names []string
-	if err := msgpack.Unmarshal(raw, &names); err != nil {
-		return nil, fault.New(fault.Damaged, retireOrders, err.Error(), "run the same version on all nodes")
-	}
-	return names, nil
+	names, _, err := loadExtra[[]string](s, retireOrders)
+	return names, err
 }
 
 // tookRetire tells whether a retire order for that name was taken lately.
@@ -118,10 +108,5 @@
 	if over := len(names) - maxRetireOrders; over > 0 {
 		names = names[over:]
 	}
-	raw, err := codec.Marshal(names)
-	if err != nil {
-		return err
-	}
-	s.SetExtra(retireOrders, raw)
-	return nil
+	return storeExtra(s, retireOrders, names)
 }
