quota: live calls within their tenant's guarantee have no bound, whatever its items have

Change: where a tenant's live calls alone are within its guarantee and its items take it beyond, the grant has a second limit, of its live calls, without a bound. It is a limit under a name that no tenant can have, because nodes of earlier versions accept no further field. Each live call that passes the bound of the whole takes the place of one item.

--- a/internal/quota/allocation.go
+++ b/internal/quota/allocation.go
@@ -28,7 +28,8 @@
 	// reserved is the sum of the tenant's fractions that silent nodes still use.
 	reserved float64
 
-	withinGuarantee bool
+	withinGuarantee bool // all that it has is
+	liveWithin      bool // its live calls alone are
 	want            Amount
 	allocated       Amount
 }
@@ -127,10 +128,9 @@
 // applyGuarantees finds who is within its guarantee and what each tenant wants.
 func (a *allocation) applyGuarantees() {
 	for _, tenant := range a.tenants {
-		use, limit := tenant.use(), tenant.guarantee.Cap
-		guaranteed := tenant.guarantee.atLeast(leastShare).of(a.fleet)
-		tenant.withinGuarantee = use.Dominant(guaranteed) < withinThreshold &&
-			(limit == 0 || use.Dominant(a.fleet) < withinThreshold*limit)
+		use := tenant.use()
+		tenant.withinGuarantee = tenant.isWithin(use, a.fleet)
+		tenant.liveWithin = tenant.isWithin(tenant.live, a.fleet)
 		tenant.want = use.plus(a.perSlot.times(float64(tenant.shortages)))
 		switch {
 		case tenant.waiting:
@@ -144,11 +144,19 @@
 	}
 }
 
-// preempts reports whether borrowed batch runs are to give way: a tenant within its
-// guarantee found no capacity, or nothing is left for one.
+// isWithin reports whether an amount is so far below the tenant's guarantee, and its cap,
+// that nothing bounds it.
+func (t *tenantDemand) isWithin(amount, fleet Amount) bool {
+	guaranteed, limit := t.guarantee.atLeast(leastShare).of(fleet), t.guarantee.Cap
+	return amount.Dominant(guaranteed) < withinThreshold &&
+		(limit == 0 || amount.Dominant(fleet) < withinThreshold*limit)
+}
+
+// preempts reports whether batch runs over their limits are to give way: a tenant whose
+// live calls are within its guarantee found no capacity, or nothing is left for one.
 func (a *allocation) preempts() bool {
 	for _, tenant := range a.tenants {
-		if tenant.withinGuarantee && tenant.shortages > 0 {
+		if tenant.liveWithin && tenant.shortages > 0 {
 			return true
 		}
 	}
@@ -172,6 +180,9 @@
 	for _, tenant := range a.tenants {
 		for i, limit := range tenant.distribute(len(a.nodes)) {
 			limits[a.nodes[i]] = append(limits[a.nodes[i]], limit)
+			if tenant.liveWithin && !tenant.withinGuarantee {
+				limits[a.nodes[i]] = append(limits[a.nodes[i]], Limit{Name: liveLimitName(tenant.name), Unbounded: true})
+			}
 		}
 	}
 	return limits
--- a/internal/quota/allocation_exact_test.go
+++ b/internal/quota/allocation_exact_test.go
@@ -193,6 +193,13 @@
 	fmt.Fprintf(out, "quorum %v contended %v yield %v nodes %d\n", a.hasQuorum, a.contended(now), a.preempting, len(a.reports))
 	for _, node := range sortedKeys(a.limits) {
 		for _, l := range a.limits[node] {
+			if tenant, live := strings.CutPrefix(l.Name, liveLimitName("")); live {
+				// Not among the exact figures, which are those of bounds.
+				if bound, _ := (&Grant{Limits: a.limits[node]}).limit(tenant); bound.Unbounded || l != (Limit{Name: l.Name, Unbounded: true}) {
+					fmt.Fprintf(out, "the live calls of %+v have the limit %+v\n", bound, l)
+				}
+				continue
+			}
 			fmt.Fprintf(out, "%s %s %v %v %d %s %s\n", node, l.Name, l.Unbounded, l.Capped, l.Slots, exact(l.Kv), exact(l.Fraction))
 		}
 	}
--- a/internal/quota/allocation_test.go
+++ b/internal/quota/allocation_test.go
@@ -5,6 +5,7 @@
 	"math"
 	"math/rand/v2"
 	"reflect"
+	"slices"
 	"testing"
 
 	"rowanshunt/internal/clock"
@@ -140,11 +141,13 @@
 		usages             []Usage
 		contended, preempt bool
 		unbounded          map[string]bool
+		liveUnbounded      []string // of those that are bounded: live calls are not
 	}{
-		{"quiet", []Usage{usage("books", 10, 0, 0), usage("dealers", 10, 30, 0)}, false, false, map[string]bool{"books": true, "dealers": false}},
-		{"nearly full", []Usage{usage("books", 10, 0, 0), usage("dealers", 0, 78, 0)}, true, false, map[string]bool{"books": true, "dealers": false}},
-		{"one finds no capacity", []Usage{usage("books", 10, 0, 2), usage("dealers", 0, 60, 0)}, true, true, map[string]bool{"books": true, "dealers": false}},
-		{"full", []Usage{usage("books", 45, 0, 0), usage("dealers", 10, 45, 0)}, true, true, map[string]bool{"books": false, "dealers": false}},
+		{"quiet", []Usage{usage("books", 10, 0, 0), usage("dealers", 10, 30, 0)}, false, false, map[string]bool{"books": true, "dealers": false}, []string{"dealers"}},
+		{"nearly full", []Usage{usage("books", 10, 0, 0), usage("dealers", 0, 78, 0)}, true, false, map[string]bool{"books": true, "dealers": false}, []string{"dealers"}},
+		{"one finds no capacity", []Usage{usage("books", 10, 0, 2), usage("dealers", 0, 60, 0)}, true, true, map[string]bool{"books": true, "dealers": false}, []string{"dealers"}},
+		{"one with items of its own finds no capacity", []Usage{usage("books", 10, 40, 2), usage("dealers", 30, 0, 0)}, true, true, map[string]bool{"books": false, "dealers": false}, []string{"books"}},
+		{"full", []Usage{usage("books", 45, 0, 0), usage("dealers", 10, 45, 0)}, true, true, map[string]bool{"books": false, "dealers": false}, []string{"dealers"}},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			a := newAllocator("llm")
@@ -167,6 +170,12 @@
 			if found != len(tc.unbounded) {
 				t.Errorf("limits of %d tenants, want %d", found, len(tc.unbounded))
 			}
+			for name := range tc.unbounded {
+				live, listed := (&Grant{Limits: a.limits["a"]}).limit(liveLimitName(name))
+				if listed != slices.Contains(tc.liveUnbounded, name) || live.Unbounded != listed {
+					t.Errorf("the live calls of %s: %+v", name, live)
+				}
+			}
 		})
 	}
 }
--- a/internal/quota/document_validation.go
+++ b/internal/quota/document_validation.go
@@ -4,6 +4,7 @@
 	"math"
 	"strconv"
 	"strings"
+	"unicode"
 
 	"rowanshunt/internal/config"
 	"rowanshunt/internal/fault"
@@ -33,6 +34,9 @@
 	if name == "" || name == Others {
 		faults.Addf(path, "cannot be named so", Others+" is the tenant of all hosts that are named nowhere: choose another name")
 	}
+	if strings.ContainsFunc(name, unicode.IsControl) {
+		faults.Addf(path, "holds a control character", "use printable characters")
+	}
 	if len(d.Tenants[name].Hosts) == 0 {
 		faults.Addf(hostsPath, "is missing or empty", "name at least one host")
 	}
--- a/internal/quota/gate.go
+++ b/internal/quota/gate.go
@@ -116,8 +116,8 @@
 	s := g.service(service)
 	usage := s.tenant(tenant)
 	batch := preempt != nil
-	bound, bounded := g.bound(rules, s, tenant, batch, now)
-	if bounded && !g.fits(s, usage, bound, batch, now) {
+	bound, bounded := g.bound(rules, s, tenant, now)
+	if bounded && !g.fits(s, tenant, bound, batch, now) {
 		if batch {
 			usage.itemWaitedAt = now
 		} else {
@@ -128,7 +128,7 @@
 	ticket := &Ticket{gate: g, usage: usage, amount: Amount{Slots: 1, Kv: float64(tokens)}, batch: batch, preempt: preempt}
 	usage.add(ticket)
 	if bounded && !batch {
-		usage.preemptOver(g.countedOf(s, bound))
+		usage.preemptNewest(g.countedOf(s, bound))
 	}
 	return ticket, true
 }
@@ -137,13 +137,16 @@
 // bound may be passed by the one that reaches it (design 17.3). A live call is measured
 // against the tenant's live calls alone: its own items give way to it (design 17.4). The
 // caller holds g.mu.
-func (g *Gate) fits(s *serviceState, usage *tenantUsage, bound Amount, batch bool, now clock.Instant) bool {
-	if batch && now.Sub(usage.shortageAt) < liveFirst {
-		return false
-	}
+func (g *Gate) fits(s *serviceState, tenant string, bound Amount, batch bool, now clock.Instant) bool {
+	usage := s.tenant(tenant)
 	has := usage.live
-	if batch {
+	switch {
+	case batch && now.Sub(usage.shortageAt) < liveFirst:
+		return false
+	case batch:
 		has = usage.total()
+	case s.liveUnbounded(tenant, now):
+		return true
 	}
 	bound = g.countedOf(s, bound)
 	return has.Slots < bound.Slots && has.Kv < bound.Kv
@@ -157,9 +160,8 @@
 	return bound
 }
 
-// bound is what a tenant may have here before one more live call or item, false if
-// nothing bounds it now.
-func (g *Gate) bound(rules *Rules, s *serviceState, tenant string, batch bool, now clock.Instant) (Amount, bool) {
+// bound is what a tenant may have here, false if nothing bounds it now.
+func (g *Gate) bound(rules *Rules, s *serviceState, tenant string, now clock.Instant) (Amount, bool) {
 	if now >= s.grantExpires {
 		if s.term == 0 || now.Sub(s.firstTermAt) < firstGrantGrace {
 			return Amount{}, false
@@ -170,23 +172,18 @@
 	if !found || limit.Unbounded || !s.grant.Contended && !limit.Capped {
 		return Amount{}, false
 	}
-	bound := Amount{Slots: float64(limit.Slots), Kv: limit.Kv}
-	if !batch && !limit.Capped {
-		bound = bound.atLeast(g.guaranteedSlots(rules, s, tenant))
-	}
-	return bound, true
+	return Amount{Slots: float64(limit.Slots), Kv: limit.Kv}, true
 }
 
-// guaranteedSlots is what live calls may have here whatever the tenant's items have
-// elsewhere: this node's fraction of the guarantee, in whole slots, so that many nodes do
-// not round a small guarantee up.
-func (g *Gate) guaranteedSlots(rules *Rules, s *serviceState, tenant string) Amount {
-	guarantee, _ := rules.Guarantee(s.name, tenant)
-	part := guarantee.of(g.Fleet(s.name)).times(s.fractions[tenant])
-	if part.Slots < 1 {
-		return Amount{}
+// liveUnbounded reports whether the grant in force leaves the tenant's live calls
+// without a bound, whatever its items have.
+func (s *serviceState) liveUnbounded(tenant string, now clock.Instant) bool {
+	if now >= s.grantExpires {
+		return false
 	}
-	return Amount{Slots: math.Floor(part.Slots), Kv: part.Kv}
+	limit, _ := s.grant.limit(tenant)
+	live, _ := s.grant.limit(liveLimitName(tenant))
+	return limit.Unbounded || live.Unbounded
 }
 
 // guaranteedPart bounds a tenant while no grant is in force: this node's fraction of
@@ -212,8 +209,8 @@
 	g.service(service).tenant(tenant).recordShortage(clock.Now())
 }
 
-// Entitled reports whether a host's tenant is known to be within its guarantee: what
-// it lacks is being lent to others.
+// Entitled reports whether the live calls of a host's tenant are known to be within its
+// guarantee: what they lack is lent to others, or used by the tenant's own items.
 func (g *Gate) Entitled(service, host string) bool {
 	if !g.Active(service) {
 		return false
@@ -221,12 +218,7 @@
 	tenant := g.Rules().Tenant(service, host)
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	s := g.service(service)
-	if clock.Now() >= s.grantExpires {
-		return false
-	}
-	limit, _ := s.grant.limit(tenant)
-	return limit.Unbounded
+	return g.service(service).liveUnbounded(tenant, clock.Now())
 }
 
 // AtLimit lists, of some hosts, those whose items would not be admitted now, and
@@ -244,8 +236,8 @@
 	for _, host := range hosts {
 		tenant := rules.Tenant(service, host)
 		usage := s.tenant(tenant)
-		bound, bounded := g.bound(rules, s, tenant, true, now)
-		if bounded && !g.fits(s, usage, bound, true, now) {
+		bound, bounded := g.bound(rules, s, tenant, now)
+		if bounded && !g.fits(s, tenant, bound, true, now) {
 			usage.itemWaitedAt = now
 			full = append(full, host)
 		}
@@ -308,7 +300,7 @@
 	for _, limit := range grant.Limits {
 		s.fractions[limit.Name] = limit.Fraction
 		if usage := s.tenants[limit.Name]; usage != nil && grant.Preempt && !limit.Unbounded {
-			usage.preemptOver(Amount{Slots: float64(limit.Slots), Kv: math.Inf(1)})
+			usage.preemptOver(limit)
 		}
 	}
 	return true
--- a/internal/quota/gate_test.go
+++ b/internal/quota/gate_test.go
@@ -174,6 +174,37 @@
 	})
 }
 
+// A live call that is within its tenant's guarantee by itself is admitted though the
+// tenant is at its limit, and takes the place of an item, the newest first.
+func TestLiveCallsDisplaceTheTenantsOwnItems(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := newGate(t)
+		var preempted []int
+		for i := range 3 {
+			if _, ok := g.AdmitItem("llm", dealersHost, 10, func() { preempted = append(preempted, i) }); !ok {
+				t.Fatal("not admitted")
+			}
+		}
+		limit := Limit{Name: "dealers", Slots: 1, Kv: 1000}
+		mustApply(t, g, newGrant(true, limit, Limit{Name: liveLimitName("dealers"), Unbounded: true}))
+		for i := range 4 {
+			if _, ok := g.Admit("llm", dealersHost, 10); !ok {
+				t.Errorf("live call %d was not admitted", i)
+			}
+		}
+		if want := []int{2, 1, 0}; !slices.Equal(preempted, want) {
+			t.Errorf("gave way: %v, want %v", preempted, want)
+		}
+		if !g.Entitled("llm", dealersHost) {
+			t.Error("a live call may not wait for what is lent")
+		}
+		mustApply(t, g, newGrant(true, limit))
+		if _, ok := g.Admit("llm", dealersHost, 10); ok || g.Entitled("llm", dealersHost) {
+			t.Error("a live call beyond the guarantee was admitted, or may wait")
+		}
+	})
+}
+
 // Borrowed runs give way, the newest first, each asked once; live calls never; a tenant's
 // own items give way to its live calls, and wait behind them (design 17.4).
 func TestBorrowedRunsArePreempted(t *testing.T) {
--- a/internal/quota/grant.go
+++ b/internal/quota/grant.go
@@ -39,6 +39,12 @@
 	Fraction  float64 // of the tenant's guarantee: this node's while no grant is in force
 }
 
+// liveLimitName names the limit of a tenant's live calls alone. It is in a grant, without
+// a bound, where these are within the guarantee and the tenant's items take it beyond.
+// A limit of its own, because nodes of earlier versions accept no further field: they
+// look for no such name. Tenants' names hold no control characters.
+func liveLimitName(tenant string) string { return "\x00live/" + tenant }
+
 // limit finds the limit of a tenant.
 func (g *Grant) limit(tenant string) (Limit, bool) {
 	for _, limit := range g.Limits {
--- a/internal/quota/usage.go
+++ b/internal/quota/usage.go
@@ -64,19 +64,38 @@
 }
 
 // preemptOver asks batch runs to give way, the newest first, until the rest are
-// within the bound. Runs that were asked before count as gone.
-func (t *tenantUsage) preemptOver(bound Amount) {
+// within the limit's slots. Runs that were asked before count as gone.
+func (t *tenantUsage) preemptOver(limit Limit) {
+	total := t.total()
+	for i := len(t.items) - 1; i >= 0 && total.Slots > float64(limit.Slots); i-- {
+		ticket := t.items[i]
+		total = total.minus(ticket.amount)
+		ticket.giveWay()
+	}
+}
+
+// preemptNewest asks the newest batch run to give way that was not asked before, if the
+// tenant has more than the bound.
+func (t *tenantUsage) preemptNewest(bound Amount) {
 	total := t.total()
 	for i := len(t.items) - 1; i >= 0 && (total.Slots > bound.Slots || total.Kv > bound.Kv); i-- {
 		ticket := t.items[i]
 		total = total.minus(ticket.amount)
 		if !ticket.preempted {
-			ticket.preempted = true
-			ticket.preempt()
+			ticket.giveWay()
+			return
 		}
 	}
 }
 
+// giveWay asks the item's run to end, once.
+func (t *Ticket) giveWay() {
+	if !t.preempted {
+		t.preempted = true
+		t.preempt()
+	}
+}
+
 // Ticket is the capacity of one admitted call or item. All but Release is under the
 // gate's lock.
 type Ticket struct {
