--- a/internal/discovery/aggregator.go
+++ b/internal/discovery/aggregator.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"time"
 
 	"rowanshunt/internal/clock"
 	"rowanshunt/internal/eventloop"
@@ -12,6 +13,14 @@
 const (
 	// subscriptionTTL outlasts four renewals that are lost in a row.
 	subscriptionTTL = 2_500 * clock.Millisecond
+	// A subscriber whose digest differs gets all records of the service, and for the
+	// next fullSnapshotInterval, and fullSnapshotPerRecord for each record, only those
+	// that changed since shortly before: while many workers register, digests differ
+	// all the time (design 5.6). snapshotOverlap is what a response may take. It gets all
+	// sooner if its digest is the same renewPeriod after it was sent the changes.
+	fullSnapshotInterval  = 2 * clock.Second
+	fullSnapshotPerRecord = 2 * clock.Millisecond
+	snapshotOverlap       = 1 * clock.Second
 	// maxSubscribedServices bounds the work that one request makes.
 	maxSubscribedServices = 4096
 )
@@ -22,15 +31,50 @@
 
 // subscriberTable holds the nodes that subscribed at this one. It does no I/O and
 // belongs to the event loop.
-type subscriberTable map[string]subscriber // by node
+type subscriberTable map[string]*subscriber // by node
 
 type subscriber struct {
-	addr    string
+	addr    string // "" for a node that asks and is not to be sent updates
 	expires clock.Instant
+	sent    map[string]sentRecords // by service
 }
 
-func (s subscriberTable) renew(name, addr string, now clock.Instant) {
-	s[name] = subscriber{addr: addr, expires: now.Add(subscriptionTTL)}
+// sentRecords is what a subscriber was last sent of a service.
+type sentRecords struct {
+	allAt         clock.Instant
+	changesAt     clock.Instant // when it was first sent the changes for changesDigest
+	changesDigest uint64
+}
+
+// renew renews a node's subscription, and returns it.
+func (s subscriberTable) renew(name, addr string, now clock.Instant) *subscriber {
+	sub := s[name]
+	if sub == nil {
+		sub = &subscriber{sent: map[string]sentRecords{}}
+		s[name] = sub
+	}
+	if addr != "" {
+		sub.addr = addr
+	}
+	sub.expires = now.Add(subscriptionTTL)
+	return sub
+}
+
+// changesSince is since when changed records of a service are to be sent to a subscriber
+// that lacks some, 0 for all of them. A subscriber without any gets all.
+func (s *subscriber) changesSince(svc string, digest uint64, records int, now clock.Instant) clock.Instant {
+	sent, known := s.sent[svc]
+	interval := fullSnapshotInterval + clock.Micros(records)*fullSnapshotPerRecord
+	same := sent.changesAt > 0 && digest == sent.changesDigest
+	if !known || digest == 0 || now.Sub(sent.allAt) >= interval || same && now.Sub(sent.changesAt) >= renewPeriod {
+		s.sent[svc] = sentRecords{allAt: now}
+		return 0
+	}
+	if !same {
+		sent.changesAt, sent.changesDigest = now, digest
+		s.sent[svc] = sent
+	}
+	return sent.allAt.Add(-snapshotOverlap)
 }
 
 func (s subscriberTable) expire(now clock.Instant) {
@@ -44,7 +88,9 @@
 func (s subscriberTable) addrs() []string {
 	var addrs []string
 	for _, sub := range s {
-		addrs = append(addrs, sub.addr)
+		if sub.addr != "" {
+			addrs = append(addrs, sub.addr)
+		}
 	}
 	return addrs
 }
@@ -59,6 +105,24 @@
 	subscribers subscriberTable
 	usualAge    clock.Micros
 	loads       loadHooks
+
+	mu      sync.Mutex
+	pending *pushBatch // nil if no push waits
+}
+
+// pushWindow is how long the records that come one after the other are collected before
+// they are pushed, each subscriber getting one call: with thousands of workers that
+// register at a time, calls follow subscribers and not workers x subscribers. It is
+// short beside the time in which an update is to be known (design 5.2).
+const pushWindow = 20 * time.Millisecond
+
+// maxPushBatch bounds the records of one push.
+const maxPushBatch = 256
+
+// pushBatch are the records that are pushed together.
+type pushBatch struct {
+	workers []Worker
+	done    chan struct{} // closed once all subscribers have answered, or had the time to
 }
 
 // handleSubscribe answers kindSubscribe.
@@ -71,7 +135,7 @@
 }
 
 func (a *aggregator) subscribe(in *subscribeRequest, now clock.Instant) *subscribeResponse {
-	a.subscribers.renew(in.From, in.Addr, now)
+	sub := a.subscribers.renew(in.From, in.Addr, now)
 	out := &subscribeResponse{MaxAge: a.usualAge}
 	if !a.contact.reachesMajority(now) {
 		out.Unchanged = append(out.Unchanged, coreUnreachableMark)
@@ -82,22 +146,48 @@
 			out.Unchanged = append(out.Unchanged, svc)
 			out.Ages = append(out.Ages, a.table.lateAges(svc, a.usualAge, now)...)
 		} else {
-			out.Workers = append(out.Workers, a.table.recordsOf(svc, now)...)
+			since := sub.changesSince(svc, in.Digests[i], len(a.table.records), now)
+			out.Workers = append(out.Workers, a.table.recordsOf(svc, since, now)...)
 		}
 	}
 	return out
 }
 
-// push sends a worker's record to all subscribers and waits for them, at most
-// pushTimeout. One that fails gets the record with its next renewal.
-func (a *aggregator) push(w Worker) {
+// push sends records to all subscribers, together with those that come within pushWindow,
+// and waits for them, at most pushWindow and pushTimeout. A subscriber that fails gets
+// them with its next renewal.
+func (a *aggregator) push(workers ...Worker) {
+	<-a.join(workers).done
+}
+
+// join adds records to the batch that is being collected, or begins one.
+func (a *aggregator) join(workers []Worker) *pushBatch {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.pending == nil || len(a.pending.workers) >= maxPushBatch {
+		batch := &pushBatch{done: make(chan struct{})}
+		a.pending = batch
+		go a.pushAfterWindow(batch) // ends after pushWindow and pushTimeout
+	}
+	a.pending.workers = append(a.pending.workers, workers...)
+	return a.pending
+}
+
+func (a *aggregator) pushAfterWindow(batch *pushBatch) {
+	defer close(batch.done)
+	clock.Sleep(a.client.lifetime, pushWindow)
+	a.mu.Lock()
+	if a.pending == batch {
+		a.pending = nil
+	}
+	a.mu.Unlock()
 	addrs, err := eventloop.Call(a.client.lifetime, a.loop, a.subscribers.addrs)
 	if err != nil {
 		return
 	}
 	var pushes sync.WaitGroup
 	for _, addr := range addrs {
-		pushes.Go(func() { _ = a.client.push(addr, &updateRequest{Workers: []Worker{w}}) })
+		pushes.Go(func() { _ = a.client.push(addr, &updateRequest{Workers: batch.workers}) })
 	}
 	pushes.Wait()
 }
--- a/internal/discovery/aggregator_test.go
+++ b/internal/discovery/aggregator_test.go
@@ -1,9 +1,13 @@
 package discovery
 
 import (
+	"fmt"
 	"reflect"
 	"slices"
+	"sync"
 	"testing"
+	"testing/synctest"
+	"time"
 
 	"rowanshunt/internal/clock"
 	"rowanshunt/internal/consensus"
@@ -87,3 +91,73 @@
 		t.Errorf("subscribers: %v", got)
 	}
 }
+
+// While digests differ all the time, a subscriber gets all records once and then what
+// changed since; all again if that does not help, if it lost all, or after the interval.
+func TestSubscribeSendsChangesAfterASnapshot(t *testing.T) {
+	start := clock.Now()
+	interval := fullSnapshotInterval + 3*fullSnapshotPerRecord
+	for _, tc := range []struct {
+		name    string
+		at      clock.Micros // of the second request
+		digest  uint64
+		records int
+	}{
+		{"another digest: what changed", renewPeriod, 2, 1},
+		{"the same digest as with the changes before", 3 * renewPeriod, 1, 3},
+		{"no records any more", renewPeriod, 0, 3},
+		{"after the interval", interval, 2, 3},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			a := newTestAggregator(start, nil)
+			merge(t, a.table, start, upWorker("a", 1), upWorker("b", 1))
+			at := start.Add(2 * snapshotOverlap)
+			request := func(digest uint64, after clock.Micros) int {
+				in := &subscribeRequest{From: "n", Addr: "n", Services: []string{"s"}, Digests: []uint64{digest}}
+				return len(a.subscribe(in, at.Add(after)).Workers)
+			}
+			if got := request(1, 0); got != 2 {
+				t.Fatalf("at first %d records, want 2", got)
+			}
+			merge(t, a.table, at, upWorker("c", 1))
+			if got := request(1, renewPeriod/2); got != 1 {
+				t.Fatalf("of the changes %d records, want 1", got)
+			}
+			if got := request(tc.digest, tc.at); got != tc.records {
+				t.Errorf("%d records, want %d", got, tc.records)
+			}
+		})
+	}
+}
+
+// Records that come within the window go to each subscriber in one call, and whoever
+// pushes waits for it. A node that asks without an address is sent nothing.
+func TestPushesAreBatched(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		transport := &fakeTransport{updates: map[string]*updateRequest{}, hanging: map[string]bool{"slow": true}}
+		a := newTestAggregator(clock.Now(), nil)
+		a.loop = runLoop(t)
+		a.client = &peerClient{lifetime: t.Context(), transport: transport}
+		onLoop(t, a.loop, func() {
+			for name, addr := range map[string]string{"n": "near", "m": "slow", "journal reader": ""} {
+				a.subscribers.renew(name, addr, clock.Now())
+			}
+		})
+		const workers = 2*maxPushBatch + 1
+		began := time.Now()
+		var pushes sync.WaitGroup
+		for i := range workers {
+			pushes.Go(func() { a.push(upWorker(fmt.Sprint(i), 1)) })
+		}
+		pushes.Wait()
+		if took := time.Since(began); took != pushWindow+pushTimeout.Duration() {
+			t.Errorf("the pushes took %v, want the window and the time-out of the slow subscriber", took)
+		}
+		if got := transport.calls(); got["near"] != 3 || got["slow"] != 3 || len(got) != 2 {
+			t.Errorf("calls by subscriber: %v, want 3 each", got)
+		}
+		if got := transport.workers("near"); got != workers {
+			t.Errorf("%d records arrived, want %d", got, workers)
+		}
+	})
+}
--- a/internal/discovery/directory.go
+++ b/internal/discovery/directory.go
@@ -1,7 +1,5 @@
 package discovery
 
-import "sort"
-
 // Directory is the set of workers that requests may be sent to. It is a snapshot that
 // is never changed: any goroutine may read it without a lock.
 type Directory struct {
@@ -9,17 +7,17 @@
 	ByID      map[string]*Worker
 }
 
-func newDirectory() *Directory {
-	return &Directory{ByService: map[string][]*Worker{}, ByID: map[string]*Worker{}}
-}
-
-func (d *Directory) add(w Worker) {
-	d.ByService[w.Svc] = append(d.ByService[w.Svc], &w)
-	d.ByID[w.ID] = &w
+func newDirectory(size int) *Directory {
+	return &Directory{ByService: map[string][]*Worker{}, ByID: make(map[string]*Worker, size)}
 }
 
-func (d *Directory) sort() {
-	for _, ws := range d.ByService {
-		sort.Slice(ws, func(i, j int) bool { return ws[i].ID < ws[j].ID })
+// add adds the workers of a service, ordered by ID.
+func (d *Directory) add(svc string, workers []*Worker) {
+	if len(workers) == 0 {
+		return
+	}
+	d.ByService[svc] = workers
+	for _, w := range workers {
+		d.ByID[w.ID] = w
 	}
 }
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -112,7 +112,7 @@
 	rpc.Handle(cfg.Mux, kindSubscribe, aggregator.handleSubscribe)
 	rpc.Handle(cfg.Mux, kindDepartures, departures.handleDepartures)
 	cfg.Loop.Every(startupRenewPeriod, func() { d.subscription.run(ctx) })
-	cfg.Loop.Every(publishPeriod, func() { table.publish(clock.Now()) })
+	cfg.Loop.Every(publishPeriod, func() { table.publishPeriodically(clock.Now()) })
 	cfg.Loop.Every(heartbeatFlushPeriod, updates.flushHeartbeats)
 	return d, nil
 }
@@ -133,7 +133,7 @@
 		d.table.merge(w, d.table.started)
 	}
 	write := func(now clock.Instant) { j.write(d.table.persistent(now)) }
-	d.table.beforePublish = write
+	d.table.onDeparture = write
 	d.loop.Every(journalPeriod, func() { write(clock.Now()) })
 }
 
--- a/internal/discovery/harness_test.go
+++ b/internal/discovery/harness_test.go
@@ -57,6 +57,22 @@
 
 	mu      sync.Mutex
 	updates map[string]*updateRequest // the last one by address
+	counts  map[string]int            // of updates, by address
+	records map[string]int            // of workers in them, by address
+}
+
+// calls gives how many updates each address got.
+func (ft *fakeTransport) calls() map[string]int {
+	ft.mu.Lock()
+	defer ft.mu.Unlock()
+	return maps.Clone(ft.counts)
+}
+
+// workers gives how many records an address got.
+func (ft *fakeTransport) workers(addr string) int {
+	ft.mu.Lock()
+	defer ft.mu.Unlock()
+	return ft.records[addr]
 }
 
 // sent gives the last update by address.
@@ -70,6 +86,11 @@
 	ft.mu.Lock()
 	if update, ok := in.(*updateRequest); ok && kind == kindUpdate {
 		ft.updates[addr] = update
+		if ft.counts == nil {
+			ft.counts, ft.records = map[string]int{}, map[string]int{}
+		}
+		ft.counts[addr]++
+		ft.records[addr] += len(update.Workers)
 	}
 	ft.mu.Unlock()
 	if ft.hanging[addr] {
--- a/internal/discovery/subscription.go
+++ b/internal/discovery/subscription.go
@@ -57,9 +57,12 @@
 	s.subscribers.expire(now)
 	view := s.view()
 	bySource, aggregates := s.plan(view, now)
-	s.addJournalSource(bySource, view, now)
+	journalSource := s.addJournalSource(bySource, view, now)
 	for source, services := range bySource {
 		addr, request := view.Get(source).Addr, s.request(services)
+		if source == journalSource {
+			request.Addr = "" // no subscription: this node's source pushes updates
+		}
 		// Ends after subscribeTimeout, before the next renewal of an established node.
 		go s.subscribeAt(ctx, source, addr, request)
 	}
@@ -95,18 +98,21 @@
 }
 
 // addJournalSource adds, while this node has just started and has no journal, one of the
-// nodes with a disk in turn: they may have a journal (design 5.5).
-func (s *subscription) addJournalSource(bySource map[string][]string, view *gossip.View, now clock.Instant) {
+// nodes with a disk in turn: they may have a journal (design 5.5). It returns that node.
+func (s *subscription) addJournalSource(bySource map[string][]string, view *gossip.View, now clock.Instant) (source string) {
 	if !s.seeksJournals || now.Sub(s.table.started) >= restoredTTL {
-		return
+		return ""
 	}
 	withDisk := view.Names(func(n *gossip.NodeState) bool {
 		return n.Alive && n.Disk != "" && n.Role == s.self.Role && bySource[n.Name] == nil
 	})
-	if len(withDisk) > 0 {
-		bySource[withDisk[s.journalTurn%len(withDisk)]] = s.services()
-		s.journalTurn++
+	if len(withDisk) == 0 {
+		return ""
 	}
+	source = withDisk[s.journalTurn%len(withDisk)]
+	bySource[source] = s.services()
+	s.journalTurn++
+	return source
 }
 
 func (s *subscription) request(services []string) *subscribeRequest {
--- a/internal/discovery/table.go
+++ b/internal/discovery/table.go
@@ -21,6 +21,9 @@
 	// silentTTL is how long the record of a silent worker is kept, far beyond its
 	// lease: late updates are still ordered by its sequence number, and it can be traced.
 	silentTTL = 5 * tombstoneTTL
+	// maxUpdatesPublished is how many updates publish the directory at once in one
+	// publishPeriod.
+	maxUpdatesPublished = 4
 	// restoredTTL is how long the journal's workers are used after a restart, the time
 	// in which a node gets in touch with the others (design 5.5).
 	restoredTTL = 2_400 * clock.Millisecond
@@ -29,6 +32,9 @@
 // record is what the table has of a worker.
 type record struct {
 	Worker
+	print         uint64        // its fingerprint, kept since tables compare it all the time
+	published     *Worker       // the copy that directories share, nil once Worker has changed
+	changed       clock.Instant // when print last changed
 	lastHeartbeat clock.Instant
 	tombstone     clock.Instant // when this node learned that the worker is gone
 	// departureCommitted: a majority of the core holds that the worker drains or, if
@@ -46,6 +52,25 @@
 	return w
 }
 
+// set replaces the worker of a record, and tells whether the fingerprint changed.
+func (r *record) set(w Worker, now clock.Instant) (changed bool) {
+	before := r.print
+	r.Worker, r.print, r.published = w, w.fingerprint(), nil
+	if r.print != before {
+		r.changed = now
+	}
+	return r.print != before
+}
+
+// snapshot is the worker as directories share it.
+func (r *record) snapshot() *Worker {
+	if r.published == nil {
+		w := r.Worker
+		r.published = &w
+	}
+	return r.published
+}
+
 // workerTable merges what is known of workers and publishes the directory. It does no
 // I/O but logging. All but directory belongs to the event loop.
 type workerTable struct {
@@ -53,20 +78,25 @@
 	started    clock.Instant
 	lease      clock.Micros
 	records    map[string]*record // by worker ID
+	services   map[string]*serviceRecords
 	departures *departureLog
 	// lastSync is when this node last was up to date. Leases end against it and not
 	// against the present: a node that is cut off ends none (design 5.3).
 	lastSync clock.Instant
 
-	signature     uint64 // of the published directory
-	beforePublish func(now clock.Instant)
-	directory     atomic.Pointer[Directory]
+	signature uint64 // of the published directory
+	updates   int    // since the last periodic publish, how often an update published
+	// onDeparture is called before a directory is published that lacks workers which
+	// departed, by reportedSeq of the departure log; nil without a journal.
+	onDeparture func(now clock.Instant)
+	reportedSeq uint64
+	directory   atomic.Pointer[Directory]
 }
 
 func newWorkerTable(log *logging.Log, heartbeatInterval clock.Micros, started clock.Instant) *workerTable {
 	wt := &workerTable{log: log, started: started, lease: leaseHeartbeats*heartbeatInterval + leaseSlack,
-		records: map[string]*record{}, departures: newDepartureLog()}
-	wt.directory.Store(newDirectory())
+		records: map[string]*record{}, services: map[string]*serviceRecords{}, departures: newDepartureLog()}
+	wt.directory.Store(newDirectory(0))
 	return wt
 }
 
@@ -75,14 +105,22 @@
 
 func (wt *workerTable) leased(r *record) bool { return wt.lastSync.Sub(r.lastHeartbeat) < wt.lease }
 
-// mergeAll merges records and publishes the directory if one of them changed.
+// mergeAll merges records and publishes the directory if one of them changed: at once if
+// a worker departed or few updates came lately, else with the next publishPeriod. When
+// thousands of workers register at a time, the directory is not built anew for each of
+// them (design 5.6).
 func (wt *workerTable) mergeAll(workers []Worker, now clock.Instant) (changed bool) {
+	departed := false
 	for _, w := range workers {
 		if wt.merge(w, now) {
 			changed = true
+			departed = departed || !w.Up()
 		}
 	}
 	if changed {
+		wt.updates++
+	}
+	if departed || changed && wt.updates <= maxUpdatesPublished {
 		wt.publish(now)
 	}
 	return changed
@@ -104,7 +142,9 @@
 		return false
 	}
 	if w.Gone {
-		r.Gone = true
+		gone := r.Worker
+		gone.Gone = true
+		wt.replace(r, gone, now)
 		r.tombstone = now
 		wt.logDeparture(r, now)
 		return true
@@ -112,20 +152,67 @@
 	if w.Seq < r.Seq || w.Seq == r.Seq && !r.Restored {
 		return false
 	}
-	before, wasUp := r.fingerprint(), r.Up()
-	r.Worker = w
+	wasUp := r.Up()
+	changed = wt.replace(r, w, now)
 	if wasUp && !w.Up() {
 		wt.logDeparture(r, now)
 	}
-	return r.fingerprint() != before
+	return changed
+}
+
+// replace sets the worker of a record that is in the table.
+func (wt *workerTable) replace(r *record, w Worker, now clock.Instant) (changed bool) {
+	if r.Svc != w.Svc {
+		wt.removeFromService(r)
+		changed = r.set(w, now)
+		wt.addToService(r)
+		return changed
+	}
+	before := r.print
+	changed = r.set(w, now)
+	wt.services[r.Svc].digest += r.print - before
+	return changed
+}
+
+// keep puts a new record into the table.
+func (wt *workerTable) keep(r *record) {
+	wt.records[r.ID] = r
+	wt.addToService(r)
+}
+
+func (wt *workerTable) addToService(r *record) {
+	records := wt.services[r.Svc]
+	if records == nil {
+		records = &serviceRecords{}
+		wt.services[r.Svc] = records
+	}
+	records.add(r)
+}
+
+func (wt *workerTable) removeFromService(r *record) {
+	records := wt.services[r.Svc]
+	records.remove(r)
+	if len(records.ordered) == 0 {
+		delete(wt.services, r.Svc)
+	}
+}
+
+// recordsIn lists the records of a service in the order of the workers' IDs. The slice
+// belongs to the table.
+func (wt *workerTable) recordsIn(svc string) []*record {
+	if records := wt.services[svc]; records != nil {
+		return records.ordered
+	}
+	return nil
 }
 
 func (wt *workerTable) insert(w Worker, lastHeartbeat, now clock.Instant) bool {
 	if len(wt.records) >= maxWorkers {
 		return false
 	}
-	r := &record{Worker: w, lastHeartbeat: lastHeartbeat}
-	wt.records[w.ID] = r
+	r := &record{lastHeartbeat: lastHeartbeat}
+	r.set(w, now)
+	wt.keep(r)
 	if w.Gone {
 		r.tombstone = now
 	}
@@ -141,6 +228,12 @@
 	r.departureSeq = wt.departures.add(r.ID, now)
 }
 
+// publishPeriodically is publish for the timer of publishPeriod.
+func (wt *workerTable) publishPeriodically(now clock.Instant) {
+	wt.updates = 0
+	wt.publish(now)
+}
+
 // commitDeparture records that a majority of the core holds this departure, unless the
 // worker has moved on meanwhile.
 func (wt *workerTable) commitDeparture(w *Worker) {
@@ -156,6 +249,7 @@
 		pastTombstone := r.Gone && now.Sub(r.tombstone) > tombstoneTTL
 		if unconfirmed || pastTombstone || r.age(now) > silentTTL {
 			delete(wt.records, id)
+			wt.removeFromService(r)
 		}
 	}
 }
@@ -164,28 +258,37 @@
 func (wt *workerTable) publish(now clock.Instant) {
 	wt.expire(now)
 	// The sum does not depend on the order of the map; the lowest bit is set so that
-	// each worker counts.
-	var signature uint64
+	// each worker counts. A departure counts also of a worker that was never published:
+	// it must get into the journal.
+	signature := wt.departures.lastSeq
 	for _, r := range wt.records {
 		if wt.inUse(r) {
-			signature += r.fingerprint() | 1
+			signature += r.print | 1
 		}
 	}
 	if signature == wt.signature {
 		return
 	}
 	wt.signature = signature
-	if wt.beforePublish != nil {
-		wt.beforePublish(now)
+	if wt.onDeparture != nil && wt.departures.lastSeq != wt.reportedSeq {
+		wt.reportedSeq = wt.departures.lastSeq
+		wt.onDeparture(now)
 	}
-	d := newDirectory()
-	for _, r := range wt.records {
-		if wt.inUse(r) {
-			d.add(r.Worker)
+	wt.directory.Store(wt.buildDirectory())
+}
+
+func (wt *workerTable) buildDirectory() *Directory {
+	d := newDirectory(len(wt.records))
+	for svc, records := range wt.services {
+		workers := make([]*Worker, 0, len(records.ordered))
+		for _, r := range records.ordered {
+			if wt.inUse(r) {
+				workers = append(workers, r.snapshot())
+			}
 		}
+		d.add(svc, workers)
 	}
-	d.sort()
-	wt.directory.Store(d)
+	return d
 }
 
 // confirmLeases applies the ages that an aggregator sent for the services in which it has
@@ -196,21 +299,16 @@
 	for _, a := range ages {
 		ageOf[a.ID] = a.Age
 	}
-	confirmed := make(map[string]bool, len(services))
 	for _, svc := range services {
-		confirmed[svc] = true
-	}
-	for id, r := range wt.records {
-		if r.Gone || !confirmed[r.Svc] {
-			continue
-		}
-		age, given := ageOf[id]
-		if !given {
-			age = maxAge
-		}
-		if age >= 0 { // not unknownAge
-			r.Restored = false // the aggregator received a heartbeat
-			r.lastHeartbeat = max(r.lastHeartbeat, now.Add(-age))
+		for _, r := range wt.recordsIn(svc) {
+			age, given := ageOf[r.ID]
+			if !given {
+				age = maxAge
+			}
+			if !r.Gone && age >= 0 { // not unknownAge
+				r.Restored = false // the aggregator received a heartbeat
+				r.lastHeartbeat = max(r.lastHeartbeat, now.Add(-age))
+			}
 		}
 	}
 }
@@ -218,20 +316,18 @@
 // digest sums up the records of a service. Peers compare digests, so it must not
 // depend on the order of records.
 func (wt *workerTable) digest(svc string) uint64 {
-	var sum uint64
-	for _, r := range wt.records {
-		if r.Svc == svc {
-			sum += r.fingerprint()
-		}
+	if records := wt.services[svc]; records != nil {
+		return records.digest
 	}
-	return sum
+	return 0
 }
 
-// recordsOf lists the records of a service, those of workers that are gone included.
-func (wt *workerTable) recordsOf(svc string, now clock.Instant) []Worker {
+// recordsOf lists the records of a service that changed since a moment, those of workers
+// that are gone included.
+func (wt *workerTable) recordsOf(svc string, since, now clock.Instant) []Worker {
 	var workers []Worker
-	for _, r := range wt.records {
-		if r.Svc == svc {
+	for _, r := range wt.recordsIn(svc) {
+		if r.changed >= since {
 			workers = append(workers, r.aged(now))
 		}
 	}
@@ -243,9 +339,9 @@
 // follows the workers that are late and not all of them (design 5.2).
 func (wt *workerTable) lateAges(svc string, maxAge clock.Micros, now clock.Instant) []workerAge {
 	var late []workerAge
-	for _, r := range wt.records {
+	for _, r := range wt.recordsIn(svc) {
 		switch {
-		case r.Svc != svc || r.Gone:
+		case r.Gone:
 		case r.Restored:
 			late = append(late, workerAge{ID: r.ID, Age: unknownAge})
 		case r.age(now) > maxAge:
--- a/internal/discovery/updates.go
+++ b/internal/discovery/updates.go
@@ -33,9 +33,7 @@
 func (u *updates) handleUpdate(ctx context.Context, in *updateRequest) (*rpc.Empty, error) {
 	_, err := eventloop.Call(ctx, u.loop, func() bool { return u.table.mergeAll(in.Workers, clock.Now()) })
 	if err == nil && in.Relay {
-		for _, w := range in.Workers {
-			u.aggregator.push(w)
-		}
+		u.aggregator.push(in.Workers...)
 	}
 	return &rpc.Empty{}, err
 }
