--- a/internal/docscheck/docs_test.go
+++ b/internal/docscheck/docs_test.go
@@ -26,7 +26,6 @@
 	"lotstore":  "batch",
 	"register":  "consensus",
 	"rehearsal": "faultgen",
-	"scalerun":  "scalebench",
 }
 
 // finding is something that a page cites and that does not exist.
--- a/internal/eventloop/wallclock_test.go
+++ b/internal/eventloop/wallclock_test.go
@@ -19,7 +19,6 @@
 	"internal/node/edge.go":             "hands the clock on",
 	"internal/ingress/configuration.go": "when a configuration was acknowledged, for tracers",
 	"internal/batch/httpapi/submit.go":  "records when a job was submitted, for readers and the previous version",
-	"cmd/scalebench/hollow.go":          "builds nodes for the scale run",
 	"cmd/tracer/print.go":               "prints the times that traces report",
 }
 
