discovery: a subscriber that differs gets what changed since its last answer

Each push that crossed a renewal made the aggregator answer with all that had changed since its last full answer, the registrations of the start included. Change: it answers with what changed since its answer before; all records only if that does not help within a renewal, or digests differ for long.

--- a/internal/discovery/aggregator.go
+++ b/internal/discovery/aggregator.go
@@ -13,14 +13,14 @@
 const (
 	// subscriptionTTL outlasts four renewals that are lost in a row.
 	subscriptionTTL = 2_500 * clock.Millisecond
-	// A subscriber whose digest differs gets all records of the service, and for the
-	// next fullSnapshotInterval, and fullSnapshotPerRecord for each record, only those
-	// that changed since shortly before: while many workers register, digests differ
-	// all the time (design 5.6). snapshotOverlap is what a response may take. It gets all
-	// sooner if its digest is the same renewPeriod after it was sent the changes.
+	// A subscriber whose digest differs gets the records that changed since the answer
+	// before, and snapshotOverlap earlier, as that one may have been lost. It gets all if
+	// that did not help: if its digest is the same renewPeriod later, or differed all the
+	// time for fullSnapshotInterval and fullSnapshotPerRecord for each record. While many
+	// workers register, digests differ all the time (design 5.6).
 	fullSnapshotInterval  = 2 * clock.Second
 	fullSnapshotPerRecord = 2 * clock.Millisecond
-	snapshotOverlap       = 1 * clock.Second
+	snapshotOverlap       = 600 * clock.Millisecond
 	// maxSubscribedServices bounds the work that one request makes.
 	maxSubscribedServices = 4096
 )
@@ -34,14 +34,15 @@
 type subscriberTable map[string]*subscriber // by node
 
 type subscriber struct {
-	addr    string // "" for a node that asks and is not to be sent updates
+	addr    string
 	expires clock.Instant
 	sent    map[string]sentRecords // by service
 }
 
-// sentRecords is what a subscriber was last sent of a service.
+// sentRecords is how a subscriber was answered of a service.
 type sentRecords struct {
-	allAt         clock.Instant
+	answeredAt    clock.Instant
+	differsSince  clock.Instant // or all records were sent since, 0 while digests are the same
 	changesAt     clock.Instant // when it was first sent the changes for changesDigest
 	changesDigest uint64
 }
@@ -53,28 +54,35 @@
 		sub = &subscriber{sent: map[string]sentRecords{}}
 		s[name] = sub
 	}
-	if addr != "" {
-		sub.addr = addr
-	}
-	sub.expires = now.Add(subscriptionTTL)
+	sub.addr, sub.expires = addr, now.Add(subscriptionTTL)
 	return sub
 }
 
+// recordSame notes that a subscriber has the same records of a service.
+func (s *subscriber) recordSame(svc string, now clock.Instant) {
+	s.sent[svc] = sentRecords{answeredAt: now}
+}
+
 // changesSince is since when changed records of a service are to be sent to a subscriber
-// that lacks some, 0 for all of them. A subscriber without any gets all.
+// with another digest, 0 for all of them. One that is new, or without any, gets all.
 func (s *subscriber) changesSince(svc string, digest uint64, records int, now clock.Instant) clock.Instant {
 	sent, known := s.sent[svc]
-	interval := fullSnapshotInterval + clock.Micros(records)*fullSnapshotPerRecord
+	if sent.differsSince == 0 {
+		sent.differsSince = now
+	}
+	longest := fullSnapshotInterval + clock.Micros(records)*fullSnapshotPerRecord
 	same := sent.changesAt > 0 && digest == sent.changesDigest
-	if !known || digest == 0 || now.Sub(sent.allAt) >= interval || same && now.Sub(sent.changesAt) >= renewPeriod {
-		s.sent[svc] = sentRecords{allAt: now}
+	if !known || digest == 0 || now.Sub(sent.differsSince) >= longest || same && now.Sub(sent.changesAt) >= renewPeriod {
+		s.sent[svc] = sentRecords{answeredAt: now, differsSince: now}
 		return 0
 	}
 	if !same {
 		sent.changesAt, sent.changesDigest = now, digest
-		s.sent[svc] = sent
 	}
-	return sent.allAt.Add(-snapshotOverlap)
+	since := sent.answeredAt.Add(-snapshotOverlap)
+	sent.answeredAt = now
+	s.sent[svc] = sent
+	return since
 }
 
 func (s subscriberTable) expire(now clock.Instant) {
@@ -88,9 +96,7 @@
 func (s subscriberTable) addrs() []string {
 	var addrs []string
 	for _, sub := range s {
-		if sub.addr != "" {
-			addrs = append(addrs, sub.addr)
-		}
+		addrs = append(addrs, sub.addr)
 	}
 	return addrs
 }
@@ -135,6 +141,9 @@
 }
 
 func (a *aggregator) subscribe(in *subscribeRequest, now clock.Instant) *subscribeResponse {
+	if in.Addr == "" {
+		return a.restoredRecords(in, now)
+	}
 	sub := a.subscribers.renew(in.From, in.Addr, now)
 	out := &subscribeResponse{MaxAge: a.usualAge}
 	if !a.contact.reachesMajority(now) {
@@ -143,6 +152,7 @@
 	out.Loads = a.loads.local(true)
 	for i, svc := range in.Services {
 		if a.table.digest(svc) == in.Digests[i] {
+			sub.recordSame(svc, now)
 			out.Unchanged = append(out.Unchanged, svc)
 			out.Ages = append(out.Ages, a.table.lateAges(svc, a.usualAge, now)...)
 		} else {
@@ -153,6 +163,20 @@
 	return out
 }
 
+// restoredRecords answers a node that has just started and does not subscribe: it gets
+// what is known from the journal only. The rest it has from its own source.
+func (a *aggregator) restoredRecords(in *subscribeRequest, now clock.Instant) *subscribeResponse {
+	out := &subscribeResponse{MaxAge: a.usualAge}
+	for _, svc := range in.Services {
+		for _, r := range a.table.recordsIn(svc) {
+			if r.Restored {
+				out.Workers = append(out.Workers, r.aged(now))
+			}
+		}
+	}
+	return out
+}
+
 // push sends records to all subscribers, together with those that come within pushWindow,
 // and waits for them, at most pushWindow and pushTimeout. A subscriber that fails gets
 // them with its next renewal.
--- a/internal/discovery/subscription.go
+++ b/internal/discovery/subscription.go
@@ -61,7 +61,8 @@
 	for source, services := range bySource {
 		addr, request := view.Get(source).Addr, s.request(services)
 		if source == journalSource {
-			request.Addr = "" // no subscription: this node's source pushes updates
+			go s.readJournalOf(ctx, addr, request) // ends after subscribeTimeout
+			continue
 		}
 		// Ends after subscribeTimeout, before the next renewal of an established node.
 		go s.subscribeAt(ctx, source, addr, request)
@@ -141,6 +142,18 @@
 	})
 }
 
+// readJournalOf asks a node with a disk for the workers that only its journal knows. The
+// request has no address: it is no subscription, and its answer does not bring this node
+// up to date.
+func (s *subscription) readJournalOf(ctx context.Context, addr string, request *subscribeRequest) {
+	request.Addr = ""
+	callCtx, cancel := context.WithTimeout(ctx, subscribeTimeout.Duration())
+	defer cancel()
+	if response, err := s.client.subscribe(callCtx, addr, request); err == nil {
+		_ = s.loop.Post(callCtx, func() { s.table.mergeAll(response.Workers, clock.Now()) })
+	}
+}
+
 // sourceFailed records that a source did not answer or does not reach the core, and at
 // once reads from the core which departures it would have reported (design 5.4).
 func (s *subscription) sourceFailed(ctx context.Context, source string) {
