--- a/internal/discovery/aggregator_test.go
+++ b/internal/discovery/aggregator_test.go
@@ -4,10 +4,7 @@
 	"fmt"
 	"reflect"
 	"slices"
-	"sync"
 	"testing"
-	"testing/synctest"
-	"time"
 
 	"rowanshunt/internal/clock"
 	"rowanshunt/internal/consensus"
@@ -77,21 +74,6 @@
 	}
 }
 
-func TestSubscriptionsExpire(t *testing.T) {
-	now := clock.Now()
-	s := subscriberTable{}
-	s.renew("n", "10.0.0.1:1", now)
-	s.renew("m", "10.0.0.2:1", now.Add(1))
-	s.expire(now.Add(subscriptionTTL))
-	if len(s) != 2 {
-		t.Error("a subscription expired too early")
-	}
-	s.expire(now.Add(subscriptionTTL + 1))
-	if got := s.addrs(); !slices.Equal(got, []string{"10.0.0.2:1"}) {
-		t.Errorf("subscribers: %v", got)
-	}
-}
-
 // A subscriber whose digest differs gets all records once and then what changed since the
 // answer before; all again if that does not help, if it lost all, or after the interval.
 func TestSubscribeSendsChangesAfterASnapshot(t *testing.T) {
@@ -162,35 +144,3 @@
 		t.Errorf("got %+v with %d subscribers", got, len(a.subscribers))
 	}
 }
-
-// Records that come within the window go to each subscriber in one call, and whoever
-// pushes waits for it.
-func TestPushesAreBatched(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		transport := &fakeTransport{updates: map[string]*updateRequest{}, hanging: map[string]bool{"slow": true}}
-		a := newTestAggregator(clock.Now(), nil)
-		a.loop = runLoop(t)
-		a.client = &peerClient{lifetime: t.Context(), transport: transport}
-		onLoop(t, a.loop, func() {
-			for name, addr := range map[string]string{"n": "near", "m": "slow"} {
-				a.subscribers.renew(name, addr, clock.Now())
-			}
-		})
-		const workers = 2*maxPushBatch + 1
-		began := time.Now()
-		var pushes sync.WaitGroup
-		for i := range workers {
-			pushes.Go(func() { a.push(upWorker(fmt.Sprint(i), 1)) })
-		}
-		pushes.Wait()
-		if took := time.Since(began); took != pushWindow+pushTimeout.Duration() {
-			t.Errorf("the pushes took %v, want the window and the time-out of the slow subscriber", took)
-		}
-		if got := transport.calls(); got["near"] != 3 || got["slow"] != 3 || len(got) != 2 {
-			t.Errorf("calls by subscriber: %v, want 3 each", got)
-		}
-		if got := transport.workers("near"); got != workers {
-			t.Errorf("%d records arrived, want %d", got, workers)
-		}
-	})
-}
