--- a/internal/discovery/aggregator.go
+++ b/internal/discovery/aggregator.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"math/rand/v2"
+	"slices"
 	"sync"
 
 	"rowanshunt/internal/clock"
@@ -52,12 +54,12 @@
 	out.Loads = a.loads.local(true)
 	for i, svc := range in.Services {
 		if a.table.digest(svc) == in.Digests[i] {
-			sub.recordSame(svc, now)
+			sub.progressOf(svc).same(now)
 			out.Unchanged = append(out.Unchanged, svc)
 			out.Ages = append(out.Ages, a.table.lateAges(svc, a.usualAge, now)...)
 		} else {
-			since := sub.changesSince(svc, in.Digests[i], len(a.table.records), now)
-			out.Workers = append(out.Workers, a.table.recordsOf(svc, since, now)...)
+			records := sub.progressOf(svc).next(a.table.recordsIn(svc), in.Digests[i], now)
+			out.Workers = appendAged(out.Workers, records, now)
 		}
 	}
 	return out
@@ -68,11 +70,13 @@
 func (a *aggregator) restoredRecords(in *subscribeRequest, now clock.Instant) *subscribeResponse {
 	out := &subscribeResponse{MaxAge: a.usualAge}
 	for _, svc := range in.Services {
-		for _, r := range a.table.recordsIn(svc) {
-			if r.Restored {
-				out.Workers = append(out.Workers, r.aged(now))
-			}
+		restored := slices.DeleteFunc(slices.Clone(a.table.recordsIn(svc)), func(r *record) bool { return !r.Restored })
+		// Of more than an answer holds, some: the next one has others.
+		if len(restored) > maxRecordsSent {
+			from := rand.IntN(len(restored) - maxRecordsSent + 1)
+			restored = restored[from : from+maxRecordsSent]
 		}
+		out.Workers = appendAged(out.Workers, restored, now)
 	}
 	return out
 }
--- a/internal/discovery/aggregator_test.go
+++ b/internal/discovery/aggregator_test.go
@@ -77,7 +77,7 @@
 // A subscriber whose digest differs gets all records once and then what changed since the
 // answer before; all again if that does not help, if it lost all, or after the interval.
 func TestSubscribeSendsChangesAfterASnapshot(t *testing.T) {
-	interval := fullSnapshotInterval + 3*fullSnapshotPerRecord
+	interval := maxDifference + 3*differencePerRecord
 	for _, tc := range []struct {
 		name    string
 		at      clock.Micros // of the last request
@@ -94,7 +94,7 @@
 			start := clock.Now()
 			a := newTestAggregator(start, nil)
 			merge(t, a.table, start, upWorker("a", 1), upWorker("b", 1))
-			at := start.Add(2 * snapshotOverlap)
+			at := start.Add(2 * changesOverlap)
 			request := func(digest uint64, after clock.Micros) int {
 				in := &subscribeRequest{From: "n", Addr: "n", Services: []string{"s"}, Digests: []uint64{digest}}
 				return len(a.subscribe(in, at.Add(after)).Workers)
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -98,7 +98,7 @@
 	d := &Discovery{lifetime: ctx, loop: cfg.Loop, view: view, table: table, placement: placement}
 	d.subscription = &subscription{
 		localNode: node, sources: sources, subscribers: subscribers, departures: departures,
-		services: cfg.Services, loads: loads, seeksJournals: cfg.Dir == "",
+		services: cfg.Services, loads: loads, seeksJournals: cfg.Dir == "", asking: map[string]bool{},
 	}
 	d.heartbeats = &heartbeats{
 		lifetime: ctx, loop: cfg.Loop, view: view, log: cfg.Log, table: table, placement: placement,
--- a/internal/discovery/subscription.go
+++ b/internal/discovery/subscription.go
@@ -17,6 +17,9 @@
 	// a source has answered, as the node is not ready before.
 	startupRenewPeriod = 100 * clock.Millisecond
 	startupPhase       = 1 * clock.Second
+	// journalReadPeriod is that of asking nodes with a disk for their journals, each a
+	// few times within restoredTTL.
+	journalReadPeriod = 400 * clock.Millisecond
 	// aloneAfter is how long a node that finds no source waits for others to appear in
 	// the view before it counts what it knows as complete.
 	aloneAfter = 1_500 * clock.Millisecond
@@ -34,7 +37,9 @@
 	seeksJournals bool // this node has no journal of its own
 
 	lastRenewal clock.Instant
-	journalTurn int // which of the nodes with a disk is next
+	asking      map[string]bool // sources with a call under way
+	lastJournal clock.Instant   // when a journal was last asked for
+	journalTurn int             // which of the nodes with a disk is next
 	synced      atomic.Bool
 }
 
@@ -64,6 +69,10 @@
 			go s.readJournalOf(ctx, addr, request) // ends after subscribeTimeout
 			continue
 		}
+		if s.asking[source] {
+			continue // a slow answer must not be asked for again, or it gets slower
+		}
+		s.asking[source] = true
 		// Ends after subscribeTimeout, before the next renewal of an established node.
 		go s.subscribeAt(ctx, source, addr, request)
 	}
@@ -101,7 +110,7 @@
 // addJournalSource adds, while this node has just started and has no journal, one of the
 // nodes with a disk in turn: they may have a journal (design 5.5). It returns that node.
 func (s *subscription) addJournalSource(bySource map[string][]string, view *gossip.View, now clock.Instant) (source string) {
-	if !s.seeksJournals || now.Sub(s.table.started) >= restoredTTL {
+	if !s.seeksJournals || now.Sub(s.table.started) >= restoredTTL || now.Sub(s.lastJournal) < journalReadPeriod {
 		return ""
 	}
 	withDisk := view.Names(func(n *gossip.NodeState) bool {
@@ -110,6 +119,7 @@
 	if len(withDisk) == 0 {
 		return ""
 	}
+	s.lastJournal = now
 	source = withDisk[s.journalTurn%len(withDisk)]
 	bySource[source] = s.services()
 	s.journalTurn++
@@ -126,15 +136,23 @@
 
 // subscribeAt makes one call, outside of the event loop, and applies its result on it.
 func (s *subscription) subscribeAt(ctx context.Context, source, addr string, request *subscribeRequest) {
+	asked := clock.Now()
 	callCtx, cancel := context.WithTimeout(ctx, subscribeTimeout.Duration())
 	defer cancel()
 	response, err := s.client.subscribe(callCtx, addr, request)
 	if err != nil {
-		_ = s.loop.Post(ctx, func() { s.sourceFailed(ctx, source) })
+		_ = s.loop.Post(ctx, func() {
+			delete(s.asking, source)
+			s.sourceFailed(ctx, source)
+		})
 		return
 	}
 	s.loads.merge("", response.Loads)
-	_ = s.loop.Post(callCtx, func() {
+	_ = s.loop.Post(ctx, func() {
+		delete(s.asking, source)
+		if clock.Since(asked) > subscribeTimeout {
+			return // the ages that it brings are no longer right
+		}
 		s.apply(response, clock.Now())
 		if slices.Contains(response.Unchanged, coreUnreachableMark) {
 			s.sourceFailed(ctx, source)
--- a/internal/discovery/subscription_test.go
+++ b/internal/discovery/subscription_test.go
@@ -118,9 +118,13 @@
 		return slices.Collect(maps.Keys(bySource))
 	}
 	for i, want := range []string{"c", "d", "c"} {
-		if got := added(0); !slices.Equal(got, []string{want}) {
+		at := clock.Micros(i) * journalReadPeriod
+		if got := added(at); !slices.Equal(got, []string{want}) {
 			t.Errorf("turn %d: %v, want %s", i, got, want)
 		}
+		if got := added(at + journalReadPeriod - 1); len(got) != 0 {
+			t.Errorf("turn %d: %v before the period is over", i, got)
+		}
 	}
 	if got := added(restoredTTL); len(got) != 0 {
 		t.Errorf("an established node asks %v", got)
--- a/internal/discovery/table.go
+++ b/internal/discovery/table.go
@@ -280,14 +280,10 @@
 	return 0
 }
 
-// recordsOf lists the records of a service that changed since a moment, those of workers
-// that are gone included.
-func (wt *workerTable) recordsOf(svc string, since, now clock.Instant) []Worker {
-	var workers []Worker
-	for _, r := range wt.recordsIn(svc) {
-		if r.changed >= since {
-			workers = append(workers, r.aged(now))
-		}
+// appendAged appends the workers of records with the age of their last heartbeats.
+func appendAged(workers []Worker, records []*record, now clock.Instant) []Worker {
+	for _, r := range records {
+		workers = append(workers, r.aged(now))
 	}
 	return workers
 }
