--- /dev/null
+++ b/review/standins/cmd/silence/main.go
@@ -0,0 +1,101 @@
+// Command silence: an edge node is stopped in order while a worker puts a stream back
+// for longer than a second, and the other worker is full.
+package main
+
+import (
+	"fmt"
+	"sync"
+	"syscall"
+	"time"
+
+	"review/rig"
+)
+
+const (
+	host   = "shop.example"
+	limit  = 5 * time.Second
+	events = 14
+	pause  = 1600 * time.Millisecond // below the 2 s for which clients bear a silence
+)
+
+func main() { rig.Script(3, body) }
+
+func body(c *rig.Cluster, record *rig.Record, trouble bool) (bool, error) {
+	if err := c.StartAll(); err != nil {
+		return false, err
+	}
+	conf := &rig.Configuration{
+		Version:  1,
+		Routes:   []rig.Route{{Name: "enquiry", Host: host, Prefix: "/enquiry/", Type: "stream", LimitMs: 5000, GoalMs: 200, Service: "pisar", Tries: 2, Pin: true, Resume: true, GapGoalMs: 250}},
+		Services: []rig.Service{{Name: "pisar", Health: "/healthz", MaxConn: 320, Proto: "h1"}},
+		Caps:     rig.Caps(),
+	}
+	if err := c.PutConfiguration(conf, 0, 20*time.Second); err != nil {
+		return false, err
+	}
+	if err := c.AwaitReady(20 * time.Second); err != nil {
+		return false, err
+	}
+	other := c.NewWorker("i-other", "pisar", "east", 2, 1)
+	other.Events = func(string) int { return 45 }
+	other.Gap = func(string) time.Duration { return 100 * time.Millisecond }
+	if err := other.Start(); err != nil {
+		return false, err
+	}
+	time.Sleep(5 * time.Second) // all machines are in touch
+
+	// Three streams fill the one worker that is there: two run, one waits.
+	var wg sync.WaitGroup
+	for i := range 3 {
+		wg.Go(func() {
+			c.Stream(c.Edges[1+i%2], host, "/enquiry/1", fmt.Sprintf("filler-%d", i), limit)
+		})
+		time.Sleep(20 * time.Millisecond)
+	}
+	// A second worker comes up. It serves one stream, puts it back once, and goes on.
+	slow := c.NewWorker("i-slow", "pisar", "north", 2, 1)
+	slow.Events = func(string) int { return events }
+	slow.Gap = func(string) time.Duration { return 100 * time.Millisecond }
+	slow.Pause = func(id string, n int) time.Duration {
+		if trouble && id == "stream" && n == 5 {
+			return pause
+		}
+		return 0
+	}
+	if err := slow.Start(); err != nil {
+		return false, err
+	}
+	time.Sleep(600 * time.Millisecond)
+	if other.Running() != 2 {
+		return false, fmt.Errorf("%d fillers run", other.Running())
+	}
+	answer := make(chan *rig.Answer, 1)
+	go func() { answer <- c.Stream(c.Edges[0], host, "/enquiry/1", "stream", limit) }()
+	time.Sleep(250 * time.Millisecond)
+	term := record.Now()
+	c.Signal(c.Edges[0], syscall.SIGTERM)
+	a := <-answer
+	wg.Wait()
+	<-c.Edges[0].Exited()
+	return judge(record, a, slow, term)
+}
+
+// judge goes by LOST, around planned work: the request was read and passed on to a
+// worker, its machine got a SIGTERM before it ended, the worker did not break off, and
+// neither the deadline nor the second half of grace_s was reached.
+func judge(record *rig.Record, a *rig.Answer, slow *rig.Worker, term time.Duration) (bool, error) {
+	ran := false
+	for _, run := range slow.Runs() {
+		ran = ran || run.ID == "stream"
+	}
+	if !ran {
+		return false, fmt.Errorf("the stream did not go to the worker that pauses")
+	}
+	if a.Ended < term {
+		return false, fmt.Errorf("the stream ended before the SIGTERM")
+	}
+	record.Logf("stream: %d of %d events, complete %v, %.3f s after it was sent, %.3f s after the SIGTERM", len(a.Events), events, a.Complete, (a.Ended - a.Sent).Seconds(), (a.Ended - term).Seconds())
+	whole := a.Complete && a.Status == 200 && len(a.Events) == events
+	excused := a.Ended-a.Sent >= limit-100*time.Millisecond || a.Ended-term >= 4*time.Second
+	return !whole && !excused, nil
+}
