--- a/review/standins/cmd/silence/main.go
+++ b/review/standins/cmd/silence/main.go
@@ -1,5 +1,5 @@
 // Command silence: an edge node is stopped in order while a worker puts a stream back
-// for longer than a second, and the other worker is full.
+// until an older request has ended, and the other worker is full.
 package main
 
 import (
@@ -15,10 +15,13 @@
 	host   = "shop.example"
 	limit  = 5 * time.Second
 	events = 14
-	pause  = 1600 * time.Millisecond // below the 2 s for which clients bear a silence
+	gap    = 100 * time.Millisecond
+	// older is how long the older request runs: the stream is put back until it ends, some
+	// 1.6 s, below the 2 s for which clients bear a silence.
+	older = 2500 * time.Millisecond
 )
 
-func main() { rig.Script(3, body) }
+func main() { rig.Script(0, 3, body) }
 
 func body(c *rig.Cluster, record *rig.Record, trouble bool) (bool, error) {
 	if err := c.StartAll(); err != nil {
@@ -38,7 +41,7 @@
 	}
 	other := c.NewWorker("i-other", "pisar", "east", 2, 1)
 	other.Events = func(string) int { return 45 }
-	other.Gap = func(string) time.Duration { return 100 * time.Millisecond }
+	other.Gap = func(string) time.Duration { return gap }
 	if err := other.Start(); err != nil {
 		return false, err
 	}
@@ -52,13 +55,20 @@
 		})
 		time.Sleep(20 * time.Millisecond)
 	}
-	// A second worker comes up. It serves one stream, puts it back once, and goes on.
+	// A second worker comes up. It takes a large request and then the stream. When its
+	// memory runs out it puts the newer one back until the older has ended.
+	var olderEnds time.Duration
 	slow := c.NewWorker("i-slow", "pisar", "north", 2, 1)
-	slow.Events = func(string) int { return events }
-	slow.Gap = func(string) time.Duration { return 100 * time.Millisecond }
+	slow.Events = func(id string) int {
+		if id == "older" {
+			return int(older / gap)
+		}
+		return events
+	}
+	slow.Gap = func(string) time.Duration { return gap }
 	slow.Pause = func(id string, n int) time.Duration {
 		if trouble && id == "stream" && n == 5 {
-			return pause
+			return olderEnds - record.Now()
 		}
 		return 0
 	}
@@ -69,6 +79,9 @@
 	if other.Running() != 2 {
 		return false, fmt.Errorf("%d fillers run", other.Running())
 	}
+	olderEnds = record.Now() + older
+	wg.Go(func() { c.Stream(c.Edges[2], host, "/enquiry/1", "older", limit) })
+	time.Sleep(400 * time.Millisecond)
 	answer := make(chan *rig.Answer, 1)
 	go func() { answer <- c.Stream(c.Edges[0], host, "/enquiry/1", "stream", limit) }()
 	time.Sleep(250 * time.Millisecond)
@@ -85,8 +98,8 @@
 // neither the deadline nor the second half of grace_s was reached.
 func judge(record *rig.Record, a *rig.Answer, slow *rig.Worker, term time.Duration) (bool, error) {
 	ran := false
-	for _, run := range slow.Runs() {
-		ran = ran || run.ID == "stream"
+	for _, r := range slow.Runs() {
+		ran = ran || r.ID == "stream"
 	}
 	if !ran {
 		return false, fmt.Errorf("the stream did not go to the worker that pauses")
--- a/review/standins/rig/cluster.go
+++ b/review/standins/rig/cluster.go
@@ -19,11 +19,15 @@
 	ctlPort   = 8146
 )
 
+// coreNodes is how many edge nodes have a disk; they are the seeds.
+const coreNodes = 3
+
 // Node is one process of the system.
 type Node struct {
 	Name, Role, IP, Zone string
 
 	options, dir, logPath string
+	diskless              bool
 	cmd                   *exec.Cmd
 	exited                chan struct{}
 }
@@ -49,8 +53,9 @@
 	gone    []*Node
 }
 
-// NewCluster prepares a deployment in a temporary folder. Nothing runs before Start.
-func NewCluster(record *Record, stores int) (*Cluster, error) {
+// NewCluster prepares a deployment in a temporary folder: three edge nodes with a disk,
+// more without, and stores. Nothing runs before Start.
+func NewCluster(record *Record, more, stores int) (*Cluster, error) {
 	program, err := filepath.Abs("target/rowanshunt")
 	if err != nil {
 		return nil, err
@@ -64,8 +69,10 @@
 		return nil, err
 	}
 	zones := []string{"north", "east", "west", "south"}
-	for i := range 3 {
-		c.Edges = append(c.Edges, c.newNode("edge", fmt.Sprintf("edge-%d", i+1), zones[i]))
+	for i := range coreNodes + more {
+		edge := c.newNode("edge", fmt.Sprintf("edge-%d", i+1), zones[i%coreNodes])
+		edge.diskless = i >= coreNodes
+		c.Edges = append(c.Edges, edge)
 	}
 	for i := range stores {
 		c.Stores = append(c.Stores, c.newNode("store", fmt.Sprintf("store-%d", i+1), zones[i%len(zones)]))
@@ -223,7 +230,7 @@
 
 func (c *Cluster) optionsOf(n *Node, bootstrap bool) string {
 	var seeds []string
-	for _, seed := range c.Edges {
+	for _, seed := range c.Edges[:coreNodes] {
 		seeds = append(seeds, fmt.Sprintf("%q", seed.Ctl()))
 	}
 	b := &strings.Builder{}
@@ -233,8 +240,11 @@
 		serves = `["edge","ctl"]`
 	}
 	fmt.Fprintf(b, "serves = %s\nipaddr = %q\naz = %q\nregion = \"r\"\n", serves, n.IP, n.Zone)
-	fmt.Fprintf(b, "port_range = [%d,%d]\nseeds = [%s]\nbootstrap = %v\nquorum = true\n", peerPort, peerPort+15, strings.Join(seeds, ","), bootstrap)
-	fmt.Fprintf(b, "datadir = %q\ndiscover = \"self_reg\"\ningress = \"vip\"\nhb_ms = 1200\n", n.dir)
+	fmt.Fprintf(b, "port_range = [%d,%d]\nseeds = [%s]\nbootstrap = %v\nquorum = %v\n", peerPort, peerPort+15, strings.Join(seeds, ","), bootstrap, !n.diskless)
+	if !n.diskless {
+		fmt.Fprintf(b, "datadir = %q\n", n.dir)
+	}
+	fmt.Fprintf(b, "discover = \"self_reg\"\ningress = \"vip\"\nhb_ms = 1200\n")
 	fmt.Fprintf(b, "clauses = [\"base\",\"drain\",\"config\",\"cost\",\"recover\",\"batch\",\"stream\",\"engine\"]\n")
 	fmt.Fprintf(b, "[azs]\nnorth = \"r\"\neast = \"r\"\nwest = \"r\"\nsouth = \"r\"\n")
 	if n.Role == "edge" {
--- a/review/standins/rig/script.go
+++ b/review/standins/rig/script.go
@@ -13,15 +13,16 @@
 	Failed = 2 // the case could not run
 )
 
-// Script runs a case: body tells whether the rule was broken, or why the case could not
+// Script runs a case in a deployment with so many edge nodes without a disk and so many
+// stores: body tells whether the rule was broken, or why the case could not
 // run. trouble is false with TROUBLE=0.
-func Script(stores int, body func(c *Cluster, record *Record, trouble bool) (broken bool, err error)) {
+func Script(more, stores int, body func(c *Cluster, record *Record, trouble bool) (broken bool, err error)) {
 	path := flag.String("record", "record.txt", "the record's file")
 	flag.Parse()
-	os.Exit(run(*path, stores, body))
+	os.Exit(run(*path, more, stores, body))
 }
 
-func run(path string, stores int, body func(*Cluster, *Record, bool) (bool, error)) int {
+func run(path string, more, stores int, body func(*Cluster, *Record, bool) (bool, error)) int {
 	record, err := NewRecord(path)
 	if err != nil {
 		fmt.Println(err)
@@ -29,7 +30,7 @@
 	}
 	trouble := os.Getenv("TROUBLE") != "0"
 	record.Logf("trouble %v", trouble)
-	c, err := NewCluster(record, stores)
+	c, err := NewCluster(record, more, stores)
 	if err != nil {
 		fmt.Println(err)
 		return Failed
