--- a/review/standins/cmd/silence/main.go
+++ b/review/standins/cmd/silence/main.go
@@ -3,8 +3,11 @@
 package main
 
 import (
+	"flag"
 	"fmt"
+	"os"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -21,11 +24,17 @@
 	older = 2500 * time.Millisecond
 )
 
-func main() { rig.Script(0, 3, body) }
+func main() {
+	path := flag.String("record", "record.txt", "the record's file")
+	flag.Parse()
+	script := rig.Script{Stores: 3, Body: body}
+	os.Exit(script.Run(*path))
+}
 
-func body(c *rig.Cluster, record *rig.Record, trouble bool) (bool, error) {
+// deploy starts the system and sets its configuration.
+func deploy(c *rig.Cluster) error {
 	if err := c.StartAll(); err != nil {
-		return false, err
+		return err
 	}
 	conf := &rig.Configuration{
 		Version:  1,
@@ -34,9 +43,13 @@
 		Caps:     rig.Caps(),
 	}
 	if err := c.PutConfiguration(conf, 0, 20*time.Second); err != nil {
-		return false, err
+		return err
 	}
-	if err := c.AwaitReady(20 * time.Second); err != nil {
+	return c.AwaitReady(20 * time.Second)
+}
+
+func body(c *rig.Cluster, record *rig.Record, trouble bool) (bool, error) {
+	if err := deploy(c); err != nil {
 		return false, err
 	}
 	other := c.NewWorker("i-other", "pisar", "east", 2, 1)
@@ -55,23 +68,7 @@
 		})
 		time.Sleep(20 * time.Millisecond)
 	}
-	// A second worker comes up. It takes a large request and then the stream. When its
-	// memory runs out it puts the newer one back until the older has ended.
-	var olderEnds time.Duration
-	slow := c.NewWorker("i-slow", "pisar", "north", 2, 1)
-	slow.Events = func(id string) int {
-		if id == "older" {
-			return int(older / gap)
-		}
-		return events
-	}
-	slow.Gap = func(string) time.Duration { return gap }
-	slow.Pause = func(id string, n int) time.Duration {
-		if trouble && id == "stream" && n == 5 {
-			return olderEnds - record.Now()
-		}
-		return 0
-	}
+	slow, setOlderEnd := newSlowWorker(c, record, trouble)
 	if err := slow.Start(); err != nil {
 		return false, err
 	}
@@ -79,7 +76,7 @@
 	if other.Running() != 2 {
 		return false, fmt.Errorf("%d fillers run", other.Running())
 	}
-	olderEnds = record.Now() + older
+	setOlderEnd(record.Now() + older)
 	wg.Go(func() { c.Stream(c.Edges[2], host, "/enquiry/1", "older", limit) })
 	time.Sleep(400 * time.Millisecond)
 	answer := make(chan *rig.Answer, 1)
@@ -93,6 +90,28 @@
 	return judge(record, a, slow, term)
 }
 
+// newSlowWorker makes a second worker. It takes a large request and then the stream. When
+// its memory runs out it puts the newer one back until the older has ended, at the time
+// that setOlderEnd is given before it begins.
+func newSlowWorker(c *rig.Cluster, record *rig.Record, trouble bool) (slow *rig.Worker, setOlderEnd func(time.Duration)) {
+	var olderEnds atomic.Int64
+	slow = c.NewWorker("i-slow", "pisar", "north", 2, 1)
+	slow.Events = func(id string) int {
+		if id == "older" {
+			return int(older / gap)
+		}
+		return events
+	}
+	slow.Gap = func(string) time.Duration { return gap }
+	slow.Pause = func(id string, n int) time.Duration {
+		if trouble && id == "stream" && n == 5 {
+			return time.Duration(olderEnds.Load()) - record.Now()
+		}
+		return 0
+	}
+	return slow, func(at time.Duration) { olderEnds.Store(int64(at)) }
+}
+
 // judge goes by LOST, around planned work: the request was read and passed on to a
 // worker, its machine got a SIGTERM before it ended, the worker did not break off, and
 // neither the deadline nor the second half of grace_s was reached.
--- a/review/standins/rig/operator.go
+++ b/review/standins/rig/operator.go
@@ -10,7 +10,7 @@
 	"time"
 )
 
-// Route and Service are those of the configuration.
+// Route is a route of the configuration.
 type Route struct {
 	Name      string  `json:"name"`
 	Host      string  `json:"host"`
@@ -29,6 +29,7 @@
 	Backlog   int     `json:"backlog,omitempty"`
 }
 
+// Service is a service of the configuration.
 type Service struct {
 	Name    string `json:"name"`
 	Health  string `json:"hc"`
--- a/review/standins/rig/script.go
+++ b/review/standins/rig/script.go
@@ -1,7 +1,6 @@
 package rig
 
 import (
-	"flag"
 	"fmt"
 	"os"
 )
@@ -13,16 +12,16 @@
 	Failed = 2 // the case could not run
 )
 
-// Script runs a case in a deployment with so many edge nodes without a disk and so many
-// stores: body tells whether the rule was broken, or why the case could not
-// run. trouble is false with TROUBLE=0.
-func Script(more, stores int, body func(c *Cluster, record *Record, trouble bool) (broken bool, err error)) {
-	path := flag.String("record", "record.txt", "the record's file")
-	flag.Parse()
-	os.Exit(run(*path, more, stores, body))
+// Script is one case, in a deployment with so many edge nodes without a disk and so many
+// stores. Body tells whether the rule was broken, or why the case could not run; trouble
+// is false with TROUBLE=0.
+type Script struct {
+	More, Stores int
+	Body         func(c *Cluster, record *Record, trouble bool) (broken bool, err error)
 }
 
-func run(path string, more, stores int, body func(*Cluster, *Record, bool) (bool, error)) int {
+// Run runs the case, writes its record to path and gives the code to exit with.
+func (s *Script) Run(path string) int {
 	record, err := NewRecord(path)
 	if err != nil {
 		fmt.Println(err)
@@ -30,13 +29,13 @@
 	}
 	trouble := os.Getenv("TROUBLE") != "0"
 	record.Logf("trouble %v", trouble)
-	c, err := NewCluster(record, more, stores)
+	c, err := NewCluster(record, s.More, s.Stores)
 	if err != nil {
 		fmt.Println(err)
 		return Failed
 	}
 	defer c.Close()
-	broken, err := body(c, record, trouble)
+	broken, err := s.Body(c, record, trouble)
 	switch {
 	case err != nil:
 		record.Logf("the case could not run: %v", err)
