Review: the stand-ins hold what the case needs, and a script ends within 100 s

Change: parts of the stand-ins that only the removed drivers used are gone; a script that is stopped or takes too long ends its processes and exits with 2.

--- a/review/standins/cmd/silence/main.go
+++ b/review/standins/cmd/silence/main.go
@@ -27,8 +27,7 @@
 func main() {
 	path := flag.String("record", "record.txt", "the record's file")
 	flag.Parse()
-	script := rig.Script{Stores: 3, Body: body}
-	os.Exit(script.Run(*path))
+	os.Exit(rig.Execute(*path, body))
 }
 
 // deploy starts the system and sets its configuration.
--- a/review/standins/rig/cluster.go
+++ b/review/standins/rig/cluster.go
@@ -19,15 +19,11 @@
 	ctlPort   = 8146
 )
 
-// coreNodes is how many edge nodes have a disk; they are the seeds.
-const coreNodes = 3
-
 // Node is one process of the system.
 type Node struct {
 	Name, Role, IP, Zone string
 
 	options, dir, logPath string
-	diskless              bool
 	cmd                   *exec.Cmd
 	exited                chan struct{}
 }
@@ -41,7 +37,8 @@
 // Ctl is where it serves workers and the operator.
 func (n *Node) Ctl() string { return fmt.Sprintf("%s:%d", n.IP, ctlPort) }
 
-// Cluster is a deployment: three edge nodes with a disk, and stores.
+// Cluster is a deployment: three edge nodes with a disk, which are the seeds, and three
+// stores.
 type Cluster struct {
 	Edges, Stores []*Node
 
@@ -50,12 +47,10 @@
 	program string
 	block   string // the first three bytes of all addresses
 	next    int
-	gone    []*Node
 }
 
-// NewCluster prepares a deployment in a temporary folder: three edge nodes with a disk,
-// more without, and stores. Nothing runs before Start.
-func NewCluster(record *Record, more, stores int) (*Cluster, error) {
+// NewCluster prepares a deployment in a temporary folder. Nothing runs before Start.
+func NewCluster(record *Record) (*Cluster, error) {
 	program, err := filepath.Abs("target/rowanshunt")
 	if err != nil {
 		return nil, err
@@ -68,14 +63,9 @@
 	if err := c.chooseBlock(); err != nil {
 		return nil, err
 	}
-	zones := []string{"north", "east", "west", "south"}
-	for i := range coreNodes + more {
-		edge := c.newNode("edge", fmt.Sprintf("edge-%d", i+1), zones[i%coreNodes])
-		edge.diskless = i >= coreNodes
-		c.Edges = append(c.Edges, edge)
-	}
-	for i := range stores {
-		c.Stores = append(c.Stores, c.newNode("store", fmt.Sprintf("store-%d", i+1), zones[i%len(zones)]))
+	for i, zone := range []string{"north", "east", "west"} {
+		c.Edges = append(c.Edges, c.newNode("edge", fmt.Sprintf("edge-%d", i+1), zone))
+		c.Stores = append(c.Stores, c.newNode("store", fmt.Sprintf("store-%d", i+1), zone))
 	}
 	return c, nil
 }
@@ -85,7 +75,7 @@
 	for try := range 100 {
 		block := fmt.Sprintf("127.%d.%d", 100+(os.Getpid()+try)%100, (os.Getpid()/100+try)%250)
 		free := true
-		for i := 1; i <= 24 && free; i++ {
+		for i := 1; i <= 6 && free; i++ {
 			for _, port := range []int{peerPort, readyPort, httpPort, ctlPort} {
 				l, err := net.Listen("tcp", fmt.Sprintf("%s.%d:%d", block, i, port))
 				if err != nil {
@@ -116,20 +106,6 @@
 	return n
 }
 
-// AddStore prepares one more store.
-func (c *Cluster) AddStore(name, zone string) *Node {
-	n := c.newNode("store", name, zone)
-	c.Stores = append(c.Stores, n)
-	return n
-}
-
-// ReplaceEdge prepares an edge node at another address in place of one.
-func (c *Cluster) ReplaceEdge(i int, name, zone string) *Node {
-	c.gone = append(c.gone, c.Edges[i])
-	c.Edges[i] = c.newNode("edge", name, zone)
-	return c.Edges[i]
-}
-
 // All lists all nodes.
 func (c *Cluster) All() []*Node { return append(append([]*Node{}, c.Edges...), c.Stores...) }
 
@@ -178,12 +154,6 @@
 	_ = n.cmd.Process.Signal(sig)
 }
 
-// Kill kills a node and waits for its end.
-func (c *Cluster) Kill(n *Node) {
-	c.Signal(n, syscall.SIGKILL)
-	<-n.exited
-}
-
 // Running tells whether the node's process has not ended.
 func (n *Node) Running() bool {
 	select {
@@ -197,18 +167,6 @@
 // Exited is closed when the node's process has ended.
 func (n *Node) Exited() <-chan struct{} { return n.exited }
 
-// Wipe empties the disk of a node that does not run.
-func (c *Cluster) Wipe(n *Node) {
-	c.record.Logf("disk of %s is lost", n.Name)
-	_ = os.RemoveAll(n.dir)
-}
-
-// Log is what a node has logged.
-func (n *Node) Log() string {
-	raw, _ := os.ReadFile(n.logPath)
-	return string(raw)
-}
-
 // Close ends all processes and removes the folder.
 func (c *Cluster) Close() {
 	for _, n := range c.All() {
@@ -221,16 +179,12 @@
 			}
 		}
 	}
-	if os.Getenv("KEEP") == "" {
-		_ = os.RemoveAll(c.folder)
-	} else {
-		fmt.Println("kept", c.folder)
-	}
+	_ = os.RemoveAll(c.folder)
 }
 
 func (c *Cluster) optionsOf(n *Node, bootstrap bool) string {
 	var seeds []string
-	for _, seed := range c.Edges[:coreNodes] {
+	for _, seed := range c.Edges {
 		seeds = append(seeds, fmt.Sprintf("%q", seed.Ctl()))
 	}
 	b := &strings.Builder{}
@@ -240,13 +194,11 @@
 		serves = `["edge","ctl"]`
 	}
 	fmt.Fprintf(b, "serves = %s\nipaddr = %q\naz = %q\nregion = \"r\"\n", serves, n.IP, n.Zone)
-	fmt.Fprintf(b, "port_range = [%d,%d]\nseeds = [%s]\nbootstrap = %v\nquorum = %v\n", peerPort, peerPort+15, strings.Join(seeds, ","), bootstrap, !n.diskless)
-	if !n.diskless {
-		fmt.Fprintf(b, "datadir = %q\n", n.dir)
-	}
+	fmt.Fprintf(b, "port_range = [%d,%d]\nseeds = [%s]\nbootstrap = %v\nquorum = true\n", peerPort, peerPort+15, strings.Join(seeds, ","), bootstrap)
+	fmt.Fprintf(b, "datadir = %q\n", n.dir)
 	fmt.Fprintf(b, "discover = \"self_reg\"\ningress = \"vip\"\nhb_ms = 1200\n")
 	fmt.Fprintf(b, "clauses = [\"base\",\"drain\",\"config\",\"cost\",\"recover\",\"batch\",\"stream\",\"engine\"]\n")
-	fmt.Fprintf(b, "[azs]\nnorth = \"r\"\neast = \"r\"\nwest = \"r\"\nsouth = \"r\"\n")
+	fmt.Fprintf(b, "[azs]\nnorth = \"r\"\neast = \"r\"\nwest = \"r\"\n")
 	if n.Role == "edge" {
 		fmt.Fprintf(b, "[listen]\nhttp = %q\nreadyz = %q\nctl = %q\n", n.HTTP(), n.Ready(), n.Ctl())
 		fmt.Fprintf(b, "[caps]\ncpu_frac = 0.656\nncpu = 1\nram_mb = 284\nnofile = 4100\nnet_mbps = 1000.0\ndisk_mb = 64\n")
--- a/review/standins/rig/script.go
+++ b/review/standins/rig/script.go
@@ -1,8 +1,12 @@
 package rig
 
 import (
+	"errors"
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
+	"time"
 )
 
 // What a script exits with.
@@ -12,16 +16,21 @@
 	Failed = 2 // the case could not run
 )
 
-// Script is one case, in a deployment with so many edge nodes without a disk and so many
-// stores. Body tells whether the rule was broken, or why the case could not run; trouble
-// is false with TROUBLE=0.
-type Script struct {
-	More, Stores int
-	Body         func(c *Cluster, record *Record, trouble bool) (broken bool, err error)
+// timeLimit is below the 120 s that a script may take.
+const timeLimit = 100 * time.Second
+
+// outcome is what a case's body returned.
+type outcome struct {
+	broken bool
+	err    error
 }
 
-// Run runs the case, writes its record to path and gives the code to exit with.
-func (s *Script) Run(path string) int {
+// Case tells whether the rule was broken, or why it could not run; trouble is false with
+// TROUBLE=0.
+type Case func(c *Cluster, record *Record, trouble bool) (broken bool, err error)
+
+// Execute runs a case, writes its record to path and gives the code to exit with.
+func Execute(path string, body Case) int {
 	record, err := NewRecord(path)
 	if err != nil {
 		fmt.Println(err)
@@ -29,13 +38,32 @@
 	}
 	trouble := os.Getenv("TROUBLE") != "0"
 	record.Logf("trouble %v", trouble)
-	c, err := NewCluster(record, s.More, s.Stores)
+	c, err := NewCluster(record)
 	if err != nil {
 		fmt.Println(err)
 		return Failed
 	}
 	defer c.Close()
-	broken, err := s.Body(c, record, trouble)
+	result := make(chan outcome, 1)
+	go func() {
+		broken, err := body(c, record, trouble)
+		result <- outcome{broken, err}
+	}()
+	stop := make(chan os.Signal, 1)
+	signal.Notify(stop, syscall.SIGINT, syscall.SIGTERM)
+	var got outcome
+	select {
+	case got = <-result:
+	case <-stop:
+		got.err = errors.New("it was stopped")
+	case <-time.After(timeLimit):
+		got.err = errors.New("it took too long")
+	}
+	return verdict(record, got.broken, got.err)
+}
+
+// verdict writes how a case ended, and gives the code to exit with.
+func verdict(record *Record, broken bool, err error) int {
 	switch {
 	case err != nil:
 		record.Logf("the case could not run: %v", err)
