forward: a silent worker keeps its request until another one responds

Callers saw a stream closed in the middle although its worker would have gone on. Change: a request that hangs is sent to a second worker as well (hedger, design 6.8). The first attempt ends only when the second worker responds; if the first goes on before, the second is dropped. Workers that rejected it are asked again, never more than the route's tries. A worker that goes on is no longer taken for unreachable.

--- a/internal/balancer/selection.go
+++ b/internal/balancer/selection.go
@@ -32,6 +32,7 @@
 	Service  string
 	Prefixes []PrefixSegment
 	Exclude  []string // workers already tried
+	Only     []string // workers that are considered; empty: all
 	Item     bool     // of a batch job: goes only where live requests leave capacity
 	Version  int64    // weights it must have, 0 for any
 }
@@ -110,6 +111,9 @@
 	if slices.Contains(s.requirements.Exclude, worker.ID) || s.upgrades.Out[worker.ID] {
 		return false
 	}
+	if len(s.requirements.Only) > 0 && !slices.Contains(s.requirements.Only, worker.ID) {
+		return false
+	}
 	return s.requirements.Version <= 0 || hasVersion(worker, s.requirements.Version)
 }
 
--- a/internal/balancer/worker_state.go
+++ b/internal/balancer/worker_state.go
@@ -119,10 +119,17 @@
 		if slots > 0 {
 			state.slots = slots
 		}
-		state.failures, state.unreachableUntil = 0, 0
+		state.markReachable()
 	})
 }
 
+// RecordReachable notes that something came from the worker.
+func (b *Balancer) RecordReachable(id string) {
+	b.withState(id, (*workerState).markReachable)
+}
+
+func (w *workerState) markReachable() { w.failures, w.unreachableUntil = 0, 0 }
+
 // MarkFull notes that the worker rejected a request for want of capacity.
 func (b *Balancer) MarkFull(id string) {
 	b.withState(id, func(state *workerState) { state.fullUntil = clock.Now().Add(fullPause) })
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -3,7 +3,7 @@
 import (
 	"context"
 	"net/http"
-	"strconv"
+	"sync"
 	"sync/atomic"
 
 	"rowanshunt/internal/balancer"
@@ -20,9 +20,11 @@
 	ctx    context.Context
 	conn   *Conn
 	worker string
-	// mayRetry: the request may be tried elsewhere although it was sent here: it is
-	// idempotent and a try is left. Only then does Sweep abort it for hanging.
-	mayRetry bool
+	// onHang is what Sweep calls, under the lock of the table, each time that it finds the
+	// attempt hanging. nil: nothing is done then.
+	onHang func(*Attempt)
+	// stopWatch ends the watch that aborts the attempt when ctx ends.
+	stopWatch func() bool
 	// headerTimeout: a header that takes longer counts as a failure of the worker.
 	headerTimeout clock.Micros
 	// silenceTimeout: so does a pause of this length behind the header.
@@ -31,7 +33,11 @@
 	lastProgress    atomic.Int64 // a clock.Instant; pausedProgress while the client is written to
 	gotHeader       atomic.Bool
 	failureRecorded atomic.Bool // at most one failure is counted for an attempt
-	aborted         atomic.Bool // Sweep ended it
+	hung            atomic.Bool // Sweep has found it hanging
+	aborted         atomic.Bool // nothing more is read of it
+
+	connMu sync.Mutex
+	ended  bool // the connection was given back; guarded by connMu
 }
 
 // silence is how long nothing came of the attempt; below 0 while it is paused.
@@ -47,47 +53,51 @@
 	return a.silence(now) > a.headerTimeout
 }
 
+// mayRetry tells whether the request may be tried elsewhere although it was sent: it is
+// idempotent and a try is left.
+func (e *exchange) mayRetry() bool { return e.route.Idempotent() && e.attempts+1 < e.route.Tries }
+
 // attempt sends the request to one worker and passes its response on. answered: the
 // client has its answer, and err is nil. Otherwise executionOf(err) says what may
 // have happened at the worker.
 func (e *exchange) attempt(ctx context.Context, worker *discovery.Worker) (answered bool, err error) {
 	sender := e.forwarder.Sender
-	defer sender.Balancer.Done(worker.ID, false)
-	e.setContinuationHeaders()
-	prefill := startPrefill(sender.Balancer, worker.ID, e.prefillTokens)
-	defer prefill.end()
-	mayRetry := e.route.Idempotent() && e.attempts+1 < e.route.Tries
-	response, err := sender.Send(ctx, worker, e.request, mayRetry)
+	first := newUpstream(sender.Balancer, worker, e.prefillTokens)
+	defer first.release()
+	e.position.setContinuationHeaders(e.request.Header)
+	first.response, err = sender.Send(ctx, worker, e.request, e.hedger.begin())
 	if err != nil {
 		return false, err
 	}
-	defer response.Release(false)
+	return e.passOn(first)
+}
+
+// follow passes on the response of a worker that took over from a silent one. Its results
+// are those of attempt.
+func (e *exchange) follow(successor *upstream) (answered bool, err error) {
+	defer successor.release()
+	e.hedger.begin()
+	successor.response.ResetSilenceTimer()
+	return e.passOn(successor)
+}
+
+// passOn passes a worker's response on. Its results are those of attempt.
+func (e *exchange) passOn(from *upstream) (answered bool, err error) {
+	response := from.response
 	switch {
 	case e.route.Type == config.Stream && response.HTTP.StatusCode == http.StatusOK:
-		return e.stream(response, prefill)
-	case e.headerSent:
+		return e.stream(from)
+	case e.position.headerSent:
 		// The client is amid a stream; another kind of response cannot continue it.
 		response.Discard()
-		return false, fault.New(fault.Unsure, worker.ID, "does not go on with the stream", "")
-	case response.HTTP.StatusCode >= http.StatusInternalServerError && mayRetry:
+		return false, fault.New(fault.Unsure, from.worker.ID, "does not go on with the stream", "")
+	case response.HTTP.StatusCode >= http.StatusInternalServerError && e.mayRetry():
 		response.Discard()
-		return false, fault.New(fault.Unsure, worker.ID, "failed", "")
+		return false, fault.New(fault.Unsure, from.worker.ID, "failed", "")
 	}
 	return e.unary(response)
 }
 
-// setContinuationHeaders asks the worker to continue behind the last event that the
-// client has, with the weights that the stream began with: one stream never joins
-// events of two weight versions (design 13.5).
-func (e *exchange) setContinuationHeaders() {
-	if e.hasEventID {
-		e.request.Header.Set(HeaderLastEventID, strconv.FormatInt(e.lastEventID, 10))
-	}
-	if e.headerSent && e.weightVersion > 0 {
-		e.request.Header.Set(HeaderWantVersion, strconv.FormatInt(e.weightVersion, 10))
-	}
-}
-
 // prefill is the load that the reading of a prompt puts on a worker until its first
 // event. It belongs to one goroutine.
 type prefill struct {
--- a/internal/forward/batch_item.go
+++ b/internal/forward/batch_item.go
@@ -40,7 +40,7 @@
 // behind the last event that text holds (design 9.3).
 func (s *Sender) RunItem(ctx context.Context, worker *discovery.Worker, request *Request, text *ItemText) (ItemOutcome, error) {
 	text.setContinuationHeaders(request.Header)
-	response, err := s.Send(ctx, worker, request, true)
+	response, err := s.Send(ctx, worker, request, (*Attempt).abort)
 	if err != nil {
 		if executionOf(err) == mayHaveRun {
 			return ItemInterrupted, err
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -35,13 +35,9 @@
 	// that its tenant is guaranteed.
 	shortageRecorded bool
 
-	// Of the response. Once the header is sent, only a stream can be continued by
-	// another worker, and only behind its last numbered event.
-	headerSent     bool
-	lastEventID    int64
-	hasEventID     bool
-	sentUnnumbered bool  // data without an event id was sent: nobody can continue it
-	weightVersion  int64 // of the weights that the stream began with, 0 if not known
+	// position changes under the lock of hedger while one attempt is made.
+	position position
+	hedger   hedger
 
 	start     clock.Instant
 	firstByte clock.Instant // of the first event or the response, 0 before it
@@ -50,6 +46,7 @@
 // run makes attempts at workers until one responds, the route's tries are used up,
 // or what was sent may have run and must not run again.
 func (e *exchange) run() {
+	defer e.hedger.stop()
 	ctx := e.client.Context()
 	for ended := false; !ended; {
 		ended = e.step(ctx)
@@ -65,7 +62,7 @@
 	if time.Now().After(e.request.Deadline) {
 		return e.fail(failure{timedOut: true})
 	}
-	if e.sentUnnumbered {
+	if e.position.sentUnnumbered {
 		return e.fail(failure{})
 	}
 	if e.attempts >= e.route.Tries {
@@ -77,17 +74,25 @@
 		return e.waitOrFail(ctx, e.retryNoWorkerMs(directory))
 	}
 	answered, err := e.attempt(ctx, worker)
-	if answered {
-		return true
+	for !answered {
+		if e.afterFailedAttempt(worker, directory, err) {
+			return true
+		}
+		successor := e.hedger.awaitSuccessor()
+		if successor == nil {
+			return false
+		}
+		worker = successor.worker
+		answered, err = e.follow(successor)
 	}
-	return e.afterFailedAttempt(worker, directory, err)
+	return true
 }
 
 // pickWorker asks the balancer for a worker, nil if there is none. A request that
 // may be repeated goes to one that failed it before rather than nowhere.
 func (e *exchange) pickWorker(directory *discovery.Directory) *discovery.Worker {
-	if e.headerSent && e.weightVersion > 0 {
-		e.requirements.Version = e.weightVersion
+	if version := e.position.requiredVersion(); version > 0 {
+		e.requirements.Version = version
 	}
 	worker := e.forwarder.Sender.Balancer.Pick(directory, &e.requirements)
 	if worker == nil && len(e.requirements.Exclude) > 0 && e.route.Idempotent() {
@@ -178,7 +183,7 @@
 // where that is known, else without. It tells that the exchange has ended.
 func (e *exchange) fail(why failure) (ended bool) {
 	e.failed = true
-	if e.headerSent {
+	if e.position.headerSent {
 		abortConnection()
 	}
 	switch {
--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -128,6 +128,7 @@
 // newExchange reads what the attempts need from the client's request.
 func (f *Forwarder) newExchange(w http.ResponseWriter, r *http.Request, route *config.Route, body []byte, deadline time.Time) *exchange {
 	e := &exchange{forwarder: f, writer: w, client: r, route: route, start: clock.Now()}
+	e.hedger.exchange = e
 	e.request = &Request{
 		Method:     r.Method,
 		Target:     r.RequestURI,
@@ -148,7 +149,7 @@
 		e.requirements.Version = version
 	}
 	if id, err := strconv.ParseInt(r.Header.Get(HeaderLastEventID), 10, 64); err == nil {
-		e.lastEventID, e.hasEventID = id, true
+		e.position.lastEventID, e.position.hasEventID = id, true
 	}
 	if n := len(e.requirements.Prefixes); n > 0 {
 		e.prefillTokens = e.requirements.Prefixes[n-1].Tokens
@@ -159,8 +160,8 @@
 // SweepPeriod is how often Sweep is to be called.
 const SweepPeriod = 100 * clock.Millisecond
 
-// Sweep aborts requests at workers that are over or hang, and closes connections
-// that are past their time. To be called each SweepPeriod.
+// Sweep looks for requests that hang at their workers, and closes connections that
+// are past their time. To be called each SweepPeriod.
 func (f *Forwarder) Sweep() {
 	f.Sender.Sweep()
 	f.Sender.Pool.Sweep(f.Sender.Directory())
--- a/internal/forward/send_test.go
+++ b/internal/forward/send_test.go
@@ -87,7 +87,7 @@
 	if change != nil {
 		change(p)
 	}
-	return s.forwarder.Sender.Send(context.Background(), s.dir.ByID["w0"], p, false)
+	return s.forwarder.Sender.Send(context.Background(), s.dir.ByID["w0"], p, nil)
 }
 
 // ask sends a request as a client does, on a connection of its own.
@@ -218,7 +218,7 @@
 			}
 			ctx = gone
 		}
-		if _, err := n.forwarder.Sender.Send(ctx, worker, p, false); err == nil || fault.Is(err, fault.Unsure) {
+		if _, err := n.forwarder.Sender.Send(ctx, worker, p, nil); err == nil || fault.Is(err, fault.Unsure) {
 			t.Errorf("%s: %v", name, err)
 		}
 	}
--- a/internal/forward/sender.go
+++ b/internal/forward/sender.go
@@ -62,18 +62,17 @@
 var errConnForgotten = fault.New(fault.Unsure, "connection", "was forgotten by the worker", "send again on a new one")
 
 // Send sends the request to the worker and reads the header of its response.
-// mayRetry says that the request may be tried elsewhere although it was sent here (see
-// Attempt). Faults: Unreached and Conflict, nothing was sent; Invalid, it cannot be;
+// onHang is called when the worker hangs (see Attempt). Faults: Unreached and Conflict, nothing was sent; Invalid, it cannot be;
 // Refused, the worker did not run it; Unsure, it may have run (see execution).
-func (s *Sender) Send(ctx context.Context, worker *discovery.Worker, request *Request, mayRetry bool) (*Response, error) {
-	response, err := s.sendOnce(ctx, worker, request, mayRetry, anyConnAge)
+func (s *Sender) Send(ctx context.Context, worker *discovery.Worker, request *Request, onHang func(*Attempt)) (*Response, error) {
+	response, err := s.sendOnce(ctx, worker, request, onHang, anyConnAge)
 	if !errors.Is(err, errConnForgotten) {
 		return response, err
 	}
 	// Nothing of a response came on a connection that was idle: the worker had
 	// forgotten it. A new one to the same worker follows (design 6.4).
 	s.Pool.CloseIdle(worker.ID)
-	response, err = s.sendOnce(ctx, worker, request, mayRetry, 0)
+	response, err = s.sendOnce(ctx, worker, request, onHang, 0)
 	if err != nil && !fault.Is(err, fault.Unsure) {
 		// The second send promises nothing for the first.
 		err = fault.New(fault.Unsure, worker.ID, "forgot its connection: "+err.Error(), "")
@@ -97,8 +96,8 @@
 }
 
 // sendOnce sends the request on one connection that was idle for at most maxIdle.
-func (s *Sender) sendOnce(ctx context.Context, worker *discovery.Worker, request *Request, mayRetry bool, maxIdle clock.Micros) (*Response, error) {
-	response, err := s.open(ctx, worker, request, mayRetry, maxIdle)
+func (s *Sender) sendOnce(ctx context.Context, worker *discovery.Worker, request *Request, onHang func(*Attempt), maxIdle clock.Micros) (*Response, error) {
+	response, err := s.open(ctx, worker, request, onHang, maxIdle)
 	if err != nil {
 		return nil, err
 	}
@@ -133,7 +132,7 @@
 }
 
 // open gets a connection and a slot in the table of attempts.
-func (s *Sender) open(ctx context.Context, worker *discovery.Worker, request *Request, mayRetry bool, maxIdle clock.Micros) (*Response, error) {
+func (s *Sender) open(ctx context.Context, worker *discovery.Worker, request *Request, onHang func(*Attempt), maxIdle clock.Micros) (*Response, error) {
 	if !request.Idempotent {
 		maxIdle = min(maxIdle, freshConnAge)
 	}
@@ -148,17 +147,19 @@
 		ctx:            ctx,
 		conn:           conn,
 		worker:         worker.ID,
-		mayRetry:       mayRetry,
+		onHang:         onHang,
 		headerTimeout:  s.Balancer.FirstByte.Slow(worker.Svc),
 		silenceTimeout: silenceTimeoutFor(request.EventGapMs),
 	}
 	attempt.lastProgress.Store(int64(clock.Now()))
+	attempt.stopWatch = context.AfterFunc(ctx, attempt.abort)
 	// This deadline of the socket ends the attempt, a stream included, at the client's time
-	// limit: a client's context has none. It is set before Sweep can see the attempt, since
-	// Sweep aborts it by a deadline in the past, which this one would replace.
+	// limit: a client's context has none. It is set before the attempt can be aborted by a
+	// deadline in the past, which this one would replace.
 	_ = conn.conn.SetDeadline(request.Deadline)
 	slot, ok := s.Attempts.Put(attempt)
 	if !ok {
+		attempt.end()
 		s.Pool.PutUnused(conn)
 		return nil, fault.New(fault.Conflict, "attempts", "too many requests are under way", "try again later")
 	}
@@ -212,7 +213,7 @@
 		s.Balancer.RecordWorkerOutcome(response.attempt.worker, false)
 	}
 	if response.attempt.aborted.Load() {
-		s.Balancer.RecordUnreachable(response.attempt.worker)
+		s.recordHang(response.attempt)
 		return
 	}
 	s.Balancer.RecordBreak(response.attempt.worker)
--- a/internal/forward/sweep.go
+++ b/internal/forward/sweep.go
@@ -33,23 +33,23 @@
 	return min(max(silentGaps*clock.Micros(eventGapMs)*clock.Millisecond, minSilenceTimeout), maxSilenceTimeout)
 }
 
-// Sweep looks over all requests at workers. It aborts those whose client has left,
-// and those that hang and may be retried: at a worker that cannot be reached, or at
-// one that fell silent amid its responses. It counts a failure for each worker that is
-// late.
+// Sweep looks over all requests at workers. It finds those that hang: at a worker that
+// cannot be reached, or at one that fell silent amid its responses; what follows is up to
+// who made the attempt. It counts a failure for each worker that is late.
 func (s *Sender) Sweep() {
 	now := clock.Now()
 	lastProgress := s.lastProgressByWorker()
 	var late []string
 	s.Attempts.Each(func(attempt *Attempt) {
-		if attempt.aborted.Load() {
+		if attempt.aborted.Load() || attempt.ctx.Err() != nil {
 			return
 		}
-		if attempt.isLate(now) && attempt.ctx.Err() == nil && !attempt.failureRecorded.Swap(true) {
+		if attempt.isLate(now) && !attempt.failureRecorded.Swap(true) {
 			late = append(late, attempt.worker)
 		}
-		if attempt.ctx.Err() != nil || attempt.mayRetry && s.hangs(attempt, now, lastProgress[attempt.worker]) {
-			attempt.abort()
+		if attempt.onHang != nil && s.hangs(attempt, now, lastProgress[attempt.worker]) {
+			s.recordHang(attempt)
+			attempt.onHang(attempt)
 		}
 	})
 	for _, worker := range late {
@@ -57,6 +57,20 @@
 	}
 }
 
+// recordHang notes once that the attempt's worker does not respond.
+func (s *Sender) recordHang(attempt *Attempt) {
+	if !attempt.hung.Swap(true) {
+		s.Balancer.RecordUnreachable(attempt.worker)
+	}
+}
+
+// recordResumed notes that the attempt's worker responds again, if it had hung.
+func (s *Sender) recordResumed(attempt *Attempt) {
+	if attempt.hung.Swap(false) {
+		s.Balancer.RecordReachable(attempt.worker)
+	}
+}
+
 // lastProgressByWorker is when this node last received anything behind a header from
 // each worker.
 func (s *Sender) lastProgressByWorker() map[string]clock.Instant {
@@ -85,8 +99,22 @@
 	return silence > max(attempt.headerTimeout, minHeaderTimeout) && s.Balancer.Idle(attempt.worker)
 }
 
-// abort makes reads and writes on the attempt's connection fail.
+// abort makes reads and writes on the attempt's connection fail, unless the connection
+// was given back.
 func (a *Attempt) abort() {
+	a.connMu.Lock()
+	defer a.connMu.Unlock()
+	if a.ended {
+		return
+	}
 	a.aborted.Store(true)
 	_ = a.conn.conn.SetDeadline(time.Unix(1, 0)) // long past
 }
+
+// end keeps abort from the connection, which is given back next.
+func (a *Attempt) end() {
+	a.stopWatch()
+	a.connMu.Lock()
+	defer a.connMu.Unlock()
+	a.ended = true
+}
--- a/internal/forward/unary.go
+++ b/internal/forward/unary.go
@@ -35,6 +35,9 @@
 		return false, fault.New(fault.Unsure, response.attempt.worker, "answers "+strconv.Itoa(received.StatusCode)+" without a promise", "")
 	}
 	if received.ContentLength > maxBufferedBytes {
+		if !e.hedger.close() {
+			return false, errTakenOver
+		}
 		e.startLongResponse(received)
 		e.copyRest(response)
 		return true, nil
@@ -45,6 +48,9 @@
 	if err != nil {
 		return false, fault.New(fault.Unsure, response.attempt.worker, "broke off: "+err.Error(), "")
 	}
+	if !e.hedger.close() {
+		return false, errTakenOver
+	}
 	if len(body) > maxBufferedBytes {
 		e.startLongResponse(received)
 		if _, err := e.writer.Write(body); err != nil {
@@ -69,7 +75,7 @@
 func (e *exchange) startLongResponse(received *http.Response) {
 	e.copyHeader(received)
 	e.writer.WriteHeader(received.StatusCode)
-	e.headerSent = true
+	e.position.headerSent = true
 	e.limitClientWrites()
 }
 
--- a/internal/forward/worker_response.go
+++ b/internal/forward/worker_response.go
@@ -39,6 +39,7 @@
 	}
 	r.released = true
 	r.sender.Attempts.Drop(r.slot)
+	r.attempt.end()
 	if !complete || r.attempt.aborted.Load() {
 		r.sender.Pool.Drop(r.conn)
 		return
@@ -54,6 +55,7 @@
 func (r *Response) releaseUnsent() {
 	r.released = true
 	r.sender.Attempts.Drop(r.slot)
+	r.attempt.end()
 	if r.attempt.aborted.Load() {
 		r.sender.Pool.Drop(r.conn)
 		return
