batch: a bound before a number is converted to an integer

Cause: the time until so many tokens are done is a quotient that grows without bound while the rate fades. Its conversion to an integer is not defined where it does not fit: amd64 gives the least integer, so that a client was asked to come back after 50 ms in place of 2 s; arm64 gives the greatest. Change: both are bounded before they are converted.

--- a/internal/batch/completion_rate.go
+++ b/internal/batch/completion_rate.go
@@ -40,5 +40,8 @@
 	if cr.tokens <= 0 {
 		return maxRetryAfterMs
 	}
-	return min(max(int64(float64(tokens)/cr.tokens*float64(rateWindow)/1000), minRetryAfterMs), maxRetryAfterMs)
+	ms := float64(tokens) / cr.tokens * float64(rateWindow) / 1000
+	// Bounded before the conversion: what does not fit an integer converts differently on
+	// each kind of processor.
+	return int64(min(max(ms, minRetryAfterMs), maxRetryAfterMs))
 }
--- a/internal/batch/completion_rate_test.go
+++ b/internal/batch/completion_rate_test.go
@@ -27,3 +27,17 @@
 		t.Errorf("long after the last: %d", got)
 	}
 }
+
+// Guards against an early retry after the rate has faded for long: the time until so many
+// tokens are done no longer fits an integer then.
+func TestRetryAfterOfAFadedRate(t *testing.T) {
+	var rate completionRate
+	now := clock.Instant(1_000_000)
+	rate.add(1, now)
+	for range 100 {
+		now = now.Add(rateWindow / 2)
+		if got := rate.retryAfterMs(1_000_000, now); got != maxRetryAfterMs {
+			t.Fatalf("%d ms at %v tokens, want %d", got, rate.tokens, maxRetryAfterMs)
+		}
+	}
+}
--- a/internal/batch/httpapi/submit.go
+++ b/internal/batch/httpapi/submit.go
@@ -22,6 +22,8 @@
 	maxSubmitMs = 2500
 	// minRetainMs is the least time that items are tried where the route says none.
 	minRetainMs = 60_000
+	// maxRetainS is a year: what is longer need not fit the units of a job.
+	maxRetainS = 366 * 24 * 3600
 )
 
 // Submit accepts a job. leftMs is how long its caller waits, from the request's header on.
@@ -99,7 +101,7 @@
 
 func newJob(r *http.Request, route *config.Route, id string, items []batch.Item, wallUs int64) *batch.Job {
 	job := &batch.Job{ID: id, Host: config.HostKey(r.Host), Path: r.URL.Path, Route: route.Name, SentUs: wallUs, DueMs: route.DueMs,
-		RetainMs: int64(route.RetainS * 1000), Tries: route.Tries, Items: items}
+		RetainMs: int64(min(route.RetainS, maxRetainS) * 1000), Tries: route.Tries, Items: items}
 	if job.RetainMs <= 0 {
 		job.RetainMs = max(10*route.DueMs, minRetainMs)
 	}
