Nodes decide alike on amd64 and arm64: products are rounded before a sum

Cause: on arm64 the compiler fuses a product with a sum, which rounds once instead of twice. TestRandomWalksGoAsBefore itself failed for another reason than the review took it for: the walk's own draw of max_share is fused. Tests were not run on amd64.

--- a/internal/balancer/item_capacity.go
+++ b/internal/balancer/item_capacity.go
@@ -15,7 +15,7 @@
 // slotsForItems is how far batch items may fill a worker: at least half of it.
 func (w *workerState) slotsForItems() float64 {
 	slots := float64(w.slots)
-	return max(slots-liveReserve*math.Sqrt(slots), slots/2)
+	return max(slots-float64(liveReserve*math.Sqrt(slots)), slots/2)
 }
 
 // Of the time that items take.
--- a/internal/balancer/mean_time.go
+++ b/internal/balancer/mean_time.go
@@ -25,6 +25,6 @@
 		m.us, m.observed = float64(time), true
 		return
 	}
-	bounded := math.Min(float64(time), outlierMultiple*m.us+float64(outlierMargin))
-	m.us += weight * (bounded - m.us)
+	bounded := math.Min(float64(time), float64(outlierMultiple*m.us)+float64(outlierMargin))
+	m.us += float64(weight * (bounded - m.us))
 }
--- a/internal/balancer/selection.go
+++ b/internal/balancer/selection.go
@@ -154,9 +154,9 @@
 // cost is what a request costs at a worker, in milliseconds of waiting.
 func (s *selection) cost(worker *discovery.Worker, state *workerState) float64 {
 	load, slots := state.estimatedLoad(s.now), float64(state.slots)
-	cost := loadCostMs*load/slots + rand.Float64()*jitterCostMs
+	cost := loadCostMs*load/slots + float64(rand.Float64()*jitterCostMs)
 	if load >= slots {
-		cost += fullCostMs * (load - slots + 1) / slots * overloadFactor
+		cost += float64(fullCostMs * (load - slots + 1) / slots * overloadFactor)
 	}
 	if state.hasFreshLoad(s.now) {
 		cost += fullCostMs * float64(state.waiting) / slots
--- a/internal/batch/slowness.go
+++ b/internal/batch/slowness.go
@@ -31,7 +31,7 @@
 	}
 	late := float64(max(now.Sub(s.last)-period, 0))
 	s.last = now
-	s.meanLate += slowWeight * (late - s.meanLate)
+	s.meanLate += float64(slowWeight * (late - s.meanLate))
 	switch {
 	case !s.slow && s.meanLate > float64(slowLag):
 		if now.Sub(s.until) > slowForget {
--- a/internal/faultgen/random.go
+++ b/internal/faultgen/random.go
@@ -21,7 +21,7 @@
 
 // floatIn is a number of a range in hundredths.
 func (r random) floatIn(limits Range) float64 {
-	return round(limits[0] + r.rng.Float64()*(limits[1]-limits[0]))
+	return round(limits[0] + float64(r.rng.Float64()*(limits[1]-limits[0])))
 }
 
 // oneOf is one of the names, "" if there are none.
--- a/internal/quota/allocation.go
+++ b/internal/quota/allocation.go
@@ -205,7 +205,7 @@
 		}
 		part := 1 / float64(nodes)
 		if totalInUse > 0 {
-			part = evenFraction*part + (1-evenFraction)*t.slotsInUse[i]/totalInUse
+			part = float64(evenFraction*part) + (1-evenFraction)*t.slotsInUse[i]/totalInUse
 		}
 		limits[i] = Limit{
 			Name: t.name, Unbounded: t.withinGuarantee, Capped: t.guarantee.Cap > 0,
@@ -231,7 +231,7 @@
 	status.FleetSlots, status.FleetKv = a.fleet.Slots, a.fleet.Kv
 	status.AllowedSlots, status.AllowedKv = tenant.allocated.Slots, tenant.allocated.Kv
 	status.Bounded = guarantee.Cap > 0 || contended && !tenant.withinGuarantee
-	status.Borrowed = max(use.Slots-a.fleet.Slots*guarantee.Slots, 0)
+	status.Borrowed = max(use.Slots-float64(a.fleet.Slots*guarantee.Slots), 0)
 	status.Waiting = tenant.lacks()
 	atCap := guarantee.Cap > 0 && use.Dominant(a.fleet) >= withinThreshold*guarantee.Cap
 	status.Why = explainStatus(tenant.withinGuarantee, contended, atCap, tenant.lacks())
--- a/internal/quota/amount.go
+++ b/internal/quota/amount.go
@@ -7,9 +7,13 @@
 	Kv    float64
 }
 
-func (a Amount) plus(b Amount) Amount   { return Amount{Slots: a.Slots + b.Slots, Kv: a.Kv + b.Kv} }
-func (a Amount) minus(b Amount) Amount  { return Amount{Slots: a.Slots - b.Slots, Kv: a.Kv - b.Kv} }
-func (a Amount) times(f float64) Amount { return Amount{Slots: a.Slots * f, Kv: a.Kv * f} }
+func (a Amount) plus(b Amount) Amount  { return Amount{Slots: a.Slots + b.Slots, Kv: a.Kv + b.Kv} }
+func (a Amount) minus(b Amount) Amount { return Amount{Slots: a.Slots - b.Slots, Kv: a.Kv - b.Kv} }
+
+// times rounds each product, so that no caller's sum is fused with it (design 1.7).
+func (a Amount) times(f float64) Amount {
+	return Amount{Slots: float64(a.Slots * f), Kv: float64(a.Kv * f)}
+}
 
 // atLeast raises both resources to those of b.
 func (a Amount) atLeast(b Amount) Amount {
--- a/internal/upgrade/health.go
+++ b/internal/upgrade/health.go
@@ -76,7 +76,8 @@
 // findProblem judges the workers and the answers by the rules, nil if all is well.
 func (u *Upgrade) findProblem(healthyWorkers int64, h Health) *problem {
 	judged := h.Answers >= minAnswers
-	required := u.Rules.MinHealthyShare*float64(u.Total) - float64(len(u.Drained))
+	// The conversion rounds the product: nodes decide alike on all processors (design 1.7).
+	required := float64(u.Rules.MinHealthyShare*float64(u.Total)) - float64(len(u.Drained))
 	switch {
 	case float64(healthyWorkers) < required:
 		return &problem{fmt.Sprintf("%d of %d workers are well", healthyWorkers, u.Total), "bring the service's workers back, then resume"}
--- a/internal/upgrade/health_test.go
+++ b/internal/upgrade/health_test.go
@@ -31,3 +31,17 @@
 		t.Errorf("%+v, want %+v (%v)", out, in, err)
 	}
 }
+
+// Guards against an upgrade that pauses on one kind of processor only: 0.55 of 20 workers
+// are 11, also where the subtraction of the drained ones could be fused with the product,
+// which is a little above 11.
+func TestRequiredWorkersAreRoundedOnAllProcessors(t *testing.T) {
+	u := Upgrade{Rules: DefaultRules(), Total: 20, Drained: make([]DrainedWorker, 4)}
+	u.Rules.MinHealthyShare = 0.55
+	if problem := u.findProblem(7, Health{}); problem != nil {
+		t.Errorf("7 healthy and 4 drained workers of 20: %s", problem.why)
+	}
+	if problem := u.findProblem(6, Health{}); problem == nil {
+		t.Error("6 healthy and 4 drained workers of 20: no problem")
+	}
+}
--- a/internal/upgrade/walk_test.go
+++ b/internal/upgrade/walk_test.go
@@ -37,7 +37,7 @@
 	}
 	rules := DefaultRules()
 	rules.MinReplicas = int64(1 + w.rng.IntN(2))
-	rules.MaxShare = 0.1 + 0.4*w.rng.Float64()
+	rules.MaxShare = 0.1 + float64(0.4*w.rng.Float64()) // rounded: the recorded walks hold on all processors
 	w.upgrade = &Upgrade{Service: "s", From: 1, To: 2, Rules: rules, Phase: Running, Total: int64(n)}
 	return w
 }
