rowanshunt: SIGHUP is kept from the first statement of the program on

Cause: a process began to listen for SIGHUP after it had read its command line and its options; before, the signal ended it. Seen in the review, in the first milliseconds. Change: the program catches the signal before anything else and hands it to the node; commands that run no node let it end them again.

--- a/cmd/rowanshunt/main.go
+++ b/cmd/rowanshunt/main.go
@@ -15,7 +15,13 @@
 // version is the version of the program; builds may set it.
 var version = "0.1.0-dev"
 
-func main() { os.Exit(run(os.Args[1:])) }
+func main() { os.Exit(start()) }
+
+// start runs the program and returns its exit code.
+func start() int {
+	reload := node.CatchReload()
+	return run(os.Args[1:], reload)
+}
 
 // handlers are what the commands do, by their full names.
 type handlers map[string]func() error
@@ -25,13 +31,19 @@
 type globalOptions struct {
 	file     string
 	logLevel string
+	reload   node.ReloadSignal
+}
+
+// runNode runs a node of a role until it is stopped.
+func (g *globalOptions) runNode(role string) error {
+	return node.Run(settings.Path(g.file), role, g.logLevel, g.reload)
 }
 
 // run carries out a command line and returns the exit code.
-func run(args []string) int {
+func run(args []string, reload node.ReloadSignal) int {
 	app := kingpin.New("rowanshunt", "A serving tier with a batch interface. Each process is a node in one role.")
 	app.Version(version)
-	options := &globalOptions{}
+	options := &globalOptions{reload: reload}
 	app.Flag("file", "Options file (TOML). Without it, $"+settings.EnvFile+", then "+settings.DefaultFile+".").StringVar(&options.file)
 	app.Flag("log-level", "Lowest level logged.").Default("info").EnumVar(&options.logLevel, "debug", "info", "warn", "error")
 	commands := handlers{}
@@ -43,6 +55,9 @@
 	if ended {
 		return code
 	}
+	if !isNodeCommand(selected) {
+		reload.Release()
+	}
 	if err := commands[selected](); err != nil {
 		fmt.Fprintln(os.Stderr, "rowanshunt:", err)
 		return 1
@@ -50,14 +65,25 @@
 	return 0
 }
 
+// The commands that run a node.
+const (
+	edgeCommand  = "edge"
+	storeCommand = "store"
+)
+
+// isNodeCommand tells whether a command runs a node.
+func isNodeCommand(name string) bool {
+	return name == edgeCommand || name == storeCommand
+}
+
 // addNodeCommands adds the commands that run a node until it is stopped.
 func addNodeCommands(app *kingpin.Application, commands handlers, options *globalOptions) {
-	edge := app.Command("edge", "Run a node that serves clients, workers and operators.").Alias(settings.EarlierEdgeCommand)
+	edge := app.Command(edgeCommand, "Run a node that serves clients, workers and operators.").Alias(settings.EarlierEdgeCommand)
 	commands[edge.FullCommand()] = func() error {
-		return node.Run(settings.Path(options.file), settings.RoleEdge, options.logLevel)
+		return options.runNode(settings.RoleEdge)
 	}
-	store := app.Command("store", "Run a node that keeps batch jobs on its disk.").Alias(settings.EarlierStoreCommand)
+	store := app.Command(storeCommand, "Run a node that keeps batch jobs on its disk.").Alias(settings.EarlierStoreCommand)
 	commands[store.FullCommand()] = func() error {
-		return node.Run(settings.Path(options.file), settings.RoleStore, options.logLevel)
+		return options.runNode(settings.RoleStore)
 	}
 }
--- a/cmd/rowanshunt/main_test.go
+++ b/cmd/rowanshunt/main_test.go
@@ -13,7 +13,7 @@
 )
 
 func TestMain(m *testing.M) {
-	testscript.Main(m, map[string]func(){"rowanshunt": func() { os.Exit(run(os.Args[1:])) }})
+	testscript.Main(m, map[string]func(){"rowanshunt": func() { os.Exit(start()) }})
 }
 
 // The command line as a user types it.
--- a/internal/node/run.go
+++ b/internal/node/run.go
@@ -25,11 +25,11 @@
 	opts        *settings.Options
 	optionsPath string
 	terminate   <-chan os.Signal
-	reload      <-chan os.Signal
+	reload      ReloadSignal
 }
 
 // Run starts a node of a role on real sockets and serves until a signal ends the process.
-func Run(path, role, logLevel string) error {
+func Run(path, role, logLevel string, reload ReloadSignal) error {
 	opts, err := settings.Load(path)
 	if err != nil {
 		return err
@@ -40,8 +40,6 @@
 	limitMemory(opts, role)
 	terminate := make(chan os.Signal, 2)
 	signal.Notify(terminate, syscall.SIGTERM, syscall.SIGINT)
-	reload := make(chan os.Signal, 1)
-	signal.Notify(reload, syscall.SIGHUP)
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	counters := rpc.NewCounters()
