rowanshunt: SIGTERM too is kept from the first statement of the program on

Cause: a SIGTERM that came before a process had read its options ended it by the signal in place of in order. Change: the program catches both signals before anything else (node.Signals).

--- a/cmd/rowanshunt/main.go
+++ b/cmd/rowanshunt/main.go
@@ -19,8 +19,8 @@
 
 // start runs the program and returns its exit code.
 func start() int {
-	reload := node.CatchReload()
-	return run(os.Args[1:], reload)
+	signals := node.CatchSignals()
+	return run(os.Args[1:], signals)
 }
 
 // handlers are what the commands do, by their full names.
@@ -31,19 +31,19 @@
 type globalOptions struct {
 	file     string
 	logLevel string
-	reload   node.ReloadSignal
+	signals  *node.Signals
 }
 
 // runNode runs a node of a role until it is stopped.
 func (g *globalOptions) runNode(role string) error {
-	return node.Run(settings.Path(g.file), role, g.logLevel, g.reload)
+	return node.Run(settings.Path(g.file), role, g.logLevel, g.signals)
 }
 
 // run carries out a command line and returns the exit code.
-func run(args []string, reload node.ReloadSignal) int {
+func run(args []string, signals *node.Signals) int {
 	app := kingpin.New("rowanshunt", "A serving tier with a batch interface. Each process is a node in one role.")
 	app.Version(version)
-	options := &globalOptions{reload: reload}
+	options := &globalOptions{signals: signals}
 	app.Flag("file", "Options file (TOML). Without it, $"+settings.EnvFile+", then "+settings.DefaultFile+".").StringVar(&options.file)
 	app.Flag("log-level", "Lowest level logged.").Default("info").EnumVar(&options.logLevel, "debug", "info", "warn", "error")
 	commands := handlers{}
@@ -56,7 +56,7 @@
 		return code
 	}
 	if !isNodeCommand(selected) {
-		reload.Release()
+		signals.Release()
 	}
 	if err := commands[selected](); err != nil {
 		fmt.Fprintln(os.Stderr, "rowanshunt:", err)
--- a/cmd/rowanshunt/signal_test.go
+++ b/cmd/rowanshunt/signal_test.go
@@ -17,9 +17,16 @@
 const signalledNode = 9
 
 // Guards against a process that ends since it is asked to read its options again before
-// it has read them for the first time. The options come through a pipe, so that the signal
-// arrives while the process waits for them.
-func TestReloadSignalDuringTheStart(t *testing.T) {
+// it has read them for the first time, and against one that does not stop in order then.
+func TestSignalsDuringTheStart(t *testing.T) {
+	t.Run("reload", func(t *testing.T) { signalDuringTheStart(t, syscall.SIGHUP) })
+	t.Run("terminate", func(t *testing.T) { signalDuringTheStart(t, syscall.SIGTERM) })
+}
+
+// signalDuringTheStart starts a node whose options come through a pipe, so that the signal
+// arrives while the process waits for them. The node must then stop in order.
+func signalDuringTheStart(t *testing.T, first syscall.Signal) {
+	t.Helper()
 	dir := t.TempDir()
 	path, file := filepath.Join(dir, "node.toml"), filepath.Join(dir, "later.toml")
 	options := []byte(systemOptions(signalledNode, settings.RoleEdge, filepath.Join(dir, "data")))
@@ -35,7 +42,7 @@
 	if err := node.Start(); err != nil {
 		t.Fatal(err)
 	}
-	defer func() { _ = node.Process.Kill() }()     // where the test ends before the node
+	defer func() { _ = node.Process.Kill() }() // where the test ends before the node
 	var pipe *os.File
 	mustBecome(t, "the process reads its options, or has ended", func() bool {
 		var err error
@@ -45,7 +52,7 @@
 	if pipe == nil {
 		t.Fatalf("the process ended before it read its options:\n%s", log.String())
 	}
-	if err := node.Process.Signal(syscall.SIGHUP); err != nil {
+	if err := node.Process.Signal(first); err != nil {
 		t.Fatal(err)
 	}
 	if err := os.Rename(file, path); err != nil { // what the process reads next
--- a/internal/node/run.go
+++ b/internal/node/run.go
@@ -3,9 +3,7 @@
 import (
 	"context"
 	"os"
-	"os/signal"
 	"runtime/debug"
-	"syscall"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -24,12 +22,11 @@
 	env         Env
 	opts        *settings.Options
 	optionsPath string
-	terminate   <-chan os.Signal
-	reload      ReloadSignal
+	signals     *Signals
 }
 
 // Run starts a node of a role on real sockets and serves until a signal ends the process.
-func Run(path, role, logLevel string, reload ReloadSignal) error {
+func Run(path, role, logLevel string, signals *Signals) error {
 	opts, err := settings.Load(path)
 	if err != nil {
 		return err
@@ -38,8 +35,6 @@
 		return err
 	}
 	limitMemory(opts, role)
-	terminate := make(chan os.Signal, 2)
-	signal.Notify(terminate, syscall.SIGTERM, syscall.SIGINT)
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	counters := rpc.NewCounters()
@@ -53,7 +48,7 @@
 	for _, warning := range opts.Warnings() {
 		env.Log.Warn("options_warning", "what", warning)
 	}
-	p := &process{env: env, opts: opts, optionsPath: path, terminate: terminate, reload: reload}
+	p := &process{env: env, opts: opts, optionsPath: path, signals: signals}
 	if role == settings.RoleStore {
 		return p.runStore(ctx)
 	}
@@ -96,12 +91,12 @@
 		return err
 	}
 	sn.Start(ctx)
-	sn.wg.Go(func() { sn.watchOptions(ctx, p.optionsPath, p.reload) })
+	sn.wg.Go(func() { sn.watchOptions(ctx, p.optionsPath, p.signals.reload) })
 	sn.wg.Go(func() { sn.logDiskWrites(ctx) })
 	defer sn.wg.Wait()
 	defer cancel()
 	select {
-	case <-p.terminate:
+	case <-p.signals.terminate:
 		// The others take over at once; what was acknowledged is on disk.
 		sn.Shutdown(ctx)
 		return nil
@@ -132,9 +127,9 @@
 			}
 		})
 	}
-	e.wg.Go(func() { e.watchOptions(ctx, p.optionsPath, p.reload) })
+	e.wg.Go(func() { e.watchOptions(ctx, p.optionsPath, p.signals.reload) })
 	select {
-	case <-p.terminate:
+	case <-p.signals.terminate:
 		e.Drain(ctx, func(ctx context.Context) { closeServers(ctx, servers) })
 		return nil
 	case err := <-e.failures:
--- a/internal/node/signals.go
+++ b/internal/node/signals.go
@@ -6,17 +6,23 @@
 	"syscall"
 )
 
-// ReloadSignal keeps the signal that asks a process to read its options again, from
-// before the options are read for the first time. Without a receiver the signal would end
-// the process.
-type ReloadSignal chan os.Signal
+// Signals keeps the signals that a node acts on, from before its options are read. Without
+// a receiver each of them would end the process at once.
+type Signals struct {
+	terminate chan os.Signal // SIGTERM or SIGINT: stop in order
+	reload    chan os.Signal // SIGHUP: read the options again
+}
 
-// CatchReload begins to keep the signal. A program calls it before anything else.
-func CatchReload() ReloadSignal {
-	caught := make(ReloadSignal, 1)
-	signal.Notify(caught, syscall.SIGHUP)
-	return caught
+// CatchSignals begins to keep the signals. A program calls it before anything else.
+func CatchSignals() *Signals {
+	s := &Signals{terminate: make(chan os.Signal, 2), reload: make(chan os.Signal, 1)}
+	signal.Notify(s.terminate, syscall.SIGTERM, syscall.SIGINT)
+	signal.Notify(s.reload, syscall.SIGHUP)
+	return s
 }
 
-// Release lets the signal end the process again: for commands that run no node.
-func (r ReloadSignal) Release() { signal.Stop(r) }
+// Release lets the signals end the process again: for commands that run no node.
+func (s *Signals) Release() {
+	signal.Stop(s.terminate)
+	signal.Stop(s.reload)
+}
