--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -114,8 +114,8 @@
 // printOutcome prints one run.
 func printOutcome(outcome *soak.Outcome, took time.Duration) {
 	counts := outcome.Counts
-	fmt.Printf("seed %d: %d processes, %d requests (%d served), %d runs, %d jobs, %d changes, %d disturbances, %.0f s: ", outcome.Plan.Seed, counts.Processes,
-		counts.Requests, counts.Served, counts.Runs, counts.Jobs, counts.Changes, len(outcome.Plan.Disturbances), took.Seconds())
+	fmt.Printf("seed %d: %d processes, %d requests (%d served), %d runs, %d jobs, %d changes, %d disturbances, slowed %d times, %.0f s: ", outcome.Plan.Seed, counts.Processes,
+		counts.Requests, counts.Served, counts.Runs, counts.Jobs, counts.Changes, len(outcome.Plan.Disturbances), counts.Slowed, took.Seconds())
 	if len(outcome.Violations) == 0 {
 		fmt.Println("held")
 		return
@@ -133,10 +133,10 @@
 
 // summary sums up runs. Its methods may be called by several goroutines.
 type summary struct {
-	mu                                     sync.Mutex
-	runs, broken                           int
-	requests, served, jobs, items, changes int
-	disturbances                           map[soak.DisturbanceKind]int
+	mu                                             sync.Mutex
+	runs, broken                                   int
+	requests, served, jobs, items, changes, slowed int
+	disturbances                                   map[soak.DisturbanceKind]int
 }
 
 // add counts one run.
@@ -156,6 +156,7 @@
 	s.jobs += counts.Jobs
 	s.items += counts.Items
 	s.changes += counts.Changes
+	s.slowed += counts.Slowed
 	for kind, count := range counts.Disturbances {
 		s.disturbances[kind] += count
 	}
@@ -170,6 +171,6 @@
 		kinds = append(kinds, fmt.Sprintf("%s %d", kind, count))
 	}
 	sort.Strings(kinds)
-	return fmt.Sprintf("%d runs, %d broke a rule: %d requests (%d served), %d jobs of %d items, %d changes; %s",
-		s.runs, s.broken, s.requests, s.served, s.jobs, s.items, s.changes, strings.Join(kinds, ", "))
+	return fmt.Sprintf("%d runs, %d broke a rule: %d requests (%d served), %d jobs of %d items, %d changes, slowed %d times; %s",
+		s.runs, s.broken, s.requests, s.served, s.jobs, s.items, s.changes, s.slowed, strings.Join(kinds, ", "))
 }
--- a/internal/soak/bounds.go
+++ b/internal/soak/bounds.go
@@ -6,11 +6,9 @@
 // checks use no others.
 const (
 	contactBound  = 3000 * clock.Millisecond // after it, rules with a bound hold for a node again
-	ackBound      = 4000 * clock.Millisecond
 	graceBound    = 8 * clock.Second         // from SIGTERM until the end of the process
 	lostBound     = 200 * clock.Millisecond  // for a request that was not passed on
 	applyBound    = 2000 * clock.Millisecond // until a configuration is in force everywhere
-	stretchBound  = 5000 * clock.Millisecond // more, while the core is unsettled
 	settleBound   = 1000 * clock.Millisecond // until an accepted job is readable everywhere
 	cancelBound   = 3000 * clock.Millisecond // until a cancelled job starts no item
 	recoverBound  = 12 * clock.Second        // until service is back after a loss of all
--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -70,7 +70,7 @@
 		if event.What == NodeReload {
 			continue
 		}
-		if unsettles[event.Node] || event.What == HostSlowed {
+		if unsettles[event.Node] || event.What == HostSlowed && event.Node == "" {
 			c.core = append(c.core, event)
 		}
 		switch event.What {
@@ -113,10 +113,10 @@
 	return !anyWithin(c.core, before, until)
 }
 
-// slowed tells whether the machine of the run was slowed from one moment to another.
-func (c *checker) slowed(from, until clock.Instant) bool {
+// slowed tells whether a node lacked the processor from one moment to another.
+func (c *checker) slowed(node string, from, until clock.Instant) bool {
 	for _, event := range c.Nodes {
-		if event.What == HostSlowed && event.At >= from && event.At <= until {
+		if event.What == HostSlowed && (event.Node == "" || event.Node == node) && event.At >= from && event.At <= until {
 			return true
 		}
 	}
--- a/internal/soak/check_process.go
+++ b/internal/soak/check_process.go
@@ -10,7 +10,7 @@
 		if event.Fault != "" {
 			c.report(ruleProcess, "%s, %s at %s: %s", event.Node, event.What, c.sinceLoad(event.At), event.Fault)
 		}
-		if event.What == NodeOverdue && !c.slowed(event.At.Add(-graceBound), event.At) {
+		if event.What == NodeOverdue && !c.slowed(event.Node, event.At.Add(-graceBound), event.At.Add(delayPeriod)) {
 			c.report(ruleProcess, "%s has not ended at %s, grace_s after SIGTERM", event.Node, c.sinceLoad(event.At))
 		}
 	}
--- a/internal/soak/disturber.go
+++ b/internal/soak/disturber.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"net/http"
 	"sync"
 	"syscall"
@@ -25,12 +26,12 @@
 	record *Record
 	nodes  func(n uint64) nodeSpec
 
-	mu       sync.Mutex
-	busy     map[*process]*sync.Mutex // one disturbance of a node at a time
-	replaced int
+	mu   sync.Mutex
+	busy map[*process]*sync.Mutex // one disturbance of a node at a time; guarded by mu
 	// lost: one disk is away, or one store is being replaced, at a time. It is taken before
 	// a node's lock.
-	lost sync.Mutex
+	lost     sync.Mutex
+	replaced int // guarded by lost
 }
 
 // run carries out the plan, and returns when all of it is over.
@@ -50,8 +51,6 @@
 // node is the node that an index names, nil if its machine was taken away. Replacements
 // take the place of the store that they replace.
 func (d *disturber) node(index int) *process {
-	d.mu.Lock()
-	defer d.mu.Unlock()
 	all := d.system.all()
 	return all[index%len(all)]
 }
@@ -154,31 +153,13 @@
 	if p.spec.role != storeRole || !p.inUse() {
 		return
 	}
-	another := d.addStore(p)
-	d.restart(another)
+	d.replaced++
+	d.restart(d.system.addStore(fmt.Sprintf("%s-r%d", p.spec.name, d.replaced), d.replaced))
 	if !d.retire(ctx, p) {
 		return
 	}
 	d.alone(p, func() { p.takeAway(ctx) })
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	for i, store := range d.system.stores {
-		if store == p {
-			d.system.stores = append(d.system.stores[:i], d.system.stores[i+1:]...)
-			return
-		}
-	}
-}
-
-// addStore makes a store beside the one that is to be replaced.
-func (d *disturber) addStore(p *process) *process {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	d.replaced++
-	another := d.system.newProcess(storeRole, p.spec.name+"-r", d.replaced, true)
-	d.system.stores = append(d.system.stores, another)
-	d.record.add(func(o *Observations) { o.StoreNodes = append(o.StoreNodes, another.spec.name) })
-	return another
+	d.system.removeStore(p)
 }
 
 // retire asks for the store to be emptied and waits until it is, false if the context
@@ -208,9 +189,7 @@
 
 // closeAll kills all nodes and starts them again.
 func (d *disturber) closeAll(ctx context.Context, disturbance Disturbance) {
-	d.mu.Lock()
 	all := d.system.all()
-	d.mu.Unlock()
 	for _, p := range all {
 		p.signal(syscall.SIGKILL, NodeKill)
 	}
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -18,18 +18,17 @@
 // The kinds. The first four are planned work or within the protocol; nothing is lost by
 // them. Names beginning with worker concern the stand-in workers.
 const (
-	Stop             DisturbanceKind = "stop"    // SIGTERM, then a new start
-	Reload           DisturbanceKind = "reload"  // SIGHUP
-	Squeeze          DisturbanceKind = "squeeze" // one worker is silent, all others of its service are full
-	WorkerLeave      DisturbanceKind = "worker_leave"
-	Kill             DisturbanceKind = "kill" // SIGKILL, then a new start
-	Freeze           DisturbanceKind = "freeze"
-	DiskLoss         DisturbanceKind = "disk_loss" // killed right after an acknowledgement, and started without its files
-	Replace          DisturbanceKind = "replace"   // a store is retired, and another one started in its place
-	WorkerCrash      DisturbanceKind = "worker_crash"
-	WorkerLateBeats  DisturbanceKind = "worker_late_beats"
-	CloseAll         DisturbanceKind = "close_all" // all nodes are killed, and started again
-	unknownComponent                 = -1
+	Stop            DisturbanceKind = "stop"    // SIGTERM, then a new start
+	Reload          DisturbanceKind = "reload"  // SIGHUP
+	Squeeze         DisturbanceKind = "squeeze" // one worker is silent, all others of its service are full
+	WorkerLeave     DisturbanceKind = "worker_leave"
+	Kill            DisturbanceKind = "kill" // SIGKILL, then a new start
+	Freeze          DisturbanceKind = "freeze"
+	DiskLoss        DisturbanceKind = "disk_loss" // killed right after an acknowledgement, and started without its files
+	Replace         DisturbanceKind = "replace"   // a store is retired, and another one started in its place
+	WorkerCrash     DisturbanceKind = "worker_crash"
+	WorkerLateBeats DisturbanceKind = "worker_late_beats"
+	CloseAll        DisturbanceKind = "close_all" // all nodes are killed, and started again
 )
 
 // Planned tells whether rules that end with unplanned trouble hold on beside it.
@@ -46,7 +45,7 @@
 type Disturbance struct {
 	AtMs  int64           `toml:"at_ms"` // from the begin of the load
 	Kind  DisturbanceKind `toml:"kind"`
-	Index int             `toml:"index"`  // of the node or the worker, see its kind
+	Index int             `toml:"index"`  // of the node, the worker or the service; 0 for all
 	ForMs int64           `toml:"for_ms"` // how long it lasts, 0 where that has no meaning
 }
 
@@ -212,6 +211,6 @@
 		}
 	}
 	if p.rng.IntN(2) == 0 {
-		p.add(p.plan.LoadMs*unplannedUntilPercent/100, CloseAll, unknownComponent, 200+p.rng.Int64N(1500))
+		p.add(p.plan.LoadMs*unplannedUntilPercent/100, CloseAll, 0, 200+p.rng.Int64N(1500))
 	}
 }
--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -208,6 +208,16 @@
 	}
 }
 
+// pid is the number of the process, 0 where none runs.
+func (p *process) pid() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if !p.alive() {
+		return 0
+	}
+	return p.command.Process.Pid
+}
+
 // isUp tells whether the process runs and its machine is in use.
 func (p *process) isUp() bool {
 	p.mu.Lock()
--- a/internal/soak/record.go
+++ b/internal/soak/record.go
@@ -77,8 +77,8 @@
 	NodeEnded     = "ended"
 	NodeOverdue   = "overdue" // it has not ended grace_s after SIGTERM
 	WorkerTrouble = "worker_trouble"
-	// HostSlowed: this process itself did not get the processor for a while, so that the
-	// nodes, on the same machine, probably did not either. Its node is empty.
+	// HostSlowed: a process lacked the processor for a while (hostWatch). Without a node it
+	// was the soak's own, and all nodes count as slowed.
 	HostSlowed = "host_slowed"
 )
 
--- a/internal/soak/runner.go
+++ b/internal/soak/runner.go
@@ -44,7 +44,10 @@
 // Counts say how much a run did.
 type Counts struct {
 	Processes, Requests, Served, Runs, Jobs, Items, Changes int
-	Disturbances                                            map[DisturbanceKind]int
+	// Slowed is how often a process lacked the processor: rules with a bound do not hold
+	// around these moments.
+	Slowed       int
+	Disturbances map[DisturbanceKind]int
 }
 
 // Execute carries a plan out and checks what was seen. An error says that the deployment could
@@ -68,8 +71,14 @@
 	if err := r.start(ctx); err != nil {
 		return nil, errors.Wrapf(err, "the deployment of seed %d does not start; its logs are in %s", plan.Seed, folder)
 	}
+	watching, stopWatching := context.WithCancel(ctx)
+	defer stopWatching()
+	watch := &hostWatch{record: r.record, processes: r.system.all}
+	go watch.watchSelf(watching)
+	go watch.watchNodes(watching)
 	r.load(ctx)
 	r.finish(ctx)
+	stopWatching()
 	if ctx.Err() != nil {
 		return nil, ctx.Err()
 	}
@@ -164,7 +173,6 @@
 	before := r.levels()
 	began := clock.Now()
 	r.record.add(func(o *Observations) { o.Before, o.LoadFrom = before, began })
-	group.Go(func() { watchHost(ctx, r.record) })
 	r.platform = &platform{misses: map[string]int{}, nodes: r.edgeSpecs()}
 	group.Go(func() { r.platform.watch(ctx, r.edgeSpecs) })
 	for i := range r.plan.Clients {
@@ -239,7 +247,7 @@
 		stops.Go(func() { p.stop(ctx) })
 	}
 	stops.Wait()
-	for _, p := range r.system.ever {
+	for _, p := range r.system.everUsed() {
 		if line := p.logFault(); line != "" {
 			r.record.addNode(p.spec.name, NodeEnded, line)
 		}
@@ -285,7 +293,7 @@
 // counts says how much the run did.
 func (r *runner) counts() Counts {
 	o := &r.record.observations
-	counts := Counts{Processes: len(r.system.ever), Requests: len(o.Requests), Runs: len(o.Runs), Jobs: len(o.Jobs), Changes: len(o.Changes),
+	counts := Counts{Processes: len(r.system.everUsed()), Requests: len(o.Requests), Runs: len(o.Runs), Jobs: len(o.Jobs), Changes: len(o.Changes),
 		Disturbances: map[DisturbanceKind]int{}}
 	for i := range o.Requests {
 		if o.Requests[i].Status/100 == 2 && o.Requests[i].Complete {
@@ -295,6 +303,11 @@
 	for _, job := range o.Jobs {
 		counts.Items += len(job.Items)
 	}
+	for _, event := range o.Nodes {
+		if event.What == HostSlowed {
+			counts.Slowed++
+		}
+	}
 	for _, disturbance := range r.plan.Disturbances {
 		counts.Disturbances[disturbance.Kind]++
 	}
--- a/internal/soak/system.go
+++ b/internal/soak/system.go
@@ -5,7 +5,9 @@
 	"net"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
+	"sync"
 
 	"github.com/go-faster/errors"
 )
@@ -50,8 +52,7 @@
 	storeRole = "store"
 )
 
-// system is a deployment. The disturber alone changes its lists, under its own lock; the
-// edge nodes stay the same.
+// system is a deployment. Its edge nodes stay the same; stores are replaced.
 type system struct {
 	plan    *Plan
 	program string
@@ -59,11 +60,13 @@
 	record  *Record
 	block   string
 	hold    net.Listener // keeps other runs off the block
-	nextIP  int
-	edges   []*process // with a disk first
-	stores  []*process
+	edges   []*process   // with a disk first
 	seeds   []string
-	ever    []*process // also those that were replaced
+
+	mu     sync.Mutex
+	nextIP int
+	stores []*process
+	ever   []*process // also those that were replaced
 }
 
 var zones = []string{"north", "east", "west"}
@@ -78,7 +81,7 @@
 		s.edges = append(s.edges, s.newProcess(edgeRole, fmt.Sprintf("edge-%d", i+1), i, i < plan.Edges))
 	}
 	for i := range plan.Stores {
-		s.stores = append(s.stores, s.newProcess(storeRole, fmt.Sprintf("store-%d", i+1), i, true))
+		s.addStore(fmt.Sprintf("store-%d", i+1), i)
 	}
 	for _, seed := range s.edges[:min(3, plan.Edges)] {
 		s.seeds = append(s.seeds, fmt.Sprintf("%q", seed.spec.ctlAddr()))
@@ -87,9 +90,6 @@
 		for _, edge := range s.edges[:plan.Edges] {
 			o.CoreNodes = append(o.CoreNodes, edge.spec.name)
 		}
-		for _, store := range s.stores {
-			o.StoreNodes = append(o.StoreNodes, store.spec.name)
-		}
 	})
 	return s, nil
 }
@@ -110,7 +110,7 @@
 	return errors.New("no block of loopback addresses is free")
 }
 
-// newProcess gives a node the next address.
+// newProcess gives a node the next address. Once the system is in use, mu is held.
 func (s *system) newProcess(role, name string, index int, hasDisk bool) *process {
 	s.nextIP++
 	spec := nodeSpec{name: name, role: role, zone: zones[index%len(zones)], ip: fmt.Sprintf("%s.%d", s.block, s.nextIP), hasDisk: hasDisk}
@@ -121,9 +121,35 @@
 
 // all lists the processes, edge nodes first.
 func (s *system) all() []*process {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	return append(append([]*process{}, s.edges...), s.stores...)
 }
 
+// everUsed lists the processes of all machines that were ever in use.
+func (s *system) everUsed() []*process {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return append([]*process{}, s.ever...)
+}
+
+// addStore adds a machine for a store.
+func (s *system) addStore(name string, index int) *process {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	store := s.newProcess(storeRole, name, index, true)
+	s.stores = append(s.stores, store)
+	s.record.add(func(o *Observations) { o.StoreNodes = append(o.StoreNodes, name) })
+	return store
+}
+
+// removeStore forgets the machine of a store.
+func (s *system) removeStore(store *process) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.stores = slices.DeleteFunc(s.stores, func(other *process) bool { return other == store })
+}
+
 // release gives the block of addresses back.
 func (s *system) release() { _ = s.hold.Close() }
 
@@ -139,7 +165,7 @@
 
 // killAll ends what runs.
 func (s *system) killAll() {
-	for _, p := range s.ever {
+	for _, p := range s.everUsed() {
 		p.destroy()
 	}
 }
