--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -7,9 +7,7 @@
 	"fmt"
 	"os"
 	"os/signal"
-	"path/filepath"
 	"sort"
-	"strconv"
 	"strings"
 	"sync"
 	"syscall"
@@ -87,12 +85,18 @@
 
 // runSeeds runs all seeds of the range and prints a line for each, and a summary.
 func (o *options) runSeeds(ctx context.Context, limits soak.Settings) (exitCode int, err error) {
+	if err := os.MkdirAll(o.out, 0o755); err != nil {
+		return exitError, err
+	}
 	var total summary
 	runs := pool.New().WithErrors().WithMaxGoroutines(max(o.jobs, 1))
 	for seed := o.from; seed <= o.to; seed++ {
 		runs.Go(func() error {
 			began := time.Now()
-			folder := filepath.Join(o.out, strconv.FormatUint(seed, 10)+"-"+began.Format("150405"))
+			folder, err := os.MkdirTemp(o.out, fmt.Sprintf("seed-%d-", seed))
+			if err != nil {
+				return err
+			}
 			outcome, err := soak.Execute(ctx, soak.DrawPlan(limits, seed), soak.Options{Program: o.program, Folder: folder, Keep: o.keep})
 			if err != nil {
 				fmt.Printf("seed %d: %v\n", seed, err)
--- a/internal/soak/runner.go
+++ b/internal/soak/runner.go
@@ -28,7 +28,7 @@
 // Options say how a run is carried out.
 type Options struct {
 	Program string // the program under test
-	Folder  string // of the run; it must not exist
+	Folder  string // of the run, which leaves nothing else in it
 	Keep    bool   // the folder, also of a run that held
 }
 
