forward: a request whose workers all fall silent stays within its route's tries

Cause: a worker that takes over a request counts as the last try, but the number of further workers was left from the attempt before, since begin returned first. A third silent worker was followed by a fourth. Found by reading the change again. Change: the number is set at each attempt, 0 where no try is left.

--- a/internal/forward/hedge.go
+++ b/internal/forward/hedge.go
@@ -24,7 +24,7 @@
 // hedger looks for a second worker while the one that has the request is silent. The
 // first attempt goes on meanwhile: a silent worker may be lost, or may make the request
 // wait until another one has ended, and all others may be full. So an attempt is given up
-// only once another worker responds (design 6.5).
+// only once another worker responds (design 6.8).
 //
 // The goroutine of the exchange, Sweep and the goroutine of a search share it.
 type hedger struct {
@@ -64,13 +64,14 @@
 // hangs: nil where no other worker may be tried.
 func (h *hedger) begin() func(*Attempt) {
 	e := h.exchange
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.rejectedBy, h.failedAt, h.unsent = nil, nil, nil
+	h.maxWorkers = 0
 	if !e.mayRetry() {
 		return nil
 	}
-	h.mu.Lock()
-	defer h.mu.Unlock()
 	h.maxWorkers = e.route.Tries - e.attempts - 1
-	h.rejectedBy, h.failedAt, h.unsent = nil, nil, nil
 	return h.onHang
 }
 
--- a/internal/forward/hedge_test.go
+++ b/internal/forward/hedge_test.go
@@ -178,3 +178,34 @@
 		})
 	}
 }
+
+// Guards against a request that reaches more workers than its route's tries when each that
+// takes it over falls silent too.
+func TestSilentWorkersStayWithinTries(t *testing.T) {
+	t.Parallel()
+	c := callMust("resumable-4")
+	var workers atomic.Int64
+	var n *scriptedNode
+	play := func(_ int, conn *net.TCPConn, br *bufio.Reader) {
+		req, ok := read(br)
+		if !ok {
+			return
+		}
+		workers.Add(1)
+		n.forwarder.Sender.Balancer.RecordUnreachable(req.Header.Get(HeaderWantWorker))
+		stream := streamFrom(c, had(req))
+		say(conn, stream[:strings.Index(stream, "\n\n\r\n")+4])
+		untilClosed(conn)
+	}
+	n = newScriptedNode(t, 4000, play, play, play, play, play)
+	_, got, err := n.ask(c)
+	if err == nil {
+		t.Error("the stream ended as complete")
+	}
+	if sent := workers.Load(); sent != hostileTries {
+		t.Errorf("%d workers were sent the request, the route allows %d", sent, hostileTries)
+	}
+	if want := c.event(1) + c.event(2) + c.event(3); got != want {
+		t.Errorf("events %q, want %q", got, want)
+	}
+}
