soak: nothing writes observations while they are checked

Cause: the checks read the observations while the watches of the machine, and the goroutine that records the last process's end, could still write; a last end with a fault could be missed. Found by reading the change again; go test -race -short showed the race. Change: the watches are waited for, and an end is recorded before its waiters go on.

--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -92,11 +92,12 @@
 	case p.ordered != 0 && err != nil:
 		fault = fmt.Sprintf("did not end in order: %v", err)
 	}
+	// Recorded first: who waits for the end may look at the observations next.
+	p.system.record.addNode(p.spec.name, NodeEnded, fault)
 	if p.command == command {
 		close(running)
 	}
 	p.mu.Unlock()
-	p.system.record.addNode(p.spec.name, NodeEnded, fault)
 }
 
 // signal sends a signal to the process, if it runs.
--- a/internal/soak/runner.go
+++ b/internal/soak/runner.go
@@ -72,14 +72,17 @@
 	if err := r.start(ctx); err != nil {
 		return nil, errors.Wrapf(err, "the deployment of seed %d does not start; its logs are in %s", plan.Seed, folder)
 	}
+	var watches conc.WaitGroup
 	watching, stopWatching := context.WithCancel(ctx)
+	defer watches.Wait()
 	defer stopWatching()
 	watch := &hostWatch{record: r.record, processes: r.system.all}
-	go watch.watchSelf(watching)
-	go watch.watchNodes(watching)
+	watches.Go(func() { watch.watchSelf(watching) })
+	watches.Go(func() { watch.watchNodes(watching) })
 	r.load(ctx)
 	r.finish(ctx)
 	stopWatching()
+	watches.Wait() // nothing writes observations any more
 	if ctx.Err() != nil {
 		return nil, ctx.Err()
 	}
