--- /dev/null
+++ b/review/standins-2/cmd/replace/main.go
@@ -0,0 +1,141 @@
+// Command replace retires a store while another one is replaced, and lets a third one lose
+// its disk once the replacement has had sync_s.
+package main
+
+import (
+	"fmt"
+	"net/http"
+	"os"
+	"sync"
+	"time"
+
+	"rowanshunt-review-2/rig"
+)
+
+const (
+	lots       = 20
+	items      = 10
+	syncSpan   = 5100 * time.Millisecond // sync_s
+	successor  = 1 * time.Second         // the replacement comes so long after the loss
+	margin     = 200 * time.Millisecond  // beyond sync_s
+	downFor    = 1400 * time.Millisecond // of the store that loses its disk
+	recover    = 12 * time.Second        // recover_s
+	readFor    = 36 * time.Second        // three times as long is waited for
+	overS      = 9
+	settleWait = 9 * time.Second // more than contact_ms and sync_s after a start
+)
+
+func main() { rig.Run(run) }
+
+func run(s *rig.Script) int {
+	s.Deploy(3)
+	for _, n := range s.Nodes {
+		if n.Start(true) != nil {
+			return rig.NotRun
+		}
+	}
+	for i := range 3 {
+		if _, err := s.StartWorker(fmt.Sprintf("i-%d", i+1), "pisar", 48, 20*time.Millisecond, 6); err != nil {
+			return rig.NotRun
+		}
+	}
+	if _, ok := s.Configure(1, 0, 20*time.Second); !ok {
+		return rig.NotRun
+	}
+	store1, store2, store3 := s.Nodes[3], s.Nodes[4], s.Nodes[5]
+	store4 := s.AddStore("store-4", 14, "kapucinska")
+	if store4.Start(false) != nil {
+		return rig.NotRun
+	}
+	time.Sleep(settleWait)
+	var accepted []string
+	for i := range lots {
+		id := fmt.Sprintf("7c41e09b%08x", i)
+		if !s.SubmitLot(id, items, 10*time.Second) {
+			s.Log("lot %s was not accepted", id)
+			return rig.NotRun
+		}
+		accepted = append(accepted, id)
+	}
+	s.Log("%d lots of %d items are accepted (202)", len(accepted), items)
+	time.Sleep(2 * time.Second)
+	for _, id := range accepted {
+		if status, page := s.ReadLot(s.Edges()[0], id, 0); status != http.StatusOK || page.Sum != items {
+			s.Log("lot %s is answered %d before the disruption", id, status)
+			return rig.NotRun
+		}
+	}
+
+	if s.Trouble {
+		s.Log("%s is gone for good (SIGKILL, its disk too)", store3.Name)
+		store3.LoseDisk()
+	}
+	lost := time.Now()
+	if os.Getenv("NO_RETIRE") != "1" && !s.Retire(store1, overS, 5*time.Second) {
+		return rig.NotRun
+	}
+	if s.Trouble {
+		time.Sleep(time.Until(lost.Add(successor)))
+		store5 := s.AddStore("store-5", 15, "kralovo-pole")
+		if store5.Start(false) != nil {
+			return rig.NotRun
+		}
+		time.Sleep(syncSpan + margin)
+		s.Log("%s runs since %v (sync_s is %v); the retirement: %s", store5.Name, syncSpan+margin, syncSpan, s.Retired(store1))
+		store2.LoseDisk()
+		time.Sleep(downFor)
+		if store2.Start(false) != nil {
+			return rig.NotRun
+		}
+	}
+	return judge(s, accepted, store1)
+}
+
+// judge reads every lot until it is answered 200, at most for readFor from now on.
+func judge(s *rig.Script, accepted []string, retiring *rig.Node) int {
+	begin := time.Now()
+	var unread []string
+	statuses := map[int]int{}
+	for i := 0; ; i++ {
+		unread = nil
+		for k, ok := range readAll(s, accepted, i, statuses) {
+			if !ok {
+				unread = append(unread, accepted[k])
+			}
+		}
+		if len(unread) == 0 || time.Since(begin) > readFor {
+			break
+		}
+		time.Sleep(500 * time.Millisecond)
+	}
+	took := time.Since(begin)
+	s.Log("reads by status (0: none in 4 s): %v; the retirement: %s", statuses, s.Retired(retiring))
+	for _, n := range s.Nodes[3:] {
+		s.Log("%s runs: %v", n.Name, n.Running())
+	}
+	s.Log("a further lot is accepted: %v", s.SubmitLot("7c41e09bffffffff", items, 5*time.Second))
+	if len(unread) > 0 {
+		s.Log("BROKEN: LOST, %d of %d accepted lots cannot be read %v after all machines are back (recover_s is %v)", len(unread), len(accepted), took.Round(time.Second), recover)
+		return rig.Broken
+	}
+	s.Log("all %d lots are read after %v", len(accepted), took.Round(time.Millisecond))
+	return rig.Held
+}
+
+// readAll reads all lots once, all at a time, and tells which were answered 200.
+func readAll(s *rig.Script, accepted []string, round int, statuses map[int]int) []bool {
+	read := make([]bool, len(accepted))
+	answers := make([]int, len(accepted))
+	var wg sync.WaitGroup
+	for k, id := range accepted {
+		wg.Go(func() {
+			status, page := s.ReadLot(s.Edges()[(round+k)%3], id, 0)
+			answers[k], read[k] = status, status == http.StatusOK && page.Sum == items
+		})
+	}
+	wg.Wait()
+	for _, status := range answers {
+		statuses[status]++
+	}
+	return read
+}
