--- a/review/standins-2/cmd/bootstrap/main.go
+++ b/review/standins-2/cmd/bootstrap/main.go
@@ -19,7 +19,7 @@
 	bound     = 12 * time.Second
 )
 
-func main() { rig.Run(run) }
+func main() { os.Exit(rig.Run(run)) }
 
 func run(s *rig.Script) int {
 	s.Deploy(3)
--- a/review/standins-2/cmd/replace/main.go
+++ b/review/standins-2/cmd/replace/main.go
@@ -20,13 +20,13 @@
 	afterOrder = 50 * time.Millisecond   // the loss comes so long after the retirement's acknowledgement
 	margin     = 200 * time.Millisecond  // beyond sync_s
 	downFor    = 1400 * time.Millisecond // of the store that loses its disk
-	recover    = 12 * time.Second        // recover_s
+	recoverAll = 12 * time.Second        // recover_s
 	readFor    = 36 * time.Second        // three times as long is waited for
 	overS      = 9
 	settleWait = 9 * time.Second // more than contact_ms and sync_s after a start
 )
 
-func main() { rig.Run(run) }
+func main() { os.Exit(rig.Run(run)) }
 
 func run(s *rig.Script) int {
 	s.Deploy(3)
@@ -115,7 +115,7 @@
 	}
 	s.Log("a further lot is accepted: %v", s.SubmitLot("7c41e09bffffffff", items, 5*time.Second))
 	if len(unread) > 0 {
-		s.Log("BROKEN: LOST, %d of %d accepted lots cannot be read %v after all machines are back (recover_s is %v)", len(unread), len(accepted), took.Round(time.Second), recover)
+		s.Log("BROKEN: LOST, %d of %d accepted lots cannot be read %v after all machines are back (recover_s is %v)", len(unread), len(accepted), took.Round(time.Second), recoverAll)
 		return rig.Broken
 	}
 	s.Log("all %d lots are read after %v", len(accepted), took.Round(time.Millisecond))
--- a/review/standins-2/rig/rig.go
+++ b/review/standins-2/rig/rig.go
@@ -45,22 +45,22 @@
 	exited chan struct{}
 }
 
-// Run runs a script and ends the process with its exit code. The first argument is the
+// Run runs a script and gives its exit code. The first argument of the program is the
 // folder of the case.
-func Run(script func(*Script) int) {
+func Run(script func(*Script) int) int {
 	if len(os.Args) != 2 {
 		fmt.Fprintln(os.Stderr, "usage: CASE FOLDER")
-		os.Exit(NotRun)
+		return NotRun
 	}
 	s := &Script{Trouble: os.Getenv("TROUBLE") != "0", start: time.Now()}
 	var err error
 	if s.record, err = os.Create(filepath.Join(os.Args[1], "record.txt")); err != nil {
 		fmt.Fprintln(os.Stderr, err)
-		os.Exit(NotRun)
+		return NotRun
 	}
 	if s.Dir, err = os.MkdirTemp("", "review-2-"); err != nil {
 		fmt.Fprintln(os.Stderr, err)
-		os.Exit(NotRun)
+		return NotRun
 	}
 	s.Block = freeBlock()
 	done := make(chan int, 1)
@@ -77,7 +77,7 @@
 	s.Log("exit %d", code)
 	_ = s.record.Close()
 	_ = os.RemoveAll(s.Dir)
-	os.Exit(code)
+	return code
 }
 
 // freeBlock finds loopback addresses whose ports nobody uses.
