--- a/review/standins-2/cmd/replace/main.go
+++ b/review/standins-2/cmd/replace/main.go
@@ -29,66 +29,92 @@
 func main() { os.Exit(rig.Run(run)) }
 
 func run(s *rig.Script) int {
+	workers, ok := start(s)
+	if !ok {
+		return rig.NotRun
+	}
+	accepted, ok := submit(s)
+	if !ok {
+		return rig.NotRun
+	}
+	store1, store2, store3 := s.Nodes[3], s.Nodes[4], s.Nodes[5]
+	if os.Getenv("NO_RETIRE") != "1" && !s.Retire(store1, overS, 5*time.Second) {
+		return rig.NotRun
+	}
+	if s.Trouble && !disturb(s, store1, store2, store3) {
+		return rig.NotRun
+	}
+	code := judge(s, accepted, store1)
+	for _, w := range workers {
+		w.LogRuns()
+	}
+	return code
+}
+
+// start brings the system up, with a fourth store and three workers.
+func start(s *rig.Script) (workers []*rig.Worker, ok bool) {
 	s.Deploy(3)
 	for _, n := range s.Nodes {
 		if n.Start(true) != nil {
-			return rig.NotRun
+			return nil, false
 		}
 	}
 	for i := range 3 {
-		if _, err := s.StartWorker(fmt.Sprintf("i-%d", i+1), "pisar", 48, 20*time.Millisecond, 6); err != nil {
-			return rig.NotRun
+		w, err := s.StartWorker(fmt.Sprintf("i-%d", i+1), "pisar", 48, 20*time.Millisecond, 6)
+		if err != nil {
+			return nil, false
 		}
+		workers = append(workers, w)
 	}
 	if _, ok := s.Configure(1, 0, 20*time.Second); !ok {
-		return rig.NotRun
+		return nil, false
 	}
-	store1, store2, store3 := s.Nodes[3], s.Nodes[4], s.Nodes[5]
 	store4 := s.AddStore("store-4", 14, "kapucinska")
 	if store4.Start(false) != nil {
-		return rig.NotRun
+		return nil, false
 	}
 	time.Sleep(settleWait)
-	var accepted []string
+	return workers, true
+}
+
+// submit hands the lots in and reads each once.
+func submit(s *rig.Script) (accepted []string, ok bool) {
 	for i := range lots {
 		id := fmt.Sprintf("7c41e09b%08x", i)
 		if !s.SubmitLot(id, items, 10*time.Second) {
-			s.Log("lot %s was not accepted", id)
-			return rig.NotRun
+			return nil, false
 		}
 		accepted = append(accepted, id)
 	}
-	s.Log("%d lots of %d items are accepted (202)", len(accepted), items)
 	time.Sleep(2 * time.Second)
 	for _, id := range accepted {
-		if status, page := s.ReadLot(s.Edges()[0], id, 0); status != http.StatusOK || page.Sum != items {
+		status, page := s.ReadLot(s.Edges()[0], id, 0)
+		if status != http.StatusOK || page.Sum != items {
 			s.Log("lot %s is answered %d before the disruption", id, status)
-			return rig.NotRun
+			return nil, false
 		}
 	}
+	s.Log("each lot is read (200)")
+	return accepted, true
+}
 
-	if os.Getenv("NO_RETIRE") != "1" && !s.Retire(store1, overS, 5*time.Second) {
-		return rig.NotRun
-	}
-	if s.Trouble {
-		time.Sleep(afterOrder)
-		store3.LoseDisk()
-		lost := time.Now()
-		s.Log("%s is gone for good", store3.Name)
-		time.Sleep(time.Until(lost.Add(successor)))
-		store5 := s.AddStore("store-5", 15, "kralovo-pole")
-		if store5.Start(false) != nil {
-			return rig.NotRun
-		}
-		time.Sleep(syncSpan + margin)
-		s.Log("%s runs since %v (sync_s is %v); the retirement: %s", store5.Name, syncSpan+margin, syncSpan, s.Retired(store1))
-		store2.LoseDisk()
-		time.Sleep(downFor)
-		if store2.Start(false) != nil {
-			return rig.NotRun
-		}
+// disturb takes one store away for good, brings its successor, and lets another store lose
+// its disk once the successor has had sync_s.
+func disturb(s *rig.Script, retiring, next, gone *rig.Node) bool {
+	time.Sleep(afterOrder)
+	gone.LoseDisk()
+	lost := time.Now()
+	s.Log("%s is gone for good", gone.Name)
+	time.Sleep(time.Until(lost.Add(successor)))
+	store5 := s.AddStore("store-5", 15, "kralovo-pole")
+	if store5.Start(false) != nil {
+		return false
 	}
-	return judge(s, accepted, store1)
+	time.Sleep(syncSpan + margin)
+	s.Log("%s runs since %v (sync_s is %v); the retirement: %s", store5.Name, syncSpan+margin, syncSpan, s.Retired(retiring))
+	next.LoseDisk()
+	time.Sleep(downFor)
+	return next.Start(false) == nil
 }
 
 // judge reads every lot until it is answered 200, at most for readFor from now on.
@@ -114,6 +140,9 @@
 		s.Log("%s runs: %v", n.Name, n.Running())
 	}
 	s.Log("a further lot is accepted: %v", s.SubmitLot("7c41e09bffffffff", items, 5*time.Second))
+	for _, id := range unread {
+		s.Log("lot %s, accepted before, is not read", id)
+	}
 	if len(unread) > 0 {
 		s.Log("BROKEN: LOST, %d of %d accepted lots cannot be read %v after all machines are back (recover_s is %v)", len(unread), len(accepted), took.Round(time.Second), recoverAll)
 		return rig.Broken
--- a/review/standins-2/rig/lots.go
+++ b/review/standins-2/rig/lots.go
@@ -45,7 +45,9 @@
 	document := []byte(`{"reqs":[` + strings.Join(reqs, ",") + `]}`)
 	begin := time.Now()
 	for i := 0; time.Since(begin) < limit; i++ {
-		if status, _ := s.Edges()[i%3].call(http.MethodPost, "/pule252/"+id, id, document); status == http.StatusAccepted {
+		status, _ := s.Edges()[i%3].call(http.MethodPost, "/pule252/"+id, id, document)
+		s.Log("lot %s of %d items sent to %s, answered %d", id, items, s.Edges()[i%3].Name, status)
+		if status == http.StatusAccepted {
 			return true
 		}
 		time.Sleep(200 * time.Millisecond)
--- a/review/standins-2/rig/worker.go
+++ b/review/standins-2/rig/worker.go
@@ -5,9 +5,12 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"maps"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -41,18 +44,14 @@
 	return w, nil
 }
 
-// Got tells how often a request has reached the worker.
-func (w *Worker) Got(id string) int {
+// LogRuns writes into the record what the worker has run.
+func (w *Worker) LogRuns() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return w.got[id]
-}
-
-// Total counts the requests that reached the worker.
-func (w *Worker) Total() int {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	return len(w.got)
+	ids := slices.Sorted(maps.Keys(w.got))
+	for i := 0; i < len(ids); i += 10 {
+		w.script.Log("worker %s ran %s", w.ID, strings.Join(ids[i:min(i+10, len(ids))], " "))
+	}
 }
 
 func (w *Worker) ServeHTTP(out http.ResponseWriter, in *http.Request) {
