A lost store's successor joins at once, whatever change is in progress

Cause: a change that only removes a store waits until a silent member has been silent for 6 s, and a newcomer waited for the end of any change in progress. The successor was let in some 8 s after the loss; sync_s is 5.1 s. The next loss left the joint membership's former set without a majority.

Change: a newcomer that takes the place of a lost member, or of its own former disk, gives the change in progress another target (Join.NextMembership, Membership.Redirect). What is acknowledged under a joint membership has a majority of its former set, which stays; the next target has a higher term. A change that replaces nobody is given up for it and begun again by whoever wanted it.

--- a/internal/batch/membership.go
+++ b/internal/batch/membership.go
@@ -72,7 +72,7 @@
 			mk.bootstrap(v)
 		}
 	case !st.Stores.Has(self.ID):
-		if !st.Stores.Joint() && !isRetiring(st, self.ID) && !v.Self.Leaving && now.Sub(mk.started) > joinAfter {
+		if !isRetiring(st, self.ID) && !v.Self.Leaving && now.Sub(mk.started) > joinAfter {
 			mk.join(st, self, v)
 		}
 	default:
@@ -105,15 +105,15 @@
 		unmet = consensus.OutOfContact(&st.Stores, v)
 	}
 	mk.change("store_joining", &suspicion{members: st.Stores.Current, suspects: unmet}, func(now *consensus.State, lost map[string]bool) (*consensus.State, error) {
-		if now.Stores.Joint() || now.Stores.Has(self.ID) || isRetiring(now, self.ID) {
+		if now.Stores.Has(self.ID) || isRetiring(now, self.ID) {
 			return nil, nil
 		}
 		join := consensus.Join{Member: self, Uptime: clock.Since(mk.started), Lost: lost, MaxMembers: maxStores}
-		next := join.NextMembers(&now.Stores, mk.cfg.Gossip.Snapshot())
-		if next == nil {
+		next, ok := join.NextMembership(&now.Stores, mk.cfg.Gossip.Snapshot())
+		if !ok {
 			return nil, nil
 		}
-		now.Stores = now.Stores.Begin(next)
+		now.Stores = next
 		return now, nil
 	})
 }
--- a/internal/consensus/join.go
+++ b/internal/consensus/join.go
@@ -25,6 +25,45 @@
 	MaxMembers int
 }
 
+// NextMembership is the membership once the newcomer's change has begun, false while it
+// may not begin. A newcomer that takes the place of a lost member does not wait for the
+// end of another change: that one may itself wait for the lost member, and the next loss
+// may come before it is over (design 8.6).
+func (j *Join) NextMembership(m *Membership, v *gossip.View) (next Membership, ok bool) {
+	if !m.Joint() {
+		members := j.NextMembers(m, v)
+		return m.Begin(members), members != nil
+	}
+	members := j.replaceLost(m, v)
+	return m.Redirect(members), members != nil
+}
+
+// replaceLost is the target of the change in progress with the newcomer in place of a
+// member that stays in it and is lost, nil if there is none. A change that replaces no
+// member itself is given up for that: its target starts from the former set.
+func (j *Join) replaceLost(m *Membership, v *gossip.View) []Member {
+	target := m.Current
+	if !m.replacesMember() {
+		target = m.Previous
+	}
+	at := slices.IndexFunc(target, func(member Member) bool { return m.Has(member.ID) && member.Name == j.Member.Name })
+	if at < 0 {
+		at = slices.IndexFunc(target, func(member Member) bool { return m.Has(member.ID) && j.mayDisplace(member, v) })
+	}
+	if at < 0 {
+		return nil
+	}
+	next := slices.Clone(target)
+	next[at] = j.Member
+	return next
+}
+
+// mayDisplace tells whether a member answers neither this newcomer nor a majority of the
+// members.
+func (j *Join) mayDisplace(member Member, v *gossip.View) bool {
+	return j.Uptime >= displaceAfter && j.Lost[member.ID] && !isReached(member, v)
+}
+
 // NextMembers is the set of members that includes the newcomer: in place of an
 // earlier incarnation of its disk, of a member that leaves, of one that does not
 // answer the newcomer and is lost, or in addition to the others. It is nil while it
--- a/internal/consensus/join_test.go
+++ b/internal/consensus/join_test.go
@@ -51,3 +51,63 @@
 		})
 	}
 }
+
+// A newcomer begins its change while another one is in progress where it takes the place
+// of a lost member; otherwise it waits (design 8.6).
+func TestJoinDuringAnotherChange(t *testing.T) {
+	members := func(names string) (out []Member) {
+		for _, id := range strings.Fields(names) {
+			name, _, _ := strings.Cut(id, "#")
+			out = append(out, Member{ID: id, Name: name})
+		}
+		return out
+	}
+	view := func(reached string) *gossip.View {
+		v := &gossip.View{}
+		for _, id := range strings.Fields(reached) {
+			name, disk, _ := strings.Cut(id, "#")
+			v.Nodes = append(v.Nodes, gossip.NodeState{Peer: gossip.Peer{Name: name, Disk: disk}, Alive: true, LastContact: clock.Now()})
+		}
+		return v
+	}
+	newcomer, wiped := Member{ID: "n#d", Name: "n"}, Member{ID: "b#e", Name: "b"}
+	lost := map[string]bool{"b#d": true}
+	for _, tc := range []struct {
+		name              string
+		previous, current string
+		join              Join
+		reached           string
+		want              string // of the next members, "" if the newcomer has to wait
+	}{
+		{"a removal, nobody is lost", "a#d b#d c#d x#d", "a#d b#d c#d", Join{newcomer, joinBesideAfter, nil, 7}, "a#d b#d c#d x#d", ""},
+		{"a removal, one that stays is lost", "a#d b#d c#d x#d", "a#d b#d c#d", Join{newcomer, displaceAfter, lost, 7}, "a#d c#d x#d", "a#d n#d c#d x#d"},
+		{"a removal, too early to tell", "a#d b#d c#d x#d", "a#d b#d c#d", Join{newcomer, displaceAfter - clock.Microsecond, lost, 7}, "a#d c#d x#d", ""},
+		{"a removal, others are in contact", "a#d b#d c#d x#d", "a#d b#d c#d", Join{newcomer, joinBesideAfter, nil, 7}, "a#d c#d x#d", ""},
+		{"a removal, an earlier disk of its own", "a#d b#d c#d x#d", "a#d b#d c#d", Join{wiped, joinDelay, nil, 7}, "a#d c#d x#d", "a#d b#e c#d x#d"},
+		{"the removal of an earlier disk of its own", "a#d b#d c#d x#d", "a#d c#d x#d", Join{wiped, joinDelay, lost, 7}, "a#d c#d x#d", ""},
+		{"the removal of the lost one", "a#d b#d c#d x#d", "a#d c#d x#d", Join{newcomer, joinBesideAfter, lost, 7}, "a#d c#d x#d", ""},
+		{"an addition, a former member is lost", "a#d b#d c#d", "a#d b#d c#d x#d", Join{newcomer, displaceAfter, lost, 7}, "a#d c#d x#d", "a#d n#d c#d"},
+		{"a replacement, another one is lost", "a#d b#d c#d", "a#d b#d x#d", Join{newcomer, displaceAfter, lost, 7}, "a#d x#d", "a#d n#d x#d"},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			current := &Membership{Version: 4, Current: members(tc.current), Previous: members(tc.previous)}
+			next, ok := tc.join.NextMembership(current, view(tc.reached))
+			if !ok {
+				if tc.want != "" {
+					t.Errorf("waits, want %q", tc.want)
+				}
+				return
+			}
+			var ids []string
+			for _, m := range next.Current {
+				ids = append(ids, m.ID)
+			}
+			if got := strings.Join(ids, " "); got != tc.want {
+				t.Errorf("next members %q, want %q", got, tc.want)
+			}
+			if next.Version != 5 || len(next.Previous) != len(current.Previous) {
+				t.Errorf("membership %d with %d former members, want 5 with %d", next.Version, len(next.Previous), len(current.Previous))
+			}
+		})
+	}
+}
--- a/internal/consensus/membership.go
+++ b/internal/consensus/membership.go
@@ -40,6 +40,20 @@
 	return Membership{Version: m.Version + 1, Current: next, Previous: m.Current}
 }
 
+// Redirect gives the change in progress another target. It is for memberships whose data
+// every quorum of a joint membership brings to a majority of Previous, which stays: there
+// the next target finds it whatever the last one was (design 8.6). The core's own
+// membership only follows committed ones (design 4.4).
+func (m *Membership) Redirect(next []Member) Membership {
+	return Membership{Version: m.Version + 1, Current: next, Previous: m.Previous}
+}
+
+// replacesMember tells whether the change in progress puts a newcomer in a member's
+// place. Any other one only adds members or only removes some.
+func (m *Membership) replacesMember() bool {
+	return len(excluding(m.Current, m.Previous)) > 0 && len(excluding(m.Previous, m.Current)) > 0
+}
+
 // Commit ends a change.
 func (m *Membership) Commit() Membership {
 	return Membership{Version: m.Version + 1, Current: m.Current}
@@ -69,6 +83,13 @@
 	return members
 }
 
+// excluding copies the members that are not among the others.
+func excluding(members, others []Member) []Member {
+	return slices.DeleteFunc(slices.Clone(members), func(member Member) bool {
+		return slices.ContainsFunc(others, func(other Member) bool { return other.ID == member.ID })
+	})
+}
+
 // without copies the members, leaving one out.
 func without(members []Member, id string) []Member {
 	return slices.DeleteFunc(slices.Clone(members), func(member Member) bool { return member.ID == id })
