A successor takes a lost member's place before that of one that leaves

What callers saw: nothing yet; found by a model of the membership. With four counted edge nodes, one lost and another one shut down within the first second of the successor, the next loss, sync_s after the successor's start, left two of four members: no configuration is acknowledged any more, for good.

Cause: a newcomer took the first free place in the order of the members, and a member that leaves counts as one. The lost member then stayed until it had been silent for 6 s.

Change: Join.NextMembers looks for lost members first, and waits up to 2.6 s after its start where one may be lost, before it takes a leaving member's place.

Result: TestSuccessorGoesBeforeALeavingMember failed on the code before in 2 of 10 runs of the core (0 of 10 of the stores), two new rows of TestJoinNextMembers too; all pass now, as do the tests of losses and memberships in clustertest.

--- a/internal/clustertest/planned_change_losses_test.go
+++ b/internal/clustertest/planned_change_losses_test.go
@@ -219,3 +219,42 @@
 		})
 	}
 }
+
+// A successor takes the place of the lost member and not that of one that is being shut
+// down: the lost one must not count any more when the next loss may come.
+func TestSuccessorGoesBeforeALeavingMember(t *testing.T) {
+	for _, group := range []memberGroup{storeGroup, coreGroup} {
+		for age := 300 * time.Millisecond; age <= 1200*time.Millisecond; age += lossTimeStep {
+			t.Run(fmt.Sprintf("%s, successor %v old", group.name, age), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) { checkSuccessorGoesBefore(t, group, age) })
+			})
+		}
+	}
+}
+
+// checkSuccessorGoesBefore shuts a member down when the successor of a lost one has run for
+// so long, and loses another one as early as it may come.
+func checkSuccessorGoesBefore(t *testing.T, group memberGroup, age time.Duration) {
+	cl := newClusterOf(t, 7, clusterSize{core: 4, edges: 1, stores: 4, ft: 1})
+	cl.startServing()
+	cl.await("all are members", bootstrapLimit, func() bool { return cl.coreInSync(4) && cl.storesInSync(4) })
+	l := &lossRun{cluster: cl, edgeName: "edge-4", next: 20, acknowledged: 1}
+	members := group.of(l.newestState()).Current
+	leaving, lost, next := members[0].Name, members[1].Name, members[2].Name
+	cl.excluded.Store(leaving)
+	cl.killAndWipe(lost)
+	time.Sleep(successorDelay)
+	cl.start(l.addSuccessor(lost))
+	time.Sleep(age)
+	go cl.terminate(leaving)
+	time.Sleep(5*time.Second + lossMargin - age)
+	if membership := group.of(l.newestState()); hasMember(membership, lost) {
+		t.Errorf("sync_s after its successor's start %s still counts: %+v", lost, membership)
+	}
+	cl.killAndWipe(next)
+	time.Sleep(wipedDownTime)
+	cl.start(next)
+	edge := cl.machine("edge-4").edge
+	cl.await("a change is acknowledged", recoveryTime, func() bool { return cl.putConfiguration(edge, 5, 1) == 200 })
+	cl.await("a job is accepted", recoveryTime, func() bool { return cl.submitAt(edge, "b", 5, 10).Code == 202 })
+}
--- a/internal/consensus/join.go
+++ b/internal/consensus/join.go
@@ -53,9 +53,7 @@
 	if at < 0 {
 		return nil
 	}
-	next := slices.Clone(target)
-	next[at] = j.Member
-	return next
+	return j.inPlaceOf(target, at)
 }
 
 // mayDisplace tells whether a member answers neither this newcomer nor a majority of the
@@ -65,39 +63,39 @@
 }
 
 // NextMembers is the set of members that includes the newcomer: in place of an
-// earlier incarnation of its disk, of a member that leaves, of one that does not
-// answer the newcomer and is lost, or in addition to the others. It is nil while it
-// is too early to tell, or if the membership is full. A member that the newcomer alone
-// cannot reach may be healthy, so its own view never displaces one (design 4.4).
+// earlier incarnation of its disk, of one that does not answer the newcomer and is lost, of
+// a member that leaves, or in addition to the others. It is nil while it is too early to
+// tell, or if the membership is full. A lost member goes before one that leaves, which is
+// removed by itself. A member that the newcomer alone cannot reach may be healthy, so its
+// own view never displaces one (design 4.4).
 func (j *Join) NextMembers(m *Membership, v *gossip.View) []Member {
-	next := slices.Clone(m.Current)
-	for i, member := range next {
-		if member.Name == j.Member.Name {
-			next[i] = j.Member
-			return next
-		}
+	if at := slices.IndexFunc(m.Current, func(member Member) bool { return member.Name == j.Member.Name }); at >= 0 {
+		return j.inPlaceOf(m.Current, at)
 	}
-	missing := false
-	for i, member := range next {
-		reached := isReached(member, v)
-		if reached && !v.Get(member.Name).Leaving {
-			continue
-		}
-		// What gossip carries about a member that died just now is out of date.
-		if !reached && j.Uptime < displaceAfter {
-			return nil
-		}
-		if reached || j.Lost[member.ID] {
-			next[i] = j.Member
-			return next
-		}
-		missing = true
+	missing := slices.ContainsFunc(m.Current, func(member Member) bool { return !isReached(member, v) })
+	// What gossip carries about a member that died just now is out of date.
+	if missing && j.Uptime < displaceAfter {
+		return nil
+	}
+	if at := slices.IndexFunc(m.Current, func(member Member) bool { return j.mayDisplace(member, v) }); at >= 0 {
+		return j.inPlaceOf(m.Current, at)
 	}
 	if missing && j.Uptime < joinBesideAfter {
 		return nil
 	}
-	if len(next) < j.MaxMembers {
-		return append(next, j.Member)
+	leaves := func(member Member) bool { return isReached(member, v) && v.Get(member.Name).Leaving }
+	if at := slices.IndexFunc(m.Current, leaves); at >= 0 {
+		return j.inPlaceOf(m.Current, at)
+	}
+	if len(m.Current) < j.MaxMembers {
+		return append(slices.Clone(m.Current), j.Member)
 	}
 	return nil
 }
+
+// inPlaceOf copies the members with the newcomer in the place of one.
+func (j *Join) inPlaceOf(members []Member, at int) []Member {
+	next := slices.Clone(members)
+	next[at] = j.Member
+	return next
+}
--- a/internal/consensus/join_test.go
+++ b/internal/consensus/join_test.go
@@ -22,6 +22,7 @@
 	healthy := []gossip.NodeState{nodeState("a", true, false), nodeState("b", true, false), nodeState("c", true, false)}
 	unreached := []gossip.NodeState{healthy[0], nodeState("b", false, false), healthy[2]}
 	leaving := []gossip.NodeState{healthy[0], nodeState("b", true, true), healthy[2]}
+	leavingBeforeLost := []gossip.NodeState{nodeState("a", true, true), nodeState("b", false, false), healthy[2]}
 	newcomer := member("n", "d")
 	lost := map[string]bool{"b#d": true}
 	for _, tc := range []struct {
@@ -38,6 +39,9 @@
 		{"one unreached for long, others are in contact", Join{newcomer, joinBesideAfter, nil, 7}, unreached, "a#d b#d c#d n#d"},
 		{"one unreached for long, others are in contact, no room", Join{newcomer, joinBesideAfter, nil, 3}, unreached, ""},
 		{"one lost by a majority", Join{newcomer, displaceAfter, lost, 7}, unreached, "a#d n#d c#d"},
+		{"one leaving, another one lost", Join{newcomer, displaceAfter, lost, 7}, leavingBeforeLost, "a#d n#d c#d"},
+		{"one leaving, another one perhaps lost", Join{newcomer, displaceAfter, nil, 7}, leavingBeforeLost, ""},
+		{"one leaving, another one unreached for long", Join{newcomer, joinBesideAfter, nil, 7}, leavingBeforeLost, "n#d b#d c#d"},
 		{"one leaving", Join{newcomer, joinDelay, nil, 7}, leaving, "a#d n#d c#d"},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
