--- a/internal/batch/membership.go
+++ b/internal/batch/membership.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"slices"
 	"sort"
 	"time"
 
@@ -105,22 +104,14 @@
 		unmet = consensus.OutOfContact(&st.Stores, v)
 	}
 	mk.change("store_joining", &suspicion{members: st.Stores.Current, suspects: unmet}, func(now *consensus.State, lost map[string]bool) (*consensus.State, error) {
-		if now.Stores.Has(self.ID) || isRetiring(now, self.ID) {
-			return nil, nil
-		}
 		join := consensus.Join{Member: self, Uptime: clock.Since(mk.started), Lost: lost, MaxMembers: maxStores}
-		next, ok := join.NextMembership(&now.Stores, mk.cfg.Gossip.Snapshot())
-		if !ok {
-			return nil, nil
-		}
-		now.Stores = next
-		return now, nil
+		return beginJoin(now, &join, mk.cfg.Gossip.Snapshot()), nil
 	})
 }
 
 // drive commits a change, or removes a store, when it is this store's turn.
 func (mk *membershipKeeper) drive(st *consensus.State, v *gossip.View, now clock.Instant) {
-	leaver, asked := mk.memberToRemove(st, v, now.Sub(mk.started))
+	leaver, asked := mk.rules(v).memberToRemove(st)
 	if !st.Stores.Joint() && leaver == "" {
 		mk.dueChange = dueChange{}
 		return
@@ -136,42 +127,13 @@
 		return
 	}
 	mk.change("store_leaving", asked, func(now *consensus.State, lost map[string]bool) (*consensus.State, error) {
-		if now.Stores.Version != st.Stores.Version || now.Stores.Joint() || asked != nil && !lost[leaver] {
+		if asked != nil && !lost[leaver] {
 			return nil, nil
 		}
-		now.Stores = now.Stores.Begin(slices.DeleteFunc(slices.Clone(now.Stores.Current), func(t consensus.Member) bool { return t.ID == leaver }))
-		return now, nil
+		return beginRemoval(now, st.Stores.Version, leaver), nil
 	})
 }
 
-// suspicion is what a majority of the members must confirm before a change.
-type suspicion struct {
-	members   []consensus.Member
-	suspects  []consensus.Member
-	silentFor clock.Micros
-}
-
-// memberToRemove is a member that is to leave, "" if none is. One that retires, or that
-// says it leaves, needs no confirmation; silence does.
-func (mk *membershipKeeper) memberToRemove(st *consensus.State, v *gossip.View, uptime clock.Micros) (id string, asked *suspicion) {
-	members := st.Stores.Current
-	if len(members) <= 2*mk.cfg.MaxFailures+1 {
-		return "", nil
-	}
-	for _, s := range members {
-		p := v.Get(s.Name)
-		if isRetiring(st, s.ID) || p != nil && p.Alive && p.Leaving && p.MemberID() == s.ID {
-			return s.ID, nil
-		}
-	}
-	for _, s := range members {
-		if consensus.MemberLongSilent(s, v, uptime) {
-			return s.ID, &suspicion{members: members, suspects: []consensus.Member{s}, silentFor: consensus.MemberDropTimeout - removalSlack}
-		}
-	}
-	return "", nil
-}
-
 // change commits a change on a goroutine of its own, once the members were asked which
 // of the suspects a majority of them has lost.
 func (mk *membershipKeeper) change(event string, asked *suspicion, change func(now *consensus.State, lost map[string]bool) (*consensus.State, error)) {
@@ -212,9 +174,9 @@
 		if st == nil || st.Stores.Version != in.Membership {
 			return out
 		}
-		takesAway := onlyRemoves(&st.Stores)
+		onlyRemoves := onlyRemoves(&st.Stores)
 		for _, s := range mk.shards {
-			if s.owner != nil && s.owner.ready && s.owner.membership.Version == in.Membership && mk.replicasComplete(s.owner, takesAway) {
+			if s.owner != nil && s.owner.ready && s.owner.membership.Version == in.Membership && mk.replicasComplete(s.owner, onlyRemoves) {
 				out.Shards = append(out.Shards, s.number)
 			}
 		}
@@ -223,40 +185,21 @@
 }
 
 // replicasComplete reports whether all members of the shard's current set that count have all
-// copies. A silent one counts while the change only removes a member, until it
-// has been silent for long: what leaves may hold the copy that the silent one
-// lacks, so it stays until then (design 8.6).
-func (mk *membershipKeeper) replicasComplete(o *owner, takesAway bool) bool {
-	v := mk.cfg.Gossip.Snapshot()
+// copies.
+func (mk *membershipKeeper) replicasComplete(o *owner, onlyRemoves bool) bool {
+	rules := mk.rules(mk.cfg.Gossip.Snapshot())
 	for _, progress := range o.progress {
-		if !o.membership.Has(progress.member.ID) || progress.state == progressReplicate {
-			continue
-		}
-		// A machine that came back with another disk is not that member: it joins
-		// anew once this change is settled.
-		if mk.recentlyReached(v, progress.member) || takesAway && !consensus.MemberSilent(progress.member, v, consensus.MemberDropTimeout, clock.Since(mk.started)) {
+		complete := progress.state == progressReplicate || !o.membership.Has(progress.member.ID)
+		if !complete && rules.delaysCommit(progress.member, onlyRemoves) {
 			return false
 		}
 	}
 	return true
 }
 
-// onlyRemoves reports whether a change adds no store to the membership. The replicas
-// of a shard may still include a store that is new to that shard.
-func onlyRemoves(r *consensus.Membership) bool {
-	return r.Joint() && !slices.ContainsFunc(r.Current, func(t consensus.Member) bool { return !hasMember(r.Previous, t.ID) })
-}
-
-// recentlyReached reports whether a member's holder lives and has answered this store within
-// the last while: a store whose link to one other is cut does not hold a change
-// up for ever.
-func (mk *membershipKeeper) recentlyReached(v *gossip.View, member consensus.Member) bool {
-	p := v.Get(member.Name)
-	return p != nil && p.Alive && p.MemberID() == member.ID && clock.Since(max(p.LastContact, p.StateChanged)) < contactTimeout
-}
-
-func hasMember(members []consensus.Member, id string) bool {
-	return slices.ContainsFunc(members, func(s consensus.Member) bool { return s.ID == id })
+// rules decide by what this store sees now.
+func (mk *membershipKeeper) rules(v *gossip.View) *membershipRules {
+	return &membershipRules{maxFailures: mk.cfg.MaxFailures, view: v, uptime: clock.Since(mk.started)}
 }
 
 // commit ends a change once every shard is owned under it.
@@ -270,11 +213,7 @@
 			return
 		}
 		_, err := mk.cfg.Change(ctx, func(now *consensus.State) (*consensus.State, error) {
-			if now.Stores.Version != st.Stores.Version || !now.Stores.Joint() {
-				return nil, nil
-			}
-			now.Stores = now.Stores.Commit()
-			return now, nil
+			return commitChange(now, st.Stores.Version), nil
 		})
 		if err == nil {
 			mk.cfg.Log.Info("stores_committed", "membership", st.Stores.Version+1, "members", len(st.Stores.Current))
@@ -315,12 +254,7 @@
 	return false
 }
 
-// removed reports whether this store may end: no set of the newest membership counts
-// on it, or too few stores would be left for it to be removed.
+// removed reports whether this store may end.
 func (mk *membershipKeeper) removed() bool {
-	st := mk.cfg.State()
-	if st == nil || !hasMember(st.Stores.All(), mk.cfg.Member) {
-		return true
-	}
-	return !st.Stores.Joint() && len(st.Stores.Current) <= 2*mk.cfg.MaxFailures+1
+	return mayEnd(mk.cfg.State(), mk.cfg.Member, mk.cfg.MaxFailures)
 }
--- /dev/null
+++ b/internal/batch/membership_rules.go
@@ -0,0 +1,116 @@
+package batch
+
+import (
+	"slices"
+
+	"rowanshunt/internal/clock"
+	"rowanshunt/internal/consensus"
+	"rowanshunt/internal/gossip"
+)
+
+// The rules by which the stores' membership changes, apart from what drives them
+// (membershipKeeper): functions of the newest state and of what one store sees of the
+// others, with neither goroutine nor socket. Who joins is decided by consensus.Join. The
+// model in membership_model_test.go explores them.
+
+// membershipRules decides by what one store sees.
+type membershipRules struct {
+	maxFailures int
+	view        *gossip.View
+	uptime      clock.Micros // of the store that looks
+}
+
+// suspicion is what a majority of the members must confirm before a change.
+type suspicion struct {
+	members   []consensus.Member
+	suspects  []consensus.Member
+	silentFor clock.Micros
+}
+
+// memberToRemove is a member that is to leave, "" if none is. One that retires, or that
+// says it leaves, needs no confirmation; silence does.
+func (mr *membershipRules) memberToRemove(st *consensus.State) (id string, asked *suspicion) {
+	members := st.Stores.Current
+	if !consensus.HasSpareMember(members, mr.maxFailures) {
+		return "", nil
+	}
+	for _, s := range members {
+		p := mr.view.Get(s.Name)
+		if isRetiring(st, s.ID) || p != nil && p.Alive && p.Leaving && p.MemberID() == s.ID {
+			return s.ID, nil
+		}
+	}
+	if s := consensus.DroppableMember(members, mr.maxFailures, mr.view, mr.uptime); s != nil {
+		return s.ID, &suspicion{members: members, suspects: []consensus.Member{*s}, silentFor: consensus.MemberDropTimeout - removalSlack}
+	}
+	return "", nil
+}
+
+// delaysCommit tells whether a member of the next set that lacks copies delays the commit
+// of a change. A silent one does while the change only removes members, until it has been
+// silent for long: what leaves may hold the copy that the silent one lacks, so it stays
+// until then (design 8.6).
+func (mr *membershipRules) delaysCommit(member consensus.Member, onlyRemoves bool) bool {
+	// A machine that came back with another disk is not that member: it joins anew.
+	return mr.recentlyReached(member) || onlyRemoves && !consensus.MemberSilent(member, mr.view, consensus.MemberDropTimeout, mr.uptime)
+}
+
+// recentlyReached reports whether a member's holder lives and has answered this store within
+// the last while: a store whose link to one other is cut does not hold a change
+// up for ever.
+func (mr *membershipRules) recentlyReached(member consensus.Member) bool {
+	p := mr.view.Get(member.Name)
+	return p != nil && p.Alive && p.MemberID() == member.ID && clock.Since(max(p.LastContact, p.StateChanged)) < contactTimeout
+}
+
+// onlyRemoves reports whether a change adds no store to the membership. The replicas
+// of a shard may still include a store that is new to that shard.
+func onlyRemoves(r *consensus.Membership) bool {
+	return r.Joint() && !slices.ContainsFunc(r.Current, func(t consensus.Member) bool { return !hasMember(r.Previous, t.ID) })
+}
+
+func hasMember(members []consensus.Member, id string) bool {
+	return slices.ContainsFunc(members, func(s consensus.Member) bool { return s.ID == id })
+}
+
+// beginJoin begins a newcomer's change, nil while it may not begin.
+func beginJoin(now *consensus.State, join *consensus.Join, v *gossip.View) *consensus.State {
+	if now.Stores.Has(join.Member.ID) || isRetiring(now, join.Member.ID) {
+		return nil
+	}
+	next, ok := join.NextMembership(&now.Stores, v)
+	if !ok {
+		return nil
+	}
+	now.Stores = next
+	return now
+}
+
+// beginRemoval begins the removal of a member from the membership of this version, nil if
+// that has changed meanwhile.
+func beginRemoval(now *consensus.State, version uint64, leaver string) *consensus.State {
+	if now.Stores.Version != version || now.Stores.Joint() {
+		return nil
+	}
+	now.Stores = now.Stores.Begin(slices.DeleteFunc(slices.Clone(now.Stores.Current), func(t consensus.Member) bool { return t.ID == leaver }))
+	return now
+}
+
+// commitChange commits the change in progress of this version, nil if that has changed
+// meanwhile.
+func commitChange(now *consensus.State, version uint64) *consensus.State {
+	if now.Stores.Version != version || !now.Stores.Joint() {
+		return nil
+	}
+	now.Stores = now.Stores.Commit()
+	return now
+}
+
+// mayEnd reports whether a store may end: no set of the newest membership counts on it, or
+// too few stores would be left for it to be removed.
+func mayEnd(st *consensus.State, member string, maxFailures int) bool {
+	if st == nil || !hasMember(st.Stores.All(), member) {
+		return true
+	}
+	return !st.Stores.Joint() && !consensus.HasSpareMember(st.Stores.Current, maxFailures)
+}
--- a/internal/consensus/membership_keeper.go
+++ b/internal/consensus/membership_keeper.go
@@ -47,7 +47,7 @@
 // hasSpareMember tells whether the set has more members than it takes to tolerate
 // maxFailures.
 func (mk *membershipKeeper) hasSpareMember(members []Member) bool {
-	return len(members) > 2*mk.maxFailures+1
+	return HasSpareMember(members, mk.maxFailures)
 }
 
 // dueTask gives what the membership needs this node to do now, nil if nothing. It
@@ -133,15 +133,7 @@
 
 // droppable is a member long silent that the membership can do without, nil if none.
 func (mk *membershipKeeper) droppable(members []Member, v *gossip.View) *Member {
-	if !mk.hasSpareMember(members) {
-		return nil
-	}
-	for _, m := range members {
-		if MemberLongSilent(m, v, clock.Since(mk.started)) {
-			return &m
-		}
-	}
-	return nil
+	return DroppableMember(members, mk.maxFailures, v, clock.Since(mk.started))
 }
 
 // repair completes a change whose driver is gone, and drops a member long silent if a
