A node that is killed during the very first start goes on with the bootstrap

Cause: the bootstrap's acceptors were in memory, in a process that found its disk empty. The second process finds files and was no acceptor; nothing said that a bootstrap was under way.

Change: BootstrapLog keeps on disk that a node takes part, with which seeds, before its identity is made, and a seed's votes before they are answered. A process that finds one goes on, until a change after the first membership is committed. A wiped seed does not vote. Seeds without a disk vote in memory as before. Calls between nodes are unchanged.

Left: no test shows the log line for seeds without a disk.

--- a/internal/consensus/bootstrap.go
+++ b/internal/consensus/bootstrap.go
@@ -20,10 +20,12 @@
 	bootstrapDelay = 1500 * clock.Millisecond
 	// stableViewSpan is how long the nodes with a disk must have stayed the same ones.
 	stableViewSpan = 900 * clock.Millisecond
+	// bootstrapRevision is the revision of the state with the first membership.
+	bootstrapRevision = 1
 )
 
 // bootstrapper chooses the first membership, in a second register whose acceptors
-// are the seeds and vote in memory (design 4.3).
+// are the seeds (design 4.3).
 type bootstrapper struct {
 	proposer *Proposer
 	gossip   *gossip.Gossip
@@ -31,8 +33,11 @@
 	role     string // of the nodes that may become members
 	started  clock.Instant
 	onChosen func(*State)
+	begun    *BootstrapLog // nil: this node takes no part in the bootstrap
 
-	view viewStability // owned by the event loop
+	// The event loop owns what follows.
+	view  viewStability
+	ended bool // the bootstrap is over, or this node takes no part in it
 }
 
 // newBootstrapper makes the bootstrapper of a node. The bootstrap register has one
@@ -40,7 +45,11 @@
 // perhaps with another value (design 4.3).
 func newBootstrapper(cfg *Config, started clock.Instant, onChosen func(*State)) *bootstrapper {
 	var seeds []Member
-	for _, addr := range cfg.Seeds {
+	begun, addresses := cfg.BootstrapLog, cfg.Seeds
+	if begun != nil {
+		addresses = begun.seeds // the acceptors stay those of the first start
+	}
+	for _, addr := range addresses {
 		seeds = append(seeds, Member{ID: bootstrapMemberPrefix + addr, Addr: addr})
 	}
 	empty := &State{Core: Membership{Current: seeds}}
@@ -55,36 +64,41 @@
 		role:     cfg.Self.Role,
 		started:  started,
 		onChosen: onChosen,
+		begun:    begun,
+		ended:    !begun.InProgress(),
 	}
 }
 
-// handleBootstrap answers the calls of the bootstrap register, with an acceptor if
-// this node is a seed in its first incarnation: one that restarted has forgotten its
-// promises and must not vote (design 4.3).
-func handleBootstrap(cfg *Config, firstIncarnation bool) {
+// handleBootstrap answers the calls of the bootstrap register, with an acceptor if this
+// node is a seed. Its votes are on its disk. Without a disk it votes in its first
+// incarnation only: one that restarted has forgotten its promises (design 4.3).
+func handleBootstrap(cfg *Config) {
 	var acceptor *Acceptor
-	if cfg.Bootstrap && firstIncarnation && slices.Contains(cfg.Seeds, cfg.Self.Addr) {
+	switch {
+	case cfg.BootstrapLog != nil:
+		acceptor = cfg.BootstrapLog.acceptor(cfg.Self.Addr)
+	case cfg.DiskDir == "" && cfg.Bootstrap && slices.Contains(cfg.Seeds, cfg.Self.Addr):
 		acceptor = NewBootstrapAcceptor(bootstrapMemberPrefix + cfg.Self.Addr)
 	}
 	handleRounds(cfg.Mux, acceptor, bootstrapRounds)
 }
 
-// isDue tells whether the view has been stable for long enough.
+// isDue tells whether this node takes part and the view has been stable for long enough.
 func (b *bootstrapper) isDue(now clock.Instant) bool {
-	return b.view.stableFor(now) > stableViewSpan && now.Sub(b.started) > bootstrapDelay
+	return !b.ended && b.view.stableFor(now) > stableViewSpan && now.Sub(b.started) > bootstrapDelay
 }
 
 // run chooses the first membership: the nodes with a disk in view, or what another
 // bootstrapper chose before.
 func (b *bootstrapper) run(ctx context.Context) {
-	document, err := codec.Marshal(&State{Revision: 1, Core: Membership{Version: 1, Current: b.candidates()}})
+	document, err := codec.Marshal(&State{Revision: bootstrapRevision, Core: Membership{Version: 1, Current: b.candidates()}})
 	if err != nil {
 		b.log.Warn("bootstrap_failed", "err", err)
 		return
 	}
 	chosen, err := b.proposer.Change(ctx, bootstrapChange(document))
 	if err != nil {
-		b.log.Warn("bootstrap_no_majority", "err", err)
+		b.log.Warn("bootstrap_no_majority", "err", err, "remedy", "start the seeds with their disks; where two of them have none and ended before the first configuration, stop all nodes, empty all disks and start them with bootstrap = true")
 		return
 	}
 	s := &State{}
@@ -96,6 +110,21 @@
 	b.onChosen(s)
 }
 
+// observe ends the bootstrap once a change after the first membership is committed: a
+// majority of the members has it on disk. The first membership alone may be known to
+// processes that keep it in memory only.
+func (b *bootstrapper) observe(committed *State) {
+	if b.ended || committed.Revision <= bootstrapRevision {
+		return
+	}
+	b.ended = true
+	go func() {
+		if err := b.begun.end(); err != nil {
+			b.log.Warn("bootstrap_end_not_saved", "err", err, "remedy", "none needed: the next start asks the seeds once more")
+		}
+	}()
+}
+
 // candidates are the first maxMembers of the nodes that may become members.
 func (b *bootstrapper) candidates() []Member {
 	var candidates []Member
--- a/internal/consensus/golden_test.go
+++ b/internal/consensus/golden_test.go
@@ -110,3 +110,38 @@
 		}
 	})
 }
+
+// The log of a node's part in the bootstrap: it begins, votes and ends.
+func TestGoldenBootstrapLog(t *testing.T) {
+	seeds := []string{"10.0.0.1:7000", "10.0.0.2:7000"}
+	accepted := Ballot{Number: 12, Proposer: "edge-2/life"}
+	t.Run("write", func(t *testing.T) {
+		dir := t.TempDir()
+		goldentest.NewLog(t, dir, BootstrapLogName)
+		b, err := createBootstrapLog(dir, seeds)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if err := b.save(vote{Promised: accepted, Accepted: accepted, State: goldenState()}, true); err != nil {
+			t.Fatal(err)
+		}
+		if err := b.end(); err != nil {
+			t.Fatal(err)
+		}
+		b.log.Close()
+		goldentest.CompareLog(t, dir, BootstrapLogName)
+	})
+	t.Run("read", func(t *testing.T) {
+		dir := t.TempDir()
+		goldentest.CopyTo(t, dir, BootstrapLogName)
+		b, err := OpenBootstrapLog(dir, false, nil, logging.Quiet())
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer b.log.Close()
+		want := bootstrapRecord{Seeds: seeds, Promised: accepted, Accepted: accepted, State: goldenState(), Ended: true}
+		if !reflect.DeepEqual(b.record, want) || b.InProgress() {
+			t.Errorf("read as %+v, want %+v", b.record, want)
+		}
+	})
+}
--- a/internal/consensus/maintenance.go
+++ b/internal/consensus/maintenance.go
@@ -21,10 +21,9 @@
 // does one such thing at a time. It lives on the event loop; only nodes with an
 // acceptor run it.
 type maintenance struct {
-	acceptor     *Acceptor
-	learner      *learner
-	gossip       *gossip.Gossip
-	mayBootstrap bool
+	acceptor *Acceptor
+	learner  *learner
+	gossip   *gossip.Gossip
 
 	acceptorCatchUp *acceptorCatchUp
 	confirmation    *confirmation
@@ -34,7 +33,10 @@
 }
 
 // onCommit runs on the loop for each newer committed state.
-func (m *maintenance) onCommit(committed *State) { m.confirmation.updateDelay(&committed.Core) }
+func (m *maintenance) onCommit(committed *State) {
+	m.confirmation.updateDelay(&committed.Core)
+	m.bootstrap.observe(committed)
+}
 
 func (m *maintenance) tick() {
 	now, view := clock.Now(), m.gossip.Snapshot()
@@ -48,7 +50,7 @@
 	}
 	switch {
 	case latest == nil:
-		if m.mayBootstrap && m.bootstrap.isDue(now) {
+		if m.bootstrap.isDue(now) {
 			m.task.tryRun(m.bootstrap.run)
 		}
 	case !latest.Core.Has(m.acceptor.ID()):
--- a/internal/consensus/model_scenario_test.go
+++ b/internal/consensus/model_scenario_test.go
@@ -21,8 +21,8 @@
 	// abandonedChange tells that a proposer began replaceCall(0, 3) and crashed, and that
 	// proposer 1 knows of it from what the acceptor of its own node accepted.
 	abandonedChange bool
-	// bootstrap makes it the bootstrap register: the members are the seeds, which
-	// have nothing on disk, so that one that is wiped is gone; the proposers learn
+	// bootstrap makes it the bootstrap register: the members are the seeds, of which one
+	// that is wiped is gone, while one that restarts has its votes; the proposers learn
 	// nothing between their calls (design 4.3).
 	bootstrap bool
 
@@ -108,6 +108,7 @@
 		{name: "a request sent again and built upon", members: 3, calls: resend, attempts: 1},
 		{name: "a refused request is sent again", members: 3, calls: refusedAgain, attempts: 1},
 		{name: "two bootstrappers, one crashes, a seed is lost", members: 3, calls: bootstrappers, attempts: 1, proposerCrashes: 1, wipes: 1, bootstrap: true, answersDelivered: true},
+		{name: "two bootstrappers, a seed restarts with its votes", members: 3, calls: bootstrappers, attempts: 1, acceptorCrashes: 1, bootstrap: true, answersDelivered: true},
 		{name: "a proposer crashes and sends its request again", members: 3, calls: [][]scenarioCall{{putCall("x", 4, 0), putCall("x", 4, 0)}, {putCall("y", 5, 0)}}, attempts: 1, proposerCrashes: 1, acceptorCrashes: 1},
 		{name: "race, five members", members: 5, calls: race, attempts: 1},
 		{name: "a member is wiped and replaced under a request", members: 3, newcomers: 1, calls: replaceOne, attempts: 1, wipes: 1, answersDelivered: true},
--- a/internal/consensus/register.go
+++ b/internal/consensus/register.go
@@ -23,9 +23,12 @@
 	DiskOptions []wal.Option
 	Seeds       []string
 	Bootstrap   bool
-	MaxFailures int          // machines that may be lost at once
-	OnState     func(*State) // receives committed states, on the loop
-	ProposerID  string       // unique to this incarnation of the node
+	// BootstrapLog is opened by New where it is nil; a node that makes its identity itself
+	// opens it before.
+	BootstrapLog *BootstrapLog
+	MaxFailures  int          // machines that may be lost at once
+	OnState      func(*State) // receives committed states, on the loop
+	ProposerID   string       // unique to this incarnation of the node
 }
 
 // Register is one node's part in the register. It composes the types that do the
@@ -55,6 +58,15 @@
 		}
 		context.AfterFunc(ctx, acceptor.Close)
 		re.acceptor = acceptor
+		if cfg.BootstrapLog == nil {
+			firstStart := cfg.Bootstrap && re.accepted() == nil
+			if cfg.BootstrapLog, err = OpenBootstrapLog(cfg.DiskDir, firstStart, cfg.Seeds, cfg.Log); err != nil {
+				return nil, err
+			}
+		}
+		if cfg.BootstrapLog != nil {
+			context.AfterFunc(ctx, cfg.BootstrapLog.log.Close)
+		}
 	}
 	re.learner = newLearner(re.accepted(), func(s *State) { re.announce(ctx, &cfg, s) })
 	caller := newGossipCaller(cfg.Transport, cfg.Gossip)
@@ -74,7 +86,7 @@
 
 func (re *Register) handleCalls(cfg *Config) {
 	handleRounds(cfg.Mux, re.acceptor, registerRounds)
-	handleBootstrap(cfg, re.accepted() == nil)
+	handleBootstrap(cfg)
 	re.contacts.handle(cfg.Mux)
 	rpc.Handle(cfg.Mux, kindCommitted, func(_ context.Context, in *State) (*rpc.Empty, error) {
 		re.learner.observe(in)
@@ -98,7 +110,6 @@
 		acceptor:        re.acceptor,
 		learner:         re.learner,
 		gossip:          cfg.Gossip,
-		mayBootstrap:    cfg.Bootstrap,
 		acceptorCatchUp: &acceptorCatchUp{acceptor: re.acceptor, learner: re.learner, caller: caller, change: re.Change, log: cfg.Log},
 		confirmation:    &confirmation{acceptor: re.acceptor, read: re.Read, broadcast: re.broadcaster.broadcast, log: cfg.Log, delay: confirmAfter},
 		bootstrap:       newBootstrapper(cfg, started, onBootstrapped),
--- a/internal/node/identity.go
+++ b/internal/node/identity.go
@@ -32,6 +32,9 @@
 	durableDir, empty := "", true // empty: nothing on the disk, or no disk
 	// An edge node with a disk that serves "ctl" may be a core member (settings.Options.Serves).
 	if opts.DataDir != "" && (n.role == settings.RoleStore || opts.Has("ctl")) {
+		if err := n.openBootstrapLog(opts); err != nil {
+			return err
+		}
 		id, fresh, err := recoverDisk(opts.DataDir, n.role, n.env.Log)
 		if err != nil {
 			return err
@@ -44,7 +47,7 @@
 	if n.self.Disk != "" {
 		durableDir = opts.DataDir
 	}
-	n.self.Bootstrap = opts.Bootstrap && empty
+	n.self.Bootstrap = opts.Bootstrap && empty || n.bootstrapLog.InProgress()
 	process, err := gossip.NewProcess(durableDir)
 	if err != nil {
 		return err
@@ -56,6 +59,19 @@
 	return nil
 }
 
+// openBootstrapLog opens what an edge node's disk has of the bootstrap. It comes before the
+// disk gets its identity, so that a first process that is killed in between is recognized
+// (design 4.3).
+func (n *Node) openBootstrapLog(opts *settings.Options) error {
+	if n.role != settings.RoleEdge {
+		return nil
+	}
+	_, err := os.Stat(filepath.Join(opts.DataDir, consensus.LogName))
+	firstStart := opts.Bootstrap && errors.Is(err, os.ErrNotExist)
+	n.bootstrapLog, err = consensus.OpenBootstrapLog(opts.DataDir, firstStart, opts.SeedAddrs(), n.env.Log)
+	return err
+}
+
 // recoverDisk recovers the log that holds the member's votes (a torn tail is cut, a lost
 // file quarantined, one of the first version converted) and reads the identity of this
 // disk out of it, so that neither is ever there without the other (design 10.2). fresh:
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -42,7 +42,8 @@
 	// opts are the options in force; a reload replaces them as a whole.
 	opts atomic.Pointer[settings.Options]
 	// diskDir is the folder of an edge node that is a member of the core, "" otherwise.
-	diskDir string
+	diskDir      string
+	bootstrapLog *consensus.BootstrapLog // nil without a part in the bootstrap
 
 	Loop     *eventloop.Loop
 	Mux      *rpc.Mux
@@ -86,19 +87,20 @@
 	})
 	var err error
 	n.Register, err = consensus.New(ctx, consensus.Config{
-		Loop:        n.Loop,
-		Mux:         n.Mux,
-		Transport:   env.Transport,
-		Gossip:      n.Gossip,
-		Log:         env.Log,
-		Self:        n.self,
-		DiskDir:     n.diskDir,
-		DiskOptions: env.Disk,
-		Seeds:       seeds,
-		Bootstrap:   n.self.Bootstrap,
-		MaxFailures: opts.Ft.Nodes,
-		OnState:     n.applyCommitted,
-		ProposerID:  n.self.ProcessID(),
+		Loop:         n.Loop,
+		Mux:          n.Mux,
+		Transport:    env.Transport,
+		Gossip:       n.Gossip,
+		Log:          env.Log,
+		Self:         n.self,
+		DiskDir:      n.diskDir,
+		DiskOptions:  env.Disk,
+		Seeds:        seeds,
+		Bootstrap:    n.self.Bootstrap,
+		BootstrapLog: n.bootstrapLog,
+		MaxFailures:  opts.Ft.Nodes,
+		OnState:      n.applyCommitted,
+		ProposerID:   n.self.ProcessID(),
 	})
 	if err != nil {
 		return nil, err
