soak: losses, replacements, additions and stops are drawn free of each other

Change: a count of the machines that are lost (down, frozen, back or replaced for less than sync_s) bounds the losses of disks; planned work, kills and freezes do not wait for it. Counted edge nodes lose their disks too, stores are lost for good, stores are added, and planned work of the stores is drawn close to a loss.

TestPlans, TestLossCount and TestChecksFindFaults pass.

--- a/internal/soak/bounds.go
+++ b/internal/soak/bounds.go
@@ -13,7 +13,8 @@
 	cancelBound   = 3000 * clock.Millisecond // until a cancelled job starts no item
 	recoverBound  = 12 * clock.Second        // until service is back after a loss of all
 	pollBound     = 120 * clock.Second       // for which results stay readable
-	syncBoundText = "5.1"                    // seconds
+	syncBound     = 5100 * clock.Millisecond // from the return of a machine until the next loss may come
+	syncBoundText = "5.1"                    // the same in seconds
 )
 
 // goalMs, gapMs and limitMs are those of all routes for requests.
--- a/internal/soak/disturber.go
+++ b/internal/soak/disturber.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"syscall"
 
 	"github.com/sourcegraph/conc"
@@ -26,12 +27,10 @@
 	record *Record
 	nodes  func(n uint64) nodeSpec
 
-	mu   sync.Mutex
-	busy map[*process]*sync.Mutex // one disturbance of a node at a time; guarded by mu
-	// lost: one disk is away, or one store is being replaced, at a time. It is taken before
-	// a node's lock.
-	lost     sync.Mutex
-	replaced int // guarded by lost
+	mu     sync.Mutex
+	busy   map[*process]*sync.Mutex // one disturbance of a node at a time; guarded by mu
+	losses *lossCount
+	added  atomic.Int64 // stores added so far
 }
 
 // run carries out the plan, and returns when all of it is over.
@@ -76,11 +75,14 @@
 		d.closeAll(ctx, disturbance)
 	case Replace:
 		d.replace(ctx, d.node(disturbance.Index))
+	case AddStore:
+		d.addStore()
 	case DiskLoss:
 		p := d.node(disturbance.Index)
-		d.lost.Lock()
-		defer d.lost.Unlock()
 		d.alone(p, func() { d.loseDisk(ctx, p, disturbance.For()) })
+	case MachineLoss:
+		p := d.node(disturbance.Index)
+		d.alone(p, func() { d.loseMachine(ctx, p, disturbance.For()) })
 	default:
 		p := d.node(disturbance.Index)
 		d.alone(p, func() { d.disturbNode(ctx, p, disturbance) })
@@ -92,31 +94,47 @@
 	pause := func() { clock.Sleep(ctx, disturbance.For().Duration()) }
 	switch disturbance.Kind {
 	case Stop:
+		d.losses.down(p.spec.name)
 		p.stop(ctx)
 		d.restart(p)
 	case Reload:
 		p.reload(ctx)
 	case Kill:
+		d.losses.down(p.spec.name)
 		p.kill(ctx)
 		pause()
 		d.restart(p)
 	case Freeze:
+		d.losses.down(p.spec.name)
 		p.signal(syscall.SIGSTOP, NodeFreeze)
 		pause()
 		p.signal(syscall.SIGCONT, NodeThaw)
+		d.losses.back(p.spec.name)
 	}
 }
 
+// restart starts a node again.
 func (d *disturber) restart(p *process) {
+	d.startNode(p)
+	d.losses.back(p.spec.name)
+}
+
+func (d *disturber) startNode(p *process) {
 	if err := p.start(false); err != nil {
 		d.record.addNode(p.spec.name, NodeStarted, err.Error())
 	}
 }
 
-// loseDisk kills a store right after a job was accepted, and starts it without its files.
-// d.lost is held.
+// addStore starts a store on a new machine.
+func (d *disturber) addStore() {
+	number := int(d.added.Add(1))
+	d.startNode(d.system.addStore(fmt.Sprintf("store-added-%d", number), number))
+}
+
+// loseDisk kills a counted node right after a job was accepted, and starts it without its
+// files.
 func (d *disturber) loseDisk(ctx context.Context, p *process, away clock.Micros) {
-	if !p.inUse() {
+	if !p.inUse() || !p.spec.hasDisk || !d.losses.awaitLoss(ctx, p.spec.name) {
 		return
 	}
 	d.awaitAcceptance(ctx)
@@ -126,7 +144,20 @@
 		d.record.addNode(p.spec.name, NodeKill, err.Error())
 	}
 	d.restart(p)
-	clock.Sleep(ctx, (minDiskLossGapMs * clock.Millisecond).Duration())
+}
+
+// loseMachine takes a store's machine away for good right after a job was accepted, and
+// starts its successor at another address.
+func (d *disturber) loseMachine(ctx context.Context, p *process, away clock.Micros) {
+	if !p.inUse() || p.spec.role != storeRole || !d.losses.awaitLoss(ctx, p.spec.name) {
+		return
+	}
+	d.awaitAcceptance(ctx)
+	p.takeAway(ctx)
+	d.system.removeStore(p)
+	clock.Sleep(ctx, away.Duration())
+	d.addStore()
+	d.losses.back(p.spec.name)
 }
 
 // awaitAcceptance waits until a job is accepted, for a second at most.
@@ -146,15 +177,12 @@
 	}
 }
 
-// replace retires a store, takes its machine away when it is empty, and starts another.
+// replace adds a store, retires another one and takes its machine away when it is empty.
 func (d *disturber) replace(ctx context.Context, p *process) {
-	d.lost.Lock()
-	defer d.lost.Unlock()
 	if p.spec.role != storeRole || !p.inUse() {
 		return
 	}
-	d.replaced++
-	d.restart(d.system.addStore(fmt.Sprintf("%s-r%d", p.spec.name, d.replaced), d.replaced))
+	d.addStore()
 	if !d.retire(ctx, p) {
 		return
 	}
@@ -191,6 +219,7 @@
 func (d *disturber) closeAll(ctx context.Context, disturbance Disturbance) {
 	all := d.system.all()
 	for _, p := range all {
+		d.losses.down(p.spec.name)
 		p.signal(syscall.SIGKILL, NodeKill)
 	}
 	clock.Sleep(ctx, disturbance.For().Duration())
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -24,8 +24,10 @@
 	WorkerLeave     DisturbanceKind = "worker_leave"
 	Kill            DisturbanceKind = "kill" // SIGKILL, then a new start
 	Freeze          DisturbanceKind = "freeze"
-	DiskLoss        DisturbanceKind = "disk_loss" // killed right after an acknowledgement, and started without its files
-	Replace         DisturbanceKind = "replace"   // a store is retired, and another one started in its place
+	DiskLoss        DisturbanceKind = "disk_loss"    // killed right after an acknowledgement, and started without its files
+	MachineLoss     DisturbanceKind = "machine_loss" // the same, gone for good: another store comes in its place
+	Replace         DisturbanceKind = "replace"      // a store is retired, and another one started in its place
+	AddStore        DisturbanceKind = "add_store"
 	WorkerCrash     DisturbanceKind = "worker_crash"
 	WorkerLateBeats DisturbanceKind = "worker_late_beats"
 	CloseAll        DisturbanceKind = "close_all" // all nodes are killed, and started again
@@ -34,7 +36,7 @@
 // Planned tells whether rules that end with unplanned trouble hold on beside it.
 func (k DisturbanceKind) Planned() bool {
 	switch k {
-	case Stop, Reload, Squeeze, WorkerLeave, WorkerLateBeats, Replace:
+	case Stop, Reload, Squeeze, WorkerLeave, WorkerLateBeats, Replace, AddStore:
 		return true
 	default:
 		return false
@@ -122,8 +124,8 @@
 	unplannedPerSecond = 0.5
 )
 
-// minDiskLossGapMs is above sync_s: no more disks are lost than the deployment bears.
-const minDiskLossGapMs = 6500
+// besideLossMs is how long before or after a loss planned work is drawn beside it.
+const besideLossMs = 1500
 
 // planner draws one plan.
 type planner struct {
@@ -171,9 +173,11 @@
 	count := int(float64(p.plan.LoadMs) / 1000 * plannedPerSecond * plannedUntilPercent / 100)
 	for range count {
 		at := p.moment(5, plannedUntilPercent)
-		switch p.rng.IntN(6) {
+		switch p.rng.IntN(7) {
 		case 0, 1:
 			p.add(at, Stop, p.rng.IntN(p.edges()), 0)
+		case 6:
+			p.add(at, Replace, p.edges()+p.rng.IntN(p.plan.Stores), 0)
 		case 2:
 			p.add(at, Reload, p.rng.IntN(p.nodes()), 0)
 		case 3:
@@ -186,10 +190,33 @@
 	}
 }
 
+// drawLoss draws the loss of a disk or a machine, and often planned work of the stores beside
+// it. What may be lost at once is counted when it is carried out (lossCount).
+func (p *planner) drawLoss(at int64) {
+	store := func() int { return p.edges() + p.rng.IntN(p.plan.Stores) }
+	awayMs := 300 + p.rng.Int64N(700)
+	switch p.rng.IntN(4) {
+	case 0:
+		p.add(at, DiskLoss, p.rng.IntN(p.plan.Edges), awayMs)
+	case 1:
+		p.add(at, DiskLoss, store(), awayMs)
+	default:
+		p.add(at, MachineLoss, store(), awayMs)
+	}
+	beside := max(0, at-besideLossMs+p.rng.Int64N(2*besideLossMs))
+	switch p.rng.IntN(6) {
+	case 0, 1:
+		p.add(beside, Replace, store(), 0)
+	case 2:
+		p.add(beside, Stop, store(), 0)
+	case 3:
+		p.add(beside, AddStore, 0, 0)
+	}
+}
+
 // drawUnplanned draws what may cost service for a time, and nothing that was acknowledged.
 func (p *planner) drawUnplanned() {
 	count := int(float64(p.plan.LoadMs) / 1000 * unplannedPerSecond * (unplannedUntilPercent - unplannedFromPercent) / 100)
-	nextDiskLossMs := int64(0)
 	for range count + 1 {
 		at := p.moment(unplannedFromPercent, unplannedUntilPercent)
 		switch p.rng.IntN(8) {
@@ -198,10 +225,7 @@
 		case 2:
 			p.add(at, Freeze, p.rng.IntN(p.nodes()), 300+p.rng.Int64N(2900))
 		case 3, 4:
-			if at >= nextDiskLossMs {
-				nextDiskLossMs = at + minDiskLossGapMs
-				p.add(at, DiskLoss, p.edges()+p.rng.IntN(p.plan.Stores), 300+p.rng.Int64N(700))
-			}
+			p.drawLoss(at)
 		case 5:
 			p.add(at, WorkerCrash, p.rng.IntN(2*p.plan.Workers), 500+p.rng.Int64N(1500))
 		case 6:
--- a/internal/soak/runner.go
+++ b/internal/soak/runner.go
@@ -189,7 +189,7 @@
 	for _, o := range r.operator {
 		group.Go(func() { o.run(changing) })
 	}
-	d := &disturber{plan: r.plan, system: r.system, fleet: r.fleet, record: r.record, nodes: r.edge, busy: map[*process]*sync.Mutex{}}
+	d := &disturber{plan: r.plan, system: r.system, fleet: r.fleet, record: r.record, nodes: r.edge, busy: map[*process]*sync.Mutex{}, losses: newLossCount(r.plan.MaxFailures)}
 	d.run(ctx)
 	<-changing.Done()
 	r.awaitService(ctx)
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -5,6 +5,8 @@
 	"os/exec"
 	"path/filepath"
 	"testing"
+	"testing/synctest"
+	"time"
 )
 
 // soakSeeds are those of a run in CI; TestPlans shows what they draw.
@@ -63,9 +65,28 @@
 			t.Errorf("seed %d has no silence during a stop and a reload: %v", seed, seen)
 		}
 	}
-	for _, kind := range []DisturbanceKind{Stop, Reload, Squeeze, WorkerLeave, Kill, Freeze, DiskLoss, Replace, WorkerCrash, WorkerLateBeats, CloseAll} {
+	for _, kind := range []DisturbanceKind{Stop, Reload, Squeeze, WorkerLeave, Kill, Freeze, DiskLoss, MachineLoss, Replace, AddStore, WorkerCrash, WorkerLateBeats, CloseAll} {
 		if kinds[kind] == 0 {
 			t.Errorf("50 seeds draw no %s", kind)
 		}
 	}
 }
+
+// No more machines are lost at once than may be: one counts until sync_s after its return.
+func TestLossCount(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		losses := newLossCount(1)
+		if !losses.tryLose("a") || losses.tryLose("b") {
+			t.Fatal("one machine may be lost, and one only")
+		}
+		losses.back("a")
+		time.Sleep(syncBound.Duration() - time.Millisecond)
+		if losses.tryLose("b") {
+			t.Error("another one is lost before sync_s is over")
+		}
+		time.Sleep(2 * time.Millisecond)
+		if !losses.tryLose("b") {
+			t.Error("no other one may be lost after sync_s")
+		}
+	})
+}
