clustertest: an addition beside a retirement or a shutdown, with losses

Two planned changes of one membership at once, with a loss at any moment of them and the next one as early as it may come.

--- a/internal/clustertest/loss_run_test.go
+++ b/internal/clustertest/loss_run_test.go
@@ -17,9 +17,9 @@
 	edgeName string // an edge without a disk: it is never lost
 	cores    []string
 	stores   []string
-	next     int // number of the next new machine
 
 	mu           sync.Mutex
+	next         int // number of the next new machine
 	acknowledged int // newest version acknowledged
 	jobs         []string
 }
@@ -99,6 +99,8 @@
 
 // addSuccessor adds a machine of the same kind at another address.
 func (l *lossRun) addSuccessor(old string) string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
 	l.next++
 	name, role := fmt.Sprintf("edge-%d", l.next), settings.RoleEdge
 	if l.cluster.machine(old).store != nil {
--- a/internal/clustertest/planned_change_losses_test.go
+++ b/internal/clustertest/planned_change_losses_test.go
@@ -4,6 +4,7 @@
 	"flag"
 	"fmt"
 	"math/rand/v2"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -54,12 +55,26 @@
 
 var plannedChanges = []plannedChange{
 	{"a store is retired", storeGroup, (*lossRun).retireAndTakeAway, true},
-	{"a store is shut down", storeGroup, func(l *lossRun, member string) { l.cluster.terminate(member) }, true},
+	{"a store is shut down", storeGroup, (*lossRun).shutDown, true},
 	{"a store is added", storeGroup, (*lossRun).addBeside, false},
-	{"a core member is shut down", coreGroup, func(l *lossRun, member string) { l.cluster.terminate(member) }, true},
+	{"a core member is shut down", coreGroup, (*lossRun).shutDown, true},
 	{"a core member is added", coreGroup, (*lossRun).addBeside, false},
+	{"a store is retired and one is added", storeGroup, alongAnAddition((*lossRun).retireAndTakeAway), true},
+	{"a core member is shut down and one is added", coreGroup, alongAnAddition((*lossRun).shutDown), true},
 }
 
+// alongAnAddition adds a machine of the same kind at the same time.
+func alongAnAddition(work func(*lossRun, string)) func(*lossRun, string) {
+	return func(l *lossRun, member string) {
+		var both sync.WaitGroup
+		both.Go(func() { l.addBeside(member) })
+		both.Go(func() { work(l, member) })
+		both.Wait()
+	}
+}
+
+func (l *lossRun) shutDown(member string) { l.cluster.terminate(member) }
+
 // retireAndTakeAway retires a store and ends it once it may go.
 func (l *lossRun) retireAndTakeAway(store string) {
 	edge := l.cluster.machine(l.edgeName).edge
