--- a/internal/consensus/bootstrap_test.go
+++ b/internal/consensus/bootstrap_test.go
@@ -1,13 +1,16 @@
 package consensus
 
 import (
+	"bytes"
 	"context"
+	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"rowanshunt/internal/gossip"
+	"rowanshunt/internal/logging"
 	"rowanshunt/internal/rpc"
 	"rowanshunt/internal/simnet"
 )
@@ -56,3 +59,24 @@
 		}
 	})
 }
+
+// Where too few seeds have their votes, the log tells the operator what to do (design 4.3).
+func TestBootstrapWithoutMajorityNamesTheRemedy(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(context.Background())
+		network := simnet.New(1)
+		register := startRegister(t, ctx, network, network.TransportOf("n0"), gossip.Peer{Name: "n0", Addr: "n0", Disk: "d0"}, t.TempDir(), []string{"n0", "n1", "n2"})
+		var lines bytes.Buffer
+		register.maintenance.bootstrap.log = logging.NewLog(&lines, "warn")
+		call, end := context.WithTimeout(ctx, 2*time.Second)
+		register.maintenance.bootstrap.run(call)
+		end()
+		cancel()
+		synctest.Wait()
+		for _, want := range []string{"bootstrap_no_majority", "empty all disks", "bootstrap = true"} {
+			if !strings.Contains(lines.String(), want) {
+				t.Errorf("the log does not say %q: %s", want, lines.String())
+			}
+		}
+	})
+}
