gossip: a node exchanges with every seed in its first rounds

Operators would have seen a first membership without stores that were up, which joined seconds later.

Cause: a node that knew three living peers drew the next among those it knew and went to a seed one round in 25 only, so two groups could form at the first start and stay apart.

Now each node spends its first 15 rounds, where needed, on the seeds that have not answered it.

--- a/internal/gossip/exchange.go
+++ b/internal/gossip/exchange.go
@@ -60,6 +60,7 @@
 // round starts this round's exchanges and pings.
 func (g *Gossip) round(ctx context.Context) {
 	g.table.self.Heartbeat++
+	g.introduction.rounds++
 	g.publish()
 	v := g.Snapshot()
 	addrs, pings := g.exchangeAddrs(v), g.directAddrs(v)
@@ -74,7 +75,7 @@
 }
 
 // exchangeAddrs draws the peers to exchange digests with in this round: a living one,
-// and now and then a seed and a silent one, so that the sides of a partition find each
+// and at first, and then now and then, a seed and a silent one, so that the sides of a partition find each
 // other again (design 3.3).
 func (g *Gossip) exchangeAddrs(v *View) map[string]bool {
 	addrs := map[string]bool{}
@@ -82,7 +83,7 @@
 	if len(living) > 0 {
 		addrs[v.Get(living[g.rng.IntN(len(living))]).Addr] = true
 	}
-	if seeds := g.cfg.Seeds; g.rng.IntN(roundsBetweenSeeds(len(living))) == 0 && len(seeds) > 0 {
+	if seeds := g.seedsDue(len(living)); len(seeds) > 0 {
 		addrs[seeds[g.rng.IntN(len(seeds))]] = true
 	}
 	if g.rng.IntN(silentRounds) == 0 {
@@ -93,6 +94,18 @@
 	return addrs
 }
 
+// seedsDue lists the seeds of which this round's exchange takes one, none if it goes to no
+// seed: first those that have not answered yet, then now and then any.
+func (g *Gossip) seedsDue(living int) []string {
+	if pending := g.introduction.pending(g.cfg.Seeds, g.table.self.Addr); len(pending) > 0 {
+		return pending
+	}
+	if g.rng.IntN(roundsBetweenSeeds(living)) == 0 {
+		return g.cfg.Seeds
+	}
+	return nil
+}
+
 // directAddrs are the addresses of the peers that this node must be in contact with.
 func (g *Gossip) directAddrs(v *View) map[string]bool {
 	addrs := map[string]bool{}
@@ -156,6 +169,7 @@
 	if err != nil {
 		return nil
 	}
+	g.introduction.answer(addr)
 	now := clock.Now()
 	unknown = g.table.merge(answer, now)
 	g.table.contactMade(answer.From.Name, now)
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -39,17 +39,18 @@
 	// revision of the register. It must be set before the event loop runs.
 	OnNewerRevision func(p Peer)
 
-	cfg   Config // SetSeeds replaces the seeds
-	table *table
-	rng   *rand.Rand
-	view  atomic.Pointer[View] // latest snapshot, never nil
+	cfg          Config // SetSeeds replaces the seeds
+	table        *table
+	introduction *introduction
+	rng          *rand.Rand
+	view         atomic.Pointer[View] // latest snapshot, never nil
 }
 
 // New makes the gossip of one node, registers its call and starts its rounds, which end
 // with ctx. It must be called before the event loop runs.
 func New(ctx context.Context, cfg Config) *Gossip {
 	seed := xxh3.HashString(cfg.Self.ProcessID())
-	g := &Gossip{cfg: cfg, rng: rand.New(rand.NewPCG(seed, uint64(len(cfg.Self.Name)+1)))}
+	g := &Gossip{cfg: cfg, rng: rand.New(rand.NewPCG(seed, uint64(len(cfg.Self.Name)+1))), introduction: newIntroduction()}
 	g.table = newTable(cfg.Self, g)
 	g.publish()
 	rpc.Handle(cfg.Mux, exchangeKind, g.handleExchange)
