batch: an order to retire holds for the machine, also when it comes back with another disk

An operator saw a retiring store that lost its disk answer done and then serving again: it had joined with its new disk within a second. It is taken away at done, so the membership counted a machine that is gone, and the next loss could leave no majority. Back before its removal had begun, it took its own old place and the order was never carried out.

Cause: the order is kept for the member, a machine with its disk; the same machine with another disk is another member.

Now such a machine doesn't join while its former member can be spared, takes the order over with its place where not, and joins 3 s after the end of its retirement at the earliest.

--- a/internal/batch/membership.go
+++ b/internal/batch/membership.go
@@ -38,6 +38,8 @@
 	lastPeers   string        // names of the living stores
 	stableSince clock.Instant // since when they are the same
 	dueChange   dueChange
+	// retiredSince is since when this store has known that it is retired, 0 if it is not.
+	retiredSince clock.Instant
 }
 
 // dueChange is a change of the membership that is due, and since when this store
@@ -71,7 +73,8 @@
 			mk.bootstrap(v)
 		}
 	case !st.Stores.Has(self.ID):
-		if !isRetiring(st, self.ID) && !v.Self.Leaving && now.Sub(mk.started) > joinAfter {
+		mk.noteRetired(st, self, now)
+		if !v.Self.Leaving && now.Sub(mk.started) > joinAfter && mk.rules(v).mayJoin(st, self, mk.retiredFor(now)) {
 			mk.join(st, self, v)
 		}
 	default:
@@ -97,15 +100,33 @@
 	})
 }
 
+// noteRetired notes since when this store has known that the member that it was with
+// another disk is retired.
+func (mk *membershipKeeper) noteRetired(st *consensus.State, self consensus.Member, now clock.Instant) {
+	if earlierRetireOrder(st, self) != retireOrderDone {
+		mk.retiredSince = 0
+	} else if mk.retiredSince == 0 {
+		mk.retiredSince = now
+	}
+}
+
+func (mk *membershipKeeper) retiredFor(now clock.Instant) clock.Micros {
+	if mk.retiredSince == 0 {
+		return 0
+	}
+	return now.Sub(mk.retiredSince)
+}
+
 // join proposes the membership that includes this store.
 func (mk *membershipKeeper) join(st *consensus.State, self consensus.Member, v *gossip.View) {
 	var unmet []consensus.Member
+	retiredFor := mk.retiredFor(clock.Now())
 	if clock.Since(mk.started) >= suspectAfter {
 		unmet = consensus.OutOfContact(&st.Stores, v)
 	}
 	mk.change("store_joining", &suspicion{members: st.Stores.Current, suspects: unmet}, func(now *consensus.State, lost map[string]bool) (*consensus.State, error) {
 		join := consensus.Join{Member: self, Uptime: clock.Since(mk.started), Lost: lost, MaxMembers: maxStores}
-		return beginJoin(now, &join, mk.cfg.Gossip.Snapshot()), nil
+		return mk.rules(mk.cfg.Gossip.Snapshot()).beginJoin(now, &join, retiredFor), nil
 	})
 }
 
--- a/internal/batch/membership_rules.go
+++ b/internal/batch/membership_rules.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strings"
 
 	"rowanshunt/internal/clock"
 	"rowanshunt/internal/consensus"
@@ -73,16 +74,66 @@
 	return slices.ContainsFunc(members, func(s consensus.Member) bool { return s.ID == id })
 }
 
-// beginJoin begins a newcomer's change, nil while it may not begin.
-func beginJoin(now *consensus.State, join *consensus.Join, v *gossip.View) *consensus.State {
-	if now.Stores.Has(join.Member.ID) || isRetiring(now, join.Member.ID) {
+// retiredRejoinDelay is how long a store that is back with another disk waits once the
+// member that it was is retired: the machine is about to be taken away.
+const retiredRejoinDelay = 3 * clock.Second
+
+// retireOrder is what became of an order to retire that a store was given when it had
+// another disk.
+type retireOrder int
+
+const (
+	retireOrderNone retireOrder = iota
+	retireOrderOpen             // the member with that disk still counts
+	retireOrderDone
+)
+
+func earlierRetireOrder(st *consensus.State, store consensus.Member) retireOrder {
+	order := retireOrderNone
+	for _, id := range st.Retiring {
+		if id == store.ID || !strings.HasPrefix(id, store.Name+"#") {
+			continue
+		}
+		if hasMember(st.Stores.All(), id) {
+			return retireOrderOpen
+		}
+		order = retireOrderDone
+	}
+	return order
+}
+
+// mayJoin tells whether a store that is no member may become one. One whose former disk is
+// to retire leaves that to the others, unless too few of them would be left. retiredFor is
+// how long the store has known that it is retired.
+func (mr *membershipRules) mayJoin(st *consensus.State, store consensus.Member, retiredFor clock.Micros) bool {
+	if isRetiring(st, store.ID) {
+		return false
+	}
+	switch earlierRetireOrder(st, store) {
+	case retireOrderOpen:
+		return !consensus.HasSpareMember(st.Stores.Current, mr.maxFailures)
+	case retireOrderDone:
+		return retiredFor > retiredRejoinDelay
+	default:
+		return true
+	}
+}
+
+// beginJoin begins a newcomer's change, nil while it may not begin. An order to retire
+// that is not carried out yet holds for the newcomer, too: it was given to the machine.
+func (mr *membershipRules) beginJoin(now *consensus.State, join *consensus.Join, retiredFor clock.Micros) *consensus.State {
+	if now.Stores.Has(join.Member.ID) || !mr.mayJoin(now, join.Member, retiredFor) {
 		return nil
 	}
-	next, ok := join.NextMembership(&now.Stores, v)
+	next, ok := join.NextMembership(&now.Stores, mr.view)
 	if !ok {
 		return nil
 	}
+	order := earlierRetireOrder(now, join.Member)
 	now.Stores = next
+	if order == retireOrderOpen {
+		now.MarkRetiring(join.Member.ID)
+	}
 	return now
 }
 
--- a/internal/consensus/retirement.go
+++ b/internal/consensus/retirement.go
@@ -33,7 +33,7 @@
 		if storesLeftWithout(current, id) < 2*maxFailures+1 {
 			return nil, fault.New(fault.Conflict, name, "too few stores would be left", "add a store first")
 		}
-		current.Retiring = boundRetiring(append(slices.Clone(current.Retiring), id), current.Stores.All())
+		current.MarkRetiring(id)
 		if err := logRetire(current, name); err != nil {
 			return nil, err
 		}
@@ -41,6 +41,11 @@
 	}
 }
 
+// MarkRetiring marks a store member to be emptied, in a state that is not shared yet.
+func (s *State) MarkRetiring(id string) {
+	s.Retiring = boundRetiring(append(slices.Clone(s.Retiring), id), s.Stores.All())
+}
+
 // storesLeftWithout counts the current stores that are neither this one nor retiring.
 func storesLeftWithout(current *State, id string) int {
 	left := 0
