batch, consensus: a retiring store that is back takes its own place and the order with it

The model with ft 2 refuted the first form: two stores are lost, one is back with an empty disk, is ordered to retire and doesn't join; with the next loss within ft no majority is left (lose 0, lose 1, return 0, retire 0, remove 2, own 2, time 0, lose 2). It also found that a store that is back while its former member is being removed displaced another lost store, so that the membership held it twice and an order to retire it reached one of the two only.

Now it takes its own former place, where it joins during a change too, with the order.

--- a/internal/batch/membership.go
+++ b/internal/batch/membership.go
@@ -74,7 +74,7 @@
 		}
 	case !st.Stores.Has(self.ID):
 		mk.noteRetired(st, self, now)
-		if !v.Self.Leaving && now.Sub(mk.started) > joinAfter && mk.rules(v).mayJoin(st, self, mk.retiredFor(now)) {
+		if !v.Self.Leaving && now.Sub(mk.started) > joinAfter && mayJoin(st, self, mk.retiredFor(now)) {
 			mk.join(st, self, v)
 		}
 	default:
--- a/internal/batch/membership_rules.go
+++ b/internal/batch/membership_rules.go
@@ -102,27 +102,19 @@
 	return order
 }
 
-// mayJoin tells whether a store that is no member may become one. One whose former disk is
-// to retire leaves that to the others, unless too few of them would be left. retiredFor is
-// how long the store has known that it is retired.
-func (mr *membershipRules) mayJoin(st *consensus.State, store consensus.Member, retiredFor clock.Micros) bool {
+// mayJoin tells whether a store that is no member may become one. retiredFor is how long
+// it has known that the member that it was with another disk is retired.
+func mayJoin(st *consensus.State, store consensus.Member, retiredFor clock.Micros) bool {
 	if isRetiring(st, store.ID) {
 		return false
 	}
-	switch earlierRetireOrder(st, store) {
-	case retireOrderOpen:
-		return !consensus.HasSpareMember(st.Stores.Current, mr.maxFailures)
-	case retireOrderDone:
-		return retiredFor > retiredRejoinDelay
-	default:
-		return true
-	}
+	return earlierRetireOrder(st, store) != retireOrderDone || retiredFor > retiredRejoinDelay
 }
 
 // beginJoin begins a newcomer's change, nil while it may not begin. An order to retire
 // that is not carried out yet holds for the newcomer, too: it was given to the machine.
 func (mr *membershipRules) beginJoin(now *consensus.State, join *consensus.Join, retiredFor clock.Micros) *consensus.State {
-	if now.Stores.Has(join.Member.ID) || !mr.mayJoin(now, join.Member, retiredFor) {
+	if now.Stores.Has(join.Member.ID) || !mayJoin(now, join.Member, retiredFor) {
 		return nil
 	}
 	next, ok := join.NextMembership(&now.Stores, mr.view)
--- a/internal/consensus/join.go
+++ b/internal/consensus/join.go
@@ -40,20 +40,26 @@
 
 // replaceLost is the target of the change in progress with the newcomer in place of a
 // member that stays in it and is lost, nil if there is none. A change that replaces no
-// member itself is given up for that: its target starts from the former set.
+// member itself is given up for that: its target starts from the former set. If that has an
+// earlier disk of the newcomer's machine, the newcomer takes that place.
 func (j *Join) replaceLost(m *Membership, v *gossip.View) []Member {
 	target := m.Current
 	if !m.replacesMember() {
 		target = m.Previous
 	}
-	at := slices.IndexFunc(target, func(member Member) bool { return m.Has(member.ID) && member.Name == j.Member.Name })
-	if at < 0 {
-		at = slices.IndexFunc(target, func(member Member) bool { return m.Has(member.ID) && j.mayDisplace(member, v) })
+	own := slices.IndexFunc(target, func(member Member) bool { return member.Name == j.Member.Name })
+	if own >= 0 && m.Has(target[own].ID) {
+		return j.inPlaceOf(target, own)
 	}
-	if at < 0 {
+	displaced := slices.IndexFunc(target, func(member Member) bool { return m.Has(member.ID) && j.mayDisplace(member, v) })
+	switch {
+	case displaced < 0:
 		return nil
+	case own >= 0: // its removal is given up
+		return j.inPlaceOf(target, own)
+	default:
+		return j.inPlaceOf(target, displaced)
 	}
-	return j.inPlaceOf(target, at)
 }
 
 // mayDisplace tells whether a member answers neither this newcomer nor a majority of the
--- a/internal/consensus/join_test.go
+++ b/internal/consensus/join_test.go
@@ -89,6 +89,7 @@
 		{"a removal, others are in contact", "a#d b#d c#d x#d", "a#d b#d c#d", Join{newcomer, joinBesideAfter, nil, 7}, "a#d c#d x#d", ""},
 		{"a removal, an earlier disk of its own", "a#d b#d c#d x#d", "a#d b#d c#d", Join{wiped, joinDelay, nil, 7}, "a#d c#d x#d", "a#d b#e c#d x#d"},
 		{"the removal of an earlier disk of its own", "a#d b#d c#d x#d", "a#d c#d x#d", Join{wiped, joinDelay, lost, 7}, "a#d c#d x#d", ""},
+		{"the removal of an earlier disk of its own, another one is lost", "a#d b#d c#d x#d", "a#d c#d x#d", Join{wiped, displaceAfter, map[string]bool{"c#d": true}, 7}, "a#d x#d", "a#d b#e c#d x#d"},
 		{"the removal of the lost one", "a#d b#d c#d x#d", "a#d c#d x#d", Join{newcomer, joinBesideAfter, lost, 7}, "a#d c#d x#d", ""},
 		{"an addition, a former member is lost", "a#d b#d c#d", "a#d b#d c#d x#d", Join{newcomer, displaceAfter, lost, 7}, "a#d c#d x#d", "a#d n#d c#d"},
 		{"a replacement, another one is lost", "a#d b#d c#d", "a#d b#d x#d", Join{newcomer, displaceAfter, lost, 7}, "a#d x#d", "a#d n#d x#d"},
