batch: a first membership that tolerates no planned loss waits for stores that are still starting

Two of three stores that were up 1.5 s before the third became the first members, and accepted jobs; with the loss of one of them before the third had joined, no majority was left. Where fewer than 2 ft + 1 stores are in view, the first membership is now proposed at an age of 5 s (recover_s is 12 s and more). The decision is pure code beside the other rules.

TestFirstStoresWaitForTheOthers: 2 members on the code before, 3 now.

--- a/internal/batch/membership.go
+++ b/internal/batch/membership.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"sort"
 	"time"
 
 	"rowanshunt/internal/clock"
@@ -14,7 +13,6 @@
 // Times of the stores' membership (design 8.6).
 const (
 	bootstrapStable = 1200 * clock.Millisecond // for so long the set of living stores must not have changed
-	bootstrapAfter  = 1500 * clock.Millisecond
 	joinAfter       = 400 * clock.Millisecond
 	suspectAfter    = 1300 * clock.Millisecond // after the start: by then a living member was in contact
 	changeTimeout   = 3 * time.Second
@@ -69,8 +67,9 @@
 	self := consensus.MemberOf(&mk.cfg.Self)
 	switch {
 	case len(st.Stores.Current) == 0:
-		if now.Sub(mk.stableSince) > bootstrapStable && now.Sub(mk.started) > bootstrapAfter {
-			mk.bootstrap(v)
+		first := mk.rules(v).firstMembers(mk.cfg.Self.Role)
+		if now.Sub(mk.stableSince) > bootstrapStable && mk.rules(v).mayBootstrap(first) {
+			mk.bootstrap(first)
 		}
 	case !st.Stores.Has(self.ID):
 		mk.noteRetired(st, self, now)
@@ -83,18 +82,11 @@
 }
 
 // bootstrap proposes the first membership.
-func (mk *membershipKeeper) bootstrap(v *gossip.View) {
+func (mk *membershipKeeper) bootstrap(first []consensus.Member) {
 	mk.change("stores_bootstrapped", nil, func(now *consensus.State, _ map[string]bool) (*consensus.State, error) {
 		if len(now.Stores.Current) > 0 {
 			return nil, nil
 		}
-		var first []consensus.Member
-		for _, p := range v.Nodes {
-			if p.Alive && p.Role == mk.cfg.Self.Role && p.Disk != "" {
-				first = append(first, consensus.MemberOf(&p.Peer))
-			}
-		}
-		sort.Slice(first, func(i, j int) bool { return first[i].ID < first[j].ID })
 		now.Stores = consensus.Membership{Version: now.Stores.Version + 1, Current: first}
 		return now, nil
 	})
--- a/internal/batch/membership_rules.go
+++ b/internal/batch/membership_rules.go
@@ -28,6 +28,34 @@
 	silentFor clock.Micros
 }
 
+// Ages of a store at which it may propose the first membership.
+const (
+	bootstrapAfter = 1500 * clock.Millisecond
+	// smallBootstrapAfter holds where too few stores are there to tolerate the failures
+	// that are planned for: the others may still be starting.
+	smallBootstrapAfter = 5 * clock.Second
+)
+
+// firstMembers are the living stores.
+func (mr *membershipRules) firstMembers(role string) []consensus.Member {
+	var first []consensus.Member
+	for i := range mr.view.Nodes {
+		if p := &mr.view.Nodes[i]; p.Alive && p.Role == role && p.Disk != "" {
+			first = append(first, consensus.MemberOf(&p.Peer))
+		}
+	}
+	slices.SortFunc(first, func(a, b consensus.Member) int { return strings.Compare(a.ID, b.ID) })
+	return first
+}
+
+// mayBootstrap tells whether this store may propose these first members.
+func (mr *membershipRules) mayBootstrap(first []consensus.Member) bool {
+	if len(first) > 2*mr.maxFailures {
+		return mr.uptime > bootstrapAfter
+	}
+	return mr.uptime > smallBootstrapAfter
+}
+
 // memberToRemove is a member that is to leave, "" if none is. One that retires, or that
 // says it leaves, needs no confirmation; silence does.
 func (mr *membershipRules) memberToRemove(st *consensus.State) (id string, asked *suspicion) {
--- a/internal/clustertest/first_start_test.go
+++ b/internal/clustertest/first_start_test.go
@@ -74,3 +74,24 @@
 		}
 	})
 }
+
+// Guards against a first membership of the stores that tolerates no loss, where the others
+// start a little later (design 8.6).
+func TestFirstStoresWaitForTheOthers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		cl := newCluster(t, 3, 3, 3)
+		last := cl.order[len(cl.order)-1]
+		for _, name := range cl.order[:len(cl.order)-1] {
+			cl.start(name)
+		}
+		time.Sleep(3 * time.Second)
+		cl.start(last)
+		cl.await("the stores are bootstrapped", bootstrapLimit, func() bool {
+			state := cl.committed()
+			return state != nil && len(state.Stores.Current) > 0
+		})
+		if first := &cl.committed().Stores; len(first.Current) != 3 {
+			t.Errorf("the first membership has %d stores, want 3", len(first.Current))
+		}
+	})
+}
