consensus: a membership's questions are its methods: Includes, Without, OnlyRemoves

batch had copies of them (hasMember, onlyRemoves, the removal of a member). No change of behaviour; the models of the memberships have the same numbers of states.

--- a/internal/batch/membership.go
+++ b/internal/batch/membership.go
@@ -187,7 +187,7 @@
 		if st == nil || st.Stores.Version != in.Membership {
 			return out
 		}
-		onlyRemoves := onlyRemoves(&st.Stores)
+		onlyRemoves := st.Stores.OnlyRemoves()
 		for _, s := range mk.shards {
 			if s.owner != nil && s.owner.ready && s.owner.membership.Version == in.Membership && mk.replicasComplete(s.owner, onlyRemoves) {
 				out.Shards = append(out.Shards, s.number)
--- a/internal/batch/membership_model_test.go
+++ b/internal/batch/membership_model_test.go
@@ -145,7 +145,7 @@
 	w := before.clone()
 	s := &w.stores[at]
 	id := consensus.Member{ID: (&gossip.NodeState{Peer: s.peer()}).MemberID(), Name: s.name}
-	isMember := hasMember(w.state.Stores.All(), id.ID)
+	isMember := w.state.Stores.Includes(id.ID)
 	lost := 0
 	for _, other := range w.stores {
 		if other.lost {
@@ -218,7 +218,7 @@
 		// Those that the step "copy" brings them to later are new to a membership.
 		s.copies, w.owned = true, true
 	case "copy":
-		if !w.owned || s.copies || !hasMember(set.All(), id.ID) {
+		if !w.owned || s.copies || !set.Includes(id.ID) {
 			return false
 		}
 		s.copies = true
@@ -226,7 +226,7 @@
 		if !w.owned || !set.Quorum(w.those(set.All(), hasCopies)) {
 			return false
 		}
-		rules, removes := mm.rules(w), onlyRemoves(&st.Stores)
+		rules, removes := mm.rules(w), st.Stores.OnlyRemoves()
 		for _, m := range set.Current {
 			if holder := w.holder(m); (holder == nil || !holder.copies) && rules.delaysCommit(m, removes) {
 				return false
--- a/internal/batch/membership_rules.go
+++ b/internal/batch/membership_rules.go
@@ -76,7 +76,8 @@
 }
 
 // delaysCommit tells whether a member of the next set that lacks copies delays the commit
-// of a change. A silent one does while the change only removes members, until it has been
+// of a change. A silent one does while the change of the stores' membership only removes
+// members (the replicas of a shard may still include one that is new to it), until it has been
 // silent for long: what leaves may hold the copy that the silent one lacks, so it stays
 // until then (design 8.6).
 func (mr *membershipRules) delaysCommit(member consensus.Member, onlyRemoves bool) bool {
@@ -92,16 +93,6 @@
 	return p != nil && p.Alive && p.MemberID() == member.ID && clock.Since(max(p.LastContact, p.StateChanged)) < contactTimeout
 }
 
-// onlyRemoves reports whether a change adds no store to the membership. The replicas
-// of a shard may still include a store that is new to that shard.
-func onlyRemoves(r *consensus.Membership) bool {
-	return r.Joint() && !slices.ContainsFunc(r.Current, func(t consensus.Member) bool { return !hasMember(r.Previous, t.ID) })
-}
-
-func hasMember(members []consensus.Member, id string) bool {
-	return slices.ContainsFunc(members, func(s consensus.Member) bool { return s.ID == id })
-}
-
 // retiredRejoinDelay is how long a store that is back with another disk waits once the
 // member that it was is retired: the machine is about to be taken away.
 const retiredRejoinDelay = 3 * clock.Second
@@ -122,7 +113,7 @@
 		if id == store.ID || !strings.HasPrefix(id, store.Name+"#") {
 			continue
 		}
-		if hasMember(st.Stores.All(), id) {
+		if st.Stores.Includes(id) {
 			return retireOrderOpen
 		}
 		order = retireOrderDone
@@ -163,7 +154,7 @@
 	if now.Stores.Version != version || now.Stores.Joint() {
 		return nil
 	}
-	now.Stores = now.Stores.Begin(slices.DeleteFunc(slices.Clone(now.Stores.Current), func(t consensus.Member) bool { return t.ID == leaver }))
+	now.Stores = now.Stores.Begin(now.Stores.Without(leaver))
 	return now
 }
 
@@ -180,7 +171,7 @@
 // mayEnd reports whether a store may end: no set of the newest membership counts on it, or
 // too few stores would be left for it to be removed.
 func mayEnd(st *consensus.State, member string, maxFailures int) bool {
-	if st == nil || !hasMember(st.Stores.All(), member) {
+	if st == nil || !st.Stores.Includes(member) {
 		return true
 	}
 	return !st.Stores.Joint() && !consensus.HasSpareMember(st.Stores.Current, maxFailures)
--- a/internal/consensus/membership.go
+++ b/internal/consensus/membership.go
@@ -19,6 +19,19 @@
 	return slices.ContainsFunc(m.Current, func(member Member) bool { return member.ID == id })
 }
 
+// Includes tells whether the member is in one of the sets.
+func (m *Membership) Includes(id string) bool {
+	return slices.ContainsFunc(m.All(), func(member Member) bool { return member.ID == id })
+}
+
+// Without copies the current set, leaving one member out.
+func (m *Membership) Without(id string) []Member { return without(m.Current, id) }
+
+// OnlyRemoves tells whether the change in progress adds no member.
+func (m *Membership) OnlyRemoves() bool {
+	return m.Joint() && len(excluding(m.Current, m.Previous)) == 0
+}
+
 // All lists the members of both sets, each once.
 func (m *Membership) All() []Member {
 	out := slices.Clone(m.Current)
--- a/internal/consensus/membership_keeper.go
+++ b/internal/consensus/membership_keeper.go
@@ -127,7 +127,7 @@
 		if !core.Has(id) || !mk.hasSpareMember(core.Current) {
 			return nil, nil
 		}
-		return without(core.Current, id), nil
+		return core.Without(id), nil
 	}
 }
 
