--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -43,6 +43,7 @@
 	seed, from, to             uint64
 	jobs                       int
 	keep                       bool
+	prove                      proveOptions
 }
 
 // execute carries out a command line.
@@ -63,6 +64,7 @@
 		command.Flag("program", "The program under test.").Default("target/rowanshunt").StringVar(&o.program)
 		command.Flag("out", "Folder in which runs that broke a rule are kept.").Default("run/soak").StringVar(&o.out)
 	}
+	prove := o.prove.addTo(app)
 	selected, code, ended := settings.ParseLine(app, args)
 	if ended {
 		return code, nil
@@ -77,6 +79,8 @@
 	case plan.FullCommand():
 		fmt.Print(soak.DrawPlan(limits, o.seed))
 		return 0, nil
+	case prove.FullCommand():
+		return o.prove.run(ctx, limits)
 	case one.FullCommand():
 		o.from, o.to, o.jobs = o.seed, o.seed, 1
 	}
