--- a/cmd/soak/prove.go
+++ b/cmd/soak/prove.go
@@ -33,7 +33,7 @@
 
 // run proves the defects and prints the row of each as soon as it is there.
 func (o *proveOptions) run(ctx context.Context, limits soak.Settings) (exitCode int, err error) {
-	all, err := defects.Read(filepath.Join(o.source, "internal/soak/defects/testdata/defects.toml"))
+	all, err := defects.Read(filepath.Join(o.source, "internal", "soak", "defects", "testdata", "defects.toml"))
 	if err != nil {
 		return exitError, err
 	}
--- a/internal/soak/defects/prove.go
+++ b/internal/soak/defects/prove.go
@@ -115,7 +115,7 @@
 	if len(f.Others) > 0 {
 		others = strings.Join(f.Others, ", ")
 	}
-	return fmt.Sprintf("| `%s` | %s | %s | %d | %s |", f.Defect.Name, strings.Join(f.Defect.Rules, ", "), found, f.Seeds, others)
+	return fmt.Sprintf("| %#q | %s | %s | %d | %s |", f.Defect.Name, strings.Join(f.Defect.Rules, ", "), found, f.Seeds, others)
 }
 
 // TableHeader is that of the rows of findings.
