soak: a machine without a disk does not count as lost

The operators' page counts machines whose quorum is true and lets any number of others go; the soak held losses of disks back while an edge node without a disk was down.

--- a/internal/soak/disturber.go
+++ b/internal/soak/disturber.go
@@ -94,21 +94,35 @@
 	pause := func() { clock.Sleep(ctx, disturbance.For().Duration()) }
 	switch disturbance.Kind {
 	case Stop:
-		d.losses.down(p.spec.name)
+		d.noteDown(p)
 		p.stop(ctx)
 		d.restart(p)
 	case Reload:
 		p.reload(ctx)
 	case Kill:
-		d.losses.down(p.spec.name)
+		d.noteDown(p)
 		p.kill(ctx)
 		pause()
 		d.restart(p)
 	case Freeze:
-		d.losses.down(p.spec.name)
+		d.noteDown(p)
 		p.signal(syscall.SIGSTOP, NodeFreeze)
 		pause()
 		p.signal(syscall.SIGCONT, NodeThaw)
+		d.noteBack(p)
+	}
+}
+
+// noteDown counts a node's machine as lost; one without a disk counts in no quorum.
+func (d *disturber) noteDown(p *process) {
+	if p.spec.hasDisk {
+		d.losses.down(p.spec.name)
+	}
+}
+
+// noteBack tells that a node's machine returned, or that its successor started.
+func (d *disturber) noteBack(p *process) {
+	if p.spec.hasDisk {
 		d.losses.back(p.spec.name)
 	}
 }
@@ -116,7 +130,7 @@
 // restart starts a node again.
 func (d *disturber) restart(p *process) {
 	d.startNode(p)
-	d.losses.back(p.spec.name)
+	d.noteBack(p)
 }
 
 func (d *disturber) startNode(p *process) {
@@ -157,7 +171,7 @@
 	d.system.removeStore(p)
 	clock.Sleep(ctx, away.Duration())
 	d.addStore()
-	d.losses.back(p.spec.name)
+	d.noteBack(p)
 }
 
 // awaitAcceptance waits until a job is accepted, for a second at most.
@@ -219,7 +233,7 @@
 func (d *disturber) closeAll(ctx context.Context, disturbance Disturbance) {
 	all := d.system.all()
 	for _, p := range all {
-		d.losses.down(p.spec.name)
+		d.noteDown(p)
 		p.signal(syscall.SIGKILL, NodeKill)
 	}
 	clock.Sleep(ctx, disturbance.For().Duration())
--- a/internal/soak/loss_count.go
+++ b/internal/soak/loss_count.go
@@ -11,9 +11,9 @@
 // lossPatience is for how long the loss of a disk waits for others to be over.
 const lossPatience = 10 * clock.Second
 
-// lossCount counts the machines that are lost by the operators' page: those that are down or
-// frozen, and those that returned, or whose successor started, less than sync_s ago. Any
-// number of goroutines may use it.
+// lossCount counts the machines that are lost by the operators' page: of those that count in
+// a quorum, the ones that are down or frozen, and those that returned, or whose successor
+// started, less than sync_s ago. Any number of goroutines may use it.
 //
 // Disks are lost only while fewer than max other machines are. Processes end and freeze
 // beside that as they are drawn: service may rest then, and nothing may be lost.
