consensus: State.RetiringOf says which marked members are of one machine

The rule that a member's id begins with its machine's name stood in isRetireAccepted and again in batch.earlierRetireOrder. No change of behaviour; the tests of batch, and those of retirements and memberships in consensus and clustertest, pass unchanged.

--- a/internal/batch/membership_rules.go
+++ b/internal/batch/membership_rules.go
@@ -109,14 +109,14 @@
 
 func earlierRetireOrder(st *consensus.State, store consensus.Member) retireOrder {
 	order := retireOrderNone
-	for _, id := range st.Retiring {
-		if id == store.ID || !strings.HasPrefix(id, store.Name+"#") {
-			continue
-		}
-		if st.Stores.Includes(id) {
+	for _, id := range st.RetiringOf(store.Name) {
+		switch {
+		case id == store.ID:
+		case st.Stores.Includes(id):
 			return retireOrderOpen
+		default:
+			order = retireOrderDone
 		}
-		order = retireOrderDone
 	}
 	return order
 }
--- a/internal/consensus/retirement.go
+++ b/internal/consensus/retirement.go
@@ -46,6 +46,12 @@
 	s.Retiring = boundRetiring(append(slices.Clone(s.Retiring), id), s.Stores.All())
 }
 
+// RetiringOf lists the marked members, also those that are gone, of the machine of a name: it
+// may have had several disks.
+func (s *State) RetiringOf(name string) []string {
+	return slices.DeleteFunc(slices.Clone(s.Retiring), func(id string) bool { return !strings.HasPrefix(id, name+"#") })
+}
+
 // storesLeftWithout counts the current stores that are neither this one nor retiring.
 func storesLeftWithout(current *State, id string) int {
 	left := 0
@@ -95,7 +101,7 @@
 
 // isRetireAccepted tells whether a retire request for that name was accepted lately.
 func isRetireAccepted(s *State, name string) (bool, error) {
-	if slices.ContainsFunc(s.Retiring, func(id string) bool { return strings.HasPrefix(id, name+"#") }) {
+	if len(s.RetiringOf(name)) > 0 {
 		return true, nil
 	}
 	return isRetireLogged(s, name)
