--- a/cmd/soak/prove.go
+++ b/cmd/soak/prove.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"path/filepath"
+	"slices"
 
 	"github.com/alecthomas/kingpin/v2"
 	"github.com/sourcegraph/conc/pool"
@@ -59,10 +60,8 @@
 	if err != nil {
 		return exitError, err
 	}
-	for _, yes := range found {
-		if !yes {
-			return exitBroken, nil
-		}
+	if slices.Contains(found, false) {
+		return exitBroken, nil
 	}
 	return 0, nil
 }
--- a/internal/batch/membership.go
+++ b/internal/batch/membership.go
@@ -67,8 +67,9 @@
 	self := consensus.MemberOf(&mk.cfg.Self)
 	switch {
 	case len(st.Stores.Current) == 0:
-		first := mk.rules(v).firstMembers(mk.cfg.Self.Role)
-		if now.Sub(mk.stableSince) > bootstrapStable && mk.rules(v).mayBootstrap(first) {
+		rules := mk.rules(v)
+		first := rules.firstMembers(mk.cfg.Self.Role)
+		if now.Sub(mk.stableSince) > bootstrapStable && rules.mayBootstrap(first) {
 			mk.bootstrap(first)
 		}
 	case !st.Stores.Has(self.ID):
--- a/internal/gossip/exchange.go
+++ b/internal/gossip/exchange.go
@@ -74,9 +74,9 @@
 	}
 }
 
-// exchangeAddrs draws the peers to exchange digests with in this round: a living one,
-// and at first, and then now and then, a seed and a silent one, so that the sides of a partition find each
-// other again (design 3.3).
+// exchangeAddrs draws the peers to exchange digests with in this round: a living one, a
+// seed in the first rounds, and now and then a seed and a silent one, so that the sides of a
+// partition find each other again (design 3.3).
 func (g *Gossip) exchangeAddrs(v *View) map[string]bool {
 	addrs := map[string]bool{}
 	living := v.Names(func(s *NodeState) bool { return s.Alive && s.Name != v.Self.Name })
